Scaffold the module and the types that packages agree on

Measured: go vet and build only; nothing runs yet.

Conclusion: parts can be built side by side against these types.

--- /dev/null
+++ b/internal/buildinfo/buildinfo.go
@@ -0,0 +1,21 @@
+// Package buildinfo tells which build of the program runs.
+package buildinfo
+
+import "runtime/debug"
+
+// Version is set by the linker for releases.
+var Version = "development"
+
+// String returns the version, with the revision when the build recorded one.
+func String() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return Version
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return Version + " (" + setting.Value + ")"
+		}
+	}
+	return Version
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,95 @@
+// Package cli runs a program of sub-commands on go-flags: help, version,
+// suggestions for mistyped names, and one exit code per cause of failure.
+package cli
+
+import (
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/martenstage/martenstage/internal/buildinfo"
+	"github.com/martenstage/martenstage/internal/exitcode"
+)
+
+// Command is one sub-command. Data is a pointer to an options struct that
+// implements flags.Commander, or a parent of Children.
+type Command struct {
+	Name     string
+	Short    string
+	Long     string
+	Data     any
+	Children []Command
+}
+
+// commandUser is implemented by options structs that need their own
+// flags.Command, to tell given options from defaults.
+type commandUser interface{ UseCommand(*flags.Command) }
+
+// Group is the options struct of a command that only has children.
+type Group struct{}
+
+type globalOptions struct {
+	Version func() `long:"version" description:"Print the version and exit"`
+}
+
+// Run parses the arguments, executes the chosen command and returns the exit
+// code of the process.
+func Run(program, summary string, commands []Command, arguments []string) int {
+	global := &globalOptions{Version: func() {
+		fmt.Println(program, buildinfo.String())
+		os.Exit(exitcode.OK)
+	}}
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	parser.ShortDescription = summary
+	if _, err := parser.AddGroup("Program options", "", global); err != nil {
+		return report(program, err)
+	}
+	for _, command := range commands {
+		if err := add(parser.Command, command); err != nil {
+			return report(program, err)
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return report(program, err)
+}
+
+func add(parent *flags.Command, command Command) error {
+	data := command.Data
+	if data == nil {
+		data = &Group{}
+	}
+	added, err := parent.AddCommand(command.Name, command.Short, command.Long, data)
+	if err != nil {
+		return errors.Wrapf(err, "command %s", command.Name)
+	}
+	if user, ok := data.(commandUser); ok {
+		user.UseCommand(added)
+	}
+	for _, child := range command.Children {
+		if err := add(added, child); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// report prints the error that ended a command and returns its exit code.
+func report(program string, err error) int {
+	if err == nil {
+		return exitcode.OK
+	}
+	var parseError *flags.Error
+	if !errors.As(err, &parseError) {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		return exitcode.Of(err)
+	}
+	if parseError.Type == flags.ErrHelp {
+		fmt.Println(parseError.Message)
+		return exitcode.OK
+	}
+	fmt.Fprintf(os.Stderr, "%s: %s\n", program, strings.TrimSpace(parseError.Message))
+	return exitcode.Usage
+}
--- /dev/null
+++ b/internal/journal/event.go
@@ -0,0 +1,56 @@
+// Package journal defines the events that operators read after a failure:
+// what failed, when, for how long and whom it touched.
+package journal
+
+import "time"
+
+// Kind names a type of event. Kinds are part of the operators' interface.
+type Kind string
+
+// Event kinds.
+const (
+	KindReplicaEjected      Kind = "replica_ejected"
+	KindReplicaReturned     Kind = "replica_returned"
+	KindShardUncovered      Kind = "shard_uncovered"
+	KindShardCovered        Kind = "shard_covered"
+	KindCoverageBelowPolicy Kind = "coverage_below_policy"
+	KindLeaseLost           Kind = "lease_lost"
+	KindLeaseGained         Kind = "lease_gained"
+	KindLeaderChanged       Kind = "leader_changed"
+	KindVoterLost           Kind = "voter_lost"
+	KindVoterReturned       Kind = "voter_returned"
+	KindVoterReplaced       Kind = "voter_replaced"
+	KindDiskSlow            Kind = "disk_slow"
+	KindDiskFailed          Kind = "disk_failed"
+	KindChangeAccepted      Kind = "change_accepted"
+	KindChangeRefused       Kind = "change_refused"
+	KindDrainBegun          Kind = "drain_begun"
+	KindDrainDone           Kind = "drain_done"
+	KindSurgeRefused        Kind = "surge_refused"
+	KindClaimRefused        Kind = "claim_refused"
+	KindRestarted           Kind = "restarted"
+	KindRelayLost           Kind = "relay_lost"
+	KindSnapshotRestarted   Kind = "snapshot_restarted"
+	KindBadEcho             Kind = "bad_echo"
+	KindEventsDropped       Kind = "events_dropped"
+)
+
+// Event is one entry of the journal. Equal events close in time are folded
+// into one with a count and a time span.
+type Event struct {
+	// ID is unique per source: source, boot number and sequence.
+	ID     string
+	Time   time.Time
+	Kind   Kind
+	Source string
+	// Service, Shard and Address name what the event is about; empty when the
+	// kind has none.
+	Service string
+	Shard   string
+	Address string
+	Detail  string
+	// Count is how many equal events this one stands for, LastTime the time
+	// of the last of them.
+	Count    uint64
+	LastTime time.Time
+}
