Add the replicated state machine of control

Change: package state applies stamped commands without a clock of its own and bounds everything that it remembers.

--- /dev/null
+++ b/internal/state/changes.go
@@ -0,0 +1,73 @@
+package state
+
+import (
+	"bytes"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+)
+
+// ChangeResult is the decision on one change. It is remembered under the change
+// id, and a resent change gets it again.
+type ChangeResult struct {
+	Result v1.ApplyResult
+	// Revision is the accepted one, otherwise the latest at the decision.
+	Revision     uint64
+	WinnerAuthor string
+	Detail       string
+}
+
+// changeResult is a remembered decision.
+type changeResult struct {
+	id   string
+	hash []byte
+	time int64 // Unix milliseconds
+	ChangeResult
+}
+
+// changeResults remembers decisions by change id, oldest first.
+type changeResults struct {
+	byID  map[string]*changeResult
+	order []*changeResult
+}
+
+func newChangeResults() changeResults {
+	return changeResults{byID: map[string]*changeResult{}}
+}
+
+func (c *changeResults) remember(id string, hash []byte, result ChangeResult, now int64, limits Limits) {
+	c.add(&changeResult{id: id, hash: hash, time: now, ChangeResult: result})
+	c.forget(now, limits)
+}
+
+func (c *changeResults) add(result *changeResult) {
+	c.byID[result.id] = result
+	c.order = append(c.order, result)
+}
+
+// forget drops decisions beyond the limits.
+func (c *changeResults) forget(now int64, limits Limits) {
+	oldest := now - limits.ChangeAge.Milliseconds()
+	for len(c.order) > 0 && (len(c.order) > limits.Changes || c.order[0].time < oldest) {
+		delete(c.byID, c.order[0].id)
+		c.order[0] = nil
+		c.order = c.order[1:]
+	}
+}
+
+// ChangeResult returns the first decision on a change id. A decision never
+// changes, so any voter that knows it may answer. Another request under the
+// same id gets APPLY_RESULT_CHANGE_ID_REUSED.
+func (m *Machine) ChangeResult(id string, requestHash []byte) (ChangeResult, bool) {
+	first, known := m.changes.byID[id]
+	if !known {
+		return ChangeResult{}, false
+	}
+	if !bytes.Equal(first.hash, requestHash) {
+		return ChangeResult{
+			Result:   v1.ApplyResult_APPLY_RESULT_CHANGE_ID_REUSED,
+			Revision: first.Revision,
+			Detail:   "change id " + id + " was used before for another request",
+		}, true
+	}
+	return first.ChangeResult, true
+}
--- /dev/null
+++ b/internal/state/configuration.go
@@ -0,0 +1,144 @@
+package state
+
+import (
+	"fmt"
+	"time"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	eventjournal "github.com/martenstage/martenstage/internal/journal"
+)
+
+// Revision is one accepted configuration. Numbers start at 1 and go up by one.
+type Revision struct {
+	Number   uint64
+	ChangeID string
+	Author   string
+	Comment  string
+	Accepted time.Time
+	// Text is empty when TextDropped is set.
+	Text        string
+	TextDropped bool
+	// RollbackOf is the revision whose text was taken again, or 0.
+	RollbackOf uint64
+}
+
+// configuration is the history, oldest first, and the plan of its last entry.
+type configuration struct {
+	revisions []Revision
+	plan      []byte
+	// withText counts the newest revisions that keep their text, textBytes is
+	// their size.
+	withText  int
+	textBytes int
+}
+
+func (c *configuration) latest() Revision {
+	if len(c.revisions) == 0 {
+		return Revision{}
+	}
+	return c.revisions[len(c.revisions)-1]
+}
+
+func (c *configuration) append(revision Revision, plan []byte, limits Limits) {
+	c.revisions = append(c.revisions, revision)
+	c.plan = plan
+	c.withText++
+	c.textBytes += len(revision.Text)
+	for c.withText > 1 && (c.withText > limits.Texts || c.textBytes > limits.TextBytes) {
+		oldest := &c.revisions[len(c.revisions)-c.withText]
+		c.textBytes -= len(oldest.Text)
+		oldest.Text, oldest.TextDropped = "", true
+		c.withText--
+	}
+	if excess := len(c.revisions) - max(limits.Revisions, c.withText); excess > 0 {
+		c.revisions = append([]Revision(nil), c.revisions[excess:]...)
+	}
+}
+
+// Latest returns the newest revision; its number is 0 on an empty history.
+func (m *Machine) Latest() Revision { return m.config.latest() }
+
+// Plan returns the encoded plan of the latest revision. The caller must not
+// change it.
+func (m *Machine) Plan() []byte { return m.config.plan }
+
+// Revision returns a revision by number, and whether it is still kept.
+func (m *Machine) Revision(number uint64) (Revision, bool) {
+	if len(m.config.revisions) == 0 || number < m.config.revisions[0].Number {
+		return Revision{}, false
+	}
+	index := number - m.config.revisions[0].Number
+	if index >= uint64(len(m.config.revisions)) {
+		return Revision{}, false
+	}
+	return m.config.revisions[index], true
+}
+
+// History returns up to limit revisions, newest first, without texts.
+func (m *Machine) History(limit int) []Revision {
+	count := min(limit, len(m.config.revisions))
+	history := make([]Revision, 0, count)
+	for index := range count {
+		revision := m.config.revisions[len(m.config.revisions)-1-index]
+		revision.Text = ""
+		history = append(history, revision)
+	}
+	return history
+}
+
+// applyChange decides a submitted configuration: it is accepted only when the
+// latest revision is the one that it was written against.
+func (m *Machine) applyChange(command *v1.ChangeCommand) ChangeResult {
+	if first, known := m.ChangeResult(command.GetChangeId(), command.GetRequestHash()); known {
+		return first
+	}
+	result := m.decideChange(command)
+	m.changes.remember(command.GetChangeId(), command.GetRequestHash(), result, m.now, m.limits)
+	m.recordChange(command, result)
+	return result
+}
+
+func (m *Machine) decideChange(command *v1.ChangeCommand) ChangeResult {
+	latest := m.config.latest()
+	if command.GetInvalid() != "" {
+		return ChangeResult{Result: v1.ApplyResult_APPLY_RESULT_INVALID, Revision: latest.Number, Detail: command.GetInvalid()}
+	}
+	if command.GetExpectedRevision() != latest.Number {
+		return conflict(command.GetExpectedRevision(), latest)
+	}
+	revision := Revision{
+		Number:     latest.Number + 1,
+		ChangeID:   command.GetChangeId(),
+		Author:     command.GetAuthor(),
+		Comment:    command.GetComment(),
+		Accepted:   m.Now(),
+		Text:       command.GetText(),
+		RollbackOf: command.GetRollbackOf(),
+	}
+	m.config.append(revision, command.GetPlan(), m.limits)
+	return ChangeResult{Result: v1.ApplyResult_APPLY_RESULT_ACCEPTED, Revision: revision.Number}
+}
+
+func conflict(expected uint64, latest Revision) ChangeResult {
+	detail := fmt.Sprintf("written against revision %d, but the latest is %d", expected, latest.Number)
+	if latest.Number > 0 {
+		detail += fmt.Sprintf(" by %s (change %s)", latest.Author, latest.ChangeID)
+	}
+	return ChangeResult{
+		Result:       v1.ApplyResult_APPLY_RESULT_CONFLICT,
+		Revision:     latest.Number,
+		WinnerAuthor: latest.Author,
+		Detail:       detail,
+	}
+}
+
+// recordChange writes the decision to the journal in the same command, so that
+// no crash can separate the two.
+func (m *Machine) recordChange(command *v1.ChangeCommand, result ChangeResult) {
+	kind, detail := eventjournal.KindChangeRefused, result.Detail
+	if result.Result == v1.ApplyResult_APPLY_RESULT_ACCEPTED {
+		kind, detail = eventjournal.KindChangeAccepted, fmt.Sprintf("revision %d", result.Revision)
+	}
+	detail = fmt.Sprintf("change %s by %s: %s", command.GetChangeId(), command.GetAuthor(), detail)
+	m.record("change/"+command.GetChangeId(), kind, "", detail)
+}
--- /dev/null
+++ b/internal/state/snapshot.go
@@ -0,0 +1,197 @@
+package state
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+)
+
+// A snapshot is snapshotMagic, a format version byte and a StateSnapshot. The
+// version changes only when a newer program could no longer read the older
+// encoding field by field; reading every older version stays supported.
+const (
+	snapshotMagic   = "martenstage-state"
+	snapshotVersion = 1
+)
+
+// Snapshot encodes the whole state. Equal states have equal snapshots.
+func (m *Machine) Snapshot() ([]byte, error) {
+	snapshot := &v1.StateSnapshot{
+		TimeUnixMs:    m.now,
+		Revisions:     lo.Map(m.config.revisions, storeRevision),
+		Plan:          m.config.plan,
+		Changes:       lo.Map(m.changes.order, storeChange),
+		Claims:        m.storeClaims(),
+		Tombstones:    lo.Map(m.claims.tombstones, storeTombstone),
+		Drains:        lo.Map(m.drains.sorted(), storeDrain),
+		DrainsVersion: m.drains.version,
+		Events:        m.journal.events,
+		EventsDropped: m.journal.dropped,
+	}
+	header := append([]byte(snapshotMagic), snapshotVersion)
+	encoded, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(header, snapshot)
+	return encoded, errors.Wrap(err, "encode state snapshot")
+}
+
+// Restore replaces the whole state by a snapshot. On an error the state is
+// unchanged.
+func (m *Machine) Restore(data []byte) error {
+	headerSize := len(snapshotMagic) + 1
+	if len(data) < headerSize || !bytes.HasPrefix(data, []byte(snapshotMagic)) {
+		return errors.New("not a state snapshot")
+	}
+	if version := data[headerSize-1]; version > snapshotVersion {
+		return errors.Newf("state snapshot has version %d, this program reads up to %d", version, snapshotVersion)
+	}
+	snapshot := &v1.StateSnapshot{}
+	if err := proto.Unmarshal(data[headerSize:], snapshot); err != nil {
+		return errors.Wrap(err, "decode state snapshot")
+	}
+	restored := New(m.limits)
+	if err := restored.load(snapshot); err != nil {
+		return err
+	}
+	*m = *restored
+	return nil
+}
+
+func (m *Machine) load(snapshot *v1.StateSnapshot) error {
+	m.now = snapshot.GetTimeUnixMs()
+	for index, stored := range snapshot.GetRevisions() {
+		if index > 0 && stored.GetNumber() != m.config.latest().Number+1 {
+			return errors.Newf("state snapshot skips from revision %d to %d", m.config.latest().Number, stored.GetNumber())
+		}
+		m.config.restore(loadRevision(stored))
+	}
+	m.config.plan = snapshot.GetPlan()
+	for _, stored := range snapshot.GetChanges() {
+		m.changes.add(loadChange(stored))
+	}
+	for _, stored := range snapshot.GetClaims() {
+		m.claims.put(loadClaim(stored))
+	}
+	for _, stored := range snapshot.GetTombstones() {
+		if len(stored.GetIdHash()) != len(idHash{}) {
+			return errors.New("state snapshot holds a malformed id hash")
+		}
+		m.claims.addTombstone(tombstone{id: idHash(stored.GetIdHash()), forget: stored.GetForgetUnixMs()})
+	}
+	for _, stored := range snapshot.GetDrains() {
+		m.drains.byAddress[stored.GetAddress()] = loadDrain(stored)
+	}
+	m.drains.version = snapshot.GetDrainsVersion()
+	for _, event := range snapshot.GetEvents() {
+		m.journal.append(event, m.limits)
+	}
+	m.journal.dropped += snapshot.GetEventsDropped()
+	return nil
+}
+
+// restore appends a revision of a snapshot as it was stored.
+func (c *configuration) restore(revision Revision) {
+	c.revisions = append(c.revisions, revision)
+	if !revision.TextDropped {
+		c.withText++
+		c.textBytes += len(revision.Text)
+	}
+}
+
+func (m *Machine) storeClaims() []*v1.StoredClaim {
+	sorted := slices.SortedFunc(slices.Values(m.claims.expiries), func(left, right *claim) int {
+		return cmp.Compare(left.id, right.id)
+	})
+	return lo.Map(sorted, func(value *claim, _ int) *v1.StoredClaim {
+		return &v1.StoredClaim{
+			RequestId:     value.id,
+			Digest:        value.digest,
+			Holder:        value.holder,
+			Call:          value.call,
+			ExpiresUnixMs: value.expires,
+			Stage:         value.stage,
+			Absolute:      value.absolute,
+		}
+	})
+}
+
+func loadClaim(stored *v1.StoredClaim) *claim {
+	return &claim{
+		id:       stored.GetRequestId(),
+		digest:   stored.GetDigest(),
+		holder:   stored.GetHolder(),
+		call:     stored.GetCall(),
+		expires:  stored.GetExpiresUnixMs(),
+		stage:    stored.GetStage(),
+		absolute: stored.GetAbsolute(),
+	}
+}
+
+func storeRevision(revision Revision, _ int) *v1.StoredRevision {
+	return &v1.StoredRevision{
+		Number:         revision.Number,
+		ChangeId:       revision.ChangeID,
+		Author:         revision.Author,
+		Comment:        revision.Comment,
+		AcceptedUnixMs: revision.Accepted.UnixMilli(),
+		Text:           revision.Text,
+		RollbackOf:     revision.RollbackOf,
+		TextDropped:    revision.TextDropped,
+	}
+}
+
+func loadRevision(stored *v1.StoredRevision) Revision {
+	return Revision{
+		Number:      stored.GetNumber(),
+		ChangeID:    stored.GetChangeId(),
+		Author:      stored.GetAuthor(),
+		Comment:     stored.GetComment(),
+		Accepted:    time.UnixMilli(stored.GetAcceptedUnixMs()),
+		Text:        stored.GetText(),
+		TextDropped: stored.GetTextDropped(),
+		RollbackOf:  stored.GetRollbackOf(),
+	}
+}
+
+func storeChange(result *changeResult, _ int) *v1.StoredChange {
+	return &v1.StoredChange{
+		ChangeId:     result.id,
+		RequestHash:  result.hash,
+		TimeUnixMs:   result.time,
+		Result:       result.Result,
+		Revision:     result.Revision,
+		WinnerAuthor: result.WinnerAuthor,
+		Detail:       result.Detail,
+	}
+}
+
+func loadChange(stored *v1.StoredChange) *changeResult {
+	return &changeResult{
+		id:   stored.GetChangeId(),
+		hash: stored.GetRequestHash(),
+		time: stored.GetTimeUnixMs(),
+		ChangeResult: ChangeResult{
+			Result:       stored.GetResult(),
+			Revision:     stored.GetRevision(),
+			WinnerAuthor: stored.GetWinnerAuthor(),
+			Detail:       stored.GetDetail(),
+		},
+	}
+}
+
+func storeTombstone(value tombstone, _ int) *v1.StoredTombstone {
+	return &v1.StoredTombstone{IdHash: value.id[:], ForgetUnixMs: value.forget}
+}
+
+func storeDrain(value Drain, _ int) *v1.StoredDrain {
+	return &v1.StoredDrain{Address: value.Address, Author: value.Author, SinceUnixMs: value.Since.UnixMilli()}
+}
+
+func loadDrain(stored *v1.StoredDrain) Drain {
+	return Drain{Address: stored.GetAddress(), Author: stored.GetAuthor(), Since: time.UnixMilli(stored.GetSinceUnixMs())}
+}
