Add the judge of the invariants

Cause: whether the invariants hold must be told from the records of back ends, callers and operators, not from the product's own word.

Caller answers gain the router's elapsed time and revision, operator answers the time at which a revision was in force.

Conclusion: a run can be judged without trusting the router.

--- /dev/null
+++ b/internal/judge/folder.go
@@ -0,0 +1,240 @@
+package judge
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/records"
+)
+
+// Prefixes of the record files in the folder of a run. Every file holds JSON
+// lines and is named PREFIX*.jsonl.
+const (
+	PrefixBackends   = "backends"   // records.BackendLine
+	PrefixAnswers    = "answers"    // records.CallerAnswer
+	PrefixStops      = "stops"      // records.PlannedStop
+	PrefixOperators  = "operators"  // records.OperatorAnswer
+	PrefixAdmissions = "admissions" // records.Admission
+)
+
+const (
+	fileSuffix = ".jsonl"
+	// partitionBytes is how much of the requests' records is judged at a time.
+	partitionBytes = 256 << 20
+	maxPartitions  = 256
+	lineBuffer     = 1 << 20 // bytes
+)
+
+// Folder judges the record files of a run. Records of requests are divided by
+// the hash of the request id and judged part after part, so that memory does
+// not grow with the length of the run.
+func (j *Judge) Folder(folder string) error {
+	if err := j.addWholeRun(folder); err != nil {
+		return err
+	}
+	backends, err := files(folder, PrefixBackends)
+	if err != nil {
+		return err
+	}
+	answers, err := files(folder, PrefixAnswers)
+	if err != nil {
+		return err
+	}
+	if len(backends) == 0 || len(answers) == 0 {
+		return errors.Newf("folder %s: no %s*%s or no %s*%s", folder, PrefixBackends, fileSuffix, PrefixAnswers, fileSuffix)
+	}
+	parts, err := partitionsFor(append(backends, answers...))
+	if err != nil {
+		return err
+	}
+	if parts == 1 {
+		return j.judgePartition(backends, answers)
+	}
+	return j.judgeDivided(backends, answers, parts)
+}
+
+// addWholeRun adds the records that requests are judged against.
+func (j *Judge) addWholeRun(folder string) error {
+	return errors.Join(
+		eachIn(folder, PrefixStops, j.AddPlannedStop),
+		eachIn(folder, PrefixOperators, j.AddOperatorAnswer),
+		eachIn(folder, PrefixAdmissions, j.AddAdmission),
+		eachIn(folder, PrefixBackends, func(line records.BackendLine) {
+			if line.Departure != nil {
+				j.AddDeparture(*line.Departure)
+			}
+		}),
+	)
+}
+
+func (j *Judge) judgePartition(backends, answers []string) error {
+	for _, path := range backends {
+		err := eachLine(path, func(line records.BackendLine) {
+			if line.Execution != nil {
+				j.AddExecution(*line.Execution)
+			}
+		})
+		if err != nil {
+			return err
+		}
+	}
+	for _, path := range answers {
+		if err := eachLine(path, j.AddAnswer); err != nil {
+			return err
+		}
+	}
+	j.CloseRequests()
+	return nil
+}
+
+// judgeDivided writes the records of requests into parts on disk, each of which
+// fits into memory, and judges them in turn.
+func (j *Judge) judgeDivided(backends, answers []string, parts int) error {
+	folder, err := os.MkdirTemp("", "martenbench-judge-")
+	if err != nil {
+		return errors.Wrap(err, "folder for parts")
+	}
+	defer os.RemoveAll(folder)
+	divide := func(paths []string, prefix string) ([]string, error) {
+		return divideFiles(paths, filepath.Join(folder, prefix), parts)
+	}
+	backendParts, err := divide(backends, PrefixBackends)
+	if err != nil {
+		return err
+	}
+	answerParts, err := divide(answers, PrefixAnswers)
+	if err != nil {
+		return err
+	}
+	for index := range parts {
+		if err := j.judgePartition(backendParts[index:index+1], answerParts[index:index+1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// divideFiles copies every line to the part that its request id hashes to.
+func divideFiles(paths []string, target string, parts int) ([]string, error) {
+	names := make([]string, parts)
+	writers := make([]*bufio.Writer, parts)
+	for index := range parts {
+		names[index] = target + "-" + string(rune('a'+index/26)) + string(rune('a'+index%26)) + fileSuffix
+		file, err := os.Create(names[index])
+		if err != nil {
+			return nil, errors.Wrap(err, "part")
+		}
+		defer file.Close()
+		writers[index] = bufio.NewWriter(file)
+	}
+	for _, path := range paths {
+		err := eachRaw(path, func(line []byte) error {
+			request, err := requestOf(line)
+			if err != nil {
+				return err
+			}
+			_, err = writers[xxhash.Sum64String(request)%uint64(parts)].Write(line)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	for _, writer := range writers {
+		if err := writer.Flush(); err != nil {
+			return nil, errors.Wrap(err, "part")
+		}
+	}
+	return names, nil
+}
+
+// requestOf reads the request id of either kind of line.
+func requestOf(line []byte) (string, error) {
+	var fields struct {
+		Request   string `json:"request"`
+		Execution *struct {
+			Request string `json:"request"`
+		} `json:"execution"`
+	}
+	if err := json.Unmarshal(line, &fields); err != nil {
+		return "", errors.Wrap(err, "record")
+	}
+	if fields.Execution != nil {
+		return fields.Execution.Request, nil
+	}
+	return fields.Request, nil
+}
+
+func partitionsFor(paths []string) (int, error) {
+	var total int64
+	for _, path := range paths {
+		info, err := os.Stat(path)
+		if err != nil {
+			return 0, errors.Wrap(err, "record file")
+		}
+		total += info.Size()
+	}
+	return int(min(total/partitionBytes+1, maxPartitions)), nil
+}
+
+func files(folder, prefix string) ([]string, error) {
+	return filepath.Glob(filepath.Join(folder, prefix+"*"+fileSuffix))
+}
+
+// eachIn calls take for every record of the files with a prefix.
+func eachIn[T any](folder, prefix string, take func(T)) error {
+	paths, err := files(folder, prefix)
+	if err != nil {
+		return err
+	}
+	for _, path := range paths {
+		if err := eachLine(path, take); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func eachLine[T any](path string, take func(T)) error {
+	return eachRaw(path, func(line []byte) error {
+		var record T
+		if err := json.Unmarshal(line, &record); err != nil {
+			return errors.Wrapf(err, "%s: malformed record", path)
+		}
+		take(record)
+		return nil
+	})
+}
+
+// eachRaw calls take for every whole line. A last line without its end was
+// being written when the process ended, and is left out.
+func eachRaw(path string, take func(line []byte) error) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return errors.Wrap(err, "record file")
+	}
+	defer file.Close()
+	reader := bufio.NewReaderSize(file, lineBuffer)
+	for {
+		line, err := reader.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrapf(err, "%s", path)
+		}
+		if strings.TrimSpace(string(line)) == "" {
+			continue
+		}
+		if err := take(line); err != nil {
+			return err
+		}
+	}
+}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -73,6 +73,11 @@
 	Retries  int `json:"retries"`
 	// DeadlineMs is what the caller asked for; 0 for the policy's.
 	DeadlineMs int64 `json:"deadline_ms"`
+	// ElapsedMs is the router's own time from arrival to decision.
+	ElapsedMs float64 `json:"elapsed_ms,omitempty"`
+	// ConfigRevision is the revision that the router admitted the request
+	// under; 0 when the answer does not say.
+	ConfigRevision uint64 `json:"config_revision,omitempty"`
 }
 
 // PlannedStop is the time span in which a router was stopped as planned.
@@ -92,6 +97,9 @@
 	Revision uint64    `json:"revision"`
 	TextHash string    `json:"text_hash"`
 	Error    string    `json:"error,omitempty"`
+	// InForce is when the operator was told that the revision is in force
+	// everywhere; zero when the operator did not wait for it.
+	InForce time.Time `json:"in_force,omitzero"`
 }
 
 // Admission is the configuration revision under which a follower admitted work
