--- /dev/null
+++ b/internal/nearest/nearest.go
@@ -0,0 +1,40 @@
+// Package nearest finds the known name that a mistyped one most likely meant.
+package nearest
+
+// farthest is the largest number of typing errors that a suggestion may mend.
+const farthest = 3
+
+// Name returns the known name with the least edit distance to the word. It
+// returns false when even that one is too far to be a typing error.
+func Name(word string, known []string) (string, bool) {
+	best, bestDistance := "", min(farthest, (len(word)+1)/2)+1
+	for _, candidate := range known {
+		if difference := len(candidate) - len(word); difference >= bestDistance || -difference >= bestDistance {
+			continue
+		}
+		if distance := editDistance(word, candidate); distance < bestDistance {
+			best, bestDistance = candidate, distance
+		}
+	}
+	return best, best != ""
+}
+
+// editDistance is the Levenshtein distance between two words, in bytes.
+func editDistance(left, right string) int {
+	row := make([]int, len(right)+1)
+	for index := range row {
+		row[index] = index
+	}
+	for i := 1; i <= len(left); i++ {
+		diagonal := row[0]
+		row[0] = i
+		for j := 1; j <= len(right); j++ {
+			cost := 1
+			if left[i-1] == right[j-1] {
+				cost = 0
+			}
+			diagonal, row[j] = row[j], min(row[j]+1, row[j-1]+1, diagonal+cost)
+		}
+	}
+	return row[len(right)]
+}
--- /dev/null
+++ b/internal/policy/compile.go
@@ -0,0 +1,204 @@
+package policy
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/martenstage/martenstage/internal/nearest"
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+// Compile turns configuration text into a plan. The file name only serves the
+// messages. When the text has errors, the error is of type Problems and holds
+// all of them. Compile never panics, whatever the text.
+func Compile(filename string, text []byte) (*plan.Plan, error) {
+	report := newReporter(filename, string(text))
+	file, src := parse(report, string(text))
+	checker := newChecker(report, src)
+	compiled := checker.file(file)
+	if problems := report.sorted(); len(problems) > 0 {
+		return nil, problems
+	}
+	return compiled, nil
+}
+
+// checker turns the syntax tree of one text into a plan and reports what is
+// wrong on the way.
+type checker struct {
+	report    *reporter
+	source    *source
+	services  map[string]*plan.Service
+	policies  map[string]*checkedPolicy
+	routes    map[string]lexer.Position
+	addresses map[addressKey]*addressUse
+	used      map[string]bool
+}
+
+// checkedPolicy is a policy with the places that only a route can check.
+type checkedPolicy struct {
+	compiled plan.Policy
+	place    lexer.Position
+	covered  []lexer.Token
+}
+
+func newChecker(report *reporter, src *source) *checker {
+	return &checker{
+		report:    report,
+		source:    src,
+		services:  map[string]*plan.Service{},
+		policies:  map[string]*checkedPolicy{},
+		routes:    map[string]lexer.Position{},
+		addresses: map[addressKey]*addressUse{},
+		used:      map[string]bool{},
+	}
+}
+
+// file checks services and policies before routes, which refer to both.
+func (c *checker) file(file *fileNode) *plan.Plan {
+	compiled := &plan.Plan{}
+	for _, declaration := range file.Declarations {
+		if declaration.Service != nil {
+			c.service(declaration.Service)
+		}
+		if declaration.Policy != nil {
+			c.policy(declaration.Policy)
+		}
+	}
+	for _, declaration := range file.Declarations {
+		if declaration.Route == nil {
+			continue
+		}
+		if route, ok := c.route(declaration.Route); ok {
+			compiled.Routes = append(compiled.Routes, route)
+		}
+	}
+	for _, service := range c.services {
+		compiled.Services = append(compiled.Services, *service)
+	}
+	slices.SortFunc(compiled.Services, func(a, b plan.Service) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(compiled.Routes, func(a, b plan.Route) int { return strings.Compare(a.Name, b.Name) })
+	return compiled
+}
+
+// settingPlaces remembers where each setting of a block was given, so that a
+// second one is an error and a missing one can be told.
+type settingPlaces map[string]lexer.Position
+
+// first reports a setting that was given before.
+func (s settingPlaces) first(report *reporter, what string, place lexer.Position) bool {
+	earlier, found := s[what]
+	if found {
+		report.add(place, "%s is given twice; the first is on line %d", what, earlier.Line)
+		return false
+	}
+	s[what] = place
+	return true
+}
+
+// route checks a route and joins it with its policy.
+func (c *checker) route(node *routeNode) (plan.Route, bool) {
+	c.report.name(node.Name, keywordRoute)
+	if earlier, found := c.routes[node.Name.Value]; found {
+		c.report.add(node.Name.Pos, "route %s is declared twice; the first is on line %d", node.Name.Value, earlier.Line)
+		return plan.Route{}, false
+	}
+	c.routes[node.Name.Value] = node.Name.Pos
+	items := c.routeItems(node)
+	route := plan.Route{Name: node.Name.Value, Service: items[keywordService].Value, Target: c.target(items)}
+	service := c.services[route.Service]
+	policy := c.policies[items[keywordPolicy].Value]
+	if service == nil || policy == nil {
+		c.unknownName(keywordService, items[keywordService])
+		c.unknownName(keywordPolicy, items[keywordPolicy])
+		return plan.Route{}, false
+	}
+	c.used[route.Service] = true
+	c.used[policyKey(policy.compiled.Name)] = true
+	c.coveredGroups(route, service, policy)
+	route.Policy = policy.compiled
+	return route, true
+}
+
+// policyKey keeps policies apart from services of the same name.
+func policyKey(name string) string { return keywordPolicy + " " + name }
+
+// routeItems returns the settings of a route by keyword.
+func (c *checker) routeItems(node *routeNode) map[string]lexer.Token {
+	places := settingPlaces{}
+	items := map[string]lexer.Token{}
+	for _, item := range node.Items {
+		given := map[string]lexer.Token{keywordService: item.Service, keywordPolicy: item.Policy, "target": item.Target}
+		for what, token := range given {
+			if present(token) && places.first(c.report, what, item.Pos) {
+				items[what] = token
+			}
+		}
+	}
+	for _, what := range []string{keywordService, keywordPolicy} {
+		if _, found := items[what]; !found && !c.source.wasDamaged(node.Pos, node.Close.Pos) {
+			c.report.add(node.Name.Pos, "route %s names no %s", node.Name.Value, what)
+		}
+	}
+	return items
+}
+
+// target reads the target of a route; without one it is all shards.
+func (c *checker) target(items map[string]lexer.Token) plan.Target {
+	token, found := items["target"]
+	switch {
+	case !found || token.Value == "all":
+		return plan.TargetAll
+	case token.Value == "key":
+		return plan.TargetKey
+	}
+	c.report.add(token.Pos, "target is %s; it must be all or key", quote(token.Value))
+	return plan.TargetAll
+}
+
+// unknownName reports a reference to a declaration that does not exist. One
+// that exists but could not be parsed has been reported already.
+func (c *checker) unknownName(keyword string, token lexer.Token) {
+	known := c.source.declared[keyword]
+	if !present(token) || slices.Contains(known, token.Value) {
+		return
+	}
+	c.report.add(token.Pos, "unknown %s %s%s", keyword, quote(token.Value), suggestion(token.Value, known))
+}
+
+// suggestion is a hint at the known name nearest to a mistyped one, or "".
+func suggestion(word string, known []string) string {
+	name, ok := nearest.Name(word, known)
+	if !ok {
+		return ""
+	}
+	return "; did you mean " + name + "?"
+}
+
+// coveredGroups checks the groups that a policy names against the service of
+// a route that uses it. A group must exist in every live generation, because
+// a request may be pinned to either.
+func (c *checker) coveredGroups(route plan.Route, service *plan.Service, policy *checkedPolicy) {
+	for _, token := range policy.covered {
+		if route.Target == plan.TargetKey {
+			c.report.add(token.Pos, "route %s asks one group by key, so its policy can't wait for a group by name", route.Name)
+			continue
+		}
+		for _, generation := range service.Generations {
+			names := shardNames(generation)
+			if !slices.Contains(names, token.Value) {
+				c.report.add(token.Pos, "service %s of route %s has no group %s in generation %d%s", service.Name,
+					route.Name, quote(token.Value), generation.Number, suggestion(token.Value, names))
+			}
+		}
+	}
+}
+
+func shardNames(generation plan.Generation) []string {
+	names := make([]string, 0, len(generation.Shards))
+	for _, shard := range generation.Shards {
+		names = append(names, shard.Name)
+	}
+	return names
+}
