--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -56,6 +56,9 @@
 	RefusalDeadline       RefusalReason = "deadline"
 	RefusalCanceled       RefusalReason = "canceled"
 	RefusalWarming        RefusalReason = "warming"
+	// A request that breaks the contract has status 400 or 413.
+	RefusalBadRequest   RefusalReason = "bad_request"
+	RefusalBodyTooLarge RefusalReason = "body_too_large"
 )
 
 // ReadyState is the state that a back end's health endpoint reports.
