Add martenbench backends with scripts of faults

Cause: The router needs the 70 back ends of a site in one process, and a run needs its faults, service times and index versions written down.

Change: martenbench backends serves every replica of the given configurations and writes the record of queries and departures.

Rates are not measured yet.

--- a/cmd/martenbench/main.go
+++ b/cmd/martenbench/main.go
@@ -17,5 +17,7 @@
 
 // commands lists the sub-commands; each has a file of its own.
 func commands() []cli.Command {
-	return []cli.Command{}
+	return []cli.Command{
+		{Name: "backends", Short: "Run emulated back ends", Data: &backendsCommand{}},
+	}
 }
