--- /dev/null
+++ b/internal/plan/diff_text.go
@@ -0,0 +1,94 @@
+package plan
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"github.com/samber/lo"
+)
+
+// Lines describes the difference for a person, one fact a line; indented lines
+// belong to the thing above them.
+func (d Difference) Lines() []string {
+	if d.Empty() {
+		return []string{"no change"}
+	}
+	var lines []string
+	for _, service := range d.Services {
+		lines = append(lines, service.lines()...)
+	}
+	for _, route := range d.Routes {
+		lines = append(lines, fmt.Sprintf("route %s %s", route.Name, route.Presence))
+		for _, changed := range route.Settings {
+			lines = append(lines, "  "+changed)
+		}
+	}
+	return append(lines, d.summary())
+}
+
+func (d ServiceDifference) lines() []string {
+	lines := []string{fmt.Sprintf("service %s %s", d.Name, d.Presence)}
+	for _, changed := range d.Settings {
+		lines = append(lines, "  "+changed)
+	}
+	lines = append(lines, d.shardLines()...)
+	if d.ConnectionsBefore != d.ConnectionsAfter {
+		lines = append(lines, fmt.Sprintf("  connections: %d -> %d", d.ConnectionsBefore, d.ConnectionsAfter))
+	}
+	if len(d.Routes) > 0 {
+		lines = append(lines, "  routes: "+strings.Join(d.Routes, ", "))
+	}
+	for _, warning := range d.Warnings {
+		lines = append(lines, "  warning: "+warning)
+	}
+	return lines
+}
+
+// maxShardLines bounds the lines for the groups of one service.
+const maxShardLines = 20
+
+// shardLines describes the groups one by one; of a service that is new or gone
+// it only gives their number.
+func (d ServiceDifference) shardLines() []string {
+	if d.Presence != Changed {
+		return []string{fmt.Sprintf("  %d groups", len(d.Shards))}
+	}
+	var lines []string
+	for _, shard := range d.Shards[:min(len(d.Shards), maxShardLines)] {
+		lines = append(lines, "  "+shard.line())
+	}
+	if more := len(d.Shards) - maxShardLines; more > 0 {
+		lines = append(lines, fmt.Sprintf("  and %d more groups", more))
+	}
+	return lines
+}
+
+func (d ShardDifference) line() string {
+	line := fmt.Sprintf("generation %d group %s %s", d.Generation, d.Name, d.Presence)
+	for _, part := range []struct {
+		sign     string
+		replicas []netip.AddrPort
+	}{{"+", d.AddedReplicas}, {"-", d.RemovedReplicas}, {"~", d.ChangedReplicas}} {
+		for _, address := range part.replicas {
+			line += " " + part.sign + address.String()
+		}
+	}
+	return line
+}
+
+// summary counts what the difference touches.
+func (d Difference) summary() string {
+	routes := lo.Map(d.Routes, func(route RouteDifference, _ int) string { return route.Name })
+	shards, replicas, connections := 0, 0, 0
+	for _, service := range d.Services {
+		routes = append(routes, service.Routes...)
+		shards += len(service.Shards)
+		connections += service.ConnectionsAfter - service.ConnectionsBefore
+		for _, shard := range service.Shards {
+			replicas += len(shard.AddedReplicas) + len(shard.RemovedReplicas) + len(shard.ChangedReplicas)
+		}
+	}
+	return fmt.Sprintf("touches %d services, %d groups, %d replicas, %d routes; connections %+d",
+		len(d.Services), shards, replicas, len(lo.Uniq(routes)), connections)
+}
--- a/internal/policy/check_policy.go
+++ b/internal/policy/check_policy.go
@@ -187,14 +187,14 @@
 	}
 	if c.compiled.Hedge.Least >= deadline {
 		c.report.add(c.places["hedge"], "the hedge is sent after %s at the earliest, but the deadline is %s",
-			durationText(c.compiled.Hedge.Least), durationText(deadline))
+			plan.DurationText(c.compiled.Hedge.Least), plan.DurationText(deadline))
 	}
 	if c.compiled.Retry.Backoff >= deadline {
 		c.report.add(c.places["retry"], "the retry is sent after %s at the earliest, but the deadline is %s",
-			durationText(c.compiled.Retry.Backoff), durationText(deadline))
+			plan.DurationText(c.compiled.Retry.Backoff), plan.DurationText(deadline))
 	}
 	if c.compiled.Once && c.compiled.ClaimExpiry > 0 && c.compiled.ClaimExpiry <= deadline {
 		c.report.add(c.places["once"], "the claim expires after %s, before the request's deadline of %s",
-			durationText(c.compiled.ClaimExpiry), durationText(deadline))
+			plan.DurationText(c.compiled.ClaimExpiry), plan.DurationText(deadline))
 	}
 }
--- a/internal/policy/check_program.go
+++ b/internal/policy/check_program.go
@@ -116,13 +116,13 @@
 	count := len(c.compiled.Statements)
 	if count == 0 {
 		c.report.add(c.node.Name.Pos, "policy %s never answers; end it with a statement such as: at %s answer",
-			c.compiled.Name, durationText(c.compiled.Deadline*9/10))
+			c.compiled.Name, plan.DurationText(c.compiled.Deadline*9/10))
 		return
 	}
 	last := c.compiled.Statements[count-1]
 	if last.Condition.Kind != plan.ConditionElapsed {
 		c.report.add(c.statements[count-1], "policy %s might not answer before its deadline; end it with a statement such as: at %s answer",
-			c.compiled.Name, durationText(c.compiled.Deadline*9/10))
+			c.compiled.Name, plan.DurationText(c.compiled.Deadline*9/10))
 		return
 	}
 	if c.timesBeforeDeadline(last) {
@@ -138,11 +138,11 @@
 		switch {
 		case elapsed.duration >= c.compiled.Deadline:
 			c.report.add(elapsed.token.Pos, "%s is never reached: the deadline is %s",
-				elapsed.token.Value, durationText(c.compiled.Deadline))
+				elapsed.token.Value, plan.DurationText(c.compiled.Deadline))
 			ok = false
 		case elapsed.duration > last.Condition.Duration:
 			c.report.add(elapsed.token.Pos, "%s is never reached: the last statement decides at %s",
-				elapsed.token.Value, durationText(last.Condition.Duration))
+				elapsed.token.Value, plan.DurationText(last.Condition.Duration))
 			ok = false
 		}
 	}
--- a/internal/policy/values.go
+++ b/internal/policy/values.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/martenstage/martenstage/internal/plan"
 )
 
 // Bounds of the values of the language.
@@ -77,7 +79,7 @@
 	}
 	if value < bounds.least || value > bounds.most {
 		r.add(token.Pos, "%s: %s is not between %s and %s",
-			bounds.what, token.Value, durationText(bounds.least), durationText(bounds.most))
+			bounds.what, token.Value, plan.DurationText(bounds.least), plan.DurationText(bounds.most))
 		return 0, false
 	}
 	return value, true
@@ -91,23 +93,6 @@
 	return number, word[len(number):]
 }
 
-// durationText writes a duration with the largest unit that needs no fraction.
-func durationText(duration time.Duration) string {
-	units := []struct {
-		size time.Duration
-		name string
-	}{{time.Hour, "h"}, {time.Minute, "m"}, {time.Second, "s"}, {time.Millisecond, "ms"}}
-	for _, unit := range units {
-		if duration >= unit.size && duration%unit.size == 0 {
-			return strconv.FormatInt(int64(duration/unit.size), 10) + unit.name
-		}
-	}
-	if duration == 0 {
-		return "0ms"
-	}
-	return strconv.FormatFloat(float64(duration)/float64(time.Millisecond), 'f', -1, 64) + "ms"
-}
-
 // percent reads a share such as 99.5% as a ratio in (0, most/100], or from 0
 // when zero is allowed.
 func (r *reporter) percent(token lexer.Token, what string, allowZero bool) (float64, bool) {
@@ -150,13 +135,6 @@
 	return value, err == nil
 }
 
-// percentText writes a ratio as a percentage.
-func percentText(ratio float64) string {
-	const digits = 10 // enough for every percentage a person writes
-	text := strconv.FormatFloat(ratio*100, 'f', digits, 64)
-	return strings.TrimSuffix(strings.TrimRight(text, "0"), ".") + "%"
-}
-
 // quantile reads p95 or p99.9 as a ratio in (0,1).
 func (r *reporter) quantile(token lexer.Token) (float64, bool) {
 	digits, found := strings.CutPrefix(token.Value, "p")
