Split back ends' connections among the routers of a cell

Cause: a back end takes 70 to 110 connections, so routers can not all connect to all of them, and lists of live routers arrive at different times. Change: package cell: rendezvous cells, shares with one part left free for a router that joins, and a ledger that takes less at once and more after a hold time. Measured: property tests: shares within the limits for up to 150 routers, only the changed router's cells move, and the shares in use stay within the limit while lists are delivered late or skipped, one join per hold time. Conclusion: the limit is kept by construction, but for several joins at once.

--- /dev/null
+++ b/internal/cell/cell_test.go
@@ -0,0 +1,170 @@
+package cell
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+var serverAddress = netip.MustParseAddrPort("127.0.0.1:1")
+
+func onePlan(connections, slots, cellRouters int) *plan.Plan {
+	replica := plan.Replica{Address: serverAddress, Connections: connections, Slots: slots}
+	return &plan.Plan{Services: []plan.Service{{
+		Name: "search", CellRouters: cellRouters,
+		Generations: []plan.Generation{{Number: 1, Shards: []plan.Shard{{Replicas: []plan.Replica{replica}}}}},
+	}}}
+}
+
+func routerNames(count int) []string {
+	names := make([]string, count)
+	for index := range names {
+		names[index] = fmt.Sprintf("router-%d", index)
+	}
+	return names
+}
+
+func TestSharesStayWithinTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		connections := rapid.IntRange(1, 120).Draw(t, "connections")
+		slots := rapid.IntRange(1, 8).Draw(t, "slots")
+		routers := routerNames(rapid.IntRange(1, 150).Draw(t, "routers"))
+		size := rapid.IntRange(0, 20).Draw(t, "size")
+		whole := onePlan(connections, slots, size)
+		var sum Share
+		for _, router := range routers {
+			share := Shares(whole, routers, router)[serverAddress]
+			require.Equal(t, share.Connections > 0, share.Slots > 0)
+			sum.Connections += share.Connections
+			sum.Slots += share.Slots
+		}
+		require.LessOrEqual(t, sum.Connections, connections)
+		members := len(Members("search", routers, size))
+		require.LessOrEqual(t, sum.Slots, max(slots, members))
+	})
+}
+
+func TestOnlyCellsOfTheChangedRouterMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers := routerNames(rapid.IntRange(2, 60).Draw(t, "routers"))
+		gone := rapid.SampledFrom(routers).Draw(t, "gone")
+		size := rapid.IntRange(1, 8).Draw(t, "size")
+		rest := slices.DeleteFunc(slices.Clone(routers), func(name string) bool { return name == gone })
+		for service := range 20 {
+			name := fmt.Sprintf("service-%d", service)
+			before, after := Members(name, routers, size), Members(name, rest, size)
+			kept := slices.DeleteFunc(slices.Clone(before), func(member string) bool { return member == gone })
+			require.Equal(t, kept, after[:len(kept)], "the others keep their ranks")
+			require.LessOrEqual(t, len(after)-len(kept), 1)
+		}
+	})
+}
+
+// fleet models routers that receive successive lists late, within the hold
+// time, possibly missing some in between.
+type fleet struct {
+	t     *rapid.T
+	whole *plan.Plan
+	hold  time.Duration
+	now   time.Time
+	live  []string
+	// pending is the arrival time of the newest list at each router.
+	pending map[string]time.Time
+	ledgers map[string]*Ledger
+	joined  time.Time
+}
+
+func (f *fleet) issue() {
+	for _, router := range f.live {
+		due, ok := f.pending[router]
+		if !ok || due.After(f.now) {
+			latest := f.now.Add(time.Duration(rapid.Int64Range(0, int64(f.hold)).Draw(f.t, "delay")))
+			if !ok || latest.Before(due) {
+				due = latest
+			}
+			f.pending[router] = due
+		}
+	}
+}
+
+// deliver gives every router whose time has come the newest list.
+func (f *fleet) deliver() {
+	for _, router := range f.live {
+		if due, ok := f.pending[router]; ok && !due.After(f.now) {
+			delete(f.pending, router)
+			f.ledgers[router].Install(f.now, Shares(f.whole, f.live, router))
+		}
+	}
+}
+
+func (f *fleet) check(limit int) {
+	sum := 0
+	for _, router := range f.live {
+		shares, _ := f.ledgers[router].Effective(f.now)
+		sum += shares[serverAddress].Connections
+	}
+	require.LessOrEqual(f.t, sum, limit)
+}
+
+func TestUsedSharesStayWithinTheLimitWhileListsSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(30, 120).Draw(t, "limit")
+		f := &fleet{t: t, whole: onePlan(limit, 4, 0), hold: time.Second, now: time.Unix(0, 0),
+			pending: map[string]time.Time{}, ledgers: map[string]*Ledger{}}
+		f.joined = f.now.Add(-f.hold)
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f.now = f.now.Add(time.Duration(rapid.Int64Range(0, int64(f.hold)/2).Draw(t, "advance")))
+			f.deliver()
+			f.check(limit)
+			switch rapid.IntRange(0, 2).Draw(t, "change") {
+			case 0:
+				if len(f.live) < 12 && f.now.Sub(f.joined) >= f.hold {
+					name := fmt.Sprintf("router-%d", step)
+					f.live = append(f.live, name)
+					f.ledgers[name] = NewLedger(f.hold)
+					f.joined = f.now
+					f.issue()
+				}
+			case 1:
+				if len(f.live) > 1 {
+					// A router leaves the list only once it uses nothing.
+					gone := rapid.SampledFrom(f.live).Draw(t, "gone")
+					f.live = slices.DeleteFunc(f.live, func(name string) bool { return name == gone })
+					delete(f.pending, gone)
+					f.issue()
+				}
+			}
+			f.deliver()
+			f.check(limit)
+		}
+	})
+}
+
+func TestAShareGrowsOnlyAfterTheHoldTime(t *testing.T) {
+	ledger := NewLedger(time.Second)
+	start := time.Unix(0, 0)
+	shares := func(connections int) map[netip.AddrPort]Share {
+		return map[netip.AddrPort]Share{serverAddress: {Connections: connections, Slots: 1}}
+	}
+	at := func(offset time.Duration) int {
+		effective, _ := ledger.Effective(start.Add(offset))
+		return effective[serverAddress].Connections
+	}
+	ledger.Install(start, shares(20))
+	require.Equal(t, 10, at(0), "half while joining")
+	require.Equal(t, 20, at(time.Second))
+	ledger.Install(start.Add(2*time.Second), shares(12))
+	require.Equal(t, 12, at(2*time.Second), "a smaller share holds at once")
+	ledger.Install(start.Add(3*time.Second), shares(30))
+	require.Equal(t, 12, at(3900*time.Millisecond))
+	require.Equal(t, 30, at(4*time.Second))
+	ledger.Reset()
+	require.Zero(t, at(4*time.Second))
+}
--- /dev/null
+++ b/internal/cell/members.go
@@ -0,0 +1,146 @@
+// Package cell assigns services to cells of routers, and splits each back
+// end's connections and slots among the live routers of its cells.
+//
+// A back end takes some tens of connections while a fleet has thousands of
+// routers, so only a cell of routers connects to a service. Cells come from
+// rendezvous hashing (Thaler and Ravishankar, "Using name-based mappings to
+// increase hit rates", 1998): every router computes the same cells from the
+// same list of live routers, and a router that joins or leaves moves only the
+// cells that it belongs to.
+//
+// Routers learn of a new list at different times. A Ledger therefore takes a
+// smaller share at once and a bigger one only after a hold time, when every
+// other router has either taken the news in or lost its lease.
+//
+// The package is pure: times are arguments, and nothing here does I/O.
+package cell
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+// Members returns the routers that may connect to a service's back ends, by
+// descending rank. Size 0 means all routers.
+func Members(service string, routers []string, size int) []string {
+	ranked := slices.Clone(routers)
+	slices.SortFunc(ranked, func(left, right string) int { return compare(service, left, right) })
+	if size > 0 && size < len(ranked) {
+		ranked = ranked[:size]
+	}
+	return ranked
+}
+
+// compare orders two routers by their rank for a key, best first.
+func compare(key, left, right string) int {
+	leftScore, rightScore := score(key, left), score(key, right)
+	switch {
+	case leftScore > rightScore:
+		return -1
+	case leftScore < rightScore:
+		return 1
+	default:
+		return strings.Compare(left, right)
+	}
+}
+
+func score(key, router string) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(router)
+	return digest.Sum64()
+}
+
+// Share is a router's part of one back end.
+type Share struct {
+	Connections int
+	Slots       int
+}
+
+// Shares returns a router's share of every back end of a plan. The routers
+// are the live ones, the router itself included; a back end whose cells do not
+// contain the router has a zero share.
+func Shares(whole *plan.Plan, routers []string, router string) map[netip.AddrPort]Share {
+	backends := make(map[netip.AddrPort]*backend)
+	for index := range whole.Services {
+		collect(backends, &whole.Services[index], routers)
+	}
+	shares := make(map[netip.AddrPort]Share, len(backends))
+	for address, found := range backends {
+		shares[address] = found.share(address, router)
+	}
+	return shares
+}
+
+// backend is a server with the union of the cells of its services.
+type backend struct {
+	connections int
+	slots       int
+	members     []string
+}
+
+func collect(backends map[netip.AddrPort]*backend, service *plan.Service, routers []string) {
+	members := Members(service.Name, routers, service.CellRouters)
+	for _, generation := range service.Generations {
+		for _, shard := range generation.Shards {
+			for _, replica := range shard.Replicas {
+				add(backends, replica, members)
+			}
+		}
+	}
+}
+
+func add(backends map[netip.AddrPort]*backend, replica plan.Replica, members []string) {
+	found, ok := backends[replica.Address]
+	if !ok {
+		backends[replica.Address] = &backend{
+			connections: replica.Connections, slots: replica.Slots, members: members,
+		}
+		return
+	}
+	found.connections = min(found.connections, replica.Connections)
+	found.slots = min(found.slots, replica.Slots)
+	for _, member := range members {
+		if !slices.Contains(found.members, member) {
+			found.members = append(slices.Clip(found.members), member)
+		}
+	}
+}
+
+func (b *backend) share(address netip.AddrPort, router string) Share {
+	if !slices.Contains(b.members, router) {
+		return Share{}
+	}
+	rank := 0
+	for _, member := range b.members {
+		if compare(address.String(), member, router) < 0 {
+			rank++
+		}
+	}
+	// One part more than there are members stays free, so that a router that
+	// joins finds connections before the others have given any up.
+	connections := split(b.connections, len(b.members)+1, rank)
+	if connections == 0 {
+		return Share{}
+	}
+	// Without a slot the connections would be of no use. With more members
+	// than slots the sum is then above the slots, which the back end bounds
+	// by itself: it queues or refuses before execution.
+	return Share{Connections: connections, Slots: max(1, split(b.slots, len(b.members), rank))}
+}
+
+// split returns the part of a total that the holder of a rank gets of a number
+// of parts; the first ranks get what is left over.
+func split(total, parts, rank int) int {
+	part := total / parts
+	if rank < total%parts {
+		part++
+	}
+	return part
+}
