Test the replicated state against models

Cause: compare-and-set, resent ids and claims have to hold across restarts and compaction of the log.

--- /dev/null
+++ b/internal/state/machine_test.go
@@ -0,0 +1,287 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+)
+
+const (
+	accepted = v1.ApplyResult_APPLY_RESULT_ACCEPTED
+	refused  = v1.ApplyResult_APPLY_RESULT_CONFLICT
+	reused   = v1.ApplyResult_APPLY_RESULT_CHANGE_ID_REUSED
+	invalid  = v1.ApplyResult_APPLY_RESULT_INVALID
+)
+
+// smallLimits make every bound bite within a short run.
+func smallLimits() Limits {
+	return Limits{
+		Revisions: 6, Texts: 3, TextBytes: 40,
+		Changes: 1000, ChangeAge: time.Hour,
+		Claims: 6, ClaimExpiry: time.Minute, ClaimMemory: time.Minute, ClaimIDs: 8,
+		Events: 10, EventBytes: 2000,
+	}
+}
+
+// harness applies commands to a machine that is replaced by its own snapshot
+// at random moments, as after a restart or a compaction of the log.
+type harness struct {
+	t       *rapid.T
+	machine *Machine
+	now     time.Time
+}
+
+func newHarness(t *rapid.T, limits Limits) *harness {
+	return &harness{t: t, machine: New(limits), now: time.Unix(1_700_000_000, 0)}
+}
+
+func (h *harness) apply(command *v1.StateCommand) Result {
+	data, err := Encode(h.now, command)
+	require.NoError(h.t, err)
+	result, err := h.machine.Apply(data)
+	require.NoError(h.t, err)
+	return result
+}
+
+func (h *harness) pass(t *rapid.T) {
+	h.now = h.now.Add(time.Duration(rapid.IntRange(-2000, 30_000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (h *harness) restart(t *rapid.T) {
+	before, err := h.machine.Snapshot()
+	require.NoError(t, err)
+	restored := New(h.machine.limits)
+	require.NoError(t, restored.Restore(before))
+	after, err := restored.Snapshot()
+	require.NoError(t, err)
+	require.Equal(t, before, after)
+	h.machine = restored
+}
+
+// TestChangesMatchModel checks compare-and-set and resent change ids against a
+// model that forgets nothing.
+func TestChangesMatchModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness(t, smallLimits())
+		type decision struct {
+			text string
+			ChangeResult
+		}
+		first := map[string]decision{}
+		var texts []string // by accepted revision
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				id := fmt.Sprint("change-", rapid.IntRange(0, 30).Draw(t, "id"))
+				text := fmt.Sprint("text-", rapid.IntRange(0, 3).Draw(t, "text"))
+				expected := max(0, len(texts)-rapid.IntRange(0, 1).Draw(t, "behind"))
+				problem := rapid.SampledFrom([]string{"", "", "", "bad"}).Draw(t, "problem")
+				got := h.apply(&v1.StateCommand{Body: &v1.StateCommand_Change{Change: &v1.ChangeCommand{
+					ChangeId: id, ExpectedRevision: uint64(expected), Text: text, RequestHash: ApplyHash(text, 0),
+					Plan: []byte(text), Author: id, Invalid: problem,
+				}}}).Change
+				if known, seen := first[id]; seen {
+					if known.text != text {
+						require.Equal(t, reused, got.Result)
+						return
+					}
+					require.Equal(t, known.ChangeResult, got)
+					return
+				}
+				first[id] = decision{text, got}
+				switch {
+				case problem != "":
+					require.Equal(t, invalid, got.Result)
+				case expected != len(texts):
+					require.Equal(t, refused, got.Result)
+					require.Equal(t, uint64(len(texts)), got.Revision)
+					require.Equal(t, h.machine.Latest().Author, got.WinnerAuthor)
+				default:
+					texts = append(texts, text)
+					require.Equal(t, accepted, got.Result)
+					require.Equal(t, uint64(len(texts)), got.Revision)
+				}
+			},
+			"pass":    h.pass,
+			"restart": h.restart,
+			"": func(t *rapid.T) {
+				require.Equal(t, uint64(len(texts)), h.machine.Latest().Number)
+				require.LessOrEqual(t, len(h.machine.History(100)), h.machine.limits.Revisions)
+				if len(texts) > 0 {
+					require.Equal(t, texts[len(texts)-1], h.machine.Latest().Text)
+					require.Equal(t, texts[len(texts)-1], string(h.machine.Plan()))
+				}
+			},
+		})
+	})
+}
+
+// TestClaimIsGrantedToOneCall checks that two calls are granted the same id
+// only when the first proved that it did not run, or after the whole time of
+// remembering, and that refusals tell the truth.
+func TestClaimIsGrantedToOneCall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness(t, smallLimits())
+		type grant struct {
+			call    uint64
+			at      time.Time
+			settled v1.ClaimOutcome
+		}
+		grants := map[string]*grant{}
+		id := func(t *rapid.T) string { return fmt.Sprint("id-", rapid.IntRange(0, 9).Draw(t, "id")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"claim": func(t *rapid.T) {
+				id, call := id(t), uint64(rapid.IntRange(0, 3).Draw(t, "call"))
+				expiry := time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds")) * time.Second
+				result := h.claim(&v1.ClaimOperation{
+					RequestId: id, Holder: "router", Call: call, Digest: "body", ExpiryMs: expiry.Milliseconds(),
+				})
+				held := grants[id]
+				switch result {
+				case ClaimGranted:
+					if held != nil && (held.call != call || call == 0) {
+						free := held.settled == v1.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN ||
+							h.machine.Now().Sub(held.at) >= h.machine.limits.ClaimMemory
+						require.True(t, free, "granted to calls %d and %d", held.call, call)
+					}
+					if held == nil || held.call != call || call == 0 || held.settled != 0 {
+						grants[id] = &grant{call: call, at: h.machine.Now()}
+					}
+				case ClaimRan:
+					require.Equal(t, v1.ClaimOutcome_CLAIM_OUTCOME_RAN, held.settled)
+				case ClaimMayHaveRun:
+					// A late copy of a call that gave up may be the first to arrive.
+				case ClaimExpired:
+					require.NotNil(t, held)
+				case ClaimsFull:
+					live, expired := h.machine.ClaimCounts()
+					require.True(t, live == h.machine.limits.Claims || live+expired == h.machine.limits.ClaimIDs)
+				default:
+					t.Fatalf("unexpected result %d", result)
+				}
+			},
+			"settle": func(t *rapid.T) {
+				id, call := id(t), uint64(rapid.IntRange(1, 3).Draw(t, "call"))
+				outcome := rapid.SampledFrom([]v1.ClaimOutcome{
+					v1.ClaimOutcome_CLAIM_OUTCOME_RAN, v1.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN,
+				}).Draw(t, "outcome")
+				h.claim(&v1.ClaimOperation{RequestId: id, Holder: "router", Call: call, Settle: outcome})
+				if held := grants[id]; held != nil && held.call == call && held.settled == 0 {
+					held.settled = outcome
+				}
+			},
+			"pass":    h.pass,
+			"restart": h.restart,
+			"": func(t *rapid.T) {
+				live, expired := h.machine.ClaimCounts()
+				require.LessOrEqual(t, live, h.machine.limits.Claims)
+				require.LessOrEqual(t, live+expired, h.machine.limits.ClaimIDs)
+			},
+		})
+	})
+}
+
+func (h *harness) claim(operation *v1.ClaimOperation) ClaimResult {
+	batch := &v1.ClaimBatch{Operations: []*v1.ClaimOperation{operation}}
+	return h.apply(&v1.StateCommand{Body: &v1.StateCommand_Claims{Claims: batch}}).Claims[0]
+}
+
+// TestClaimAnswers walks through the answers to one id, in order.
+func TestClaimAnswers(t *testing.T) {
+	machine := New(smallLimits())
+	start := time.Unix(1_700_000_000, 0)
+	const ran, notRun = v1.ClaimOutcome_CLAIM_OUTCOME_RAN, v1.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN
+	const minute = 60_000
+	steps := []struct {
+		name   string
+		after  time.Duration
+		call   uint64
+		digest string
+		settle v1.ClaimOutcome
+		want   ClaimResult
+	}{
+		{"the first call", 0, 1, "a", 0, ClaimGranted},
+		{"its resend", time.Second, 1, "a", 0, ClaimGranted},
+		{"another call", time.Second, 2, "a", 0, ClaimMayHaveRun},
+		{"another body", time.Second, 2, "b", 0, ClaimDigestMismatch},
+		{"a foreign settlement", time.Second, 2, "", notRun, ClaimNone},
+		{"which released nothing", time.Second, 2, "a", 0, ClaimMayHaveRun},
+		{"the holder's release", time.Second, 1, "", notRun, ClaimNone},
+		{"a late copy of the released call", time.Second, 1, "a", 0, ClaimMayHaveRun},
+		{"a new call", time.Second, 3, "a", 0, ClaimGranted},
+		{"its settlement", time.Second, 3, "", ran, ClaimNone},
+		{"a call after the run", time.Second, 4, "a", 0, ClaimRan},
+		{"a late release", time.Second, 3, "", notRun, ClaimNone},
+		{"which changed nothing", time.Second, 4, "a", 0, ClaimRan},
+		{"a call after the expiry", time.Minute + time.Second, 5, "a", 0, ClaimExpired},
+		{"a call after the id is forgotten", 3 * time.Minute, 6, "a", 0, ClaimGranted},
+	}
+	for _, step := range steps {
+		data, err := Encode(start.Add(step.after), &v1.StateCommand{Body: &v1.StateCommand_Claims{Claims: &v1.ClaimBatch{
+			Operations: []*v1.ClaimOperation{{
+				RequestId: "id", Holder: "router", Call: step.call, Digest: step.digest, Settle: step.settle, ExpiryMs: minute,
+			}},
+		}}})
+		require.NoError(t, err)
+		result, err := machine.Apply(data)
+		require.NoError(t, err)
+		require.Equal(t, step.want, result.Claims[0], step.name)
+	}
+}
+
+// TestAbsoluteExpiryNeedsNoMemory checks that an id stays refused for good when
+// the caller repeats the expiry that it chose, also once it is forgotten.
+func TestAbsoluteExpiryNeedsNoMemory(t *testing.T) {
+	machine := New(smallLimits())
+	start := time.Unix(1_700_000_000, 0)
+	claim := func(at time.Time) ClaimResult {
+		data, err := Encode(at, &v1.StateCommand{Body: &v1.StateCommand_Claims{Claims: &v1.ClaimBatch{
+			Operations: []*v1.ClaimOperation{{
+				RequestId: "id", Holder: "router", Call: 1, Digest: "a", NotAfterUnixMs: start.Add(time.Second).UnixMilli(),
+			}},
+		}}})
+		require.NoError(t, err)
+		result, err := machine.Apply(data)
+		require.NoError(t, err)
+		return result.Claims[0]
+	}
+	require.Equal(t, ClaimGranted, claim(start))
+	require.Equal(t, ClaimExpired, claim(start.Add(24*time.Hour)))
+	live, expired := machine.ClaimCounts()
+	require.Zero(t, live+expired)
+	// A leader whose clock is behind must not bring the id back to life.
+	require.Equal(t, ClaimExpired, claim(start))
+}
+
+// TestJournalKeepsTheNewestOnce checks the bound, the count of dropped events
+// and that an event is stored once.
+func TestJournalKeepsTheNewestOnce(t *testing.T) {
+	machine := New(smallLimits())
+	for index := range 15 {
+		event := &v1.Event{Id: fmt.Sprint(index), Kind: "lease_lost", Service: fmt.Sprint("service-", index%2)}
+		data, err := Encode(time.Unix(1, 0), &v1.StateCommand{Body: &v1.StateCommand_Events{Events: &v1.EventsCommand{
+			Events: []*v1.Event{event, event},
+		}}})
+		require.NoError(t, err)
+		_, err = machine.Apply(data)
+		require.NoError(t, err)
+	}
+	require.Equal(t, uint64(5), machine.EventsDropped())
+	events := machine.Events(EventFilter{Service: "service-1", Limit: 3})
+	require.Len(t, events, 3)
+	require.Equal(t, "9", events[0].GetId())
+	require.Equal(t, "13", events[2].GetId())
+}
+
+// TestUnknownCommandStops checks that a command of a newer version is an error
+// and not skipped.
+func TestUnknownCommandStops(t *testing.T) {
+	data, err := Encode(time.Unix(1, 0), &v1.StateCommand{})
+	require.NoError(t, err)
+	_, err = New(smallLimits()).Apply(data)
+	require.Error(t, err)
+}
