--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,59 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+// Shares of the concurrency limit and of a request's time that a priority
+// class may use. Lower classes give way first: they are refused while there is
+// still room, and with a shorter queue, than interactive requests.
+const (
+	batchShare       = 0.7
+	normalShare      = 0.85
+	interactiveShare = 1.0
+
+	// queueShare is the part of the time left that waiting for a place may be
+	// expected to take. The rest is for the work itself and for the error of
+	// the estimate.
+	queueShare = 0.5
+)
+
+// Gate bounds the requests that are under way in one engine.
+type Gate struct {
+	// MaxInFlight is the most requests of all classes together.
+	MaxInFlight int
+}
+
+// Admits reports whether a request of the class may enter while inFlight are
+// under way.
+func (g Gate) Admits(priority plan.Priority, inFlight int) bool {
+	return float64(inFlight) < share(priority)*float64(g.MaxInFlight)
+}
+
+// Feasible reports whether a request that is expected to wait for a place has
+// a fair chance to be answered within the time left.
+func (g Gate) Feasible(priority plan.Priority, wait, left time.Duration) bool {
+	return float64(wait) <= share(priority)*queueShare*float64(left)
+}
+
+func share(priority plan.Priority) float64 {
+	switch priority {
+	case plan.PriorityInteractive:
+		return interactiveShare
+	case plan.PriorityBatch:
+		return batchShare
+	default:
+		return normalShare
+	}
+}
+
+// Wait estimates how long a new item waits behind others at servers with a
+// number of slots, each item taking the typical time (Little's law).
+func Wait(ahead, slots int, typical time.Duration) time.Duration {
+	if ahead == 0 || slots == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(slots) * float64(typical))
+}
--- /dev/null
+++ b/internal/admission/limit.go
@@ -0,0 +1,78 @@
+// Package admission decides how much work may be under way: per back end an
+// adaptive concurrency limit, and per router a gate that refuses requests by
+// priority class and by whether their deadline can still be met.
+package admission
+
+import "time"
+
+// QueuePerServer is how many attempts may wait at a server beyond its slots.
+// One is enough to keep a slot busy during the round trip in which its next
+// attempt would otherwise be on the way; any more would wait where it can no
+// longer be sent to another replica.
+const QueuePerServer = 1
+
+const (
+	// leastSlotsForQueue is the share of slots from which QueuePerServer is
+	// granted. Shares are rounded up, so that many routers with one slot each
+	// already send more than the server's slots.
+	leastSlotsForQueue = 2
+	// decrease is the factor of a multiplicative decrease.
+	decrease = 0.7
+	// decreasePause is the least time between two decreases: refusals that
+	// were caused by one burst count once.
+	decreasePause = 100 * time.Millisecond
+)
+
+// Ceiling returns the most attempts that may be in flight to a server of which
+// the router holds a share of slots and connections. A share of slots below
+// one still allows one attempt; no connection allows none.
+func Ceiling(slots, connections int) int {
+	ceiling := max(slots, 1)
+	if slots >= leastSlotsForQueue {
+		ceiling += QueuePerServer
+	}
+	return max(min(ceiling, connections), 0)
+}
+
+// Limit is an adaptive concurrency limit: additive increase while it is used
+// in full, multiplicative decrease on signs of overload (Chiu and Jain,
+// "Analysis of the Increase and Decrease Algorithms for Congestion Avoidance
+// in Computer Networks", 1989). It stays between one and its ceiling.
+type Limit struct {
+	ceiling int
+	value   float64
+	lowered time.Time
+}
+
+// NewLimit returns a limit at its ceiling.
+func NewLimit(ceiling int) Limit {
+	return Limit{ceiling: ceiling, value: float64(ceiling)}
+}
+
+// Resize sets another ceiling. A limit that was at its ceiling follows it.
+func (l *Limit) Resize(ceiling int) {
+	if l.value >= float64(l.ceiling) {
+		l.value = float64(ceiling)
+	}
+	l.ceiling = ceiling
+	l.value = max(min(l.value, float64(ceiling)), min(1, float64(ceiling)))
+}
+
+// Value returns the limit.
+func (l *Limit) Value() int { return int(l.value) }
+
+// Raise takes in a success that came while the limit was used in full.
+func (l *Limit) Raise() {
+	if l.value >= 1 {
+		l.value = min(l.value+1/l.value, float64(l.ceiling))
+	}
+}
+
+// Lower takes in a sign of overload.
+func (l *Limit) Lower(now time.Time) {
+	if now.Sub(l.lowered) < decreasePause {
+		return
+	}
+	l.lowered = now
+	l.value = max(l.value*decrease, min(1, float64(l.ceiling)))
+}
--- /dev/null
+++ b/internal/balancer/attempts.go
@@ -0,0 +1,96 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/backendapi"
+)
+
+// Outcome is how an attempt ended, as far as it says something about the
+// server.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Answered with a valid part.
+	Answered Outcome = iota + 1
+	// Refused without running, or cancelled by the router.
+	Refused
+	// Overloaded refused for its load, or did not answer in time.
+	Overloaded
+	// Failed by error, lost connection or a false reply.
+	Failed
+)
+
+// typicalWeight is the weight of one answer in Group.Typical.
+const typicalWeight = 0.05
+
+// Begin counts an attempt as in flight.
+func (p *Pool) Begin(server *Server) { server.inFlight++ }
+
+// Result is the end of one attempt.
+type Result struct {
+	Outcome Outcome
+	Elapsed time.Duration
+}
+
+// Finish takes in the end of an attempt that was begun.
+func (p *Pool) Finish(now time.Time, group *Group, server *Server, result Result) {
+	full := server.inFlight >= server.limit.Value()
+	server.inFlight--
+	switch result.Outcome {
+	case Answered:
+		p.observeLatency(now, group, server, result.Elapsed)
+		group.typical += typicalWeight * (float64(result.Elapsed) - group.typical)
+		if full {
+			server.limit.Raise()
+		}
+		p.succeed(now, server)
+	case Overloaded:
+		server.limit.Lower(now)
+	case Failed:
+		p.fail(now, server)
+	case Refused:
+	}
+	p.forgetUnused(server)
+}
+
+func (p *Pool) observeLatency(now time.Time, group *Group, server *Server, elapsed time.Duration) {
+	group.Latency.Observe(now, elapsed)
+	server.latency.Observe(now, elapsed, p.config.LatencyRecovery)
+	if group.typical == 0 {
+		group.typical = float64(elapsed)
+	}
+}
+
+// slowFactor is how many times the group's typical latency makes a server
+// suspect.
+const slowFactor = 3
+
+// ObserveSlow takes in that an attempt has been out for some time: the server
+// takes at least as long. A server that takes much longer than its group does
+// is suspect, and gets one attempt at a time until it answers one.
+func (p *Pool) ObserveSlow(now time.Time, group *Group, server *Server, age time.Duration) {
+	if age <= server.latency.Value() || group.typical == 0 {
+		return
+	}
+	server.latency.Reset(now, age)
+	if float64(age) > slowFactor*group.typical {
+		server.suspect = true
+	}
+}
+
+// ObserveCancel takes in that an attempt was cancelled at an age. An age below
+// the typical latency says nothing about the server.
+func (p *Pool) ObserveCancel(now time.Time, group *Group, server *Server, age time.Duration) {
+	if float64(age) <= group.typical {
+		return
+	}
+	group.Latency.Observe(now, age)
+	p.ObserveSlow(now, group, server, age)
+}
+
+// ObserveLoad takes in the load that a reply reported.
+func (p *Pool) ObserveLoad(now time.Time, server *Server, load backendapi.Load) {
+	server.load.observe(now, load, server.inFlight)
+}
--- /dev/null
+++ b/internal/balancer/group.go
@@ -0,0 +1,194 @@
+package balancer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/latency"
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+// Group is the set of replicas of one shard of one generation.
+type Group struct {
+	Shard uint32
+	Name  string
+	// Latency is the distribution of the group's attempts, for hedge delays.
+	Latency *latency.Histogram
+
+	generation *Generation
+	index      int
+	members    []*member
+	usable     int
+	uncovered  bool
+	slots      int
+	typical    float64
+}
+
+// member is one replica: a server in a group, with the index versions that it
+// can serve.
+type member struct {
+	server   *Server
+	group    *Group
+	versions []uint64
+	denials  []denial
+}
+
+// denial is a version that the server refused as unknown although its health
+// endpoint lists it.
+type denial struct {
+	version uint64
+	until   time.Time
+}
+
+func (m *member) holds(version uint64) bool { return slices.Contains(m.versions, version) }
+
+// CanServe reports whether some usable replica holds the version.
+func (g *Group) CanServe(version uint64) bool {
+	for _, member := range g.members {
+		if member.server.Usable() && member.holds(version) {
+			return true
+		}
+	}
+	return false
+}
+
+// Servers calls visit with the server of each replica, in configured order.
+func (g *Group) Servers(visit func(*Server)) {
+	for _, member := range g.members {
+		visit(member.server)
+	}
+}
+
+// Usable returns the number of replicas that may be sent new work.
+func (g *Group) Usable() int { return g.usable }
+
+// Slots returns the number of slots of the usable replicas.
+func (g *Group) Slots() int { return g.slots }
+
+// Generation returns the shard map that the group belongs to.
+func (g *Group) Generation() *Generation { return g.generation }
+
+// Index returns the position of the group in its generation.
+func (g *Group) Index() int { return g.index }
+
+// Typical returns the average duration of an attempt that was answered.
+func (g *Group) Typical() time.Duration { return time.Duration(g.typical) }
+
+// recount takes in a change of its members' presence, share or versions.
+func (g *Group) recount() {
+	g.usable, g.slots = 0, 0
+	for _, member := range g.members {
+		if member.server.Usable() {
+			g.usable++
+			g.slots += max(member.server.slots, 1)
+		}
+	}
+	g.generation.stale = true
+}
+
+// Candidate is an index version that part of a generation's shards can serve.
+type Candidate struct {
+	Version uint64
+	// Shards is the number of shards with a usable replica of the version.
+	Shards int
+}
+
+// Generation is one shard map of a service, as groups of servers.
+type Generation struct {
+	Service string
+	Number  uint32
+	Groups  []*Group
+
+	candidates []Candidate
+	stale      bool
+}
+
+// Candidates returns the versions that any shard can serve, newest first. The
+// slice is valid until the next observation.
+func (g *Generation) Candidates() []Candidate {
+	if g.stale {
+		g.stale = false
+		g.candidates = g.count()
+	}
+	return g.candidates
+}
+
+func (g *Generation) count() []Candidate {
+	counted := g.candidates[:0]
+	var versions []uint64
+	for _, group := range g.Groups {
+		versions = group.versions(versions[:0])
+		for _, version := range versions {
+			index, found := slices.BinarySearchFunc(counted, version, func(c Candidate, version uint64) int {
+				return cmp.Compare(version, c.Version)
+			})
+			if !found {
+				counted = slices.Insert(counted, index, Candidate{Version: version})
+			}
+			counted[index].Shards++
+		}
+	}
+	return counted
+}
+
+// versions appends the distinct versions that usable replicas hold.
+func (g *Group) versions(into []uint64) []uint64 {
+	for _, member := range g.members {
+		if !member.server.Usable() {
+			continue
+		}
+		for _, version := range member.versions {
+			if !slices.Contains(into, version) {
+				into = append(into, version)
+			}
+		}
+	}
+	return into
+}
+
+// AddGeneration makes the groups of one shard map. Servers are shared with the
+// groups that exist already. The caller releases the generation when it no
+// longer sends to it.
+func (p *Pool) AddGeneration(service plan.Service, shards plan.Generation) *Generation {
+	generation := &Generation{Service: service.Name, Number: shards.Number, stale: true}
+	for index, shard := range shards.Shards {
+		group := &Group{
+			Shard: shard.ID, Name: shard.Name, generation: generation, index: index,
+			Latency: latency.NewHistogram(p.config.LatencyHalfLife),
+		}
+		for _, replica := range shard.Replicas {
+			server := p.ensure(replica.Address)
+			server.describe(replica, service.ColdStart)
+			joined := &member{server: server, group: group}
+			joined.versions = server.versionsOf(group)
+			server.members = append(server.members, joined)
+			group.members = append(group.members, joined)
+		}
+		group.recount()
+		generation.Groups = append(generation.Groups, group)
+	}
+	return generation
+}
+
+// Inherit takes over the latencies of groups of the same shard and name, so
+// that a change of configuration does not forget them.
+func (g *Generation) Inherit(before *Generation) {
+	for index, group := range g.Groups {
+		if index < len(before.Groups) && before.Groups[index].Name == group.Name {
+			group.Latency = before.Groups[index].Latency
+			group.typical = before.Groups[index].typical
+		}
+	}
+}
+
+// Release ends the use of a generation. Servers that no group refers to and
+// that have nothing in flight are forgotten.
+func (p *Pool) Release(generation *Generation) {
+	for _, group := range generation.Groups {
+		for _, member := range group.members {
+			member.server.detach(member)
+			p.forgetUnused(member.server)
+		}
+	}
+}
--- /dev/null
+++ b/internal/balancer/presence.go
@@ -0,0 +1,209 @@
+package balancer
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/journal"
+)
+
+// unreachableAfter is the number of failed probes in a row after which a
+// server counts as gone.
+const unreachableAfter = 2
+
+// denialHold is how long a version that a server refused stays denied while
+// its health endpoint goes on listing it.
+const denialHold = 5 * time.Second
+
+// presence is what is known about whether a server takes new work. Each source
+// has its own mark, so that no source can take back the word of another:
+// whichever says first that the server leaves wins.
+type presence struct {
+	// probed is set once a probe succeeded; nothing is sent before.
+	probed bool
+	// failedProbes counts failures in a row.
+	failedProbes int
+	// health is the state that the health endpoint reported last.
+	health backendapi.ReadyState
+	// refused is set by the server's own refusal or reply header, at refusedAt.
+	refused   bool
+	refusedAt time.Time
+	// turned is set when the health endpoint, since refusedAt, has said
+	// something other than ready. Its next ready is then a change of mind and
+	// not the same lie again.
+	turned bool
+	// left is set by the word of others, at leftAt; recalled when they took it
+	// back.
+	left     bool
+	leftAt   time.Time
+	recalled bool
+}
+
+func (p *presence) usable() bool {
+	return p.probed && p.failedProbes < unreachableAfter && p.health == backendapi.StateReady &&
+		!p.refused && !p.left
+}
+
+// leaving reports whether the server is known to go, as opposed to not being
+// known, warm or reachable yet.
+func (p *presence) leaving() bool {
+	return p.refused || p.left || p.health == backendapi.StateDraining
+}
+
+// cause names the source that said that the server leaves.
+func (p *presence) cause() string {
+	switch {
+	case p.refused:
+		return "by its own reply"
+	case p.left:
+		return "by the word of others"
+	default:
+		return "by its health endpoint"
+	}
+}
+
+// ObserveHealth takes in one probe of a server. It returns nil for a server
+// that is not known.
+func (p *Pool) ObserveHealth(now time.Time, address netip.AddrPort, reachable bool, health backendapi.Health) *Server {
+	server, known := p.servers[address]
+	if !known {
+		return nil
+	}
+	p.change(now, server, func() {
+		if !reachable {
+			server.presence.failProbe()
+			return
+		}
+		server.presence.passProbe(now, health.State, p.config)
+		server.load.observe(now, health.Load, server.inFlight)
+		server.hold(now, health.Shards)
+	})
+	return server
+}
+
+func (p *presence) failProbe() {
+	p.failedProbes++
+	p.turned = p.turned || p.refused
+}
+
+func (p *presence) passProbe(now time.Time, state backendapi.ReadyState, config Config) {
+	p.probed, p.failedProbes, p.health = true, 0, state
+	if state != backendapi.StateReady {
+		p.turned = p.turned || p.refused
+	} else if p.refused && (p.turned || now.Sub(p.refusedAt) >= config.DrainDistrust) {
+		p.refused, p.turned = false, false
+	}
+	if p.recalled && now.Sub(p.leftAt) >= config.WordHold {
+		p.left, p.recalled = false, false
+	}
+}
+
+// hold replaces the versions that the server holds. Members see the new list
+// without the versions that the server itself denied a short time ago.
+func (s *Server) hold(now time.Time, holdings []backendapi.ShardState) {
+	s.holdings = holdings
+	for _, member := range s.members {
+		versions := s.versionsOf(member.group)
+		if len(member.denials) > 0 {
+			versions = member.withoutDenied(now, versions)
+		}
+		if !slices.Equal(member.versions, versions) {
+			member.group.generation.stale = true
+		}
+		member.versions = versions
+	}
+}
+
+func (m *member) withoutDenied(now time.Time, versions []uint64) []uint64 {
+	m.denials = slices.DeleteFunc(m.denials, func(d denial) bool { return !now.Before(d.until) })
+	return slices.DeleteFunc(slices.Clone(versions), func(version uint64) bool {
+		return slices.ContainsFunc(m.denials, func(d denial) bool { return d.version == version })
+	})
+}
+
+// Deny takes in that a server refused a version of a group as unknown.
+func (p *Pool) Deny(now time.Time, server *Server, group *Group, version uint64) {
+	for _, member := range group.members {
+		if member.server != server {
+			continue
+		}
+		member.denials = append(member.denials, denial{version: version, until: now.Add(denialHold)})
+		member.versions = member.withoutDenied(now, member.versions)
+		group.generation.stale = true
+	}
+}
+
+// ObserveDrain takes in the server's own word, by a refusal or a reply header,
+// that it takes no more work.
+func (p *Pool) ObserveDrain(now time.Time, server *Server) {
+	p.change(now, server, func() {
+		server.presence.refused = true
+		server.presence.refusedAt = now
+		// The endpoint's word before this moment says nothing about whether it
+		// lies: turned is earned by a later probe alone.
+		server.presence.turned = false
+	})
+}
+
+// ObserveWord takes in the word of the platform, an operator or another router
+// about a server. It returns nil for a server that is not known.
+func (p *Pool) ObserveWord(now time.Time, address netip.AddrPort, leaving bool) *Server {
+	server, known := p.servers[address]
+	if !known {
+		return nil
+	}
+	p.change(now, server, func() {
+		if leaving {
+			server.presence.left, server.presence.leftAt, server.presence.recalled = true, now, false
+			return
+		}
+		server.presence.recalled = server.presence.left
+		if now.Sub(server.presence.leftAt) >= p.config.WordHold {
+			server.presence.left, server.presence.recalled = false, false
+		}
+	})
+	return server
+}
+
+// change applies an observation and takes in what follows from a change of the
+// server's usability.
+func (p *Pool) change(now time.Time, server *Server, apply func()) {
+	wasUsable, wasLeaving := server.Usable(), server.presence.leaving()
+	apply()
+	if server.presence.leaving() && !wasLeaving {
+		p.transitions = append(p.transitions, Transition{
+			Kind: journal.KindDrainBegun, Server: server, Own: !server.presence.left, Detail: server.presence.cause(),
+		})
+	}
+	if server.Usable() == wasUsable {
+		return
+	}
+	if server.Usable() {
+		server.readySince = now
+	}
+	for _, member := range server.members {
+		p.recount(member.group)
+	}
+}
+
+// recount updates a group and tells when it lost its last usable replica, or
+// got the first one back.
+func (p *Pool) recount(group *Group) {
+	before := group.usable
+	group.recount()
+	kind := journal.Kind("")
+	switch {
+	case before > 0 && group.usable == 0:
+		kind = journal.KindShardUncovered
+	case before == 0 && group.usable > 0 && group.uncovered:
+		kind = journal.KindShardCovered
+	default:
+		return
+	}
+	group.uncovered = group.usable == 0
+	p.transitions = append(p.transitions, Transition{
+		Kind: kind, Service: group.generation.Service, Shard: group.Name,
+	})
+}
--- /dev/null
+++ b/internal/latency/histogram.go
@@ -0,0 +1,131 @@
+// Package latency estimates how long attempts take: a decaying histogram for
+// quantiles per shard, and a moving average per replica. Both are small enough
+// to be kept for every shard and server that a router talks to, and both take
+// the time as an argument.
+package latency
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+// The buckets are those of an HDR histogram with eight linear steps to each
+// power of two: a quantile is at most 1/8 too high. They start at 2^stepBits
+// units and cover up to a minute.
+const (
+	unit        = 16 * time.Microsecond
+	stepBits    = 3
+	steps       = 1 << stepBits
+	powers      = 20
+	bucketCount = steps * powers
+)
+
+// DefaultHalfLife is how long it takes an observation to lose half its weight.
+const DefaultHalfLife = 10 * time.Second
+
+// refreshEvery is the number of observations after which a cached quantile is
+// computed anew.
+const refreshEvery = 32
+
+// Histogram is a histogram of durations whose observations lose weight with
+// age. It is not safe for concurrent use.
+type Histogram struct {
+	halfLife time.Duration
+	decayed  time.Time
+	total    float32
+	buckets  [bucketCount]float32
+	cached   cachedQuantile
+}
+
+type cachedQuantile struct {
+	quantile float64
+	value    time.Duration
+	fresh    int
+}
+
+// NewHistogram returns an empty histogram. A half-life of 0 means
+// DefaultHalfLife.
+func NewHistogram(halfLife time.Duration) *Histogram {
+	if halfLife <= 0 {
+		halfLife = DefaultHalfLife
+	}
+	return &Histogram{halfLife: halfLife}
+}
+
+// Observe adds one duration. An attempt that was cancelled is added with its
+// age at that moment: it took at least as long, so that quantiles below that
+// age stay right although its true duration is never known.
+func (h *Histogram) Observe(now time.Time, duration time.Duration) {
+	h.decay(now)
+	h.buckets[bucketOf(duration)]++
+	h.total++
+	h.cached.fresh--
+}
+
+// Count returns the weight of all observations: their number, less decay.
+func (h *Histogram) Count() float64 { return float64(h.total) }
+
+// Quantile returns an upper bound of the quantile in (0,1), or 0 without
+// observations. It may lag behind by a few observations.
+func (h *Histogram) Quantile(quantile float64) time.Duration {
+	if h.total <= 0 {
+		return 0
+	}
+	if h.cached.quantile == quantile && h.cached.fresh > 0 {
+		return h.cached.value
+	}
+	h.cached = cachedQuantile{quantile: quantile, value: h.compute(quantile), fresh: refreshEvery}
+	return h.cached.value
+}
+
+func (h *Histogram) compute(quantile float64) time.Duration {
+	rank := float32(quantile) * h.total
+	var sum float32
+	for index, weight := range h.buckets {
+		sum += weight
+		if sum >= rank && weight > 0 {
+			return bucketEnd(index)
+		}
+	}
+	return bucketEnd(bucketCount - 1)
+}
+
+// decay halves the weights once per half-life that has passed, which spreads
+// its cost over all observations in between.
+func (h *Histogram) decay(now time.Time) {
+	if h.decayed.IsZero() {
+		h.decayed = now
+		return
+	}
+	periods := now.Sub(h.decayed) / h.halfLife
+	if periods <= 0 {
+		return
+	}
+	h.decayed = h.decayed.Add(periods * h.halfLife)
+	factor := float32(math.Exp2(-float64(periods)))
+	h.total = 0
+	for index := range h.buckets {
+		h.buckets[index] *= factor
+		h.total += h.buckets[index]
+	}
+	h.cached.fresh = 0
+}
+
+func bucketOf(duration time.Duration) int {
+	units := uint64(max(duration, 0) / unit)
+	if units < steps {
+		return int(units)
+	}
+	power := bits.Len64(units) - stepBits
+	index := power*steps + int(units>>(power-1)) - steps
+	return min(index, bucketCount-1)
+}
+
+func bucketEnd(index int) time.Duration {
+	power, step := index/steps, index%steps
+	if power == 0 {
+		return time.Duration(step+1) * unit
+	}
+	return time.Duration((steps+step+1)<<(power-1)) * unit
+}
--- /dev/null
+++ b/internal/query/claims.go
@@ -0,0 +1,81 @@
+package query
+
+import (
+	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// claim asks for the right to run a request that runs at most once. Nothing is
+// sent before it is granted.
+func (e *Engine) claim(r *request) {
+	r.phase = phaseClaiming
+	e.emit(Claim{
+		Request: r.ID, CallerID: r.CallerID, Route: r.route.Name, Digest: r.BodyDigest,
+		Expiry: r.route.Policy.ClaimExpiry, Timeout: r.decideBy.Sub(e.now),
+	})
+	e.schedule(r)
+}
+
+// abandonClaim ends a request whose claim was not decided in time. Should it be
+// granted later, it is given back.
+func (e *Engine) abandonClaim(r *request) {
+	e.abandoned[r.ID] = r.CallerID
+	e.endWith(r, verdict.ReasonClaimsUnavailable, "no decision on the claim in time")
+}
+
+func (e *Engine) claimDecided(event ClaimDecided) {
+	if callerID, abandoned := e.abandoned[event.Request]; abandoned {
+		delete(e.abandoned, event.Request)
+		if event.Decision == ClaimGranted {
+			e.emit(SettleClaim{Request: event.Request, CallerID: callerID, Outcome: verdict.NotRun})
+		}
+		return
+	}
+	r, known := e.requests[event.Request]
+	if !known || r.phase != phaseClaiming {
+		return
+	}
+	if event.Decision == ClaimGranted {
+		e.start(r)
+		return
+	}
+	refusal := refusalOfClaim(event.Decision)
+	e.record(journal.Event{
+		Kind: journal.KindClaimRefused, Service: r.route.service.definition.Name, Detail: string(refusal.Reason),
+	})
+	answer := e.describe(r)
+	answer.Verdict, answer.Err = refusal.Verdict, refusal
+	if event.Decision == ClaimUnavailable {
+		answer.Err.RetryAfter = e.retryAfter(leaseRetryAfter)
+	}
+	e.respond(r, answer)
+}
+
+// refusalOfClaim says what is known about the request with the caller's id. An
+// expired claim and one with another body prove that this one was not run.
+func refusalOfClaim(decision ClaimDecision) *verdict.Error {
+	switch decision {
+	case ClaimHeldRan:
+		return &verdict.Error{Verdict: verdict.Ran, Reason: verdict.ReasonClaimHeld}
+	case ClaimHeldMayHaveRun:
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonClaimHeld}
+	case ClaimExpired:
+		return verdict.Refuse(verdict.ReasonClaimExpired, "")
+	case ClaimDigestMismatch:
+		return verdict.Refuse(verdict.ReasonClaimMismatch, "the id was used with another body")
+	default:
+		return verdict.Refuse(verdict.ReasonClaimsUnavailable, "")
+	}
+}
+
+// settleIfKnown settles the claim of an answered request once the outcome of
+// all its attempts is known. Until then the claim stays as it is, which keeps
+// any other dispatch out.
+func (e *Engine) settleIfKnown(r *request) {
+	if r.phase != phaseSettling || r.outstanding > 0 {
+		return
+	}
+	e.emit(SettleClaim{Request: r.ID, CallerID: r.CallerID, Outcome: r.verdictNow()})
+	e.settling--
+	e.discard(r)
+}
--- a/internal/query/command.go
+++ b/internal/query/command.go
@@ -57,6 +57,8 @@
 // verdict.NotRun (releases the claim) or verdict.MayHaveRun (no record needed;
 // the claim stays as it is).
 type SettleClaim struct {
+	// Request is the one whose Claim was granted.
+	Request  RequestID
 	CallerID string
 	Outcome  verdict.Verdict
 }
--- /dev/null
+++ b/internal/query/hedge.go
@@ -0,0 +1,123 @@
+package query
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/balancer"
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+const (
+	// leastObservations is the weight of observations from which a shard's
+	// quantile is used; before, the policy's longest delay is.
+	leastObservations = 20
+	// leastPostponement is the pause before a hedge that was due but could not
+	// be sent is looked at again.
+	leastPostponement = time.Millisecond
+)
+
+// shardsDue takes the decisions of shards whose time has come.
+func (e *Engine) shardsDue(r *request) {
+	for index := range r.shards {
+		shard := &r.shards[index]
+		if !shard.isOpen() || shard.due.IsZero() || shard.due.After(e.now) {
+			continue
+		}
+		shard.due = time.Time{}
+		if shard.phase == shardPausing {
+			// The pause gave every replica time to recover.
+			shard.triedSize = 0
+			e.place(r, index)
+			continue
+		}
+		e.observeSlow(shard)
+		e.hedge(r, index)
+	}
+}
+
+// observeSlow tells the balancer that the shard's attempts take longer than
+// most do, so that new work avoids their servers long before they answer.
+func (e *Engine) observeSlow(shard *shardState) {
+	for _, id := range shard.out[:shard.outCount] {
+		entry := e.attempts.get(id)
+		e.pool.ObserveSlow(e.now, entry.group, entry.server, e.now.Sub(entry.sent))
+	}
+}
+
+// hedgeTime is when a hedge of the shard is due; zero for never. A request
+// that runs at most once is never hedged.
+func (e *Engine) hedgeTime(r *request, shard *shardState) time.Time {
+	tuning, hedge := &e.config.Tuning, &r.route.Policy.Hedge
+	if !tuning.extraAttempts() || r.route.Policy.Once {
+		return time.Time{}
+	}
+	if tuning.Variant == VariantHedgeFixed {
+		if shard.hedges > 0 {
+			return time.Time{}
+		}
+		return e.now.Add(tuning.FixedHedgeDelay)
+	}
+	if hedge.Quantile <= 0 || int(shard.hedges) >= hedge.MaxPerShard {
+		return time.Time{}
+	}
+	delay := hedgeDelay(hedge, shard.group)
+	if delay <= 0 {
+		return time.Time{}
+	}
+	return e.now.Add(delay)
+}
+
+// hedgeDelay is the shard's latency quantile within the policy's bounds; 0
+// means that nothing is known yet (Dean and Barroso, "The Tail at Scale",
+// 2013).
+func hedgeDelay(hedge *plan.Hedge, group *balancer.Group) time.Duration {
+	if group.Latency.Count() < leastObservations {
+		return hedge.Most
+	}
+	delay := max(group.Latency.Quantile(hedge.Quantile), hedge.Least)
+	if hedge.Most > 0 {
+		delay = min(delay, hedge.Most)
+	}
+	return delay
+}
+
+// hedge sends a second attempt to another replica, if that costs others
+// nothing: a token must be there, and a free slot, and nobody who waits.
+func (e *Engine) hedge(r *request, index int) {
+	shard := &r.shards[index]
+	if shard.outCount >= maxAttemptsOut {
+		return
+	}
+	if !e.mayHedge(r, shard) {
+		e.postponeHedge(shard)
+		return
+	}
+	server, availability := e.pool.Choose(e.now, shard.group, balancer.Need{
+		Version: r.version, Tried: shard.triedServers(), Spare: e.config.Tuning.limited(),
+	})
+	switch availability {
+	case balancer.Available:
+		if !e.config.Tuning.unbudgeted() {
+			r.route.service.state.hedges.Spend()
+		}
+		shard.hedges++
+		e.send(r, index, server)
+	case balancer.Busy:
+		e.postponeHedge(shard)
+	case balancer.Unavailable:
+	}
+}
+
+func (e *Engine) mayHedge(r *request, shard *shardState) bool {
+	if e.config.Tuning.unbudgeted() {
+		return true
+	}
+	state := r.route.service.state
+	return state.hedges.Tokens() >= 1 && !e.now.Before(state.overloadedUntil) &&
+		r.partition.queues[shard.group.Index()].Waiting() == 0
+}
+
+// postponeHedge looks at the hedge again after part of the typical latency.
+func (e *Engine) postponeHedge(shard *shardState) {
+	shard.due = e.now.Add(max(shard.group.Typical()/2, leastPostponement))
+}
