--- /dev/null
+++ b/internal/consensus/types.go
@@ -0,0 +1,132 @@
+package consensus
+
+import "time"
+
+// EntryKind tells what an entry of the log holds.
+type EntryKind uint8
+
+// Entry kinds.
+const (
+	// EntryData holds a proposal, opaque to this package.
+	EntryData EntryKind = iota
+	// EntryNoop is what a new leader appends to commit the entries of earlier
+	// terms (§3.6.2, §6.4). The state machine ignores it.
+	EntryNoop
+	// EntryMembership holds an encoded Membership.
+	EntryMembership
+)
+
+// entryOverheadBytes is counted for each entry besides its data.
+const entryOverheadBytes = 32
+
+// Entry is one position of the replicated log. Data must not be changed.
+type Entry struct {
+	Index uint64
+	Term  uint64
+	Kind  EntryKind
+	Data  []byte
+}
+
+func (e Entry) size() int { return len(e.Data) + entryOverheadBytes }
+
+// HardState is what a voter must never forget (§3.4): its term and the
+// candidate that it voted for in it, 0 for none.
+type HardState struct {
+	Term uint64
+	Vote uint64
+}
+
+// Snapshot is the state of the state machine after Index was applied.
+type Snapshot struct {
+	Index uint64
+	Term  uint64
+	// Membership is the one in effect at Index.
+	Membership Membership
+	Data       []byte
+}
+
+// Restored is what a voter finds on its disk when it starts. Snapshot is nil
+// before the first one; Entries follow each other without gaps and begin at or
+// before Snapshot.Index+1.
+type Restored struct {
+	HardState HardState
+	Snapshot  *Snapshot
+	Entries   []Entry
+}
+
+// Role is the part that a voter plays in its term.
+type Role uint8
+
+// Roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name in lower case.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r&3]
+}
+
+// Defaults and bounds of Config.
+const (
+	DefaultHeartbeat           = 50 * time.Millisecond
+	DefaultElectionTimeout     = 500 * time.Millisecond
+	DefaultMaxBatchBytes       = 256 << 10
+	DefaultMaxInflight         = 64
+	DefaultMaxUncommittedBytes = 32 << 20
+	DefaultMaxEntryBytes       = 4 << 20
+	DefaultMaxSnapshotBytes    = 128 << 20
+	DefaultMaxPendingReads     = 64 << 10
+)
+
+// Config holds what a Core is made with. Zero values take the defaults.
+type Config struct {
+	// ID of this voter; never 0 and never used by another voter, also not by
+	// one removed before.
+	ID uint64
+	// ElectionTimeout is the lower bound of the randomized election timeout,
+	// which is drawn from [ElectionTimeout, 2×ElectionTimeout).
+	ElectionTimeout time.Duration
+	// Heartbeat is the interval of the leader's heartbeats.
+	Heartbeat time.Duration
+	// Seed of the election timeouts.
+	Seed uint64
+	// MaxBatchBytes bounds the entries of one append message. An entry larger
+	// than that travels alone.
+	MaxBatchBytes int
+	// MaxInflight bounds the unacknowledged append messages to each follower.
+	MaxInflight int
+	// MaxUncommittedBytes bounds the leader's uncommitted entries; proposals
+	// beyond it are refused.
+	MaxUncommittedBytes int
+	// MaxEntryBytes bounds one proposal.
+	MaxEntryBytes int
+	// MaxSnapshotBytes bounds the data of a snapshot. A larger one is neither
+	// kept nor sent, and the log is not compacted.
+	MaxSnapshotBytes int
+	// MaxPendingReads bounds the reads waiting for confirmation.
+	MaxPendingReads int
+}
+
+// WithDefaults returns the configuration with zero values replaced.
+func (c Config) WithDefaults() Config {
+	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
+	setDefault(&c.Heartbeat, DefaultHeartbeat)
+	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
+	setDefault(&c.MaxInflight, DefaultMaxInflight)
+	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	setDefault(&c.MaxEntryBytes, DefaultMaxEntryBytes)
+	setDefault(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
+	setDefault(&c.MaxPendingReads, DefaultMaxPendingReads)
+	return c
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/internal/raftlog/tables.go
@@ -0,0 +1,220 @@
+package raftlog
+
+import (
+	"encoding/binary"
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"go.etcd.io/bbolt"
+
+	"github.com/martenstage/martenstage/internal/consensus"
+)
+
+const (
+	// formatVersion is that of the folder; a newer one is refused.
+	formatVersion = 1
+	checksumBytes = 8
+)
+
+var (
+	entriesBucket = []byte("entries")
+	stateBucket   = []byte("state")
+	identityKey   = []byte("identity")
+	hardStateKey  = []byte("hard-state")
+	boundsKey     = []byte("bounds")
+)
+
+// identity tells whose folder it is.
+type identity struct {
+	Format  int    `json:"format"`
+	VoterID uint64 `json:"voter_id"`
+}
+
+func (i identity) check(options Options) error {
+	if i.Format > formatVersion {
+		return errors.Newf("data folder %s has format %d, newer than %d of this program", options.Folder, i.Format, formatVersion)
+	}
+	if i.VoterID != options.VoterID {
+		return errors.Newf("data folder %s belongs to voter %d, not %d", options.Folder, i.VoterID, options.VoterID)
+	}
+	return nil
+}
+
+// bounds tell which entries the log must hold: those behind Base up to Last.
+// bbolt has no checksums of its own, so that entries lost from the end of a
+// page would go unnoticed without it.
+type bounds struct {
+	Base uint64 `json:"base"`
+	Last uint64 `json:"last"`
+}
+
+// tables are the buckets within one transaction.
+type tables struct {
+	entries *bbolt.Bucket
+	state   *bbolt.Bucket
+}
+
+func createTables(transaction *bbolt.Tx) (tables, error) {
+	entries, err := transaction.CreateBucketIfNotExists(entriesBucket)
+	if err != nil {
+		return tables{}, err
+	}
+	entries.FillPercent = appendFillPercent
+	state, err := transaction.CreateBucketIfNotExists(stateBucket)
+	return tables{entries: entries, state: state}, err
+}
+
+// apply carries out one unit of writing.
+func (t tables) apply(unit *consensus.Persist) error {
+	limits, err := t.bounds()
+	if err != nil {
+		return err
+	}
+	if unit.ReplaceLog {
+		if err := t.removeFrom(0); err != nil {
+			return err
+		}
+		limits = bounds{Base: unit.Snapshot.Index, Last: unit.Snapshot.Index}
+	}
+	if unit.HardState != nil {
+		if err := t.state.Put(hardStateKey, seal(hardStateKey, consensus.EncodeHardState(*unit.HardState))); err != nil {
+			return err
+		}
+	}
+	if limits, err = t.append(unit.Entries, limits); err != nil {
+		return err
+	}
+	if unit.CompactTo > limits.Base {
+		limits.Base = min(unit.CompactTo, limits.Last)
+		if err := t.removeUpTo(limits.Base); err != nil {
+			return err
+		}
+	}
+	return t.putBounds(limits)
+}
+
+func (t tables) append(entries []consensus.Entry, limits bounds) (bounds, error) {
+	if len(entries) == 0 {
+		return limits, nil
+	}
+	first := entries[0].Index
+	if first <= limits.Base || first > limits.Last+1 {
+		return limits, errors.AssertionFailedf("entry %d appended to a log of %d to %d", first, limits.Base+1, limits.Last)
+	}
+	if first <= limits.Last {
+		if err := t.removeFrom(first); err != nil {
+			return limits, err
+		}
+	}
+	for _, entry := range entries {
+		key := entryKey(entry.Index)
+		if err := t.entries.Put(key, seal(key, consensus.EncodeEntry(entry))); err != nil {
+			return limits, err
+		}
+	}
+	limits.Last = entries[len(entries)-1].Index
+	return limits, nil
+}
+
+func (t tables) removeFrom(index uint64) error {
+	return removeWhile(t.entries, entryKey(index), func(uint64) bool { return true })
+}
+
+func (t tables) removeUpTo(index uint64) error {
+	return removeWhile(t.entries, entryKey(0), func(found uint64) bool { return found <= index })
+}
+
+// removeWhile collects the keys first: a bbolt cursor may skip keys when it
+// deletes as it goes.
+func removeWhile(bucket *bbolt.Bucket, from []byte, matches func(index uint64) bool) error {
+	var keys [][]byte
+	cursor := bucket.Cursor()
+	for key, _ := cursor.Seek(from); key != nil && matches(binary.BigEndian.Uint64(key)); key, _ = cursor.Next() {
+		keys = append(keys, key)
+	}
+	for _, key := range keys {
+		if err := bucket.Delete(key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t tables) identity() (*identity, error) {
+	var known identity
+	found, err := t.getJSON(identityKey, &known)
+	if err != nil || !found {
+		return nil, err
+	}
+	return &known, nil
+}
+
+func (t tables) putIdentity(known identity) error { return t.putJSON(identityKey, known) }
+
+func (t tables) bounds() (bounds, error) {
+	var limits bounds
+	_, err := t.getJSON(boundsKey, &limits)
+	return limits, err
+}
+
+func (t tables) putBounds(limits bounds) error { return t.putJSON(boundsKey, limits) }
+
+func (t tables) hardState() (consensus.HardState, error) {
+	sealed := t.state.Get(hardStateKey)
+	if sealed == nil {
+		return consensus.HardState{}, nil
+	}
+	data, err := unseal(hardStateKey, sealed)
+	if err != nil {
+		return consensus.HardState{}, errors.Wrap(err, "hard state")
+	}
+	return consensus.DecodeHardState(data)
+}
+
+func (t tables) putJSON(key []byte, value any) error {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return t.state.Put(key, seal(key, data))
+}
+
+func (t tables) getJSON(key []byte, value any) (bool, error) {
+	sealed := t.state.Get(key)
+	if sealed == nil {
+		return false, nil
+	}
+	data, err := unseal(key, sealed)
+	if err == nil {
+		err = json.Unmarshal(data, value)
+	}
+	return true, errors.Wrapf(err, "%s", key)
+}
+
+func entryKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+// seal puts a checksum over key and data in front of the data.
+func seal(key, data []byte) []byte {
+	sealed := make([]byte, checksumBytes, checksumBytes+len(data))
+	binary.BigEndian.PutUint64(sealed, checksum(key, data))
+	return append(sealed, data...)
+}
+
+func unseal(key, sealed []byte) ([]byte, error) {
+	if len(sealed) < checksumBytes {
+		return nil, errors.Newf("%d bytes are too few", len(sealed))
+	}
+	data := sealed[checksumBytes:]
+	if binary.BigEndian.Uint64(sealed) != checksum(key, data) {
+		return nil, errors.New("the checksum does not match")
+	}
+	return data, nil
+}
+
+func checksum(key, data []byte) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.Write(key)
+	_, _ = digest.Write(data)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/voter/loop.go
@@ -0,0 +1,193 @@
+package voter
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/logging"
+)
+
+// stalledTimeouts is after how many election timeouts of waiting for its disk a
+// leader hands over.
+const stalledTimeouts = 2
+
+// coreLoop is the goroutine that owns the core.
+type coreLoop struct {
+	*Voter
+	timer     *time.Timer
+	lastReads map[uint64]*readRequest
+	readToken uint64
+	// pendingApply holds what did not fit into the ring.
+	pendingApply applyRequest
+	state        consensus.SoftState
+	synced       uint64
+	issued       uint64
+	// unsyncedSince is when the oldest unsynced write was issued.
+	unsyncedSince time.Time
+	// abandonAt is when proposals of a lost leadership end; zero for never.
+	abandonAt time.Time
+	failed    bool
+}
+
+func newCoreLoop(voter *Voter) *coreLoop {
+	return &coreLoop{Voter: voter, timer: time.NewTimer(0), lastReads: map[uint64]*readRequest{}}
+}
+
+func (l *coreLoop) run() {
+	defer l.running.Done()
+	defer close(l.loopDone)
+	defer l.timer.Stop()
+	for {
+		select {
+		case <-l.stop:
+			l.failWaiting()
+			return
+		case <-l.timer.C:
+			l.step(consensus.Wake{})
+		case <-l.syncNotice:
+			l.takeSync()
+		case event := <-l.requests.Items():
+			l.step(event)
+		case change := <-l.changes.Items():
+			l.change(change)
+		case taken := <-l.snapshots.Items():
+			l.step(consensus.SnapshotTaken{Index: taken.index, Data: taken.data})
+		case message := <-gated(l, l.messages.Items()):
+			l.step(consensus.Receive{Message: message})
+		case first := <-gated(l, l.proposals.Items()):
+			l.propose(append([]*proposalRequest{first}, drain(l.proposals, maxProposalBatch-1)...))
+		case read := <-gated(l, l.reads.Items()):
+			l.read(append([]*readRequest{read}, drain(l.reads, maxProposalBatch-1)...))
+		}
+		l.watchDisk()
+		l.abandon()
+		l.publish()
+	}
+}
+
+// gated returns nil, so that nothing is received, while the writer or the
+// applier lags behind.
+func gated[T any](l *coreLoop, items <-chan T) <-chan T {
+	lagging := l.writes.Depth() > l.writes.Capacity()/2 ||
+		l.applies.Depth() > l.applies.Capacity()/2 || len(l.pendingApply.entries) > 0
+	if lagging && !l.failed {
+		return nil
+	}
+	return items
+}
+
+func (l *coreLoop) step(event consensus.Event) consensus.Output {
+	output := l.core.Step(time.Now(), event)
+	l.senders.post(output.Messages)
+	l.persist(output)
+	l.handOver(output)
+	l.answerReads(output.Reads)
+	l.noteState(output.State)
+	if output.Wake.IsZero() {
+		l.timer.Stop()
+	} else {
+		l.timer.Reset(time.Until(output.Wake))
+	}
+	return output
+}
+
+func (l *coreLoop) persist(output consensus.Output) {
+	if output.Persist == nil && len(output.AfterPersist) == 0 {
+		return
+	}
+	if output.Persist != nil {
+		if l.issued == l.synced {
+			l.unsyncedSince = time.Now()
+		}
+		l.issued = output.Persist.Sequence
+	}
+	if !l.writes.TryPush(writeRequest{unit: output.Persist, messages: output.AfterPersist}) {
+		l.diskFailed(errWritesStuck)
+	}
+}
+
+// handOver gives committed entries to the applier, merging what does not fit.
+func (l *coreLoop) handOver(output consensus.Output) {
+	if output.Restore != nil {
+		l.pendingApply = applyRequest{restore: output.Restore}
+	}
+	l.pendingApply.entries = append(l.pendingApply.entries, output.Committed...)
+	if l.pendingApply.restore == nil && len(l.pendingApply.entries) == 0 {
+		return
+	}
+	if l.applies.TryPush(l.pendingApply) {
+		l.pendingApply = applyRequest{}
+	}
+}
+
+// takeSync tells the core what the writer achieved.
+func (l *coreLoop) takeSync() {
+	if l.diskError.Load() != nil {
+		if !l.failed {
+			l.failed = true
+			l.step(consensus.DiskFailed{})
+			l.outcomes.failUpTo(^uint64(0), ErrOutcomeUnknown)
+		}
+		return
+	}
+	l.synced = l.Voter.synced.Load()
+	l.unsyncedSince = time.Now()
+	l.step(consensus.Persisted{Sequence: l.synced})
+}
+
+// watchDisk lets a leader hand over when its disk does not answer.
+func (l *coreLoop) watchDisk() {
+	if l.state.Role == consensus.Leader && l.unsyncedFor() > stalledTimeouts*l.config.ElectionTimeout {
+		l.step(consensus.TransferLeadership{})
+	}
+}
+
+func (l *coreLoop) unsyncedFor() time.Duration {
+	if l.issued == l.synced {
+		return 0
+	}
+	return time.Since(l.unsyncedSince)
+}
+
+func (l *coreLoop) noteState(state consensus.SoftState) {
+	previous := l.state
+	l.state = state
+	if previous.Role == consensus.Leader && state.Role != consensus.Leader {
+		// The new leader soon commits or overwrites what is still open.
+		l.abandonAt = time.Now().Add(2 * l.config.ElectionTimeout)
+	}
+	if previous.Leader != state.Leader {
+		l.metrics.leaders.Inc()
+		l.logger.WithField(logging.FieldNode, l.config.ID).WithField("leader", state.Leader).
+			WithField("term", state.Term).WithField("voter_role", state.Role.String()).Info("leader changed")
+	}
+}
+
+// abandon ends proposals whose outcome did not become known in time.
+func (l *coreLoop) abandon() {
+	if l.abandonAt.IsZero() || time.Now().Before(l.abandonAt) {
+		return
+	}
+	l.abandonAt = time.Time{}
+	if l.state.Role != consensus.Leader {
+		l.outcomes.failUpTo(^uint64(0), ErrOutcomeUnknown)
+	}
+}
+
+func (l *coreLoop) publish() {
+	status := &Status{Status: l.core.Status(), UnsyncedFor: l.unsyncedFor()}
+	l.addresses.setMembers(status.Members)
+	l.status.Store(status)
+	l.metrics.term.Set(float64(status.Term))
+	l.metrics.leading.Set(boolValue(status.Role == consensus.Leader))
+	l.metrics.commit.Set(float64(status.Commit))
+	l.metrics.applied.Set(float64(l.applied.load()))
+	l.metrics.diskFailed.Set(boolValue(status.Halted))
+}
+
+func boolValue(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/voter/outcomes.go
@@ -0,0 +1,109 @@
+package voter
+
+import "sync"
+
+// outcome is the end of a proposal.
+type outcome struct {
+	result any
+	err    error
+}
+
+type awaited struct {
+	term uint64
+	done chan<- outcome
+}
+
+// outcomes holds the proposals that are in the log and not applied yet.
+type outcomes struct {
+	mutex   sync.Mutex
+	byIndex map[uint64]awaited
+}
+
+func newOutcomes() *outcomes { return &outcomes{byIndex: map[uint64]awaited{}} }
+
+// await registers a proposal at its index; done must have room for one outcome.
+// A former proposal at the index was overwritten and gets displaced.
+func (o *outcomes) await(index uint64, waiting awaited, displaced error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if former, ok := o.byIndex[index]; ok {
+		former.done <- outcome{err: displaced}
+	}
+	o.byIndex[index] = waiting
+}
+
+// applied ends the proposal at an index with a result, or, when an entry of
+// another term took its place, with overwritten: then it can never be
+// committed.
+func (o *outcomes) applied(index, term uint64, result any, overwritten func() error) {
+	o.mutex.Lock()
+	waiting, ok := o.byIndex[index]
+	delete(o.byIndex, index)
+	o.mutex.Unlock()
+	if !ok {
+		return
+	}
+	if waiting.term != term {
+		waiting.done <- outcome{err: overwritten()}
+		return
+	}
+	waiting.done <- outcome{result: result}
+}
+
+// failUpTo ends all proposals up to an index with an error.
+func (o *outcomes) failUpTo(last uint64, err error) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for index, waiting := range o.byIndex {
+		if index <= last {
+			waiting.done <- outcome{err: err}
+			delete(o.byIndex, index)
+		}
+	}
+}
+
+// appliedIndex is the index that the state machine has reached.
+type appliedIndex struct {
+	mutex   sync.Mutex
+	index   uint64
+	waiting []indexWaiter
+}
+
+type indexWaiter struct {
+	index   uint64
+	reached chan struct{}
+}
+
+func (a *appliedIndex) load() uint64 {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.index
+}
+
+func (a *appliedIndex) advance(index uint64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.index = max(a.index, index)
+	remaining := a.waiting[:0]
+	for _, waiter := range a.waiting {
+		if waiter.index <= a.index {
+			close(waiter.reached)
+		} else {
+			remaining = append(remaining, waiter)
+		}
+	}
+	a.waiting = remaining
+}
+
+// reached returns a channel that is closed once the index is applied.
+func (a *appliedIndex) reached(index uint64) <-chan struct{} {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	reached := make(chan struct{})
+	if index <= a.index {
+		close(reached)
+		return reached
+	}
+	a.waiting = append(a.waiting, indexWaiter{index: index, reached: reached})
+	return reached
+}
--- /dev/null
+++ b/internal/voter/sender.go
@@ -0,0 +1,126 @@
+package voter
+
+import (
+	"sync"
+
+	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/ring"
+)
+
+// addressBook knows where members are reached: by the membership, and before
+// that by the address that a message brought.
+type addressBook struct {
+	mutex  sync.Mutex
+	member map[uint64]string
+	heard  map[uint64]string
+}
+
+func newAddressBook() *addressBook {
+	return &addressBook{member: map[uint64]string{}, heard: map[uint64]string{}}
+}
+
+func (b *addressBook) of(id uint64) string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if address, ok := b.member[id]; ok {
+		return address
+	}
+	return b.heard[id]
+}
+
+func (b *addressBook) hear(id uint64, address string) {
+	if address == "" {
+		return
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if _, known := b.heard[id]; known || len(b.heard) < maxPeers {
+		b.heard[id] = address
+	}
+}
+
+func (b *addressBook) setMembers(members []consensus.MemberStatus) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	clear(b.member)
+	for _, member := range members {
+		b.member[member.ID] = member.Address
+	}
+}
+
+// senders holds one goroutine for each other member.
+type senders struct {
+	voter   *Voter
+	mutex   sync.Mutex
+	peers   map[uint64]*ring.Ring[[]byte]
+	running sync.WaitGroup
+	stop    chan struct{}
+}
+
+func newSenders(voter *Voter) *senders {
+	return &senders{voter: voter, peers: map[uint64]*ring.Ring[[]byte]{}, stop: make(chan struct{})}
+}
+
+// post queues messages, dropping the oldest when a member does not keep up.
+func (s *senders) post(messages []consensus.Message) {
+	for _, message := range messages {
+		message.FromAddress = s.voter.config.Address
+		queue := s.queue(message.To)
+		if queue == nil {
+			continue
+		}
+		if dropped := queue.PushDropOldest(consensus.EncodeMessage(message)); dropped > 0 {
+			s.voter.metrics.dropped.WithLabelValues("out").Add(float64(dropped))
+		}
+	}
+}
+
+func (s *senders) queue(id uint64) *ring.Ring[[]byte] {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if queue, ok := s.peers[id]; ok {
+		return queue
+	}
+	if len(s.peers) >= maxPeers {
+		return nil
+	}
+	queue := ring.New[[]byte](peerRingCapacity)
+	s.peers[id] = queue
+	s.running.Add(1)
+	go s.run(id, queue)
+	return queue
+}
+
+func (s *senders) run(id uint64, queue *ring.Ring[[]byte]) {
+	defer s.running.Done()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case message := <-queue.Items():
+			batch := append([][]byte{message}, drain(queue, peerRingCapacity)...)
+			if address := s.voter.addresses.of(id); address != "" {
+				s.voter.transport.Send(id, address, batch)
+			}
+		}
+	}
+}
+
+func (s *senders) close() {
+	close(s.stop)
+	s.running.Wait()
+}
+
+// drain takes what waits in a ring, up to a number of items.
+func drain[T any](queue *ring.Ring[T], limit int) []T {
+	var items []T
+	for len(items) < limit {
+		select {
+		case item := <-queue.Items():
+			items = append(items, item)
+		default:
+			return items
+		}
+	}
+	return items
+}
