Add the platform's list, its stand-in and the faults' administration

Cause: Control reads a list of machines that lags behind reality, and a run needs to change faults while it is under way.

Change: Package platform checks the list (bounded size, IPv4, known states, no machine twice) and polls it; its stand-in serves a list a lag behind the changes it was told, by script or call. martenbench backends gains an administration listener for faults, index versions and state. plan.Placements walks all replicas of a plan.

The tests of both packages pass.

Conclusion: The calls work by hand; each fault still needs its test.

--- a/cmd/martenbench/backends.go
+++ b/cmd/martenbench/backends.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
@@ -51,11 +52,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := c.run(ctx, fleet, do.MustInvoke[*logrus.Logger](injector)); err != nil {
-		return err
-	}
 	recorder := do.MustInvoke[*emulator.FileRecorder](injector)
-	return recorder.Close()
+	err = c.run(ctx, fleet, do.MustInvoke[*logrus.Logger](injector))
+	return errors.CombineErrors(err, recorder.Close())
 }
 
 // run serves until the context ends.
@@ -64,8 +63,11 @@
 		return err
 	}
 	defer fleet.Close()
+	defer logger.Info("back ends stop")
+	if c.AdminListen != "" {
+		return serveHTTP(ctx, c.AdminListen, fleet.AdminHandler())
+	}
 	<-ctx.Done()
-	logger.Info("back ends stop")
 	return nil
 }
 
--- a/cmd/martenbench/main.go
+++ b/cmd/martenbench/main.go
@@ -19,5 +19,6 @@
 func commands() []cli.Command {
 	return []cli.Command{
 		{Name: "backends", Short: "Run emulated back ends", Data: &backendsCommand{}},
+		{Name: "platform", Short: "Run a stand-in for the platform's list of machines", Data: &platformCommand{}},
 	}
 }
--- a/internal/emulator/document.go
+++ b/internal/emulator/document.go
@@ -54,11 +54,8 @@
 		name, text string
 		target     *time.Duration
 	}{{"at", d.At, &fault.At}, {"for", d.For, &fault.For}, {"delay", d.Delay, &fault.Delay}} {
-		if entry.text == "" {
-			continue
-		}
-		if *entry.target, err = time.ParseDuration(entry.text); err != nil {
-			return fault, errors.Newf("%s: %q is not a duration such as 500ms", entry.name, entry.text)
+		if *entry.target, err = parseDuration(entry.name, entry.text); err != nil {
+			return fault, err
 		}
 	}
 	return fault, fault.validate()
@@ -75,6 +72,18 @@
 	}
 }
 
+// parseDuration reads a duration; no text is no duration.
+func parseDuration(name, text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil || duration < 0 {
+		return 0, errors.Newf("%s: %q is not a duration such as 500ms", name, text)
+	}
+	return duration, nil
+}
+
 func durationText(duration time.Duration) string {
 	if duration == 0 {
 		return ""
--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -174,6 +175,15 @@
 	return next
 }
 
+// ids returns the ids of the faults, sorted.
+func (c *conditions) ids() []string {
+	ids := lo.FlatMap(lo.Values(c.byKind), func(faults []*Fault, _ int) []string {
+		return lo.Map(faults, func(fault *Fault, _ int) string { return fault.ID })
+	})
+	slices.Sort(ids)
+	return ids
+}
+
 // has reports whether a fault of the kind is active.
 func (c *conditions) has(kind FaultKind) bool { return len(c.byKind[kind]) > 0 }
 
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -57,6 +57,11 @@
 		fleet.logger = silent
 	}
 	fleet.buildServers()
+	for _, roll := range config.Rolls {
+		if !fleet.serves(roll.Service) {
+			return nil, errors.Newf("index roll: unknown service %q", roll.Service)
+		}
+	}
 	for index := range config.Script {
 		if len(fleet.choose(&config.Script[index])) == 0 {
 			return nil, errors.Newf("fault %d of the script: no server matches", index+1)
@@ -69,32 +74,17 @@
 func (f *Fleet) buildServers() {
 	byAddress := map[netip.AddrPort]*Server{}
 	for _, one := range f.config.Plans {
-		f.eachReplica(one, func(service *plan.Service, generation *plan.Generation, shard *plan.Shard, replica *plan.Replica) {
-			server, found := byAddress[replica.Address]
+		for placement := range one.Placements() {
+			server, found := byAddress[placement.Replica.Address]
 			if !found {
-				server = newServer(f, replica)
-				byAddress[replica.Address] = server
+				server = newServer(f, placement.Replica)
+				byAddress[placement.Replica.Address] = server
 				f.servers = append(f.servers, server)
 			}
-			server.hold(service, generation, shard)
-		})
-	}
-	slices.SortFunc(f.servers, func(left, right *Server) int { return left.planned.Compare(right.planned) })
-}
-
-func (f *Fleet) eachReplica(one *plan.Plan, visit func(*plan.Service, *plan.Generation, *plan.Shard, *plan.Replica)) {
-	for s := range one.Services {
-		service := &one.Services[s]
-		for g := range service.Generations {
-			generation := &service.Generations[g]
-			for h := range generation.Shards {
-				shard := &generation.Shards[h]
-				for r := range shard.Replicas {
-					visit(service, generation, shard, &shard.Replicas[r])
-				}
-			}
+			server.hold(placement)
 		}
 	}
+	slices.SortFunc(f.servers, func(left, right *Server) int { return left.planned.Compare(right.planned) })
 }
 
 // Start opens all listeners and begins the script. On an error nothing is left
@@ -157,17 +147,21 @@
 		}
 	}
 	byPlanned := lo.KeyBy(f.servers, func(server *Server) netip.AddrPort { return server.planned })
-	f.eachReplica(&bound, func(_ *plan.Service, _ *plan.Generation, _ *plan.Shard, replica *plan.Replica) {
-		if server, found := byPlanned[replica.Address]; found {
-			replica.Address = server.bound
+	for placement := range bound.Placements() {
+		if server, found := byPlanned[placement.Replica.Address]; found {
+			placement.Replica.Address = server.bound
 		}
-	})
+	}
 	return &bound
 }
 
+func (f *Fleet) serves(service string) bool {
+	return slices.ContainsFunc(f.servers, func(server *Server) bool { return server.services[service] })
+}
+
 // Roll brings the next index version of a service. Its At counts from now.
 func (f *Fleet) Roll(roll Roll) error {
-	if !slices.ContainsFunc(f.servers, func(server *Server) bool { return server.services[roll.Service] }) {
+	if !f.serves(roll.Service) {
 		return errors.Newf("unknown service %q", roll.Service)
 	}
 	roll.At += f.elapsed()
--- a/internal/emulator/inject.go
+++ b/internal/emulator/inject.go
@@ -19,7 +19,6 @@
 type activeFault struct {
 	fault   *Fault
 	servers []*Server
-	began   time.Duration
 	// end fires when the fault's time is over; nil when it has none.
 	end *time.Timer
 }
@@ -45,7 +44,7 @@
 	if len(servers) == 0 {
 		return "", errors.New("no server matches")
 	}
-	begun := &activeFault{fault: &fault, servers: servers, began: f.elapsed()}
+	begun := &activeFault{fault: &fault, servers: servers}
 	f.active[fault.ID] = begun
 	for _, server := range servers {
 		server.beginFault(&fault)
@@ -80,22 +79,14 @@
 // ClearAll ends every fault.
 func (f *Fleet) ClearAll() error {
 	var failure error
-	for _, id := range f.activeIDs() {
-		if err := f.Clear(id); !errors.Is(err, ErrUnknownFault) {
+	for _, document := range f.faultDocuments() {
+		if err := f.Clear(document.ID); !errors.Is(err, ErrUnknownFault) {
 			failure = errors.CombineErrors(failure, err)
 		}
 	}
 	return failure
 }
 
-func (f *Fleet) activeIDs() []string {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	ids := lo.Keys(f.active)
-	slices.Sort(ids)
-	return ids
-}
-
 func (f *Fleet) log(fault *Fault, servers int) *logrus.Entry {
 	return f.logger.WithFields(logrus.Fields{"fault": fault.ID, "kind": fault.Kind, "backends": servers})
 }
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -89,10 +89,11 @@
 func (s *Server) Address() netip.AddrPort { return s.bound }
 
 // hold adds a shard to those of the server.
-func (s *Server) hold(service *plan.Service, generation *plan.Generation, shard *plan.Shard) {
-	s.holdings[holding{service: service.Name, generation: generation.Number, shard: shard.ID}] = uint32(len(generation.Shards))
-	s.services[service.Name] = true
-	s.groups[shard.Name] = true
+func (s *Server) hold(placement plan.Placement) {
+	held := holding{service: placement.Service.Name, generation: placement.Generation.Number, shard: placement.Shard.ID}
+	s.holdings[held] = uint32(len(placement.Generation.Shards))
+	s.services[placement.Service.Name] = true
+	s.groups[placement.Shard.Name] = true
 }
 
 // listen opens the listener and serves on it. After a crash it listens on the
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,92 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	machineOne = netip.MustParseAddrPort("127.0.0.1:7001")
+	machineTwo = netip.MustParseAddrPort("127.0.0.2:7001")
+)
+
+// clientOf returns a client of a test server.
+func clientOf(t *testing.T, handler http.Handler) *Client {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	client, err := NewClient(ClientConfig{Address: address}, logrus.New(), nil)
+	require.NoError(t, err)
+	return client
+}
+
+func TestListIsServedALagBehind(t *testing.T) {
+	started := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+	now := started
+	standIn := NewStandIn(StandInConfig{
+		Machines: []netip.AddrPort{machineOne, machineTwo}, Lag: 5 * time.Second, Now: func() time.Time { return now },
+		Changes: []Change{{At: 10 * time.Second, Address: machineTwo, State: StateGone}},
+	})
+	client := clientOf(t, standIn.Handler())
+	read := func() map[netip.AddrPort]State {
+		list, err := client.Read(context.Background())
+		require.NoError(t, err)
+		states := map[netip.AddrPort]State{}
+		for _, machine := range list.Machines {
+			states[machine.Address] = machine.State
+		}
+		return states
+	}
+	both := map[netip.AddrPort]State{machineOne: StateLive, machineTwo: StateLive}
+	now = started.Add(2 * time.Second)
+	standIn.Change(machineOne, StateLeaving)
+	now = started.Add(6 * time.Second)
+	require.Equal(t, both, read(), "the change is not visible before the lag is over")
+	now = started.Add(7 * time.Second)
+	require.Equal(t, map[netip.AddrPort]State{machineOne: StateLeaving, machineTwo: StateLive}, read())
+	now = started.Add(15 * time.Second)
+	require.Equal(t, map[netip.AddrPort]State{machineOne: StateLeaving}, read())
+}
+
+func TestClientRefusesWhatIsNoList(t *testing.T) {
+	entry := func(address, state string) string {
+		return `{"address":"` + address + `","state":"` + state + `"}`
+	}
+	for name, text := range map[string]string{
+		"not JSON":       `<html>`,
+		"IPv6":           `{"machines":[` + entry("[::1]:80", "live") + `]}`,
+		"host name":      `{"machines":[` + entry("host:80", "live") + `]}`,
+		"unknown state":  `{"machines":[` + entry("127.0.0.1:80", "asleep") + `]}`,
+		"listed twice":   `{"machines":[` + entry("127.0.0.1:80", "live") + "," + entry("127.0.0.1:80", "leaving") + `]}`,
+		"over the bound": `{"machines":[]` + strings.Repeat(" ", MaxListBytes) + `}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := clientOf(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				_, _ = writer.Write([]byte(text))
+			}))
+			_, err := client.Read(context.Background())
+			require.ErrorContains(t, err, "platform list")
+		})
+	}
+}
+
+func TestScriptIsChecked(t *testing.T) {
+	config, err := parseScript([]byte("lag: 5s\nchanges:\n  - {at: 10s, address: \"127.0.0.1:7001\", state: leaving}\n"))
+	require.NoError(t, err)
+	require.Equal(t, StandInConfig{Lag: 5 * time.Second,
+		Changes: []Change{{At: 10 * time.Second, Address: machineOne, State: StateLeaving}}}, config)
+	for _, text := range []string{"lags: 5s", "changes: [{address: \"[::1]:1\", state: live}]",
+		"changes: [{address: \"127.0.0.1:1\", state: away}]"} {
+		_, err := parseScript([]byte(text))
+		require.Error(t, err, text)
+	}
+}
