Add leases, their dissemination, relays, mutual TLS and site keys

Cause: routers need to know under which configuration and until when they may admit work. Change: pure lease and membership cores; the calling and the serving end of Sync; relays made of both; HTTP/2 over mutual TLS with keys that reload; a site's own authority. Conclusion: control and routers can be wired to it; faults and cost are still to be tested.

--- /dev/null
+++ b/internal/follower/call.go
@@ -0,0 +1,192 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/lease"
+	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+// outcome is what came of one call.
+type outcome struct {
+	verdict  lease.Verdict
+	redirect string
+	poked    bool
+	err      error
+}
+
+func (o outcome) granted() bool { return o.err == nil && o.verdict == lease.Taken }
+
+func (o outcome) label() string {
+	switch {
+	case o.poked:
+		return outcomePoked
+	case o.err != nil:
+		return outcomeFailed
+	default:
+		return o.verdict.String()
+	}
+}
+
+func (o outcome) reason() string {
+	if o.err != nil {
+		return o.err.Error()
+	}
+	return o.verdict.String()
+}
+
+// call makes one call and takes in what it brings.
+func (f *Follower) call(ctx context.Context) outcome {
+	address := f.upstreams.current()
+	ctx, cancel := context.WithTimeout(ctx, f.config.Hold+callMargin)
+	defer cancel()
+	// The lease counts from here, the earliest moment at which the server can
+	// have known of the call.
+	sentAt := time.Now()
+	routers, machines := f.deps.Sink.Versions()
+	f.mutex.Lock()
+	round := f.rounds.begin(sentAt, cancel)
+	request := f.request()
+	upstream := Upstream{Address: address, Term: f.holder.Term()}
+	f.mutex.Unlock()
+	request.RoutersVersion, request.MachinesVersion = routers, machines
+	if f.deps.Reporter != nil {
+		f.deps.Reporter.Prepare(sentAt, upstream, request)
+	}
+	response, err := f.deps.Dial(address).Sync(ctx, connect.NewRequest(request))
+	f.mutex.Lock()
+	poked := f.rounds.end()
+	f.mutex.Unlock()
+	if err != nil {
+		return outcome{err: err, poked: poked && ctx.Err() == context.Canceled}
+	}
+	result := f.take(sentAt, response.Msg)
+	if result.granted() {
+		f.granted(address, round)
+		if f.deps.Reporter != nil {
+			f.deps.Reporter.Delivered(upstream, request)
+		}
+	}
+	return result
+}
+
+// request builds a call. The caller holds the lock.
+func (f *Follower) request() *v1.SyncRequest {
+	request := &v1.SyncRequest{Node: nodeToWire(f.config.Node), Revision: f.holder.Revision()}
+	if f.resync {
+		request.Revision = 0
+	}
+	if !f.rounds.urgent() {
+		request.Hold = durationpb.New(f.jitteredHold())
+	}
+	return request
+}
+
+// jitteredHold spreads the calls of followers that were all answered at once.
+func (f *Follower) jitteredHold() time.Duration {
+	const spread = 0.2
+	return time.Duration(float64(f.config.Hold) * (1 - spread*f.deps.Random()))
+}
+
+func (f *Follower) granted(address string, round uint64) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.upstream = address
+	f.rounds.complete(round)
+}
+
+// errUnusable is returned for a response that can't be applied.
+var errUnusable = errors.New("the response can't be applied")
+
+// take installs what a response brings, in the order that makes leases safe:
+// revision first, lease after.
+func (f *Follower) take(sentAt time.Time, response *v1.SyncResponse) outcome {
+	if response.GetLease().AsDuration() <= 0 {
+		return outcome{verdict: lease.Empty, redirect: response.GetRedirect()}
+	}
+	f.mutex.Lock()
+	current := f.holder.Current(response.GetTerm(), response.GetRevision())
+	f.mutex.Unlock()
+	if current {
+		if err := f.install(response); err != nil {
+			f.resync = true
+			return outcome{err: err}
+		}
+	}
+	verdict := f.offer(sentAt, response)
+	if verdict == lease.Taken {
+		f.deps.Sink.MergeRouters(routerChangesFromWire(response))
+		f.deps.Sink.MergeMachines(machineChangesFromWire(response))
+	}
+	return outcome{verdict: verdict}
+}
+
+// install puts the revision of a response in force if it is a higher one.
+func (f *Follower) install(response *v1.SyncResponse) error {
+	_, installed, _ := f.Lease()
+	if response.GetRevision() <= installed {
+		return nil
+	}
+	next, err := f.decode(installed, response)
+	if err != nil {
+		return err
+	}
+	f.deps.Sink.InstallPlan(response.GetRevision(), next)
+	f.installed = next
+	f.resync = false
+	f.mutex.Lock()
+	f.holder.Install(response.GetRevision())
+	f.mutex.Unlock()
+	f.metrics.revision.Set(float64(response.GetRevision()))
+	return nil
+}
+
+func (f *Follower) decode(installed uint64, response *v1.SyncResponse) (*plan.Plan, error) {
+	switch delta := response.GetDelta(); {
+	case response.GetPlan() != nil:
+		f.metrics.fullPlans.Inc()
+		return plan.FromProto(response.GetPlan())
+	case delta == nil:
+		return nil, errors.Wrapf(errUnusable, "revision %d without a plan", response.GetRevision())
+	case delta.GetBaseRevision() != installed || f.installed == nil:
+		return nil, errors.Wrapf(errUnusable, "delta on revision %d, installed %d", delta.GetBaseRevision(), installed)
+	default:
+		return plan.ApplyDelta(f.installed, delta)
+	}
+}
+
+// offer takes the lease, unless the node has left meanwhile.
+func (f *Follower) offer(sentAt time.Time, response *v1.SyncResponse) lease.Verdict {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.left {
+		return lease.Empty
+	}
+	verdict := f.holder.Offer(lease.Grant{
+		Term:     response.GetTerm(),
+		Revision: response.GetRevision(),
+		SentAt:   sentAt,
+		Duration: response.GetLease().AsDuration(),
+	})
+	if verdict == lease.Taken {
+		f.deps.Sink.ExtendLease(response.GetTerm(), f.holder.Until())
+	}
+	return verdict
+}
+
+// sendLeave gives the lease back.
+func (f *Follower) sendLeave(ctx context.Context, upstream string) error {
+	request := &v1.SyncRequest{Node: nodeToWire(f.config.Node), Leaving: true}
+	if f.config.Node.Role == membership.RoleRelay {
+		return errors.New("a relay can't give back the leases of its followers")
+	}
+	_, err := f.deps.Dial(upstream).Sync(ctx, connect.NewRequest(request))
+	return errors.Wrapf(err, "give the lease back to %s", upstream)
+}
--- /dev/null
+++ b/internal/relay/network_test.go
@@ -0,0 +1,314 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/martenstage/martenstage/internal/follower"
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/lease"
+	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+// network carries Sync calls between named processes. A cut direction drops
+// packets silently: the caller hears nothing until its own time is over.
+type network struct {
+	mutex   sync.Mutex
+	cuts    map[string]bool
+	servers map[string]martenstagev1connect.FollowServiceHandler
+}
+
+const oneWay = time.Millisecond
+
+func newNetwork() *network {
+	return &network{cuts: make(map[string]bool), servers: make(map[string]martenstagev1connect.FollowServiceHandler)}
+}
+
+func (n *network) cut(from, to string, cut bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.cuts[from+">"+to] = cut
+}
+
+func (n *network) cutBoth(left, right string, cut bool) {
+	n.cut(left, right, cut)
+	n.cut(right, left, cut)
+}
+
+// pass carries a packet or blocks until the caller gives up.
+func (n *network) pass(ctx context.Context, from, to string) error {
+	time.Sleep(oneWay)
+	n.mutex.Lock()
+	dropped := n.cuts[from+">"+to]
+	n.mutex.Unlock()
+	if dropped {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+type link struct {
+	network  *network
+	from, to string
+}
+
+func (l link) Sync(
+	ctx context.Context, request *connect.Request[v1.SyncRequest],
+) (*connect.Response[v1.SyncResponse], error) {
+	if err := l.network.pass(ctx, l.from, l.to); err != nil {
+		return nil, err
+	}
+	l.network.mutex.Lock()
+	server := l.network.servers[l.to]
+	l.network.mutex.Unlock()
+	if server == nil {
+		return nil, errors.New("connection refused")
+	}
+	response, err := server.Sync(ctx, connect.NewRequest(proto.Clone(request.Msg).(*v1.SyncRequest)))
+	if passed := l.network.pass(ctx, l.to, l.from); passed != nil {
+		return nil, passed
+	}
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(proto.Clone(response.Msg).(*v1.SyncResponse)), nil
+}
+
+func (n *network) dial(from string) follower.Dial {
+	return func(to string) martenstagev1connect.FollowServiceClient {
+		return link{network: n, from: from, to: to}
+	}
+}
+
+func (n *network) serve(name string, handler martenstagev1connect.FollowServiceHandler) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.servers[name] = handler
+}
+
+// group stands in for the consensus of the control voters.
+type group struct {
+	network *network
+	voters  []string
+
+	mutex    sync.Mutex
+	term     uint64
+	leader   string
+	revision uint64
+	latest   *plan.Plan
+	changed  chan struct{}
+}
+
+func (g *group) elect(leader string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.term++
+	g.leader = leader
+}
+
+func (g *group) accept() uint64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.revision++
+	g.latest = &plan.Plan{Services: []plan.Service{{Name: fmt.Sprintf("service-%d", g.revision)}}}
+	close(g.changed)
+	g.changed = make(chan struct{})
+	return g.revision
+}
+
+// voter is one member of the group. A voter that was cut off goes on believing
+// in its old term and never hears of new revisions.
+type voter struct {
+	name  string
+	group *group
+
+	mutex         sync.Mutex
+	frozen        bool
+	believedTerm  uint64
+	seenRevision  uint64
+	seenPlan      *plan.Plan
+	neverNotified chan struct{}
+}
+
+func (v *voter) freeze(frozen bool) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.seenRevision, v.seenPlan, _ = v.group.snapshot()
+	v.frozen = frozen
+}
+
+func (g *group) snapshot() (uint64, *plan.Plan, <-chan struct{}) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.revision, g.latest, g.changed
+}
+
+func (v *voter) Latest() (uint64, *plan.Plan, <-chan struct{}) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.frozen {
+		return v.seenRevision, v.seenPlan, v.neverNotified
+	}
+	return v.group.snapshot()
+}
+
+func (v *voter) ConfirmLeadership(ctx context.Context) (uint64, error) {
+	v.mutex.Lock()
+	frozen := v.frozen
+	v.mutex.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	time.Sleep(2 * oneWay)
+	v.group.mutex.Lock()
+	defer v.group.mutex.Unlock()
+	if v.group.leader != v.name {
+		return 0, &follower.NotLeaderError{Leader: v.group.leader}
+	}
+	return v.group.term, nil
+}
+
+// fleet is a control group, relays and routers on one network.
+type fleet struct {
+	t       *testing.T
+	ctx     context.Context
+	network *network
+	group   *group
+	voters  map[string]*voter
+	roots   map[string]*follower.Root
+	running sync.WaitGroup
+	boots   uint64
+}
+
+func newFleet(t *testing.T, ctx context.Context, voters ...string) *fleet {
+	network := newNetwork()
+	fleet := &fleet{
+		t: t, ctx: ctx, network: network,
+		group:  &group{network: network, voters: voters, changed: make(chan struct{})},
+		voters: make(map[string]*voter), roots: make(map[string]*follower.Root),
+	}
+	fleet.group.elect(voters[0])
+	fleet.group.accept()
+	for _, name := range voters {
+		member := &voter{name: name, group: fleet.group, neverNotified: make(chan struct{})}
+		root := follower.NewRoot(
+			follower.HandlerConfig{Name: name, Lease: lease.DefaultDuration},
+			follower.HandlerDeps{
+				Plans: member, Authority: follower.NewLeaderAuthority(member, lease.DefaultDuration),
+				Logger: quiet(), Registerer: prometheus.NewRegistry(),
+			})
+		fleet.voters[name], fleet.roots[name] = member, root
+		network.serve(name, root)
+		fleet.goRun(ctx, root.Run)
+	}
+	return fleet
+}
+
+func (f *fleet) goRun(ctx context.Context, run func(context.Context)) {
+	f.running.Add(1)
+	go func() {
+		defer f.running.Done()
+		run(ctx)
+	}()
+}
+
+func quiet() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
+func half() float64 { return 0.5 }
+
+func (f *fleet) startRelay(ctx context.Context, name string, upstreams ...string) *Relay {
+	f.boots++
+	relay, err := New(
+		Config{Name: name, Boot: f.boots, Upstreams: upstreams},
+		Deps{Dial: f.network.dial(name), Logger: quiet(), Registerer: prometheus.NewRegistry(), Random: half})
+	require.NoError(f.t, err)
+	f.network.serve(name, relay.Service())
+	f.goRun(ctx, func(ctx context.Context) { _ = relay.Run(ctx) })
+	return relay
+}
+
+func (f *fleet) startRouter(ctx context.Context, name string, upstreams ...string) *router {
+	f.boots++
+	started := &router{name: name, routers: membership.NewRouterTable(), machines: membership.NewMachineTable()}
+	upper, err := follower.New(
+		follower.Config{
+			Node:      membership.Node{Name: name, Role: membership.RoleRouter, Boot: f.boots},
+			Upstreams: upstreams,
+		},
+		follower.Deps{
+			Dial: f.network.dial(name), Sink: started, Logger: quiet(),
+			Registerer: prometheus.NewRegistry(), Random: half,
+		})
+	require.NoError(f.t, err)
+	started.follower = upper
+	f.goRun(ctx, func(ctx context.Context) { _ = upper.Run(ctx) })
+	return started
+}
+
+// router records what a router may admit.
+type router struct {
+	name     string
+	follower *follower.Follower
+
+	mutex    sync.Mutex
+	revision uint64
+	until    time.Time
+	routers  *membership.Table[membership.Node]
+	machines *membership.Table[membership.Machine]
+}
+
+func (r *router) InstallPlan(revision uint64, _ *plan.Plan) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.revision = revision
+}
+
+func (r *router) ExtendLease(_ uint64, until time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.until = until
+}
+
+func (r *router) MergeRouters(changes membership.Changes[membership.Node]) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.routers.Merge(changes)
+}
+
+func (r *router) MergeMachines(changes membership.Changes[membership.Machine]) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.machines.Merge(changes)
+}
+
+func (r *router) Versions() (uint64, uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.routers.Version(), r.machines.Version()
+}
+
+// admits returns the revision that the router admits work under now, and false
+// when it admits none.
+func (r *router) admits() (uint64, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.revision, time.Now().Before(r.until)
+}
