--- a/internal/emulator/encode.go
+++ b/internal/emulator/encode.go
@@ -76,7 +76,7 @@
 // slow way.
 func appendText(line []byte, text string) []byte {
 	for index := range len(text) {
-		if letter := text[index]; letter < ' ' || letter > '~' || letter == '"' || letter == '\\' {
+		if needsEscape(text[index]) {
 			quoted, err := json.Marshal(text)
 			if err != nil {
 				panic(err) // a string always has a JSON form
@@ -88,3 +88,14 @@
 	line = append(line, text...)
 	return append(line, '"')
 }
+
+// needsEscape reports whether encoding/json may write a byte in another way
+// than as it is.
+func needsEscape(letter byte) bool {
+	switch letter {
+	case '"', '\\', '<', '>', '&':
+		return true
+	default:
+		return letter < ' ' || letter > '~'
+	}
+}
