--- /dev/null
+++ b/internal/spool/spool_test.go
@@ -0,0 +1,189 @@
+package spool
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/journal"
+)
+
+// receiver is a journal that stores an id once and may fail or lose answers.
+type receiver struct {
+	mutex sync.Mutex
+	ids   map[string]bool
+	order []*v1.Event
+	// refuse makes deliveries fail before, loseAnswer after they are stored.
+	refuse, loseAnswer bool
+}
+
+func newReceiver() *receiver { return &receiver{ids: make(map[string]bool)} }
+
+func (r *receiver) deliver(_ context.Context, events []*v1.Event) error {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.refuse {
+		return errors.New("no quorum")
+	}
+	for _, event := range events {
+		if !r.ids[event.GetId()] {
+			r.ids[event.GetId()] = true
+			r.order = append(r.order, event)
+		}
+	}
+	if r.loseAnswer {
+		r.loseAnswer = false
+		return errors.New("the answer was lost")
+	}
+	return nil
+}
+
+func (r *receiver) details() []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return lo.Map(r.order, func(event *v1.Event, _ int) string { return event.GetDetail() })
+}
+
+func open(t *testing.T, folder string, boot uint64, limit int, deliver Deliver) *Spool {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	spool, err := Open(
+		Config{Folder: folder, Source: "router-1", Boot: boot, Limit: limit},
+		Deps{Deliver: deliver, Logger: logger, Registerer: prometheus.NewRegistry()})
+	require.NoError(t, err)
+	return spool
+}
+
+// run runs a spool and returns what stops and closes it.
+func run(t *testing.T, spool *Spool) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); spool.Run(ctx) }()
+	return func() {
+		cancel()
+		<-done
+		require.NoError(t, spool.Close())
+	}
+}
+
+func recordNumbered(spool *Spool, from, to int) (details []string) {
+	for number := from; number < to; number++ {
+		detail := strconv.Itoa(number)
+		spool.Record(journal.Event{Kind: journal.KindReplicaEjected, Detail: detail})
+		details = append(details, detail)
+	}
+	return details
+}
+
+func TestEventsSurviveARestartAndALostAnswer(t *testing.T) {
+	folder := t.TempDir()
+	control := newReceiver()
+	control.refuse = true
+	spool := open(t, folder, 1, 0, control.deliver)
+	stop := run(t, spool)
+	expected := recordNumbered(spool, 0, 300)
+	require.NoError(t, spool.Flush(t.Context()), "on disk is enough")
+	stop()
+
+	control.refuse, control.loseAnswer = false, true
+	spool = open(t, folder, 2, 0, control.deliver)
+	stop = run(t, spool)
+	expected = append(expected, recordNumbered(spool, 300, 400)...)
+	require.Eventually(t, func() bool { return len(control.details()) == len(expected) }, 10*time.Second, time.Millisecond)
+	require.NoError(t, spool.Flush(t.Context()))
+	stop()
+	require.Equal(t, expected, control.details())
+}
+
+func TestFullSpoolDropsOldestAndSaysSo(t *testing.T) {
+	const limit, excess = 50, 30
+	control := newReceiver()
+	spool := open(t, t.TempDir(), 1, limit, control.deliver)
+	expected := recordNumbered(spool, 0, limit+excess)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	spool.storeAll(ended) // stores all that waits, and nothing is being delivered
+	stop := run(t, spool)
+	require.Eventually(t, func() bool { return len(control.details()) == limit+1 }, 10*time.Second, time.Millisecond)
+	stop()
+	require.Equal(t, expected[excess:], control.details()[:limit])
+	loss := control.order[limit]
+	require.Equal(t, string(journal.KindEventsDropped), loss.GetKind())
+	require.EqualValues(t, excess, loss.GetCount())
+}
+
+func TestEqualEventsAreFolded(t *testing.T) {
+	control := newReceiver()
+	spool := open(t, t.TempDir(), 1, 0, control.deliver)
+	begun := time.Unix(1_000, 0)
+	for second := range 5 {
+		spool.Record(journal.Event{Kind: journal.KindBadEcho, Address: "127.0.0.1:1", Time: begun.Add(time.Duration(second) * time.Second)})
+	}
+	stop := run(t, spool)
+	require.NoError(t, spool.Flush(t.Context()))
+	stop()
+	require.Len(t, control.order, 1)
+	require.EqualValues(t, 5, control.order[0].GetCount())
+	require.Equal(t, begun.Add(4*time.Second).UTC(), control.order[0].GetLastTime().AsTime())
+}
+
+const killedFolder = "SPOOL_TEST_FOLDER"
+
+// TestEventsSurviveAKill starts this test again as a process that tells of
+// each event that Flush promised to be on disk, and kills it amid its work.
+func TestEventsSurviveAKill(t *testing.T) {
+	if folder := os.Getenv(killedFolder); folder != "" {
+		recordUntilKilled(t, folder)
+	}
+	folder := t.TempDir()
+	process := exec.Command(os.Args[0], "-test.run=^TestEventsSurviveAKill$")
+	process.Env = append(os.Environ(), killedFolder+"="+folder)
+	output, err := process.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, process.Start())
+	promised := 0
+	for ; promised < 200; promised++ {
+		var number int
+		_, err := fmt.Fscanln(output, &number)
+		require.NoError(t, err)
+		require.Equal(t, promised, number)
+	}
+	require.NoError(t, process.Process.Kill())
+	_ = process.Wait() // it was killed, so it reports a failure
+
+	control := newReceiver()
+	spool := open(t, folder, 2, 0, control.deliver)
+	stop := run(t, spool)
+	require.Eventually(t, func() bool { return len(control.details()) >= promised }, 10*time.Second, time.Millisecond)
+	stop()
+	for number, detail := range control.details() {
+		require.Equal(t, strconv.Itoa(number), detail, "in order, none lost, none doubled")
+	}
+}
+
+func recordUntilKilled(t *testing.T, folder string) {
+	control := newReceiver()
+	control.refuse = true
+	spool := open(t, folder, 1, 0, control.deliver)
+	run(t, spool)
+	for number := 0; ; number++ {
+		recordNumbered(spool, number, number+1)
+		if err := spool.await(t.Context(), func() bool { return spool.handled > uint64(number) }); err != nil {
+			return
+		}
+		fmt.Println(number)
+	}
+}
--- /dev/null
+++ b/internal/spool/store.go
@@ -0,0 +1,204 @@
+package spool
+
+import (
+	"encoding/binary"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+)
+
+const (
+	fileName   = "events.db"
+	folderMode = 0o700
+	fileMode   = 0o600
+	// lockTimeout is how long another process may take to let go of the file.
+	lockTimeout = time.Second
+)
+
+var (
+	eventsBucket = []byte("events")
+	// lossBucket counts events that were dropped and not yet told of.
+	lossBucket = []byte("loss")
+	lossKey    = []byte("count")
+)
+
+// store is the part on disk. Keys are sequence numbers, which go on across
+// restarts.
+type store struct {
+	database *bbolt.DB
+}
+
+func openStore(folder string) (*store, error) {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Wrap(err, "make the folder of the event spool")
+	}
+	path := filepath.Join(folder, fileName)
+	database, err := bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout})
+	if errors.Is(err, bolterrors.ErrTimeout) {
+		return nil, errors.Newf("%s is in use by another process", path)
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "open %s", path)
+	}
+	err = database.Update(func(transaction *bbolt.Tx) error {
+		_, eventsErr := transaction.CreateBucketIfNotExists(eventsBucket)
+		_, lossErr := transaction.CreateBucketIfNotExists(lossBucket)
+		return errors.Join(eventsErr, lossErr)
+	})
+	if err != nil {
+		return nil, errors.Join(errors.Wrapf(err, "prepare %s", path), database.Close())
+	}
+	return &store{database: database}, nil
+}
+
+// addition is what one transaction stores.
+type addition struct {
+	events []*v1.Event
+	// lost counts events that were dropped before they came here.
+	lost uint64
+	// limit is how many events are kept, and keep the number up to which they
+	// are being delivered and must not be dropped.
+	limit int
+	keep  uint64
+	// identify gives an event without an id the one for its number.
+	identify func(number uint64) string
+	// lossEvent describes dropped events.
+	lossEvent func(count uint64) *v1.Event
+}
+
+// add stores events in one synced transaction and returns how many old ones
+// were dropped for them.
+func (s *store) add(added addition) (dropped uint64, err error) {
+	err = s.database.Update(func(transaction *bbolt.Tx) error {
+		events := transaction.Bucket(eventsBucket)
+		loss := transaction.Bucket(lossBucket)
+		for _, event := range added.events {
+			if err := put(events, event, added.identify); err != nil {
+				return err
+			}
+		}
+		dropped, err = dropOldest(events, added.limit, added.keep)
+		if err != nil {
+			return err
+		}
+		lost := decodeNumber(loss.Get(lossKey)) + added.lost + dropped
+		return loss.Put(lossKey, encodeNumber(lost))
+	})
+	return dropped, errors.Wrap(err, "store events")
+}
+
+func put(events *bbolt.Bucket, event *v1.Event, identify func(uint64) string) error {
+	number, err := events.NextSequence()
+	if err != nil {
+		return err
+	}
+	if event.Id == "" {
+		event.Id = identify(number)
+	}
+	encoded, err := proto.Marshal(event)
+	if err != nil {
+		return err
+	}
+	return events.Put(encodeNumber(number), encoded)
+}
+
+// dropOldest deletes the oldest events beyond a limit, except those up to keep.
+func dropOldest(events *bbolt.Bucket, limit int, keep uint64) (uint64, error) {
+	cursor := events.Cursor()
+	oldest, _ := cursor.First()
+	if oldest == nil {
+		return 0, nil
+	}
+	// Numbers have no gaps, but for a batch that is being delivered now.
+	excess := int(events.Sequence()-decodeNumber(oldest)) + 1 - limit
+	var dropped uint64
+	key, _ := cursor.Seek(encodeNumber(keep + 1))
+	for ; excess > 0 && key != nil; excess-- {
+		if err := cursor.Delete(); err != nil {
+			return dropped, err
+		}
+		dropped++
+		key, _ = cursor.Seek(encodeNumber(keep + 1))
+	}
+	return dropped, nil
+}
+
+// batch is a run of stored events, oldest first, and the number of the last.
+type batch struct {
+	events []*v1.Event
+	last   uint64
+}
+
+// oldest returns up to limit events. An entry that can't be decoded is left
+// out; it is deleted with the batch.
+func (s *store) oldest(limit int) (batch, error) {
+	var found batch
+	err := s.database.View(func(transaction *bbolt.Tx) error {
+		cursor := transaction.Bucket(eventsBucket).Cursor()
+		for key, value := cursor.First(); key != nil && len(found.events) < limit; key, value = cursor.Next() {
+			event := &v1.Event{}
+			if err := proto.Unmarshal(value, event); err == nil {
+				found.events = append(found.events, event)
+			}
+			found.last = decodeNumber(key)
+		}
+		return nil
+	})
+	return found, errors.Wrap(err, "read events")
+}
+
+// removeTo deletes the events up to a number.
+func (s *store) removeTo(last uint64) error {
+	return errors.Wrap(s.database.Update(func(transaction *bbolt.Tx) error {
+		cursor := transaction.Bucket(eventsBucket).Cursor()
+		for key, _ := cursor.First(); key != nil && decodeNumber(key) <= last; key, _ = cursor.First() {
+			if err := cursor.Delete(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}), "delete events")
+}
+
+// tellLoss turns the count of dropped events into an event of its own.
+func (s *store) tellLoss(added addition) error {
+	return errors.Wrap(s.database.Update(func(transaction *bbolt.Tx) error {
+		loss := transaction.Bucket(lossBucket)
+		count := decodeNumber(loss.Get(lossKey))
+		if count == 0 {
+			return nil
+		}
+		if err := put(transaction.Bucket(eventsBucket), added.lossEvent(count), added.identify); err != nil {
+			return err
+		}
+		return loss.Delete(lossKey)
+	}), "store the count of dropped events")
+}
+
+// lost returns how many dropped events were not told of yet.
+func (s *store) lost() (count uint64, err error) {
+	err = s.database.View(func(transaction *bbolt.Tx) error {
+		count = decodeNumber(transaction.Bucket(lossBucket).Get(lossKey))
+		return nil
+	})
+	return count, errors.Wrap(err, "read the count of dropped events")
+}
+
+func (s *store) close() error { return errors.Wrap(s.database.Close(), "close the event spool") }
+
+func encodeNumber(number uint64) []byte { return binary.BigEndian.AppendUint64(nil, number) }
+
+func decodeNumber(encoded []byte) uint64 {
+	const size = 8
+	if len(encoded) != size {
+		return 0
+	}
+	return binary.BigEndian.Uint64(encoded)
+}
