Serve configuration, claims, events and leases on control voters

Cause: operators had no way to submit a configuration, and routers none to claim a request or to get a lease.

Change: package control joins a voter, the replicated state and the serving end of dissemination. Any voter answers; writes and confirmed reads make one hop to the leader, and concurrent callers share a confirmation. Claims are committed in groups. The client resends a change under its id until the answer is definite. Commands: control, config, voters, status, events, drain, undrain.

Automatic tests of the server are not written yet.

Conclusion: thin, but whole enough to integrate against.

--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -16,5 +16,13 @@
 
 // commands lists the sub-commands; each has a file of its own.
 func commands() []cli.Command {
-	return []cli.Command{}
+	return []cli.Command{
+		{Name: "control", Short: "Run a control voter", Long: "Runs a control voter until SIGTERM, which hands leadership over first.", Data: &controlCommand{}},
+		{Name: "config", Short: "Submit and read configurations", Children: configCommands()},
+		{Name: "voters", Short: "List, add and remove control voters", Children: votersCommands()},
+		{Name: "status", Short: "Show who leads and how far everybody is", Data: &statusCommand{}},
+		{Name: "events", Short: "List the event journal", Data: &eventsCommand{}},
+		{Name: "drain", Short: "Mark a back end as leaving", Data: &drainCommand{draining: true}},
+		{Name: "undrain", Short: "Remove the mark of drain", Data: &drainCommand{}},
+	}
 }
--- /dev/null
+++ b/internal/control/config_read.go
@@ -0,0 +1,95 @@
+package control
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/state"
+)
+
+// Bounds of lists.
+const (
+	defaultListLimit = 100
+	maxListLimit     = 10_000
+)
+
+func listLimit(asked uint32) int {
+	if asked == 0 {
+		return defaultListLimit
+	}
+	return int(min(asked, maxListLimit))
+}
+
+// Get returns one revision with its text.
+func (s configService) Get(
+	ctx context.Context, request *connect.Request[v1.GetRequest],
+) (*connect.Response[v1.GetResponse], error) {
+	call := leaderCall[v1.GetRequest, v1.GetResponse]{
+		local: s.get,
+		remote: func(leader peers, ctx context.Context, request *connect.Request[v1.GetRequest]) (*connect.Response[v1.GetResponse], error) {
+			return leader.config.Get(ctx, request)
+		},
+	}
+	return call.do(ctx, s.server, request)
+}
+
+func (s configService) get(ctx context.Context, request *v1.GetRequest) (*v1.GetResponse, error) {
+	if _, err := s.server.confirm(ctx); err != nil {
+		return nil, err
+	}
+	number := request.GetRevision()
+	if number == 0 {
+		number = s.server.latest().Number
+	}
+	if number == 0 {
+		return nil, refuse(connect.CodeNotFound, "no configuration has been accepted yet")
+	}
+	revision, kept := s.server.revision(number)
+	if !kept {
+		return nil, refuse(connect.CodeNotFound, "revision %d does not exist or is not kept any more", number)
+	}
+	if revision.TextDropped {
+		return nil, refuse(connect.CodeNotFound, "the text of revision %d is not kept any more", number)
+	}
+	return &v1.GetResponse{Revision: wireRevision(revision)}, nil
+}
+
+// History lists revisions without their texts.
+func (s configService) History(
+	ctx context.Context, request *connect.Request[v1.HistoryRequest],
+) (*connect.Response[v1.HistoryResponse], error) {
+	call := leaderCall[v1.HistoryRequest, v1.HistoryResponse]{
+		local: s.history,
+		remote: func(leader peers, ctx context.Context, request *connect.Request[v1.HistoryRequest]) (*connect.Response[v1.HistoryResponse], error) {
+			return leader.config.History(ctx, request)
+		},
+	}
+	return call.do(ctx, s.server, request)
+}
+
+func (s configService) history(ctx context.Context, request *v1.HistoryRequest) (*v1.HistoryResponse, error) {
+	if _, err := s.server.confirm(ctx); err != nil {
+		return nil, err
+	}
+	var history []state.Revision
+	s.server.store.read(func(machine *state.Machine) { history = machine.History(listLimit(request.GetLimit())) })
+	return &v1.HistoryResponse{
+		Revisions: lo.Map(history, func(revision state.Revision, _ int) *v1.Revision { return wireRevision(revision) }),
+	}, nil
+}
+
+func wireRevision(revision state.Revision) *v1.Revision {
+	return &v1.Revision{
+		Number:     revision.Number,
+		ChangeId:   revision.ChangeID,
+		Author:     revision.Author,
+		Comment:    revision.Comment,
+		AcceptedAt: timestamppb.New(revision.Accepted),
+		Text:       revision.Text,
+		RollbackOf: revision.RollbackOf,
+	}
+}
--- /dev/null
+++ b/internal/control/leader.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/voter"
+)
+
+// headerForwarded marks a call that a voter passed on, so that it makes at most
+// one hop.
+const headerForwarded = "Martenstage-Forwarded"
+
+// peers are the clients of one voter's services.
+type peers struct {
+	config martenstagev1connect.ConfigServiceClient
+	claims martenstagev1connect.ClaimServiceClient
+	events martenstagev1connect.JournalServiceClient
+}
+
+func newPeers(client *rpc.Client, address string) peers {
+	baseURL, options := client.URL(address), rpc.ClientOptions()
+	return peers{
+		config: martenstagev1connect.NewConfigServiceClient(client.HTTP(), baseURL, options),
+		claims: martenstagev1connect.NewClaimServiceClient(client.HTTP(), baseURL, options),
+		events: martenstagev1connect.NewJournalServiceClient(client.HTTP(), baseURL, options),
+	}
+}
+
+// remoteCall makes a call to a voter.
+type remoteCall[Request, Response any] func(peers, context.Context, *connect.Request[Request]) (*connect.Response[Response], error)
+
+// leaderCall is a call that only the leader answers.
+type leaderCall[Request, Response any] struct {
+	local  func(context.Context, *Request) (*Response, error)
+	remote remoteCall[Request, Response]
+}
+
+// do answers the call here when this voter leads, otherwise by the leader.
+func (c leaderCall[Request, Response]) do(
+	ctx context.Context, server *Server, request *connect.Request[Request],
+) (*connect.Response[Response], error) {
+	response, err := c.local(ctx, request.Msg)
+	if err == nil {
+		return connect.NewResponse(response), nil
+	}
+	var notLeader *voter.NotLeaderError
+	if !errors.As(err, &notLeader) || notLeader.LeaderAddress == "" || request.Header().Get(headerForwarded) != "" {
+		return nil, wireError(err)
+	}
+	forwarded := connect.NewRequest(request.Msg)
+	forwarded.Header().Set(headerForwarded, "1")
+	answer, err := c.remote(server.peersAt(notLeader.LeaderAddress), ctx, forwarded)
+	if err != nil && !connect.IsWireError(err) && !neverSent(err) {
+		// The call may have reached the leader before the connection broke.
+		return nil, wireError(errors.Wrap(voter.ErrOutcomeUnknown, "the leader's answer was lost"))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(answer.Msg), nil
+}
+
+// wireError gives an error the code that clients act on: Aborted when the
+// outcome is not known; all others say that nothing was done.
+func wireError(err error) error {
+	var coded *connect.Error
+	var refused *voter.RefusedError
+	switch {
+	case errors.As(err, &coded):
+		return err
+	case errors.Is(err, voter.ErrOutcomeUnknown):
+		return connect.NewError(connect.CodeAborted, err)
+	case errors.Is(err, voter.ErrOverloaded):
+		return connect.NewError(connect.CodeResourceExhausted, err)
+	case errors.As(err, &refused):
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	default:
+		return connect.NewError(connect.CodeUnavailable, err)
+	}
+}
+
+// refuse returns an error about the request itself; sending it again is of no
+// use.
+func refuse(code connect.Code, format string, arguments ...any) error {
+	return connect.NewError(code, errors.Newf(format, arguments...))
+}
--- /dev/null
+++ b/internal/control/platform.go
@@ -0,0 +1,51 @@
+package control
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/platform"
+	"github.com/martenstage/martenstage/internal/settings"
+)
+
+// platformReader hands the platform's list of machines to the server. The list
+// lags, so it can only take machines out of use.
+type platformReader struct{ client *platform.Client }
+
+// newPlatformReader returns a reader of the list at an address; without one it
+// reads nothing.
+func newPlatformReader(address string, logger logrus.FieldLogger, registerer prometheus.Registerer) (*platformReader, error) {
+	if address == "" {
+		return &platformReader{}, nil
+	}
+	parsed, err := settings.ParseAddress(address)
+	if err != nil {
+		return nil, err
+	}
+	client, err := platform.NewClient(platform.ClientConfig{Address: parsed}, logger, registerer)
+	if err != nil {
+		return nil, err
+	}
+	return &platformReader{client: client}, nil
+}
+
+func (r *platformReader) run(ctx context.Context, server *Server) {
+	if r.client == nil {
+		return
+	}
+	r.client.Run(ctx, func(list platform.List) { server.SetPlatform(platformStates(list)) })
+}
+
+func platformStates(list platform.List) map[string]membership.State {
+	states := make(map[string]membership.State, len(list.Machines))
+	for _, machine := range list.Machines {
+		states[machine.Address.String()] = membership.Live
+		if machine.State == platform.StateLeaving {
+			states[machine.Address.String()] = membership.Leaving
+		}
+	}
+	return states
+}
--- /dev/null
+++ b/internal/control/process.go
@@ -0,0 +1,202 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/exitcode"
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/keys"
+	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/metrics"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/policy"
+	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/state"
+	"github.com/martenstage/martenstage/internal/voter"
+)
+
+// compiledFileName stands in the messages about a submitted text.
+const compiledFileName = "configuration"
+
+// CompilePolicy is the Compiler of the configuration language.
+func CompilePolicy(text string) (*v1.Plan, error) {
+	compiled, err := policy.Compile(compiledFileName, []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	return plan.ToProto(compiled), nil
+}
+
+// Process is a control voter with its listeners.
+type Process struct {
+	options  *Options
+	logger   *logrus.Logger
+	registry *prometheus.Registry
+	security *rpc.Security
+	client   *rpc.Client
+	voter    *voter.Voter
+	server   *Server
+	listener *rpc.Server
+	metrics  net.Listener
+	platform *platformReader
+	// failed receives the error that ends the process, at most a few.
+	failed chan error
+}
+
+// Open reads the keys, opens the data folder and listens. Errors carry the
+// exit code of the process.
+func Open(options *Options, logger *logrus.Logger, registry *prometheus.Registry) (*Process, error) {
+	process := &Process{options: options, logger: logger, registry: registry, failed: make(chan error, 8)}
+	initial, err := options.initialVoters()
+	if err != nil {
+		return nil, exitcode.With(exitcode.Settings, err)
+	}
+	if process.security, err = rpc.NewSecurity(options.security(), logger); err != nil {
+		return nil, exitcode.With(exitcode.Settings, err)
+	}
+	if process.platform, err = newPlatformReader(options.Platform, logger, registry); err != nil {
+		return nil, exitcode.With(exitcode.Settings, err)
+	}
+	process.client = rpc.NewClient(process.security, rpc.ClientConfig{ServerRoles: []keys.Role{keys.RoleControl}})
+	if err := process.openVoter(initial); err != nil {
+		return nil, err
+	}
+	if err := process.listen(); err != nil {
+		return nil, errors.CombineErrors(exitcode.With(exitcode.Settings, err), process.voter.Close(context.Background()))
+	}
+	return process, nil
+}
+
+func (p *Process) openVoter(initial []consensus.Member) error {
+	store := NewStore(state.DefaultLimits(), plan.FromProto)
+	machine := &stateMachine{store: store, logger: p.logger, stop: p.fail}
+	started := time.Now()
+	opened, err := voter.Open(voter.Config{
+		ID:              p.options.ID,
+		Address:         p.options.address(),
+		Folder:          p.options.DataFolder,
+		InitialVoters:   initial,
+		Heartbeat:       p.options.Heartbeat,
+		ElectionTimeout: p.options.ElectionTimeout,
+	}, machine, transport{client: p.client, logger: p.logger}, p.logger, p.registry)
+	if err != nil {
+		return err
+	}
+	p.voter = opened
+	p.server = New(Config{ID: p.options.ID, ClaimBatch: p.options.ClaimBatch, Lease: p.options.Lease}, Dependencies{
+		Voter: opened, Store: store, Compile: CompilePolicy, Client: p.client, Logger: p.logger, Registerer: p.registry,
+	})
+	p.logger.WithFields(logrus.Fields{"folder": p.options.DataFolder, "took": time.Since(started)}).Info("data_folder_opened")
+	return nil
+}
+
+func (p *Process) listen() error {
+	mux := http.NewServeMux()
+	p.server.Mount(mux, p.security)
+	var err error
+	if p.listener, err = rpc.NewServer(p.options.Listen, mux, p.security, p.logger); err != nil {
+		return err
+	}
+	if p.options.MetricsListen == "" {
+		return nil
+	}
+	if p.metrics, err = net.Listen("tcp4", p.options.MetricsListen); err != nil {
+		return errors.CombineErrors(errors.Wrapf(err, "metrics: listen on %s", p.options.MetricsListen), p.listener.Close())
+	}
+	return nil
+}
+
+// fail asks for the end of the process.
+func (p *Process) fail(err error) {
+	select {
+	case p.failed <- err:
+	default: // the process is ending already
+	}
+}
+
+// Address returns the address that is listened on.
+func (p *Process) Address() string { return p.listener.Address() }
+
+// Run serves until stopping ends, then hands leadership over, answers the calls
+// under way and closes the data folder. A nil error is a planned stop.
+func (p *Process) Run(stopping context.Context) error {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var duties sync.WaitGroup
+	duties.Go(func() { p.server.Run(running) })
+	duties.Go(func() { p.platform.run(running, p.server) })
+	if reloader := p.security.Reloader(); reloader != nil {
+		duties.Go(func() { reloader.Run(running) })
+	}
+	duties.Go(func() {
+		if err := p.listener.Serve(); err != nil {
+			p.fail(err)
+		}
+	})
+	if p.metrics != nil {
+		duties.Go(func() { p.serveMetrics(running) })
+	}
+	p.logger.WithFields(logrus.Fields{
+		logging.FieldRole: "control", logging.FieldNode: p.options.ID, logging.FieldAddress: p.Address(),
+	}).Info("control_started")
+
+	var failure error
+	select {
+	case <-stopping.Done():
+	case failure = <-p.failed:
+	}
+	err := p.stop(cancel)
+	duties.Wait()
+	return errors.CombineErrors(failure, err)
+}
+
+// stop ends in the order that cuts nobody off: leadership first, while the
+// listener still takes the messages that the handover needs, then the calls
+// under way, then the voter.
+func (p *Process) stop(cancel context.CancelFunc) error {
+	p.logger.Info("control_stopping")
+	ctx, end := context.WithTimeout(context.Background(), p.options.StopLimit)
+	defer end()
+	if leadsOthers(p.voter.Status()) {
+		if err := p.voter.TransferLeadership(ctx, 0); err != nil {
+			p.logger.WithError(err).Warn("leadership_not_handed_over")
+		}
+	}
+	cancel()
+	shutdown, endShutdown := context.WithTimeout(ctx, p.options.StopLimit/2)
+	defer endShutdown()
+	if err := p.listener.Shutdown(shutdown); err != nil {
+		p.logger.WithError(err).Warn("calls_cut_off")
+	}
+	err := p.voter.Close(ctx)
+	p.client.CloseIdle()
+	p.logger.Info("control_stopped")
+	return errors.Wrap(err, "close the data folder")
+}
+
+// leadsOthers reports whether there is leadership to hand over, and to whom.
+func leadsOthers(status voter.Status) bool {
+	return status.Role == consensus.Leader && lo.SomeBy(status.Members, func(member consensus.MemberStatus) bool {
+		return member.ID != status.ID && !member.Learner && member.Active
+	})
+}
+
+func (p *Process) serveMetrics(ctx context.Context) {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics.Handler(p.registry))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(p.metrics); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		p.logger.WithError(err).Warn("metrics_not_served")
+	}
+}
--- /dev/null
+++ b/internal/control/store.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"sync"
+
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/state"
+)
+
+// Store is the applied state of a voter. The voter applies committed commands
+// to it, services read it.
+type Store struct {
+	mutex   sync.RWMutex
+	machine *state.Machine
+	decode  func(*v1.Plan) (*plan.Plan, error)
+
+	latest   *plan.Plan
+	revision uint64
+	changed  chan struct{}
+	drains   uint64
+	// drainsChanged is closed when the drain marks change.
+	drainsChanged chan struct{}
+}
+
+// NewStore returns the empty state. Decode turns the wire form of a plan into
+// the plan.
+func NewStore(limits state.Limits, decode func(*v1.Plan) (*plan.Plan, error)) *Store {
+	return &Store{
+		machine:       state.New(limits),
+		decode:        decode,
+		changed:       make(chan struct{}),
+		drainsChanged: make(chan struct{}),
+	}
+}
+
+// Apply applies one committed command. An error means that this program can't
+// follow the log; the voter must stop.
+func (s *Store) Apply(data []byte) (state.Result, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	result, err := s.machine.Apply(data)
+	if err != nil {
+		return result, err
+	}
+	return result, s.publish()
+}
+
+// Snapshot encodes the state.
+func (s *Store) Snapshot() ([]byte, error) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.machine.Snapshot()
+}
+
+// Restore replaces the state by a snapshot.
+func (s *Store) Restore(data []byte) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if err := s.machine.Restore(data); err != nil {
+		return err
+	}
+	return s.publish()
+}
+
+// publish wakes those who wait for a newer plan or newer drain marks.
+func (s *Store) publish() error {
+	if _, version := s.machine.Drains(); version != s.drains {
+		s.drains = version
+		close(s.drainsChanged)
+		s.drainsChanged = make(chan struct{})
+	}
+	latest := s.machine.Latest().Number
+	if latest == s.revision {
+		return nil
+	}
+	decoded, err := s.decodePlan(s.machine.Plan())
+	if err != nil {
+		return err
+	}
+	s.latest, s.revision = decoded, latest
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return nil
+}
+
+func (s *Store) decodePlan(data []byte) (*plan.Plan, error) {
+	wire := &v1.Plan{}
+	if err := proto.Unmarshal(data, wire); err != nil {
+		return nil, err
+	}
+	return s.decode(wire)
+}
+
+// Latest returns the newest applied revision with its plan, and a channel that
+// is closed once a newer one is applied. Revision 0 has no plan.
+func (s *Store) Latest() (revision uint64, latest *plan.Plan, changed <-chan struct{}) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	return s.revision, s.latest, s.changed
+}
+
+// Drains returns the operators' drain marks, their version, and a channel that
+// is closed once they change.
+func (s *Store) Drains() (marks []state.Drain, version uint64, changed <-chan struct{}) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	marks, version = s.machine.Drains()
+	return marks, version, s.drainsChanged
+}
+
+// read runs a reader under the lock. The reader must not keep the machine.
+func (s *Store) read(reader func(*state.Machine)) {
+	s.mutex.RLock()
+	defer s.mutex.RUnlock()
+	reader(s.machine)
+}
