--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -24,5 +24,6 @@
 		{Name: "events", Short: "List the event journal", Data: &eventsCommand{}},
 		{Name: "drain", Short: "Mark a back end as leaving", Data: &drainCommand{draining: true}},
 		{Name: "undrain", Short: "Remove the mark of drain", Data: &drainCommand{}},
+		{Name: "router", Short: "Run a router", Long: "Runs a router until SIGTERM, which stops it as planned.", Data: &routerCommand{}},
 	}
 }
--- /dev/null
+++ b/internal/backend/metrics.go
@@ -0,0 +1,40 @@
+package backend
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// Dependencies are what a Client reports to.
+type Dependencies struct {
+	Logger     logrus.FieldLogger
+	Registerer prometheus.Registerer
+}
+
+type clientMetrics struct {
+	dials           prometheus.Counter
+	dialFailures    prometheus.Counter
+	cancelsSent     prometheus.Counter
+	badReplies      *prometheus.CounterVec
+	attemptFailures *prometheus.CounterVec
+}
+
+func newClientMetrics(registerer prometheus.Registerer) *clientMetrics {
+	created := &clientMetrics{
+		dials: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_backend_dials_total", Help: "Connections opened to back ends."}),
+		dialFailures: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_backend_dial_failures_total", Help: "Connections that could not be opened."}),
+		cancelsSent: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_backend_cancels_total", Help: "Cancellations sent to back ends."}),
+		badReplies: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_backend_bad_replies_total", Help: "Replies dropped because echo, digest or form was wrong."},
+			[]string{"cause"}),
+		attemptFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_backend_attempt_failures_total", Help: "Attempts without a part, by verdict and reason."},
+			[]string{"verdict", "reason"}),
+	}
+	registerer.MustRegister(created.dials, created.dialFailures, created.cancelsSent,
+		created.badReplies, created.attemptFailures)
+	return created
+}
--- /dev/null
+++ b/internal/callers/api_test.go
@@ -0,0 +1,211 @@
+package callers
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/servicetime"
+)
+
+// testPlan has two shards of two replicas, an ordinary route and one that runs
+// at most once.
+func testPlan() *plan.Plan {
+	shard := func(id uint32, name string) plan.Shard {
+		replica := plan.Replica{Address: netip.MustParseAddrPort("127.0.0.1:0"), Zone: "a", Slots: 8, Connections: 40}
+		return plan.Shard{ID: id, Name: name, Replicas: []plan.Replica{replica, replica}}
+	}
+	full := plan.Condition{Kind: plan.ConditionCoverage, Ratio: 1}
+	deadline := 2 * time.Second
+	policy := plan.Policy{
+		Name: "all", Priority: plan.PriorityNormal, Deadline: deadline, SnapshotCoverage: 1,
+		Retry: plan.Retry{MaxPerShard: 1},
+		Statements: []plan.Statement{
+			{Condition: full, Action: plan.ActionAnswer},
+			{Condition: plan.Condition{Kind: plan.ConditionElapsed, Duration: deadline * 9 / 10}, Action: plan.ActionAnswer},
+		},
+		Merge: plan.Merge{Kind: plan.MergeConcat},
+	}
+	once := policy
+	once.Once, once.ClaimExpiry = true, time.Hour
+	return &plan.Plan{
+		Services: []plan.Service{{
+			Name:        "search",
+			Generations: []plan.Generation{{Number: 1, Shards: []plan.Shard{shard(0, "g0"), shard(1, "g1")}}},
+			RetryBudget: plan.Budget{Ratio: 1, Burst: 100},
+		}},
+		Routes: []plan.Route{
+			{Name: "find", Service: "search", Target: plan.TargetAll, Policy: policy},
+			{Name: "send", Service: "search", Target: plan.TargetKey, Policy: once},
+		},
+	}
+}
+
+// site is a router with its callers' API over an emulated fleet.
+type site struct {
+	t       *testing.T
+	fleet   *emulator.Fleet
+	record  *emulator.MemoryRecorder
+	address string
+	// stop begins the planned stop, ended carries its result.
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func newSite(t *testing.T, serviceTime time.Duration, stopping StopConfig) *site {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	whole := testPlan()
+	record := &emulator.MemoryRecorder{}
+	config := emulator.Config{Plans: []*plan.Plan{whole}, QueuePerSlot: 64, FirstVersion: 1, MaxBody: 1 << 20,
+		Model: servicetime.Model{Default: servicetime.Distribution{Median: serviceTime}}}
+	fleet, err := emulator.New(config, emulator.Dependencies{Recorder: record, Logger: logger})
+	require.NoError(t, err)
+	require.NoError(t, fleet.Start())
+	t.Cleanup(fleet.Close)
+
+	registry := prometheus.NewRegistry()
+	served := router.New(router.Config{Name: "router", Zone: "a", Boot: 1, ProbeInterval: 20 * time.Millisecond},
+		router.Dependencies{
+			Logger: logger, Registerer: registry,
+			Backends:  backend.New(backend.Config{Zone: "a"}, backend.Dependencies{Logger: logger, Registerer: registry}),
+			Claims:    router.NewLocalClaims(),
+			Events:    router.EventLog{Logger: logger},
+			Source:    &router.StaticSource{Plan: fleet.BoundPlan(whole), File: "test"},
+			NewEngine: func(int) router.Engine { return query.New(query.Config{Zone: "a"}) },
+		})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	created := &site{t: t, fleet: fleet, record: record, address: listener.Addr().String(), ended: make(chan error, 1)}
+	created.run(served, NewServer(stopping, NewHandler(Config{MaxBody: 1024}, served, logger), served, logger), listener)
+	return created
+}
+
+func (s *site) run(served *router.Router, server *Server, listener net.Listener) {
+	stopping, stop := context.WithCancel(context.Background())
+	running, end := context.WithCancel(context.Background())
+	s.stop = stop
+	routerEnded := make(chan error, 1)
+	go func() { routerEnded <- served.Run(running) }()
+	go func() {
+		err := server.Run(stopping, listener)
+		end()
+		<-routerEnded
+		s.ended <- err
+		close(s.ended)
+	}()
+	s.t.Cleanup(func() {
+		stop()
+		<-s.ended
+	})
+	require.Eventually(s.t, func() bool {
+		response, err := http.Get("http://" + s.address + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK && s.versionsKnown()
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+// versionsKnown reports whether probes have told the engine what to pin.
+func (s *site) versionsKnown() bool {
+	status, _ := s.post("/v1/routes/find/query", "", `{"warm":true}`)
+	return status == http.StatusOK
+}
+
+// post sends a query and returns status and document.
+func (s *site) post(path, id, body string) (int, map[string]any) {
+	s.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.address+path, strings.NewReader(body))
+	require.NoError(s.t, err)
+	if id != "" {
+		request.Header.Set(HeaderRequest, id)
+	}
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(s.t, err)
+	defer func() { _ = response.Body.Close() }()
+	document := map[string]any{}
+	require.NoError(s.t, json.NewDecoder(response.Body).Decode(&document))
+	return response.StatusCode, document
+}
+
+// executions counts the executions of a request id in the back ends' record.
+func (s *site) executions(id string) int {
+	count := 0
+	for _, execution := range s.record.Executions() {
+		if execution.Request == id && execution.Executed {
+			count++
+		}
+	}
+	return count
+}
+
+func TestAnswerStatesItsCoverage(t *testing.T) {
+	s := newSite(t, time.Millisecond, StopConfig{Limit: time.Minute})
+	status, answer := s.post("/v1/routes/find/query", "whole", `{"q":"desk"}`)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, "whole", answer["request"])
+	require.Equal(t, true, answer["complete"])
+	require.Len(t, answer["covered"], 2)
+	require.Empty(t, answer["warnings"])
+	require.NotEmpty(t, answer["items"])
+	require.Equal(t, 2, s.executions("whole"))
+}
+
+func TestBadRequestsAreRefusedWithNothingRun(t *testing.T) {
+	s := newSite(t, time.Millisecond, StopConfig{Limit: time.Minute})
+	cases := map[string]struct {
+		path, id, body string
+		status         int
+		reason         string
+	}{
+		"unknown route":     {"/v1/routes/nope/query", "a", `{}`, http.StatusNotFound, "unknown_route"},
+		"past deadline":     {"/v1/routes/find/query?deadline_ms=-1", "b", `{}`, http.StatusBadRequest, "deadline_passed"},
+		"bad deadline":      {"/v1/routes/find/query?deadline_ms=soon", "c", `{}`, http.StatusBadRequest, "bad_request"},
+		"oversized body":    {"/v1/routes/find/query", "d", `"` + strings.Repeat("x", 1024) + `"`, http.StatusRequestEntityTooLarge, "body_too_large"},
+		"malformed body":    {"/v1/routes/find/query", "e", `{"q":`, http.StatusBadRequest, "bad_request"},
+		"id with spaces":    {"/v1/routes/find/query", "f g", `{}`, http.StatusBadRequest, "bad_request"},
+		"once without id":   {"/v1/routes/send/query?key=k", "", `{}`, http.StatusBadRequest, "bad_request"},
+		"keyed without key": {"/v1/routes/send/query", "h", `{}`, http.StatusBadRequest, "bad_request"},
+		"unknown path":      {"/v2/routes", "i", `{}`, http.StatusNotFound, "bad_request"},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			status, problem := s.post(test.path, test.id, test.body)
+			require.Equal(t, test.status, status)
+			require.Equal(t, test.reason, problem["reason"])
+			require.Equal(t, "not_run", problem["verdict"])
+			require.Zero(t, s.executions(test.id))
+		})
+	}
+}
+
+func TestRequestIDIsUsedOnce(t *testing.T) {
+	s := newSite(t, time.Millisecond, StopConfig{Limit: time.Minute})
+	status, _ := s.post("/v1/routes/send/query?key=k", "send-1", `{"to":"host"}`)
+	require.Equal(t, http.StatusOK, status)
+	require.Eventually(t, func() bool {
+		status, problem := s.post("/v1/routes/send/query?key=k", "send-1", `{"to":"host"}`)
+		return status == http.StatusConflict && problem["verdict"] == "ran"
+	}, 5*time.Second, 10*time.Millisecond)
+	_, problem := s.post("/v1/routes/send/query?key=k", "send-1", `{"to":"other"}`)
+	require.Equal(t, "claim_mismatch", problem["reason"])
+	require.Equal(t, 1, s.executions("send-1"))
+}
--- /dev/null
+++ b/internal/callers/server.go
@@ -0,0 +1,113 @@
+package callers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"reflect"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// typeOf names a type for the schema registry.
+func typeOf[T any]() reflect.Type { return reflect.TypeFor[T]() }
+
+// StopConfig sets the pace of a planned stop.
+type StopConfig struct {
+	// Notice is how long the router serves on after it reported not ready, so
+	// that callers move away.
+	Notice time.Duration
+	// Quiet is how long no request may have come before the listener closes.
+	Quiet time.Duration
+	// QuietLimit bounds the wait for a quiet moment.
+	QuietLimit time.Duration
+	// Limit bounds the whole stop.
+	Limit time.Duration
+}
+
+// Server serves the callers' API until it is stopped as planned.
+type Server struct {
+	http   *http.Server
+	router Router
+	config StopConfig
+	logger logrus.FieldLogger
+	// lastSeen is the time of the newest request or connection, in Unix
+	// nanoseconds.
+	lastSeen atomic.Int64
+}
+
+const readHeaderTimeout = 10 * time.Second
+
+// NewServer returns a server for a handler of NewHandler.
+func NewServer(config StopConfig, handler http.Handler, served Router, logger logrus.FieldLogger) *Server {
+	server := &Server{router: served, config: config, logger: logger}
+	server.http = &http.Server{
+		ReadHeaderTimeout: readHeaderTimeout,
+		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			server.lastSeen.Store(time.Now().UnixNano())
+			handler.ServeHTTP(writer, request)
+		}),
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew || state == http.StateActive {
+				server.lastSeen.Store(time.Now().UnixNano())
+			}
+		},
+	}
+	return server
+}
+
+// Run serves until the context ends, then stops as planned: not ready at once,
+// serving through the notice time, then refusing new requests while those in
+// flight finish. It returns nil when nothing was cut off.
+func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(listener) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "callers' API")
+	case <-ctx.Done():
+	}
+	err := s.stop()
+	<-served
+	return err
+}
+
+func (s *Server) stop() error {
+	bounded, cancel := context.WithTimeout(context.Background(), s.config.Limit)
+	defer cancel()
+	s.router.BeginStop()
+	s.logger.WithField("notice", s.config.Notice).Info("planned stop: not ready, serving on")
+	sleep(bounded, s.config.Notice)
+	s.logger.Info("planned stop: refusing new requests")
+	if err := s.router.Stop(bounded); err != nil {
+		return errors.Wrap(err, "planned stop: requests were still in flight")
+	}
+	s.awaitQuiet(bounded)
+	// Only connections without a request are closed here.
+	err := s.http.Shutdown(bounded)
+	s.logger.Info("planned stop: done")
+	return errors.Wrap(err, "planned stop")
+}
+
+// awaitQuiet keeps answering refusals until no caller has come for a while,
+// so that closing idle connections meets no request on its way.
+func (s *Server) awaitQuiet(ctx context.Context) {
+	const step = 10 * time.Millisecond
+	limit := time.Now().Add(s.config.QuietLimit)
+	for time.Now().Before(limit) && ctx.Err() == nil {
+		if time.Since(time.Unix(0, s.lastSeen.Load())) >= s.config.Quiet {
+			return
+		}
+		sleep(ctx, step)
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-time.After(duration):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/router/config.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/query"
+)
+
+// Config sets the size and pace of a Router.
+type Config struct {
+	// Name identifies the router among its peers.
+	Name string
+	// Zone is where the router runs.
+	Zone string
+	// Boot changes at every start of the process.
+	Boot uint64
+	// Engines is the number of query engines; each owns whole services.
+	Engines int
+	// AdmissionRing bounds the requests that wait for an engine; a full ring
+	// refuses.
+	AdmissionRing int
+	// MaxRequests bounds the requests under way in one engine.
+	MaxRequests int
+	// MaxAttempts bounds the attempts in flight of one engine.
+	MaxAttempts int
+	// ProbeInterval is the pause between two probes of one back end.
+	ProbeInterval time.Duration
+	// ProbeTimeout bounds one probe.
+	ProbeTimeout time.Duration
+	// CancelTimeout bounds the sending of one cancellation.
+	CancelTimeout time.Duration
+	// RefusalPause is what refused callers are told to wait.
+	RefusalPause time.Duration
+	// ShareDelay is how long after a change of the list of live routers a
+	// bigger share of connections is taken; see package cell.
+	ShareDelay time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultEngines       = 4
+	DefaultAdmissionRing = 1024
+	DefaultMaxRequests   = 4096
+	DefaultMaxAttempts   = 16384
+	DefaultProbeInterval = 250 * time.Millisecond
+	DefaultProbeTimeout  = time.Second
+	DefaultCancelTimeout = time.Second
+	DefaultRefusalPause  = 250 * time.Millisecond
+	DefaultShareDelay    = 12 * time.Second
+)
+
+// withDefaults fills zero values.
+func (c Config) withDefaults() Config {
+	setInt := func(field *int, value int) {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	setDuration := func(field *time.Duration, value time.Duration) {
+		if *field == 0 {
+			*field = value
+		}
+	}
+	setInt(&c.Engines, DefaultEngines)
+	setInt(&c.AdmissionRing, DefaultAdmissionRing)
+	setInt(&c.MaxRequests, DefaultMaxRequests)
+	setInt(&c.MaxAttempts, DefaultMaxAttempts)
+	setDuration(&c.ProbeInterval, DefaultProbeInterval)
+	setDuration(&c.ProbeTimeout, DefaultProbeTimeout)
+	setDuration(&c.CancelTimeout, DefaultCancelTimeout)
+	setDuration(&c.RefusalPause, DefaultRefusalPause)
+	setDuration(&c.ShareDelay, DefaultShareDelay)
+	return c
+}
+
+// Engine is the decision core that an engine loop drives; query.Engine is one.
+type Engine interface {
+	Step(now time.Time, event query.Event) []query.Command
+}
+
+// Dependencies are the collaborators of a Router.
+type Dependencies struct {
+	Logger     logrus.FieldLogger
+	Registerer prometheus.Registerer
+	// Backends carries attempts, probes and cancellations.
+	Backends *backend.Client
+	Claims   ClaimRegistry
+	Events   EventSink
+	Source   ConfigSource
+	// NewEngine creates the engine with an index in [0, Config.Engines).
+	NewEngine func(index int) Engine
+}
--- /dev/null
+++ b/internal/router/installation.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/query"
+)
+
+// installation is the configuration in force with what the shell derives from
+// it. It is replaced whole.
+type installation struct {
+	revision uint64
+	plan     *plan.Plan
+	// owners maps a route to the engine of its service.
+	owners map[string]*engineLoop
+}
+
+// InstallPlan implements ConfigSink.
+func (r *Router) InstallPlan(revision uint64, installed *plan.Plan) {
+	if current := r.installed.Load(); current != nil && revision <= current.revision {
+		return
+	}
+	next := &installation{revision: revision, plan: installed, owners: make(map[string]*engineLoop)}
+	for _, route := range installed.Routes {
+		next.owners[route.Name] = r.ownerOf(route.Service)
+	}
+	// The engines come first: a request that sees the new owners must find
+	// them ready.
+	acknowledged := make([]chan struct{}, len(r.loops))
+	for index, loop := range r.loops {
+		acknowledged[index] = make(chan struct{})
+		loop.pushNotice(query.ConfigInstalled{Revision: revision, Plan: r.partOf(installed, loop)}, acknowledged[index])
+	}
+	for index, loop := range r.loops {
+		select {
+		case <-acknowledged[index]:
+		case <-loop.ended:
+			return
+		}
+	}
+	r.installed.Store(next)
+	r.metrics.revision.Set(float64(revision))
+	r.prober.retarget(r.runContext, r.probeTargets(installed))
+	r.logger.WithField("revision", revision).WithField("services", len(installed.Services)).
+		WithField("routes", len(installed.Routes)).Info("configuration installed")
+}
+
+// ownerOf returns the engine that owns a service. It depends on the name
+// alone, so a service never changes engines while requests are under way.
+func (r *Router) ownerOf(service string) *engineLoop {
+	return r.loops[xxhash.Sum64String(service)%uint64(len(r.loops))]
+}
+
+// partOf returns the services and routes of a plan that an engine owns.
+func (r *Router) partOf(whole *plan.Plan, owner *engineLoop) *plan.Plan {
+	return &plan.Plan{
+		Services: lo.Filter(whole.Services, func(service plan.Service, _ int) bool {
+			return r.ownerOf(service.Name) == owner
+		}),
+		Routes: lo.Filter(whole.Routes, func(route plan.Route, _ int) bool {
+			return r.ownerOf(route.Service) == owner
+		}),
+	}
+}
+
+// probeTargets collects the back ends of a plan with the engines using them.
+func (r *Router) probeTargets(installed *plan.Plan) map[netip.AddrPort]probeTarget {
+	targets := make(map[netip.AddrPort]probeTarget)
+	for _, service := range installed.Services {
+		owner := r.ownerOf(service.Name)
+		for _, address := range addressesOf(service) {
+			target := targets[address]
+			target.address = address
+			target.loops = lo.Uniq(append(target.loops, owner))
+			targets[address] = target
+		}
+	}
+	return targets
+}
+
+// addressesOf lists the back ends of a service, each once.
+func addressesOf(service plan.Service) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, generation := range service.Generations {
+		for _, shard := range generation.Shards {
+			for _, replica := range shard.Replicas {
+				addresses = append(addresses, replica.Address)
+			}
+		}
+	}
+	return lo.Uniq(addresses)
+}
+
+// ExtendLease implements ConfigSink.
+func (r *Router) ExtendLease(until time.Time) {
+	current := r.leaseUntil.Load()
+	if !until.IsZero() && current != nil && !until.After(*current) {
+		return
+	}
+	if current == nil || current.Before(time.Now()) {
+		r.record(journal.Event{Kind: journal.KindLeaseGained})
+	}
+	r.leaseUntil.Store(&until)
+	for _, loop := range r.loops {
+		loop.pushNotice(query.LeaseRenewed{Until: until}, nil)
+	}
+}
+
+// ObserveMachines implements ConfigSink.
+func (r *Router) ObserveMachines(observed []query.MachineObserved) {
+	for _, machine := range observed {
+		for _, loop := range r.loops {
+			loop.pushNotice(machine, nil)
+		}
+	}
+}
+
+// InstallRouters implements ConfigSink.
+func (r *Router) InstallRouters(routers []Peer) {
+	r.logger.WithField("routers", len(routers)).Info("live routers")
+}
--- /dev/null
+++ b/internal/router/options.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/query"
+)
+
+// Options are the settings of the router role.
+type Options struct {
+	Name          string `long:"name" koanf:"name" default:"router" validate:"required" description:"Name of this router, unique in the fleet"`
+	Zone          string `long:"zone" koanf:"zone" default:"default" validate:"required" description:"Zone that this router runs in"`
+	CallersListen string `long:"callers-listen" koanf:"callers-listen" default:"127.0.0.1:8080" validate:"ip_port" description:"Address of the callers' API"`
+	PolicyFile    string `long:"policy-file" koanf:"policy-file" validate:"required" description:"Policy file for a single router without control"`
+	LogLevel      string `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
+	MaxBody       int64  `long:"max-body-bytes" koanf:"max-body-bytes" default:"262144" validate:"min=1" description:"Longest body of a query, bytes"`
+	MaxReply      int64  `long:"max-reply-bytes" koanf:"max-reply-bytes" default:"8388608" validate:"min=1" description:"Longest reply of a back end, bytes"`
+
+	Engines     int `long:"engines" koanf:"engines" default:"4" validate:"min=1,max=256" description:"Query engines; each owns whole services"`
+	Admission   int `long:"admission-ring" koanf:"admission-ring" default:"1024" validate:"min=1" description:"Requests that may wait for one engine; more are refused"`
+	MaxRequests int `long:"max-requests" koanf:"max-requests" default:"4096" validate:"min=1" description:"Requests under way in one engine; more are refused"`
+	MaxAttempts int `long:"max-attempts" koanf:"max-attempts" default:"16384" validate:"min=1" description:"Attempts in flight of one engine; more are refused"`
+
+	ProbeInterval time.Duration `long:"probe-interval" koanf:"probe-interval" default:"250ms" validate:"min=10ms" description:"Pause between health probes of a back end"`
+	ProbeTimeout  time.Duration `long:"probe-timeout" koanf:"probe-timeout" default:"1s" validate:"min=10ms" description:"Longest wait for a health probe"`
+	DialTimeout   time.Duration `long:"dial-timeout" koanf:"dial-timeout" default:"1s" validate:"min=1ms" description:"Longest wait for a connection to a back end"`
+
+	StopNotice     time.Duration `long:"stop-notice" koanf:"stop-notice" default:"5s" validate:"min=0" description:"How long a stopping router serves on after it reported not ready"`
+	StopQuiet      time.Duration `long:"stop-quiet" koanf:"stop-quiet" default:"500ms" validate:"min=0" description:"How long no request may have come before a stopping router closes its listener"`
+	StopQuietLimit time.Duration `long:"stop-quiet-limit" koanf:"stop-quiet-limit" default:"10s" validate:"min=0" description:"Longest wait for that"`
+	StopLimit      time.Duration `long:"stop-limit" koanf:"stop-limit" default:"120s" validate:"min=1s" description:"Longest planned stop; requests still in flight are then cut off and the exit code is 1"`
+}
+
+// Config returns the router's configuration for one start of the process.
+func (o *Options) Config(boot uint64) Config {
+	return Config{
+		Name:          o.Name,
+		Zone:          o.Zone,
+		Boot:          boot,
+		Engines:       o.Engines,
+		AdmissionRing: o.Admission,
+		MaxRequests:   o.MaxRequests,
+		MaxAttempts:   o.MaxAttempts,
+		ProbeInterval: o.ProbeInterval,
+		ProbeTimeout:  o.ProbeTimeout,
+	}
+}
+
+// BackendConfig returns the configuration of the back-end client.
+func (o *Options) BackendConfig() backend.Config {
+	return backend.Config{
+		Zone:          o.Zone,
+		MaxReplyBytes: o.MaxReply,
+		DialTimeout:   o.DialTimeout,
+	}
+}
+
+// EngineConfig returns the configuration of one query engine.
+func (o *Options) EngineConfig(index int) query.Config {
+	return query.Config{
+		Zone:        o.Zone,
+		Seed:        xxhash.Sum64String(o.Name) + uint64(index),
+		MaxInFlight: o.MaxRequests,
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,198 @@
+package router
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// Request is a query as the callers' API hands it over.
+type Request struct {
+	// CallerID is the caller's request id, or one generated for it.
+	CallerID string
+	Route    string
+	Key      string
+	// Deadline is absolute; zero means the policy's.
+	Deadline time.Time
+	Body     []byte
+}
+
+// Router is the shell around the query engines.
+type Router struct {
+	config   Config
+	logger   logrus.FieldLogger
+	metrics  *routerMetrics
+	backends *backend.Client
+	claims   ClaimRegistry
+	events   EventSink
+	source   ConfigSource
+
+	loops    []*engineLoop
+	prober   *prober
+	warmer   *warmer
+	canceler *canceler
+	settling sync.WaitGroup
+
+	installed  atomic.Pointer[installation]
+	leaseUntil atomic.Pointer[time.Time]
+	stopping   atomic.Bool
+	requests   atomic.Uint64
+	sequence   atomic.Uint64
+	// runContext is set by Run before the source is started.
+	runContext context.Context
+}
+
+// New returns a router that does nothing until Run.
+func New(config Config, dependencies Dependencies) *Router {
+	config = config.withDefaults()
+	created := &Router{
+		config:   config,
+		logger:   dependencies.Logger,
+		metrics:  newRouterMetrics(dependencies.Registerer),
+		backends: dependencies.Backends,
+		claims:   dependencies.Claims,
+		events:   dependencies.Events,
+		source:   dependencies.Source,
+		prober:   newProber(config, dependencies.Backends),
+		warmer:   newWarmer(dependencies.Backends),
+	}
+	created.canceler = newCanceler(created)
+	for index := range config.Engines {
+		sender := dependencies.Backends.Sender(created.senderName(index))
+		loop := newEngineLoop(index, created, dependencies.NewEngine(index), sender)
+		registerLoop(dependencies.Registerer, loop)
+		created.loops = append(created.loops, loop)
+	}
+	return created
+}
+
+// senderName is unique over routers, starts and engines.
+func (r *Router) senderName(index int) string {
+	const base = 36
+	return r.config.Name + "-" + strconv.FormatUint(r.config.Boot, base) + "-" + strconv.Itoa(index)
+}
+
+// Run drives the engines and follows the configuration source until the
+// context ends. Call Stop before ending it at a planned stop.
+func (r *Router) Run(ctx context.Context) error {
+	// The engines outlive the caller's context by their last steps; everything
+	// that they start hangs on this one.
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r.runContext = running
+	var duties sync.WaitGroup
+	for _, loop := range r.loops {
+		duties.Go(func() { loop.run(running) })
+	}
+	for range cancelWorkers {
+		duties.Go(func() { r.canceler.run(running) })
+	}
+	for range warmWorkers {
+		duties.Go(func() { r.warmer.run(running) })
+	}
+	err := r.source.Run(running, r)
+	<-ctx.Done()
+	cancel()
+	r.prober.close()
+	duties.Wait()
+	r.settling.Wait()
+	r.backends.Close()
+	return errors.Wrap(err, "configuration source")
+}
+
+// Query answers a request. It returns at the latest when the engine answers,
+// or when the context ends because the caller has gone.
+func (r *Router) Query(ctx context.Context, request Request) query.Answer {
+	arrived := time.Now()
+	answer := r.query(ctx, request)
+	r.metrics.countAnswer(r.routeLabel(request.Route), answer, time.Since(arrived))
+	return answer
+}
+
+func (r *Router) query(ctx context.Context, request Request) query.Answer {
+	current := r.installed.Load()
+	if current == nil {
+		return r.refusal(verdict.ReasonNoLease, "no configuration yet")
+	}
+	owner, ok := current.owners[request.Route]
+	if !ok {
+		return r.refusalWithoutRetry(verdict.ReasonUnknownRoute, "no route "+strconv.Quote(request.Route))
+	}
+	id := query.RequestID(r.requests.Add(1))
+	// Room for one answer, so that the engine never waits for a caller.
+	reply := make(chan query.Answer, 1)
+	accepted := owner.admissions.TryPush(admission{reply: reply, request: query.Request{
+		ID:         id,
+		CallerID:   request.CallerID,
+		Route:      request.Route,
+		Key:        request.Key,
+		Deadline:   request.Deadline,
+		Body:       request.Body,
+		BodyDigest: backendapi.Digest(request.Body),
+	}})
+	if !accepted {
+		return r.refusal(verdict.ReasonOverloaded, "the admission ring is full")
+	}
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+		owner.pushOutcome(query.CallerGone{Request: id})
+		return callerGone()
+	case <-owner.ended:
+		return query.Answer{Verdict: verdict.MayHaveRun,
+			Err: &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonStopping}}
+	}
+}
+
+func callerGone() query.Answer {
+	return query.Answer{Verdict: verdict.MayHaveRun,
+		Err: &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonCanceled}}
+}
+
+// refusal is the answer to a request of which nothing was sent.
+func (r *Router) refusal(reason verdict.Reason, detail string) query.Answer {
+	answer := r.refusalWithoutRetry(reason, detail)
+	answer.Err.RetryAfter = r.config.RefusalPause
+	return answer
+}
+
+func (r *Router) refusalWithoutRetry(reason verdict.Reason, detail string) query.Answer {
+	return query.Answer{Verdict: verdict.NotRun, Err: verdict.Refuse(reason, detail)}
+}
+
+// routeLabel keeps names that callers made up out of the metrics.
+func (r *Router) routeLabel(route string) string {
+	const unknown = "unknown"
+	current := r.installed.Load()
+	if current == nil {
+		return unknown
+	}
+	if _, ok := current.owners[route]; !ok {
+		return unknown
+	}
+	return route
+}
+
+// record numbers an event and hands it to the sink.
+func (r *Router) record(event journal.Event) {
+	const base = 36
+	event.Source = r.config.Name
+	event.ID = r.config.Name + "-" + strconv.FormatUint(r.config.Boot, base) + "-" +
+		strconv.FormatUint(r.sequence.Add(1), 10)
+	if event.Time.IsZero() {
+		event.Time = time.Now()
+	}
+	r.events.Record(event)
+}
--- /dev/null
+++ b/internal/router/status.go
@@ -0,0 +1,130 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// Status describes a router for its status page.
+type Status struct {
+	Name       string          `json:"name"`
+	Zone       string          `json:"zone"`
+	Boot       uint64          `json:"boot"`
+	Revision   uint64          `json:"revision" doc:"Configuration in force; 0 before the first"`
+	Source     string          `json:"source" doc:"Where configuration and lease come from"`
+	LeaseUntil time.Time       `json:"lease_until" doc:"The router admits requests until then"`
+	LeaseValid bool            `json:"lease_valid"`
+	Stopping   bool            `json:"stopping"`
+	Services   []ServiceStatus `json:"services"`
+}
+
+// ServiceStatus describes one service as the router sees it.
+type ServiceStatus struct {
+	Name     string          `json:"name"`
+	Backends []BackendStatus `json:"backends"`
+}
+
+// BackendStatus describes the router's connections to one back end.
+type BackendStatus struct {
+	Address string `json:"address"`
+	Open    int    `json:"open_connections"`
+	Idle    int    `json:"idle_connections"`
+}
+
+// Ready reports whether requests are admitted, and if not, why.
+func (r *Router) Ready() (bool, verdict.Reason) {
+	switch {
+	case r.stopping.Load():
+		return false, verdict.ReasonStopping
+	case r.installed.Load() == nil, !r.leaseValid():
+		return false, verdict.ReasonNoLease
+	default:
+		return true, ""
+	}
+}
+
+func (r *Router) leaseValid() bool {
+	until := r.leaseUntil.Load()
+	return until != nil && time.Now().Before(*until)
+}
+
+// Routes lists the routes in force.
+func (r *Router) Routes() []plan.Route {
+	current := r.installed.Load()
+	if current == nil {
+		return nil
+	}
+	return current.plan.Routes
+}
+
+// RouteNamed returns a route in force.
+func (r *Router) RouteNamed(name string) (*plan.Route, bool) {
+	current := r.installed.Load()
+	if current == nil {
+		return nil, false
+	}
+	return current.plan.RouteNamed(name)
+}
+
+// Status describes the router now.
+func (r *Router) Status() Status {
+	status := Status{
+		Name:       r.config.Name,
+		Zone:       r.config.Zone,
+		Boot:       r.config.Boot,
+		Source:     r.source.Describe(),
+		LeaseValid: r.leaseValid(),
+		Stopping:   r.stopping.Load(),
+	}
+	if until := r.leaseUntil.Load(); until != nil {
+		status.LeaseUntil = *until
+	}
+	current := r.installed.Load()
+	if current == nil {
+		return status
+	}
+	status.Revision = current.revision
+	for _, service := range current.plan.Services {
+		status.Services = append(status.Services, r.serviceStatus(service))
+	}
+	return status
+}
+
+func (r *Router) serviceStatus(service plan.Service) ServiceStatus {
+	status := ServiceStatus{Name: service.Name}
+	for _, address := range addressesOf(service) {
+		open, idle := r.backends.Connections(address)
+		status.Backends = append(status.Backends, BackendStatus{Address: address.String(), Open: open, Idle: idle})
+	}
+	return status
+}
+
+// BeginStop makes the router report not ready, so that callers move away. It
+// still serves.
+func (r *Router) BeginStop() { r.stopping.Store(true) }
+
+// Stop refuses new requests and returns once those under way are answered,
+// claims are settled and events are stored, or when the context ends.
+func (r *Router) Stop(ctx context.Context) error {
+	r.BeginStop()
+	for _, loop := range r.loops {
+		loop.pushNotice(query.StopRequested{}, nil)
+	}
+	for _, loop := range r.loops {
+		select {
+		case <-loop.stopped:
+		case <-loop.ended:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	r.settling.Wait()
+	if err := r.events.Flush(ctx); err != nil {
+		return err
+	}
+	return r.source.Leave(ctx)
+}
