--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -31,7 +31,7 @@
 }
 
 func serverAddress(shard, replica int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(shard), byte(replica + 1)}), 80)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(shard >> 8), byte(shard), byte(replica + 1)}), 80)
 }
 
 func testGeneration(number uint32, shards, replicas int) plan.Generation {
