Search a request's shards once per timer instead of per reply

Cause: every reply of a request looked through all its shards for the next due time, 62% of the benchmark's time at 270 shards.

Change: shards tell the request the moments that they ask for; the search runs only when the request's timer has fired.

Measured, BenchmarkEngineQuery270, 3000 requests: 2190 ns/attempt before, 669 and 641 ns/attempt after; 1.03 allocations per attempt before and after (the Send command itself). 1,000 histories of the property test pass.

The rest is spread thin: no function above 10%.

--- a/internal/query/dispatch.go
+++ b/internal/query/dispatch.go
@@ -114,7 +114,7 @@
 	shard.addAttempt(id, server)
 	shard.phase = shardSent
 	r.outstanding++
-	shard.due = e.hedgeTime(r, shard)
+	r.setDue(shard, e.hedgeTime(r, shard))
 }
 
 // count adds an attempt to the request's load. First attempts earn the tokens
--- a/internal/query/hedge.go
+++ b/internal/query/hedge.go
@@ -89,7 +89,7 @@
 		return
 	}
 	if !e.mayHedge(r, shard) {
-		e.postponeHedge(shard)
+		e.postponeHedge(r, shard)
 		return
 	}
 	server, availability := e.pool.Choose(e.now, shard.group, balancer.Need{
@@ -103,7 +103,7 @@
 		shard.hedges++
 		e.send(r, index, server)
 	case balancer.Busy:
-		e.postponeHedge(shard)
+		e.postponeHedge(r, shard)
 	case balancer.Unavailable:
 	}
 }
@@ -118,6 +118,6 @@
 }
 
 // postponeHedge looks at the hedge again after part of the typical latency.
-func (e *Engine) postponeHedge(shard *shardState) {
-	shard.due = e.now.Add(max(shard.group.Typical()/2, leastPostponement))
+func (e *Engine) postponeHedge(r *request, shard *shardState) {
+	r.setDue(shard, e.now.Add(max(shard.group.Typical()/2, leastPostponement)))
 }
--- a/internal/query/request.go
+++ b/internal/query/request.go
@@ -55,7 +55,10 @@
 	vanished bool
 	// moment is the index of the next of the route's moments.
 	moment int
-	due    time.Time
+	// due is when the request's timer fires; soonest is the earliest moment
+	// that a shard has asked for since that timer was set.
+	due     time.Time
+	soonest time.Time
 }
 
 // shardPhase is the state of one target shard of a request.
--- a/internal/query/retry.go
+++ b/internal/query/retry.go
@@ -68,7 +68,7 @@
 		return
 	}
 	shard.phase = shardPausing
-	shard.due = due
+	r.setDue(shard, due)
 }
 
 // restart starts a request over as a whole on another snapshot, after its own
--- a/internal/query/timers.go
+++ b/internal/query/timers.go
@@ -40,14 +40,27 @@
 }
 
 // schedule makes sure that the request is looked at no later than its next
-// due moment. An earlier timer that stands already will do.
+// due moment. An earlier timer that stands already will do, so that the shards
+// are searched once per timer and not once per reply.
 func (e *Engine) schedule(r *request) {
-	next := e.nextDue(r)
-	if !r.due.IsZero() && !next.Before(r.due) {
+	switch {
+	case r.due.IsZero():
+		r.due = e.nextDue(r)
+	case !r.soonest.IsZero() && r.soonest.Before(r.due):
+		r.due = r.soonest
+	default:
 		return
 	}
-	r.due = next
-	heap.Push(&e.timers, timer{at: next, request: r, sequence: r.sequence})
+	r.soonest = time.Time{}
+	heap.Push(&e.timers, timer{at: r.due, request: r, sequence: r.sequence})
+}
+
+// setDue asks for a look at a shard at a moment; zero for none.
+func (r *request) setDue(shard *shardState, at time.Time) {
+	shard.due = at
+	if !at.IsZero() && (r.soonest.IsZero() || at.Before(r.soonest)) {
+		r.soonest = at
+	}
 }
 
 // nextDue is the first of the final decision, the policy's next moment and
