--- a/internal/policy/check_program.go
+++ b/internal/policy/check_program.go
@@ -8,6 +8,9 @@
 	"github.com/martenstage/martenstage/internal/plan"
 )
 
+// anyNumberOfShards analyzes a policy apart from the routes that use it.
+const anyNumberOfShards = 0
+
 // actions are the words for the actions of a statement.
 var actions = map[string]plan.Action{"answer": plan.ActionAnswer, "fail": plan.ActionFail}
 
@@ -161,7 +164,7 @@
 
 // reachability reports statements that never decide.
 func (c *policyCheck) reachability() {
-	analysis, ok := analyze(c.compiled.Statements)
+	analysis, ok := analyze(c.compiled.Statements, anyNumberOfShards)
 	if !ok {
 		return
 	}
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -14,15 +14,23 @@
 // messages. When the text has errors, the error is of type Problems and holds
 // all of them. Compile never panics, whatever the text.
 func Compile(filename string, text []byte) (*plan.Plan, error) {
-	report := newReporter(filename, string(text))
+	compiled, _, err := compile(filename, string(text))
+	return compiled, err
+}
+
+// compile also returns the checker, which knows what no route refers to.
+func compile(filename, text string) (*plan.Plan, *checker, error) {
+	report := newReporter(filename, text)
+	src, ok := read(report, text)
+	check := newChecker(report, src)
 	compiled := &plan.Plan{}
-	if src, ok := read(report, string(text)); ok {
-		compiled = newChecker(report, src).file()
+	if ok {
+		compiled = check.file()
 	}
 	if problems := report.sorted(); len(problems) > 0 {
-		return nil, problems
+		return nil, nil, problems
 	}
-	return compiled, nil
+	return compiled, check, nil
 }
 
 // checker turns the syntax tree of one text into a plan and reports what is
--- a/internal/policy/format.go
+++ b/internal/policy/format.go
@@ -10,8 +10,9 @@
 // a line, blocks indented by tabs, one blank line between declarations.
 // Order, values and comments stay as they are; a comment inside a line moves
 // behind or below it. The error is of type Problems; only syntax is checked.
-func Format(text string) (string, error) {
-	report := newReporter("text", text)
+// The file name only serves the messages.
+func Format(filename, text string) (string, error) {
+	report := newReporter(filename, text)
 	src, ok := read(report, text)
 	if !ok {
 		return "", report.sorted()
--- a/internal/policy/format_test.go
+++ b/internal/policy/format_test.go
@@ -10,7 +10,7 @@
 
 // TestFormatKeepsCommentsAndOrder covers each place where a comment may stand.
 func TestFormatKeepsCommentsAndOrder(t *testing.T) {
-	formatted, err := Format(`# head
+	formatted, err := Format("text", `# head
 
 # about the service
 service  s{connections 70 slots 5 # trailing
@@ -60,7 +60,7 @@
 
 # foot
 `, formatted)
-	again, err := Format(formatted)
+	again, err := Format("text", formatted)
 	require.NoError(t, err)
 	require.Equal(t, formatted, again)
 }
@@ -69,7 +69,7 @@
 func TestDeploymentsAreFormatted(t *testing.T) {
 	for _, deployment := range deployments {
 		text := readDeployment(t, deployment.path)
-		formatted, err := Format(string(text))
+		formatted, err := Format("text", string(text))
 		require.NoError(t, err)
 		require.Equal(t, string(text), formatted)
 		before, err := Compile(deployment.path, text)
--- a/internal/policy/fuzz_test.go
+++ b/internal/policy/fuzz_test.go
@@ -19,7 +19,7 @@
 	f.Add("service service { slots 99999999999999999999 generation 1 { group group { } } }\r\n\x00é")
 	f.Fuzz(func(t *testing.T, text string) {
 		compiled, err := Compile("fuzz", []byte(text))
-		formatted, formatErr := Format(text)
+		formatted, formatErr := Format("text", text)
 		if err == nil {
 			require.NoError(t, formatErr)
 			require.NoError(t, plan.Validate(compiled))
@@ -27,7 +27,7 @@
 		if formatErr != nil {
 			return
 		}
-		again, formatErr := Format(formatted)
+		again, formatErr := Format("text", formatted)
 		require.NoError(t, formatErr)
 		require.Equal(t, formatted, again)
 		recompiled, againErr := Compile("fuzz", []byte(formatted))
--- a/internal/policy/reach.go
+++ b/internal/policy/reach.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/martenstage/martenstage/internal/plan"
 )
 
@@ -29,6 +31,8 @@
 	decidedBy []int
 	// last is the statement that decided last while requests live.
 	last int
+	// leastAnswered is the least coverage with which a request is answered.
+	leastAnswered float64
 }
 
 // moment is one state of a request, as far as conditions see it.
@@ -45,14 +49,18 @@
 	coverages []float64
 	groups    []string
 	size      int
+	// shards is how many target shards a request has; 0 means any number.
+	shards int
 }
 
-// analyze returns false when the program is too large.
-func analyze(statements []plan.Statement) (reachAnalysis, bool) {
-	found := thresholds{times: []time.Duration{0}, coverages: []float64{0, 1}}
+// analyze examines a program for a number of target shards; 0 stands for any
+// number. It returns false when the program is too large.
+func analyze(statements []plan.Statement, shards int) (reachAnalysis, bool) {
+	found := thresholds{times: []time.Duration{0}, coverages: []float64{0, 1}, shards: shards}
 	for _, statement := range statements {
 		found.collect(statement.Condition)
 	}
+	found.coverages = lo.Map(found.coverages, func(ratio float64, _ int) float64 { return found.reachable(ratio) })
 	found.times = sortedUnique(found.times)
 	found.coverages = sortedUnique(found.coverages)
 	found.groups = sortedUnique(found.groups)
@@ -66,6 +74,24 @@
 	return found.evaluate(statements), true
 }
 
+// reachable returns the least coverage that satisfies a ratio with the number
+// of shards: with 8 shards, 90% is satisfied by 8 of 8 only.
+func (t *thresholds) reachable(ratio float64) float64 {
+	if t.shards == 0 {
+		return ratio
+	}
+	return float64(shardsNeeded(ratio, t.shards)) / float64(t.shards)
+}
+
+// shardsNeeded is the least number of covered shards that satisfies a ratio.
+func shardsNeeded(ratio float64, shards int) int {
+	needed := 0
+	for needed < shards && float64(needed)/float64(shards) < ratio {
+		needed++
+	}
+	return needed
+}
+
 func sortedUnique[T time.Duration | float64 | string](values []T) []T {
 	slices.Sort(values)
 	return slices.Compact(values)
@@ -93,6 +119,8 @@
 		holds:     make([]bool, len(statements)),
 		decides:   make([]bool, len(statements)),
 		decidedBy: make([]int, len(statements)),
+
+		leastAnswered: 1,
 	}
 	over := false
 	for _, elapsed := range t.times {
@@ -114,15 +142,20 @@
 			for index, group := range t.groups {
 				state.covered[group] = flags>>(index+1)&1 == 1
 			}
-			if coverage == 1 && slices.ContainsFunc(t.groups, func(group string) bool { return !state.covered[group] }) {
-				continue // whole coverage covers every group
+			if t.possible(state) {
+				states = append(states, state)
 			}
-			states = append(states, state)
 		}
 	}
 	return states
 }
 
+// possible reports whether the covered groups fit the coverage: whole coverage
+// covers every group.
+func (t *thresholds) possible(state moment) bool {
+	return state.coverage < 1 || lo.EveryBy(t.groups, func(group string) bool { return state.covered[group] })
+}
+
 // visit notes which statements hold in a state and which one decides; it
 // returns false when none does. When requests are over before the state, none
 // of them decides.
@@ -140,6 +173,9 @@
 			decider = index
 			a.decides[index] = true
 			a.last = index
+			if statement.Action == plan.ActionAnswer {
+				a.leastAnswered = min(a.leastAnswered, state.coverage)
+			}
 			continue
 		}
 		a.decidedBy[index] = decider
