--- a/internal/emulator/fault_test.go
+++ b/internal/emulator/fault_test.go
@@ -17,7 +17,7 @@
 )
 
 // wire returns the bytes of a request as a client sends them.
-func wire(t *testing.T, request *http.Request) []byte {
+func wire(t testing.TB, request *http.Request) []byte {
 	t.Helper()
 	var sent bytes.Buffer
 	require.NoError(t, request.Write(&sent))
@@ -60,7 +60,7 @@
 	b.Helper()
 	request := b.ask("a-fault-9")
 	request.Close = true
-	received, err := b.exchange(wire(b.T, request))
+	received, err := b.exchange(wire(b.TB, request))
 	require.NoError(b, err)
 	const closeHeader = len("Connection: close\r\n")
 	return len(received) - closeHeader
--- a/internal/emulator/fleet_test.go
+++ b/internal/emulator/fleet_test.go
@@ -51,15 +51,22 @@
 
 // bench is a fleet under test with a plain HTTP client.
 type bench struct {
-	*testing.T
+	testing.TB
 	fleet  *Fleet
 	record *MemoryRecorder
 	client *http.Client
 }
 
-func newBench(t *testing.T, config Config) *bench {
+func newBench(t testing.TB, config Config) *bench {
 	t.Helper()
 	record := &MemoryRecorder{}
+	bench := newBenchWith(t, config, record)
+	bench.record = record
+	return bench
+}
+
+func newBenchWith(t testing.TB, config Config, record Recorder) *bench {
+	t.Helper()
 	fleet, err := New(config, Dependencies{Recorder: record})
 	require.NoError(t, err)
 	require.NoError(t, fleet.Start())
@@ -68,7 +75,7 @@
 		transport.CloseIdleConnections()
 		fleet.Close()
 	})
-	return &bench{T: t, fleet: fleet, record: record, client: &http.Client{Transport: transport}}
+	return &bench{TB: t, fleet: fleet, client: &http.Client{Transport: transport}}
 }
 
 // ask is a query to shard 0 of generation 1 at the first version, held by the
