Add the relay process, site keys and the router's client of control

Cause: relays and routers had the protocol but no way to run it. Change: `martenstage relay` and `martenstage keys init|issue`; the router's configuration source, claim registry and event delivery over control.

--- /dev/null
+++ b/internal/controlclient/voters.go
@@ -0,0 +1,98 @@
+package controlclient
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/rpc"
+)
+
+const (
+	// attemptTimeout bounds one call to one voter, so that a voter which is
+	// silently cut off leaves time for the others.
+	attemptTimeout = 700 * time.Millisecond
+	// roundPause lies between rounds over all voters.
+	roundPause = 20 * time.Millisecond
+)
+
+// Voters calls control voters. Any voter passes calls on to the leader; the one
+// that answered last is asked first.
+type Voters struct {
+	claims []martenstagev1connect.ClaimServiceClient
+	events []martenstagev1connect.JournalServiceClient
+	next   atomic.Uint64
+}
+
+// NewVoters returns a client of the voters at the addresses, of which there
+// must be one at least.
+func NewVoters(client *rpc.Client, addresses []string) *Voters {
+	options := rpc.ClientOptions()
+	return &Voters{
+		claims: lo.Map(addresses, func(address string, _ int) martenstagev1connect.ClaimServiceClient {
+			return martenstagev1connect.NewClaimServiceClient(client.HTTP(), client.URL(address), options)
+		}),
+		events: lo.Map(addresses, func(address string, _ int) martenstagev1connect.JournalServiceClient {
+			return martenstagev1connect.NewJournalServiceClient(client.HTTP(), client.URL(address), options)
+		}),
+	}
+}
+
+// untilAnswered repeats a call, voter after voter, until one answers it or the
+// context ends. The call must be one that may be sent again.
+func (v *Voters) untilAnswered(ctx context.Context, call func(ctx context.Context, voter int) error) error {
+	for attempt := 1; ; attempt++ {
+		voter := v.next.Load()
+		err := v.attempt(ctx, call, int(voter%uint64(len(v.claims))))
+		if err == nil || isAnswer(err) {
+			return err
+		}
+		// Several calls may fail at once; only one of them moves on.
+		v.next.CompareAndSwap(voter, voter+1)
+		if ctx.Err() != nil {
+			return err
+		}
+		if attempt%len(v.claims) == 0 && !sleep(ctx, roundPause) {
+			return err
+		}
+	}
+}
+
+func (v *Voters) attempt(ctx context.Context, call func(ctx context.Context, voter int) error, voter int) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return call(ctx, voter)
+}
+
+// isAnswer reports whether an error is an answer that another voter would give
+// as well.
+func isAnswer(err error) bool {
+	var coded *connect.Error
+	if !errors.As(err, &coded) {
+		return false
+	}
+	switch coded.Code() {
+	case connect.CodeInvalidArgument, connect.CodePermissionDenied, connect.CodeFailedPrecondition,
+		connect.CodeUnauthenticated, connect.CodeUnimplemented, connect.CodeResourceExhausted:
+		return true
+	default:
+		return false
+	}
+}
+
+// sleep reports whether it lasted to its end.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/follower/dial.go
@@ -0,0 +1,24 @@
+package follower
+
+import (
+	"sync"
+
+	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/rpc"
+)
+
+// NewDial returns a Dial over the network.
+func NewDial(client *rpc.Client) Dial {
+	var mutex sync.Mutex
+	clients := make(map[string]martenstagev1connect.FollowServiceClient)
+	return func(address string) martenstagev1connect.FollowServiceClient {
+		mutex.Lock()
+		defer mutex.Unlock()
+		known, found := clients[address]
+		if !found {
+			known = martenstagev1connect.NewFollowServiceClient(client.HTTP(), client.URL(address), rpc.ClientOptions())
+			clients[address] = known
+		}
+		return known
+	}
+}
--- a/internal/follower/handler.go
+++ b/internal/follower/handler.go
@@ -12,7 +12,6 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
-	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
@@ -329,14 +328,3 @@
 	default:
 	}
 }
-
-// lapsedEvent describes a child whose lease ran out.
-func (h *Handler) lapsedEvent(now time.Time, child lease.ChildID) journal.Event {
-	kind := journal.KindLeaseLost
-	if h.roles[child.Name] == membership.RoleRelay {
-		kind = journal.KindRelayLost
-	}
-	return journal.Event{
-		Time: now, Kind: kind, Source: h.config.Name, Detail: child.Name, Count: 1, LastTime: now,
-	}
-}
--- a/internal/follower/handler_run.go
+++ b/internal/follower/handler_run.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"time"
 
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
 )
@@ -132,17 +135,39 @@
 	back := lo.SliceToMap(h.grantor.Children(), func(child lease.ChildStatus) (string, bool) {
 		return child.ID.Name, true
 	})
+	lost := make(map[journal.Kind][]string)
 	for _, child := range lapsed {
 		if back[child.Name] {
 			continue // an earlier run of a child that was restarted
 		}
-		event := h.lapsedEvent(now, child)
-		h.deps.Events.Record(event)
-		h.deps.Logger.WithFields(logrus.Fields{"node": child.Name, "event": string(event.Kind)}).
-			Warn("the lease of a child lapsed")
+		kind := journal.KindLeaseLost
+		if h.roles[child.Name] == membership.RoleRelay {
+			kind = journal.KindRelayLost
+		}
+		lost[kind] = append(lost[kind], child.Name)
 		h.deps.Tables.LapseChild(now, child.Name)
 		delete(h.roles, child.Name)
 	}
+	for _, kind := range []journal.Kind{journal.KindRelayLost, journal.KindLeaseLost} {
+		h.recordLapsed(now, kind, lost[kind])
+	}
+}
+
+// recordLapsed writes one event for all children whose lease lapsed at about
+// the same time, as those behind one switch do.
+func (h *Handler) recordLapsed(now time.Time, kind journal.Kind, names []string) {
+	if len(names) == 0 {
+		return
+	}
+	const named = 10
+	detail := strings.Join(names[:min(len(names), named)], " ")
+	if len(names) > named {
+		detail += fmt.Sprintf(" and %d more", len(names)-named)
+	}
+	h.deps.Events.Record(journal.Event{
+		Time: now, Kind: kind, Source: h.config.Name, Detail: detail, Count: uint64(len(names)), LastTime: now,
+	})
+	h.deps.Logger.WithFields(logrus.Fields{"event": string(kind), "nodes": detail}).Warn("leases of children lapsed")
 }
 
 // RevisionInForce returns the highest revision that whoever admits work below
--- /dev/null
+++ b/internal/relay/process.go
@@ -0,0 +1,195 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/controlclient"
+	"github.com/martenstage/martenstage/internal/exitcode"
+	"github.com/martenstage/martenstage/internal/follower"
+	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/keys"
+	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/metrics"
+	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/spool"
+)
+
+// spoolFolder is the folder of the event spool under the data folder.
+const spoolFolder = "events"
+
+// Process is a relay with its listeners.
+type Process struct {
+	options  *Options
+	logger   *logrus.Logger
+	registry *prometheus.Registry
+	security *rpc.Security
+	client   *rpc.Client
+	relay    *Relay
+	// spool is nil without a data folder.
+	spool    *spool.Spool
+	listener *rpc.Server
+	metrics  net.Listener
+}
+
+// Open reads the keys and listens. Errors carry the exit code of the process.
+func Open(options *Options, logger *logrus.Logger, registry *prometheus.Registry) (*Process, error) {
+	process := &Process{options: options, logger: logger, registry: registry}
+	var err error
+	if process.security, err = rpc.NewSecurity(options.security(), logger); err != nil {
+		return nil, exitcode.With(exitcode.Settings, err)
+	}
+	process.client = rpc.NewClient(process.security, rpc.ClientConfig{
+		ServerRoles: []keys.Role{keys.RoleControl, keys.RoleRelay},
+	})
+	if err := process.openSpool(); err != nil {
+		return nil, exitcode.With(exitcode.DataFolder, err)
+	}
+	if err := process.openRelay(); err != nil {
+		return nil, errors.CombineErrors(exitcode.With(exitcode.Settings, err), process.closeSpool())
+	}
+	if err := process.listen(); err != nil {
+		return nil, errors.CombineErrors(exitcode.With(exitcode.Settings, err), process.closeSpool())
+	}
+	return process, nil
+}
+
+// bootNumber is higher at every start, as long as the machine's clock is not
+// set back by more than the time that a start takes.
+func bootNumber() uint64 { return uint64(time.Now().UnixNano()) }
+
+func (p *Process) openSpool() error {
+	if p.options.DataFolder == "" {
+		return nil
+	}
+	voters := controlclient.NewVoters(p.client, p.options.journalVoters())
+	opened, err := spool.Open(
+		spool.Config{
+			Folder: filepath.Join(p.options.DataFolder, spoolFolder), Source: p.options.Name, Boot: bootNumber(),
+		},
+		spool.Deps{Deliver: voters.AppendEvents, Logger: p.logger, Registerer: p.registry})
+	p.spool = opened
+	return err
+}
+
+func (p *Process) closeSpool() error {
+	if p.spool == nil {
+		return nil
+	}
+	return p.spool.Close()
+}
+
+func (p *Process) openRelay() error {
+	deps := Deps{
+		Dial: follower.NewDial(p.client), Logger: p.logger, Registerer: p.registry, Random: rand.Float64,
+	}
+	if p.spool != nil {
+		deps.Events = p.spool
+	}
+	opened, err := New(Config{
+		Name: p.options.Name, Zone: p.options.Zone, Address: p.options.address(),
+		Boot: bootNumber(), Upstreams: p.options.Upstream,
+	}, deps)
+	p.relay = opened
+	return err
+}
+
+func (p *Process) listen() error {
+	mux := http.NewServeMux()
+	path, handler := martenstagev1connect.NewFollowServiceHandler(p.relay.Service(), rpc.HandlerOptions())
+	mux.Handle(path, rpc.RequireRole(p.security, handler, keys.RoleRouter, keys.RoleRelay))
+	var err error
+	if p.listener, err = rpc.NewServer(p.options.Listen, mux, p.security, p.logger); err != nil {
+		return err
+	}
+	if p.options.MetricsListen == "" {
+		return nil
+	}
+	if p.metrics, err = net.Listen("tcp4", p.options.MetricsListen); err != nil {
+		return errors.CombineErrors(errors.Wrapf(err, "metrics: listen on %s", p.options.MetricsListen), p.listener.Close())
+	}
+	return nil
+}
+
+// Address returns the address that is listened on.
+func (p *Process) Address() string { return p.listener.Address() }
+
+// Run serves until stopping ends. A nil error is a planned stop.
+func (p *Process) Run(stopping context.Context) error {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var duties sync.WaitGroup
+	failed := make(chan error, 2)
+	duties.Go(func() { failed <- p.relay.Run(running) })
+	duties.Go(func() {
+		if err := p.listener.Serve(); err != nil {
+			failed <- err
+		}
+	})
+	p.startHelpers(running, &duties)
+	p.logger.WithFields(logrus.Fields{
+		logging.FieldRole: "relay", logging.FieldNode: p.options.Name, logging.FieldAddress: p.Address(),
+	}).Info("relay_started")
+
+	var failure error
+	select {
+	case <-stopping.Done():
+	case failure = <-failed:
+	}
+	p.stop(cancel)
+	duties.Wait()
+	p.client.CloseIdle()
+	p.logger.Info("relay_stopped")
+	return errors.CombineErrors(failure, p.closeSpool())
+}
+
+// startHelpers starts what runs beside the relay.
+func (p *Process) startHelpers(running context.Context, duties *sync.WaitGroup) {
+	if p.spool != nil {
+		p.spool.Record(journal.Event{Kind: journal.KindRestarted, Detail: "relay started"})
+		duties.Go(func() { p.spool.Run(running) })
+	}
+	if reloader := p.security.Reloader(); reloader != nil {
+		duties.Go(func() { reloader.Run(running) })
+	}
+	if p.metrics != nil {
+		duties.Go(func() { p.serveMetrics(running) })
+	}
+}
+
+// stop closes the listener once the calls under way are answered, so that
+// followers turn to another relay without waiting for a timeout. Their leases
+// stay valid meanwhile; control counts them until this relay's own would lapse.
+func (p *Process) stop(cancel context.CancelFunc) {
+	ctx, end := context.WithTimeout(context.Background(), p.options.StopLimit)
+	defer end()
+	if err := p.listener.Shutdown(ctx); err != nil {
+		p.logger.WithField("reason", err).Warn("calls cut off")
+	}
+	if p.spool != nil {
+		if err := p.spool.Flush(ctx); err != nil {
+			p.logger.WithField("reason", err).Warn("events not stored")
+		}
+	}
+	cancel()
+}
+
+func (p *Process) serveMetrics(ctx context.Context) {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics.Handler(p.registry))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(p.metrics); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		p.logger.WithField("reason", err).Warn("metrics not served")
+	}
+}
