Cause resets at every byte between router and back end

Cause: "not run" must be provable and a query must never be sent twice, also when a connection dies at any byte or is found dead when reused.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -110,13 +110,18 @@
 		c.metrics.dialFailures.Inc()
 		return nil, err
 	}
+	c.metrics.dials.Inc()
+	return c.frame(ctx, raw, address)
+}
+
+// frame puts HTTP on an open socket.
+func (c *Client) frame(ctx context.Context, raw net.Conn, address netip.AddrPort) (*link, error) {
 	socket := &connection{Conn: raw}
 	client, err := c.transport.NewClientConn(context.WithValue(ctx, socketKey{}, socket), "http", address.String())
 	if err != nil {
 		_ = raw.Close()
 		return nil, err
 	}
-	c.metrics.dials.Inc()
 	return &link{client: client, socket: socket}, nil
 }
 
--- /dev/null
+++ b/internal/backend/client_test.go
@@ -0,0 +1,274 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+func newSender(t testing.TB, config Config) *Sender {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	client := New(config, Dependencies{Logger: logger, Registerer: prometheus.NewRegistry()})
+	t.Cleanup(client.Close)
+	return client.Sender("router-0")
+}
+
+// rawServer accepts connections and counts what came in. It stands for a back
+// end whose every byte the test decides.
+type rawServer struct {
+	address    netip.AddrPort
+	listener   net.Listener
+	executions atomic.Int64
+	touched    atomic.Int64 // connections on which any byte of a query arrived
+}
+
+// newRawServer serves each connection with a function.
+func newRawServer(t testing.TB, serve func(server *rawServer, socket *net.TCPConn)) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &rawServer{listener: listener, address: listener.Addr().(*net.TCPAddr).AddrPort()}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(server, socket.(*net.TCPConn))
+		}
+	}()
+	return server
+}
+
+// reset ends a connection with a TCP reset.
+func reset(socket *net.TCPConn) {
+	_ = socket.SetLinger(0)
+	_ = socket.Close()
+}
+
+func attemptTo(address netip.AddrPort, number int) query.Send {
+	return query.Send{
+		Attempt: query.AttemptID(number), CallerID: "caller-7", Address: address, Service: "search",
+		Shard: 3, Generation: 2, Version: 9, Timeout: 5 * time.Second, Body: []byte(`{"q":"free desk"}`),
+	}
+}
+
+// wholeReply is the reply of a back end that executed the attempt.
+func wholeReply(attempt query.Send) []byte {
+	body := []byte(`{"items":[{"id":1},{"id":2}]}`)
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: caller-7\r\n%s: router-0-%d\r\n%s: 3\r\n"+
+		"%s: 2\r\n%s: 9\r\n%s: %s\r\n%s: %s\r\n\r\n%s", len(body),
+		backendapi.HeaderRequest, backendapi.HeaderAttempt, attempt.Attempt, backendapi.HeaderShard,
+		backendapi.HeaderGeneration, backendapi.HeaderVersion,
+		backendapi.HeaderRequestDigest, backendapi.Digest(attempt.Body),
+		backendapi.HeaderDigest, backendapi.Digest(body), body)
+}
+
+func refusedReply() []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n%s: not_run\r\n%s: draining\r\n%s: 1\r\n\r\nno.\r\n",
+		backendapi.HeaderVerdict, backendapi.HeaderReason, backendapi.HeaderDraining)
+}
+
+// readQuery reads one whole request.
+func readQuery(socket io.Reader) bool {
+	request, err := http.ReadRequest(bufio.NewReader(socket))
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return err == nil
+}
+
+func TestResetAtEveryByteOfTheReply(t *testing.T) {
+	replies := map[string]func(query.Send) []byte{
+		"executed": wholeReply,
+		"refused":  func(query.Send) []byte { return refusedReply() },
+	}
+	for name, reply := range replies {
+		t.Run(name, func(t *testing.T) {
+			whole := reply(attemptTo(netip.AddrPort{}, 0))
+			headers := bytes.Index(whole, []byte("\r\n\r\n")) + len("\r\n\r\n")
+			for cut := range len(whole) + 1 {
+				server := newRawServer(t, func(server *rawServer, socket *net.TCPConn) {
+					server.touched.Add(1)
+					if readQuery(socket) && name == "executed" {
+						server.executions.Add(1)
+					}
+					_, _ = socket.Write(whole[:cut])
+					// A close after a half-close lets the bytes arrive before
+					// the end; a reset could overtake them.
+					_ = socket.Close()
+				})
+				outcome := newSender(t, Config{}).Send(t.Context(), attemptTo(server.address, 0))
+				require.EqualValues(t, 1, server.touched.Load(), "cut at %d: one connection", cut)
+				checkReplyVerdict(t, outcome, name, cut, headers, len(whole))
+				_ = server.listener.Close()
+			}
+		})
+	}
+}
+
+func checkReplyVerdict(t *testing.T, outcome query.Event, name string, cut, headers, whole int) {
+	t.Helper()
+	if name == "executed" && cut == whole {
+		require.IsType(t, query.PartArrived{}, outcome)
+		return
+	}
+	failed, ok := outcome.(query.AttemptFailed)
+	require.True(t, ok, "%s cut at %d: %+v", name, cut, outcome)
+	proved := name == "refused" && cut >= headers
+	require.Equal(t, proved, failed.Verdict == verdict.NotRun, "%s cut at %d: %+v", name, cut, failed)
+}
+
+func TestResetAtEveryByteOfTheRequest(t *testing.T) {
+	length := requestLength(t)
+	for cut := range length + 1 {
+		server := newRawServer(t, func(server *rawServer, socket *net.TCPConn) {
+			read, _ := io.CopyN(io.Discard, socket, int64(cut))
+			if read > 0 {
+				server.touched.Add(1)
+			}
+			if read == int64(length) {
+				server.executions.Add(1)
+			}
+			reset(socket)
+		})
+		outcome := newSender(t, Config{}).Send(t.Context(), attemptTo(server.address, 0))
+		failed, ok := outcome.(query.AttemptFailed)
+		require.True(t, ok)
+		require.LessOrEqual(t, server.touched.Load(), int64(1), "cut at %d: sent again", cut)
+		require.LessOrEqual(t, server.executions.Load(), int64(1))
+		if failed.Verdict == verdict.NotRun {
+			require.Zero(t, server.touched.Load(), "cut at %d: not_run, yet bytes arrived", cut)
+		}
+		_ = server.listener.Close()
+	}
+}
+
+// requestLength counts the bytes of one attempt on the wire.
+func requestLength(t *testing.T) int {
+	t.Helper()
+	seen := make(chan int, 1)
+	server := newRawServer(t, func(_ *rawServer, socket *net.TCPConn) {
+		var copied bytes.Buffer
+		readQuery(io.TeeReader(socket, &copied))
+		seen <- copied.Len()
+		_ = socket.Close()
+	})
+	newSender(t, Config{}).Send(t.Context(), attemptTo(server.address, 0))
+	return <-seen
+}
+
+// A connection that the back end closed while idle must not lead to a second
+// execution, nor to a false claim that nothing was run.
+func TestReusedConnectionThatDiesIsNotSentOnAgain(t *testing.T) {
+	for round := range 100 {
+		server := newRawServer(t, func(server *rawServer, socket *net.TCPConn) {
+			if readQuery(socket) {
+				server.executions.Add(1)
+				_, _ = socket.Write(wholeReply(attemptTo(server.address, 1)))
+			}
+			if round%2 == 0 {
+				reset(socket)
+				return
+			}
+			if readQuery(socket) {
+				server.executions.Add(1)
+			}
+			reset(socket)
+		})
+		sender := newSender(t, Config{})
+		require.IsType(t, query.PartArrived{}, sender.Send(t.Context(), attemptTo(server.address, 1)))
+		failed, ok := sender.Send(t.Context(), attemptTo(server.address, 2)).(query.AttemptFailed)
+		if ok && failed.Verdict == verdict.NotRun {
+			require.EqualValues(t, 1, server.executions.Load(), "round %d", round)
+		}
+		require.LessOrEqual(t, server.executions.Load(), int64(2), "round %d: sent again", round)
+		_ = server.listener.Close()
+	}
+}
+
+// Whenever a cancellation wins the race against the write, nothing may arrive
+// afterwards.
+func TestCanceledBeforeTheWriteIsNeverWritten(t *testing.T) {
+	server := newRawServer(t, func(server *rawServer, socket *net.TCPConn) {
+		buffer := make([]byte, 1)
+		if read, _ := socket.Read(buffer); read > 0 {
+			server.touched.Add(1)
+		}
+		_, _ = io.Copy(io.Discard, socket)
+		_ = socket.Close()
+	})
+	sender := newSender(t, Config{})
+	random := rand.New(rand.NewPCG(1, 2))
+	written, unwritten := int64(0), 0
+	const rounds = 400
+	for number := range rounds {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(random.IntN(300))*time.Microsecond)
+		failed := sender.Send(ctx, attemptTo(server.address, number)).(query.AttemptFailed)
+		cancel()
+		if failed.Verdict == verdict.NotRun {
+			unwritten++
+		} else {
+			written++
+		}
+	}
+	require.LessOrEqual(t, server.touched.Load(), written)
+	require.Positive(t, unwritten)
+	require.Positive(t, written)
+}
+
+func TestRefusedDialIsNotRun(t *testing.T) {
+	server := newRawServer(t, func(_ *rawServer, socket *net.TCPConn) { reset(socket) })
+	_ = server.listener.Close()
+	failed := newSender(t, Config{}).Send(t.Context(), attemptTo(server.address, 1)).(query.AttemptFailed)
+	require.Equal(t, verdict.NotRun, failed.Verdict)
+	require.Equal(t, verdict.ReasonConnection, failed.Reason)
+}
+
+func TestWrongEchoDigestAndLengthAreDropped(t *testing.T) {
+	attempt := attemptTo(netip.AddrPort{}, 4)
+	spoil := func(old, replacement string) []byte {
+		return bytes.Replace(wholeReply(attempt), []byte(old), []byte(replacement), 1)
+	}
+	replies := map[string][]byte{
+		"other attempt": spoil("router-0-4", "router-0-5"),
+		"other body":    spoil(`"id":2`, `"id":3`),
+		"no shard":      spoil(backendapi.HeaderShard, "Other"),
+		"not JSON":      spoil(`{"items":[{"id":1},{"id":2}]}`, `{"items":[{"id":1},{"id":2}}}`),
+		"too long":      spoil("Content-Length: 29", "Content-Length: 99999999"),
+	}
+	for name, reply := range replies {
+		t.Run(name, func(t *testing.T) {
+			server := newRawServer(t, func(_ *rawServer, socket *net.TCPConn) {
+				readQuery(socket)
+				_, _ = socket.Write(reply)
+				_ = socket.Close()
+			})
+			attempt.Address = server.address
+			failed, ok := newSender(t, Config{}).Send(t.Context(), attempt).(query.AttemptFailed)
+			require.True(t, ok)
+			require.Equal(t, verdict.MayHaveRun, failed.Verdict)
+		})
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -186,6 +186,18 @@
 
 // reserveWarm takes the right to open a connection if fewer than wanted are.
 func (p *pool) reserveWarm(wanted int) bool {
+	p.sweep()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed || p.open >= min(wanted, p.limit) {
+		return false
+	}
+	p.open++
+	return true
+}
+
+// sweep drops idle connections that the server has closed.
+func (p *pool) sweep() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	kept := p.idle[:0]
@@ -199,11 +211,6 @@
 	}
 	clear(p.idle[len(kept):])
 	p.idle = kept
-	if p.closed || p.open >= min(wanted, p.limit) {
-		return false
-	}
-	p.open++
-	return true
 }
 
 // close ends every idle connection, and those in use when they are released.
