Give the emulated back ends metrics and firmer faults

Cause: A request reset could be judged anew, by another key, on each read of the same request, and could hit a cancel call whose first byte came alone; a frozen server still began queries that waited for a slot; the servers that a scripted fraction chose depended on faults injected before it.

Change: A reset is decided once per request and after the whole prefix. A frozen server begins and ends nothing. Faults of a script are named by their place.

Measured: the packages' tests pass, also with -race.

Conclusion: Choices of faults are now functions of the seed and the script.

--- a/cmd/martenbench/backends.go
+++ b/cmd/martenbench/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -15,6 +16,7 @@
 	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/metrics"
 	"github.com/martenstage/martenstage/internal/settings"
 )
 
@@ -29,6 +31,7 @@
 	Seed        uint64        `long:"seed" koanf:"seed" default:"1" description:"Seed of service times, stragglers and fractions"`
 	Median      time.Duration `long:"service-time-median" koanf:"service-time-median" default:"4ms" description:"Median service time of services that the script does not name"`
 	ZoneDelay   time.Duration `long:"zone-delay" koanf:"zone-delay" default:"1ms" description:"Delay of each direction between two zones"`
+	ColdStart   time.Duration `long:"cold-start" koanf:"cold-start" default:"3s" description:"How long a back end warms up after its return"`
 	LogLevel    string        `long:"log-level" koanf:"log-level" default:"info" description:"debug, info, warning or error"`
 
 	command *flags.Command
@@ -65,12 +68,22 @@
 	defer fleet.Close()
 	defer logger.Info("back ends stop")
 	if c.AdminListen != "" {
-		return serveHTTP(ctx, c.AdminListen, fleet.AdminHandler())
+		return serveHTTP(ctx, c.AdminListen, adminHandler(fleet))
 	}
 	<-ctx.Done()
 	return nil
 }
 
+// adminHandler serves the fleet's administration and the process's metrics.
+func adminHandler(fleet *emulator.Fleet) http.Handler {
+	registry := metrics.NewRegistry("backends")
+	registry.MustRegister(fleet)
+	mux := http.NewServeMux()
+	mux.Handle("/", fleet.AdminHandler())
+	mux.Handle("GET /metrics", metrics.Handler(registry))
+	return mux
+}
+
 func (c *backendsCommand) logger(do.Injector) (*logrus.Logger, error) {
 	logger, err := logging.New(os.Stderr, c.LogLevel)
 	return logger, exitcode.With(exitcode.Settings, err)
@@ -103,6 +116,7 @@
 	config := emulator.DefaultConfig(c.Seed, plans...)
 	config.Model.Default.Median = c.Median
 	config.ZoneDelay = c.ZoneDelay
+	config.ColdStart = c.ColdStart
 	if c.Script == "" {
 		return config, nil
 	}
--- a/cmd/martenbench/platform.go
+++ b/cmd/martenbench/platform.go
@@ -53,7 +53,7 @@
 	config.Machines = replicaAddresses(plans)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	logger.WithField(logging.FieldAddress, c.Listen).WithField("machines", len(config.Machines)).Info("platform stand-in listens")
+	logger.WithField(logging.FieldAddress, c.Listen).WithField("machines", len(config.Machines)).Info("platform stand-in starts")
 	return serveHTTP(ctx, c.Listen, platform.NewStandIn(config).Handler())
 }
 
--- a/internal/emulator/connection.go
+++ b/internal/emulator/connection.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"net"
-	"strings"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,10 +58,11 @@
 	// wrote tells the reader that a reply began, so the next byte read begins
 	// a request.
 	wrote atomic.Bool
-	// prefix and received describe the request being read; only the reader
-	// uses them.
+	// prefix, received and number describe the request being read; only the
+	// reader uses them.
 	prefix   []byte
 	received int
+	number   int64
 	// writeBudget is how many more bytes of the reply are written before the
 	// reset; noReset for none.
 	writeBudget atomic.Int64
@@ -91,24 +92,23 @@
 }
 
 // isCutRequest follows the request being read and reports whether a reset
-// fault ends it here.
+// fault ends it here. It waits for the whole prefix, since the calls besides
+// the query begin alike.
 func (c *connection) isCutRequest(data []byte) bool {
 	if c.wrote.Swap(false) {
 		c.prefix, c.received = c.prefix[:0], 0
 	}
+	c.received += len(data)
 	if missing := cap(c.prefix) - len(c.prefix); missing > 0 {
 		c.prefix = append(c.prefix, data[:min(missing, len(data))]...)
+		c.number = c.server.requestNumber.Add(1)
 	}
-	before := c.received
-	c.received += len(data)
 	active := c.server.conditions.Load()
-	if !active.has(FaultResetRequest) || !strings.HasPrefix(queryPrefix, string(c.prefix)) {
+	if !active.has(FaultResetRequest) || string(c.prefix) != queryPrefix {
 		return false
 	}
-	if before == 0 {
-		c.server.requestNumber.Add(1)
-	}
-	fault := active.hit(FaultResetRequest, c.server.fleet.config.Model.Seed, c.server.requestKey())
+	key := c.server.name + " " + strconv.FormatInt(c.number, 10)
+	fault := active.hit(FaultResetRequest, c.server.fleet.config.Model.Seed, key)
 	return fault != nil && c.received > fault.Byte
 }
 
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -62,12 +62,23 @@
 			return nil, errors.Newf("index roll: unknown service %q", roll.Service)
 		}
 	}
-	for index := range config.Script {
-		if len(fleet.choose(&config.Script[index])) == 0 {
-			return nil, errors.Newf("fault %d of the script: no server matches", index+1)
+	return fleet, fleet.prepareScript()
+}
+
+// prepareScript names the faults of the script by their place, so that the
+// servers they choose do not depend on faults injected meanwhile.
+func (f *Fleet) prepareScript() error {
+	f.config.Script = slices.Clone(f.config.Script)
+	for index := range f.config.Script {
+		fault := &f.config.Script[index]
+		if fault.ID == "" {
+			fault.ID = "script-" + strconv.Itoa(index+1)
+		}
+		if len(f.choose(fault)) == 0 {
+			return errors.Newf("fault %d of the script: no server matches", index+1)
 		}
 	}
-	return fleet, nil
+	return nil
 }
 
 // buildServers makes one server for each address of the plans.
--- a/internal/emulator/pure_test.go
+++ b/internal/emulator/pure_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -130,4 +131,9 @@
 	require.Equal(t, []uint64{1, 2}, bench.health().Shards[0].Versions)
 	require.Equal(t, http.StatusUnprocessableEntity, call(http.MethodPost, PathRolls, `{"service":"other"}`).Code)
 	require.Equal(t, http.StatusNoContent, call(http.MethodDelete, PathFaults, "").Code)
+	registry := prometheus.NewPedanticRegistry()
+	require.NoError(t, registry.Register(bench.fleet))
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	require.Len(t, families, 5)
 }
--- a/internal/emulator/serve.go
+++ b/internal/emulator/serve.go
@@ -91,7 +91,9 @@
 		r.refuse(reason)
 		return
 	}
-	// The wait for the slot may have outlasted the version or the client.
+	// A frozen process begins nothing, and the wait for the slot may have
+	// outlasted the version or the client.
+	server.waitWhilePaused(r.attempt.gone)
 	if reason := r.recheck(); reason != "" {
 		server.slots.release()
 		r.refuse(reason)
@@ -100,6 +102,7 @@
 	r.record.Executed = true
 	r.record.Started = time.Now()
 	outcome := r.work()
+	server.waitWhilePaused(r.attempt.gone)
 	server.slots.release()
 	r.answer(outcome)
 }
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -1,13 +1,11 @@
 package emulator
 
 import (
-	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +46,7 @@
 	reports    reports
 	counters   counters
 	open       atomic.Int64
-	// requestNumber counts queries read while a reset fault is active.
+	// requestNumber counts the requests whose beginning was read.
 	requestNumber atomic.Int64
 	// activity is read-held by every handler, so that close can wait for them.
 	activity sync.RWMutex
@@ -195,10 +193,6 @@
 	return s.limit
 }
 
-func (s *Server) requestKey() string {
-	return fmt.Sprint(s.name, " ", strconv.FormatInt(s.requestNumber.Load(), 10))
-}
-
 // waitWhilePaused blocks while the process is frozen or until done is closed.
 func (s *Server) waitWhilePaused(done <-chan struct{}) {
 	for {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +91,26 @@
 		require.Error(t, err, text)
 	}
 }
+
+func TestRunKeepsReadingAfterAFailure(t *testing.T) {
+	var reads atomic.Int64
+	standIn := NewStandIn(StandInConfig{Machines: []netip.AddrPort{machineOne}})
+	client := clientOf(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if reads.Add(1) <= 2 {
+			http.Error(writer, "down", http.StatusServiceUnavailable)
+			return
+		}
+		standIn.Handler().ServeHTTP(writer, request)
+	}))
+	client.config.Interval = time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var lists []List
+	client.Run(ctx, func(list List) {
+		lists = append(lists, list)
+		cancel()
+	})
+	require.Len(t, lists, 1)
+	require.EqualValues(t, 3, reads.Load())
+	require.Equal(t, machineOne, lists[0].Machines[0].Address)
+}
