Keep the drain test sound on a busy machine

Cause: The test waited to see a query of 200 ms while it ran; a machine that stalls for longer would have failed it.

Change: It goes on when the query has ended already, too; what it asserts is as before.

--- a/internal/emulator/refusal_test.go
+++ b/internal/emulator/refusal_test.go
@@ -215,7 +215,10 @@
 	bench := newBench(t, config)
 	address := "http://" + bench.fleet.Servers()[0].Address().String()
 	_, running := bench.send(bench.ask("a1"))
-	bench.eventually(func() bool { return bench.fleet.Servers()[0].Counts().InFlight == 1 })
+	bench.eventually(func() bool {
+		counts := bench.fleet.Servers()[0].Counts()
+		return counts.InFlight == 1 || counts.Executed == 1 // on a busy machine it may have ended already
+	})
 	for _, method := range []string{http.MethodPost, http.MethodPost, http.MethodDelete, http.MethodDelete} {
 		request, err := http.NewRequestWithContext(context.Background(), method, address+backendapi.PathDrain, nil)
 		require.NoError(t, err)
