Try suspect replicas one attempt at a time, and compare the rest by load

Change: a suspect replica gets no work that others can do, except one attempt per second that a hedge can rescue; a normal answer clears it. The others are compared by latency times work, in two picked at random out of all that have room, not out of neighbours. Waiting for a good replica is weighed against a slow one that is free.

--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -57,10 +57,18 @@
 
 func (p *Pool) observeLatency(now time.Time, group *Group, server *Server, elapsed time.Duration) {
 	group.Latency.Observe(now, elapsed)
-	server.latency.Observe(now, elapsed, p.config.LatencyRecovery)
 	if group.typical == 0 {
 		group.typical = float64(elapsed)
 	}
+	if !server.suspect {
+		server.latency.Observe(now, elapsed)
+		return
+	}
+	// What was learnt before the server became suspect, or while it was, says
+	// nothing about it now.
+	server.latency.Reset(now, elapsed)
+	server.setSuspect(float64(elapsed) > slowFactor*group.typical)
+	server.probeAt = now.Add(p.config.ProbeInterval)
 }
 
 // slowFactor is how many times the group's typical latency makes a server
@@ -74,9 +82,10 @@
 	if age <= server.latency.Value() || group.typical == 0 {
 		return
 	}
-	server.latency.Reset(now, age)
 	if float64(age) > slowFactor*group.typical {
-		server.suspect = true
+		server.latency.Reset(now, age)
+		server.setSuspect(true)
+		server.probeAt = now.Add(p.config.ProbeInterval)
 	}
 }
 
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -13,6 +13,11 @@
 	// Spare asks for a server with a free slot, for attempts that must not add
 	// to a queue.
 	Spare bool
+	// Hedged says that a hedge will follow if the server is slow, so that the
+	// attempt may try a suspect one.
+	Hedged bool
+	// Waiting is the number of attempts that wait for a place in the group.
+	Waiting int
 }
 
 // Availability says why Choose returned no server.
@@ -28,100 +33,168 @@
 	Unavailable
 )
 
-// candidate is one of the two replicas that are compared.
-type candidate struct {
-	server *Server
-	cost   float64
-}
+// choices is the number of replicas that are compared. Two suffice to keep the
+// longest queue short, and avoid that all routers pick the same one
+// (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing",
+// 2001).
+const choices = 2
 
 // Choose returns the replica for an attempt.
 func (p *Pool) Choose(now time.Time, group *Group, need Need) (*Server, Availability) {
 	if p.config.Selection == SelectRandom {
 		return p.chooseRandom(group, need)
 	}
-	tiers := [...]func(*Server) bool{
-		func(s *Server) bool { return !s.Ejected(now) && p.warm(now, s) },
-		func(s *Server) bool { return !s.Ejected(now) },
-		func(*Server) bool { return true },
+	if server := p.chooseProbe(now, group, need); server != nil {
+		return server, Available
 	}
-	availability := Unavailable
-	for _, accepts := range tiers {
-		best, found := p.chooseCheapest(now, group, need, accepts)
-		if best != nil {
-			return best, Available
-		}
-		if found == Busy {
-			availability = Busy
-			break
-		}
+	var candidates [maxCandidates]candidate
+	found, availability := p.candidates(now, group, need, candidates[:0])
+	if len(found) == 0 {
+		return nil, availability
 	}
-	return nil, availability
+	return p.cheapest(found), Available
 }
 
-func (p *Pool) chooseCheapest(
-	now time.Time, group *Group, need Need, accepts func(*Server) bool,
-) (*Server, Availability) {
+// maxCandidates is the space for candidates that needs no allocation.
+const maxCandidates = 24
+
+// candidate is a replica that may be chosen, with its expected cost.
+type candidate struct {
+	server *Server
+	cost   float64
+	tier   tier
+}
+
+// tier orders candidates by how well they are: a worse one is chosen only
+// where no better one can serve the version at all.
+type tier uint8
+
+const (
+	tierGood tier = iota
+	// tierCold lost the draw of its cold start.
+	tierCold
+	// tierSuspect answered much slower than its group does.
+	tierSuspect
+	tierEjected
+)
+
+// candidates returns the replicas of the best tier that have room.
+func (p *Pool) candidates(now time.Time, group *Group, need Need, into []candidate) ([]candidate, Availability) {
 	availability := Unavailable
-	var best candidate
-	compared := 0
-	count := len(group.members)
-	start := 0
-	if count > 1 {
-		start = p.config.Random.IntN(count)
-	}
-	for offset := range count {
-		member := group.members[(start+offset)%count]
+	busy := tierEjected + 1
+	best := tierEjected
+	for _, member := range group.members {
 		server := member.server
-		if !server.Usable() || !member.holds(need.Version) || slices.Contains(need.Tried, server) || !accepts(server) {
+		if !server.Usable() || !member.holds(need.Version) || server.limit.Value() == 0 ||
+			slices.Contains(need.Tried, server) {
 			continue
 		}
-		if !p.hasRoom(server, need) {
+		rank := p.tierOf(now, server)
+		if !server.hasRoom(need) {
 			availability = Busy
+			busy = min(busy, rank)
 			continue
 		}
-		cost := p.cost(now, group, server)
-		if best.server == nil || cost < best.cost {
-			best = candidate{server: server, cost: cost}
+		if rank < best {
+			into, best = into[:0], rank
 		}
-		compared++
-		if compared == 2 {
-			break
+		if rank == best {
+			into = append(into, candidate{server: server, cost: p.cost(now, group, server), tier: rank})
 		}
 	}
-	return best.server, availability
+	if busy < best && best >= tierSuspect && !p.worthIt(group, need, into) {
+		return nil, Busy
+	}
+	return into, availability
 }
 
-func (p *Pool) hasRoom(server *Server, need Need) bool {
-	if need.Spare {
-		return server.hasSpareSlot()
+// worthIt reports whether a slow or failing replica that is free is still
+// better than to wait for a good one.
+func (p *Pool) worthIt(group *Group, need Need, found []candidate) bool {
+	if len(found) == 0 || found[0].tier == tierEjected {
+		return false
 	}
-	if server.suspect {
-		return server.inFlight == 0 && server.limit.Value() > 0
+	wait := group.typical * (1 + float64(need.Waiting+1)/float64(max(group.slots, 1)))
+	return float64(found[0].server.latency.Value()) < wait
+}
+
+func (p *Pool) tierOf(now time.Time, server *Server) tier {
+	switch {
+	case server.Ejected(now):
+		return tierEjected
+	case server.suspect:
+		return tierSuspect
+	case !p.warm(now, server):
+		return tierCold
+	default:
+		return tierGood
+	}
+}
+
+// cheapest compares two candidates picked at random.
+func (p *Pool) cheapest(found []candidate) *Server {
+	if len(found) == 1 {
+		return found[0].server
+	}
+	first, second := 0, 1
+	if len(found) > choices {
+		first = p.config.Random.IntN(len(found))
+		second = p.config.Random.IntN(len(found) - 1)
+		if second >= first {
+			second++
+		}
+	} else if p.config.Random.Uint64()&1 == 0 {
+		first, second = 1, 0
+	}
+	if found[second].cost < found[first].cost {
+		return found[second].server
+	}
+	return found[first].server
+}
+
+// chooseProbe returns a suspect server whose time has come to be tried again.
+// The attempt is one that a hedge will rescue.
+func (p *Pool) chooseProbe(now time.Time, group *Group, need Need) *Server {
+	if !need.Hedged || len(need.Tried) > 0 || group.suspects == 0 {
+		return nil
 	}
-	return server.inFlight < server.limit.Value()
+	for _, member := range group.members {
+		server := member.server
+		if server.suspect && !now.Before(server.probeAt) && server.inFlight == 0 && server.Usable() &&
+			!server.Ejected(now) && member.holds(need.Version) && server.limit.Value() > 0 {
+			server.probeAt = now.Add(p.config.ProbeInterval)
+			return server
+		}
+	}
+	return nil
 }
 
-// cost estimates how long an attempt would take at the server: its latency,
-// times the rounds that the work there needs on its slots.
+// hasRoom reports whether the server may get one more attempt.
+func (s *Server) hasRoom(need Need) bool {
+	if need.Spare && !s.hasSpareSlot() {
+		return false
+	}
+	if s.suspect {
+		return s.inFlight == 0
+	}
+	return s.inFlight < s.limit.Value()
+}
+
+// cost estimates how an attempt would fare at the server: its latency times
+// the work there, as Finagle's least-loaded balancer does. Own attempts in
+// flight stand for those of other routers as well, which are known late.
 func (p *Pool) cost(now time.Time, group *Group, server *Server) float64 {
 	work := float64(server.inFlight+1) + server.load.estimate(now, p.config.LoadHalfLife)
-	cost := p.expected(now, group, server) * max(1, work/float64(max(server.slots, 1)))
+	cost := work * float64(server.latency.Value())
+	if server.latency.Value() == 0 {
+		cost = work * max(group.typical, 1)
+	}
 	if server.zone != p.config.Zone {
 		cost *= p.config.ZonePenalty
 	}
 	return cost
 }
 
-// expected returns the server's latency. A high one loses weight with its age,
-// since a server that is avoided gives no newer one.
-func (p *Pool) expected(now time.Time, group *Group, server *Server) float64 {
-	value := float64(server.latency.Value())
-	if value == 0 {
-		return max(group.typical, 1)
-	}
-	return value
-}
-
 // warm draws whether a server in its cold start takes part in this choice: its
 // chance grows from none to certain over the ramp.
 func (p *Pool) warm(now time.Time, server *Server) bool {
--- a/internal/balancer/group.go
+++ b/internal/balancer/group.go
@@ -22,6 +22,7 @@
 	usable     int
 	uncovered  bool
 	slots      int
+	suspects   int
 	typical    float64
 }
 
@@ -164,6 +165,9 @@
 			joined.versions = server.versionsOf(group)
 			server.members = append(server.members, joined)
 			group.members = append(group.members, joined)
+			if server.suspect {
+				group.suspects++
+			}
 		}
 		group.recount()
 		generation.Groups = append(generation.Groups, group)
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -30,13 +30,13 @@
 
 // Defaults of Config.
 const (
-	DefaultLatencyRecovery = time.Second
-	DefaultZonePenalty     = 1.25
-	DefaultLoadHalfLife    = time.Second
-	DefaultWordHold        = 15 * time.Second
-	DefaultDrainDistrust   = 5 * time.Minute
-	DefaultEjectionTime    = 2 * time.Second
-	DefaultEjectionFloor   = 0.5
+	DefaultProbeInterval = time.Second
+	DefaultZonePenalty   = 1.25
+	DefaultLoadHalfLife  = time.Second
+	DefaultWordHold      = 15 * time.Second
+	DefaultDrainDistrust = 5 * time.Minute
+	DefaultEjectionTime  = 2 * time.Second
+	DefaultEjectionFloor = 0.5
 )
 
 // Config holds the tunables of a Pool. Zero values mean the defaults.
@@ -47,8 +47,9 @@
 	Selection Selection
 	// LatencyHalfLife is that of the groups' histograms.
 	LatencyHalfLife time.Duration
-	// LatencyRecovery is how fast a server's high latency is forgotten.
-	LatencyRecovery time.Duration
+	// ProbeInterval is how long a suspect server gets no work that others can
+	// do; then one attempt tries it again.
+	ProbeInterval time.Duration
 	// ZonePenalty multiplies the cost of servers in other zones.
 	ZonePenalty float64
 	// LoadHalfLife is the age at which a reported load counts half.
@@ -68,7 +69,7 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.LatencyRecovery, DefaultLatencyRecovery)
+	setDefault(&c.ProbeInterval, DefaultProbeInterval)
 	setDefault(&c.ZonePenalty, DefaultZonePenalty)
 	setDefault(&c.LoadHalfLife, DefaultLoadHalfLife)
 	setDefault(&c.WordHold, DefaultWordHold)
--- a/internal/balancer/server.go
+++ b/internal/balancer/server.go
@@ -27,6 +27,7 @@
 
 	latency    latency.Average
 	suspect    bool
+	probeAt    time.Time
 	load       reportedLoad
 	presence   presence
 	outlier    outlier
@@ -48,6 +49,24 @@
 // Ejected reports whether the server is avoided as an outlier.
 func (s *Server) Ejected(now time.Time) bool { return now.Before(s.outlier.until) }
 
+// Suspect reports whether the server's last attempts took much longer than
+// those of its group usually do.
+func (s *Server) Suspect() bool { return s.suspect }
+
+func (s *Server) setSuspect(suspect bool) {
+	if s.suspect == suspect {
+		return
+	}
+	s.suspect = suspect
+	change := 1
+	if !suspect {
+		change = -1
+	}
+	for _, member := range s.members {
+		member.group.suspects += change
+	}
+}
+
 // Groups calls visit with each group that the server is a member of, in the
 // order in which they were made.
 func (s *Server) Groups(visit func(*Group)) {
--- a/internal/latency/average.go
+++ b/internal/latency/average.go
@@ -1,34 +1,23 @@
 package latency
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// DefaultRecovery is the time constant with which Average forgets.
-const DefaultRecovery = time.Second
+// averageWeight is the weight of one observation in an Average.
+const averageWeight = 0.1
 
-// Average is a peak-sensitive moving average of durations: a duration above
-// it replaces it at once, one below it pulls it down at a rate that depends on
-// the time passed (Peak EWMA, as in Finagle's load balancer). The zero value is
-// empty. It is not safe for concurrent use.
+// Average is an exponentially weighted moving average of durations. The zero
+// value is empty. It is not safe for concurrent use.
 type Average struct {
 	value    float64
 	observed time.Time
 }
 
-// Observe adds one duration. A recovery of 0 means DefaultRecovery.
-func (a *Average) Observe(now time.Time, duration, recovery time.Duration) {
-	sample := float64(duration)
-	if a.observed.IsZero() || sample >= a.value {
-		a.value, a.observed = sample, now
-		return
+// Observe adds one duration.
+func (a *Average) Observe(now time.Time, duration time.Duration) {
+	if a.observed.IsZero() {
+		a.value = float64(duration)
 	}
-	if recovery <= 0 {
-		recovery = DefaultRecovery
-	}
-	weight := math.Exp(-float64(now.Sub(a.observed)) / float64(recovery))
-	a.value = a.value*weight + sample*(1-weight)
+	a.value += averageWeight * (float64(duration) - a.value)
 	a.observed = now
 }
 
--- a/internal/query/dispatch.go
+++ b/internal/query/dispatch.go
@@ -60,9 +60,7 @@
 // when no replica can serve it.
 func (e *Engine) place(r *request, index int) {
 	shard := &r.shards[index]
-	server, availability := e.pool.Choose(e.now, shard.group, balancer.Need{
-		Version: r.version, Tried: shard.triedServers(),
-	})
+	server, availability := e.pool.Choose(e.now, shard.group, e.need(r, shard))
 	switch availability {
 	case balancer.Available:
 		e.send(r, index, server)
@@ -73,6 +71,16 @@
 	}
 }
 
+// need is what a shard's next attempt, if it is not a hedge, is chosen for.
+func (e *Engine) need(r *request, shard *shardState) balancer.Need {
+	return balancer.Need{
+		Version: r.version,
+		Tried:   shard.triedServers(),
+		Hedged:  r.repeatable() && r.route.Policy.Hedge.MaxPerShard > 0 && e.mayHedge(r, shard),
+		Waiting: r.partition.queues[shard.group.Index()].Waiting(),
+	}
+}
+
 // unavailable gives up a shard that no replica can serve. Where the version
 // was there before, the whole request may still start over on another one.
 func (e *Engine) unavailable(r *request, shard *shardState) {
@@ -180,9 +188,7 @@
 func (e *Engine) placeWaiter(w waiter) bool {
 	r := w.request
 	shard := &r.shards[w.shard]
-	server, availability := e.pool.Choose(e.now, shard.group, balancer.Need{
-		Version: r.version, Tried: shard.triedServers(),
-	})
+	server, availability := e.pool.Choose(e.now, shard.group, e.need(r, shard))
 	if availability == balancer.Busy {
 		return false
 	}
--- a/internal/query/replies.go
+++ b/internal/query/replies.go
@@ -125,7 +125,7 @@
 		return balancer.Refused
 	}
 	switch event.Reason {
-	case verdict.ReasonDraining, verdict.ReasonSnapshotGone, verdict.ReasonCanceled:
+	case verdict.ReasonDraining, verdict.ReasonSnapshotGone, verdict.ReasonNoReplica, verdict.ReasonCanceled:
 		return balancer.Refused
 	case verdict.ReasonOverloaded, verdict.ReasonTimeout, verdict.ReasonDeadlinePassed:
 		return balancer.Overloaded
--- a/internal/query/retry.go
+++ b/internal/query/retry.go
@@ -26,9 +26,9 @@
 	// A refusal for load is sent again only to a server with a free slot:
 	// anything else would add to the overload that it tells of.
 	fromLoad := event.Reason == verdict.ReasonOverloaded && e.config.Tuning.limited()
-	server, availability := e.pool.Choose(e.now, shard.group, balancer.Need{
-		Version: r.version, Tried: shard.triedServers(), Spare: fromLoad,
-	})
+	need := e.need(r, shard)
+	need.Spare = fromLoad
+	server, availability := e.pool.Choose(e.now, shard.group, need)
 	switch {
 	case availability == balancer.Available:
 		e.send(r, index, server)
