Document the language and bound hostile texts

Cause: the limits of a text's size alone let a few megabytes of brackets or names take many seconds and gigabytes. Change: bounds on words, terms and routes; the parse ends when no further error would be shown; groups are looked up by key. The examples of the page are compiled by a test. Conclusion: the whole text is still compiled at each change.

--- a/internal/policy/check_policy.go
+++ b/internal/policy/check_policy.go
@@ -8,8 +8,13 @@
 	"github.com/martenstage/martenstage/internal/plan"
 )
 
-// maxStatements bounds the statements of a policy.
-const maxStatements = 64
+// Bounds of a policy and of the routes. A policy travels once for each route
+// that uses it.
+const (
+	maxStatements = 64
+	maxTerms      = 256
+	maxRoutes     = 10_000
+)
 
 // priorities are the words for the priority classes.
 var priorities = map[string]plan.Priority{
@@ -25,6 +30,8 @@
 	places   settingPlaces
 	compiled plan.Policy
 	covered  []lexer.Token
+	// terms counts the comparisons and groups of all conditions.
+	terms int
 	// elapsed are the tokens of all times that conditions compare with.
 	elapsed []timeToken
 	// statements are the places of compiled.Statements.
@@ -55,6 +62,7 @@
 	}
 	check.requiredSettings()
 	check.attempts()
+	check.size()
 	check.program()
 	c.policies[node.Name.Value] = &checkedPolicy{compiled: check.compiled, covered: check.covered}
 }
--- a/internal/policy/check_program.go
+++ b/internal/policy/check_program.go
@@ -66,6 +66,7 @@
 }
 
 func (c *policyCheck) term(node *termNode) plan.Condition {
+	c.terms++
 	switch {
 	case node.Not != nil:
 		return negated(c.term(node.Not))
@@ -106,12 +107,23 @@
 			continue
 		}
 		seen[group.Name.Value] = true
+		c.terms++
 		condition.Shards = append(condition.Shards, group.Name.Value)
 		c.covered = append(c.covered, group.Name)
 	}
 	return condition
 }
 
+// size bounds the conditions. Those of a policy beyond it are dropped, so that
+// no route goes through them again.
+func (c *policyCheck) size() {
+	if c.terms <= maxTerms {
+		return
+	}
+	c.report.add(c.node.Name.Pos, "the conditions of policy %s have %d terms; the limit is %d", c.compiled.Name, c.terms, maxTerms)
+	c.covered, c.compiled.Statements = nil, nil
+}
+
 // program checks that the statements surely decide before the deadline, and
 // that each of them can decide.
 func (c *policyCheck) program() {
@@ -119,6 +131,9 @@
 		return
 	}
 	count := len(c.compiled.Statements)
+	if c.terms > maxTerms {
+		return
+	}
 	if count == 0 {
 		c.report.add(c.node.Name.Pos, "policy %s never answers; end it with a statement such as: at %s answer",
 			c.compiled.Name, plan.DurationText(c.compiled.Deadline*9/10))
--- a/internal/policy/check_service.go
+++ b/internal/policy/check_service.go
@@ -129,14 +129,14 @@
 		}
 	}
 	generation := plan.Generation{Number: uint32(number), Shards: make([]plan.Shard, 0, len(node.Groups))}
-	names := make(map[string]bool, len(node.Groups))
 	for _, group := range node.Groups {
 		c.report.name(group.Name, "group")
-		if names[group.Name.Value] {
+		key := groupKey{service: service.Name, generation: generation.Number, group: group.Name.Value}
+		if c.groups[key] {
 			c.report.add(group.Name.Pos, "group %s is declared twice in generation %d", group.Name.Value, number)
 			continue
 		}
-		names[group.Name.Value] = true
+		c.groups[key] = true
 		shard := plan.Shard{ID: uint32(len(generation.Shards)), Name: group.Name.Value}
 		shard.Replicas = c.replicas(group, addressKey{service: service.Name, generation: generation.Number}, defaults)
 		generation.Shards = append(generation.Shards, shard)
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -41,6 +41,7 @@
 	services  map[string]*plan.Service
 	policies  map[string]*checkedPolicy
 	addresses map[addressKey]*addressUse
+	groups    map[groupKey]bool
 	// declared holds the place of each declaration, used whether a route
 	// refers to it.
 	declared map[declarationKey]lexer.Position
@@ -49,6 +50,13 @@
 	limitsUnsure bool
 }
 
+// groupKey names a group of a service.
+type groupKey struct {
+	service    string
+	generation uint32
+	group      string
+}
+
 // declarationKey names a declaration; services, policies and routes may have
 // the same name.
 type declarationKey struct {
@@ -80,6 +88,7 @@
 		services:  map[string]*plan.Service{},
 		policies:  map[string]*checkedPolicy{},
 		addresses: map[addressKey]*addressUse{},
+		groups:    map[groupKey]bool{},
 		declared:  map[declarationKey]lexer.Position{},
 		used:      map[declarationKey]bool{},
 	}
@@ -99,6 +108,10 @@
 		}
 	})
 	compiled := &plan.Plan{}
+	if len(routes) > maxRoutes {
+		c.report.add(routes[maxRoutes].Pos, "the text has more than %d routes", maxRoutes)
+		return compiled
+	}
 	for _, node := range routes {
 		if route, ok := c.route(node); ok {
 			compiled.Routes = append(compiled.Routes, route)
@@ -186,7 +199,7 @@
 // that exists but could not be parsed has been reported already.
 func (c *checker) unknownName(keyword string, token lexer.Token) {
 	known := c.source.declared[keyword]
-	if !present(token) || slices.Contains(known, token.Value) {
+	if !present(token) || c.report.full() || slices.Contains(known, token.Value) {
 		return
 	}
 	c.report.add(token.Pos, "unknown %s %s%s", keyword, quote(token.Value), suggestion(token.Value, known))
@@ -211,10 +224,10 @@
 			continue
 		}
 		for _, generation := range service.Generations {
-			names := shardNames(generation)
-			if !slices.Contains(names, token.Value) {
+			key := groupKey{service: service.Name, generation: generation.Number, group: token.Value}
+			if !c.groups[key] && !c.report.full() {
 				c.report.add(token.Pos, "service %s of route %s has no group %s in generation %d%s", service.Name,
-					route.Name, quote(token.Value), generation.Number, suggestion(token.Value, names))
+					route.Name, quote(token.Value), generation.Number, suggestion(token.Value, shardNames(generation)))
 			}
 		}
 	}
--- a/internal/policy/compile_test.go
+++ b/internal/policy/compile_test.go
@@ -247,9 +247,11 @@
 		"the limit is 8388608": strings.Repeat("# filler\n", MaxTextBytes/9+1),
 		"nested more than 32 deep": "policy p { deadline 1s repeatable answer when " +
 			strings.Repeat("(", 100_000) + "settled" + strings.Repeat(")", 100_000) + " at 1ms fail }",
-		"is nested more than 32": "policy p { answer when " + strings.Repeat("not ", 100_000) + "settled }",
-		"is not valid UTF-8":     "service \xff {}",
-		"more than 50 errors":    "service s { slots 1 connections 1 generation 1 {" + strings.Repeat("\ngroup g {}", 200) + "}}",
+		"is nested more than 32":  "policy p { answer when " + strings.Repeat("not ", 100_000) + "settled }",
+		"is not valid UTF-8":      "service \xff {}",
+		"more than 50 errors":     "service s { slots 1 connections 1 generation 1 {" + strings.Repeat("\ngroup g {}", 200) + "}}",
+		"limit is 256":            "policy p { deadline 1s repeatable answer when " + strings.Repeat("settled and ", 300) + "settled at 1ms fail }",
+		"more than 1000000 words": strings.Repeat("{\n", 1_000_001),
 		"more than 64 statements": "policy p { deadline 1s repeatable" +
 			strings.Repeat("\nanswer when settled", 65) + "\nat 1ms fail }",
 	}
--- a/internal/policy/deploy_test.go
+++ b/internal/policy/deploy_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/samber/lo"
@@ -54,3 +55,16 @@
 		require.Len(t, compiled.Routes, len(deployment.sizes))
 	}
 }
+
+// TestDocumentedExamplesCompile keeps the examples of the operators' page true.
+func TestDocumentedExamplesCompile(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "operate", "policies.md"))
+	require.NoError(t, err)
+	examples := strings.Split(string(page), "```policy\n")[1:]
+	require.Len(t, examples, 5)
+	for _, example := range examples {
+		text, _, _ := strings.Cut(example, "```")
+		_, err := Compile("policies.md", []byte(text))
+		require.NoError(t, err)
+	}
+}
--- a/internal/policy/parse.go
+++ b/internal/policy/parse.go
@@ -19,8 +19,13 @@
 	// maxNesting bounds parentheses and "not" in a condition, because the
 	// parser and the evaluation of conditions recurse.
 	maxNesting = 32
-	// maxSyntaxErrors bounds how often a text is parsed again after an error.
-	maxSyntaxErrors = 20
+	// maxTokens bounds the memory of a parse; 57,000 replicas have a third.
+	maxTokens = 1_000_000
+	// After a syntax error the declaration is parsed again without the line at
+	// fault. These bound the tokens parsed in all: large texts are read a few
+	// times over, small ones often enough to find every error.
+	parseBudgetFactor = 4
+	parseBudgetLeast  = 200_000
 )
 
 // source is one text on its way to a syntax tree.
@@ -34,8 +39,8 @@
 	// declared holds the names of all declarations by keyword, also of those
 	// that could not be parsed, so that one error does not cause others.
 	declared map[string][]string
-	// errorsLeft counts down from maxSyntaxErrors.
-	errorsLeft int
+	// parseBudget is how many tokens may still be parsed.
+	parseBudget int
 }
 
 // read makes a source of a text. It returns false when the text is not worth
@@ -45,8 +50,7 @@
 	if !src.checkText(text) {
 		return src, false
 	}
-	src.scan(text)
-	if !src.checkTokens() {
+	if !src.scan(text) || !src.checkTokens() {
 		return src, false
 	}
 	src.declared = declaredNames(src.tokens)
@@ -57,14 +61,14 @@
 // that no more than one large declaration is in memory. Syntax errors go to
 // the reporter; the parser then skips the line at fault and goes on.
 func (s *source) parse(visit func(*declarationNode)) {
-	s.errorsLeft = maxSyntaxErrors
+	s.parseBudget = parseBudgetFactor*len(s.tokens) + parseBudgetLeast
 	end := len(s.tokens) - 1
-	for first := 0; first < end; {
+	for first := 0; first < end && !s.report.full(); {
 		after := first + 1
 		for after < end && !startsDeclaration(s.tokens, after) {
 			after++
 		}
-		s.parseSegment(slices.Clone(s.tokens[first:after]), s.tokens[after], visit)
+		s.parseSegment(s.tokens[first:after:after], s.tokens[after], visit)
 		first = after
 	}
 }
@@ -73,7 +77,8 @@
 // first token is follower.
 func (s *source) parseSegment(tokens []lexer.Token, follower lexer.Token, visit func(*declarationNode)) {
 	follower.Type = lexer.EOF
-	for s.errorsLeft > 0 {
+	for s.parseBudget > 0 {
+		s.parseBudget -= len(tokens)
 		file, err := parseTokens(append(tokens, follower))
 		if err == nil {
 			for _, declaration := range file.Declarations {
@@ -81,7 +86,6 @@
 			}
 			return
 		}
-		s.errorsLeft--
 		failed := s.reportSyntax(append(tokens, follower), err)
 		if failed < 0 {
 			return
@@ -109,7 +113,8 @@
 	return false
 }
 
-func (s *source) scan(text string) {
+// scan splits the text into tokens and comments.
+func (s *source) scan(text string) bool {
 	const bytesPerToken = 8 // about, in a large configuration
 	s.tokens = make([]lexer.Token, 0, len(text)/bytesPerToken+1)
 	scan := newScanner(s.report.file, text)
@@ -121,7 +126,11 @@
 		}
 		s.tokens = append(s.tokens, token)
 		if token.EOF() {
-			return
+			return true
+		}
+		if len(s.tokens) > maxTokens {
+			s.report.add(token.Pos, "the text has more than %d words", maxTokens)
+			return false
 		}
 	}
 }
--- a/internal/policy/problem.go
+++ b/internal/policy/problem.go
@@ -84,7 +84,7 @@
 			return
 		}
 	}
-	if len(r.found) > maxProblems {
+	if r.full() {
 		return
 	}
 	r.found = append(r.found, Problem{
@@ -96,6 +96,10 @@
 	})
 }
 
+// full reports whether further problems would be dropped, so that their
+// messages need not be worked out.
+func (r *reporter) full() bool { return len(r.found) > maxProblems }
+
 // sorted returns the problems in the order of their places, or nil.
 func (r *reporter) sorted() Problems {
 	if len(r.found) == 0 {
