Give emulated items the fields that deployments sort by

Cause: policies merge the best items by distance_m and reported_at, but the emulated items carried only rank, so a top-k merge sorted by a missing field and the judge could not tell a wrong order from a right one.

Change: every item holds rank, distance_m and reported_at with the same value; a test compiles both deployments and wants each merge field in an item.

Conclusion: merge order is now checked on the real policies.

--- a/internal/dataset/dataset.go
+++ b/internal/dataset/dataset.go
@@ -21,12 +21,17 @@
 // of more shards than that has shards without a match.
 const TotalItems = 64
 
+// SortFields are the numeric fields of an item that a merge may sort by: a
+// general one and those that the deployments' policies name. All hold the
+// item's rank.
+var SortFields = []string{"rank", "distance_m", "reported_at"}
+
 // rankRange bounds the rank of an item, exclusively.
 const rankRange = 1_000_000
 
 const (
 	decimal      = 10
-	itemSizeHint = 96 // bytes
+	itemSizeHint = 144 // bytes
 	partPrefix   = `{"items":[`
 	partSuffix   = `]}`
 )
@@ -106,8 +111,14 @@
 	body = append(body, query.Service...)
 	body = append(body, '/')
 	body = strconv.AppendInt(body, int64(number), decimal)
-	body = append(body, `","rank":`...)
-	body = strconv.AppendUint(body, rank(query, number), decimal)
+	body = append(body, '"')
+	position := rank(query, number)
+	for _, field := range SortFields {
+		body = append(body, `,"`...)
+		body = append(body, field...)
+		body = append(body, `":`...)
+		body = strconv.AppendUint(body, position, decimal)
+	}
 	body = append(body, `,"version":`...)
 	body = strconv.AppendUint(body, query.Version, decimal)
 	body = append(body, `,"request":"`...)
--- a/internal/dataset/dataset_test.go
+++ b/internal/dataset/dataset_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/policy"
 )
 
 // whole collects the items of all shards in shard order.
@@ -52,3 +55,20 @@
 	}
 	require.Empty(t, Items(Query{Service: "desk", Shard: 8, Shards: 8}), "no such shard")
 }
+
+// TestItemsHaveTheFieldsThatDeploymentsSortBy keeps a merge from sorting by a
+// field that no item has, which would hide a wrong order from the judge.
+func TestItemsHaveTheFieldsThatDeploymentsSortBy(t *testing.T) {
+	for _, name := range []string{"bangkok", "norte-grande"} {
+		path := "../../deploy/" + name + "/" + name + ".policy"
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		compiled, err := policy.Compile(path, text)
+		require.NoError(t, err)
+		for _, route := range compiled.Routes {
+			if route.Policy.Merge.Kind == plan.MergeTop {
+				require.Contains(t, SortFields, route.Policy.Merge.Field, "route %s", route.Name)
+			}
+		}
+	}
+}
