Suggest mistyped settings keys by the one nearest-name search

Cause: the settings package and internal/nearest held the same edit distance.

Conclusion: one search serves the language and the settings.

--- a/internal/settings/address.go
+++ b/internal/settings/address.go
@@ -4,7 +4,8 @@
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
-	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/nearest"
 )
 
 // ParseAddress reads an IPv4 address with a port, such as 127.0.0.1:8080.
@@ -23,33 +24,9 @@
 
 // suggestion returns a hint at the known key nearest to a mistyped one, or "".
 func suggestion(key string, known []string) string {
-	const farthest = 3
-	nearest := lo.MinBy(known, func(left, right string) bool {
-		return editDistance(key, left) < editDistance(key, right)
-	})
-	if nearest == "" || editDistance(key, nearest) > farthest {
+	name, found := nearest.Name(key, known)
+	if !found {
 		return ""
 	}
-	return "; did you mean " + nearest + "?"
-}
-
-// editDistance is the Levenshtein distance between two words.
-func editDistance(left, right string) int {
-	row := make([]int, len(right)+1)
-	for index := range row {
-		row[index] = index
-	}
-	for i := 1; i <= len(left); i++ {
-		diagonal := row[0]
-		row[0] = i
-		for j := 1; j <= len(right); j++ {
-			cost := 1
-			if left[i-1] == right[j-1] {
-				cost = 0
-			}
-			next := min(row[j]+1, row[j-1]+1, diagonal+cost)
-			diagonal, row[j] = row[j], next
-		}
-	}
-	return row[len(right)]
+	return "; did you mean " + name + "?"
 }
