Follow control in the router, share connections, hand requests over

Cause: a router has to run under control's configuration and leases, hold only its share of each back end, and pass on what is not its cell's. Tests pass under the race detector.

--- a/internal/callers/api_test.go
+++ b/internal/callers/api_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,10 +59,12 @@
 
 // site is a router with its callers' API over an emulated fleet.
 type site struct {
-	t       *testing.T
-	fleet   *emulator.Fleet
-	record  *emulator.MemoryRecorder
-	address string
+	t     *testing.T
+	fleet *emulator.Fleet
+	// closeFleet ends the back ends, after which the record is complete.
+	closeFleet func()
+	record     *emulator.MemoryRecorder
+	address    string
 	// stop begins the planned stop, ended carries its result.
 	stop  context.CancelFunc
 	ended chan error
@@ -78,7 +81,8 @@
 	fleet, err := emulator.New(config, emulator.Dependencies{Recorder: record, Logger: logger})
 	require.NoError(t, err)
 	require.NoError(t, fleet.Start())
-	t.Cleanup(fleet.Close)
+	closeFleet := sync.OnceFunc(fleet.Close)
+	t.Cleanup(closeFleet)
 
 	registry := prometheus.NewRegistry()
 	served := router.New(router.Config{Name: "router", Zone: "a", Boot: 1, ProbeInterval: 20 * time.Millisecond},
@@ -92,7 +96,7 @@
 		})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	created := &site{t: t, fleet: fleet, record: record, address: listener.Addr().String(), ended: make(chan error, 1)}
+	created := &site{t: t, fleet: fleet, closeFleet: closeFleet, record: record, address: listener.Addr().String(), ended: make(chan error, 1)}
 	created.run(served, NewServer(stopping, NewHandler(Config{MaxBody: 1024}, served, logger), served, logger), listener)
 	return created
 }
@@ -146,8 +150,10 @@
 	return response.StatusCode, document
 }
 
-// executions counts the executions of a request id in the back ends' record.
+// executions counts the executions of a request id in the back ends' record,
+// which it completes by ending them.
 func (s *site) executions(id string) int {
+	s.closeFleet()
 	count := 0
 	for _, execution := range s.record.Executions() {
 		if execution.Request == id && execution.Executed {
@@ -192,9 +198,11 @@
 			require.Equal(t, test.status, status)
 			require.Equal(t, test.reason, problem["reason"])
 			require.Equal(t, "not_run", problem["verdict"])
-			require.Zero(t, s.executions(test.id))
 		})
 	}
+	for _, test := range cases {
+		require.Zero(t, s.executions(test.id))
+	}
 }
 
 func TestRequestIDIsUsedOnce(t *testing.T) {
--- a/internal/cell/ledger.go
+++ b/internal/cell/ledger.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"maps"
 	"net/netip"
 	"time"
 )
@@ -40,6 +41,9 @@
 
 // Install takes in the shares of a new list or a new plan.
 func (l *Ledger) Install(now time.Time, shares map[netip.AddrPort]Share) {
+	if l.holding && maps.Equal(l.current, shares) {
+		return
+	}
 	if l.holding {
 		l.past = append(l.past, replaced{shares: l.current, until: now.Add(l.hold)})
 	} else {
--- a/internal/cell/members.go
+++ b/internal/cell/members.go
@@ -144,3 +144,17 @@
 	}
 	return part
 }
+
+// Whole returns the limits of every back end of a plan: the shares of a router
+// without peers.
+func Whole(whole *plan.Plan) map[netip.AddrPort]Share {
+	backends := make(map[netip.AddrPort]*backend)
+	for index := range whole.Services {
+		collect(backends, &whole.Services[index], nil)
+	}
+	limits := make(map[netip.AddrPort]Share, len(backends))
+	for address, found := range backends {
+		limits[address] = Share{Connections: found.connections, Slots: found.slots}
+	}
+	return limits
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,97 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/keys"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// Client hands requests to other routers. It implements router.Forwarder.
+type Client struct {
+	name   string
+	client *rpc.Client
+
+	mutex sync.Mutex
+	peers map[string]martenstagev1connect.ForwardServiceClient
+}
+
+// NewClient returns a client that names itself to its peers.
+func NewClient(name string, security *rpc.Security) *Client {
+	return &Client{
+		name:   name,
+		client: rpc.NewClient(security, rpc.ClientConfig{ServerRoles: []keys.Role{keys.RoleRouter}}),
+		peers:  make(map[string]martenstagev1connect.ForwardServiceClient),
+	}
+}
+
+// Forward implements router.Forwarder.
+func (c *Client) Forward(ctx context.Context, peer router.Peer, request router.Request) query.Answer {
+	message := requestToWire(c.name, request, time.Now())
+	response, err := c.peer(peer.Address.String()).Query(ctx, connect.NewRequest(message))
+	if err != nil {
+		return failed(ctx, peer, err)
+	}
+	return answerFromWire(response.Msg)
+}
+
+func (c *Client) peer(address string) martenstagev1connect.ForwardServiceClient {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	known, ok := c.peers[address]
+	if !ok {
+		known = martenstagev1connect.NewForwardServiceClient(c.client.HTTP(), c.client.URL(address), rpc.ClientOptions())
+		c.peers[address] = known
+	}
+	return known
+}
+
+// failed is the answer when the peer gave none. Only a connection that could
+// not be opened proves that the peer ran nothing.
+func failed(ctx context.Context, peer router.Peer, err error) query.Answer {
+	failure := &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonConnection,
+		Detail: "router " + peer.Name + " did not answer"}
+	var operation *net.OpError
+	switch {
+	case errors.As(err, &operation) && operation.Op == "dial":
+		failure.Verdict = verdict.NotRun
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		failure.Reason = verdict.ReasonTimeout
+	case ctx.Err() != nil:
+		failure.Reason = verdict.ReasonCanceled
+	}
+	return query.Answer{Verdict: failure.Verdict, Err: failure}
+}
+
+// Local answers requests without handing them on; router.Router does.
+type Local interface {
+	QueryLocal(ctx context.Context, request router.Request) query.Answer
+}
+
+// service serves peers.
+type service struct{ local Local }
+
+// NewHandler returns the handler of the service for peers, with its path.
+func NewHandler(local Local, security *rpc.Security) (string, http.Handler) {
+	path, handler := martenstagev1connect.NewForwardServiceHandler(&service{local: local}, rpc.HandlerOptions())
+	return path, rpc.RequireRole(security, handler, keys.RoleRouter)
+}
+
+// Query implements martenstagev1connect.ForwardServiceHandler.
+func (s *service) Query(ctx context.Context, message *connect.Request[v1.ForwardQueryRequest],
+) (*connect.Response[v1.ForwardQueryResponse], error) {
+	answer := s.local.QueryLocal(ctx, requestFromWire(message.Msg, time.Now()))
+	return connect.NewResponse(answerToWire(answer)), nil
+}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -35,6 +35,9 @@
 	CancelTimeout time.Duration
 	// RefusalPause is what refused callers are told to wait.
 	RefusalPause time.Duration
+	// Alone says that no other router connects to the back ends, so that this
+	// one takes the whole of their limits.
+	Alone bool
 	// ShareDelay is how long after a change of the list of live routers a
 	// bigger share of connections is taken; see package cell.
 	ShareDelay time.Duration
@@ -91,6 +94,8 @@
 	Claims   ClaimRegistry
 	Events   EventSink
 	Source   ConfigSource
+	// Forwarder may be nil when Config.Alone is set.
+	Forwarder Forwarder
 	// NewEngine creates the engine with an index in [0, Config.Engines).
 	NewEngine func(index int) Engine
 }
--- a/internal/router/installation.go
+++ b/internal/router/installation.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 )
@@ -30,6 +29,7 @@
 	for _, route := range installed.Routes {
 		next.owners[route.Name] = r.ownerOf(route.Service)
 	}
+	r.shares.installPlan(installed)
 	// The engines come first: a request that sees the new owners must find
 	// them ready.
 	acknowledged := make([]chan struct{}, len(r.loops))
@@ -44,6 +44,7 @@
 			return
 		}
 	}
+	r.refreshCells(installed)
 	r.installed.Store(next)
 	r.metrics.revision.Set(float64(revision))
 	r.prober.retarget(r.runContext, r.probeTargets(installed))
@@ -103,10 +104,11 @@
 	if !until.IsZero() && current != nil && !until.After(*current) {
 		return
 	}
-	if current == nil || current.Before(time.Now()) {
-		r.record(journal.Event{Kind: journal.KindLeaseGained})
-	}
 	r.leaseUntil.Store(&until)
+	// Connections come before the requests that the lease admits.
+	if r.leaseValid() {
+		r.shares.setLease(true)
+	}
 	for _, loop := range r.loops {
 		loop.pushNotice(query.LeaseRenewed{Until: until}, nil)
 	}
@@ -123,5 +125,10 @@
 
 // InstallRouters implements ConfigSink.
 func (r *Router) InstallRouters(routers []Peer) {
-	r.logger.WithField("routers", len(routers)).Info("live routers")
+	r.peers.Store(&routers)
+	r.shares.installRouters(routers)
+	if current := r.installed.Load(); current != nil {
+		r.refreshCells(current.plan)
+	}
+	r.logger.WithField("routers", len(routers)).Info("live routers changed")
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -21,6 +21,7 @@
 	latency        *prometheus.HistogramVec
 	attempts       *prometheus.CounterVec
 	missing        *prometheus.CounterVec
+	forwards       *prometheus.CounterVec
 	cancelsDropped prometheus.Counter
 	revision       prometheus.Gauge
 }
@@ -42,13 +43,16 @@
 		missing: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "martenstage_router_missing_shards_total", Help: "Shards missing from answers, by route and reason."},
 			[]string{"route", "reason"}),
+		forwards: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_router_forwards_total", Help: "Requests offered to a router of the service's cell, by verdict."},
+			[]string{"service", "verdict"}),
 		cancelsDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "martenstage_router_cancels_dropped_total", Help: "Cancellations not sent because too many waited."}),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_router_config_revision", Help: "Revision of the configuration in force."}),
 	}
 	registerer.MustRegister(created.requests, created.latency, created.attempts,
-		created.missing, created.cancelsDropped, created.revision)
+		created.missing, created.forwards, created.cancelsDropped, created.revision)
 	return created
 }
 
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -4,9 +4,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/rpc"
 )
 
 // Options are the settings of the router role.
@@ -14,10 +17,22 @@
 	Name          string `long:"name" koanf:"name" default:"router" validate:"required" description:"Name of this router, unique in the fleet"`
 	Zone          string `long:"zone" koanf:"zone" default:"default" validate:"required" description:"Zone that this router runs in"`
 	CallersListen string `long:"callers-listen" koanf:"callers-listen" default:"127.0.0.1:8080" validate:"ip_port" description:"Address of the callers' API"`
-	PolicyFile    string `long:"policy-file" koanf:"policy-file" validate:"required" description:"Policy file for a single router without control"`
-	LogLevel      string `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
-	MaxBody       int64  `long:"max-body-bytes" koanf:"max-body-bytes" default:"262144" validate:"min=1" description:"Longest body of a query, bytes"`
-	MaxReply      int64  `long:"max-reply-bytes" koanf:"max-reply-bytes" default:"8388608" validate:"min=1" description:"Longest reply of a back end, bytes"`
+	PeersListen   string `long:"peers-listen" koanf:"peers-listen" default:"127.0.0.1:8081" validate:"ip_port" description:"Address for other routers, which hand over requests of services whose cell this router is of"`
+	Advertise     string `long:"advertise" koanf:"advertise" validate:"omitempty,ip_port" description:"Address under which other routers reach this one; the one listened on for them when empty"`
+
+	Upstream   []string `long:"upstream" koanf:"upstream" validate:"dive,ip_port" description:"Address of a relay, or of a control voter on a small site, to follow; repeat it to name several"`
+	Control    []string `long:"control" koanf:"control" validate:"dive,ip_port" description:"Address of a control voter for claims and events; the upstreams when empty"`
+	DataFolder string   `long:"data-folder" koanf:"data-folder" description:"Folder for events on their way to the journal; when empty they go to the log only"`
+	PolicyFile string   `long:"policy-file" koanf:"policy-file" description:"Policy file for a single router without control, in place of upstreams"`
+
+	Authority         string `long:"tls-authority" koanf:"tls-authority" description:"Certificate of the site's authority"`
+	Certificate       string `long:"tls-certificate" koanf:"tls-certificate" description:"Certificate of this process"`
+	Key               string `long:"tls-key" koanf:"tls-key" description:"Key of this process"`
+	InsecurePlaintext bool   `long:"insecure-plaintext" koanf:"insecure-plaintext" description:"Run without keys: nobody is authenticated and nothing is encrypted"`
+
+	LogLevel string `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
+	MaxBody  int64  `long:"max-body-bytes" koanf:"max-body-bytes" default:"262144" validate:"min=1" description:"Longest body of a query, bytes"`
+	MaxReply int64  `long:"max-reply-bytes" koanf:"max-reply-bytes" default:"8388608" validate:"min=1" description:"Longest reply of a back end, bytes"`
 
 	Engines     int `long:"engines" koanf:"engines" default:"4" validate:"min=1,max=256" description:"Query engines; each owns whole services"`
 	Admission   int `long:"admission-ring" koanf:"admission-ring" default:"1024" validate:"min=1" description:"Requests that may wait for one engine; more are refused"`
@@ -34,12 +49,41 @@
 	StopLimit      time.Duration `long:"stop-limit" koanf:"stop-limit" default:"120s" validate:"min=1s" description:"Longest planned stop; requests still in flight are then cut off and the exit code is 1"`
 }
 
+// Check refuses settings that don't go together.
+func (o *Options) Check() error {
+	switch {
+	case o.PolicyFile == "" && len(o.Upstream) == 0:
+		return errors.New("one of upstream and policy-file must be set")
+	case o.PolicyFile != "" && len(o.Upstream) > 0:
+		return errors.New("upstream and policy-file can't both be set")
+	default:
+		return nil
+	}
+}
+
+// Security returns how the router proves itself to relays, control and peers.
+func (o *Options) Security() rpc.SecuritySettings {
+	return rpc.SecuritySettings{
+		Files:             keys.Files{Authority: o.Authority, Certificate: o.Certificate, Key: o.Key},
+		InsecurePlaintext: o.InsecurePlaintext,
+	}
+}
+
+// Voters are the servers that decide claims and store events.
+func (o *Options) Voters() []string {
+	if len(o.Control) > 0 {
+		return o.Control
+	}
+	return o.Upstream
+}
+
 // Config returns the router's configuration for one start of the process.
 func (o *Options) Config(boot uint64) Config {
 	return Config{
 		Name:          o.Name,
 		Zone:          o.Zone,
 		Boot:          boot,
+		Alone:         o.PolicyFile != "",
 		Engines:       o.Engines,
 		AdmissionRing: o.Admission,
 		MaxRequests:   o.MaxRequests,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -42,13 +42,20 @@
 	prober   *prober
 	warmer   *warmer
 	canceler *canceler
+	shares   *shareKeeper
 	settling sync.WaitGroup
 
 	installed  atomic.Pointer[installation]
 	leaseUntil atomic.Pointer[time.Time]
-	stopping   atomic.Bool
-	requests   atomic.Uint64
-	sequence   atomic.Uint64
+	peers      atomic.Pointer[[]Peer]
+	foreign    atomic.Pointer[foreignCells]
+	forwarder  Forwarder
+	// stopping is set once the router reports not ready, refusing once it
+	// admits nothing any more.
+	stopping atomic.Bool
+	refusing atomic.Bool
+	requests atomic.Uint64
+	sequence atomic.Uint64
 	// runContext is set by Run before the source is started.
 	runContext context.Context
 }
@@ -64,10 +71,14 @@
 		claims:   dependencies.Claims,
 		events:   dependencies.Events,
 		source:   dependencies.Source,
-		prober:   newProber(config, dependencies.Backends),
-		warmer:   newWarmer(dependencies.Backends),
+
+		forwarder: dependencies.Forwarder,
+
+		prober: newProber(config, dependencies.Backends),
+		warmer: newWarmer(dependencies.Backends),
 	}
 	created.canceler = newCanceler(created)
+	created.shares = newShareKeeper(created)
 	for index := range config.Engines {
 		sender := dependencies.Backends.Sender(created.senderName(index))
 		loop := newEngineLoop(index, created, dependencies.NewEngine(index), sender)
@@ -95,6 +106,7 @@
 	for _, loop := range r.loops {
 		duties.Go(func() { loop.run(running) })
 	}
+	duties.Go(func() { r.shares.run(running) })
 	for range cancelWorkers {
 		duties.Go(func() { r.canceler.run(running) })
 	}
@@ -115,12 +127,23 @@
 // or when the context ends because the caller has gone.
 func (r *Router) Query(ctx context.Context, request Request) query.Answer {
 	arrived := time.Now()
-	answer := r.query(ctx, request)
+	answer := r.dispatch(ctx, request)
 	r.metrics.countAnswer(r.routeLabel(request.Route), answer, time.Since(arrived))
 	return answer
 }
 
-func (r *Router) query(ctx context.Context, request Request) query.Answer {
+// dispatch answers a request here, or through a router of its service's cell.
+func (r *Router) dispatch(ctx context.Context, request Request) query.Answer {
+	if route, ok := r.RouteNamed(request.Route); ok && !r.refusing.Load() {
+		if peers := r.cellOf(route.Service); len(peers) > 0 {
+			return r.forward(ctx, peers, route, request)
+		}
+	}
+	return r.QueryLocal(ctx, request)
+}
+
+// QueryLocal answers a request without handing it to another router.
+func (r *Router) QueryLocal(ctx context.Context, request Request) query.Answer {
 	current := r.installed.Load()
 	if current == nil {
 		return r.refusal(verdict.ReasonNoLease, "no configuration yet")
--- /dev/null
+++ b/internal/router/shares.go
@@ -0,0 +1,170 @@
+package router
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/cell"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/query"
+)
+
+// shareKeeper holds this router's share of every back end's connections and
+// slots in step with the plan, the live routers and the lease. Smaller shares
+// are taken before bigger ones; see package cell.
+type shareKeeper struct {
+	router *Router
+	// changed wakes run after the inputs changed.
+	changed chan struct{}
+
+	mutex   sync.Mutex
+	plan    *plan.Plan
+	targets map[netip.AddrPort]probeTarget
+	routers []string
+	ledger  *cell.Ledger
+	// lapsed is set while nothing may be held for want of a lease.
+	lapsed  bool
+	applied map[netip.AddrPort]cell.Share
+}
+
+// lapseFraction is the part of the share delay for which connections are kept
+// after the lease has lapsed.
+const lapseFraction = 4
+
+func newShareKeeper(router *Router) *shareKeeper {
+	return &shareKeeper{
+		router:  router,
+		changed: make(chan struct{}, 1),
+		routers: []string{router.config.Name},
+		ledger:  cell.NewLedger(router.config.ShareDelay),
+		lapsed:  true,
+		applied: make(map[netip.AddrPort]cell.Share),
+	}
+}
+
+// installPlan takes in a new plan. The shares of its back ends are applied
+// before it returns, so that no engine uses more than its share of a new one.
+func (k *shareKeeper) installPlan(installed *plan.Plan) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.plan, k.targets = installed, k.router.probeTargets(installed)
+	k.refresh(time.Now())
+}
+
+// installRouters takes in a new list of live routers.
+func (k *shareKeeper) installRouters(routers []Peer) {
+	names := lo.Uniq(append(lo.Map(routers, func(peer Peer, _ int) string { return peer.Name }), k.router.config.Name))
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.routers = names
+	k.refresh(time.Now())
+}
+
+// setLease takes in whether the router may hold connections by its lease.
+func (k *shareKeeper) setLease(valid bool) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if k.lapsed == !valid {
+		return
+	}
+	k.lapsed = !valid
+	if k.lapsed {
+		k.ledger.Reset()
+	}
+	k.refresh(time.Now())
+}
+
+// refresh computes the shares anew and applies what changed.
+func (k *shareKeeper) refresh(now time.Time) {
+	if k.plan == nil {
+		return
+	}
+	if !k.lapsed && !k.router.config.Alone {
+		k.ledger.Install(now, cell.Shares(k.plan, k.routers, k.router.config.Name))
+	}
+	k.apply(now)
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+// apply hands out the shares that hold now and returns when some may grow.
+func (k *shareKeeper) apply(now time.Time) time.Time {
+	effective, next := k.effective(now)
+	for _, growing := range []bool{false, true} {
+		for address, share := range effective {
+			if (share.Connections > k.applied[address].Connections) == growing {
+				k.applyOne(address, share)
+			}
+		}
+	}
+	for address := range k.applied {
+		if _, kept := effective[address]; !kept {
+			delete(k.applied, address)
+		}
+	}
+	return next
+}
+
+// effective returns what may be used now: nothing without a lease, the whole
+// of every back end for a router alone, else what the ledger says.
+func (k *shareKeeper) effective(now time.Time) (map[netip.AddrPort]cell.Share, time.Time) {
+	switch {
+	case k.plan == nil:
+		return nil, time.Time{}
+	case k.lapsed:
+		return lo.MapValues(cell.Whole(k.plan), func(cell.Share, netip.AddrPort) cell.Share { return cell.Share{} }), time.Time{}
+	case k.router.config.Alone:
+		return cell.Whole(k.plan), time.Time{}
+	default:
+		return k.ledger.Effective(now)
+	}
+}
+
+func (k *shareKeeper) applyOne(address netip.AddrPort, share cell.Share) {
+	if applied, ok := k.applied[address]; ok && applied == share {
+		return
+	}
+	k.applied[address] = share
+	k.router.backends.Resize(address, share.Connections)
+	for _, loop := range k.targets[address].loops {
+		loop.pushNotice(query.ShareChanged{Address: address, Slots: share.Slots, Connections: share.Connections}, nil)
+	}
+}
+
+// run applies growth when its time has come, and notices a lapsed lease.
+func (k *shareKeeper) run(ctx context.Context) {
+	const leaseCheck = 100 * time.Millisecond
+	for {
+		// Requests admitted before the lapse finish in this time. It ends well
+		// before the others take over what this router held.
+		if !k.router.leaseValidAt(time.Now().Add(-k.router.config.ShareDelay / lapseFraction)) {
+			k.setLease(false)
+		}
+		k.mutex.Lock()
+		next := k.apply(time.Now())
+		k.mutex.Unlock()
+		pause := leaseCheck
+		if !next.IsZero() {
+			pause = min(pause, max(time.Until(next), time.Millisecond))
+		}
+		select {
+		case <-time.After(pause):
+		case <-k.changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// describe returns the shares in use, for the status page.
+func (k *shareKeeper) describe(address netip.AddrPort) cell.Share {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.applied[address]
+}
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -30,9 +30,11 @@
 
 // BackendStatus describes the router's connections to one back end.
 type BackendStatus struct {
-	Address string `json:"address"`
-	Open    int    `json:"open_connections"`
-	Idle    int    `json:"idle_connections"`
+	Address     string `json:"address"`
+	Open        int    `json:"open_connections"`
+	Idle        int    `json:"idle_connections"`
+	Connections int    `json:"connection_share" doc:"Connections that this router may open"`
+	Slots       int    `json:"slot_share" doc:"Slots that this router counts on"`
 }
 
 // Ready reports whether requests are admitted, and if not, why.
@@ -47,9 +49,11 @@
 	}
 }
 
-func (r *Router) leaseValid() bool {
+func (r *Router) leaseValid() bool { return r.leaseValidAt(time.Now()) }
+
+func (r *Router) leaseValidAt(at time.Time) bool {
 	until := r.leaseUntil.Load()
-	return until != nil && time.Now().Before(*until)
+	return until != nil && at.Before(*until)
 }
 
 // Routes lists the routes in force.
@@ -98,7 +102,9 @@
 	status := ServiceStatus{Name: service.Name}
 	for _, address := range addressesOf(service) {
 		open, idle := r.backends.Connections(address)
-		status.Backends = append(status.Backends, BackendStatus{Address: address.String(), Open: open, Idle: idle})
+		share := r.shares.describe(address)
+		status.Backends = append(status.Backends, BackendStatus{Address: address.String(), Open: open, Idle: idle,
+			Connections: share.Connections, Slots: share.Slots})
 	}
 	return status
 }
@@ -111,6 +117,7 @@
 // claims are settled and events are stored, or when the context ends.
 func (r *Router) Stop(ctx context.Context) error {
 	r.BeginStop()
+	r.refusing.Store(true)
 	for _, loop := range r.loops {
 		loop.pushNotice(query.StopRequested{}, nil)
 	}
