--- a/cmd/martenstage/control.go
+++ b/cmd/martenstage/control.go
@@ -61,5 +61,5 @@
 		return nil, err
 	}
 	registry := do.MustInvoke[*prometheus.Registry](injector)
-	return control.Open(do.MustInvoke[*control.Options](injector), logger, registry)
+	return control.Open(do.MustInvoke[*control.Options](injector), control.Environment{Logger: logger, Registry: registry})
 }
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,252 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/exitcode"
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/journal"
+)
+
+const (
+	accepted = v1.ApplyResult_APPLY_RESULT_ACCEPTED
+	conflict = v1.ApplyResult_APPLY_RESULT_CONFLICT
+)
+
+// TestRacingOperators submits changes with equal numbers through every voter:
+// one wins, and the others learn of its revision and author.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 3, nil)
+	const rounds, operators = 5, 6
+	for round := range rounds {
+		responses := make([]*v1.ApplyResponse, operators)
+		var racing sync.WaitGroup
+		for operator := range operators {
+			client := cluster.client(cluster.nodes[operator%3])
+			racing.Go(func() {
+				id := fmt.Sprintf("round-%d-operator-%d", round, operator)
+				responses[operator] = apply(t, client, id, id, uint64(round))
+			})
+		}
+		racing.Wait()
+		winner := -1
+		for operator, response := range responses {
+			if response.GetResult() == accepted {
+				require.Equal(t, -1, winner)
+				winner = operator
+			}
+		}
+		require.NotEqual(t, -1, winner)
+		for operator, response := range responses {
+			require.Equal(t, uint64(round+1), response.GetRevision())
+			if operator != winner {
+				require.Equal(t, conflict, response.GetResult())
+				require.Equal(t, fmt.Sprintf("author-of-round-%d-operator-%d", round, winner), response.GetWinnerAuthor())
+			}
+		}
+	}
+}
+
+// TestResentChangeGetsFirstResult resends accepted, refused and invalid changes
+// after a change of leader, a compaction of the log and a restart of all.
+func TestResentChangeGetsFirstResult(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 3, func(options *Options) { options.SnapshotEntries = 5 })
+	client := cluster.client()
+	first := map[string]*v1.ApplyResponse{
+		"accepted": apply(t, client, "accepted", "one", 0),
+		"refused":  apply(t, client, "refused", "two", 0),
+		"invalid":  apply(t, client, "invalid", invalidText, 1),
+	}
+	texts := map[string]string{"accepted": "one", "refused": "two", "invalid": invalidText}
+	require.Equal(t, accepted, first["accepted"].GetResult())
+	require.Equal(t, conflict, first["refused"].GetResult())
+	require.Equal(t, v1.ApplyResult_APPLY_RESULT_INVALID, first["invalid"].GetResult())
+
+	revision := uint64(1)
+	check := func(when string) {
+		for id, text := range texts {
+			// The number that it is written against may have moved on.
+			again := apply(t, client, id, text, revision)
+			require.Equal(t, first[id].String(), again.String(), "%s, %s", id, when)
+		}
+		other := apply(t, client, "accepted", "another text", revision)
+		require.Equal(t, v1.ApplyResult_APPLY_RESULT_CHANGE_ID_REUSED, other.GetResult(), when)
+	}
+	check("at once")
+	crashed := cluster.leader()
+	crashed.crash()
+	check("after a change of leader")
+	crashed.restart()
+	for ; revision < 20; revision++ {
+		id := fmt.Sprint("filler-", revision)
+		require.Equal(t, accepted, apply(t, client, id, id, revision).GetResult())
+	}
+	check("after a compaction")
+	for _, node := range cluster.nodes {
+		require.NotZero(t, node.process.voter.Status().SnapshotIndex)
+		node.crash()
+	}
+	for _, node := range cluster.nodes {
+		node.restart()
+	}
+	check("after a restart")
+	latest, err := client.Get(testContext(t), 0)
+	require.NoError(t, err)
+	require.Equal(t, uint64(20), latest.GetNumber())
+	require.Equal(t, "filler-19", latest.GetText())
+}
+
+// TestCutOffLeaderAnswersNothing cuts the leader off silently. It must neither
+// accept nor claim nor read, from the first moment on and for as long as it
+// believes that it leads; the others go on, and it follows on its return.
+func TestCutOffLeaderAnswersNothing(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 3, nil)
+	require.Equal(t, accepted, apply(t, cluster.client(), "one", "one", 0).GetResult())
+	old := cluster.leader()
+	old.cut.Store(true)
+	oldClient := cluster.client(old)
+	voter := oldClient.voters[0]
+	calls := map[string]func(context.Context) error{
+		"get": func(ctx context.Context) error {
+			_, err := voter.config.Get(ctx, connect.NewRequest(&v1.GetRequest{}))
+			return err
+		},
+		"status": func(ctx context.Context) error {
+			_, err := voter.config.Status(ctx, connect.NewRequest(&v1.StatusRequest{}))
+			return err
+		},
+		"apply": func(ctx context.Context) error {
+			_, err := voter.config.Apply(ctx, connect.NewRequest(&v1.ApplyRequest{ChangeId: "lost", Text: "lost", ExpectedRevision: 1}))
+			return err
+		},
+		"claim": func(ctx context.Context) error {
+			_, err := voter.claims.Claim(ctx, connect.NewRequest(claimRequest("request", 1)))
+			return err
+		},
+	}
+	var calling sync.WaitGroup
+	for name, call := range calls {
+		calling.Go(func() {
+			ctx, cancel := context.WithTimeout(testContext(t), 2*time.Second)
+			defer cancel()
+			assert.Error(t, call(ctx), name)
+		})
+	}
+	require.Equal(t, accepted, apply(t, cluster.client(cluster.others(old)...), "two", "two", 1).GetResult())
+	calling.Wait()
+
+	old.cut.Store(false)
+	require.Eventually(t, func() bool {
+		revision, err := oldClient.Get(testContext(t), 0)
+		return err == nil && revision.GetText() == "two"
+	}, testTimeout, 20*time.Millisecond)
+}
+
+// TestVoterReplaced replaces one voter and loses another right after: nothing
+// is lost and changes are accepted.
+func TestVoterReplaced(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 3, nil)
+	require.Equal(t, accepted, apply(t, cluster.client(), "one", "one", 0).GetResult())
+	cluster.nodes[2].crash()
+	joining := newTestClusterOn(t, cluster.network, 1, func(options *Options) {
+		options.ID, options.Voters, options.Join = 4, nil, true
+	}).nodes[0]
+	cluster.nodes = append(cluster.nodes, joining)
+
+	client := cluster.client(cluster.nodes[0], cluster.nodes[1])
+	_, err := client.RemoveVoter(testContext(t), 3)
+	require.NoError(t, err)
+	voters, err := client.AddVoter(testContext(t), 4, joining.options.Listen)
+	require.NoError(t, err)
+	require.Len(t, voters, 3)
+	cluster.nodes[0].crash()
+
+	rest := cluster.client(cluster.nodes[1], joining)
+	require.Equal(t, accepted, apply(t, rest, "two", "two", 1).GetResult())
+	history, err := rest.History(testContext(t), 10)
+	require.NoError(t, err)
+	require.Equal(t, "one", history[1].GetChangeId())
+}
+
+// TestJournal checks that events are stored once, that control records its own,
+// and that drain marks of operators reach the followers' tables.
+func TestJournal(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 1, nil)
+	client := cluster.client()
+	require.Equal(t, accepted, apply(t, client, "one", "one", 0).GetResult())
+	require.Equal(t, conflict, apply(t, client, "two", "two", 0).GetResult())
+	drain := &v1.SetDrainRequest{Address: "127.0.0.1:9000", Draining: true, ChangeId: "drain", Author: "malee"}
+	require.NoError(t, client.SetDrain(testContext(t), drain))
+	require.NoError(t, client.SetDrain(testContext(t), drain))
+
+	server := cluster.nodes[0].process.server
+	server.recorder.Record(journal.Event{ID: "same", Kind: journal.KindLeaseLost, Service: "library-feed"})
+	server.recorder.Record(journal.Event{ID: "same", Kind: journal.KindLeaseLost, Service: "library-feed"})
+	count := func(kind journal.Kind) (count int) {
+		response, err := client.Events(testContext(t), &v1.ListEventsRequest{})
+		require.NoError(t, err)
+		for _, event := range response.GetEvents() {
+			if event.GetKind() == string(kind) {
+				count++
+			}
+		}
+		return count
+	}
+	require.Eventually(t, func() bool { return count(journal.KindLeaseLost) == 1 }, testTimeout, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return count(journal.KindLeaderChanged) == 1 }, testTimeout, 20*time.Millisecond)
+	require.Equal(t, 1, count(journal.KindChangeAccepted))
+	require.Equal(t, 1, count(journal.KindChangeRefused))
+	require.Equal(t, 1, count(journal.KindDrainBegun))
+	status, err := client.Status(testContext(t))
+	require.NoError(t, err)
+	require.Equal(t, "leaving", status.GetMachines()[0].GetState())
+}
+
+// TestRollback takes an earlier text again under a new, higher revision.
+func TestRollback(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 1, nil)
+	client := cluster.client()
+	apply(t, client, "one", "one", 0)
+	apply(t, client, "two", "two", 1)
+	response, err := client.Apply(testContext(t), &v1.ApplyRequest{ChangeId: "back", RollbackTo: 1, ExpectedRevision: 2})
+	require.NoError(t, err)
+	require.Equal(t, uint64(3), response.GetRevision())
+	latest, err := client.Get(testContext(t), 0)
+	require.NoError(t, err)
+	require.Equal(t, "one", latest.GetText())
+	require.Equal(t, uint64(1), latest.GetRollbackOf())
+	unknown, err := client.Apply(testContext(t), &v1.ApplyRequest{ChangeId: "no", RollbackTo: 9, ExpectedRevision: 3})
+	require.NoError(t, err)
+	require.Equal(t, v1.ApplyResult_APPLY_RESULT_INVALID, unknown.GetResult())
+}
+
+// TestDataFolderInUse checks the exit code of a second process on one folder.
+func TestDataFolderInUse(t *testing.T) {
+	t.Parallel()
+	node := newTestCluster(t, 1, nil).nodes[0]
+	_, err := Open(node.options, node.process.environment)
+	require.Equal(t, exitcode.DataFolder, exitcode.Of(err), "%v", err)
+}
+
+// TestEmptyFolderNeedsIntent checks that a voter with an empty folder does not
+// found a group unless it is told to.
+func TestEmptyFolderNeedsIntent(t *testing.T) {
+	t.Parallel()
+	options := &Options{DataFolder: t.TempDir(), ID: 1, Listen: "127.0.0.1:0", InsecurePlaintext: true}
+	_, err := Open(options, Environment{})
+	require.Equal(t, exitcode.Settings, exitcode.Of(err), "%v", err)
+}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -31,6 +31,7 @@
 	Heartbeat       time.Duration `long:"heartbeat" koanf:"heartbeat" default:"100ms" validate:"min=10ms" description:"Pause between a leader's messages to an idle voter"`
 	ElectionTimeout time.Duration `long:"election-timeout" koanf:"election-timeout" default:"1s" validate:"min=50ms" description:"Shortest silence of the leader after which a voter asks for an election"`
 	ClaimBatch      int           `long:"claim-batch" koanf:"claim-batch" default:"512" validate:"min=1,max=8192" description:"Most claims in one commit"`
+	SnapshotEntries uint64        `long:"snapshot-entries" koanf:"snapshot-entries" default:"20000" validate:"min=1" description:"Applied log entries after which the state is stored as a snapshot and the log cut"`
 	StopLimit       time.Duration `long:"stop-limit" koanf:"stop-limit" default:"10s" validate:"min=1s" description:"Longest planned stop, handing leadership over included"`
 
 	Authority         string `long:"tls-authority" koanf:"tls-authority" description:"Certificate of the site's authority"`
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -25,6 +25,9 @@
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
+// failureBacklog is how many failures may wait for the end of the process.
+const failureBacklog = 8
+
 // compiledFileName stands in the messages about a submitted text.
 const compiledFileName = "configuration"
 
@@ -37,26 +40,54 @@
 	return plan.ToProto(compiled), nil
 }
 
+// Environment is what a Process needs of the machine. Tests replace the network.
+type Environment struct {
+	Logger   *logrus.Logger
+	Registry *prometheus.Registry
+	// Listen opens the voter's listener; net.Listen when nil.
+	Listen func(network, address string) (net.Listener, error)
+	// Dial connects to other voters; a plain TCP dialer when nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Compile is CompilePolicy when nil.
+	Compile Compiler
+}
+
+func (e Environment) withDefaults() Environment {
+	if e.Listen == nil {
+		e.Listen = net.Listen
+	}
+	if e.Compile == nil {
+		e.Compile = CompilePolicy
+	}
+	return e
+}
+
 // Process is a control voter with its listeners.
 type Process struct {
-	options  *Options
-	logger   *logrus.Logger
-	registry *prometheus.Registry
-	security *rpc.Security
-	client   *rpc.Client
-	voter    *voter.Voter
-	server   *Server
-	listener *rpc.Server
-	metrics  net.Listener
-	platform *platformReader
+	options     *Options
+	environment Environment
+	logger      *logrus.Logger
+	registry    *prometheus.Registry
+	security    *rpc.Security
+	client      *rpc.Client
+	voter       *voter.Voter
+	server      *Server
+	listener    *rpc.Server
+	metrics     net.Listener
+	platform    *platformReader
 	// failed receives the error that ends the process, at most a few.
 	failed chan error
 }
 
 // Open reads the keys, opens the data folder and listens. Errors carry the
 // exit code of the process.
-func Open(options *Options, logger *logrus.Logger, registry *prometheus.Registry) (*Process, error) {
-	process := &Process{options: options, logger: logger, registry: registry, failed: make(chan error, 8)}
+func Open(options *Options, environment Environment) (*Process, error) {
+	environment = environment.withDefaults()
+	logger, registry := environment.Logger, environment.Registry
+	process := &Process{
+		options: options, environment: environment, logger: logger, registry: registry,
+		failed: make(chan error, failureBacklog),
+	}
 	initial, err := options.initialVoters()
 	if err != nil {
 		return nil, exitcode.With(exitcode.Settings, err)
@@ -67,7 +98,9 @@
 	if process.platform, err = newPlatformReader(options.Platform, logger, registry); err != nil {
 		return nil, exitcode.With(exitcode.Settings, err)
 	}
-	process.client = rpc.NewClient(process.security, rpc.ClientConfig{ServerRoles: []keys.Role{keys.RoleControl}})
+	process.client = rpc.NewClient(process.security, rpc.ClientConfig{
+		ServerRoles: []keys.Role{keys.RoleControl}, Dial: environment.Dial,
+	})
 	if err := process.openVoter(initial); err != nil {
 		return nil, err
 	}
@@ -88,13 +121,14 @@
 		InitialVoters:   initial,
 		Heartbeat:       p.options.Heartbeat,
 		ElectionTimeout: p.options.ElectionTimeout,
+		SnapshotEntries: p.options.SnapshotEntries,
 	}, machine, transport{client: p.client, logger: p.logger}, p.logger, p.registry)
 	if err != nil {
 		return err
 	}
 	p.voter = opened
 	p.server = New(Config{ID: p.options.ID, ClaimBatch: p.options.ClaimBatch, Lease: p.options.Lease}, Dependencies{
-		Voter: opened, Store: store, Compile: CompilePolicy, Client: p.client, Logger: p.logger, Registerer: p.registry,
+		Voter: opened, Store: store, Compile: p.environment.Compile, Client: p.client, Logger: p.logger, Registerer: p.registry,
 	})
 	p.logger.WithFields(logrus.Fields{"folder": p.options.DataFolder, "took": time.Since(started)}).Info("data_folder_opened")
 	return nil
@@ -103,10 +137,11 @@
 func (p *Process) listen() error {
 	mux := http.NewServeMux()
 	p.server.Mount(mux, p.security)
-	var err error
-	if p.listener, err = rpc.NewServer(p.options.Listen, mux, p.security, p.logger); err != nil {
-		return err
+	listener, err := p.environment.Listen("tcp4", p.options.Listen)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", p.options.Listen)
 	}
+	p.listener = rpc.NewServerOn(listener, mux, p.security, p.logger)
 	if p.options.MetricsListen == "" {
 		return nil
 	}
