--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -30,7 +30,7 @@
 // testCluster is a group of voters in this process, over real sockets and data
 // folders, whose network can be cut.
 type testCluster struct {
-	t       *testing.T
+	t       testing.TB
 	nodes   []*testNode
 	network *testNetwork
 }
@@ -44,7 +44,7 @@
 }
 
 type testNode struct {
-	t       *testing.T
+	t       testing.TB
 	options *Options
 	cut     *atomic.Bool // messages to and from this voter vanish
 	network *testNetwork
@@ -53,11 +53,11 @@
 	done    chan error
 }
 
-func newTestCluster(t *testing.T, count int, adjust func(*Options)) *testCluster {
+func newTestCluster(t testing.TB, count int, adjust func(*Options)) *testCluster {
 	return newTestClusterOn(t, &testNetwork{}, count, adjust)
 }
 
-func newTestClusterOn(t *testing.T, network *testNetwork, count int, adjust func(*Options)) *testCluster {
+func newTestClusterOn(t testing.TB, network *testNetwork, count int, adjust func(*Options)) *testCluster {
 	cluster := &testCluster{t: t, network: network}
 	listeners := make([]net.Listener, count)
 	var voters []string
