--- a/internal/control/config_apply.go
+++ b/internal/control/config_apply.go
@@ -74,12 +74,11 @@
 		ChangeId:         request.GetChangeId(),
 		ExpectedRevision: request.GetExpectedRevision(),
 		RequestHash:      hash,
-		Text:             request.GetText(),
 		Author:           request.GetAuthor(),
 		Comment:          request.GetComment(),
 		RollbackOf:       request.GetRollbackTo(),
 	}
-	if err := s.compile(command); err != nil {
+	if err := s.compile(command, request.GetText()); err != nil {
 		return nil, err
 	}
 	result, err := s.server.propose(ctx, &v1.StateCommand{Body: &v1.StateCommand_Change{Change: command}})
@@ -89,25 +88,34 @@
 	return applyResponse(result.Change), nil
 }
 
-// compile fills in the text of a rollback and the plan. A text that the
-// compiler refuses is marked invalid; the refusal is recorded like any other
-// decision.
-func (s configService) compile(command *v1.ChangeCommand) error {
+// compile fills in text and plan. A text that the compiler refuses is marked
+// invalid; the refusal is recorded like any other decision.
+func (s configService) compile(command *v1.ChangeCommand, text string) error {
 	if command.GetRollbackOf() != 0 {
 		revision, kept := s.server.revision(command.GetRollbackOf())
 		if !kept || revision.TextDropped {
 			command.Invalid = "the text of that revision is not kept"
 			return nil
 		}
-		command.Text = revision.Text
+		earlier, err := decompress(revision.CompressedText)
+		if err != nil {
+			return err
+		}
+		text = string(earlier)
 	}
-	compiled, err := s.server.compile(command.GetText())
+	compiled, err := s.server.compile(text)
 	if err != nil {
 		command.Invalid = truncate(err.Error(), maxDetailBytes)
-		command.Text = ""
 		return nil
 	}
-	command.Plan, err = proto.MarshalOptions{Deterministic: true}.Marshal(compiled)
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(compiled)
+	if err != nil {
+		return err
+	}
+	if command.CompressedPlan, err = compress(encoded); err != nil {
+		return err
+	}
+	command.CompressedText, err = compress([]byte(text))
 	return err
 }
 
--- a/internal/control/config_read.go
+++ b/internal/control/config_read.go
@@ -55,7 +55,13 @@
 	if revision.TextDropped {
 		return nil, refuse(connect.CodeNotFound, "the text of revision %d is not kept any more", number)
 	}
-	return &v1.GetResponse{Revision: wireRevision(revision)}, nil
+	text, err := decompress(revision.CompressedText)
+	if err != nil {
+		return nil, err
+	}
+	response := &v1.GetResponse{Revision: wireRevision(revision)}
+	response.Revision.Text = string(text)
+	return response, nil
 }
 
 // History lists revisions without their texts.
@@ -82,6 +88,7 @@
 	}, nil
 }
 
+// wireRevision leaves the text out.
 func wireRevision(revision state.Revision) *v1.Revision {
 	return &v1.Revision{
 		Number:     revision.Number,
@@ -89,7 +96,6 @@
 		Author:     revision.Author,
 		Comment:    revision.Comment,
 		AcceptedAt: timestamppb.New(revision.Accepted),
-		Text:       revision.Text,
 		RollbackOf: revision.RollbackOf,
 	}
 }
--- a/internal/control/replication.go
+++ b/internal/control/replication.go
@@ -61,6 +61,10 @@
 const (
 	deliverTimeout   = 500 * time.Millisecond
 	deliverBytesRate = 10 << 20 // bytes per second
+	// deliverCallBytes is from which size on further messages go into another
+	// call; maxDeliverBytes is the most that is received in one.
+	deliverCallBytes = 4 << 20
+	maxDeliverBytes  = consensus.DefaultMaxSnapshotBytes + 2*deliverCallBytes
 )
 
 // transport carries messages to other voters over ConsensusService. The voter
@@ -72,20 +76,32 @@
 
 var _ voter.Transport = transport{}
 
-// Send delivers messages in one call. A failure loses them, which the protocol
-// allows for.
+// Send delivers messages in order, a few megabytes in one call. A failure loses
+// the rest of them, which the protocol allows for.
 func (t transport) Send(to uint64, address string, messages [][]byte) {
-	size := 0
-	for _, message := range messages {
-		size += len(message)
+	for len(messages) > 0 {
+		count, size := 0, 0
+		for count < len(messages) && size < deliverCallBytes {
+			size += len(messages[count])
+			count++
+		}
+		if !t.deliver(to, address, messages[:count], size) {
+			return
+		}
+		messages = messages[count:]
 	}
+}
+
+func (t transport) deliver(to uint64, address string, messages [][]byte, size int) bool {
 	timeout := deliverTimeout + time.Duration(size)*time.Second/deliverBytesRate
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	service := martenstagev1connect.NewConsensusServiceClient(t.client.HTTP(), t.client.URL(address), rpc.ClientOptions())
 	if _, err := service.Deliver(ctx, connect.NewRequest(&v1.DeliverRequest{Messages: messages})); err != nil {
 		t.logger.WithFields(logrus.Fields{"voter": to, "address": address, "reason": err}).Debug("messages_not_delivered")
+		return false
 	}
+	return true
 }
 
 // consensusService implements ConsensusService.
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -115,7 +115,8 @@
 	mount(path, handler, keys.RoleRouter, keys.RoleRelay, keys.RoleOperator)
 	path, handler = martenstagev1connect.NewFollowServiceHandler(s.root, options)
 	mount(path, handler, keys.RoleRouter, keys.RoleRelay)
-	path, handler = martenstagev1connect.NewConsensusServiceHandler(consensusService{s.voter}, options)
+	path, handler = martenstagev1connect.NewConsensusServiceHandler(
+		consensusService{s.voter}, options, connect.WithReadMaxBytes(maxDeliverBytes))
 	mount(path, handler)
 }
 
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -76,7 +76,7 @@
 	if latest == s.revision {
 		return nil
 	}
-	decoded, err := s.decodePlan(s.machine.Plan())
+	decoded, err := s.decodePlan(s.machine.CompressedPlan())
 	if err != nil {
 		return err
 	}
@@ -86,7 +86,11 @@
 	return nil
 }
 
-func (s *Store) decodePlan(data []byte) (*plan.Plan, error) {
+func (s *Store) decodePlan(compressed []byte) (*plan.Plan, error) {
+	data, err := decompress(compressed)
+	if err != nil {
+		return nil, err
+	}
 	wire := &v1.Plan{}
 	if err := proto.Unmarshal(data, wire); err != nil {
 		return nil, err
--- a/internal/state/changes.go
+++ b/internal/state/changes.go
@@ -28,6 +28,14 @@
 type changeResults struct {
 	byID  map[string]*changeResult
 	order []*changeResult
+	bytes int
+}
+
+// changeOverhead is what a decision takes besides its texts, in bytes.
+const changeOverhead = 64
+
+func (r *changeResult) size() int {
+	return changeOverhead + len(r.id) + len(r.hash) + len(r.WinnerAuthor) + len(r.Detail)
 }
 
 func newChangeResults() changeResults {
@@ -42,12 +50,14 @@
 func (c *changeResults) add(result *changeResult) {
 	c.byID[result.id] = result
 	c.order = append(c.order, result)
+	c.bytes += result.size()
 }
 
 // forget drops decisions beyond the limits.
 func (c *changeResults) forget(now int64, limits Limits) {
 	oldest := now - limits.ChangeAge.Milliseconds()
-	for len(c.order) > 0 && (len(c.order) > limits.Changes || c.order[0].time < oldest) {
+	for len(c.order) > 1 && (len(c.order) > limits.Changes || c.bytes > limits.ChangeBytes || c.order[0].time < oldest) {
+		c.bytes -= c.order[0].size()
 		delete(c.byID, c.order[0].id)
 		c.order[0] = nil
 		c.order = c.order[1:]
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"crypto/sha256"
+	"encoding/binary"
 	"time"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
@@ -51,13 +52,18 @@
 	return c.holder == operation.GetHolder() && c.call == operation.GetCall()
 }
 
-// idHash is the first half of the SHA-256 of a request id. Two ids with the
+// claimOverhead is what a claim takes besides its texts, in bytes.
+const claimOverhead = 64
+
+func (c *claim) size() int { return claimOverhead + len(c.id) + len(c.digest) + len(c.holder) }
+
+// idHash is the first 8 bytes of the SHA-256 of a request id. Two ids with the
 // same hash would make the second one look expired, never run twice.
-type idHash [16]byte
+type idHash uint64
 
 func hashID(id string) idHash {
 	sum := sha256.Sum256([]byte(id))
-	return idHash(sum[:len(idHash{})])
+	return idHash(binary.BigEndian.Uint64(sum[:]))
 }
 
 type tombstone struct {
@@ -69,6 +75,7 @@
 // the first to the second at its expiry and is forgotten ClaimMemory later.
 type claims struct {
 	live       map[string]*claim
+	liveBytes  int
 	expiries   expiryHeap
 	tombstoned map[idHash]struct{}
 	tombstones []tombstone // by forget
@@ -93,17 +100,18 @@
 		if refusal := existing.decide(operation); refusal != ClaimGranted || existing.stage == v1.ClaimStage_CLAIM_STAGE_HELD {
 			return refusal
 		}
-		heap.Remove(&c.expiries, existing.position)
+		c.remove(existing)
 		c.put(newClaim(operation, now, limits))
 		return ClaimGranted
 	}
 	if _, expired := c.tombstoned[hashID(id)]; expired {
 		return ClaimExpired
 	}
-	if c.full(operation.GetNotAfterUnixMs() != 0, limits) {
+	granted := newClaim(operation, now, limits)
+	if c.full(granted, limits) {
 		return ClaimsFull
 	}
-	c.put(newClaim(operation, now, limits))
+	c.put(granted)
 	return ClaimGranted
 }
 
@@ -169,37 +177,44 @@
 func (c *claims) abandon(operation *v1.ClaimOperation, now int64, limits Limits) {
 	id := operation.GetRequestId()
 	_, expired := c.tombstoned[hashID(id)]
-	if expired || operation.GetCall() == 0 || c.full(false, limits) {
-		return
-	}
-	c.put(&claim{
+	abandoned := &claim{
 		id:      id,
 		holder:  operation.GetHolder(),
 		call:    operation.GetCall(),
 		expires: now + abandonedCallMemory.Milliseconds(),
 		stage:   v1.ClaimStage_CLAIM_STAGE_RELEASED,
-	})
+	}
+	if !expired && operation.GetCall() != 0 && !c.full(abandoned, limits) {
+		c.put(abandoned)
+	}
 }
 
-// full reports whether no further id can be remembered up to its end. An
+// full reports whether a further claim can't be remembered up to its end. An
 // absolute expiry needs no memory after that moment.
-func (c *claims) full(absolute bool, limits Limits) bool {
-	if len(c.live) >= limits.Claims {
+func (c *claims) full(further *claim, limits Limits) bool {
+	if c.liveBytes+further.size() > limits.ClaimBytes {
 		return true
 	}
-	return !absolute && len(c.live)+len(c.tombstones) >= limits.ClaimIDs
+	return !further.absolute && len(c.live)+len(c.tombstones) >= limits.ClaimIDs
 }
 
 func (c *claims) put(value *claim) {
 	c.live[value.id] = value
+	c.liveBytes += value.size()
 	heap.Push(&c.expiries, value)
 }
 
+func (c *claims) remove(value *claim) {
+	delete(c.live, value.id)
+	c.liveBytes -= value.size()
+	heap.Remove(&c.expiries, value.position)
+}
+
 // expire turns claims whose time is over into tombstones, and forgets
 // tombstones whose own time is over.
 func (c *claims) expire(now int64, limits Limits) {
 	for len(c.expiries) > 0 && c.expiries[0].expires <= now {
-		c.expireOne(heap.Pop(&c.expiries).(*claim), limits)
+		c.expireOne(c.expiries[0], limits)
 	}
 	for len(c.tombstones) > 0 && c.tombstones[0].forget <= now {
 		delete(c.tombstoned, c.tombstones[0].id)
@@ -208,7 +223,7 @@
 }
 
 func (c *claims) expireOne(value *claim, limits Limits) {
-	delete(c.live, value.id)
+	c.remove(value)
 	if value.stage == v1.ClaimStage_CLAIM_STAGE_RELEASED {
 		return // proved not run: nothing to remember
 	}
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -15,9 +15,10 @@
 	Author   string
 	Comment  string
 	Accepted time.Time
-	// Text is empty when TextDropped is set.
-	Text        string
-	TextDropped bool
+	// CompressedText is empty when TextDropped is set. The machine does not look
+	// into it.
+	CompressedText []byte
+	TextDropped    bool
 	// RollbackOf is the revision whose text was taken again, or 0.
 	RollbackOf uint64
 }
@@ -25,7 +26,7 @@
 // configuration is the history, oldest first, and the plan of its last entry.
 type configuration struct {
 	revisions []Revision
-	plan      []byte
+	plan      []byte // compressed
 	// withText counts the newest revisions that keep their text, textBytes is
 	// their size.
 	withText  int
@@ -43,11 +44,11 @@
 	c.revisions = append(c.revisions, revision)
 	c.plan = plan
 	c.withText++
-	c.textBytes += len(revision.Text)
+	c.textBytes += len(revision.CompressedText)
 	for c.withText > 1 && (c.withText > limits.Texts || c.textBytes > limits.TextBytes) {
 		oldest := &c.revisions[len(c.revisions)-c.withText]
-		c.textBytes -= len(oldest.Text)
-		oldest.Text, oldest.TextDropped = "", true
+		c.textBytes -= len(oldest.CompressedText)
+		oldest.CompressedText, oldest.TextDropped = nil, true
 		c.withText--
 	}
 	if excess := len(c.revisions) - max(limits.Revisions, c.withText); excess > 0 {
@@ -58,9 +59,9 @@
 // Latest returns the newest revision; its number is 0 on an empty history.
 func (m *Machine) Latest() Revision { return m.config.latest() }
 
-// Plan returns the encoded plan of the latest revision. The caller must not
-// change it.
-func (m *Machine) Plan() []byte { return m.config.plan }
+// CompressedPlan returns the plan of the latest revision as it was submitted.
+// The caller must not change it.
+func (m *Machine) CompressedPlan() []byte { return m.config.plan }
 
 // Revision returns a revision by number, and whether it is still kept.
 func (m *Machine) Revision(number uint64) (Revision, bool) {
@@ -80,7 +81,7 @@
 	history := make([]Revision, 0, count)
 	for index := range count {
 		revision := m.config.revisions[len(m.config.revisions)-1-index]
-		revision.Text = ""
+		revision.CompressedText = nil
 		history = append(history, revision)
 	}
 	return history
@@ -107,15 +108,15 @@
 		return conflict(command.GetExpectedRevision(), latest)
 	}
 	revision := Revision{
-		Number:     latest.Number + 1,
-		ChangeID:   command.GetChangeId(),
-		Author:     command.GetAuthor(),
-		Comment:    command.GetComment(),
-		Accepted:   m.Now(),
-		Text:       command.GetText(),
-		RollbackOf: command.GetRollbackOf(),
+		Number:         latest.Number + 1,
+		ChangeID:       command.GetChangeId(),
+		Author:         command.GetAuthor(),
+		Comment:        command.GetComment(),
+		Accepted:       m.Now(),
+		CompressedText: command.GetCompressedText(),
+		RollbackOf:     command.GetRollbackOf(),
 	}
-	m.config.append(revision, command.GetPlan(), m.limits)
+	m.config.append(revision, command.GetCompressedPlan(), m.limits)
 	return ChangeResult{Result: v1.ApplyResult_APPLY_RESULT_ACCEPTED, Revision: revision.Number}
 }
 
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -24,21 +24,22 @@
 // machine's definition: voters that run with different limits diverge.
 type Limits struct {
 	// Revisions is how many entries of the configuration history are kept,
-	// Texts and TextBytes how many of the newest ones keep their text. The
-	// latest text is always kept.
+	// Texts and TextBytes (compressed) how many of the newest ones keep their
+	// text. The latest text is always kept.
 	Revisions int
 	Texts     int
 	TextBytes int
-	// Changes is how many results of changes are kept for resent change ids,
-	// ChangeAge for how long. An older resend fails the comparison of its
+	// Changes and ChangeBytes are how many results of changes are kept for
+	// resent change ids, ChangeAge for how long. An older resend fails the comparison of its
 	// expected revision instead, so forgetting never applies a change twice.
-	Changes   int
-	ChangeAge time.Duration
-	// Claims is how many unexpired claims are kept, ClaimExpiry the longest
+	Changes     int
+	ChangeBytes int
+	ChangeAge   time.Duration
+	// ClaimBytes bounds the unexpired claims, ClaimExpiry is the longest
 	// expiry. ClaimMemory is how long an expired claim is remembered, and
-	// ClaimIDs how many ids may be known in all. When one of the counts is
+	// ClaimIDs how many ids may be known in all. When one of the bounds is
 	// reached, new claims are refused; known ones are never forgotten early.
-	Claims      int
+	ClaimBytes  int
 	ClaimExpiry time.Duration
 	ClaimMemory time.Duration
 	ClaimIDs    int
@@ -47,22 +48,24 @@
 	EventBytes int
 }
 
-// DefaultLimits are the limits of all voters of this version.
+// DefaultLimits are the limits of all voters of this version. Together with a
+// plan of 57,000 back ends they keep a snapshot below 120 MiB.
 func DefaultLimits() Limits {
 	const day = 24 * time.Hour
 	const mebibyte = 1 << 20
 	return Limits{
 		Revisions:   10_000,
 		Texts:       100,
-		TextBytes:   64 * mebibyte,
+		TextBytes:   16 * mebibyte,
 		Changes:     100_000,
+		ChangeBytes: 16 * mebibyte,
 		ChangeAge:   30 * day,
-		Claims:      500_000,
+		ClaimBytes:  32 * mebibyte,
 		ClaimExpiry: 7 * day,
 		ClaimMemory: day,
-		ClaimIDs:    2_500_000,
+		ClaimIDs:    3_000_000,
 		Events:      100_000,
-		EventBytes:  32 * mebibyte,
+		EventBytes:  16 * mebibyte,
 	}
 }
 
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -24,16 +24,16 @@
 // Snapshot encodes the whole state. Equal states have equal snapshots.
 func (m *Machine) Snapshot() ([]byte, error) {
 	snapshot := &v1.StateSnapshot{
-		TimeUnixMs:    m.now,
-		Revisions:     lo.Map(m.config.revisions, storeRevision),
-		Plan:          m.config.plan,
-		Changes:       lo.Map(m.changes.order, storeChange),
-		Claims:        m.storeClaims(),
-		Tombstones:    lo.Map(m.claims.tombstones, storeTombstone),
-		Drains:        lo.Map(m.drains.sorted(), storeDrain),
-		DrainsVersion: m.drains.version,
-		Events:        m.journal.events,
-		EventsDropped: m.journal.dropped,
+		TimeUnixMs:     m.now,
+		Revisions:      lo.Map(m.config.revisions, storeRevision),
+		CompressedPlan: m.config.plan,
+		Changes:        lo.Map(m.changes.order, storeChange),
+		Claims:         m.storeClaims(),
+		Tombstones:     storeTombstones(m.claims.tombstones),
+		Drains:         lo.Map(m.drains.sorted(), storeDrain),
+		DrainsVersion:  m.drains.version,
+		Events:         m.journal.events,
+		EventsDropped:  m.journal.dropped,
 	}
 	header := append([]byte(snapshotMagic), snapshotVersion)
 	encoded, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(header, snapshot)
@@ -70,18 +70,15 @@
 		}
 		m.config.restore(loadRevision(stored))
 	}
-	m.config.plan = snapshot.GetPlan()
+	m.config.plan = snapshot.GetCompressedPlan()
 	for _, stored := range snapshot.GetChanges() {
 		m.changes.add(loadChange(stored))
 	}
 	for _, stored := range snapshot.GetClaims() {
 		m.claims.put(loadClaim(stored))
 	}
-	for _, stored := range snapshot.GetTombstones() {
-		if len(stored.GetIdHash()) != len(idHash{}) {
-			return errors.New("state snapshot holds a malformed id hash")
-		}
-		m.claims.addTombstone(tombstone{id: idHash(stored.GetIdHash()), forget: stored.GetForgetUnixMs()})
+	if err := m.claims.loadTombstones(snapshot.GetTombstones()); err != nil {
+		return err
 	}
 	for _, stored := range snapshot.GetDrains() {
 		m.drains.byAddress[stored.GetAddress()] = loadDrain(stored)
@@ -99,7 +96,7 @@
 	c.revisions = append(c.revisions, revision)
 	if !revision.TextDropped {
 		c.withText++
-		c.textBytes += len(revision.Text)
+		c.textBytes += len(revision.CompressedText)
 	}
 }
 
@@ -139,7 +136,7 @@
 		Author:         revision.Author,
 		Comment:        revision.Comment,
 		AcceptedUnixMs: revision.Accepted.UnixMilli(),
-		Text:           revision.Text,
+		CompressedText: revision.CompressedText,
 		RollbackOf:     revision.RollbackOf,
 		TextDropped:    revision.TextDropped,
 	}
@@ -147,14 +144,14 @@
 
 func loadRevision(stored *v1.StoredRevision) Revision {
 	return Revision{
-		Number:      stored.GetNumber(),
-		ChangeID:    stored.GetChangeId(),
-		Author:      stored.GetAuthor(),
-		Comment:     stored.GetComment(),
-		Accepted:    time.UnixMilli(stored.GetAcceptedUnixMs()),
-		Text:        stored.GetText(),
-		TextDropped: stored.GetTextDropped(),
-		RollbackOf:  stored.GetRollbackOf(),
+		Number:         stored.GetNumber(),
+		ChangeID:       stored.GetChangeId(),
+		Author:         stored.GetAuthor(),
+		Comment:        stored.GetComment(),
+		Accepted:       time.UnixMilli(stored.GetAcceptedUnixMs()),
+		CompressedText: stored.GetCompressedText(),
+		TextDropped:    stored.GetTextDropped(),
+		RollbackOf:     stored.GetRollbackOf(),
 	}
 }
 
@@ -184,8 +181,30 @@
 	}
 }
 
-func storeTombstone(value tombstone, _ int) *v1.StoredTombstone {
-	return &v1.StoredTombstone{IdHash: value.id[:], ForgetUnixMs: value.forget}
+func storeTombstones(tombstones []tombstone) *v1.StoredTombstones {
+	stored := &v1.StoredTombstones{
+		IdHashes:      make([]uint64, 0, len(tombstones)),
+		ForgetDeltaMs: make([]int64, 0, len(tombstones)),
+	}
+	before := int64(0)
+	for _, value := range tombstones {
+		stored.IdHashes = append(stored.IdHashes, uint64(value.id))
+		stored.ForgetDeltaMs = append(stored.ForgetDeltaMs, value.forget-before)
+		before = value.forget
+	}
+	return stored
+}
+
+func (c *claims) loadTombstones(stored *v1.StoredTombstones) error {
+	if len(stored.GetIdHashes()) != len(stored.GetForgetDeltaMs()) {
+		return errors.New("state snapshot holds ids without times")
+	}
+	forget := int64(0)
+	for index, hash := range stored.GetIdHashes() {
+		forget += stored.GetForgetDeltaMs()[index]
+		c.addTombstone(tombstone{id: idHash(hash), forget: forget})
+	}
+	return nil
 }
 
 func storeDrain(value Drain, _ int) *v1.StoredDrain {
