Bound the queue by typical latency and let reported queues lower limits

Change: the limit of a server is its share of slots plus two, lowered while replies tell of a queue there; a wait counts against the first moment of the policy and is bounded by ten typical attempts.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -18,6 +18,10 @@
 	// expected to take. The rest is for the work itself and for the error of
 	// the estimate.
 	queueShare = 0.5
+	// mostQueued bounds the wait as a multiple of the time that an attempt
+	// usually takes. A longer queue absorbs no more bursts; it only makes
+	// every answer later while the load lasts.
+	mostQueued = 10
 )
 
 // Gate bounds the requests that are under way in one engine.
@@ -32,10 +36,20 @@
 	return float64(inFlight) < share(priority)*float64(g.MaxInFlight)
 }
 
-// Feasible reports whether a request that is expected to wait for a place has
-// a fair chance to be answered within the time left.
-func (g Gate) Feasible(priority plan.Priority, wait, left time.Duration) bool {
-	return float64(wait) <= share(priority)*queueShare*float64(left)
+// Expectation is what a request meets at the shard that is the busiest of
+// those that it needs.
+type Expectation struct {
+	// Wait is the expected wait for a place at a replica.
+	Wait time.Duration
+	// Typical is how long an attempt usually takes.
+	Typical time.Duration
+}
+
+// Feasible reports whether a request has a fair chance to be answered in full
+// within the time left.
+func (g Gate) Feasible(priority plan.Priority, expected Expectation, left time.Duration) bool {
+	bound := min(queueShare*float64(left), mostQueued*float64(expected.Typical))
+	return float64(expected.Wait) <= share(priority)*bound
 }
 
 func share(priority plan.Priority) float64 {
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -5,17 +5,15 @@
 
 import "time"
 
-// QueuePerServer is how many attempts may wait at a server beyond its slots.
-// One is enough to keep a slot busy during the round trip in which its next
-// attempt would otherwise be on the way; any more would wait where it can no
-// longer be sent to another replica.
-const QueuePerServer = 1
+// QueuePerServer is how many attempts a router may have at a server beyond its
+// share of slots. One keeps a slot busy during the round trip in which its
+// next attempt would otherwise be on the way. The other lets a router use
+// slots that the rest of its cell leaves idle, since shares are fixed and load
+// is not; Limit takes it back where the server reports a queue. Any more would
+// wait where it can no longer be sent to another replica.
+const QueuePerServer = 2
 
 const (
-	// leastSlotsForQueue is the share of slots from which QueuePerServer is
-	// granted. Shares are rounded up, so that many routers with one slot each
-	// already send more than the server's slots.
-	leastSlotsForQueue = 2
 	// decrease is the factor of a multiplicative decrease.
 	decrease = 0.7
 	// decreasePause is the least time between two decreases: refusals that
@@ -27,11 +25,7 @@
 // the router holds a share of slots and connections. A share of slots below
 // one still allows one attempt; no connection allows none.
 func Ceiling(slots, connections int) int {
-	ceiling := max(slots, 1)
-	if slots >= leastSlotsForQueue {
-		ceiling += QueuePerServer
-	}
-	return max(min(ceiling, connections), 0)
+	return max(min(max(slots, 1)+QueuePerServer, connections), 0)
 }
 
 // Limit is an adaptive concurrency limit: additive increase while it is used
--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -42,7 +42,9 @@
 	case Answered:
 		p.observeLatency(now, group, server, result.Elapsed)
 		group.typical += typicalWeight * (float64(result.Elapsed) - group.typical)
-		if full {
+		if server.load.congested() {
+			server.limit.Lower(now)
+		} else if full {
 			server.limit.Raise()
 		}
 		p.succeed(now, server)
--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -7,13 +7,22 @@
 	"github.com/martenstage/martenstage/internal/backendapi"
 )
 
-// trustStep is the weight of one comparison in the trust of a server's reports.
-const trustStep = 0.1
+const (
+	// trustStep is the weight of one comparison in the trust of a server's
+	// reports.
+	trustStep = 0.1
+	// mostDistrust is the distrust from which reports of a queue count nothing.
+	mostDistrust = 0.5
+	// queueToKeepBusy is the number of waiting attempts that a server needs so
+	// that its slots stay busy.
+	queueToKeepBusy = 1
+)
 
 // reportedLoad is what a server last said about its load, and how far such
 // reports may be believed.
 type reportedLoad struct {
 	others   float64
+	queued   int
 	reported time.Time
 	// distrust is in [0,1]: the moving average of how often a report claimed
 	// less work than this router alone had in flight there.
@@ -31,10 +40,17 @@
 		misled = 1
 	}
 	l.distrust += trustStep * (misled - l.distrust)
+	l.queued = load.Queued
 	l.others = float64(max(total-ownInFlight, 0))
 	l.reported = now
 }
 
+// congested reports whether the last report, if it may be believed, tells of
+// more waiting work than keeps the slots busy.
+func (l *reportedLoad) congested() bool {
+	return l.queued > queueToKeepBusy && l.distrust < mostDistrust
+}
+
 // estimate returns the work of others at the server. It can only add to what
 // the router sees itself, so that a report can make a server look busier but
 // never idler than it is known to be.
--- a/internal/query/admit.go
+++ b/internal/query/admit.go
@@ -85,11 +85,16 @@
 	if e.waiting == 0 || !e.config.Tuning.limited() {
 		return nil
 	}
-	wait := e.expectedWait(input, route)
-	if e.gate.Feasible(priority, wait, left) {
+	if len(route.moments) > 0 {
+		// From its first moment on, a policy may answer without the shards that
+		// still wait.
+		left = min(left, route.moments[0])
+	}
+	expected := e.expect(input, route)
+	if e.gate.Feasible(priority, expected, left) {
 		return nil
 	}
-	return e.refuseSurge(route, wait)
+	return e.refuseSurge(route, expected.Wait)
 }
 
 func (e *Engine) refuseSurge(route *routeView, wait time.Duration) *verdict.Error {
@@ -99,23 +104,26 @@
 	return e.refusal(verdict.ReasonOverloaded, wait)
 }
 
-// expectedWait is the longest wait of all shards that the request needs, since
+// expect finds the longest wait of all shards that the request needs, since
 // the slowest one sets its latency.
-func (e *Engine) expectedWait(input Request, route *routeView) time.Duration {
+func (e *Engine) expect(input Request, route *routeView) admission.Expectation {
+	var longest admission.Expectation
 	partitions := route.service.partitions
 	if len(partitions) == 0 {
-		return 0
+		return longest
 	}
 	newest := partitions[len(partitions)-1]
 	first, count := 0, len(newest.Groups)
 	if route.Target == plan.TargetKey {
 		first, count = ShardOfKey(input.Key, count), 1
 	}
-	var longest time.Duration
 	for index := first; index < first+count; index++ {
 		ahead := newest.queues[index].Ahead(route.Policy.Priority)
 		group := newest.Groups[index]
-		longest = max(longest, admission.Wait(ahead, group.Slots(), group.Typical()))
+		wait := admission.Wait(ahead, group.Slots(), group.Typical())
+		if wait >= longest.Wait {
+			longest = admission.Expectation{Wait: wait, Typical: max(group.Typical(), time.Millisecond)}
+		}
 	}
 	return longest
 }
