Test operators' commands and the author of changes

Cause: exit codes and texts of the commands are part of the operators' interface, and the author of a change must not be what a program claims.

The client keeps the code of a definite answer, which it had dropped.

Measured: the new test found the dropped code.

--- /dev/null
+++ b/cmd/martenstage/operator_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/exitcode"
+)
+
+// runCommand runs the program and returns what it printed and its exit code.
+func runCommand(t *testing.T, arguments ...string) (stdout, stderr string, code int) {
+	program, err := buildOnce()
+	require.NoError(t, err)
+	command := exec.Command(program, arguments...)
+	var output, problems bytes.Buffer
+	command.Stdout, command.Stderr = &output, &problems
+	err = command.Run()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		require.NoError(t, err)
+	}
+	return output.String(), problems.String(), command.ProcessState.ExitCode()
+}
+
+// TestOperatorCommands walks through the commands of an operator against three
+// voters.
+func TestOperatorCommands(t *testing.T) {
+	t.Parallel()
+	processes, _ := startVoters(t)
+	voters := []string{"--insecure-plaintext"}
+	for _, process := range processes {
+		voters = append(voters, "--control", process.arguments[5])
+	}
+	run := func(want int, arguments ...string) (stdout, stderr string) {
+		t.Helper()
+		stdout, stderr, code := runCommand(t, append(arguments, voters...)...)
+		require.Equal(t, want, code, "%v: %s%s", arguments, stdout, stderr)
+		return stdout, stderr
+	}
+	base, err := os.ReadFile("../../deploy/bangkok/bangkok.policy")
+	require.NoError(t, err)
+	first := filepath.Join(t.TempDir(), "first.policy")
+	second := filepath.Join(t.TempDir(), "second.policy")
+	broken := filepath.Join(t.TempDir(), "broken.policy")
+	require.NoError(t, os.WriteFile(first, base, 0o600))
+	require.NoError(t, os.WriteFile(second, bytes.Replace(base, []byte("slots 5"), []byte("slots 6"), 1), 0o600))
+	require.NoError(t, os.WriteFile(broken, []byte("service {"), 0o600))
+
+	stdout, _ := run(exitcode.OK, "config", "apply", first, "--comment", "the first")
+	require.Contains(t, stdout, "revision 1 accepted")
+	_, stderr := run(exitcode.Conflict, "config", "apply", second, "--expected", "0")
+	require.Contains(t, stderr, "the latest is 1 by "+author())
+	_, stderr = run(exitcode.Failure, "config", "apply", broken)
+	require.Contains(t, stderr, "configuration:1:")
+	run(exitcode.OK, "config", "apply", second, "--change-id", "same")
+	stdout, _ = run(exitcode.OK, "config", "apply", second, "--change-id", "same")
+	require.Contains(t, stdout, "revision 2 accepted")
+	stdout, _ = run(exitcode.OK, "config", "diff", "1", "2")
+	require.Contains(t, stdout, "seat-finder")
+	stdout, _ = run(exitcode.OK, "config", "rollback", "1", "--wait")
+	require.Contains(t, stdout, "revision 3 in force everywhere")
+	stdout, _ = run(exitcode.OK, "config", "get")
+	require.Equal(t, string(base), stdout)
+	stdout, _ = run(exitcode.OK, "config", "history")
+	require.Contains(t, stdout, "(rollback to 1)")
+	run(exitcode.OK, "drain", "127.1.1.1:7000")
+	stdout, _ = run(exitcode.OK, "status")
+	require.Contains(t, stdout, "leaving")
+	run(exitcode.OK, "undrain", "127.1.1.1:7000")
+
+	stdout, _ = run(exitcode.OK, "events", "--since", "1h", "--json")
+	kinds := map[string]bool{}
+	for line := range strings.Lines(stdout) {
+		var event eventLine
+		require.NoError(t, json.Unmarshal([]byte(line), &event))
+		kinds[event.Kind] = true
+	}
+	for _, kind := range []string{"change_accepted", "change_refused", "drain_begun", "drain_done"} {
+		require.True(t, kinds[kind], kind)
+	}
+}
+
+// TestNoControlAnswers checks the exit code when nobody listens.
+func TestNoControlAnswers(t *testing.T) {
+	t.Parallel()
+	address := freeAddresses(t, 1)[0]
+	_, stderr, code := runCommand(t, "config", "get", "--insecure-plaintext", "--timeout", "300ms", "--control", address)
+	require.Equal(t, exitcode.Unavailable, code, stderr)
+	_, stderr, code = runCommand(t, "drain", "127.0.0.1:1", "--insecure-plaintext", "--timeout", "300ms", "--control", address)
+	require.Equal(t, exitcode.Unavailable, code, stderr)
+	require.NotContains(t, stderr, "not known whether", "nothing was sent")
+}
+
+// TestParseSince reads every form of a time.
+func TestParseSince(t *testing.T) {
+	t.Parallel()
+	now := time.Date(2026, 3, 2, 7, 30, 0, 0, time.UTC)
+	for text, want := range map[string]time.Time{
+		"07:00":                     time.Date(2026, 3, 2, 7, 0, 0, 0, time.UTC),
+		"18:00":                     time.Date(2026, 3, 1, 18, 0, 0, 0, time.UTC),
+		"12h":                       time.Date(2026, 3, 1, 19, 30, 0, 0, time.UTC),
+		"2026-03-01T18:00:00+07:00": time.Date(2026, 3, 1, 11, 0, 0, 0, time.UTC),
+	} {
+		since, err := parseSince(text, now)
+		require.NoError(t, err, text)
+		require.True(t, want.Equal(since), "%s: %s", text, since)
+	}
+	_, err := parseSince("yesterday", now)
+	require.Error(t, err)
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -214,11 +214,20 @@
 	return errors.As(err, &network) && network.Op == "dial"
 }
 
-// definite strips the transport's wording from an answer.
+// answerError is a definite answer that is an error. It reads without the
+// transport's wording.
+type answerError struct{ cause *connect.Error }
+
+// Error returns the server's words.
+func (e answerError) Error() string { return e.cause.Message() }
+
+// Unwrap returns the error with its code.
+func (e answerError) Unwrap() error { return e.cause }
+
 func definite(err error) error {
 	var coded *connect.Error
 	if errors.As(err, &coded) {
-		return errors.Mark(errors.New(coded.Message()), err)
+		return answerError{coded}
 	}
 	return err
 }
