--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -56,7 +56,9 @@
 type server struct {
 	address netip.AddrPort
 	host    string
-	queries *pool
+	// template is what all queries to the server have in common.
+	template *http.Request
+	queries  *pool
 	// control carries probes and cancellations, so that they neither wait for
 	// queries nor take their connections. It is one of the router's share.
 	control *pool
@@ -142,6 +144,9 @@
 	found = &server{
 		address: address,
 		host:    address.String(),
+
+		template: newTemplate(address.String()),
+
 		queries: newPool(queryConnections(c.config.DefaultConnections), open),
 		control: newPool(controlConnections(c.config.DefaultConnections), open),
 	}
--- a/internal/backend/reply.go
+++ b/internal/backend/reply.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,24 +20,31 @@
 	causeForm    = "form"
 )
 
+// sentQuery identifies the attempt that a reply must answer.
+type sentQuery struct {
+	attempt query.AttemptID
+	// name is the attempt's id on the wire.
+	name string
+}
+
 // readReply turns a reply into the attempt's outcome and reports whether the
 // connection can be used again.
-func (s *Sender) readReply(ctx context.Context, attempt query.Send, response *http.Response) (query.Event, bool) {
+func (s *Sender) readReply(ctx context.Context, sent sentQuery, response *http.Response) (query.Event, bool) {
 	body, err := s.readBody(response)
 	_ = response.Body.Close()
 	reusable := err == nil && !response.Close
 	report := readReport(response.Header)
-	if refused, ok := s.refusal(attempt, response, report); ok {
+	if refused, ok := s.refusal(sent, response, report); ok {
 		return refused, reusable
 	}
-	failed := query.AttemptFailed{Attempt: attempt.Attempt, Verdict: verdict.MayHaveRun, Report: report}
+	failed := query.AttemptFailed{Attempt: sent.attempt, Verdict: verdict.MayHaveRun, Report: report}
 	switch {
 	case err != nil:
 		failed.Reason = transportReason(ctx)
 	case response.StatusCode != http.StatusOK:
 		failed.Reason = verdict.ReasonBackendError
 	default:
-		part, cause := s.readPart(attempt, response.Header, body)
+		part, cause := s.readPart(sent, response.Header, body)
 		if cause == "" {
 			part.Report = report
 			return part, reusable
@@ -52,7 +58,7 @@
 
 // refusal recognizes a reply by which the back end proves that the query was
 // not run. The headers suffice: a body cut short changes nothing about it.
-func (s *Sender) refusal(attempt query.Send, response *http.Response, report query.Report) (query.AttemptFailed, bool) {
+func (s *Sender) refusal(sent sentQuery, response *http.Response, report query.Report) (query.AttemptFailed, bool) {
 	refusedStatus := response.StatusCode == http.StatusServiceUnavailable ||
 		response.StatusCode == http.StatusTooManyRequests
 	header := response.Header
@@ -60,11 +66,11 @@
 		return query.AttemptFailed{}, false
 	}
 	// A refusal of another attempt proves nothing about this one.
-	if echoed := header.Get(backendapi.HeaderAttempt); echoed != "" && echoed != s.attemptName(attempt.Attempt) {
+	if echoed := header.Get(backendapi.HeaderAttempt); echoed != "" && echoed != sent.name {
 		s.metrics.badReplies.WithLabelValues(causeAttempt).Inc()
 		return query.AttemptFailed{}, false
 	}
-	failed := s.failure(attempt, verdict.NotRun, refusalReason(header.Get(backendapi.HeaderReason)))
+	failed := s.failure(sent.attempt, verdict.NotRun, refusalReason(header.Get(backendapi.HeaderReason)))
 	failed.RetryAfter = milliseconds(header.Get(backendapi.HeaderRetryAfter))
 	failed.Report = report
 	return failed, true
@@ -89,8 +95,8 @@
 
 // readPart checks a reply's echo and digest and reads its part. A non-empty
 // cause says why the reply is to be dropped.
-func (s *Sender) readPart(attempt query.Send, header http.Header, body []byte) (query.PartArrived, string) {
-	if header.Get(backendapi.HeaderAttempt) != s.attemptName(attempt.Attempt) {
+func (s *Sender) readPart(sent sentQuery, header http.Header, body []byte) (query.PartArrived, string) {
+	if header.Get(backendapi.HeaderAttempt) != sent.name {
 		return query.PartArrived{}, causeAttempt
 	}
 	if header.Get(backendapi.HeaderDigest) != backendapi.Digest(body) {
@@ -100,11 +106,11 @@
 	if !ok {
 		return query.PartArrived{}, causeEcho
 	}
-	arrived := query.PartArrived{Attempt: attempt.Attempt, Echo: echo}
-	if err := json.Unmarshal(body, &arrived.Part); err != nil {
+	part, err := readItems(body)
+	if err != nil {
 		return query.PartArrived{}, causeForm
 	}
-	return arrived, ""
+	return query.PartArrived{Attempt: sent.attempt, Echo: echo, Part: part}, ""
 }
 
 func readEcho(header http.Header) (query.Echo, bool) {
--- a/internal/backend/send.go
+++ b/internal/backend/send.go
@@ -33,17 +33,18 @@
 	target := s.serverAt(attempt.Address)
 	connected, err := target.queries.acquire(ctx)
 	if err != nil {
-		return s.failure(attempt, verdict.NotRun, acquireReason(ctx, err))
+		return s.failure(attempt.Attempt, verdict.NotRun, acquireReason(ctx, err))
 	}
 	connected.socket.begin()
-	request := s.newQuery(ctx, target, attempt)
+	name := s.attemptName(attempt.Attempt)
+	request := s.newQuery(ctx, target, &attempt, name)
 	response, err := connected.client.RoundTrip(request)
 	if err != nil {
 		unwritten := connected.socket.seal()
 		target.queries.release(connected, false)
-		return s.failure(attempt, writeVerdict(unwritten), transportReason(ctx))
+		return s.failure(attempt.Attempt, writeVerdict(unwritten), transportReason(ctx))
 	}
-	outcome, reusable := s.readReply(ctx, attempt, response)
+	outcome, reusable := s.readReply(ctx, sentQuery{attempt: attempt.Attempt, name: name}, response)
 	target.queries.release(connected, reusable)
 	return outcome
 }
@@ -79,9 +80,9 @@
 	}
 }
 
-func (c *Client) failure(attempt query.Send, ran verdict.Verdict, reason verdict.Reason) query.AttemptFailed {
+func (c *Client) failure(attempt query.AttemptID, ran verdict.Verdict, reason verdict.Reason) query.AttemptFailed {
 	c.metrics.attemptFailures.WithLabelValues(ran.String(), string(reason)).Inc()
-	return query.AttemptFailed{Attempt: attempt.Attempt, Verdict: ran, Reason: reason}
+	return query.AttemptFailed{Attempt: attempt, Verdict: ran, Reason: reason}
 }
 
 // attemptName is the attempt's id on the wire, unique over routers and starts.
@@ -100,37 +101,51 @@
 // Close implements io.Closer.
 func (queryBody) Close() error { return nil }
 
-// newQuery builds the HTTP request of an attempt.
-func (s *Sender) newQuery(ctx context.Context, target *server, attempt query.Send) *http.Request {
-	header := make(http.Header, 10)
-	set := func(name, value string) { header[name] = []string{value} }
+// queryHeaders is the number of headers of a query, HeaderOnce included.
+const queryHeaders = 10
+
+// newQuery builds the HTTP request of an attempt. Its header values share one
+// array, since a router sends tens of thousands of them a second.
+func (s *Sender) newQuery(ctx context.Context, target *server, attempt *query.Send, name string) *http.Request {
+	const decimal = 10
+	values := make([]string, 0, queryHeaders)
+	header := make(http.Header, queryHeaders)
+	set := func(name, value string) {
+		values = append(values, value)
+		header[name] = values[len(values)-1 : len(values) : len(values)]
+	}
 	set(backendapi.HeaderRequest, attempt.CallerID)
-	set(backendapi.HeaderAttempt, s.attemptName(attempt.Attempt))
+	set(backendapi.HeaderAttempt, name)
 	set(backendapi.HeaderService, attempt.Service)
-	set(backendapi.HeaderShard, strconv.FormatUint(uint64(attempt.Shard), 10))
-	set(backendapi.HeaderGeneration, strconv.FormatUint(uint64(attempt.Generation), 10))
-	set(backendapi.HeaderVersion, strconv.FormatUint(attempt.Version, 10))
-	set(backendapi.HeaderTimeout, strconv.FormatInt(attempt.Timeout.Microseconds(), 10))
+	set(backendapi.HeaderShard, strconv.FormatUint(uint64(attempt.Shard), decimal))
+	set(backendapi.HeaderGeneration, strconv.FormatUint(uint64(attempt.Generation), decimal))
+	set(backendapi.HeaderVersion, strconv.FormatUint(attempt.Version, decimal))
+	set(backendapi.HeaderTimeout, strconv.FormatInt(attempt.Timeout.Microseconds(), decimal))
 	set(backendapi.HeaderZone, s.config.Zone)
 	set("Content-Type", "application/json")
 	if attempt.Once {
 		set(backendapi.HeaderOnce, "1")
 	}
-	request := &http.Request{
-		Method:        http.MethodPost,
-		URL:           &url.URL{Scheme: "http", Host: target.host, Path: backendapi.PathQuery},
-		Proto:         "HTTP/1.1",
-		ProtoMajor:    1,
-		ProtoMinor:    1,
-		Header:        header,
-		Body:          queryBody{bytes.NewReader(attempt.Body)},
-		ContentLength: int64(len(attempt.Body)),
-		Host:          target.host,
+	request := target.template.WithContext(ctx)
+	request.Header = header
+	request.Body = http.NoBody
+	if len(attempt.Body) > 0 {
+		request.Body = queryBody{bytes.NewReader(attempt.Body)}
+		request.ContentLength = int64(len(attempt.Body))
 	}
-	if len(attempt.Body) == 0 {
-		request.Body = http.NoBody
+	return request
+}
+
+// newTemplate is what the queries to one server have in common.
+func newTemplate(host string) *http.Request {
+	return &http.Request{
+		Method:     http.MethodPost,
+		URL:        &url.URL{Scheme: "http", Host: host, Path: backendapi.PathQuery},
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		Host:       host,
 	}
-	return request.WithContext(ctx)
 }
 
 // readBody reads a reply body of bounded size.
