--- /dev/null
+++ b/cmd/martenbench/experiment.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/exitcode"
+	"github.com/martenstage/martenstage/internal/experiment"
+)
+
+// experimentCommand compares variants of the query engine.
+type experimentCommand struct {
+	Deployment  string  `long:"deployment" default:"bangkok" description:"bangkok, norte-grande, large, or any name with --policy-file"`
+	PolicyFile  string  `long:"policy-file" description:"Configuration, if it is not that of the deployment"`
+	Scenario    string  `long:"scenario" default:"steady" description:"Scenario; \"list\" prints their names"`
+	Variants    string  `long:"variants" default:"naive,hedge-fixed,martenstage,oracle" description:"Variants, separated by commas"`
+	Seed        uint64  `long:"seed" default:"1" description:"Seed of arrivals, service times and faults"`
+	Seconds     float64 `long:"seconds" default:"20" description:"Length of the run"`
+	Utilization float64 `long:"utilization" description:"Share of slots that first attempts occupy, in place of the scenario's"`
+	Virtual     bool    `long:"virtual" description:"Run on the virtual clock"`
+	JSON        bool    `long:"json" description:"End with one line of JSON"`
+	HTML        string  `long:"html" description:"File for charts of latency and coverage"`
+}
+
+// Execute implements flags.Commander.
+func (c *experimentCommand) Execute([]string) error {
+	if c.Scenario == "list" {
+		fmt.Println(strings.Join(experiment.Scenarios(), "\n"))
+		return nil
+	}
+	compiled, err := experiment.LoadPlan(c.Deployment, c.PolicyFile)
+	if err != nil {
+		return exitcode.With(exitcode.Settings, err)
+	}
+	config := experiment.Config{
+		Deployment: c.Deployment, Plan: compiled, Scenario: c.Scenario, Variants: strings.Split(c.Variants, ","),
+		Seed: c.Seed, Duration: time.Duration(c.Seconds * float64(time.Second)), Utilization: c.Utilization,
+	}
+	result, err := experiment.RunVirtual(config)
+	if err != nil {
+		return err
+	}
+	if err := result.Print(os.Stdout); err != nil {
+		return errors.Wrap(err, "standard output")
+	}
+	if c.JSON {
+		return errors.Wrap(json.NewEncoder(os.Stdout).Encode(result), "standard output")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/martenbench/simulate.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"io"
+	"os"
+	"runtime"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/exitcode"
+	"github.com/martenstage/martenstage/internal/simulation"
+)
+
+// simulateCommand runs the whole fleet on a virtual clock.
+type simulateCommand struct {
+	Seed     uint64 `long:"seed" default:"1" description:"Seed of the first run; each further run takes the next"`
+	Runs     int    `long:"runs" default:"1" description:"Number of runs"`
+	Scenario string `long:"scenario" default:"random" description:"Scenario, or several joined by +; \"list\" prints their names"`
+	Parallel int    `long:"parallel" description:"Runs at once; 0 means one for each processor"`
+	JSON     bool   `long:"json" description:"End with one line of JSON"`
+	Trace    bool   `long:"trace" description:"Print what happens, a line each; runs follow each other then"`
+}
+
+// Execute implements flags.Commander.
+func (c *simulateCommand) Execute([]string) error {
+	if c.Scenario == "list" {
+		_, err := io.WriteString(os.Stdout, strings.Join(simulation.Scenarios(), "\n")+"\n")
+		return errors.Wrap(err, "standard output")
+	}
+	config := simulation.Config{Seed: c.Seed, Runs: c.Runs, Scenario: c.Scenario, Parallel: c.Parallel}
+	if config.Parallel <= 0 {
+		config.Parallel = runtime.GOMAXPROCS(0)
+	}
+	if c.Trace {
+		config.Trace, config.Parallel = os.Stdout, 1
+	}
+	result, err := simulation.Run(config)
+	if err != nil {
+		return exitcode.With(exitcode.Usage, err)
+	}
+	if err := result.Print(os.Stdout, c.JSON); err != nil {
+		return err
+	}
+	if result.Violations > 0 {
+		return exitcode.With(exitcode.Failure, errors.Newf("%d violations", result.Violations))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,143 @@
+package experiment
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/experiment/virtual"
+	"github.com/martenstage/martenstage/internal/load"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/servicetime"
+)
+
+// VariantOracle is the variant that knows service times beforehand.
+const VariantOracle = "oracle"
+
+// Variants returns the names of all variants.
+func Variants() []string {
+	return []string{
+		string(query.VariantNaive), string(query.VariantHedgeFixed), string(query.VariantMartenstage), VariantOracle,
+	}
+}
+
+// Config describes an experiment.
+type Config struct {
+	Deployment string
+	Plan       *plan.Plan
+	Scenario   string
+	Variants   []string
+	Seed       uint64
+	Duration   time.Duration
+	// Utilization overrides the scenario's if it is not 0.
+	Utilization float64
+}
+
+func (c *Config) validate() error {
+	for _, variant := range c.Variants {
+		if !slices.Contains(Variants(), variant) {
+			return errors.Newf("unknown variant %q; there are %v", variant, Variants())
+		}
+	}
+	if c.Duration < time.Second {
+		return errors.Newf("an experiment takes at least a second, not %v", c.Duration)
+	}
+	return nil
+}
+
+// Delays of the virtual network.
+const (
+	localDelay  = 100 * time.Microsecond
+	zoneDelay   = time.Millisecond
+	probeEvery  = 500 * time.Millisecond
+	platformLag = 5 * time.Second
+	// virtualRouters is how many routers share the load.
+	virtualRouters = 2
+	resendPause    = 20 * time.Millisecond
+)
+
+// RunVirtual runs the variants on the virtual clock, one world for each.
+func RunVirtual(config Config) (Result, error) {
+	result := Result{
+		Scenario: config.Scenario, Deployment: config.Deployment, Virtual: true, Seed: config.Seed,
+		Seconds: config.Duration.Seconds(), Variants: map[string]VariantResult{},
+	}
+	if err := config.validate(); err != nil {
+		return result, err
+	}
+	made, err := newSetting(config.Scenario, config.Plan, config.Seed, config.Duration)
+	if err != nil {
+		return result, err
+	}
+	if config.Utilization > 0 {
+		made.utilization = config.Utilization
+	}
+	// Worlds share nothing, so they may run side by side.
+	outcomes := make([]VariantResult, len(config.Variants))
+	var running sync.WaitGroup
+	for index, variant := range config.Variants {
+		running.Go(func() { outcomes[index] = made.runVirtual(variant, config.Seed) })
+	}
+	running.Wait()
+	for index, variant := range config.Variants {
+		result.Variants[variant] = outcomes[index]
+	}
+	return result, nil
+}
+
+func (s *setting) runVirtual(variant string, seed uint64) VariantResult {
+	recorder := newRecorder(s, virtual.Epoch)
+	world := virtual.New(s.world(), s.engines(variant, seed), recorder)
+	arrivals := load.NewArrivals(seed, s.rates(), s.duration, variant)
+	world.Run(arrivals.Next)
+	return recorder.result(s.duration)
+}
+
+func (s *setting) world() virtual.Config {
+	zones := zonesOf(s.plan)
+	config := virtual.Config{
+		Model: s.model, Script: s.script, Rolls: s.rolls, Horizon: s.duration,
+		LocalDelay: localDelay, ZoneDelay: zoneDelay, ConnectionSetup: emulator.DefaultConnectionSetup,
+		QueuePerSlot: emulator.DefaultQueuePerSlot, ColdStart: emulator.DefaultColdStart,
+		ColdFactor: emulator.DefaultColdFactor, ProbeEvery: probeEvery, PlatformLag: platformLag,
+		Resends: s.resends, ResendPause: resendPause, HonorRetryAfter: s.honorRetryAfter,
+	}
+	for index := range virtualRouters {
+		config.Zones = append(config.Zones, zones[index%len(zones)])
+	}
+	for _, step := range s.plans {
+		config.Plans = append(config.Plans, virtual.PlanStep{At: step.at, Plan: step.plan})
+	}
+	for _, stop := range s.routerStops {
+		config.Stops = append(config.Stops, virtual.RouterStop{Router: stop.router, At: stop.at, Away: stop.away})
+	}
+	return config
+}
+
+// engines returns the constructor of a variant's engines.
+func (s *setting) engines(variant string, seed uint64) virtual.NewEngine {
+	zones := zonesOf(s.plan)
+	return func(world *virtual.World, router int) virtual.Engine {
+		config := query.Config{Zone: zones[router%len(zones)], Seed: seed + uint64(router)}
+		config.Tuning.Variant = query.Variant(variant)
+		config.Tuning.FixedHedgeDelay = fixedHedgeDelay(&s.model)
+		if variant != VariantOracle {
+			return query.New(config)
+		}
+		config.Tuning.Variant = query.VariantNaive
+		return &oracle{core: query.New(config), world: world, router: router}
+	}
+}
+
+// fixedHedgeDelay is the best fixed delay for steady load: the 95th percentile
+// of an attempt on an idle server of another zone.
+func fixedHedgeDelay(model *servicetime.Model) time.Duration {
+	const deviationsOfP95 = 1.645
+	slow := math.Exp(model.Default.Sigma * deviationsOfP95)
+	return time.Duration(float64(model.Default.Median)*slow) + 2*zoneDelay
+}
--- /dev/null
+++ b/internal/experiment/recorder.go
@@ -0,0 +1,137 @@
+package experiment
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/dataset"
+	"github.com/martenstage/martenstage/internal/judge"
+	"github.com/martenstage/martenstage/internal/load"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/records"
+	"github.com/martenstage/martenstage/internal/report"
+)
+
+// recorder judges and sums up the records of one variant while it runs.
+type recorder struct {
+	judge     *judge.Judge
+	collector *report.Collector
+	timeline  *timeline
+	plans     []planStep
+	begin     time.Time
+	half      time.Duration
+	good      [2]map[string]int
+	last      map[string]*records.CallerAnswer
+	attempts  map[string]int
+	// leavers gives the last query that each departed server got, counted from
+	// its departure.
+	departed  map[string]time.Time
+	worstLeft time.Duration
+}
+
+func newRecorder(s *setting, begin time.Time) *recorder {
+	made := &recorder{
+		judge:     judge.New(judge.Config{Items: dataset.Items}),
+		collector: report.New(), timeline: newTimeline(begin),
+		plans: s.plans, begin: begin, half: s.duration / 2,
+		good:     [2]map[string]int{{}, {}},
+		last:     map[string]*records.CallerAnswer{},
+		attempts: map[string]int{}, departed: map[string]time.Time{},
+	}
+	for _, step := range s.plans {
+		made.judge.AddPlan(step.plan)
+	}
+	return made
+}
+
+// Execution implements virtual.Recorder.
+func (r *recorder) Execution(execution records.Execution) {
+	r.judge.AddExecution(execution)
+	r.attempts[execution.Request]++
+	if began, ok := r.departed[execution.Backend]; ok && execution.Arrived.After(began) {
+		r.worstLeft = max(r.worstLeft, execution.Arrived.Sub(began))
+	}
+}
+
+// Departure implements virtual.Recorder.
+func (r *recorder) Departure(departure records.Departure) {
+	r.judge.AddDeparture(departure)
+	if departure.Returned.IsZero() {
+		r.departed[departure.Backend] = departure.Began
+	} else {
+		delete(r.departed, departure.Backend)
+	}
+}
+
+// Stop implements virtual.Recorder.
+func (r *recorder) Stop(stop records.PlannedStop) { r.judge.AddPlannedStop(stop) }
+
+// Answer implements virtual.Recorder.
+func (r *recorder) Answer(answer records.CallerAnswer) {
+	r.judge.AddAnswer(answer)
+	r.last[answer.Request] = &answer
+}
+
+// Closed implements virtual.Recorder: the last answer is what the request
+// counts for.
+func (r *recorder) Closed(request string) {
+	r.judge.CloseRequest(request)
+	answer := r.last[request]
+	if answer == nil {
+		return
+	}
+	delete(r.last, request)
+	r.collector.AddAnswer(answer)
+	r.timeline.add(answer)
+	if answer.Status == http.StatusOK && !answer.Late {
+		phase := 0
+		if answer.Intended.Sub(r.begin) >= r.half {
+			phase = 1
+		}
+		r.good[phase][answer.Route]++
+	}
+	if attempts := r.attempts[request]; attempts > 0 {
+		r.collector.AddLoad(answer.Route, attempts, r.targets(answer))
+	}
+	delete(r.attempts, request)
+}
+
+// targets is the number of shards that a request was meant for.
+func (r *recorder) targets(answer *records.CallerAnswer) int {
+	if count := len(answer.Covered) + len(answer.Missing); count > 0 {
+		return count
+	}
+	route, ok := r.plans[0].plan.RouteNamed(answer.Route)
+	if !ok || route.Target == plan.TargetKey {
+		return 1
+	}
+	service, _ := r.plans[0].plan.ServiceNamed(route.Service)
+	return len(service.Generations[0].Shards)
+}
+
+// result sums the variant up.
+func (r *recorder) result(duration time.Duration) VariantResult {
+	judged := r.judge.Result()
+	violations := map[string]int{}
+	for _, violation := range judged.Violations {
+		violations[load.RouteOf(violation.Request)]++
+	}
+	result := VariantResult{
+		Routes: map[string]RouteResult{}, Violations: judged.Total, First: firstViolations(judged.Violations),
+		LastWorkAfterLeavingMs: float64(r.worstLeft) / float64(time.Millisecond),
+		timeline:               r.timeline,
+	}
+	for _, row := range r.collector.Rows() {
+		result.Routes[row.Route] = RouteResult{
+			Row: row, Violations: violations[row.Route],
+			GoodputFirstHalf:  float64(r.good[0][row.Route]) / r.half.Seconds(),
+			GoodputSecondHalf: float64(r.good[1][row.Route]) / (duration - r.half).Seconds(),
+		}
+	}
+	return result
+}
+
+func firstViolations(violations []judge.Violation) []judge.Violation {
+	const shown = 5
+	return violations[:min(shown, len(violations))]
+}
--- /dev/null
+++ b/internal/experiment/virtual/attempt.go
@@ -0,0 +1,134 @@
+package virtual
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// attempt is one attempt on its way between a router and a server.
+type attempt struct {
+	router     *router
+	server     *server
+	send       query.Send
+	bodyDigest string
+	// expires is when the router gives up.
+	expires   time.Duration
+	execution *execution
+	// settled is set once the engine has its one outcome; gone when the query
+	// was canceled before it reached the server.
+	settled bool
+	gone    bool
+}
+
+// connections counts a router's connections to one server.
+type connections struct{ open, busy int }
+
+// refusalReasons is how a sender tells the engine what a back end refused for.
+var refusalReasons = map[backendapi.RefusalReason]verdict.Reason{
+	backendapi.RefusalDraining:       verdict.ReasonDraining,
+	backendapi.RefusalUnknownVersion: verdict.ReasonSnapshotGone,
+	backendapi.RefusalUnknownShard:   verdict.ReasonNoReplica,
+	backendapi.RefusalDeadline:       verdict.ReasonDeadlinePassed,
+	backendapi.RefusalCanceled:       verdict.ReasonCanceled,
+	backendapi.RefusalOverloaded:     verdict.ReasonOverloaded,
+}
+
+// send puts an attempt on its way, over an open connection if there is one.
+func (r *router) send(command query.Send) {
+	w := r.world
+	sent := &attempt{router: r, server: w.servers[command.Address], send: command,
+		bodyDigest: backendapi.Digest(command.Body), expires: w.clock.now + command.Timeout}
+	r.attempts[command.Attempt] = sent
+	w.open(command.CallerID)
+	used := r.connectionsTo(sent.server)
+	setUp := time.Duration(0)
+	if used.busy >= used.open {
+		if used.open >= r.connectionShare(sent.server) {
+			used.busy++ // given back when the attempt settles
+			w.clock.after(0, func() { sent.settle(sent.failure(verdict.NotRun, verdict.ReasonNoReplica), true) })
+			return
+		}
+		used.open++
+		setUp = w.config.ConnectionSetup
+	}
+	used.busy++
+	w.clock.after(setUp+r.delayTo(sent.server), sent.reach)
+	w.clock.at(sent.expires, func() {
+		sent.settle(sent.failure(verdict.MayHaveRun, verdict.ReasonTimeout), false)
+	})
+}
+
+// reach lets the query arrive at the server, unless the router has closed the
+// connection before.
+func (a *attempt) reach() {
+	if a.gone {
+		a.router.world.close(a.send.CallerID)
+		return
+	}
+	a.server.arrive(a)
+	if a.execution == nil {
+		a.router.world.close(a.send.CallerID)
+	}
+}
+
+// cancel closes the attempt's connection.
+func (a *attempt) cancel() {
+	if a.settled {
+		return
+	}
+	a.settle(a.failure(verdict.MayHaveRun, verdict.ReasonCanceled), false)
+}
+
+// lost tells the router that the connection broke at the server.
+func (a *attempt) lost() {
+	a.back(func() { a.settle(a.failure(verdict.MayHaveRun, verdict.ReasonConnection), false) })
+}
+
+func (a *attempt) refused(reason backendapi.RefusalReason, load backendapi.Load) {
+	failed := a.failure(verdict.NotRun, refusalReasons[reason])
+	failed.Report = query.Report{Known: true, Load: load, Draining: reason == backendapi.RefusalDraining}
+	a.back(func() { a.settle(failed, true) })
+}
+
+func (a *attempt) replied(run *execution, load backendapi.Load) {
+	arrived := query.PartArrived{
+		Attempt: a.send.Attempt,
+		Echo: query.Echo{Request: run.record.Request, Shard: run.record.Shard,
+			Generation: run.record.Generation, Version: run.record.Version, RequestDigest: run.record.BodyDigest},
+		Report: query.Report{Known: true, Load: load, Draining: a.server.departed != never},
+	}
+	a.back(func() {
+		if a.settled {
+			return
+		}
+		arrived.Part.Items = run.items
+		a.settle(arrived, true)
+	})
+}
+
+func (a *attempt) back(act func()) { a.router.world.clock.after(a.router.delayTo(a.server), act) }
+
+func (a *attempt) failure(ran verdict.Verdict, reason verdict.Reason) query.AttemptFailed {
+	return query.AttemptFailed{Attempt: a.send.Attempt, Verdict: ran, Reason: reason}
+}
+
+// settle gives the engine the attempt's one outcome. A connection whose reply
+// did not come is closed, and with it ends the query on the server.
+func (a *attempt) settle(outcome query.Event, reusable bool) {
+	if a.settled {
+		return
+	}
+	a.settled = true
+	used := a.router.connectionsTo(a.server)
+	used.busy--
+	if !reusable {
+		used.open--
+		a.gone = true
+		a.back(func() { a.server.cancel(a.execution) })
+	}
+	delete(a.router.attempts, a.send.Attempt)
+	a.router.step(outcome)
+}
--- /dev/null
+++ b/internal/experiment/virtual/world.go
@@ -0,0 +1,203 @@
+package virtual
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/load"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/records"
+)
+
+// Epoch is the wall-clock time at which every world begins.
+var Epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// World is one run.
+type World struct {
+	config    Config
+	clock     clock
+	recorder  Recorder
+	newEngine NewEngine
+	servers   map[netip.AddrPort]*server
+	order     []*server
+	routers   []*router
+	claims    claimTable
+	revision  uint64
+	current   *plan.Plan
+	turn      int
+	// underWay counts, per request, what may still happen to it.
+	underWay map[string]int
+}
+
+// New returns a world in which nothing has happened yet.
+func New(config Config, newEngine NewEngine, recorder Recorder) *World {
+	w := &World{
+		config: config, recorder: recorder, newEngine: newEngine,
+		servers: map[netip.AddrPort]*server{}, claims: claimTable{}, underWay: map[string]int{},
+	}
+	for _, step := range config.Plans {
+		w.addServers(step.Plan)
+	}
+	for index := range config.Script {
+		fault := config.Script[index]
+		w.schedule(&fault, index)
+	}
+	for index, zone := range config.Zones {
+		w.addRouter(index, zone).boot()
+	}
+	for _, step := range config.Plans {
+		w.clock.at(step.At, func() { w.install(step.Plan) })
+	}
+	for _, stop := range config.Stops {
+		w.clock.at(stop.At, func() { w.stop(stop) })
+	}
+	w.clock.after(config.ProbeEvery, w.probe)
+	return w
+}
+
+// Run plays the arrivals, which next returns in order of time until it returns
+// false, and returns when nothing is under way.
+func (w *World) Run(next func() (load.Arrival, bool)) {
+	w.arrive(next)
+	for w.clock.now <= w.config.Horizon || len(w.underWay) > 0 {
+		if !w.clock.step() {
+			return
+		}
+	}
+}
+
+func (w *World) arrive(next func() (load.Arrival, bool)) {
+	arrival, ok := next()
+	if !ok {
+		return
+	}
+	w.clock.at(arrival.At, func() {
+		w.open(arrival.ID)
+		(&callerRequest{world: w, arrival: arrival}).submit()
+		w.arrive(next)
+	})
+}
+
+func (w *World) addServers(installed *plan.Plan) {
+	for serviceIndex := range installed.Services {
+		service := &installed.Services[serviceIndex]
+		for generationIndex := range service.Generations {
+			generation := &service.Generations[generationIndex]
+			for shardIndex := range generation.Shards {
+				shard := &generation.Shards[shardIndex]
+				for _, replica := range shard.Replicas {
+					w.addServer(service, shard, replica).hold(generation, shard.ID)
+				}
+			}
+		}
+	}
+}
+
+func (w *World) install(installed *plan.Plan) {
+	w.revision++
+	w.current = installed
+	for _, router := range w.routers {
+		router.install(w.revision, installed)
+	}
+}
+
+func (w *World) plan() *plan.Plan { return w.current }
+
+// probe probes all servers from all routers, and renews leases.
+func (w *World) probe() {
+	for _, router := range w.routers {
+		router.step(query.LeaseRenewed{Until: w.wall().Add(leaseTerm)})
+		router.probe()
+	}
+	w.clock.after(w.config.ProbeEvery, w.probe)
+}
+
+// stop stops a router as planned and starts it again later.
+func (w *World) stop(stop RouterStop) {
+	stopped := w.routers[stop.Router]
+	began := w.wall()
+	stopped.stopped = func() {
+		stopped.away = true
+		w.recorder.Stop(records.PlannedStop{Router: stopped.name(), Began: began, Exited: w.wall()})
+		w.clock.after(stop.Away, stopped.boot)
+	}
+	stopped.step(query.StopRequested{})
+}
+
+func (r *router) name() string { return fmt.Sprint("router-", r.index) }
+
+func (w *World) wall() time.Time { return Epoch.Add(w.clock.now) }
+
+// open and close count what is under way for a request, so that its records
+// can be judged and forgotten as soon as nothing more will come.
+func (w *World) open(request string) { w.underWay[request]++ }
+
+func (w *World) close(request string) {
+	w.underWay[request]--
+	if w.underWay[request] == 0 {
+		delete(w.underWay, request)
+		w.recorder.Closed(request)
+	}
+}
+
+// record ends a query on a server.
+func (w *World) record(run *execution) {
+	run.record.Finished = w.wall()
+	w.recorder.Execution(run.record)
+	w.close(run.record.Request)
+}
+
+// Now returns the time since the beginning.
+func (w *World) Now() time.Duration { return w.clock.now }
+
+// Foresee returns when the reply to a query sent now would be back at a
+// router, given the queue of the server as it stands.
+func (w *World) Foresee(router int, address netip.AddrPort, send query.Send) Outlook {
+	server, from := w.servers[address], w.routers[router]
+	outlook := Outlook{Address: address}
+	if server == nil || server.fault("crash") != nil || server.refusal(send.Generation, send.Shard, send.Version) != "" {
+		return outlook
+	}
+	delay := from.delayTo(server)
+	used := from.connectionsTo(server)
+	if used.busy >= used.open {
+		if used.open >= from.connectionShare(server) {
+			return outlook
+		}
+		delay += w.config.ConnectionSetup
+	}
+	start := server.freeAt(w.clock.now + delay)
+	outlook.Finish = start + server.serviceTime(send.CallerID, send.Shard, start) + from.delayTo(server)
+	outlook.OK = true
+	return outlook
+}
+
+// freeAt returns when a query arriving at a moment would begin to run, if
+// nothing else arrived before it.
+func (s *server) freeAt(arrival time.Duration) time.Duration {
+	if len(s.running) < s.slots && len(s.queue) == 0 {
+		return arrival
+	}
+	free := make([]time.Duration, 0, len(s.running))
+	for _, run := range s.running {
+		free = append(free, min(run.finish, run.attempt.expires))
+	}
+	for _, waiting := range s.queue {
+		first := earliest(free)
+		begin := max(free[first], s.world.clock.now)
+		free[first] = begin + s.serviceTime(waiting.attempt.send.CallerID, waiting.attempt.send.Shard, begin)
+	}
+	return max(arrival, free[earliest(free)])
+}
+
+func earliest(times []time.Duration) int {
+	first := 0
+	for index := range times {
+		if times[index] < times[first] {
+			first = index
+		}
+	}
+	return first
+}
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -235,6 +235,15 @@
 	j.requests = map[string]*requestRecords{}
 }
 
+// CloseRequest judges one request and forgets it. Nothing may be added about it
+// afterwards.
+func (j *Judge) CloseRequest(id string) {
+	if request, ok := j.requests[id]; ok {
+		j.judgeRequest(request, &j.closed)
+		delete(j.requests, id)
+	}
+}
+
 // Result is the outcome of a run.
 type Result struct {
 	Counts Counts `json:"counts"`
@@ -275,12 +284,15 @@
 	ids := lo.Keys(j.requests)
 	slices.Sort(ids)
 	for _, id := range ids {
-		request := j.requests[id]
-		for index := range request.answers {
-			j.judgeAnswer(request, &request.answers[index], found)
-		}
-		j.judgeExecutions(request, found)
+		j.judgeRequest(j.requests[id], found)
+	}
+}
+
+func (j *Judge) judgeRequest(request *requestRecords, found *findings) {
+	for index := range request.answers {
+		j.judgeAnswer(request, &request.answers[index], found)
 	}
+	j.judgeExecutions(request, found)
 }
 
 // findings collects violations within bounds.
--- a/internal/judge/merge.go
+++ b/internal/judge/merge.go
@@ -1,9 +1,9 @@
 package judge
 
 import (
-	"bytes"
 	"encoding/json"
 	"slices"
+	"strconv"
 
 	"github.com/samber/lo"
 
@@ -60,33 +60,28 @@
 	if j.config.Items == nil {
 		return
 	}
-	if !slices.Equal(j.ranks(answer, merge)[:expected], j.ranksOf(answer, merge)) {
+	best, own := j.ranks(answer, merge)
+	if !slices.Equal(best[:expected], own) {
 		found.add(WholeAnswer, answer.Request, "the items are not the %d best by %s", expected, merge.Field)
 	}
 }
 
 // ranks returns the sort values of every item of the covered shards, best
-// first. Values and not items are compared, because items of equal value may
-// stand in any order.
-func (j *Judge) ranks(answer *records.CallerAnswer, merge plan.Merge) []float64 {
-	var values []float64
+// first, and those of the answer's own items in their order. Values and not
+// items are compared, because items of equal value may stand in any order.
+func (j *Judge) ranks(answer *records.CallerAnswer, merge plan.Merge) (best, own []float64) {
+	byDigest := map[string]float64{}
 	for _, item := range j.itemsOf(answer) {
-		values = append(values, rankOf(item, merge.Field))
+		value := rankOf(item, merge.Field)
+		byDigest[backendapi.Digest(item)] = value
+		best = append(best, value)
 	}
-	slices.Sort(values)
+	slices.Sort(best)
 	if merge.Descending {
-		slices.Reverse(values)
-	}
-	return values
-}
-
-// ranksOf returns the sort values of the answer's own items in their order.
-func (j *Judge) ranksOf(answer *records.CallerAnswer, merge plan.Merge) []float64 {
-	byDigest := map[string]float64{}
-	for _, item := range j.itemsOf(answer) {
-		byDigest[backendapi.Digest(item)] = rankOf(item, merge.Field)
+		slices.Reverse(best)
 	}
-	return lo.Map(answer.ItemDigests, func(digest string, _ int) float64 { return byDigest[digest] })
+	own = lo.Map(answer.ItemDigests, func(digest string, _ int) float64 { return byDigest[digest] })
+	return best, own
 }
 
 func (j *Judge) itemsOf(answer *records.CallerAnswer) []json.RawMessage {
@@ -101,13 +96,14 @@
 	return items
 }
 
+// rankOf returns the number in a field of an item; 0 when there is none.
 func rankOf(item json.RawMessage, field string) float64 {
 	var fields map[string]json.RawMessage
 	if json.Unmarshal(item, &fields) != nil {
 		return 0
 	}
-	var value float64
-	if json.Unmarshal(bytes.TrimSpace(fields[field]), &value) != nil {
+	value, err := strconv.ParseFloat(string(fields[field]), 64)
+	if err != nil {
 		return 0
 	}
 	return value
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -44,6 +44,9 @@
 	hedges    int
 	retries   int
 	verdicts  map[string]int
+
+	loadAttempts int
+	loadTargets  int
 }
 
 // New returns a collector without records.
@@ -73,9 +76,18 @@
 		sum.refused++
 	default:
 		sum.failed++
+		sum.addTail(answer)
 	}
 }
 
+// AddLoad adds what a request put on back ends, as they saw it. Once it was
+// called for a route, the routers' own counts of that route are left out.
+func (c *Collector) AddLoad(route string, attempts, targets int) {
+	sum := c.route(route)
+	sum.loadAttempts += attempts
+	sum.loadTargets += targets
+}
+
 func (c *Collector) span(answer *records.CallerAnswer) {
 	if c.first.IsZero() || answer.Intended.Before(c.first) {
 		c.first = answer.Intended
@@ -85,12 +97,18 @@
 	}
 }
 
-func (s *routeSum) addAnswered(answer *records.CallerAnswer) {
-	s.answered++
+// addTail adds what failed requests count for, too: their latency, and their
+// target shards as not covered. Leaving them out would flatter the tail.
+func (s *routeSum) addTail(answer *records.CallerAnswer) {
 	latency := answer.Received.Sub(answer.Intended).Microseconds()
 	_ = s.latency.RecordValue(min(max(latency, lowestLatencyUs), highestLatencyUs))
-	s.covered += len(answer.Covered)
 	s.targets += len(answer.Covered) + len(answer.Missing)
+}
+
+func (s *routeSum) addAnswered(answer *records.CallerAnswer) {
+	s.answered++
+	s.addTail(answer)
+	s.covered += len(answer.Covered)
 	s.attempts += answer.Attempts
 	s.attempted += len(answer.Covered) + len(answer.Missing)
 	s.hedges += answer.Hedges
@@ -119,11 +137,12 @@
 	P95Ms   float64 `json:"p95_ms"`
 	P99Ms   float64 `json:"p99_ms"`
 	P999Ms  float64 `json:"p999_ms"`
-	// Coverage is the share of target shards that answers cover, Complete the
-	// share of answers without a missing shard.
+	// Coverage is the share of target shards that answers cover; a failed
+	// request covers none, a refused one is left out, as it is from latency.
+	// Complete is the share of answers without a missing shard.
 	Coverage float64 `json:"coverage"`
 	Complete float64 `json:"complete"`
-	// AttemptsPerShard is the attempts sent per target shard of an answer.
+	// AttemptsPerShard is the attempts per target shard.
 	AttemptsPerShard float64        `json:"attempts_per_shard"`
 	Hedges           int            `json:"hedges"`
 	Retries          int            `json:"retries"`
@@ -143,12 +162,16 @@
 		const microsecondsPerMs = 1000
 		return float64(s.latency.ValueAtPercentile(percent)) / microsecondsPerMs
 	}
+	attempts, targets := s.attempts, s.attempted
+	if s.loadTargets > 0 {
+		attempts, targets = s.loadAttempts, s.loadTargets
+	}
 	return Row{
 		Route: name, Requests: s.requests, Answered: s.answered, Refused: s.refused, Failed: s.failed,
 		Rate: float64(s.requests) / seconds, Goodput: float64(s.good) / seconds,
 		P50Ms: quantile(50), P95Ms: quantile(95), P99Ms: quantile(99), P999Ms: quantile(99.9),
 		Coverage: share(s.covered, s.targets), Complete: share(s.complete, s.answered),
-		AttemptsPerShard: share(s.attempts, s.attempted), Hedges: s.hedges, Retries: s.retries,
+		AttemptsPerShard: share(attempts, targets), Hedges: s.hedges, Retries: s.retries,
 		Verdicts: s.verdicts,
 	}
 }
--- /dev/null
+++ b/internal/scale/churn.go
@@ -0,0 +1,105 @@
+package scale
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// The daily churn of the target fleet: of 4,500 nodes, 23,000 are restarted or
+// replaced and 150 fail.
+const (
+	targetNodes    = 4500
+	plannedPerDay  = 23000
+	failuresPerDay = 150
+	day            = 24 * time.Hour
+	// startSpread is the time over which a fleet's first followers start.
+	startSpread = 3 * time.Second
+)
+
+// churnStep is how often a follower decides whether its end has come.
+const churnStep = 250 * time.Millisecond
+
+// ending says how a follower ends.
+type ending int
+
+const (
+	// endRestart gives the lease back and comes back under the same name.
+	endRestart ending = iota + 1
+	// endReplacement gives the lease back; another name takes the place.
+	endReplacement
+	// endFailure just vanishes; another name takes the place later.
+	endFailure
+)
+
+// absence is how long the place stays empty.
+func (e ending) absence() time.Duration {
+	const restartTime, failureTime = time.Second, 5 * time.Second
+	if e == endFailure {
+		return failureTime
+	}
+	return restartTime
+}
+
+// Churn counts how followers ended.
+type Churn struct {
+	Restarts     int `json:"restarts"`
+	Replacements int `json:"replacements"`
+	Failures     int `json:"failures"`
+}
+
+func (f *Fleet) count(ended ending) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	switch ended {
+	case endRestart:
+		f.counts.Restarts++
+	case endReplacement:
+		f.counts.Replacements++
+	case endFailure:
+		f.counts.Failures++
+	}
+}
+
+// awaitEnd waits until the churn ends a follower, or the context does. Ends of
+// one follower are independent of its age.
+func (f *Fleet) awaitEnd(ctx context.Context, random *rand.Rand) ending {
+	const perStep = float64(plannedPerDay+failuresPerDay) / targetNodes * float64(churnStep) / float64(day)
+	ticker := time.NewTicker(churnStep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return endRestart
+		case <-ticker.C:
+		}
+		if random.Float64() < perStep*float64(f.churn.Load()) {
+			return drawEnding(random)
+		}
+	}
+}
+
+// drawEnding picks failures at their share, and restarts and replacements
+// equally often: the target gives only their sum.
+func drawEnding(random *rand.Rand) ending {
+	switch drawn := random.IntN(plannedPerDay + failuresPerDay); {
+	case drawn < failuresPerDay:
+		return endFailure
+	case drawn%2 == 0:
+		return endRestart
+	default:
+		return endReplacement
+	}
+}
+
+// pause waits and reports whether the context still runs.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/scale/fleet.go
@@ -0,0 +1,175 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/follower"
+	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/rpc"
+)
+
+// FleetConfig describes the hollow followers of one process.
+type FleetConfig struct {
+	// Name begins the names of the followers; it is unique among fleets.
+	Name string
+	// Followers is how many run at once.
+	Followers int
+	// Relays are dealt to the zones in turn; each follower is given those of
+	// its zone.
+	Relays []string
+	Zones  int
+	// Seed of restarts and jitter.
+	Seed uint64
+}
+
+// Fleet runs hollow followers.
+type Fleet struct {
+	config   FleetConfig
+	security *rpc.Security
+	logger   logrus.FieldLogger
+	traffic  traffic
+	// churn is how many times faster than the stated rate followers restart.
+	churn atomic.Int64
+	boots atomic.Uint64
+
+	mutex  sync.Mutex
+	lives  []*life
+	counts Churn
+}
+
+// NewFleet returns a fleet; Run starts its followers.
+func NewFleet(config FleetConfig, security *rpc.Security, logger logrus.FieldLogger) *Fleet {
+	config.Zones = max(config.Zones, 1)
+	fleet := &Fleet{config: config, security: security, logger: logger}
+	fleet.boots.Store(uint64(time.Now().UnixNano()))
+	return fleet
+}
+
+// SetChurn sets how many times faster than stated followers are restarted;
+// 0 stops restarts.
+func (f *Fleet) SetChurn(factor int64) { f.churn.Store(factor) }
+
+// Run keeps the followers running until the context ends.
+func (f *Fleet) Run(ctx context.Context) {
+	var slots sync.WaitGroup
+	for index := range f.config.Followers {
+		slots.Go(func() { f.runSlot(ctx, index) })
+	}
+	slots.Wait()
+}
+
+// runSlot runs one follower after another in the place of one router.
+func (f *Fleet) runSlot(ctx context.Context, index int) {
+	random := rand.New(rand.NewPCG(f.config.Seed, uint64(index)))
+	name := fmt.Sprintf("%s-%04d", f.config.Name, index)
+	// Spread starts over a while, as an orderly start of a fleet does.
+	if !pause(ctx, time.Duration(random.Int64N(int64(startSpread)))) {
+		return
+	}
+	for replaced := 0; ctx.Err() == nil; {
+		ending := f.runLife(ctx, name, index, random)
+		f.count(ending)
+		if ending != endRestart {
+			replaced++
+			name = fmt.Sprintf("%s-%04d-%d", f.config.Name, index, replaced)
+		}
+		if !pause(ctx, ending.absence()) {
+			return
+		}
+	}
+}
+
+// runLife runs a follower until its end comes by the churn.
+func (f *Fleet) runLife(ctx context.Context, name string, index int, random *rand.Rand) ending {
+	client := rpc.NewClient(f.security, rpc.ClientConfig{Dial: f.traffic.dial})
+	defer client.CloseIdle()
+	started := &life{}
+	upper, err := follower.New(follower.Config{Node: f.node(name, index), Upstreams: f.upstreams(index)}, follower.Deps{
+		Dial: follower.NewDial(client), Sink: started, Logger: f.logger, Registerer: unregistered{}, Random: random.Float64,
+	})
+	if err != nil {
+		f.logger.WithField("reason", err).Error("follower not started")
+		return endFailure
+	}
+	f.add(started)
+	running, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = upper.Run(running)
+	}()
+	ending := f.awaitEnd(ctx, rand.New(rand.NewPCG(f.config.Seed, f.boots.Load())))
+	if ending != endFailure && ctx.Err() == nil {
+		f.leave(ctx, upper)
+	}
+	cancel()
+	<-done
+	started.end()
+	return ending
+}
+
+func (f *Fleet) leave(ctx context.Context, upper *follower.Follower) {
+	const leaveTimeout = 2 * time.Second
+	bounded, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := upper.Leave(bounded); err != nil {
+		f.logger.WithField("reason", err).Info("lease not given back")
+	}
+}
+
+func (f *Fleet) node(name string, index int) membership.Node {
+	const firstPort, ports = 20000, 40000
+	return membership.Node{
+		Name: name, Role: membership.RoleRouter, Zone: f.zoneName(index),
+		Address: fmt.Sprintf("127.200.%d.%d:%d", index>>8&0xff, index&0xff, firstPort+index%ports),
+		Boot:    f.boots.Add(1),
+	}
+}
+
+func (f *Fleet) zoneName(index int) string { return fmt.Sprintf("zone-%02d", index%f.config.Zones) }
+
+// upstreams returns the relays of a follower's zone.
+func (f *Fleet) upstreams(index int) []string {
+	own := lo.Filter(f.config.Relays, func(_ string, relay int) bool {
+		return relay%f.config.Zones == index%f.config.Zones
+	})
+	if len(own) == 0 {
+		return f.config.Relays
+	}
+	return own
+}
+
+func (f *Fleet) add(started *life) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.lives = append(f.lives, started)
+}
+
+func (f *Fleet) all() []*life {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.Clone(f.lives)
+}
+
+// unregistered is a registerer that keeps nothing, for the metrics of
+// followers of which there are thousands in one process.
+type unregistered struct{}
+
+// Register implements prometheus.Registerer.
+func (unregistered) Register(prometheus.Collector) error { return nil }
+
+// MustRegister implements prometheus.Registerer.
+func (unregistered) MustRegister(...prometheus.Collector) {}
+
+// Unregister implements prometheus.Registerer.
+func (unregistered) Unregister(prometheus.Collector) bool { return true }
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,110 @@
+package scale
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of recorded delays, in microseconds.
+const (
+	shortestDelay  = 1
+	longestDelay   = int64(10 * time.Minute / time.Microsecond)
+	delayPrecision = 3
+)
+
+// Accepted is a revision and when the operator heard that it was accepted.
+type Accepted struct {
+	Revision uint64    `json:"revision"`
+	At       time.Time `json:"at"`
+}
+
+// ReportRequest asks a fleet when revisions were installed.
+type ReportRequest struct {
+	Accepted []Accepted `json:"accepted"`
+	// Since bounds the gaps that are reported.
+	Since time.Time `json:"since"`
+}
+
+// Report says how fast a fleet's followers installed revisions.
+type Report struct {
+	// Delays are microseconds from acceptance to installation, one for each
+	// revision and follower that had an earlier revision when it was accepted.
+	Delays *hdrhistogram.Snapshot `json:"delays"`
+	// Last holds, for each revision asked, when the last follower had it.
+	Last []time.Time `json:"last"`
+	// Behind counts followers and revisions that were not installed yet.
+	Behind int `json:"behind"`
+	// Gaps counts the times without a lease, and the longest.
+	Gaps       int           `json:"gaps"`
+	LongestGap time.Duration `json:"longest_gap"`
+	Churn      Churn         `json:"churn"`
+}
+
+// State says how far a fleet is.
+type State struct {
+	// Running followers, how many of them hold a lease, and the lowest
+	// revision that a running one has installed.
+	Running        int    `json:"running"`
+	Holding        int    `json:"holding"`
+	LowestRevision uint64 `json:"lowest_revision"`
+}
+
+func newDelays() *hdrhistogram.Histogram {
+	return hdrhistogram.New(shortestDelay, longestDelay, delayPrecision)
+}
+
+// Report answers when revisions were installed.
+func (f *Fleet) Report(request ReportRequest) Report {
+	delays := newDelays()
+	report := Report{Last: make([]time.Time, len(request.Accepted))}
+	for _, one := range f.all() {
+		for index, accepted := range request.Accepted {
+			at, counted := one.reached(accepted)
+			switch {
+			case !counted:
+			case at.IsZero():
+				report.Behind++
+			default:
+				// A follower may have it before the operator hears of it.
+				delay := max(at.Sub(accepted.At).Microseconds(), shortestDelay)
+				_ = delays.RecordValue(min(delay, longestDelay))
+				if at.After(report.Last[index]) {
+					report.Last[index] = at
+				}
+			}
+		}
+		for _, known := range one.gapsSince(request.Since) {
+			report.Gaps++
+			report.LongestGap = max(report.LongestGap, known.length)
+		}
+	}
+	report.Delays = delays.Export()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	report.Churn = f.counts
+	return report
+}
+
+// State describes the running followers.
+func (f *Fleet) State() State {
+	now := time.Now()
+	var state State
+	for _, one := range f.all() {
+		one.mutex.Lock()
+		ended := !one.ended.IsZero()
+		one.mutex.Unlock()
+		if ended {
+			continue
+		}
+		revision, holding := one.state(now)
+		if state.Running == 0 || revision < state.LowestRevision {
+			state.LowestRevision = revision
+		}
+		state.Running++
+		if holding {
+			state.Holding++
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/internal/simulation/process.go
@@ -0,0 +1,174 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/simulation/clock"
+	"github.com/martenstage/martenstage/internal/simulation/network"
+)
+
+// process is what all processes of the fleet have in common: a place, a clock
+// of their own, and that they crash, restart and freeze.
+type process struct {
+	world *World
+	place network.Place
+	local clock.Local
+	// running is false between a crash or stop and the next start. boot counts
+	// starts; what was under way before is forgotten.
+	running bool
+	boot    uint64
+	// frozen is set while the process does not run, but is not dead either;
+	// delayed is what it will do then.
+	frozen  bool
+	delayed []func()
+}
+
+func newProcess(world *World, place network.Place) process {
+	return process{world: world, place: place}
+}
+
+func (p *process) name() string { return p.place.Name }
+
+// now returns what the process's own clock shows.
+func (p *process) now() time.Time { return p.local.At(p.world.queue.Now()) }
+
+// after calls act after a duration of the process's own clock, unless it was
+// restarted meanwhile.
+func (p *process) after(duration time.Duration, act func()) {
+	boot := p.boot
+	p.world.queue.After(p.local.True(duration), func() { p.deliver(boot, act) })
+}
+
+// deliver lets a process of a boot do something now, or when it thaws.
+func (p *process) deliver(boot uint64, act func()) {
+	if !p.running || p.boot != boot {
+		return
+	}
+	if p.frozen {
+		p.delayed = append(p.delayed, func() { p.deliver(boot, act) })
+		return
+	}
+	act()
+}
+
+func (p *process) freeze() {
+	if p.running {
+		p.frozen = true
+	}
+}
+
+func (p *process) thaw() {
+	p.frozen = false
+	waiting := p.delayed
+	p.delayed = nil
+	for _, act := range waiting {
+		act()
+	}
+}
+
+func (p *process) begin() {
+	p.running, p.frozen, p.delayed = true, false, nil
+	p.boot++
+}
+
+func (p *process) end() {
+	p.running, p.frozen, p.delayed = false, false, nil
+}
+
+// alarm calls one function at the time that was last set.
+type alarm struct {
+	process *process
+	act     func()
+	at      time.Time
+	// pending is the local time for which an event is in the queue.
+	pending time.Time
+	boot    uint64
+}
+
+// set moves the alarm; the zero time switches it off.
+func (a *alarm) set(at time.Time) {
+	a.at = at
+	if a.boot != a.process.boot {
+		a.boot, a.pending = a.process.boot, time.Time{}
+	}
+	if at.IsZero() || (!a.pending.IsZero() && !at.Before(a.pending)) {
+		return
+	}
+	a.arm()
+}
+
+func (a *alarm) arm() {
+	armed := a.at
+	a.pending = armed
+	a.process.after(armed.Sub(a.process.now()), func() {
+		if !a.pending.Equal(armed) {
+			return // an earlier time was set since
+		}
+		a.pending = time.Time{}
+		switch {
+		case a.at.IsZero():
+		case a.process.now().Before(a.at):
+			a.arm()
+		default:
+			a.at = time.Time{}
+			a.act()
+		}
+	})
+}
+
+// reply carries the answer of a call back; it may be called at any time later.
+type reply func(answer any)
+
+// callResult says how a call ended.
+type callResult struct {
+	answer any
+	// failed is true without an answer; refused in addition when it is proved
+	// that the call did not arrive.
+	failed, refused bool
+}
+
+// call is a request from one process to another with one answer.
+type call struct {
+	from    *process
+	to      *process
+	timeout time.Duration
+	// repeatable calls may arrive twice, as when a client sends again.
+	repeatable bool
+	handle     func(reply)
+	done       func(callResult)
+}
+
+// call sends a request. Done is called once, unless the caller restarts.
+func (w *World) call(c call) {
+	ended := false
+	boot := c.from.boot
+	finish := func(result callResult) {
+		c.from.deliver(boot, func() {
+			if !ended {
+				ended = true
+				c.done(result)
+			}
+		})
+	}
+	if !w.network.Connected(&c.from.place, &c.to.place) {
+		// Nobody answers the connection attempt.
+		c.from.after(c.timeout, func() { finish(callResult{failed: true, refused: true}) })
+		return
+	}
+	arrive := func() { w.arrive(c, finish) }
+	w.network.Send(network.Message{From: &c.from.place, To: &c.to.place, Repeatable: c.repeatable, Arrive: arrive})
+	c.from.after(c.timeout, func() { finish(callResult{failed: true}) })
+}
+
+func (w *World) arrive(c call, finish func(callResult)) {
+	back := func(result callResult) {
+		w.network.Send(network.Message{From: &c.to.place, To: &c.from.place, Arrive: func() { finish(result) }})
+	}
+	if !c.to.running {
+		back(callResult{failed: true, refused: true})
+		return
+	}
+	c.to.deliver(c.to.boot, func() {
+		c.handle(func(answer any) { back(callResult{answer: answer}) })
+	})
+}
--- /dev/null
+++ b/internal/simulation/relay.go
@@ -0,0 +1,158 @@
+package simulation
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+// relay follows control and serves the routers of its zones within its own
+// lease.
+type relay struct {
+	process
+	follow   *follower
+	granter  *granter
+	tables   *relayTables
+	revision uint64
+	plan     *plan.Plan
+	term     uint64
+	until    time.Time
+}
+
+func newRelay(world *World, zone, name string) *relay {
+	return &relay{process: newProcess(world, placeIn(zone, name))}
+}
+
+func (r *relay) start() {
+	if r.running {
+		return
+	}
+	r.begin()
+	r.revision, r.plan, r.term, r.until = 0, nil, 0, time.Time{}
+	r.follow = newFollower(&r.process, membership.RoleRelay, r.world.controlUpstreams(), r)
+	r.tables = &relayTables{
+		follow: r.follow, children: map[string]membership.NodeView{},
+		observations: map[observationKey]seen{},
+	}
+	r.granter = newGranter(&r.process, false, r.tables, r)
+	r.granter.onProgress = r.follow.poke
+	r.follow.prepare = r.report
+	r.world.trace.note(r.name(), "relay_started", "boot", r.boot)
+	r.granter.start()
+	r.follow.start()
+}
+
+func (r *relay) crash() {
+	if r.running {
+		r.end()
+	}
+}
+
+// report sums up what the relay's followers reported.
+func (r *relay) report(request *syncRequest) {
+	request.subtree = r.granter.revisionInForce()
+	for _, name := range sortedKeys(r.tables.children) {
+		request.followers = append(request.followers, r.tables.children[name])
+	}
+	for _, key := range sortedObservations(r.tables.observations) {
+		request.observations = append(request.observations, r.tables.observations[key].Observation)
+	}
+}
+
+// latest implements grantSource.
+func (r *relay) latest() (uint64, *plan.Plan) { return r.revision, r.plan }
+
+// confirm implements grantSource: grants last as long as the relay's own lease.
+// A child's first call waits for a call upwards that is sent after it.
+func (r *relay) confirm(first bool, done func(entitlement, grantRefusal)) {
+	grant := func() {
+		remaining := r.until.Sub(r.now())
+		if r.until.IsZero() || remaining <= 0 {
+			done(entitlement{}, grantRefusal{refused: true})
+			return
+		}
+		done(entitlement{term: r.term, lease: remaining}, grantRefusal{})
+	}
+	if first {
+		r.follow.refresh(grant)
+		return
+	}
+	grant()
+}
+
+func (r *relay) installPlan(revision uint64, installed *plan.Plan) {
+	r.revision, r.plan = revision, installed
+	r.world.trace.note(r.name(), "plan_installed", "revision", revision)
+	r.granter.planChanged()
+}
+
+func (r *relay) extendLease(term uint64, until time.Time) { r.term, r.until = term, until }
+
+func (r *relay) mergeRouters(changes membership.Changes[membership.Node]) {
+	r.follow.routers.Merge(changes)
+}
+
+func (r *relay) mergeMachines(changes membership.Changes[membership.Machine]) {
+	r.follow.machines.Merge(changes)
+}
+
+type observationKey struct{ address, router string }
+
+// relayTables are what a relay spreads, heard from above, and what it reports.
+type relayTables struct {
+	follow       *follower
+	children     map[string]membership.NodeView
+	observations map[observationKey]seen
+}
+
+// StartTerm implements the product's Tables: children keep their leases.
+func (t *relayTables) StartTerm(time.Time, uint64) {}
+
+// Report notes a node below.
+func (t *relayTables) Report(_ string, view membership.NodeView) {
+	view.Lapsed = false
+	t.children[view.Name] = view
+}
+
+// Lapse notes that nobody vouches for a node any more.
+func (t *relayTables) Lapse(_ time.Time, _, name string) {
+	if view, known := t.children[name]; known {
+		view.Lapsed = true
+		t.children[name] = view
+	}
+}
+
+// LapseChild notes that a direct child is gone.
+func (t *relayTables) LapseChild(now time.Time, child string) { t.Lapse(now, membership.Direct, child) }
+
+// Observe keeps an observation to pass it on.
+func (t *relayTables) Observe(now time.Time, observation membership.Observation) {
+	key := observationKey{observation.Address, observation.Router}
+	t.observations[key] = seen{Observation: observation, until: now.Add(membership.ObservationLifetime)}
+}
+
+// Expire drops observations that were not repeated.
+func (t *relayTables) Expire(now time.Time) {
+	for key, known := range t.observations {
+		if !now.Before(known.until) {
+			delete(t.observations, key)
+		}
+	}
+}
+
+// Routers returns the routers as heard from above; nil before.
+func (t *relayTables) Routers(time.Time) *membership.Table[membership.Node] {
+	if t.follow.routers.Version() == 0 {
+		return nil
+	}
+	return t.follow.routers
+}
+
+// Machines returns the states of machines as heard from above; nil before.
+func (t *relayTables) Machines(time.Time) *membership.Table[membership.Machine] {
+	if t.follow.machines.Version() == 0 {
+		return nil
+	}
+	return t.follow.machines
+}
--- /dev/null
+++ b/internal/simulation/scenario.go
@@ -0,0 +1,289 @@
+package simulation
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/state"
+)
+
+// defaultScenario draws faults of all kinds.
+const defaultScenario = "random"
+
+// everyEvent selects the whole journal.
+var everyEvent = state.EventFilter{Limit: 1 << 20}
+
+// scenario arranges faults in a world.
+type scenario func(w *World)
+
+// scenarios are the named ones.
+var scenarios = map[string]scenario{
+	defaultScenario:                     randomFaults,
+	"stragglers":                        stragglers,
+	"replica-loss":                      replicaLoss,
+	"repartition":                       repartition,
+	"silent-cut-control":                silentCut,
+	"racing-operators":                  racingOperators,
+	"resent-changes":                    resentChanges,
+	"second-loss-after-repair":          secondLoss,
+	"restart-after-hundreds-of-changes": restartAfterChanges,
+	"night-failure":                     nightFailure,
+}
+
+// Scenarios returns the names of the scenarios.
+func Scenarios() []string { return sortedKeys(scenarios) }
+
+// ErrUnknownScenario is returned for a name that is none.
+var ErrUnknownScenario = errors.New("unknown scenario")
+
+// scenarioNamed returns a scenario, or several joined by "+" as one.
+func scenarioNamed(name string) (scenario, error) {
+	var parts []scenario
+	for _, part := range strings.Split(lo.CoalesceOrEmpty(name, defaultScenario), "+") {
+		chosen, known := scenarios[part]
+		if !known {
+			return nil, errors.Wrapf(ErrUnknownScenario, "%q; there are %s", part, names(Scenarios()))
+		}
+		parts = append(parts, chosen)
+	}
+	return func(w *World) {
+		for _, part := range parts {
+			part(w)
+		}
+	}, nil
+}
+
+// faultKinds are drawn by random schedules, with the share of each.
+var faultKinds = []struct {
+	kind  FaultKind
+	share int
+}{
+	{FaultCut, 5}, {FaultCutOut, 4}, {FaultCutIn, 4}, {FaultCutPair, 5}, {FaultZoneSplit, 3}, {FaultRegion, 2},
+	{FaultLoss, 4}, {FaultDelay, 5}, {FaultDuplicate, 3}, {FaultCrash, 12}, {FaultFreeze, 6}, {FaultStop, 6},
+	{FaultDiskSlow, 4}, {FaultDiskFail, 3}, {FaultReplace, 4}, {FaultSlow, 4}, {FaultDrain, 5}, {FaultDrainLie, 4},
+	{FaultHealthLate, 3}, {FaultLost, 3}, {FaultConfused, 2}, {FaultRoll, 5}, {FaultRace, 5},
+}
+
+// Draw makes a fault of evenly drawn numbers; number returns one in [0, limit).
+func Draw(number func(label string, limit int) int) Fault {
+	total := lo.SumBy(faultKinds, func(entry struct {
+		kind  FaultKind
+		share int
+	}) int {
+		return entry.share
+	})
+	fault := Fault{Kind: pickKind(number("kind", total))}
+	nodes := nodesFor(fault.Kind)
+	fault.Node = nodes[number("node", len(nodes))]
+	fault.Peer = systemNodes[number("peer", len(systemNodes))]
+	const longest = 9000
+	length := time.Duration(number("milliseconds", longest)+50) * time.Millisecond
+	latest := int((faultsEnd - faultsBegin - length) / time.Millisecond)
+	fault.At = faultsBegin + time.Duration(number("at", latest))*time.Millisecond
+	fault.For = length
+	fault.Amount = amountOf(fault.Kind, number)
+	return fault
+}
+
+func pickKind(drawn int) FaultKind {
+	for _, entry := range faultKinds {
+		if drawn -= entry.share; drawn < 0 {
+			return entry.kind
+		}
+	}
+	return FaultCrash
+}
+
+func amountOf(kind FaultKind, number func(string, int) int) int {
+	switch kind {
+	case FaultLoss, FaultDuplicate:
+		return 20 + number("thousandths", 280)
+	case FaultDelay:
+		return 1 + number("delay", 400)
+	case FaultDiskSlow:
+		return 50 + number("delay", 3000)
+	case FaultSlow:
+		return 20 + number("tenths", 400)
+	default:
+		return number("amount", len(configurations))
+	}
+}
+
+// The nodes that faults choose from.
+var (
+	controlNodes = lo.Times(voterCount, voterName)
+	routerNodes  = lo.Times(routerCount, func(index int) string { return routerName(index) })
+	relayNodes   = lo.Times(relayCount, func(index int) string { return relayName(index) })
+	backendNodes = lo.Times(backendCount, backendAddress)
+	// systemNodes are those of the system itself.
+	systemNodes = lo.Flatten([][]string{controlNodes, relayNodes, routerNodes})
+	allNodes    = lo.Flatten([][]string{controlNodes, controlNodes, relayNodes, routerNodes, routerNodes, backendNodes})
+)
+
+func nodesFor(kind FaultKind) []string {
+	switch kind {
+	case FaultStop:
+		return routerNodes
+	case FaultDiskSlow, FaultDiskFail, FaultReplace:
+		return controlNodes
+	case FaultSlow, FaultDrain, FaultDrainLie, FaultHealthLate, FaultLost, FaultConfused:
+		return backendNodes
+	case FaultZoneSplit:
+		return zones
+	case FaultRegion, FaultRoll, FaultRace, FaultDuplicate:
+		return []string{""}
+	default:
+		return allNodes
+	}
+}
+
+// randomFaults draws one to eight faults; some come a second time right after
+// they are over.
+func randomFaults(w *World) {
+	random := rand.New(rand.NewPCG(w.seed, faultStream))
+	const most, again, chances = 8, 3, 10
+	for range 1 + random.IntN(most) {
+		fault := Draw(func(_ string, limit int) int { return random.IntN(limit) })
+		w.schedule(fault)
+		if random.IntN(chances) < again {
+			fault.At += fault.For + time.Duration(random.IntN(500))*time.Millisecond
+			fault.For /= 2
+			if fault.At+fault.For <= faultsEnd {
+				w.schedule(fault)
+			}
+		}
+	}
+}
+
+const faultStream = 5
+
+// drawer returns a source of the numbers of a scenario.
+func (w *World) drawer() *rand.Rand { return rand.New(rand.NewPCG(w.seed, faultStream)) }
+
+// spread returns a time within the time of faults that leaves room for a length.
+func spread(random *rand.Rand, length time.Duration) time.Duration {
+	room := int64(faultsEnd - faultsBegin - length)
+	return faultsBegin + time.Duration(random.Int64N(room)).Round(time.Millisecond)
+}
+
+func stragglers(w *World) {
+	random := w.drawer()
+	const length = 8 * time.Second
+	for range 4 {
+		w.schedule(Fault{Kind: FaultSlow, Node: lo.SampleBy(backendNodes, random.IntN), At: spread(random, length), For: length, Amount: 50 + random.IntN(300)})
+	}
+}
+
+func replicaLoss(w *World) {
+	random := w.drawer()
+	const length = 6 * time.Second
+	kinds := []FaultKind{FaultCrash, FaultDrain, FaultDrainLie, FaultLost, FaultCut}
+	for range 4 {
+		w.schedule(Fault{Kind: lo.SampleBy(kinds, random.IntN), Node: lo.SampleBy(backendNodes, random.IntN), At: spread(random, length), For: length})
+	}
+}
+
+// repartition goes from one shard map over both to the other, while a new
+// index version rolls.
+func repartition(w *World) {
+	random := w.drawer()
+	for step, number := range []int{1, 2, 1, 0} {
+		at := faultsBegin + time.Duration(step)*5*time.Second + time.Duration(random.IntN(2000))*time.Millisecond
+		w.schedule(Fault{Kind: FaultMark, At: at, Amount: number})
+	}
+	for range 2 {
+		w.schedule(Fault{Kind: FaultRoll, At: spread(random, 8*time.Second), For: 8 * time.Second})
+	}
+}
+
+// silentCut cuts whoever leads off, in one or both directions, while operators
+// go on.
+func silentCut(w *World) {
+	random := w.drawer()
+	const length = 15 * time.Second
+	at := faultsBegin + time.Duration(random.IntN(5000))*time.Millisecond
+	kind := lo.SampleBy([]FaultKind{FaultCut, FaultCutIn, FaultCutOut}, random.IntN)
+	w.queue.At(at, func() {
+		for _, v := range w.voters {
+			if w.voterOf(v.state.Leader) == v {
+				w.schedule(Fault{Kind: kind, Node: v.name(), At: at, For: length})
+				return
+			}
+		}
+	})
+	for step := range 4 {
+		w.schedule(Fault{Kind: FaultRace, At: at + time.Duration(step+1)*2*time.Second, Amount: random.IntN(len(configurations))})
+	}
+}
+
+func racingOperators(w *World) {
+	random := w.drawer()
+	for range 8 {
+		w.schedule(Fault{Kind: FaultRace, At: spread(random, time.Second), Amount: random.IntN(len(configurations))})
+	}
+}
+
+// resentChanges loses many answers, so that operators send changes again.
+func resentChanges(w *World) {
+	random := w.drawer()
+	for step := range 3 {
+		at := faultsBegin + time.Duration(step)*6*time.Second
+		w.schedule(Fault{Kind: FaultLoss, At: at, For: 5 * time.Second, Amount: 100 + random.IntN(300)})
+		w.schedule(Fault{Kind: FaultMark, At: at + time.Second, Amount: random.IntN(len(configurations))})
+		w.schedule(Fault{Kind: FaultRace, At: at + 3*time.Second, Amount: random.IntN(len(configurations))})
+	}
+}
+
+// secondLoss loses a voter with its disk, and another one as soon as the first
+// is replaced.
+func secondLoss(w *World) {
+	random := w.drawer()
+	first := random.IntN(voterCount)
+	second := (first + 1 + random.IntN(voterCount-1)) % voterCount
+	w.schedule(Fault{Kind: FaultReplace, Node: voterName(first), At: faultsBegin + time.Second})
+	w.replaced = func() {
+		w.replaced = func() {}
+		w.queue.After(0, func() {
+			if w.queue.Now() < faultsEnd {
+				w.schedule(Fault{Kind: FaultReplace, Node: voterName(second), At: w.queue.Now()})
+			}
+		})
+	}
+}
+
+// restartAfterChanges makes hundreds of changes and restarts everything.
+func restartAfterChanges(w *World) {
+	random := w.drawer()
+	const changes, gap = 300, 50 * time.Millisecond
+	for number := range changes {
+		w.queue.At(faultsBegin+time.Duration(number)*gap, func() {
+			w.operators[number%2].submit(configurations[number%len(configurations)])
+		})
+	}
+	at := faultsBegin + changes*gap + time.Second
+	for _, node := range systemNodes {
+		w.schedule(Fault{Kind: FaultCrash, Node: node, At: at + time.Duration(random.IntN(500))*time.Millisecond, For: time.Second + time.Duration(random.IntN(2000))*time.Millisecond})
+	}
+}
+
+// nightFailure loses back ends, a relay and a voter while nobody watches; the
+// journal must tell of each in the morning.
+func nightFailure(w *World) {
+	random := w.drawer()
+	const length = 12 * time.Second
+	inUse := groupsOf[1] * 2
+	for _, node := range []string{
+		lo.SampleBy(backendNodes[:inUse], random.IntN), relayName(random.IntN(relayCount)), voterName(random.IntN(voterCount)),
+	} {
+		w.schedule(Fault{Kind: FaultCrash, Node: node, At: spread(random, length), For: length})
+		w.expected = append(w.expected, node)
+	}
+	w.operatorsAway = true
+}
+
+func routerName(index int) string { return "router-" + string(rune('1'+index)) }
+func relayName(index int) string  { return "relay-" + string(rune('1'+index)) }
