Wake followers for a change that came amid other work

Cause: the serving loop waited for the next change only; one that arrived while another case was handled waited for the next one or the hold time. Change: compare the latest revision with the last one that followers were woken for. Conclusion: a change is spread planDelay after it is accepted.

--- a/internal/follower/handler_run.go
+++ b/internal/follower/handler_run.go
@@ -22,14 +22,21 @@
 	defer expire.Stop()
 	tables := time.NewTicker(tableDelay)
 	defer tables.Stop()
+	var woken uint64
 	for {
-		_, _, changed := h.deps.Plans.Latest()
+		revision, _, changed := h.deps.Plans.Latest()
+		if revision > woken {
+			// Compared, and not only waited for: the change may have come while
+			// another case was being handled.
+			sleep(ctx, planDelay)
+			h.wake()
+			woken = revision
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
-			sleep(ctx, planDelay)
-			h.wake()
 		case <-tables.C:
 			h.publishTables(time.Now())
 		case <-h.acknowledged:
