--- a/cmd/martenbench/load.go
+++ b/cmd/martenbench/load.go
@@ -32,6 +32,7 @@
 	Resends         int           `long:"resends" description:"How often a caller sends a failed request again"`
 	ResendPause     time.Duration `long:"resend-pause" default:"20ms" description:"Pause before a request is sent again"`
 	HonorRetryAfter bool          `long:"honor-retry-after" description:"Keep the pause that an answer names"`
+	WaitReady       time.Duration `long:"wait-ready" description:"Longest wait before the run until every router is ready"`
 }
 
 // Execute implements flags.Commander.
@@ -55,6 +56,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	if err := load.AwaitReady(ctx, config.Routers, c.WaitReady); err != nil {
+		return err
+	}
 	callers.Run(ctx)
 	if err := file.Close(); err != nil {
 		return err
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -155,6 +155,9 @@
 			r.answers = r.answers[:1]
 		}},
 		{"covered without execution", CoverageTrue, func(r *run) { r.executions = r.executions[1:] }},
+		{"covered by a run that was cut short", CoverageTrue, func(r *run) {
+			r.executions[0].Canceled, r.executions[0].ItemDigests = true, nil
+		}},
 		{"missing shard silently in", CoverageTrue, func(r *run) {
 			r.answers[sweep].Covered, r.answers[sweep].Missing, r.answers[sweep].Complete = []uint32{0, 1}, []uint32{2}, false
 		}},
@@ -229,6 +232,18 @@
 	return lo.FlatMap(shards, func(shard uint32, _ int) []string { return dataset.Digests(query("sweep", shard, 7)) })
 }
 
+// A hedge that was cut short leaves a record without items beside that of the
+// run whose part is in the answer.
+func TestRunCutShortIsNoPart(t *testing.T) {
+	r := cleanRun()
+	for _, request := range []string{"sweep", "best"} {
+		cutShort := execution(request, 1, 7)
+		cutShort.Canceled, cutShort.ItemDigests = true, nil
+		r.executions = append([]records.Execution{cutShort}, r.executions...)
+	}
+	require.Empty(t, r.judge().Violations())
+}
+
 // A resend of the same id owns an execution that an earlier refusal does not.
 func TestExecutionOfResendIsNotHeldAgainstRefusal(t *testing.T) {
 	r := cleanRun()
