Take a departure back once the back end is seen to return

Cause: a router that sees a back end leave tells the others, and never told them that it was back. Change: the balancer remembers that it announced a departure, and the engine emits Observed with the state live once the back end, by its own word, takes work again.

--- a/internal/balancer/presence.go
+++ b/internal/balancer/presence.go
@@ -39,6 +39,9 @@
 	left     bool
 	leftAt   time.Time
 	recalled bool
+	// announced is set from when this engine itself saw the server leave, which
+	// others are told, until it saw it back.
+	announced bool
 }
 
 func (p *presence) usable() bool {
@@ -52,6 +55,12 @@
 	return p.refused || p.left || p.health == backendapi.StateDraining
 }
 
+// back reports whether the server, whose departure was announced, takes work
+// again by its own word.
+func (p *presence) back() bool {
+	return p.announced && !p.refused && p.failedProbes == 0 && p.health == backendapi.StateReady
+}
+
 // cause names the source that said that the server leaves.
 func (p *presence) cause() string {
 	switch {
@@ -172,11 +181,7 @@
 func (p *Pool) change(now time.Time, server *Server, apply func()) {
 	wasUsable, wasLeaving := server.Usable(), server.presence.leaving()
 	apply()
-	if server.presence.leaving() && !wasLeaving {
-		p.transitions = append(p.transitions, Transition{
-			Kind: journal.KindDrainBegun, Server: server, Own: !server.presence.left, Detail: server.presence.cause(),
-		})
-	}
+	p.announce(server, wasLeaving)
 	if server.Usable() == wasUsable {
 		return
 	}
@@ -188,6 +193,24 @@
 	}
 }
 
+// announce tells of a departure, and of the return from one that this engine saw
+// itself: what others were told of it must be taken back.
+func (p *Pool) announce(server *Server, wasLeaving bool) {
+	presence := &server.presence
+	switch {
+	case presence.leaving() && !wasLeaving:
+		presence.announced = !presence.left
+		p.transitions = append(p.transitions, Transition{
+			Kind: journal.KindDrainBegun, Server: server, Own: presence.announced, Detail: presence.cause(),
+		})
+	case presence.back():
+		presence.announced = false
+		p.transitions = append(p.transitions, Transition{
+			Kind: journal.KindDrainDone, Server: server, Own: true, Detail: "by its own word",
+		})
+	}
+}
+
 // recount updates a group and tells when it lost its last usable replica, or
 // got the first one back.
 func (p *Pool) recount(group *Group) {
--- a/internal/query/backends.go
+++ b/internal/query/backends.go
@@ -92,8 +92,19 @@
 			e.warm(transition.Server)
 		}
 		e.record(event)
-		if transition.Kind == journal.KindDrainBegun && transition.Own {
-			e.emit(Observed{Address: transition.Server.Address, State: MachineLeaving})
-		}
+		e.tellOthers(transition)
+	}
+}
+
+// tellOthers passes on that this engine itself saw a back end leave or return.
+func (e *Engine) tellOthers(transition balancer.Transition) {
+	if !transition.Own {
+		return
+	}
+	switch transition.Kind {
+	case journal.KindDrainBegun:
+		e.emit(Observed{Address: transition.Server.Address, State: MachineLeaving})
+	case journal.KindDrainDone:
+		e.emit(Observed{Address: transition.Server.Address, State: MachineLive})
 	}
 }
--- a/internal/query/command.go
+++ b/internal/query/command.go
@@ -80,7 +80,8 @@
 	Connections int
 }
 
-// Observed tells other nodes about a back end that this engine saw leave.
+// Observed tells other nodes about a back end that this engine saw leave, or
+// return after it did.
 type Observed struct {
 	Address netip.AddrPort
 	State   MachineState
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
@@ -255,3 +256,20 @@
 		})
 	}
 }
+
+func TestADepartureIsTakenBackOnceTheServerIsSeenToReturn(t *testing.T) {
+	h := newHarness(t, Config{Zone: "a"}, testPlan(1, 2, testPolicy()))
+	address := h.plan.Services[0].Generations[0].Shards[0].Replicas[0].Address
+	told := func(commands []Command) []MachineState {
+		return lo.Map(only[Observed](commands), func(word Observed, _ int) MachineState { return word.State })
+	}
+
+	require.Equal(t, []MachineState{MachineLeaving}, told(h.report(address, backendapi.StateDraining, 1, 0, 1)))
+	require.Empty(t, told(h.report(address, backendapi.StateDraining, 1, 0, 1)))
+	require.Equal(t, []MachineState{MachineLive}, told(h.report(address, backendapi.StateReady, 1, 0, 1)))
+	require.Empty(t, told(h.report(address, backendapi.StateReady, 1, 0, 1)))
+
+	// What others said is theirs to take back.
+	h.step(MachineObserved{Address: address, State: MachineLeaving})
+	require.Empty(t, told(h.report(address, backendapi.StateReady, 1, 0, 1)))
+}
