Let a simulated disk keep nothing after its first failed write

The log's writer ends with its first failure, so the product can't do that. Change: a disk that failed keeps nothing until the voter starts anew. Entries are appended in place, since readers get copies. Conclusion: a fault of the stand-in, not of the product.

--- a/internal/simulation/disk/disk.go
+++ b/internal/simulation/disk/disk.go
@@ -39,6 +39,9 @@
 	under   []write
 	// mount changes at every crash, so that a sync of before ends unheard.
 	mount uint64
+	// dead is set from a failed sync until the next start: the log's writer ends
+	// with the first failure, so that nothing of later groups is kept.
+	dead bool
 	// Slow is added to every sync, Failing makes the next sync fail.
 	Slow    time.Duration
 	Failing bool
@@ -46,6 +49,7 @@
 
 // New returns a disk that holds a restored state.
 func New(queue *clock.Queue, random *rand.Rand, initial consensus.Restored) *Disk {
+	initial.Entries = slices.Clone(initial.Entries)
 	return &Disk{queue: queue, random: random, durable: initial}
 }
 
@@ -78,10 +82,13 @@
 	group := d.under
 	d.under = nil
 	var failure error
-	if d.Failing {
+	switch {
+	case d.dead:
 		failure = ErrFailed
+	case d.Failing:
+		failure, d.dead = ErrFailed, true
 		d.keep(group, d.random.IntN(2) == 0)
-	} else {
+	default:
 		d.keep(group, true)
 	}
 	mount := d.mount
@@ -105,13 +112,16 @@
 // Crash loses what is not synced.
 func (d *Disk) Crash() {
 	const outcomes = 3
-	switch d.random.IntN(outcomes) {
-	case 0:
+	outcome := d.random.IntN(outcomes)
+	switch {
+	case d.dead:
+	case outcome == 0:
 		d.keep(d.under, true)
-	case 1:
+	case outcome == 1:
 		d.keepSnapshot()
 	}
 	d.mount++
+	d.dead = false
 	d.under, d.waiting = nil, nil
 }
 
@@ -143,7 +153,7 @@
 		for keep > 0 && entries[keep-1].Index >= first {
 			keep--
 		}
-		entries = append(entries[:keep:keep], unit.Entries...)
+		entries = append(entries[:keep], unit.Entries...)
 	}
 	drop := 0
 	for drop < len(entries) && entries[drop].Index <= unit.CompactTo {
