Test the planned stop and the callers who go away, and end the stop at its limit

Cause: a planned stop that reached its limit waited for ever: the listener was never closed, so the process neither ended nor said why. Change: what is left at the limit is cut off and the error names it. Tests of the stop under load, of readiness while stopping, of the limit, and of a caller that closes its connection, judged by the back ends' record. Conclusion: a stop ends with a cause in every case.

--- a/internal/callers/api_test.go
+++ b/internal/callers/api_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -217,3 +218,125 @@
 	require.Equal(t, "claim_mismatch", problem["reason"])
 	require.Equal(t, 1, s.executions("send-1"))
 }
+
+func TestClosingTheConnectionCancelsTheAttempts(t *testing.T) {
+	s := newSite(t, time.Millisecond, StopConfig{Limit: time.Minute})
+	_, err := s.fleet.Inject(emulator.Fault{Kind: emulator.FaultSlow, Factor: 1500})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.address+"/v1/routes/find/query", strings.NewReader(`{}`))
+	require.NoError(t, err)
+	request.Header.Set(HeaderRequest, "gone")
+	go func() {
+		for s.inFlight() < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err = http.DefaultClient.Do(request)
+	require.ErrorIs(t, err, context.Canceled)
+	require.Eventually(t, func() bool { return s.inFlight() == 0 && s.canceled("gone") == 2 }, 10*time.Second, 5*time.Millisecond)
+}
+
+// inFlight is the true number of queries that run on the back ends.
+func (s *site) inFlight() int {
+	running := 0
+	for _, server := range s.fleet.State().Servers {
+		running += server.Health.Load.InFlight
+	}
+	return running
+}
+
+// canceled counts the executions of a request that were cut short.
+func (s *site) canceled(id string) int {
+	count := 0
+	for _, execution := range s.record.Executions() {
+		if execution.Request == id && execution.Canceled {
+			count++
+		}
+	}
+	return count
+}
+
+// Callers send without a pause through a planned stop. None may see its
+// connection cut, and what is refused must not have run.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	s := newSite(t, 20*time.Millisecond, StopConfig{
+		Notice: 300 * time.Millisecond, Quiet: time.Second, QuietLimit: 30 * time.Second, Limit: time.Minute,
+	})
+	const callers = 24
+	var sending sync.WaitGroup
+	var mutex sync.Mutex
+	answered, refused := map[string]bool{}, map[string]bool{}
+	stopped := make(chan struct{})
+	servedDuringNotice := 0
+	for caller := range callers {
+		sending.Go(func() {
+			for number := 0; ; number++ {
+				id := fmt.Sprintf("stop-%d-%d", caller, number)
+				status, document := s.post("/v1/routes/find/query", id, `{}`)
+				mutex.Lock()
+				if status == http.StatusOK {
+					answered[id] = true
+					select {
+					case <-stopped:
+						servedDuringNotice++
+					default:
+					}
+					mutex.Unlock()
+					continue
+				}
+				refused[id] = true
+				mutex.Unlock()
+				require.Equal(t, "stopping", document["reason"])
+				require.Equal(t, "not_run", document["verdict"])
+				return
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	s.stop()
+	close(stopped)
+	sending.Wait()
+	require.NoError(t, <-s.ended)
+	require.Len(t, refused, callers)
+	require.Greater(t, servedDuringNotice, callers)
+	s.closeFleet()
+	for _, execution := range s.record.Executions() {
+		require.False(t, refused[execution.Request], "refused as not run, yet sent to a back end: %s", execution.Request)
+		require.False(t, answered[execution.Request] && execution.Canceled, "answered, yet cut short")
+	}
+}
+
+func TestNotReadyOnceStopping(t *testing.T) {
+	s := newSite(t, time.Millisecond, StopConfig{Notice: 5 * time.Second, Limit: time.Minute})
+	s.stop()
+	require.Eventually(t, func() bool {
+		response, err := http.Get("http://" + s.address + "/readyz")
+		require.NoError(t, err)
+		defer func() { _ = response.Body.Close() }()
+		return response.StatusCode == http.StatusServiceUnavailable
+	}, 10*time.Second, time.Millisecond)
+	status, _ := s.post("/v1/routes/find/query", "still", `{}`)
+	require.Equal(t, http.StatusOK, status)
+}
+
+// A request that outlives the limit is cut off, and the stop says so instead
+// of lasting forever.
+func TestStopEndsAtItsLimit(t *testing.T) {
+	s := newSite(t, time.Millisecond, StopConfig{Limit: 100 * time.Millisecond})
+	_, err := s.fleet.Inject(emulator.Fault{Kind: emulator.FaultSlow, Factor: 1500})
+	require.NoError(t, err)
+	cut := make(chan error, 1)
+	go func() {
+		response, err := http.Post("http://"+s.address+"/v1/routes/find/query", "application/json", strings.NewReader(`{}`))
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		cut <- err
+	}()
+	require.Eventually(t, func() bool { return s.inFlight() == 2 }, 10*time.Second, time.Millisecond)
+	s.stop()
+	require.ErrorContains(t, <-s.ended, "still in flight")
+	require.Error(t, <-cut)
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -71,6 +71,10 @@
 	case <-ctx.Done():
 	}
 	err := s.stop()
+	if err != nil {
+		// The limit has passed: what is left is cut off, and the error says so.
+		err = errors.CombineErrors(err, s.http.Close())
+	}
 	<-served
 	return err
 }
