Fold equal events on disk, and say so when the disk itself fails

Cause: equal events were joined only while they waited for the writer, so a replica that flaps through an outage of control filled the spool one row at a time; and a node whose disk failed could not tell anybody. Change: events not yet offered to control count into an equal earlier one within a minute, and within hours as the spool fills. What control may know already is repeated as it was. Ids are given before storing; while the disk fails, events go to control directly, with an event that says why. A slow disk is an event. Deliveries keep a second's distance. Measured: tests only. Conclusion: a long outage costs counts instead of lost events.

--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +35,14 @@
 	storePause    = time.Second
 	// deliverTimeout bounds one delivery.
 	deliverTimeout = 5 * time.Second
+	// deliverSpacing is the least time between two deliveries that succeeded.
+	// What is recorded meanwhile is folded, so a node in trouble sends few
+	// batches of counts in place of many events.
+	deliverSpacing = time.Second
+	// slowStore is how long one transaction may take before the disk counts as
+	// slow, and slowRepeat the least time between two events that say so.
+	slowStore  = time.Second
+	slowRepeat = time.Minute
 	// deliverGrace is how long Flush waits for control once the events are
 	// safe on disk; they are delivered after the next start otherwise.
 	deliverGrace = time.Second
@@ -72,12 +83,21 @@
 	dropped  prometheus.Counter
 	// arrived wakes the deliverer.
 	arrived chan struct{}
+	// sequence numbers the events of this run.
+	sequence atomic.Uint64
+	// slowTold and diskFailing belong to the writer.
+	slowTold    time.Time
+	diskFailing bool
 
 	mutex    sync.Mutex
 	handled  uint64
 	inFlight uint64
-	pending  bool
-	changed  chan struct{}
+	// attempted is the last number that a delivery was begun with. Control may
+	// have stored events up to it although the answer was lost, so nothing is
+	// folded into them any more and the next delivery repeats just them.
+	attempted uint64
+	pending   bool
+	changed   chan struct{}
 }
 
 // Open opens the spool in a folder, with the events that an earlier run left.
@@ -222,36 +242,86 @@
 }
 
 // storeBatch stores events, and tries again until that succeeds or the context
-// ends. Meanwhile the ring takes events and drops the oldest.
+// ends. Meanwhile the ring takes events and drops the oldest. While the disk
+// fails, events go to control without it: a node whose disk is broken or full
+// must be able to say so.
 func (s *Spool) storeBatch(ctx context.Context, events []*v1.Event) {
 	left := uint64(len(events))
-	folded := fold(events)
+	folded := s.identified(fold(events, shortestWindow))
 	lost := s.overflow.Swap(0)
 	for {
-		s.mutex.Lock()
-		keep := s.inFlight
-		s.mutex.Unlock()
-		dropped, err := s.store.add(addition{
-			events: folded, lost: lost, limit: s.config.Limit, keep: keep, identify: s.identify,
-		})
+		err := s.tryStore(folded, lost)
 		if err == nil {
-			s.dropped.Add(float64(dropped + lost))
+			s.diskFailing = false
 			s.update(func() { s.handled += left + lost; s.pending = true })
 			signal(s.arrived)
 			return
 		}
 		s.deps.Logger.WithField("reason", err).Error("events can't be stored")
+		if !s.diskFailing {
+			s.diskFailing = true
+			folded = append(folded, s.ownEvent(journal.KindDiskFailed, 1, "events can't be stored: "+err.Error()))
+		}
+		if s.deliverDirectly(ctx, folded) {
+			s.overflow.Add(lost) // told of once the disk works again
+			s.update(func() { s.handled += left })
+			return
+		}
 		if !sleep(ctx, storePause) {
 			return
 		}
 	}
 }
 
+// tryStore is one attempt to store a batch. It adds an event when the disk was
+// slow.
+func (s *Spool) tryStore(events []*v1.Event, lost uint64) error {
+	s.mutex.Lock()
+	keep, attempted := s.inFlight, s.attempted
+	s.mutex.Unlock()
+	begun := time.Now()
+	dropped, err := s.store.add(addition{
+		events: events, lost: lost, limit: s.config.Limit, keep: keep, foldAfter: attempted, foldable: s.numbered,
+	})
+	if err != nil {
+		return err
+	}
+	s.dropped.Add(float64(dropped + lost))
+	took := time.Since(begun)
+	if took >= slowStore && begun.Sub(s.slowTold) >= slowRepeat {
+		s.slowTold = begun
+		s.Record(journal.Event{
+			Kind: journal.KindDiskSlow, Detail: fmt.Sprintf("storing events took %s", took.Round(time.Millisecond)),
+		})
+	}
+	return nil
+}
+
+func (s *Spool) deliverDirectly(ctx context.Context, events []*v1.Event) bool {
+	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
+	defer cancel()
+	err := s.deps.Deliver(ctx, events)
+	if err != nil {
+		s.deps.Logger.WithField("reason", err).Debug("events can't be delivered without the disk")
+	}
+	return err == nil
+}
+
+// identified gives events without an id the next ones of this run.
+func (s *Spool) identified(events []*v1.Event) []*v1.Event {
+	for _, event := range events {
+		if event.GetId() == "" {
+			event.Id = s.nextID()
+		}
+	}
+	return events
+}
+
 // deliverAll is the deliverer.
 func (s *Spool) deliverAll(ctx context.Context) {
 	pause := shortestPause
 	for {
-		more, err := s.deliverOldest(ctx)
+		delivered, err := s.deliverOldest(ctx)
 		switch {
 		case err != nil:
 			s.deps.Logger.WithField("reason", err).Debug("events can't be delivered yet")
@@ -261,8 +331,11 @@
 			}
 			pause = min(2*pause, longestPause)
 			continue
-		case more:
+		case delivered:
 			pause = shortestPause
+			if !sleep(ctx, deliverSpacing/2+rand.N(deliverSpacing)) {
+				return
+			}
 			continue
 		}
 		pause = shortestPause
@@ -274,23 +347,19 @@
 	}
 }
 
-// deliverOldest delivers one batch and reports whether there may be more.
-func (s *Spool) deliverOldest(ctx context.Context) (more bool, err error) {
+// deliverOldest delivers one batch and reports whether there was one.
+func (s *Spool) deliverOldest(ctx context.Context) (delivered bool, err error) {
 	if err := s.tellLoss(); err != nil {
 		return false, err
 	}
-	s.mutex.Lock()
-	handled := s.handled
-	s.mutex.Unlock()
-	found, err := s.store.oldest(deliverBatch)
+	found, err := s.nextBatch()
 	if err != nil {
 		return false, err
 	}
 	if found.last == 0 {
-		s.update(func() { s.pending = s.handled != handled })
-		return false, nil
+		return false, s.notePending()
 	}
-	s.update(func() { s.inFlight = found.last })
+	s.update(func() { s.inFlight, s.attempted = found.last, found.last })
 	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
 	defer cancel()
 	err = s.deps.Deliver(ctx, found.events)
@@ -298,29 +367,70 @@
 		err = s.store.removeTo(found.last)
 	}
 	s.update(func() { s.inFlight = 0 })
-	return err == nil, err
+	if err != nil {
+		return false, err
+	}
+	return true, s.notePending()
+}
+
+// notePending tells Flush whether everything that was stored is delivered.
+func (s *Spool) notePending() error {
+	s.mutex.Lock()
+	handled := s.handled
+	s.mutex.Unlock()
+	left, err := s.store.oldest(1, math.MaxUint64)
+	if err != nil {
+		return err
+	}
+	s.update(func() { s.pending = left.last != 0 || s.handled != handled })
+	return nil
 }
 
+// nextBatch returns the batch whose answer was lost, or else the oldest events.
+func (s *Spool) nextBatch() (batch, error) {
+	s.mutex.Lock()
+	attempted := s.attempted
+	s.mutex.Unlock()
+	repeated, err := s.store.oldest(deliverBatch, attempted)
+	if err != nil || repeated.last != 0 {
+		return repeated, err
+	}
+	return s.store.oldest(deliverBatch, math.MaxUint64)
+}
+
+// tellLoss turns the count of dropped events into an event of its own.
 func (s *Spool) tellLoss() error {
 	count, err := s.store.lost()
 	if err != nil || count == 0 {
 		return err
 	}
-	return s.store.tellLoss(addition{identify: s.identify, lossEvent: s.lossEvent})
+	return s.store.tellLoss(func(count uint64) *v1.Event {
+		detail := fmt.Sprintf("%d events were dropped because the spool was full", count)
+		return s.ownEvent(journal.KindEventsDropped, count, detail)
+	})
 }
 
-func (s *Spool) lossEvent(count uint64) *v1.Event {
+// numbered reports whether an event has its id from this run, and not from its
+// recorder, who wants it kept as it is.
+func (s *Spool) numbered(event *v1.Event) bool {
+	return strings.HasPrefix(event.GetId(), s.idPrefix())
+}
+
+func (s *Spool) idPrefix() string { return fmt.Sprintf("%s/%d/", s.config.Source, s.config.Boot) }
+
+// ownEvent is an event about the spool itself.
+func (s *Spool) ownEvent(kind journal.Kind, count uint64, detail string) *v1.Event {
 	now := timestamppb.Now()
 	return &v1.Event{
-		Time: now, LastTime: now, Kind: string(journal.KindEventsDropped), Source: s.config.Source,
-		Count: count, Detail: fmt.Sprintf("%d events were dropped because the spool was full", count),
+		Id: s.nextID(), Time: now, LastTime: now, Kind: string(kind), Source: s.config.Source,
+		Count: count, Detail: detail,
 	}
 }
 
-// identify makes the id of a stored event from its number, which never comes
-// again in this folder.
-func (s *Spool) identify(number uint64) string {
-	return fmt.Sprintf("%s/%d/%d", s.config.Source, s.config.Boot, number)
+// nextID returns source, boot number and sequence: no two events have the same,
+// whether they reach control by way of the disk or without it.
+func (s *Spool) nextID() string {
+	return s.idPrefix() + strconv.FormatUint(s.sequence.Add(1), 10)
 }
 
 func signal(channel chan struct{}) {
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -140,6 +140,59 @@
 	require.Equal(t, begun.Add(4*time.Second).UTC(), control.order[0].GetLastTime().AsTime())
 }
 
+// TestEqualEventsFoldOnDisk records the same event again and again while control
+// is away: those of one window become one, and nothing is counted into a batch
+// that control may know already.
+func TestEqualEventsFoldOnDisk(t *testing.T) {
+	control := newReceiver()
+	control.refuse = true
+	spool := open(t, t.TempDir(), 1, 0, control.deliver)
+	begun := time.Unix(10_000, 0)
+	record := func(after time.Duration) {
+		spool.Record(journal.Event{Kind: journal.KindReplicaEjected, Address: "127.0.0.1:1", Time: begun.Add(after)})
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		spool.storeAll(ended) // one transaction an event
+	}
+	const second = time.Second
+	for number := range 5 {
+		record(time.Duration(number) * second)
+	}
+	record(shortestWindow) // a new episode
+	_, err := spool.deliverOldest(t.Context())
+	require.Error(t, err)
+	record(shortestWindow + second) // the attempt may have reached control
+	record(shortestWindow + 2*second)
+	control.refuse = false
+	for range 2 {
+		_, err := spool.deliverOldest(t.Context())
+		require.NoError(t, err)
+	}
+	require.NoError(t, spool.Close())
+	counts := lo.Map(control.order, func(event *v1.Event, _ int) uint64 { return event.GetCount() })
+	require.Equal(t, []uint64{5, 1, 2}, counts)
+	require.Equal(t, begun.Add(4*second).UTC(), control.order[0].GetLastTime().AsTime())
+}
+
+// TestFailedDiskDoesNotSilence closes the file under the spool: events still
+// reach control, and one of them says that the disk failed.
+func TestFailedDiskDoesNotSilence(t *testing.T) {
+	control := newReceiver()
+	spool := open(t, t.TempDir(), 1, 0, control.deliver)
+	require.NoError(t, spool.store.close())
+	ended, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for number := range 2 {
+		recordNumbered(spool, number, number+1)
+		spool.storeBatch(ended, spool.gather(nil))
+	}
+	kinds := lo.Map(control.order, func(event *v1.Event, _ int) string { return event.GetKind() })
+	ejected, failed := string(journal.KindReplicaEjected), string(journal.KindDiskFailed)
+	require.Equal(t, []string{ejected, failed, ejected}, kinds)
+	ids := lo.Map(control.order, func(event *v1.Event, _ int) string { return event.GetId() })
+	require.Equal(t, []string{"router-1/1/1", "router-1/1/2", "router-1/1/3"}, ids)
+}
+
 const killedFolder = "SPOOL_TEST_FOLDER"
 
 // TestEventsSurviveAKill starts this test again as a process that tells of
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -20,6 +20,8 @@
 	fileMode   = 0o600
 	// lockTimeout is how long another process may take to let go of the file.
 	lockTimeout = time.Second
+	// maxNewest bounds the memory for folding.
+	maxNewest = 4096
 )
 
 var (
@@ -33,6 +35,9 @@
 // restarts.
 type store struct {
 	database *bbolt.DB
+	// newest is where the latest stored event of each sameness is. It is a hint
+	// that is checked, and is used inside of writing transactions only.
+	newest map[sameness]uint64
 }
 
 func openStore(folder string) (*store, error) {
@@ -55,7 +60,7 @@
 	if err != nil {
 		return nil, errors.Join(errors.Wrapf(err, "prepare %s", path), database.Close())
 	}
-	return &store{database: database}, nil
+	return &store{database: database, newest: make(map[sameness]uint64)}, nil
 }
 
 // addition is what one transaction stores.
@@ -67,10 +72,11 @@
 	// are being delivered and must not be dropped.
 	limit int
 	keep  uint64
-	// identify gives an event without an id the one for its number.
-	identify func(number uint64) string
-	// lossEvent describes dropped events.
-	lossEvent func(count uint64) *v1.Event
+	// foldAfter is the number from which on stored events may still be changed:
+	// those up to it may be known to control.
+	foldAfter uint64
+	// foldable tells events that may be counted into an equal one.
+	foldable func(event *v1.Event) bool
 }
 
 // add stores events in one synced transaction and returns how many old ones
@@ -79,8 +85,9 @@
 	err = s.database.Update(func(transaction *bbolt.Tx) error {
 		events := transaction.Bucket(eventsBucket)
 		loss := transaction.Bucket(lossBucket)
+		window := foldWindow(count(events), added.limit)
 		for _, event := range added.events {
-			if err := put(events, event, added.identify); err != nil {
+			if err := s.putOrFold(events, event, added, window); err != nil {
 				return err
 			}
 		}
@@ -94,14 +101,32 @@
 	return dropped, errors.Wrap(err, "store events")
 }
 
-func put(events *bbolt.Bucket, event *v1.Event, identify func(uint64) string) error {
+// putOrFold counts an event into an equal one that is not delivered yet, or
+// stores it.
+func (s *store) putOrFold(events *bbolt.Bucket, event *v1.Event, added addition, window time.Duration) error {
+	key := samenessOf(event)
+	if number := s.newest[key]; number > added.foldAfter && added.foldable(event) {
+		earlier := &v1.Event{}
+		stored := events.Get(encodeNumber(number))
+		if stored != nil && proto.Unmarshal(stored, earlier) == nil && joins(earlier, event, window) {
+			join(earlier, event)
+			return putAt(events, number, earlier)
+		}
+	}
 	number, err := events.NextSequence()
 	if err != nil {
 		return err
 	}
-	if event.Id == "" {
-		event.Id = identify(number)
+	if added.foldable(event) {
+		if len(s.newest) >= maxNewest {
+			clear(s.newest)
+		}
+		s.newest[key] = number
 	}
+	return putAt(events, number, event)
+}
+
+func putAt(events *bbolt.Bucket, number uint64, event *v1.Event) error {
 	encoded, err := proto.Marshal(event)
 	if err != nil {
 		return err
@@ -109,15 +134,20 @@
 	return events.Put(encodeNumber(number), encoded)
 }
 
+// count returns how many events are stored, but for gaps of a batch that is
+// being delivered.
+func count(events *bbolt.Bucket) int {
+	oldest, _ := events.Cursor().First()
+	if oldest == nil {
+		return 0
+	}
+	return int(events.Sequence()-decodeNumber(oldest)) + 1
+}
+
 // dropOldest deletes the oldest events beyond a limit, except those up to keep.
 func dropOldest(events *bbolt.Bucket, limit int, keep uint64) (uint64, error) {
 	cursor := events.Cursor()
-	oldest, _ := cursor.First()
-	if oldest == nil {
-		return 0, nil
-	}
-	// Numbers have no gaps, but for a batch that is being delivered now.
-	excess := int(events.Sequence()-decodeNumber(oldest)) + 1 - limit
+	excess := count(events) - limit
 	var dropped uint64
 	key, _ := cursor.Seek(encodeNumber(keep + 1))
 	for ; excess > 0 && key != nil; excess-- {
@@ -136,13 +166,13 @@
 	last   uint64
 }
 
-// oldest returns up to limit events. An entry that can't be decoded is left
+// oldest returns up to limit events, none beyond a number. An entry that can't be decoded is left
 // out; it is deleted with the batch.
-func (s *store) oldest(limit int) (batch, error) {
+func (s *store) oldest(limit int, upTo uint64) (batch, error) {
 	var found batch
 	err := s.database.View(func(transaction *bbolt.Tx) error {
 		cursor := transaction.Bucket(eventsBucket).Cursor()
-		for key, value := cursor.First(); key != nil && len(found.events) < limit; key, value = cursor.Next() {
+		for key, value := cursor.First(); key != nil && len(found.events) < limit && decodeNumber(key) <= upTo; key, value = cursor.Next() {
 			event := &v1.Event{}
 			if err := proto.Unmarshal(value, event); err == nil {
 				found.events = append(found.events, event)
@@ -168,14 +198,19 @@
 }
 
 // tellLoss turns the count of dropped events into an event of its own.
-func (s *store) tellLoss(added addition) error {
+func (s *store) tellLoss(describe func(count uint64) *v1.Event) error {
 	return errors.Wrap(s.database.Update(func(transaction *bbolt.Tx) error {
 		loss := transaction.Bucket(lossBucket)
 		count := decodeNumber(loss.Get(lossKey))
 		if count == 0 {
 			return nil
 		}
-		if err := put(transaction.Bucket(eventsBucket), added.lossEvent(count), added.identify); err != nil {
+		events := transaction.Bucket(eventsBucket)
+		number, err := events.NextSequence()
+		if err != nil {
+			return err
+		}
+		if err := putAt(events, number, describe(count)); err != nil {
 			return err
 		}
 		return loss.Delete(lossKey)
