--- a/cmd/martenstage/router_wiring.go
+++ b/cmd/martenstage/router_wiring.go
@@ -19,6 +19,7 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/follower"
 	"github.com/martenstage/martenstage/internal/forward"
+	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
@@ -132,6 +133,7 @@
 	if err != nil {
 		return exitcode.With(exitcode.DataFolder, err)
 	}
+	events.Record(journal.Event{Kind: journal.KindRestarted, Detail: "router started"})
 	parts.helpers = append(parts.helpers, events.Run)
 	parts.close = events.Close
 	dependencies.Events = events
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -135,5 +135,6 @@
 		return
 	}
 	e.stopped = true
+	e.flushAllEvents()
 	e.emit(Stopped{})
 }
--- a/internal/query/records.go
+++ b/internal/query/records.go
@@ -97,3 +97,11 @@
 	}
 	e.events.folded = kept
 }
+
+// flushAllEvents writes what is folded without waiting for the intervals.
+func (e *Engine) flushAllEvents() {
+	for _, event := range e.events.folded {
+		e.emit(Record{Event: event})
+	}
+	e.events.folded = nil
+}
--- a/internal/router/event_log.go
+++ b/internal/router/event_log.go
@@ -17,7 +17,6 @@
 func (l EventLog) Record(event journal.Event) {
 	l.Logger.WithFields(logrus.Fields{
 		"event":              string(event.Kind),
-		"id":                 event.ID,
 		logging.FieldService: event.Service,
 		logging.FieldAddress: event.Address,
 		"shard":              event.Shard,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,7 +55,6 @@
 	stopping atomic.Bool
 	refusing atomic.Bool
 	requests atomic.Uint64
-	sequence atomic.Uint64
 	// runContext is set by Run before the source is started.
 	runContext context.Context
 }
@@ -208,12 +207,9 @@
 	return route
 }
 
-// record numbers an event and hands it to the sink.
+// record hands an event to the sink, which numbers it.
 func (r *Router) record(event journal.Event) {
-	const base = 36
 	event.Source = r.config.Name
-	event.ID = r.config.Name + "-" + strconv.FormatUint(r.config.Boot, base) + "-" +
-		strconv.FormatUint(r.sequence.Add(1), 10)
 	if event.Time.IsZero() {
 		event.Time = time.Now()
 	}
