--- a/internal/control/group_watcher.go
+++ b/internal/control/group_watcher.go
@@ -14,6 +14,15 @@
 // last recorded.
 const groupWatchInterval = 200 * time.Millisecond
 
+// Bounds of what is told of a disk that is slow.
+const (
+	// slowSync is how long a write may wait for its sync before the disk counts
+	// as slow: longer than a leader may stay silent.
+	slowSync = time.Second
+	// slowRepeat is the least time between two events about it.
+	slowRepeat = time.Minute
+)
+
 // groupWatcher records what happens to the group of voters: a new leader,
 // voters lost and returned, a disk that failed.
 type groupWatcher struct {
@@ -22,6 +31,7 @@
 	term       uint64
 	lost       map[uint64]bool
 	diskFailed bool
+	slowTold   time.Time
 }
 
 func newGroupWatcher(server *Server) *groupWatcher {
@@ -77,6 +87,7 @@
 }
 
 func (w *groupWatcher) observeDisk(status voter.Status) {
+	w.observeSlowDisk(status)
 	if status.DiskError == nil || w.diskFailed {
 		return
 	}
@@ -86,3 +97,14 @@
 		Detail: fmt.Sprintf("voter %d votes no more until it is restarted: %v", status.ID, status.DiskError),
 	})
 }
+
+func (w *groupWatcher) observeSlowDisk(status voter.Status) {
+	if status.UnsyncedFor < slowSync || time.Since(w.slowTold) < slowRepeat {
+		return
+	}
+	w.slowTold = time.Now()
+	w.record(journal.Event{
+		Kind:   journal.KindDiskSlow,
+		Detail: fmt.Sprintf("a write of voter %d has waited longer than %s for the disk", status.ID, slowSync),
+	})
+}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -105,7 +105,8 @@
 		return nil, err
 	}
 	if err := process.listen(); err != nil {
-		return nil, errors.CombineErrors(exitcode.With(exitcode.Settings, err), process.voter.Close(context.Background()))
+		err = errors.CombineErrors(exitcode.With(exitcode.Settings, err), process.voter.Close(context.Background()))
+		return nil, errors.CombineErrors(err, process.server.Close())
 	}
 	return process, nil
 }
@@ -127,9 +128,14 @@
 		return err
 	}
 	p.voter = opened
-	p.server = New(Config{ID: p.options.ID, ClaimBatch: p.options.ClaimBatch, Lease: p.options.Lease}, Dependencies{
+	p.server, err = New(Config{
+		ID: p.options.ID, ClaimBatch: p.options.ClaimBatch, Lease: p.options.Lease, Folder: p.options.DataFolder,
+	}, Dependencies{
 		Voter: opened, Store: store, Compile: p.environment.Compile, Client: p.client, Logger: p.logger, Registerer: p.registry,
 	})
+	if err != nil {
+		return errors.CombineErrors(err, opened.Close(context.Background()))
+	}
 	p.logger.WithFields(logrus.Fields{"folder": p.options.DataFolder, "took": time.Since(started)}).Info("data_folder_opened")
 	return nil
 }
@@ -192,6 +198,7 @@
 	}
 	err := p.stop(cancel)
 	duties.Wait()
+	err = errors.CombineErrors(err, p.server.Close())
 	return errors.CombineErrors(failure, err)
 }
 
@@ -207,6 +214,9 @@
 			p.logger.WithError(err).Warn("leadership_not_handed_over")
 		}
 	}
+	if err := p.server.recorder.flush(ctx); err != nil {
+		p.logger.WithError(err).Warn("events_not_stored")
+	}
 	cancel()
 	shutdown, endShutdown := context.WithTimeout(ctx, p.options.StopLimit/2)
 	defer endShutdown()
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -33,6 +33,9 @@
 	ClaimBatch int
 	// Lease is how long a granted lease lasts.
 	Lease time.Duration
+	// Folder is the voter's data folder, which also keeps its own events until
+	// the journal has them.
+	Folder string
 	// Clock stamps commands; time.Now when nil.
 	Clock func() time.Time
 }
@@ -66,8 +69,8 @@
 	peers map[string]peers
 }
 
-// New returns a server. Mount its services and call Run.
-func New(config Config, dependencies Dependencies) *Server {
+// New returns a server. Mount its services, call Run, and Close after it.
+func New(config Config, dependencies Dependencies) (*Server, error) {
 	if config.Clock == nil {
 		config.Clock = time.Now
 	}
@@ -85,9 +88,12 @@
 	}
 	server.confirmer = &confirmer{confirm: server.confirmOnce}
 	server.claims = newClaimBatcher(config.ClaimBatch, server.propose, dependencies.Registerer)
-	server.recorder = newRecorder(server, dependencies.Registerer)
+	var err error
+	if server.recorder, err = openRecorder(server, config.Folder, dependencies.Registerer); err != nil {
+		return nil, err
+	}
 	server.root = follower.NewRoot(follower.HandlerConfig{
-		Name:  fmt.Sprintf("control-%d", config.ID),
+		Name:  server.name(),
 		Lease: config.Lease,
 	}, follower.HandlerDeps{
 		Plans:      server.store,
@@ -97,9 +103,15 @@
 		Registerer: dependencies.Registerer,
 	})
 	registerMetrics(server, dependencies.Registerer)
-	return server
+	return server, nil
 }
 
+// name is the voter's name in events and to its followers.
+func (s *Server) name() string { return fmt.Sprintf("control-%d", s.config.ID) }
+
+// Close closes the voter's own events. Run must have returned.
+func (s *Server) Close() error { return s.recorder.close() }
+
 // Mount registers the services, each for the roles that may call it.
 func (s *Server) Mount(mux *http.ServeMux, security *rpc.Security) {
 	options := rpc.HandlerOptions()
