Describe the callers' API, and let every temporary refusal say when to come back

Cause: callers had no page; some refusals (no lease, not ready) came without Retry-After; the OpenAPI document called text replies base64 and lists nullable. Tests hold file and page against the server. Status 429 and 503 always carry Retry-After. A body without announced length is tested against the bound.

--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -19,7 +19,7 @@
 // Answer is the document of an answered query.
 type Answer struct {
 	AnswerHead
-	Items []json.RawMessage `json:"items" doc:"Merged items of the covered shards"`
+	Items []json.RawMessage `json:"items" nullable:"false" doc:"Merged items of the covered shards"`
 }
 
 // AnswerHead is everything but the items, which are written without another
@@ -32,9 +32,9 @@
 	Complete       bool      `json:"complete" doc:"No shard is missing"`
 	Late           bool      `json:"late" doc:"Decided after the deadline"`
 	Superseded     bool      `json:"superseded" doc:"A newer snapshot was already live"`
-	Covered        []Covered `json:"covered" doc:"Shards whose part is in the answer"`
-	Missing        []Missing `json:"missing" doc:"Shards whose part is not in the answer"`
-	Warnings       []string  `json:"warnings" doc:"What a reader of the items must know"`
+	Covered        []Covered `json:"covered" nullable:"false" doc:"Shards whose part is in the answer"`
+	Missing        []Missing `json:"missing" nullable:"false" doc:"Shards whose part is not in the answer"`
+	Warnings       []string  `json:"warnings" nullable:"false" doc:"What a reader of the items must know"`
 	Attempts       Attempts  `json:"attempts"`
 	Restarts       int       `json:"restarts" doc:"Whole restarts on another snapshot"`
 	Timings        Timings   `json:"timings"`
--- a/internal/callers/api.go
+++ b/internal/callers/api.go
@@ -89,10 +89,13 @@
 	Keyed      bool   `json:"keyed" doc:"Needs a key that selects the shard"`
 }
 
+// RouteList is the document of the routes in force.
+type RouteList struct {
+	Routes []RouteInfo `json:"routes" nullable:"false"`
+}
+
 type routesOutput struct {
-	Body struct {
-		Routes []RouteInfo `json:"routes"`
-	}
+	Body RouteList
 }
 
 func (a *api) registerRoutes(described huma.API) {
@@ -115,9 +118,15 @@
 	})
 }
 
-type textOutput struct {
-	ContentType string `header:"Content-Type"`
-	Body        []byte
+// textOutput is a short text, which net/http labels text/plain.
+type textOutput struct{ Body []byte }
+
+// textResponses describes a text/plain reply.
+func textResponses(description string) map[string]*huma.Response {
+	return map[string]*huma.Response{"200": {
+		Description: description,
+		Content:     map[string]*huma.MediaType{"text/plain": {Schema: &huma.Schema{Type: huma.TypeString}}},
+	}}
 }
 
 type statusOutput struct{ Body router.Status }
@@ -125,17 +134,19 @@
 func (a *api) registerHealth(described huma.API) {
 	huma.Register(described, huma.Operation{
 		OperationID: "healthz", Method: http.MethodGet, Path: "/healthz", Summary: "Whether the process is alive",
+		Responses: textResponses("Alive"),
 	}, func(context.Context, *struct{}) (*textOutput, error) {
-		return &textOutput{ContentType: "text/plain", Body: []byte("ok\n")}, nil
+		return &textOutput{Body: []byte("ok\n")}, nil
 	})
 	huma.Register(described, huma.Operation{
 		OperationID: "readyz", Method: http.MethodGet, Path: "/readyz",
-		Summary: "Whether requests are admitted: not without a lease, nor once the router is stopping",
+		Summary:   "Whether requests are admitted: not without a lease, nor once the router is stopping",
+		Responses: textResponses("Ready"),
 	}, func(context.Context, *struct{}) (*textOutput, error) {
 		if ready, reason := a.router.Ready(); !ready {
 			return nil, newProblem(verdict.Refuse(reason, "not ready"))
 		}
-		return &textOutput{ContentType: "text/plain", Body: []byte("ready\n")}, nil
+		return &textOutput{Body: []byte("ready\n")}, nil
 	})
 	huma.Register(described, huma.Operation{
 		OperationID: "status", Method: http.MethodGet, Path: "/status", Summary: "State of the router",
--- a/internal/callers/api_test.go
+++ b/internal/callers/api_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
@@ -23,6 +24,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 // testPlan has two shards of two replicas, an ordinary route and one that runs
@@ -201,11 +203,33 @@
 			require.Equal(t, "not_run", problem["verdict"])
 		})
 	}
+	// A length that is not announced is bounded, too.
+	endless := io.MultiReader(strings.NewReader(`"`), strings.NewReader(strings.Repeat("x", 1<<20)))
+	response, err := http.Post("http://"+s.address+"/v1/routes/find/query", "application/json", endless)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	require.Equal(t, problemType, response.Header.Get("Content-Type"))
+	require.NoError(t, response.Body.Close())
 	for _, test := range cases {
 		require.Zero(t, s.executions(test.id))
 	}
 }
 
+// A refusal that another try may overcome says when, in the reply itself.
+func TestTemporaryRefusalsSayWhenToComeBack(t *testing.T) {
+	for reason, kind := range reasonStatus {
+		recorder := httptest.NewRecorder()
+		newProblem(verdict.Refuse(reason, "")).write(recorder)
+		temporary := kind.status == http.StatusServiceUnavailable || kind.status == http.StatusTooManyRequests
+		require.Equal(t, temporary, recorder.Header().Get("Retry-After") != "", reason)
+	}
+	precise := verdict.Refuse(verdict.ReasonOverloaded, "")
+	precise.RetryAfter = 1200 * time.Millisecond
+	problem := newProblem(precise)
+	require.EqualValues(t, 1200, problem.RetryAfterMs)
+	require.Equal(t, "2", problem.GetHeaders().Get("Retry-After"))
+}
+
 func TestRequestIDIsUsedOnce(t *testing.T) {
 	s := newSite(t, time.Millisecond, StopConfig{Limit: time.Minute})
 	status, _ := s.post("/v1/routes/send/query?key=k", "send-1", `{"to":"host"}`)
--- /dev/null
+++ b/internal/callers/openapi_test.go
@@ -0,0 +1,59 @@
+package callers
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	openAPIFile = "../../docs/openapi/callers.json"
+	pageFile    = "../../docs/CALLERS.md"
+)
+
+var update = flag.Bool("update", false, "write "+openAPIFile+" from what the server serves")
+
+// served fetches a path from the handler alone; no router is behind it.
+func served(t *testing.T, path string) []byte {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	recorder := httptest.NewRecorder()
+	NewHandler(Config{}, nil, logger).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+	require.Equal(t, http.StatusOK, recorder.Code)
+	return recorder.Body.Bytes()
+}
+
+func TestOpenAPIFileIsWhatIsServed(t *testing.T) {
+	var indented bytes.Buffer
+	require.NoError(t, json.Indent(&indented, served(t, "/openapi.json"), "", "  "))
+	indented.WriteByte('\n')
+	if *update {
+		require.NoError(t, os.WriteFile(openAPIFile, indented.Bytes(), 0o644))
+	}
+	file, err := os.ReadFile(openAPIFile)
+	require.NoError(t, err)
+	require.Equal(t, indented.String(), string(file), "run go test ./internal/callers -run OpenAPI -update")
+}
+
+// Every reason that a caller can meet is explained to callers, with its status.
+func TestReasonsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile(pageFile)
+	require.NoError(t, err)
+	for reason, kind := range reasonStatus {
+		row := "| `" + string(reason) + "` | "
+		_, rest, found := strings.Cut(string(page), row)
+		require.True(t, found, "%s is not in %s", reason, pageFile)
+		require.True(t, strings.HasPrefix(rest, strconv.Itoa(kind.status)+" |"), "status of %s", reason)
+	}
+}
--- a/internal/callers/problem.go
+++ b/internal/callers/problem.go
@@ -30,7 +30,7 @@
 	Verdict      string         `json:"verdict" enum:"not_run,ran,may_have_run" doc:"Whether the request may have run"`
 	Reason       verdict.Reason `json:"reason" doc:"Machine-readable cause"`
 	RetryAfterMs int64          `json:"retry_after_ms,omitempty" doc:"Least pause before another try, milliseconds"`
-	Missing      []Missing      `json:"missing,omitempty" doc:"Shards that did not answer, with reasons"`
+	Missing      []Missing      `json:"missing,omitempty" nullable:"false" doc:"Shards that did not answer, with reasons"`
 }
 
 // Error implements the error interface.
@@ -99,7 +99,7 @@
 		Detail:       failure.Detail,
 		Verdict:      failure.Verdict.String(),
 		Reason:       failure.Reason,
-		RetryAfterMs: ceilMilliseconds(failure.RetryAfter),
+		RetryAfterMs: ceilMilliseconds(retryAfter(kind.status, failure.RetryAfter)),
 	}
 }
 
@@ -126,6 +126,19 @@
 	return newProblem(verdict.Refuse(reason, message))
 }
 
+// minRetryAfter is what callers are told to wait when nothing better is known.
+const minRetryAfter = 250 * time.Millisecond
+
+// retryAfter is the pause that a refusal names. Every refusal that another try
+// may overcome names one, at once, so that no caller has to guess.
+func retryAfter(status int, known time.Duration) time.Duration {
+	temporary := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	if temporary && known <= 0 {
+		return minRetryAfter
+	}
+	return known
+}
+
 // write sends the problem.
 func (p *Problem) write(writer http.ResponseWriter) {
 	header := writer.Header()
--- a/internal/callers/query.go
+++ b/internal/callers/query.go
@@ -45,8 +45,8 @@
 		Path:        queryPath,
 		Summary:     "Send a query to a route",
 		Responses: map[string]*huma.Response{
-			"200":     documents("Answer", "application/json", huma.SchemaFromType(schemas, typeOf[Answer]())),
-			"default": documents("Problem", problemType, huma.SchemaFromType(schemas, typeOf[Problem]())),
+			"200":     documents("Answer", "application/json", schemas.Schema(typeOf[Answer](), true, "")),
+			"default": documents("Problem", problemType, schemas.Schema(typeOf[Problem](), true, "")),
 		},
 	}, func(_ context.Context, input *queryInput) (*huma.StreamResponse, error) {
 		return &huma.StreamResponse{Body: func(humaContext huma.Context) {
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -19,13 +19,13 @@
 	LeaseUntil time.Time       `json:"lease_until" doc:"The router admits requests until then"`
 	LeaseValid bool            `json:"lease_valid"`
 	Stopping   bool            `json:"stopping"`
-	Services   []ServiceStatus `json:"services"`
+	Services   []ServiceStatus `json:"services" nullable:"false"`
 }
 
 // ServiceStatus describes one service as the router sees it.
 type ServiceStatus struct {
 	Name     string          `json:"name"`
-	Backends []BackendStatus `json:"backends"`
+	Backends []BackendStatus `json:"backends" nullable:"false"`
 }
 
 // BackendStatus describes the router's connections to one back end.
@@ -83,6 +83,7 @@
 		Source:     r.source.Describe(),
 		LeaseValid: r.leaseValid(),
 		Stopping:   r.stopping.Load(),
+		Services:   []ServiceStatus{},
 	}
 	if until := r.leaseUntil.Load(); until != nil {
 		status.LeaseUntil = *until
@@ -99,7 +100,7 @@
 }
 
 func (r *Router) serviceStatus(service plan.Service) ServiceStatus {
-	status := ServiceStatus{Name: service.Name}
+	status := ServiceStatus{Name: service.Name, Backends: []BackendStatus{}}
 	for _, address := range addressesOf(service) {
 		open, idle := r.backends.Connections(address)
 		share := r.shares.describe(address)
