Generate the settings of a site from one description

Cause: an operator wrote every process's settings by hand, and nothing showed that those of both deployments start.

--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -26,6 +26,7 @@
 		{Name: "undrain", Short: "Remove the mark of drain", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
 		{Name: "relay", Short: "Run a relay", Long: "Runs a relay, which fans out configuration and leases, until SIGTERM.", Data: &relayCommand{}},
+		{Name: "settings", Short: "Make and check the settings of processes", Children: settingsCommands()},
 		{Name: "keys", Short: "Make a site's authority and issue certificates", Children: keysCommands()},
 		{Name: "router", Short: "Run a router", Long: "Runs a router until SIGTERM, which stops it as planned.", Data: &routerCommand{}},
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -17,9 +17,11 @@
 // Command is one sub-command. Data is a pointer to an options struct that
 // implements flags.Commander, or a parent of Children.
 type Command struct {
-	Name     string
-	Short    string
-	Long     string
+	Name  string
+	Short string
+	Long  string
+	// Examples are command lines that the help ends with.
+	Examples []string
 	Data     any
 	Children []Command
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,11 +13,13 @@
 	"reflect"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
 	"github.com/jessevdk/go-flags"
 	"github.com/knadh/koanf/parsers/yaml"
+	"github.com/knadh/koanf/providers/confmap"
 	"github.com/knadh/koanf/providers/file"
 	"github.com/knadh/koanf/v2"
 )
@@ -48,17 +50,47 @@
 		}
 		return errors.Wrapf(err, "settings file %s", path)
 	}
+	if err := checkKeys(store, target); err != nil {
+		return errors.Wrapf(err, "settings file %s", path)
+	}
+	for _, key := range givenOptions(command, Keys(target)) {
+		store.Delete(key)
+	}
+	return errors.Wrapf(unmarshal(store, target), "settings file %s", path)
+}
+
+// Fill sets a settings struct to its defaults and then to the values, by key,
+// and validates it. Unknown keys and invalid values are errors.
+func Fill(values map[string]any, target any) error {
+	if _, err := flags.NewParser(target, flags.None).ParseArgs(nil); err != nil {
+		return errors.Wrap(err, "defaults")
+	}
+	store := koanf.New(keyDivider)
+	if err := store.Load(confmap.Provider(values, keyDivider), nil); err != nil {
+		return err
+	}
+	if err := checkKeys(store, target); err != nil {
+		return err
+	}
+	if err := unmarshal(store, target); err != nil {
+		return err
+	}
+	return Validate(target)
+}
+
+// checkKeys refuses keys that the settings struct does not have.
+func checkKeys(store *koanf.Koanf, target any) error {
 	known := Keys(target)
 	for _, key := range store.Keys() {
 		if !slices.Contains(known, key) {
-			return errors.Newf("settings file %s: unknown key %q%s", path, key, suggestion(key, known))
+			return errors.Newf("unknown key %q%s", key, suggestion(key, known))
 		}
 	}
-	for _, key := range givenOptions(command, known) {
-		store.Delete(key)
-	}
-	err := store.UnmarshalWithConf("", target, koanf.UnmarshalConf{Tag: keyTag, FlatPaths: true})
-	return errors.Wrapf(err, "settings file %s", path)
+	return nil
+}
+
+func unmarshal(store *koanf.Koanf, target any) error {
+	return store.UnmarshalWithConf("", target, koanf.UnmarshalConf{Tag: keyTag, FlatPaths: true})
 }
 
 // givenOptions returns the keys that were set on the command line.
@@ -90,6 +122,7 @@
 // Option describes one setting for the reference page.
 type Option struct {
 	Key         string
+	Type        string
 	Default     string
 	Description string
 	Rule        string
@@ -105,6 +138,7 @@
 		}
 		options = append(options, Option{
 			Key:         key,
+			Type:        typeName(field.Type),
 			Default:     field.Tag.Get("default"),
 			Description: field.Tag.Get("description"),
 			Rule:        field.Tag.Get("validate"),
@@ -113,6 +147,22 @@
 	return options
 }
 
+// typeName names a type as a reader of a settings file would.
+func typeName(kind reflect.Type) string {
+	switch {
+	case kind == reflect.TypeFor[time.Duration]():
+		return "duration"
+	case kind.Kind() == reflect.Slice:
+		return "list of " + typeName(kind.Elem())
+	case kind.Kind() == reflect.Bool:
+		return "true or false"
+	case kind.Kind() == reflect.String:
+		return "text"
+	default:
+		return "number"
+	}
+}
+
 func structType(target any) reflect.Type {
 	kind := reflect.TypeOf(target)
 	for kind.Kind() == reflect.Pointer {
@@ -121,6 +171,24 @@
 	return kind
 }
 
+// ErrInvalid marks the errors of Validate.
+var ErrInvalid = errors.New("invalid settings")
+
+// DescribeRule words the rule of an Option for the reference page.
+func DescribeRule(rule string) string {
+	words := map[string]string{
+		"required": "required", "ip_port": "IP address with port", "min": "at least ", "max": "at most ", "oneof": "one of ",
+	}
+	var parts []string
+	for _, part := range strings.Split(rule, ",") {
+		name, parameter, _ := strings.Cut(part, "=")
+		if word, known := words[name]; known {
+			parts = append(parts, word+parameter)
+		}
+	}
+	return strings.Join(parts, "; ")
+}
+
 // Validate checks the validate tags of a settings struct. Besides the
 // library's rules it knows ip_port (an IPv4 address with a port) and ip_ports
 // (a list of them).
@@ -134,7 +202,7 @@
 	for _, field := range invalid {
 		problems = append(problems, describe(field))
 	}
-	return errors.Newf("invalid settings: %s", strings.Join(problems, "; "))
+	return errors.Mark(errors.Newf("invalid settings: %s", strings.Join(problems, "; ")), ErrInvalid)
 }
 
 func newValidator() *validator.Validate {
