--- a/internal/query/answer.go
+++ b/internal/query/answer.go
@@ -132,6 +132,8 @@
 	e.settleIfKnown(r)
 }
 
+// recordCoverage journals an answer that is short of its policy, by the first
+// shard that it misses.
 func (e *Engine) recordCoverage(r *request, answer Answer) {
 	if r.partition == nil || r.phase != phaseRunning {
 		return
@@ -140,9 +142,16 @@
 	if answer.Complete || !short || (answer.Err != nil && answer.Err.Reason == verdict.ReasonCanceled) {
 		return
 	}
-	e.record(journal.Event{
-		Kind: journal.KindCoverageBelowPolicy, Service: r.partition.Service, Detail: r.route.Name,
-	})
+	event := journal.Event{
+		Kind: journal.KindCoverageBelowPolicy, Service: r.partition.Service, Detail: r.route.Name + ": partial answer",
+	}
+	if len(answer.Missing) > 0 {
+		event.Shard = answer.Missing[0].Name
+	}
+	if answer.Err != nil {
+		event.Detail = r.route.Name + ": no answer, " + string(answer.Err.Reason)
+	}
+	e.record(event)
 }
 
 // callerGone ends a request that nobody waits for. It still gets an answer,
--- a/internal/query/records.go
+++ b/internal/query/records.go
@@ -11,8 +11,8 @@
 
 // eventKey tells events apart for the limit on their rate.
 type eventKey struct {
-	kind                    journal.Kind
-	service, shard, address string
+	kind                            journal.Kind
+	service, shard, address, detail string
 }
 
 // eventLimiter lets the first of equal events pass at once and folds those
@@ -28,7 +28,9 @@
 }
 
 func keyOf(event journal.Event) eventKey {
-	return eventKey{kind: event.Kind, service: event.Service, shard: event.Shard, address: event.Address}
+	return eventKey{
+		kind: event.Kind, service: event.Service, shard: event.Shard, address: event.Address, detail: event.Detail,
+	}
 }
 
 // admit reports whether the event passes now; otherwise it is folded.
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -140,6 +140,11 @@
 	if result.Result == v1.ApplyResult_APPLY_RESULT_ACCEPTED {
 		kind, detail = eventjournal.KindChangeAccepted, fmt.Sprintf("revision %d", result.Revision)
 	}
-	detail = fmt.Sprintf("change %s by %s: %s", command.GetChangeId(), command.GetAuthor(), detail)
-	m.record("change/"+command.GetChangeId(), kind, "", detail)
+	id := "change/" + command.GetChangeId()
+	by := fmt.Sprintf("by %s: ", command.GetAuthor())
+	detail = fmt.Sprintf("%s%s (change %s)", by, detail, command.GetChangeId())
+	if kind == eventjournal.KindChangeRefused && m.journal.repeat(m.Now(), controlSource, string(kind), by) {
+		return
+	}
+	m.record(id, kind, "", detail)
 }
--- a/internal/state/journal.go
+++ b/internal/state/journal.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -39,6 +40,37 @@
 	}
 }
 
+// Bounds of the search for an event that a repetition counts into.
+const (
+	repeatWindow = time.Minute
+	repeatSearch = 64
+)
+
+// repeat counts a repetition into an event of the last minute, found by its
+// source, kind and the beginning of its detail, and reports whether there is
+// one. A program that submits refused changes in a loop must not push a
+// night's events out of the journal.
+func (j *journal) repeat(now time.Time, source, kind, detailPrefix string) bool {
+	for index := len(j.events) - 1; index >= max(0, len(j.events)-repeatSearch); index-- {
+		event := j.events[index]
+		if event.GetSource() != source || event.GetKind() != kind || !strings.HasPrefix(event.GetDetail(), detailPrefix) {
+			continue
+		}
+		if now.Sub(event.GetTime().AsTime()) >= repeatWindow {
+			return false
+		}
+		// Readers hold the event that is in the list.
+		counted := proto.Clone(event).(*v1.Event)
+		counted.Count++
+		counted.LastTime = timestamppb.New(now)
+		size := proto.Size(counted)
+		j.bytes += size - j.sizes[index]
+		j.events[index], j.sizes[index] = counted, size
+		return true
+	}
+	return false
+}
+
 func (j *journal) dropOldest() {
 	delete(j.known, j.events[0].GetId())
 	j.bytes -= j.sizes[0]
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -278,6 +278,34 @@
 	require.Equal(t, "13", events[2].GetId())
 }
 
+// TestRefusedChangesOfOneAuthorAreCounted submits refused changes in a loop:
+// an author's refusals of a minute are one event, and others' stay apart.
+func TestRefusedChangesOfOneAuthorAreCounted(t *testing.T) {
+	machine := New(DefaultLimits())
+	begun := time.Unix(1_700_000_000, 0).UTC()
+	submit := func(after time.Duration, id, author string) {
+		data, err := Encode(begun.Add(after), &v1.StateCommand{Body: &v1.StateCommand_Change{Change: &v1.ChangeCommand{
+			ChangeId: id, Author: author, ExpectedRevision: 7,
+		}}})
+		require.NoError(t, err)
+		_, err = machine.Apply(data)
+		require.NoError(t, err)
+	}
+	for second := range 50 {
+		submit(time.Duration(second)*time.Second, fmt.Sprint("loop-", second), "malee")
+	}
+	submit(50*time.Second, "other", "anong")
+	submit(51*time.Second, "loop-50", "malee")
+	submit(51*time.Second, "loop-50", "malee") // a resend is no new refusal
+	submit(61*time.Second, "loop-61", "malee")
+	events := machine.Events(EventFilter{Limit: 100})
+	require.Len(t, events, 3)
+	require.EqualValues(t, 51, events[0].GetCount())
+	require.Equal(t, begun.Add(51*time.Second), events[0].GetLastTime().AsTime())
+	require.Contains(t, events[1].GetDetail(), "by anong: ")
+	require.EqualValues(t, 1, events[2].GetCount())
+}
+
 // TestUnknownCommandStops checks that a command of a newer version is an error
 // and not skipped.
 func TestUnknownCommandStops(t *testing.T) {
