--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -22,7 +22,7 @@
   [ -n "$packages" ] || return 0
   echo "== $name"
   # shellcheck disable=SC2086 # a list of import paths
-  go test -count=1 -timeout "$timeout" $packages "$@" | { grep -v '\[no test files\]' || true; }
+  go test -count=1 -timeout "$timeout" $packages "$@" | { grep --line-buffered -v '\[no test files\]' || true; }
 }
 both() { comm -12 <(sort <<<"$1") <(sort <<<"$2"); }
 only() { comm -23 <(sort <<<"$1") <(sort <<<"$2"); }
