Report tails and coverage of routes from routers to control

Cause: control knew of leases and machines but not of what callers got, so neither status nor a status page could show tails and coverage. Change: package routestats counts the last minute by route in latency buckets of ratio 2^(1/8); a router adds its counts to a Sync call every 5 s, a relay adds up those of its followers, and Status returns the fleet's sum. Measured: property test: quantiles of up to 5 routers' summed counts lie within 0 to 9.06 % above the exact ones. Cost per request not measured (one lock, no allocation after a route's first request).

--- a/cmd/martenstage/router_wiring.go
+++ b/cmd/martenstage/router_wiring.go
@@ -19,6 +19,7 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/follower"
 	"github.com/martenstage/martenstage/internal/forward"
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
@@ -114,6 +115,7 @@
 		controlclient.SourceConfig{Name: options.Name, Zone: options.Zone, Address: address, Boot: boot, Upstreams: options.Upstream},
 		controlclient.SourceDeps{
 			Dial: follower.NewDial(client), Events: dependencies.Events,
+			Routes: func(now time.Time) []*v1.RouteReport { return parts.router.RouteReports(now) },
 			Logger: parts.logger, Registerer: dependencies.Registerer, Random: rand.Float64,
 		})
 	return exitcode.With(exitcode.Settings, err)
--- a/internal/control/config_status.go
+++ b/internal/control/config_status.go
@@ -41,6 +41,7 @@
 		Voters:          wireVoterStatus(status),
 		Nodes:           s.server.root.Nodes(),
 		Machines:        s.server.root.Machines(),
+		Routes:          s.server.root.RouteReports(),
 		AnsweredBy:      status.ID,
 		Confirmed:       !request.GetLocal(),
 	}, nil
--- a/internal/controlclient/source.go
+++ b/internal/controlclient/source.go
@@ -19,6 +19,7 @@
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/routestats"
 )
 
 const (
@@ -48,6 +49,8 @@
 	Events     follower.Events
 	Logger     logrus.FieldLogger
 	Registerer prometheus.Registerer
+	// Routes returns what the router did with requests lately; may be nil.
+	Routes func(now time.Time) []*v1.RouteReport
 	// Random returns a number in [0,1) for jitter.
 	Random func() float64
 }
@@ -57,6 +60,9 @@
 type Source struct {
 	upstreams []string
 	follower  *follower.Follower
+	routes    func(now time.Time) []*v1.RouteReport
+	// pace of the reports about requests; it belongs to the follower's goroutine.
+	pace routestats.Pace
 
 	mutex        sync.Mutex
 	target       router.ConfigSink
@@ -80,6 +86,7 @@
 func NewSource(config SourceConfig, deps SourceDeps) (*Source, error) {
 	source := &Source{
 		upstreams:    config.Upstreams,
+		routes:       deps.Routes,
 		routers:      membership.NewRouterTable(),
 		machines:     membership.NewMachineTable(),
 		observations: make(map[netip.AddrPort]*observation),
@@ -156,6 +163,9 @@
 // Prepare implements follower.Reporter: it adds the observations that the
 // upstream does not know, or would soon forget.
 func (s *Source) Prepare(now time.Time, upstream follower.Upstream, request *v1.SyncRequest) {
+	if s.routes != nil && s.pace.Due(now, upstream.Address) {
+		request.Routes = s.routes(now)
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for address, known := range s.observations {
--- a/internal/follower/handler.go
+++ b/internal/follower/handler.go
@@ -15,6 +15,7 @@
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/routestats"
 	"github.com/martenstage/martenstage/internal/rpc"
 )
 
@@ -74,6 +75,8 @@
 	// plans are those that this process may still send deltas from.
 	plans *planHistory
 	roles map[string]string
+	// routes are what children reported of the requests that ended below.
+	routes *routestats.Collection
 	// inForce is the revision last passed to OnProgress.
 	inForce uint64
 	// news is closed and replaced when held calls should look again.
@@ -97,6 +100,7 @@
 		grantor:      lease.NewGrantor(time.Time{}),
 		plans:        newPlanHistory(),
 		roles:        make(map[string]string),
+		routes:       routestats.NewCollection(),
 		news:         make(chan struct{}),
 	}
 }
@@ -165,9 +169,19 @@
 			h.deps.Tables.Report(node.Name, view)
 		}
 	}
+	if len(message.GetRoutes()) > 0 {
+		h.routes.Set(now, node.Name, message.GetRoutes())
+	}
 	return !known
 }
 
+// RouteReports adds up what was reported of the requests that ended below.
+func (h *Handler) RouteReports() []*v1.RouteReport {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.routes.Sum(time.Now())
+}
+
 // acknowledgedBy is the revision that a child vouches for: a relay for its
 // whole subtree, a router for itself.
 func acknowledgedBy(message *v1.SyncRequest) uint64 {
@@ -196,6 +210,7 @@
 	h.grantor.Leave(now, childID(node), leftMemory)
 	h.deps.Tables.LapseChild(now, node.Name)
 	delete(h.roles, node.Name)
+	h.routes.Remove(node.Name)
 	signal(h.acknowledged)
 	h.deps.Logger.WithFields(logrus.Fields{"node": node.Name, "role": node.Role}).Info("lease given back")
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/routestats"
 )
 
 // Config describes a relay.
@@ -59,6 +60,8 @@
 	changed  chan struct{}
 	term     uint64
 	until    time.Time
+	// routes is the pace of reports about requests.
+	routes routestats.Pace
 }
 
 // New returns a relay; Run makes it work.
@@ -172,6 +175,9 @@
 
 // Prepare adds the summed-up reports to a call.
 func (r *Relay) Prepare(now time.Time, upstream follower.Upstream, request *v1.SyncRequest) {
+	if r.routes.Due(now, upstream.Address) {
+		request.Routes = r.handler.RouteReports()
+	}
 	request.SubtreeRevision = r.handler.RevisionInForce()
 	behind := request.GetSubtreeRevision() < request.GetRevision()
 	r.handler.UpdateTables(func(time.Time) { r.tables.report(now, upstream, behind, request) })
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 	"github.com/martenstage/martenstage/internal/backendapi"
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/routestats"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -33,6 +34,7 @@
 	config   Config
 	logger   logrus.FieldLogger
 	metrics  *routerMetrics
+	routes   *routestats.Recorder
 	backends *backend.Client
 	claims   ClaimRegistry
 	events   EventSink
@@ -66,6 +68,7 @@
 		config:   config,
 		logger:   dependencies.Logger,
 		metrics:  newRouterMetrics(dependencies.Registerer),
+		routes:   routestats.NewRecorder(time.Now()),
 		backends: dependencies.Backends,
 		claims:   dependencies.Claims,
 		events:   dependencies.Events,
@@ -127,7 +130,9 @@
 func (r *Router) Query(ctx context.Context, request Request) query.Answer {
 	arrived := time.Now()
 	answer := r.dispatch(ctx, request)
-	r.metrics.countAnswer(r.routeLabel(request.Route), answer, time.Since(arrived))
+	elapsed := time.Since(arrived)
+	r.metrics.countAnswer(r.routeLabel(request.Route), answer, elapsed)
+	r.routes.Record(arrived.Add(elapsed), r.routeLabel(request.Route), sampleOf(answer, elapsed))
 	return answer
 }
 
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/routestats"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -74,6 +76,26 @@
 	return current.plan.RouteNamed(name)
 }
 
+// RouteReports returns what was done with requests lately, by route.
+func (r *Router) RouteReports(now time.Time) []*v1.RouteReport { return r.routes.Reports(now) }
+
+// sampleOf describes the end of a request for the route's report.
+func sampleOf(answer query.Answer, elapsed time.Duration) routestats.Sample {
+	sample := routestats.Sample{
+		Latency: elapsed, Complete: answer.Complete, Late: answer.Late,
+		Covered: len(answer.Covered), Wanted: len(answer.Covered) + len(answer.Missing),
+	}
+	switch {
+	case answer.Err == nil:
+		sample.Outcome = routestats.Answered
+	case answer.Verdict == verdict.NotRun:
+		sample.Outcome = routestats.Refused
+	default:
+		sample.Outcome = routestats.Failed
+	}
+	return sample
+}
+
 // Status describes the router now.
 func (r *Router) Status() Status {
 	status := Status{
