Run either deployment at full size under faults by time

Cause: nothing ran the users' deployments whole, with processes that die, are cut off or are restarted while load runs. Package recordfile reads record files for the judge and the report.

--- a/internal/judge/folder.go
+++ b/internal/judge/folder.go
@@ -3,33 +3,20 @@
 import (
 	"bufio"
 	"encoding/json"
-	"io"
 	"os"
 	"path/filepath"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/recordfile"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
-// Prefixes of the record files in the folder of a run. Every file holds JSON
-// lines and is named PREFIX*.jsonl.
 const (
-	PrefixBackends   = "backends"   // records.BackendLine
-	PrefixAnswers    = "answers"    // records.CallerAnswer
-	PrefixStops      = "stops"      // records.PlannedStop
-	PrefixOperators  = "operators"  // records.OperatorAnswer
-	PrefixAdmissions = "admissions" // records.Admission
-)
-
-const (
-	fileSuffix = ".jsonl"
 	// partitionBytes is how much of the requests' records is judged at a time.
 	partitionBytes = 256 << 20
 	maxPartitions  = 256
-	lineBuffer     = 1 << 20 // bytes
 )
 
 // Folder judges the record files of a run. Records of requests are divided by
@@ -39,16 +26,16 @@
 	if err := j.addWholeRun(folder); err != nil {
 		return err
 	}
-	backends, err := files(folder, PrefixBackends)
+	backends, err := recordfile.Files(folder, recordfile.PrefixBackends)
 	if err != nil {
 		return err
 	}
-	answers, err := files(folder, PrefixAnswers)
+	answers, err := recordfile.Files(folder, recordfile.PrefixAnswers)
 	if err != nil {
 		return err
 	}
 	if len(backends) == 0 || len(answers) == 0 {
-		return errors.Newf("folder %s: no %s*%s or no %s*%s", folder, PrefixBackends, fileSuffix, PrefixAnswers, fileSuffix)
+		return errors.Newf("folder %s: no %s*%s or no %s*%s", folder, recordfile.PrefixBackends, recordfile.Suffix, recordfile.PrefixAnswers, recordfile.Suffix)
 	}
 	parts, err := partitionsFor(append(backends, answers...))
 	if err != nil {
@@ -63,10 +50,10 @@
 // addWholeRun adds the records that requests are judged against.
 func (j *Judge) addWholeRun(folder string) error {
 	return errors.Join(
-		eachIn(folder, PrefixStops, j.AddPlannedStop),
-		eachIn(folder, PrefixOperators, j.AddOperatorAnswer),
-		eachIn(folder, PrefixAdmissions, j.AddAdmission),
-		eachIn(folder, PrefixBackends, func(line records.BackendLine) {
+		recordfile.EachIn(folder, recordfile.PrefixStops, j.AddPlannedStop),
+		recordfile.EachIn(folder, recordfile.PrefixOperators, j.AddOperatorAnswer),
+		recordfile.EachIn(folder, recordfile.PrefixAdmissions, j.AddAdmission),
+		recordfile.EachIn(folder, recordfile.PrefixBackends, func(line records.BackendLine) {
 			if line.Departure != nil {
 				j.AddDeparture(*line.Departure)
 			}
@@ -76,7 +63,7 @@
 
 func (j *Judge) judgePartition(backends, answers []string) error {
 	for _, path := range backends {
-		err := eachLine(path, func(line records.BackendLine) {
+		err := recordfile.Each(path, func(line records.BackendLine) {
 			if line.Execution != nil {
 				j.AddExecution(*line.Execution)
 			}
@@ -86,7 +73,7 @@
 		}
 	}
 	for _, path := range answers {
-		if err := eachLine(path, j.AddAnswer); err != nil {
+		if err := recordfile.Each(path, j.AddAnswer); err != nil {
 			return err
 		}
 	}
@@ -105,11 +92,11 @@
 	divide := func(paths []string, prefix string) ([]string, error) {
 		return divideFiles(paths, filepath.Join(folder, prefix), parts)
 	}
-	backendParts, err := divide(backends, PrefixBackends)
+	backendParts, err := divide(backends, recordfile.PrefixBackends)
 	if err != nil {
 		return err
 	}
-	answerParts, err := divide(answers, PrefixAnswers)
+	answerParts, err := divide(answers, recordfile.PrefixAnswers)
 	if err != nil {
 		return err
 	}
@@ -126,7 +113,7 @@
 	names := make([]string, parts)
 	writers := make([]*bufio.Writer, parts)
 	for index := range parts {
-		names[index] = target + "-" + string(rune('a'+index/26)) + string(rune('a'+index%26)) + fileSuffix
+		names[index] = target + "-" + string(rune('a'+index/26)) + string(rune('a'+index%26)) + recordfile.Suffix
 		file, err := os.Create(names[index])
 		if err != nil {
 			return nil, errors.Wrap(err, "part")
@@ -135,7 +122,7 @@
 		writers[index] = bufio.NewWriter(file)
 	}
 	for _, path := range paths {
-		err := eachRaw(path, func(line []byte) error {
+		err := recordfile.EachRaw(path, func(line []byte) error {
 			request, err := requestOf(line)
 			if err != nil {
 				return err
@@ -183,58 +170,3 @@
 	}
 	return int(min(total/partitionBytes+1, maxPartitions)), nil
 }
-
-func files(folder, prefix string) ([]string, error) {
-	return filepath.Glob(filepath.Join(folder, prefix+"*"+fileSuffix))
-}
-
-// eachIn calls take for every record of the files with a prefix.
-func eachIn[T any](folder, prefix string, take func(T)) error {
-	paths, err := files(folder, prefix)
-	if err != nil {
-		return err
-	}
-	for _, path := range paths {
-		if err := eachLine(path, take); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func eachLine[T any](path string, take func(T)) error {
-	return eachRaw(path, func(line []byte) error {
-		var record T
-		if err := json.Unmarshal(line, &record); err != nil {
-			return errors.Wrapf(err, "%s: malformed record", path)
-		}
-		take(record)
-		return nil
-	})
-}
-
-// eachRaw calls take for every whole line. A last line without its end was
-// being written when the process ended, and is left out.
-func eachRaw(path string, take func(line []byte) error) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return errors.Wrap(err, "record file")
-	}
-	defer file.Close()
-	reader := bufio.NewReaderSize(file, lineBuffer)
-	for {
-		line, err := reader.ReadBytes('\n')
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrapf(err, "%s", path)
-		}
-		if strings.TrimSpace(string(line)) == "" {
-			continue
-		}
-		if err := take(line); err != nil {
-			return err
-		}
-	}
-}
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -110,6 +110,129 @@
 	done
 }
 
+# plan_fleet POLICY PORT CONTROLS RELAYS ROUTERS chooses the addresses of a
+# fleet and requires that all are free: ports from PORT on 127.0.0.1 and the
+# addresses of the configuration's back ends.
+plan_fleet() {
+	local index
+	policy=$1
+	[[ -x $bin/martenstage && -x $bin/martenbench ]] || fail "no programs in $bin; run make build"
+	[[ -r $policy ]] || fail "no configuration $policy"
+	mapfile -t backends < <(sed -n 's/^[[:space:]]*replica \([0-9.:]*\).*/\1/p' "$policy" | sort -u)
+	mapfile -t zones < <(sed -n 's/^[[:space:]]*replica .* zone \([^ ]*\).*/\1/p' "$policy" | sort -u)
+	voters=() relays=() callers=() peers=()
+	for ((index = 1; index <= $3; index++)); do voters+=("127.0.0.1:$(($2 + index))"); done
+	for ((index = 1; index <= $4; index++)); do relays+=("127.0.0.1:$(($2 + 10 + index))"); done
+	for ((index = 1; index <= $5; index++)); do
+		callers+=("127.0.0.1:$(($2 + 20 + index))")
+		peers+=("127.0.0.1:$(($2 + 30 + index))")
+	done
+	free_port "${voters[@]}" "${relays[@]}" "${callers[@]}" "${peers[@]}" "${backends[@]}"
+}
+
+# list ADDRESS... prints a list for a settings file.
+list() {
+	local joined
+	joined=$(printf '"%s", ' "$@")
+	echo "[${joined%, }]"
+}
+
+# settle LEASE STOP_NOTICE issues keys and writes settings for the whole fleet.
+settle() {
+	local index numbered=()
+	"$bin/martenstage" keys init --folder "$folder/keys" >/dev/null
+	issue operator operator
+	for index in "${!voters[@]}"; do numbered+=("$((index + 1))=${voters[index]}"); done
+	for index in "${!voters[@]}"; do
+		issue control "control-$((index + 1))"
+		settings "control-$((index + 1))" <<-END
+			id: $((index + 1))
+			data-folder: $folder/control-$((index + 1))
+			listen: ${voters[index]}
+			voter: $(list "${numbered[@]}")
+			lease: $1
+		END
+	done
+	for index in "${!relays[@]}"; do
+		issue relay "relay-$((index + 1))"
+		settings "relay-$((index + 1))" <<-END
+			name: relay-$((index + 1))
+			zone: ${zones[index % ${#zones[@]}]}
+			listen: ${relays[index]}
+			upstream: $(list "${voters[@]}")
+		END
+	done
+	for index in "${!callers[@]}"; do
+		issue router "router-$((index + 1))"
+		settings "router-$((index + 1))" <<-END
+			name: router-$((index + 1))
+			zone: ${zones[index % ${#zones[@]}]}
+			callers-listen: ${callers[index]}
+			peers-listen: ${peers[index]}
+			upstream: $(list "${relays[@]}")
+			control: $(list "${voters[@]}")
+			data-folder: $folder/router-$((index + 1))
+			stop-notice: $2
+			stop-quiet: 200ms
+		END
+	done
+}
+
+# launch ROLE NUMBER... starts processes by their settings.
+launch() {
+	local role=$1 number
+	shift
+	for number in "$@"; do
+		start "$role-$number" "$bin/martenstage" "$role" --settings "$folder/settings/$role-$number.yaml"
+	done
+}
+
+# start_fleet SCRIPT starts the back ends with a script of faults, then control,
+# relays and routers, and waits until all listen.
+start_fleet() {
+	local index
+	start backends "$bin/martenbench" backends --policy-file "$policy" --script "$1" \
+		--record "$folder/records/backends.jsonl" --log-level warning
+	for index in "${!voters[@]}"; do launch control $((index + 1)); done
+	for index in "${!relays[@]}"; do launch relay $((index + 1)); done
+	for index in "${!callers[@]}"; do launch router $((index + 1)); done
+	await_listening backends "${backends[-1]}"
+	for index in "${!voters[@]}"; do await_listening "control-$((index + 1))" "${voters[index]}"; done
+	for index in "${!relays[@]}"; do await_listening "relay-$((index + 1))" "${relays[index]}"; done
+	for index in "${!callers[@]}"; do await_listening "router-$((index + 1))" "${callers[index]}"; done
+}
+
+# start_load SECONDS OPTIONS... sends load to all routers.
+start_load() {
+	local duration=$1 address options=()
+	shift
+	for address in "${callers[@]}"; do options+=(--router "$address"); done
+	start load "$bin/martenbench" load --policy-file "$policy" --duration "${duration}s" --wait-ready 20s \
+		"${options[@]}" --record "$folder/records/answers.jsonl" "$@"
+}
+
+# await_load SECONDS waits for the end of the load.
+await_load() {
+	await_exit load "$1" || fail "the load does not end"
+	wait "${pids[load]}" || fail "load: $(tail -n 3 "$folder/logs/load.log")"
+	unset "pids[load]"
+	require_alive
+}
+
+# stop_fleet stops everything as planned, callers' side first.
+stop_fleet() {
+	local index
+	for index in "${!callers[@]}"; do stop_router $((index + 1)); done
+	for index in "${!relays[@]}"; do stop "relay-$((index + 1))"; done
+	for ((index = ${#voters[@]}; index >= 1; index--)); do stop "control-$index"; done
+	stop backends
+}
+
+# conclude prints the report and the judge's findings; it fails on violations.
+conclude() {
+	"$bin/martenbench" judge --folder "$folder/records" --policy-file "$policy" --report
+}
+
 # now prints the time in the form of the records.
 now() { date -u +%Y-%m-%dT%H:%M:%S.%NZ; }
 
@@ -156,14 +279,11 @@
 		"$1" "$sent" "$received" "$revision" "$received" >>"$folder/records/operators.jsonl"
 }
 
-# stop_router NAME CALLERS_ADDRESS stops a router as planned and records it.
+# stop_router NUMBER stops a router as planned and records it.
 stop_router() {
 	local began exited
 	began=$(now)
-	stop "$1"
+	stop "router-$1"
 	exited=$(now)
-	printf '{"router":"%s","began":"%s","exited":"%s"}\n' "$2" "$began" "$exited" >>"$folder/records/stops.jsonl"
+	printf '{"router":"%s","began":"%s","exited":"%s"}\n' "${callers[$1 - 1]}" "$began" "$exited" >>"$folder/records/stops.jsonl"
 }
-
-# replicas FILE prints the addresses of a configuration's back ends.
-replicas() { sed -n 's/^[[:space:]]*replica \([0-9.:]*\).*/\1/p' "$1" | sort -u; }
