Record runs that failed, and take them for no part

Cause: a run whose deadline came first, or that an error fault answered, is recorded as executed without items. Like a run that was cut short, the judge took it for an empty part, so an answer could be called wrong that was right, or a shard covered that gave nothing. Change: back ends record such runs as failed, and the judge leaves them out. `make fleet DEPLOYMENT=...` runs scripts/fleet.sh. Measured: nothing to measure; tests cover both kinds on either side. Conclusion: a covered shard now needs a run that produced its part.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # state. Cores have no goroutines.
 RACE_PATTERN := ring|spool|rpc|follower|relay|router|callers|backend|forward|emulator|platform|keys
 
-.PHONY: all build test demo lint format generate fuzz unit
+.PHONY: all build test demo fleet lint format generate fuzz unit
 
 all: build
 
@@ -33,6 +33,11 @@
 demo: build
 	./scripts/demo.sh
 
+# Either deployment at full size under faults by time, 80 s.
+DEPLOYMENT ?= bangkok
+fleet: build
+	./scripts/fleet.sh $(DEPLOYMENT)
+
 format:
 	gofmt -w cmd internal
 
--- a/internal/emulator/fault_test.go
+++ b/internal/emulator/fault_test.go
@@ -109,6 +109,7 @@
 	require.Equal(t, http.StatusInternalServerError, reply.StatusCode)
 	require.Empty(t, reply.Header.Get(backendapi.HeaderVerdict))
 	require.True(t, bench.recorded("a1").Executed)
+	require.True(t, bench.recorded("a1").Failed)
 }
 
 func TestConnectionOverTheLimitIsClosed(t *testing.T) {
--- a/internal/emulator/refusal_test.go
+++ b/internal/emulator/refusal_test.go
@@ -205,7 +205,7 @@
 	reply, _ := bench.do(request)
 	require.Equal(t, http.StatusGatewayTimeout, reply.StatusCode)
 	require.Equal(t, "may_have_run", reply.Header.Get(backendapi.HeaderVerdict), "the work had begun")
-	require.True(t, bench.recorded("a1").Executed)
+	require.True(t, bench.recorded("a1").Executed && bench.recorded("a1").Failed)
 	require.Zero(t, bench.fleet.Servers()[0].Counts().InFlight)
 }
 
--- a/internal/emulator/serve.go
+++ b/internal/emulator/serve.go
@@ -205,8 +205,10 @@
 		r.record.Canceled = true
 		r.replyWithoutPart(http.StatusConflict, backendapi.RefusalCanceled)
 	case outcome == outcomeExpired:
+		r.record.Failed = true
 		r.replyWithoutPart(http.StatusGatewayTimeout, backendapi.RefusalDeadline)
 	case r.active.hit(FaultError, seed, r.query.attempt) != nil:
+		r.record.Failed = true
 		r.reply(http.StatusInternalServerError, nil)
 	default:
 		r.replyWithPart(headers)
--- a/internal/judge/answer.go
+++ b/internal/judge/answer.go
@@ -92,12 +92,13 @@
 }
 
 // partsOf returns, for each shard, the item lists that back ends produced for
-// this request's own body at the claimed snapshot. A run that was cut short
-// produced none.
+// this request's own body at the claimed snapshot. A run that was cut short or
+// failed produced none.
 func partsOf(request *requestRecords, answer *records.CallerAnswer) map[uint32][][]string {
 	parts := map[uint32][][]string{}
 	for _, execution := range request.executions {
-		if execution.Executed && !execution.Canceled && inSnapshot(&execution, answer) && execution.BodyDigest == answer.BodyDigest {
+		produced := execution.Executed && !execution.Canceled && !execution.Failed
+		if produced && inSnapshot(&execution, answer) && execution.BodyDigest == answer.BodyDigest {
 			parts[execution.Shard] = append(parts[execution.Shard], execution.ItemDigests)
 		}
 	}
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -158,6 +158,9 @@
 		{"covered by a run that was cut short", CoverageTrue, func(r *run) {
 			r.executions[0].Canceled, r.executions[0].ItemDigests = true, nil
 		}},
+		{"covered by a run that failed", CoverageTrue, func(r *run) {
+			r.executions[0].Failed, r.executions[0].ItemDigests = true, nil
+		}},
 		{"missing shard silently in", CoverageTrue, func(r *run) {
 			r.answers[sweep].Covered, r.answers[sweep].Missing, r.answers[sweep].Complete = []uint32{0, 1}, []uint32{2}, false
 		}},
@@ -232,14 +235,15 @@
 	return lo.FlatMap(shards, func(shard uint32, _ int) []string { return dataset.Digests(query("sweep", shard, 7)) })
 }
 
-// A hedge that was cut short leaves a record without items beside that of the
-// run whose part is in the answer.
-func TestRunCutShortIsNoPart(t *testing.T) {
+// A run that was cut short or failed leaves a record without items beside that
+// of the run whose part is in the answer.
+func TestRunWithoutPartIsNoPart(t *testing.T) {
 	r := cleanRun()
 	for _, request := range []string{"sweep", "best"} {
-		cutShort := execution(request, 1, 7)
+		cutShort, failed := execution(request, 1, 7), execution(request, 2, 7)
 		cutShort.Canceled, cutShort.ItemDigests = true, nil
-		r.executions = append([]records.Execution{cutShort}, r.executions...)
+		failed.Failed, failed.ItemDigests = true, nil
+		r.executions = append([]records.Execution{cutShort, failed}, r.executions...)
 	}
 	require.Empty(t, r.judge().Violations())
 }
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -29,6 +29,9 @@
 	Refusal  string `json:"refusal,omitempty"`
 	// Canceled says that the run was cut short by a cancellation.
 	Canceled bool `json:"canceled"`
+	// Failed says that the run ended without a part for another reason: its
+	// deadline came first, or it was answered with an error.
+	Failed bool `json:"failed,omitempty"`
 	// Replied says that the whole reply was handed to the socket.
 	Replied bool `json:"replied"`
 }
