Show a site on one screen, and help whoever mistypes

Cause: status listed voters, nodes and machines, but neither services, shards and replicas nor what callers got, and nothing said what to do.

--- a/cmd/martenstage/config.go
+++ b/cmd/martenstage/config.go
@@ -138,14 +138,18 @@
 
 func (o *changeOptions) waitInForce(revision uint64) error {
 	started := time.Now()
+	progress := cli.NewProgress(os.Stderr)
+	defer progress.Done()
 	o.Timeout = o.WaitTimeout
 	return o.call(func(ctx context.Context, client *control.Client) error {
 		for {
 			status, err := client.Status(ctx)
 			if err == nil && status.GetRevisionInForce() >= revision {
+				progress.Done()
 				fmt.Printf("revision %d in force everywhere after %s\n", revision, time.Since(started).Round(time.Millisecond))
 				return nil
 			}
+			progress.Show(fmt.Sprintf("revision %d: in force everywhere up to %d", revision, status.GetRevisionInForce()))
 			select {
 			case <-ctx.Done():
 				return exitcode.With(exitcode.Unavailable, notInForce(revision, status, err))
--- /dev/null
+++ b/cmd/martenstage/examples.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"strings"
+
+	"github.com/martenstage/martenstage/internal/cli"
+)
+
+// examples are shown at the end of each command's help, by the command's path.
+// A test parses every one of them.
+var examples = map[string][]string{
+	"control": {
+		"martenstage control --settings /etc/martenstage/control.yaml",
+		"martenstage control --id 1 --listen 10.0.0.1:7100 --voter 1=10.0.0.1:7100 --data-folder /var/lib/martenstage/control --insecure-plaintext",
+	},
+	"relay":  {"martenstage relay --settings /etc/martenstage/relay.yaml"},
+	"router": {"martenstage router --settings /etc/martenstage/router.yaml", "martenstage router --policy-file deploy/bangkok/bangkok.policy"},
+	"status": {
+		"martenstage status --control 10.0.0.1:7100 --control 10.0.0.2:7100",
+		"martenstage status --watch",
+		"martenstage status --json",
+	},
+	"drain":   {"martenstage drain 10.0.1.7:7000"},
+	"undrain": {"martenstage undrain 10.0.1.7:7000"},
+	"events":  {"martenstage events --since 18:00 --service seat-finder", "martenstage events --since 12h --json"},
+	"report":  {"martenstage report --since 18:00", "martenstage report --since 18:00 --html report.html"},
+
+	"config apply":    {"martenstage config apply site.policy --comment \"more patience\" --wait"},
+	"config get":      {"martenstage config get > site.policy", "martenstage config get --revision 7"},
+	"config history":  {"martenstage config history --limit 5"},
+	"config diff":     {"martenstage config diff 7 8"},
+	"config rollback": {"martenstage config rollback 7 --wait"},
+
+	"policy check":   {"martenstage policy check site.policy"},
+	"policy explain": {"martenstage policy explain site.policy --route quick-pick"},
+	"policy format":  {"martenstage policy format --write site.policy"},
+	"policy lint":    {"martenstage policy lint site.policy"},
+	"policy diff":    {"martenstage policy diff before.policy after.policy"},
+
+	"voters list":     {"martenstage voters list"},
+	"voters add":      {"martenstage voters add 4 10.0.0.4:7100"},
+	"voters remove":   {"martenstage voters remove 3"},
+	"voters transfer": {"martenstage voters transfer 2"},
+
+	"keys init":  {"martenstage keys init --folder keys"},
+	"keys issue": {"martenstage keys issue --folder keys --role router --name bkk-a1-router --address 10.0.0.1"},
+}
+
+// withExamples fills in the examples of commands below a path.
+func withExamples(commands []cli.Command, path ...string) []cli.Command {
+	for index := range commands {
+		command := &commands[index]
+		here := append(path[:len(path):len(path)], command.Name)
+		command.Children = withExamples(command.Children, here...)
+		if shown, found := examples[strings.Join(here, " ")]; found {
+			command.Examples = shown
+		}
+	}
+	return commands
+}
--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -11,7 +11,12 @@
 const summary = "A query tier between callers and sharded, replicated search back ends."
 
 func main() {
-	os.Exit(cli.Run("martenstage", summary, commands(), os.Args[1:]))
+	os.Exit(cli.Run("martenstage", summary, commandTree(), os.Args[1:]))
+}
+
+// commandTree returns the sub-commands with their examples.
+func commandTree() []cli.Command {
+	return withExamples(append(commands(), cli.Completion("martenstage")))
 }
 
 // commands lists the sub-commands; each has a file of its own.
@@ -20,10 +25,10 @@
 		{Name: "control", Short: "Run a control voter", Long: "Runs a control voter until SIGTERM, which hands leadership over first.", Data: &controlCommand{}},
 		{Name: "config", Short: "Submit and read configurations", Children: configCommands()},
 		{Name: "voters", Short: "List, add and remove control voters", Children: votersCommands()},
-		{Name: "status", Short: "Show who leads and how far everybody is", Data: &statusCommand{}},
+		{Name: "status", Short: "Show services, routes, routers, leases and voters, and what needs attention", Long: "Shows on one screen what control knows of the site. Without a quorum it shows what each voter that answers believes, and exits with 4.", Data: &statusCommand{}},
 		{Name: "events", Short: "List the event journal", Data: &eventsCommand{}},
-		{Name: "drain", Short: "Mark a back end as leaving", Data: &drainCommand{draining: true}},
-		{Name: "undrain", Short: "Remove the mark of drain", Data: &drainCommand{}},
+		{Name: "drain", Short: "Mark a back end as leaving", Long: "Routers send a marked back end no new work after a few seconds; work under way ends as usual. The mark stays until undrain.", Data: &drainCommand{draining: true}},
+		{Name: "undrain", Short: "Remove the mark of drain", Long: "Routers use the back end again, from a small share of work upwards.", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
 		{Name: "relay", Short: "Run a relay", Long: "Runs a relay, which fans out configuration and leases, until SIGTERM.", Data: &relayCommand{}},
 		{Name: "settings", Short: "Make and check the settings of processes", Children: settingsCommands()},
--- a/cmd/martenstage/settings.go
+++ b/cmd/martenstage/settings.go
@@ -41,7 +41,8 @@
 		},
 		{
 			Name: "reference", Short: "Print the reference of all settings", Data: &settingsReference{},
-			Long: "Prints the page docs/operate/settings.md, generated from the program.",
+			Long:     "Prints the page docs/operate/settings.md, generated from the program.",
+			Examples: []string{"martenstage settings reference > docs/operate/settings.md"},
 		},
 	}
 }
--- a/cmd/martenstage/settings_test.go
+++ b/cmd/martenstage/settings_test.go
@@ -28,8 +28,8 @@
 func TestSettingsPageIsCurrent(t *testing.T) {
 	committed, err := os.ReadFile("../../docs/operate/settings.md")
 	require.NoError(t, err)
-	require.Equal(t, string(settingsPage()), string(committed),
-		"run: go run ./cmd/martenstage settings reference > docs/operate/settings.md")
+	require.True(t, bytes.Equal(settingsPage(), committed),
+		"docs/operate/settings.md is out of date; run: go run ./cmd/martenstage settings reference > docs/operate/settings.md")
 }
 
 // TestGeneratedSettingsStartSites starts every process of both deployments by
--- a/cmd/martenstage/status.go
+++ b/cmd/martenstage/status.go
@@ -1,38 +1,54 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
-	"text/tabwriter"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/control"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/overview"
+	"github.com/martenstage/martenstage/internal/plan"
 )
 
-// statusCommand shows who leads and how far everybody is.
+// statusCommand shows services, routes, routers, relays and voters, and what
+// needs attention.
 type statusCommand struct {
 	operatorOptions
-	JSON bool `long:"json" description:"Print JSON"`
+	JSON     bool          `long:"json" description:"Print JSON"`
+	Watch    bool          `long:"watch" description:"Show it again and again: redrawn on a terminal; in a pipe only what needs attention, when that changes"`
+	Interval time.Duration `long:"interval" default:"2s" description:"Pause between two views of --watch"`
+
+	// revision and plan are the last that were read, so that watching does not
+	// compile an unchanged configuration again.
+	revision uint64
+	plan     *plan.Plan
 }
 
 // Execute implements flags.Commander. Without a quorum it shows what each voter
 // that answers believes, and fails all the same.
 func (c *statusCommand) Execute([]string) error {
+	if c.Watch {
+		return c.watch()
+	}
 	return c.call(func(ctx context.Context, client *control.Client) error {
-		confirmed, err := client.Status(ctx)
+		status, err := c.read(ctx, client)
 		if err == nil {
-			return c.print(confirmed)
+			return c.print(status)
 		}
 		if !errors.Is(err, control.ErrUnavailable) {
 			return err
 		}
 		for _, local := range client.LocalStatuses(context.WithoutCancel(ctx)) {
-			fmt.Printf("unconfirmed view of voter %d:\n", local.GetAnsweredBy())
 			if printError := c.print(local); printError != nil {
 				return printError
 			}
@@ -41,57 +57,92 @@
 	})
 }
 
+// read asks for the status, and for the configuration if it is a newer one.
+func (c *statusCommand) read(ctx context.Context, client *control.Client) (*v1.StatusResponse, error) {
+	status, err := client.Status(ctx)
+	if err != nil || status.GetRevision() == 0 || status.GetRevision() == c.revision {
+		return status, err
+	}
+	compiled, err := revisionPlan(ctx, client, status.GetRevision())
+	if err != nil {
+		return nil, err
+	}
+	c.revision, c.plan = status.GetRevision(), compiled
+	return status, nil
+}
+
 func (c *statusCommand) print(status *v1.StatusResponse) error {
 	if c.JSON {
-		text, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}.Marshal(status)
-		if err != nil {
-			return err
-		}
-		_, err = fmt.Println(string(text))
-		return err
+		return c.printJSON(status)
 	}
-	fmt.Printf("leader %d  term %d  commit index %d  revision %d  in force everywhere %d\n\n",
-		status.GetLeaderId(), status.GetTerm(), status.GetCommitIndex(), status.GetRevision(), status.GetRevisionInForce())
-	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
-	printVoterTable(table, status.GetVoters())
-	printNodeTable(table, status.GetNodes())
-	printMachineTable(table, status.GetMachines())
-	return table.Flush()
+	return overview.New(status, c.plan).Print(os.Stdout)
 }
 
-func printVoterTable(table *tabwriter.Writer, voters []*v1.VoterStatus) {
-	fmt.Fprintln(table, "VOTER\tADDRESS\tKIND\tMATCH\tACTIVE\tDISK")
-	for _, voter := range voters {
-		disk := voter.GetDiskError()
-		if disk == "" {
-			disk = "ok"
-		}
-		fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%t\t%s\n", voter.GetVoter().GetId(), voter.GetVoter().GetAddress(),
-			kindOf(voter.GetVoter()), voter.GetMatchIndex(), voter.GetRecentlyActive(), disk)
+// printJSON prints the status as control answers it, with the services and
+// notices that are made of it.
+func (c *statusCommand) printJSON(status *v1.StatusResponse) error {
+	text, err := protojson.MarshalOptions{UseProtoNames: true, EmitUnpopulated: true}.Marshal(status)
+	if err != nil {
+		return err
+	}
+	document := make(map[string]any)
+	if err := json.Unmarshal(text, &document); err != nil {
+		return err
 	}
+	summed := overview.New(status, c.plan)
+	document["services"], document["attention"] = summed.Services, summed.Attention
+	return printJSON(document)
 }
 
-func printNodeTable(table *tabwriter.Writer, nodes []*v1.NodeStatus) {
-	if len(nodes) == 0 {
-		return
-	}
-	fmt.Fprintln(table, "\nNODE\tROLE\tZONE\tADDRESS\tREVISION\tLEASE\tSEEN\tRELAY")
-	for _, node := range nodes {
-		lease := "live"
-		if node.GetLeaseLapsed() {
-			lease = "lapsed"
+// clearScreen moves the cursor home and erases the terminal (ECMA-48 CUP, ED).
+const clearScreen = "\x1b[H\x1b[2J"
+
+// watch shows the status until it is interrupted. A status that can't be had
+// is shown as such, because watching matters most while something is wrong.
+func (c *statusCommand) watch() error {
+	stopping, restore := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer restore()
+	var shown string
+	for {
+		var view bytes.Buffer
+		if err := c.view(&view); err != nil {
+			fmt.Fprintln(&view, "no status:", err)
+		}
+		switch {
+		case c.JSON:
+			fmt.Print(view.String())
+		case cli.IsTerminal(os.Stdout):
+			fmt.Printf("%s%s\n\n%s", clearScreen, time.Now().Format(time.DateTime), view.String())
+		case view.String() != shown:
+			shown = view.String()
+			fmt.Printf("%s\n%s", time.Now().Format(time.DateTime), shown)
+		}
+		select {
+		case <-stopping.Done():
+			return nil
+		case <-time.After(c.Interval):
 		}
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", node.GetNode(), node.GetRole(), node.GetZone(), node.GetAddress(),
-			node.GetRevision(), lease, node.GetSinceSeen().AsDuration().Round(time.Millisecond), node.GetRelay())
 	}
 }
 
-func printMachineTable(table *tabwriter.Writer, machines []*v1.MachineState) {
-	if len(machines) == 0 {
-		return
-	}
-	fmt.Fprintln(table, "\nMACHINE\tSTATE\tSOURCE")
-	for _, machine := range machines {
-		fmt.Fprintf(table, "%s\t%s\t%s\n", machine.GetAddress(), machine.GetState(), machine.GetSource())
-	}
+// view writes one view: everything on a terminal, notices in a pipe, a JSON
+// document a line with --json.
+func (c *statusCommand) view(view *bytes.Buffer) error {
+	return c.call(func(ctx context.Context, client *control.Client) error {
+		status, err := c.read(ctx, client)
+		if err != nil {
+			return err
+		}
+		switch summed := overview.New(status, c.plan); {
+		case c.JSON:
+			return json.NewEncoder(view).Encode(map[string]any{
+				"time": time.Now(), "revision": summed.Group.Revision, "revision_in_force": summed.Group.InForce,
+				"services": summed.Services, "routes": summed.Routes, "attention": summed.Attention,
+			})
+		case cli.IsTerminal(os.Stdout):
+			return summed.Print(view)
+		default:
+			return summed.PrintAttention(view)
+		}
+	})
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -40,22 +40,54 @@
 // Run parses the arguments, executes the chosen command and returns the exit
 // code of the process.
 func Run(program, summary string, commands []Command, arguments []string) int {
+	parser, err := newParser(program, summary, commands)
+	if err != nil {
+		return report(program, err)
+	}
+	parser.CommandHandler = execute
+	_, err = parser.ParseArgs(arguments)
+	return report(program, explain(parser, commands, err))
+}
+
+// Parse parses the arguments and executes nothing.
+func Parse(program string, commands []Command, arguments []string) error {
+	parser, err := newParser(program, "", commands)
+	if err != nil {
+		return err
+	}
+	parser.CommandHandler = func(flags.Commander, []string) error { return nil }
+	_, err = parser.ParseArgs(arguments)
+	return err
+}
+
+func newParser(program, summary string, commands []Command) (*flags.Parser, error) {
 	global := &globalOptions{Version: func() {
 		fmt.Println(program, buildinfo.String())
 		os.Exit(exitcode.OK)
 	}}
 	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
-	parser.ShortDescription = summary
+	parser.ShortDescription, parser.LongDescription = summary, summary
 	if _, err := parser.AddGroup("Program options", "", global); err != nil {
-		return report(program, err)
+		return nil, err
 	}
 	for _, command := range commands {
 		if err := add(parser.Command, command); err != nil {
-			return report(program, err)
+			return nil, err
 		}
 	}
-	_, err := parser.ParseArgs(arguments)
-	return report(program, err)
+	return parser, nil
+}
+
+// execute runs the chosen command. Arguments that it does not take are refused,
+// because one that is ignored leaves its reader with a wrong belief.
+func execute(command flags.Commander, arguments []string) error {
+	if command == nil {
+		return nil
+	}
+	if len(arguments) > 0 {
+		return exitcode.With(exitcode.Usage, errors.Newf("unexpected argument %q", arguments[0]))
+	}
+	return command.Execute(arguments)
 }
 
 func add(parent *flags.Command, command Command) error {
@@ -89,7 +121,7 @@
 		return exitcode.Of(err)
 	}
 	if parseError.Type == flags.ErrHelp {
-		fmt.Println(parseError.Message)
+		fmt.Println(strings.TrimSuffix(parseError.Message, "\n"))
 		return exitcode.OK
 	}
 	fmt.Fprintf(os.Stderr, "%s: %s\n", program, strings.TrimSpace(parseError.Message))
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/nearest"
+)
+
+// explain adds to the parser's messages what helps next: examples to a help
+// text, the nearest name to an unknown option, and where the help is.
+func explain(parser *flags.Parser, commands []Command, err error) error {
+	var parseError *flags.Error
+	if !errors.As(err, &parseError) {
+		return err
+	}
+	names := activeNames(parser)
+	if parseError.Type == flags.ErrHelp {
+		return &flags.Error{Type: parseError.Type, Message: parseError.Message + examplesText(find(commands, names[1:]))}
+	}
+	message := parseError.Message
+	if parseError.Type == flags.ErrUnknownFlag {
+		message += suggestedOption(parser, message)
+	}
+	return &flags.Error{Type: parseError.Type, Message: fmt.Sprintf("%s\nRun '%s --help' for usage.", message, strings.Join(names, " "))}
+}
+
+// activeNames returns the program and the commands that were chosen.
+func activeNames(parser *flags.Parser) []string {
+	names := []string{parser.Name}
+	for command := parser.Active; command != nil; command = command.Active {
+		names = append(names, command.Name)
+	}
+	return names
+}
+
+// find returns the command at a path of names; nil for none.
+func find(commands []Command, names []string) *Command {
+	if len(names) == 0 {
+		return nil
+	}
+	command, found := lo.Find(commands, func(command Command) bool { return command.Name == names[0] })
+	switch {
+	case !found:
+		return nil
+	case len(names) == 1:
+		return &command
+	default:
+		return find(command.Children, names[1:])
+	}
+}
+
+func examplesText(command *Command) string {
+	if command == nil || len(command.Examples) == 0 {
+		return ""
+	}
+	return "\nExamples:\n  " + strings.Join(command.Examples, "\n  ") + "\n"
+}
+
+// unknownOption finds the name in the parser's message.
+var unknownOption = regexp.MustCompile("unknown flag `([^']+)'")
+
+// suggestedOption returns a hint at the option nearest to an unknown one, or "".
+func suggestedOption(parser *flags.Parser, message string) string {
+	match := unknownOption.FindStringSubmatch(message)
+	if match == nil {
+		return ""
+	}
+	var known []string
+	collect := func(group *flags.Group) {
+		for _, option := range group.Options() {
+			known = append(known, option.LongName)
+		}
+	}
+	for command := parser.Command; command != nil; command = command.Active {
+		eachGroup(command.Group, collect)
+	}
+	name, found := nearest.Name(match[1], known)
+	if !found {
+		return ""
+	}
+	return fmt.Sprintf(", did you mean `--%s'?", name)
+}
+
+func eachGroup(group *flags.Group, visit func(*flags.Group)) {
+	visit(group)
+	for _, inner := range group.Groups() {
+		eachGroup(inner, visit)
+	}
+}
