Read sort fields without decoding items, and miss only shards that were covered

A new group counted as uncovered or covered by the same rule as an old one, and one that no probe ever reached was never reported. Change: the field is read by gjson; a property test compares it with the decoder of whole items. A group is reported uncovered after it was covered once, or when its first usable replica does not come within 5 s. A hedge may use any place below the limit of a server that reports no queue, and not only its slots. Tests of the balancer: drains against a lying endpoint, ejection floor, suspects, trust in reports.

--- a/internal/balancer/group.go
+++ b/internal/balancer/group.go
@@ -20,10 +20,14 @@
 	index      int
 	members    []*member
 	usable     int
-	uncovered  bool
-	slots      int
-	suspects   int
-	typical    float64
+	// made is when the group was made, and awaited set until it is covered for
+	// the first time or has not been for the grace time.
+	made      time.Time
+	awaited   bool
+	uncovered bool
+	slots     int
+	suspects  int
+	typical   float64
 }
 
 // member is one replica: a server in a group, with the index versions that it
@@ -151,11 +155,11 @@
 // AddGeneration makes the groups of one shard map. Servers are shared with the
 // groups that exist already. The caller releases the generation when it no
 // longer sends to it.
-func (p *Pool) AddGeneration(service plan.Service, shards plan.Generation) *Generation {
+func (p *Pool) AddGeneration(now time.Time, service plan.Service, shards plan.Generation) *Generation {
 	generation := &Generation{Service: service.Name, Number: shards.Number, stale: true}
 	for index, shard := range shards.Shards {
 		group := &Group{
-			Shard: shard.ID, Name: shard.Name, generation: generation, index: index,
+			Shard: shard.ID, Name: shard.Name, generation: generation, index: index, made: now, awaited: true,
 			Latency: latency.NewHistogram(p.config.LatencyHalfLife),
 		}
 		for _, replica := range shard.Replicas {
@@ -170,6 +174,7 @@
 			}
 		}
 		group.recount()
+		group.awaited = group.usable == 0
 		generation.Groups = append(generation.Groups, group)
 	}
 	return generation
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -37,6 +37,7 @@
 	DefaultDrainDistrust = 5 * time.Minute
 	DefaultEjectionTime  = 2 * time.Second
 	DefaultEjectionFloor = 0.5
+	DefaultCoverGrace    = 5 * time.Second
 )
 
 // Config holds the tunables of a Pool. Zero values mean the defaults.
@@ -66,6 +67,9 @@
 	// EjectionFloor is the share of a group's usable replicas that ejection
 	// leaves; at least one is always left.
 	EjectionFloor float64
+	// CoverGrace is how long the first usable replica of a new group is waited
+	// for before the group counts as uncovered.
+	CoverGrace time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -76,6 +80,7 @@
 	setDefault(&c.DrainDistrust, DefaultDrainDistrust)
 	setDefault(&c.EjectionTime, DefaultEjectionTime)
 	setDefault(&c.EjectionFloor, DefaultEjectionFloor)
+	setDefault(&c.CoverGrace, DefaultCoverGrace)
 	return c
 }
 
--- a/internal/balancer/presence.go
+++ b/internal/balancer/presence.go
@@ -183,13 +183,16 @@
 	apply()
 	p.announce(server, wasLeaving)
 	if server.Usable() == wasUsable {
+		for _, member := range server.members {
+			p.judgeCoverage(now, member.group)
+		}
 		return
 	}
 	if server.Usable() {
 		server.readySince = now
 	}
 	for _, member := range server.members {
-		p.recount(member.group)
+		p.recount(now, member.group)
 	}
 }
 
@@ -213,19 +216,27 @@
 
 // recount updates a group and tells when it lost its last usable replica, or
 // got the first one back.
-func (p *Pool) recount(group *Group) {
-	before := group.usable
+func (p *Pool) recount(now time.Time, group *Group) {
 	group.recount()
-	kind := journal.Kind("")
-	switch {
-	case before > 0 && group.usable == 0:
-		kind = journal.KindShardUncovered
-	case before == 0 && group.usable > 0 && group.uncovered:
-		kind = journal.KindShardCovered
-	default:
+	if group.usable > 0 {
+		group.awaited = false
+	}
+	p.judgeCoverage(now, group)
+}
+
+// judgeCoverage tells when a group became uncovered or covered again. A group
+// that was never covered is not missed until its servers have had the grace
+// time to answer their first probes.
+func (p *Pool) judgeCoverage(now time.Time, group *Group) {
+	uncovered := group.usable == 0
+	if uncovered == group.uncovered || (group.awaited && now.Sub(group.made) < p.config.CoverGrace) {
 		return
 	}
-	group.uncovered = group.usable == 0
+	group.uncovered, group.awaited = uncovered, false
+	kind := journal.KindShardCovered
+	if uncovered {
+		kind = journal.KindShardUncovered
+	}
 	p.transitions = append(p.transitions, Transition{
 		Kind: kind, Service: group.generation.Service, Shard: group.Name,
 	})
--- /dev/null
+++ b/internal/balancer/presence_test.go
@@ -0,0 +1,147 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/plan"
+)
+
+var start = time.Unix(1000, 0)
+
+func address(replica int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(replica + 1)}), 80)
+}
+
+// newPool returns a pool with one group of replicas that no probe has reached.
+func newPool(replicas int) (*Pool, *Group) {
+	pool := New(Config{Zone: "a", Random: rand.New(rand.NewPCG(1, 1))})
+	shard := plan.Shard{Name: "s0"}
+	for replica := range replicas {
+		shard.Replicas = append(shard.Replicas, plan.Replica{
+			Address: address(replica), Zone: "a", Slots: 2, Connections: 70,
+		})
+	}
+	service := plan.Service{Name: "seats"}
+	generation := pool.AddGeneration(start, service, plan.Generation{Number: 1, Shards: []plan.Shard{shard}})
+	return pool, generation.Groups[0]
+}
+
+func ready(versions ...uint64) backendapi.Health {
+	return backendapi.Health{State: backendapi.StateReady, Shards: []backendapi.ShardState{
+		{Service: "seats", Generation: 1, Versions: versions},
+	}}
+}
+
+func kinds(pool *Pool) []journal.Kind {
+	return lo.Map(pool.TakeTransitions(), func(seen Transition, _ int) journal.Kind { return seen.Kind })
+}
+
+func TestANewGroupIsNotMissedBeforeItsFirstProbes(t *testing.T) {
+	pool, _ := newPool(2)
+	warming := backendapi.Health{State: backendapi.StateWarming}
+	pool.ObserveHealth(start.Add(time.Second), address(0), true, warming)
+	pool.ObserveHealth(start.Add(time.Second), address(1), false, backendapi.Health{})
+	require.Empty(t, kinds(pool))
+	pool.ObserveHealth(start.Add(2*time.Second), address(0), true, ready(1))
+	require.Empty(t, kinds(pool), "the first cover of a group that was not missed is no event")
+
+	pool.ObserveHealth(start.Add(3*time.Second), address(0), true, warming)
+	require.Equal(t, []journal.Kind{journal.KindShardUncovered}, kinds(pool))
+	pool.ObserveHealth(start.Add(4*time.Second), address(1), true, ready(1))
+	require.Equal(t, []journal.Kind{journal.KindShardCovered}, kinds(pool))
+}
+
+func TestAGroupThatNoProbeEverReachedIsMissedAfterTheGraceTime(t *testing.T) {
+	pool, _ := newPool(1)
+	pool.ObserveHealth(start.Add(DefaultCoverGrace-time.Millisecond), address(0), false, backendapi.Health{})
+	require.Empty(t, kinds(pool))
+	for range 3 {
+		pool.ObserveHealth(start.Add(DefaultCoverGrace), address(0), false, backendapi.Health{})
+	}
+	require.Equal(t, []journal.Kind{journal.KindShardUncovered}, kinds(pool), "once")
+}
+
+func TestADrainIsNotEndedByAnEndpointThatLies(t *testing.T) {
+	pool, group := newPool(2)
+	for replica := range 2 {
+		pool.ObserveHealth(start, address(replica), true, ready(1))
+	}
+	left, _ := pool.Server(address(0))
+	pool.ObserveDrain(start, left)
+	for second := range int(DefaultDrainDistrust / time.Second) {
+		now := start.Add(time.Duration(second) * time.Second)
+		pool.ObserveHealth(now, address(0), true, ready(1))
+		chosen, availability := pool.Choose(now, group, Need{Version: 1})
+		require.Equal(t, Available, availability)
+		require.NotSame(t, left, chosen)
+	}
+	pool.ObserveHealth(start.Add(DefaultDrainDistrust), address(0), true, backendapi.Health{State: backendapi.StateWarming})
+	pool.ObserveHealth(start.Add(DefaultDrainDistrust), address(0), true, ready(1))
+	require.True(t, left.Usable())
+}
+
+func TestEjectionLeavesEveryGroupItsFloor(t *testing.T) {
+	pool, group := newPool(3)
+	var servers []*Server
+	for replica := range 3 {
+		pool.ObserveHealth(start, address(replica), true, ready(1))
+		server, _ := pool.Server(address(replica))
+		servers = append(servers, server)
+	}
+	for range 2 * failuresToEject {
+		for _, server := range servers {
+			pool.Begin(server)
+			pool.Finish(start, group, server, Result{Outcome: Failed})
+		}
+	}
+	ejected := lo.CountBy(servers, func(server *Server) bool { return server.Ejected(start) })
+	require.Equal(t, 1, ejected, "of three, at least half stay")
+}
+
+func TestASuspectServerIsAvoidedUntilOneAttemptShowsThatItRecovered(t *testing.T) {
+	pool, group := newPool(2)
+	for replica := range 2 {
+		pool.ObserveHealth(start, address(replica), true, ready(1))
+		server, _ := pool.Server(address(replica))
+		pool.Begin(server)
+		pool.Finish(start, group, server, Result{Outcome: Answered, Elapsed: 5 * time.Millisecond})
+	}
+	slow, _ := pool.Server(address(0))
+	pool.Begin(slow)
+	pool.ObserveSlow(start, group, slow, 50*time.Millisecond)
+	require.True(t, slow.Suspect())
+	for range 20 {
+		chosen, _ := pool.Choose(start, group, Need{Version: 1, Hedged: true})
+		require.NotSame(t, slow, chosen)
+	}
+	pool.Finish(start, group, slow, Result{Outcome: Answered, Elapsed: 50 * time.Millisecond})
+	require.True(t, slow.Suspect())
+
+	later := start.Add(2 * DefaultProbeInterval)
+	chosen, _ := pool.Choose(later, group, Need{Version: 1, Hedged: true})
+	require.Same(t, slow, chosen, "one attempt, which a hedge would rescue")
+	pool.Begin(slow)
+	pool.Finish(later, group, slow, Result{Outcome: Answered, Elapsed: 5 * time.Millisecond})
+	require.False(t, slow.Suspect())
+}
+
+func TestAnOwnLoadAboveTheReportedOneIsBelievedMore(t *testing.T) {
+	var honest, lying reportedLoad
+	for range 20 {
+		honest.observe(start, backendapi.Load{InFlight: 2, Queued: 6}, 3)
+		lying.observe(start, backendapi.Load{}, 3)
+	}
+	lying.observe(start, backendapi.Load{InFlight: 2, Queued: 6}, 3)
+	require.True(t, honest.congested())
+	require.False(t, lying.congested(), "who misled before is not believed")
+	require.InDelta(t, 5, honest.estimate(start, time.Second), 1e-9)
+	require.InDelta(t, 2.5, honest.estimate(start.Add(time.Second), time.Second), 1e-9)
+}
--- a/internal/balancer/server.go
+++ b/internal/balancer/server.go
@@ -86,7 +86,7 @@
 // hasSpareSlot reports whether one more attempt would find a free slot, as far
 // as this router knows.
 func (s *Server) hasSpareSlot() bool {
-	return s.inFlight < max(s.slots, 1) && s.inFlight < s.limit.Value()
+	return s.inFlight < s.limit.Value() && !s.load.congested()
 }
 
 // describe takes the server's static properties from a configuration.
--- a/internal/merge/merge.go
+++ b/internal/merge/merge.go
@@ -4,11 +4,12 @@
 package merge
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"slices"
 
+	"github.com/tidwall/gjson"
+
 	"github.com/martenstage/martenstage/internal/plan"
 )
 
@@ -95,37 +96,12 @@
 
 // rankOf reads one top-level field of a JSON object and skips the rest.
 func rankOf(item json.RawMessage, field string) rank {
-	missing := rank{kind: rankMissing}
-	decoder := json.NewDecoder(bytes.NewReader(item))
-	if opening, err := decoder.Token(); err != nil || opening != json.Delim('{') {
-		return missing
-	}
-	for decoder.More() {
-		key, err := decoder.Token()
-		if err != nil {
-			return missing
-		}
-		var value json.RawMessage
-		if err := decoder.Decode(&value); err != nil {
-			return missing
-		}
-		if key == field {
-			return rankOfValue(value)
-		}
-	}
-	return missing
-}
-
-func rankOfValue(value json.RawMessage) rank {
-	var decoded any
-	if err := json.Unmarshal(value, &decoded); err != nil {
-		return rank{kind: rankMissing}
-	}
-	switch typed := decoded.(type) {
-	case float64:
-		return rank{kind: rankNumber, number: typed}
-	case string:
-		return rank{kind: rankString, text: typed}
+	value := gjson.GetBytes(item, gjson.Escape(field))
+	switch value.Type {
+	case gjson.Number:
+		return rank{kind: rankNumber, number: value.Num}
+	case gjson.String:
+		return rank{kind: rankString, text: value.Str}
 	default:
 		return rank{kind: rankMissing}
 	}
--- a/internal/merge/merge_test.go
+++ b/internal/merge/merge_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/martenstage/martenstage/internal/plan"
 )
@@ -34,3 +36,46 @@
 	require.Equal(t,
 		raw(`{"d":3,"n":"first"}`, `{"n":"second","d":3}`, `{"d":1.5}`), Parts(rule, parts))
 }
+
+// TestRankOfReadsTheNamedFieldAlone compares with a decoder of whole items.
+func TestRankOfReadsTheNamedFieldAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SampledFrom([]string{"d", "a.b", "*", "e\"f", "#", "x|y", "ü", "@this", "0"})
+		item := map[string]any{}
+		for range rapid.IntRange(0, 5).Draw(t, "fields") {
+			item[names.Draw(t, "name")] = rapid.OneOf(
+				rapid.Float64Range(-1e9, 1e9).AsAny(), rapid.String().AsAny(), rapid.Just[any](nil),
+				rapid.Just[any](true), rapid.Just[any](map[string]any{"d": 1, "a": []int{2}}),
+			).Draw(t, "value")
+		}
+		field := names.Draw(t, "field")
+		encoded, err := json.Marshal(item)
+		require.NoError(t, err)
+		var decoded map[string]any
+		require.NoError(t, json.Unmarshal(encoded, &decoded))
+		expected := rank{kind: rankMissing}
+		switch value := decoded[field].(type) {
+		case float64:
+			expected = rank{kind: rankNumber, number: value}
+		case string:
+			expected = rank{kind: rankString, text: value}
+		}
+		require.Equal(t, expected, rankOf(encoded, field), string(encoded))
+	})
+}
+
+func BenchmarkTop(b *testing.B) {
+	const shards, items = 8, 8
+	parts := make([][]json.RawMessage, shards)
+	for shard := range parts {
+		for item := range items {
+			parts[shard] = append(parts[shard], json.RawMessage(fmt.Sprintf(
+				`{"id":"seat-finder/%d","rank":%d,"distance_m":%d,"version":1,"request":"f00"}`, item, item, item*shard)))
+		}
+	}
+	rule := plan.Merge{Kind: plan.MergeTop, Field: "distance_m", Limit: 10}
+	b.ReportAllocs()
+	for b.Loop() {
+		Parts(rule, parts)
+	}
+}
--- a/internal/query/view.go
+++ b/internal/query/view.go
@@ -102,7 +102,7 @@
 
 func (e *Engine) installPartition(view *serviceView, shards plan.Generation, before *serviceView) *partition {
 	installed := &partition{
-		Generation: e.pool.AddGeneration(view.definition, shards),
+		Generation: e.pool.AddGeneration(e.now, view.definition, shards),
 		service:    view,
 		queues:     make([]admission.Queue[waiter], len(shards.Shards)),
 		names:      make(map[string]int, len(shards.Shards)),
