--- a/cmd/martenstage/control_test.go
+++ b/cmd/martenstage/control_test.go
@@ -70,8 +70,9 @@
 	return p.command.ProcessState.ExitCode()
 }
 
-// startVoters starts a group of three and returns a client of it.
-func startVoters(t *testing.T) ([]*voterProcess, *control.Client) {
+// startVoters starts a group of three, with further arguments for each, and
+// returns a client of it.
+func startVoters(t *testing.T, further ...string) ([]*voterProcess, *control.Client) {
 	addresses := freeAddresses(t, 3)
 	processes := make([]*voterProcess, len(addresses))
 	for index, address := range addresses {
@@ -82,7 +83,7 @@
 		for id, voter := range addresses {
 			arguments = append(arguments, "--voter", fmt.Sprintf("%d=%s", id+1, voter))
 		}
-		processes[index] = &voterProcess{arguments: arguments}
+		processes[index] = &voterProcess{arguments: append(arguments, further...)}
 		processes[index].start(t)
 	}
 	t.Cleanup(func() {
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -167,13 +167,19 @@
 // Close closes the file. Run must have returned.
 func (s *Spool) Close() error { return s.store.close() }
 
+// AwaitStored waits until the events recorded so far are on disk.
+func (s *Spool) AwaitStored(ctx context.Context) error {
+	target := s.recorded.Load()
+	err := s.await(ctx, func() bool { return s.handled >= target })
+	return errors.Wrap(err, "store events")
+}
+
 // Flush waits until the events recorded so far are on disk and, for a moment
 // longer, until control has them.
 func (s *Spool) Flush(ctx context.Context) error {
-	target := s.recorded.Load()
-	err := s.await(ctx, func() bool { return s.handled >= target })
+	err := s.AwaitStored(ctx)
 	if err != nil {
-		return errors.Wrap(err, "store events")
+		return err
 	}
 	grace, cancel := context.WithTimeout(ctx, deliverGrace)
 	defer cancel()
@@ -287,6 +293,7 @@
 		return err
 	}
 	s.dropped.Add(float64(dropped + lost))
+	s.deps.Logger.WithField("events", len(events)).Debug("events stored")
 	took := time.Since(begun)
 	if took >= slowStore && begun.Sub(s.slowTold) >= slowRepeat {
 		s.slowTold = begun
