--- a/internal/consensus/cluster_test.go
+++ b/internal/consensus/cluster_test.go
@@ -41,7 +41,7 @@
 // cluster runs cores under a schedule that rapid draws, and checks the five
 // safety properties of Raft (Ongaro 2014, figure 3.2) after every step.
 type cluster struct {
-	t       *rapid.T
+	t       rapid.TB
 	nodes   map[uint64]*simulatedNode
 	ids     []uint64
 	flying  []Message
@@ -64,7 +64,7 @@
 	maxFlying     = 400
 )
 
-func newCluster(t *rapid.T) *cluster {
+func newCluster(t rapid.TB) *cluster {
 	c := &cluster{
 		t: t, nodes: map[uint64]*simulatedNode{}, leaders: map[uint64]uint64{},
 		committed: map[uint64]committedEntry{}, hashes: map[uint64]uint64{0: 0}, reads: map[uint64]uint64{},
--- a/internal/consensus/safety_test.go
+++ b/internal/consensus/safety_test.go
@@ -31,33 +31,39 @@
 	return evenNumber.Draw(t, label) * count >> evenBits
 }
 
+// schedule is a cluster whose moves rapid draws.
+type schedule struct {
+	*cluster
+	draw *rapid.T
+}
+
 // action is one move of the schedule with its share among 100.
 type action struct {
 	name  string
 	share int
-	run   func(c *cluster, node *simulatedNode)
+	run   func(c *schedule, node *simulatedNode)
 }
 
 var actions = []action{
-	{"deliver", 30, (*cluster).deliverOne},
-	{"sync", 14, (*cluster).syncSome},
-	{"pass time", 12, (*cluster).passTime},
-	{"propose", 10, (*cluster).proposeOne},
-	{"calm", 12, (*cluster).calm},
-	{"read", 4, (*cluster).readOne},
-	{"crash or restart", 5, (*cluster).crashOrRestart},
-	{"change voters", 6, (*cluster).changeOne},
-	{"transfer", 2, (*cluster).transferOne},
-	{"snapshot", 4, (*cluster).snapshotOne},
-	{"lose all", 1, func(c *cluster, _ *simulatedNode) { c.flying = nil }},
-}
-
-func (c *cluster) deliverOne(*simulatedNode) {
+	{"deliver", 30, (*schedule).deliverOne},
+	{"sync", 14, (*schedule).syncSome},
+	{"pass time", 12, (*schedule).passTime},
+	{"propose", 10, (*schedule).proposeOne},
+	{"calm", 12, (*schedule).calm},
+	{"read", 4, (*schedule).readOne},
+	{"crash or restart", 5, (*schedule).crashOrRestart},
+	{"change voters", 6, (*schedule).changeOne},
+	{"transfer", 2, (*schedule).transferOne},
+	{"snapshot", 4, (*schedule).snapshotOne},
+	{"lose all", 1, func(c *schedule, _ *simulatedNode) { c.flying = nil }},
+}
+
+func (c *schedule) deliverOne(*simulatedNode) {
 	if len(c.flying) == 0 {
 		return
 	}
-	position := choose(c.t, "message", len(c.flying))
-	fate := choose(c.t, "fate", 10)
+	position := choose(c.draw, "message", len(c.flying))
+	fate := choose(c.draw, "fate", 10)
 	message := c.flying[position]
 	const lost, repeated = 0, 1
 	if fate != repeated {
@@ -68,7 +74,7 @@
 	}
 }
 
-func (c *cluster) deliver(message Message) {
+func (c *schedule) deliver(message Message) {
 	// Through the encoding, as between processes.
 	decoded, err := DecodeMessage(EncodeMessage(message))
 	if err != nil {
@@ -79,24 +85,24 @@
 	}
 }
 
-func (c *cluster) syncSome(node *simulatedNode) {
-	c.sync(node, choose(c.t, "synced", len(node.cache)+1))
+func (c *schedule) syncSome(node *simulatedNode) {
+	c.sync(node, choose(c.draw, "synced", len(node.cache)+1))
 }
 
-func (c *cluster) passTime(node *simulatedNode) {
+func (c *schedule) passTime(node *simulatedNode) {
 	if node.core == nil {
 		return
 	}
-	node.clock = node.clock.Add(time.Duration(choose(c.t, "ms", 300)) * time.Millisecond)
+	node.clock = node.clock.Add(time.Duration(choose(c.draw, "ms", 300)) * time.Millisecond)
 	c.step(node, Wake{})
 }
 
 // calm lets a part of the cluster run undisturbed for a while, so that leaders
 // get elected and commit.
-func (c *cluster) calm(*simulatedNode) {
+func (c *schedule) calm(*simulatedNode) {
 	// Each node is cut off with a chance of one in four.
-	cut := choose(c.t, "cut", 1<<clusterSize) & choose(c.t, "and", 1<<clusterSize)
-	rounds := choose(c.t, "rounds", 80)
+	cut := choose(c.draw, "cut", 1<<clusterSize) & choose(c.draw, "and", 1<<clusterSize)
+	rounds := choose(c.draw, "rounds", 80)
 	for range rounds {
 		flying := c.flying
 		c.flying = nil
@@ -118,8 +124,8 @@
 
 // preferLeader mostly returns the node that leads the highest term in place of
 // the drawn one, since others refuse.
-func (c *cluster) preferLeader(drawn *simulatedNode) *simulatedNode {
-	if choose(c.t, "any", 4) == 0 {
+func (c *schedule) preferLeader(drawn *simulatedNode) *simulatedNode {
+	if choose(c.draw, "any", 4) == 0 {
 		return drawn
 	}
 	chosen := drawn
@@ -135,7 +141,7 @@
 	return chosen
 }
 
-func (c *cluster) proposeOne(node *simulatedNode) {
+func (c *schedule) proposeOne(node *simulatedNode) {
 	node = c.preferLeader(node)
 	if node.core == nil {
 		return
@@ -144,7 +150,7 @@
 	c.step(node, Propose{Proposals: []Proposal{{Token: c.tokens, Data: fmt.Appendf(nil, "%d", c.tokens)}}})
 }
 
-func (c *cluster) readOne(node *simulatedNode) {
+func (c *schedule) readOne(node *simulatedNode) {
 	node = c.preferLeader(node)
 	if node.core == nil {
 		return
@@ -154,25 +160,25 @@
 	c.step(node, ConfirmRead{Token: c.tokens})
 }
 
-func (c *cluster) crashOrRestart(node *simulatedNode) {
+func (c *schedule) crashOrRestart(node *simulatedNode) {
 	if node.core == nil {
 		c.restart(node)
 		return
 	}
-	if choose(c.t, "spared", 2) == 0 {
+	if choose(c.draw, "spared", 2) == 0 {
 		return
 	}
-	c.crash(node, choose(c.t, "kept", len(node.cache)+1))
+	c.crash(node, choose(c.draw, "kept", len(node.cache)+1))
 }
 
-func (c *cluster) changeOne(node *simulatedNode) {
+func (c *schedule) changeOne(node *simulatedNode) {
 	node = c.preferLeader(node)
 	if node.core == nil {
 		return
 	}
 	change := Change{
-		Kind: AddLearner + ChangeKind(choose(c.t, "change", int(RemoveMember))),
-		ID:   uint64(1 + choose(c.t, "member", clusterSize)),
+		Kind: AddLearner + ChangeKind(choose(c.draw, "change", int(RemoveMember))),
+		ID:   uint64(1 + choose(c.draw, "member", clusterSize)),
 	}
 	output := c.step(node, ChangeMembership{Change: change})
 	if len(output.Proposals) == 1 && output.Proposals[0].Refusal == Accepted {
@@ -180,14 +186,14 @@
 	}
 }
 
-func (c *cluster) transferOne(node *simulatedNode) {
+func (c *schedule) transferOne(node *simulatedNode) {
 	node = c.preferLeader(node)
 	if node.core != nil {
-		c.step(node, TransferLeadership{To: uint64(choose(c.t, "successor", clusterSize+1))})
+		c.step(node, TransferLeadership{To: uint64(choose(c.draw, "successor", clusterSize+1))})
 	}
 }
 
-func (c *cluster) snapshotOne(node *simulatedNode) {
+func (c *schedule) snapshotOne(node *simulatedNode) {
 	node = c.preferLeader(node)
 	if node.core != nil && node.applied > 0 {
 		c.step(node, SnapshotTaken{Index: node.applied, Data: binary.BigEndian.AppendUint64(nil, node.appliedHash)})
@@ -210,7 +216,7 @@
 func TestSafetyUnderRandomSchedules(t *testing.T) {
 	var commits, reads, snapshots, changes int
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCluster(t)
+		c := &schedule{cluster: newCluster(t), draw: t}
 		for range 400 {
 			node := c.nodes[uint64(1+choose(t, "node", clusterSize))]
 			drawAction(t).run(c, node)
--- a/internal/raftlog/log_test.go
+++ b/internal/raftlog/log_test.go
@@ -1,6 +1,7 @@
 package raftlog
 
 import (
+	"encoding/binary"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -289,3 +290,36 @@
 		require.Equal(t, snapshot, again)
 	})
 }
+
+// FuzzReadEntry feeds records of the table of entries: one that is taken holds
+// the index of its key and is sealed by its checksum.
+func FuzzReadEntry(f *testing.F) {
+	entry := entries(7, 7, 2)[0]
+	key := entryKey(entry.Index)
+	f.Add(key, seal(key, consensus.EncodeEntry(entry)))
+	f.Add([]byte{0}, []byte{1})
+	f.Fuzz(func(t *testing.T, key, sealed []byte) {
+		read, err := readEntry(key, sealed, entry.Index)
+		if err != nil {
+			return
+		}
+		require.Equal(t, entryKey(read.Index), key)
+		require.Equal(t, checksum(key, sealed[checksumBytes:]), binary.BigEndian.Uint64(sealed))
+	})
+}
+
+// FuzzSealedRecord damages a record: whatever is read back was written.
+func FuzzSealedRecord(f *testing.F) {
+	f.Add([]byte("identity"), []byte(`{"format":1,"voter_id":1}`), uint16(9), byte(1))
+	f.Fuzz(func(t *testing.T, key, data []byte, position uint16, flip byte) {
+		sealed := seal(key, data)
+		sealed[int(position)%len(sealed)] ^= flip
+		read, err := unseal(key, sealed)
+		if flip == 0 {
+			require.NoError(t, err)
+			require.Equal(t, data, read)
+			return
+		}
+		require.Error(t, err)
+	})
+}
