--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -73,6 +73,9 @@
 	// resync asks for a whole plan, because the last delta did not fit.
 	resync  bool
 	holding bool
+	// lost is the upstream whose loss was recorded last; empty once any grants
+	// a lease again.
+	lost string
 
 	mutex  sync.Mutex
 	holder lease.Holder
@@ -111,8 +114,10 @@
 		switch {
 		case outcome.poked:
 		case outcome.granted():
+			f.lost = ""
 			f.upstreams.succeeded(time.Now())
 		default:
+			f.noticeLoss(ctx, outcome)
 			f.moveOn(ctx, outcome)
 		}
 	}
@@ -137,6 +142,21 @@
 	}
 }
 
+// noticeLoss tells that the upstream that granted the last lease does not
+// answer. Those above may not know of the loss: a leader that was elected since
+// never heard of a relay that died before.
+func (f *Follower) noticeLoss(ctx context.Context, outcome outcome) {
+	address := f.upstreams.current()
+	if outcome.err == nil || ctx.Err() != nil || address != f.Upstream() || address == f.lost {
+		return
+	}
+	f.lost = address
+	now := time.Now()
+	f.deps.Events.Record(journal.Event{
+		Time: now, Kind: journal.KindUpstreamLost, Address: address, Detail: outcome.reason(), Count: 1, LastTime: now,
+	})
+}
+
 // noticeLapse tells when the lease was lost or gained.
 func (f *Follower) noticeLapse(now time.Time) {
 	f.mutex.Lock()
--- a/internal/journal/event.go
+++ b/internal/journal/event.go
@@ -30,6 +30,7 @@
 	KindClaimRefused        Kind = "claim_refused"
 	KindRestarted           Kind = "restarted"
 	KindRelayLost           Kind = "relay_lost"
+	KindUpstreamLost        Kind = "upstream_lost"
 	KindSnapshotRestarted   Kind = "snapshot_restarted"
 	KindBadEcho             Kind = "bad_echo"
 	KindEventsDropped       Kind = "events_dropped"
--- a/internal/simulation/follower.go
+++ b/internal/simulation/follower.go
@@ -20,7 +20,7 @@
 	longestBackoff  = time.Second
 	maxRedirects    = 2
 	// observationLimit is how long an observation is repeated.
-	observationLimit = time.Minute
+	observationLimit = 10 * time.Minute
 )
 
 // upstream is a server that a follower can call.
@@ -54,6 +54,8 @@
 	failures   int
 	// granted is the server that granted the last lease.
 	granted *process
+	// lost is the upstream whose loss was recorded last.
+	lost    *process
 	resync  bool
 	left    bool
 	holding bool
@@ -142,6 +144,7 @@
 func (f *follower) returned(target upstream, round uint64, sentAt time.Time, result callResult) {
 	defer f.noticeLapse()
 	if result.failed {
+		f.noticeLoss(target)
 		f.moveOn(nil)
 		return
 	}
@@ -154,7 +157,7 @@
 		f.moveOn(nil)
 		return
 	}
-	f.granted = target.process
+	f.granted, f.lost = target.process, nil
 	f.failures, f.redirects = 0, 0
 	f.complete(round)
 	f.call()
@@ -228,6 +231,16 @@
 	return longest/2 + time.Duration(f.process.world.timing.Int64N(int64(longest/2)))
 }
 
+// noticeLoss records that the upstream that granted the last lease does not
+// answer.
+func (f *follower) noticeLoss(target upstream) {
+	if target.process != f.granted || target.process == f.lost {
+		return
+	}
+	f.lost = target.process
+	f.process.world.recordEvent(f.process, journal.Event{Kind: journal.KindUpstreamLost, Address: target.process.name()})
+}
+
 // noticeLapse records that the lease was lost or gained.
 func (f *follower) noticeLapse() {
 	valid := f.holder.Valid(f.process.now())
