Make virtual experiments repeatable, and their bound know the faults to come

Cause: the oracle sent to servers of its own choice, but let its core learn from their replies; a departure was put down to the wrong server, and the core held a shard for lost: in scenario drain it refused all of the second half. Goodput counted answers without a third of their parts. Change: the oracle's core learns nothing about servers from replies, and the outlook on a query takes departures, crashes and index versions to come into account. Each half of a run has its goodput, of whole answers in time, and its attempts per shard. The deployment of many shards is called wide.

--- a/cmd/martenbench/experiment.go
+++ b/cmd/martenbench/experiment.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,16 +18,27 @@
 
 // experimentCommand compares variants of the query engine.
 type experimentCommand struct {
-	Deployment  string  `long:"deployment" default:"bangkok" description:"bangkok, norte-grande, large, or any name with --policy-file"`
-	PolicyFile  string  `long:"policy-file" description:"Configuration, if it is not that of the deployment"`
-	Scenario    string  `long:"scenario" default:"steady" description:"Scenario; \"list\" prints their names"`
-	Variants    string  `long:"variants" default:"naive,hedge-fixed,martenstage,oracle" description:"Variants, separated by commas"`
-	Seed        uint64  `long:"seed" default:"1" description:"Seed of arrivals, service times and faults"`
-	Seconds     float64 `long:"seconds" default:"20" description:"Length of the run"`
-	Utilization float64 `long:"utilization" description:"Share of slots that first attempts occupy, in place of the scenario's"`
-	Virtual     bool    `long:"virtual" description:"Run on the virtual clock"`
-	JSON        bool    `long:"json" description:"End with one line of JSON"`
-	HTML        string  `long:"html" description:"File for charts of latency and coverage"`
+	Deployment  string        `long:"deployment" default:"bangkok" description:"bangkok, norte-grande, wide, or any name with --policy-file"`
+	PolicyFile  string        `long:"policy-file" description:"Configuration, if it is not that of the deployment"`
+	Scenario    string        `long:"scenario" default:"steady" description:"Scenario; \"list\" prints their names"`
+	Variants    string        `long:"variants" default:"naive,hedge-fixed,martenstage,oracle" description:"Variants, separated by commas"`
+	Seed        uint64        `long:"seed" default:"1" description:"Seed of arrivals, service times and faults"`
+	Seconds     float64       `long:"seconds" default:"20" description:"Length of the run"`
+	Utilization float64       `long:"utilization" description:"Share of slots that first attempts occupy, in place of the scenario's"`
+	Slots       int           `long:"slots" description:"Slots of every back end, in place of the configuration's"`
+	Median      time.Duration `long:"service-time-median" description:"Median service time of the back ends, in place of 4ms"`
+	Virtual     bool          `long:"virtual" description:"Run on the virtual clock instead of over sockets"`
+	JSON        bool          `long:"json" description:"End with one line of JSON"`
+	HTML        string        `long:"html" description:"File for charts of latency and coverage"`
+}
+
+func (c *experimentCommand) run(config experiment.Config) (experiment.Result, error) {
+	if c.Virtual {
+		return experiment.RunVirtual(config)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	return experiment.RunSockets(ctx, config)
 }
 
 // Execute implements flags.Commander.
@@ -40,8 +54,9 @@
 	config := experiment.Config{
 		Deployment: c.Deployment, Plan: compiled, Scenario: c.Scenario, Variants: strings.Split(c.Variants, ","),
 		Seed: c.Seed, Duration: time.Duration(c.Seconds * float64(time.Second)), Utilization: c.Utilization,
+		Slots: c.Slots, Median: c.Median,
 	}
-	result, err := experiment.RunVirtual(config)
+	result, err := c.run(config)
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -17,18 +17,18 @@
 	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
-// DeploymentLarge is a made-up deployment with one service of many shards.
-const DeploymentLarge = "large"
+// DeploymentWide is a made-up deployment with one service of many shards.
+const DeploymentWide = "wide"
 
-// Size of the large deployment.
+// Size of the wide deployment.
 const (
-	largeShards   = 270
-	largeReplicas = 3
-	largeSlots    = 2
-	largeZones    = 3
+	wideShards   = 270
+	wideReplicas = 3
+	wideSlots    = 2
+	wideZones    = 3
 )
 
-const largePolicy = `
+const widePolicy = `
 policy search {
 	deadline 100ms
 	priority interactive
@@ -67,10 +67,10 @@
 `
 
 // LoadPlan returns the configuration of a deployment: that of a policy file if
-// one is named, else deploy/NAME/NAME.policy, or the large one.
+// one is named, else deploy/NAME/NAME.policy, or the wide one.
 func LoadPlan(deployment, policyFile string) (*plan.Plan, error) {
-	if deployment == DeploymentLarge && policyFile == "" {
-		return policy.Compile(DeploymentLarge, []byte(largeText()))
+	if deployment == DeploymentWide && policyFile == "" {
+		return policy.Compile(DeploymentWide, []byte(wideText()))
 	}
 	if policyFile == "" {
 		policyFile = fmt.Sprintf("deploy/%[1]s/%[1]s.policy", deployment)
@@ -82,18 +82,18 @@
 	return policy.Compile(policyFile, text)
 }
 
-func largeText() string {
+func wideText() string {
 	groups := ""
-	for shard := range largeShards {
+	for shard := range wideShards {
 		groups += fmt.Sprintf("\t\tgroup g%03d {\n", shard)
-		for replica := range largeReplicas {
-			number := shard*largeReplicas + replica
+		for replica := range wideReplicas {
+			number := shard*wideReplicas + replica
 			groups += fmt.Sprintf("\t\t\treplica 127.2.%d.%d:7000 zone zone-%d\n",
-				number/250, number%250+1, (shard+replica)%largeZones)
+				number/250, number%250+1, (shard+replica)%wideZones)
 		}
 		groups += "\t\t}\n"
 	}
-	return fmt.Sprintf(largePolicy, largeSlots, groups)
+	return fmt.Sprintf(widePolicy, wideSlots, groups)
 }
 
 // zonesOf returns the zones of the replicas, sorted.
@@ -183,6 +183,26 @@
 	})
 }
 
+// withReplicas returns a copy of a plan with every replica changed.
+func withReplicas(compiled *plan.Plan, change func(replica *plan.Replica)) *plan.Plan {
+	changed := &plan.Plan{Routes: compiled.Routes, Services: slices.Clone(compiled.Services)}
+	for s := range changed.Services {
+		generations := slices.Clone(changed.Services[s].Generations)
+		for g := range generations {
+			shards := slices.Clone(generations[g].Shards)
+			for h := range shards {
+				shards[h].Replicas = slices.Clone(shards[h].Replicas)
+				for r := range shards[h].Replicas {
+					change(&shards[h].Replicas[r])
+				}
+			}
+			generations[g].Shards = shards
+		}
+		changed.Services[s].Generations = generations
+	}
+	return changed
+}
+
 // addressesOf returns the addresses of the nth replica of every shard that has
 // one.
 func addressesOf(compiled *plan.Plan, nth int) []netip.AddrPort {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -36,6 +36,10 @@
 	Duration   time.Duration
 	// Utilization overrides the scenario's if it is not 0.
 	Utilization float64
+	// Median overrides the median service time and Slots the slots of every
+	// server if they are not 0.
+	Median time.Duration
+	Slots  int
 }
 
 func (c *Config) validate() error {
@@ -50,6 +54,27 @@
 	return nil
 }
 
+// setting returns what the scenario decides, with the overrides applied.
+func (c *Config) setting(compiled *plan.Plan) (*setting, error) {
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
+	if c.Slots > 0 {
+		compiled = withReplicas(compiled, func(replica *plan.Replica) { replica.Slots = c.Slots })
+	}
+	made, err := newSetting(c.Scenario, compiled, c.Seed, c.Duration)
+	if err != nil {
+		return nil, err
+	}
+	if c.Utilization > 0 {
+		made.utilization = c.Utilization
+	}
+	if c.Median > 0 {
+		made.model.Default.Median = c.Median
+	}
+	return made, nil
+}
+
 // Delays of the virtual network.
 const (
 	localDelay  = 100 * time.Microsecond
@@ -67,16 +92,10 @@
 		Scenario: config.Scenario, Deployment: config.Deployment, Virtual: true, Seed: config.Seed,
 		Seconds: config.Duration.Seconds(), Variants: map[string]VariantResult{},
 	}
-	if err := config.validate(); err != nil {
-		return result, err
-	}
-	made, err := newSetting(config.Scenario, config.Plan, config.Seed, config.Duration)
+	made, err := config.setting(config.Plan)
 	if err != nil {
 		return result, err
 	}
-	if config.Utilization > 0 {
-		made.utilization = config.Utilization
-	}
 	// Worlds share nothing, so they may run side by side.
 	outcomes := make([]VariantResult, len(config.Variants))
 	var running sync.WaitGroup
@@ -124,14 +143,19 @@
 	zones := zonesOf(s.plan)
 	return func(world *virtual.World, router int) virtual.Engine {
 		config := query.Config{Zone: zones[router%len(zones)], Seed: seed + uint64(router)}
-		config.Tuning.Variant = query.Variant(variant)
-		config.Tuning.FixedHedgeDelay = fixedHedgeDelay(&s.model)
-		if variant != VariantOracle {
-			return query.New(config)
-		}
-		config.Tuning.Variant = query.VariantNaive
-		return &oracle{core: query.New(config), world: world, router: router}
+		return s.engine(variant, config, virtualFuture{world}, router)
+	}
+}
+
+// engine makes an engine of a variant.
+func (s *setting) engine(variant string, config query.Config, known future, router int) virtual.Engine {
+	config.Tuning.Variant = query.Variant(variant)
+	config.Tuning.FixedHedgeDelay = fixedHedgeDelay(&s.model)
+	if variant != VariantOracle {
+		return query.New(config)
 	}
+	config.Tuning.Variant = query.VariantNaive
+	return &oracle{core: query.New(config), future: known, router: router}
 }
 
 // fixedHedgeDelay is the best fixed delay for steady load: the 95th percentile
--- a/internal/experiment/print.go
+++ b/internal/experiment/print.go
@@ -13,16 +13,17 @@
 func (r Result) Print(output io.Writer) error {
 	const padding = 2
 	table := tabwriter.NewWriter(output, 0, 0, padding, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "route\tvariant\trequests\tp50\tp99\tp99.9\tcoverage\tattempts/shard\trefused\tfailed\tgoodput/s\t1st half\t2nd half\tviolations\t")
+	fmt.Fprintln(table, "route\tvariant\trequests\tp50\tp99\tp99.9\tcoverage\tattempts/shard\trefused\tfailed\twhole/s 1st half\t2nd half\tattempts 1st half\t2nd half\tviolations\t")
 	for _, route := range r.routes() {
 		for _, variant := range Variants() {
 			row, ok := r.Variants[variant].Routes[route]
 			if !ok {
 				continue
 			}
-			fmt.Fprintf(table, "%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.5f\t%.3f\t%d\t%d\t%.1f\t%.1f\t%.1f\t%d\t\n",
+			fmt.Fprintf(table, "%s\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.5f\t%.3f\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f\t%d\t\n",
 				route, variant, row.Requests, row.P50Ms, row.P99Ms, row.P999Ms, row.Coverage, row.AttemptsPerShard,
-				row.Refused, row.Failed, row.Goodput, row.GoodputFirstHalf, row.GoodputSecondHalf, row.Violations)
+				row.Refused, row.Failed, row.FirstHalf.Goodput, row.SecondHalf.Goodput,
+				row.FirstHalf.AttemptsPerShard, row.SecondHalf.AttemptsPerShard, row.Violations)
 		}
 	}
 	if err := table.Flush(); err != nil {
--- a/internal/experiment/recorder.go
+++ b/internal/experiment/recorder.go
@@ -20,7 +20,7 @@
 	plans     []planStep
 	begin     time.Time
 	half      time.Duration
-	good      [2]map[string]int
+	halves    [2]map[string]*halfSum
 	last      map[string]*records.CallerAnswer
 	attempts  map[string]int
 	// leavers gives the last query that each departed server got, counted from
@@ -34,7 +34,7 @@
 		judge:     judge.New(judge.Config{Items: dataset.Items}),
 		collector: report.New(), timeline: newTimeline(begin),
 		plans: s.plans, begin: begin, half: s.duration / 2,
-		good:     [2]map[string]int{{}, {}},
+		halves:   [2]map[string]*halfSum{{}, {}},
 		last:     map[string]*records.CallerAnswer{},
 		attempts: map[string]int{}, departed: map[string]time.Time{},
 	}
@@ -83,19 +83,43 @@
 	delete(r.last, request)
 	r.collector.AddAnswer(answer)
 	r.timeline.add(answer)
-	if answer.Status == http.StatusOK && !answer.Late {
-		phase := 0
-		if answer.Intended.Sub(r.begin) >= r.half {
-			phase = 1
-		}
-		r.good[phase][answer.Route]++
+	sum := r.halfOf(answer)
+	if answer.Status == http.StatusOK && answer.Complete && !answer.Late {
+		sum.good++
 	}
 	if attempts := r.attempts[request]; attempts > 0 {
-		r.collector.AddLoad(answer.Route, attempts, r.targets(answer))
+		targets := r.targets(answer)
+		r.collector.AddLoad(answer.Route, attempts, targets)
+		sum.attempts += attempts
+		sum.targets += targets
 	}
 	delete(r.attempts, request)
 }
 
+// halfSum is the sums of a route over one half of the run.
+type halfSum struct{ good, attempts, targets int }
+
+func (r *recorder) halfOf(answer *records.CallerAnswer) *halfSum {
+	half := r.halves[0]
+	if answer.Intended.Sub(r.begin) >= r.half {
+		half = r.halves[1]
+	}
+	if half[answer.Route] == nil {
+		half[answer.Route] = &halfSum{}
+	}
+	return half[answer.Route]
+}
+
+func (h *halfSum) result(duration time.Duration) HalfResult {
+	if h == nil {
+		return HalfResult{}
+	}
+	return HalfResult{
+		Goodput:          float64(h.good) / duration.Seconds(),
+		AttemptsPerShard: float64(h.attempts) / float64(max(h.targets, 1)),
+	}
+}
+
 // targets is the number of shards that a request was meant for.
 func (r *recorder) targets(answer *records.CallerAnswer) int {
 	if count := len(answer.Covered) + len(answer.Missing); count > 0 {
@@ -124,8 +148,8 @@
 	for _, row := range r.collector.Rows() {
 		result.Routes[row.Route] = RouteResult{
 			Row: row, Violations: violations[row.Route],
-			GoodputFirstHalf:  float64(r.good[0][row.Route]) / r.half.Seconds(),
-			GoodputSecondHalf: float64(r.good[1][row.Route]) / (duration - r.half).Seconds(),
+			FirstHalf:  r.halves[0][row.Route].result(r.half),
+			SecondHalf: r.halves[1][row.Route].result(duration - r.half),
 		}
 	}
 	return result
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -31,8 +31,14 @@
 // RouteResult is the outcome of one route.
 type RouteResult struct {
 	report.Row
-	Violations int `json:"violations"`
-	// Answers in time per second, in each half of the run.
-	GoodputFirstHalf  float64 `json:"goodput_first_half"`
-	GoodputSecondHalf float64 `json:"goodput_second_half"`
+	Violations int        `json:"violations"`
+	FirstHalf  HalfResult `json:"first_half"`
+	SecondHalf HalfResult `json:"second_half"`
+}
+
+// HalfResult is the outcome of one route in one half of a run.
+type HalfResult struct {
+	// Goodput is the answers per second that were in time and complete.
+	Goodput          float64 `json:"goodput"`
+	AttemptsPerShard float64 `json:"attempts_per_shard"`
 }
--- a/internal/experiment/virtual/config.go
+++ b/internal/experiment/virtual/config.go
@@ -23,8 +23,7 @@
 	// Plans are installed on every router in order; the first must be at 0.
 	Plans []PlanStep
 	// Script and Rolls are the faults and index versions of back ends. Of the
-	// faults, slow, crash, drain, shed, pause, health_lie and health_frozen
-	// are modelled.
+	// faults, slow, crash, drain, health_lie and health_frozen are modelled.
 	Script []emulator.Fault
 	Rolls  []emulator.Roll
 	// Zones are those of the routers, one router each.
--- a/internal/experiment/virtual/fault.go
+++ b/internal/experiment/virtual/fault.go
@@ -19,6 +19,7 @@
 		if !w.selects(fault, server) {
 			continue
 		}
+		server.faults = append(server.faults, fault)
 		w.clock.at(fault.At, func() { server.begin(fault) })
 		if fault.For > 0 {
 			w.clock.at(fault.At+fault.For, func() { server.end(fault) })
--- a/internal/experiment/virtual/server.go
+++ b/internal/experiment/virtual/server.go
@@ -44,6 +44,8 @@
 	warmSince time.Duration
 	departed  time.Duration
 	frozen    *backendapi.Health
+	// faults are all that the script holds for the server.
+	faults []*emulator.Fault
 }
 
 // versionStep is the arrival of an index version at one server.
@@ -97,13 +99,15 @@
 }
 
 // versions returns the index versions held now, oldest first.
-func (s *server) versions() []uint64 {
+func (s *server) versions() []uint64 { return s.versionsAt(s.world.clock.now) }
+
+func (s *server) versionsAt(moment time.Duration) []uint64 {
 	held := []uint64{emulator.DefaultFirstVersion}
 	for _, step := range s.steps {
-		if s.world.clock.now < step.arrives {
+		if moment < step.arrives {
 			break
 		}
-		if s.world.clock.now >= step.dropped {
+		if moment >= step.dropped {
 			held = held[:0]
 		}
 		held = append(held, step.version)
