--- a/internal/raftlog/load.go
+++ b/internal/raftlog/load.go
@@ -42,7 +42,9 @@
 
 // read fills in hard state and entries and returns the bounds of the log.
 func (l *Log) read(transaction *bbolt.Tx, restored *consensus.Restored) (bounds, error) {
-	tables := tables{entries: transaction.Bucket(entriesBucket), state: transaction.Bucket(stateBucket)}
+	tables := tables{
+		entries: transaction.Bucket(entriesBucket), state: transaction.Bucket(stateBucket), mapping: l.database.Info().Data,
+	}
 	if tables.entries == nil {
 		return bounds{}, errors.New("it has no table of log entries")
 	}
@@ -59,7 +61,7 @@
 		expected++
 		entry, err := readEntry(key, sealed, expected)
 		if err != nil {
-			return bounds{}, err
+			return bounds{}, tables.at(sealed, err)
 		}
 		restored.Entries = append(restored.Entries, entry)
 	}
--- a/internal/raftlog/log.go
+++ b/internal/raftlog/log.go
@@ -109,7 +109,7 @@
 			return nil
 		}
 		var err error
-		known, err = tables{state: state}.identity()
+		known, err = tables{state: state, mapping: l.database.Info().Data}.identity()
 		return errors.Wrapf(err, "%s is damaged", l.databasePath())
 	})
 	if err != nil {
--- a/internal/raftlog/log_test.go
+++ b/internal/raftlog/log_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -170,12 +171,17 @@
 	data, err := os.ReadFile(path)
 	require.NoError(t, err)
 	// Copies of the entry in pages that are free now are damaged with it.
+	var offsets []string
 	for offset := range data {
 		if slices.Equal(data[offset:min(len(data), offset+10)], []byte("value-1-25")) {
 			overwrite(t, path, int64(offset), []byte("VALUE"))
+			record := offset - len(consensus.EncodeEntry(entries(25, 25, 1)[0])) + len("value-1-25") - checksumBytes
+			offsets = append(offsets, fmt.Sprintf("offset %d:", record))
 		}
 	}
 	requireDamage(t, folder, path, "index 25", "checksum")
+	_, _, err = Open(options(folder))
+	require.True(t, slices.ContainsFunc(offsets, func(words string) bool { return strings.Contains(err.Error(), words) }), "%v of %v", err, offsets)
 }
 
 // usedPages returns the file without the space that bbolt reserves behind the
@@ -227,6 +233,55 @@
 	t.Logf("%d flips were refused, %d hit nothing in use", refused, harmless)
 }
 
+// TestTornTailIsCut replays crashes amid a transaction: some of its pages are
+// on the disk, but not the meta page that makes them count, which bbolt writes
+// last. The folder opens with everything before that transaction.
+func TestTornTailIsCut(t *testing.T) {
+	folder := writtenFolder(t)
+	path := filepath.Join(folder, databaseName)
+	log, before := mustOpen(t, folder)
+	older, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, log.Write([]*consensus.Persist{{HardState: &consensus.HardState{Term: 9}, Entries: entries(41, 60, 9)}}))
+	require.NoError(t, log.Close())
+	newer, err := os.ReadFile(path)
+	require.NoError(t, err)
+	pageBytes := os.Getpagesize()
+	var changed []int
+	for offset := metaPages * pageBytes; offset < len(older); offset += pageBytes {
+		if !slices.Equal(older[offset:offset+pageBytes], newer[offset:offset+pageBytes]) {
+			changed = append(changed, offset)
+		}
+	}
+	require.NotEmpty(t, changed)
+	for written := range len(changed) + 1 {
+		torn := slices.Clone(older)
+		for _, offset := range changed[:written] {
+			copy(torn[offset:], newer[offset:offset+pageBytes])
+		}
+		require.NoError(t, os.WriteFile(path, torn, fileMode))
+		log, restored := mustOpen(t, folder)
+		require.Equal(t, before, restored, "%d of %d pages", written, len(changed))
+		require.NoError(t, log.Close())
+	}
+}
+
+// TestFullDiskIsNotGuessedAbout fails to store a snapshot: the unit of writing
+// fails, and with it all that follow.
+func TestFullDiskIsNotGuessedAbout(t *testing.T) {
+	folder := writtenFolder(t)
+	log, before := mustOpen(t, folder)
+	snapshots := log.snapshots.path
+	require.NoError(t, os.Rename(snapshots, snapshots+"-away"))
+	require.ErrorContains(t, log.Write([]*consensus.Persist{{Snapshot: snapshotAt(30, 1), CompactTo: 20}}), folder)
+	require.Error(t, log.Write([]*consensus.Persist{{Entries: entries(41, 42, 1)}}))
+	require.NoError(t, log.Close())
+	require.NoError(t, os.Rename(snapshots+"-away", snapshots))
+	log, restored := mustOpen(t, folder)
+	require.Equal(t, before, restored)
+	require.NoError(t, log.Close())
+}
+
 func TestShortenedFileIsRefusedWithItsOffset(t *testing.T) {
 	folder := writtenFolder(t)
 	path := filepath.Join(folder, databaseName)
--- a/internal/raftlog/tables.go
+++ b/internal/raftlog/tables.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"unsafe"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -53,6 +54,17 @@
 type tables struct {
 	entries *bbolt.Bucket
 	state   *bbolt.Bucket
+	// mapping is the address at which bbolt mapped the file; 0 when offsets are
+	// of no interest.
+	mapping uintptr
+}
+
+// at adds to an error where in the file the record lies that it is about.
+func (t tables) at(record []byte, err error) error {
+	if err == nil || t.mapping == 0 {
+		return err
+	}
+	return errors.Wrapf(err, "offset %d", uintptr(unsafe.Pointer(unsafe.SliceData(record)))-t.mapping)
 }
 
 func createTables(transaction *bbolt.Tx) (tables, error) {
@@ -167,9 +179,10 @@
 	}
 	data, err := unseal(hardStateKey, sealed)
 	if err != nil {
-		return consensus.HardState{}, errors.Wrap(err, "hard state")
+		return consensus.HardState{}, t.at(sealed, errors.Wrap(err, "hard state"))
 	}
-	return consensus.DecodeHardState(data)
+	state, err := consensus.DecodeHardState(data)
+	return state, t.at(sealed, err)
 }
 
 func (t tables) putJSON(key []byte, value any) error {
@@ -189,7 +202,7 @@
 	if err == nil {
 		err = json.Unmarshal(data, value)
 	}
-	return true, errors.Wrapf(err, "%s", key)
+	return true, t.at(sealed, errors.Wrapf(err, "%s", key))
 }
 
 func entryKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
--- a/internal/voter/outcomes.go
+++ b/internal/voter/outcomes.go
@@ -22,12 +22,13 @@
 func newOutcomes() *outcomes { return &outcomes{byIndex: map[uint64]awaited{}} }
 
 // await registers a proposal at its index; done must have room for one outcome.
-// A former proposal at the index was overwritten and gets displaced.
-func (o *outcomes) await(index uint64, waiting awaited, displaced error) {
+// A former proposal at the index is gone from this voter's log, but as long as
+// nothing is committed at the index another voter can still bring it back.
+func (o *outcomes) await(index uint64, waiting awaited) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if former, ok := o.byIndex[index]; ok {
-		former.done <- outcome{err: displaced}
+		former.done <- outcome{err: ErrOutcomeUnknown}
 	}
 	o.byIndex[index] = waiting
 }
--- a/internal/voter/requests.go
+++ b/internal/voter/requests.go
@@ -118,7 +118,7 @@
 		return
 	}
 	l.metrics.proposals.WithLabelValues("appended").Inc()
-	l.outcomes.await(result.Index, awaited{term: result.Term, done: done}, l.notLeader())
+	l.outcomes.await(result.Index, awaited{term: result.Term, done: done})
 }
 
 func (l *coreLoop) change(request *changeRequest) {
