Cause faults in a scale run, and restart servers at the target's rate

Cause: a run restarted routers at the rate of the whole fleet and left out the servers, whose states spread to every node; it had no faults, and its script waited for ever for a process that did not stop. Conclusion: the runs cover what a node hears of.

--- a/cmd/martenbench/scale.go
+++ b/cmd/martenbench/scale.go
@@ -29,6 +29,9 @@
 	Zones     int           `long:"zones" default:"1" description:"Zones of the configuration's servers"`
 	Speeds    []int64       `long:"speed" default:"1" description:"Factor over the stated rates of changes and restarts; repeat it for several phases"`
 	Duration  time.Duration `long:"duration" default:"30s" description:"Length of each phase"`
+	Cell      int           `long:"cell" default:"64" description:"Routers that connect to the servers of a service"`
+	Platform  string        `long:"platform-listen" description:"Address at which the platform's list is served; none when empty"`
+	Faults    []string      `long:"fault" choice:"kill-relay" choice:"kill-leader" choice:"cut-region" description:"A phase with a fault, after the others; may be repeated"`
 	Settle    time.Duration `long:"settle" default:"5s" description:"Pause before the first phase"`
 	JSON      bool          `long:"json" description:"Print the whole result as one line of JSON"`
 }
@@ -59,6 +62,8 @@
 	defer client.CloseIdle()
 	run := scale.NewRun(scale.RunConfig{
 		Servers: c.Servers, Zones: c.Zones, Speeds: c.Speeds, Duration: c.Duration, Settle: c.Settle,
+		CellRouters: c.Cell, PlatformListen: c.Platform,
+		Faults: lo.Map(c.Faults, func(fault string, _ int) scale.Fault { return scale.Fault(fault) }),
 	}, processes, control.NewClient(voters, client), logger)
 	result, err := run.Do(ctx)
 	if err != nil {
@@ -93,6 +98,10 @@
 		fmt.Printf("speed %d  accepted %d (%.2f/s of %.2f/s)  in force p50 %.3f s  p99 %.3f s  max %.3f s  reported p50 %.3f s  behind %d  lease gaps %d\n",
 			phase.Speed, phase.Accepted, phase.AcceptedPerSecond, phase.OfferedPerSecond,
 			phase.InForceP50, phase.InForceP99, phase.InForceMax, phase.ReportedP50, phase.Behind, phase.Gaps)
+		if phase.Recovery != nil {
+			fmt.Printf("  fault %s of %v  lowest holding %d  all holding after %.2f s  longest gap %.2f s  resent %d\n",
+				phase.Fault, phase.Recovery.Struck, phase.Recovery.LowestHolding, phase.Recovery.AllHolding, phase.LongestGap, phase.Resent)
+		}
 		fmt.Printf("  follower %.4f %% %.2f MB %.2f KB/s  relay %.2f %% %.1f MB %.1f KB/s  control %.2f %% %.1f MB %.1f KB/s\n",
 			phase.FollowerCorePercent, phase.FollowerMB, phase.FollowerKBPerSecond,
 			phase.RelayCorePercent, phase.RelayMB, phase.RelayKBPerSecond,
--- a/internal/scale/churn.go
+++ b/internal/scale/churn.go
@@ -6,12 +6,15 @@
 	"time"
 )
 
-// The daily churn of the target fleet: of 4,500 nodes, 23,000 are restarted or
-// replaced and 150 fail.
+// The daily churn of the target fleet: of 4,500 nodes and 57,000 servers,
+// 23,000 are restarted or replaced and 150 fail.
 const (
 	targetNodes    = 4500
+	targetServers  = 57000
+	targetMachines = targetNodes + targetServers
 	plannedPerDay  = 23000
 	failuresPerDay = 150
+	endsPerDay     = plannedPerDay + failuresPerDay
 	day            = 24 * time.Hour
 	// startSpread is the time over which a fleet's first followers start.
 	startSpread = 3 * time.Second
@@ -46,6 +49,8 @@
 	Restarts     int `json:"restarts"`
 	Replacements int `json:"replacements"`
 	Failures     int `json:"failures"`
+	// Servers counts restarts of servers in the platform's list.
+	Servers int `json:"servers"`
 }
 
 func (f *Fleet) count(ended ending) {
@@ -64,7 +69,7 @@
 // awaitEnd waits until the churn ends a follower, or the context does. Ends of
 // one follower are independent of its age.
 func (f *Fleet) awaitEnd(ctx context.Context, random *rand.Rand) ending {
-	const perStep = float64(plannedPerDay+failuresPerDay) / targetNodes * float64(churnStep) / float64(day)
+	const perStep = float64(endsPerDay) / targetMachines * float64(churnStep) / float64(day)
 	ticker := time.NewTicker(churnStep)
 	defer ticker.Stop()
 	for {
@@ -82,7 +87,7 @@
 // drawEnding picks failures at their share, and restarts and replacements
 // equally often: the target gives only their sum.
 func drawEnding(random *rand.Rand) ending {
-	switch drawn := random.IntN(plannedPerDay + failuresPerDay); {
+	switch drawn := random.IntN(endsPerDay); {
 	case drawn < failuresPerDay:
 		return endFailure
 	case drawn%2 == 0:
--- a/internal/scale/configuration.go
+++ b/internal/scale/configuration.go
@@ -11,9 +11,7 @@
 	// to 270 servers, one of each shard.
 	shardsPerService = 270
 	replicasPerShard = 3
-	// cellRouters is how many routers connect to the servers of a service.
-	cellRouters = 64
-	serverPort  = 9
+	serverPort       = 9
 )
 
 // Configuration generates texts for a number of servers. Each text differs
@@ -22,15 +20,29 @@
 type Configuration struct {
 	servers int
 	zones   int
+	// cellRouters is how many routers connect to the servers of a service.
+	cellRouters int
 	// moved counts how often each server's address was replaced.
 	moved map[int]int
 	next  int
 }
 
 // NewConfiguration returns the configuration of a number of servers in a
-// number of zones.
-func NewConfiguration(servers, zones int) *Configuration {
-	return &Configuration{servers: max(servers, replicasPerShard), zones: max(zones, 1), moved: make(map[int]int)}
+// number of zones, whose services have cells of a number of routers.
+func NewConfiguration(servers, zones, cellRouters int) *Configuration {
+	return &Configuration{
+		servers: max(servers, replicasPerShard), zones: max(zones, 1), cellRouters: max(cellRouters, 1),
+		moved: make(map[int]int),
+	}
+}
+
+// Addresses returns the present addresses of all servers.
+func (c *Configuration) Addresses() []netip.AddrPort {
+	addresses := make([]netip.AddrPort, c.servers)
+	for server := range addresses {
+		addresses[server] = c.address(server)
+	}
+	return addresses
 }
 
 // Change replaces the address of one server.
@@ -59,7 +71,7 @@
 }
 
 func (c *Configuration) writeService(text *strings.Builder, service, first int) {
-	fmt.Fprintf(text, "service service-%02d {\n\tslots 5\n\tconnections 70\n\tcell routers %d\n\tgeneration 1 {\n", service, cellRouters)
+	fmt.Fprintf(text, "service service-%02d {\n\tslots 5\n\tconnections 70\n\tcell routers %d\n\tgeneration 1 {\n", service, c.cellRouters)
 	last := min(first+shardsPerService*replicasPerShard, c.servers)
 	for shard := first; shard < last; shard += replicasPerShard {
 		fmt.Fprintf(text, "\t\tgroup g%03d {\n", (shard-first)/replicasPerShard)
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -38,7 +38,8 @@
 	// Gaps counts the times without a lease, and the longest.
 	Gaps       int           `json:"gaps"`
 	LongestGap time.Duration `json:"longest_gap"`
-	Churn      Churn         `json:"churn"`
+	// Churn counts how followers ended since the report before.
+	Churn Churn `json:"churn"`
 }
 
 // State says how far a fleet is.
@@ -82,7 +83,7 @@
 	report.Delays = delays.Export()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	report.Churn = f.counts
+	report.Churn, f.counts = f.counts, Churn{}
 	return report
 }
 
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -52,6 +52,11 @@
 	Gaps        int     `json:"lease_gaps"`
 	LongestGap  float64 `json:"longest_gap_s"`
 	Churn       Churn   `json:"churn"`
+	// Fault is set for a phase with a fault, which runs at the stated rates.
+	Fault    Fault     `json:"fault,omitempty"`
+	Recovery *Recovery `json:"recovery,omitempty"`
+	// Resent counts changes that had to be sent again, because the call failed.
+	Resent int `json:"resent"`
 	// Follower figures are means over the hollow followers.
 	FollowerCorePercent float64 `json:"follower_core_percent"`
 	FollowerMB          float64 `json:"follower_mb"`
@@ -99,10 +104,13 @@
 }
 
 // setUsages fills in what the processes used between two rounds of samples.
-func (p *Phase) setUsages(processes []Process, before, after []sample) {
+func (p *Phase) setUsages(processes []Process, dead map[string]bool, before, after []sample) {
 	byRole := make(map[Role][]Usage)
 	followers := 0
 	for index, process := range processes {
+		if dead[process.Name] {
+			continue
+		}
 		used := usage(process, before[index], after[index], p.Seconds)
 		byRole[process.Role] = append(byRole[process.Role], used)
 		followers += process.Followers
@@ -121,6 +129,14 @@
 	p.ControlCorePercentAll = total(byRole[RoleControl]).CorePercent
 }
 
+// setSubmitted fills in what became of the phase's changes.
+func (p *Phase) setSubmitted(sent submitted) {
+	p.Accepted = len(sent.accepted)
+	p.AcceptedPerSecond = float64(len(sent.accepted)) / p.Seconds
+	p.ApplyP50, p.ApplyMax = middleAndMax(sent.took)
+	p.Resent = sent.resent
+}
+
 func total(usages []Usage) Usage {
 	var sum Usage
 	for _, used := range usages {
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -39,6 +39,15 @@
 	for ((index = ${#pids[@]} - 1; index >= 0; index--)); do
 		kill "${pids[index]}" 2>/dev/null || true
 	done
+	# A process that has not ended by then would keep its port.
+	local waited=0
+	while ((waited < 100)) && [[ -n $(jobs -pr) ]]; do
+		sleep 0.2
+		waited=$((waited + 1))
+	done
+	for pid in "${pids[@]}"; do
+		if kill -9 "$pid" 2>/dev/null; then echo "process $pid did not stop in time" >&2; fi
+	done
 	for pid in "${pids[@]}"; do
 		wait "$pid" 2>/dev/null || true
 	done
@@ -66,6 +75,8 @@
 	port=$((port + 1))
 }
 
+next_address
+platform=$address
 control=() voter_options=()
 for ((id = 1; id <= voters; id++)); do
 	next_address
@@ -76,7 +87,7 @@
 	next_address
 	start control "control-$id" 0 "${control[id - 1]}" "$address" \
 		"$bin/martenstage" control --id "$id" --data-folder "$folder/control-$id" --listen "${control[id - 1]}" \
-		--metrics-listen "$address" --insecure-plaintext --log-level warning "${voter_options[@]}"
+		--metrics-listen "$address" --platform "$platform" --insecure-plaintext --log-level warning "${voter_options[@]}"
 done
 
 upstreams=()
@@ -118,4 +129,4 @@
 done
 
 "$bin/martenbench" scale --processes "$folder/processes" --routers "$routers" --servers "$servers" \
-	--relays "$relays" --zones "$zones" "${passed[@]}"
+	--relays "$relays" --zones "$zones" --platform-listen "$platform" "${passed[@]}"
