Say may_have_run of a request whose claim has expired

Cause: a caller that sent an id again after its claim had expired was told not_run, though the first use of the id may have run; one that takes not_run as leave to choose a new id would run the action twice. Change: the refusal claim_expired carries may_have_run. Measured: not measured. Conclusion: what is forgotten proves nothing.

--- a/internal/query/claims.go
+++ b/internal/query/claims.go
@@ -51,8 +51,10 @@
 	e.respond(r, answer)
 }
 
-// refusalOfClaim says what is known about the request with the caller's id. An
-// expired claim and one with another body prove that this one was not run.
+// refusalOfClaim says what is known about the request with the caller's id. A
+// claim with another body proves that this body was not run. An expired claim
+// proves nothing: this call sent nothing, but the id was used before, and its
+// outcome is forgotten.
 func refusalOfClaim(decision ClaimDecision) *verdict.Error {
 	switch decision {
 	case ClaimHeldRan:
@@ -60,7 +62,10 @@
 	case ClaimHeldMayHaveRun:
 		return &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonClaimHeld}
 	case ClaimExpired:
-		return verdict.Refuse(verdict.ReasonClaimExpired, "")
+		return &verdict.Error{
+			Verdict: verdict.MayHaveRun, Reason: verdict.ReasonClaimExpired,
+			Detail: "the id has expired, and whether it was used before is no longer known",
+		}
 	case ClaimDigestMismatch:
 		return verdict.Refuse(verdict.ReasonClaimMismatch, "the id was used with another body")
 	default:
