Keep departures over configurations, and distrust an old word of health

Cause: two ways led to new work for a back end that had long begun to leave. Change: a pool keeps the departure of servers that are not configured, and takes words about them. A health answer stands for the time of two unanswered probes (2.5 s by default); a server not heard of for longer gets nothing new until it is, and requests wait for that. Balancer configurations without HealthLifetime behave as before. That a request's time in the socket of a paused router is not counted is a limit of the product; docs/design/0009-simulation.md says so.

--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -89,6 +89,10 @@
 			slices.Contains(need.Tried, server) {
 			continue
 		}
+		if !server.presence.fresh(now, p.config) {
+			availability = Busy
+			continue
+		}
 		rank := p.tierOf(now, server)
 		if !server.hasRoom(need) {
 			availability = Busy
@@ -161,7 +165,7 @@
 	for _, member := range group.members {
 		server := member.server
 		if server.suspect && !now.Before(server.probeAt) && server.inFlight == 0 && server.Usable() &&
-			!server.Ejected(now) && member.holds(need.Version) && server.limit.Value() > 0 {
+			server.presence.fresh(now, p.config) && !server.Ejected(now) && member.holds(need.Version) && server.limit.Value() > 0 {
 			server.probeAt = now.Add(p.config.ProbeInterval)
 			return server
 		}
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -61,6 +61,11 @@
 	// DrainDistrust is how long a health endpoint that says ready all along is
 	// not believed after the server itself refused work as draining.
 	DrainDistrust time.Duration
+	// HealthLifetime is how long the last answer of a health endpoint stands. A
+	// server that was not heard of for longer gets no new work until it is, so
+	// that a router which did not run for a while does not act on what it knew
+	// before. 0 means for ever.
+	HealthLifetime time.Duration
 	// EjectionTime is the time of a first ejection; each further one in a row
 	// lasts longer.
 	EjectionTime time.Duration
@@ -105,14 +110,21 @@
 
 // Pool is the set of servers that an engine sends to.
 type Pool struct {
-	config      Config
-	servers     map[netip.AddrPort]*Server
+	config  Config
+	servers map[netip.AddrPort]*Server
+	// away holds what is known of the departure of servers that no
+	// configuration names now, one small entry an address.
+	away        map[netip.AddrPort]presence
 	transitions []Transition
 }
 
 // New returns an empty pool.
 func New(config Config) *Pool {
-	return &Pool{config: config.withDefaults(), servers: make(map[netip.AddrPort]*Server)}
+	return &Pool{
+		config:  config.withDefaults(),
+		servers: make(map[netip.AddrPort]*Server),
+		away:    make(map[netip.AddrPort]presence),
+	}
 }
 
 // Server returns the server at an address.
@@ -141,17 +153,23 @@
 func (p *Pool) ensure(address netip.AddrPort) *Server {
 	server, known := p.servers[address]
 	if !known {
-		server = &Server{Address: address}
+		server = &Server{Address: address, presence: p.away[address]}
+		delete(p.away, address)
 		p.servers[address] = server
 	}
 	return server
 }
 
 // forgetUnused drops a server without groups. What is known about it would be
-// stale by the time that a later configuration names it again.
+// stale by the time that a later configuration names it again, but for its
+// departure: a later configuration may name it a moment later.
 func (p *Pool) forgetUnused(server *Server) {
-	if len(server.members) == 0 && server.inFlight == 0 {
-		delete(p.servers, server.Address)
+	if len(server.members) > 0 || server.inFlight > 0 {
+		return
+	}
+	delete(p.servers, server.Address)
+	if departure := server.presence.departure(); departure.leaving() {
+		p.away[server.Address] = departure
 	}
 }
 
--- a/internal/balancer/presence.go
+++ b/internal/balancer/presence.go
@@ -21,8 +21,10 @@
 // has its own mark, so that no source can take back the word of another:
 // whichever says first that the server leaves wins.
 type presence struct {
-	// probed is set once a probe succeeded; nothing is sent before.
-	probed bool
+	// probed is set once a probe succeeded, probedAt at the last one; nothing is
+	// sent before.
+	probed   bool
+	probedAt time.Time
 	// failedProbes counts failures in a row.
 	failedProbes int
 	// health is the state that the health endpoint reported last.
@@ -49,6 +51,19 @@
 		!p.refused && !p.left
 }
 
+// fresh reports whether the last answer of the health endpoint still stands.
+func (p *presence) fresh(now time.Time, config Config) bool {
+	return config.HealthLifetime <= 0 || now.Sub(p.probedAt) <= config.HealthLifetime
+}
+
+// departure returns what is known of the departure alone.
+func (p *presence) departure() presence {
+	return presence{
+		refused: p.refused, refusedAt: p.refusedAt, turned: p.turned,
+		left: p.left, leftAt: p.leftAt, recalled: p.recalled, announced: p.announced,
+	}
+}
+
 // leaving reports whether the server is known to go, as opposed to not being
 // known, warm or reachable yet.
 func (p *presence) leaving() bool {
@@ -98,7 +113,7 @@
 }
 
 func (p *presence) passProbe(now time.Time, state backendapi.ReadyState, config Config) {
-	p.probed, p.failedProbes, p.health = true, 0, state
+	p.probed, p.probedAt, p.failedProbes, p.health = true, now, 0, state
 	if state != backendapi.StateReady {
 		p.turned = p.turned || p.refused
 	} else if p.refused && (p.turned || now.Sub(p.refusedAt) >= config.DrainDistrust) {
@@ -157,25 +172,36 @@
 }
 
 // ObserveWord takes in the word of the platform, an operator or another router
-// about a server. It returns nil for a server that is not known.
+// about a server. It returns nil for a server that is not known; the word is
+// kept for when it is.
 func (p *Pool) ObserveWord(now time.Time, address netip.AddrPort, leaving bool) *Server {
 	server, known := p.servers[address]
 	if !known {
+		departure := p.away[address]
+		departure.hear(now, leaving, p.config)
+		if departure.leaving() {
+			p.away[address] = departure
+		} else {
+			delete(p.away, address)
+		}
 		return nil
 	}
-	p.change(now, server, func() {
-		if leaving {
-			server.presence.left, server.presence.leftAt, server.presence.recalled = true, now, false
-			return
-		}
-		server.presence.recalled = server.presence.left
-		if now.Sub(server.presence.leftAt) >= p.config.WordHold {
-			server.presence.left, server.presence.recalled = false, false
-		}
-	})
+	p.change(now, server, func() { server.presence.hear(now, leaving, p.config) })
 	return server
 }
 
+// hear takes in the word of others.
+func (p *presence) hear(now time.Time, leaving bool, config Config) {
+	if leaving {
+		p.left, p.leftAt, p.recalled = true, now, false
+		return
+	}
+	p.recalled = p.left
+	if now.Sub(p.leftAt) >= config.WordHold {
+		p.left, p.recalled = false, false
+	}
+}
+
 // change applies an observation and takes in what follows from a change of the
 // server's usability.
 func (p *Pool) change(now time.Time, server *Server, apply func()) {
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/balancer"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
@@ -273,3 +274,53 @@
 	h.step(MachineObserved{Address: address, State: MachineLeaving})
 	require.Empty(t, told(h.report(address, backendapi.StateReady, 1, 0, 1)))
 }
+
+func TestADepartureOutlivesAConfigurationWithoutTheServer(t *testing.T) {
+	for name, leave := range map[string]func(h *harness, address netip.AddrPort){
+		"refusal": func(h *harness, address netip.AddrPort) {
+			sent := only[Send](h.arrive())[0]
+			h.step(AttemptFailed{Attempt: sent.Attempt, Verdict: verdict.NotRun, Reason: verdict.ReasonDraining})
+		},
+		"word of others": func(h *harness, address netip.AddrPort) {
+			h.step(MachineObserved{Address: address, State: MachineLeaving})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, Config{Zone: "a"}, testPlan(1, 1, testPolicy()))
+			whole := h.plan
+			address := whole.Services[0].Generations[0].Shards[0].Replicas[0].Address
+			leave(h, address)
+			h.plan = &plan.Plan{}
+			h.install()
+			h.plan = whole
+			h.install()
+			h.reportVersions(1)
+			require.Empty(t, only[Send](h.arrive()))
+		})
+	}
+}
+
+func TestAWordAboutAServerThatIsNotConfiguredIsKept(t *testing.T) {
+	h := newHarness(t, Config{Zone: "a"}, &plan.Plan{Services: []plan.Service{{Name: testService}}})
+	whole := testPlan(1, 1, testPolicy())
+	address := whole.Services[0].Generations[0].Shards[0].Replicas[0].Address
+	h.step(MachineObserved{Address: address, State: MachineLeaving})
+	h.plan = whole
+	h.install()
+	h.reportVersions(1)
+	require.Empty(t, only[Send](h.arrive()))
+
+	h.after(time.Hour, MachineObserved{Address: address, State: MachineLive})
+	h.step(LeaseRenewed{Until: h.now.Add(time.Hour)})
+	require.NotEmpty(t, only[Send](h.arrive()))
+}
+
+func TestNothingIsSentOnAnOldWordOfTheHealthEndpoint(t *testing.T) {
+	tuning := Tuning{Balancer: balancer.Config{HealthLifetime: 2 * time.Second}}
+	h := newHarness(t, Config{Zone: "a", Tuning: tuning}, testPlan(1, 1, testPolicy()))
+	h.now = h.now.Add(3 * time.Second) // the process did not run
+	require.Empty(t, only[Send](h.arrive()))
+	address := h.plan.Services[0].Generations[0].Shards[0].Replicas[0].Address
+	require.Len(t, only[Send](h.report(address, backendapi.StateReady, 1, 0, 1)), 1)
+	require.Len(t, only[Send](h.arrive()), 1)
+}
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/balancer"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/rpc"
@@ -108,5 +109,13 @@
 		Zone:        o.Zone,
 		Seed:        xxhash.Sum64String(o.Name) + uint64(index),
 		MaxInFlight: o.MaxRequests,
+		Tuning:      query.Tuning{Balancer: balancer.Config{HealthLifetime: o.healthLifetime()}},
 	}
 }
+
+// healthLifetime is the time of two probes that get no answer, after which a
+// back end counts as unreachable in any case.
+func (o *Options) healthLifetime() time.Duration {
+	const probes = 2
+	return probes * (o.ProbeInterval + o.ProbeTimeout)
+}
--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -45,7 +45,11 @@
 	*callerRequest
 	router *router
 	sent   time.Duration
-	ended  bool
+	// read is when the router took the request from its socket, long after it
+	// was sent if it did not run. It can't know that, so that its answer is
+	// judged from then on; see docs/design/0009-simulation.md.
+	read  time.Duration
+	ended bool
 	// admitted is the number of the request at the router; 0 before.
 	admitted query.RequestID
 }
@@ -115,7 +119,13 @@
 		return
 	}
 	s.router.callers = append(s.router.callers, s)
-	s.router.deliver(s.router.boot, func() { s.router.query(s) })
+	frozen := s.router.frozen
+	s.router.deliver(s.router.boot, func() {
+		if frozen {
+			s.read = s.caller.world.queue.Now()
+		}
+		s.router.query(s)
+	})
 }
 
 // back sends something from the router to the caller.
@@ -185,7 +195,7 @@
 	w := s.caller.world
 	return records.CallerAnswer{
 		Request: s.id, Route: s.route, Service: s.service, Once: s.once, Router: s.router.name(),
-		Intended: wallAt(s.sent), Sent: wallAt(s.sent), Received: w.queue.Wall(),
+		Intended: wallAt(s.sent), Sent: wallAt(max(s.sent, s.read)), Received: w.queue.Wall(),
 		BodyDigest: backendapi.Digest(s.body), DeadlineMs: s.limit.Milliseconds(),
 	}
 }
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/balancer"
 	"github.com/martenstage/martenstage/internal/cell"
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
@@ -23,6 +24,8 @@
 const (
 	probeInterval = 500 * time.Millisecond
 	probeTimeout  = time.Second
+	// healthLifetime is that of a router with the default probes.
+	healthLifetime = 2500 * time.Millisecond
 	// shareDelay is the router's default delay before a bigger share of
 	// connections is taken.
 	shareDelay = 12 * time.Second
@@ -76,7 +79,10 @@
 		return
 	}
 	r.begin()
-	r.engine = r.world.mutations.engine(r, query.New(query.Config{Zone: r.place.Zone, Seed: r.world.seed ^ r.boot<<8 ^ uint64(len(r.name()))}))
+	r.engine = r.world.mutations.engine(r, query.New(query.Config{
+		Zone: r.place.Zone, Seed: r.world.seed ^ r.boot<<8 ^ uint64(len(r.name())),
+		Tuning: query.Tuning{Balancer: balancer.Config{HealthLifetime: healthLifetime}},
+	}))
 	r.revision, r.plan, r.members = 0, nil, []string{r.name()}
 	r.ledger, r.lapsed = cell.NewLedger(shareDelay), true
 	r.shares, r.open = map[netip.AddrPort]cell.Share{}, map[netip.AddrPort]*connections{}
