Serve a status page from control

Cause: whoever is not at a shell could not see the fleet, its tails and coverage, or the newest events. Change: package statuspage: one HTML page without JavaScript or outside assets, the same as JSON and an OpenAPI description, on the new setting status-listen. Without a quorum it shows the voter's own view and says so.

--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -22,6 +22,7 @@
 	"github.com/martenstage/martenstage/internal/policy"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/state"
+	"github.com/martenstage/martenstage/internal/statuspage"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
@@ -74,6 +75,7 @@
 	server      *Server
 	listener    *rpc.Server
 	metrics     net.Listener
+	status      net.Listener
 	platform    *platformReader
 	// failed receives the error that ends the process, at most a few.
 	failed chan error
@@ -148,13 +150,25 @@
 		return errors.Wrapf(err, "listen on %s", p.options.Listen)
 	}
 	p.listener = rpc.NewServerOn(listener, mux, p.security, p.logger)
-	if p.options.MetricsListen == "" {
-		return nil
+	if p.metrics, err = listenPlain("metrics-listen", p.options.MetricsListen); err != nil {
+		return errors.CombineErrors(err, p.listener.Close())
 	}
-	if p.metrics, err = net.Listen("tcp4", p.options.MetricsListen); err != nil {
-		return errors.CombineErrors(errors.Wrapf(err, "metrics: listen on %s", p.options.MetricsListen), p.listener.Close())
+	if p.status, err = listenPlain("status-listen", p.options.StatusListen); err != nil {
+		err = errors.CombineErrors(err, p.listener.Close())
+		if p.metrics != nil {
+			err = errors.CombineErrors(err, p.metrics.Close())
+		}
 	}
-	return nil
+	return err
+}
+
+// listenPlain opens a listener of an optional setting; nil when it is empty.
+func listenPlain(key, address string) (net.Listener, error) {
+	if address == "" {
+		return nil, nil
+	}
+	listener, err := net.Listen("tcp4", address)
+	return listener, errors.Wrapf(err, "%s: can't listen on %s", key, address)
 }
 
 // fail asks for the end of the process.
@@ -185,7 +199,13 @@
 		}
 	})
 	if p.metrics != nil {
-		duties.Go(func() { p.serveMetrics(running) })
+		mux := http.NewServeMux()
+		mux.Handle("/metrics", metrics.Handler(p.registry))
+		duties.Go(func() { p.servePages(running, p.metrics, mux) })
+	}
+	if p.status != nil {
+		page := statuspage.NewHandler(p.options.ID, p.server.StatusSource(), p.logger)
+		duties.Go(func() { p.servePages(running, p.status, page) })
 	}
 	p.logger.WithFields(logrus.Fields{
 		logging.FieldRole: "control", logging.FieldNode: p.options.ID, logging.FieldAddress: p.Address(),
@@ -235,13 +255,3 @@
 		return member.ID != status.ID && !member.Learner && member.Active
 	})
 }
-
-func (p *Process) serveMetrics(ctx context.Context) {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", metrics.Handler(p.registry))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	if err := server.Serve(p.metrics); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		p.logger.WithError(err).Warn("metrics_not_served")
-	}
-}
--- /dev/null
+++ b/internal/control/status_page.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/statuspage"
+)
+
+// confirmedLimit is how long the status page waits for the confirmed leader
+// before it shows this voter's own view.
+const confirmedLimit = 2 * time.Second
+
+// pageSource is what the status page of a voter is made of.
+type pageSource struct{ server *Server }
+
+// StatusSource returns what the voter's status page is made of.
+func (s *Server) StatusSource() statuspage.Source { return pageSource{s} }
+
+// Status implements statuspage.Source.
+func (p pageSource) Status(ctx context.Context) (*v1.StatusResponse, error) {
+	confirmed, cancel := context.WithTimeout(ctx, confirmedLimit)
+	defer cancel()
+	response, err := configService(p).Status(confirmed, connect.NewRequest(&v1.StatusRequest{}))
+	if err != nil {
+		response, err = configService(p).Status(ctx, connect.NewRequest(&v1.StatusRequest{Local: true}))
+	}
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+// Plan implements statuspage.Source.
+func (p pageSource) Plan() *plan.Plan {
+	_, latest, _ := p.server.store.Latest()
+	return latest
+}
+
+// Events implements statuspage.Source.
+func (p pageSource) Events(ctx context.Context, service string, limit uint32) ([]*v1.Event, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmedLimit)
+	defer cancel()
+	response, err := journalService(p).List(ctx, connect.NewRequest(&v1.ListEventsRequest{Service: service, Limit: limit}))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg.GetEvents(), nil
+}
+
+// servePages serves plain HTTP for people and collectors until the context
+// ends.
+func (p *Process) servePages(ctx context.Context, listener net.Listener, handler http.Handler) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		p.logger.WithError(err).WithField("address", listener.Addr()).Warn("pages_not_served")
+	}
+}
--- a/internal/overview/notice.go
+++ b/internal/overview/notice.go
@@ -101,7 +101,8 @@
 				route.Name, route.Refused, route.Requests, route.Failed), "martenstage events --since 15m"})
 		}
 		if route.Complete < 1 {
-			notices = append(notices, Notice{Warning, fmt.Sprintf("route %s: %.2f%% of answers miss a shard; coverage is %.2f%%",
+			// Its policy allows that, so it need not be a fault.
+			notices = append(notices, Notice{Info, fmt.Sprintf("route %s: %.2f%% of answers miss a shard; coverage is %.2f%%",
 				route.Name, percent*(1-route.Complete), percent*route.Coverage), "martenstage events --since 15m"})
 		}
 	}
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -19,38 +19,41 @@
 
 // Overview is what control knows of a site.
 type Overview struct {
-	Group    Group
-	Services []Service
-	Routes   []Route
-	Nodes    []Node
+	Group    Group     `json:"group"`
+	Services []Service `json:"services"`
+	Routes   []Route   `json:"routes"`
+	Nodes    []Node    `json:"nodes"`
 	// Machines are those that are leaving or gone.
-	Machines []Machine
+	Machines []Machine `json:"machines"`
 	// Attention lists what is wrong or under way, worst first.
-	Attention []Notice
+	Attention []Notice `json:"attention"`
 }
 
 // Group is the group of control voters.
 type Group struct {
-	Leader, Term, Commit uint64
+	Leader uint64 `json:"leader"`
+	Term   uint64 `json:"term"`
+	Commit uint64 `json:"commit_index"`
 	// Revision is the newest accepted configuration, InForce the newest that
 	// every holder of a lease has.
-	Revision, InForce uint64
+	Revision uint64 `json:"revision"`
+	InForce  uint64 `json:"revision_in_force"`
 	// Confirmed is false for a voter's own view, given without a quorum.
-	Confirmed  bool
-	AnsweredBy uint64
-	Voters     []Voter
+	Confirmed  bool    `json:"confirmed"`
+	AnsweredBy uint64  `json:"answered_by"`
+	Voters     []Voter `json:"voters"`
 }
 
 // Voter is a control voter.
 type Voter struct {
-	ID      uint64
-	Address string
-	Learner bool
-	Leads   bool
-	Active  bool
+	ID      uint64 `json:"id"`
+	Address string `json:"address"`
+	Learner bool   `json:"learner"`
+	Leads   bool   `json:"leads"`
+	Active  bool   `json:"active"`
 	// Behind is how many committed log entries the voter lacks.
-	Behind    uint64
-	DiskError string
+	Behind    uint64 `json:"behind"`
+	DiskError string `json:"disk_error,omitempty"`
 }
 
 // Service is a service of the configuration with the states of its replicas.
@@ -92,17 +95,24 @@
 
 // Node is a router or a relay.
 type Node struct {
-	Name, Role, Zone, Address, Relay string
-	Revision                         uint64
-	Lapsed                           bool
-	SinceSeen                        time.Duration
+	Name     string `json:"name"`
+	Role     string `json:"role"`
+	Zone     string `json:"zone"`
+	Address  string `json:"address"`
+	Relay    string `json:"relay,omitempty"`
+	Revision uint64 `json:"revision"`
+	Lapsed   bool   `json:"lease_lapsed"`
+	// SinceSeen is in nanoseconds in JSON.
+	SinceSeen time.Duration `json:"since_seen"`
 }
 
 // Machine is a back end that is not live.
 type Machine struct {
-	Address, State, Source string
+	Address string `json:"address"`
+	State   string `json:"state"`
+	Source  string `json:"source"`
 	// Serves names the service and shard, when the configuration has it.
-	Serves string
+	Serves string `json:"serves,omitempty"`
 }
 
 // New sums up a status; the plan may be nil when it is not known.
--- a/internal/overview/text.go
+++ b/internal/overview/text.go
@@ -121,13 +121,26 @@
 	fmt.Fprintln(table, "\nNODE\tROLE\tZONE\tADDRESS\tREVISION\tLEASE\tSEEN\tTHROUGH")
 	for _, node := range listed {
 		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", node.Name, node.Role, node.Zone, node.Address,
-			node.Revision, node.LeaseText(), node.SinceSeen.Round(time.Millisecond), node.Relay)
+			node.Revision, node.LeaseText(), node.SeenText(), node.Relay)
 	}
 }
 
 // LeaseText words the state of the node's lease.
 func (n Node) LeaseText() string { return lo.Ternary(n.Lapsed, "lapsed", "live") }
 
+// SeenText words when the node was heard of. A relay vouches for its followers
+// and names them only when something changes.
+func (n Node) SeenText() string {
+	switch {
+	case n.Relay != "" && !n.Lapsed:
+		return "by its relay"
+	case n.SinceSeen < time.Second:
+		return n.SinceSeen.Round(time.Millisecond).String() + " ago"
+	default:
+		return n.SinceSeen.Round(time.Second).String() + " ago"
+	}
+}
+
 // zoneCount counts the nodes of one role in one zone.
 type zoneCount struct {
 	role, zone   string
