Add the morning report: incidents, answers affected, and what is left to do

Change: package incident pairs events into incidents over all witnesses and sums up affected answers; "martenstage report" prints them as text and JSON and writes a page with plots that needs neither network nor script.

--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -27,6 +27,12 @@
 		{Name: "voters", Short: "List, add and remove control voters", Children: votersCommands()},
 		{Name: "status", Short: "Show services, routes, routers, leases and voters, and what needs attention", Long: "Shows on one screen what control knows of the site. Without a quorum it shows what each voter that answers believes, and exits with 4.", Data: &statusCommand{}},
 		{Name: "events", Short: "List the event journal", Data: &eventsCommand{}},
+		{
+			Name: "report", Short: "Tell what failed, what the system did and what is left to do",
+			Long:     "Reads the event journal and prints what failed in a time window, for how long, which shards and answers were affected, what goes on, what the system did, and what a person must do.",
+			Examples: []string{"martenstage report --since 18:00", "martenstage report --since 12h --service seat-finder --html night.html"},
+			Data:     &reportCommand{},
+		},
 		{Name: "drain", Short: "Mark a back end as leaving", Long: "Routers send a marked back end no new work after a few seconds; work under way ends as usual. The mark stays until undrain.", Data: &drainCommand{draining: true}},
 		{Name: "undrain", Short: "Remove the mark of drain", Long: "Routers use the back end again, from a small share of work upwards.", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
--- a/internal/balancer/outlier.go
+++ b/internal/balancer/outlier.go
@@ -37,8 +37,9 @@
 	server.outlier.failures = 0
 	server.outlier.ejections++
 	server.outlier.out = true
+	service, shard := server.place()
 	p.transitions = append(p.transitions, Transition{
-		Kind: journal.KindReplicaEjected, Server: server, Detail: "for " + duration.String(),
+		Kind: journal.KindReplicaEjected, Server: server, Service: service, Shard: shard, Detail: "for " + duration.String(),
 	})
 }
 
@@ -68,5 +69,26 @@
 	}
 	server.outlier.out = false
 	server.outlier.ejections = 0
-	p.transitions = append(p.transitions, Transition{Kind: journal.KindReplicaReturned, Server: server})
+	service, shard := server.place()
+	p.transitions = append(p.transitions, Transition{
+		Kind: journal.KindReplicaReturned, Server: server, Service: service, Shard: shard,
+	})
+}
+
+// place names the service and the shard of a server; empty where it has several.
+func (s *Server) place() (service, shard string) {
+	for index, member := range s.members {
+		group := member.group
+		if index == 0 {
+			service, shard = group.generation.Service, group.Name
+			continue
+		}
+		if service != group.generation.Service {
+			service = ""
+		}
+		if service == "" || shard != group.Name {
+			shard = ""
+		}
+	}
+	return service, shard
 }
--- a/internal/control/journal_service.go
+++ b/internal/control/journal_service.go
@@ -15,6 +15,9 @@
 	maxEventBytes     = 4000
 )
 
+// maxListedEvents is the most that one call lists: all that the journal holds.
+const maxListedEvents = 100_000
+
 // journalService implements JournalService.
 type journalService struct{ server *Server }
 
@@ -78,7 +81,7 @@
 	if _, err := s.server.confirm(ctx); err != nil {
 		return nil, err
 	}
-	filter := state.EventFilter{Service: request.GetService(), Limit: listLimit(request.GetLimit())}
+	filter := state.EventFilter{Service: request.GetService(), Limit: eventsLimit(request.GetLimit())}
 	if request.GetSince() != nil {
 		filter.Since = request.GetSince().AsTime()
 	}
@@ -89,3 +92,10 @@
 	})
 	return response, nil
 }
+
+func eventsLimit(asked uint32) int {
+	if asked == 0 {
+		return defaultListLimit
+	}
+	return int(min(asked, maxListedEvents))
+}
--- a/internal/follower/handler_run.go
+++ b/internal/follower/handler_run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -160,21 +159,24 @@
 	}
 }
 
-// recordLapsed writes one event for all children whose lease lapsed at about
-// the same time, as those behind one switch do.
+// Bounds of what is told of children whose leases lapsed at about the same
+// time, as those behind one switch do.
+const (
+	lapsedPerEvent = 50
+	lapsedEvents   = 100
+)
+
+// recordLapsed writes an event for up to lapsedPerEvent children at a time,
+// with their names as its detail.
 func (h *Handler) recordLapsed(now time.Time, kind journal.Kind, names []string) {
-	if len(names) == 0 {
-		return
+	chunks := lo.Chunk(names, lapsedPerEvent)
+	for _, chunk := range chunks[:min(len(chunks), lapsedEvents)] {
+		detail := strings.Join(chunk, " ")
+		h.deps.Events.Record(journal.Event{
+			Time: now, Kind: kind, Source: h.config.Name, Detail: detail, Count: uint64(len(chunk)), LastTime: now,
+		})
+		h.deps.Logger.WithFields(logrus.Fields{"event": string(kind), "nodes": detail}).Warn("leases of children lapsed")
 	}
-	const named = 10
-	detail := strings.Join(names[:min(len(names), named)], " ")
-	if len(names) > named {
-		detail += fmt.Sprintf(" and %d more", len(names)-named)
-	}
-	h.deps.Events.Record(journal.Event{
-		Time: now, Kind: kind, Source: h.config.Name, Detail: detail, Count: uint64(len(names)), LastTime: now,
-	})
-	h.deps.Logger.WithFields(logrus.Fields{"event": string(kind), "nodes": detail}).Warn("leases of children lapsed")
 }
 
 // RevisionInForce returns the highest revision that whoever admits work below
