--- a/internal/emulator/connection.go
+++ b/internal/emulator/connection.go
@@ -29,13 +29,16 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.server.open.Add(1) > int64(l.server.connectionLimit()) {
+		open := l.server.open.Add(1)
+		if open > int64(l.server.connectionLimit()) {
 			l.server.open.Add(-1)
 			l.server.counters.connectionsRefused.Add(1)
 			_ = accepted.Close()
 			continue
 		}
 		l.server.counters.connections.Add(1)
+		// Only this goroutine accepts, so nobody else raises the peak.
+		l.server.counters.peakConnections.Store(max(open, l.server.counters.peakConnections.Load()))
 		return newConnection(accepted, l.server), nil
 	}
 }
--- a/internal/emulator/counters.go
+++ b/internal/emulator/counters.go
@@ -13,6 +13,7 @@
 	canceled           atomic.Int64
 	cancels            atomic.Int64
 	connections        atomic.Int64
+	peakConnections    atomic.Int64
 	connectionsRefused atomic.Int64
 }
 
@@ -38,10 +39,12 @@
 	// CancelCalls counts cancel calls, also for attempts not there.
 	CancelCalls int64 `json:"cancel_calls"`
 	// Connections counts accepted connections, ConnectionsRefused those closed
-	// because of the limit, OpenConnections those open now.
+	// because of the limit, OpenConnections those open now, PeakConnections
+	// the most that ever were.
 	Connections        int64 `json:"connections"`
 	ConnectionsRefused int64 `json:"connections_refused"`
 	OpenConnections    int64 `json:"open_connections"`
+	PeakConnections    int64 `json:"peak_connections"`
 	// InFlight and Queued are the true load.
 	InFlight int `json:"in_flight"`
 	Queued   int `json:"queued"`
@@ -58,6 +61,7 @@
 		Connections:        s.counters.connections.Load(),
 		ConnectionsRefused: s.counters.connectionsRefused.Load(),
 		OpenConnections:    s.open.Load(),
+		PeakConnections:    s.counters.peakConnections.Load(),
 		InFlight:           load.InFlight,
 		Queued:             load.Queued,
 	}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -39,7 +39,9 @@
 	// one takes the whole of their limits.
 	Alone bool
 	// ShareDelay is how long after a change of the list of live routers a
-	// bigger share of connections is taken; see package cell.
+	// bigger share of connections is taken; see package cell. It must be longer
+	// than a lease and the time after it for which connections are kept, a
+	// quarter of this delay.
 	ShareDelay time.Duration
 }
 
@@ -53,7 +55,7 @@
 	DefaultProbeTimeout  = time.Second
 	DefaultCancelTimeout = time.Second
 	DefaultRefusalPause  = 250 * time.Millisecond
-	DefaultShareDelay    = 12 * time.Second
+	DefaultShareDelay    = 15 * time.Second
 )
 
 // withDefaults fills zero values.
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -42,6 +42,7 @@
 
 	ProbeInterval time.Duration `long:"probe-interval" koanf:"probe-interval" default:"250ms" validate:"min=10ms" description:"Pause between health probes of a back end"`
 	ProbeTimeout  time.Duration `long:"probe-timeout" koanf:"probe-timeout" default:"1s" validate:"min=10ms" description:"Longest wait for a health probe"`
+	ShareDelay    time.Duration `long:"share-delay" koanf:"share-delay" default:"15s" validate:"min=1s" description:"How long after a change of the live routers a bigger share of connections is taken; at least one and a half times control's lease"`
 	DialTimeout   time.Duration `long:"dial-timeout" koanf:"dial-timeout" default:"1s" validate:"min=1ms" description:"Longest wait for a connection to a back end"`
 
 	StopNotice     time.Duration `long:"stop-notice" koanf:"stop-notice" default:"5s" validate:"min=0" description:"How long a stopping router serves on after it reported not ready"`
@@ -91,6 +92,7 @@
 		MaxAttempts:   o.MaxAttempts,
 		ProbeInterval: o.ProbeInterval,
 		ProbeTimeout:  o.ProbeTimeout,
+		ShareDelay:    o.ShareDelay,
 	}
 }
 
