--- a/internal/relay/network_test.go
+++ b/internal/relay/network_test.go
@@ -190,6 +190,7 @@
 	group   *group
 	voters  map[string]*voter
 	roots   map[string]*follower.Root
+	events  map[string]*eventLog
 	running sync.WaitGroup
 	boots   uint64
 }
@@ -200,17 +201,20 @@
 		t: t, ctx: ctx, network: network,
 		group:  &group{network: network, voters: voters, changed: make(chan struct{})},
 		voters: make(map[string]*voter), roots: make(map[string]*follower.Root),
+		events: make(map[string]*eventLog),
 	}
 	fleet.group.elect(voters[0])
 	fleet.group.accept()
 	for _, name := range voters {
 		member := &voter{name: name, group: fleet.group, neverNotified: make(chan struct{})}
+		events := &eventLog{}
 		root := follower.NewRoot(
 			follower.HandlerConfig{Name: name, Lease: lease.DefaultDuration},
 			follower.HandlerDeps{
 				Plans: member, Authority: follower.NewLeaderAuthority(member, lease.DefaultDuration),
-				Logger: quiet(), Registerer: prometheus.NewRegistry(),
+				Events: events, Logger: quiet(), Registerer: prometheus.NewRegistry(),
 			})
+		fleet.events[name] = events
 		fleet.voters[name], fleet.roots[name] = member, root
 		network.serve(name, root)
 		fleet.goRun(ctx, root.Run)
