Pin versions with capacity, answer what nothing can change, believe seen returns

Cause: the newest version of a shard was pinned as soon as one replica had it, so that one of 20 servers got the load of all. A request whose shards had all failed waited for the moment that its policy names, though only the time could still change. A list that shows a restart 5 s late took the server out again for 15 s after it had come back. Change: of versions that equally many shards can serve, the newest is pinned that half of each shard's usable slots hold; with less, the one with most. A request without open shards takes the action that its policy would come to, at once. The word that a machine lives again is taken at once where the router itself saw it go and come back within the hold. A hedge for a shard whose attempts are all at suspect servers competes like a first attempt.

--- a/internal/balancer/group.go
+++ b/internal/balancer/group.go
@@ -97,6 +97,9 @@
 	Version uint64
 	// Shards is the number of shards with a usable replica of the version.
 	Shards int
+	// Capacity is the share of a shard's usable slots that belong to holders
+	// of the version, at the shard where it is least of those with a holder.
+	Capacity float64
 }
 
 // Generation is one shard map of a service, as groups of servers.
@@ -129,9 +132,10 @@
 				return cmp.Compare(version, c.Version)
 			})
 			if !found {
-				counted = slices.Insert(counted, index, Candidate{Version: version})
+				counted = slices.Insert(counted, index, Candidate{Version: version, Capacity: 1})
 			}
 			counted[index].Shards++
+			counted[index].Capacity = min(counted[index].Capacity, group.capacityOf(version))
 		}
 	}
 	return counted
@@ -152,6 +156,17 @@
 	return into
 }
 
+// capacityOf returns the share of the usable slots at holders of a version.
+func (g *Group) capacityOf(version uint64) float64 {
+	held := 0
+	for _, member := range g.members {
+		if member.server.Usable() && member.holds(version) {
+			held += max(member.server.slots, 1)
+		}
+	}
+	return float64(held) / float64(max(g.slots, 1))
+}
+
 // AddGeneration makes the groups of one shard map. Servers are shared with the
 // groups that exist already. The caller releases the generation when it no
 // longer sends to it.
--- a/internal/balancer/presence.go
+++ b/internal/balancer/presence.go
@@ -41,14 +41,28 @@
 	left     bool
 	leftAt   time.Time
 	recalled bool
+	// returnedAt is when the router itself last saw the server take work again
+	// after it did not.
+	returnedAt time.Time
 	// announced is set from when this engine itself saw the server leave, which
 	// others are told, until it saw it back.
 	announced bool
 }
 
-func (p *presence) usable() bool {
-	return p.probed && p.failedProbes < unreachableAfter && p.health == backendapi.StateReady &&
-		!p.refused && !p.left
+func (p *presence) usable() bool { return p.seenReady() && !p.left }
+
+// seenReady reports whether the server takes work by all that the router saw
+// itself.
+func (p *presence) seenReady() bool {
+	return p.probed && p.failedProbes < unreachableAfter && p.health == backendapi.StateReady && !p.refused
+}
+
+// mayBelieveReturn reports whether the word that a machine lives again is to be
+// taken at once. Lists lag, so the word may be older than the one that the
+// machine leaves; but not if the router saw it go and come back meanwhile.
+func (p *presence) mayBelieveReturn(now time.Time, hold time.Duration) bool {
+	seenBack := !p.returnedAt.IsZero() && now.Sub(p.returnedAt) < hold && p.seenReady()
+	return seenBack || now.Sub(p.leftAt) >= hold
 }
 
 // fresh reports whether the last answer of the health endpoint still stands.
@@ -197,7 +211,7 @@
 		return
 	}
 	p.recalled = p.left
-	if now.Sub(p.leftAt) >= config.WordHold {
+	if p.mayBelieveReturn(now, config.WordHold) {
 		p.left, p.recalled = false, false
 	}
 }
@@ -206,7 +220,11 @@
 // server's usability.
 func (p *Pool) change(now time.Time, server *Server, apply func()) {
 	wasUsable, wasLeaving := server.Usable(), server.presence.leaving()
+	wasProbed, wasReady := server.presence.probed, server.presence.seenReady()
 	apply()
+	if wasProbed && !wasReady && server.presence.seenReady() {
+		server.presence.returnedAt = now
+	}
 	p.announce(server, wasLeaving)
 	if server.Usable() == wasUsable {
 		for _, member := range server.members {
--- a/internal/balancer/presence_test.go
+++ b/internal/balancer/presence_test.go
@@ -145,3 +145,38 @@
 	require.InDelta(t, 5, honest.estimate(start, time.Second), 1e-9)
 	require.InDelta(t, 2.5, honest.estimate(start.Add(time.Second), time.Second), 1e-9)
 }
+
+func TestALateWordAboutARestartIsTakenBackAtOnce(t *testing.T) {
+	pool, _ := newPool(1)
+	pool.ObserveHealth(start, address(0), true, ready(1))
+	pool.ObserveHealth(start.Add(time.Second), address(0), true, backendapi.Health{State: backendapi.StateDraining})
+	pool.ObserveHealth(start.Add(2*time.Second), address(0), true, ready(1))
+	server, _ := pool.Server(address(0))
+	require.True(t, server.Usable())
+	pool.ObserveWord(start.Add(5*time.Second), address(0), true)
+	require.False(t, server.Usable(), "a word that it leaves always counts")
+	pool.ObserveWord(start.Add(6*time.Second), address(0), false)
+	require.True(t, server.Usable())
+}
+
+func TestAWordOfReturnAloneIsHeldBack(t *testing.T) {
+	pool, _ := newPool(1)
+	pool.ObserveHealth(start, address(0), true, ready(1))
+	server, _ := pool.Server(address(0))
+	pool.ObserveWord(start.Add(time.Second), address(0), true)
+	pool.ObserveWord(start.Add(2*time.Second), address(0), false)
+	pool.ObserveHealth(start.Add(3*time.Second), address(0), true, ready(1))
+	require.False(t, server.Usable(), "the list may lag, and the endpoint may lie")
+	pool.ObserveHealth(start.Add(time.Second+DefaultWordHold), address(0), true, ready(1))
+	require.True(t, server.Usable())
+}
+
+func TestCapacityIsThatOfTheShardWithTheFewestHolders(t *testing.T) {
+	pool, group := newPool(4)
+	for replica := range 4 {
+		versions := []uint64{1, 2}[:min(2, replica+1)]
+		pool.ObserveHealth(start, address(replica), true, ready(versions...))
+	}
+	require.Equal(t, []Candidate{{Version: 2, Shards: 1, Capacity: 0.75}, {Version: 1, Shards: 1, Capacity: 1}},
+		group.Generation().Candidates())
+}
--- a/internal/query/dispatch.go
+++ b/internal/query/dispatch.go
@@ -76,7 +76,7 @@
 	return balancer.Need{
 		Version: r.version,
 		Tried:   shard.triedServers(),
-		Hedged:  r.repeatable() && r.route.Policy.Hedge.MaxPerShard > 0 && e.mayHedge(r, shard),
+		Hedged:  r.repeatable() && r.route.Policy.Hedge.MaxPerShard > 0 && e.mayHedge(r, shard, false),
 		Waiting: r.partition.queues[shard.group.Index()].Waiting(),
 	}
 }
--- a/internal/query/hedge.go
+++ b/internal/query/hedge.go
@@ -88,12 +88,13 @@
 	if shard.outCount >= maxAttemptsOut {
 		return
 	}
-	if !e.mayHedge(r, shard) {
+	rescue := e.isRescue(shard)
+	if !e.mayHedge(r, shard, rescue) {
 		e.postponeHedge(r, shard)
 		return
 	}
 	server, availability := e.pool.Choose(e.now, shard.group, balancer.Need{
-		Version: r.version, Tried: shard.triedServers(), Spare: e.config.Tuning.limited(),
+		Version: r.version, Tried: shard.triedServers(), Spare: e.config.Tuning.limited() && !rescue,
 	})
 	switch availability {
 	case balancer.Available:
@@ -108,13 +109,25 @@
 	}
 }
 
-func (e *Engine) mayHedge(r *request, shard *shardState) bool {
+// isRescue reports whether all attempts of the shard are at servers that have
+// become suspect. Their places are lost as it is: a hedge then stands for the
+// attempt that a good server would have got, and competes like a first one.
+func (e *Engine) isRescue(shard *shardState) bool {
+	for _, id := range shard.out[:shard.outCount] {
+		if !e.attempts.get(id).server.Suspect() {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *Engine) mayHedge(r *request, shard *shardState, rescue bool) bool {
 	if e.config.Tuning.unbudgeted() {
 		return true
 	}
 	state := r.route.service.state
 	return state.hedges.Tokens() >= 1 && !e.now.Before(state.overloadedUntil) &&
-		r.partition.queues[shard.group.Index()].Waiting() == 0
+		(rescue || r.partition.queues[shard.group.Index()].Waiting() == 0)
 }
 
 // postponeHedge looks at the hedge again after part of the typical latency.
--- a/internal/query/policy.go
+++ b/internal/query/policy.go
@@ -39,18 +39,36 @@
 		}
 		return 0
 	}
+	action := r.firstAction(elapsed)
+	if action == 0 && final {
+		return plan.ActionAnswer
+	}
+	if action == 0 && r.open == 0 {
+		return r.foregoneAction()
+	}
+	return action
+}
+
+// foregoneAction is what a request without open shards will come to. Only the
+// time can still change a condition, so the policy's later moments are looked
+// at now: waiting for them would make the same answer later.
+func (r *request) foregoneAction() plan.Action {
+	for _, moment := range r.route.moments[r.moment:] {
+		if action := r.firstAction(moment); action != 0 {
+			return action
+		}
+	}
+	return plan.ActionAnswer
+}
+
+// firstAction is the action of the first statement that holds, or 0.
+func (r *request) firstAction(elapsed time.Duration) plan.Action {
 	for index := range r.route.Policy.Statements {
 		statement := &r.route.Policy.Statements[index]
 		if r.holds(&statement.Condition, elapsed) {
 			return statement.Action
 		}
 	}
-	// Nothing is left that could change a condition but the time: waiting on
-	// would only make the same answer later, unless a later statement may
-	// still turn it into a failure or the other way round.
-	if final {
-		return plan.ActionAnswer
-	}
 	return 0
 }
 
--- a/internal/query/snapshot.go
+++ b/internal/query/snapshot.go
@@ -19,21 +19,39 @@
 	version   uint64
 }
 
+// enoughCapacity is the share of every shard's slots from which a version is as
+// good as one that all slots can serve. The newest version of equally good ones
+// is pinned; without the bound, the first replica to get a version would get
+// the whole load of its shard at once.
+const enoughCapacity = 0.5
+
+// betterPin reports whether a candidate that is older than the best so far is
+// to be preferred: for more shards, or else for the capacity that the newer
+// one lacks.
+func betterPin(coverage, capacity, bestCoverage, bestCapacity float64) bool {
+	if coverage != bestCoverage {
+		return coverage > bestCoverage
+	}
+	return min(capacity, enoughCapacity) > min(bestCapacity, enoughCapacity)
+}
+
 // pinSnapshot picks the shard map and index version for a request: of those
-// that enough shards can serve, the one that most shards can serve, and of
-// equals the newest. Taking the newest as soon as enough shards have it would
-// lose the parts of all others during every roll-out of an index.
+// that enough shards can serve, the one that most shards can serve, of equals
+// one that enough slots can serve, and of these the newest. Taking the newest
+// as soon as enough shards have it would lose the parts of all others during
+// every roll-out of an index.
 func (e *Engine) pinSnapshot(route *routeView, key string) (pin, bool) {
-	best, bestCoverage := pin{}, 0.0
+	best, bestCoverage, bestCapacity := pin{}, 0.0, 0.0
 	for index := len(route.service.partitions) - 1; index >= 0; index-- {
 		partition := route.service.partitions[index]
 		for _, candidate := range partition.Candidates() {
 			coverage := partition.coverage(candidate)
-			if coverage <= bestCoverage || coverage < route.Policy.SnapshotCoverage ||
-				!partition.targetServes(route, key, candidate.Version) {
+			if coverage < route.Policy.SnapshotCoverage || !partition.targetServes(route, key, candidate.Version) ||
+				!betterPin(coverage, candidate.Capacity, bestCoverage, bestCapacity) {
 				continue
 			}
-			best, bestCoverage = pin{partition: partition, version: candidate.Version}, coverage
+			best = pin{partition: partition, version: candidate.Version}
+			bestCoverage, bestCapacity = coverage, candidate.Capacity
 		}
 	}
 	if best.partition == nil && route.Target == plan.TargetKey {
