--- a/cmd/martenstage/control_test.go
+++ b/cmd/martenstage/control_test.go
@@ -54,7 +54,7 @@
 	output    bytes.Buffer
 }
 
-func (p *voterProcess) start(t *testing.T) {
+func (p *voterProcess) start(t testing.TB) {
 	program, err := buildOnce()
 	require.NoError(t, err)
 	p.output.Reset()
@@ -64,7 +64,7 @@
 }
 
 // end sends a signal and returns the exit code, -1 when the signal killed.
-func (p *voterProcess) end(t *testing.T, signal syscall.Signal) int {
+func (p *voterProcess) end(t testing.TB, signal syscall.Signal) int {
 	require.NoError(t, p.command.Process.Signal(signal))
 	_ = p.command.Wait() // the exit code tells
 	return p.command.ProcessState.ExitCode()
@@ -98,7 +98,7 @@
 	return processes, control.NewClient(addresses, client)
 }
 
-func freeAddresses(t *testing.T, count int) []string {
+func freeAddresses(t testing.TB, count int) []string {
 	var addresses []string
 	for range count {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/incident/plot.go
+++ b/internal/incident/plot.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -65,8 +66,9 @@
 func timelineOf(report *Report, location *time.Location) timeline {
 	axis := scale{since: report.Since, until: report.Until, left: labelWidth, width: plotWidth - labelWidth - rowHeight}
 	plot := timeline{Width: plotWidth, Ticks: axis.ticks(location)}
-	for _, one := range append(report.Failures, report.Drains...) {
-		if len(plot.Rows) == mostRows {
+	shown := map[Class]int{}
+	for _, one := range slices.Concat(report.Failures, report.Drains) {
+		if shown[one.Class]++; shown[one.Class] > shownPerClass || len(plot.Rows) == mostRows {
 			plot.Hidden++
 			continue
 		}
--- a/internal/relay/network_test.go
+++ b/internal/relay/network_test.go
@@ -137,7 +137,6 @@
 
 	mutex         sync.Mutex
 	frozen        bool
-	believedTerm  uint64
 	seenRevision  uint64
 	seenPlan      *plan.Plan
 	neverNotified chan struct{}
