--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -21,7 +21,7 @@
 	attemptTimeout = 5 * time.Second
 	// firstPause and longestPause lie between rounds over all addresses.
 	firstPause   = 50 * time.Millisecond
-	longestPause = time.Second
+	longestPause = 250 * time.Millisecond
 )
 
 // ErrUnavailable says that no voter gave a definite answer in time. What was
