Keep callers off routers that are not ready, and draw charts of experiments

Cause: the callers of the bench went on sending to a router that had told them that it stops, against docs/CALLERS.md. Some hundred requests a second then never left it a quiet moment, and in-process runs on a machine at load 40 saw requests cut off when the limit for the quiet moment had passed. Change: callers ask each router for readiness, send nothing new to one that is not ready, and learn the same from answers `stopping` and `no_lease`. Conclusion: the quiet moment before the listener closes rests on callers that heed the notice. Callers that don't can lose requests that the kernel holds for the listener when it closes.

--- a/cmd/martenbench/experiment.go
+++ b/cmd/martenbench/experiment.go
@@ -63,8 +63,21 @@
 	if err := result.Print(os.Stdout); err != nil {
 		return errors.Wrap(err, "standard output")
 	}
+	if c.HTML != "" {
+		if err := c.writeCharts(result); err != nil {
+			return err
+		}
+	}
 	if c.JSON {
 		return errors.Wrap(json.NewEncoder(os.Stdout).Encode(result), "standard output")
 	}
 	return nil
 }
+
+func (c *experimentCommand) writeCharts(result experiment.Result) error {
+	file, err := os.Create(c.HTML)
+	if err != nil {
+		return errors.Wrap(err, "charts")
+	}
+	return errors.CombineErrors(result.WriteHTML(file), file.Close())
+}
--- a/cmd/martenbench/load.go
+++ b/cmd/martenbench/load.go
@@ -32,6 +32,7 @@
 	Resends         int           `long:"resends" description:"How often a caller sends a failed request again"`
 	ResendPause     time.Duration `long:"resend-pause" default:"20ms" description:"Pause before a request is sent again"`
 	HonorRetryAfter bool          `long:"honor-retry-after" description:"Keep the pause that an answer names"`
+	ProbeInterval   time.Duration `long:"probe-interval" default:"250ms" description:"Pause between two questions whether a router is ready; 0 for never"`
 	WaitReady       time.Duration `long:"wait-ready" description:"Longest wait before the run until every router is ready"`
 }
 
@@ -73,7 +74,7 @@
 	}
 	config := load.Config{
 		Plan: compiled, Duration: c.Duration, Seed: c.Seed, Resends: c.Resends,
-		ResendPause: c.ResendPause, HonorRetryAfter: c.HonorRetryAfter,
+		ResendPause: c.ResendPause, HonorRetryAfter: c.HonorRetryAfter, ProbeInterval: c.ProbeInterval,
 	}
 	config.Rates, err = c.rates(compiled)
 	if err != nil {
--- a/internal/experiment/sockets/world.go
+++ b/internal/experiment/sockets/world.go
@@ -32,6 +32,10 @@
 	end       context.CancelFunc
 }
 
+// callersProbe is how often callers ask whether a router is ready: several
+// times within the notice that a stopping router gives.
+const callersProbe = 50 * time.Millisecond
+
 // Start starts back ends and routers; what it started is ended by Close.
 func Start(config Config, newEngine NewEngine, recorder Recorder) (*World, error) {
 	world := &World{
@@ -95,6 +99,7 @@
 		Routers: routers, Plan: w.config.Plans[0].Plan, Rates: w.config.Rates, Duration: w.config.Duration,
 		Seed: w.config.Seed, Variant: w.config.Variant, Resends: w.config.Resends,
 		ResendPause: w.config.ResendPause, HonorRetryAfter: w.config.HonorRetryAfter,
+		ProbeInterval: callersProbe,
 	}, w.recorder)
 	if err != nil {
 		return err
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -70,7 +70,8 @@
 // send sends a request once and records what the caller saw. It also returns
 // the pause that the answer asks for.
 func (c *Callers) send(ctx context.Context, request call, try int) (records.CallerAnswer, time.Duration) {
-	router := c.config.Routers[(request.first+try)%len(c.config.Routers)].String()
+	index := c.ready.choose(request.first + try)
+	router := c.config.Routers[index].String()
 	record := c.begin(request, router, time.Now())
 	response, err := c.client.Do(newRequest(ctx, router, &request.arrival))
 	if err != nil {
@@ -93,6 +94,7 @@
 	}
 	record.Status = response.StatusCode
 	fill(&record, &read)
+	c.ready.learn(index, &record)
 	return record, time.Duration(read.RetryAfterMs) * time.Millisecond
 }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -23,7 +23,8 @@
 
 // Config describes a run of callers.
 type Config struct {
-	// Routers are the callers' addresses; each request takes one at random.
+	// Routers are the callers' addresses; each request takes one at random of
+	// those that are ready.
 	Routers []netip.AddrPort
 	// Plan names the routes, their services and whether they run at most once.
 	Plan     *plan.Plan
@@ -37,6 +38,9 @@
 	Resends         int
 	ResendPause     time.Duration
 	HonorRetryAfter bool
+	// ProbeInterval is the pause between two questions whether a router is
+	// ready; 0 asks never.
+	ProbeInterval time.Duration
 	// MaxOutstanding bounds the requests in flight. One more is not sent and
 	// is recorded as such.
 	MaxOutstanding int
@@ -61,6 +65,7 @@
 	config   Config
 	recorder Recorder
 	client   *http.Client
+	ready    *readiness
 	slots    chan struct{}
 	inFlight sync.WaitGroup
 }
@@ -82,7 +87,7 @@
 		config.Patience = DefaultPatience
 	}
 	return &Callers{
-		config: config, recorder: recorder, slots: make(chan struct{}, config.MaxOutstanding),
+		config: config, recorder: recorder, ready: newReadiness(config.Routers), slots: make(chan struct{}, config.MaxOutstanding),
 		client: &http.Client{
 			Timeout:   config.Patience,
 			Transport: &http.Transport{MaxIdleConns: 0, MaxIdleConnsPerHost: idleConnections},
@@ -92,21 +97,32 @@
 
 // Run sends the load and returns once the last request has its answer.
 func (c *Callers) Run(ctx context.Context) {
+	probing, endProbes := context.WithCancel(ctx)
+	var probes sync.WaitGroup
+	if c.config.ProbeInterval > 0 {
+		for index := range c.config.Routers {
+			probes.Go(func() { c.ready.probe(probing, c.client, index, c.config.ProbeInterval) })
+		}
+	}
+	c.sendAll(ctx)
+	c.inFlight.Wait()
+	endProbes()
+	probes.Wait()
+	c.client.CloseIdleConnections()
+}
+
+// sendAll launches every request at its time.
+func (c *Callers) sendAll(ctx context.Context) {
 	arrivals := NewArrivals(c.config.Seed, c.config.Rates, c.config.Duration, c.config.Variant)
 	choice := rand.New(rand.NewPCG(c.config.Seed, uint64(len(c.config.Routers))))
 	start := time.Now()
 	for {
 		arrival, ok := arrivals.Next()
-		if !ok {
-			break
-		}
-		if !sleepUntil(ctx, start.Add(arrival.At)) {
-			break
+		if !ok || !sleepUntil(ctx, start.Add(arrival.At)) {
+			return
 		}
 		c.launch(ctx, call{arrival: arrival, intended: start.Add(arrival.At), first: choice.IntN(len(c.config.Routers))})
 	}
-	c.inFlight.Wait()
-	c.client.CloseIdleConnections()
 }
 
 // launch sends a request in a goroutine of its own, so that the schedule does
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +93,38 @@
 	require.Equal(t, map[string]int{"not_run": expected - 10, "may_have_run": 10}, verdicts)
 }
 
+// A router that is not ready gets nothing new, neither after its answer says
+// so nor after a probe did, until it is ready again.
+func TestNothingNewGoesToARouterThatIsNotReady(t *testing.T) {
+	var ready atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		require.Equal(t, "/readyz", request.URL.Path)
+		if !ready.Load() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}))
+	defer server.Close()
+	addresses := []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
+	known := newReadiness(addresses)
+	require.Equal(t, 1, known.choose(1))
+	known.learn(1, &records.CallerAnswer{Reason: "overloaded"})
+	require.Equal(t, 1, known.choose(1))
+	known.learn(1, &records.CallerAnswer{Reason: "stopping"})
+	require.Equal(t, 0, known.choose(1))
+	known.learn(0, &records.CallerAnswer{Reason: "no_lease"})
+	require.Equal(t, 1, known.choose(1), "none is ready")
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	require.ErrorContains(t, AwaitReady(ctx, addresses[1:], 10*time.Millisecond), "is not ready after")
+	ready.Store(true)
+	require.NoError(t, AwaitReady(ctx, addresses[1:], time.Minute))
+	go known.probe(ctx, http.DefaultClient, 1, time.Millisecond)
+	require.Eventually(t, func() bool { return known.choose(0) == 1 }, 10*time.Second, time.Millisecond)
+	ready.Store(false)
+	require.Eventually(t, func() bool { return known.notReady[1].Load() }, 10*time.Second, time.Millisecond)
+}
+
 func TestResendsGoToAnotherRouter(t *testing.T) {
 	refusing := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		writer.WriteHeader(http.StatusServiceUnavailable)
