--- a/internal/callers/api.go
+++ b/internal/callers/api.go
@@ -140,7 +140,7 @@
 	})
 	huma.Register(described, huma.Operation{
 		OperationID: "readyz", Method: http.MethodGet, Path: "/readyz",
-		Summary:   "Whether requests are admitted: not without a lease, nor once the router is stopping",
+		Summary:   "Whether requests are admitted: not without a lease, before the back ends are known, or once the router is stopping",
 		Responses: textResponses("Ready"),
 	}, func(context.Context, *struct{}) (*textOutput, error) {
 		if ready, reason := a.router.Ready(); !ready {
--- a/internal/callers/api_test.go
+++ b/internal/callers/api_test.go
@@ -127,14 +127,12 @@
 			return false
 		}
 		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK && s.versionsKnown()
-	}, 10*time.Second, 5*time.Millisecond)
-}
-
-// versionsKnown reports whether probes have told the engine what to pin.
-func (s *site) versionsKnown() bool {
-	status, _ := s.post("/v1/routes/find/query", "", `{"warm":true}`)
-	return status == http.StatusOK
+		return response.StatusCode == http.StatusOK
+	}, 10*time.Second, time.Millisecond)
+	// Ready means that the first request is answered, not that it is refused
+	// for want of a snapshot.
+	status, document := s.post("/v1/routes/find/query", "", `{"first":true}`)
+	require.Equal(s.t, http.StatusOK, status, "%v", document)
 }
 
 // post sends a query and returns status and document.
@@ -341,8 +339,11 @@
 		defer func() { _ = response.Body.Close() }()
 		return response.StatusCode == http.StatusServiceUnavailable
 	}, 10*time.Second, time.Millisecond)
-	status, _ := s.post("/v1/routes/find/query", "still", `{}`)
-	require.Equal(t, http.StatusOK, status)
+	response, err := http.Post("http://"+s.address+"/v1/routes/find/query", "application/json", strings.NewReader(`{}`))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode, "serves on")
+	require.True(t, response.Close, "tells the caller to connect elsewhere")
 }
 
 // A request that outlives the limit is cut off, and the stop says so instead
--- a/internal/callers/openapi_test.go
+++ b/internal/callers/openapi_test.go
@@ -43,7 +43,7 @@
 	}
 	file, err := os.ReadFile(openAPIFile)
 	require.NoError(t, err)
-	require.Equal(t, indented.String(), string(file), "run go test ./internal/callers -run OpenAPI -update")
+	require.True(t, bytes.Equal(indented.Bytes(), file), "run go test ./internal/callers -run OpenAPI -update")
 }
 
 // Every reason that a caller can meet is explained to callers, with its status.
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -34,9 +34,9 @@
 	router Router
 	config StopConfig
 	logger logrus.FieldLogger
-	// lastSeen is the time of the newest request or connection, in Unix
-	// nanoseconds.
-	lastSeen atomic.Int64
+	// lastQuery is the arrival of the newest query, in Unix nanoseconds. Those
+	// who poll readiness must not hold up the stop.
+	lastQuery atomic.Int64
 }
 
 const readHeaderTimeout = 10 * time.Second
@@ -47,14 +47,11 @@
 	server.http = &http.Server{
 		ReadHeaderTimeout: readHeaderTimeout,
 		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-			server.lastSeen.Store(time.Now().UnixNano())
+			if request.Method == http.MethodPost {
+				server.lastQuery.Store(time.Now().UnixNano())
+			}
 			handler.ServeHTTP(writer, request)
 		}),
-		ConnState: func(_ net.Conn, state http.ConnState) {
-			if state == http.StateNew || state == http.StateActive {
-				server.lastSeen.Store(time.Now().UnixNano())
-			}
-		},
 	}
 	return server
 }
@@ -96,13 +93,13 @@
 	return errors.Wrap(err, "planned stop")
 }
 
-// awaitQuiet keeps answering refusals until no caller has come for a while,
+// awaitQuiet keeps answering refusals until no query has come for a while,
 // so that closing idle connections meets no request on its way.
 func (s *Server) awaitQuiet(ctx context.Context) {
 	const step = 10 * time.Millisecond
 	limit := time.Now().Add(s.config.QuietLimit)
 	for time.Now().Before(limit) && ctx.Err() == nil {
-		if time.Since(time.Unix(0, s.lastSeen.Load())) >= s.config.Quiet {
+		if time.Since(time.Unix(0, s.lastQuery.Load())) >= s.config.Quiet {
 			return
 		}
 		sleep(ctx, step)
--- a/internal/router/engine_loop.go
+++ b/internal/router/engine_loop.go
@@ -268,6 +268,16 @@
 	}
 }
 
+// deliver hands a notice to the engine and returns once it was taken in.
+func (l *engineLoop) deliver(event query.Event) {
+	done := make(chan struct{})
+	l.pushNotice(event, done)
+	select {
+	case <-done:
+	case <-l.ended:
+	}
+}
+
 // pause waits a moment for room and reports whether the loop still runs.
 func (l *engineLoop) pause() bool {
 	select {
--- a/internal/router/installation.go
+++ b/internal/router/installation.go
@@ -45,9 +45,10 @@
 		}
 	}
 	r.refreshCells(installed)
+	// Before the routes are there, so that readiness waits for the probes.
+	r.prober.retarget(r.runContext, r.probeTargets(installed))
 	r.installed.Store(next)
 	r.metrics.revision.Set(float64(revision))
-	r.prober.retarget(r.runContext, r.probeTargets(installed))
 	r.logger.WithField("revision", revision).WithField("services", len(installed.Services)).
 		WithField("routes", len(installed.Routes)).Info("configuration installed")
 }
--- a/internal/router/prober.go
+++ b/internal/router/prober.go
@@ -34,6 +34,8 @@
 type probeLoop struct {
 	cancel context.CancelFunc
 	target atomic.Pointer[probeTarget]
+	// known is set once the engines have taken in a first outcome.
+	known atomic.Bool
 }
 
 func newProber(config Config, backends *backend.Client) *prober {
@@ -87,26 +89,44 @@
 			return
 		}
 		target := *loop.target.Load()
-		p.probe(ctx, target)
+		p.probe(ctx, loop, target)
 		delay = p.pause(target.address, round)
 	}
 }
 
-func (p *prober) probe(ctx context.Context, target probeTarget) {
+func (p *prober) probe(ctx context.Context, loop *probeLoop, target probeTarget) {
 	bounded, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	observed, asked := p.backends.Probe(bounded, target.address)
 	if ctx.Err() != nil || !asked {
 		return
 	}
-	for _, loop := range target.loops {
-		loop.pushHealth(observed)
+	for _, engine := range target.loops {
+		if loop.known.Load() {
+			engine.pushHealth(observed)
+		} else {
+			engine.deliver(observed)
+		}
 	}
+	loop.known.Store(true)
 	if observed.Reachable {
 		p.backends.Maintain(bounded, target.address)
 	}
 }
 
+// allKnown reports whether every back end that matters has answered a probe,
+// or failed to.
+func (p *prober) allKnown(matters func(netip.AddrPort) bool) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for address, running := range p.running {
+		if !running.known.Load() && matters(address) {
+			return false
+		}
+	}
+	return true
+}
+
 // pause is the interval with up to a quarter more or less, so that the routers
 // do not probe a back end in step.
 func (p *prober) pause(address netip.AddrPort, round uint64) time.Duration {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,6 +56,8 @@
 	// admits nothing any more.
 	stopping atomic.Bool
 	refusing atomic.Bool
+	// warmed is set once the back ends of the first configuration are known.
+	warmed   atomic.Bool
 	requests atomic.Uint64
 	// runContext is set by Run before the source is started.
 	runContext context.Context
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -162,6 +162,13 @@
 	}
 }
 
+// held reports whether shares were taken under a valid lease.
+func (k *shareKeeper) held() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.plan != nil && !k.lapsed
+}
+
 // describe returns the shares in use, for the status page.
 func (k *shareKeeper) describe(address netip.AddrPort) cell.Share {
 	k.mutex.Lock()
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
@@ -46,11 +47,27 @@
 		return false, verdict.ReasonStopping
 	case r.installed.Load() == nil, !r.leaseValid():
 		return false, verdict.ReasonNoLease
+	case !r.backendsKnown():
+		return false, verdict.ReasonNoSnapshot
 	default:
 		return true, ""
 	}
 }
 
+// backendsKnown reports whether, since the start, every back end that this
+// router connects to has been asked what it serves. Before that a request
+// would be refused for want of a snapshot.
+func (r *Router) backendsKnown() bool {
+	if r.warmed.Load() {
+		return true
+	}
+	known := r.shares.held() && r.prober.allKnown(func(address netip.AddrPort) bool { return r.shares.describe(address).Connections > 0 })
+	if known {
+		r.warmed.Store(true)
+	}
+	return known
+}
+
 func (r *Router) leaseValid() bool { return r.leaseValidAt(time.Now()) }
 
 func (r *Router) leaseValidAt(at time.Time) bool {
