Guard the records of the upstream-loss test

Cause: the test read events that the follower's goroutine writes; the virtual clock orders the two, but not in the memory model, and the race detector objects. Change: a mutex around the kept events, an atomic for the server's state.

--- a/internal/follower/loss_test.go
+++ b/internal/follower/loss_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,12 +23,12 @@
 // mortalServer grants leases until it dies.
 type mortalServer struct {
 	martenstagev1connect.FollowServiceClient
-	dead bool
+	dead atomic.Bool
 }
 
 func (s *mortalServer) Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
 	time.Sleep(100 * time.Millisecond)
-	if s.dead {
+	if s.dead.Load() {
 		return nil, errors.New("no answer")
 	}
 	response := &v1.SyncResponse{Term: 1, Revision: 1, Lease: durationpb.New(5 * time.Second)}
@@ -42,11 +44,20 @@
 func (discardSink) MergeMachines(membership.Changes[membership.Machine]) {}
 func (discardSink) Versions() (routers, machines uint64)                 { return 0, 0 }
 
-type keptEvents struct{ kept []journal.Event }
+type keptEvents struct {
+	mutex sync.Mutex
+	kept  []journal.Event
+}
 
-func (e *keptEvents) Record(event journal.Event) { e.kept = append(e.kept, event) }
+func (e *keptEvents) Record(event journal.Event) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.kept = append(e.kept, event)
+}
 
 func (e *keptEvents) lost() (addresses []string) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
 	for _, event := range e.kept {
 		if event.Kind == journal.KindUpstreamLost {
 			addresses = append(addresses, event.Address)
@@ -71,12 +82,12 @@
 		time.Sleep(3 * time.Second)
 		require.Empty(t, events.lost())
 		first := follows.Upstream()
-		servers[first].dead = true
+		servers[first].dead.Store(true)
 		time.Sleep(5 * time.Second)
 		require.Equal(t, []string{first}, events.lost())
 		second := follows.Upstream()
 		require.NotEqual(t, first, second)
-		servers[second].dead = true
+		servers[second].dead.Store(true)
 		time.Sleep(20 * time.Second)
 		require.Equal(t, []string{first, second}, events.lost())
 		cancel()
