Find slow replicas by comparison, and hedge by the latency of good ones

Cause: after a start, a replica that is slow from the beginning spoiled both its group's average, by which it would be suspect, and its group's quantile, by which attempts at it are hedged; before 20 answers the longest delay of the policy held. Change: a server is suspect, too, when its average is three times that of the fastest other replica. A suspect server teaches its group nothing while there is a better one. A group that is not known yet is hedged by the quantile of its shard map.

--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -41,7 +41,6 @@
 	switch result.Outcome {
 	case Answered:
 		p.observeLatency(now, group, server, result.Elapsed)
-		group.typical += typicalWeight * (float64(result.Elapsed) - group.typical)
 		if server.load.congested() {
 			server.limit.Lower(now)
 		} else if full {
@@ -58,12 +57,12 @@
 }
 
 func (p *Pool) observeLatency(now time.Time, group *Group, server *Server, elapsed time.Duration) {
-	group.Latency.Observe(now, elapsed)
-	if group.typical == 0 {
-		group.typical = float64(elapsed)
-	}
+	group.learn(now, server, elapsed)
 	if !server.suspect {
 		server.latency.Observe(now, elapsed)
+		if float64(elapsed) > group.typical && group.lagsBehind(server) {
+			p.suspectFor(now, server, elapsed)
+		}
 		return
 	}
 	// What was learnt before the server became suspect, or while it was, says
@@ -73,10 +72,48 @@
 	server.probeAt = now.Add(p.config.ProbeInterval)
 }
 
-// slowFactor is how many times the group's typical latency makes a server
-// suspect.
+// learn takes the latency of an answered attempt into what is known about the
+// group. A suspect server says nothing about what a hedge would find, unless
+// there is no better one.
+func (g *Group) learn(now time.Time, server *Server, elapsed time.Duration) {
+	if server.suspect && g.suspects < len(g.members) {
+		return
+	}
+	g.observe(now, elapsed)
+	if g.typical == 0 {
+		g.typical = float64(elapsed)
+	}
+	g.typical += typicalWeight * (float64(elapsed) - g.typical)
+}
+
+func (g *Group) observe(now time.Time, elapsed time.Duration) {
+	g.Latency.Observe(now, elapsed)
+	g.generation.Latency.Observe(now, elapsed)
+}
+
+// lagsBehind reports whether the average latency of a server is far above that
+// of the fastest other server of the group.
+func (g *Group) lagsBehind(server *Server) bool {
+	fastest := time.Duration(0)
+	for _, member := range g.members {
+		average := member.server.latency.Value()
+		if member.server != server && average > 0 && (fastest == 0 || average < fastest) {
+			fastest = average
+		}
+	}
+	return fastest > 0 && server.latency.Value() > slowFactor*fastest
+}
+
+// slowFactor is how many times the group's typical latency, or the average of
+// its fastest server, makes a server suspect.
 const slowFactor = 3
 
+func (p *Pool) suspectFor(now time.Time, server *Server, elapsed time.Duration) {
+	server.latency.Reset(now, elapsed)
+	server.setSuspect(true)
+	server.probeAt = now.Add(p.config.ProbeInterval)
+}
+
 // ObserveSlow takes in that an attempt has been out for some time: the server
 // takes at least as long. A server that takes much longer than its group does
 // is suspect, and gets one attempt at a time until it answers one.
@@ -85,9 +122,7 @@
 		return
 	}
 	if float64(age) > slowFactor*group.typical {
-		server.latency.Reset(now, age)
-		server.setSuspect(true)
-		server.probeAt = now.Add(p.config.ProbeInterval)
+		p.suspectFor(now, server, age)
 	}
 }
 
@@ -97,7 +132,9 @@
 	if float64(age) <= group.typical {
 		return
 	}
-	group.Latency.Observe(now, age)
+	if !server.suspect || group.suspects == len(group.members) {
+		group.observe(now, age)
+	}
 	p.ObserveSlow(now, group, server, age)
 }
 
--- a/internal/balancer/group.go
+++ b/internal/balancer/group.go
@@ -107,6 +107,8 @@
 	Service string
 	Number  uint32
 	Groups  []*Group
+	// Latency is the distribution of the attempts of all groups.
+	Latency *latency.Histogram
 
 	candidates []Candidate
 	stale      bool
@@ -171,7 +173,10 @@
 // groups that exist already. The caller releases the generation when it no
 // longer sends to it.
 func (p *Pool) AddGeneration(now time.Time, service plan.Service, shards plan.Generation) *Generation {
-	generation := &Generation{Service: service.Name, Number: shards.Number, stale: true}
+	generation := &Generation{
+		Service: service.Name, Number: shards.Number, stale: true,
+		Latency: latency.NewHistogram(p.config.LatencyHalfLife),
+	}
 	for index, shard := range shards.Shards {
 		group := &Group{
 			Shard: shard.ID, Name: shard.Name, generation: generation, index: index, made: now, awaited: true,
@@ -198,6 +203,7 @@
 // Inherit takes over the latencies of groups of the same shard and name, so
 // that a change of configuration does not forget them.
 func (g *Generation) Inherit(before *Generation) {
+	g.Latency = before.Latency
 	for index, group := range g.Groups {
 		if index < len(before.Groups) && before.Groups[index].Name == group.Name {
 			group.Latency = before.Groups[index].Latency
--- a/internal/balancer/presence.go
+++ b/internal/balancer/presence.go
@@ -13,6 +13,10 @@
 // server counts as gone.
 const unreachableAfter = 2
 
+// neverReachedAfter is the number of failed probes in a row after which a server
+// that never answered is missed.
+const neverReachedAfter = 20
+
 // denialHold is how long a version that a server refused stays denied while
 // its health endpoint goes on listing it.
 const denialHold = 5 * time.Second
@@ -27,6 +31,8 @@
 	probedAt time.Time
 	// failedProbes counts failures in a row.
 	failedProbes int
+	// missed is set while operators were told that the server is unreachable.
+	missed bool
 	// health is the state that the health endpoint reported last.
 	health backendapi.ReadyState
 	// refused is set by the server's own refusal or reply header, at refusedAt.
@@ -226,6 +232,7 @@
 		server.presence.returnedAt = now
 	}
 	p.announce(server, wasLeaving)
+	p.miss(server)
 	if server.Usable() == wasUsable {
 		for _, member := range server.members {
 			p.judgeCoverage(now, member.group)
@@ -255,7 +262,38 @@
 		p.transitions = append(p.transitions, Transition{
 			Kind: journal.KindDrainDone, Server: server, Own: true, Detail: "by its own word",
 		})
+	case wasLeaving && !presence.leaving() && !presence.announced:
+		p.transitions = append(p.transitions, Transition{
+			Kind: journal.KindDrainDone, Server: server, Detail: "by the word of others",
+		})
+	}
+}
+
+// miss tells when a server stopped answering probes without having said that it
+// leaves, and when it answers again.
+func (p *Pool) miss(server *Server) {
+	presence := &server.presence
+	kind, detail := journal.KindReplicaEjected, "it does not answer"
+	switch {
+	case presence.failedProbes == 0 && presence.missed:
+		kind, detail = journal.KindReplicaReturned, "it answers again"
+	case presence.missed || presence.leaving() || !presence.unreachable():
+		return
+	}
+	presence.missed = !presence.missed
+	service, shard := server.place()
+	p.transitions = append(p.transitions, Transition{
+		Kind: kind, Server: server, Service: service, Shard: shard, Detail: detail,
+	})
+}
+
+// unreachable reports whether enough probes failed to miss the server. One that
+// never answered may just be starting.
+func (p *presence) unreachable() bool {
+	if p.probed {
+		return p.failedProbes >= unreachableAfter
 	}
+	return p.failedProbes >= neverReachedAfter
 }
 
 // recount updates a group and tells when it lost its last usable replica, or
--- a/internal/balancer/presence_test.go
+++ b/internal/balancer/presence_test.go
@@ -180,3 +180,33 @@
 	require.Equal(t, []Candidate{{Version: 2, Shards: 1, Capacity: 0.75}, {Version: 1, Shards: 1, Capacity: 1}},
 		group.Generation().Candidates())
 }
+
+// TestAServerThatIsSlowFromTheStartIsFoundByComparison has no earlier latency
+// to compare with, and a group average that the slow server spoils.
+func TestAServerThatIsSlowFromTheStartIsFoundByComparison(t *testing.T) {
+	pool, group := newPool(2)
+	var servers [2]*Server
+	for replica := range servers {
+		pool.ObserveHealth(start, address(replica), true, ready(1))
+		servers[replica], _ = pool.Server(address(replica))
+	}
+	const rounds = 50
+	for range rounds {
+		for replica, elapsed := range []time.Duration{5 * time.Millisecond, 60 * time.Millisecond} {
+			pool.Begin(servers[replica])
+			pool.Finish(start, group, servers[replica], Result{Outcome: Answered, Elapsed: elapsed})
+		}
+	}
+	require.True(t, servers[1].Suspect())
+	require.False(t, servers[0].Suspect())
+	require.Less(t, group.Latency.Quantile(0.95), 10*time.Millisecond, "hedges go by the good server")
+
+	// With nothing better left, what the server does is what is usual.
+	servers[0].setSuspect(true)
+	for range 2 * rounds {
+		pool.Begin(servers[1])
+		pool.ObserveCancel(start, group, servers[1], 60*time.Millisecond)
+		pool.Finish(start, group, servers[1], Result{Outcome: Refused})
+	}
+	require.Greater(t, group.Latency.Quantile(0.5), 50*time.Millisecond)
+}
--- a/internal/query/hedge.go
+++ b/internal/query/hedge.go
@@ -67,14 +67,19 @@
 	return e.now.Add(delay)
 }
 
-// hedgeDelay is the shard's latency quantile within the policy's bounds; 0
-// means that nothing is known yet (Dean and Barroso, "The Tail at Scale",
-// 2013).
+// hedgeDelay is the shard's latency quantile within the policy's bounds (Dean
+// and Barroso, "The Tail at Scale", 2013). A shard that is not known well yet
+// is taken for one like the others of its shard map. 0 means that nothing is
+// known.
 func hedgeDelay(hedge *plan.Hedge, group *balancer.Group) time.Duration {
-	if group.Latency.Count() < leastObservations {
+	known := group.Latency
+	if known.Count() < leastObservations {
+		known = group.Generation().Latency
+	}
+	if known.Count() < leastObservations {
 		return hedge.Most
 	}
-	delay := max(group.Latency.Quantile(hedge.Quantile), hedge.Least)
+	delay := max(known.Quantile(hedge.Quantile), hedge.Least)
 	if hedge.Most > 0 {
 		delay = min(delay, hedge.Most)
 	}
