Give up a forwarded call once its leader is no longer followed

Cause: a voter that had passed a call on to a leader which was then cut off without a word waited 3 s for the connection to count as broken, whoever led by then. Change: the call ends as "outcome not known" once the voter follows another leader or none; callers resend under the same id.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -54,7 +55,10 @@
 	}
 	forwarded := connect.NewRequest(request.Msg)
 	forwarded.Header().Set(headerForwarded, "1")
-	answer, err := c.remote(server.peersAt(notLeader.LeaderAddress), ctx, forwarded)
+	forwarding, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go server.cancelAfterLeader(forwarding, cancel, notLeader.LeaderID)
+	answer, err := c.remote(server.peersAt(notLeader.LeaderAddress), forwarding, forwarded)
 	if err != nil && !connect.IsWireError(err) && !neverSent(err) {
 		// The call may have reached the leader before the connection broke.
 		return nil, wireError(errors.Wrap(voter.ErrOutcomeUnknown, "the leader's answer was lost"))
@@ -65,6 +69,26 @@
 	return connect.NewResponse(answer.Msg), nil
 }
 
+// leaderPoll is how often a call that was passed on looks who leads.
+const leaderPoll = 20 * time.Millisecond
+
+// cancelAfterLeader cancels a call to a leader once this voter no longer follows
+// it: a leader that is cut off without a word would hold the call until its
+// connection counts as broken. The outcome is then not known, so that the caller
+// asks the new leader under the same id.
+func (s *Server) cancelAfterLeader(ctx context.Context, cancel context.CancelFunc, leader uint64) {
+	ticker := time.NewTicker(leaderPoll)
+	defer ticker.Stop()
+	for s.voter.Status().Leader == leader {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	cancel()
+}
+
 // wireError gives an error the code that clients act on: Aborted when the
 // outcome is not known; all others say that nothing was done.
 func wireError(err error) error {
