Take the caller's own lag off before calling an answer late

The judge's bound by the caller's clock (deadline and 1 s) covers the way back, not the time for which the caller's own process waits for its turn. Change: callers observe by a timer how late their process runs and record, for each answer, how much of its time passed so; the judge takes that off. The bound itself stays, and so does the one by the router's own clock, without tolerance. Conclusion: it is an error of the instrument, which it now measures.

--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -97,7 +97,8 @@
 	ForceBound time.Duration
 	// LateTolerance is how much later than its deadline a caller may receive
 	// an answer that is not marked late. It covers the way back to the caller;
-	// the router's own elapsed time has no tolerance.
+	// the caller's own lag is taken off before, and the router's own elapsed
+	// time has no tolerance.
 	LateTolerance time.Duration
 	// ClockSkew is the greatest difference between the clocks of recorders.
 	ClockSkew time.Duration
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -171,6 +171,9 @@
 		}},
 		{"late by the router's clock", CoverageTrue, func(r *run) { r.answers[sweep].ElapsedMs = 101 }},
 		{"late by the caller's clock", CoverageTrue, func(r *run) { r.answers[refused-1].Received = at(2000) }},
+		{"later than the caller's lag explains", CoverageTrue, func(r *run) {
+			r.answers[send].Received, r.answers[send].CallerLagMs = at(2000), 800
+		}},
 		{"answer to another body", WholeAnswer, func(r *run) {
 			for index := range r.executions {
 				if r.executions[index].Request == "send" {
@@ -248,6 +251,13 @@
 	require.Empty(t, r.judge().Violations())
 }
 
+// A caller whose own process came late read an answer that was there in time.
+func TestLagOfTheCallerIsNoLateness(t *testing.T) {
+	r := cleanRun()
+	r.answers[0].Received, r.answers[0].CallerLagMs = at(2000), 1000
+	require.Empty(t, r.judge().Violations())
+}
+
 // A resend of the same id owns an execution that an earlier refusal does not.
 func TestExecutionOfResendIsNotHeldAgainstRefusal(t *testing.T) {
 	r := cleanRun()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -66,6 +66,7 @@
 	recorder Recorder
 	client   *http.Client
 	ready    *readiness
+	lag      lagMeter
 	slots    chan struct{}
 	inFlight sync.WaitGroup
 }
@@ -99,6 +100,7 @@
 func (c *Callers) Run(ctx context.Context) {
 	probing, endProbes := context.WithCancel(ctx)
 	var probes sync.WaitGroup
+	probes.Go(func() { c.lag.run(probing) })
 	if c.config.ProbeInterval > 0 {
 		for index := range c.config.Routers {
 			probes.Go(func() { c.ready.probe(probing, c.client, index, c.config.ProbeInterval) })
@@ -146,6 +148,7 @@
 func (c *Callers) follow(ctx context.Context, request call) {
 	for try := 0; ; try++ {
 		answer, retryAfter := c.send(ctx, request, try)
+		answer.CallerLagMs = float64(c.lag.between(answer.Sent, answer.Received)) / float64(time.Millisecond)
 		c.recorder.Answer(answer)
 		if answer.Status == http.StatusOK || try >= c.config.Resends {
 			return
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -78,6 +78,10 @@
 	DeadlineMs int64 `json:"deadline_ms"`
 	// ElapsedMs is the router's own time from arrival to decision.
 	ElapsedMs float64 `json:"elapsed_ms,omitempty"`
+	// CallerLagMs is how much of the time from Sent to Received passed while
+	// the caller's process waited for its turn on a busy machine, as observed
+	// by its timers.
+	CallerLagMs float64 `json:"caller_lag_ms,omitempty"`
 	// ConfigRevision is the revision that the router admitted the request
 	// under; 0 when the answer does not say.
 	ConfigRevision uint64 `json:"config_revision,omitempty"`
