--- a/internal/incident/html.go
+++ b/internal/incident/html.go
@@ -53,11 +53,30 @@
 // For writes how long an incident lasted.
 func (p *page) For(one *Incident) string { return one.Lasted(p.Until).Round(time.Second).String() }
 
+// shownInPage is how many incidents of a class, and how many moments in all, a
+// page lists.
+const (
+	shownInPage        = 100
+	momentsShownInPage = 300
+)
+
 // incidentTable is what the template of a table shows.
 type incidentTable struct {
 	Page *page
 	List []*Incident
+	// Hidden is how many incidents were left out.
+	Hidden int
 }
 
 // Table joins incidents with the page, which knows how to write times.
-func (p *page) Table(list []*Incident) incidentTable { return incidentTable{Page: p, List: list} }
+func (p *page) Table(list []*Incident) incidentTable {
+	shown := map[Class]int{}
+	listed := lo.Filter(list, func(one *Incident, _ int) bool {
+		shown[one.Class]++
+		return shown[one.Class] <= shownInPage
+	})
+	return incidentTable{Page: p, List: listed, Hidden: len(list) - len(listed)}
+}
+
+// ShownMoments are the first of the moments.
+func (p *page) ShownMoments() []Moment { return p.Moments[:min(len(p.Moments), momentsShownInPage)] }
--- a/internal/incident/plot.go
+++ b/internal/incident/plot.go
@@ -17,6 +17,7 @@
 	mostRows    = 40
 	tickCount   = 8
 	barsPerPlot = 54
+	tickMargin  = 4
 )
 
 // span is a horizontal bar of the timeline.
@@ -39,6 +40,8 @@
 	Width, Height int
 	Rows          []span
 	Ticks         []tick
+	// TickY is the base line of the ticks' labels.
+	TickY int
 	// Hidden is how many incidents had no room.
 	Hidden int
 }
@@ -84,6 +87,7 @@
 		})
 	}
 	plot.Height = (len(plot.Rows)+1)*rowHeight + barHeight
+	plot.TickY = plot.Height - tickMargin
 	return plot
 }
 
