Give a router no more of the plan than its own cells

Cause: engines, shares and the prober of each router held every back end of the fleet: at 57,000 back ends as many goroutines that woke each second, a map of 57,000 shares built ten times a second, and all of it compared again at each change. A real router beside 40 hollow ones took 765 MB and 35 % of a core while idle, and one that probed 1,224 MB and 6 cores. Change: a router installs the services of whose cells it is, and moves in and out of cells when the live routers change; it hands on the rest as before. A request that meets a router on its way out of a cell is handed on too. Shares of back ends outside the own cells do not exist any more; one that joins a cell begins with half, as before. Conclusion: what a router holds grows with its cells. The plan itself is still whole on every node.

--- a/internal/cell/cells.go
+++ b/internal/cell/cells.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,10 +14,12 @@
 
 // Cells are the cells of all services for one list of live routers. They are
 // worked out when first asked for and remembered, because the list changes
-// less often than the plan. Cells are not safe for concurrent use.
+// less often than the plan. Cells are safe for concurrent use.
 type Cells struct {
 	routers []string
-	known   map[cellKey][]string
+
+	mutex sync.Mutex
+	known map[cellKey][]string
 }
 
 // cellKey is what the members of a cell depend on besides the routers.
@@ -35,6 +38,8 @@
 // descending rank. Size 0 means all routers. The caller must not change them.
 func (c *Cells) Members(service string, size int) []string {
 	key := cellKey{service: service, size: size}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	members, known := c.known[key]
 	if !known {
 		members = Members(service, c.routers, size)
--- a/internal/cell/ledger.go
+++ b/internal/cell/ledger.go
@@ -53,6 +53,19 @@
 	l.current = shares
 }
 
+// Outside notes that the router was not of the cells of some back ends until
+// now, so that it joins them like a router that has just come.
+func (l *Ledger) Outside(addresses []netip.AddrPort) {
+	if !l.holding {
+		return
+	}
+	for _, address := range addresses {
+		if _, held := l.current[address]; !held {
+			l.current[address] = Share{}
+		}
+	}
+}
+
 // Reset drops all shares, because the lease was lost: others may use them.
 func (l *Ledger) Reset() {
 	l.holding = false
--- a/internal/router/cells.go
+++ b/internal/router/cells.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/cell"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/verdict"
@@ -34,10 +33,9 @@
 		return
 	}
 	byName := lo.KeyBy(*peers, func(peer Peer) string { return peer.Name })
-	names := lo.Uniq(append(lo.Keys(byName), r.config.Name))
 	foreign := foreignCells{}
 	for _, service := range installed.Services {
-		members := cell.Members(service.Name, names, service.CellRouters)
+		members := r.cells.Members(service.Name, service.CellRouters)
 		if slices.Contains(members, r.config.Name) {
 			continue
 		}
--- a/internal/router/installation.go
+++ b/internal/router/installation.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/cell"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 )
@@ -16,6 +18,9 @@
 type installation struct {
 	revision uint64
 	plan     *plan.Plan
+	// own is the part of the plan that this router serves itself, by the cells
+	// of its services.
+	own *plan.Plan
 	// owners maps a route to the engine of its service.
 	owners map[string]*engineLoop
 }
@@ -25,17 +30,35 @@
 	if current := r.installed.Load(); current != nil && revision <= current.revision {
 		return
 	}
-	next := &installation{revision: revision, plan: installed, owners: make(map[string]*engineLoop)}
-	for _, route := range installed.Routes {
+	r.put(&installation{revision: revision, plan: installed, own: r.ownPart(installed)})
+	r.logger.WithField("revision", revision).WithField("services", len(installed.Services)).
+		WithField("routes", len(installed.Routes)).Info("configuration installed")
+}
+
+// ownPart returns the part of a plan that this router serves itself. Engines,
+// shares and probes know no other back ends, so that what a router holds and
+// does grows with its cells and not with the fleet.
+func (r *Router) ownPart(whole *plan.Plan) *plan.Plan {
+	if r.config.Alone {
+		return whole
+	}
+	return r.cells.Own(whole, r.config.Name)
+}
+
+// put replaces what is installed. It is called from the configuration source's
+// goroutine.
+func (r *Router) put(next *installation) {
+	next.owners = make(map[string]*engineLoop)
+	for _, route := range next.plan.Routes {
 		next.owners[route.Name] = r.ownerOf(route.Service)
 	}
-	r.shares.installPlan(installed)
+	r.shares.installPlan(next, r.cells)
 	// The engines come first: a request that sees the new owners must find
 	// them ready.
 	acknowledged := make([]chan struct{}, len(r.loops))
 	for index, loop := range r.loops {
 		acknowledged[index] = make(chan struct{})
-		loop.pushNotice(query.ConfigInstalled{Revision: revision, Plan: r.partOf(installed, loop)}, acknowledged[index])
+		loop.pushNotice(query.ConfigInstalled{Revision: next.revision, Plan: r.partOf(next.own, loop)}, acknowledged[index])
 	}
 	for index, loop := range r.loops {
 		select {
@@ -44,13 +67,30 @@
 			return
 		}
 	}
-	r.refreshCells(installed)
+	r.refreshCells(next.plan)
 	// Before the routes are there, so that readiness waits for the probes.
-	r.prober.retarget(r.runContext, r.probeTargets(installed))
+	r.prober.retarget(r.runContext, r.probeTargets(next.own))
 	r.installed.Store(next)
-	r.metrics.revision.Set(float64(revision))
-	r.logger.WithField("revision", revision).WithField("services", len(installed.Services)).
-		WithField("routes", len(installed.Routes)).Info("configuration installed")
+	r.metrics.revision.Set(float64(next.revision))
+}
+
+// moveCells takes in that the live routers changed under a plan.
+func (r *Router) moveCells(current *installation) {
+	own := r.ownPart(current.plan)
+	if sameServices(own, current.own) {
+		r.shares.installPlan(current, r.cells)
+		r.refreshCells(current.plan)
+		return
+	}
+	r.put(&installation{revision: current.revision, plan: current.plan, own: own})
+	r.logger.WithField("services", len(own.Services)).Info("own cells changed")
+}
+
+// sameServices reports whether two parts of one plan have the same services.
+func sameServices(left, right *plan.Plan) bool {
+	return slices.EqualFunc(left.Services, right.Services, func(left, right plan.Service) bool {
+		return left.Name == right.Name
+	})
 }
 
 // ownerOf returns the engine that owns a service. It depends on the name
@@ -127,9 +167,10 @@
 // InstallRouters implements ConfigSink.
 func (r *Router) InstallRouters(routers []Peer) {
 	r.peers.Store(&routers)
-	r.shares.installRouters(routers)
+	names := lo.Map(routers, func(peer Peer, _ int) string { return peer.Name })
+	r.cells = cell.NewCells(lo.Uniq(append(names, r.config.Name)))
 	if current := r.installed.Load(); current != nil {
-		r.refreshCells(current.plan)
+		r.moveCells(current)
 	}
 	r.logger.WithField("routers", len(routers)).Info("live routers changed")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,6 +12,7 @@
 
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/cell"
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/routestats"
@@ -50,8 +51,11 @@
 	installed  atomic.Pointer[installation]
 	leaseUntil atomic.Pointer[time.Time]
 	peers      atomic.Pointer[[]Peer]
-	foreign    atomic.Pointer[foreignCells]
-	forwarder  Forwarder
+	// cells are those of the last list of live routers. They belong to the
+	// configuration source's goroutine.
+	cells     *cell.Cells
+	foreign   atomic.Pointer[foreignCells]
+	forwarder Forwarder
 	// stopping is set once the router reports not ready, refusing once it
 	// admits nothing any more.
 	stopping atomic.Bool
@@ -81,6 +85,7 @@
 		prober: newProber(config, dependencies.Backends),
 		warmer: newWarmer(dependencies.Backends),
 	}
+	created.cells = cell.NewCells([]string{config.Name})
 	created.canceler = newCanceler(created)
 	created.shares = newShareKeeper(created)
 	for index := range config.Engines {
@@ -140,12 +145,21 @@
 
 // dispatch answers a request here, or through a router of its service's cell.
 func (r *Router) dispatch(ctx context.Context, request Request) query.Answer {
-	if route, ok := r.RouteNamed(request.Route); ok && !r.refusing.Load() {
-		if peers := r.cellOf(route.Service); len(peers) > 0 {
-			return r.forward(ctx, peers, route, request)
+	route, known := r.RouteNamed(request.Route)
+	if !known || r.refusing.Load() {
+		return r.QueryLocal(ctx, request)
+	}
+	peers := r.cellOf(route.Service)
+	if len(peers) == 0 {
+		answer := r.QueryLocal(ctx, request)
+		// The router may have left the cell meanwhile.
+		peers = r.cellOf(route.Service)
+		if answer.Err == nil || answer.Verdict != verdict.NotRun ||
+			answer.Err.Reason != verdict.ReasonNoReplica || len(peers) == 0 {
+			return answer
 		}
 	}
-	return r.QueryLocal(ctx, request)
+	return r.forward(ctx, peers, route, request)
 }
 
 // QueryLocal answers a request without handing it to another router.
@@ -158,6 +172,10 @@
 	if !ok {
 		return r.refusalWithoutRetry(verdict.ReasonUnknownRoute, "no route "+strconv.Quote(request.Route))
 	}
+	if _, own := current.own.RouteNamed(request.Route); !own {
+		// A peer with another list of routers handed it over.
+		return r.notOfCell()
+	}
 	id := query.RequestID(r.requests.Add(1))
 	// Room for one answer, so that the engine never waits for a caller.
 	reply := make(chan query.Answer, 1)
@@ -175,6 +193,10 @@
 	}
 	select {
 	case answer := <-reply:
+		if answer.Err != nil && answer.Err.Reason == verdict.ReasonUnknownRoute {
+			// The engine was told first that the router has left the cell.
+			return r.notOfCell()
+		}
 		return answer
 	case <-ctx.Done():
 		owner.pushOutcome(query.CallerGone{Request: id})
@@ -185,6 +207,11 @@
 	}
 }
 
+// notOfCell refuses a request for a service that other routers serve.
+func (r *Router) notOfCell() query.Answer {
+	return r.refusal(verdict.ReasonNoReplica, "this router is not of the service's cell")
+}
+
 func callerGone() query.Answer {
 	return query.Answer{Verdict: verdict.MayHaveRun,
 		Err: &verdict.Error{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonCanceled}}
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -21,10 +21,12 @@
 	// changed wakes run after the inputs changed.
 	changed chan struct{}
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// plan is the whole one, own the part that this router serves itself.
 	plan    *plan.Plan
+	own     *plan.Plan
+	cells   *cell.Cells
 	targets map[netip.AddrPort]probeTarget
-	routers []string
 	ledger  *cell.Ledger
 	// lapsed is set while nothing may be held for want of a lease.
 	lapsed  bool
@@ -39,29 +41,40 @@
 	return &shareKeeper{
 		router:  router,
 		changed: make(chan struct{}, 1),
-		routers: []string{router.config.Name},
 		ledger:  cell.NewLedger(router.config.ShareDelay),
 		lapsed:  true,
 		applied: make(map[netip.AddrPort]cell.Share),
 	}
 }
 
-// installPlan takes in a new plan. The shares of its back ends are applied
-// before it returns, so that no engine uses more than its share of a new one.
-func (k *shareKeeper) installPlan(installed *plan.Plan) {
+// installPlan takes in a new plan or new cells. The shares of its back ends are
+// applied before it returns, so that no engine uses more than its share of a
+// new one.
+func (k *shareKeeper) installPlan(installed *installation, cells *cell.Cells) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.plan, k.targets = installed, k.router.probeTargets(installed)
+	k.ledger.Outside(k.joined(installed.own))
+	k.plan, k.own, k.cells = installed.plan, installed.own, cells
+	k.targets = k.router.probeTargets(installed.own)
 	k.refresh(time.Now())
 }
 
-// installRouters takes in a new list of live routers.
-func (k *shareKeeper) installRouters(routers []Peer) {
-	names := lo.Uniq(append(lo.Map(routers, func(peer Peer, _ int) string { return peer.Name }), k.router.config.Name))
-	k.mutex.Lock()
-	defer k.mutex.Unlock()
-	k.routers = names
-	k.refresh(time.Now())
+// joined returns the back ends that the router had no share of until now,
+// because it was not of their services' cells.
+func (k *shareKeeper) joined(own *plan.Plan) []netip.AddrPort {
+	if k.plan == nil {
+		return nil
+	}
+	var joined []netip.AddrPort
+	for _, service := range own.Services {
+		if _, before := k.own.ServiceNamed(service.Name); before {
+			continue
+		}
+		if former, known := k.plan.ServiceNamed(service.Name); known {
+			joined = append(joined, addressesOf(*former)...)
+		}
+	}
+	return joined
 }
 
 // setLease takes in whether the router may hold connections by its lease.
@@ -84,7 +97,7 @@
 		return
 	}
 	if !k.lapsed && !k.router.config.Alone {
-		k.ledger.Install(now, cell.Shares(k.plan, k.routers, k.router.config.Name))
+		k.ledger.Install(now, k.cells.Shares(k.plan, k.router.config.Name))
 	}
 	k.apply(now)
 	select {
@@ -106,6 +119,7 @@
 	for address := range k.applied {
 		if _, kept := effective[address]; !kept {
 			delete(k.applied, address)
+			k.router.backends.Resize(address, 0)
 		}
 	}
 	return next
@@ -118,7 +132,7 @@
 	case k.plan == nil:
 		return nil, time.Time{}
 	case k.lapsed:
-		return lo.MapValues(cell.Whole(k.plan), func(cell.Share, netip.AddrPort) cell.Share { return cell.Share{} }), time.Time{}
+		return lo.MapValues(cell.Whole(k.own), func(cell.Share, netip.AddrPort) cell.Share { return cell.Share{} }), time.Time{}
 	case k.router.config.Alone:
 		return cell.Whole(k.plan), time.Time{}
 	default:
--- a/internal/router/shares_test.go
+++ b/internal/router/shares_test.go
@@ -22,6 +22,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 const (
@@ -142,7 +143,7 @@
 		router.Dependencies{
 			Logger: logger, Registerer: metrics,
 			Backends: backend.New(backend.Config{Zone: "a"}, backend.Dependencies{Logger: logger, Registerer: metrics}),
-			Claims:   router.NewLocalClaims(), Events: router.EventLog{Logger: logger}, Source: node.source,
+			Claims:   router.NewLocalClaims(), Events: router.EventLog{Logger: logger}, Source: node.source, Forwarder: refuser{},
 			NewEngine: func(int) router.Engine { return query.New(query.Config{Zone: "a"}) },
 		})
 	running, cancel := context.WithCancel(context.Background())
@@ -167,6 +168,13 @@
 	return node
 }
 
+// refuser stands for peers that take nothing.
+type refuser struct{}
+
+func (refuser) Forward(context.Context, router.Peer, router.Request) query.Answer {
+	return query.Answer{Verdict: verdict.NotRun, Err: verdict.Refuse(verdict.ReasonNoReplica, "not here")}
+}
+
 // shares returns the router's connection shares, one per back end.
 func (n *shareNode) shares() []int {
 	return lo.FlatMap(n.Status().Services, func(service router.ServiceStatus, _ int) []int {
@@ -187,6 +195,45 @@
 	}, 30*time.Second, 10*time.Millisecond, "a share of %d was not reached", least)
 }
 
+// With a cell of one router, the others know nothing of the back end and
+// connect to none. When the router of the cell dies, the next one takes over.
+func TestRouterKeepsToItsCells(t *testing.T) {
+	replica := plan.Replica{Address: netip.MustParseAddrPort("127.0.0.1:0"), Zone: "a", Slots: shareLimit, Connections: shareLimit}
+	whole := costPlan(nil, plan.Merge{Kind: plan.MergeConcat})
+	whole.Services[0].CellRouters = 1
+	whole.Services[0].Generations[0].Shards = []plan.Shard{{Name: "all", Replicas: []plan.Replica{replica}}}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	fleet, err := emulator.New(emulator.Config{Plans: []*plan.Plan{whole}, QueuePerSlot: 64, FirstVersion: 1, MaxBody: 1 << 20,
+		Model: servicetime.Model{Default: servicetime.Distribution{Median: time.Millisecond}}},
+		emulator.Dependencies{Logger: logger})
+	require.NoError(t, err)
+	require.NoError(t, fleet.Start())
+	t.Cleanup(fleet.Close)
+	control := &registry{plan: fleet.BoundPlan(whole)}
+	first := startShareNode(t, control, "router-0", 0)
+	second := startShareNode(t, control, "router-1", 0)
+	holds := func(node *shareNode) bool { return lo.Sum(node.shares()) > 0 }
+	require.Eventually(t, func() bool {
+		inCell := lo.CountBy([]*shareNode{first, second}, func(node *shareNode) bool { return len(node.Status().Services) > 0 })
+		return inCell == 1 && holds(first) != holds(second)
+	}, 30*time.Second, 10*time.Millisecond)
+	member, other := first, second
+	if holds(second) {
+		member, other = second, first
+	}
+	member.end()
+	member.source.cutOff()
+	require.Eventually(t, func() bool { return holds(other) }, 30*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		answer := other.Query(t.Context(), router.Request{Route: "find", Body: []byte(`{}`), CallerID: "after"})
+		return answer.Err == nil && answer.Complete
+	}, 30*time.Second, 10*time.Millisecond)
+	for _, server := range fleet.Servers() {
+		require.Zero(t, server.Counts().ConnectionsRefused)
+	}
+}
+
 // Routers join, leave as planned, are cut off from control and die, all under
 // load, and no server ever sees more connections than its limit. Every time
 // the routers that are left take over what has become free.
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -132,7 +132,7 @@
 		return status
 	}
 	status.Revision = current.revision
-	for _, service := range current.plan.Services {
+	for _, service := range current.own.Services {
 		status.Services = append(status.Services, r.serviceStatus(service))
 	}
 	return status
