Step over a kept connection that died before the first byte of a query

Cause: under load net/http gives a connection up when its writer goroutine reports late (50 ms) or the back end has ended it; an attempt that got such a connection failed, although nothing of it had left, and a policy without retries then missed the shard. Change: if the socket proves that no byte was handed to it, the attempt takes another connection, three dead ones at most. They are counted. Conclusion: the proof that makes not_run truthful also makes this safe.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -208,6 +210,36 @@
 	}
 }
 
+// A back end that ends every connection after one reply leaves dead ones in the
+// pool. An attempt that finds one dead before its first byte takes another, and
+// runs once.
+func TestDeadConnectionIsSteppedOver(t *testing.T) {
+	const attempts = 1000
+	server := newRawServer(t, func(server *rawServer, socket *net.TCPConn) {
+		request, err := http.ReadRequest(bufio.NewReader(socket))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, request.Body)
+			server.executions.Add(1)
+			number, _ := strconv.Atoi(strings.TrimPrefix(request.Header.Get(backendapi.HeaderAttempt), "router-0-"))
+			_, _ = socket.Write(wholeReply(attemptTo(server.address, number)))
+		}
+		reset(socket)
+	})
+	sender := newSender(t, Config{})
+	arrived := int64(0)
+	for number := range attempts {
+		outcome := sender.Send(t.Context(), attemptTo(server.address, number))
+		if _, ok := outcome.(query.PartArrived); ok {
+			arrived++
+			continue
+		}
+		require.Equal(t, verdict.MayHaveRun, outcome.(query.AttemptFailed).Verdict, "attempt %d", number)
+	}
+	require.GreaterOrEqual(t, server.executions.Load(), arrived)
+	require.LessOrEqual(t, server.executions.Load(), int64(attempts))
+	require.Positive(t, arrived)
+}
+
 // Whenever a cancellation wins the race against the write, nothing may arrive
 // afterwards.
 func TestCanceledBeforeTheWriteIsNeverWritten(t *testing.T) {
--- a/internal/backend/send.go
+++ b/internal/backend/send.go
@@ -29,26 +29,36 @@
 // Send carries out one attempt and returns its one outcome, a
 // query.PartArrived or a query.AttemptFailed. Ending the context gives the
 // attempt up and closes its connection.
+//
+// A kept connection may turn out to be dead before the first byte of the query
+// was handed to its socket. Then, and only then, another one is taken.
 func (s *Sender) Send(ctx context.Context, attempt query.Send) query.Event {
 	target := s.serverAt(attempt.Address)
-	connected, err := target.queries.acquire(ctx)
-	if err != nil {
-		return s.failure(attempt.Attempt, verdict.NotRun, acquireReason(ctx, err))
-	}
-	connected.socket.begin()
 	name := s.attemptName(attempt.Attempt)
-	request := s.newQuery(ctx, target, &attempt, name)
-	response, err := connected.client.RoundTrip(request)
-	if err != nil {
+	for dead := 0; ; dead++ {
+		connected, err := target.queries.acquire(ctx)
+		if err != nil {
+			return s.failure(attempt.Attempt, verdict.NotRun, acquireReason(ctx, err))
+		}
+		connected.socket.begin()
+		response, err := connected.client.RoundTrip(s.newQuery(ctx, target, &attempt, name))
+		if err == nil {
+			outcome, reusable := s.readReply(ctx, sentQuery{attempt: attempt.Attempt, name: name}, response)
+			target.queries.release(connected, reusable)
+			return outcome
+		}
 		unwritten := connected.socket.seal()
 		target.queries.release(connected, false)
-		return s.failure(attempt.Attempt, writeVerdict(unwritten), transportReason(ctx))
+		if !unwritten || ctx.Err() != nil || dead == maxDeadConnections {
+			return s.failure(attempt.Attempt, writeVerdict(unwritten), transportReason(ctx))
+		}
+		s.metrics.deadConnections.Inc()
 	}
-	outcome, reusable := s.readReply(ctx, sentQuery{attempt: attempt.Attempt, name: name}, response)
-	target.queries.release(connected, reusable)
-	return outcome
 }
 
+// maxDeadConnections bounds the dead connections that one attempt steps over.
+const maxDeadConnections = 3
+
 // writeVerdict is the verdict on an attempt whose reply did not come.
 func writeVerdict(unwritten bool) verdict.Verdict {
 	if unwritten {
