Test the return of a cut-off follower on the core's own clock

Cause: the test of the whole process asked that no election happens while machines are busy; at a load of 300 on 12 cores one did, rightly, and the test failed. Change: the same property on the core with its virtual clock: twenty timeouts cut off, then no change of term or leader. The lost test is replaced by this stricter one, which also compares the logs.

--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -276,6 +276,31 @@
 	require.Equal(t, term, c.nodes[1].core.hardState.Term)
 }
 
+// TestReturnedVoterDisturbsNobody cuts a follower off for many election
+// timeouts. On its return the leader and its term stay (§9.6).
+func TestReturnedVoterDisturbsNobody(t *testing.T) {
+	c := newCluster(t)
+	c.elect(1, 2, 3)
+	term := c.nodes[1].core.hardState.Term
+	for range 20 {
+		c.nodes[3].clock = c.nodes[3].clock.Add(2 * DefaultElectionTimeout)
+		c.step(c.nodes[3], Wake{})
+	}
+	require.Equal(t, PreCandidate, c.nodes[3].core.role)
+	last := c.proposeOn(1, []byte("meanwhile"))
+	c.exchange(among(1, 2))
+	require.Equal(t, last, c.nodes[1].core.commit)
+	c.exchange(among(1, 2, 3))
+	c.nodes[1].clock = c.nodes[1].clock.Add(DefaultHeartbeat)
+	c.step(c.nodes[1], Wake{})
+	c.exchange(among(1, 2, 3))
+	require.Equal(t, Leader, c.nodes[1].core.role)
+	for _, id := range []uint64{1, 2, 3} {
+		require.Equal(t, term, c.nodes[id].core.hardState.Term)
+		require.Equal(t, last, c.nodes[id].core.log.lastIndex())
+	}
+}
+
 // TestDiskFailureEndsAllPromises checks that a voter whose disk failed neither
 // votes, acknowledges, proposes nor writes.
 func TestDiskFailureEndsAllPromises(t *testing.T) {
--- a/internal/control/cutoff_test.go
+++ b/internal/control/cutoff_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/martenstage/martenstage/internal/consensus"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 )
 
@@ -141,24 +140,3 @@
 		})
 	}
 }
-
-// TestReturnedVoterDisturbsNobody cuts a follower off for many election
-// timeouts. On its return the leader and its term stay.
-func TestReturnedVoterDisturbsNobody(t *testing.T) {
-	t.Parallel()
-	cluster := newTestCluster(t, 3, func(options *Options) {
-		options.Heartbeat, options.ElectionTimeout = 50*time.Millisecond, 250*time.Millisecond
-	})
-	require.Equal(t, accepted, apply(t, cluster.client(), "one", "one", 0).GetResult())
-	leader := cluster.leader()
-	follower := cluster.others(leader)[0]
-	term := leader.process.voter.Status().Term
-	follower.cut.Store(true)
-	require.Eventually(t, func() bool {
-		return follower.process.voter.Status().Role == consensus.PreCandidate
-	}, testTimeout, 5*time.Millisecond)
-	require.Equal(t, accepted, apply(t, cluster.client(cluster.others(follower)...), "two", "two", 1).GetResult())
-	follower.cut.Store(false)
-	require.Eventually(t, func() bool { return follower.process.server.latest().Number == 2 }, testTimeout, 20*time.Millisecond)
-	require.Equal(t, term, follower.process.voter.Status().Term)
-}
