--- a/internal/incident/task.go
+++ b/internal/incident/task.go
@@ -36,11 +36,11 @@
 		over: "it is covered again; find out why all its replicas were away at once, and consider one more replica",
 	},
 	{
-		class: VoterLost, page: "replace-voter.md",
+		class: VoterLost, page: "replacing-a-control-machine.md",
 		open: "look at the machine; if it is gone for good, replace the voter before a second one fails",
 	},
 	{
-		class: DiskFailed, page: "replace-voter.md",
+		class: DiskFailed, page: "replacing-a-control-machine.md",
 		open: "the process does not trust its disk any more: check the disk, then restart or replace the process",
 		over: "the process was restarted after its disk failed; check the disk before it fails again",
 	},
@@ -57,7 +57,7 @@
 		open: "routers send it no work because its attempts failed; look at the back end's own log",
 	},
 	{
-		class: DiskSlow, page: "replace-voter.md",
+		class: DiskSlow, page: "replacing-a-control-machine.md",
 		over: "writes took over a second; look for what else uses the disk",
 	},
 	{
