Hold a word of departure for 5 s after it was taken back, not 15 s

Change: the hold is 5 s. Control joins the words of platform, operators and routers already, so the hold has to cover no more than the time in which a new leader is told again. Words are late by the lag of the list, so a restart still takes a server out twice.

--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -33,7 +33,7 @@
 	DefaultProbeInterval = time.Second
 	DefaultZonePenalty   = 1.25
 	DefaultLoadHalfLife  = time.Second
-	DefaultWordHold      = 15 * time.Second
+	DefaultWordHold      = 5 * time.Second
 	DefaultDrainDistrust = 5 * time.Minute
 	DefaultEjectionTime  = 2 * time.Second
 	DefaultEjectionFloor = 0.5
@@ -56,7 +56,8 @@
 	// LoadHalfLife is the age at which a reported load counts half.
 	LoadHalfLife time.Duration
 	// WordHold is how long the word of others that a machine leaves outweighs
-	// a later word that it lives: lists lag.
+	// a later word that it lives: lists lag, and a new leader's list is empty
+	// until it was told.
 	WordHold time.Duration
 	// DrainDistrust is how long a health endpoint that says ready all along is
 	// not believed after the server itself refused work as draining.
