End a router's observations at a relay with its lease there

Cause: a router that saw a back end leave, moved to another relay and took its word back there was still vouched for by the first relay, which told the old word to a new leader for up to 30 s. Change: a relay drops what a router observed when its lease there lapses. The simulator's relay reports like the product's: changes, everything to a new server or leader, and again after 30 s.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/follower"
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/membership"
 )
 
 func TestChangeComesIntoForceThroughRelays(t *testing.T) {
@@ -35,3 +39,19 @@
 		fleet.running.Wait()
 	})
 }
+
+// A router that moved on takes its words back elsewhere; this relay must not
+// tell them again, to a new leader for example.
+func TestObservationsEndWithTheLeaseOfTheirRouter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	known := newTables()
+	for _, router := range []string{"router-1", "router-2"} {
+		known.Observe(now, membership.Observation{Address: "10.0.0.1:7000", State: membership.Leaving, Router: router})
+	}
+	known.LapseChild(now, "router-2")
+
+	request := &v1.SyncRequest{}
+	known.report(now, follower.Upstream{Address: "control-1", Term: 2}, false, request)
+	require.Len(t, request.GetObservations(), 1)
+	require.Equal(t, "router-1", request.GetObservations()[0].GetSource())
+}
--- a/internal/relay/tables.go
+++ b/internal/relay/tables.go
@@ -106,12 +106,19 @@
 	known.lapsed = true
 }
 
-// LapseChild notes that a direct child is gone.
+// LapseChild notes that a direct child is gone. What it observed is no longer
+// passed on: a router that follows another server now tells that one, and takes
+// its words back there.
 func (t *tables) LapseChild(now time.Time, gone string) {
 	t.Lapse(now, membership.Direct, gone)
 	for name := range t.children {
 		t.Lapse(now, gone, name)
 	}
+	for key := range t.observations {
+		if key.router == gone {
+			delete(t.observations, key)
+		}
+	}
 }
 
 // Observe keeps an observation to pass it on.
--- a/internal/simulation/follower.go
+++ b/internal/simulation/follower.go
@@ -29,6 +29,13 @@
 	granter func() *granter
 }
 
+// reportTarget is whom reports are told to: everything is told again to another
+// server, and to another leader.
+type reportTarget struct {
+	process *process
+	term    uint64
+}
+
 // sink takes what a follower learns.
 type sink interface {
 	installPlan(revision uint64, installed *plan.Plan)
@@ -61,8 +68,10 @@
 	holding bool
 
 	observations []seen
-	// prepare adds the reports of a relay to a call.
-	prepare func(*syncRequest)
+	// prepare adds the reports of a relay to a call, delivered notes that they
+	// have arrived.
+	prepare   func(reportTarget, *syncRequest)
+	delivered func(time.Time, reportTarget)
 	// current numbers the call under way; a poke ends it and begins another.
 	current, sent, completed, wanted uint64
 	sentAt                           time.Time
@@ -85,7 +94,8 @@
 func newFollower(process *process, role string, upstreams []upstream, sink sink) *follower {
 	return &follower{
 		process: process, role: role, upstreams: upstreams, sink: sink,
-		routers: membership.NewRouterTable(), machines: membership.NewMachineTable(), prepare: func(*syncRequest) {},
+		routers: membership.NewRouterTable(), machines: membership.NewMachineTable(), prepare: func(reportTarget, *syncRequest) {},
+		delivered: func(time.Time, reportTarget) {},
 	}
 }
 
@@ -129,19 +139,20 @@
 	if f.wanted <= f.completed {
 		request.hold = lease.RenewInterval * time.Duration(80+f.process.world.timing.IntN(20)) / 100
 	}
-	f.prepare(&request)
+	told := reportTarget{target.process, f.holder.Term()}
+	f.prepare(told, &request)
 	f.process.world.call(call{
 		from: f.process, to: target.process, timeout: lease.RenewInterval + callMargin, repeatable: true,
 		handle: func(back reply) { target.granter().sync(request, back) },
 		done: func(result callResult) {
 			if number == f.current && !f.left {
-				f.returned(target, round, sentAt, result)
+				f.returned(target, told, round, sentAt, result)
 			}
 		},
 	})
 }
 
-func (f *follower) returned(target upstream, round uint64, sentAt time.Time, result callResult) {
+func (f *follower) returned(target upstream, told reportTarget, round uint64, sentAt time.Time, result callResult) {
 	defer f.noticeLapse()
 	if result.failed {
 		f.noticeLoss(target)
@@ -158,6 +169,7 @@
 		return
 	}
 	f.granted, f.lost = target.process, nil
+	f.delivered(f.process.now(), told)
 	f.failures, f.redirects = 0, 0
 	f.complete(round)
 	f.call()
--- a/internal/simulation/relay.go
+++ b/internal/simulation/relay.go
@@ -33,11 +33,11 @@
 	r.follow = newFollower(&r.process, membership.RoleRelay, r.world.controlUpstreams(), r)
 	r.tables = &relayTables{
 		follow: r.follow, children: map[string]membership.NodeView{},
-		observations: map[observationKey]seen{},
+		observations: map[observationKey]*passedOn{},
 	}
 	r.granter = newGranter(&r.process, false, r.tables, r)
 	r.granter.onProgress = r.follow.poke
-	r.follow.prepare = r.report
+	r.follow.prepare, r.follow.delivered = r.report, r.tables.delivered
 	r.world.trace.note(r.name(), "relay_started", "boot", r.boot)
 	r.granter.start()
 	r.follow.start()
@@ -50,13 +50,17 @@
 }
 
 // report sums up what the relay's followers reported.
-func (r *relay) report(request *syncRequest) {
+func (r *relay) report(to reportTarget, request *syncRequest) {
 	request.subtree = r.granter.revisionInForce()
 	for _, name := range sortedKeys(r.tables.children) {
 		request.followers = append(request.followers, r.tables.children[name])
 	}
 	for _, key := range sortedObservations(r.tables.observations) {
-		request.observations = append(request.observations, r.tables.observations[key].Observation)
+		known := r.tables.observations[key]
+		known.pending = known.told != to || r.now().Sub(known.toldAt) >= reportAgain
+		if known.pending {
+			request.observations = append(request.observations, known.Observation)
+		}
 	}
 }
 
@@ -99,11 +103,23 @@
 
 type observationKey struct{ address, router string }
 
+// reportAgain is how often an observation is passed on that was passed on
+// before.
+const reportAgain = 30 * time.Second
+
+// passedOn is an observation of a router below, and whom it was told to.
+type passedOn struct {
+	seen
+	told    reportTarget
+	toldAt  time.Time
+	pending bool
+}
+
 // relayTables are what a relay spreads, heard from above, and what it reports.
 type relayTables struct {
 	follow       *follower
 	children     map[string]membership.NodeView
-	observations map[observationKey]seen
+	observations map[observationKey]*passedOn
 }
 
 // StartTerm implements the product's Tables: children keep their leases.
@@ -124,12 +140,42 @@
 }
 
 // LapseChild notes that a direct child is gone.
-func (t *relayTables) LapseChild(now time.Time, child string) { t.Lapse(now, membership.Direct, child) }
+func (t *relayTables) LapseChild(now time.Time, child string) {
+	t.Lapse(now, membership.Direct, child)
+	for _, key := range sortedObservations(t.observations) {
+		if key.router == child {
+			delete(t.observations, key)
+		}
+	}
+}
 
 // Observe keeps an observation to pass it on.
 func (t *relayTables) Observe(now time.Time, observation membership.Observation) {
 	key := observationKey{observation.Address, observation.Router}
-	t.observations[key] = seen{Observation: observation, until: now.Add(membership.ObservationLifetime)}
+	known, found := t.observations[key]
+	switch {
+	case !found && observation.State == membership.Live:
+		return
+	case !found:
+		known = &passedOn{}
+		t.observations[key] = known
+	case known.State != observation.State:
+		known.told, known.pending = reportTarget{}, false
+	}
+	known.seen = seen{Observation: observation, until: now.Add(membership.ObservationLifetime)}
+}
+
+// delivered notes that a report has arrived.
+func (t *relayTables) delivered(now time.Time, to reportTarget) {
+	for key, known := range t.observations {
+		if !known.pending {
+			continue
+		}
+		known.pending, known.told, known.toldAt = false, to, now
+		if known.State == membership.Live {
+			delete(t.observations, key)
+		}
+	}
 }
 
 // Expire drops observations that were not repeated.
