--- a/cmd/martenbench/simulate.go
+++ b/cmd/martenbench/simulate.go
@@ -20,7 +20,7 @@
 	Scenario string `long:"scenario" default:"random" description:"Scenario, or several joined by +; \"list\" prints their names"`
 	Parallel int    `long:"parallel" description:"Runs at once; 0 means one for each processor"`
 	JSON     bool   `long:"json" description:"End with one line of JSON"`
-	Trace    bool   `long:"trace" description:"Print what happens, a line each; runs follow each other then"`
+	Trace    string `long:"trace" description:"File for what happens, a line each; \"-\" is standard output. Runs follow each other then"`
 }
 
 // gcPercent lets the heap grow further than usual before it is collected: a run
@@ -38,10 +38,17 @@
 	if config.Parallel <= 0 {
 		config.Parallel = runtime.GOMAXPROCS(0)
 	}
-	if c.Trace {
-		config.Trace, config.Parallel = os.Stdout, 1
+	trace, err := c.openTrace()
+	if err != nil {
+		return err
+	}
+	if trace != nil {
+		config.Trace, config.Parallel = trace, 1
 	}
 	result, err := simulation.Run(config)
+	if trace != nil && trace != os.Stdout {
+		err = errors.CombineErrors(err, trace.Close())
+	}
 	if err != nil {
 		return exitcode.With(exitcode.Usage, err)
 	}
@@ -53,3 +60,15 @@
 	}
 	return nil
 }
+
+// openTrace returns where the trace goes, nil for nowhere.
+func (c *simulateCommand) openTrace() (*os.File, error) {
+	switch c.Trace {
+	case "":
+		return nil, nil
+	case "-":
+		return os.Stdout, nil
+	}
+	file, err := os.Create(c.Trace)
+	return file, errors.Wrap(err, "trace")
+}
--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -207,6 +207,11 @@
 	w := s.caller.world
 	w.judge.AddAnswer(record)
 	w.answers[record.Verdict]++
+	w.hedges += record.Hedges
+	w.retries += record.Retries
+	if len(record.Covered) > 0 && len(record.Missing) > 0 {
+		w.partial++
+	}
 	if record.Status == http.StatusOK && record.Complete {
 		w.completed[s.route] = w.queue.Now()
 	}
--- a/internal/simulation/fault.go
+++ b/internal/simulation/fault.go
@@ -63,6 +63,7 @@
 	w.disturbed = w.disturbed || !slices.Contains(backendNodes, fault.Node) && fault.Kind != FaultRoll && fault.Kind != FaultMark
 	w.queue.At(fault.At, func() {
 		w.faults++
+		w.faultKinds[fault.Kind]++
 		w.trace.note("world", "fault_begins", "fault", fault.String())
 		end := w.inject(fault)
 		w.queue.After(fault.For, func() {
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -40,6 +40,12 @@
 	LeaderChanges  int     `json:"leader_changes"`
 	VirtualSeconds float64 `json:"virtual_seconds"`
 	WallSeconds    float64 `json:"wall_seconds"`
+	// The rest is for people and tests.
+	Hedges           int `json:"-"`
+	Retries          int `json:"-"`
+	Partial          int `json:"-"`
+	MessagesLost     int `json:"-"`
+	MessagesRepeated int `json:"-"`
 	// Failed lists the seeds with violations, the first ones.
 	Failed []FailedRun `json:"failed,omitempty"`
 }
@@ -49,8 +55,11 @@
 	Seed       uint64            `json:"seed"`
 	Violations []judge.Violation `json:"violations,omitempty"`
 	Failures   []Failure         `json:"failures,omitempty"`
-	// Replay is the command that repeats the run with its trace.
+	// Replay is the command that repeats the run with its whole trace.
 	Replay string `json:"replay"`
+	// Trace is what happened to the fleet and to the requests concerned; only
+	// the first failed run has it.
+	Trace string `json:"-"`
 }
 
 // Outcome is what came of one run.
@@ -94,9 +103,26 @@
 	workers.Wait()
 	result := sum(outcomes, config.Scenario)
 	result.WallSeconds = time.Since(began).Seconds()
+	if len(result.Failed) > 0 && config.Trace == nil {
+		result.Failed[0].Trace = traceOf(&result.Failed[0], config.Scenario)
+	}
 	return result, nil
 }
 
+// traceOf repeats a failed run and returns the lines of its trace that are
+// about the fleet, or about the requests that were violated.
+func traceOf(failed *FailedRun, scenario string) string {
+	concerned := map[string]bool{}
+	for _, violation := range failed.Violations {
+		concerned[violation.Request] = true
+	}
+	var lines strings.Builder
+	if _, err := runTraced(failed.Seed, scenario, &lines, func(subject string) bool { return concerned[subject] }); err != nil {
+		return err.Error()
+	}
+	return lines.String()
+}
+
 func sum(outcomes []*Outcome, scenario string) Result {
 	result := Result{Runs: len(outcomes)}
 	digest := xxhash.New()
@@ -108,6 +134,11 @@
 		result.ConfigChanges += world.configChanges
 		result.LeaderChanges += world.leaderChanges
 		result.VirtualSeconds += world.queue.Now().Seconds()
+		result.Hedges += world.hedges
+		result.Retries += world.retries
+		result.Partial += world.partial
+		result.MessagesLost += int(world.network.Lost)
+		result.MessagesRepeated += int(world.network.Repeated)
 		result.Violations += len(outcome.Violations) + len(outcome.Failures)
 		if outcome.Failed() && len(result.Failed) < maxFailed {
 			result.Failed = append(result.Failed, FailedRun{
@@ -122,20 +153,22 @@
 
 // Replay returns the command that repeats a run with its trace.
 func Replay(seed uint64, scenario string) string {
-	return fmt.Sprintf("martenbench simulate --seed %d --runs 1 --scenario %s --trace", seed, lo.CoalesceOrEmpty(scenario, defaultScenario))
+	return fmt.Sprintf("martenbench simulate --seed %d --runs 1 --scenario %s --trace=-", seed, lo.CoalesceOrEmpty(scenario, defaultScenario))
 }
 
-// RunSeed makes one run of a scenario.
+// RunSeed makes one run of a scenario and traces it, but for the messages among
+// voters, to output if that is not nil.
 func RunSeed(seed uint64, scenario string, output io.Writer) (*Outcome, error) {
+	return runTraced(seed, scenario, output, func(subject string) bool { return subject != subjectRaft })
+}
+
+func runTraced(seed uint64, scenario string, output io.Writer, wanted func(subject string) bool) (*Outcome, error) {
 	chosen, err := scenarioNamed(scenario)
 	if err != nil {
 		return nil, err
 	}
 	w := newWorld(seed)
-	w.trace.output = output
-	if output != nil {
-		w.trace.wanted = func(subject string) bool { return subject != "raft" }
-	}
+	w.trace.output, w.trace.wanted = output, wanted
 	chosen(w)
 	return w.run(), nil
 }
@@ -243,7 +276,7 @@
 		for _, failure := range failed.Failures {
 			fmt.Fprintf(output, "  %s: %s\n", failure.Property, failure.Detail)
 		}
-		fmt.Fprintf(output, "  replay: %s\n", failed.Replay)
+		fmt.Fprintf(output, "%s  replay: %s\n", failed.Trace, failed.Replay)
 	}
 	if asJSON {
 		r.Failed = nil
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -275,9 +275,8 @@
 func nightFailure(w *World) {
 	random := w.drawer()
 	const length = 12 * time.Second
-	inUse := groupsOf[1] * 2
 	for _, node := range []string{
-		lo.SampleBy(backendNodes[:inUse], random.IntN), relayName(random.IntN(relayCount)), voterName(random.IntN(voterCount)),
+		lo.SampleBy(alwaysUsed(), random.IntN), relayName(random.IntN(relayCount)), voterName(random.IntN(voterCount)),
 	} {
 		w.schedule(Fault{Kind: FaultCrash, Node: node, At: spread(random, length), For: length})
 		w.expected = append(w.expected, node)
@@ -285,5 +284,14 @@
 	w.operatorsAway = true
 }
 
+// alwaysUsed are the back ends that every configuration names.
+func alwaysUsed() []string {
+	return lo.Filter(backendNodes, func(node string, _ int) bool {
+		return lo.EveryBy(configurations, func(candidate configuration) bool {
+			return strings.Contains(candidate.text(), "replica "+node+" ")
+		})
+	})
+}
+
 func routerName(index int) string { return "router-" + string(rune('1'+index)) }
 func relayName(index int) string  { return "relay-" + string(rune('1'+index)) }
--- a/internal/simulation/trace.go
+++ b/internal/simulation/trace.go
@@ -11,6 +11,9 @@
 	"github.com/martenstage/martenstage/internal/simulation/clock"
 )
 
+// subjectRaft is that of the messages among voters.
+const subjectRaft = "raft"
+
 // trace digests what happens, and writes it for people if asked to.
 type trace struct {
 	queue  *clock.Queue
--- a/internal/simulation/voter.go
+++ b/internal/simulation/voter.go
@@ -157,7 +157,7 @@
 		if to == nil {
 			continue
 		}
-		v.world.trace.detail(v.name(), "message", "raft", "type", int(message.Type), "to", message.To, "term", message.Term,
+		v.world.trace.detail(v.name(), "message", subjectRaft, "type", int(message.Type), "to", message.To, "term", message.Term,
 			"index", message.LogIndex, "entries", len(message.Entries), "commit", message.Commit, "reject", message.Reject)
 		v.world.network.Send(network.Message{From: &v.place, To: &to.place, Repeatable: true, Arrive: func() {
 			to.deliver(to.boot, func() {
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -82,6 +82,8 @@
 	operatorsAway bool
 
 	requests, faults, configChanges, leaderChanges int
+	hedges, retries, partial                       int
+	faultKinds                                     map[FaultKind]int
 }
 
 // Failure is a breach that the records do not show: of a safety property of
@@ -114,7 +116,8 @@
 			Stragglers: servicetime.Stragglers{Fraction: 0.08, Factor: 8, Period: 5 * time.Second},
 		},
 		backendAt: map[netip.AddrPort]*backend{}, completed: map[string]time.Duration{}, answers: map[string]int{},
-		lastVoter: voterCount, version: firstVersion, replaced: func() {},
+		faultKinds: map[FaultKind]int{},
+		lastVoter:  voterCount, version: firstVersion, replaced: func() {},
 		trafficEnd: faultsEnd + calm + checkFor, horizon: faultsEnd + calm + checkFor + 3*time.Second,
 	}
 	w.raft = newRaftChecks(w)
@@ -357,7 +360,7 @@
 	return slices.Sorted(maps.Keys(values))
 }
 
-func sortedObservations(observations map[observationKey]seen) []observationKey {
+func sortedObservations(observations map[observationKey]*passedOn) []observationKey {
 	return slices.SortedFunc(maps.Keys(observations), func(left, right observationKey) int {
 		return cmp.Or(cmp.Compare(left.address, right.address), cmp.Compare(left.router, right.router))
 	})
