--- a/cmd/martenstage/journal_test.go
+++ b/cmd/martenstage/journal_test.go
@@ -274,11 +274,14 @@
 	for _, process := range processes {
 		process.start(t)
 	}
-	told := func(source string, kind journal.Kind) int {
+	told := func(source string, kind journal.Kind) uint64 {
 		response, err := client.Events(ctx, &v1.ListEventsRequest{Limit: 1000})
 		require.NoError(t, err)
-		return lo.CountBy(response.GetEvents(), func(event *v1.Event) bool {
-			return event.GetSource() == source && event.GetKind() == string(kind)
+		return lo.SumBy(response.GetEvents(), func(event *v1.Event) uint64 {
+			if event.GetSource() != source || event.GetKind() != string(kind) {
+				return 0
+			}
+			return event.GetCount()
 		})
 	}
 	require.Eventually(t, func() bool {
--- a/internal/incident/pairing.go
+++ b/internal/incident/pairing.go
@@ -42,8 +42,9 @@
 type ongoing struct {
 	*Incident
 	witnesses map[string]bool
-	// holding are the witnesses that saw it begin and not end.
-	holding map[string]bool
+	// holding are the witnesses that saw it begin and not end, with the time at
+	// which they saw it begin last.
+	holding map[string]time.Time
 	// lastEnd is when a witness last saw it end; Ended while nobody holds it.
 	lastEnd time.Time
 	// doubted is when a new leader took over that has yet to confirm it.
@@ -167,12 +168,17 @@
 	}
 	open.Ended = time.Time{}
 	open.doubted = time.Time{}
-	open.holding[event.Source] = true
+	open.holding[event.Source] = lastOf(event)
 	open.see(event)
 }
 
 func (p *pairing) end(about key, event journal.Event) {
-	if open, known := p.latest[about]; known && open.holding[event.Source] {
+	open, known := p.latest[about]
+	if !known {
+		return
+	}
+	// Joined events overlap: the last beginning may come after the last end.
+	if begun, holds := open.holding[event.Source]; holds && !lastOf(event).Before(begun) {
 		p.release(open, event.Source, lastOf(event))
 	}
 }
@@ -188,7 +194,7 @@
 }
 
 func (p *pairing) release(open *ongoing, witness string, now time.Time) {
-	if !open.holding[witness] {
+	if _, holds := open.holding[witness]; !holds {
 		return
 	}
 	delete(open.holding, witness)
@@ -227,7 +233,7 @@
 			Class: about.class, Subject: about.subject, Service: event.Service, Shard: event.Shard,
 			Detail: event.Detail, Begun: event.Time,
 		},
-		witnesses: map[string]bool{}, holding: map[string]bool{},
+		witnesses: map[string]bool{}, holding: map[string]time.Time{},
 	}
 	p.latest[about] = open
 	p.incidents = append(p.incidents, open)
--- a/internal/incident/report_test.go
+++ b/internal/incident/report_test.go
@@ -141,6 +141,21 @@
 	}
 }
 
+// TestJoinedEventsOverlap pairs events that stand for several: what began again
+// after its last end goes on.
+func TestJoinedEventsOverlap(t *testing.T) {
+	events := []journal.Event{
+		{Time: evening("19:00:00"), LastTime: evening("19:20:00"), Count: 9, Kind: journal.KindReplicaEjected, Source: "router-1", Address: "10.1.0.1:7000"},
+		{Time: evening("19:00:30"), LastTime: evening("19:18:00"), Count: 8, Kind: journal.KindReplicaReturned, Source: "router-1", Address: "10.1.0.1:7000"},
+		{Time: evening("19:00:00"), LastTime: evening("19:10:00"), Count: 4, Kind: journal.KindReplicaEjected, Source: "router-1", Address: "10.1.0.2:7000"},
+		{Time: evening("19:00:30"), LastTime: evening("19:11:00"), Count: 4, Kind: journal.KindReplicaReturned, Source: "router-1", Address: "10.1.0.2:7000"},
+	}
+	report := New(events, Request{Since: evening("18:00:00"), Until: evening("20:00:00")})
+	again, over := one(t, report, ReplicaEjected, "10.1.0.1:7000"), one(t, report, ReplicaEjected, "10.1.0.2:7000")
+	require.True(t, again.Open())
+	require.Equal(t, evening("19:11:00"), over.Ended)
+}
+
 // TestReportOfOneService leaves other services out and keeps the fleet's own.
 func TestReportOfOneService(t *testing.T) {
 	report := New(madeNight(), Request{Since: evening("18:00:00"), Until: morning("07:30:00"), Service: "seat-finder"})
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -85,7 +85,7 @@
 	}
 	m.drains.version = snapshot.GetDrainsVersion()
 	for _, event := range snapshot.GetEvents() {
-		m.journal.append(event, m.limits)
+		m.journal.insert(event, m.limits)
 	}
 	m.journal.dropped += snapshot.GetEventsDropped()
 	return nil
