Show what a change would touch before it is submitted, and name who changed voters

Cause: an operator saw the extent of a change only after it was accepted, and events of added and removed voters did not say by whom. A voter that passes a call on names the operator of the certificate, so that the leader records it.

--- a/cmd/martenstage/config.go
+++ b/cmd/martenstage/config.go
@@ -15,7 +15,6 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
-	"github.com/martenstage/martenstage/internal/policy"
 )
 
 // configCommands are the commands under "config".
@@ -25,6 +24,7 @@
 		{Name: "get", Short: "Print a configuration", Data: &configGet{}},
 		{Name: "history", Short: "List accepted configurations, newest first", Data: &configHistory{}},
 		{Name: "diff", Short: "Describe what changed between two revisions", Data: &configDiff{}},
+		{Name: "lint", Short: "Look for likely mistakes and risks in an accepted configuration", Data: &configLint{}},
 		{Name: "rollback", Short: "Submit the text of an earlier revision as a new one", Data: &configRollback{}},
 	}
 }
@@ -35,6 +35,7 @@
 	Expected    *uint64       `long:"expected" value-name:"N" description:"Revision that the change was written against (default: the current one)"`
 	ChangeID    string        `long:"change-id" description:"Id of the change; a repeated id gets the first result (default: a new one)"`
 	Comment     string        `long:"comment" description:"Why, for the history"`
+	DryRun      bool          `long:"dry-run" description:"Submit nothing; show which routes, shards and connections the change would touch, and what is risky about it"`
 	Wait        bool          `long:"wait" description:"Wait until the revision is in force on every router"`
 	WaitTimeout time.Duration `long:"wait-timeout" default:"60s" description:"Longest wait until in force"`
 }
@@ -52,6 +53,11 @@
 	if err != nil {
 		return err
 	}
+	if c.DryRun {
+		return c.preview(func(context.Context, *control.Client) (proposal, error) {
+			return proposal{name: c.Arguments.File, text: text}, nil
+		})
+	}
 	return c.submit(&v1.ApplyRequest{Text: text})
 }
 
@@ -76,6 +82,12 @@
 	if c.Arguments.Revision == 0 {
 		return exitcode.With(exitcode.Usage, errors.New("revisions begin at 1"))
 	}
+	if c.DryRun {
+		return c.preview(func(ctx context.Context, client *control.Client) (proposal, error) {
+			revision, err := client.Get(ctx, c.Arguments.Revision)
+			return proposal{name: revisionName(revision), text: revision.GetText()}, err
+		})
+	}
 	return c.submit(&v1.ApplyRequest{RollbackTo: c.Arguments.Revision})
 }
 
@@ -252,6 +264,5 @@
 	if err != nil {
 		return nil, err
 	}
-	compiled, err := policy.Compile(fmt.Sprintf("revision %d", revision.GetNumber()), []byte(revision.GetText()))
-	return compiled, errors.Wrap(err, "an older version of the language?")
+	return compileRevision(revision)
 }
--- a/cmd/martenstage/examples.go
+++ b/cmd/martenstage/examples.go
@@ -25,11 +25,12 @@
 	"events":  {"martenstage events --since 18:00 --service seat-finder", "martenstage events --since 12h --json"},
 	"report":  {"martenstage report --since 18:00", "martenstage report --since 18:00 --html report.html"},
 
-	"config apply":    {"martenstage config apply site.policy --comment \"more patience\" --wait"},
+	"config apply":    {"martenstage config apply site.policy --dry-run", "martenstage config apply site.policy --comment \"more patience\" --wait"},
 	"config get":      {"martenstage config get > site.policy", "martenstage config get --revision 7"},
 	"config history":  {"martenstage config history --limit 5"},
 	"config diff":     {"martenstage config diff 7 8"},
-	"config rollback": {"martenstage config rollback 7 --wait"},
+	"config lint":     {"martenstage config lint", "martenstage config lint --revision 7"},
+	"config rollback": {"martenstage config rollback 7 --dry-run", "martenstage config rollback 7 --wait"},
 
 	"policy check":   {"martenstage policy check site.policy"},
 	"policy explain": {"martenstage policy explain site.policy --route quick-pick"},
--- a/cmd/martenstage/policy.go
+++ b/cmd/martenstage/policy.go
@@ -44,6 +44,10 @@
 	if err != nil {
 		return nil, err
 	}
+	return compileText(file, text)
+}
+
+func compileText(file, text string) (*plan.Plan, error) {
 	compiled, err := policy.Compile(file, []byte(text))
 	return compiled, printProblems(file, err)
 }
--- a/internal/control/author_test.go
+++ b/internal/control/author_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -56,8 +57,18 @@
 		require.NoError(t, err)
 		require.Equal(t, fmt.Sprintf("malee-%d", revision), latest.GetAuthor())
 	}
+	operator := clientOf("malee-voters", keys.RoleOperator, follower)
+	removed := cluster.others(leader)[1].options.ID
+	_, err := operator.RemoveVoter(testContext(t), removed)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		events, err := operator.Events(testContext(t), &v1.ListEventsRequest{})
+		return err == nil && lo.SomeBy(events.GetEvents(), func(event *v1.Event) bool {
+			return event.GetDetail() == fmt.Sprintf("voter %d was removed by malee-voters", removed)
+		})
+	}, testTimeout, 20*time.Millisecond)
 	router := clientOf("router-1", keys.RoleRouter, leader)
-	_, err := router.Apply(testContext(t), &v1.ApplyRequest{ChangeId: "router", Text: "text", ExpectedRevision: 2})
+	_, err = router.Apply(testContext(t), &v1.ApplyRequest{ChangeId: "router", Text: "text", ExpectedRevision: 2})
 	require.Equal(t, connect.CodePermissionDenied, connect.CodeOf(err), "%v", err)
 	granted, err := router.claim(testContext(t), claimRequest("request", 1))
 	require.NoError(t, err)
--- a/internal/control/config_voters.go
+++ b/internal/control/config_voters.go
@@ -23,7 +23,8 @@
 	if request.Msg.GetId() == 0 {
 		return nil, refuse(connect.CodeInvalidArgument, "the voter id must not be 0")
 	}
-	if err := authenticate(ctx, request.Header(), new(string)); err != nil {
+	var author string
+	if err := authenticate(ctx, request.Header(), &author); err != nil {
 		return nil, err
 	}
 	call := leaderCall[v1.AddVoterRequest, v1.VotersResponse]{
@@ -31,7 +32,7 @@
 			added := journal.Event{
 				ID:      fmt.Sprintf("control/voter/%d/added", request.GetId()),
 				Address: request.GetAddress(),
-				Detail:  fmt.Sprintf("voter %d was added", request.GetId()),
+				Detail:  fmt.Sprintf("voter %d was added%s", request.GetId(), byAuthor(author)),
 			}
 			return s.changeVoters(ctx, added, func() error {
 				return s.server.voter.AddVoter(ctx, request.GetId(), request.GetAddress())
@@ -48,14 +49,15 @@
 func (s configService) RemoveVoter(
 	ctx context.Context, request *connect.Request[v1.RemoveVoterRequest],
 ) (*connect.Response[v1.VotersResponse], error) {
-	if err := authenticate(ctx, request.Header(), new(string)); err != nil {
+	var author string
+	if err := authenticate(ctx, request.Header(), &author); err != nil {
 		return nil, err
 	}
 	call := leaderCall[v1.RemoveVoterRequest, v1.VotersResponse]{
 		local: func(ctx context.Context, request *v1.RemoveVoterRequest) (*v1.VotersResponse, error) {
 			removed := journal.Event{
 				ID:     fmt.Sprintf("control/voter/%d/removed", request.GetId()),
-				Detail: fmt.Sprintf("voter %d was removed", request.GetId()),
+				Detail: fmt.Sprintf("voter %d was removed%s", request.GetId(), byAuthor(author)),
 			}
 			return s.changeVoters(ctx, removed, func() error {
 				return s.server.voter.RemoveVoter(ctx, request.GetId())
@@ -68,6 +70,14 @@
 	return call.do(ctx, s.server, request)
 }
 
+// byAuthor names the operator in an event; without keys none is known.
+func byAuthor(author string) string {
+	if author == "" {
+		return ""
+	}
+	return " by " + author
+}
+
 func (s configService) changeVoters(
 	ctx context.Context, event journal.Event, change func() error,
 ) (*v1.VotersResponse, error) {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -16,6 +16,10 @@
 // one hop.
 const headerForwarded = "Martenstage-Forwarded"
 
+// headerAuthor names the operator whose call a voter passed on, when keys are in
+// use. It counts only in a call that a voter made.
+const headerAuthor = "Martenstage-Author"
+
 // peers are the clients of one voter's services.
 type peers struct {
 	config martenstagev1connect.ConfigServiceClient
@@ -55,6 +59,9 @@
 	}
 	forwarded := connect.NewRequest(request.Msg)
 	forwarded.Header().Set(headerForwarded, "1")
+	if identity, proved := rpc.IdentityFrom(ctx); proved {
+		forwarded.Header().Set(headerAuthor, identity.Name)
+	}
 	forwarding, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go server.cancelAfterLeader(forwarding, cancel, notLeader.LeaderID)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -196,7 +196,11 @@
 // without keys, operators are taken at their word.
 func authenticate(ctx context.Context, header http.Header, author *string) error {
 	identity, proved := rpc.IdentityFrom(ctx)
-	if !proved || (identity.Role == keys.RoleControl && header.Get(headerForwarded) != "") {
+	if !proved {
+		return nil
+	}
+	if identity.Role == keys.RoleControl && header.Get(headerForwarded) != "" {
+		*author = header.Get(headerAuthor)
 		return nil
 	}
 	if identity.Role != keys.RoleOperator {
