--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -288,6 +288,7 @@
 		"other body":    spoil(`"id":2`, `"id":3`),
 		"no shard":      spoil(backendapi.HeaderShard, "Other"),
 		"not JSON":      spoil(`{"items":[{"id":1},{"id":2}]}`, `{"items":[{"id":1},{"id":2}}}`),
+		"endless head":  spoil("Content-Length: 29", strings.Repeat("Filler: 0123456789\r\n", 4<<10)+"Content-Length: 29"),
 		"too long":      spoil("Content-Length: 29", "Content-Length: 99999999"),
 	}
 	for name, reply := range replies {
@@ -304,3 +305,18 @@
 		})
 	}
 }
+
+// A value that would end a header early must not reach the wire.
+func TestHeaderThatBreaksTheRequestIsNotSent(t *testing.T) {
+	server := newRawServer(t, func(server *rawServer, socket *net.TCPConn) {
+		if read, _ := socket.Read(make([]byte, 1)); read > 0 {
+			server.touched.Add(1)
+		}
+		reset(socket)
+	})
+	attempt := attemptTo(server.address, 1)
+	attempt.CallerID = "a\r\nMartenstage-Once: 1"
+	failed := newSender(t, Config{}).Send(t.Context(), attempt).(query.AttemptFailed)
+	require.Equal(t, verdict.NotRun, failed.Verdict)
+	require.Zero(t, server.touched.Load())
+}
--- a/internal/backend/reply.go
+++ b/internal/backend/reply.go
@@ -27,15 +27,14 @@
 	name string
 }
 
-// readReply turns a reply into the attempt's outcome and reports whether the
-// connection can be used again.
+// readReply turns a reply into the attempt's outcome and reports whether its
+// body was read to the end.
 func (s *Sender) readReply(ctx context.Context, sent sentQuery, response *http.Response) (query.Event, bool) {
 	body, err := s.readBody(response)
-	_ = response.Body.Close()
-	reusable := err == nil && !response.Close
+	wasRead := err == nil
 	report := readReport(response.Header)
 	if refused, ok := s.refusal(sent, response, report); ok {
-		return refused, reusable
+		return refused, wasRead
 	}
 	failed := query.AttemptFailed{Attempt: sent.attempt, Verdict: verdict.MayHaveRun, Report: report}
 	switch {
@@ -47,13 +46,13 @@
 		part, cause := s.readPart(sent, response.Header, body)
 		if cause == "" {
 			part.Report = report
-			return part, reusable
+			return part, wasRead
 		}
 		s.metrics.badReplies.WithLabelValues(cause).Inc()
 		failed.Reason = verdict.ReasonBadEcho
 	}
 	s.metrics.attemptFailures.WithLabelValues(failed.Verdict.String(), string(failed.Reason)).Inc()
-	return failed, reusable
+	return failed, wasRead
 }
 
 // refusal recognizes a reply by which the back end proves that the query was
