--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -300,3 +300,19 @@
 	require.NoError(t, file.Close())
 	return path
 }
+
+func TestRanksAreReadFromAnyItem(t *testing.T) {
+	for item, want := range map[string]float64{
+		`{"a":"x","rank":7.5,"b":1}`:  7.5,
+		`{"rank": -3 }`:               -3,
+		`{"b":{"rank":1},"rank":2}`:   2,
+		`{"b":["rank",1],"rank":3}`:   3,
+		`{"b":"\"rank\":9","rank":4}`: 4,
+		`{"rank":1,"rank":5}`:         5,
+		`{"rank":"6"}`:                0,
+		`{"other":6}`:                 0,
+		`{"rank":null,"b":"c"}`:       0,
+	} {
+		require.InDelta(t, want, rankOf([]byte(item), "rank"), 0, item)
+	}
+}
