Found a new group from one voter after a quorum is lost for good

Cause: with two of three disks lost there was no way back but an empty group, whose revision numbers and terms begin again below those that routers hold. Change: `voters recover` writes the data folder of a new voter from a stopped one's folder or a copy of it: the state at the end of its log, a new id with all old ids barred, a higher term, and the latest text accepted again under higher numbers, since a router may hold a revision that the survivor missed.

--- a/cmd/martenstage/examples.go
+++ b/cmd/martenstage/examples.go
@@ -41,6 +41,7 @@
 	"voters list":     {"martenstage voters list"},
 	"voters add":      {"martenstage voters add 4 10.0.0.4:7100"},
 	"voters remove":   {"martenstage voters remove 3"},
+	"voters recover":  {"martenstage voters recover --from /var/lib/martenstage/control --from-id 2 --data-folder /var/lib/martenstage/control-4 --id 4 --address 10.0.0.2:7100"},
 	"voters transfer": {"martenstage voters transfer 2"},
 
 	"keys init":  {"martenstage keys init --folder keys"},
--- a/cmd/martenstage/voters.go
+++ b/cmd/martenstage/voters.go
@@ -5,10 +5,15 @@
 	"fmt"
 	"os"
 	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/control"
+	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/settings"
 )
 
 // votersCommands are the commands under "voters".
@@ -17,6 +22,9 @@
 		{Name: "list", Short: "List the control voters", Data: &votersList{}},
 		{Name: "add", Short: "Add a control voter that was started with --join", Data: &votersAdd{}},
 		{Name: "remove", Short: "Remove a control voter for good", Data: &votersRemove{}},
+		{Name: "recover", Short: "Found a new group from one voter's data folder, after a quorum is lost for good",
+			Long: "Works on this machine's disk, with the voter stopped. Changes and claims that the surviving voter does not hold are lost. Make sure that no other voter of the old group ever runs again.",
+			Data: &votersRecover{}},
 		{Name: "transfer", Short: "Hand leadership to another voter", Data: &votersTransfer{}},
 	}
 }
@@ -86,6 +94,34 @@
 	})
 }
 
+type votersRecover struct {
+	From        string `long:"from" required:"yes" value-name:"FOLDER" description:"Data folder of the surviving voter, or a copy of it; it is not changed"`
+	FromID      uint64 `long:"from-id" required:"yes" value-name:"ID" description:"Id of the surviving voter"`
+	Folder      string `long:"data-folder" required:"yes" value-name:"FOLDER" description:"Data folder of the new voter; must be empty"`
+	ID          uint64 `long:"id" required:"yes" value-name:"ID" description:"Id of the new voter; never used before"`
+	Address     string `long:"address" required:"yes" value-name:"IP:PORT" description:"Address of the new voter"`
+	LostChanges int    `long:"lost-changes" default:"10" value-name:"N" description:"Most accepted changes that the survivor can have missed; the latest text is accepted that many times again"`
+}
+
+// Execute implements flags.Commander.
+func (c *votersRecover) Execute([]string) error {
+	if _, err := settings.ParseAddress(c.Address); err != nil {
+		return exitcode.With(exitcode.Usage, err)
+	}
+	if c.ID == 0 || c.LostChanges < 0 {
+		return exitcode.With(exitcode.Usage, errors.New("the id must not be 0, and the lost changes not negative"))
+	}
+	recovered, err := control.Recovery{
+		From: c.From, FromID: c.FromID, Folder: c.Folder, ID: c.ID, Address: c.Address, LostChanges: c.LostChanges,
+	}.Run(time.Now())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("found revision %d; the log ends at index %d of term %d\n", recovered.Found, recovered.LastIndex, recovered.LastTerm)
+	fmt.Printf("voter %d begins a new group with revision %d, which has the same text\n", c.ID, recovered.First)
+	return nil
+}
+
 func printVoters(voters []*v1.Voter) error {
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "ID\tADDRESS\tKIND")
