--- a/internal/query/property_test.go
+++ b/internal/query/property_test.go
@@ -33,6 +33,7 @@
 			"gone":     m.doCallerGone,
 			"claim":    m.doClaim,
 			"generate": m.doRepartition,
+			"roll":     m.doRoll,
 		})
 		m.finish()
 	})
@@ -161,6 +162,25 @@
 	m.apply(event)
 }
 
+// doRoll takes an index version away from all replicas of a shard that a request
+// waits for, while all others still hold it beside the next, and lets one of the
+// shard's attempts be refused for that.
+func (m *model) doRoll(t *rapid.T) {
+	send, r := m.takeAttempt(t)
+	for shard := range modelShards {
+		for replica := range modelReplicas {
+			address, versions := serverAddress(shard, replica), []uint64{send.Version, send.Version + 1}
+			if uint32(shard) == send.Shard {
+				versions = versions[1:]
+			}
+			delete(m.leaving, address)
+			m.apply(m.health(address, backendapi.StateReady, versions...))
+		}
+	}
+	r.refused++
+	m.apply(AttemptFailed{Attempt: send.Attempt, Verdict: verdict.NotRun, Reason: verdict.ReasonSnapshotGone})
+}
+
 func (m *model) doMachine(t *rapid.T) {
 	event := MachineObserved{Address: drawAddress(t)}
 	event.State = rapid.SampledFrom([]MachineState{MachineLive, MachineLive, MachineLeaving}).Draw(t, "state")
