--- /dev/null
+++ b/internal/simulation/bench_test.go
@@ -0,0 +1,19 @@
+package simulation
+
+import (
+	"testing"
+)
+
+// BenchmarkRun reports how much faster than real time one run goes on one
+// processor.
+func BenchmarkRun(b *testing.B) {
+	virtual := 0.0
+	for seed := uint64(1); b.Loop(); seed++ {
+		outcome, err := RunSeed(seed, defaultScenario, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		virtual += outcome.world.queue.Now().Seconds()
+	}
+	b.ReportMetric(virtual/b.Elapsed().Seconds(), "virtual_s/s")
+}
