--- a/internal/site/generate.go
+++ b/internal/site/generate.go
@@ -111,9 +111,13 @@
 		"listen":         machine.at(s.Ports.Control),
 		"status-listen":  machine.at(s.Ports.ControlStatus),
 		"metrics-listen": machine.at(s.Ports.ControlMetrics),
-		"voter": lo.Map(s.with(RoleControl), func(voter Machine, _ int) string {
+	}
+	if machine.Join {
+		values["join"] = true
+	} else {
+		values["voter"] = lo.Map(s.with(RoleControl), func(voter Machine, _ int) string {
 			return fmt.Sprintf("%d=%s", voter.Voter, voter.at(s.Ports.Control))
-		}),
+		})
 	}
 	if s.Platform != "" {
 		values["platform"] = s.Platform
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -76,6 +76,9 @@
 	Roles   []string `koanf:"roles" validate:"min=1,unique,dive,oneof=control relay router"`
 	// Voter is the id of the control voter. An id is never reused.
 	Voter uint64 `koanf:"voter"`
+	// Join marks a voter that joins a group that runs already, in the place of
+	// a lost one.
+	Join bool `koanf:"join"`
 }
 
 // has reports whether a role runs on the machine.
@@ -145,6 +148,9 @@
 	if len(controls)%2 == 0 {
 		return errors.Newf("%d machines have the role control; there must be an odd number, 3 as a rule", len(controls))
 	}
+	if lo.EveryBy(controls, func(machine Machine) bool { return machine.Join }) {
+		return errors.New("every control joins, so there is no group to join")
+	}
 	if id := firstDuplicate(controls, func(machine Machine) string { return fmt.Sprint(machine.Voter) }); id != "" {
 		return errors.Newf("two machines have the voter id %s", id)
 	}
--- a/internal/statuspage/view.go
+++ b/internal/statuspage/view.go
@@ -46,6 +46,19 @@
 	return zones, listed[:min(len(listed), maxListed)]
 }
 
+// Span words when the event happened, with the end of its repetitions.
+func (e event) Span() string {
+	begin, end := e.Time.Format(time.DateTime), e.LastTime.Format(time.DateTime)
+	switch {
+	case begin >= end:
+		return begin
+	case e.Time.Format(time.DateOnly) == e.LastTime.Format(time.DateOnly):
+		return begin + " to " + e.LastTime.Format(time.TimeOnly)
+	default:
+		return begin + " to " + end
+	}
+}
+
 func newEvent(wire *v1.Event) event {
 	return event{
 		Time: wire.GetTime().AsTime().Local(), LastTime: wire.GetLastTime().AsTime().Local(),
@@ -75,7 +88,7 @@
 }
 
 const (
-	stripWidth  = 200
+	stripWidth  = 140
 	stripHeight = 16
 	stripFrom   = time.Millisecond
 	decades     = 4
