--- /dev/null
+++ b/internal/controlclient/claims_test.go
@@ -0,0 +1,159 @@
+package controlclient
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+const testTimeout = 30 * time.Second
+
+// fakeVoter answers claims by a function and records what it was asked.
+type fakeVoter struct {
+	martenstagev1connect.UnimplementedClaimServiceHandler
+	mutex   sync.Mutex
+	claims  []*v1.ClaimRequest
+	settled chan *v1.SettleClaimRequest
+	answer  func(asked int) (v1.ClaimResult, error)
+}
+
+func (f *fakeVoter) Claim(_ context.Context, request *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error) {
+	f.mutex.Lock()
+	f.claims = append(f.claims, request.Msg)
+	asked := len(f.claims)
+	f.mutex.Unlock()
+	result, err := f.answer(asked)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&v1.ClaimResponse{Result: result}), nil
+}
+
+func (f *fakeVoter) SettleClaim(_ context.Context, request *connect.Request[v1.SettleClaimRequest]) (*connect.Response[v1.SettleClaimResponse], error) {
+	f.settled <- request.Msg
+	return connect.NewResponse(&v1.SettleClaimResponse{}), nil
+}
+
+func (f *fakeVoter) asked() []*v1.ClaimRequest {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return append([]*v1.ClaimRequest(nil), f.claims...)
+}
+
+// newClaims returns a registry that asks fake voters with the given answers.
+func newClaims(t *testing.T, answers ...func(asked int) (v1.ClaimResult, error)) (*Claims, []*fakeVoter) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	var voters []*fakeVoter
+	var addresses []string
+	for _, answer := range answers {
+		fake := &fakeVoter{settled: make(chan *v1.SettleClaimRequest, 16), answer: answer}
+		mux := http.NewServeMux()
+		mux.Handle(martenstagev1connect.NewClaimServiceHandler(fake, rpc.HandlerOptions()))
+		server, err := rpc.NewServer("127.0.0.1:0", mux, rpc.Plaintext(), logger)
+		require.NoError(t, err)
+		go func() { _ = server.Serve() }()
+		t.Cleanup(func() { _ = server.Close() })
+		voters, addresses = append(voters, fake), append(addresses, server.Address())
+	}
+	client := rpc.NewClient(rpc.Plaintext(), rpc.ClientConfig{})
+	t.Cleanup(client.CloseIdle)
+	claims := NewClaims(NewVoters(client, addresses), Holder("router", 7), logger, prometheus.NewRegistry())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); claims.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return claims, voters
+}
+
+func always(result v1.ClaimResult) func(int) (v1.ClaimResult, error) {
+	return func(int) (v1.ClaimResult, error) { return result, nil }
+}
+
+func failing(code connect.Code) func(int) (v1.ClaimResult, error) {
+	return func(int) (v1.ClaimResult, error) { return 0, connect.NewError(code, nil) }
+}
+
+func claimOf(t *testing.T, claims *Claims, limit time.Duration) query.ClaimDecision {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return claims.Claim(ctx, router.ClaimRequest{CallerID: "id", Route: "send", Digest: "digest", Expiry: time.Hour})
+}
+
+// TestClaimIsResentUnderOneCall loses answers at one voter. The claim goes on at
+// the next one under the same number, and the next claim under another.
+func TestClaimIsResentUnderOneCall(t *testing.T) {
+	claims, voters := newClaims(t, failing(connect.CodeAborted), always(v1.ClaimResult_CLAIM_RESULT_GRANTED))
+	require.Equal(t, query.ClaimGranted, claimOf(t, claims, testTimeout))
+	require.Equal(t, query.ClaimGranted, claimOf(t, claims, testTimeout))
+	first, second := voters[0].asked(), voters[1].asked()
+	require.Len(t, first, 1, "the voter that answered is asked first from then on")
+	require.Equal(t, first[0].GetCall(), second[0].GetCall())
+	require.NotEqual(t, second[0].GetCall(), second[1].GetCall())
+	require.Equal(t, "router/7", second[0].GetHolder())
+}
+
+// TestUndecidedClaimIsGivenBack lets the time run out: nothing is dispatched, so
+// the claim, should it have been granted, is released under its own call.
+func TestUndecidedClaimIsGivenBack(t *testing.T) {
+	claims, voters := newClaims(t, failing(connect.CodeAborted))
+	require.Equal(t, query.ClaimUnavailable, claimOf(t, claims, 100*time.Millisecond))
+	select {
+	case released := <-voters[0].settled:
+		require.Equal(t, v1.ClaimOutcome_CLAIM_OUTCOME_NOT_RUN, released.GetOutcome())
+		require.Equal(t, voters[0].asked()[0].GetCall(), released.GetCall())
+	case <-time.After(testTimeout):
+		require.Fail(t, "the claim was not given back")
+	}
+}
+
+// TestRefusalIsFinal checks that answers which another voter would give as well
+// are not asked for again, and what each decision means to a router.
+func TestRefusalIsFinal(t *testing.T) {
+	claims, voters := newClaims(t, failing(connect.CodeResourceExhausted), always(v1.ClaimResult_CLAIM_RESULT_GRANTED))
+	require.Equal(t, query.ClaimUnavailable, claimOf(t, claims, testTimeout))
+	require.Empty(t, voters[1].asked())
+	for result, decision := range map[v1.ClaimResult]query.ClaimDecision{
+		v1.ClaimResult_CLAIM_RESULT_MAY_HAVE_RUN:    query.ClaimHeldMayHaveRun,
+		v1.ClaimResult_CLAIM_RESULT_RAN:             query.ClaimHeldRan,
+		v1.ClaimResult_CLAIM_RESULT_EXPIRED:         query.ClaimExpired,
+		v1.ClaimResult_CLAIM_RESULT_DIGEST_MISMATCH: query.ClaimDigestMismatch,
+		v1.ClaimResult_CLAIM_RESULT_UNSPECIFIED:     query.ClaimUnavailable,
+	} {
+		claims, _ := newClaims(t, always(result))
+		require.Equal(t, decision, claimOf(t, claims, testTimeout), result)
+	}
+}
+
+// TestSettlement settles a held claim by its outcome, once.
+func TestSettlement(t *testing.T) {
+	claims, voters := newClaims(t, always(v1.ClaimResult_CLAIM_RESULT_GRANTED))
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	require.Equal(t, query.ClaimGranted, claimOf(t, claims, testTimeout))
+	require.NoError(t, claims.Settle(ctx, "id", verdict.Ran))
+	settled := <-voters[0].settled
+	require.Equal(t, v1.ClaimOutcome_CLAIM_OUTCOME_RAN, settled.GetOutcome())
+	require.Equal(t, voters[0].asked()[0].GetCall(), settled.GetCall())
+	require.ErrorIs(t, claims.Settle(ctx, "id", verdict.Ran), ErrNotHeld)
+
+	// What may have run stays held.
+	require.Equal(t, query.ClaimGranted, claimOf(t, claims, testTimeout))
+	require.NoError(t, claims.Settle(ctx, "id", verdict.MayHaveRun))
+	require.Empty(t, voters[0].settled)
+}
