Serve nothing before the first list of live routers

Change: the router's part of the plan is empty, and the router not ready, until it has a list; a static source gives an empty one.

--- a/internal/router/installation.go
+++ b/internal/router/installation.go
@@ -37,14 +37,23 @@
 
 // ownPart returns the part of a plan that this router serves itself. Engines,
 // shares and probes know no other back ends, so that what a router holds and
-// does grows with its cells and not with the fleet.
+// does grows with its cells and not with the fleet. Before the first list of
+// live routers there are no cells, and the router serves nothing itself: it
+// would else connect to the whole fleet for a moment at every start.
 func (r *Router) ownPart(whole *plan.Plan) *plan.Plan {
-	if r.config.Alone {
+	switch {
+	case r.config.Alone:
 		return whole
+	case r.peers.Load() == nil:
+		return &plan.Plan{}
+	default:
+		return r.cells.Own(whole, r.config.Name)
 	}
-	return r.cells.Own(whole, r.config.Name)
 }
 
+// cellsKnown reports whether the router knows which services it serves.
+func (r *Router) cellsKnown() bool { return r.config.Alone || r.peers.Load() != nil }
+
 // put replaces what is installed. It is called from the configuration source's
 // goroutine.
 func (r *Router) put(next *installation) {
--- a/internal/router/static.go
+++ b/internal/router/static.go
@@ -27,6 +27,7 @@
 // Run implements ConfigSource.
 func (s *StaticSource) Run(ctx context.Context, sink ConfigSink) error {
 	sink.InstallPlan(staticRevision, s.Plan)
+	sink.InstallRouters(nil) // there are no others
 	sink.ExtendLease(time.Now().Add(endlessLease))
 	<-ctx.Done()
 	return nil
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -61,7 +61,7 @@
 	if r.warmed.Load() {
 		return true
 	}
-	known := r.shares.held() && r.prober.allKnown(func(address netip.AddrPort) bool { return r.shares.describe(address).Connections > 0 })
+	known := r.cellsKnown() && r.shares.held() && r.prober.allKnown(func(address netip.AddrPort) bool { return r.shares.describe(address).Connections > 0 })
 	if known {
 		r.warmed.Store(true)
 	}
