--- a/cmd/martenbench/main.go
+++ b/cmd/martenbench/main.go
@@ -12,7 +12,7 @@
 const summary = "The bench of martenstage: emulators, load, experiments, simulation and the judge."
 
 func main() {
-	os.Exit(cli.Run("martenbench", summary, commands(), os.Args[1:]))
+	os.Exit(cli.Run("martenbench", summary, append(commands(), cli.Completion("martenbench")), os.Args[1:]))
 }
 
 // commands lists the sub-commands; each has a file of its own.
--- a/cmd/martenstage/settings_test.go
+++ b/cmd/martenstage/settings_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -66,6 +68,7 @@
 			require.NoError(t, err)
 			require.Equal(t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, response.GetResult())
 			waitForLeases(ctx, t, client, started)
+			waitForReports(ctx, t, client, parsed)
 		})
 	}
 }
@@ -148,6 +151,41 @@
 	}
 }
 
+// waitForReports sends one request to every router and waits until control
+// counts all of them, as summed up by the relays between. No back end runs, so
+// no request is answered.
+func waitForReports(ctx context.Context, t *testing.T, client *control.Client, described *site.Site) {
+	compiled, err := client.Get(ctx, 0)
+	require.NoError(t, err)
+	route := regexp.MustCompile(`(?m)^route (\S+)`).FindStringSubmatch(compiled.GetText())[1]
+	var sent uint64
+	for _, machine := range described.Machines {
+		if !lo.Contains(machine.Roles, site.RoleRouter) {
+			continue
+		}
+		sent++
+		address := fmt.Sprintf("http://%s:%d/v1/routes/%s/query", machine.Address, described.Ports.RouterCallers, route)
+		response, err := http.Post(address, "application/json", strings.NewReader("{}"))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.GreaterOrEqual(t, response.StatusCode, http.StatusInternalServerError)
+	}
+	for {
+		status, err := client.Status(ctx)
+		require.NoError(t, err)
+		report, found := lo.Find(status.GetRoutes(), func(report *v1.RouteReport) bool { return report.GetRoute() == route })
+		if found && report.GetRequests() == sent {
+			require.Equal(t, sent, report.GetRefused()+report.GetFailed())
+			return
+		}
+		select {
+		case <-ctx.Done():
+			require.Failf(t, "requests are not counted", "%v", status.GetRoutes())
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
 // TestSettingsRefusals checks that refused descriptions name the fault.
 func TestSettingsRefusals(t *testing.T) {
 	program, err := buildOnce()
