Keep events of planned work apart from those of failures

Measured: TestPlannedWorkKeepsFailures fails with one list (10 of 12 events left, the failure gone) and passes with two.

--- a/internal/journal/event.go
+++ b/internal/journal/event.go
@@ -36,6 +36,17 @@
 	KindEventsDropped       Kind = "events_dropped"
 )
 
+// Routine reports whether events of the kind come with planned work. They are
+// many, and kept apart from those of failures.
+func (k Kind) Routine() bool {
+	switch k {
+	case KindChangeAccepted, KindRestarted, KindDrainBegun, KindDrainDone:
+		return true
+	default:
+		return false
+	}
+}
+
 // Event is one entry of the journal. Equal events close in time are folded
 // into one with a count and a time span.
 type Event struct {
--- a/internal/state/bounds_bench_test.go
+++ b/internal/state/bounds_bench_test.go
@@ -57,5 +57,5 @@
 		}
 	})
 	b.Logf("%d revisions, %d results, %d claims, %d expired ids, %d events", len(machine.config.revisions),
-		len(machine.changes.order), len(machine.claims.live), len(machine.claims.tombstones), len(machine.journal.events))
+		len(machine.changes.order), len(machine.claims.live), len(machine.claims.tombstones), len(machine.journal.all()))
 }
--- a/internal/state/journal_test.go
+++ b/internal/state/journal_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	eventjournal "github.com/martenstage/martenstage/internal/journal"
 )
 
 // numberedEvent is one of three kinds, which alternate at random.
@@ -98,3 +99,33 @@
 		require.EqualValues(t, engines*rounds, event.GetCount())
 	}
 }
+
+// TestPlannedWorkKeepsFailures records failures, then far more changes and
+// restarts than the journal holds, and restarts the machine on the way.
+func TestPlannedWorkKeepsFailures(t *testing.T) {
+	h := newHarness(t, smallLimits())
+	append := func(id int, kind eventjournal.Kind) {
+		event := numberedEvent("router-1/1", id, string(kind), h.now)
+		h.apply(&v1.StateCommand{Body: &v1.StateCommand_Events{Events: &v1.EventsCommand{Events: []*v1.Event{event}}}})
+	}
+	kinds := []eventjournal.Kind{
+		eventjournal.KindChangeAccepted, eventjournal.KindRestarted,
+		eventjournal.KindDrainBegun, eventjournal.KindDrainDone,
+	}
+	append(1, eventjournal.KindLeaseLost)
+	for number := range 100 {
+		h.now = h.now.Add(joinGap)
+		append(2+number, kinds[number%len(kinds)])
+		if number == 50 {
+			h.reload()
+		}
+	}
+	append(102, eventjournal.KindDiskFailed)
+	events := h.machine.Events(EventFilter{Limit: 1000})
+	require.Len(t, events, 12)
+	require.Equal(t, string(eventjournal.KindLeaseLost), events[0].GetKind())
+	require.Equal(t, string(eventjournal.KindDiskFailed), events[11].GetKind())
+	require.EqualValues(t, 90, h.machine.EventsDropped())
+	newest := h.machine.Events(EventFilter{Limit: 2})
+	require.Equal(t, events[10:], newest)
+}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -43,9 +43,13 @@
 	ClaimExpiry time.Duration
 	ClaimMemory time.Duration
 	ClaimIDs    int
-	// Events and EventBytes bound the journal; the oldest are dropped first.
-	Events     int
-	EventBytes int
+	// Events and EventBytes bound the journal's events of failures,
+	// RoutineEvents and RoutineEventBytes those of planned work (see
+	// journal.Kind.Routine); the oldest are dropped first.
+	Events            int
+	EventBytes        int
+	RoutineEvents     int
+	RoutineEventBytes int
 }
 
 // DefaultLimits are the limits of all voters of this version. Together with a
@@ -65,7 +69,10 @@
 		ClaimMemory: day,
 		ClaimIDs:    3_000_000,
 		Events:      100_000,
-		EventBytes:  16 * mebibyte,
+		EventBytes:  8 * mebibyte,
+
+		RoutineEvents:     100_000,
+		RoutineEventBytes: 8 * mebibyte,
 	}
 }
 
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -24,19 +24,19 @@
 		Revisions: 6, Texts: 3, TextBytes: 40,
 		Changes: 1000, ChangeBytes: 1 << 20, ChangeAge: time.Hour,
 		ClaimBytes: 480, ClaimExpiry: time.Minute, ClaimMemory: time.Minute, ClaimIDs: 8,
-		Events: 10, EventBytes: 2000,
+		Events: 10, EventBytes: 2000, RoutineEvents: 10, RoutineEventBytes: 2000,
 	}
 }
 
 // harness applies commands to a machine that is replaced by its own snapshot
 // at random moments, as after a restart or a compaction of the log.
 type harness struct {
-	t       *rapid.T
+	t       require.TestingT
 	machine *Machine
 	now     time.Time
 }
 
-func newHarness(t *rapid.T, limits Limits) *harness {
+func newHarness(t require.TestingT, limits Limits) *harness {
 	return &harness{t: t, machine: New(limits), now: time.Unix(1_700_000_000, 0)}
 }
 
@@ -52,14 +52,17 @@
 	h.now = h.now.Add(time.Duration(rapid.IntRange(-2000, 30_000).Draw(t, "ms")) * time.Millisecond)
 }
 
-func (h *harness) restart(t *rapid.T) {
+func (h *harness) restart(*rapid.T) { h.reload() }
+
+// reload passes the state through a snapshot, which must not change it.
+func (h *harness) reload() {
 	before, err := h.machine.Snapshot()
-	require.NoError(t, err)
+	require.NoError(h.t, err)
 	restored := New(h.machine.limits)
-	require.NoError(t, restored.Restore(before))
+	require.NoError(h.t, restored.Restore(before))
 	after, err := restored.Snapshot()
-	require.NoError(t, err)
-	require.Equal(t, before, after)
+	require.NoError(h.t, err)
+	require.Equal(h.t, before, after)
 	h.machine = restored
 }
 
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -32,7 +32,7 @@
 		Tombstones:     storeTombstones(m.claims.tombstones),
 		Drains:         lo.Map(m.drains.sorted(), storeDrain),
 		DrainsVersion:  m.drains.version,
-		Events:         m.journal.events,
+		Events:         m.journal.all(),
 		EventsDropped:  m.journal.dropped,
 	}
 	header := append([]byte(snapshotMagic), snapshotVersion)
@@ -199,6 +199,9 @@
 	if len(stored.GetIdHashes()) != len(stored.GetForgetDeltaMs()) {
 		return errors.New("state snapshot holds ids without times")
 	}
+	count := len(stored.GetIdHashes())
+	c.tombstones = make([]tombstone, 0, count)
+	c.tombstoned = make(map[idHash]struct{}, count)
 	forget := int64(0)
 	for index, hash := range stored.GetIdHashes() {
 		forget += stored.GetForgetDeltaMs()[index]
