Keep a router's share of slots when a server reports a queue

Cause: a reported queue lowered the limit down to one attempt, also where others had caused it; with one attempt a slot is idle for the time on the way. Change: reports lower the limit to the router's share of slots and no further; refusals and timeouts go on lowering it to one.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -32,6 +32,25 @@
 	})
 }
 
+func TestQueuesOfOthersLeaveTheOwnShare(t *testing.T) {
+	limit := NewLimit(5)
+	now := time.Unix(0, 0)
+	const share, signs = 3, 10
+	for range signs {
+		now = now.Add(decreasePause)
+		limit.LowerTo(now, share)
+	}
+	require.Equal(t, share, limit.Value())
+	for range signs {
+		now = now.Add(decreasePause)
+		limit.Lower(now)
+	}
+	require.Equal(t, 1, limit.Value())
+	now = now.Add(decreasePause)
+	limit.LowerTo(now, share)
+	require.Equal(t, 1, limit.Value(), "a floor raises nothing")
+}
+
 func TestLowerClassesGiveWayFirst(t *testing.T) {
 	gate := Gate{MaxInFlight: 100}
 	require.False(t, gate.Admits(plan.PriorityBatch, 75))
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -62,11 +62,15 @@
 	}
 }
 
-// Lower takes in a sign of overload.
-func (l *Limit) Lower(now time.Time) {
+// Lower takes in a refusal, or another sign that the limit itself is too high.
+func (l *Limit) Lower(now time.Time) { l.LowerTo(now, 1) }
+
+// LowerTo takes in a sign of overload that others may have caused: it never
+// lowers the limit below a floor.
+func (l *Limit) LowerTo(now time.Time, floor int) {
 	if now.Sub(l.lowered) < decreasePause {
 		return
 	}
 	l.lowered = now
-	l.value = max(l.value*decrease, min(1, float64(l.ceiling)))
+	l.value = min(l.value, max(l.value*decrease, float64(min(floor, l.ceiling))))
 }
--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -42,7 +42,8 @@
 	case Answered:
 		p.observeLatency(now, group, server, result.Elapsed)
 		if server.load.congested() {
-			server.limit.Lower(now)
+			// The queue may be of others' making; the own share of slots stays.
+			server.limit.LowerTo(now, max(server.slots, 1))
 		} else if full {
 			server.limit.Raise()
 		}
