Measure real sockets on a busy machine

Cause: over sockets, all variants showed the same tail, the oracle too: 1.5 s stalls of the whole process. Judging took processor time during the run and held back ends' handlers behind one lock, and other work on the machine stalled every hop of every request. Change: records are kept in memory and judged after the run. `--slowdown N` multiplies all times of the configuration, the back ends, the zones and the probes, so that the machine's own delays weigh less. A lag meter (package lag) finds seconds in which this process waited for its turn; their requests and those of the second before are judged but not summed up, for all variants alike, and the number of such seconds is part of the result.

--- a/cmd/martenbench/experiment.go
+++ b/cmd/martenbench/experiment.go
@@ -27,6 +27,7 @@
 	Utilization float64       `long:"utilization" description:"Share of slots that first attempts occupy, in place of the scenario's"`
 	Slots       int           `long:"slots" description:"Slots of every back end, in place of the configuration's"`
 	Median      time.Duration `long:"service-time-median" description:"Median service time of the back ends, in place of 4ms"`
+	Slowdown    int           `long:"slowdown" default:"1" description:"Multiply all times of the configuration, the back ends and the zones, for figures from a busy machine"`
 	Virtual     bool          `long:"virtual" description:"Run on the virtual clock instead of over sockets"`
 	JSON        bool          `long:"json" description:"End with one line of JSON"`
 	HTML        string        `long:"html" description:"File for charts of latency and coverage"`
@@ -47,14 +48,14 @@
 		fmt.Println(strings.Join(experiment.Scenarios(), "\n"))
 		return nil
 	}
-	compiled, err := experiment.LoadPlan(c.Deployment, c.PolicyFile)
+	compiled, err := experiment.LoadSlowPlan(c.Deployment, c.PolicyFile, max(1, c.Slowdown))
 	if err != nil {
 		return exitcode.With(exitcode.Settings, err)
 	}
 	config := experiment.Config{
 		Deployment: c.Deployment, Plan: compiled, Scenario: c.Scenario, Variants: strings.Split(c.Variants, ","),
 		Seed: c.Seed, Duration: time.Duration(c.Seconds * float64(time.Second)), Utilization: c.Utilization,
-		Slots: c.Slots, Median: c.Median,
+		Slots: c.Slots, Median: c.Median, Slowdown: c.Slowdown,
 	}
 	result, err := c.run(config)
 	if err != nil {
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -5,7 +5,9 @@
 	"math"
 	"net/netip"
 	"os"
+	"regexp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,8 +71,13 @@
 // LoadPlan returns the configuration of a deployment: that of a policy file if
 // one is named, else deploy/NAME/NAME.policy, or the wide one.
 func LoadPlan(deployment, policyFile string) (*plan.Plan, error) {
+	return LoadSlowPlan(deployment, policyFile, 1)
+}
+
+// LoadSlowPlan is LoadPlan with every time of the configuration multiplied.
+func LoadSlowPlan(deployment, policyFile string, factor int) (*plan.Plan, error) {
 	if deployment == DeploymentWide && policyFile == "" {
-		return policy.Compile(DeploymentWide, []byte(wideText()))
+		return policy.Compile(DeploymentWide, slowed([]byte(wideText()), factor))
 	}
 	if policyFile == "" {
 		policyFile = fmt.Sprintf("deploy/%[1]s/%[1]s.policy", deployment)
@@ -79,7 +86,21 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "deployment %s", deployment)
 	}
-	return policy.Compile(policyFile, text)
+	return policy.Compile(policyFile, slowed(text, factor))
+}
+
+var durationPattern = regexp.MustCompile(`\b([0-9]+)(ms|s)\b`)
+
+// slowed multiplies the durations in the text of a configuration.
+func slowed(text []byte, factor int) []byte {
+	return durationPattern.ReplaceAllFunc(text, func(duration []byte) []byte {
+		parts := durationPattern.FindSubmatch(duration)
+		number, err := strconv.Atoi(string(parts[1]))
+		if err != nil {
+			return duration // too great for a number; the compiler says so
+		}
+		return append(strconv.AppendInt(nil, int64(number*factor), 10), parts[2]...)
+	})
 }
 
 func wideText() string {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -40,6 +40,10 @@
 	// server if they are not 0.
 	Median time.Duration
 	Slots  int
+	// Slowdown multiplies service times, delays and the stragglers' period if
+	// it is not 0. It goes with a plan of LoadSlowPlan: on a busy machine, the
+	// machine's own delays weigh less against slower times.
+	Slowdown int
 }
 
 func (c *Config) validate() error {
@@ -72,6 +76,9 @@
 	if c.Median > 0 {
 		made.model.Default.Median = c.Median
 	}
+	if c.Slowdown > 1 {
+		made.slowDown(time.Duration(c.Slowdown))
+	}
 	return made, nil
 }
 
@@ -121,7 +128,7 @@
 	zones := zonesOf(s.plan)
 	config := virtual.Config{
 		Model: s.model, Script: s.script, Rolls: s.rolls, Horizon: s.duration,
-		LocalDelay: localDelay, ZoneDelay: zoneDelay, ConnectionSetup: emulator.DefaultConnectionSetup,
+		LocalDelay: localDelay, ZoneDelay: s.zoneDelay, ConnectionSetup: emulator.DefaultConnectionSetup,
 		QueuePerSlot: emulator.DefaultQueuePerSlot, ColdStart: emulator.DefaultColdStart,
 		ColdFactor: emulator.DefaultColdFactor, ProbeEvery: probeEvery, PlatformLag: platformLag,
 		Resends: s.resends, ResendPause: resendPause, HonorRetryAfter: s.honorRetryAfter,
@@ -150,7 +157,7 @@
 // engine makes an engine of a variant.
 func (s *setting) engine(variant string, config query.Config, known future, router int) virtual.Engine {
 	config.Tuning.Variant = query.Variant(variant)
-	config.Tuning.FixedHedgeDelay = fixedHedgeDelay(&s.model)
+	config.Tuning.FixedHedgeDelay = fixedHedgeDelay(&s.model, s.zoneDelay)
 	if variant != VariantOracle {
 		return query.New(config)
 	}
@@ -160,7 +167,7 @@
 
 // fixedHedgeDelay is the best fixed delay for steady load: the 95th percentile
 // of an attempt on an idle server of another zone.
-func fixedHedgeDelay(model *servicetime.Model) time.Duration {
+func fixedHedgeDelay(model *servicetime.Model, zoneDelay time.Duration) time.Duration {
 	const deviationsOfP95 = 1.645
 	slow := math.Exp(model.Default.Sigma * deviationsOfP95)
 	return time.Duration(float64(model.Default.Median)*slow) + 2*zoneDelay
--- a/internal/experiment/print.go
+++ b/internal/experiment/print.go
@@ -29,6 +29,9 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	if r.DisturbedSeconds > 0 {
+		fmt.Fprintf(output, "%d of %.0f seconds left out of all rows: the machine was too busy\n", r.DisturbedSeconds, r.Seconds)
+	}
 	for _, variant := range Variants() {
 		if result, ok := r.Variants[variant]; ok {
 			fmt.Fprintf(output, "%s: violations=%d last_work_after_leaving=%.0fms\n", variant, result.Violations, result.LastWorkAfterLeavingMs)
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -7,12 +7,15 @@
 
 // Result is the outcome of an experiment.
 type Result struct {
-	Scenario   string                   `json:"scenario"`
-	Deployment string                   `json:"deployment"`
-	Virtual    bool                     `json:"virtual"`
-	Seed       uint64                   `json:"seed"`
-	Seconds    float64                  `json:"seconds"`
-	Variants   map[string]VariantResult `json:"variants"`
+	Scenario   string  `json:"scenario"`
+	Deployment string  `json:"deployment"`
+	Virtual    bool    `json:"virtual"`
+	Seed       uint64  `json:"seed"`
+	Seconds    float64 `json:"seconds"`
+	// DisturbedSeconds is how many seconds of a run over sockets were left out
+	// of the sums of all variants, because the machine was too busy.
+	DisturbedSeconds int                      `json:"disturbed_seconds,omitempty"`
+	Variants         map[string]VariantResult `json:"variants"`
 }
 
 // VariantResult is the outcome of one variant.
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -20,6 +20,8 @@
 type setting struct {
 	plan        *plan.Plan
 	model       servicetime.Model
+	zoneDelay   time.Duration
+	slowdown    time.Duration
 	duration    time.Duration
 	utilization float64
 	phases      []load.Phase
@@ -73,7 +75,7 @@
 		return nil, errors.Newf("unknown scenario %q; there are %v", name, Scenarios())
 	}
 	made := &setting{
-		plan: compiled, duration: duration, utilization: usualUtilization,
+		plan: compiled, duration: duration, utilization: usualUtilization, zoneDelay: zoneDelay, slowdown: 1,
 		model: servicetime.Model{Seed: seed, Default: servicetime.Distribution{
 			Median: emulator.DefaultMedian, Sigma: emulator.DefaultSigma,
 		}},
@@ -187,6 +189,15 @@
 	}
 }
 
+// slowDown multiplies service times, delays, the stragglers' period and, over
+// sockets, the pause between probes.
+func (s *setting) slowDown(factor time.Duration) {
+	s.model.Default.Median *= factor
+	s.model.Stragglers.Period *= factor
+	s.zoneDelay *= factor
+	s.slowdown *= factor
+}
+
 // addFault adds a fault of one server, or of those that it selects itself if
 // the address is not valid.
 func (s *setting) addFault(fault emulator.Fault, address netip.AddrPort) {
--- a/internal/experiment/sockets.go
+++ b/internal/experiment/sockets.go
@@ -10,6 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/experiment/sockets"
+	"github.com/martenstage/martenstage/internal/lag"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
@@ -27,6 +28,8 @@
 	connectionsPerSlot = 2
 	// warmUp is how long back ends and routers run before the load.
 	warmUp = 4 * time.Second
+	// socketProbeEvery is the routers' default.
+	socketProbeEvery = 250 * time.Millisecond
 	// engineSeeds keeps the seeds of a router's engines apart.
 	engineSeeds = 100
 )
@@ -53,7 +56,8 @@
 	if err != nil {
 		return result, err
 	}
-	failure := runAll(ctx, runs)
+	failure := runAll(ctx, runs, config.Duration, disturbance*made.slowdown)
+	result.DisturbedSeconds = lo.Count(runs[0].recorder.disturbed, true)
 	for _, one := range runs {
 		result.Variants[one.variant] = one.recorder.result(config.Duration)
 	}
@@ -99,23 +103,55 @@
 }
 
 // runAll runs and closes all worlds and returns the first failure.
-func runAll(ctx context.Context, runs []socketRun) error {
+func runAll(ctx context.Context, runs []socketRun, duration, limit time.Duration) error {
 	failures := make([]error, len(runs))
+	observing, end := context.WithCancel(ctx)
+	defer end()
+	var meter lag.Meter
+	go meter.Run(observing)
 	var running sync.WaitGroup
 	for index, one := range runs {
-		running.Go(func() {
-			err := one.world.Run(ctx)
-			failures[index] = errors.Wrapf(errors.CombineErrors(err, one.world.Close()), "variant %s", one.variant)
-		})
+		running.Go(func() { failures[index] = one.world.Run(ctx) })
 	}
 	running.Wait()
+	disturbed := disturbedSeconds(&meter, runs[0].recorder.begin, duration, limit)
+	for index, one := range runs {
+		one.recorder.disturbed = disturbed
+		failures[index] = errors.Wrapf(errors.CombineErrors(failures[index], one.world.Close()), "variant %s", one.variant)
+	}
 	return errors.Join(failures...)
 }
 
+const (
+	// disturbance is the lag of this process within a second, before any
+	// slowdown, from which on that second says more about the machine than
+	// about the variants.
+	disturbance = 10 * time.Millisecond
+	// disturbedBefore is how many seconds before a disturbed one are left out,
+	// too: requests of theirs may be under way when it begins.
+	disturbedBefore = 1
+)
+
+// disturbedSeconds returns which seconds of a run are left out: those with
+// more lag than the limit, and some before. The choice is by time alone, the same for all variants, and so favours none.
+func disturbedSeconds(meter *lag.Meter, begin time.Time, duration, limit time.Duration) []bool {
+	seconds := make([]bool, (duration+time.Second-1)/time.Second)
+	for second := range len(seconds) + 1 {
+		from := begin.Add(time.Duration(second) * time.Second)
+		if meter.Between(from, from.Add(time.Second)) < limit {
+			continue
+		}
+		for left := max(0, second-disturbedBefore); left <= min(second, len(seconds)-1); left++ {
+			seconds[left] = true
+		}
+	}
+	return seconds
+}
+
 func (s *setting) socketConfig(variant string, seed uint64, begin time.Time) sockets.Config {
 	zones := zonesOf(s.plan)
 	config := sockets.Config{
-		Begin: begin, Model: s.model, Script: s.script, Rolls: s.rolls, ZoneDelay: zoneDelay,
+		Begin: begin, Model: s.model, Script: s.script, Rolls: s.rolls, ZoneDelay: s.zoneDelay, ProbeInterval: socketProbeEvery * s.slowdown,
 		Variant: variant, Seed: seed, Rates: s.rates(), Duration: s.duration,
 		Resends: s.resends, ResendPause: resendPause, HonorRetryAfter: s.honorRetryAfter,
 	}
--- a/internal/experiment/sockets/config.go
+++ b/internal/experiment/sockets/config.go
@@ -23,6 +23,8 @@
 	Rolls  []emulator.Roll
 	// ZoneDelay is the delay of each direction between two zones.
 	ZoneDelay time.Duration
+	// ProbeInterval is the pause between health probes of a back end.
+	ProbeInterval time.Duration
 	// Zones gives the zone of each router.
 	Zones []string
 	Stops []RouterStop
@@ -48,13 +50,13 @@
 	At, Away time.Duration
 }
 
-// Recorder receives what happened. Calls come from one goroutine at a time.
+// Recorder receives what happened once the run is over, from one goroutine.
 type Recorder interface {
 	Execution(execution records.Execution)
 	Departure(departure records.Departure)
 	Stop(stop records.PlannedStop)
 	Answer(answer records.CallerAnswer)
-	// Closed says that nothing more is expected to happen to a request.
+	// Closed says that nothing more will come about a request.
 	Closed(request string)
 }
 
--- a/internal/experiment/sockets_test.go
+++ b/internal/experiment/sockets_test.go
@@ -116,3 +116,9 @@
 	require.Equal(t, []int{4}, slots(compiled))
 	require.Equal(t, []int{9}, slots(changed))
 }
+
+func TestSlowPlanMultipliesTimesOnly(t *testing.T) {
+	text := "# 5s\ndeadline 100ms\nreplica 127.1.1.1:7000 zone a2s\nhedge budget 10% burst 5\nretry backoff 2s"
+	require.Equal(t, "# 50s\ndeadline 1000ms\nreplica 127.1.1.1:7000 zone a2s\nhedge budget 10% burst 5\nretry backoff 20s",
+		string(slowed([]byte(text), 10)))
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/lag"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/verdict"
@@ -66,7 +67,7 @@
 	recorder Recorder
 	client   *http.Client
 	ready    *readiness
-	lag      lagMeter
+	lag      lag.Meter
 	slots    chan struct{}
 	inFlight sync.WaitGroup
 }
@@ -100,7 +101,7 @@
 func (c *Callers) Run(ctx context.Context) {
 	probing, endProbes := context.WithCancel(ctx)
 	var probes sync.WaitGroup
-	probes.Go(func() { c.lag.run(probing) })
+	probes.Go(func() { c.lag.Run(probing) })
 	if c.config.ProbeInterval > 0 {
 		for index := range c.config.Routers {
 			probes.Go(func() { c.ready.probe(probing, c.client, index, c.config.ProbeInterval) })
@@ -148,7 +149,7 @@
 func (c *Callers) follow(ctx context.Context, request call) {
 	for try := 0; ; try++ {
 		answer, retryAfter := c.send(ctx, request, try)
-		answer.CallerLagMs = float64(c.lag.between(answer.Sent, answer.Received)) / float64(time.Millisecond)
+		answer.CallerLagMs = float64(c.lag.Between(answer.Sent, answer.Received)) / float64(time.Millisecond)
 		c.recorder.Answer(answer)
 		if answer.Status == http.StatusOK || try >= c.config.Resends {
 			return
