Show the progress of long work, and check the units against the program

Change: cli.Working shows on a terminal what is worked on and for how long, and nothing in a pipe; a test parses the units' command lines and compares TimeoutStopSec with stop-limit, by the defaults and both deployments' settings.

--- a/cmd/martenbench/load.go
+++ b/cmd/martenbench/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
@@ -60,7 +62,9 @@
 	if err := load.AwaitReady(ctx, config.Routers, c.WaitReady); err != nil {
 		return err
 	}
+	done := cli.Working(os.Stderr, fmt.Sprintf("load on %d routes for %s", len(config.Rates), config.Duration))
 	callers.Run(ctx)
+	done()
 	if err := file.Close(); err != nil {
 		return err
 	}
--- a/cmd/martenbench/simulate.go
+++ b/cmd/martenbench/simulate.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"runtime"
@@ -9,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/simulation"
 )
@@ -45,7 +47,9 @@
 	if trace != nil {
 		config.Trace, config.Parallel = trace, 1
 	}
+	done := cli.Working(os.Stderr, fmt.Sprintf("simulating %d runs", config.Runs))
 	result, err := simulation.Run(config)
+	done()
 	if trace != nil && trace != os.Stdout {
 		err = errors.CombineErrors(err, trace.Close())
 	}
--- a/cmd/martenstage/examples_test.go
+++ b/cmd/martenstage/examples_test.go
@@ -70,6 +70,7 @@
 		"command":       {[]string{"stauts"}, "did you mean `status'?"},
 		"sub-command":   {[]string{"config", "histroy"}, "did you mean `history'?"},
 		"option":        {[]string{"status", "--contrl", "127.0.0.1:1"}, "did you mean `--control'?\nRun 'martenstage status --help' for usage."},
+		"nowhere":       {[]string{"status"}, "--control is also read from the environment variable MARTENSTAGE_CONTROL"},
 		"extra word":    {[]string{"status", "--insecure-plaintext", "--control", "127.0.0.1:1", "now"}, `unexpected argument "now"`},
 		"drain by name": {[]string{"drain", "seat-finder:7000", "--insecure-plaintext", "--control", "127.0.0.1:1"}, "host names are not accepted"},
 		"shell":         {[]string{"completion", "tcsh"}, "bash, zsh and fish"},
--- a/cmd/martenstage/settings_test.go
+++ b/cmd/martenstage/settings_test.go
@@ -9,20 +9,24 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"reflect"
 	"regexp"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
+	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/control"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/settings"
 	"github.com/martenstage/martenstage/internal/site"
 )
 
@@ -151,6 +155,39 @@
 	}
 }
 
+// TestUnitsFitTheProgram checks the unit examples: their command lines parse,
+// and they wait longer than the process's own bound of a planned stop, by the
+// defaults and by both deployments' settings.
+func TestUnitsFitTheProgram(t *testing.T) {
+	for role, create := range roleSettings {
+		unit, err := os.ReadFile("../../deploy/systemd/martenstage-" + role + ".service")
+		require.NoError(t, err)
+		value := func(key string) string {
+			match := regexp.MustCompile(`(?m)^` + key + `=(.*)$`).FindSubmatch(unit)
+			require.NotNil(t, match, "%s of %s", key, role)
+			return string(match[1])
+		}
+		words := strings.Fields(value("ExecStart"))
+		require.Equal(t, "/usr/local/bin/martenstage", words[0])
+		require.NoError(t, cli.Parse("martenstage", commandTree(), words[1:]))
+		limit, err := time.ParseDuration(value("TimeoutStopSec"))
+		require.NoError(t, err)
+		values := []map[string]any{{}}
+		for _, deployment := range []string{"bangkok", "norte-grande"} {
+			described, err := site.Read("../../deploy/" + deployment + "/site.yaml")
+			require.NoError(t, err)
+			values = append(values, described.Settings[role])
+		}
+		for _, given := range values {
+			options := create()
+			if err := settings.Fill(given, options); !errors.Is(err, settings.ErrInvalid) {
+				require.NoError(t, err) // settings that only a place in a site decides are missing
+			}
+			require.Greater(t, limit, reflect.ValueOf(options).Elem().FieldByName("StopLimit").Interface(), role)
+		}
+	}
+}
+
 // waitForReports sends one request to every router and waits until control
 // counts all of them, as summed up by the relays between. No back end runs, so
 // no request is answered.
--- a/cmd/martenstage/voters.go
+++ b/cmd/martenstage/voters.go
@@ -54,7 +54,9 @@
 // log and counts for quorums.
 func (c *votersAdd) Execute([]string) error {
 	return c.call(func(ctx context.Context, client *control.Client) error {
+		done := cli.Working(os.Stderr, fmt.Sprintf("bringing voter %d up to date", c.Arguments.ID))
 		voters, err := client.AddVoter(ctx, c.Arguments.ID, c.Arguments.Address)
+		done()
 		if err != nil {
 			return err
 		}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -24,8 +24,11 @@
 		return &flags.Error{Type: parseError.Type, Message: parseError.Message + examplesText(find(commands, names[1:]))}
 	}
 	message := parseError.Message
-	if parseError.Type == flags.ErrUnknownFlag {
+	switch parseError.Type {
+	case flags.ErrUnknownFlag:
 		message += suggestedOption(parser, message)
+	case flags.ErrRequired:
+		message += environmentHint(parser, message)
 	}
 	return &flags.Error{Type: parseError.Type, Message: fmt.Sprintf("%s\nRun '%s --help' for usage.", message, strings.Join(names, " "))}
 }
@@ -72,14 +75,7 @@
 		return ""
 	}
 	var known []string
-	collect := func(group *flags.Group) {
-		for _, option := range group.Options() {
-			known = append(known, option.LongName)
-		}
-	}
-	for command := parser.Command; command != nil; command = command.Active {
-		eachGroup(command.Group, collect)
-	}
+	eachOption(parser, func(option *flags.Option) { known = append(known, option.LongName) })
 	name, found := nearest.Name(match[1], known)
 	if !found {
 		return ""
@@ -87,6 +83,28 @@
 	return fmt.Sprintf(", did you mean `--%s'?", name)
 }
 
+// environmentHint names the variables that required options are also read from.
+func environmentHint(parser *flags.Parser, message string) string {
+	hint := ""
+	eachOption(parser, func(option *flags.Option) {
+		if option.EnvDefaultKey != "" && strings.Contains(message, "--"+option.LongName+"'") {
+			hint += fmt.Sprintf("; --%s is also read from the environment variable %s", option.LongName, option.EnvDefaultKey)
+		}
+	})
+	return hint
+}
+
+// eachOption visits the options of the program and of the chosen commands.
+func eachOption(parser *flags.Parser, visit func(*flags.Option)) {
+	for command := parser.Command; command != nil; command = command.Active {
+		eachGroup(command.Group, func(group *flags.Group) {
+			for _, option := range group.Options() {
+				visit(option)
+			}
+		})
+	}
+}
+
 func eachGroup(group *flags.Group, visit func(*flags.Group)) {
 	visit(group)
 	for _, inner := range group.Groups() {
--- a/internal/cli/terminal.go
+++ b/internal/cli/terminal.go
@@ -49,3 +49,31 @@
 		p.shown = false
 	}
 }
+
+// progressInterval is the pace at which Working writes over its line.
+const progressInterval = time.Second
+
+// Working shows on a terminal, after a second and until the returned function
+// is called, what is being worked on and for how long already.
+func Working(file *os.File, text string) (done func()) {
+	progress := NewProgress(file)
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		ticker := time.NewTicker(progressInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				progress.Show(text)
+			case <-stop:
+				progress.Done()
+				return
+			}
+		}
+	}()
+	return func() {
+		close(stop)
+		<-stopped
+	}
+}
