Leave dead relays out of a cut, and print what a failed run measured

Cause: a cut region held a relay that an earlier fault of the run had killed; the signal failed and the run ended without its figures. Change: faults strike living processes; phases that ended are printed.

--- a/internal/scale/churn.go
+++ b/internal/scale/churn.go
@@ -16,8 +16,10 @@
 	failuresPerDay = 150
 	endsPerDay     = plannedPerDay + failuresPerDay
 	day            = 24 * time.Hour
-	// startSpread is the time over which a fleet's first followers start.
-	startSpread = 3 * time.Second
+	// startPace is the time that each first follower of a fleet adds to that
+	// over which they all start. Whoever starts is told to all others, so a
+	// start of all at once costs the square of their number.
+	startPace = 12 * time.Millisecond
 )
 
 // churnStep is how often a follower decides whether its end has come.
--- a/internal/scale/fault.go
+++ b/internal/scale/fault.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 )
 
@@ -99,8 +100,11 @@
 	switch fault {
 	case FaultKillRelay:
 		// The last one, so that the real routers keep theirs.
-		relays := r.withRole(RoleRelay)
-		return relays[len(relays)-1:], nil
+		alive := r.alive(r.withRole(RoleRelay))
+		if len(alive) == 0 {
+			return nil, errors.New("no relay is left to kill")
+		}
+		return alive[len(alive)-1:], nil
 	case FaultKillLeader:
 		status, err := r.client.Status(ctx)
 		if err != nil {
@@ -120,7 +124,7 @@
 				struck = append(struck, process)
 			}
 		}
-		return struck, nil
+		return r.alive(struck), nil
 	default:
 		return nil, errors.Newf("unknown fault %q", fault)
 	}
@@ -153,6 +157,11 @@
 	return holding, running
 }
 
+// alive leaves out the processes that faults have killed.
+func (r *Run) alive(processes []Process) []Process {
+	return lo.Reject(processes, func(process Process, _ int) bool { return r.dead[process.Name] })
+}
+
 func (r *Run) markDead(processes []Process) {
 	for _, process := range processes {
 		r.dead[process.Name] = true
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -73,7 +73,8 @@
 	random := rand.New(rand.NewPCG(f.config.Seed, uint64(index)))
 	name := fmt.Sprintf("%s-%04d", f.config.Name, index)
 	// Spread starts over a while, as an orderly start of a fleet does.
-	if !pause(ctx, time.Duration(random.Int64N(int64(startSpread)))) {
+	spread := time.Duration(f.config.Followers) * startPace
+	if !pause(ctx, time.Duration(random.Int64N(int64(spread)))) {
 		return
 	}
 	for replaced := 0; ctx.Err() == nil; {
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -20,7 +20,7 @@
 const changesPerDay = 37000
 
 const (
-	joinTimeout   = 3 * time.Minute
+	joinTimeout   = 100 * time.Second
 	joinPoll      = 500 * time.Millisecond
 	settleTimeout = 30 * time.Second
 	// inForcePoll is the grain of the times at which control reports a
@@ -71,7 +71,7 @@
 	}
 }
 
-// Do runs all phases.
+// Do runs all phases. With an error it returns the phases that ended before.
 func (r *Run) Do(ctx context.Context) (Result, error) {
 	r.started = time.Now()
 	if r.config.PlatformListen != "" {
