Say once how a role proves itself, and how a process is run

Cause: the options of keys stood in the settings of three roles, and the commands of relay and control were alike line for line. Change: rpc.SecurityOptions is embedded in each role's settings; package settings skips the embedding field itself. cmd/martenstage/process.go holds what commands that run a process share. Conclusion: a new key or a new role touches one place.

--- a/cmd/martenstage/router.go
+++ b/cmd/martenstage/router.go
@@ -3,13 +3,9 @@
 import (
 	"context"
 	"net"
-	"os"
-	"os/signal"
 	"sync"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
 
@@ -17,31 +13,24 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/router"
-	"github.com/martenstage/martenstage/internal/settings"
 )
 
 // routerCommand runs a router until SIGTERM or SIGINT.
 type routerCommand struct {
 	router.Options
-	Settings string `long:"settings" description:"Settings file (YAML)"`
-	command  *flags.Command
+	processCommand
 }
 
-// UseCommand keeps the parsed command, to tell given options from defaults.
-func (c *routerCommand) UseCommand(command *flags.Command) { c.command = command }
-
 // Execute implements flags.Commander.
 func (c *routerCommand) Execute([]string) error {
-	if err := settings.Load(c.Settings, c.command, &c.Options); err != nil {
-		return exitcode.With(exitcode.Settings, err)
+	if err := c.load(&c.Options); err != nil {
+		return err
 	}
 	if err := c.Check(); err != nil {
 		return exitcode.With(exitcode.Settings, err)
 	}
-	// A second signal ends the process at once.
-	stopping, restore := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	stopping, restore := untilSignal()
 	defer restore()
-	context.AfterFunc(stopping, restore)
 	return runRouter(stopping, &c.Options)
 }
 
--- a/cmd/martenstage/router_wiring.go
+++ b/cmd/martenstage/router_wiring.go
@@ -22,7 +22,6 @@
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/keys"
-	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
 	"github.com/martenstage/martenstage/internal/policy"
 	"github.com/martenstage/martenstage/internal/query"
@@ -42,16 +41,11 @@
 	do.ProvideValue(injector, options)
 	do.ProvideValue(injector, routerBoot(time.Now().UnixNano()))
 	do.ProvideValue(injector, metrics.NewRegistry("router"))
-	do.Provide(injector, provideRouterLogger)
+	do.Provide(injector, loggerAt(options.LogLevel))
 	do.Provide(injector, provideRouterParts)
 	return injector
 }
 
-func provideRouterLogger(injector do.Injector) (*logrus.Logger, error) {
-	logger, err := logging.New(os.Stderr, do.MustInvoke[*router.Options](injector).LogLevel)
-	return logger, exitcode.With(exitcode.Settings, err)
-}
-
 func provideRouterParts(injector do.Injector) (*routerParts, error) {
 	logger, err := do.Invoke[*logrus.Logger](injector)
 	if err != nil {
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -88,7 +88,7 @@
 		options := &Options{
 			DataFolder: t.TempDir(), ID: uint64(index + 1), Listen: listener.Addr().String(), Voters: voters,
 			Lease: 2 * time.Second, Heartbeat: 50 * time.Millisecond, ElectionTimeout: 500 * time.Millisecond,
-			SnapshotEntries: 20_000, StopLimit: 10 * time.Second, InsecurePlaintext: true,
+			SnapshotEntries: 20_000, StopLimit: 10 * time.Second, SecurityOptions: rpc.SecurityOptions{InsecurePlaintext: true},
 		}
 		if adjust != nil {
 			adjust(options)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -11,6 +11,7 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/rpc"
 )
 
 const (
@@ -196,7 +197,7 @@
 // found a group unless it is told to.
 func TestEmptyFolderNeedsIntent(t *testing.T) {
 	t.Parallel()
-	options := &Options{DataFolder: t.TempDir(), ID: 1, Listen: "127.0.0.1:0", InsecurePlaintext: true}
+	options := &Options{DataFolder: t.TempDir(), ID: 1, Listen: "127.0.0.1:0", SecurityOptions: rpc.SecurityOptions{InsecurePlaintext: true}}
 	_, err := Open(options, Environment{})
 	require.Equal(t, exitcode.Settings, exitcode.Of(err), "%v", err)
 }
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/consensus"
-	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/settings"
 )
@@ -35,18 +34,7 @@
 	SnapshotEntries uint64        `long:"snapshot-entries" koanf:"snapshot-entries" default:"20000" validate:"min=1" description:"Applied log entries after which the state is stored as a snapshot and the log cut"`
 	StopLimit       time.Duration `long:"stop-limit" koanf:"stop-limit" default:"10s" validate:"min=1s" description:"Longest planned stop, handing leadership over included"`
 
-	Authority         string `long:"tls-authority" koanf:"tls-authority" description:"Certificate of the site's authority"`
-	Certificate       string `long:"tls-certificate" koanf:"tls-certificate" description:"Certificate of this process"`
-	Key               string `long:"tls-key" koanf:"tls-key" description:"Key of this process"`
-	InsecurePlaintext bool   `long:"insecure-plaintext" koanf:"insecure-plaintext" description:"Run without keys: nobody is authenticated and nothing is encrypted"`
-}
-
-// security returns how the process proves itself.
-func (o *Options) security() rpc.SecuritySettings {
-	return rpc.SecuritySettings{
-		Files:             keys.Files{Authority: o.Authority, Certificate: o.Certificate, Key: o.Key},
-		InsecurePlaintext: o.InsecurePlaintext,
-	}
+	rpc.SecurityOptions `koanf:",squash"`
 }
 
 // address is where others reach the voter.
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return nil, exitcode.With(exitcode.Settings, err)
 	}
-	if process.security, err = rpc.NewSecurity(options.security(), logger); err != nil {
+	if process.security, err = rpc.NewSecurity(options.Security(), logger); err != nil {
 		return nil, exitcode.With(exitcode.Settings, err)
 	}
 	if process.platform, err = newPlatformReader(options.Platform, logger, registry); err != nil {
--- a/internal/relay/options.go
+++ b/internal/relay/options.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/rpc"
 )
 
@@ -21,17 +20,7 @@
 	LogLevel      string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
 	StopLimit     time.Duration `long:"stop-limit" koanf:"stop-limit" default:"5s" validate:"min=1s" description:"Longest planned stop"`
 
-	Authority         string `long:"tls-authority" koanf:"tls-authority" description:"Certificate of the site's authority"`
-	Certificate       string `long:"tls-certificate" koanf:"tls-certificate" description:"Certificate of this process"`
-	Key               string `long:"tls-key" koanf:"tls-key" description:"Key of this process"`
-	InsecurePlaintext bool   `long:"insecure-plaintext" koanf:"insecure-plaintext" description:"Run without keys: nobody is authenticated and nothing is encrypted"`
-}
-
-func (o *Options) security() rpc.SecuritySettings {
-	return rpc.SecuritySettings{
-		Files:             keys.Files{Authority: o.Authority, Certificate: o.Certificate, Key: o.Key},
-		InsecurePlaintext: o.InsecurePlaintext,
-	}
+	rpc.SecurityOptions `koanf:",squash"`
 }
 
 func (o *Options) address() string {
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -46,7 +46,7 @@
 func Open(options *Options, logger *logrus.Logger, registry *prometheus.Registry) (*Process, error) {
 	process := &Process{options: options, logger: logger, registry: registry}
 	var err error
-	if process.security, err = rpc.NewSecurity(options.security(), logger); err != nil {
+	if process.security, err = rpc.NewSecurity(options.Security(), logger); err != nil {
 		return nil, exitcode.With(exitcode.Settings, err)
 	}
 	process.client = rpc.NewClient(process.security, rpc.ClientConfig{
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -8,7 +8,6 @@
 
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/balancer"
-	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/rpc"
 )
@@ -26,10 +25,7 @@
 	DataFolder string   `long:"data-folder" koanf:"data-folder" description:"Folder for events on their way to the journal; when empty they go to the log only"`
 	PolicyFile string   `long:"policy-file" koanf:"policy-file" description:"Policy file for a single router without control, in place of upstreams"`
 
-	Authority         string `long:"tls-authority" koanf:"tls-authority" description:"Certificate of the site's authority"`
-	Certificate       string `long:"tls-certificate" koanf:"tls-certificate" description:"Certificate of this process"`
-	Key               string `long:"tls-key" koanf:"tls-key" description:"Key of this process"`
-	InsecurePlaintext bool   `long:"insecure-plaintext" koanf:"insecure-plaintext" description:"Run without keys: nobody is authenticated and nothing is encrypted"`
+	rpc.SecurityOptions `koanf:",squash"`
 
 	LogLevel string `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
 	MaxBody  int64  `long:"max-body-bytes" koanf:"max-body-bytes" default:"262144" validate:"min=1" description:"Longest body of a query, bytes"`
@@ -63,14 +59,6 @@
 	}
 }
 
-// Security returns how the router proves itself to relays, control and peers.
-func (o *Options) Security() rpc.SecuritySettings {
-	return rpc.SecuritySettings{
-		Files:             keys.Files{Authority: o.Authority, Certificate: o.Certificate, Key: o.Key},
-		InsecurePlaintext: o.InsecurePlaintext,
-	}
-}
-
 // Voters are the servers that decide claims and store events.
 func (o *Options) Voters() []string {
 	if len(o.Control) > 0 {
--- a/internal/rpc/security.go
+++ b/internal/rpc/security.go
@@ -28,6 +28,23 @@
 	InsecurePlaintext bool
 }
 
+// SecurityOptions are the settings of a process that say how it proves itself;
+// the settings of each role embed them.
+type SecurityOptions struct {
+	Authority         string `long:"tls-authority" koanf:"tls-authority" description:"Certificate of the site's authority"`
+	Certificate       string `long:"tls-certificate" koanf:"tls-certificate" description:"Certificate of this process"`
+	Key               string `long:"tls-key" koanf:"tls-key" description:"Key of this process"`
+	InsecurePlaintext bool   `long:"insecure-plaintext" koanf:"insecure-plaintext" description:"Run without keys: nobody is authenticated and nothing is encrypted"`
+}
+
+// Security returns the settings that Security is made from.
+func (o *SecurityOptions) Security() SecuritySettings {
+	return SecuritySettings{
+		Files:             keys.Files{Authority: o.Authority, Certificate: o.Certificate, Key: o.Key},
+		InsecurePlaintext: o.InsecurePlaintext,
+	}
+}
+
 // ErrNoKeys is returned when neither keys nor plaintext are set.
 var ErrNoKeys = errors.New("no keys are set (tls-authority, tls-certificate, tls-key); " +
 	"without them --insecure-plaintext must be given")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
-// Package settings loads the settings of a process. A settings struct is flat:
-// every field is at once a key of the YAML file and a command-line option of
+// Package settings loads the settings of a process. A settings struct is flat,
+// but for structs that it embeds (tagged koanf:",squash"): every field is at once a key of the YAML file and a command-line option of
 // the same name, so one struct tag set describes both:
 //
 //	Listen string `long:"listen" koanf:"listen" default:"127.0.0.1:0" validate:"ip_port" description:"…"`
@@ -112,7 +112,7 @@
 func Keys(target any) []string {
 	var keys []string
 	for _, field := range reflect.VisibleFields(structType(target)) {
-		if key := field.Tag.Get(keyTag); key != "" {
+		if key := field.Tag.Get(keyTag); key != "" && !field.Anonymous {
 			keys = append(keys, key)
 		}
 	}
@@ -133,7 +133,7 @@
 	var options []Option
 	for _, field := range reflect.VisibleFields(structType(target)) {
 		key := field.Tag.Get(keyTag)
-		if key == "" {
+		if key == "" || field.Anonymous {
 			continue
 		}
 		options = append(options, Option{
