Take joined events of the report at their first and their last time

Change: such an event counts at both times. What happened several times is listed with its first and last time. Conclusion: the order of begin and end holds again.

--- a/internal/incident/html.go
+++ b/internal/incident/html.go
@@ -47,6 +47,9 @@
 // Clock writes a time of the window.
 func (p *page) Clock(moment time.Time) string { return p.clock(moment) }
 
+// Last writes the last time of what happened several times.
+func (p *page) Last(moment Moment) string { return moment.last(p.clock) }
+
 // Full writes a time with its date.
 func (p *page) Full(moment time.Time) string { return fullTime(moment, p.location) }
 
--- a/internal/incident/pairing.go
+++ b/internal/incident/pairing.go
@@ -42,9 +42,8 @@
 type ongoing struct {
 	*Incident
 	witnesses map[string]bool
-	// holding are the witnesses that saw it begin and not end, with the time at
-	// which they saw it begin last.
-	holding map[string]time.Time
+	// holding are the witnesses that saw it begin and not end.
+	holding map[string]bool
 	// lastEnd is when a witness last saw it end; Ended while nobody holds it.
 	lastEnd time.Time
 	// doubted is when a new leader took over that has yet to confirm it.
@@ -59,27 +58,52 @@
 	moments   []Moment
 }
 
+// observation is an event at one moment.
+type observation struct {
+	journal.Event
+	// again is set for the last time of an event that happened several times.
+	again bool
+}
+
 // pair goes through events in the order of their times. Until is when the
 // journal was read.
 func pair(events []journal.Event, until time.Time) *pairing {
-	ordered := slices.Clone(events)
-	slices.SortStableFunc(ordered, func(left, right journal.Event) int { return left.Time.Compare(right.Time) })
+	ordered := observationsOf(events)
+	slices.SortStableFunc(ordered, func(left, right observation) int { return left.Time.Compare(right.Time) })
 	found := &pairing{until: until, latest: map[key]*ongoing{}}
-	for _, event := range ordered {
-		found.take(event)
+	for _, seen := range ordered {
+		found.take(seen)
 	}
 	found.finish()
 	return found
 }
 
-func (p *pairing) take(event journal.Event) {
+// observationsOf takes an event that stands for several as its first and its
+// last time, since others may have come between: a lease is gained, lost, and
+// gained again.
+func observationsOf(events []journal.Event) []observation {
+	all := make([]observation, 0, len(events))
+	for _, event := range events {
+		all = append(all, observation{Event: event})
+		_, isSpan := classesOfSpans[event.Kind]
+		if isSpan || !event.LastTime.After(event.Time) {
+			continue
+		}
+		last := event
+		last.Time = event.LastTime
+		all = append(all, observation{Event: last, again: true})
+	}
+	return all
+}
+
+func (p *pairing) take(event observation) {
 	if class, isSpan := classesOfSpans[event.Kind]; isSpan {
 		p.span(class, event)
 		return
 	}
-	if momentKinds[event.Kind] {
+	if momentKinds[event.Kind] && !event.again {
 		p.moments = append(p.moments, Moment{
-			Time: event.Time, LastTime: lastOf(event), Kind: event.Kind, Source: event.Source,
+			Time: event.Time, LastTime: lastOf(event.Event), Kind: event.Kind, Source: event.Source,
 			Address: event.Address, Detail: event.Detail, Count: max(event.Count, 1),
 		})
 	}
@@ -107,15 +131,15 @@
 }
 
 // takeNode takes what is about a process of the system itself.
-func (p *pairing) takeNode(event journal.Event) {
+func (p *pairing) takeNode(event observation) {
 	voter := key{class: VoterLost, subject: event.Address}
 	switch event.Kind {
 	case journal.KindLeaseLost:
-		for _, node := range nodesOf(event) {
+		for _, node := range nodesOf(event.Event) {
 			p.begin(key{class: LeaseLost, subject: node}, event)
 		}
 	case journal.KindRelayLost:
-		for _, node := range nodesOf(event) {
+		for _, node := range nodesOf(event.Event) {
 			p.begin(key{class: RelayLost, subject: node}, event)
 		}
 	case journal.KindLeaseGained:
@@ -143,7 +167,7 @@
 
 // restarted ends what a process that starts anew knows nothing of: what it had
 // seen of back ends, and a disk that failed.
-func (p *pairing) restarted(event journal.Event) {
+func (p *pairing) restarted(event observation) {
 	p.endForAll(key{class: DiskFailed, subject: event.Source}, event.Time)
 	p.endForAll(key{class: RelayLost, subject: event.Source}, event.Time)
 	for found, open := range p.latest {
@@ -161,25 +185,20 @@
 	}
 }
 
-func (p *pairing) begin(about key, event journal.Event) {
+func (p *pairing) begin(about key, event observation) {
 	open := p.at(about, event)
 	if len(open.holding) == 0 {
 		open.Episodes++
 	}
 	open.Ended = time.Time{}
 	open.doubted = time.Time{}
-	open.holding[event.Source] = lastOf(event)
+	open.holding[event.Source] = true
 	open.see(event)
 }
 
-func (p *pairing) end(about key, event journal.Event) {
-	open, known := p.latest[about]
-	if !known {
-		return
-	}
-	// Joined events overlap: the last beginning may come after the last end.
-	if begun, holds := open.holding[event.Source]; holds && !lastOf(event).Before(begun) {
-		p.release(open, event.Source, lastOf(event))
+func (p *pairing) end(about key, event observation) {
+	if open, known := p.latest[about]; known {
+		p.release(open, event.Source, event.Time)
 	}
 }
 
@@ -194,7 +213,7 @@
 }
 
 func (p *pairing) release(open *ongoing, witness string, now time.Time) {
-	if _, holds := open.holding[witness]; !holds {
+	if !open.holding[witness] {
 		return
 	}
 	delete(open.holding, witness)
@@ -206,7 +225,7 @@
 	}
 }
 
-func (p *pairing) span(class Class, event journal.Event) {
+func (p *pairing) span(class Class, event observation) {
 	about := key{class: class, service: event.Service, shard: event.Shard, subject: event.Address, detail: event.Detail}
 	if class == DiskSlow || class == EventsDropped {
 		about.subject, about.detail = event.Source, ""
@@ -215,17 +234,17 @@
 	if len(open.witnesses) == 0 {
 		open.Episodes = 1
 	}
-	if last := lastOf(event); last.After(open.Ended) {
+	if last := lastOf(event.Event); last.After(open.Ended) {
 		open.Ended = last
 	}
 	open.see(event)
 }
 
 // at returns the incident that an event belongs to, a new one if the latest was
-// over for a while.
-func (p *pairing) at(about key, event journal.Event) *ongoing {
+// over for a while and the event is not of it.
+func (p *pairing) at(about key, event observation) *ongoing {
 	open, known := p.latest[about]
-	if known && (open.Open() || event.Time.Sub(open.Ended) < joinGap) {
+	if known && (event.again || open.Open() || event.Time.Sub(open.Ended) < joinGap) {
 		return open
 	}
 	open = &ongoing{
@@ -233,15 +252,17 @@
 			Class: about.class, Subject: about.subject, Service: event.Service, Shard: event.Shard,
 			Detail: event.Detail, Begun: event.Time,
 		},
-		witnesses: map[string]bool{}, holding: map[string]time.Time{},
+		witnesses: map[string]bool{}, holding: map[string]bool{},
 	}
 	p.latest[about] = open
 	p.incidents = append(p.incidents, open)
 	return open
 }
 
-func (o *ongoing) see(event journal.Event) {
-	o.Count += max(event.Count, 1)
+func (o *ongoing) see(event observation) {
+	if !event.again {
+		o.Count += max(event.Count, 1)
+	}
 	o.witnesses[event.Source] = true
 }
 
--- a/internal/incident/report_test.go
+++ b/internal/incident/report_test.go
@@ -154,6 +154,19 @@
 	again, over := one(t, report, ReplicaEjected, "10.1.0.1:7000"), one(t, report, ReplicaEjected, "10.1.0.2:7000")
 	require.True(t, again.Open())
 	require.Equal(t, evening("19:11:00"), over.Ended)
+	require.Len(t, report.Failures, 2)
+}
+
+// TestLeaseThatWasGainedTwice has the loss between the two times of one event.
+func TestLeaseThatWasGainedTwice(t *testing.T) {
+	events := []journal.Event{
+		{Time: evening("19:00:00"), LastTime: evening("19:02:00"), Count: 2, Kind: journal.KindLeaseGained, Source: "router-1"},
+		{Time: evening("19:01:00"), Kind: journal.KindLeaseLost, Source: "router-1"},
+	}
+	report := New(events, Request{Since: evening("18:00:00"), Until: evening("20:00:00")})
+	lost := one(t, report, LeaseLost, "router-1")
+	require.Equal(t, evening("19:02:00"), lost.Ended)
+	require.EqualValues(t, 1, lost.Count)
 }
 
 // TestReportOfOneService leaves other services out and keeps the fleet's own.
--- a/internal/incident/text.go
+++ b/internal/incident/text.go
@@ -153,13 +153,13 @@
 	if len(all) == 0 {
 		return
 	}
-	p.printf("\nWHAT THE SYSTEM AND ITS OPERATORS DID\nTIME\tWHAT\tTIMES\tBY\tDETAIL\n")
+	p.printf("\nWHAT THE SYSTEM AND ITS OPERATORS DID\nFIRST\tLAST\tWHAT\tTIMES\tBY\tDETAIL\n")
 	shown := map[journal.Kind]int{}
 	for _, moment := range all {
 		if shown[moment.Kind]++; shown[moment.Kind] > shownPerClass {
 			continue
 		}
-		p.printf("%s\t%s\t%d\t%s\t%s\n", clock(moment.Time), words(moment.Kind), moment.Count, moment.Source,
+		p.printf("%s\t%s\t%s\t%d\t%s\t%s\n", clock(moment.Time), moment.last(clock), words(moment.Kind), moment.Count, moment.Source,
 			strings.TrimSpace(moment.Address+" "+moment.Detail))
 	}
 	for _, kind := range []journal.Kind{
@@ -172,5 +172,13 @@
 	}
 }
 
+// last writes the last time of what happened several times.
+func (m Moment) last(clock func(time.Time) string) string {
+	if !m.LastTime.After(m.Time) {
+		return ""
+	}
+	return clock(m.LastTime)
+}
+
 // words writes a kind as people read it.
 func words(kind journal.Kind) string { return strings.ReplaceAll(string(kind), "_", " ") }
