--- a/internal/incident/incident.go
+++ b/internal/incident/incident.go
@@ -23,6 +23,7 @@
 	ShortAnswers   Class = "answers short of policy"
 	LeaseLost      Class = "no lease"
 	RelayLost      Class = "relay lost"
+	UpstreamLost   Class = "upstream not answering"
 	VoterLost      Class = "voter lost"
 	DiskFailed     Class = "disk failed"
 	DiskSlow       Class = "disk slow"
--- a/internal/incident/pairing.go
+++ b/internal/incident/pairing.go
@@ -28,6 +28,7 @@
 	journal.KindSnapshotRestarted:   Restarts,
 	journal.KindDiskSlow:            DiskSlow,
 	journal.KindEventsDropped:       EventsDropped,
+	journal.KindUpstreamLost:        UpstreamLost,
 }
 
 // key is what tells incidents apart.
@@ -227,8 +228,11 @@
 
 func (p *pairing) span(class Class, event observation) {
 	about := key{class: class, service: event.Service, shard: event.Shard, subject: event.Address, detail: event.Detail}
-	if class == DiskSlow || class == EventsDropped {
+	switch class {
+	case DiskSlow, EventsDropped:
 		about.subject, about.detail = event.Source, ""
+	case UpstreamLost:
+		about.detail = "" // each follower has a reason of its own
 	}
 	open := p.at(about, event)
 	if len(open.witnesses) == 0 {
--- a/internal/incident/report_test.go
+++ b/internal/incident/report_test.go
@@ -61,6 +61,8 @@
 		{Time: morning("01:00:09"), Kind: journal.KindLeaseLost, Source: "router-2"},
 		{Time: morning("01:00:12"), Kind: journal.KindLeaseGained, Source: "router-2"},
 		{Time: morning("01:02:00"), Kind: journal.KindRelayLost, Source: "control-2", Detail: "relay-4 relay-5", Count: 2},
+		{Time: morning("01:01:50"), Kind: journal.KindUpstreamLost, Source: "router-1", Address: "10.0.1.4:7400", Detail: "connection refused"},
+		{Time: morning("01:01:51"), Kind: journal.KindUpstreamLost, Source: "router-2", Address: "10.0.1.4:7400", Detail: "deadline exceeded"},
 		{Time: morning("01:40:00"), Kind: journal.KindLeaseGained, Source: "relay-4"},
 		{Time: morning("01:40:00"), Kind: journal.KindRestarted, Source: "relay-4", Detail: "relay started"},
 		// A router that is killed forgets which replicas it had ejected.
--- a/internal/incident/task.go
+++ b/internal/incident/task.go
@@ -54,7 +54,7 @@
 	},
 	{
 		class: ReplicaEjected, page: "tails.md",
-		open: "routers send it no work because its attempts failed; look at the back end's own log",
+		open: "routers send it no work because its attempts failed or it does not answer; look at the back end's own log",
 	},
 	{
 		class: DiskSlow, page: "replacing-a-control-machine.md",
--- a/internal/incident/text.go
+++ b/internal/incident/text.go
@@ -123,7 +123,7 @@
 
 // more says what was left out.
 func (p *printer) more(shown map[Class]int) {
-	for _, known := range append(lo.Map(advices, func(one advice, _ int) Class { return one.class }), ClaimRefused, ShortAnswers, Restarts, Drain) {
+	for _, known := range append(lo.Map(advices, func(one advice, _ int) Class { return one.class }), ClaimRefused, ShortAnswers, Restarts, Drain, UpstreamLost) {
 		if left := shown[known] - shownPerClass; left > 0 {
 			p.printf("and %d more: %s (--json lists them)\n", left, known)
 		}
