Reset connections at every byte through the whole router

Cause: resets were tested at the client of back ends and at the emulator, not with the engine, its claims and a caller who sends again. Change: two tests, judged by the back ends' record. Resets at 400 positions of query and reply between router and back end, each request sent twice; and a caller whose connection is reset after every byte of its request. Conclusion: a claim and the ban on retrying a doubtful attempt hold together.

--- /dev/null
+++ b/internal/callers/reset_test.go
@@ -0,0 +1,93 @@
+package callers
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/emulator"
+)
+
+// executionsByRequest ends the back ends and counts the executions of every
+// request id.
+func (s *site) executionsByRequest() map[string]int {
+	s.closeFleet()
+	counts := map[string]int{}
+	for _, execution := range s.record.Executions() {
+		if execution.Executed {
+			counts[execution.Request]++
+		}
+	}
+	return counts
+}
+
+// A request that runs at most once meets a reset at every byte of its query and
+// of its reply between router and back end, and is sent again by its caller each
+// time. The back ends' record decides.
+func TestResetsTowardsBackEndsRunNothingTwice(t *testing.T) {
+	const bytes = 400 // a little more than the query, and than the reply's head
+	s := newSite(t, time.Millisecond, StopConfig{Limit: time.Minute})
+	verdicts := map[string]string{}
+	for _, kind := range []emulator.FaultKind{emulator.FaultResetRequest, emulator.FaultResetReply} {
+		for position := range bytes {
+			fault, err := s.fleet.Inject(emulator.Fault{Kind: kind, Byte: position})
+			require.NoError(t, err)
+			id := fmt.Sprint(kind, "-", position)
+			_, first := s.post("/v1/routes/send/query?key=k", id, `{"to":"host"}`)
+			require.NoError(t, s.fleet.Clear(fault))
+			status, again := s.post("/v1/routes/send/query?key=k", id, `{"to":"host"}`)
+			verdicts[id] = first["verdict"].(string)
+			if verdicts[id] != "not_run" {
+				require.Equal(t, http.StatusConflict, status, "%s: %v after %v", id, again, first)
+			}
+		}
+	}
+	executions := s.executionsByRequest()
+	for id, first := range verdicts {
+		require.LessOrEqual(t, executions[id], 1, id)
+		if first == "ran" {
+			require.Equal(t, 1, executions[id], id)
+		}
+	}
+	// Doubtful ones must have been met at every position, not refused early.
+	doubtful := lo.CountBy(lo.Values(verdicts), func(first string) bool { return first == "may_have_run" })
+	t.Logf("%d of %d requests were in doubt", doubtful, len(verdicts))
+	require.Greater(t, doubtful, bytes)
+	require.Zero(t, executions["reset_request-1"], "the query was cut before it ran")
+}
+
+// A caller's own connection is reset after every byte of its request. Nothing
+// runs unless the router had the whole of it, and then once, however often
+// the caller sends it again.
+func TestResetsOfTheCallerRunNothingTwice(t *testing.T) {
+	s := newSite(t, time.Millisecond, StopConfig{Limit: time.Minute})
+	const body = `{"to":"host"}`
+	textOf := func(id string) string {
+		return "POST /v1/routes/send/query?key=k HTTP/1.1\r\nHost: " + s.address + "\r\n" + HeaderRequest + ": " + id +
+			"\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	}
+	idOf := func(cut int) string { return fmt.Sprintf("cut-%03d", cut) }
+	length := len(textOf(idOf(0)))
+	for cut := range length + 1 {
+		socket, err := net.Dial("tcp4", s.address)
+		require.NoError(t, err)
+		_, err = io.WriteString(socket, textOf(idOf(cut))[:cut])
+		require.NoError(t, err)
+		require.NoError(t, socket.(*net.TCPConn).SetLinger(0))
+		require.NoError(t, socket.Close())
+	}
+	status, again := s.post("/v1/routes/send/query?key=k", idOf(length), body)
+	require.True(t, status == http.StatusOK || again["reason"] == "claim_held", "%v", again)
+	executions := s.executionsByRequest()
+	for cut := range length {
+		require.Zero(t, executions[idOf(cut)], "cut after %d of %d bytes", cut, length)
+	}
+	require.LessOrEqual(t, executions[idOf(length)], 1)
+}
