--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -21,6 +21,9 @@
 	// expires is the true time at which the back end's deadline passes.
 	expires   time.Duration
 	execution *execution
+	// reached is when the query came to the back end's machine. One that is
+	// paused reads it later, but it was sent before.
+	reached time.Duration
 	// settled is set once the engine has its one outcome, closed once the back
 	// end has seen that the router closed the connection.
 	settled, closed bool
@@ -91,6 +94,7 @@
 // reach lets the query arrive at the back end. A router that closes the
 // connection can not call back what it has written.
 func (a *attempt) reach() {
+	a.reached = a.server.world.queue.Now()
 	if !a.server.process.running {
 		ran := verdict.MayHaveRun
 		if a.fresh {
--- a/internal/simulation/fault.go
+++ b/internal/simulation/fault.go
@@ -265,13 +265,12 @@
 	case FaultSlow:
 		b.slowdown = max(fault.Amount, normalPace)
 		return func() { b.slowdown = normalPace }
-	case FaultDrain:
-		b.leave()
-		return b.come
-	case FaultDrainLie:
-		b.lying = true
-		b.leave()
-		return b.endLie
+	case FaultDrain, FaultDrainLie:
+		if b.departing {
+			// Health that turns from leaving to ready tells of a return.
+			return func() {}
+		}
+		return b.depart(fault.Kind == FaultDrainLie)
 	case FaultHealthLate:
 		health := b.health()
 		b.frozenHealth = &health
@@ -286,6 +285,16 @@
 	return func() {}
 }
 
+// depart begins a departure and returns what ends it.
+func (b *backend) depart(lying bool) (end func()) {
+	b.lying = lying
+	b.leave()
+	if lying {
+		return b.endLie
+	}
+	return b.come
+}
+
 // endLie ends a departure that the health endpoint denied as such departures
 // end: the process exits, and a new one starts after a while. One that only
 // changed its mind would be distrusted for longer than a run lasts
