Tell a crash from a planned restart

Cause: a process that was killed in the night showed as a restart among the planned ones. Change: the spool notes on disk that a run is under way until it ends as planned; the start after one that did not is journaled as "crashed", and the report lists it among the failures with its task. Measured: the tests that kill processes see it for routers and voters, and a planned stop is not taken for one.

--- a/cmd/martenstage/journal_test.go
+++ b/cmd/martenstage/journal_test.go
@@ -299,6 +299,8 @@
 	require.Equal(t, exitcode.OK, code, stderr)
 	require.Regexp(t, `no lease +router-1 +1 +1 +router-1`, stdout)
 	require.Contains(t, stdout, "voter 3 started")
+	require.Regexp(t, `process crashed +router-1 `, stdout)
+	require.Regexp(t, `process crashed +control-2 `, stdout)
 	written, err := os.ReadFile(page)
 	require.NoError(t, err)
 	require.Contains(t, string(written), "no lease: router-1")
--- a/cmd/martenstage/router_wiring.go
+++ b/cmd/martenstage/router_wiring.go
@@ -20,7 +20,6 @@
 	"github.com/martenstage/martenstage/internal/follower"
 	"github.com/martenstage/martenstage/internal/forward"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
-	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/metrics"
 	"github.com/martenstage/martenstage/internal/policy"
@@ -129,7 +128,7 @@
 	if err != nil {
 		return exitcode.With(exitcode.DataFolder, err)
 	}
-	events.Record(journal.Event{Kind: journal.KindRestarted, Detail: "router started"})
+	events.RecordStart("router started")
 	parts.helpers = append(parts.helpers, events.Run)
 	parts.close = events.Close
 	dependencies.Events = events
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -14,7 +14,6 @@
 	"github.com/martenstage/martenstage/internal/follower"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
-	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/rpc"
@@ -141,7 +140,7 @@
 		s.spreadDrains,
 		s.root.Run,
 	}
-	s.recorder.Record(journal.Event{Kind: journal.KindRestarted, Detail: fmt.Sprintf("voter %d started", s.config.ID)})
+	s.recorder.spool.RecordStart(fmt.Sprintf("voter %d started", s.config.ID))
 	var running sync.WaitGroup
 	for _, duty := range duties {
 		running.Go(func() { duty(ctx) })
--- a/internal/incident/incident.go
+++ b/internal/incident/incident.go
@@ -24,6 +24,7 @@
 	LeaseLost      Class = "no lease"
 	RelayLost      Class = "relay lost"
 	UpstreamLost   Class = "upstream not answering"
+	Crashed        Class = "process crashed"
 	VoterLost      Class = "voter lost"
 	DiskFailed     Class = "disk failed"
 	DiskSlow       Class = "disk slow"
--- a/internal/incident/pairing.go
+++ b/internal/incident/pairing.go
@@ -29,6 +29,7 @@
 	journal.KindDiskSlow:            DiskSlow,
 	journal.KindEventsDropped:       EventsDropped,
 	journal.KindUpstreamLost:        UpstreamLost,
+	journal.KindCrashed:             Crashed,
 }
 
 // key is what tells incidents apart.
@@ -229,7 +230,7 @@
 func (p *pairing) span(class Class, event observation) {
 	about := key{class: class, service: event.Service, shard: event.Shard, subject: event.Address, detail: event.Detail}
 	switch class {
-	case DiskSlow, EventsDropped:
+	case DiskSlow, EventsDropped, Crashed:
 		about.subject, about.detail = event.Source, ""
 	case UpstreamLost:
 		about.detail = "" // each follower has a reason of its own
--- a/internal/incident/report_test.go
+++ b/internal/incident/report_test.go
@@ -68,6 +68,7 @@
 		// A router that is killed forgets which replicas it had ejected.
 		{Time: morning("02:00:00"), Kind: journal.KindReplicaEjected, Source: "router-1", Address: "10.1.0.7:7000", Detail: "for 5s"},
 		{Time: morning("02:05:00"), Kind: journal.KindRestarted, Source: "router-1", Detail: "router started"},
+		{Time: morning("02:05:00"), Kind: journal.KindCrashed, Source: "router-1", Detail: "the run before did not end as planned"},
 		{Time: morning("03:00:00"), Kind: journal.KindDrainBegun, Source: "control", Address: "10.1.0.20:7000", Detail: "marked by malee"},
 		{Time: morning("03:00:01"), Kind: journal.KindDrainBegun, Source: "router-1", Address: "10.1.0.20:7000", Detail: "by the word of others"},
 		{Time: morning("03:30:00"), Kind: journal.KindChangeAccepted, Source: "control", Detail: "by malee: revision 12 (change c-12)"},
--- a/internal/incident/task.go
+++ b/internal/incident/task.go
@@ -56,6 +56,10 @@
 		class: ReplicaEjected, page: "tails.md",
 		open: "routers send it no work because its attempts failed or it does not answer; look at the back end's own log",
 	},
+	{
+		class: Crashed, page: "morning-report.md",
+		over: "it was killed or crashed, and was started again; look at the end of its log and at the machine's, for want of memory above all",
+	},
 	{
 		class: DiskSlow, page: "replacing-a-control-machine.md",
 		over: "writes took over a second; look for what else uses the disk",
--- a/internal/journal/event.go
+++ b/internal/journal/event.go
@@ -29,6 +29,7 @@
 	KindSurgeRefused        Kind = "surge_refused"
 	KindClaimRefused        Kind = "claim_refused"
 	KindRestarted           Kind = "restarted"
+	KindCrashed             Kind = "crashed"
 	KindRelayLost           Kind = "relay_lost"
 	KindUpstreamLost        Kind = "upstream_lost"
 	KindSnapshotRestarted   Kind = "snapshot_restarted"
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -17,7 +17,6 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/follower"
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
-	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
@@ -156,7 +155,7 @@
 // startHelpers starts what runs beside the relay.
 func (p *Process) startHelpers(running context.Context, duties *sync.WaitGroup) {
 	if p.spool != nil {
-		p.spool.Record(journal.Event{Kind: journal.KindRestarted, Detail: "relay started"})
+		p.spool.RecordStart("relay started")
 		duties.Go(func() { p.spool.Run(running) })
 	}
 	if reloader := p.security.Reloader(); reloader != nil {
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -162,6 +162,18 @@
 	delivering.Go(func() { s.deliverAll(ctx) })
 	s.storeAll(ctx)
 	delivering.Wait()
+	if err := s.store.end(); err != nil {
+		s.deps.Logger.WithField("reason", err).Warn("the next start will take this run for one that crashed")
+	}
+}
+
+// RecordStart records the start of the process, and that the run before it was
+// killed or crashed if so. Its events are on disk then, but for the last moments.
+func (s *Spool) RecordStart(detail string) {
+	s.Record(journal.Event{Kind: journal.KindRestarted, Detail: detail})
+	if s.store.crashed {
+		s.Record(journal.Event{Kind: journal.KindCrashed, Detail: "the run before did not end as planned"})
+	}
 }
 
 // Close closes the file. Run must have returned.
--- a/internal/spool/spool_test.go
+++ b/internal/spool/spool_test.go
@@ -100,6 +100,7 @@
 
 	control.refuse, control.loseAnswer = false, true
 	spool = open(t, folder, 2, 0, control.deliver)
+	require.False(t, spool.store.crashed, "the run before was stopped")
 	stop = run(t, spool)
 	expected = append(expected, recordNumbered(spool, 300, 400)...)
 	require.Eventually(t, func() bool { return len(control.details()) == len(expected) }, 10*time.Second, time.Millisecond)
@@ -219,6 +220,7 @@
 
 	control := newReceiver()
 	spool := open(t, folder, 2, 0, control.deliver)
+	require.True(t, spool.store.crashed)
 	stop := run(t, spool)
 	require.Eventually(t, func() bool { return len(control.details()) >= promised }, 10*time.Second, time.Millisecond)
 	stop()
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -29,6 +29,9 @@
 	// lossBucket counts events that were dropped and not yet told of.
 	lossBucket = []byte("loss")
 	lossKey    = []byte("count")
+	// runBucket says whether a run is under way, or ended by a kill.
+	runBucket  = []byte("run")
+	runningKey = []byte("running")
 )
 
 // store is the part on disk. Keys are sequence numbers, which go on across
@@ -38,6 +41,8 @@
 	// newest is where the latest stored event of each sameness is. It is a hint
 	// that is checked, and is used inside of writing transactions only.
 	newest map[sameness]uint64
+	// crashed says that the run before did not end as planned.
+	crashed bool
 }
 
 func openStore(folder string) (*store, error) {
@@ -52,15 +57,32 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "open %s", path)
 	}
-	err = database.Update(func(transaction *bbolt.Tx) error {
+	opened := &store{database: database, newest: make(map[sameness]uint64)}
+	if err := opened.begin(); err != nil {
+		return nil, errors.Join(errors.Wrapf(err, "prepare %s", path), database.Close())
+	}
+	return opened, nil
+}
+
+// begin makes the buckets and notes that a run is under way.
+func (s *store) begin() error {
+	return s.database.Update(func(transaction *bbolt.Tx) error {
 		_, eventsErr := transaction.CreateBucketIfNotExists(eventsBucket)
 		_, lossErr := transaction.CreateBucketIfNotExists(lossBucket)
-		return errors.Join(eventsErr, lossErr)
+		run, runErr := transaction.CreateBucketIfNotExists(runBucket)
+		if err := errors.Join(eventsErr, lossErr, runErr); err != nil {
+			return err
+		}
+		s.crashed = run.Get(runningKey) != nil
+		return run.Put(runningKey, []byte{1})
 	})
-	if err != nil {
-		return nil, errors.Join(errors.Wrapf(err, "prepare %s", path), database.Close())
-	}
-	return &store{database: database, newest: make(map[sameness]uint64)}, nil
+}
+
+// end notes that the run ended as planned.
+func (s *store) end() error {
+	return errors.Wrap(s.database.Update(func(transaction *bbolt.Tx) error {
+		return transaction.Bucket(runBucket).Delete(runningKey)
+	}), "note the planned end")
 }
 
 // addition is what one transaction stores.
