Look at an idle connection without allocating, and keep it when nothing was sent

Cause: the check of an idle connection allocated twice an attempt; an attempt whose context had ended before the write closed a good connection. Change: the check keeps its results in the connection; a context that has ended is seen before the connection is used, which goes back to the pool.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -27,8 +27,13 @@
 	// headLeft is how many more bytes may be read before the head of the
 	// reply must be whole; what follows is bounded by the reader of the body.
 	headLeft int64
-	// raw is the descriptor under the socket, nil if it has none.
-	raw syscall.RawConn
+	// raw is the descriptor under the socket, nil if it has none. Peek is
+	// readOne, alive and stray are its results; they are kept here so that the
+	// look at an idle connection allocates nothing.
+	raw   syscall.RawConn
+	peek  func(descriptor uintptr) bool
+	alive bool
+	stray [1]byte
 	// interrupted is set once an exchange was given up; the socket has no
 	// further use then.
 	interrupted atomic.Bool
@@ -49,7 +54,7 @@
 	created.reader = bufio.NewReaderSize(created, readBuffer)
 	if conn, ok := socket.(syscall.Conn); ok {
 		if raw, err := conn.SyscallConn(); err == nil {
-			created.raw = raw
+			created.raw, created.peek = raw, created.readOne
 		}
 	}
 	return created
@@ -78,14 +83,14 @@
 	if l.raw == nil {
 		return true
 	}
-	alive := false
-	err := l.raw.Read(func(descriptor uintptr) bool {
-		var buffer [1]byte
-		_, readErr := syscall.Read(int(descriptor), buffer[:])
-		alive = readErr == syscall.EAGAIN
-		return true
-	})
-	return err == nil && alive
+	return l.raw.Read(l.peek) == nil && l.alive
+}
+
+// readOne reads a byte that should not be there, without waiting.
+func (l *link) readOne(descriptor uintptr) bool {
+	_, err := syscall.Read(int(descriptor), l.stray[:])
+	l.alive = err == syscall.EAGAIN
+	return true
 }
 
 // exchange is a request that was written and whose reply is being read.
--- a/internal/backend/send.go
+++ b/internal/backend/send.go
@@ -35,9 +35,13 @@
 	}
 	name := s.attemptName(attempt.Attempt)
 	request := s.newQuery(target.host, &attempt, name)
-	if request.err != nil {
+	switch {
+	case request.err != nil:
 		target.queries.release(connected, true)
 		return s.failure(attempt.Attempt, verdict.NotRun, verdict.ReasonInternal)
+	case ctx.Err() != nil:
+		target.queries.release(connected, true)
+		return s.failure(attempt.Attempt, verdict.NotRun, transportReason(ctx))
 	}
 	begun, err := connected.begin(ctx, request.bytes())
 	request.free()
