Keep one attempt more than the share when a server reports a queue

Cause: at its share alone a router leaves a slot idle for the time on the way. Change: reports lower the limit to the share plus one.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -35,7 +35,9 @@
 func TestQueuesOfOthersLeaveTheOwnShare(t *testing.T) {
 	limit := NewLimit(5)
 	now := time.Unix(0, 0)
-	const share, signs = 3, 10
+	const signs = 10
+	share := Floor(2)
+	require.Equal(t, 3, share)
 	for range signs {
 		now = now.Add(decreasePause)
 		limit.LowerTo(now, share)
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -28,6 +28,11 @@
 	return max(min(max(slots, 1)+QueuePerServer, connections), 0)
 }
 
+// Floor returns the attempts that a router with a share of slots may always
+// have at a server, whatever queue others have caused there: the share, and one
+// that keeps a slot busy during the round trip.
+func Floor(slots int) int { return max(slots, 0) + 1 }
+
 // Limit is an adaptive concurrency limit: additive increase while it is used
 // in full, multiplicative decrease on signs of overload (Chiu and Jain,
 // "Analysis of the Increase and Decrease Algorithms for Congestion Avoidance
--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/martenstage/martenstage/internal/admission"
 	"github.com/martenstage/martenstage/internal/backendapi"
 )
 
@@ -42,8 +43,8 @@
 	case Answered:
 		p.observeLatency(now, group, server, result.Elapsed)
 		if server.load.congested() {
-			// The queue may be of others' making; the own share of slots stays.
-			server.limit.LowerTo(now, max(server.slots, 1))
+			// The queue may be of others' making.
+			server.limit.LowerTo(now, admission.Floor(server.slots))
 		} else if full {
 			server.limit.Raise()
 		}
