Keep expired ids in a set of hashes

Cause: restoring a state at its bounds took over a second, most of it for the map of 3,000,000 expired ids, so that a restart came near its 3 s.

--- a/internal/state/bounds_bench_test.go
+++ b/internal/state/bounds_bench_test.go
@@ -59,3 +59,27 @@
 	b.Logf("%d revisions, %d results, %d claims, %d expired ids, %d events", len(machine.config.revisions),
 		len(machine.changes.order), len(machine.claims.live), len(machine.claims.tombstones), len(machine.journal.all()))
 }
+
+// BenchmarkIDSet fills the set of expired ids up to its bound, beside a map.
+func BenchmarkIDSet(b *testing.B) {
+	hashes := make([]idHash, DefaultLimits().ClaimIDs)
+	for index := range hashes {
+		hashes[index] = hashID(fmt.Sprint(index))
+	}
+	b.Run("set", func(b *testing.B) {
+		for b.Loop() {
+			set := newIDSet(len(hashes))
+			for _, hash := range hashes {
+				set.add(hash)
+			}
+		}
+	})
+	b.Run("map", func(b *testing.B) {
+		for b.Loop() {
+			set := make(map[idHash]struct{}, len(hashes))
+			for _, hash := range hashes {
+				set[hash] = struct{}{}
+			}
+		}
+	})
+}
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -77,12 +77,12 @@
 	live       map[string]*claim
 	liveBytes  int
 	expiries   expiryHeap
-	tombstoned map[idHash]struct{}
+	tombstoned idSet
 	tombstones []tombstone // by forget
 }
 
 func newClaims() claims {
-	return claims{live: map[string]*claim{}, tombstoned: map[idHash]struct{}{}}
+	return claims{live: map[string]*claim{}, tombstoned: newIDSet(0)}
 }
 
 // claim decides one claim call.
@@ -104,7 +104,7 @@
 		c.put(newClaim(operation, now, limits))
 		return ClaimGranted
 	}
-	if _, expired := c.tombstoned[hashID(id)]; expired {
+	if c.tombstoned.has(hashID(id)) {
 		return ClaimExpired
 	}
 	granted := newClaim(operation, now, limits)
@@ -176,7 +176,7 @@
 // abandon records that a call will not use a claim that has not arrived yet.
 func (c *claims) abandon(operation *v1.ClaimOperation, now int64, limits Limits) {
 	id := operation.GetRequestId()
-	_, expired := c.tombstoned[hashID(id)]
+	expired := c.tombstoned.has(hashID(id))
 	abandoned := &claim{
 		id:      id,
 		holder:  operation.GetHolder(),
@@ -217,7 +217,7 @@
 		c.expireOne(c.expiries[0], limits)
 	}
 	for len(c.tombstones) > 0 && c.tombstones[0].forget <= now {
-		delete(c.tombstoned, c.tombstones[0].id)
+		c.tombstoned.remove(c.tombstones[0].id)
 		c.tombstones = c.tombstones[1:]
 	}
 }
@@ -234,7 +234,7 @@
 }
 
 func (c *claims) addTombstone(value tombstone) {
-	c.tombstoned[value.id] = struct{}{}
+	c.tombstoned.add(value.id)
 	c.tombstones = append(c.tombstones, value)
 }
 
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -201,7 +201,7 @@
 	}
 	count := len(stored.GetIdHashes())
 	c.tombstones = make([]tombstone, 0, count)
-	c.tombstoned = make(map[idHash]struct{}, count)
+	c.tombstoned = newIDSet(count)
 	forget := int64(0)
 	for index, hash := range stored.GetIdHashes() {
 		forget += stored.GetForgetDeltaMs()[index]
