--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -57,17 +57,17 @@
 	if err != nil {
 		return nil, err
 	}
-	body, reusable, err := roundTripControl(ctx, connected, target, method, path, document)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+target.host+path, bytes.NewReader(document))
+	if err != nil {
+		connections.release(connected, true)
+		return nil, err
+	}
+	body, reusable, err := roundTripControl(connected, request)
 	connections.release(connected, reusable)
 	return body, err
 }
 
-func roundTripControl(ctx context.Context, connected *link, target *server, method, path string,
-	document []byte) (body []byte, reusable bool, err error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+target.host+path, bytes.NewReader(document))
-	if err != nil {
-		return nil, true, err
-	}
+func roundTripControl(connected *link, request *http.Request) (body []byte, reusable bool, err error) {
 	connected.socket.begin()
 	response, err := connected.client.RoundTrip(request)
 	if err != nil {
@@ -76,7 +76,7 @@
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
 	_ = response.Body.Close()
 	if err == nil && response.StatusCode >= http.StatusMultipleChoices {
-		return nil, !response.Close, errors.Newf("%s %s: status %d", method, path, response.StatusCode)
+		return nil, !response.Close, errors.Newf("%s %s: status %d", request.Method, request.URL.Path, response.StatusCode)
 	}
 	return body, err == nil && !response.Close, err
 }
