Give the fleets of all variants equal names

Cause: a back end with planned port 0 took its bound address as its name, so the fleets of two variants had different names, and with them different service times. Variants over sockets met the same arrivals but not the same times. Change: an emulated fleet can name its servers by their planned addresses, and runs over sockets do.

--- a/internal/emulator/config.go
+++ b/internal/emulator/config.go
@@ -31,6 +31,10 @@
 	// Plans are the configurations whose replicas are served; the fleet serves
 	// the shards of all of them. Replicas with port 0 get a free one.
 	Plans []*plan.Plan
+	// PlannedNames names servers whose planned port is 0 by their planned
+	// addresses, which must differ, so that several fleets of a plan have equal
+	// names and with them equal service times.
+	PlannedNames bool
 	// Model gives service times; its seed also drives every other choice.
 	Model servicetime.Model
 	// ZoneDelay is the delay of each direction between a client of one zone
--- a/internal/emulator/server.go
+++ b/internal/emulator/server.go
@@ -103,7 +103,9 @@
 	}
 	if s.bound.Port() == 0 {
 		s.bound = opened.Addr().(*net.TCPAddr).AddrPort()
-		s.name = s.bound.String()
+		if !s.fleet.config.PlannedNames {
+			s.name = s.bound.String()
+		}
 	}
 	server := &http.Server{
 		Handler:     s.handler(),
--- a/internal/experiment/sockets/sockets_test.go
+++ b/internal/experiment/sockets/sockets_test.go
@@ -48,6 +48,28 @@
 	}, got)
 }
 
+// Two fleets of one plan listen on ports of their own, but have equal service
+// times.
+func TestFleetsOfAPlanHaveEqualServiceTimes(t *testing.T) {
+	replica := plan.Replica{Address: netip.MustParseAddrPort("127.3.3.2:0"), Zone: "east", Slots: 1, Connections: 4}
+	compiled := &plan.Plan{Services: []plan.Service{{Name: "index",
+		Generations: []plan.Generation{{Number: 1, Shards: []plan.Shard{{ID: 0, Replicas: []plan.Replica{replica}}}}}}}}
+	var outlooks []emulator.Outlook
+	var addresses []netip.AddrPort
+	for range 2 {
+		world := &World{config: Config{Begin: time.Now(), Seed: 1, Plans: []PlanStep{{Plan: compiled}}}}
+		world.config.Model = servicetime.Model{Seed: 1, Default: servicetime.Distribution{Median: time.Second, Sigma: 1}}
+		require.NoError(t, world.startFleet())
+		defer world.fleet.Close()
+		server := world.fleet.Servers()[0]
+		outlook, ok := server.Foresee(servicetime.Query{Service: "index", Request: "r1"}, 1, emulator.DefaultFirstVersion)
+		require.True(t, ok)
+		outlooks, addresses = append(outlooks, outlook), append(addresses, server.Address())
+	}
+	require.Equal(t, outlooks[0], outlooks[1])
+	require.NotEqual(t, addresses[0], addresses[1])
+}
+
 // The foresight counts queued queries: with one slot each waits for those
 // before it, and what the queue does not hold would be refused.
 func TestForesightCountsTheQueue(t *testing.T) {
--- a/internal/experiment/sockets/world.go
+++ b/internal/experiment/sockets/world.go
@@ -69,6 +69,7 @@
 	config := emulator.DefaultConfig(w.config.Seed, lo.Map(w.config.Plans, func(step PlanStep, _ int) *plan.Plan { return step.Plan })...)
 	config.Model = w.config.Model
 	config.ZoneDelay = w.config.ZoneDelay
+	config.PlannedNames = true
 	before := time.Until(w.config.Begin)
 	config.Script = slices.Clone(w.config.Script)
 	for index := range config.Script {
