--- a/internal/experiment/doc.go
+++ b/internal/experiment/doc.go
@@ -6,5 +6,7 @@
 // The variants are those of the query engine and the oracle, which knows the
 // service time of every replica and its queue beforehand and sends each shard
 // once, to the replica that will finish first. No choice of replicas can beat
-// it at the same load; a policy that answers before all parts are in can.
+// it for one request as the queues stand; a policy that answers before all parts
+// are in can. In overload it is greedy: it admits what can still be answered now
+// and so may answer less in whole than an admission that refuses early.
 package experiment
