Judge scattered requests that run at most once by their route

Cause: the judge took a request for scattered when an answer named two shards. A failed answer names only the missing ones and a lost one none, so two shards that ran once each counted as one that ran twice. Change: the target of the route decides where the configuration is known. A route with a key counts over all shards as before. The new test fails without the change.

--- a/internal/judge/execution.go
+++ b/internal/judge/execution.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
@@ -42,9 +43,7 @@
 // judgeOnce counts the executions of a request that runs at most once. On a
 // route to many shards each shard may run once, within one generation.
 func (j *Judge) judgeOnce(request *requestRecords, found *findings) {
-	scattered := lo.SomeBy(request.answers, func(answer records.CallerAnswer) bool {
-		return len(answer.Covered)+len(answer.Missing) > 1
-	})
+	scattered := j.isScattered(request)
 	counts := map[uint32]int{}
 	for _, execution := range request.executions {
 		if !execution.Executed || !isOnce(request, &execution) {
@@ -61,6 +60,18 @@
 	}
 }
 
+// isScattered says whether the request went to many shards. The configuration
+// decides: an answer that failed names only some of the shards. Without a
+// configuration the answers have to do.
+func (j *Judge) isScattered(request *requestRecords) bool {
+	return lo.SomeBy(request.answers, func(answer records.CallerAnswer) bool {
+		if route, known := j.routes[answer.Route]; known {
+			return route.Target == plan.TargetAll
+		}
+		return len(answer.Covered)+len(answer.Missing) > 1
+	})
+}
+
 // isOnce takes the caller's word first: the mark on the execution is what the
 // router passed on, and it may have been lost.
 func isOnce(request *requestRecords, execution *records.Execution) bool {
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -316,3 +316,17 @@
 		require.InDelta(t, want, rankOf([]byte(item), "rank"), 0, item)
 	}
 }
+
+// The answer to a scattered request that failed names only the missing shards,
+// and none when it was lost. Each shard may have run once all the same.
+func TestFailedScatteredOnceRequestMayRunOnEachShard(t *testing.T) {
+	for _, missing := range [][]uint32{{1}, nil} {
+		r := cleanRun()
+		r.answers = append(r.answers, records.CallerAnswer{Request: "failed", Route: "sweep", Service: "desks", Once: true,
+			Sent: at(0), Received: at(9), Verdict: "ran", Status: 503, Missing: missing})
+		r.executions = append(r.executions, execution("failed", 0, 7), execution("failed", 1, 7))
+		require.Empty(t, r.judge().Violations())
+		r.executions = append(r.executions, execution("failed", 1, 7))
+		require.Equal(t, map[Invariant]int{AtMostOnce: 1}, r.judge().Result().ByInvariant)
+	}
+}
