Let a leader hand over before it is removed from the group

Cause: a leader that removed itself heard from nobody afterwards, so that its event of the removal stayed on its disk. TestAuthorIsAuthenticated failed by that once, when leadership had moved to the voter that the test removed. Change: a leader asked to remove itself hands leadership over, and its successor carries the removal out. The test removes the leader always.

--- a/internal/control/author_test.go
+++ b/internal/control/author_test.go
@@ -57,17 +57,21 @@
 		require.NoError(t, err)
 		require.Equal(t, fmt.Sprintf("malee-%d", revision), latest.GetAuthor())
 	}
-	operator := clientOf("malee-voters", keys.RoleOperator, follower)
-	removed := cluster.others(leader)[1].options.ID
-	_, err := operator.RemoveVoter(testContext(t), removed)
+	// The leader hands over first, and its successor tells who asked.
+	leader = cluster.leader()
+	removed := leader.options.ID
+	voters, err := clientOf("malee-voters", keys.RoleOperator, leader).RemoveVoter(testContext(t), removed)
 	require.NoError(t, err)
+	require.Len(t, voters, 2)
+	remaining := cluster.others(leader)[0]
+	operator := clientOf("malee-events", keys.RoleOperator, remaining)
 	require.Eventually(t, func() bool {
 		events, err := operator.Events(testContext(t), &v1.ListEventsRequest{})
 		return err == nil && lo.SomeBy(events.GetEvents(), func(event *v1.Event) bool {
 			return event.GetDetail() == fmt.Sprintf("voter %d was removed by malee-voters", removed)
 		})
 	}, testTimeout, 20*time.Millisecond)
-	router := clientOf("router-1", keys.RoleRouter, leader)
+	router := clientOf("router-1", keys.RoleRouter, remaining)
 	_, err = router.Apply(testContext(t), &v1.ApplyRequest{ChangeId: "router", Text: "text", ExpectedRevision: 2})
 	require.Equal(t, connect.CodePermissionDenied, connect.CodeOf(err), "%v", err)
 	granted, err := router.claim(testContext(t), claimRequest("request", 1))
--- a/internal/control/config_voters.go
+++ b/internal/control/config_voters.go
@@ -11,6 +11,7 @@
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/settings"
+	"github.com/martenstage/martenstage/internal/voter"
 )
 
 // AddVoter adds a voter and answers once it is one in full.
@@ -59,9 +60,7 @@
 				ID:     fmt.Sprintf("control/voter/%d/removed", request.GetId()),
 				Detail: fmt.Sprintf("voter %d was removed%s", request.GetId(), byAuthor(author)),
 			}
-			return s.changeVoters(ctx, removed, func() error {
-				return s.server.voter.RemoveVoter(ctx, request.GetId())
-			})
+			return s.changeVoters(ctx, removed, func() error { return s.removeVoter(ctx, request.GetId()) })
 		},
 		remote: func(leader peers, ctx context.Context, request *connect.Request[v1.RemoveVoterRequest]) (*connect.Response[v1.VotersResponse], error) {
 			return leader.config.RemoveVoter(ctx, request)
@@ -70,6 +69,20 @@
 	return call.do(ctx, s.server, request)
 }
 
+// removeVoter removes a voter. A leader hands over before it is removed itself:
+// afterwards it would hear from nobody, and could not tell what was done.
+func (s configService) removeVoter(ctx context.Context, id uint64) error {
+	status := s.server.voter.Status()
+	if id != s.server.config.ID || !leadsOthers(status) {
+		return s.server.voter.RemoveVoter(ctx, id)
+	}
+	if err := s.server.voter.TransferLeadership(ctx, 0); err != nil {
+		return err
+	}
+	status = s.server.voter.Status()
+	return &voter.NotLeaderError{LeaderID: status.Leader, LeaderAddress: status.LeaderAddress}
+}
+
 // byAuthor names the operator in an event; without keys none is known.
 func byAuthor(author string) string {
 	if author == "" {
