Keep one virtual clock for simulator and virtual experiments

Cause: the queue of a discrete-event run stood twice, line for line. Change: package virtualtime holds it, and the virtual experiments use it.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -14,6 +14,7 @@
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // VariantOracle is the variant that knows service times beforehand.
@@ -117,7 +118,7 @@
 }
 
 func (s *setting) runVirtual(variant string, seed uint64) VariantResult {
-	recorder := newRecorder(s, virtual.Epoch)
+	recorder := newRecorder(s, virtualtime.Epoch)
 	world := virtual.New(s.world(), s.engines(variant, seed), recorder)
 	arrivals := load.NewArrivals(seed, s.rates(), s.duration, variant)
 	world.Run(arrivals.Next)
--- a/internal/experiment/virtual/attempt.go
+++ b/internal/experiment/virtual/attempt.go
@@ -40,7 +40,7 @@
 func (r *router) send(command query.Send) {
 	w := r.world
 	sent := &attempt{router: r, server: w.servers[command.Address], send: command,
-		bodyDigest: backendapi.Digest(command.Body), expires: w.clock.now + command.Timeout}
+		bodyDigest: backendapi.Digest(command.Body), expires: w.clock.Now() + command.Timeout}
 	r.attempts[command.Attempt] = sent
 	w.open(command.CallerID)
 	used := r.connectionsTo(sent.server)
@@ -48,15 +48,15 @@
 	if used.busy >= used.open {
 		if used.open >= r.connectionShare(sent.server) {
 			used.busy++ // given back when the attempt settles
-			w.clock.after(0, func() { sent.settle(sent.failure(verdict.NotRun, verdict.ReasonNoReplica), true) })
+			w.clock.After(0, func() { sent.settle(sent.failure(verdict.NotRun, verdict.ReasonNoReplica), true) })
 			return
 		}
 		used.open++
 		setUp = w.config.ConnectionSetup
 	}
 	used.busy++
-	w.clock.after(setUp+r.delayTo(sent.server), sent.reach)
-	w.clock.at(sent.expires, func() {
+	w.clock.After(setUp+r.delayTo(sent.server), sent.reach)
+	w.clock.At(sent.expires, func() {
 		sent.settle(sent.failure(verdict.MayHaveRun, verdict.ReasonTimeout), false)
 	})
 }
@@ -109,7 +109,7 @@
 	})
 }
 
-func (a *attempt) back(act func()) { a.router.world.clock.after(a.router.delayTo(a.server), act) }
+func (a *attempt) back(act func()) { a.router.world.clock.After(a.router.delayTo(a.server), act) }
 
 func (a *attempt) failure(ran verdict.Verdict, reason verdict.Reason) query.AttemptFailed {
 	return query.AttemptFailed{Attempt: a.send.Attempt, Verdict: ran, Reason: reason}
--- a/internal/experiment/virtual/caller.go
+++ b/internal/experiment/virtual/caller.go
@@ -12,6 +12,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/verdict"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // callerRequest is a request as its caller follows it, over its resends.
@@ -26,7 +27,7 @@
 // pass by one that is away or refuses connections.
 func (c *callerRequest) submit() {
 	w := c.world
-	c.sent = w.clock.now
+	c.sent = w.clock.Now()
 	w.turn++
 	for offset := range w.routers {
 		chosen := w.routers[(w.turn+offset)%len(w.routers)]
@@ -52,14 +53,14 @@
 	if w.config.HonorRetryAfter && answer.Err.RetryAfter > 0 {
 		pause = answer.Err.RetryAfter
 	}
-	w.clock.after(pause, c.submit)
+	w.clock.After(pause, c.submit)
 }
 
 func (c *callerRequest) record(router *router, answer query.Answer) records.CallerAnswer {
 	w := c.world
 	record := records.CallerAnswer{
 		Request: c.arrival.ID, Route: c.arrival.Route, Service: answer.Snapshot.Service, Router: router.name(),
-		Intended: Epoch.Add(c.arrival.At), Sent: Epoch.Add(c.sent), Received: w.wall(),
+		Intended: virtualtime.Epoch.Add(c.arrival.At), Sent: virtualtime.Epoch.Add(c.sent), Received: w.wall(),
 		BodyDigest: backendapi.Digest(c.arrival.Body), Status: http.StatusOK, Verdict: answer.Verdict.String(),
 		Generation: answer.Snapshot.Generation, Version: answer.Snapshot.Version,
 		Covered:  lo.Map(answer.Covered, func(shard query.ShardCoverage, _ int) uint32 { return shard.Shard }),
--- a/internal/experiment/virtual/fault.go
+++ b/internal/experiment/virtual/fault.go
@@ -8,6 +8,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // schedule arranges a fault's beginning and end on every server it selects.
@@ -20,9 +21,9 @@
 			continue
 		}
 		server.faults = append(server.faults, fault)
-		w.clock.at(fault.At, func() { server.begin(fault) })
+		w.clock.At(fault.At, func() { server.begin(fault) })
 		if fault.For > 0 {
-			w.clock.at(fault.At+fault.For, func() { server.end(fault) })
+			w.clock.At(fault.At+fault.For, func() { server.end(fault) })
 		}
 	}
 }
@@ -57,12 +58,12 @@
 	s.active = slices.DeleteFunc(s.active, func(one *emulator.Fault) bool { return one == fault })
 	switch fault.Kind {
 	case emulator.FaultDrain:
-		s.world.recorder.Departure(records.Departure{Backend: s.name, Began: Epoch.Add(s.departed), Returned: s.world.wall()})
+		s.world.recorder.Departure(records.Departure{Backend: s.name, Began: virtualtime.Epoch.Add(s.departed), Returned: s.world.wall()})
 		s.departed = never
-		s.warmSince = s.world.clock.now
+		s.warmSince = s.world.clock.Now()
 		s.announce(query.MachineLive)
 	case emulator.FaultCrash:
-		s.warmSince = s.world.clock.now
+		s.warmSince = s.world.clock.Now()
 	case emulator.FaultHealthFrozen:
 		s.frozen = nil
 	}
@@ -70,13 +71,13 @@
 
 // depart begins a planned leave. The platform list shows it later.
 func (s *server) depart() {
-	s.departed = s.world.clock.now
+	s.departed = s.world.clock.Now()
 	s.world.recorder.Departure(records.Departure{Backend: s.name, Began: s.world.wall()})
 	s.announce(query.MachineLeaving)
 }
 
 func (s *server) announce(state query.MachineState) {
-	s.world.clock.after(s.world.config.PlatformLag, func() {
+	s.world.clock.After(s.world.config.PlatformLag, func() {
 		for _, router := range s.world.routers {
 			router.step(query.MachineObserved{Address: s.address, State: state})
 		}
--- a/internal/experiment/virtual/foresight.go
+++ b/internal/experiment/virtual/foresight.go
@@ -25,12 +25,12 @@
 		}
 		delay += w.config.ConnectionSetup
 	}
-	arrival := w.clock.now + delay
+	arrival := w.clock.Now() + delay
 	start := server.freeAt(arrival)
 	end := start + server.serviceTime(send.CallerID, send.Shard, start)
 	outlook.Finish = end + from.delayTo(server)
 	outlook.OK = slices.Contains(server.versionsAt(arrival), send.Version) &&
-		!server.suffers(emulator.FaultDrain, arrival, arrival) && !server.suffers(emulator.FaultCrash, w.clock.now, end)
+		!server.suffers(emulator.FaultDrain, arrival, arrival) && !server.suffers(emulator.FaultCrash, w.clock.Now(), end)
 	return outlook
 }
 
@@ -54,7 +54,7 @@
 	}
 	for _, waiting := range s.queue {
 		first := earliest(free)
-		begin := max(free[first], s.world.clock.now)
+		begin := max(free[first], s.world.clock.Now())
 		free[first] = begin + s.serviceTime(waiting.attempt.send.CallerID, waiting.attempt.send.Shard, begin)
 	}
 	return max(arrival, free[earliest(free)])
--- a/internal/experiment/virtual/router.go
+++ b/internal/experiment/virtual/router.go
@@ -7,6 +7,7 @@
 	"github.com/martenstage/martenstage/internal/backendapi"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 const (
@@ -121,10 +122,10 @@
 		r.send(typed)
 	case query.Cancel:
 		if known := r.attempts[typed.Attempt]; known != nil {
-			w.clock.after(0, known.cancel)
+			w.clock.After(0, known.cancel)
 		}
 	case query.Claim:
-		w.clock.after(claimDelay, func() {
+		w.clock.After(claimDelay, func() {
 			r.step(query.ClaimDecided{Request: typed.Request, Decision: w.claims.claim(typed)})
 		})
 	case query.SettleClaim:
@@ -132,14 +133,14 @@
 	case query.Respond:
 		r.respond(typed)
 	case query.Wake:
-		r.wakeAt(typed.At.Sub(Epoch))
+		r.wakeAt(typed.At.Sub(virtualtime.Epoch))
 	case query.Warm:
 		r.warm(typed)
 	case query.Observed:
 		r.passOn(typed)
 	case query.Stopped:
 		if r.stopped != nil {
-			w.clock.after(0, r.stopped)
+			w.clock.After(0, r.stopped)
 			r.stopped = nil
 		}
 	}
@@ -147,7 +148,7 @@
 
 func (r *router) wakeAt(moment time.Duration) {
 	r.wake = moment
-	r.world.clock.at(moment, func() {
+	r.world.clock.At(moment, func() {
 		if r.wake == moment {
 			r.step(query.TimerFired{})
 		}
@@ -156,7 +157,7 @@
 
 func (r *router) warm(command query.Warm) {
 	server := r.world.servers[command.Address]
-	r.world.clock.after(r.world.config.ConnectionSetup, func() {
+	r.world.clock.After(r.world.config.ConnectionSetup, func() {
 		used := r.connectionsTo(server)
 		used.open = max(used.open, min(command.Connections, r.connectionShare(server)))
 	})
@@ -165,7 +166,7 @@
 func (r *router) passOn(observed query.Observed) {
 	for _, other := range r.world.routers {
 		if other != r {
-			r.world.clock.after(observationLag, func() {
+			r.world.clock.After(observationLag, func() {
 				other.step(query.MachineObserved(observed))
 			})
 		}
--- a/internal/experiment/virtual/server.go
+++ b/internal/experiment/virtual/server.go
@@ -99,7 +99,7 @@
 }
 
 // versions returns the index versions held now, oldest first.
-func (s *server) versions() []uint64 { return s.versionsAt(s.world.clock.now) }
+func (s *server) versions() []uint64 { return s.versionsAt(s.world.clock.Now()) }
 
 func (s *server) versionsAt(moment time.Duration) []uint64 {
 	held := []uint64{emulator.DefaultFirstVersion}
@@ -173,7 +173,7 @@
 	for len(s.running) < s.slots && len(s.queue) > 0 {
 		next := s.queue[0]
 		s.queue = s.queue[1:]
-		if s.world.clock.now >= next.attempt.expires {
+		if s.world.clock.Now() >= next.attempt.expires {
 			s.refuse(next, backendapi.RefusalDeadline)
 			continue
 		}
@@ -182,13 +182,13 @@
 }
 
 func (s *server) start(run *execution) {
-	now := s.world.clock.now
+	now := s.world.clock.Now()
 	run.record.Executed, run.record.Started = true, s.world.wall()
 	run.finish = now + s.serviceTime(run.attempt.send.CallerID, run.attempt.send.Shard, now)
 	s.running = append(s.running, run)
 	// A back end honours the deadline that travels with the query.
 	end := min(run.finish, max(run.attempt.expires, now))
-	s.world.clock.at(end, func() { s.finish(run) })
+	s.world.clock.At(end, func() { s.finish(run) })
 }
 
 // serviceTime is how long a query that starts at a moment takes.
@@ -214,7 +214,7 @@
 	}
 	run.ended = true
 	s.running = remove(s.running, run)
-	if s.world.clock.now < run.finish {
+	if s.world.clock.Now() < run.finish {
 		run.record.Canceled = true
 		s.world.record(run)
 	} else {
--- a/internal/experiment/virtual/world.go
+++ b/internal/experiment/virtual/world.go
@@ -9,15 +9,13 @@
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
-// Epoch is the wall-clock time at which every world begins.
-var Epoch = time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC)
-
 // World is one run.
 type World struct {
 	config    Config
-	clock     clock
+	clock     virtualtime.Queue
 	recorder  Recorder
 	newEngine NewEngine
 	servers   map[netip.AddrPort]*server
@@ -48,12 +46,12 @@
 		w.addRouter(index, zone).boot()
 	}
 	for _, step := range config.Plans {
-		w.clock.at(step.At, func() { w.install(step.Plan) })
+		w.clock.At(step.At, func() { w.install(step.Plan) })
 	}
 	for _, stop := range config.Stops {
-		w.clock.at(stop.At, func() { w.stop(stop) })
+		w.clock.At(stop.At, func() { w.stop(stop) })
 	}
-	w.clock.after(config.ProbeEvery, w.probe)
+	w.clock.After(config.ProbeEvery, w.probe)
 	return w
 }
 
@@ -61,8 +59,8 @@
 // false, and returns when nothing is under way.
 func (w *World) Run(next func() (load.Arrival, bool)) {
 	w.arrive(next)
-	for w.clock.now <= w.config.Horizon || len(w.underWay) > 0 {
-		if !w.clock.step() {
+	for w.clock.Now() <= w.config.Horizon || len(w.underWay) > 0 {
+		if !w.clock.Step() {
 			return
 		}
 	}
@@ -73,7 +71,7 @@
 	if !ok {
 		return
 	}
-	w.clock.at(arrival.At, func() {
+	w.clock.At(arrival.At, func() {
 		w.open(arrival.ID)
 		(&callerRequest{world: w, arrival: arrival}).submit()
 		w.arrive(next)
@@ -111,7 +109,7 @@
 		router.step(query.LeaseRenewed{Until: w.wall().Add(leaseTerm)})
 		router.probe()
 	}
-	w.clock.after(w.config.ProbeEvery, w.probe)
+	w.clock.After(w.config.ProbeEvery, w.probe)
 }
 
 // stop stops a router as planned and starts it again later.
@@ -121,14 +119,14 @@
 	stopped.stopped = func() {
 		stopped.away = true
 		w.recorder.Stop(records.PlannedStop{Router: stopped.name(), Began: began, Exited: w.wall()})
-		w.clock.after(stop.Away, stopped.boot)
+		w.clock.After(stop.Away, stopped.boot)
 	}
 	stopped.step(query.StopRequested{})
 }
 
 func (r *router) name() string { return fmt.Sprint("router-", r.index) }
 
-func (w *World) wall() time.Time { return Epoch.Add(w.clock.now) }
+func (w *World) wall() time.Time { return w.clock.Wall() }
 
 // open and close count what is under way for a request, so that its records
 // can be judged and forgotten as soon as nothing more will come.
@@ -150,4 +148,4 @@
 }
 
 // Now returns the time since the beginning.
-func (w *World) Now() time.Duration { return w.clock.now }
+func (w *World) Now() time.Duration { return w.clock.Now() }
--- a/internal/experiment/virtual/world_test.go
+++ b/internal/experiment/virtual/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 const (
@@ -118,7 +119,7 @@
 	ended = play(1, 1, &sender{}, emulator.Fault{Kind: emulator.FaultCrash, At: 5 * time.Millisecond})
 	require.True(t, ended[0].Executed)
 	require.False(t, ended[0].Replied)
-	require.Equal(t, Epoch.Add(5*time.Millisecond), ended[0].Finished)
+	require.Equal(t, virtualtime.Epoch.Add(5*time.Millisecond), ended[0].Finished)
 }
 
 func TestASlowServerTakesItsFactorLonger(t *testing.T) {
--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -12,7 +12,7 @@
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/simulation/clock"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // holding names one shard of a back end.
@@ -355,4 +355,4 @@
 }
 
 // wallAt returns the date of a time since the beginning.
-func wallAt(moment time.Duration) time.Time { return clock.Epoch.Add(moment) }
+func wallAt(moment time.Duration) time.Time { return virtualtime.Epoch.Add(moment) }
--- a/internal/simulation/disk/disk.go
+++ b/internal/simulation/disk/disk.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/consensus"
-	"github.com/martenstage/martenstage/internal/simulation/clock"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // ErrFailed is what a failing disk answers. Nobody knows then what it holds.
@@ -32,7 +32,7 @@
 
 // Disk holds the log and the snapshot of one voter.
 type Disk struct {
-	queue   *clock.Queue
+	queue   *virtualtime.Queue
 	random  *rand.Rand
 	durable consensus.Restored
 	waiting []write
@@ -48,7 +48,7 @@
 }
 
 // New returns a disk that holds a restored state.
-func New(queue *clock.Queue, random *rand.Rand, initial consensus.Restored) *Disk {
+func New(queue *virtualtime.Queue, random *rand.Rand, initial consensus.Restored) *Disk {
 	initial.Entries = slices.Clone(initial.Entries)
 	return &Disk{queue: queue, random: random, durable: initial}
 }
--- a/internal/simulation/doc.go
+++ b/internal/simulation/doc.go
@@ -8,7 +8,7 @@
 // and query.Engine. What this package adds stands in for the shells around
 // them: it carries commands out and events in, in the order that the shells
 // keep, over a network (package network), disks (package disk) and clocks
-// (package clock) that fail.
+// (package virtualtime) that fail.
 //
 // Package judge decides from the records of back ends, callers, operators and
 // routers whether the invariants held; raftChecks checks the safety properties
--- a/internal/simulation/network/network.go
+++ b/internal/simulation/network/network.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/simulation/clock"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // Place is where a process runs.
@@ -56,7 +56,7 @@
 
 // Network is the state of all links.
 type Network struct {
-	queue  *clock.Queue
+	queue  *virtualtime.Queue
 	random *rand.Rand
 	rules  []*Rule
 	// Lost and Repeated count messages.
@@ -64,7 +64,7 @@
 }
 
 // New returns a network without faults.
-func New(queue *clock.Queue, random *rand.Rand) *Network {
+func New(queue *virtualtime.Queue, random *rand.Rand) *Network {
 	return &Network{queue: queue, random: random}
 }
 
--- a/internal/simulation/process.go
+++ b/internal/simulation/process.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/martenstage/martenstage/internal/simulation/clock"
 	"github.com/martenstage/martenstage/internal/simulation/network"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // process is what all processes of the fleet have in common: a place, a clock
@@ -12,7 +12,7 @@
 type process struct {
 	world *World
 	place network.Place
-	local clock.Local
+	local virtualtime.Local
 	// running is false between a crash or stop and the next start. boot counts
 	// starts; what was under way before is forgotten.
 	running bool
--- a/internal/simulation/trace.go
+++ b/internal/simulation/trace.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/martenstage/martenstage/internal/simulation/clock"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // subjectRaft is that of the messages among voters.
@@ -16,7 +16,7 @@
 
 // trace digests what happens, and writes it for people if asked to.
 type trace struct {
-	queue  *clock.Queue
+	queue  *virtualtime.Queue
 	digest *xxhash.Digest
 	buffer []byte
 	lines  uint64
@@ -25,7 +25,7 @@
 	wanted func(subject string) bool
 }
 
-func newTrace(queue *clock.Queue) *trace {
+func newTrace(queue *virtualtime.Queue) *trace {
 	return &trace{queue: queue, digest: xxhash.New(), wanted: func(string) bool { return true }}
 }
 
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -16,9 +16,9 @@
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/simulation/clock"
 	"github.com/martenstage/martenstage/internal/simulation/disk"
 	"github.com/martenstage/martenstage/internal/simulation/network"
+	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // Sizes of the world.
@@ -40,7 +40,7 @@
 // World is one run.
 type World struct {
 	seed  uint64
-	queue *clock.Queue
+	queue *virtualtime.Queue
 	// Each kind of choice has a random source of its own, so that one schedule
 	// of faults can be changed without changing the workload.
 	setup, timing, workload *rand.Rand
@@ -106,7 +106,7 @@
 func newWorld(seed uint64) *World {
 	source := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
 	const setupStream, timingStream, workloadStream, networkStream = 1, 2, 3, 4
-	queue := &clock.Queue{}
+	queue := &virtualtime.Queue{}
 	w := &World{
 		seed: seed, queue: queue, setup: source(setupStream), timing: source(timingStream), workload: source(workloadStream),
 		network: network.New(queue, source(networkStream)), trace: newTrace(queue),
--- a/internal/simulation/clock/clock.go
+++ b/internal/virtualtime/clock.go
@@ -1,7 +1,7 @@
-// Package clock is the virtual time of a simulation and the queue of what
+// Package virtualtime is the virtual time of a simulated run and the queue of what
 // happens next. Things of one moment happen in the order in which they were
 // scheduled, which makes runs repeatable.
-package clock
+package virtualtime
 
 import "time"
 
@@ -55,12 +55,16 @@
 // RunUntil makes everything happen that is due up to a time.
 func (q *Queue) RunUntil(end time.Duration) {
 	for len(q.heap) > 0 && q.heap[0].at <= end {
-		q.step()
+		q.Step()
 	}
 	q.now = max(q.now, end)
 }
 
-func (q *Queue) step() {
+// Step makes the next thing happen and reports whether there was one.
+func (q *Queue) Step() bool {
+	if len(q.heap) == 0 {
+		return false
+	}
 	next := q.heap[0]
 	last := len(q.heap) - 1
 	q.heap[0] = q.heap[last]
@@ -69,6 +73,7 @@
 	q.sink()
 	q.now = next.at
 	next.act()
+	return true
 }
 
 func (q *Queue) sink() {
