Let no poke cut a call short that is not held

Cause: reports from below cut the held call of a relay short 50 ms after it was sent, and the next one as well. Change: only a call that the server may hold is cut short, and the one after it is not held. Changes of the live routers alone no longer end all held calls; they come with the next answer, within the hold time.

--- a/internal/follower/call.go
+++ b/internal/follower/call.go
@@ -83,7 +83,7 @@
 	if f.resync {
 		request.Revision = 0
 	}
-	if !f.rounds.urgent() {
+	if f.rounds.held {
 		request.Hold = durationpb.New(f.jitteredHold())
 	}
 	return request
--- a/internal/follower/handler.go
+++ b/internal/follower/handler.go
@@ -24,7 +24,7 @@
 	maxHold = 2 * time.Second
 	// planDelay gathers revisions that are accepted at nearly the same time.
 	planDelay = 2 * time.Millisecond
-	// tableDelay gathers changes of the tables, which are less urgent than
+	// tableDelay gathers changes of machines, which are less urgent than
 	// revisions. It bounds the calls that they cause to 4 per second and child.
 	tableDelay = 250 * time.Millisecond
 	// progressDelay gathers acknowledgements before they are summed up.
@@ -81,12 +81,14 @@
 	inForce uint64
 	// news is closed and replaced when held calls should look again.
 	news chan struct{}
-	// published are the versions of the tables at the last news.
-	published tableVersions
+	// published is the version of the machines at the last news. Changes of
+	// the routers are no news: they come with the next answer, within the hold
+	// time. Otherwise whoever joined, left or lapsed would make all followers
+	// call at once, and a fleet short of processor time would lose further
+	// leases by that.
+	published uint64
 }
 
-type tableVersions struct{ routers, machines uint64 }
-
 // NewHandler returns a Handler without children.
 func NewHandler(config HandlerConfig, deps HandlerDeps) *Handler {
 	if deps.Events == nil {
@@ -244,9 +246,7 @@
 	revision, _, _ := h.deps.Plans.Latest()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	found := revision > message.GetRevision() ||
-		h.published.routers > message.GetRoutersVersion() ||
-		h.published.machines > message.GetMachinesVersion()
+	found := revision > message.GetRevision() || h.published > message.GetMachinesVersion()
 	return h.news, found
 }
 
@@ -284,7 +284,7 @@
 		return true
 	}
 	h.term = term
-	h.published = tableVersions{}
+	h.published = 0
 	if h.config.Root {
 		h.grantor = lease.NewGrantor(now.Add(lease.Lengthened(h.config.Lease)))
 		h.inForce = 0
--- a/internal/follower/handler_run.go
+++ b/internal/follower/handler_run.go
@@ -37,7 +37,7 @@
 			return
 		case <-changed:
 		case <-tables.C:
-			h.publishTables(time.Now())
+			h.publishMachines(time.Now())
 		case <-h.acknowledged:
 			sleep(ctx, progressDelay)
 			h.progress(time.Now())
@@ -97,19 +97,13 @@
 	h.news = make(chan struct{})
 }
 
-// publishTables wakes held calls if the tables changed since the last time.
-func (h *Handler) publishTables(now time.Time) {
+// publishMachines wakes held calls if machines changed since the last time.
+func (h *Handler) publishMachines(now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	versions := h.published
-	if routers := h.deps.Tables.Routers(now); routers != nil {
-		versions.routers = routers.Version()
-	}
-	if machines := h.deps.Tables.Machines(now); machines != nil {
-		versions.machines = machines.Version()
-	}
-	if versions != h.published {
-		h.published = versions
+	machines := h.deps.Tables.Machines(now)
+	if machines != nil && machines.Version() != h.published {
+		h.published = machines.Version()
 		h.wakeLocked()
 	}
 }
--- a/internal/follower/rounds.go
+++ b/internal/follower/rounds.go
@@ -18,6 +18,12 @@
 	sentAt time.Time
 	timer  *time.Timer
 	poked  bool
+	// held says that the server may hold the call under way. Only such a call
+	// may be cut short, and the one after it is not held: otherwise pokes would
+	// cut short one call after the other where an answer takes longer than
+	// pokeSpacing, and the lease would lapse.
+	held   bool
+	prompt bool
 }
 
 func newRounds() rounds { return rounds{changed: make(chan struct{})} }
@@ -25,6 +31,8 @@
 // begin numbers a call that is about to be sent.
 func (r *rounds) begin(now time.Time, cancel context.CancelFunc) uint64 {
 	r.sent++
+	r.held = !r.urgent()
+	r.prompt = false
 	r.cancel = cancel
 	r.sentAt = now
 	r.poked = false
@@ -38,6 +46,7 @@
 		r.timer.Stop()
 		r.timer = nil
 	}
+	r.prompt = r.poked
 	return r.poked
 }
 
@@ -56,18 +65,19 @@
 	return r.wanted
 }
 
-// urgent reports whether somebody waits for the next call, which must then not
-// be held.
-func (r *rounds) urgent() bool { return r.wanted > r.completed }
+// urgent reports whether the next call must not be held, because somebody waits
+// for it or the one before was cut short.
+func (r *rounds) urgent() bool { return r.prompt || r.wanted > r.completed }
 
 func (r *rounds) reached(target uint64) (bool, <-chan struct{}) {
 	return r.completed >= target, r.changed
 }
 
-// poke cuts the call under way short, at the earliest pokeSpacing after it was
-// sent. Between calls there is nothing to do, as the next one is to come.
+// poke cuts the call under way short if it may be held, at the earliest
+// pokeSpacing after it was sent. Between calls there is nothing to do, as the
+// next one is to come.
 func (r *rounds) poke() {
-	if r.cancel == nil || r.timer != nil {
+	if r.cancel == nil || r.timer != nil || !r.held {
 		return
 	}
 	cancel := r.cancel
