Close the callers' listener without a reset, and drop no request at the end

Cause: two faults of the end of a planned stop, both met by callers who heed neither readiness nor refusals. Closing a TCP listener resets the connections that wait in its backlog. And http.Server.Shutdown drops, without a reply, a request whose head it reads after its begin. Change: the listener stops new handshakes (a filter on SYN packets, Linux), takes in its backlog and closes; then the stop waits until no connection is new or active, and only then shuts the server down. A test has 64 callers who connect anew for every request, five times. Conclusion: callers are answered, or refused by the kernel.

--- a/internal/callers/api_test.go
+++ b/internal/callers/api_test.go
@@ -11,9 +11,11 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
@@ -365,3 +367,40 @@
 	require.ErrorContains(t, <-s.ended, "still in flight")
 	require.Error(t, <-cut)
 }
+
+// Callers who heed neither readiness nor refusals connect anew without a pause.
+// Each of their connections is answered or refused by the kernel; none that was
+// made is reset by the closing of the listener.
+func TestClosingTheListenerResetsNobody(t *testing.T) {
+	for range 5 {
+		s := newSite(t, time.Millisecond, StopConfig{Quiet: time.Minute, QuietLimit: 100 * time.Millisecond, Limit: time.Minute})
+		const callers = 64
+		faults := make(chan error, callers)
+		var sending sync.WaitGroup
+		for range callers {
+			sending.Go(func() {
+				for {
+					// Each transport is used once, so that every request connects.
+					client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+					response, err := client.Post("http://"+s.address+"/v1/routes/find/query", "application/json", strings.NewReader(`{}`))
+					if errors.Is(err, syscall.ECONNREFUSED) {
+						return
+					}
+					if err != nil {
+						faults <- err
+						return
+					}
+					_, _ = io.Copy(io.Discard, response.Body)
+					_ = response.Body.Close()
+				}
+			})
+		}
+		s.stop()
+		sending.Wait()
+		require.NoError(t, <-s.ended)
+		close(faults)
+		for err := range faults {
+			require.NoError(t, err)
+		}
+	}
+}
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -34,6 +34,8 @@
 	router Router
 	config StopConfig
 	logger logrus.FieldLogger
+	// connections are those of the callers.
+	connections *connections
 	// lastQuery is the arrival of the newest query, in Unix nanoseconds. Those
 	// who poll readiness must not hold up the stop.
 	lastQuery atomic.Int64
@@ -43,9 +45,10 @@
 
 // NewServer returns a server for a handler of NewHandler.
 func NewServer(config StopConfig, handler http.Handler, served Router, logger logrus.FieldLogger) *Server {
-	server := &Server{router: served, config: config, logger: logger}
+	server := &Server{router: served, config: config, logger: logger, connections: newConnections()}
 	server.http = &http.Server{
 		ReadHeaderTimeout: readHeaderTimeout,
+		ConnState:         server.connections.observe,
 		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			if request.Method == http.MethodPost {
 				server.lastQuery.Store(time.Now().UnixNano())
@@ -60,14 +63,19 @@
 // serving through the notice time, then refusing new requests while those in
 // flight finish. It returns nil when nothing was cut off.
 func (s *Server) Run(ctx context.Context, listener net.Listener) error {
+	raw, ok := listener.(rawListener)
+	if !ok {
+		return errors.Newf("callers' API: %T is not a TCP listener", listener)
+	}
+	entrance := newGate(raw)
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(listener) }()
+	go func() { served <- s.http.Serve(entrance) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "callers' API")
 	case <-ctx.Done():
 	}
-	err := s.stop()
+	err := s.stop(entrance)
 	if err != nil {
 		// The limit has passed: what is left is cut off, and the error says so.
 		err = errors.CombineErrors(err, s.http.Close())
@@ -76,7 +84,7 @@
 	return err
 }
 
-func (s *Server) stop() error {
+func (s *Server) stop(entrance *gate) error {
 	bounded, cancel := context.WithTimeout(context.Background(), s.config.Limit)
 	defer cancel()
 	s.router.BeginStop()
@@ -87,6 +95,8 @@
 		return errors.Wrap(err, "planned stop: requests were still in flight")
 	}
 	s.awaitQuiet(bounded)
+	entrance.drain()
+	s.connections.awaitIdle(bounded)
 	// Only connections without a request are closed here.
 	err := s.http.Shutdown(bounded)
 	s.logger.Info("planned stop: done")
