Refuse at once what can't be sent or shown on one line

Cause: config apply of a file, comment or change id that is not UTF-8 (a file in Latin-1, say) failed to encode, was taken for a lost answer and sent again until the time limit; the operator was then told that it is not known whether the change was accepted. Change ids and comments with line ends were accepted and broke the tables of history and events. Change: config apply refuses text that is not UTF-8 before anything is sent, with the lines that are wrong. Control refuses control characters in change ids and comments. Tests of both packages that touch it pass. Conclusion: a wrong file leaves no doubt about what was submitted.

--- a/cmd/martenstage/config.go
+++ b/cmd/martenstage/config.go
@@ -7,6 +7,7 @@
 	"os"
 	"text/tabwriter"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,6 +16,7 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/policy"
 )
 
 // configCommands are the commands under "config".
@@ -91,12 +93,28 @@
 	return c.submit(&v1.ApplyRequest{RollbackTo: c.Arguments.Revision})
 }
 
+// checkUTF8 refuses what can't be sent. The compiler names the lines of a text
+// that are not valid UTF-8.
+func checkUTF8(request *v1.ApplyRequest) error {
+	if !utf8.ValidString(request.GetText()) {
+		_, err := policy.Compile("configuration", []byte(request.GetText()))
+		return errors.Wrap(err, "nothing was submitted, the configuration is not valid")
+	}
+	if !utf8.ValidString(request.GetComment()) || !utf8.ValidString(request.GetChangeId()) {
+		return exitcode.With(exitcode.Usage, errors.New("nothing was submitted: comment and change id must be valid UTF-8"))
+	}
+	return nil
+}
+
 // submit sends a change and reports the decision.
 func (o *changeOptions) submit(request *v1.ApplyRequest) error {
 	request.ChangeId, request.Comment, request.Author = o.ChangeID, o.Comment, author()
 	if request.ChangeId == "" {
 		request.ChangeId = newChangeID()
 	}
+	if err := checkUTF8(request); err != nil {
+		return err
+	}
 	var accepted uint64
 	err := o.call(func(ctx context.Context, client *control.Client) error {
 		if err := o.expect(ctx, client, request); err != nil {
--- a/cmd/martenstage/operator_test.go
+++ b/cmd/martenstage/operator_test.go
@@ -125,6 +125,18 @@
 	require.NotContains(t, stderr, "not known whether", "nothing was sent")
 }
 
+// TestTextInAnotherEncodingIsRefusedAtOnce applies a file that is not UTF-8. No
+// control is needed to refuse it, and no doubt is left.
+func TestTextInAnotherEncodingIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "latin.policy")
+	require.NoError(t, os.WriteFile(file, []byte("# ma\xf1ana\n"), 0o600))
+	address := freeAddresses(t, 1)[0]
+	_, stderr, code := runCommand(t, "config", "apply", file, "--insecure-plaintext", "--control", address)
+	require.Equal(t, exitcode.Failure, code, stderr)
+	require.Contains(t, stderr, "configuration:1:1: the line is not valid UTF-8")
+}
+
 // TestParseSince reads every form of a time.
 func TestParseSince(t *testing.T) {
 	t.Parallel()
--- a/internal/control/config_apply.go
+++ b/internal/control/config_apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"unicode"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
@@ -50,6 +51,8 @@
 		return refuse(connect.CodeInvalidArgument, "the change id must have 1 to %d bytes", maxIDBytes)
 	case len(request.GetComment()) > maxCommentBytes:
 		return refuse(connect.CodeInvalidArgument, "the comment is longer than %d bytes", maxCommentBytes)
+	case strings.ContainsFunc(request.GetChangeId()+request.GetComment(), unicode.IsControl):
+		return refuse(connect.CodeInvalidArgument, "change id and comment must be without control characters, such as the end of a line")
 	case len(request.GetText()) > MaxTextBytes:
 		return refuse(connect.CodeInvalidArgument, "the configuration is longer than %d bytes", MaxTextBytes)
 	case request.GetRollbackTo() != 0 && request.GetText() != "":
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -104,6 +104,15 @@
 	require.Equal(t, "filler-19", latest.GetText())
 }
 
+// TestControlCharactersAreRefused keeps what operators write on one line of the
+// history and of the events.
+func TestControlCharactersAreRefused(t *testing.T) {
+	t.Parallel()
+	require.NoError(t, checkApply(&v1.ApplyRequest{ChangeId: "first", Comment: "a comment"}))
+	require.ErrorContains(t, checkApply(&v1.ApplyRequest{ChangeId: "first\n2  second"}), "control characters")
+	require.ErrorContains(t, checkApply(&v1.ApplyRequest{ChangeId: "first", Comment: "\x1b[2J"}), "control characters")
+}
+
 // TestVoterReplaced replaces one voter and loses another right after: nothing
 // is lost and changes are accepted.
 func TestVoterReplaced(t *testing.T) {
