--- a/internal/follower/root_tables.go
+++ b/internal/follower/root_tables.go
@@ -11,6 +11,8 @@
 type RootTables struct {
 	directory *membership.Directory
 	machines  *membership.Machines
+	// boots holds the newest run of each node that was reported in this term.
+	boots map[string]uint64
 	// termStart is when this process began to lead.
 	termStart time.Time
 }
@@ -27,19 +29,31 @@
 
 // NewRootTables returns empty tables.
 func NewRootTables() *RootTables {
-	return &RootTables{directory: membership.NewDirectory(), machines: membership.NewMachines()}
+	return &RootTables{
+		directory: membership.NewDirectory(), machines: membership.NewMachines(), boots: make(map[string]uint64),
+	}
 }
 
 // StartTerm forgets what was reported to the leader of an earlier term.
 func (t *RootTables) StartTerm(now time.Time, term uint64) {
 	t.directory.StartTerm(term)
 	t.machines.StartTerm(now, term)
+	clear(t.boots)
 	t.termStart = now
 }
 
-// Report notes a node with a live lease.
+// Report notes a node with a live lease. What an earlier run of it saw of back
+// ends no longer counts.
 func (t *RootTables) Report(source string, view membership.NodeView) {
 	t.directory.Report(source, view)
+	before, known := t.boots[view.Name]
+	if known && before >= view.Boot {
+		return
+	}
+	t.boots[view.Name] = view.Boot
+	if known {
+		t.machines.Forget(view.Name, view.LastSeen)
+	}
 }
 
 // Lapse notes that a source no longer vouches for a node.
--- a/internal/membership/machines.go
+++ b/internal/membership/machines.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -151,6 +153,19 @@
 	m.merge(now, observation.Address)
 }
 
+// Forget drops what a router observed before a moment: an earlier run of it can
+// take nothing back.
+func (m *Machines) Forget(router string, before time.Time) {
+	for _, address := range slices.Sorted(maps.Keys(m.observed)) {
+		witnesses := m.observed[address]
+		word, found := witnesses[router]
+		if found && word.until.Add(-ObservationLifetime).Before(before) {
+			delete(witnesses, router)
+			m.merge(before, address)
+		}
+	}
+}
+
 // Expire drops observations that were not repeated in time.
 func (m *Machines) Expire(now time.Time) {
 	for address := range m.observed {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -40,18 +40,30 @@
 	})
 }
 
-// A router that moved on takes its words back elsewhere; this relay must not
-// tell them again, to a new leader for example.
-func TestObservationsEndWithTheLeaseOfTheirRouter(t *testing.T) {
+// A router that moved on takes its words back elsewhere, and one that was
+// restarted can take nothing back; this relay must not tell them again, to a new
+// leader for example.
+func TestObservationsEndWithTheRunThatMadeThem(t *testing.T) {
 	now := time.Unix(1000, 0)
-	known := newTables()
-	for _, router := range []string{"router-1", "router-2"} {
-		known.Observe(now, membership.Observation{Address: "10.0.0.1:7000", State: membership.Leaving, Router: router})
+	view := func(name string, boot uint64) membership.NodeView {
+		return membership.NodeView{Node: membership.Node{Name: name, Role: membership.RoleRouter, Boot: boot}, LastSeen: now}
+	}
+	for name, end := range map[string]func(known *tables){
+		"lapsed":    func(known *tables) { known.LapseChild(now, "router-2") },
+		"restarted": func(known *tables) { known.Report(membership.Direct, view("router-2", 2)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			known := newTables()
+			for _, router := range []string{"router-1", "router-2"} {
+				known.Report(membership.Direct, view(router, 1))
+				known.Observe(now, membership.Observation{Address: "10.0.0.1:7000", State: membership.Leaving, Router: router})
+			}
+			known.Report(membership.Direct, view("router-1", 1))
+			end(known)
+			request := &v1.SyncRequest{}
+			known.report(now, follower.Upstream{Address: "control-1", Term: 2}, false, request)
+			require.Len(t, request.GetObservations(), 1)
+			require.Equal(t, "router-1", request.GetObservations()[0].GetSource())
+		})
 	}
-	known.LapseChild(now, "router-2")
-
-	request := &v1.SyncRequest{}
-	known.report(now, follower.Upstream{Address: "control-1", Term: 2}, false, request)
-	require.Len(t, request.GetObservations(), 1)
-	require.Equal(t, "router-1", request.GetObservations()[0].GetSource())
 }
--- a/internal/relay/tables.go
+++ b/internal/relay/tables.go
@@ -88,6 +88,9 @@
 		known = &child{}
 		t.children[view.Name] = known
 	}
+	if found && known.view.Boot < view.Boot {
+		t.forgetObservations(view.Name)
+	}
 	if !found || known.lapsed || known.view.Node != view.Node {
 		t.sequence++
 		known.sequence = t.sequence
@@ -114,8 +117,12 @@
 	for name := range t.children {
 		t.Lapse(now, gone, name)
 	}
+	t.forgetObservations(gone)
+}
+
+func (t *tables) forgetObservations(router string) {
 	for key := range t.observations {
-		if key.router == gone {
+		if key.router == router {
 			delete(t.observations, key)
 		}
 	}
--- a/internal/simulation/relay.go
+++ b/internal/simulation/relay.go
@@ -128,9 +128,20 @@
 // Report notes a node below.
 func (t *relayTables) Report(_ string, view membership.NodeView) {
 	view.Lapsed = false
+	if before, known := t.children[view.Name]; known && before.Boot < view.Boot {
+		t.forgetObservations(view.Name)
+	}
 	t.children[view.Name] = view
 }
 
+func (t *relayTables) forgetObservations(router string) {
+	for _, key := range sortedObservations(t.observations) {
+		if key.router == router {
+			delete(t.observations, key)
+		}
+	}
+}
+
 // Lapse notes that nobody vouches for a node any more.
 func (t *relayTables) Lapse(_ time.Time, _, name string) {
 	if view, known := t.children[name]; known {
@@ -142,11 +153,7 @@
 // LapseChild notes that a direct child is gone.
 func (t *relayTables) LapseChild(now time.Time, child string) {
 	t.Lapse(now, membership.Direct, child)
-	for _, key := range sortedObservations(t.observations) {
-		if key.router == child {
-			delete(t.observations, key)
-		}
-	}
+	t.forgetObservations(child)
 }
 
 // Observe keeps an observation to pass it on.
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -109,6 +109,7 @@
 	{903, defaultScenario, "a router that was paused acted on old health answers"},
 	{2314, defaultScenario, "the simulated back end took a departure back and denied it at once"},
 	{3433, defaultScenario, "a query in the socket of a paused back end counted as sent when it was read"},
+	{7081, defaultScenario, "a router that was restarted took nothing back of what it had observed"},
 	{33, "night-failure", "the leader elected after a relay died did not know of it"},
 	{52, "replica-loss", "like random seed 143"},
 }
