Refuse a data folder that lost its hard state

Cause: flipping every third byte of the pages in use found that a damaged name of the record "hard-state" opened the folder with term 0 and no vote: the voter could have voted twice in a term. Change: bounds and hard state are written with the first transaction of every folder, and their absence is damage.

--- a/internal/raftlog/log.go
+++ b/internal/raftlog/log.go
@@ -136,8 +136,14 @@
 	if err := tables.putIdentity(identity{Format: formatVersion, VoterID: options.VoterID}); err != nil {
 		return err
 	}
+	if err := tables.putBounds(bounds{}); err != nil {
+		return err
+	}
+	if err := tables.putHardState(consensus.HardState{}); err != nil {
+		return err
+	}
 	if len(options.InitialVoters) == 0 {
-		return tables.putBounds(bounds{})
+		return nil
 	}
 	return tables.apply(firstPersist(options.InitialVoters))
 }
--- a/internal/raftlog/log_test.go
+++ b/internal/raftlog/log_test.go
@@ -1,6 +1,7 @@
 package raftlog
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"os"
@@ -210,8 +211,7 @@
 	path := filepath.Join(folder, databaseName)
 	data := usedPages(t, path)
 	refused, harmless := 0, 0
-	const stride = 61
-	for offset := 0; offset < len(data); offset += stride {
+	for offset := 0; offset < len(data); offset += damageStride {
 		damaged := slices.Clone(data)
 		damaged[offset] ^= byte(1 + offset%255)
 		require.NoError(t, os.WriteFile(path, damaged, fileMode))
@@ -282,6 +282,22 @@
 	require.NoError(t, log.Close())
 }
 
+// TestLostRecordIsRefused damages the names of records that every folder has: a
+// voter without its hard state would forget its vote.
+func TestLostRecordIsRefused(t *testing.T) {
+	for _, key := range [][]byte{hardStateKey, boundsKey, identityKey} {
+		folder := writtenFolder(t)
+		path := filepath.Join(folder, databaseName)
+		data := usedPages(t, path)
+		for offset := range data {
+			if bytes.HasPrefix(data[offset:], key) {
+				overwrite(t, path, int64(offset)+1, []byte{'?'})
+			}
+		}
+		requireDamage(t, folder, path)
+	}
+}
+
 func TestShortenedFileIsRefusedWithItsOffset(t *testing.T) {
 	folder := writtenFolder(t)
 	path := filepath.Join(folder, databaseName)
--- a/internal/raftlog/tables.go
+++ b/internal/raftlog/tables.go
@@ -90,7 +90,7 @@
 		limits = bounds{Base: unit.Snapshot.Index, Last: unit.Snapshot.Index}
 	}
 	if unit.HardState != nil {
-		if err := t.state.Put(hardStateKey, seal(hardStateKey, consensus.EncodeHardState(*unit.HardState))); err != nil {
+		if err := t.putHardState(*unit.HardState); err != nil {
 			return err
 		}
 	}
@@ -164,9 +164,14 @@
 
 func (t tables) putIdentity(known identity) error { return t.putJSON(identityKey, known) }
 
+// bounds and the hard state are in every folder from its first transaction on,
+// so that a missing one is damage and not a new folder.
 func (t tables) bounds() (bounds, error) {
 	var limits bounds
-	_, err := t.getJSON(boundsKey, &limits)
+	found, err := t.getJSON(boundsKey, &limits)
+	if err == nil && !found {
+		err = errors.New("the bounds of the log are missing")
+	}
 	return limits, err
 }
 
@@ -175,7 +180,7 @@
 func (t tables) hardState() (consensus.HardState, error) {
 	sealed := t.state.Get(hardStateKey)
 	if sealed == nil {
-		return consensus.HardState{}, nil
+		return consensus.HardState{}, errors.New("the hard state is missing")
 	}
 	data, err := unseal(hardStateKey, sealed)
 	if err != nil {
@@ -185,6 +190,10 @@
 	return state, t.at(sealed, err)
 }
 
+func (t tables) putHardState(state consensus.HardState) error {
+	return t.state.Put(hardStateKey, seal(hardStateKey, consensus.EncodeHardState(state)))
+}
+
 func (t tables) putJSON(key []byte, value any) error {
 	data, err := json.Marshal(value)
 	if err != nil {
