Release a stalled disk also when its test fails

Cause: the voter tests ran into their 90 s limit once, while the whole machine was held up; which test it was is not known. A failure of the test of a stalled disk would wait for that disk in its cleanup without end. Change: the disk is released whatever happens.

--- a/internal/voter/disk_test.go
+++ b/internal/voter/disk_test.go
@@ -52,12 +52,12 @@
 	defer d.mutex.Unlock()
 	stalled := make(chan struct{})
 	d.stalled = stalled
-	return func() {
+	return sync.OnceFunc(func() {
 		d.mutex.Lock()
 		defer d.mutex.Unlock()
 		d.stalled = nil
 		close(stalled)
-	}
+	})
 }
 
 // groupOnFaultyDisks returns a group and its disks by voter id.
@@ -140,6 +140,7 @@
 	g.propose("a")
 	slow := g.leader()
 	release := disks[slow.config.ID].stall()
+	defer release() // a failed test must not wait for the disk
 	waiting := make(chan error, 1)
 	go func() {
 		_, err := slow.Propose(context.Background(), []byte("b"))
