Bound the time of callers who stall

Cause: a caller who sent the headers and then no body held a connection and a goroutine for ever, got no answer at its own deadline, and kept a planned stop waiting up to its limit, which then ended with an error. So did a caller who never read its reply. Change: the body must arrive before the deadline that the caller named, 10 s at most; then the request is refused with not_run. A reply may take as long as it needs while the caller takes 64 KiB in 10 s. Conclusion: stalled callers no longer decide how a planned stop ends.

--- a/internal/callers/answer.go
+++ b/internal/callers/answer.go
@@ -153,6 +153,5 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(buffer.Len()))
 	writer.WriteHeader(http.StatusOK)
-	_, err = writer.Write(buffer.Bytes())
-	return err
+	return writeSteadily(writer, buffer.Bytes())
 }
--- a/internal/callers/api.go
+++ b/internal/callers/api.go
@@ -76,7 +76,7 @@
 		problem.Title, problem.Status = "Not found", http.StatusNotFound
 		problem.write(writer)
 	})
-	return mux
+	return boundWrites(mux)
 }
 
 // RouteInfo describes a route to callers.
--- a/internal/callers/query.go
+++ b/internal/callers/query.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -117,7 +118,14 @@
 		return request, route, refused
 	}
 	request.Deadline = deadline
+	if httpRequest.Body != http.NoBody {
+		boundBody(writer, now, deadline)
+	}
 	request.Body, refused = a.readBody(writer, httpRequest)
+	if refused == nil && httpRequest.Body != http.NoBody {
+		unboundBody(writer)
+	}
+	// The bound stays on a body that was refused: net/http reads the rest of it.
 	return request, route, refused
 }
 
@@ -181,6 +189,9 @@
 	switch {
 	case errors.As(err, &exceeded):
 		return nil, tooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		writer.Header().Set("Connection", "close")
+		return nil, verdict.Refuse(verdict.ReasonDeadlinePassed, "the body did not arrive in time")
 	case err != nil:
 		return nil, verdict.Refuse(verdict.ReasonBadRequest, "the body could not be read: "+err.Error())
 	case !json.Valid(buffer.Bytes()):
