Take only an unambiguous refusal for a proof

Cause: a refusal without the echo of the attempt, with two of them, or with the verdicts not_run and may_have_run side by side was taken for a proof that the query did not run. A request that runs at most once was then sent again and its caller told not_run. Change: the verdict and the attempt must each stand once, and the attempt must be this one; otherwise the outcome is may_have_run. The same holds for the attempt of a part. The refusal in the older test now echoes its attempt, as the interface for back ends demands of all replies; what the test checks is unchanged. The new test fails in three of four cases without the change and passes with it. The tests of router and emulator pass. Conclusion: at most once no longer rests on the first of two headers.

--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -86,9 +86,11 @@
 		backendapi.HeaderDigest, backendapi.Digest(body), body)
 }
 
-func refusedReply() []byte {
-	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n%s: not_run\r\n%s: draining\r\n%s: 1\r\n\r\nno.\r\n",
-		backendapi.HeaderVerdict, backendapi.HeaderReason, backendapi.HeaderDraining)
+// refusedReply is the reply of a back end that proves that it did not run the
+// attempt.
+func refusedReply(attempt query.Send) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n%s: router-0-%d\r\n%s: not_run\r\n%s: draining\r\n%s: 1\r\n\r\nno.\r\n",
+		backendapi.HeaderAttempt, attempt.Attempt, backendapi.HeaderVerdict, backendapi.HeaderReason, backendapi.HeaderDraining)
 }
 
 // readQuery reads one whole request.
@@ -104,7 +106,7 @@
 func TestResetAtEveryByteOfTheReply(t *testing.T) {
 	replies := map[string]func(query.Send) []byte{
 		"executed": wholeReply,
-		"refused":  func(query.Send) []byte { return refusedReply() },
+		"refused":  refusedReply,
 	}
 	for name, reply := range replies {
 		t.Run(name, func(t *testing.T) {
@@ -306,6 +308,33 @@
 	}
 }
 
+// A refusal counts as a proof only when it names this attempt and says one
+// thing. Anything less could let a request that runs at most once run again.
+func TestDoubtfulRefusalProvesNothing(t *testing.T) {
+	attempt := attemptTo(netip.AddrPort{}, 4)
+	echo, proof := backendapi.HeaderAttempt+": router-0-4\r\n", backendapi.HeaderVerdict+": not_run\r\n"
+	replies := map[string][2]string{
+		"no attempt":    {echo, ""},
+		"other attempt": {echo, backendapi.HeaderAttempt + ": router-0-5\r\n"},
+		"two attempts":  {echo, echo + backendapi.HeaderAttempt + ": router-0-5\r\n"},
+		"two verdicts":  {proof, proof + backendapi.HeaderVerdict + ": may_have_run\r\n"},
+	}
+	for name, change := range replies {
+		t.Run(name, func(t *testing.T) {
+			reply := strings.Replace(string(refusedReply(attempt)), change[0], change[1], 1)
+			server := newRawServer(t, func(_ *rawServer, socket *net.TCPConn) {
+				readQuery(socket)
+				_, _ = socket.Write([]byte(reply))
+				_ = socket.Close()
+			})
+			attempt.Address = server.address
+			failed, ok := newSender(t, Config{}).Send(t.Context(), attempt).(query.AttemptFailed)
+			require.True(t, ok)
+			require.Equal(t, verdict.MayHaveRun, failed.Verdict)
+		})
+	}
+}
+
 // A value that would end a header early must not reach the wire.
 func TestHeaderThatBreaksTheRequestIsNotSent(t *testing.T) {
 	server := newRawServer(t, func(server *rawServer, socket *net.TCPConn) {
--- a/internal/backend/reply.go
+++ b/internal/backend/reply.go
@@ -62,11 +62,11 @@
 	refusedStatus := response.StatusCode == http.StatusServiceUnavailable ||
 		response.StatusCode == http.StatusTooManyRequests
 	header := response.Header
-	if !refusedStatus || header.Get(backendapi.HeaderVerdict) != verdict.NotRun.String() {
+	if !refusedStatus || sole(header, backendapi.HeaderVerdict) != verdict.NotRun.String() {
 		return query.AttemptFailed{}, false
 	}
-	// A refusal of another attempt proves nothing about this one.
-	if echoed := header.Get(backendapi.HeaderAttempt); echoed != "" && echoed != sent.name {
+	// A refusal of another attempt, or of none, proves nothing about this one.
+	if sole(header, backendapi.HeaderAttempt) != sent.name {
 		s.metrics.badReplies.WithLabelValues(causeAttempt).Inc()
 		return query.AttemptFailed{}, false
 	}
@@ -76,6 +76,15 @@
 	return failed, true
 }
 
+// sole returns the value of a header that stands once. A header with two values
+// contradicts itself, and nothing may be built on it.
+func sole(header http.Header, name string) string {
+	if values := header[name]; len(values) == 1 {
+		return values[0]
+	}
+	return ""
+}
+
 func refusalReason(reason string) verdict.Reason {
 	switch backendapi.RefusalReason(reason) {
 	case backendapi.RefusalDraining:
@@ -96,7 +105,7 @@
 // readPart checks a reply's echo and digest and reads its part. A non-empty
 // cause says why the reply is to be dropped.
 func (s *Sender) readPart(sent sentQuery, header http.Header, body []byte) (query.PartArrived, string) {
-	if header.Get(backendapi.HeaderAttempt) != sent.name {
+	if sole(header, backendapi.HeaderAttempt) != sent.name {
 		return query.PartArrived{}, causeAttempt
 	}
 	if header.Get(backendapi.HeaderDigest) != backendapi.Digest(body) {
