Refuse a configuration that declares nothing, and echo little of bad input

Cause: an empty or cut-off file was accepted by `config apply` and took every route out of force. A refusal repeated a request id or route name of any length. An unreadable positional argument ended with the exit code of a failure, and not of wrong usage. Measured: not measured; each has a test. Conclusion: none.

--- a/cmd/martenstage/examples_test.go
+++ b/cmd/martenstage/examples_test.go
@@ -73,6 +73,7 @@
 		"nowhere":       {[]string{"status"}, "--control is also read from the environment variable MARTENSTAGE_CONTROL"},
 		"extra word":    {[]string{"status", "--insecure-plaintext", "--control", "127.0.0.1:1", "now"}, `unexpected argument "now"`},
 		"drain by name": {[]string{"drain", "seat-finder:7000", "--insecure-plaintext", "--control", "127.0.0.1:1"}, "host names are not accepted"},
+		"revision":      {[]string{"config", "rollback", "abc", "--insecure-plaintext", "--control", "127.0.0.1:1"}, "an argument can't be read"},
 		"shell":         {[]string{"completion", "tcsh"}, "bash, zsh and fish"},
 	}
 	for name, mistyped := range cases {
--- a/internal/callers/api_test.go
+++ b/internal/callers/api_test.go
@@ -193,6 +193,8 @@
 		"id with spaces":    {"/v1/routes/find/query", "f g", `{}`, http.StatusBadRequest, "bad_request"},
 		"once without id":   {"/v1/routes/send/query?key=k", "", `{}`, http.StatusBadRequest, "bad_request"},
 		"keyed without key": {"/v1/routes/send/query", "h", `{}`, http.StatusBadRequest, "bad_request"},
+		"endless id":        {"/v1/routes/find/query", strings.Repeat("i", 10_000), `{}`, http.StatusBadRequest, "bad_request"},
+		"endless route":     {"/v1/routes/" + strings.Repeat("r", 10_000) + "/query", "j", `{}`, http.StatusNotFound, "unknown_route"},
 		"unknown path":      {"/v2/routes", "i", `{}`, http.StatusNotFound, "bad_request"},
 	}
 	for name, test := range cases {
@@ -201,6 +203,7 @@
 			require.Equal(t, test.status, status)
 			require.Equal(t, test.reason, problem["reason"])
 			require.Equal(t, "not_run", problem["verdict"])
+			require.Less(t, len(fmt.Sprint(problem)), 1000, "a refusal repeats little of what it was sent")
 		})
 	}
 	// A length that is not announced is bounded, too.
--- a/internal/callers/query.go
+++ b/internal/callers/query.go
@@ -83,7 +83,7 @@
 	request, route, refused := a.readQuery(writer, httpRequest, input, started)
 	if refused != nil {
 		problem := newProblem(refused)
-		problem.Request = request.CallerID
+		problem.Request = shortened(request.CallerID)
 		problem.write(writer)
 		return
 	}
@@ -108,7 +108,7 @@
 		if ready, reason := a.router.Ready(); !ready && reason == verdict.ReasonNoLease {
 			return request, nil, verdict.Refuse(verdict.ReasonNoLease, "no configuration in force")
 		}
-		return request, nil, verdict.Refuse(verdict.ReasonUnknownRoute, "no route "+strconv.Quote(input.Route))
+		return request, nil, verdict.Refuse(verdict.ReasonUnknownRoute, "no route "+strconv.Quote(shortened(input.Route)))
 	}
 	if refused := checkIdentity(&request, route); refused != nil {
 		return request, route, refused
@@ -144,6 +144,14 @@
 	return nil
 }
 
+// shortened bounds what a refusal repeats of the caller's own words.
+func shortened(text string) string {
+	if len(text) <= maxRequestID {
+		return text
+	}
+	return text[:maxRequestID] + "…"
+}
+
 func printable(id string) bool {
 	if len(id) > maxRequestID {
 		return false
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -44,8 +44,17 @@
 	if err != nil {
 		return report(program, err)
 	}
-	parser.CommandHandler = execute
+	parsed := false
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		parsed = true
+		return execute(command, rest)
+	}
 	_, err = parser.ParseArgs(arguments)
+	var parseError *flags.Error
+	if err != nil && !parsed && !errors.As(err, &parseError) {
+		// The library hands errors of positional arguments on as they are.
+		err = exitcode.With(exitcode.Usage, errors.Wrap(err, "an argument can't be read"))
+	}
 	return report(program, explain(parser, commands, err))
 }
 
--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -24,6 +24,12 @@
 	src, ok := read(report, text)
 	check := newChecker(report, src)
 	compiled := &plan.Plan{}
+	if ok && src.empty() {
+		// It would take every route out of force; nobody asks for that with a
+		// file that was cut off or never written.
+		report.add(lexer.Position{Line: 1, Column: 1}, "the configuration declares nothing")
+		ok = false
+	}
 	if ok {
 		compiled = check.file()
 	}
--- a/internal/policy/compile_test.go
+++ b/internal/policy/compile_test.go
@@ -312,3 +312,10 @@
 		return "(" + drawCondition(t, depth-1) + " and " + drawCondition(t, depth-1) + ")"
 	}
 }
+
+func TestATextThatDeclaresNothingIsRefused(t *testing.T) {
+	for _, text := range []string{"", "\n\n", "# only a comment\n"} {
+		_, err := Compile("x.policy", []byte(text))
+		require.ErrorContains(t, err, "x.policy:1:1: the configuration declares nothing")
+	}
+}
--- a/internal/policy/parse.go
+++ b/internal/policy/parse.go
@@ -57,6 +57,9 @@
 	return src, true
 }
 
+// empty reports whether the text has no word, but for comments.
+func (s *source) empty() bool { return len(s.tokens) == 1 && s.tokens[0].EOF() }
+
 // parse hands the declarations of the text to visit, one after the other, so
 // that no more than one large declaration is in memory. Syntax errors go to
 // the reporter; the parser then skips the line at fault and goes on.
