Wait for a time or a context's end in one place

Cause: eight packages had the same timer beside a context's end, and three the same notice in a channel of capacity one. Change: package wait holds them. A wait of zero or less looks at the context alone; some of the copies left that to chance. Measured: not measured; the tests of the packages pass. Conclusion: none.

--- a/internal/callers/connections.go
+++ b/internal/callers/connections.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // newGrace is how long a connection on which nothing has come yet is waited for.
@@ -56,6 +58,6 @@
 func (c *connections) awaitIdle(ctx context.Context) {
 	const step = 5 * time.Millisecond
 	for c.busy(time.Now()) && ctx.Err() == nil {
-		sleep(ctx, step)
+		wait.For(ctx, step)
 	}
 }
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // typeOf names a type for the schema registry.
@@ -89,7 +91,7 @@
 	defer cancel()
 	s.router.BeginStop()
 	s.logger.WithField("notice", s.config.Notice).Info("planned stop: not ready, serving on")
-	sleep(bounded, s.config.Notice)
+	wait.For(bounded, s.config.Notice)
 	s.logger.Info("planned stop: refusing new requests")
 	if err := s.router.Stop(bounded); err != nil {
 		return errors.Wrap(err, "planned stop: requests were still in flight")
@@ -112,13 +114,6 @@
 		if time.Since(time.Unix(0, s.lastQuery.Load())) >= s.config.Quiet {
 			return
 		}
-		sleep(ctx, step)
-	}
-}
-
-func sleep(ctx context.Context, duration time.Duration) {
-	select {
-	case <-time.After(duration):
-	case <-ctx.Done():
+		wait.For(ctx, step)
 	}
 }
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -13,6 +13,7 @@
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/voter"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Times of the client.
@@ -171,7 +172,7 @@
 		if attempt%len(client.voters) != 0 {
 			continue
 		}
-		if !sleep(ctx, jitter(pause)) {
+		if !wait.For(ctx, jitter(pause)) {
 			return nil, doubtful, errors.Mark(errors.Newf("no control voter with a quorum answered: %v", err), ErrUnavailable)
 		}
 		pause = min(2*pause, longestPause)
@@ -233,14 +234,3 @@
 }
 
 func jitter(pause time.Duration) time.Duration { return pause/2 + rand.N(pause) }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/control/linearizable_test.go
+++ b/internal/control/linearizable_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 func claimRequest(id string, call uint64) *v1.ClaimRequest {
@@ -80,7 +81,7 @@
 // disturb crashes, cuts off and restarts leaders until it has done so often
 // enough and the history is long enough. It leaves all voters up.
 func (c *testCluster) disturb(enough func() bool) {
-	pause := func(span time.Duration) { sleep(context.Background(), span) }
+	pause := func(span time.Duration) { wait.For(context.Background(), span) }
 	for round := 0; round < enoughDisturbances || !enough(); round++ {
 		pause(time.Duration(300+rand.IntN(700)) * time.Millisecond)
 		leader := c.leader()
@@ -111,7 +112,7 @@
 		running.Go(func() {
 			for ctx.Err() == nil {
 				step(ctx, number, client, random)
-				sleep(ctx, time.Duration(random.IntN(20))*time.Millisecond)
+				wait.For(ctx, time.Duration(random.IntN(20))*time.Millisecond)
 			}
 		})
 	}
--- a/internal/controlclient/voters.go
+++ b/internal/controlclient/voters.go
@@ -11,6 +11,7 @@
 
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 const (
@@ -57,7 +58,7 @@
 		if ctx.Err() != nil {
 			return err
 		}
-		if attempt%len(v.claims) == 0 && !sleep(ctx, roundPause) {
+		if attempt%len(v.claims) == 0 && !wait.For(ctx, roundPause) {
 			return err
 		}
 	}
@@ -84,15 +85,3 @@
 		return false
 	}
 }
-
-// sleep reports whether it lasted to its end.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/experiment/sockets/router.go
+++ b/internal/experiment/sockets/router.go
@@ -16,6 +16,7 @@
 	"github.com/martenstage/martenstage/internal/callers"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 const (
@@ -61,7 +62,7 @@
 		}
 		began := n.world.config.Begin.Add(stop.At)
 		n.world.recorder.stop(records.PlannedStop{Router: n.address.String(), Began: began, Exited: time.Now()})
-		if !sleepUntil(ctx, time.Now().Add(stop.Away)) {
+		if !wait.For(ctx, stop.Away) {
 			return nil
 		}
 		if listener, err = net.Listen("tcp4", n.address.String()); err != nil {
--- a/internal/experiment/sockets/source.go
+++ b/internal/experiment/sockets/source.go
@@ -7,6 +7,7 @@
 
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // scriptedSource gives a router its configurations by time and a lease without
@@ -21,7 +22,7 @@
 // Run implements router.ConfigSource.
 func (s *scriptedSource) Run(ctx context.Context, sink router.ConfigSink) error {
 	for index, step := range s.plans {
-		if index > 0 && !sleepUntil(ctx, s.begin.Add(step.At)) {
+		if index > 0 && !wait.Until(ctx, s.begin.Add(step.At)) {
 			return nil
 		}
 		sink.InstallPlan(uint64(index+1), step.Plan)
@@ -39,15 +40,3 @@
 
 // Describe implements router.ConfigSource.
 func (s *scriptedSource) Describe() string { return "script of an experiment" }
-
-// sleepUntil reports false when the context ended before.
-func sleepUntil(ctx context.Context, moment time.Time) bool {
-	timer := time.NewTimer(time.Until(moment))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/experiment/sockets/world.go
+++ b/internal/experiment/sockets/world.go
@@ -15,6 +15,7 @@
 	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // World is one run: a fleet, its routers and its callers.
@@ -109,7 +110,7 @@
 	if err := load.AwaitReady(ctx, routers, readyLimit); err != nil {
 		return err
 	}
-	if !sleepUntil(ctx, w.config.Begin) {
+	if !wait.Until(ctx, w.config.Begin) {
 		return ctx.Err()
 	}
 	sender.Run(ctx)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,6 +14,7 @@
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 const (
@@ -138,7 +139,7 @@
 		"upstream": from, "next": f.upstreams.current(), "reason": outcome.reason(), "pause": pause.String(),
 	}).Info("no lease from the upstream")
 	if pause > 0 {
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
--- a/internal/follower/handler.go
+++ b/internal/follower/handler.go
@@ -17,6 +17,7 @@
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/routestats"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 const (
@@ -155,7 +156,7 @@
 	before, known := h.grantor.Acknowledged(childID(node))
 	if reported := acknowledgedBy(message); known && reported > before {
 		h.grantor.Acknowledge(now, childID(node), reported)
-		signal(h.acknowledged)
+		wait.Notify(h.acknowledged)
 	}
 	for _, wire := range message.GetObservations() {
 		h.observe(now, node, wire)
@@ -213,7 +214,7 @@
 	h.deps.Tables.LapseChild(now, node.Name)
 	delete(h.roles, node.Name)
 	h.routes.Remove(node.Name)
-	signal(h.acknowledged)
+	wait.Notify(h.acknowledged)
 	h.deps.Logger.WithFields(logrus.Fields{"node": node.Name, "role": node.Role}).Info("lease given back")
 }
 
@@ -335,11 +336,3 @@
 func childID(node membership.Node) lease.ChildID {
 	return lease.ChildID{Name: node.Name, Boot: node.Boot}
 }
-
-// signal wakes a goroutine that looks at everything when it wakes.
-func signal(channel chan struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
-	}
-}
--- a/internal/follower/handler_run.go
+++ b/internal/follower/handler_run.go
@@ -12,6 +12,7 @@
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Run wakes held calls when there is news, sums acknowledgements up and
@@ -27,7 +28,7 @@
 		if revision > woken {
 			// Compared, and not only waited for: the change may have come while
 			// another case was being handled.
-			sleep(ctx, planDelay)
+			wait.For(ctx, planDelay)
 			h.wake()
 			woken = revision
 			continue
@@ -39,7 +40,7 @@
 		case <-tables.C:
 			h.publishMachines(time.Now())
 		case <-h.acknowledged:
-			sleep(ctx, progressDelay)
+			wait.For(ctx, progressDelay)
 			h.progress(time.Now())
 		case <-expire.C:
 			h.expire(time.Now())
@@ -271,13 +272,3 @@
 func (r *Root) SetOperator(address string, state membership.State) {
 	r.UpdateTables(func(now time.Time) { r.tables.SetOperator(now, address, state) })
 }
-
-// sleep waits, but not longer than the context lasts.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -20,6 +20,7 @@
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/verdict"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Config describes a run of callers.
@@ -121,7 +122,7 @@
 	start := time.Now()
 	for {
 		arrival, ok := arrivals.Next()
-		if !ok || !sleepUntil(ctx, start.Add(arrival.At)) {
+		if !ok || !wait.Until(ctx, start.Add(arrival.At)) {
 			return
 		}
 		c.launch(ctx, call{arrival: arrival, intended: start.Add(arrival.At), first: choice.IntN(len(c.config.Routers))})
@@ -158,7 +159,7 @@
 		if c.config.HonorRetryAfter && retryAfter > 0 {
 			pause = retryAfter
 		}
-		if !sleepUntil(ctx, time.Now().Add(pause)) {
+		if !wait.For(ctx, pause) {
 			return
 		}
 	}
@@ -181,22 +182,6 @@
 	}
 }
 
-// sleepUntil reports false when the context ended before.
-func sleepUntil(ctx context.Context, moment time.Time) bool {
-	wait := time.Until(moment)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // RatesOf gives every route of a plan the same rate.
 func RatesOf(compiled *plan.Plan, perSecond float64) []RouteRate {
 	return lo.Map(compiled.Routes, func(route plan.Route, _ int) RouteRate {
--- a/internal/load/ready.go
+++ b/internal/load/ready.go
@@ -11,6 +11,7 @@
 
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/verdict"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // readyPoll is the pause between two questions to a router that is not ready.
@@ -26,7 +27,7 @@
 	defer cancel()
 	for _, router := range routers {
 		for !isReady(bounded, http.DefaultClient, router) {
-			if !sleepUntil(bounded, time.Now().Add(readyPoll)) {
+			if !wait.For(bounded, readyPoll) {
 				return errors.Newf("router %s is not ready after %v", router, longest)
 			}
 		}
@@ -79,7 +80,7 @@
 
 // probe asks one router again and again until the context ends.
 func (r *readiness) probe(ctx context.Context, client *http.Client, index int, interval time.Duration) {
-	for sleepUntil(ctx, time.Now().Add(interval)) {
+	for wait.For(ctx, interval) {
 		bounded, cancel := context.WithTimeout(ctx, max(interval, time.Second))
 		r.notReady[index].Store(!isReady(bounded, client, r.routers[index]))
 		cancel()
--- a/internal/scale/churn.go
+++ b/internal/scale/churn.go
@@ -98,15 +98,3 @@
 		return endReplacement
 	}
 }
-
-// pause waits and reports whether the context still runs.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/scale/fault.go
+++ b/internal/scale/fault.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Fault is what a run does to the measured processes in a phase of its own.
@@ -65,7 +67,7 @@
 // strike waits, causes a fault, and watches the leases until the context ends.
 func (r *Run) strike(ctx context.Context, fault Fault) (Recovery, error) {
 	recovery := Recovery{AllHolding: -1}
-	if !pause(ctx, calmBefore) {
+	if !wait.For(ctx, calmBefore) {
 		return recovery, ctx.Err()
 	}
 	struck, err := r.victims(ctx, fault)
@@ -133,7 +135,7 @@
 // watchLeases counts the followers with a lease until the context ends.
 func (r *Run) watchLeases(ctx context.Context, recovery *Recovery, since time.Time) {
 	recovery.AllHolding = -1
-	for pause(ctx, holdingPoll) {
+	for wait.For(ctx, holdingPoll) {
 		holding, running := r.holding(ctx)
 		recovery.LowestHolding = min(recovery.LowestHolding, holding)
 		switch {
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/martenstage/martenstage/internal/follower"
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // FleetConfig describes the hollow followers of one process.
@@ -74,7 +75,7 @@
 	name := fmt.Sprintf("%s-%04d", f.config.Name, index)
 	// Spread starts over a while, as an orderly start of a fleet does.
 	spread := time.Duration(f.config.Followers) * startPace
-	if !pause(ctx, time.Duration(random.Int64N(int64(spread)))) {
+	if !wait.For(ctx, time.Duration(random.Int64N(int64(spread)))) {
 		return
 	}
 	for replaced := 0; ctx.Err() == nil; {
@@ -84,7 +85,7 @@
 			replaced++
 			name = fmt.Sprintf("%s-%04d-%d", f.config.Name, index, replaced)
 		}
-		if !pause(ctx, ending.absence()) {
+		if !wait.For(ctx, ending.absence()) {
 			return
 		}
 	}
--- a/internal/scale/machines.go
+++ b/internal/scale/machines.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/platform"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 const (
@@ -78,9 +79,9 @@
 func (m *machines) restart(ctx context.Context, address netip.AddrPort) {
 	defer m.standIn.Change(address, platform.StateLive)
 	m.standIn.Change(address, platform.StateLeaving)
-	if !pause(ctx, leavingTime) {
+	if !wait.For(ctx, leavingTime) {
 		return
 	}
 	m.standIn.Change(address, platform.StateGone)
-	pause(ctx, goneTime)
+	wait.For(ctx, goneTime)
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -14,6 +14,7 @@
 
 	"github.com/martenstage/martenstage/internal/control"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // changesPerDay is the target's rate of configuration changes.
@@ -91,7 +92,7 @@
 	}
 	result.JoinSeconds = time.Since(r.started).Seconds()
 	r.logger.WithFields(logrus.Fields{"followers": result.Routers, "seconds": result.JoinSeconds}).Info("all followers hold a lease")
-	pause(ctx, r.config.Settle)
+	wait.For(ctx, r.config.Settle)
 	if err := r.phases(ctx, &result); err != nil {
 		return result, err
 	}
@@ -156,7 +157,7 @@
 		if held >= followers && r.inForce(ctx) >= r.revision {
 			return nil
 		}
-		if !pause(ctx, joinPoll) {
+		if !wait.For(ctx, joinPoll) {
 			return errors.Newf("%d of %d followers run, %d hold a lease under revision %d, which is not in force after %s",
 				running, followers, held, r.revision, joinTimeout)
 		}
@@ -276,12 +277,12 @@
 	var sent submitted
 	begin := time.Now()
 	if perSecond == 0 {
-		pause(ctx, length)
+		wait.For(ctx, length)
 		return sent, ctx.Err()
 	}
 	interval := time.Duration(float64(time.Second) / perSecond)
 	for next := begin; time.Since(begin) < length; next = next.Add(interval) {
-		if !pause(ctx, time.Until(next)) {
+		if !wait.For(ctx, time.Until(next)) {
 			return sent, ctx.Err()
 		}
 		r.text.Change()
@@ -308,7 +309,7 @@
 			sent.took = append(sent.took, one.At.Sub(begin).Seconds())
 			return nil
 		}
-		if time.Since(begin) > giveUpAfter || !pause(ctx, resendPause) {
+		if time.Since(begin) > giveUpAfter || !wait.For(ctx, resendPause) {
 			return err
 		}
 		sent.resent++
@@ -319,7 +320,7 @@
 func (r *Run) settle(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
-	for r.inForce(ctx) < r.revision && pause(ctx, joinPoll) {
+	for r.inForce(ctx) < r.revision && wait.For(ctx, joinPoll) {
 		continue
 	}
 }
--- a/internal/scale/watcher.go
+++ b/internal/scale/watcher.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // watcher notes when control first reports each revision in force.
@@ -28,7 +30,7 @@
 // run polls until the context ends.
 func (w *watcher) run(ctx context.Context) {
 	var last uint64
-	for pause(ctx, inForcePoll) {
+	for wait.For(ctx, inForcePoll) {
 		w.mutex.Lock()
 		waiting := w.highest > last
 		w.mutex.Unlock()
--- a/internal/spool/deliverer.go
+++ b/internal/spool/deliverer.go
@@ -8,6 +8,7 @@
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // deliverAll is the deliverer.
@@ -19,14 +20,14 @@
 		case err != nil:
 			s.deps.Logger.WithField("reason", err).Debug("events can't be delivered yet")
 			// Full jitter keeps nodes from coming back all at once.
-			if !sleep(ctx, pause/2+rand.N(pause/2)) {
+			if !wait.For(ctx, pause/2+rand.N(pause/2)) {
 				return
 			}
 			pause = min(2*pause, longestPause)
 			continue
 		case delivered:
 			pause = shortestPause
-			if !sleep(ctx, deliverSpacing/2+rand.N(deliverSpacing)) {
+			if !wait.For(ctx, deliverSpacing/2+rand.N(deliverSpacing)) {
 				return
 			}
 			continue
--- a/internal/spool/spool.go
+++ b/internal/spool/spool.go
@@ -248,22 +248,3 @@
 func (s *Spool) nextID() string {
 	return s.idPrefix() + strconv.FormatUint(s.sequence.Add(1), 10)
 }
-
-func signal(channel chan struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
-	}
-}
-
-// sleep reports whether it lasted to its end.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/spool/writer.go
+++ b/internal/spool/writer.go
@@ -7,6 +7,7 @@
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // storeAll is the writer.
@@ -53,7 +54,7 @@
 		if err == nil {
 			s.diskFailing = false
 			s.update(func() { s.handled += left + lost; s.pending = true })
-			signal(s.arrived)
+			wait.Notify(s.arrived)
 			return
 		}
 		s.deps.Logger.WithField("reason", err).Error("events can't be stored")
@@ -66,7 +67,7 @@
 			s.update(func() { s.handled += left })
 			return
 		}
-		if !sleep(ctx, storePause) {
+		if !wait.For(ctx, storePause) {
 			return
 		}
 	}
--- a/internal/voter/writer.go
+++ b/internal/voter/writer.go
@@ -5,6 +5,7 @@
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // writeRequest is one unit of writing, nil for none, and the messages that rest
@@ -59,7 +60,7 @@
 	// Only now, behind the sync: votes and acknowledgements are promises.
 	v.senders.post(messages)
 	if len(units) > 0 {
-		notify(v.syncNotice)
+		wait.Notify(v.syncNotice)
 	}
 	return true
 }
@@ -69,13 +70,5 @@
 	if v.diskError.CompareAndSwap(nil, &err) {
 		v.logger.WithField(logging.FieldNode, v.config.ID).WithError(err).Error("disk failed; the voter stops voting and leading")
 	}
-	notify(v.syncNotice)
-}
-
-// notify leaves a note in a channel of capacity one, unless one is there.
-func notify(notice chan<- struct{}) {
-	select {
-	case notice <- struct{}{}:
-	default:
-	}
+	wait.Notify(v.syncNotice)
 }
