--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -9,6 +9,7 @@
 package backend
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -97,15 +98,9 @@
 }
 
 func withDefaults(config Config) Config {
-	if config.MaxReplyBytes == 0 {
-		config.MaxReplyBytes = DefaultMaxReplyBytes
-	}
-	if config.DialTimeout == 0 {
-		config.DialTimeout = DefaultDialTimeout
-	}
-	if config.DefaultConnections == 0 {
-		config.DefaultConnections = DefaultConnections
-	}
+	config.MaxReplyBytes = cmp.Or(config.MaxReplyBytes, DefaultMaxReplyBytes)
+	config.DialTimeout = cmp.Or(config.DialTimeout, DefaultDialTimeout)
+	config.DefaultConnections = cmp.Or(config.DefaultConnections, DefaultConnections)
 	return config
 }
 
--- a/internal/backend/reply.go
+++ b/internal/backend/reply.go
@@ -70,7 +70,7 @@
 		s.metrics.badReplies.WithLabelValues(causeAttempt).Inc()
 		return query.AttemptFailed{}, false
 	}
-	failed := s.failure(sent.attempt, verdict.NotRun, refusalReason(header.Get(backendapi.HeaderReason)))
+	failed := s.failure(sent.attempt, verdict.NotRun, backendapi.RefusalReason(header.Get(backendapi.HeaderReason)).Reason())
 	failed.RetryAfter = milliseconds(header.Get(backendapi.HeaderRetryAfter))
 	failed.Report = report
 	return failed, true
@@ -85,23 +85,6 @@
 	return ""
 }
 
-func refusalReason(reason string) verdict.Reason {
-	switch backendapi.RefusalReason(reason) {
-	case backendapi.RefusalDraining:
-		return verdict.ReasonDraining
-	case backendapi.RefusalUnknownVersion:
-		return verdict.ReasonSnapshotGone
-	case backendapi.RefusalUnknownShard:
-		return verdict.ReasonNoReplica
-	case backendapi.RefusalDeadline:
-		return verdict.ReasonDeadlinePassed
-	case backendapi.RefusalCanceled:
-		return verdict.ReasonCanceled
-	default:
-		return verdict.ReasonOverloaded
-	}
-}
-
 // readPart checks a reply's echo and digest and reads its part. A non-empty
 // cause says why the reply is to be dropped.
 func (s *Sender) readPart(sent sentQuery, header http.Header, body []byte) (query.PartArrived, string) {
--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 // Paths served by every back end.
@@ -61,6 +63,25 @@
 	RefusalBodyTooLarge RefusalReason = "body_too_large"
 )
 
+// Reason is how the refusal of an attempt is told to callers. One that callers
+// can't act on counts as overload.
+func (r RefusalReason) Reason() verdict.Reason {
+	switch r {
+	case RefusalDraining:
+		return verdict.ReasonDraining
+	case RefusalUnknownVersion:
+		return verdict.ReasonSnapshotGone
+	case RefusalUnknownShard:
+		return verdict.ReasonNoReplica
+	case RefusalDeadline:
+		return verdict.ReasonDeadlinePassed
+	case RefusalCanceled:
+		return verdict.ReasonCanceled
+	default:
+		return verdict.ReasonOverloaded
+	}
+}
+
 // ReadyState is the state that a back end's health endpoint reports.
 type ReadyState string
 
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -9,6 +9,7 @@
 package balancer
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -79,24 +80,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.ProbeInterval, DefaultProbeInterval)
-	setDefault(&c.ZonePenalty, DefaultZonePenalty)
-	setDefault(&c.LoadHalfLife, DefaultLoadHalfLife)
-	setDefault(&c.WordHold, DefaultWordHold)
-	setDefault(&c.DrainDistrust, DefaultDrainDistrust)
-	setDefault(&c.EjectionTime, DefaultEjectionTime)
-	setDefault(&c.EjectionFloor, DefaultEjectionFloor)
-	setDefault(&c.CoverGrace, DefaultCoverGrace)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, DefaultProbeInterval)
+	c.ZonePenalty = cmp.Or(c.ZonePenalty, DefaultZonePenalty)
+	c.LoadHalfLife = cmp.Or(c.LoadHalfLife, DefaultLoadHalfLife)
+	c.WordHold = cmp.Or(c.WordHold, DefaultWordHold)
+	c.DrainDistrust = cmp.Or(c.DrainDistrust, DefaultDrainDistrust)
+	c.EjectionTime = cmp.Or(c.EjectionTime, DefaultEjectionTime)
+	c.EjectionFloor = cmp.Or(c.EjectionFloor, DefaultEjectionFloor)
+	c.CoverGrace = cmp.Or(c.CoverGrace, DefaultCoverGrace)
 	return c
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Transition is a change of a server or group that operators want to see.
 type Transition struct {
 	Kind    journal.Kind
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // EntryKind tells what an entry of the log holds.
 type EntryKind uint8
@@ -113,20 +116,13 @@
 
 // WithDefaults returns the configuration with zero values replaced.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.ElectionTimeout, DefaultElectionTimeout)
-	setDefault(&c.Heartbeat, DefaultHeartbeat)
-	setDefault(&c.MaxBatchBytes, DefaultMaxBatchBytes)
-	setDefault(&c.MaxInflight, DefaultMaxInflight)
-	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
-	setDefault(&c.MaxEntryBytes, DefaultMaxEntryBytes)
-	setDefault(&c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
-	setDefault(&c.MaxPendingReads, DefaultMaxPendingReads)
+	c.ElectionTimeout = cmp.Or(c.ElectionTimeout, DefaultElectionTimeout)
+	c.Heartbeat = cmp.Or(c.Heartbeat, DefaultHeartbeat)
+	c.MaxBatchBytes = cmp.Or(c.MaxBatchBytes, DefaultMaxBatchBytes)
+	c.MaxInflight = cmp.Or(c.MaxInflight, DefaultMaxInflight)
+	c.MaxUncommittedBytes = cmp.Or(c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
+	c.MaxEntryBytes = cmp.Or(c.MaxEntryBytes, DefaultMaxEntryBytes)
+	c.MaxSnapshotBytes = cmp.Or(c.MaxSnapshotBytes, DefaultMaxSnapshotBytes)
+	c.MaxPendingReads = cmp.Or(c.MaxPendingReads, DefaultMaxPendingReads)
 	return c
 }
-
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
--- a/internal/dataset/dataset.go
+++ b/internal/dataset/dataset.go
@@ -78,6 +78,23 @@
 	return digests
 }
 
+// Part returns what Items and Digests return, without the detour of parsing a
+// reply body. It is for the simulated back ends, which send none.
+func Part(query Query) (items []json.RawMessage, digests []string) {
+	first, end := Range(query.Shard, query.Shards)
+	body := make([]byte, 0, (end-first)*itemSizeHint)
+	items = make([]json.RawMessage, 0, end-first)
+	digests = make([]string, 0, end-first)
+	for number := first; number < end; number++ {
+		start := len(body)
+		body = appendItem(body, query, number)
+		item := body[start:len(body):len(body)]
+		items = append(items, item)
+		digests = append(digests, FormatDigest(xxhash.Sum64(item)))
+	}
+	return items, digests
+}
+
 // FormatDigest returns the text form, as of backendapi.Digest, of a hash that
 // AppendPart returned.
 func FormatDigest(hash uint64) string {
--- a/internal/dataset/dataset_test.go
+++ b/internal/dataset/dataset_test.go
@@ -72,3 +72,12 @@
 		}
 	}
 }
+
+func TestPartIsItemsWithTheirDigests(t *testing.T) {
+	for _, shard := range []uint32{0, 3, 7} {
+		query := Query{Service: "seats", Shard: shard, Shards: 8, Version: 5, RequestDigest: "feed"}
+		items, digests := Part(query)
+		require.Equal(t, Items(query), items)
+		require.Equal(t, Digests(query), digests)
+	}
+}
--- a/internal/experiment/virtual/attempt.go
+++ b/internal/experiment/virtual/attempt.go
@@ -26,16 +26,6 @@
 // connections counts a router's connections to one server.
 type connections struct{ open, busy int }
 
-// refusalReasons is how a sender tells the engine what a back end refused for.
-var refusalReasons = map[backendapi.RefusalReason]verdict.Reason{
-	backendapi.RefusalDraining:       verdict.ReasonDraining,
-	backendapi.RefusalUnknownVersion: verdict.ReasonSnapshotGone,
-	backendapi.RefusalUnknownShard:   verdict.ReasonNoReplica,
-	backendapi.RefusalDeadline:       verdict.ReasonDeadlinePassed,
-	backendapi.RefusalCanceled:       verdict.ReasonCanceled,
-	backendapi.RefusalOverloaded:     verdict.ReasonOverloaded,
-}
-
 // send puts an attempt on its way, over an open connection if there is one.
 func (r *router) send(command query.Send) {
 	w := r.world
@@ -88,7 +78,7 @@
 }
 
 func (a *attempt) refused(reason backendapi.RefusalReason, load backendapi.Load) {
-	failed := a.failure(verdict.NotRun, refusalReasons[reason])
+	failed := a.failure(verdict.NotRun, reason.Reason())
 	failed.Report = query.Report{Known: true, Load: load, Draining: reason == backendapi.RefusalDraining}
 	a.back(func() { a.settle(failed, true) })
 }
--- a/internal/experiment/virtual/server.go
+++ b/internal/experiment/virtual/server.go
@@ -227,30 +227,10 @@
 }
 
 func (s *server) produce(run *execution) {
-	part, hashes := dataset.AppendPart(nil, nil, dataset.Query{
+	run.items, run.record.ItemDigests = dataset.Part(dataset.Query{
 		Service: s.service, Shard: run.record.Shard, Shards: s.shards[run.record.Generation],
 		Version: run.record.Version, RequestDigest: run.record.BodyDigest,
 	})
-	run.items = split(part, len(hashes))
-	for _, hash := range hashes {
-		run.record.ItemDigests = append(run.record.ItemDigests, dataset.FormatDigest(hash))
-	}
-}
-
-// split returns the items of a part. They are flat objects, so braces tell
-// where each begins and ends; parsing would take most of a run's time.
-func split(part []byte, count int) []json.RawMessage {
-	items := make([]json.RawMessage, 0, count)
-	begin := 0
-	for index := 1; index < len(part)-1; index++ { // within the outer braces
-		switch part[index] {
-		case '{':
-			begin = index
-		case '}':
-			items = append(items, part[begin:index+1])
-		}
-	}
-	return items
 }
 
 // cancel ends a query that is no longer wanted and frees its slot.
--- a/internal/overview/text.go
+++ b/internal/overview/text.go
@@ -141,27 +141,11 @@
 	}
 }
 
-// zoneCount counts the nodes of one role in one zone.
-type zoneCount struct {
-	role, zone   string
-	live, lapsed int
-	lowest       uint64
-}
-
-// printZones counts nodes by role and zone. Nodes are sorted by these.
+// printZones counts nodes by role and zone.
 func (o *Overview) printZones(table *tabwriter.Writer) {
 	fmt.Fprintln(table, "\nROLE\tZONE\tLIVE\tLAPSED\tLOWEST REVISION")
-	for _, nodes := range lo.PartitionBy(o.Nodes, func(node Node) string { return node.Role + "\x00" + node.Zone }) {
-		count := zoneCount{role: nodes[0].Role, zone: nodes[0].Zone, lowest: o.Group.Revision}
-		for _, node := range nodes {
-			if node.Lapsed {
-				count.lapsed++
-				continue
-			}
-			count.live++
-			count.lowest = min(count.lowest, node.Revision)
-		}
-		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\n", count.role, count.zone, count.live, count.lapsed, count.lowest)
+	for _, count := range o.Zones() {
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\n", count.Role, count.Name, count.Live, count.Lapsed, count.Lowest)
 	}
 }
 
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -60,25 +61,15 @@
 
 // withDefaults fills zero values.
 func (c Config) withDefaults() Config {
-	setInt := func(field *int, value int) {
-		if *field == 0 {
-			*field = value
-		}
-	}
-	setDuration := func(field *time.Duration, value time.Duration) {
-		if *field == 0 {
-			*field = value
-		}
-	}
-	setInt(&c.Engines, DefaultEngines)
-	setInt(&c.AdmissionRing, DefaultAdmissionRing)
-	setInt(&c.MaxRequests, DefaultMaxRequests)
-	setInt(&c.MaxAttempts, DefaultMaxAttempts)
-	setDuration(&c.ProbeInterval, DefaultProbeInterval)
-	setDuration(&c.ProbeTimeout, DefaultProbeTimeout)
-	setDuration(&c.CancelTimeout, DefaultCancelTimeout)
-	setDuration(&c.RefusalPause, DefaultRefusalPause)
-	setDuration(&c.ShareDelay, DefaultShareDelay)
+	c.Engines = cmp.Or(c.Engines, DefaultEngines)
+	c.AdmissionRing = cmp.Or(c.AdmissionRing, DefaultAdmissionRing)
+	c.MaxRequests = cmp.Or(c.MaxRequests, DefaultMaxRequests)
+	c.MaxAttempts = cmp.Or(c.MaxAttempts, DefaultMaxAttempts)
+	c.ProbeInterval = cmp.Or(c.ProbeInterval, DefaultProbeInterval)
+	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, DefaultProbeTimeout)
+	c.CancelTimeout = cmp.Or(c.CancelTimeout, DefaultCancelTimeout)
+	c.RefusalPause = cmp.Or(c.RefusalPause, DefaultRefusalPause)
+	c.ShareDelay = cmp.Or(c.ShareDelay, DefaultShareDelay)
 	return c
 }
 
--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -34,16 +34,6 @@
 // connections counts a router's connections to one back end.
 type connections struct{ open, busy int }
 
-// refusalReasons is how a sender tells the engine what a back end refused for.
-var refusalReasons = map[backendapi.RefusalReason]verdict.Reason{
-	backendapi.RefusalDraining:       verdict.ReasonDraining,
-	backendapi.RefusalUnknownVersion: verdict.ReasonSnapshotGone,
-	backendapi.RefusalUnknownShard:   verdict.ReasonNoReplica,
-	backendapi.RefusalDeadline:       verdict.ReasonDeadlinePassed,
-	backendapi.RefusalCanceled:       verdict.ReasonCanceled,
-	backendapi.RefusalOverloaded:     verdict.ReasonOverloaded,
-}
-
 // sendAttempt puts an attempt on its way, over an open connection if there is
 // one and else over a new one.
 func (r *router) sendAttempt(command query.Send) {
@@ -119,7 +109,7 @@
 func (a *attempt) refused(reason backendapi.RefusalReason, load backendapi.Load, draining bool) {
 	a.back(func() {
 		a.settle(query.AttemptFailed{
-			Attempt: a.send.Attempt, Verdict: verdict.NotRun, Reason: refusalReasons[reason],
+			Attempt: a.send.Attempt, Verdict: verdict.NotRun, Reason: reason.Reason(),
 			Report: query.Report{Known: true, Load: load, Draining: draining},
 		}, true)
 	})
--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -175,31 +175,10 @@
 }
 
 func (b *backend) produce(run *execution) {
-	part, hashes := dataset.AppendPart(nil, nil, dataset.Query{
+	run.items, run.record.ItemDigests = dataset.Part(dataset.Query{
 		Service: b.service, Shard: run.record.Shard, Shards: b.shards[run.record.Generation],
 		Version: run.record.Version, RequestDigest: run.record.BodyDigest,
 	})
-	run.items = splitItems(part, len(hashes))
-	run.record.ItemDigests = make([]string, len(hashes))
-	for index, hash := range hashes {
-		run.record.ItemDigests[index] = dataset.FormatDigest(hash)
-	}
-}
-
-// splitItems returns the items of a part. They are flat objects, so braces tell
-// where each begins and ends; parsing would take most of a run's time.
-func splitItems(part []byte, count int) []json.RawMessage {
-	items := make([]json.RawMessage, 0, count)
-	begin := 0
-	for index := 1; index < len(part)-1; index++ { // within the outer braces
-		switch part[index] {
-		case '{':
-			begin = index
-		case '}':
-			items = append(items, part[begin:index+1])
-		}
-	}
-	return items
 }
 
 // cancel ends a query that is no longer wanted.
--- a/internal/spool/fold.go
+++ b/internal/spool/fold.go
@@ -4,6 +4,7 @@
 	"time"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/journal"
 )
 
 // Equal events join while the earlier one is younger than a window. The fuller
@@ -26,18 +27,6 @@
 	}
 }
 
-// sameness is what equal events have in common.
-type sameness struct {
-	kind, source, service, shard, address, detail string
-}
-
-func samenessOf(event *v1.Event) sameness {
-	return sameness{
-		kind: event.GetKind(), source: event.GetSource(), service: event.GetService(),
-		shard: event.GetShard(), address: event.GetAddress(), detail: event.GetDetail(),
-	}
-}
-
 // joins reports whether a later event is close enough to an equal earlier one.
 func joins(earlier, later *v1.Event, window time.Duration) bool {
 	return later.GetTime().AsTime().Sub(earlier.GetTime().AsTime()) < window
@@ -56,9 +45,9 @@
 // stay apart. The order of first appearance is kept.
 func fold(events []*v1.Event, window time.Duration) []*v1.Event {
 	folded := make([]*v1.Event, 0, len(events))
-	first := make(map[sameness]*v1.Event, len(events))
+	first := make(map[journal.Sameness]*v1.Event, len(events))
 	for _, event := range events {
-		key := samenessOf(event)
+		key := journal.SamenessOf(event)
 		earlier, found := first[key]
 		if !found || event.GetId() != "" || earlier.GetId() != "" || !joins(earlier, event, window) {
 			first[key] = event
--- a/internal/spool/store.go
+++ b/internal/spool/store.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/journal"
 )
 
 const (
@@ -40,7 +41,7 @@
 	database *bbolt.DB
 	// newest is where the latest stored event of each sameness is. It is a hint
 	// that is checked, and is used inside of writing transactions only.
-	newest map[sameness]uint64
+	newest map[journal.Sameness]uint64
 	// crashed says that the run before did not end as planned.
 	crashed bool
 }
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "open %s", path)
 	}
-	opened := &store{database: database, newest: make(map[sameness]uint64)}
+	opened := &store{database: database, newest: make(map[journal.Sameness]uint64)}
 	if err := opened.begin(); err != nil {
 		return nil, errors.Join(errors.Wrapf(err, "prepare %s", path), database.Close())
 	}
@@ -126,7 +127,7 @@
 // putOrFold counts an event into an equal one that is not delivered yet, or
 // stores it.
 func (s *store) putOrFold(events *bbolt.Bucket, event *v1.Event, added addition, window time.Duration) error {
-	key := samenessOf(event)
+	key := journal.SamenessOf(event)
 	if number := s.newest[key]; number > added.foldAfter && added.foldable(event) {
 		earlier := &v1.Event{}
 		stored := events.Get(encodeNumber(number))
--- a/internal/state/event_log.go
+++ b/internal/state/event_log.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	eventjournal "github.com/martenstage/martenstage/internal/journal"
 )
 
 // joinGap is the longest time between an event and an equal one of the same
@@ -28,24 +29,12 @@
 	known    map[string]struct{}
 	// latest is the number, counted from the first event ever held, of the
 	// latest event of each sameness.
-	latest  map[sameness]uint64
+	latest  map[eventjournal.Sameness]uint64
 	removed uint64
 }
 
-// sameness is what equal events have in common.
-type sameness struct {
-	kind, source, service, shard, address, detail string
-}
-
-func samenessOf(event *v1.Event) sameness {
-	return sameness{
-		kind: event.GetKind(), source: event.GetSource(), service: event.GetService(),
-		shard: event.GetShard(), address: event.GetAddress(), detail: event.GetDetail(),
-	}
-}
-
 func newEventLog() eventLog {
-	return eventLog{known: map[string]struct{}{}, latest: map[sameness]uint64{}}
+	return eventLog{known: map[string]struct{}{}, latest: map[eventjournal.Sameness]uint64{}}
 }
 
 // insert adds an event as it is and returns how many it pushed out.
@@ -53,7 +42,7 @@
 	size := proto.Size(event)
 	l.known[event.GetId()] = struct{}{}
 	if _, numbered := numberOf(event.GetId()); numbered {
-		l.latest[samenessOf(event)] = l.removed + uint64(len(l.events))
+		l.latest[eventjournal.SamenessOf(event)] = l.removed + uint64(len(l.events))
 	}
 	l.events = append(l.events, event)
 	l.arrivals = append(l.arrivals, arrival)
@@ -72,7 +61,7 @@
 // delivery. Events that are named otherwise stay apart.
 func (l *eventLog) join(event *v1.Event) bool {
 	number, numbered := numberOf(event.GetId())
-	position, found := l.latest[samenessOf(event)]
+	position, found := l.latest[eventjournal.SamenessOf(event)]
 	if !numbered || !found {
 		return false
 	}
@@ -160,7 +149,7 @@
 
 func (l *eventLog) dropOldest() {
 	delete(l.known, l.events[0].GetId())
-	if key := samenessOf(l.events[0]); l.latest[key] == l.removed {
+	if key := eventjournal.SamenessOf(l.events[0]); l.latest[key] == l.removed {
 		delete(l.latest, key)
 	}
 	l.removed++
--- a/internal/statuspage/page.go
+++ b/internal/statuspage/page.go
@@ -59,7 +59,7 @@
 	*overview.Overview
 	Voter   uint64
 	Now     time.Time
-	Zones   []zone
+	Zones   []overview.Zone
 	Listed  []overview.Node
 	Events  []event
 	Service string
--- a/internal/statuspage/view.go
+++ b/internal/statuspage/view.go
@@ -16,34 +16,14 @@
 // those without a lease or behind are.
 const maxListed = 40
 
-// zone counts the nodes of one role in one zone.
-type zone struct {
-	Role, Name   string
-	Live, Lapsed int
-	// Lowest is the lowest revision that a live one has.
-	Lowest uint64
-}
-
 // arrange picks the nodes that are listed. When that is not all of them, it
 // counts them by role and zone, by which they are sorted.
-func arrange(summed *overview.Overview) (zones []zone, listed []overview.Node) {
+func arrange(summed *overview.Overview) (zones []overview.Zone, listed []overview.Node) {
 	if len(summed.Nodes) <= maxListed {
 		return nil, summed.Nodes
 	}
-	for _, nodes := range lo.PartitionBy(summed.Nodes, func(node overview.Node) string { return node.Role + "\x00" + node.Zone }) {
-		counted := zone{Role: nodes[0].Role, Name: nodes[0].Zone, Lowest: summed.Group.Revision}
-		for _, node := range nodes {
-			if node.Lapsed {
-				counted.Lapsed++
-				continue
-			}
-			counted.Live++
-			counted.Lowest = min(counted.Lowest, node.Revision)
-		}
-		zones = append(zones, counted)
-	}
 	listed = lo.Filter(summed.Nodes, func(node overview.Node, _ int) bool { return node.Lapsed || node.Revision < summed.Group.InForce })
-	return zones, listed[:min(len(listed), maxListed)]
+	return summed.Zones(), listed[:min(len(listed), maxListed)]
 }
 
 // Span words when the event happened, with the end of its repetitions.
--- a/internal/voter/config.go
+++ b/internal/voter/config.go
@@ -1,6 +1,7 @@
 package voter
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,18 +84,10 @@
 }
 
 func (c Config) withDefaults() Config {
-	if c.Heartbeat == 0 {
-		c.Heartbeat = consensus.DefaultHeartbeat
-	}
-	if c.ElectionTimeout == 0 {
-		c.ElectionTimeout = consensus.DefaultElectionTimeout
-	}
-	if c.SnapshotEntries == 0 {
-		c.SnapshotEntries = DefaultSnapshotEntries
-	}
-	if c.SnapshotBytes == 0 {
-		c.SnapshotBytes = DefaultSnapshotBytes
-	}
+	c.Heartbeat = cmp.Or(c.Heartbeat, consensus.DefaultHeartbeat)
+	c.ElectionTimeout = cmp.Or(c.ElectionTimeout, consensus.DefaultElectionTimeout)
+	c.SnapshotEntries = cmp.Or(c.SnapshotEntries, DefaultSnapshotEntries)
+	c.SnapshotBytes = cmp.Or(c.SnapshotBytes, DefaultSnapshotBytes)
 	c.Core.ID, c.Core.Seed = c.ID, c.Seed
 	c.Core.Heartbeat, c.Core.ElectionTimeout = c.Heartbeat, c.ElectionTimeout
 	c.Core = c.Core.WithDefaults()
