Let a virtual run end though a query got no connection

Cause: a query was counted as under way before it was known whether the router has a connection left for it; without one nobody took it off the count, and the run went on probing for ever. Change: a query counts once it has a connection.

--- a/internal/experiment/virtual/attempt.go
+++ b/internal/experiment/virtual/attempt.go
@@ -32,7 +32,6 @@
 	sent := &attempt{router: r, server: w.servers[command.Address], send: command,
 		bodyDigest: backendapi.Digest(command.Body), expires: w.clock.Now() + command.Timeout}
 	r.attempts[command.Attempt] = sent
-	w.open(command.CallerID)
 	used := r.connectionsTo(sent.server)
 	setUp := time.Duration(0)
 	if used.busy >= used.open {
@@ -45,6 +44,7 @@
 		setUp = w.config.ConnectionSetup
 	}
 	used.busy++
+	w.open(command.CallerID) // closed once the server has recorded it, or never will
 	w.clock.After(setUp+r.delayTo(sent.server), sent.reach)
 	w.clock.At(sent.expires, func() {
 		sent.settle(sent.failure(verdict.MayHaveRun, verdict.ReasonTimeout), false)
--- a/internal/experiment/virtual/world_test.go
+++ b/internal/experiment/virtual/world_test.go
@@ -99,6 +99,11 @@
 	require.Equal(t, ended[1].Finished, ended[2].Started, "the next begins when the slot is free")
 }
 
+func TestARunEndsThoughQueriesGetNoConnection(t *testing.T) {
+	const requests, limit = 12, 10 // play's server has ten connections
+	require.Len(t, play(requests, requests, &sender{}), limit)
+}
+
 func TestCancellationFreesTheSlotWhenItReachesTheServer(t *testing.T) {
 	const after = 4 * time.Millisecond
 	ended := play(2, 1, &sender{cancelAfter: after})
