Tell runs on the virtual clock and over sockets by the same steps

Cause: experiment, experiment/virtual and experiment/sockets each had types of their own for a change of plan, a router's planned stop and the receiver of a run's records, and copied one into the other field by field. Change: package schedule holds the three types once; the zones of routers are worked out in one place; the recorder over sockets builds on the emulator's. Conclusion: no behaviour changes.

--- a/internal/emulator/record.go
+++ b/internal/emulator/record.go
@@ -24,7 +24,7 @@
 func (discard) Execution(records.Execution) {}
 func (discard) Departure(records.Departure) {}
 
-// MemoryRecorder keeps the record in memory, for tests.
+// MemoryRecorder keeps the record in memory.
 type MemoryRecorder struct {
 	mutex      sync.Mutex
 	executions []records.Execution
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -117,6 +117,13 @@
 	return fmt.Sprintf(widePolicy, wideSlots, groups)
 }
 
+// routerZones returns the zone of each router; routers take the zones of the
+// replicas in turn.
+func (s *setting) routerZones() []string {
+	zones := zonesOf(s.plan)
+	return lo.Times(virtualRouters, func(index int) string { return zones[index%len(zones)] })
+}
+
 // zonesOf returns the zones of the replicas, sorted.
 func zonesOf(compiled *plan.Plan) []string {
 	zones := lo.Uniq(lo.Map(replicasOf(compiled), func(replica plan.Replica, _ int) string { return replica.Zone }))
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -137,31 +137,21 @@
 }
 
 func (s *setting) world() virtual.Config {
-	zones := zonesOf(s.plan)
-	config := virtual.Config{
+	return virtual.Config{
 		Model: s.model, Script: s.script, Rolls: s.rolls, Horizon: s.duration,
 		LocalDelay: localDelay, ZoneDelay: s.zoneDelay, ConnectionSetup: emulator.DefaultConnectionSetup,
 		QueuePerSlot: emulator.DefaultQueuePerSlot, ColdStart: emulator.DefaultColdStart,
 		ColdFactor: emulator.DefaultColdFactor, ProbeEvery: probeEvery, PlatformLag: platformLag,
 		Resends: s.resends, ResendPause: resendPause, HonorRetryAfter: s.honorRetryAfter,
+		Zones: s.routerZones(), Plans: s.plans, Stops: s.routerStops,
 	}
-	for index := range virtualRouters {
-		config.Zones = append(config.Zones, zones[index%len(zones)])
-	}
-	for _, step := range s.plans {
-		config.Plans = append(config.Plans, virtual.PlanStep{At: step.at, Plan: step.plan})
-	}
-	for _, stop := range s.routerStops {
-		config.Stops = append(config.Stops, virtual.RouterStop{Router: stop.router, At: stop.at, Away: stop.away})
-	}
-	return config
 }
 
 // engines returns the constructor of a variant's engines.
 func (s *setting) engines(variant string, seed uint64) virtual.NewEngine {
-	zones := zonesOf(s.plan)
+	zones := s.routerZones()
 	return func(world *virtual.World, router int) virtual.Engine {
-		config := query.Config{Zone: zones[router%len(zones)], Seed: seed + uint64(router)}
+		config := query.Config{Zone: zones[router], Seed: seed + uint64(router)}
 		return s.engine(variant, config, virtualFuture{world}, router)
 	}
 }
--- a/internal/experiment/recorder.go
+++ b/internal/experiment/recorder.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/dataset"
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/judge"
 	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
@@ -17,7 +18,7 @@
 	judge     *judge.Judge
 	collector *report.Collector
 	timeline  *timeline
-	plans     []planStep
+	plans     []schedule.PlanStep
 	begin     time.Time
 	half      time.Duration
 	halves    [2]map[string]*halfSum
@@ -42,12 +43,12 @@
 		attempts: map[string]int{}, departed: map[string]time.Time{},
 	}
 	for _, step := range s.plans {
-		made.judge.AddPlan(step.plan)
+		made.judge.AddPlan(step.Plan)
 	}
 	return made
 }
 
-// Execution implements virtual.Recorder.
+// Execution implements schedule.Recorder.
 func (r *recorder) Execution(execution records.Execution) {
 	r.judge.AddExecution(execution)
 	r.attempts[execution.Request]++
@@ -56,7 +57,7 @@
 	}
 }
 
-// Departure implements virtual.Recorder.
+// Departure implements schedule.Recorder.
 func (r *recorder) Departure(departure records.Departure) {
 	r.judge.AddDeparture(departure)
 	if departure.Returned.IsZero() {
@@ -66,16 +67,16 @@
 	}
 }
 
-// Stop implements virtual.Recorder.
+// Stop implements schedule.Recorder.
 func (r *recorder) Stop(stop records.PlannedStop) { r.judge.AddPlannedStop(stop) }
 
-// Answer implements virtual.Recorder.
+// Answer implements schedule.Recorder.
 func (r *recorder) Answer(answer records.CallerAnswer) {
 	r.judge.AddAnswer(answer)
 	r.last[answer.Request] = &answer
 }
 
-// Closed implements virtual.Recorder: the last answer is what the request
+// Closed implements schedule.Recorder: the last answer is what the request
 // counts for.
 func (r *recorder) Closed(request string) {
 	r.judge.CloseRequest(request)
@@ -150,11 +151,11 @@
 	if count := len(answer.Covered) + len(answer.Missing); count > 0 {
 		return count
 	}
-	route, ok := r.plans[0].plan.RouteNamed(answer.Route)
+	route, ok := r.plans[0].Plan.RouteNamed(answer.Route)
 	if !ok || route.Target == plan.TargetKey {
 		return 1
 	}
-	service, _ := r.plans[0].plan.ServiceNamed(route.Service)
+	service, _ := r.plans[0].Plan.ServiceNamed(route.Service)
 	return len(service.Generations[0].Shards)
 }
 
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -10,6 +10,7 @@
 
 	"github.com/martenstage/martenstage/internal/backendapi"
 	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/servicetime"
@@ -27,23 +28,13 @@
 	phases      []load.Phase
 	script      []emulator.Fault
 	rolls       []emulator.Roll
-	plans       []planStep
-	routerStops []routerStop
+	plans       []schedule.PlanStep
+	routerStops []schedule.RouterStop
 	resends     int
 	// honorRetryAfter makes callers keep the pause that an answer names.
 	honorRetryAfter bool
 }
 
-type planStep struct {
-	at   time.Duration
-	plan *plan.Plan
-}
-
-type routerStop struct {
-	router   int
-	at, away time.Duration
-}
-
 // Utilization of the scenarios that are not about overload.
 const usualUtilization = 0.3
 
@@ -79,7 +70,7 @@
 		model: servicetime.Model{Seed: seed, Default: servicetime.Distribution{
 			Median: emulator.DefaultMedian, Sigma: emulator.DefaultSigma,
 		}},
-		plans: []planStep{{plan: compiled}},
+		plans: []schedule.PlanStep{{Plan: compiled}},
 	}
 	change(made)
 	return made, nil
@@ -132,7 +123,7 @@
 // first away after two.
 func repartition(s *setting) {
 	both, after := repartitioned(s.plan)
-	s.plans = append(s.plans, planStep{s.duration / 3, both}, planStep{2 * s.duration / 3, after})
+	s.plans = append(s.plans, schedule.PlanStep{At: s.duration / 3, Plan: both}, schedule.PlanStep{At: 2 * s.duration / 3, Plan: after})
 }
 
 // drain lets the first replica of every second shard leave for the middle half
@@ -160,9 +151,9 @@
 			s.addFault(emulator.Fault{Kind: emulator.FaultCrash, At: at + drains, For: away}, address)
 		}
 	}
-	s.routerStops = []routerStop{
-		{router: 0, at: s.duration / 4, away: time.Second},
-		{router: 1, at: 3 * s.duration / 4, away: time.Second},
+	s.routerStops = []schedule.RouterStop{
+		{Router: 0, At: s.duration / 4, Away: time.Second},
+		{Router: 1, At: 3 * s.duration / 4, Away: time.Second},
 	}
 	s.resends, s.honorRetryAfter = 3, true
 }
--- a/internal/experiment/sockets.go
+++ b/internal/experiment/sockets.go
@@ -149,29 +149,19 @@
 }
 
 func (s *setting) socketConfig(variant string, seed uint64, begin time.Time) sockets.Config {
-	zones := zonesOf(s.plan)
-	config := sockets.Config{
+	return sockets.Config{
 		Begin: begin, Model: s.model, Script: s.script, Rolls: s.rolls, ZoneDelay: s.zoneDelay, ProbeInterval: socketProbeEvery * s.slowdown,
 		Variant: variant, Seed: seed, Rates: s.rates(), Duration: s.duration,
 		Resends: s.resends, ResendPause: resendPause, HonorRetryAfter: s.honorRetryAfter,
+		Zones: s.routerZones(), Plans: s.plans, Stops: s.routerStops,
 	}
-	for index := range virtualRouters {
-		config.Zones = append(config.Zones, zones[index%len(zones)])
-	}
-	for _, step := range s.plans {
-		config.Plans = append(config.Plans, sockets.PlanStep{At: step.at, Plan: step.plan})
-	}
-	for _, stop := range s.routerStops {
-		config.Stops = append(config.Stops, sockets.RouterStop{Router: stop.router, At: stop.at, Away: stop.away})
-	}
-	return config
 }
 
 // socketEngines returns the constructor of a variant's engines.
 func (s *setting) socketEngines(variant string, seed uint64) sockets.NewEngine {
-	zones := zonesOf(s.plan)
+	zones := s.routerZones()
 	return func(world *sockets.World, index, engine int) router.Engine {
-		config := query.Config{Zone: zones[index%len(zones)], Seed: seed + uint64(index*engineSeeds+engine)}
+		config := query.Config{Zone: zones[index], Seed: seed + uint64(index*engineSeeds+engine)}
 		return s.engine(variant, config, world, index)
 	}
 }
--- a/internal/experiment/sockets/recorder.go
+++ b/internal/experiment/sockets/recorder.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
@@ -12,25 +14,10 @@
 // over, so that judging it takes no processor time from the run. A record
 // takes some 500 bytes.
 type memoryRecorder struct {
-	mutex      sync.Mutex
-	executions []records.Execution
-	departures []records.Departure
-	stops      []records.PlannedStop
-	answers    []records.CallerAnswer
-}
-
-// Execution implements emulator.Recorder.
-func (m *memoryRecorder) Execution(execution records.Execution) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.executions = append(m.executions, execution)
-}
-
-// Departure implements emulator.Recorder.
-func (m *memoryRecorder) Departure(departure records.Departure) {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	m.departures = append(m.departures, departure)
+	emulator.MemoryRecorder
+	mutex   sync.Mutex
+	stops   []records.PlannedStop
+	answers []records.CallerAnswer
 }
 
 // Answer implements load.Recorder.
@@ -49,13 +36,13 @@
 // replay hands everything over: first what requests are judged against, then
 // executions and departures by time, then answers, and last the end of every
 // request.
-func (m *memoryRecorder) replay(next Recorder) {
+func (m *memoryRecorder) replay(next schedule.Recorder) {
 	for _, stop := range m.stops {
 		next.Stop(stop)
 	}
-	slices.SortStableFunc(m.executions, func(one, other records.Execution) int { return one.Arrived.Compare(other.Arrived) })
-	departures := m.departures
-	for _, execution := range m.executions {
+	executions, departures := m.Executions(), m.Departures()
+	slices.SortStableFunc(executions, func(one, other records.Execution) int { return one.Arrived.Compare(other.Arrived) })
+	for _, execution := range executions {
 		for len(departures) > 0 && !momentOf(&departures[0]).After(execution.Arrived) {
 			next.Departure(departures[0])
 			departures = departures[1:]
@@ -72,7 +59,7 @@
 }
 
 // close ends each request once, in the order of their first answers.
-func (m *memoryRecorder) close(next Recorder) {
+func (m *memoryRecorder) close(next schedule.Recorder) {
 	closed := map[string]bool{}
 	for _, answer := range m.answers {
 		if !closed[answer.Request] {
--- a/internal/experiment/sockets/sockets_test.go
+++ b/internal/experiment/sockets/sockets_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
@@ -57,7 +58,7 @@
 	var outlooks []emulator.Outlook
 	var addresses []netip.AddrPort
 	for range 2 {
-		world := &World{config: Config{Begin: time.Now(), Seed: 1, Plans: []PlanStep{{Plan: compiled}}}}
+		world := &World{config: Config{Begin: time.Now(), Seed: 1, Plans: []schedule.PlanStep{{Plan: compiled}}}}
 		world.config.Model = servicetime.Model{Seed: 1, Default: servicetime.Distribution{Median: time.Second, Sigma: 1}}
 		require.NoError(t, world.startFleet())
 		defer world.fleet.Close()
--- a/internal/experiment/sockets/source.go
+++ b/internal/experiment/sockets/source.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/wait"
@@ -14,7 +15,7 @@
 // end.
 type scriptedSource struct {
 	begin time.Time
-	plans []PlanStep
+	plans []schedule.PlanStep
 }
 
 const endlessLease = 24 * time.Hour
--- a/internal/experiment/sockets/world.go
+++ b/internal/experiment/sockets/world.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/router"
@@ -23,7 +24,7 @@
 	config    Config
 	newEngine NewEngine
 	recorder  memoryRecorder
-	judging   Recorder
+	judging   schedule.Recorder
 	fleet     *emulator.Fleet
 	claims    *router.LocalClaims
 	foresight *foresight
@@ -39,7 +40,7 @@
 const callersProbe = 50 * time.Millisecond
 
 // Start starts back ends and routers; what it started is ended by Close.
-func Start(config Config, newEngine NewEngine, recorder Recorder) (*World, error) {
+func Start(config Config, newEngine NewEngine, recorder schedule.Recorder) (*World, error) {
 	world := &World{
 		config: config, newEngine: newEngine, judging: recorder,
 		claims: router.NewLocalClaims(), failures: make(chan error, len(config.Zones)),
@@ -67,7 +68,7 @@
 
 // startFleet starts the back ends. Their script counts from their own start.
 func (w *World) startFleet() error {
-	config := emulator.DefaultConfig(w.config.Seed, lo.Map(w.config.Plans, func(step PlanStep, _ int) *plan.Plan { return step.Plan })...)
+	config := emulator.DefaultConfig(w.config.Seed, lo.Map(w.config.Plans, func(step schedule.PlanStep, _ int) *plan.Plan { return step.Plan })...)
 	config.Model = w.config.Model
 	config.ZoneDelay = w.config.ZoneDelay
 	config.PlannedNames = true
@@ -88,8 +89,8 @@
 		return err
 	}
 	w.fleet = fleet
-	w.config.Plans = lo.Map(w.config.Plans, func(step PlanStep, _ int) PlanStep {
-		return PlanStep{At: step.At, Plan: fleet.BoundPlan(step.Plan)}
+	w.config.Plans = lo.Map(w.config.Plans, func(step schedule.PlanStep, _ int) schedule.PlanStep {
+		return schedule.PlanStep{At: step.At, Plan: fleet.BoundPlan(step.Plan)}
 	})
 	return nil
 }
--- a/internal/experiment/virtual/config.go
+++ b/internal/experiment/virtual/config.go
@@ -5,9 +5,8 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/query"
-	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
@@ -21,7 +20,7 @@
 	// Model gives service times; its seed drives every other choice.
 	Model servicetime.Model
 	// Plans are installed on every router in order; the first must be at 0.
-	Plans []PlanStep
+	Plans []schedule.PlanStep
 	// Script and Rolls are the faults and index versions of back ends. Of the
 	// faults, slow, crash, drain, health_lie and health_frozen are modelled.
 	Script []emulator.Fault
@@ -29,7 +28,7 @@
 	// Zones are those of the routers, one router each.
 	Zones []string
 	// Stops are planned stops of routers.
-	Stops []RouterStop
+	Stops []schedule.RouterStop
 	// LocalDelay and ZoneDelay are one-way delays within and between zones.
 	LocalDelay time.Duration
 	ZoneDelay  time.Duration
@@ -51,29 +50,6 @@
 	HonorRetryAfter bool
 }
 
-// PlanStep puts a plan in force at a time.
-type PlanStep struct {
-	At   time.Duration
-	Plan *plan.Plan
-}
-
-// RouterStop is the planned stop of a router. It comes back after Away.
-type RouterStop struct {
-	Router int
-	At     time.Duration
-	Away   time.Duration
-}
-
-// Recorder receives the records of a run.
-type Recorder interface {
-	Execution(execution records.Execution)
-	Departure(departure records.Departure)
-	Stop(stop records.PlannedStop)
-	Answer(answer records.CallerAnswer)
-	// Closed says that nothing more will happen to a request.
-	Closed(request string)
-}
-
 // NewEngine makes the engine of a router. The world is the one that it will
 // run in; only a variant that knows the future looks into it.
 type NewEngine func(world *World, router int) Engine
--- a/internal/experiment/virtual/world.go
+++ b/internal/experiment/virtual/world.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
@@ -16,7 +17,7 @@
 type World struct {
 	config    Config
 	clock     virtualtime.Queue
-	recorder  Recorder
+	recorder  schedule.Recorder
 	newEngine NewEngine
 	servers   map[netip.AddrPort]*server
 	order     []*server
@@ -30,7 +31,7 @@
 }
 
 // New returns a world in which nothing has happened yet.
-func New(config Config, newEngine NewEngine, recorder Recorder) *World {
+func New(config Config, newEngine NewEngine, recorder schedule.Recorder) *World {
 	w := &World{
 		config: config, recorder: recorder, newEngine: newEngine,
 		servers: map[netip.AddrPort]*server{}, claims: claimTable{}, underWay: map[string]int{},
@@ -113,7 +114,7 @@
 }
 
 // stop stops a router as planned and starts it again later.
-func (w *World) stop(stop RouterStop) {
+func (w *World) stop(stop schedule.RouterStop) {
 	stopped := w.routers[stop.Router]
 	began := w.wall()
 	stopped.stopped = func() {
--- a/internal/experiment/virtual/world_test.go
+++ b/internal/experiment/virtual/world_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/martenstage/martenstage/internal/backendapi"
 	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
@@ -77,7 +78,7 @@
 	recorder := &memory{}
 	world := New(Config{
 		Model: servicetime.Model{Default: servicetime.Distribution{Median: testBase}},
-		Plans: []PlanStep{{Plan: installed}}, Zones: []string{"a"}, LocalDelay: testDelay, ZoneDelay: testDelay,
+		Plans: []schedule.PlanStep{{Plan: installed}}, Zones: []string{"a"}, LocalDelay: testDelay, ZoneDelay: testDelay,
 		QueuePerSlot: queuePerSlot, ProbeEvery: time.Second, Horizon: time.Second, Script: script,
 	}, func(*World, int) Engine { return engine }, recorder)
 	next := 0
