Keep the addresses of processes that tests restart

Cause: TestRollingRestartCutsNothing failed once in a clean run: a router came back and could not listen at 127.0.0.1:34229, address already in use. Tests took their addresses by listening on any port and closing, and ports so found are of the range that the kernel gives to every other test that listens on any port and to outgoing connections. While a router was down its port was free for all. Ruled out: the stopped router itself still listening (it had exited, the test waits for that), and a connection of the router's callers to itself (0 of 200,000 dials to a closed port of the range connected to themselves: the kernel gives ports of the other parity to connections first). Change: package testaddress hands out addresses at a loopback host of each test process's own, below that range; tests with processes, and those of control's cluster, take theirs from it. Certificates of these tests name that host. Conclusion: no assertion changed.

--- a/cmd/martenstage/control_test.go
+++ b/cmd/martenstage/control_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -21,6 +20,7 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // testTimeout bounds every wait of these tests.
@@ -73,7 +73,7 @@
 // startVoters starts a group of three, with further arguments for each, and
 // returns a client of it.
 func startVoters(t *testing.T, further ...string) ([]*voterProcess, *control.Client) {
-	addresses := freeAddresses(t, 3)
+	addresses := testaddress.List(3)
 	processes := make([]*voterProcess, len(addresses))
 	for index, address := range addresses {
 		arguments := []string{
@@ -98,17 +98,6 @@
 	return processes, control.NewClient(addresses, client)
 }
 
-func freeAddresses(t testing.TB, count int) []string {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { require.NoError(t, listener.Close()) }()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
-
 // TestChangesSurviveKill makes 500 changes, kills all voters at some moment of
 // the next ones, and restarts them: the latest accepted change is there, all
 // accepted ones are in the history, and no refused one.
--- a/cmd/martenstage/cost_test.go
+++ b/cmd/martenstage/cost_test.go
@@ -19,6 +19,7 @@
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // securedSite is a site's authority and three voters with keys of it.
@@ -29,7 +30,7 @@
 }
 
 func (s *securedSite) keysOf(b *testing.B, name, role string) []string {
-	issue := &keysIssueCommand{Folder: s.folder, Name: name, Role: role, Addresses: []string{"127.0.0.1"}, Days: 1}
+	issue := &keysIssueCommand{Folder: s.folder, Name: name, Role: role, Addresses: []string{testaddress.Host().String()}, Days: 1}
 	require.NoError(b, issue.Execute(nil))
 	return []string{
 		"--tls-authority", filepath.Join(s.folder, keys.AuthorityCertificateFile),
@@ -45,7 +46,7 @@
 }
 
 func newSecuredSite(b *testing.B) *securedSite {
-	site := &securedSite{folder: b.TempDir(), addresses: freeAddresses(b, 3)}
+	site := &securedSite{folder: b.TempDir(), addresses: testaddress.List(3)}
 	require.NoError(b, keys.Init(site.folder, time.Now()))
 	for index, address := range site.addresses {
 		arguments := []string{"control", "--id", fmt.Sprint(index + 1), "--listen", address, "--data-folder", b.TempDir()}
@@ -74,7 +75,7 @@
 func BenchmarkFollowingProcess(b *testing.B) {
 	site := newSecuredSite(b)
 	relay := site.start(b, append([]string{
-		"relay", "--name", "relay-1", "--listen", freeAddresses(b, 1)[0], "--data-folder", b.TempDir(),
+		"relay", "--name", "relay-1", "--listen", testaddress.Next().String(), "--data-folder", b.TempDir(),
 		"--upstream", site.addresses[0], "--upstream", site.addresses[1], "--upstream", site.addresses[2],
 	}, site.keysOf(b, "relay-1", "relay")...)...)
 	base, err := os.ReadFile("../../deploy/bangkok/bangkok.policy")
--- a/cmd/martenstage/journal_test.go
+++ b/cmd/martenstage/journal_test.go
@@ -28,6 +28,7 @@
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/spool"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // Environment of a process that records numbered events.
@@ -241,7 +242,7 @@
 	require.NoError(t, err)
 	_, err = client.Apply(ctx, &v1.ApplyRequest{ChangeId: "first", Text: string(text), Author: "test"})
 	require.NoError(t, err)
-	addresses := freeAddresses(t, 2)
+	addresses := testaddress.List(2)
 	arguments := []string{
 		"router", "--insecure-plaintext", "--name", "router-1", "--log-level", "debug", "--data-folder", t.TempDir(),
 		"--callers-listen", addresses[0], "--peers-listen", addresses[1],
--- a/cmd/martenstage/operator_test.go
+++ b/cmd/martenstage/operator_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/exitcode"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // runCommand runs the program and returns what it printed and its exit code.
@@ -117,7 +118,7 @@
 // TestNoControlAnswers checks the exit code when nobody listens.
 func TestNoControlAnswers(t *testing.T) {
 	t.Parallel()
-	address := freeAddresses(t, 1)[0]
+	address := testaddress.Next().String()
 	_, stderr, code := runCommand(t, "config", "get", "--insecure-plaintext", "--timeout", "300ms", "--control", address)
 	require.Equal(t, exitcode.Unavailable, code, stderr)
 	_, stderr, code = runCommand(t, "drain", "127.0.0.1:1", "--insecure-plaintext", "--timeout", "300ms", "--control", address)
@@ -131,7 +132,7 @@
 	t.Parallel()
 	file := filepath.Join(t.TempDir(), "latin.policy")
 	require.NoError(t, os.WriteFile(file, []byte("# ma\xf1ana\n"), 0o600))
-	address := freeAddresses(t, 1)[0]
+	address := testaddress.Next().String()
 	_, stderr, code := runCommand(t, "config", "apply", file, "--insecure-plaintext", "--control", address)
 	require.Equal(t, exitcode.Failure, code, stderr)
 	require.Contains(t, stderr, "configuration:1:1: the line is not valid UTF-8")
--- a/cmd/martenstage/recovery_test.go
+++ b/cmd/martenstage/recovery_test.go
@@ -13,6 +13,7 @@
 	"github.com/martenstage/martenstage/internal/control"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // smallPolicy is a configuration whose comment tells changes apart.
@@ -111,7 +112,7 @@
 		require.Equal(t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, mustApply(ctx, t, client, fmt.Sprint("change-", revision), revision).GetResult())
 	}
 	processes[2].end(t, syscall.SIGKILL)
-	address := freeAddresses(t, 1)[0]
+	address := testaddress.Next().String()
 	joining := &voterProcess{arguments: []string{
 		"control", "--insecure-plaintext", "--id", "4", "--listen", address, "--data-folder", t.TempDir(), "--join",
 	}}
--- a/cmd/martenstage/router_test.go
+++ b/cmd/martenstage/router_test.go
@@ -28,6 +28,7 @@
 	"github.com/martenstage/martenstage/internal/policy"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // sitePolicy has a search over two shards, and a send that runs at most once.
@@ -75,7 +76,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	site := &routerSite{t: t, record: &emulator.MemoryRecorder{}}
-	text := fmt.Sprintf(sitePolicy, lo.ToAnySlice(freeAddresses(t, 6))...)
+	text := fmt.Sprintf(sitePolicy, lo.ToAnySlice(testaddress.List(6))...)
 	compiled, err := policy.Compile("site.policy", []byte(text))
 	require.NoError(t, err)
 	logger := logrus.New()
@@ -103,7 +104,7 @@
 }
 
 func (s *routerSite) addRouter(name string, extra []string) {
-	addresses := freeAddresses(s.t, 2)
+	addresses := testaddress.List(2)
 	arguments := []string{"router", "--insecure-plaintext", "--name", name, "--zone", "a", "--probe-interval", "50ms",
 		"--callers-listen", addresses[0], "--peers-listen", addresses[1], "--data-folder", s.t.TempDir()}
 	for _, voter := range s.voters {
--- a/internal/control/author_test.go
+++ b/internal/control/author_test.go
@@ -15,12 +15,13 @@
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // issue signs keys and returns their files.
 func issue(t *testing.T, folder, name string, role keys.Role) keys.Files {
 	require.NoError(t, keys.Issue(folder, keys.Request{
-		Name: name, Role: role, Lifetime: time.Hour, Addresses: []netip.Addr{netip.MustParseAddr("127.0.0.1")},
+		Name: name, Role: role, Lifetime: time.Hour, Addresses: []netip.Addr{testaddress.Host()},
 	}, time.Now()))
 	return keys.Files{
 		Authority:   filepath.Join(folder, keys.AuthorityCertificateFile),
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/martenstage/martenstage/internal/consensus"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // testTimeout bounds every wait of the tests; none of them measures time.
@@ -79,7 +80,7 @@
 	listeners := make([]net.Listener, count)
 	var voters []string
 	for index := range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := net.Listen("tcp4", testaddress.Next().String())
 		require.NoError(t, err)
 		listeners[index] = listener
 		voters = append(voters, fmt.Sprintf("%d=%s", index+1, listener.Addr()))
