Give routers of socket experiments addresses that they get back

Cause: routers over sockets took any port of the kernel's at 127.0.0.1 and wanted it back after a planned stop, which is the weakness that failed TestRollingRestartCutsNothing; two scenarios of the tests run this way. Change: they take theirs from package testaddress too. Conclusion: back ends of experiments with port 0 still take any port, at hosts of their own; a port may be lost there only to another variant's back end that starts during a crash, which none does, since all start before.

--- a/internal/experiment/sockets/router.go
+++ b/internal/experiment/sockets/router.go
@@ -16,6 +16,7 @@
 	"github.com/martenstage/martenstage/internal/callers"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/testaddress"
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
@@ -40,11 +41,12 @@
 
 // newNode reserves the address of a router.
 func newNode(world *World, index int) (*node, net.Listener, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	// A router that restarts must get its address back.
+	address := testaddress.Next()
+	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "address for a router")
 	}
-	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	return &node{world: world, index: index, address: address}, listener, nil
 }
 
--- a/internal/testaddress/testaddress.go
+++ b/internal/testaddress/testaddress.go
@@ -1,5 +1,5 @@
-// Package testaddress hands out addresses to tests that start processes which
-// listen, end and listen again at the same address.
+// Package testaddress hands out addresses to tests and benches that start
+// servers which listen, end and listen again at the same address.
 //
 // A port that the kernel picked at 127.0.0.1 is free for anybody while its
 // process is down: for another test that asks for any port, or for an outgoing
