--- a/internal/policy/compile.go
+++ b/internal/policy/compile.go
@@ -113,6 +113,11 @@
 			routes = append(routes, declaration.Route)
 		}
 	})
+	return c.join(routes)
+}
+
+// join checks the routes and makes the plan of what was declared.
+func (c *checker) join(routes []*routeNode) *plan.Plan {
 	compiled := &plan.Plan{}
 	if len(routes) > maxRoutes {
 		c.report.add(routes[maxRoutes].Pos, "the text has more than %d routes", maxRoutes)
