Log and keep configuration changes as differences

Cause: a change of one replica of 57,000 logged text and plan whole, 596 KB, on each voter, and 16 MiB of history held 55 texts, two minutes at the target's rate. Change: the leader puts the difference of the text (textdelta) and of the plan (PlanDelta) from the expected revision into the change, and whole ones every 512 revisions, when the differences since the last whole one outgrow it, or when there is no base. A change whose expected revision is already passed is logged without text and plan, since the comparison refuses it. The state keeps chains and drops the oldest whole chain at its bounds; texts are kept for all 10,000 revisions as far as 16 MiB reach. Voters apply the plan's difference to the plan they have. Versions: the state has a format. A command of a format that a program doesn't know stops it, as an unknown command did. Tests: TestNewerSnapshotIsRefused wrote version 2 as the newer one; that is known now, so it writes the newest plus one and expects that number.

--- /dev/null
+++ b/internal/control/change_bench_test.go
@@ -0,0 +1,125 @@
+package control
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/policy"
+	"github.com/martenstage/martenstage/internal/state"
+)
+
+// siteText writes the configuration of a number of servers, 810 to a service.
+// One of them has moved a number of times.
+func siteText(servers, moved int) string {
+	const serversOfService, serversOfGroup, zones, movedServer = 810, 3, 26, 777
+	var text strings.Builder
+	for server := range servers {
+		if server%serversOfService == 0 {
+			fmt.Fprintf(&text, "service service-%02d {\n\tslots 5\n\tconnections 70\n\tcell routers 64\n\tgeneration 1 {\n", server/serversOfService)
+		}
+		if server%serversOfGroup == 0 {
+			fmt.Fprintf(&text, "\t\tgroup g%03d {\n", server%serversOfService/serversOfGroup)
+		}
+		network := 64
+		if server == movedServer {
+			network += 1 + moved%100
+		}
+		fmt.Fprintf(&text, "\t\t\treplica 127.%d.%d.%d:9 zone zone-%02d\n", network, server>>8, server&0xff, server%zones)
+		if server%serversOfGroup == serversOfGroup-1 || server == servers-1 {
+			text.WriteString("\t\t}\n")
+		}
+		if server%serversOfService == serversOfService-1 || server == servers-1 {
+			text.WriteString("\t}\n}\n\n")
+		}
+	}
+	for service := range (servers + serversOfService - 1) / serversOfService {
+		fmt.Fprintf(&text, "policy policy-%02d {\n\tdeadline 100ms\n\trepeatable\n\tanswer when coverage >= 99%%\n\tat 90ms answer\n}\n\n", service)
+		fmt.Fprintf(&text, "route all-%02d {\n\tservice service-%02d\n\tpolicy policy-%02d\n\ttarget all\n}\n\n", service, service, service)
+	}
+	return text.String()
+}
+
+// changer makes changes as a leader does and applies them as every voter does.
+type changer struct {
+	server *Server
+	number uint64
+}
+
+func newChanger(t require.TestingT, compile Compiler, format uint32) *changer {
+	made := &changer{server: &Server{store: NewStore(state.DefaultLimits(), plan.FromProto), compile: compile}}
+	made.apply(t, &v1.StateCommand{Body: &v1.StateCommand_Format{Format: &v1.FormatCommand{Format: format}}})
+	return made
+}
+
+// make compiles a text and encodes the change for the log.
+func (c *changer) make(t require.TestingT, text string) []byte {
+	command := &v1.ChangeCommand{
+		ChangeId: fmt.Sprintf("change-%026d", c.number), ExpectedRevision: c.number,
+		RequestHash: state.ApplyHash(text, 0), Author: "malee",
+	}
+	compiled, err := configService{c.server}.compile(command, text)
+	require.NoError(t, err)
+	require.Empty(t, command.GetInvalid())
+	data, err := state.Encode(time.UnixMilli(1_700_000_000_000), &v1.StateCommand{Body: &v1.StateCommand_Change{Change: command}})
+	require.NoError(t, err)
+	c.number++
+	c.server.texts.put(c.number, compiled)
+	return data
+}
+
+func (c *changer) apply(t require.TestingT, command *v1.StateCommand) {
+	data, err := state.Encode(time.UnixMilli(1_700_000_000_000), command)
+	require.NoError(t, err)
+	_, err = c.server.store.Apply(data)
+	require.NoError(t, err)
+}
+
+// BenchmarkChange measures a change of one replica: what the leader does until
+// it proposes, what each voter does when it applies, and the bytes in the log;
+// as it was, each change whole, and as differences.
+func BenchmarkChange(b *testing.B) {
+	ways := []struct {
+		name    string
+		format  uint32
+		compile Compiler
+	}{
+		{"whole", 1, func(text string) (*plan.Plan, error) { return policy.Compile(compiledFileName, []byte(text)) }},
+		{"differences", state.LatestFormat, policy.NewCompiler(compiledFileName).Compile},
+	}
+	for _, servers := range []int{6_333, 57_000} {
+		for _, way := range ways {
+			b.Run(fmt.Sprintf("%s-%d", way.name, servers), func(b *testing.B) {
+				benchmarkChange(b, newChanger(b, way.compile, way.format), servers)
+			})
+		}
+	}
+}
+
+func benchmarkChange(b *testing.B, changes *changer, servers int) {
+	texts := make([]string, 4)
+	for index := range texts {
+		texts[index] = siteText(servers, index)
+	}
+	_, err := changes.server.store.Apply(changes.make(b, texts[0]))
+	require.NoError(b, err)
+	b.ReportAllocs()
+	b.ResetTimer()
+	leading, logged := time.Duration(0), 0
+	for number := 1; b.Loop(); number++ {
+		started := time.Now()
+		data := changes.make(b, texts[number%len(texts)])
+		leading += time.Since(started)
+		logged += len(data)
+		_, err := changes.server.store.Apply(data)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(leading.Microseconds())/float64(b.N), "leader-us/op")
+	b.ReportMetric(float64((b.Elapsed()-leading).Microseconds())/float64(b.N), "apply-us/op")
+	b.ReportMetric(float64(logged)/float64(b.N), "log-B/op")
+}
--- /dev/null
+++ b/internal/control/change_encoding.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"sync"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/state"
+	"github.com/martenstage/martenstage/internal/textdelta"
+)
+
+// textCache holds the text of the newest revision that was needed whole, so that
+// the next change need not rebuild it.
+type textCache struct {
+	mutex    sync.Mutex
+	revision uint64
+	text     string
+}
+
+func (c *textCache) put(revision uint64, text string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if revision > c.revision {
+		c.revision, c.text = revision, text
+	}
+}
+
+func (c *textCache) get(revision uint64) (string, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.text, c.revision == revision && revision != 0
+}
+
+// text returns the text of a revision, and whether it is kept. A text that can't
+// be rebuilt is an error of code DataLoss, which no other attempt would mend.
+func (s *Server) text(number uint64) (text string, kept bool, err error) {
+	if text, cached := s.texts.get(number); cached {
+		return text, true, nil
+	}
+	var whole []byte
+	var deltas [][]byte
+	s.store.read(func(machine *state.Machine) { whole, deltas, kept = machine.TextChain(number) })
+	if !kept {
+		return "", false, nil
+	}
+	rebuilt, err := rebuildText(whole, deltas)
+	if err != nil {
+		return "", true, refuse(connect.CodeDataLoss, "the text of revision %d can't be read on this voter: %v", number, err)
+	}
+	return string(rebuilt), true, nil
+}
+
+func rebuildText(whole []byte, deltas [][]byte) ([]byte, error) {
+	text, err := decompress(whole)
+	if err != nil || len(deltas) == 0 {
+		return text, err
+	}
+	return textdelta.Rebuild(text, deltas)
+}
+
+// encodeChange puts text and plan into a change: as differences from the
+// revision that it is written against, or whole.
+//
+// Differences need no more than that revision on the voter that applies them.
+// The change is compared with the latest revision when it is applied, and a
+// revision of a number is the same one on every voter for good: commands are
+// applied in the order of the log, a leader reads only what is committed, and a
+// snapshot holds the whole chain that the latest revision is rebuilt from. So
+// neither a new leader, a log that was cut, nor an entry that is committed long
+// after it was proposed can meet another base.
+func (s *Server) encodeChange(command *v1.ChangeCommand, text string, compiled *plan.Plan) error {
+	revision, latest, _ := s.store.Latest()
+	expected := command.GetExpectedRevision()
+	if expected < revision {
+		// The latest revision only goes up, so the comparison refuses the change
+		// when it is applied, without a look at text or plan.
+		return nil
+	}
+	if expected == revision && revision != 0 {
+		fitting, err := s.encodeDeltas(command, text, plans{base: latest, next: compiled})
+		if err != nil || fitting {
+			return err
+		}
+	}
+	var err error
+	if command.CompressedPlan, err = plan.Pack(compiled); err != nil {
+		return err
+	}
+	command.CompressedText, err = compress([]byte(text))
+	return err
+}
+
+// plans are those before and after a change.
+type plans struct{ base, next *plan.Plan }
+
+// encodeDeltas puts text and plan into a change as differences from the revision
+// that it expects. It returns false when the history has no room for them or
+// they would not lead to the text and the plan.
+func (s *Server) encodeDeltas(command *v1.ChangeCommand, text string, change plans) (bool, error) {
+	expected := command.GetExpectedRevision()
+	if !s.deltaFits(0, 0) {
+		return false, nil
+	}
+	base, kept, err := s.text(expected)
+	if err != nil {
+		// The change goes whole, and the history has a sound text to build on.
+		s.logger.WithError(err).Error("text_damaged")
+		return false, nil
+	}
+	if !kept {
+		return false, nil
+	}
+	textDelta, err := textdelta.Make([]byte(base), []byte(text))
+	if err != nil {
+		return false, err
+	}
+	planDelta, err := encodePlanDelta(change, expected)
+	if err != nil || planDelta == nil || !s.deltaFits(len(textDelta), len(planDelta)) {
+		return false, err
+	}
+	command.TextDelta, command.PlanDelta = textDelta, planDelta
+	return true, nil
+}
+
+// deltaFits asks the applied state. If another revision came first meanwhile,
+// the answer is about that one and does not matter: the change is refused.
+func (s *Server) deltaFits(textBytes, planBytes int) (fits bool) {
+	s.store.read(func(machine *state.Machine) { fits = machine.DeltaFits(textBytes, planBytes) })
+	return fits
+}
+
+// encodePlanDelta returns nil when the delta does not lead to the plan, so that
+// a fault in making one costs bytes and no voter its way along the log.
+func encodePlanDelta(change plans, revision uint64) ([]byte, error) {
+	delta := plan.Delta(change.base, change.next)
+	delta.BaseRevision = revision
+	reached, err := plan.ApplyDelta(change.base, delta)
+	if err != nil || !plan.Equal(reached, change.next) {
+		return nil, nil
+	}
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(delta)
+	return encoded, errors.Wrap(err, "encode a plan delta")
+}
+
+// wholeLatest returns text and plan of the latest revision as a change holds
+// them whole.
+func wholeLatest(machine *state.Machine) (text, packed []byte, err error) {
+	whole, deltas, _ := machine.TextChain(machine.Latest().Number)
+	if len(deltas) == 0 && len(machine.PlanDeltas()) == 0 {
+		return whole, machine.CompressedPlan(), nil
+	}
+	rebuilt, err := rebuildText(whole, deltas)
+	if err != nil {
+		return nil, nil, err
+	}
+	store := &Store{machine: machine, decode: plan.FromProto}
+	latest, err := store.latestPlan(machine.Latest().Number)
+	if err != nil {
+		return nil, nil, err
+	}
+	if text, err = compress(rebuilt); err != nil {
+		return nil, nil, err
+	}
+	packed, err = plan.Pack(latest)
+	return text, packed, err
+}
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -196,7 +196,7 @@
 func isDefinite(err error) bool {
 	switch connect.CodeOf(err) {
 	case connect.CodeInvalidArgument, connect.CodeNotFound, connect.CodeAlreadyExists, connect.CodeFailedPrecondition,
-		connect.CodePermissionDenied, connect.CodeUnauthenticated, connect.CodeUnimplemented:
+		connect.CodePermissionDenied, connect.CodeUnauthenticated, connect.CodeUnimplemented, connect.CodeDataLoss:
 		return true
 	default:
 		return false
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/rpc"
 )
 
@@ -149,15 +150,14 @@
 }
 
 func (n *testNode) start(listen func(network, address string) (net.Listener, error)) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger := discardLogger()
 	process, err := Open(n.options, Environment{
 		Logger: logger, Registry: prometheus.NewRegistry(), Listen: listen, Dial: n.dial,
-		Compile: func(text string) (*v1.Plan, error) {
+		Compile: func(text string) (*plan.Plan, error) {
 			if text == invalidText {
 				return nil, errors.New("line 1: no such thing")
 			}
-			return &v1.Plan{}, nil
+			return &plan.Plan{}, nil
 		},
 	})
 	require.NoError(n.t, err)
@@ -166,6 +166,12 @@
 	go func(done chan error) { done <- process.Run(ctx) }(n.done)
 }
 
+func discardLogger() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
 func (n *testNode) restart() { n.start(nil) }
 
 // crash ends the voter without any word to the others.
--- a/internal/control/config_apply.go
+++ b/internal/control/config_apply.go
@@ -6,7 +6,6 @@
 	"unicode"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/settings"
@@ -81,45 +80,40 @@
 		Comment:          request.GetComment(),
 		RollbackOf:       request.GetRollbackTo(),
 	}
-	if err := s.compile(command, request.GetText()); err != nil {
+	text, err := s.compile(command, request.GetText())
+	if err != nil {
 		return nil, err
 	}
 	result, err := s.server.propose(ctx, &v1.StateCommand{Body: &v1.StateCommand_Change{Change: command}})
 	if err != nil {
 		return nil, err
 	}
+	if result.Change.Result == v1.ApplyResult_APPLY_RESULT_ACCEPTED {
+		s.server.texts.put(result.Change.Revision, text)
+	}
 	return applyResponse(result.Change), nil
 }
 
-// compile fills in text and plan. A text that the compiler refuses is marked
-// invalid; the refusal is recorded like any other decision.
-func (s configService) compile(command *v1.ChangeCommand, text string) error {
+// compile fills in text and plan, and returns the text. A text that the compiler
+// refuses is marked invalid; the refusal is recorded like any other decision.
+func (s configService) compile(command *v1.ChangeCommand, text string) (string, error) {
 	if command.GetRollbackOf() != 0 {
-		revision, kept := s.server.revision(command.GetRollbackOf())
-		if !kept || revision.TextDropped {
-			command.Invalid = "the text of that revision is not kept"
-			return nil
-		}
-		earlier, err := decompress(revision.CompressedText)
+		earlier, kept, err := s.server.text(command.GetRollbackOf())
 		if err != nil {
-			return err
+			return "", err
+		}
+		if !kept {
+			command.Invalid = "the text of that revision is not kept"
+			return "", nil
 		}
-		text = string(earlier)
+		text = earlier
 	}
 	compiled, err := s.server.compile(text)
 	if err != nil {
 		command.Invalid = truncate(err.Error(), maxDetailBytes)
-		return nil
-	}
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(compiled)
-	if err != nil {
-		return err
-	}
-	if command.CompressedPlan, err = compress(encoded); err != nil {
-		return err
+		return text, nil
 	}
-	command.CompressedText, err = compress([]byte(text))
-	return err
+	return text, s.server.encodeChange(command, text, compiled)
 }
 
 func applyResponse(result state.ChangeResult) *v1.ApplyResponse {
--- a/internal/control/config_read.go
+++ b/internal/control/config_read.go
@@ -52,15 +52,15 @@
 	if !kept {
 		return nil, refuse(connect.CodeNotFound, "revision %d does not exist or is not kept any more", number)
 	}
-	if revision.TextDropped {
-		return nil, refuse(connect.CodeNotFound, "the text of revision %d is not kept any more", number)
-	}
-	text, err := decompress(revision.CompressedText)
+	text, kept, err := s.server.text(number)
 	if err != nil {
 		return nil, err
 	}
+	if !kept {
+		return nil, refuse(connect.CodeNotFound, "the text of revision %d is not kept any more", number)
+	}
 	response := &v1.GetResponse{Revision: wireRevision(revision)}
-	response.Revision.Text = string(text)
+	response.Revision.Text = text
 	return response, nil
 }
 
--- a/internal/control/config_status.go
+++ b/internal/control/config_status.go
@@ -8,6 +8,7 @@
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/state"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
@@ -44,6 +45,7 @@
 		Routes:          s.server.root.RouteReports(),
 		AnsweredBy:      status.ID,
 		Confirmed:       !request.GetLocal(),
+		StateFormat:     state.LatestFormat,
 	}, nil
 }
 
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -14,7 +14,6 @@
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/exitcode"
-	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
@@ -32,15 +31,6 @@
 // compiledFileName stands in the messages about a submitted text.
 const compiledFileName = "configuration"
 
-// CompilePolicy is the Compiler of the configuration language.
-func CompilePolicy(text string) (*v1.Plan, error) {
-	compiled, err := policy.Compile(compiledFileName, []byte(text))
-	if err != nil {
-		return nil, err
-	}
-	return plan.ToProto(compiled), nil
-}
-
 // Environment is what a Process needs of the machine. Tests replace the network.
 type Environment struct {
 	Logger   *logrus.Logger
@@ -49,7 +39,7 @@
 	Listen func(network, address string) (net.Listener, error)
 	// Dial connects to other voters; a plain TCP dialer when nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
-	// Compile is CompilePolicy when nil.
+	// Compile is the compiler of the configuration language when nil.
 	Compile Compiler
 }
 
@@ -58,7 +48,7 @@
 		e.Listen = net.Listen
 	}
 	if e.Compile == nil {
-		e.Compile = CompilePolicy
+		e.Compile = policy.NewCompiler(compiledFileName).Compile
 	}
 	return e
 }
--- a/internal/control/recover.go
+++ b/internal/control/recover.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/raftlog"
 	"github.com/martenstage/martenstage/internal/state"
+	"github.com/martenstage/martenstage/internal/textdelta"
 )
 
 // recoveryTerms is by how much the term goes up in a recovery, so that it is
@@ -115,19 +117,41 @@
 	return founded, nil
 }
 
-// repeatLatest accepts the latest text again under higher numbers.
+// repeatLatest accepts the latest text again under higher numbers. All but the
+// first are differences where these fit, so that the history keeps its texts.
 func (r Recovery) repeatLatest(machine *state.Machine, now time.Time) error {
 	if machine.Latest().Number == 0 {
 		return nil
 	}
+	text, packed, err := wholeLatest(machine)
+	if err != nil {
+		return err
+	}
+	unpacked, err := decompress(text)
+	if err != nil {
+		return err
+	}
+	unchanged, err := textdelta.Make(unpacked, unpacked)
+	if err != nil {
+		return err
+	}
 	for range r.LostChanges {
 		latest := machine.Latest()
 		id := fmt.Sprintf("recovery-%d-after-%d", r.ID, latest.Number)
-		data, err := state.Encode(now, &v1.StateCommand{Body: &v1.StateCommand_Change{Change: &v1.ChangeCommand{
+		command := &v1.ChangeCommand{
 			ChangeId: id, ExpectedRevision: latest.Number, RequestHash: state.ApplyHash(id, 0),
-			CompressedText: latest.CompressedText, CompressedPlan: machine.CompressedPlan(),
 			Author: recoveryAuthor, Comment: fmt.Sprintf("revision %d again, after the loss of the quorum", latest.Number),
-		}}})
+		}
+		planDelta, err := proto.Marshal(&v1.PlanDelta{BaseRevision: latest.Number})
+		if err != nil {
+			return err
+		}
+		if machine.DeltaFits(len(unchanged), len(planDelta)) {
+			command.TextDelta, command.PlanDelta = unchanged, planDelta
+		} else {
+			command.CompressedText, command.CompressedPlan = text, packed
+		}
+		data, err := state.Encode(now, &v1.StateCommand{Body: &v1.StateCommand_Change{Change: command}})
 		if err != nil {
 			return err
 		}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -12,17 +12,17 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/follower"
-	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/state"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
 // Compiler turns a configuration text into a plan, or says what is wrong.
-type Compiler func(text string) (*v1.Plan, error)
+type Compiler func(text string) (*plan.Plan, error)
 
 // Config sets up a Server.
 type Config struct {
@@ -56,6 +56,7 @@
 	voter   *voter.Voter
 	store   *Store
 	compile Compiler
+	texts   textCache
 	client  *rpc.Client
 	logger  logrus.FieldLogger
 
@@ -137,6 +138,7 @@
 		s.claims.run,
 		s.recorder.run,
 		newGroupWatcher(s).run,
+		newFormatRaiser(s).run,
 		s.spreadDrains,
 		s.root.Run,
 	}
--- a/internal/state/configuration.go
+++ b/internal/state/configuration.go
@@ -15,18 +15,28 @@
 	Author   string
 	Comment  string
 	Accepted time.Time
-	// CompressedText is empty when TextDropped is set. The machine does not look
-	// into it.
+	// CompressedText is the whole text, or TextDelta its difference from that of
+	// the revision before. Both are empty when TextDropped is set. The machine
+	// does not look into them; see Machine.TextChain.
 	CompressedText []byte
+	TextDelta      []byte
 	TextDropped    bool
 	// RollbackOf is the revision whose text was taken again, or 0.
 	RollbackOf uint64
 }
 
+// isDelta reports whether the text is kept as a difference.
+func (r *Revision) isDelta() bool { return len(r.TextDelta) > 0 }
+
+func (r *Revision) textSize() int { return len(r.CompressedText) + len(r.TextDelta) }
+
 // configuration is the history, oldest first, and the plan of its last entry.
 type configuration struct {
 	revisions []Revision
-	plan      []byte // compressed
+	// plan is the compressed plan of the last whole revision, planDeltas lead
+	// from it to that of the last entry.
+	plan       []byte
+	planDeltas [][]byte
 	// withText counts the newest revisions that keep their text, textBytes is
 	// their size.
 	withText  int
@@ -40,16 +50,15 @@
 	return c.revisions[len(c.revisions)-1]
 }
 
-func (c *configuration) append(revision Revision, plan []byte, limits Limits) {
+// append adds a revision; texts is how many revisions may keep their text.
+func (c *configuration) append(revision Revision, texts int, limits Limits) {
 	c.revisions = append(c.revisions, revision)
-	c.plan = plan
 	c.withText++
-	c.textBytes += len(revision.CompressedText)
-	for c.withText > 1 && (c.withText > limits.Texts || c.textBytes > limits.TextBytes) {
-		oldest := &c.revisions[len(c.revisions)-c.withText]
-		c.textBytes -= len(oldest.CompressedText)
-		oldest.CompressedText, oldest.TextDropped = nil, true
-		c.withText--
+	c.textBytes += revision.textSize()
+	for c.withText > texts || c.textBytes > limits.TextBytes {
+		if !c.dropOldestChain() {
+			break
+		}
 	}
 	if excess := len(c.revisions) - max(limits.Revisions, c.withText); excess > 0 {
 		c.revisions = append([]Revision(nil), c.revisions[excess:]...)
@@ -59,10 +68,15 @@
 // Latest returns the newest revision; its number is 0 on an empty history.
 func (m *Machine) Latest() Revision { return m.config.latest() }
 
-// CompressedPlan returns the plan of the latest revision as it was submitted.
-// The caller must not change it.
+// CompressedPlan returns the plan of the last revision that was submitted
+// whole; PlanDeltas lead from it to that of the latest one. The caller must not
+// change it.
 func (m *Machine) CompressedPlan() []byte { return m.config.plan }
 
+// PlanDeltas returns the encoded plan deltas of the revisions since the last
+// one that was submitted whole. The caller must not change them.
+func (m *Machine) PlanDeltas() [][]byte { return m.config.planDeltas }
+
 // Revision returns a revision by number, and whether it is still kept.
 func (m *Machine) Revision(number uint64) (Revision, bool) {
 	if len(m.config.revisions) == 0 || number < m.config.revisions[0].Number {
@@ -81,7 +95,7 @@
 	history := make([]Revision, 0, count)
 	for index := range count {
 		revision := m.config.revisions[len(m.config.revisions)-1-index]
-		revision.CompressedText = nil
+		revision.CompressedText, revision.TextDelta = nil, nil
 		history = append(history, revision)
 	}
 	return history
@@ -107,6 +121,9 @@
 	if command.GetExpectedRevision() != latest.Number {
 		return conflict(command.GetExpectedRevision(), latest)
 	}
+	if refusal := m.refuseDelta(command); refusal != "" {
+		return ChangeResult{Result: v1.ApplyResult_APPLY_RESULT_INVALID, Revision: latest.Number, Detail: refusal}
+	}
 	revision := Revision{
 		Number:         latest.Number + 1,
 		ChangeID:       command.GetChangeId(),
@@ -114,9 +131,11 @@
 		Comment:        command.GetComment(),
 		Accepted:       m.Now(),
 		CompressedText: command.GetCompressedText(),
+		TextDelta:      command.GetTextDelta(),
 		RollbackOf:     command.GetRollbackOf(),
 	}
-	m.config.append(revision, command.GetCompressedPlan(), m.limits)
+	m.config.takePlan(command)
+	m.config.append(revision, m.texts(), m.limits)
 	return ChangeResult{Result: v1.ApplyResult_APPLY_RESULT_ACCEPTED, Revision: revision.Number}
 }
 
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -23,12 +23,19 @@
 // Limits bound what the machine remembers. They are part of the state
 // machine's definition: voters that run with different limits diverge.
 type Limits struct {
-	// Revisions is how many entries of the configuration history are kept,
-	// Texts and TextBytes (compressed) how many of the newest ones keep their
-	// text. The latest text is always kept.
+	// Revisions is how many entries of the configuration history are kept, and
+	// TextBytes how many bytes their texts and differences take. In the first
+	// format Texts bounds how many of the newest ones keep their text; later
+	// ones keep it for all Revisions and up to ChainLength more, as far as
+	// TextBytes reaches. The latest text is always kept.
 	Revisions int
 	Texts     int
 	TextBytes int
+	// ChainLength is how many revisions one after the other hold a difference,
+	// and ChainBytes how many bytes these may take when the whole text that they
+	// begin with takes less. Both bound the work to get any text back.
+	ChainLength int
+	ChainBytes  int
 	// Changes and ChangeBytes are how many results of changes are kept for
 	// resent change ids, ChangeAge for how long. An older resend fails the comparison of its
 	// expected revision instead, so forgetting never applies a change twice.
@@ -61,6 +68,8 @@
 		Revisions:   10_000,
 		Texts:       100,
 		TextBytes:   16 * mebibyte,
+		ChainLength: 512,
+		ChainBytes:  64 << 10,
 		Changes:     100_000,
 		ChangeBytes: 16 * mebibyte,
 		ChangeAge:   30 * day,
@@ -79,6 +88,7 @@
 // Machine is the state at one index of the log.
 type Machine struct {
 	limits  Limits
+	format  uint32
 	now     int64 // Unix milliseconds, highest stamp applied
 	config  configuration
 	changes changeResults
@@ -91,6 +101,7 @@
 func New(limits Limits) *Machine {
 	return &Machine{
 		limits:  limits,
+		format:  formatWhole,
 		changes: newChangeResults(),
 		claims:  newClaims(),
 		drains:  newDrainMarks(),
@@ -128,6 +139,8 @@
 			m.journal.append(event, m.limits)
 		}
 		return Result{}, nil
+	case *v1.StateCommand_Format:
+		return Result{}, m.applyFormat(body.Format)
 	default:
 		return Result{}, errors.New("state command of an unknown kind, written by a newer version of the program")
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -17,8 +17,11 @@
 // version changes only when a newer program could no longer read the older
 // encoding field by field; reading every older version stays supported.
 const (
-	snapshotMagic   = "martenstage-state"
-	snapshotVersion = 1
+	snapshotMagic = "martenstage-state"
+	// snapshotVersion is the newest version. It is the format of the state, so
+	// that a program which knows only the first one can read a snapshot as long
+	// as no difference was committed, and refuses it from then on.
+	snapshotVersion = LatestFormat
 )
 
 // Snapshot encodes the whole state. Equal states have equal snapshots.
@@ -34,8 +37,12 @@
 		DrainsVersion:  m.drains.version,
 		Events:         m.journal.all(),
 		EventsDropped:  m.journal.dropped,
+		PlanDeltas:     m.config.planDeltas,
 	}
-	header := append([]byte(snapshotMagic), snapshotVersion)
+	if m.format > formatWhole {
+		snapshot.Format = m.format
+	}
+	header := append([]byte(snapshotMagic), byte(m.format))
 	encoded, err := proto.MarshalOptions{Deterministic: true}.MarshalAppend(header, snapshot)
 	return encoded, errors.Wrap(err, "encode state snapshot")
 }
@@ -47,7 +54,7 @@
 	if len(data) < headerSize || !bytes.HasPrefix(data, []byte(snapshotMagic)) {
 		return errors.New("not a state snapshot")
 	}
-	if version := data[headerSize-1]; version > snapshotVersion {
+	if version := uint32(data[headerSize-1]); version > snapshotVersion {
 		return errors.Newf("state snapshot has version %d, this program reads up to %d", version, snapshotVersion)
 	}
 	snapshot := &v1.StateSnapshot{}
@@ -64,13 +71,18 @@
 
 func (m *Machine) load(snapshot *v1.StateSnapshot) error {
 	m.now = snapshot.GetTimeUnixMs()
+	if m.format = max(formatWhole, snapshot.GetFormat()); m.format > LatestFormat {
+		return errors.Newf("state snapshot has format %d, this program knows up to %d", m.format, LatestFormat)
+	}
 	for index, stored := range snapshot.GetRevisions() {
 		if index > 0 && stored.GetNumber() != m.config.latest().Number+1 {
 			return errors.Newf("state snapshot skips from revision %d to %d", m.config.latest().Number, stored.GetNumber())
 		}
-		m.config.restore(loadRevision(stored))
+		if err := m.config.restore(loadRevision(stored)); err != nil {
+			return err
+		}
 	}
-	m.config.plan = snapshot.GetCompressedPlan()
+	m.config.plan, m.config.planDeltas = snapshot.GetCompressedPlan(), snapshot.GetPlanDeltas()
 	for _, stored := range snapshot.GetChanges() {
 		m.changes.add(loadChange(stored))
 	}
@@ -92,12 +104,16 @@
 }
 
 // restore appends a revision of a snapshot as it was stored.
-func (c *configuration) restore(revision Revision) {
+func (c *configuration) restore(revision Revision) error {
+	if revision.isDelta() && (c.withText == 0 || c.latest().TextDropped) {
+		return errors.Newf("state snapshot holds revision %d as the difference from a text that it does not hold", revision.Number)
+	}
 	c.revisions = append(c.revisions, revision)
 	if !revision.TextDropped {
 		c.withText++
-		c.textBytes += len(revision.CompressedText)
+		c.textBytes += revision.textSize()
 	}
+	return nil
 }
 
 func (m *Machine) storeClaims() []*v1.StoredClaim {
@@ -139,6 +155,7 @@
 		CompressedText: revision.CompressedText,
 		RollbackOf:     revision.RollbackOf,
 		TextDropped:    revision.TextDropped,
+		TextDelta:      revision.TextDelta,
 	}
 }
 
@@ -150,6 +167,7 @@
 		Comment:        stored.GetComment(),
 		Accepted:       time.UnixMilli(stored.GetAcceptedUnixMs()),
 		CompressedText: stored.GetCompressedText(),
+		TextDelta:      stored.GetTextDelta(),
 		TextDropped:    stored.GetTextDropped(),
 		RollbackOf:     stored.GetRollbackOf(),
 	}
--- a/internal/state/snapshot_test.go
+++ b/internal/state/snapshot_test.go
@@ -84,8 +84,8 @@
 func TestNewerSnapshotIsRefused(t *testing.T) {
 	data, err := New(DefaultLimits()).Snapshot()
 	require.NoError(t, err)
-	data[len(snapshotMagic)]++
-	require.ErrorContains(t, New(DefaultLimits()).Restore(data), "version 2")
+	data[len(snapshotMagic)] = byte(snapshotVersion + 1)
+	require.ErrorContains(t, New(DefaultLimits()).Restore(data), "version 3")
 }
 
 // FuzzRestore feeds damaged snapshots: an error or a state that has a snapshot,
