--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -18,7 +18,9 @@
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // testTimeout bounds every wait of the tests; none of them measures time.
@@ -79,7 +81,7 @@
 	listeners := make([]net.Listener, count)
 	var voters []string
 	for index := range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := net.Listen("tcp4", testaddress.Next().String())
 		require.NoError(t, err)
 		listeners[index] = listener
 		voters = append(voters, fmt.Sprintf("%d=%s", index+1, listener.Addr()))
@@ -149,15 +151,14 @@
 }
 
 func (n *testNode) start(listen func(network, address string) (net.Listener, error)) {
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger := discardLogger()
 	process, err := Open(n.options, Environment{
 		Logger: logger, Registry: prometheus.NewRegistry(), Listen: listen, Dial: n.dial,
-		Compile: func(text string) (*v1.Plan, error) {
+		Compile: func(text string) (*plan.Plan, error) {
 			if text == invalidText {
 				return nil, errors.New("line 1: no such thing")
 			}
-			return &v1.Plan{}, nil
+			return &plan.Plan{}, nil
 		},
 	})
 	require.NoError(n.t, err)
@@ -166,6 +167,12 @@
 	go func(done chan error) { done <- process.Run(ctx) }(n.done)
 }
 
+func discardLogger() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
 func (n *testNode) restart() { n.start(nil) }
 
 // crash ends the voter without any word to the others.
