Keep the doubt of an earlier try, and stop only after handed-over requests

Cause: a request that was offered to several routers ended with the verdict of the last one. When the first broke off in the middle (may have run) and the next refused the connection (not run), the caller was told not_run. And a planned stop waited for the engines only: a request of another region that is with a router of its cell is in none, and the listener for routers was closed while answers were still being written.

Change: the verdicts of all tries are combined, for cells and for regions. A stop waits for the requests that other regions handed over, and the process for its listener's shutdown.

--- a/cmd/martenstage/router_wiring.go
+++ b/cmd/martenstage/router_wiring.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -151,15 +152,20 @@
 	mux.Handle(path, handler)
 	server := rpc.NewServerOn(listener, mux, security, parts.logger)
 	parts.helpers = append(parts.helpers, func(ctx context.Context) {
-		go func() {
+		var closing sync.WaitGroup
+		closing.Go(func() {
 			<-ctx.Done()
 			bounded, cancel := context.WithTimeout(context.Background(), options.StopLimit)
 			defer cancel()
-			_ = server.Shutdown(bounded)
-		}()
+			if err := server.Shutdown(bounded); err != nil {
+				parts.logger.WithError(err).Warn("answers to other routers were cut off")
+			}
+		})
 		if err := server.Serve(); err != nil {
 			parts.logger.WithError(err).Error("listener for routers failed")
 		}
+		// Serving ends when the shutdown begins; answers may still be written.
+		closing.Wait()
 	})
 	if options.Advertise != "" {
 		return options.Advertise, nil
--- a/internal/router/cells.go
+++ b/internal/router/cells.go
@@ -75,15 +75,29 @@
 	bounded, cancel := context.WithDeadline(ctx, request.Deadline.Add(forwardGrace))
 	defer cancel()
 	answer := r.refusal(verdict.ReasonNoReplica, "no router of the service's cell is known")
+	ran := verdict.NotRun
 	first := int(xxhash.Sum64String(request.CallerID) % uint64(len(peers)))
 	for offered := range min(len(peers), maxForwards) {
 		peer := peers[(first+offered)%len(peers)]
 		answer = r.forwarder.Forward(bounded, peer, request)
 		r.metrics.forwards.WithLabelValues(route.Service, answer.Verdict.String()).Inc()
+		ran = verdict.Combine(ran, answer.Verdict)
 		if bounded.Err() != nil || !mayOfferAgain(answer, route.Policy.Once) {
-			return answer
+			break
 		}
 	}
+	return withVerdict(answer, ran)
+}
+
+// withVerdict gives a failure the verdict of all that was tried: that the last
+// router ran nothing says nothing of those before it.
+func withVerdict(answer query.Answer, ran verdict.Verdict) query.Answer {
+	if answer.Err == nil || answer.Verdict == ran {
+		return answer
+	}
+	failure := *answer.Err
+	failure.Verdict = ran
+	answer.Verdict, answer.Err = ran, &failure
 	return answer
 }
 
--- a/internal/router/regions.go
+++ b/internal/router/regions.go
@@ -208,17 +208,6 @@
 	return w.unreachable(w.route, w.region, why)
 }
 
-// withVerdict gives a failure the verdict of all that was tried.
-func withVerdict(answer query.Answer, ran verdict.Verdict) query.Answer {
-	if answer.Err == nil || answer.Verdict == ran {
-		return answer
-	}
-	failure := *answer.Err
-	failure.Verdict = ran
-	answer.Verdict, answer.Err = ran, &failure
-	return answer
-}
-
 func (w *crossingWay) choose(request Request, tried []netip.AddrPort) (netip.AddrPort, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -259,6 +248,8 @@
 // may go to a router of its service's cell, but never to another region: a
 // route that is not this region's own is refused.
 func (r *Router) QueryCrossed(ctx context.Context, request Request) query.Answer {
+	r.handed.Add(1)
+	defer r.handed.Add(-1)
 	return r.counted(request, func() query.Answer {
 		if r.installed.Load() == nil {
 			return r.refusal(verdict.ReasonNoLease, "no configuration yet")
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -59,6 +59,8 @@
 	foreign   atomic.Pointer[foreignCells]
 	forwarder Forwarder
 	regions   *regions
+	// handed counts the requests of other routers that are under way here.
+	handed atomic.Int64
 	// stopping is set once the router reports not ready, refusing once it
 	// admits nothing any more.
 	stopping atomic.Bool
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -10,6 +10,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/routestats"
 	"github.com/martenstage/martenstage/internal/verdict"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Status describes a router for its status page.
@@ -170,6 +171,10 @@
 	return status
 }
 
+// handedPoll is the pause between two looks at the requests that other regions
+// handed over.
+const handedPoll = 5 * time.Millisecond
+
 // BeginStop makes the router report not ready, so that callers move away. It
 // still serves.
 func (r *Router) BeginStop() { r.stopping.Store(true) }
@@ -190,6 +195,13 @@
 			return ctx.Err()
 		}
 	}
+	// A request of another region may be with a router of its cell, where no
+	// engine of this router knows of it.
+	for r.handed.Load() > 0 {
+		if !wait.For(ctx, handedPoll) {
+			return ctx.Err()
+		}
+	}
 	r.settling.Wait()
 	if err := r.events.Flush(ctx); err != nil {
 		return err
