--- a/cmd/martenstage/router_test.go
+++ b/cmd/martenstage/router_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/callers"
+	"github.com/martenstage/martenstage/internal/control"
 	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
@@ -59,7 +60,10 @@
 	t       *testing.T
 	voters  []*voterProcess
 	routers []*routerProcess
-	fleet   *emulator.Fleet
+	client  *control.Client
+	// text is the configuration of revision 1.
+	text  string
+	fleet *emulator.Fleet
 	// closeFleet may be called twice.
 	closeFleet func()
 	record     *emulator.MemoryRecorder
@@ -90,7 +94,7 @@
 	t.Cleanup(site.closeFleet)
 
 	voters, client := startVoters(t)
-	site.voters = voters
+	site.voters, site.client, site.text = voters, client, text
 	applied, err := client.Apply(ctx, &v1.ApplyRequest{ChangeId: "first", Text: text, Author: "test"})
 	require.NoError(t, err)
 	require.Equal(t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, applied.GetResult(), applied.GetDetail())
--- a/internal/forward/region_test.go
+++ b/internal/forward/region_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -25,6 +24,7 @@
 	"github.com/martenstage/martenstage/internal/remote"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/testlink"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -35,92 +35,6 @@
 	nobody = "127.0.0.1:1"
 )
 
-// link stands between two regions and can be cut.
-type link struct {
-	t        *testing.T
-	listener net.Listener
-	target   string
-	// silent links take connections and pass nothing on, as a network that
-	// drops packets does.
-	silent atomic.Bool
-	// replyBytes, if not negative, is how much of the replies a connection
-	// passes on before it is reset.
-	replyBytes atomic.Int64
-	accepted   atomic.Int64
-	mutex      sync.Mutex
-	open       []net.Conn
-}
-
-func newLink(t *testing.T, target string) *link {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	created := &link{t: t, listener: listener, target: target}
-	created.replyBytes.Store(-1)
-	go created.accept()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		created.reset()
-	})
-	return created
-}
-
-func (l *link) address() netip.AddrPort { return netip.MustParseAddrPort(l.listener.Addr().String()) }
-
-func (l *link) accept() {
-	for {
-		near, err := l.listener.Accept()
-		if err != nil {
-			return
-		}
-		l.accepted.Add(1)
-		far, err := net.Dial("tcp4", l.target)
-		if err != nil {
-			_ = near.Close()
-			continue
-		}
-		l.mutex.Lock()
-		l.open = append(l.open, near, far)
-		l.mutex.Unlock()
-		go l.pass(near, far, -1)
-		go l.pass(far, near, l.replyBytes.Load())
-	}
-}
-
-// pass copies until the connection ends or limit bytes were copied.
-func (l *link) pass(from, to net.Conn, limit int64) {
-	buffer := make([]byte, 4096)
-	for {
-		count, err := from.Read(buffer)
-		if l.silent.Load() {
-			continue // read, and lost
-		}
-		if limit >= 0 && int64(count) >= limit {
-			_, _ = to.Write(buffer[:min(limit, int64(count))])
-			_ = to.(*net.TCPConn).SetLinger(0)
-			_, _ = to.Close(), from.Close()
-			return
-		}
-		limit -= int64(count)
-		if err != nil {
-			_, _ = to.Close(), from.Close()
-			return
-		}
-		_, _ = to.Write(buffer[:count])
-	}
-}
-
-// reset ends all connections without a farewell.
-func (l *link) reset() {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for _, connection := range l.open {
-		_ = connection.(*net.TCPConn).SetLinger(0)
-		_ = connection.Close()
-	}
-	l.open = nil
-}
-
 // countingCaller counts the requests that leave for other regions.
 type countingCaller struct {
 	router.RegionCaller
@@ -291,12 +205,12 @@
 // found again by itself after the cut.
 func TestASilentCutIsNoticedAndBounded(t *testing.T) {
 	member, _, record := newFleet(t)
-	way := newLink(t, member.listener.Address())
+	way := testlink.New(t, member.listener.Address())
 	const limit = 3
 	near := newNearSide(t, remote.Config{Limit: limit, SilenceAfter: 10 * time.Millisecond, FirstPause: 10 * time.Millisecond,
-		LongestPause: 50 * time.Millisecond}, remotePlan(way.address()))
+		LongestPause: 50 * time.Millisecond}, remotePlan(way.Address()))
 	near.warm(t)
-	way.silent.Store(true)
+	way.Silence(true)
 	var out sync.WaitGroup
 	answers := make([]query.Answer, limit)
 	for index := range answers {
@@ -319,8 +233,8 @@
 	}
 	require.Equal(t, before, near.calls.crossings.Load(), "requests were sent into the cut")
 
-	way.silent.Store(false)
-	way.reset() // connections that lost bytes are of no use
+	way.Silence(false)
+	way.Reset() // connections that lost bytes are of no use
 	require.Eventually(t, func() bool { return near.Status().Regions[0].Reachable }, longWait, time.Millisecond)
 	require.Nil(t, near.ask("send", "refused", time.Second).Err, "what was refused had not run")
 	require.Equal(t, []journal.Kind{journal.KindRegionUnreachable, journal.KindRegionReachable}, near.events.all())
@@ -338,10 +252,10 @@
 	direct := netip.MustParseAddrPort(member.listener.Address())
 	for _, bytes := range []int64{0, 1, 20, 60, 100, 140, 180, 220} {
 		t.Run(fmt.Sprint(bytes), func(t *testing.T) {
-			way := newLink(t, member.listener.Address())
-			way.replyBytes.Store(bytes)
-			other := newLink(t, member.listener.Address())
-			near := newNearSide(t, remote.Config{FirstPause: time.Hour, LongestPause: time.Hour}, remotePlan(way.address()))
+			way := testlink.New(t, member.listener.Address())
+			way.LimitReplies(bytes)
+			other := testlink.New(t, member.listener.Address())
+			near := newNearSide(t, remote.Config{FirstPause: time.Hour, LongestPause: time.Hour}, remotePlan(way.Address()))
 			id := fmt.Sprint("reset-", bytes)
 			answer := near.ask("send", id, time.Second)
 			executed := executionsOf(record, id)
@@ -349,7 +263,7 @@
 			if answer.Verdict == verdict.NotRun {
 				require.Zero(t, executed, "%+v", answer.Err)
 			}
-			both := newNearSide(t, remote.Config{FirstPause: time.Hour, LongestPause: time.Hour}, remotePlan(way.address(), other.address()))
+			both := newNearSide(t, remote.Config{FirstPause: time.Hour, LongestPause: time.Hour}, remotePlan(way.Address(), other.Address()))
 			for number := range 8 {
 				id := fmt.Sprint("both-", bytes, "-", number)
 				crossings := both.calls.crossings.Load()
@@ -359,7 +273,7 @@
 				}
 				require.LessOrEqual(t, executionsOf(record, id), 1)
 			}
-			repeated := newNearSide(t, remote.Config{FirstPause: time.Hour, LongestPause: time.Hour}, remotePlan(way.address(), direct))
+			repeated := newNearSide(t, remote.Config{FirstPause: time.Hour, LongestPause: time.Hour}, remotePlan(way.Address(), direct))
 			for number := range 8 {
 				require.Nil(t, repeated.ask("find", fmt.Sprint("again-", number), 2*time.Second).Err, "another entry was to be asked")
 			}
