--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -120,7 +120,20 @@
 func newRouterWith(t *testing.T, name string, source router.ConfigSource, logger *logrus.Logger,
 	change func(*router.Config, *router.Dependencies)) *router.Router {
 	t.Helper()
-	registry := prometheus.NewRegistry()
+	created := makeRouter(name, source, logger, change)
+	running, end := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- created.Run(running) }()
+	t.Cleanup(func() {
+		end()
+		<-ended
+	})
+	return created
+}
+
+func makeRouter(name string, source router.ConfigSource, logger *logrus.Logger,
+	change func(*router.Config, *router.Dependencies)) *router.Router {
+	registry, client := prometheus.NewRegistry(), NewClient(name, rpc.Plaintext())
 	config := router.Config{Name: name, Zone: "a", Boot: 1, ProbeInterval: 20 * time.Millisecond}
 	dependencies := router.Dependencies{
 		Logger: logger, Registerer: registry,
@@ -128,19 +141,12 @@
 		Claims:    router.NewLocalClaims(),
 		Events:    router.EventLog{Logger: logger},
 		Source:    source,
-		Forwarder: NewClient(name, rpc.Plaintext()),
+		Forwarder: client,
+		Regions:   client,
 		NewEngine: func(int) router.Engine { return query.New(query.Config{Zone: "a"}) },
 	}
 	change(&config, &dependencies)
-	created := router.New(config, dependencies)
-	running, end := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- created.Run(running) }()
-	t.Cleanup(func() {
-		end()
-		<-ended
-	})
-	return created
+	return router.New(config, dependencies)
 }
 
 func TestRequestIsHandedToTheCellOfItsService(t *testing.T) {
