Simulate changes as differences, and compare the voters' states

Change: making and applying differences is package configdelta, used by control and by the simulator alike. After each entry that made a revision the simulator compares the voters' states byte for byte, and the plan with that of the text.

--- a/internal/control/change_encoding.go
+++ b/internal/control/change_encoding.go
@@ -4,9 +4,8 @@
 	"sync"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
+	"github.com/martenstage/martenstage/internal/configdelta"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/state"
@@ -81,7 +80,7 @@
 		return nil
 	}
 	if expected == revision && revision != 0 {
-		fitting, err := s.encodeDeltas(command, text, plans{base: latest, next: compiled})
+		fitting, err := s.encodeDeltas(command, latest, configdelta.Configuration{Text: text, Plan: compiled})
 		if err != nil || fitting {
 			return err
 		}
@@ -94,18 +93,15 @@
 	return err
 }
 
-// plans are those before and after a change.
-type plans struct{ base, next *plan.Plan }
-
 // encodeDeltas puts text and plan into a change as differences from the revision
 // that it expects. It returns false when the history has no room for them or
 // they would not lead to the text and the plan.
-func (s *Server) encodeDeltas(command *v1.ChangeCommand, text string, change plans) (bool, error) {
+func (s *Server) encodeDeltas(command *v1.ChangeCommand, base *plan.Plan, next configdelta.Configuration) (bool, error) {
 	expected := command.GetExpectedRevision()
 	if !s.deltaFits(0, 0) {
 		return false, nil
 	}
-	base, kept, err := s.text(expected)
+	text, kept, err := s.text(expected)
 	if err != nil {
 		// The change goes whole, and the history has a sound text to build on.
 		s.logger.WithError(err).Error("text_damaged")
@@ -114,15 +110,11 @@
 	if !kept {
 		return false, nil
 	}
-	textDelta, err := textdelta.Make([]byte(base), []byte(text))
-	if err != nil {
-		return false, err
-	}
-	planDelta, err := encodePlanDelta(change, expected)
-	if err != nil || planDelta == nil || !s.deltaFits(len(textDelta), len(planDelta)) {
+	delta, made, err := configdelta.Make(expected, configdelta.Configuration{Text: text, Plan: base}, next)
+	if err != nil || !made || !s.deltaFits(delta.Size()) {
 		return false, err
 	}
-	command.TextDelta, command.PlanDelta = textDelta, planDelta
+	command.TextDelta, command.PlanDelta = delta.Text, delta.Plan
 	return true, nil
 }
 
@@ -133,19 +125,6 @@
 	return fits
 }
 
-// encodePlanDelta returns nil when the delta does not lead to the plan, so that
-// a fault in making one costs bytes and no voter its way along the log.
-func encodePlanDelta(change plans, revision uint64) ([]byte, error) {
-	delta := plan.Delta(change.base, change.next)
-	delta.BaseRevision = revision
-	reached, err := plan.ApplyDelta(change.base, delta)
-	if err != nil || !plan.Equal(reached, change.next) {
-		return nil, nil
-	}
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(delta)
-	return encoded, errors.Wrap(err, "encode a plan delta")
-}
-
 // wholeLatest returns text and plan of the latest revision as a change holds
 // them whole.
 func wholeLatest(machine *state.Machine) (text, packed []byte, err error) {
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -3,9 +3,9 @@
 import (
 	"sync"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/martenstage/martenstage/internal/configdelta"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/state"
@@ -92,32 +92,13 @@
 func (s *Store) latestPlan(revision uint64) (*plan.Plan, error) {
 	deltas := s.machine.PlanDeltas()
 	if len(deltas) > 0 && s.latest != nil && revision == s.revision+1 {
-		return applyPlanDelta(s.latest, s.revision, deltas[len(deltas)-1])
+		return configdelta.ApplyPlan(s.latest, s.revision, deltas[len(deltas)-1])
 	}
-	latest, err := s.decodePlan(s.machine.CompressedPlan())
+	whole, err := s.decodePlan(s.machine.CompressedPlan())
 	if err != nil {
 		return nil, err
 	}
-	base := revision - uint64(len(deltas))
-	for index, delta := range deltas {
-		if latest, err = applyPlanDelta(latest, base+uint64(index), delta); err != nil {
-			return nil, err
-		}
-	}
-	return latest, nil
-}
-
-// applyPlanDelta returns the plan that an encoded delta leads to from that of a
-// revision.
-func applyPlanDelta(base *plan.Plan, revision uint64, encoded []byte) (*plan.Plan, error) {
-	delta := &v1.PlanDelta{}
-	if err := proto.Unmarshal(encoded, delta); err != nil {
-		return nil, errors.Wrap(err, "decode a plan delta")
-	}
-	if delta.GetBaseRevision() != revision {
-		return nil, errors.Newf("a plan delta is of revision %d, not %d", delta.GetBaseRevision(), revision)
-	}
-	return plan.ApplyDelta(base, delta)
+	return configdelta.ApplyPlans(whole, revision, deltas)
 }
 
 func (s *Store) decodePlan(compressed []byte) (*plan.Plan, error) {
--- a/internal/simulation/control.go
+++ b/internal/simulation/control.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	productfollower "github.com/martenstage/martenstage/internal/follower"
@@ -57,7 +56,7 @@
 	}
 	if latest := c.voter.machine.Latest(); latest.Number != c.revision {
 		c.revision = latest.Number
-		c.plan = decodePlan(c.voter.machine.CompressedPlan())
+		c.plan = latestPlan(c.voter.machine)
 		c.granter.planChanged()
 		c.confirmOnce()
 	}
@@ -67,18 +66,6 @@
 	}
 }
 
-func decodePlan(data []byte) *plan.Plan {
-	wire := &v1.Plan{}
-	if err := proto.Unmarshal(data, wire); err != nil {
-		panic(errors.Wrap(err, "a plan that was accepted can't be read"))
-	}
-	decoded, err := plan.FromProto(wire)
-	if err != nil {
-		panic(errors.Wrap(err, "a plan that was accepted can't be read"))
-	}
-	return decoded
-}
-
 func (c *control) spreadDrains(marks []state.Drain) {
 	current := map[string]bool{}
 	for _, mark := range marks {
@@ -268,15 +255,12 @@
 func (c *control) proposeChange(request *v1.ApplyRequest, hash []byte, done func(serviceAnswer)) {
 	command := &v1.ChangeCommand{
 		ChangeId: request.GetChangeId(), ExpectedRevision: request.GetExpectedRevision(), RequestHash: hash,
-		CompressedText: []byte(request.GetText()), Author: request.GetAuthor(),
+		Author: request.GetAuthor(),
 	}
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(plan.ToProto(compiledTexts()[request.GetText()]))
-	if err != nil {
+	if err := c.encodeChange(command, request.GetText()); err != nil {
 		done(serviceAnswer{err: err})
 		return
 	}
-	// The machine does not look into it, so that it need not be compressed here.
-	command.CompressedPlan = encoded
 	c.proposeCommand(&v1.StateCommand{Body: &v1.StateCommand_Change{Change: command}},
 		func(result state.Result, err error) { done(serviceAnswer{change: result.Change, err: err}) })
 }
--- a/internal/simulation/raft.go
+++ b/internal/simulation/raft.go
@@ -21,6 +21,8 @@
 	commit    uint64
 	logs      map[*voter]*shadowLog
 	reads     map[readKey]uint64
+	// states holds the digest of the state after each entry that made a revision.
+	states map[uint64]uint64
 }
 
 type position struct{ index, term uint64 }
@@ -51,6 +53,7 @@
 	return &raftChecks{
 		world: world, leaders: map[uint64]uint64{}, entries: map[position]entryKind{},
 		committed: map[uint64]committedEntry{}, logs: map[*voter]*shadowLog{}, reads: map[readKey]uint64{},
+		states: map[uint64]uint64{},
 	}
 }
 
--- a/internal/simulation/voter.go
+++ b/internal/simulation/voter.go
@@ -95,7 +95,7 @@
 		v.end()
 		return
 	}
-	v.core, v.machine, v.applied = core, state.New(state.DefaultLimits()), 0
+	v.core, v.machine, v.applied = core, newMachine(), 0
 	v.inbox, v.stepping, v.failed = nil, false, false
 	v.proposals, v.outcomes, v.reads = map[uint64]func(any, error){}, map[uint64]awaited{}, map[uint64]func(error){}
 	v.waiting, v.sinceSnapshot, v.issued, v.synced = nil, 0, 0, 0
@@ -250,6 +250,7 @@
 func (v *voter) apply(entry consensus.Entry) {
 	v.world.raft.apply(v, entry)
 	var result any
+	before := v.machine.Latest().Number
 	if entry.Kind == consensus.EntryData {
 		applied, err := v.machine.Apply(entry.Data)
 		if err != nil {
@@ -258,6 +259,9 @@
 		}
 		result = applied
 	}
+	if v.machine.Latest().Number != before {
+		v.world.raft.revised(v, entry.Index)
+	}
 	v.sinceSnapshot++
 	v.advance(entry.Index)
 	if waiting, ok := v.outcomes[entry.Index]; ok {
