--- a/cmd/martenbench/simulate.go
+++ b/cmd/martenbench/simulate.go
@@ -19,6 +19,7 @@
 type simulateCommand struct {
 	Seed     uint64 `long:"seed" default:"1" description:"Seed of the first run; each further run takes the next"`
 	Runs     int    `long:"runs" default:"1" description:"Number of runs"`
+	World    string `long:"world" default:"usual" description:"What the fleet consists of; \"list\" prints the names"`
 	Scenario string `long:"scenario" default:"random" description:"Scenario, or several joined by +; \"list\" prints their names"`
 	Parallel int    `long:"parallel" description:"Runs at once; 0 means one for each processor"`
 	JSON     bool   `long:"json" description:"End with one line of JSON"`
@@ -27,16 +28,21 @@
 
 // gcPercent lets the heap grow further than usual before it is collected: a run
 // keeps little, and makes much that it soon drops.
-const gcPercent = 800
+const gcPercent = 2000
 
 // Execute implements flags.Commander.
 func (c *simulateCommand) Execute([]string) error {
 	debug.SetGCPercent(gcPercent)
 	if c.Scenario == "list" {
-		_, err := io.WriteString(os.Stdout, strings.Join(simulation.Scenarios(), "\n")+"\n")
-		return errors.Wrap(err, "standard output")
+		return printNames(simulation.Scenarios())
+	}
+	if c.World == "list" {
+		return printNames(simulation.Worlds())
+	}
+	config := simulation.Config{
+		Seed: c.Seed, Runs: c.Runs, Parallel: c.Parallel,
+		Choice: simulation.Choice{World: c.World, Scenario: c.Scenario},
 	}
-	config := simulation.Config{Seed: c.Seed, Runs: c.Runs, Scenario: c.Scenario, Parallel: c.Parallel}
 	if config.Parallel <= 0 {
 		config.Parallel = runtime.GOMAXPROCS(0)
 	}
@@ -65,6 +71,11 @@
 	return nil
 }
 
+func printNames(names []string) error {
+	_, err := io.WriteString(os.Stdout, strings.Join(names, "\n")+"\n")
+	return errors.Wrap(err, "standard output")
+}
+
 // openTrace returns where the trace goes, nil for nowhere.
 func (c *simulateCommand) openTrace() (*os.File, error) {
 	switch c.Trace {
--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -72,11 +72,10 @@
 	normalPace   = 10 // tenths
 )
 
-func newBackend(world *World, index int) *backend {
-	address := netip.MustParseAddrPort(backendAddress(index))
-	zone := zones[index%len(zones)]
+func newBackend(world *World, at seat) *backend {
+	address := netip.MustParseAddrPort(at.name)
 	return &backend{
-		process: newProcess(world, placeIn(zone, address.String())),
+		process: newProcess(world, at),
 		address: address, shards: map[uint32]uint32{}, versions: []uint64{firstVersion}, slowdown: normalPace,
 		refusedTo: map[routerRun]time.Duration{},
 	}
--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -30,6 +30,7 @@
 // callerRequest is a request as its caller follows it, over its resends.
 type callerRequest struct {
 	caller   *process
+	area     *areaState
 	id       string
 	route    string
 	service  string
@@ -59,26 +60,26 @@
 // traffic gives each route its share of the requests.
 var traffic = []string{routeQuick, routeSweep, routeLookup, routeSend, routeSend}
 
-// generate sends requests until the end of traffic.
-func (w *World) generate() {
-	const meanGap = 180 * time.Millisecond
+// generate sends requests of some callers to an area until the end of traffic.
+func (w *World) generate(a *areaState, callers []*process, meanGap time.Duration) {
 	gap := time.Duration(w.workload.ExpFloat64() * float64(meanGap)).Round(time.Microsecond)
 	w.queue.After(gap, func() {
 		if w.queue.Now() > w.trafficEnd {
 			return
 		}
-		w.newRequest(traffic[w.workload.IntN(len(traffic))])
-		w.generate()
+		w.newRequest(a, callers, a.route(traffic[w.workload.IntN(len(traffic))]))
+		w.generate(a, callers, meanGap)
 	})
 }
 
-// newRequest sends a request on a route.
-func (w *World) newRequest(route string) {
+// newRequest sends a request of one of some callers on a route.
+func (w *World) newRequest(a *areaState, callers []*process, route string) {
 	w.requests++
 	compiled, _ := w.routes.RouteNamed(route)
-	id := fmt.Sprintf("r%d", w.requests)
+	id := fmt.Sprintf("%sr%d", w.layout.prefix, w.requests)
+	w.closeLater(id)
 	request := &callerRequest{
-		caller: w.callers[w.workload.IntN(len(w.callers))], id: id, route: route, service: compiled.Service,
+		caller: callers[w.workload.IntN(len(callers))], area: a, id: id, route: route, service: compiled.Service,
 		once: compiled.Policy.Once, deadline: compiled.Policy.Deadline, body: fmt.Appendf(nil, `{"q":"%s"}`, id),
 		key: fmt.Sprint("k", w.workload.IntN(50)),
 	}
@@ -87,10 +88,10 @@
 	if chance == limited && !request.once {
 		request.limit = request.deadline / 3
 	}
-	request.submit(w.workload.IntN(len(w.routers)))
+	request.submit(w.workload.IntN(len(a.routers)))
 	if chance <= doubled && request.once {
 		// A caller that lost patience at once asks another router, too.
-		request.submit(w.workload.IntN(len(w.routers)))
+		request.submit(w.workload.IntN(len(a.routers)))
 	}
 }
 
@@ -98,9 +99,10 @@
 // caller takes for ready.
 func (c *callerRequest) submit(first int) {
 	w := c.caller.world
-	chosen := w.routers[first%len(w.routers)]
-	for offset := range w.routers {
-		candidate := w.routers[(first+offset)%len(w.routers)]
+	routers := c.area.routers
+	chosen := routers[first%len(routers)]
+	for offset := range routers {
+		candidate := routers[(first+offset)%len(routers)]
 		if candidate.running && (!candidate.stopping || w.queue.Wall().Sub(candidate.stopBegan) < readinessLag) {
 			chosen = candidate
 			break
@@ -208,6 +210,7 @@
 	s.ended = true
 	w := s.caller.world
 	w.judge.AddAnswer(record)
+	w.watchIsolation(s, &record)
 	w.answers[record.Verdict]++
 	w.hedges += record.Hedges
 	w.retries += record.Retries
@@ -227,7 +230,7 @@
 	s.resends++
 	const leastPause = 50 * time.Millisecond
 	pause = max(pause, leastPause) + time.Duration(w.workload.Int64N(int64(leastPause)))
-	w.queue.After(pause, func() { s.submit(slices.Index(w.routers, s.router) + 1) })
+	w.queue.After(pause, func() { s.submit(slices.Index(s.area.routers, s.router) + 1) })
 }
 
 // query answers a request here, or through a router of its service's cell.
--- a/internal/simulation/control.go
+++ b/internal/simulation/control.go
@@ -57,7 +57,7 @@
 	}
 	if latest := c.voter.machine.Latest(); latest.Number != c.revision {
 		c.revision = latest.Number
-		c.plan = decodePlan(c.voter.machine.CompressedPlan())
+		c.plan = c.voter.world.decodePlan(c.voter.machine.CompressedPlan())
 		c.granter.planChanged()
 		c.confirmOnce()
 	}
@@ -67,7 +67,12 @@
 	}
 }
 
-func decodePlan(data []byte) *plan.Plan {
+// decodePlan reads a plan that was accepted. Voters that read the same one share
+// it: nobody changes a plan.
+func (w *World) decodePlan(data []byte) *plan.Plan {
+	if known, read := w.decoded[string(data)]; read {
+		return known
+	}
 	wire := &v1.Plan{}
 	if err := proto.Unmarshal(data, wire); err != nil {
 		panic(errors.Wrap(err, "a plan that was accepted can't be read"))
@@ -76,6 +81,7 @@
 	if err != nil {
 		panic(errors.Wrap(err, "a plan that was accepted can't be read"))
 	}
+	w.decoded[string(data)] = decoded
 	return decoded
 }
 
@@ -156,11 +162,11 @@
 func (c *control) watchGroup() {
 	const interval = 200 * time.Millisecond
 	c.voter.after(interval, c.watchGroup)
-	status := c.voter.core.Status()
-	if status.Role != consensus.Leader {
+	if c.voter.state.Role != consensus.Leader {
 		c.term = 0
 		return
 	}
+	status := c.voter.core.Status()
 	if c.term != status.Term {
 		c.term = status.Term
 		clear(c.lost)
@@ -270,7 +276,7 @@
 		ChangeId: request.GetChangeId(), ExpectedRevision: request.GetExpectedRevision(), RequestHash: hash,
 		CompressedText: []byte(request.GetText()), Author: request.GetAuthor(),
 	}
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(plan.ToProto(compiledTexts()[request.GetText()]))
+	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(plan.ToProto(c.voter.world.layout.compiled()[request.GetText()]))
 	if err != nil {
 		done(serviceAnswer{err: err})
 		return
--- a/internal/simulation/fault.go
+++ b/internal/simulation/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/simulation/network"
@@ -60,19 +59,27 @@
 
 // schedule arranges a fault's beginning and end.
 func (w *World) schedule(fault Fault) {
-	w.disturbed = w.disturbed || !slices.Contains(backendNodes, fault.Node) && fault.Kind != FaultRoll && fault.Kind != FaultMark
+	w.disturbed = w.disturbed || w.backendNamed(fault.Node) == nil && fault.Kind != FaultRoll && fault.Kind != FaultMark
 	w.queue.At(fault.At, func() {
 		w.faults++
 		w.faultKinds[fault.Kind]++
 		w.trace.note("world", "fault_begins", "fault", fault.String())
+		w.noteVoterTrouble(fault)
 		end := w.inject(fault)
 		w.queue.After(fault.For, func() {
 			w.trace.note("world", "fault_ends", "fault", fault.String())
+			w.noteVoterTrouble(fault)
 			end()
 		})
 	})
 }
 
+func (w *World) noteVoterTrouble(fault Fault) {
+	if w.voterNamed(fault.Node) != nil {
+		w.voterTrouble = w.queue.Now()
+	}
+}
+
 // inject begins a fault and returns what ends it.
 func (w *World) inject(fault Fault) (end func()) {
 	if rules := w.rulesOf(fault); len(rules) > 0 {
@@ -96,7 +103,7 @@
 		w.race(fault.Amount)
 		return func() {}
 	case FaultMark:
-		w.operators[0].submit(configurations[fault.Amount%len(configurations)])
+		w.operators[0].submit(w.layout.variant(fault.Amount))
 		return func() {}
 	}
 	if r := w.routerNamed(fault.Node); r != nil && fault.Kind == FaultStop {
@@ -141,7 +148,7 @@
 	case FaultZoneSplit:
 		return split(network.Selector{Zone: fault.Node})
 	case FaultRegion:
-		return split(network.Selector{Region: regionOf(zones[0])})
+		return split(network.Selector{Region: w.layout.regions[w.layout.zones[0]]})
 	case FaultLoss:
 		return []*network.Rule{{From: node, Loss: fault.Amount}}
 	case FaultDelay:
@@ -241,7 +248,7 @@
 			continue
 		}
 		o.busy = true
-		text := configurations[(number+index)%len(configurations)].text()
+		text := w.layout.variant(number + index)
 		o.apply(text, expected, w.queue.Now()+operatorPatience)
 	}
 }
--- a/internal/simulation/mutation_test.go
+++ b/internal/simulation/mutation_test.go
@@ -185,15 +185,15 @@
 // routerCutOff takes a router's way to control away, not that to callers.
 func routerCutOff(w *World) {
 	const at, length = 6 * time.Second, 19 * time.Second
-	for _, peer := range slices.Concat(controlNodes, relayNodes) {
-		w.schedule(Fault{Kind: FaultCutPair, Node: routerName(0), Peer: peer, At: at, For: length})
+	for _, peer := range slices.Concat(names(usual.voters), names(usual.relays)) {
+		w.schedule(Fault{Kind: FaultCutPair, Node: usual.routers[0].name, Peer: peer, At: at, For: length})
 	}
 }
 
 // notifyDies lets the back ends of the once-only route die amid long runs.
 func notifyDies(w *World) {
 	const tenths, length = 300, 18 * time.Second
-	for index, node := range backendNodes[desksBackends:] {
+	for index, node := range usual.backendNames()[usual.areas[0].desksBackends:] {
 		w.schedule(Fault{Kind: FaultSlow, Node: node, At: 6 * time.Second, For: length, Amount: tenths})
 		for death := range 6 {
 			at := time.Duration(7+3*death)*time.Second + time.Duration(index)*700*time.Millisecond
@@ -206,7 +206,7 @@
 // slow and changes go on.
 func powerCuts(w *World) {
 	const slower = 200 // milliseconds
-	for _, node := range controlNodes {
+	for _, node := range names(usual.voters) {
 		w.schedule(Fault{Kind: FaultDiskSlow, Node: node, At: 5 * time.Second, For: 20 * time.Second, Amount: slower})
 		for cut := range 5 {
 			w.schedule(Fault{Kind: FaultCrash, Node: node, At: time.Duration(7+4*cut) * time.Second, For: 500 * time.Millisecond})
@@ -214,7 +214,7 @@
 	}
 	for change := range 400 {
 		w.queue.At(faultsBegin+time.Duration(change)*50*time.Millisecond, func() {
-			w.operators[change%2].submit(configurations[change%len(configurations)])
+			w.operators[change%2].submit(usual.variant(change))
 		})
 	}
 }
@@ -234,7 +234,7 @@
 	{"claims are granted to all", judge.AtMostOnce, mutations{wrapEngine: claimsGranted}, func(*World) {}},
 	{"departures are not heard of", judge.NoWorkToLeaver, mutations{wrapEngine: departuresUnheard, wrapHealth: alwaysReady}, replicaLoss},
 	{"a stop does not wait", judge.StopCutsNothing, mutations{onStop: (*router).exit}, func(w *World) {
-		for _, node := range routerNodes {
+		for _, node := range names(usual.routers) {
 			w.schedule(Fault{Kind: FaultStop, Node: node, At: 10 * time.Second, For: time.Second})
 			w.schedule(Fault{Kind: FaultStop, Node: node, At: 14 * time.Second, For: time.Second})
 		}
--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -21,6 +21,7 @@
 // operator submits changes of configuration and waits until they are in force.
 type operator struct {
 	process
+	area    *areaState
 	next    int
 	changes int
 	busy    bool
@@ -29,8 +30,8 @@
 	lastDone time.Duration
 }
 
-func newOperator(world *World, zone, name string) *operator {
-	return &operator{process: newProcess(world, placeIn(zone, name)), accepted: map[string]uint64{}}
+func newOperator(world *World, of *areaState, at seat) *operator {
+	return &operator{process: newProcess(world, at), area: of, accepted: map[string]uint64{}}
 }
 
 // ask calls one voter after the other until one answers or the time is over.
@@ -55,7 +56,7 @@
 }
 
 // submit reads the latest revision and submits a change written against it.
-func (o *operator) submit(candidate configuration) {
+func (o *operator) submit(text string) {
 	if o.busy {
 		return
 	}
@@ -66,7 +67,7 @@
 			o.busy = false
 			return
 		}
-		o.apply(candidate.text(), answer.status.revision, deadline)
+		o.apply(text, answer.status.revision, deadline)
 	})
 }
 
@@ -113,6 +114,9 @@
 		o.accepted[record.ChangeID] = record.Revision
 		o.world.configChanges++
 		o.lastDone = o.world.queue.Now()
+		if o.world.cutOff(o.lastDone) {
+			o.area.isolated.accepted++
+		}
 		o.awaitInForce(record, o.world.queue.Now()+operatorPatience)
 	}
 }
@@ -129,6 +133,9 @@
 			o.world.trace.note(o.name(), "in_force", "revision", record.Revision)
 			o.world.judge.AddOperatorAnswer(record)
 			o.world.inForce = max(o.world.inForce, record.Revision)
+			if o.world.cutOff(o.world.queue.Now()) {
+				o.area.isolated.inForce++
+			}
 		}
 	})
 }
--- a/internal/simulation/plans.go
+++ b/internal/simulation/plans.go
@@ -2,15 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
-	"sync"
-
-	"github.com/martenstage/martenstage/internal/plan"
-	"github.com/martenstage/martenstage/internal/policy"
-	"github.com/martenstage/martenstage/internal/simulation/network"
 )
 
-// Names of the simulated services and routes.
+// Names of the simulated services and routes, before the suffix of an area.
 const (
 	serviceDesks  = "desks"
 	serviceNotify = "notify"
@@ -20,39 +16,7 @@
 	routeSend     = "send"
 )
 
-// backendCount is how many back ends the services have together.
-const (
-	desksBackends  = 8
-	notifyBackends = 3
-	backendCount   = desksBackends + notifyBackends
-)
-
-// zones of the world; the third is a region of its own.
-var zones = []string{"a", "b", "c"}
-
-func regionOf(zone string) string {
-	if zone == zones[len(zones)-1] {
-		return "south"
-	}
-	return "north"
-}
-
-func placeIn(zone, name string) network.Place {
-	return network.Place{Name: name, Zone: zone, Region: regionOf(zone)}
-}
-
-// configurations are the texts that operators choose from. They differ in shard
-// maps, replicas and budgets; routes and policies are the same in all, so that
-// a judge that knows them can judge every answer.
-var configurations = []configuration{
-	{generations: []uint32{1}, hedges: 10},
-	{generations: []uint32{1, 2}, hedges: 10},
-	{generations: []uint32{2}, hedges: 10},
-	{generations: []uint32{1}, hedges: 5, fewer: true},
-	{generations: []uint32{1, 2}, hedges: 20, fewer: true},
-	{generations: []uint32{1}, hedges: 20, cells: 2},
-}
-
+// configuration is one of those that operators choose from.
 type configuration struct {
 	generations []uint32
 	hedges      int
@@ -61,9 +25,6 @@
 	cells int
 }
 
-// groupsOf is the number of groups of each generation of the desks service.
-var groupsOf = map[uint32]int{1: 3, 2: 4}
-
 const policiesText = `
 policy quick {
 	deadline 300ms
@@ -111,65 +72,72 @@
 	fail when settled
 	at 850ms fail
 }
-
-route quick { service desks policy quick target all }
-route sweep { service desks policy sweep target all }
-route lookup { service desks policy lookup target key }
-route send { service notify policy send target key }
 `
 
-// text writes the configuration in the product's language.
-func (c configuration) text() string {
+// text writes a configuration in the product's language.
+func (l *layout) text(c configuration) string {
 	var text strings.Builder
-	fmt.Fprintf(&text, "service desks {\n\tslots 3\n\tconnections 24\n\thedge budget %d%% burst 20\n\tretry budget 10%% burst 20\n", c.hedges)
+	for index := range l.areas {
+		l.areas[index].writeServices(&text, c)
+	}
+	text.WriteString(policiesText)
+	for index := range l.areas {
+		l.areas[index].writeRoutes(&text)
+	}
+	return text.String()
+}
+
+func (a *area) writeServices(text *strings.Builder, c configuration) {
+	fmt.Fprintf(text, "service %s {\n\tslots 3\n\tconnections 24\n\thedge budget %d%% burst 20\n\tretry budget 10%% burst 20\n", serviceDesks+a.suffix, c.hedges)
 	if c.cells > 0 {
-		fmt.Fprintf(&text, "\tcell routers %d\n", c.cells)
+		fmt.Fprintf(text, "\tcell routers %d\n", c.cells)
 	}
 	for _, generation := range c.generations {
-		c.writeGeneration(&text, generation)
+		a.writeGeneration(text, c, generation)
+	}
+	text.WriteString("}\n\n")
+	if a.notifyBackends == 0 {
+		return
 	}
-	text.WriteString("}\n\nservice notify {\n\tslots 2\n\tconnections 24\n\tgeneration 1 {\n\t\tgroup all {\n")
-	for index := range notifyBackends {
-		writeReplica(&text, desksBackends+index)
+	fmt.Fprintf(text, "service %s {\n\tslots 2\n\tconnections 24\n\tgeneration 1 {\n\t\tgroup all {\n", serviceNotify+a.suffix)
+	for index := range a.notifyBackends {
+		a.writeReplica(text, a.desksBackends+index)
 	}
 	text.WriteString("\t\t}\n\t}\n}\n")
-	text.WriteString(policiesText)
-	return text.String()
 }
 
-func (c configuration) writeGeneration(text *strings.Builder, generation uint32) {
+func (a *area) writeGeneration(text *strings.Builder, c configuration, generation uint32) {
 	const replicas = 2
-	groups := groupsOf[generation]
 	fmt.Fprintf(text, "\tgeneration %d {\n", generation)
-	for group := range groups {
+	for group := range a.groups[generation] {
 		fmt.Fprintf(text, "\t\tgroup g%d {\n", group)
 		for replica := range replicas {
 			if c.fewer && group == 0 && replica == replicas-1 {
 				continue
 			}
-			writeReplica(text, group*replicas+replica)
+			a.writeReplica(text, group*replicas+replica)
 		}
 		text.WriteString("\t\t}\n")
 	}
 	text.WriteString("\t}\n")
 }
 
-func writeReplica(text *strings.Builder, index int) {
-	fmt.Fprintf(text, "\t\t\treplica %s zone %s\n", backendAddress(index), zones[index%len(zones)])
+func (a *area) writeReplica(text *strings.Builder, index int) {
+	fmt.Fprintf(text, "\t\t\treplica %s zone %s\n", backendAddress(a.firstBackend+index), a.zones[index%len(a.zones)])
 }
 
-func backendAddress(index int) string { return fmt.Sprintf("10.0.0.%d:7000", index+1) }
-
-// compiledTexts are the configurations as the compiler reads them.
-var compiledTexts = sync.OnceValue(func() map[string]*plan.Plan {
-	compiled := make(map[string]*plan.Plan, len(configurations))
-	for _, candidate := range configurations {
-		text := candidate.text()
-		result, err := policy.Compile("simulation", []byte(text))
-		if err != nil {
-			panic(err) // a programming error in the texts above
+func (a *area) writeRoutes(text *strings.Builder) {
+	fmt.Fprintln(text)
+	for _, name := range slices.Compact(slices.Clone(traffic)) {
+		service, target := serviceDesks, "all"
+		switch {
+		case name == routeSend && a.notifyBackends > 0:
+			service, target = serviceNotify, "key"
+		case name == routeSend || name == routeLookup:
+			target = "key"
 		}
-		compiled[text] = result
+		fmt.Fprintf(text, "route %s { service %s policy %s target %s }\n", a.route(name), service+a.suffix, name, target)
 	}
-	return compiled
-})
+}
+
+func backendAddress(index int) string { return fmt.Sprintf("10.0.0.%d:7000", index+1) }
--- a/internal/simulation/process.go
+++ b/internal/simulation/process.go
@@ -23,8 +23,8 @@
 	delayed []func()
 }
 
-func newProcess(world *World, place network.Place) process {
-	return process{world: world, place: place}
+func newProcess(world *World, at seat) process {
+	return process{world: world, place: world.layout.place(at)}
 }
 
 func (p *process) name() string { return p.place.Name }
@@ -179,7 +179,11 @@
 		c.back(callResult{failed: true, refused: true})
 		return
 	}
-	c.to.deliver(c.to.boot, func() { c.handle(c.answer) })
+	if c.to.frozen {
+		c.to.deliver(c.to.boot, func() { c.handle(c.answer) })
+		return
+	}
+	c.handle(c.answer)
 }
 
 func (c *pendingCall) answer(answer any) { c.back(callResult{answer: answer}) }
--- a/internal/simulation/relay.go
+++ b/internal/simulation/relay.go
@@ -20,8 +20,8 @@
 	until    time.Time
 }
 
-func newRelay(world *World, zone, name string) *relay {
-	return &relay{process: newProcess(world, placeIn(zone, name))}
+func newRelay(world *World, at seat) *relay {
+	return &relay{process: newProcess(world, at)}
 }
 
 func (r *relay) start() {
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -62,10 +62,11 @@
 	// stopping is set once the router says that it is not ready.
 	stopping  bool
 	stopBegan time.Time
+	startedAt time.Duration
 }
 
-func newRouter(world *World, zone, name string) *router {
-	r := &router{process: newProcess(world, placeIn(zone, name))}
+func newRouter(world *World, at seat) *router {
+	r := &router{process: newProcess(world, at)}
 	r.wake = alarm{process: &r.process, act: func() { r.step(query.TimerFired{}) }}
 	r.growth = alarm{process: &r.process, act: r.applyShares}
 	r.spool = newSpool(&r.process)
@@ -79,6 +80,7 @@
 		return
 	}
 	r.begin()
+	r.startedAt = r.world.queue.Now()
 	r.engine = r.world.mutations.engine(r, query.New(query.Config{
 		Zone: r.place.Zone, Seed: r.world.seed ^ r.boot<<8 ^ uint64(len(r.name())),
 		Tuning: query.Tuning{Balancer: balancer.Config{HealthLifetime: healthLifetime}},
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -19,9 +19,9 @@
 // Config selects the runs.
 type Config struct {
 	// Seed of the first run; each further one takes the next number.
-	Seed     uint64
-	Runs     int
-	Scenario string
+	Seed uint64
+	Runs int
+	Choice
 	// Trace receives what happens, a line each; nil for nothing.
 	Trace io.Writer
 	// Parallel is how many runs go on at once; the result does not depend on
@@ -78,9 +78,9 @@
 // maxFailed bounds the failed runs that are listed.
 const maxFailed = 10
 
-// Run makes the runs. An error means that the scenario is not known.
+// Run makes the runs. An error means that the world or scenario is not known.
 func Run(config Config) (Result, error) {
-	if _, err := scenarioNamed(config.Scenario); err != nil {
+	if _, _, err := config.resolve(); err != nil {
 		return Result{}, err
 	}
 	began := time.Now()
@@ -90,7 +90,7 @@
 	for range max(config.Parallel, 1) {
 		workers.Go(func() {
 			for index := range next {
-				outcome, err := RunSeed(config.Seed+uint64(index), config.Scenario, config.Trace)
+				outcome, err := RunSeed(config.Choice, config.Seed+uint64(index), config.Trace)
 				if err == nil {
 					outcomes[index] = outcome
 				}
@@ -102,29 +102,29 @@
 	}
 	close(next)
 	workers.Wait()
-	result := sum(outcomes, config.Scenario)
+	result := sum(outcomes, config.Choice)
 	result.WallSeconds = time.Since(began).Seconds()
 	if len(result.Failed) > 0 && config.Trace == nil {
-		result.Failed[0].Trace = traceOf(&result.Failed[0], config.Scenario)
+		result.Failed[0].Trace = traceOf(&result.Failed[0], config.Choice)
 	}
 	return result, nil
 }
 
 // traceOf repeats a failed run and returns the lines of its trace that are
 // about the fleet, or about the requests that were violated.
-func traceOf(failed *FailedRun, scenario string) string {
+func traceOf(failed *FailedRun, choice Choice) string {
 	concerned := map[string]bool{}
 	for _, violation := range failed.Violations {
 		concerned[violation.Request] = true
 	}
 	var lines strings.Builder
-	if _, err := runTraced(failed.Seed, scenario, &lines, func(subject string) bool { return concerned[subject] }); err != nil {
+	if _, err := runTraced(choice, failed.Seed, &lines, func(subject string) bool { return concerned[subject] }); err != nil {
 		return err.Error()
 	}
 	return lines.String()
 }
 
-func sum(outcomes []*Outcome, scenario string) Result {
+func sum(outcomes []*Outcome, choice Choice) Result {
 	result := Result{Runs: len(outcomes)}
 	digest := xxhash.New()
 	for _, outcome := range outcomes {
@@ -138,7 +138,7 @@
 		if outcome.Failed() && len(result.Failed) < maxFailed {
 			result.Failed = append(result.Failed, FailedRun{
 				Seed: outcome.Seed, Violations: outcome.Violations, Failures: outcome.Failures,
-				Replay: Replay(outcome.Seed, scenario),
+				Replay: Replay(outcome.Seed, choice),
 			})
 		}
 	}
@@ -147,25 +147,28 @@
 }
 
 // Replay returns the command that repeats a run with its trace.
-func Replay(seed uint64, scenario string) string {
-	return fmt.Sprintf("martenbench simulate --seed %d --runs 1 --scenario %s --trace=-", seed, lo.CoalesceOrEmpty(scenario, defaultScenario))
+func Replay(seed uint64, choice Choice) string {
+	return fmt.Sprintf("martenbench simulate --seed %d --runs 1%s --scenario %s --trace=-",
+		seed, lo.Ternary(choice.worldName() == defaultWorld, "", " --world "+choice.World), lo.CoalesceOrEmpty(choice.Scenario, defaultScenario))
 }
 
 // RunSeed makes one run of a scenario and traces it, but for the messages among
 // voters, to output if that is not nil.
-func RunSeed(seed uint64, scenario string, output io.Writer) (*Outcome, error) {
-	return runTraced(seed, scenario, output, func(subject string) bool { return subject != subjectRaft })
+func RunSeed(choice Choice, seed uint64, output io.Writer) (*Outcome, error) {
+	return runTraced(choice, seed, output, func(subject string) bool { return subject != subjectRaft })
 }
 
-func runTraced(seed uint64, scenario string, output io.Writer, wanted func(subject string) bool) (*Outcome, error) {
-	chosen, err := scenarioNamed(scenario)
+func runTraced(choice Choice, seed uint64, output io.Writer, wanted func(subject string) bool) (*Outcome, error) {
+	kind, chosen, err := choice.resolve()
 	if err != nil {
 		return nil, err
 	}
-	w := newWorld(seed)
-	w.trace.output, w.trace.wanted = output, wanted
-	chosen(w)
-	return w.run(), nil
+	worlds := kind.make(seed)
+	worlds[0].trace.output, worlds[0].trace.wanted = output, wanted
+	for _, w := range worlds {
+		chosen(w)
+	}
+	return runAll(worlds...), nil
 }
 
 // runSchedule makes one run of a world under a schedule of faults.
@@ -176,37 +179,64 @@
 	return w.run()
 }
 
-func (w *World) run() *Outcome {
-	w.start()
-	w.queue.RunUntil(faultsEnd + calm)
-	w.checkCalm()
-	w.queue.RunUntil(w.horizon)
-	w.checkRecovered()
-	w.checkAccepted()
-	w.checkJournal()
-	return &Outcome{
-		Seed: w.seed, Digest: w.trace.digest.Sum64(), Violations: w.judge.Violations(), Failures: w.failures,
-		counts: counts{
-			requests: w.requests, faults: w.faults, configChanges: w.configChanges,
-			leaderChanges: w.leaderChanges, virtual: w.queue.Now(),
-		},
+func (w *World) run() *Outcome { return runAll(w) }
+
+// runAll runs worlds that share their time and network to the end.
+func runAll(worlds ...*World) *Outcome {
+	queue, last := worlds[0].queue, worlds[0]
+	each := func(do func(*World)) {
+		for _, w := range worlds {
+			do(w)
+		}
 	}
+	worlds[0].scheduleCut()
+	each((*World).start)
+	queue.RunUntil(last.layout.faultsEnd + calm)
+	each((*World).checkCalm)
+	queue.RunUntil(last.horizon)
+	each((*World).checkEnd)
+	outcome := &Outcome{Seed: last.seed, Digest: last.trace.digest.Sum64()}
+	each(func(w *World) {
+		outcome.Violations = append(outcome.Violations, w.judge.Violations()...)
+		outcome.Failures = append(outcome.Failures, w.failures...)
+		outcome.counts.add(w)
+	})
+	return outcome
+}
+
+func (c *counts) add(w *World) {
+	c.requests += w.requests
+	c.faults += w.faults
+	c.configChanges += w.configChanges
+	c.leaderChanges += w.leaderChanges
+	c.virtual = w.queue.Now()
 }
 
 // checkCalm begins the check that the fleet works again.
 func (w *World) checkCalm() {
-	w.queue.After(0, func() { w.operators[1].submit(configurations[0]) })
+	w.queue.After(0, func() { w.operators[1].submit(w.layout.variant(0)) })
 	clear(w.completed)
-	for index, route := range traffic {
-		w.queue.After(time.Duration(index)*time.Second, func() { w.newRequest(route) })
+	for _, a := range w.areas {
+		for index, route := range traffic {
+			w.queue.After(time.Duration(index)*time.Second, func() { w.newRequest(a, a.callers, a.route(route)) })
+		}
 	}
 }
 
+func (w *World) checkEnd() {
+	w.checkRecovered()
+	w.checkAccepted()
+	w.checkJournal()
+	w.checkIsolation()
+}
+
 // checkRecovered fails when, long after the last fault, something does not work.
 func (w *World) checkRecovered() {
-	for _, route := range []string{routeQuick, routeSweep, routeLookup, routeSend} {
-		if w.completed[route] == 0 {
-			w.fail("recovery", "no whole answer on route %s in the last %v", route, checkFor)
+	for _, a := range w.areas {
+		for _, route := range []string{routeQuick, routeSweep, routeLookup, routeSend} {
+			if w.completed[a.route(route)] == 0 {
+				w.fail("recovery", "no whole answer on route %s in the last %v", a.route(route), checkFor)
+			}
 		}
 	}
 	for _, r := range w.routers {
@@ -214,8 +244,8 @@
 			w.fail("recovery", "%s has no lease at the end", r.name())
 		}
 	}
-	since := faultsEnd + calm
-	if w.operators[0].lastDone < since && w.operators[1].lastDone < since {
+	since := w.layout.faultsEnd + calm
+	if lo.EveryBy(w.operators, func(o *operator) bool { return o.lastDone < since }) {
 		w.fail("recovery", "no change was accepted in the last %v", checkFor)
 	}
 	if w.inForce == 0 {
@@ -259,7 +289,7 @@
 		}
 	}
 	for _, event := range w.journaled {
-		if !known[event.ID] && event.Time.Before(wallAt(faultsEnd+calm)) {
+		if !known[event.ID] && event.Time.Before(wallAt(w.layout.faultsEnd+calm)) {
 			w.fail("journal", "event %s (%s %s) is not in the journal", event.ID, event.Kind, event.Detail)
 		}
 	}
@@ -285,6 +315,3 @@
 		r.Runs, r.Violations, r.Digest, r.Requests, r.Faults, r.ConfigChanges, r.LeaderChanges, r.VirtualSeconds, r.WallSeconds)
 	return errors.Wrap(err, "standard output")
 }
-
-// names joins the names of scenarios for messages.
-func names(all []string) string { return strings.Join(all, ", ") }
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -46,7 +46,7 @@
 	for _, part := range strings.Split(lo.CoalesceOrEmpty(name, defaultScenario), "+") {
 		chosen, known := scenarios[part]
 		if !known {
-			return nil, errors.Wrapf(ErrUnknownScenario, "%q; there are %s", part, names(Scenarios()))
+			return nil, errors.Wrapf(ErrUnknownScenario, "%q; there are %s", part, strings.Join(Scenarios(), ", "))
 		}
 		parts = append(parts, chosen)
 	}
@@ -68,8 +68,8 @@
 	{FaultHealthLate, 3}, {FaultLost, 3}, {FaultConfused, 2}, {FaultRoll, 5}, {FaultRace, 5},
 }
 
-// Draw makes a fault of evenly drawn numbers; number returns one in [0, limit).
-func Draw(number func(label string, limit int) int) Fault {
+// draw makes a fault of evenly drawn numbers; number returns one in [0, limit).
+func (l *layout) draw(number func(label string, limit int) int) Fault {
 	total := lo.SumBy(faultKinds, func(entry struct {
 		kind  FaultKind
 		share int
@@ -77,15 +77,16 @@
 		return entry.share
 	})
 	fault := Fault{Kind: pickKind(number("kind", total))}
-	nodes := nodesFor(fault.Kind)
+	nodes := l.nodesFor(fault.Kind)
 	fault.Node = nodes[number("node", len(nodes))]
-	fault.Peer = systemNodes[number("peer", len(systemNodes))]
+	peers := l.systemNames()
+	fault.Peer = peers[number("peer", len(peers))]
 	const longest = 9000
 	length := time.Duration(number("milliseconds", longest)+50) * time.Millisecond
-	latest := int((faultsEnd - faultsBegin - length) / time.Millisecond)
+	latest := int((l.faultsEnd - faultsBegin - length) / time.Millisecond)
 	fault.At = faultsBegin + time.Duration(number("at", latest))*time.Millisecond
 	fault.For = length
-	fault.Amount = amountOf(fault.Kind, number)
+	fault.Amount = l.amountOf(fault.Kind, number)
 	return fault
 }
 
@@ -98,7 +99,7 @@
 	return FaultCrash
 }
 
-func amountOf(kind FaultKind, number func(string, int) int) int {
+func (l *layout) amountOf(kind FaultKind, number func(string, int) int) int {
 	switch kind {
 	case FaultLoss, FaultDuplicate:
 		return 20 + number("thousandths", 280)
@@ -109,35 +110,7 @@
 	case FaultSlow:
 		return 20 + number("tenths", 400)
 	default:
-		return number("amount", len(configurations))
-	}
-}
-
-// The nodes that faults choose from.
-var (
-	controlNodes = lo.Times(voterCount, voterName)
-	routerNodes  = lo.Times(routerCount, func(index int) string { return routerName(index) })
-	relayNodes   = lo.Times(relayCount, func(index int) string { return relayName(index) })
-	backendNodes = lo.Times(backendCount, backendAddress)
-	// systemNodes are those of the system itself.
-	systemNodes = lo.Flatten([][]string{controlNodes, relayNodes, routerNodes})
-	allNodes    = lo.Flatten([][]string{controlNodes, controlNodes, relayNodes, routerNodes, routerNodes, backendNodes})
-)
-
-func nodesFor(kind FaultKind) []string {
-	switch kind {
-	case FaultStop:
-		return routerNodes
-	case FaultDiskSlow, FaultDiskFail, FaultReplace:
-		return controlNodes
-	case FaultSlow, FaultDrain, FaultDrainLie, FaultHealthLate, FaultLost, FaultConfused:
-		return backendNodes
-	case FaultZoneSplit:
-		return zones
-	case FaultRegion, FaultRoll, FaultRace, FaultDuplicate:
-		return []string{""}
-	default:
-		return allNodes
+		return number("amount", len(l.variants))
 	}
 }
 
@@ -147,12 +120,12 @@
 	random := rand.New(rand.NewPCG(w.seed, faultStream))
 	const most, again, chances = 8, 3, 10
 	for range 1 + random.IntN(most) {
-		fault := Draw(func(_ string, limit int) int { return random.IntN(limit) })
+		fault := w.layout.draw(func(_ string, limit int) int { return random.IntN(limit) })
 		w.schedule(fault)
 		if random.IntN(chances) < again {
 			fault.At += fault.For + time.Duration(random.IntN(500))*time.Millisecond
 			fault.For /= 2
-			if fault.At+fault.For <= faultsEnd {
+			if fault.At+fault.For <= w.layout.faultsEnd {
 				w.schedule(fault)
 			}
 		}
@@ -165,8 +138,8 @@
 func (w *World) drawer() *rand.Rand { return rand.New(rand.NewPCG(w.seed, faultStream)) }
 
 // spread returns a time within the time of faults that leaves room for a length.
-func spread(random *rand.Rand, length time.Duration) time.Duration {
-	room := int64(faultsEnd - faultsBegin - length)
+func (w *World) spread(random *rand.Rand, length time.Duration) time.Duration {
+	room := int64(w.layout.faultsEnd - faultsBegin - length)
 	return faultsBegin + time.Duration(random.Int64N(room)).Round(time.Millisecond)
 }
 
@@ -174,7 +147,7 @@
 	random := w.drawer()
 	const length = 8 * time.Second
 	for range 4 {
-		w.schedule(Fault{Kind: FaultSlow, Node: lo.SampleBy(backendNodes, random.IntN), At: spread(random, length), For: length, Amount: 50 + random.IntN(300)})
+		w.schedule(Fault{Kind: FaultSlow, Node: lo.SampleBy(w.layout.backendNames(), random.IntN), At: w.spread(random, length), For: length, Amount: 50 + random.IntN(300)})
 	}
 }
 
@@ -183,7 +156,7 @@
 	const length = 6 * time.Second
 	kinds := []FaultKind{FaultCrash, FaultDrain, FaultDrainLie, FaultLost, FaultCut}
 	for range 4 {
-		w.schedule(Fault{Kind: lo.SampleBy(kinds, random.IntN), Node: lo.SampleBy(backendNodes, random.IntN), At: spread(random, length), For: length})
+		w.schedule(Fault{Kind: lo.SampleBy(kinds, random.IntN), Node: lo.SampleBy(w.layout.backendNames(), random.IntN), At: w.spread(random, length), For: length})
 	}
 }
 
@@ -196,7 +169,7 @@
 		w.schedule(Fault{Kind: FaultMark, At: at, Amount: number})
 	}
 	for range 2 {
-		w.schedule(Fault{Kind: FaultRoll, At: spread(random, 8*time.Second), For: 8 * time.Second})
+		w.schedule(Fault{Kind: FaultRoll, At: w.spread(random, 8*time.Second), For: 8 * time.Second})
 	}
 }
 
@@ -216,14 +189,14 @@
 		}
 	})
 	for step := range 4 {
-		w.schedule(Fault{Kind: FaultRace, At: at + time.Duration(step+1)*2*time.Second, Amount: random.IntN(len(configurations))})
+		w.schedule(Fault{Kind: FaultRace, At: at + time.Duration(step+1)*2*time.Second, Amount: random.IntN(len(w.layout.variants))})
 	}
 }
 
 func racingOperators(w *World) {
 	random := w.drawer()
 	for range 8 {
-		w.schedule(Fault{Kind: FaultRace, At: spread(random, time.Second), Amount: random.IntN(len(configurations))})
+		w.schedule(Fault{Kind: FaultRace, At: w.spread(random, time.Second), Amount: random.IntN(len(w.layout.variants))})
 	}
 }
 
@@ -233,8 +206,8 @@
 	for step := range 3 {
 		at := faultsBegin + time.Duration(step)*6*time.Second
 		w.schedule(Fault{Kind: FaultLoss, At: at, For: 5 * time.Second, Amount: 100 + random.IntN(300)})
-		w.schedule(Fault{Kind: FaultMark, At: at + time.Second, Amount: random.IntN(len(configurations))})
-		w.schedule(Fault{Kind: FaultRace, At: at + 3*time.Second, Amount: random.IntN(len(configurations))})
+		w.schedule(Fault{Kind: FaultMark, At: at + time.Second, Amount: random.IntN(len(w.layout.variants))})
+		w.schedule(Fault{Kind: FaultRace, At: at + 3*time.Second, Amount: random.IntN(len(w.layout.variants))})
 	}
 }
 
@@ -242,14 +215,15 @@
 // is replaced.
 func secondLoss(w *World) {
 	random := w.drawer()
-	first := random.IntN(voterCount)
-	second := (first + 1 + random.IntN(voterCount-1)) % voterCount
-	w.schedule(Fault{Kind: FaultReplace, Node: voterName(first), At: faultsBegin + time.Second})
+	voters := w.layout.voters
+	first := random.IntN(len(voters))
+	second := (first + 1 + random.IntN(len(voters)-1)) % len(voters)
+	w.schedule(Fault{Kind: FaultReplace, Node: voters[first].name, At: faultsBegin + time.Second})
 	w.replaced = func() {
 		w.replaced = func() {}
 		w.queue.After(0, func() {
-			if w.queue.Now() < faultsEnd {
-				w.schedule(Fault{Kind: FaultReplace, Node: voterName(second), At: w.queue.Now()})
+			if w.queue.Now() < w.layout.faultsEnd {
+				w.schedule(Fault{Kind: FaultReplace, Node: voters[second].name, At: w.queue.Now()})
 			}
 		})
 	}
@@ -261,11 +235,11 @@
 	const changes, gap = 300, 50 * time.Millisecond
 	for number := range changes {
 		w.queue.At(faultsBegin+time.Duration(number)*gap, func() {
-			w.operators[number%2].submit(configurations[number%len(configurations)])
+			w.operators[number%2].submit(w.layout.variant(number))
 		})
 	}
 	at := faultsBegin + changes*gap + time.Second
-	for _, node := range systemNodes {
+	for _, node := range w.layout.systemNames() {
 		w.schedule(Fault{Kind: FaultCrash, Node: node, At: at + time.Duration(random.IntN(500))*time.Millisecond, For: time.Second + time.Duration(random.IntN(2000))*time.Millisecond})
 	}
 }
@@ -276,22 +250,10 @@
 	random := w.drawer()
 	const length = 12 * time.Second
 	for _, node := range []string{
-		lo.SampleBy(alwaysUsed(), random.IntN), relayName(random.IntN(relayCount)), voterName(random.IntN(voterCount)),
+		lo.SampleBy(w.layout.alwaysUsed(), random.IntN), lo.SampleBy(w.layout.relays, random.IntN).name, lo.SampleBy(w.layout.voters, random.IntN).name,
 	} {
-		w.schedule(Fault{Kind: FaultCrash, Node: node, At: spread(random, length), For: length})
+		w.schedule(Fault{Kind: FaultCrash, Node: node, At: w.spread(random, length), For: length})
 		w.expected = append(w.expected, node)
 	}
 	w.operatorsAway = true
 }
-
-// alwaysUsed are the back ends that every configuration names.
-func alwaysUsed() []string {
-	return lo.Filter(backendNodes, func(node string, _ int) bool {
-		return lo.EveryBy(configurations, func(candidate configuration) bool {
-			return strings.Contains(candidate.text(), "replica "+node+" ")
-		})
-	})
-}
-
-func routerName(index int) string { return "router-" + string(rune('1'+index)) }
-func relayName(index int) string  { return "relay-" + string(rune('1'+index)) }
--- a/internal/simulation/schedule_test.go
+++ b/internal/simulation/schedule_test.go
@@ -20,7 +20,7 @@
 // schedule that fails: fewer faults, earlier ones, shorter ones.
 func drawSchedule(t *rapid.T) []Fault {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Fault {
-		return Draw(func(label string, limit int) int { return rapid.IntRange(0, limit-1).Draw(t, label) })
+		return usual.draw(func(label string, limit int) int { return rapid.IntRange(0, limit-1).Draw(t, label) })
 	}), 1, mostFaults).Draw(t, "schedule")
 }
 
@@ -54,7 +54,7 @@
 			w.schedule(fault)
 		}
 		w.start()
-		w.queue.RunUntil(faultsEnd)
+		w.queue.RunUntil(usual.faultsEnd)
 		for _, violation := range w.judge.Violations() {
 			t.Fatalf("%s", violation)
 		}
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -52,7 +52,7 @@
 func TestScenariosHoldAllInvariants(t *testing.T) {
 	const runs = 5
 	for _, name := range Scenarios() {
-		t.Run(name, func(t *testing.T) { requireClean(t, Config{Seed: 1, Runs: runs, Scenario: name}) })
+		t.Run(name, func(t *testing.T) { requireClean(t, Config{Seed: 1, Runs: runs, Choice: Choice{Scenario: name}}) })
 	}
 }
 
@@ -63,7 +63,7 @@
 	for index, first := range named {
 		for _, second := range named[index+1:] {
 			seed++
-			requireClean(t, Config{Seed: seed, Runs: 1, Scenario: first + "+" + second})
+			requireClean(t, Config{Seed: seed, Runs: 1, Choice: Choice{Scenario: first + "+" + second}})
 		}
 	}
 }
@@ -72,9 +72,9 @@
 	for _, scenario := range []string{defaultScenario, "repartition+second-loss-after-repair"} {
 		digests := map[uint64]bool{}
 		for seed := range uint64(6) {
-			first, err := RunSeed(seed, scenario, nil)
+			first, err := RunSeed(Choice{Scenario: scenario}, seed, nil)
 			require.NoError(t, err)
-			again, err := RunSeed(seed, scenario, &strings.Builder{})
+			again, err := RunSeed(Choice{Scenario: scenario}, seed, &strings.Builder{})
 			require.NoError(t, err)
 			require.Equal(t, first.Digest, again.Digest, "seed %d, once without and once with its trace", seed)
 			digests[first.Digest] = true
@@ -117,7 +117,7 @@
 func TestSeedsThatOnceFailed(t *testing.T) {
 	for _, failure := range found {
 		t.Run(fmt.Sprint(failure.scenario, "/", failure.seed), func(t *testing.T) {
-			requireClean(t, Config{Seed: failure.seed, Runs: 1, Scenario: failure.scenario})
+			requireClean(t, Config{Seed: failure.seed, Runs: 1, Choice: Choice{Scenario: failure.scenario}})
 		})
 	}
 }
@@ -179,7 +179,7 @@
 	w.mutations.wrapEngine = dropLastItem
 	outcome := w.run()
 	require.True(t, outcome.Failed())
-	result := sum([]*Outcome{outcome}, defaultScenario)
+	result := sum([]*Outcome{outcome}, Choice{})
 	result.Failed[0].Trace = "t=1.0 node=router-1 event=query_sent\n"
 	var printed strings.Builder
 	require.NoError(t, result.Print(&printed, true))
@@ -191,6 +191,6 @@
 }
 
 func TestUnknownScenariosAreRefused(t *testing.T) {
-	_, err := Run(Config{Runs: 1, Scenario: "stragglers+none"})
+	_, err := Run(Config{Runs: 1, Choice: Choice{Scenario: "stragglers+none"}})
 	require.ErrorIs(t, err, ErrUnknownScenario)
 }
--- a/internal/simulation/voter.go
+++ b/internal/simulation/voter.go
@@ -73,8 +73,8 @@
 	control       *control
 }
 
-func newVoter(world *World, index int) *voter {
-	v := &voter{process: newProcess(world, placeIn(zones[index%len(zones)], voterName(index))), id: uint64(index + 1)}
+func newVoter(world *World, at seat, id uint64) *voter {
+	v := &voter{process: newProcess(world, at), id: id}
 	v.wake = alarm{process: &v.process, act: func() { v.step(consensus.Wake{}) }}
 	v.control = newControl(v)
 	return v
@@ -373,10 +373,10 @@
 }
 
 // initialState is what the first voters find on their disks.
-func initialState(voters int) consensus.Restored {
-	members := make([]consensus.Member, voters)
-	for index := range members {
-		members[index] = consensus.Member{ID: uint64(index + 1), Address: voterName(index)}
+func initialState(voters []seat) consensus.Restored {
+	members := make([]consensus.Member, len(voters))
+	for index, at := range voters {
+		members[index] = consensus.Member{ID: uint64(index + 1), Address: at.name}
 	}
 	return consensus.Restored{
 		HardState: consensus.HardState{Term: 1},
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -10,38 +10,30 @@
 	"slices"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/samber/lo"
+
 	"github.com/martenstage/martenstage/internal/dataset"
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/judge"
-	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/simulation/disk"
 	"github.com/martenstage/martenstage/internal/simulation/network"
 	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
-// Sizes of the world.
-const (
-	voterCount  = 3
-	routerCount = 3
-	relayCount  = 2
-)
-
 // Times of a run. Faults end early enough for the fleet to recover before it is
 // checked whether it did.
 const (
 	faultsBegin = 4 * time.Second
-	faultsEnd   = 26 * time.Second
 	calm        = 14 * time.Second
 	checkFor    = 10 * time.Second
 )
 
 // World is one run.
 type World struct {
-	seed  uint64
-	queue *virtualtime.Queue
+	seed   uint64
+	layout *layout
+	queue  *virtualtime.Queue
 	// Each kind of choice has a random source of its own, so that one schedule
 	// of faults can be changed without changing the workload.
 	setup, timing, workload *rand.Rand
@@ -53,13 +45,16 @@
 	mutations mutations
 	model     servicetime.Model
 	routes    *plan.Plan
+	// decoded are the plans that voters read, by their encoded form.
+	decoded map[string]*plan.Plan
 
 	voters    []*voter
 	relays    []*relay
 	routers   []*router
 	backends  []*backend
 	backendAt map[netip.AddrPort]*backend
-	callers   []*process
+	areas     []*areaState
+	visitors  []*process
 	operators []*operator
 	platform  *platform
 
@@ -81,6 +76,8 @@
 	disturbed bool
 	// operatorsAway keeps operators from changing anything by themselves.
 	operatorsAway bool
+	// voterTrouble is when the last fault of a voter began or ended.
+	voterTrouble time.Duration
 
 	requests, faults, configChanges, leaderChanges int
 	hedges, retries, partial                       int
@@ -109,106 +106,6 @@
 	return items
 }
 
-// newWorld returns a world in which nothing has happened yet.
-func newWorld(seed uint64) *World {
-	source := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, stream)) }
-	const setupStream, timingStream, workloadStream, networkStream = 1, 2, 3, 4
-	queue := &virtualtime.Queue{}
-	w := &World{
-		seed: seed, queue: queue, setup: source(setupStream), timing: source(timingStream), workload: source(workloadStream),
-		network: network.New(queue, source(networkStream)), trace: newTrace(queue),
-		judge: judge.New(judge.Config{Items: itemsOfPart}),
-		model: servicetime.Model{
-			Seed: seed, Default: servicetime.Distribution{Median: 8 * time.Millisecond, Sigma: 0.6},
-			Stragglers: servicetime.Stragglers{Fraction: 0.08, Factor: 8, Period: 5 * time.Second},
-		},
-		backendAt: map[netip.AddrPort]*backend{}, completed: map[string]time.Duration{}, answers: map[string]int{},
-		faultKinds: map[FaultKind]int{},
-		lastVoter:  voterCount, version: firstVersion, replaced: func() {},
-		trafficEnd: faultsEnd + calm + checkFor, horizon: faultsEnd + calm + checkFor + 3*time.Second,
-	}
-	w.raft = newRaftChecks(w)
-	w.build()
-	return w
-}
-
-func (w *World) build() {
-	for index := range backendCount {
-		b := newBackend(w, index)
-		w.backends = append(w.backends, b)
-		w.backendAt[b.address] = b
-	}
-	compiled := compiledTexts()
-	for _, candidate := range configurations {
-		installed := compiled[candidate.text()]
-		w.judge.AddPlan(installed)
-		w.routes = installed
-		for place := range installed.Placements() {
-			w.backendAt[place.Replica.Address].hold(place)
-		}
-	}
-	for index := range voterCount {
-		v := newVoter(w, index)
-		initial := initialState(voterCount)
-		v.disk = w.newDisk(&initial)
-		w.voters = append(w.voters, v)
-	}
-	for index := range relayCount {
-		w.relays = append(w.relays, newRelay(w, zones[index], fmt.Sprint("relay-", index+1)))
-	}
-	for index := range routerCount {
-		w.routers = append(w.routers, newRouter(w, zones[index%len(zones)], fmt.Sprint("router-", index+1)))
-	}
-	for index := range 2 {
-		caller := newProcess(w, placeIn(zones[index], fmt.Sprint("callers-", index+1)))
-		w.callers = append(w.callers, &caller)
-		w.operators = append(w.operators, newOperator(w, zones[index], fmt.Sprint("operator-", index+1)))
-	}
-	w.platform = newPlatform(w)
-}
-
-func (w *World) newDisk(initial *consensus.Restored) *disk.Disk {
-	restored := consensus.Restored{}
-	if initial != nil {
-		restored = *initial
-	}
-	return disk.New(w.queue, rand.New(rand.NewPCG(w.seed, w.setup.Uint64())), restored)
-}
-
-func voterName(index int) string { return fmt.Sprint("control-", index+1) }
-
-// start lets all processes begin and the operators make the first change.
-func (w *World) start() {
-	for _, p := range w.processes() {
-		p.local = newClock(w)
-	}
-	for _, caller := range w.callers {
-		caller.begin()
-	}
-	w.platform.begin()
-	for _, o := range w.operators {
-		o.begin()
-	}
-	for _, b := range w.backends {
-		b.begin()
-	}
-	for _, v := range w.voters {
-		v.start()
-	}
-	for _, r := range w.relays {
-		r.start()
-	}
-	for _, r := range w.routers {
-		r.start()
-	}
-	w.queue.At(time.Second, func() { w.operators[0].submit(configurations[0]) })
-	w.queue.At(3*time.Second, w.generate)
-	if !w.operatorsAway {
-		w.queue.At(faultsBegin, w.operate)
-	}
-	w.platform.publish()
-}
-
 // operate lets the operators submit changes now and then.
 func (w *World) operate() {
 	const meanGap = 4 * time.Second
@@ -218,7 +115,7 @@
 			return
 		}
 		o := w.operators[w.workload.IntN(len(w.operators))]
-		o.submit(configurations[w.workload.IntN(len(configurations))])
+		o.submit(w.layout.variant(w.workload.IntN(len(w.layout.variants))))
 		w.operate()
 	})
 }
@@ -241,7 +138,7 @@
 	for _, o := range w.operators {
 		all = append(all, &o.process)
 	}
-	all = append(all, w.callers...)
+	all = append(all, w.allCallers()...)
 	return append(all, &w.platform.process)
 }
 
@@ -290,14 +187,16 @@
 	if p == &w.routers[len(w.routers)-1].process {
 		return w.controlUpstreams()
 	}
-	upstreams := make([]upstream, 0, len(w.relays))
-	for _, r := range w.relays {
-		upstreams = append(upstreams, upstream{process: &r.process, granter: func() *granter { return r.granter }})
+	relays := lo.Filter(w.relays, func(r *relay, _ int) bool { return r.place.Region == p.place.Region })
+	if len(relays) == 0 {
+		relays = slices.Clone(w.relays)
 	}
-	if p.place.Zone != w.relays[0].place.Zone {
-		slices.Reverse(upstreams)
+	if p.place.Zone != relays[0].place.Zone {
+		slices.Reverse(relays)
 	}
-	return upstreams
+	return lo.Map(relays, func(r *relay, _ int) upstream {
+		return upstream{process: &r.process, granter: func() *granter { return r.granter }}
+	})
 }
 
 // latestRevision is the highest revision that any voter has applied.
@@ -332,37 +231,6 @@
 	}
 }
 
-// platform is the list of machines, which lags behind reality.
-type platform struct {
-	process
-	list map[string]membership.State
-}
-
-const (
-	platformLag      = 3 * time.Second
-	platformInterval = time.Second
-)
-
-func newPlatform(world *World) *platform {
-	return &platform{process: newProcess(world, placeIn(zones[0], "platform")), list: map[string]membership.State{}}
-}
-
-// publish writes the list of a while ago.
-func (p *platform) publish() {
-	current := map[string]membership.State{}
-	for _, b := range p.world.backends {
-		switch {
-		case !b.process.running:
-		case b.departing:
-			current[b.name()] = membership.Leaving
-		default:
-			current[b.name()] = membership.Live
-		}
-	}
-	p.world.queue.After(platformLag, func() { p.list = current })
-	p.world.queue.After(platformInterval, p.publish)
-}
-
 func sortedKeys[Key cmp.Ordered, Value any](values map[Key]Value) []Key {
 	return slices.Sorted(maps.Keys(values))
 }
