--- a/internal/simulation/change.go
+++ b/internal/simulation/change.go
@@ -27,20 +27,32 @@
 	return machine
 }
 
-// latestPlan returns the plan of the latest revision, read whole each time, so
-// that it does not depend on what this voter saw before.
-func latestPlan(machine *state.Machine) *plan.Plan {
+// latestPlan returns the plan of the latest revision as the machine's state
+// leads to it, so that it does not depend on what this voter saw before.
+func (w *World) latestPlan(machine *state.Machine) *plan.Plan {
+	whole := w.decodePlan(machine.CompressedPlan())
+	latest, err := configdelta.ApplyPlans(whole, machine.Latest().Number, machine.PlanDeltas())
+	if err != nil {
+		panic(errors.Wrap(err, "a plan that was accepted can't be read"))
+	}
+	return latest
+}
+
+// decodePlan reads a plan that was accepted whole. Voters that read the same
+// one share it: nobody changes a plan.
+func (w *World) decodePlan(data []byte) *plan.Plan {
+	if known, read := w.decoded[string(data)]; read {
+		return known
+	}
 	wire := &v1.Plan{}
-	if err := proto.Unmarshal(machine.CompressedPlan(), wire); err != nil {
+	if err := proto.Unmarshal(data, wire); err != nil {
 		panic(errors.Wrap(err, "a plan that was accepted can't be read"))
 	}
 	decoded, err := plan.FromProto(wire)
-	if err == nil {
-		decoded, err = configdelta.ApplyPlans(decoded, machine.Latest().Number, machine.PlanDeltas())
-	}
 	if err != nil {
 		panic(errors.Wrap(err, "a plan that was accepted can't be read"))
 	}
+	w.decoded[string(data)] = decoded
 	return decoded
 }
 
@@ -57,7 +69,7 @@
 // encodeChange puts text and plan into a change: as differences from the latest
 // revision when it is written against that one, whole otherwise.
 func (c *control) encodeChange(command *v1.ChangeCommand, text string) error {
-	compiled := compiledTexts()[text]
+	compiled := c.voter.world.layout.compiled()[text]
 	if machine := c.voter.machine; machine.Latest().Number == command.GetExpectedRevision() && machine.DeltaFits(0, 0) {
 		base := configdelta.Configuration{Text: latestText(machine), Plan: c.plan}
 		delta, made, err := configdelta.Make(command.GetExpectedRevision(), base, configdelta.Configuration{Text: text, Plan: compiled})
@@ -86,8 +98,8 @@
 		c.world.fail("state_equal", "%s has another state than others after entry %d", v.name(), index)
 	}
 	c.states[index] = digest
-	compiled := compiledTexts()[latestText(v.machine)]
-	if compiled == nil || !plan.Equal(compiled, latestPlan(v.machine)) {
+	compiled := v.world.layout.compiled()[latestText(v.machine)]
+	if compiled == nil || !plan.Equal(compiled, v.world.latestPlan(v.machine)) {
 		c.world.fail("plan_of_text", "%s has a plan of another text for revision %d", v.name(), v.machine.Latest().Number)
 	}
 }
--- a/internal/simulation/control.go
+++ b/internal/simulation/control.go
@@ -56,7 +56,7 @@
 	}
 	if latest := c.voter.machine.Latest(); latest.Number != c.revision {
 		c.revision = latest.Number
-		c.plan = latestPlan(c.voter.machine)
+		c.plan = c.voter.world.latestPlan(c.voter.machine)
 		c.granter.planChanged()
 		c.confirmOnce()
 	}
@@ -143,11 +143,11 @@
 func (c *control) watchGroup() {
 	const interval = 200 * time.Millisecond
 	c.voter.after(interval, c.watchGroup)
-	status := c.voter.core.Status()
-	if status.Role != consensus.Leader {
+	if c.voter.state.Role != consensus.Leader {
 		c.term = 0
 		return
 	}
+	status := c.voter.core.Status()
 	if c.term != status.Term {
 		c.term = status.Term
 		clear(c.lost)
