Probe back ends by need: replies stand in for probes

Cause: every router of a cell probed each back end every 250 ms: 3,240 probes/s a router and 256/s a server at the target size, 23 to 26 % of a core. Change: package probing is a pure core with one schedule for each back end. Replies that bear the back end's mark for what it holds (new, optional header Martenstage-Holdings) count as observations from the time when their query was sent; the pause of an idle back end grows with the routers of its cell; one that is down is asked again after a quarter of that time; doubt brings probes forward. The prober, the virtual bench and the simulator drive the same core.

--- a/internal/backend/reply.go
+++ b/internal/backend/reply.go
@@ -124,6 +124,7 @@
 func readReport(header http.Header) query.Report {
 	report := query.Report{Known: true, Draining: header.Get(backendapi.HeaderDraining) == "1"}
 	report.Load = readLoad(header.Get(backendapi.HeaderLoad))
+	report.Holdings = sole(header, backendapi.HeaderHoldings)
 	return report
 }
 
--- a/internal/backendapi/backendapi.go
+++ b/internal/backendapi/backendapi.go
@@ -4,6 +4,7 @@
 package backendapi
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"strconv"
 
@@ -43,6 +44,7 @@
 	HeaderRetryAfter    = "Martenstage-Retry-After-Ms" // milliseconds
 	HeaderDraining      = "Martenstage-Draining"       // "1" once the server is leaving
 	HeaderLoad          = "Martenstage-Load"           // "in_flight/slots/queued"
+	HeaderHoldings      = "Martenstage-Holdings"       // as Health.Holdings
 )
 
 // RefusalReason says why a back end did not run a query.
@@ -97,6 +99,25 @@
 	State  ReadyState   `json:"state"`
 	Load   Load         `json:"load"`
 	Shards []ShardState `json:"shards"`
+	// Holdings is an opaque mark that changes whenever Shards does. A back end
+	// that sends it with every reply needs fewer probes; it may be empty.
+	Holdings string `json:"holdings,omitempty"`
+}
+
+// HoldingsMark returns a mark for Health.Holdings that back ends in Go may use.
+func HoldingsMark(shards []ShardState) string {
+	const hexadecimal = 16
+	var text []byte
+	for _, shard := range shards {
+		text = append(text, shard.Service...)
+		text = binary.LittleEndian.AppendUint32(text, shard.Generation)
+		text = binary.LittleEndian.AppendUint32(text, shard.Shard)
+		text = binary.LittleEndian.AppendUint32(text, uint32(len(shard.Versions)))
+		for _, version := range shard.Versions {
+			text = binary.LittleEndian.AppendUint64(text, version)
+		}
+	}
+	return strconv.FormatUint(xxhash.Sum64(text), hexadecimal)
 }
 
 // Load is a back end's own report of its work.
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -63,7 +63,8 @@
 	// DrainDistrust is how long a health endpoint that says ready all along is
 	// not believed after the server itself refused work as draining.
 	DrainDistrust time.Duration
-	// HealthLifetime is how long the last answer of a health endpoint stands. A
+	// HealthLifetime is how long the last answer of a health endpoint, or a reply
+	// that says as much, stands. A
 	// server that was not heard of for longer gets no new work until it is, so
 	// that a router which did not run for a while does not act on what it knew
 	// before. 0 means for ever.
--- a/internal/balancer/presence.go
+++ b/internal/balancer/presence.go
@@ -29,6 +29,9 @@
 	// sent before.
 	probed   bool
 	probedAt time.Time
+	// servedAt is when the newest query was sent whose reply says all that a
+	// probe says.
+	servedAt time.Time
 	// failedProbes counts failures in a row.
 	failedProbes int
 	// missed is set while operators were told that the server is unreachable.
@@ -71,9 +74,13 @@
 	return seenBack || now.Sub(p.leftAt) >= hold
 }
 
-// fresh reports whether the last answer of the health endpoint still stands.
+// fresh reports whether the last observation of the server still stands.
 func (p *presence) fresh(now time.Time, config Config) bool {
-	return config.HealthLifetime <= 0 || now.Sub(p.probedAt) <= config.HealthLifetime
+	observed := p.probedAt
+	if p.servedAt.After(observed) {
+		observed = p.servedAt
+	}
+	return config.HealthLifetime <= 0 || now.Sub(observed) <= config.HealthLifetime
 }
 
 // departure returns what is known of the departure alone.
@@ -191,6 +198,15 @@
 	})
 }
 
+// ObserveServing takes in that a query which was sent at a time was answered by
+// a server that takes work. The reply may have waited to be read, so it proves
+// no more than that moment.
+func (p *Pool) ObserveServing(server *Server, sent time.Time) {
+	if sent.After(server.presence.servedAt) {
+		server.presence.servedAt = sent
+	}
+}
+
 // ObserveWord takes in the word of the platform, an operator or another router
 // about a server. It returns nil for a server that is not known; the word is
 // kept for when it is.
--- a/internal/emulator/echo.go
+++ b/internal/emulator/echo.go
@@ -43,11 +43,12 @@
 
 // setReport adds the server's state and load to a reply.
 func (s *Server) setReport(headers http.Header) {
-	health := s.reportedHealth(false)
+	health := s.reportedHealth(true)
 	if health.State == backendapi.StateDraining {
 		headers[backendapi.HeaderDraining] = []string{"1"}
 	}
 	headers[backendapi.HeaderLoad] = []string{formatLoad(health.Load)}
+	headers[backendapi.HeaderHoldings] = []string{backendapi.HoldingsMark(health.Shards)}
 }
 
 func formatLoad(load backendapi.Load) string {
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -133,7 +133,9 @@
 	world := virtual.New(s.world(), s.engines(variant, seed), recorder)
 	arrivals := load.NewArrivals(seed, s.rates(), s.duration, variant)
 	world.Run(arrivals.Next)
-	return recorder.result(s.duration)
+	result := recorder.result(s.duration)
+	result.Probes = world.Probes()
+	return result
 }
 
 func (s *setting) world() virtual.Config {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -27,6 +27,9 @@
 	// LastWorkAfterLeavingMs is the longest time after its departure began at
 	// which a leaving server still got a query.
 	LastWorkAfterLeavingMs float64 `json:"last_work_after_leaving_ms"`
+	// Probes is how many probes the routers made of all servers, on the virtual
+	// clock only.
+	Probes int `json:"probes,omitempty"`
 
 	timeline *timeline
 }
--- a/internal/experiment/virtual/attempt.go
+++ b/internal/experiment/virtual/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/probing"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
@@ -16,6 +17,7 @@
 	bodyDigest string
 	// expires is when the router gives up.
 	expires   time.Duration
+	sentAt    time.Time
 	execution *execution
 	// settled is set once the engine has its one outcome; gone when the query
 	// was canceled before it reached the server.
@@ -30,7 +32,7 @@
 func (r *router) send(command query.Send) {
 	w := r.world
 	sent := &attempt{router: r, server: w.servers[command.Address], send: command,
-		bodyDigest: backendapi.Digest(command.Body), expires: w.clock.Now() + command.Timeout}
+		bodyDigest: backendapi.Digest(command.Body), expires: w.clock.Now() + command.Timeout, sentAt: w.wall()}
 	r.attempts[command.Attempt] = sent
 	used := r.connectionsTo(sent.server)
 	setUp := time.Duration(0)
@@ -88,7 +90,8 @@
 		Attempt: a.send.Attempt,
 		Echo: query.Echo{Request: run.record.Request, Shard: run.record.Shard,
 			Generation: run.record.Generation, Version: run.record.Version, RequestDigest: run.record.BodyDigest},
-		Report: query.Report{Known: true, Load: load, Draining: a.server.departed != never},
+		Report: query.Report{Known: true, Load: load, Draining: a.server.departed != never,
+			Holdings: a.server.holdingsMark()},
 	}
 	a.back(func() {
 		if a.settled {
@@ -120,5 +123,6 @@
 		a.back(func() { a.server.cancel(a.execution) })
 	}
 	delete(a.router.attempts, a.send.Attempt)
+	a.router.heard(a.send.Address, probing.ReplyOf(outcome, a.sentAt, a.router.world.wall()))
 	a.router.step(outcome)
 }
--- a/internal/experiment/virtual/config.go
+++ b/internal/experiment/virtual/config.go
@@ -37,7 +37,7 @@
 	QueuePerSlot    int
 	ColdStart       time.Duration
 	ColdFactor      float64
-	// ProbeEvery is the interval of health probes, PlatformLag how much later
+	// ProbeEvery is the least pause between health probes, PlatformLag how much later
 	// than a server's departure the platform list shows it.
 	ProbeEvery  time.Duration
 	PlatformLag time.Duration
--- a/internal/experiment/virtual/fault.go
+++ b/internal/experiment/virtual/fault.go
@@ -79,7 +79,7 @@
 func (s *server) announce(state query.MachineState) {
 	s.world.clock.After(s.world.config.PlatformLag, func() {
 		for _, router := range s.world.routers {
-			router.step(query.MachineObserved{Address: s.address, State: state})
+			router.hear(query.MachineObserved{Address: s.address, State: state})
 		}
 	})
 }
--- a/internal/experiment/virtual/router.go
+++ b/internal/experiment/virtual/router.go
@@ -15,8 +15,9 @@
 	observationLag = time.Second
 	// claimDelay is the time that a claim takes to be decided.
 	claimDelay = 3 * time.Millisecond
-	// leaseTerm is the configuration lease that is renewed with every probe.
-	leaseTerm = 10 * time.Second
+	// leaseTerm is the configuration lease, which is renewed at an interval.
+	leaseTerm    = 10 * time.Second
+	leaseRenewal = time.Second
 )
 
 // router is the shell of one engine.
@@ -29,6 +30,7 @@
 	attempts map[query.AttemptID]*attempt
 	used     map[netip.AddrPort]*connections
 	pending  map[query.RequestID]*callerRequest
+	watches  map[netip.AddrPort]*watch
 	// shares is how many routers divide a server's connections.
 	shares   int
 	nextID   query.RequestID
@@ -50,6 +52,7 @@
 	r.attempts = map[query.AttemptID]*attempt{}
 	r.used = map[netip.AddrPort]*connections{}
 	r.pending = map[query.RequestID]*callerRequest{}
+	r.watches = map[netip.AddrPort]*watch{}
 	r.wake, r.stopping, r.away = never, false, false
 	r.step(query.LeaseRenewed{Until: r.world.wall().Add(leaseTerm)})
 	if r.plan != nil {
@@ -68,7 +71,7 @@
 			r.step(query.ShareChanged{Address: server.address, Slots: server.slots, Connections: r.connectionShare(server)})
 		}
 	}
-	r.probe()
+	r.probeAll()
 }
 
 func (r *router) connectionsTo(server *server) *connections {
@@ -94,17 +97,6 @@
 	return r.world.config.ZoneDelay
 }
 
-// probe asks every server for its health, as the prober does.
-func (r *router) probe() {
-	for _, probed := range r.world.order {
-		if probed.fault("crash") != nil {
-			r.step(query.HealthObserved{Address: probed.address})
-			continue
-		}
-		r.step(query.HealthObserved{Address: probed.address, Reachable: true, Health: probed.health()})
-	}
-}
-
 // step hands an event to the engine and carries its commands out.
 func (r *router) step(event query.Event) {
 	if r.away {
@@ -167,7 +159,7 @@
 	for _, other := range r.world.routers {
 		if other != r {
 			r.world.clock.After(observationLag, func() {
-				other.step(query.MachineObserved(observed))
+				other.hear(query.MachineObserved(observed))
 			})
 		}
 	}
--- a/internal/experiment/virtual/server.go
+++ b/internal/experiment/virtual/server.go
@@ -271,9 +271,13 @@
 			Service: held.service, Generation: held.generation, Shard: held.shard, Versions: versions,
 		})
 	}
+	report.Holdings = backendapi.HoldingsMark(report.Shards)
 	return report
 }
 
+// holdingsMark is what replies say about what the server holds.
+func (s *server) holdingsMark() string { return s.health().Holdings }
+
 func remove[T comparable](items []T, item T) []T {
 	if index := slices.Index(items, item); index >= 0 {
 		return slices.Delete(items, index, index+1)
--- a/internal/experiment/virtual/world.go
+++ b/internal/experiment/virtual/world.go
@@ -26,6 +26,7 @@
 	revision  uint64
 	current   *plan.Plan
 	turn      int
+	probes    int
 	// underWay counts, per request, what may still happen to it.
 	underWay map[string]int
 }
@@ -52,7 +53,7 @@
 	for _, stop := range config.Stops {
 		w.clock.At(stop.At, func() { w.stop(stop) })
 	}
-	w.clock.After(config.ProbeEvery, w.probe)
+	w.clock.After(leaseRenewal, w.renewLeases)
 	return w
 }
 
@@ -104,13 +105,12 @@
 
 func (w *World) plan() *plan.Plan { return w.current }
 
-// probe probes all servers from all routers, and renews leases.
-func (w *World) probe() {
+// renewLeases renews the configuration leases of all routers.
+func (w *World) renewLeases() {
 	for _, router := range w.routers {
 		router.step(query.LeaseRenewed{Until: w.wall().Add(leaseTerm)})
-		router.probe()
 	}
-	w.clock.After(w.config.ProbeEvery, w.probe)
+	w.clock.After(leaseRenewal, w.renewLeases)
 }
 
 // stop stops a router as planned and starts it again later.
--- /dev/null
+++ b/internal/probing/schedule_test.go
@@ -0,0 +1,208 @@
+package probing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/probing"
+)
+
+var begin = time.Unix(1_000_000, 0)
+
+// testConfig has the defaults written out, so that the properties name them.
+var testConfig = probing.Config{
+	Interval: 250 * time.Millisecond, IdlePause: 1500 * time.Millisecond,
+	HeardPause: 4 * time.Second, DownPause: 4 * time.Second, Rate: 16,
+}
+
+// shortest is the least that spreading leaves of a pause.
+func shortest(pause time.Duration) time.Duration { return pause * 3 / 4 }
+
+// model drives a schedule and remembers what it was told.
+type model struct {
+	*rapid.T
+	now      time.Time
+	schedule *probing.Schedule
+	routers  int
+	mark     string
+
+	probed  probing.Probe
+	served  time.Time // sent
+	doubted bool
+	refused bool
+
+	refusedAt, watched, downFrom time.Time
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{T: t, now: begin, mark: "a", routers: rapid.IntRange(1, 200).Draw(t, "routers")}
+	m.schedule = probing.New(testConfig, begin, rapid.Uint64().Draw(t, "seed"))
+	m.schedule.SetRouters(m.routers)
+	return m
+}
+
+// probe waits until the schedule asks for one and makes it.
+func (m *model) probe(reachable bool, state backendapi.ReadyState) {
+	if due := m.schedule.Due(); due.After(m.now) {
+		m.now = due
+	}
+	before := m.probed
+	m.probed = probing.Probe{At: m.now, Reachable: reachable, State: state, Holdings: m.mark}
+	if !reachable {
+		m.probed.State, m.probed.Holdings = "", ""
+	}
+	if before.At.IsZero() || before.Reachable != reachable || before.State != m.probed.State {
+		m.downFrom = m.now
+	}
+	m.schedule.Probed(m.probed)
+	m.doubted = false
+	m.refused = m.refused && m.ready() && m.now.Sub(m.refusedAt) < 5*time.Minute
+}
+
+func (m *model) ready() bool { return m.probed.Reachable && m.probed.State == backendapi.StateReady }
+
+func (m *model) hear(meaning probing.Meaning, age time.Duration, mark string) {
+	sent := m.now.Add(-age)
+	m.schedule.Heard(probing.Reply{Sent: sent, At: m.now, Meaning: meaning, Holdings: mark})
+	switch meaning {
+	case probing.MeaningServing:
+		m.refused = m.refused && !sent.After(m.refusedAt)
+		switch {
+		case mark == "":
+		case mark != m.probed.Holdings:
+			m.doubted = m.doubted || m.probed.Holdings != ""
+		case sent.After(m.served):
+			m.served = sent
+		}
+	case probing.MeaningDraining:
+		m.refused, m.refusedAt = true, m.now
+	case probing.MeaningLost:
+		m.doubted = m.doubted || !m.served.After(sent)
+	case probing.MeaningMoved:
+		m.doubted = true
+	}
+}
+
+func (m *model) watch() {
+	m.schedule.Watch(m.now)
+	m.watched = m.now.Add(6 * time.Second)
+}
+
+// check holds the due time against what is promised for the state.
+func (m *model) check() {
+	if m.probed.At.IsZero() {
+		require.False(m, m.schedule.Due().After(begin.Add(testConfig.Interval/2)), "first probe")
+		return
+	}
+	pause := m.schedule.Due().Sub(m.probed.At)
+	require.GreaterOrEqual(m, pause, shortest(testConfig.Interval), "probes come too fast")
+	switch {
+	case m.doubted || m.refused || m.probed.At.Before(m.watched):
+		require.LessOrEqual(m, pause, probing.Longest(testConfig.Interval), "in doubt")
+	case !m.ready():
+		bound := min(max(m.probed.At.Sub(m.downFrom)/4, testConfig.Interval), testConfig.DownPause)
+		require.LessOrEqual(m, pause, probing.Longest(bound), "down")
+	default:
+		m.checkReady(pause)
+	}
+}
+
+func (m *model) checkReady(pause time.Duration) {
+	require.LessOrEqual(m, pause, probing.Longest(testConfig.HeardPause), "longest pause")
+	observed := m.probed.At
+	if m.served.After(observed) {
+		observed = m.served
+	}
+	silence := m.schedule.Due().Sub(observed)
+	require.LessOrEqual(m, silence, probing.Longest(testConfig.IdlePause), "nothing newer is known")
+	share := time.Duration(float64(m.routers) / testConfig.Rate * float64(time.Second))
+	require.GreaterOrEqual(m, pause, shortest(min(max(share, testConfig.Interval), testConfig.IdlePause)), "the server's rate")
+}
+
+// TestScheduleKeepsItsBounds plays random probes, replies and words and checks
+// after each when the next probe is due.
+func TestScheduleKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		ages := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond
+		})
+		m.Repeat(map[string]func(*rapid.T){
+			"ready":    func(*rapid.T) { m.probe(true, backendapi.StateReady) },
+			"draining": func(*rapid.T) { m.probe(true, backendapi.StateDraining) },
+			"warming":  func(*rapid.T) { m.probe(true, backendapi.StateWarming) },
+			"lost":     func(*rapid.T) { m.probe(false, "") },
+			"moved": func(t *rapid.T) {
+				m.mark = rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "mark")
+			},
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(min(ages.Draw(t, "wait"), max(m.schedule.Due().Sub(m.now), 0)))
+			},
+			"serving": func(t *rapid.T) { m.hear(probing.MeaningServing, ages.Draw(t, "age"), m.mark) },
+			"failure": func(t *rapid.T) {
+				meaning := rapid.SampledFrom([]probing.Meaning{
+					probing.MeaningNone, probing.MeaningDraining, probing.MeaningLost, probing.MeaningMoved,
+				}).Draw(t, "meaning")
+				m.hear(meaning, ages.Draw(t, "age"), "")
+			},
+			"word": func(*rapid.T) { m.watch() },
+			"":     func(t *rapid.T) { m.check() },
+		})
+	})
+}
+
+// probesIn counts the probes of a server that is always ready in a minute, with
+// a reply for each query at an interval; none for interval 0.
+func probesIn(t *testing.T, routers int, queries time.Duration, mark string) int {
+	schedule := probing.New(testConfig, begin, 7)
+	schedule.SetRouters(routers)
+	count, next := 0, begin
+	for now := begin; now.Before(begin.Add(time.Minute)); now = now.Add(time.Millisecond) {
+		if queries > 0 && !now.Before(next) {
+			next = now.Add(queries)
+			schedule.Heard(probing.Reply{Sent: now.Add(-5 * time.Millisecond), At: now, Meaning: probing.MeaningServing, Holdings: mark})
+		}
+		if !now.Before(schedule.Due()) {
+			count++
+			schedule.Probed(probing.Probe{At: now, Reachable: true, State: backendapi.StateReady, Holdings: "a"})
+		}
+	}
+	require.Positive(t, count)
+	return count
+}
+
+func TestRepliesStandInForProbes(t *testing.T) {
+	idle := probesIn(t, 64, 0, "")
+	require.InDelta(t, 40, idle, 5, "one in the idle pause")
+	require.InDelta(t, 240, probesIn(t, 1, 0, ""), 25, "one in the interval")
+	require.InDelta(t, 15, probesIn(t, 64, 10*time.Millisecond, "a"), 3, "one in the heard pause")
+	require.InDelta(t, idle, probesIn(t, 64, 10*time.Millisecond, ""), 5, "without a mark a reply is no observation")
+	require.InDelta(t, 240, probesIn(t, 64, 10*time.Millisecond, "b"), 25, "another mark calls for a probe")
+}
+
+func TestRoutersWithOtherSeedsSpreadTheirProbes(t *testing.T) {
+	const routers, slots = 64, 10
+	counts := make([]int, slots)
+	for seed := range uint64(routers) {
+		schedule := probing.New(testConfig, begin, seed)
+		schedule.SetRouters(routers)
+		for schedule.Due().Before(begin.Add(time.Minute)) {
+			due := schedule.Due()
+			if passed := due.Sub(begin); passed > 59*time.Second {
+				counts[int(passed-59*time.Second)*slots/int(time.Second)]++
+			}
+			schedule.Probed(probing.Probe{At: due, Reachable: true, State: backendapi.StateReady})
+		}
+	}
+	total := 0
+	for _, count := range counts {
+		total += count
+	}
+	for _, count := range counts {
+		require.Less(t, count, total/3, "a burst: %v", counts)
+	}
+}
--- a/internal/query/event.go
+++ b/internal/query/event.go
@@ -122,8 +122,13 @@
 	Known    bool
 	Draining bool
 	Load     backendapi.Load
+	// Holdings is the sender's mark for what it can serve, if it has one.
+	Holdings string
 }
 
+// observes reports whether the reply says all that a probe says.
+func (r Report) observes() bool { return r.Known && !r.Draining && r.Holdings != "" }
+
 // HealthObserved is the outcome of one probe of a back end.
 type HealthObserved struct {
 	Address netip.AddrPort
--- a/internal/query/replies.go
+++ b/internal/query/replies.go
@@ -24,6 +24,9 @@
 	e.pool.Finish(e.now, ended.group, ended.server, balancer.Result{
 		Outcome: balancer.Answered, Elapsed: e.now.Sub(ended.sent),
 	})
+	if event.Report.observes() {
+		e.pool.ObserveServing(ended.server, ended.sent)
+	}
 	if r := ended.request; r != nil {
 		r.ran = true
 		e.cover(r, ended, event)
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/probing"
 	"github.com/martenstage/martenstage/internal/query"
 )
 
@@ -28,8 +29,15 @@
 	MaxRequests int
 	// MaxAttempts bounds the attempts in flight of one engine.
 	MaxAttempts int
-	// ProbeInterval is the pause between two probes of one back end.
+	// ProbeInterval is the least pause between two probes of one back end, that
+	// of one in doubt.
 	ProbeInterval time.Duration
+	// ProbeIdlePause, ProbeHeardPause and ProbeDownPause are the longest pauses
+	// for a back end that is idle, whose replies come, and that is down; see
+	// package probing.
+	ProbeIdlePause  time.Duration
+	ProbeHeardPause time.Duration
+	ProbeDownPause  time.Duration
 	// ProbeTimeout bounds one probe.
 	ProbeTimeout time.Duration
 	// CancelTimeout bounds the sending of one cancellation.
@@ -52,7 +60,7 @@
 	DefaultAdmissionRing = 1024
 	DefaultMaxRequests   = 4096
 	DefaultMaxAttempts   = 16384
-	DefaultProbeInterval = 250 * time.Millisecond
+	DefaultProbeInterval = probing.DefaultInterval
 	DefaultProbeTimeout  = time.Second
 	DefaultCancelTimeout = time.Second
 	DefaultRefusalPause  = 250 * time.Millisecond
@@ -73,6 +81,16 @@
 	return c
 }
 
+// probing returns the pauses of the prober.
+func (c Config) probing() probing.Config {
+	return probing.Config{
+		Interval:   c.ProbeInterval,
+		IdlePause:  c.ProbeIdlePause,
+		HeardPause: c.ProbeHeardPause,
+		DownPause:  c.ProbeDownPause,
+	}
+}
+
 // Engine is the decision core that an engine loop drives; query.Engine is one.
 type Engine interface {
 	Step(now time.Time, event query.Event) []query.Command
--- a/internal/router/cost_test.go
+++ b/internal/router/cost_test.go
@@ -79,7 +79,7 @@
 }
 
 func costHandler(shard uint32) http.Handler {
-	health, _ := json.Marshal(backendapi.Health{State: backendapi.StateReady, Shards: []backendapi.ShardState{
+	health, _ := json.Marshal(backendapi.Health{State: backendapi.StateReady, Holdings: "1", Shards: []backendapi.ShardState{
 		{Service: "search", Generation: 1, Shard: shard, Versions: []uint64{1}}}})
 	digest := backendapi.Digest(costPart)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
@@ -96,6 +96,7 @@
 		header.Set(backendapi.HeaderRequestDigest, backendapi.Digest(body))
 		header.Set(backendapi.HeaderDigest, digest)
 		header.Set(backendapi.HeaderLoad, "1/64/0")
+		header.Set(backendapi.HeaderHoldings, "1")
 		batch := max(1, len(body)/len(costBody))
 		header.Set("Content-Length", strconv.Itoa(batch*len(costPart)))
 		for range batch {
@@ -104,11 +105,11 @@
 	})
 }
 
-// startCostServers starts the child and returns its addresses.
-func startCostServers(b *testing.B) []netip.AddrPort {
+// startCostServers starts the child with a number of servers and returns its addresses.
+func startCostServers(b *testing.B, count int) []netip.AddrPort {
 	b.Helper()
 	command := exec.Command(os.Args[0])
-	command.Env = append(os.Environ(), costServers+"="+strconv.Itoa(costShards))
+	command.Env = append(os.Environ(), costServers+"="+strconv.Itoa(count))
 	input, err := command.StdinPipe()
 	require.NoError(b, err)
 	output, err := command.StdoutPipe()
@@ -118,11 +119,11 @@
 		_ = input.Close()
 		_ = command.Wait()
 	})
-	addresses := make([]netip.AddrPort, 0, costShards)
-	for lines := bufio.NewScanner(output); len(addresses) < costShards && lines.Scan(); {
+	addresses := make([]netip.AddrPort, 0, count)
+	for lines := bufio.NewScanner(output); len(addresses) < count && lines.Scan(); {
 		addresses = append(addresses, netip.MustParseAddrPort(strings.TrimSpace(lines.Text())))
 	}
-	require.Len(b, addresses, costShards)
+	require.Len(b, addresses, count)
 	return addresses
 }
 
@@ -168,7 +169,7 @@
 // BenchmarkAttempt compares what an attempt costs in a bare loop of the HTTP
 // client, in the back-end client, and in the whole router with its engine.
 func BenchmarkAttempt(b *testing.B) {
-	addresses := startCostServers(b)
+	addresses := startCostServers(b, costShards)
 	b.Run("bare-http1", func(b *testing.B) { benchmarkBare(b, addresses, bareVariant{batch: 1}) })
 	b.Run("bare-http2", func(b *testing.B) { benchmarkBare(b, addresses, bareVariant{batch: 1, http2: true}) })
 	b.Run("bare-http1-batch8", func(b *testing.B) { benchmarkBare(b, addresses, bareVariant{batch: 8}) })
--- a/internal/router/engine_loop.go
+++ b/internal/router/engine_loop.go
@@ -183,7 +183,12 @@
 	}
 	attemptContext, cancel := context.WithTimeout(ctx, attempt.Timeout)
 	l.attempts[attempt.Attempt] = flight{cancel: cancel, callerID: attempt.CallerID}
-	go func() { l.pushOutcome(l.sender.Send(attemptContext, attempt)) }()
+	go func() {
+		sent := time.Now()
+		outcome := l.sender.Send(attemptContext, attempt)
+		l.router.prober.heard(attempt.Address, outcome, sent)
+		l.pushOutcome(outcome)
+	}()
 }
 
 // cancel gives an attempt up: its connection is closed, and the back end is
@@ -288,10 +293,10 @@
 	}
 }
 
-// pushHealth hands over a probe's outcome; without room it is dropped, as the
-// next one comes soon.
-func (l *engineLoop) pushHealth(observed query.HealthObserved) {
-	l.notices.TryPush(notice{event: observed})
+// pushHealth hands over a probe's outcome; without room it is dropped, and the
+// probe is to be made again.
+func (l *engineLoop) pushHealth(observed query.HealthObserved) bool {
+	return l.notices.TryPush(notice{event: observed})
 }
 
 // cancellation is one attempt that a back end is told to give up.
--- a/internal/router/installation.go
+++ b/internal/router/installation.go
@@ -89,6 +89,8 @@
 	if sameServices(own, current.own) {
 		r.shares.installPlan(current, r.cells)
 		r.refreshCells(current.plan)
+		// The routers that share the back ends may be more or fewer now.
+		r.prober.retarget(r.runContext, r.probeTargets(current.own))
 		return
 	}
 	r.put(&installation{revision: current.revision, plan: current.plan, own: own})
@@ -124,17 +126,26 @@
 func (r *Router) probeTargets(installed *plan.Plan) map[netip.AddrPort]probeTarget {
 	targets := make(map[netip.AddrPort]probeTarget)
 	for _, service := range installed.Services {
-		owner := r.ownerOf(service.Name)
+		owner, routers := r.ownerOf(service.Name), r.cellSize(&service)
 		for _, address := range addressesOf(service) {
 			target := targets[address]
 			target.address = address
 			target.loops = lo.Uniq(append(target.loops, owner))
+			target.routers = max(target.routers, routers)
 			targets[address] = target
 		}
 	}
 	return targets
 }
 
+// cellSize returns how many routers use the back ends of a service.
+func (r *Router) cellSize(service *plan.Service) int {
+	if r.config.Alone {
+		return 1
+	}
+	return len(r.cells.Members(service.Name, service.CellRouters))
+}
+
 // addressesOf lists the back ends of a service, each once.
 func addressesOf(service plan.Service) []netip.AddrPort {
 	var addresses []netip.AddrPort
@@ -167,6 +178,7 @@
 // ObserveMachines implements ConfigSink.
 func (r *Router) ObserveMachines(observed []query.MachineObserved) {
 	for _, machine := range observed {
+		r.prober.watch(machine.Address)
 		for _, loop := range r.loops {
 			loop.pushNotice(machine, nil)
 		}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -23,6 +23,7 @@
 	missing        *prometheus.CounterVec
 	forwards       *prometheus.CounterVec
 	cancelsDropped prometheus.Counter
+	probes         *prometheus.CounterVec
 	revision       prometheus.Gauge
 }
 
@@ -48,11 +49,14 @@
 			[]string{"service", "verdict"}),
 		cancelsDropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "martenstage_router_cancels_dropped_total", Help: "Cancellations not sent because too many waited."}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_router_probes_total", Help: "Health probes of back ends by outcome (answered, unanswered)."},
+			[]string{"outcome"}),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_router_config_revision", Help: "Revision of the configuration in force."}),
 	}
 	registerer.MustRegister(created.requests, created.latency, created.attempts,
-		created.missing, created.forwards, created.cancelsDropped, created.revision)
+		created.missing, created.forwards, created.cancelsDropped, created.probes, created.revision)
 	return created
 }
 
@@ -81,6 +85,14 @@
 	m.attempts.WithLabelValues(attempt.Service, kind).Inc()
 }
 
+func (m *routerMetrics) countProbe(answered bool) {
+	outcome := "unanswered"
+	if answered {
+		outcome = "answered"
+	}
+	m.probes.WithLabelValues(outcome).Inc()
+}
+
 func (m *routerMetrics) countAnswer(route string, answer query.Answer, elapsed time.Duration) {
 	reason := ""
 	if answer.Err != nil {
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/balancer"
+	"github.com/martenstage/martenstage/internal/probing"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/rpc"
 )
@@ -36,7 +37,10 @@
 	MaxRequests int `long:"max-requests" koanf:"max-requests" default:"4096" validate:"min=1" description:"Requests under way in one engine; more are refused"`
 	MaxAttempts int `long:"max-attempts" koanf:"max-attempts" default:"16384" validate:"min=1" description:"Attempts in flight of one engine; more are refused"`
 
-	ProbeInterval time.Duration `long:"probe-interval" koanf:"probe-interval" default:"250ms" validate:"min=10ms" description:"Pause between health probes of a back end"`
+	ProbeInterval time.Duration `long:"probe-interval" koanf:"probe-interval" default:"250ms" validate:"min=10ms" description:"Least pause between health probes of a back end, used while it is in doubt"`
+	ProbeIdle     time.Duration `long:"probe-idle-pause" koanf:"probe-idle-pause" default:"1500ms" validate:"min=10ms" description:"Longest pause between observations of a back end that is ready; a site of few routers pauses less"`
+	ProbeHeard    time.Duration `long:"probe-heard-pause" koanf:"probe-heard-pause" default:"4s" validate:"min=10ms" description:"Longest pause between probes of a back end whose replies say all that a probe says"`
+	ProbeDown     time.Duration `long:"probe-down-pause" koanf:"probe-down-pause" default:"4s" validate:"min=10ms" description:"Longest pause between probes of a back end that is unreachable, draining or warming"`
 	ProbeTimeout  time.Duration `long:"probe-timeout" koanf:"probe-timeout" default:"1s" validate:"min=10ms" description:"Longest wait for a health probe"`
 	ShareDelay    time.Duration `long:"share-delay" koanf:"share-delay" default:"15s" validate:"min=1s" description:"How long after a change of the live routers a bigger share of connections is taken; at least one and a half times control's lease"`
 	DialTimeout   time.Duration `long:"dial-timeout" koanf:"dial-timeout" default:"1s" validate:"min=1ms" description:"Longest wait for a connection to a back end"`
@@ -81,6 +85,10 @@
 		ProbeInterval: o.ProbeInterval,
 		ProbeTimeout:  o.ProbeTimeout,
 		ShareDelay:    o.ShareDelay,
+
+		ProbeIdlePause:  o.ProbeIdle,
+		ProbeHeardPause: o.ProbeHeard,
+		ProbeDownPause:  o.ProbeDown,
 	}
 }
 
@@ -103,9 +111,11 @@
 	}
 }
 
-// healthLifetime is the time of two probes that get no answer, after which a
-// back end counts as unreachable in any case.
+// healthLifetime is the longest pause after an observation and the time of one
+// probe that gets no answer, and at least that of two such probes in doubt, after
+// which a back end counts as unreachable in any case.
 func (o *Options) healthLifetime() time.Duration {
 	const probes = 2
-	return probes * (o.ProbeInterval + o.ProbeTimeout)
+	idle := probing.Longest(max(o.ProbeIdle, o.ProbeInterval))
+	return max(idle+o.ProbeTimeout, probes*(o.ProbeInterval+o.ProbeTimeout))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,10 +70,11 @@
 // New returns a router that does nothing until Run.
 func New(config Config, dependencies Dependencies) *Router {
 	config = config.withDefaults()
+	metrics := newRouterMetrics(dependencies.Registerer)
 	created := &Router{
 		config:   config,
 		logger:   dependencies.Logger,
-		metrics:  newRouterMetrics(dependencies.Registerer),
+		metrics:  metrics,
 		routes:   routestats.NewRecorder(time.Now()),
 		backends: dependencies.Backends,
 		claims:   dependencies.Claims,
@@ -82,7 +83,7 @@
 
 		forwarder: dependencies.Forwarder,
 
-		prober: newProber(config, dependencies.Backends),
+		prober: newProber(config, dependencies.Backends, metrics),
 		warmer: newWarmer(dependencies.Backends),
 	}
 	created.cells = cell.NewCells([]string{config.Name})
--- a/internal/simulation/attempt.go
+++ b/internal/simulation/attempt.go
@@ -18,6 +18,7 @@
 	send       query.Send
 	name       string
 	bodyDigest string
+	sentAt     time.Time
 	// expires is the true time at which the back end's deadline passes.
 	expires   time.Duration
 	execution *execution
@@ -43,6 +44,7 @@
 		name:       fmt.Sprintf("%s-%d-%d", r.name(), r.boot, command.Attempt),
 		bodyDigest: backendapi.Digest(command.Body),
 		expires:    w.queue.Now() + command.Timeout,
+		sentAt:     r.now(),
 	}
 	r.attempts[command.Attempt] = sent
 	w.trace.detail(r.name(), "query_sent", command.CallerID, "attempt", sent.name, "to", sent.server.name(),
@@ -121,7 +123,7 @@
 		Echo: query.Echo{Request: run.record.Request, Shard: run.record.Shard,
 			Generation: run.record.Generation, Version: run.record.Version, RequestDigest: run.record.BodyDigest},
 		Part:   backendapi.Part{Items: run.items},
-		Report: query.Report{Known: true, Load: load, Draining: draining},
+		Report: query.Report{Known: true, Load: load, Draining: draining, Holdings: a.server.health().Holdings},
 	}
 	if a.server.confused {
 		arrived.Echo.Shard++
@@ -154,6 +156,7 @@
 		a.hangUp()
 	}
 	delete(a.router.attempts, a.send.Attempt)
+	a.router.heard(a, outcome)
 	a.router.step(outcome)
 }
 
--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -323,6 +323,7 @@
 			Service: held.service, Generation: held.generation, Shard: held.shard, Versions: slices.Clone(b.versions),
 		})
 	}
+	report.Holdings = backendapi.HoldingsMark(report.Shards)
 	return report
 }
 
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -22,10 +22,12 @@
 }
 
 const (
+	// probeInterval is the least pause between probes, longer than a router's to
+	// save events; the others are a router's defaults.
 	probeInterval = 500 * time.Millisecond
 	probeTimeout  = time.Second
 	// healthLifetime is that of a router with the default probes.
-	healthLifetime = 2500 * time.Millisecond
+	healthLifetime = 2875 * time.Millisecond
 	// shareDelay is the router's default delay before a bigger share of
 	// connections is taken.
 	shareDelay = 15 * time.Second
@@ -43,6 +45,7 @@
 	claims  *claimClient
 	spool   *spool
 	members []string // live routers
+	watches map[netip.AddrPort]*watch
 
 	revision uint64
 	plan     *plan.Plan
@@ -85,6 +88,7 @@
 	}))
 	r.revision, r.plan, r.members = 0, nil, []string{r.name()}
 	r.ledger, r.lapsed = cell.NewLedger(shareDelay), true
+	r.watches = map[netip.AddrPort]*watch{}
 	r.shares, r.open = map[netip.AddrPort]cell.Share{}, map[netip.AddrPort]*connections{}
 	r.attempts, r.waiting = map[query.AttemptID]*attempt{}, map[query.RequestID]func(query.Answer){}
 	r.machines = map[string]membership.State{}
@@ -94,7 +98,6 @@
 	r.world.trace.note(r.name(), "router_started", "boot", r.boot)
 	r.spool.start()
 	r.follow.start()
-	r.probe()
 	r.watchLease()
 }
 
@@ -174,27 +177,6 @@
 	answer(command.Answer)
 }
 
-// probe asks all back ends of the plan for their health.
-func (r *router) probe() {
-	r.after(probeInterval, r.probe)
-	for _, server := range r.world.backends {
-		if _, used := r.shares[server.address]; !used {
-			continue
-		}
-		r.world.call(call{
-			from: &r.process, to: &server.process, timeout: probeTimeout,
-			handle: func(reply reply) { reply(server.health()) },
-			done: func(result callResult) {
-				observed := query.HealthObserved{Address: server.address, Reachable: !result.failed}
-				if !result.failed {
-					observed.Health = r.world.mutations.health(result.answer)
-				}
-				r.step(observed)
-			},
-		})
-	}
-}
-
 // stop begins a planned stop: the router says that it is not ready, serves on
 // until callers have moved, finishes what is under way and exits.
 func (r *router) stop() {
@@ -280,6 +262,7 @@
 			r.step(query.ShareChanged{Address: address, Slots: share.Slots, Connections: share.Connections})
 		}
 	}
+	r.watchShared()
 	r.growth.set(next)
 }
 
--- a/internal/simulation/router_sink.go
+++ b/internal/simulation/router_sink.go
@@ -66,5 +66,5 @@
 	word := map[membership.State]query.MachineState{
 		membership.Live: query.MachineLive, membership.Leaving: query.MachineLeaving, membership.Gone: query.MachineGone,
 	}[state]
-	r.step(query.MachineObserved{Address: netip.MustParseAddrPort(address), State: word})
+	r.hear(query.MachineObserved{Address: netip.MustParseAddrPort(address), State: word})
 }
