--- a/cmd/martenstage/control_test.go
+++ b/cmd/martenstage/control_test.go
@@ -73,7 +73,12 @@
 // startVoters starts a group of three, with further arguments for each, and
 // returns a client of it.
 func startVoters(t *testing.T, further ...string) ([]*voterProcess, *control.Client) {
-	addresses := freeAddresses(t, 3)
+	return startGroup(t, 3, further...)
+}
+
+// startGroup is startVoters for any number of voters.
+func startGroup(t *testing.T, count int, further ...string) ([]*voterProcess, *control.Client) {
+	addresses := freeAddresses(t, count)
 	processes := make([]*voterProcess, len(addresses))
 	for index, address := range addresses {
 		arguments := []string{
--- a/cmd/martenstage/operator.go
+++ b/cmd/martenstage/operator.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/control"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/keys"
@@ -30,6 +32,10 @@
 	InsecurePlaintext bool   `long:"insecure-plaintext" env:"MARTENSTAGE_INSECURE_PLAINTEXT" description:"Call control without keys"`
 }
 
+// widestReason bounds what is shown of the reason for waiting, so that the line
+// fits a terminal and can be written over.
+const widestReason = 48
+
 // call runs a function with a client of control, within the timeout.
 func (o *operatorOptions) call(function func(context.Context, *control.Client) error) error {
 	for _, address := range o.Control {
@@ -52,11 +58,19 @@
 	defer client.CloseIdle()
 	ctx, cancel := context.WithTimeout(context.Background(), o.Timeout)
 	defer cancel()
-	return withExitCode(function(ctx, control.NewClient(o.Control, client)))
+	caller := control.NewClient(o.Control, client)
+	progress := cli.NewProgress(os.Stderr)
+	caller.OnWaiting(func(why string) { progress.Show("waiting for control: " + lo.Ellipsis(why, widestReason)) })
+	err = function(ctx, caller)
+	progress.Done()
+	return withExitCode(err)
 }
 
 // withExitCode gives errors of the client their exit codes.
 func withExitCode(err error) error {
+	if errors.Is(err, control.ErrCertificate) {
+		return exitcode.With(exitcode.Settings, err)
+	}
 	if errors.Is(err, control.ErrUnavailable) || errors.Is(err, voter.ErrOutcomeUnknown) {
 		return exitcode.With(exitcode.Unavailable, err)
 	}
--- a/cmd/martenstage/operator_test.go
+++ b/cmd/martenstage/operator_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -125,6 +126,49 @@
 	require.NotContains(t, stderr, "not known whether", "nothing was sent")
 }
 
+// TestEveryAddressIsNamed calls two addresses at which nobody listens. In a pipe
+// the error is the only line.
+func TestEveryAddressIsNamed(t *testing.T) {
+	t.Parallel()
+	_, stderr, code := runCommand(t, "config", "get", "--insecure-plaintext", "--timeout", "300ms",
+		"--control", "127.0.0.1:1", "--control", "127.0.0.1:2")
+	require.Equal(t, exitcode.Unavailable, code, stderr)
+	require.Equal(t, 1, strings.Count(stderr, "\n"), stderr)
+	for _, address := range []string{"127.0.0.1:1: ", "127.0.0.1:2: "} {
+		require.Contains(t, stderr, address+"connect: connection refused")
+	}
+}
+
+// TestForeignCertificateEndsACommand calls a control with the keys of another
+// site. The command must not wait for its timeout, which is the test's.
+func TestForeignCertificateEndsACommand(t *testing.T) {
+	t.Parallel()
+	site, foreign := t.TempDir(), t.TempDir()
+	for folder, names := range map[string][][]string{
+		site: {{"control-1", "--role", "control"}}, foreign: {{"malee", "--role", "operator"}},
+	} {
+		_, stderr, code := runCommand(t, "keys", "init", "--folder", folder)
+		require.Equal(t, exitcode.OK, code, stderr)
+		for _, name := range names {
+			_, stderr, code = runCommand(t, append([]string{"keys", "issue", "--folder", folder, "--address", "127.0.0.1", "--name"}, name...)...)
+			require.Equal(t, exitcode.OK, code, stderr)
+		}
+	}
+	keysIn := func(folder, name string) []string {
+		return []string{"--tls-authority", filepath.Join(folder, "authority.crt"),
+			"--tls-certificate", filepath.Join(folder, name+".crt"), "--tls-key", filepath.Join(folder, name+".key")}
+	}
+	address := freeAddresses(t, 1)[0]
+	process := &voterProcess{arguments: append([]string{"control", "--id", "1", "--listen", address,
+		"--voter", "1=" + address, "--data-folder", t.TempDir()}, keysIn(site, "control-1")...)}
+	process.start(t)
+	t.Cleanup(func() { process.end(t, syscall.SIGKILL) })
+	_, stderr, code := runCommand(t, append([]string{"config", "get", "--control", address, "--timeout", testTimeout.String()},
+		keysIn(foreign, "malee")...)...)
+	require.Equal(t, exitcode.Settings, code, stderr)
+	require.Contains(t, stderr, address+": its certificate is not of this site")
+}
+
 // TestTextInAnotherEncodingIsRefusedAtOnce applies a file that is not UTF-8. No
 // control is needed to refuse it, and no doubt is left.
 func TestTextInAnotherEncodingIsRefusedAtOnce(t *testing.T) {
--- a/cmd/martenstage/status.go
+++ b/cmd/martenstage/status.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"github.com/martenstage/martenstage/internal/cli"
@@ -60,6 +61,7 @@
 // read asks for the status, and for the configuration if it is a newer one.
 func (c *statusCommand) read(ctx context.Context, client *control.Client) (*v1.StatusResponse, error) {
 	status, err := client.Status(ctx)
+	addDiskErrors(ctx, client, status)
 	if err != nil || status.GetRevision() == 0 || status.GetRevision() == c.revision {
 		return status, err
 	}
@@ -71,6 +73,34 @@
 	return status, nil
 }
 
+// addDiskErrors asks the voters whether their disk failed if one is behind or not
+// heard of: only they themselves know.
+func addDiskErrors(ctx context.Context, client *control.Client, status *v1.StatusResponse) {
+	suspicious := lo.SomeBy(status.GetVoters(), func(voter *v1.VoterStatus) bool {
+		return !voter.GetRecentlyActive() || voter.GetMatchIndex() < status.GetCommitIndex()
+	})
+	if !suspicious {
+		return
+	}
+	for _, own := range client.LocalStatuses(ctx) {
+		for _, voter := range status.GetVoters() {
+			if voter.GetVoter().GetId() == own.GetAnsweredBy() {
+				voter.DiskError = ownDiskError(own)
+			}
+		}
+	}
+}
+
+// ownDiskError returns what a voter says of its own disk.
+func ownDiskError(own *v1.StatusResponse) string {
+	for _, voter := range own.GetVoters() {
+		if voter.GetVoter().GetId() == own.GetAnsweredBy() {
+			return voter.GetDiskError()
+		}
+	}
+	return ""
+}
+
 func (c *statusCommand) print(status *v1.StatusResponse) error {
 	if c.JSON {
 		return c.printJSON(status)
--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -36,6 +36,8 @@
 type Client struct {
 	voters []peers
 	next   int
+	// waiting is told after each round without a definite answer; nil for nobody.
+	waiting func(why string)
 }
 
 // NewClient returns a client of the voters at the addresses, of which there
@@ -45,6 +47,10 @@
 	return &Client{voters: voters}
 }
 
+// OnWaiting sets a function that is called after each round over all voters that
+// gave no definite answer, with what each of them said.
+func (c *Client) OnWaiting(waiting func(why string)) { c.waiting = waiting }
+
 // Apply submits a configuration and resends it under the same change id until
 // an answer is definite. voter.ErrOutcomeUnknown means that the time ran out with a
 // copy on its way: it may be accepted, and only the same change id will tell.
@@ -162,23 +168,35 @@
 	ctx context.Context, client *Client, request *Request, call remoteCall[Request, Response],
 ) (response *Response, doubtful bool, err error) {
 	pause := firstPause
+	said := make(failures, len(client.voters))
 	for attempt := 1; ; attempt++ {
 		response, err := attemptOnce(ctx, client, request, call)
 		if err == nil || isDefinite(err) {
 			return response, false, definite(err)
 		}
 		doubtful = doubtful || !hadNoEffect(err)
+		said[client.next%len(client.voters)] = err
 		client.next++
 		if attempt%len(client.voters) != 0 {
 			continue
 		}
+		if said.allCertificates() {
+			return nil, doubtful, errors.Mark(errors.Newf("%v: %s", ErrCertificate, said.describe(client.voters)), ErrCertificate)
+		}
+		client.tell(said)
 		if !wait.For(ctx, jitter(pause)) {
-			return nil, doubtful, errors.Mark(errors.Newf("no control voter with a quorum answered: %v", err), ErrUnavailable)
+			return nil, doubtful, errors.Mark(errors.Newf("%v: %s", ErrUnavailable, said.describe(client.voters)), ErrUnavailable)
 		}
 		pause = min(2*pause, longestPause)
 	}
 }
 
+func (c *Client) tell(said failures) {
+	if c.waiting != nil {
+		c.waiting(said.describe(c.voters))
+	}
+}
+
 func attemptOnce[Request, Response any](
 	ctx context.Context, client *Client, request *Request, call remoteCall[Request, Response],
 ) (*Response, error) {
@@ -206,7 +224,7 @@
 // hadNoEffect reports whether a failed attempt surely changed nothing: a voter
 // said so, or no connection came about.
 func hadNoEffect(err error) bool {
-	return neverSent(err) || connect.IsWireError(err) && connect.CodeOf(err) != connect.CodeAborted
+	return neverSent(err) || isCertificateError(err) || connect.IsWireError(err) && connect.CodeOf(err) != connect.CodeAborted
 }
 
 // neverSent reports whether no connection came about.
--- /dev/null
+++ b/internal/control/client_errors_test.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/keys"
+	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/voter"
+)
+
+// TestForeignKeysAreReportedAtOnce calls voters with keys of another site, which
+// either side may be the one to refuse. The call must not wait for its context.
+func TestForeignKeysAreReportedAtOnce(t *testing.T) {
+	t.Parallel()
+	site, foreign := t.TempDir(), t.TempDir()
+	for _, folder := range []string{site, foreign} {
+		require.NoError(t, keys.Init(folder, time.Now()))
+	}
+	cluster := newTestCluster(t, 3, func(options *Options) {
+		files := issue(t, site, fmt.Sprintf("control-%d", options.ID), keys.RoleControl)
+		options.Authority, options.Certificate, options.Key = files.Authority, files.Certificate, files.Key
+		options.InsecurePlaintext = false
+	})
+	cluster.leader()
+	var addresses []string
+	for _, node := range cluster.nodes {
+		addresses = append(addresses, node.options.Listen)
+	}
+	stranger := issue(t, foreign, "stranger", keys.RoleOperator)
+	both := stranger
+	both.Authority = filepath.Join(foreign, "both.crt")
+	var authorities []byte
+	for _, folder := range []string{site, foreign} {
+		authority, err := os.ReadFile(filepath.Join(folder, keys.AuthorityCertificateFile))
+		require.NoError(t, err)
+		authorities = append(authorities, authority...)
+	}
+	require.NoError(t, os.WriteFile(both.Authority, authorities, 0o600))
+	for name, test := range map[string]struct {
+		files keys.Files
+		roles []keys.Role
+		want  string
+	}{
+		"the program refuses": {stranger, []keys.Role{keys.RoleControl}, "its certificate is not of this site"},
+		"the voter refuses":   {both, []keys.Role{keys.RoleControl}, "it refuses this program's certificate"},
+		"another role":        {issue(t, site, "malee", keys.RoleOperator), []keys.Role{keys.RoleRelay}, "its certificate is of another role"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			security, err := rpc.NewSecurity(rpc.SecuritySettings{Files: test.files}, logrus.New())
+			require.NoError(t, err)
+			connection := rpc.NewClient(security, rpc.ClientConfig{ServerRoles: test.roles})
+			t.Cleanup(connection.CloseIdle)
+			client := NewClient(addresses, connection)
+			_, err = client.Apply(testContext(t), &v1.ApplyRequest{ChangeId: "foreign", Text: "text"})
+			require.True(t, errors.Is(err, ErrCertificate), "%v", err)
+			require.False(t, errors.Is(err, voter.ErrOutcomeUnknown), "nothing was sent")
+			for _, address := range addresses {
+				require.ErrorContains(t, err, address+": "+test.want)
+			}
+		})
+	}
+}
+
+// TestEachAddressIsNamedWithItsError calls a voter that can't lead alone and an
+// address at which nobody listens, until the context ends.
+func TestEachAddressIsNamedWithItsError(t *testing.T) {
+	t.Parallel()
+	cluster := newTestCluster(t, 3, nil)
+	leader := cluster.leader()
+	left, gone := cluster.others(leader)[0], cluster.others(leader)[1]
+	gone.crash()
+	leader.crash()
+	const nobody = "127.0.0.1:1"
+	addresses := []string{left.options.Listen, nobody}
+	connection := rpc.NewClient(rpc.Plaintext(), rpc.ClientConfig{})
+	t.Cleanup(connection.CloseIdle)
+	client := NewClient(addresses, connection)
+	ctx, cancel := context.WithCancel(testContext(t))
+	defer cancel()
+	rounds := 0
+	client.OnWaiting(func(why string) {
+		rounds++
+		if rounds == 3 {
+			require.Contains(t, why, nobody+": ")
+			cancel()
+		}
+	})
+	_, err := client.Get(ctx, 0)
+	require.True(t, errors.Is(err, ErrUnavailable), "%v", err)
+	require.Equal(t, 3, rounds)
+	for _, address := range addresses {
+		require.ErrorContains(t, err, address+": ")
+	}
+	require.ErrorContains(t, err, "connection refused")
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -22,17 +22,19 @@
 
 // peers are the clients of one voter's services.
 type peers struct {
-	config martenstagev1connect.ConfigServiceClient
-	claims martenstagev1connect.ClaimServiceClient
-	events martenstagev1connect.JournalServiceClient
+	address string
+	config  martenstagev1connect.ConfigServiceClient
+	claims  martenstagev1connect.ClaimServiceClient
+	events  martenstagev1connect.JournalServiceClient
 }
 
 func newPeers(client *rpc.Client, address string) peers {
 	baseURL, options := client.URL(address), rpc.ClientOptions()
 	return peers{
-		config: martenstagev1connect.NewConfigServiceClient(client.HTTP(), baseURL, options),
-		claims: martenstagev1connect.NewClaimServiceClient(client.HTTP(), baseURL, options),
-		events: martenstagev1connect.NewJournalServiceClient(client.HTTP(), baseURL, options),
+		address: address,
+		config:  martenstagev1connect.NewConfigServiceClient(client.HTTP(), baseURL, options),
+		claims:  martenstagev1connect.NewClaimServiceClient(client.HTTP(), baseURL, options),
+		events:  martenstagev1connect.NewJournalServiceClient(client.HTTP(), baseURL, options),
 	}
 }
 
