--- a/cmd/martenstage/group_test.go
+++ b/cmd/martenstage/group_test.go
@@ -22,6 +22,7 @@
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/testaddress"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
@@ -132,7 +133,7 @@
 }
 
 func startSecuredGroup(t *testing.T) *securedGroup {
-	group := &securedGroup{folder: t.TempDir(), addresses: freeAddresses(t, 3)}
+	group := &securedGroup{folder: t.TempDir(), addresses: testaddress.List(3)}
 	require.NoError(t, keys.Init(group.folder, time.Now()))
 	for index, address := range group.addresses {
 		id := fmt.Sprint(index + 1)
@@ -152,7 +153,7 @@
 // keysOf issues keys and returns the options that name them.
 func (g *securedGroup) keysOf(t *testing.T, name string, role keys.Role) []string {
 	require.NoError(t, keys.Issue(g.folder, keys.Request{
-		Name: name, Role: role, Lifetime: time.Hour, Addresses: []netip.Addr{netip.MustParseAddr("127.0.0.1")},
+		Name: name, Role: role, Lifetime: time.Hour, Addresses: []netip.Addr{testaddress.Host()},
 	}, time.Now()))
 	return []string{"--tls-authority", filepath.Join(g.folder, keys.AuthorityCertificateFile),
 		"--tls-certificate", filepath.Join(g.folder, name+".crt"), "--tls-key", filepath.Join(g.folder, name+".key")}
--- a/cmd/martenstage/operator_test.go
+++ b/cmd/martenstage/operator_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/exitcode"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // runCommand runs the program and returns what it printed and its exit code.
@@ -118,7 +119,7 @@
 // TestNoControlAnswers checks the exit code when nobody listens.
 func TestNoControlAnswers(t *testing.T) {
 	t.Parallel()
-	address := freeAddresses(t, 1)[0]
+	address := testaddress.Next().String()
 	_, stderr, code := runCommand(t, "config", "get", "--insecure-plaintext", "--timeout", "300ms", "--control", address)
 	require.Equal(t, exitcode.Unavailable, code, stderr)
 	_, stderr, code = runCommand(t, "drain", "127.0.0.1:1", "--insecure-plaintext", "--timeout", "300ms", "--control", address)
@@ -150,7 +151,7 @@
 		_, stderr, code := runCommand(t, "keys", "init", "--folder", folder)
 		require.Equal(t, exitcode.OK, code, stderr)
 		for _, name := range names {
-			_, stderr, code = runCommand(t, append([]string{"keys", "issue", "--folder", folder, "--address", "127.0.0.1", "--name"}, name...)...)
+			_, stderr, code = runCommand(t, append([]string{"keys", "issue", "--folder", folder, "--address", testaddress.Host().String(), "--name"}, name...)...)
 			require.Equal(t, exitcode.OK, code, stderr)
 		}
 	}
@@ -158,7 +159,7 @@
 		return []string{"--tls-authority", filepath.Join(folder, "authority.crt"),
 			"--tls-certificate", filepath.Join(folder, name+".crt"), "--tls-key", filepath.Join(folder, name+".key")}
 	}
-	address := freeAddresses(t, 1)[0]
+	address := testaddress.Next().String()
 	process := &voterProcess{arguments: append([]string{"control", "--id", "1", "--listen", address,
 		"--voter", "1=" + address, "--data-folder", t.TempDir()}, keysIn(site, "control-1")...)}
 	process.start(t)
@@ -175,7 +176,7 @@
 	t.Parallel()
 	file := filepath.Join(t.TempDir(), "latin.policy")
 	require.NoError(t, os.WriteFile(file, []byte("# ma\xf1ana\n"), 0o600))
-	address := freeAddresses(t, 1)[0]
+	address := testaddress.Next().String()
 	_, stderr, code := runCommand(t, "config", "apply", file, "--insecure-plaintext", "--control", address)
 	require.Equal(t, exitcode.Failure, code, stderr)
 	require.Contains(t, stderr, "configuration:1:1: the line is not valid UTF-8")
