--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/raftlog"
 	"github.com/martenstage/martenstage/internal/ring"
@@ -125,7 +126,7 @@
 	voter.senders = newSenders(voter)
 	if restored.Snapshot != nil {
 		if err := machine.Restore(restored.Snapshot.Data); err != nil {
-			return nil, errors.Wrap(err, "restoring the state machine")
+			return nil, exitcode.With(exitcode.DataFolder, errors.Wrap(err, "restoring the state machine"))
 		}
 		voter.applied.advance(restored.Snapshot.Index)
 	}
