--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -326,6 +326,7 @@
 		b.reported = b.shardStates()
 	}
 	report.Shards = b.reported
+	report.Holdings = backendapi.HoldingsMark(report.Shards)
 	return report
 }
 
