--- a/cmd/martenstage/router_wiring.go
+++ b/cmd/martenstage/router_wiring.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,7 @@
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/spool"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 // routerBoot is the start number of this process.
@@ -143,21 +145,27 @@
 	if err != nil {
 		return "", err
 	}
-	dependencies.Forwarder = forward.NewClient(options.Name, security)
+	client := forward.NewClient(options.Name, security)
+	dependencies.Forwarder, dependencies.Regions = client, client
 	mux := http.NewServeMux()
 	path, handler := forward.NewHandler(localRouter{parts}, security)
 	mux.Handle(path, handler)
 	server := rpc.NewServerOn(listener, mux, security, parts.logger)
 	parts.helpers = append(parts.helpers, func(ctx context.Context) {
-		go func() {
+		var closing sync.WaitGroup
+		closing.Go(func() {
 			<-ctx.Done()
 			bounded, cancel := context.WithTimeout(context.Background(), options.StopLimit)
 			defer cancel()
-			_ = server.Shutdown(bounded)
-		}()
+			if err := server.Shutdown(bounded); err != nil {
+				parts.logger.WithError(err).Warn("answers to other routers were cut off")
+			}
+		})
 		if err := server.Serve(); err != nil {
 			parts.logger.WithError(err).Error("listener for routers failed")
 		}
+		// Serving ends when the shutdown begins; answers may still be written.
+		closing.Wait()
 	})
 	if options.Advertise != "" {
 		return options.Advertise, nil
@@ -173,6 +181,14 @@
 	return l.parts.router.QueryLocal(ctx, request)
 }
 
+// QueryCrossed implements forward.Local.
+func (l localRouter) QueryCrossed(ctx context.Context, request router.Request) query.Answer {
+	return l.parts.router.QueryCrossed(ctx, request)
+}
+
+// Ready implements forward.Local.
+func (l localRouter) Ready() (bool, verdict.Reason) { return l.parts.router.Ready() }
+
 // finishRouter makes the router and the callers' API over its dependencies.
 func finishRouter(injector do.Injector, parts *routerParts, dependencies router.Dependencies) {
 	options := do.MustInvoke[*router.Options](injector)
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -10,6 +10,7 @@
 	"github.com/martenstage/martenstage/internal/balancer"
 	"github.com/martenstage/martenstage/internal/probing"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/remote"
 	"github.com/martenstage/martenstage/internal/rpc"
 )
 
@@ -37,6 +38,8 @@
 	MaxRequests int `long:"max-requests" koanf:"max-requests" default:"4096" validate:"min=1" description:"Requests under way in one engine; more are refused"`
 	MaxAttempts int `long:"max-attempts" koanf:"max-attempts" default:"16384" validate:"min=1" description:"Attempts in flight of one engine; more are refused"`
 
+	RemoteRequests int `long:"remote-requests" koanf:"remote-requests" default:"256" validate:"min=1" description:"Requests on their way to one other region; more are refused"`
+
 	ProbeInterval time.Duration `long:"probe-interval" koanf:"probe-interval" default:"250ms" validate:"min=10ms" description:"Least pause between health probes of a back end, used while it is in doubt"`
 	ProbeIdle     time.Duration `long:"probe-idle-pause" koanf:"probe-idle-pause" default:"1500ms" validate:"min=10ms" description:"Longest pause between observations of a back end that is ready; a site of few routers pauses less"`
 	ProbeHeard    time.Duration `long:"probe-heard-pause" koanf:"probe-heard-pause" default:"4s" validate:"min=10ms" description:"Longest pause between probes of a back end whose replies say all that a probe says"`
@@ -85,6 +88,7 @@
 		ProbeInterval: o.ProbeInterval,
 		ProbeTimeout:  o.ProbeTimeout,
 		ShareDelay:    o.ShareDelay,
+		Regions:       remote.Config{Limit: o.RemoteRequests},
 
 		ProbeIdlePause:  o.ProbeIdle,
 		ProbeHeardPause: o.ProbeHeard,
