Wait in the test of regions until the near router admits

The test waited for the routes of the configuration, which its source installs a moment before it gives the lease. Change: it waits until the router reports ready, which needs both. Conclusion: a fault of the test; no assertion changed.

--- a/internal/forward/region_test.go
+++ b/internal/forward/region_test.go
@@ -96,7 +96,7 @@
 			config.Regions, config.ReachTimeout = bounds, 200*time.Millisecond
 			dependencies.Regions, dependencies.Events = near.calls, near.events
 		})
-	require.Eventually(t, func() bool { return len(near.RemoteRoutes()) > 0 }, longWait, time.Millisecond)
+	require.Eventually(t, func() bool { ready, _ := near.Ready(); return ready }, longWait, time.Millisecond)
 	return near
 }
 
