Make the difference of two texts without copies of them

Cause: a change copied the text of 2.66 MB four times, for its hash and as bytes. Change: textdelta.Make takes strings; the request hash reads blocks. The hash is the same, and a test holds it against the old definition, since results of changes are remembered by it.

--- a/internal/configdelta/configdelta.go
+++ b/internal/configdelta/configdelta.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return Delta{}, false, errors.Wrap(err, "encode a plan delta")
 	}
-	text, err := textdelta.Make([]byte(base.Text), []byte(next.Text))
+	text, err := textdelta.Make(base.Text, next.Text)
 	return Delta{Text: text, Plan: encoded}, err == nil, err
 }
 
--- a/internal/control/recover.go
+++ b/internal/control/recover.go
@@ -131,7 +131,7 @@
 	if err != nil {
 		return err
 	}
-	unchanged, err := textdelta.Make(unpacked, unpacked)
+	unchanged, err := textdelta.Make(string(unpacked), string(unpacked))
 	if err != nil {
 		return err
 	}
--- a/internal/state/chain_test.go
+++ b/internal/state/chain_test.go
@@ -32,7 +32,7 @@
 		ChangeId: id, ExpectedRevision: h.machine.Latest().Number, RequestHash: ApplyHash(text, 0),
 		CompressedText: []byte(text), CompressedPlan: []byte(text), Author: id,
 	}
-	delta, err := textdelta.Make([]byte(base), []byte(text))
+	delta, err := textdelta.Make(base, text)
 	require.NoError(h.t, err)
 	if h.machine.DeltaFits(len(delta), len(delta)) {
 		command.CompressedText, command.CompressedPlan = nil, nil
@@ -121,7 +121,7 @@
 	h := newHarness(t, chainLimits())
 	h.submit("one", "", "text\n")
 	require.False(t, h.machine.DeltaFits(0, 0))
-	delta, err := textdelta.Make([]byte("text\n"), []byte("text\nmore\n"))
+	delta, err := textdelta.Make("text\n", "text\nmore\n")
 	require.NoError(t, err)
 	change := func(id string) ChangeResult {
 		return h.apply(&v1.StateCommand{Body: &v1.StateCommand_Change{Change: &v1.ChangeCommand{
@@ -156,7 +156,7 @@
 	h.apply(formatCommand(LatestFormat))
 	h.submit("one", "", "text\n")
 	for index, text := range []string{"text\nfirst\n", "text\nsecond\n"} {
-		delta, err := textdelta.Make([]byte("text\n"), []byte(text))
+		delta, err := textdelta.Make("text\n", text)
 		require.NoError(t, err)
 		result := h.apply(&v1.StateCommand{Body: &v1.StateCommand_Change{Change: &v1.ChangeCommand{
 			ChangeId: text, ExpectedRevision: 1, TextDelta: delta, PlanDelta: delta,
@@ -204,7 +204,7 @@
 		base := bytes.Clone(text)
 		server := number * step % servers
 		copy(text[server*width:], serverLine(65+number%100, server))
-		if delta, err := textdelta.Make(base, text); err == nil && h.machine.DeltaFits(len(delta), len(delta)) {
+		if delta, err := textdelta.Make(string(base), string(text)); err == nil && h.machine.DeltaFits(len(delta), len(delta)) {
 			command.TextDelta, command.PlanDelta = delta, delta
 		} else {
 			command.CompressedText = bytes.Clone(text)
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -22,10 +22,20 @@
 // operator asks for counts, not what it was written against: a program that
 // resends a change may meanwhile know a newer revision.
 func ApplyHash(text string, rollbackTo uint64) []byte {
-	request := "text " + text
+	hash := sha256.New()
 	if rollbackTo != 0 {
-		request = "rollback " + strconv.FormatUint(rollbackTo, 10)
+		hash.Write([]byte("rollback " + strconv.FormatUint(rollbackTo, 10)))
+		return hash.Sum(nil)
 	}
-	sum := sha256.Sum256([]byte(request))
-	return sum[:]
+	hash.Write([]byte("text "))
+	// A text is copied block by block: a copy of the whole would be as large as
+	// a site's configuration.
+	const blockBytes = 32 << 10
+	block := make([]byte, blockBytes)
+	for text != "" {
+		size := copy(block, text)
+		hash.Write(block[:size])
+		text = text[size:]
+	}
+	return hash.Sum(nil)
 }
--- a/internal/state/machine_test.go
+++ b/internal/state/machine_test.go
@@ -1,7 +1,9 @@
 package state
 
 import (
+	"crypto/sha256"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -317,3 +319,17 @@
 	_, err = New(smallLimits()).Apply(data)
 	require.Error(t, err)
 }
+
+// TestApplyHashIsThatOfStoredResults checks hashes as the state of a running
+// group holds them: a resend is known by them after an upgrade too.
+func TestApplyHashIsThatOfStoredResults(t *testing.T) {
+	sum := func(request string) []byte {
+		hash := sha256.Sum256([]byte(request))
+		return hash[:]
+	}
+	long := strings.Repeat("0123456789", 10_000)
+	for _, text := range []string{"", "one", long, long[:64<<10]} {
+		require.Equal(t, sum("text "+text), ApplyHash(text, 0))
+	}
+	require.Equal(t, sum("rollback 17"), ApplyHash("", 17))
+}
--- a/internal/textdelta/make.go
+++ b/internal/textdelta/make.go
@@ -1,8 +1,8 @@
 package textdelta
 
 import (
-	"bytes"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -10,7 +10,7 @@
 // Make returns the delta that leads from base to next. Equal arguments give
 // equal deltas. The work is in proportion to what lies between the first and
 // the last difference.
-func Make(base, next []byte) ([]byte, error) {
+func Make(base, next string) ([]byte, error) {
 	first := commonPrefix(base, next)
 	last := commonSuffix(base[first:], next[first:])
 	found := script{}
@@ -19,27 +19,27 @@
 	found.compare(changed, lines{text: next, from: first, to: len(next) - last})
 	found.copy(len(base)-last, last)
 	return encode(header{
-		baseLength: len(base), baseHash: xxhash.Sum64(base),
-		resultLength: len(next), resultHash: xxhash.Sum64(next),
+		baseLength: len(base), baseHash: xxhash.Sum64String(base),
+		resultLength: len(next), resultHash: xxhash.Sum64String(next),
 	}, found.steps)
 }
 
 // commonPrefix returns the length of the whole lines that both texts begin
 // with.
-func commonPrefix(left, right []byte) int {
+func commonPrefix(left, right string) int {
 	length := sharedLength(left, right)
 	if length == len(left) && length == len(right) {
 		return length
 	}
-	return bytes.LastIndexByte(left[:length], '\n') + 1
+	return strings.LastIndexByte(left[:length], '\n') + 1
 }
 
 // sharedLength returns how many leading bytes are equal. It compares blocks
 // first, which the runtime does many bytes at a time.
-func sharedLength(left, right []byte) int {
+func sharedLength(left, right string) int {
 	const block = 4096
 	length, most := 0, min(len(left), len(right))
-	for length+block <= most && bytes.Equal(left[length:length+block], right[length:length+block]) {
+	for length+block <= most && left[length:length+block] == right[length:length+block] {
 		length += block
 	}
 	for length < most && left[length] == right[length] {
@@ -49,11 +49,11 @@
 }
 
 // commonSuffix returns the length of the whole lines that both texts end with.
-func commonSuffix(left, right []byte) int {
+func commonSuffix(left, right string) int {
 	const block = 4096
 	length, most := 0, min(len(left), len(right))
-	tail := func(text []byte, from, to int) []byte { return text[len(text)-to : len(text)-from] }
-	for length+block <= most && bytes.Equal(tail(left, length, length+block), tail(right, length, length+block)) {
+	tail := func(text string, from, to int) string { return text[len(text)-to : len(text)-from] }
+	for length+block <= most && tail(left, length, length+block) == tail(right, length, length+block) {
 		length += block
 	}
 	for length < most && left[len(left)-1-length] == right[len(right)-1-length] {
@@ -65,7 +65,7 @@
 	// The part after the first line break in the shared end: before it the
 	// lines may begin differently.
 	shared := tail(left, 0, length)
-	cut := bytes.IndexByte(shared, '\n')
+	cut := strings.IndexByte(shared, '\n')
 	if cut < 0 {
 		return 0
 	}
@@ -74,13 +74,13 @@
 
 // lines are the lines of a part of a text.
 type lines struct {
-	text     []byte
+	text     string
 	from, to int
 }
 
 // next returns the end of the line that starts at an offset.
 func (l lines) next(start int) int {
-	if end := bytes.IndexByte(l.text[start:l.to], '\n'); end >= 0 {
+	if end := strings.IndexByte(l.text[start:l.to], '\n'); end >= 0 {
 		return start + end + 1
 	}
 	return l.to
@@ -91,7 +91,7 @@
 	starts := map[string][]int{}
 	for start := l.from; start < l.to; {
 		end := l.next(start)
-		line := string(l.text[start:end])
+		line := l.text[start:end]
 		starts[line] = append(starts[line], start)
 		start = end
 	}
@@ -117,7 +117,7 @@
 	for start := next.from; start < next.to; {
 		end := next.next(start)
 		line := next.text[start:end]
-		place, found := nearest(starts[string(line)], position)
+		place, found := nearest(starts[line], position)
 		if found {
 			s.copy(place, len(line))
 			position = place + len(line)
@@ -154,12 +154,12 @@
 }
 
 // insert adds new bytes; it joins those before.
-func (s *script) insert(text []byte) {
+func (s *script) insert(text string) {
 	if count := len(s.steps); count > 0 && s.steps[count-1].inserted != nil {
 		last := &s.steps[count-1]
 		last.inserted = append(last.inserted, text...)
 		last.length = len(last.inserted)
 		return
 	}
-	s.steps = append(s.steps, step{inserted: bytes.Clone(text), length: len(text)})
+	s.steps = append(s.steps, step{inserted: []byte(text), length: len(text)})
 }
--- a/internal/textdelta/textdelta_test.go
+++ b/internal/textdelta/textdelta_test.go
@@ -37,9 +37,9 @@
 			if rapid.IntRange(0, 5).Draw(t, "kind") == 0 {
 				next = drawText(t, "unrelated")
 			}
-			delta, err := Make(last, next)
+			delta, err := Make(string(last), string(next))
 			require.NoError(t, err)
-			again, err := Make(last, next)
+			again, err := Make(string(last), string(next))
 			require.NoError(t, err)
 			require.Equal(t, delta, again)
 			texts, deltas = append(texts, next), append(deltas, delta)
@@ -58,7 +58,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		base := drawText(t, "base")
 		next := edit(t, base)
-		delta, err := Make(base, next)
+		delta, err := Make(string(base), string(next))
 		require.NoError(t, err)
 		damaged := bytes.Clone(delta)
 		at := rapid.IntRange(0, len(damaged)-1).Draw(t, "at")
@@ -107,7 +107,7 @@
 		"all lines remove": {nil, 40},
 	}
 	for name, test := range cases {
-		delta, err := Make(base, test.next)
+		delta, err := Make(string(base), string(test.next))
 		require.NoError(t, err)
 		require.LessOrEqual(t, len(delta), test.most, name)
 		rebuilt, err := Apply(base, delta)
@@ -124,9 +124,9 @@
 		lines[index] = []byte("changed\n")
 	}
 	next := bytes.Join(lines, nil)
-	first, err := Make(base, next)
+	first, err := Make(string(base), string(next))
 	require.NoError(t, err)
-	second, err := Make(next, base)
+	second, err := Make(string(next), string(base))
 	require.NoError(t, err)
 	rebuilt, err := Rebuild(base, [][]byte{first, second})
 	require.NoError(t, err)
