Compare what two plans share by its place in memory

Cause: the difference of two plans, and the check of it, compared all replicas. Change: lists that are the same elements in memory are equal. The leader makes the difference from the plan that its compiler made for the revision before, which shares with the next one what did not change; the applied plan serves when another voter made it. Both are equal, as configdelta.Make has checked.

--- a/internal/control/change_bench_test.go
+++ b/internal/control/change_bench_test.go
@@ -69,7 +69,7 @@
 	data, err := state.Encode(time.UnixMilli(1_700_000_000_000), &v1.StateCommand{Body: &v1.StateCommand_Change{Change: command}})
 	require.NoError(t, err)
 	c.number++
-	c.server.texts.put(c.number, compiled)
+	c.server.compiled.put(c.number, compiled)
 	return data
 }
 
--- a/internal/control/change_encoding.go
+++ b/internal/control/change_encoding.go
@@ -12,33 +12,34 @@
 	"github.com/martenstage/martenstage/internal/textdelta"
 )
 
-// textCache holds the text of the newest revision that was needed whole, so that
-// the next change need not rebuild it.
-type textCache struct {
+// configurationCache holds the newest revision that this voter compiled, so that
+// the next change need not rebuild its text. The plan is the compiler's own, whose
+// parts the next plan shares, which makes comparing them cheap.
+type configurationCache struct {
 	mutex    sync.Mutex
 	revision uint64
-	text     string
+	latest   configdelta.Configuration
 }
 
-func (c *textCache) put(revision uint64, text string) {
+func (c *configurationCache) put(revision uint64, latest configdelta.Configuration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if revision > c.revision {
-		c.revision, c.text = revision, text
+		c.revision, c.latest = revision, latest
 	}
 }
 
-func (c *textCache) get(revision uint64) (string, bool) {
+func (c *configurationCache) get(revision uint64) (configdelta.Configuration, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.text, c.revision == revision && revision != 0
+	return c.latest, c.revision == revision && revision != 0
 }
 
 // text returns the text of a revision, and whether it is kept. A text that can't
 // be rebuilt is an error of code DataLoss, which no other attempt would mend.
 func (s *Server) text(number uint64) (text string, kept bool, err error) {
-	if text, cached := s.texts.get(number); cached {
-		return text, true, nil
+	if latest, cached := s.compiled.get(number); cached {
+		return latest.Text, true, nil
 	}
 	var whole []byte
 	var deltas [][]byte
@@ -71,7 +72,7 @@
 // snapshot holds the whole chain that the latest revision is rebuilt from. So
 // neither a new leader, a log that was cut, nor an entry that is committed long
 // after it was proposed can meet another base.
-func (s *Server) encodeChange(command *v1.ChangeCommand, text string, compiled *plan.Plan) error {
+func (s *Server) encodeChange(command *v1.ChangeCommand, next configdelta.Configuration) error {
 	revision, latest, _ := s.store.Latest()
 	expected := command.GetExpectedRevision()
 	if expected < revision {
@@ -80,37 +81,41 @@
 		return nil
 	}
 	if expected == revision && revision != 0 {
-		fitting, err := s.encodeDeltas(command, latest, configdelta.Configuration{Text: text, Plan: compiled})
+		fitting, err := s.encodeDeltas(command, latest, next)
 		if err != nil || fitting {
 			return err
 		}
 	}
 	var err error
-	if command.CompressedPlan, err = plan.Pack(compiled); err != nil {
+	if command.CompressedPlan, err = plan.Pack(next.Plan); err != nil {
 		return err
 	}
-	command.CompressedText, err = compress([]byte(text))
+	command.CompressedText, err = compress([]byte(next.Text))
 	return err
 }
 
 // encodeDeltas puts text and plan into a change as differences from the revision
 // that it expects. It returns false when the history has no room for them or
 // they would not lead to the text and the plan.
-func (s *Server) encodeDeltas(command *v1.ChangeCommand, base *plan.Plan, next configdelta.Configuration) (bool, error) {
+func (s *Server) encodeDeltas(command *v1.ChangeCommand, applied *plan.Plan, next configdelta.Configuration) (bool, error) {
 	expected := command.GetExpectedRevision()
 	if !s.deltaFits(0, 0) {
 		return false, nil
 	}
-	text, kept, err := s.text(expected)
-	if err != nil {
-		// The change goes whole, and the history has a sound text to build on.
-		s.logger.WithError(err).Error("text_damaged")
-		return false, nil
+	base, kept := s.compiled.get(expected)
+	if !kept {
+		var err error
+		if base.Text, kept, err = s.text(expected); err != nil {
+			// The change goes whole, and the history has a sound text to build on.
+			s.logger.WithError(err).Error("text_damaged")
+			return false, nil
+		}
+		base.Plan = applied
 	}
 	if !kept {
 		return false, nil
 	}
-	delta, made, err := configdelta.Make(expected, configdelta.Configuration{Text: text, Plan: base}, next)
+	delta, made, err := configdelta.Make(expected, base, next)
 	if err != nil || !made || !s.deltaFits(delta.Size()) {
 		return false, err
 	}
--- a/internal/control/config_apply.go
+++ b/internal/control/config_apply.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/martenstage/martenstage/internal/configdelta"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/settings"
 	"github.com/martenstage/martenstage/internal/state"
@@ -80,7 +81,7 @@
 		Comment:          request.GetComment(),
 		RollbackOf:       request.GetRollbackTo(),
 	}
-	text, err := s.compile(command, request.GetText())
+	submitted, err := s.compile(command, request.GetText())
 	if err != nil {
 		return nil, err
 	}
@@ -89,31 +90,33 @@
 		return nil, err
 	}
 	if result.Change.Result == v1.ApplyResult_APPLY_RESULT_ACCEPTED {
-		s.server.texts.put(result.Change.Revision, text)
+		s.server.compiled.put(result.Change.Revision, submitted)
 	}
 	return applyResponse(result.Change), nil
 }
 
-// compile fills in text and plan, and returns the text. A text that the compiler
+// compile fills in text and plan, and returns them. A text that the compiler
 // refuses is marked invalid; the refusal is recorded like any other decision.
-func (s configService) compile(command *v1.ChangeCommand, text string) (string, error) {
+func (s configService) compile(command *v1.ChangeCommand, text string) (configdelta.Configuration, error) {
+	var submitted configdelta.Configuration
 	if command.GetRollbackOf() != 0 {
 		earlier, kept, err := s.server.text(command.GetRollbackOf())
 		if err != nil {
-			return "", err
+			return submitted, err
 		}
 		if !kept {
 			command.Invalid = "the text of that revision is not kept"
-			return "", nil
+			return submitted, nil
 		}
 		text = earlier
 	}
 	compiled, err := s.server.compile(text)
 	if err != nil {
 		command.Invalid = truncate(err.Error(), maxDetailBytes)
-		return text, nil
+		return submitted, nil
 	}
-	return text, s.server.encodeChange(command, text, compiled)
+	submitted = configdelta.Configuration{Text: text, Plan: compiled}
+	return submitted, s.server.encodeChange(command, submitted)
 }
 
 func applyResponse(result state.ChangeResult) *v1.ApplyResponse {
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -178,7 +178,7 @@
 	delta := changes.server.latest().TextDelta
 	require.NotEmpty(t, delta)
 	delta[len(delta)/2] ^= 0xff
-	changes.server.texts = textCache{}
+	changes.server.compiled = configurationCache{}
 	_, _, err := changes.server.text(3)
 	require.ErrorContains(t, err, "text of revision 3 can't be read")
 	require.True(t, isDefinite(err))
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -56,10 +56,11 @@
 	voter   *voter.Voter
 	store   *Store
 	compile Compiler
-	texts   textCache
 	client  *rpc.Client
 	logger  logrus.FieldLogger
 
+	compiled configurationCache
+
 	confirmer *confirmer
 	claims    *claimBatcher
 	recorder  *recorder
--- a/internal/plan/delta.go
+++ b/internal/plan/delta.go
@@ -69,12 +69,15 @@
 	return settingsEqual(left, right) &&
 		slices.EqualFunc(left.Generations, right.Generations, func(a, b Generation) bool {
 			return a.Number == b.Number &&
-				slices.EqualFunc(a.Shards, b.Shards, func(a, b Shard) bool { return a.ID == b.ID })
+				(sameList(a.Shards, b.Shards) || slices.EqualFunc(a.Shards, b.Shards, func(a, b Shard) bool { return a.ID == b.ID }))
 		})
 }
 
 func changedShards(before, after []Shard) []Shard {
 	var changed []Shard
+	if sameList(before, after) {
+		return nil
+	}
 	for index, shard := range after {
 		if !shardsEqual(before[index], shard) {
 			changed = append(changed, shard)
--- a/internal/plan/equal.go
+++ b/internal/plan/equal.go
@@ -12,7 +12,7 @@
 func servicesEqual(left, right Service) bool {
 	return settingsEqual(left, right) &&
 		slices.EqualFunc(left.Generations, right.Generations, func(a, b Generation) bool {
-			return a.Number == b.Number && slices.EqualFunc(a.Shards, b.Shards, shardsEqual)
+			return a.Number == b.Number && (sameList(a.Shards, b.Shards) || slices.EqualFunc(a.Shards, b.Shards, shardsEqual))
 		})
 }
 
@@ -26,7 +26,8 @@
 }
 
 func shardsEqual(left, right Shard) bool {
-	return left.ID == right.ID && left.Name == right.Name && slices.Equal(left.Replicas, right.Replicas)
+	return left.ID == right.ID && left.Name == right.Name &&
+		(sameList(left.Replicas, right.Replicas) || slices.Equal(left.Replicas, right.Replicas))
 }
 
 func routesEqual(left, right Route) bool {
