Record under which configuration routers admit requests

Cause: the judge read admissions=0 in the demo, the fleet runs and the experiments over sockets. Whether an accepted configuration was in force was judged only from the revision in answers that reached callers: nothing was known of the router that admitted a request that was handed over, of lost answers, or of the moment.

Change: a router's setting `admission-record` names a file to which it appends, each second, how many requests it admitted under which revision, with the first and last moment; nothing is written unless it is set. The revision is the one that the engine answered with, the moment that of the arrival, and a refusal on arrival is no admission. The scripts of the demo and the fleet runs set it and fail when a router recorded none; the experiments over sockets keep the same summaries in memory. The judge takes both ends of a record.

A router whose engine keeps the first configuration is caught by its own record (TestStaleAdmissionsAreCaught), the sound one is not, and a record that reaches from before a change into the time after it was in force breaks the invariant.

Two recorders in tests got the new method of the interface that they stand for.

--- a/cmd/martenstage/router_wiring.go
+++ b/cmd/martenstage/router_wiring.go
@@ -13,6 +13,7 @@
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenstage/martenstage/internal/admissionrecord"
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/callers"
 	"github.com/martenstage/martenstage/internal/controlclient"
@@ -58,6 +59,9 @@
 	} else {
 		err = joinControl(injector, parts, &dependencies)
 	}
+	if err == nil {
+		err = recordAdmissions(options, parts, &dependencies)
+	}
 	if err != nil {
 		return nil, errors.CombineErrors(err, parts.close())
 	}
@@ -135,6 +139,22 @@
 	return nil
 }
 
+// recordAdmissions writes admissions down if a file is named for that.
+func recordAdmissions(options *router.Options, parts *routerParts, dependencies *router.Dependencies) error {
+	if options.Admissions == "" {
+		return nil
+	}
+	file, err := admissionrecord.Open(options.Admissions, options.Name, parts.logger)
+	if err != nil {
+		return exitcode.With(exitcode.Settings, err)
+	}
+	closeOthers := parts.close
+	parts.helpers = append(parts.helpers, file.Run)
+	parts.close = func() error { return errors.CombineErrors(file.Close(), closeOthers()) }
+	dependencies.Admissions = file
+	return nil
+}
+
 // servePeers listens for requests that other routers hand over. It returns
 // the address at which they reach this one.
 func servePeers(options *router.Options, security *rpc.Security, parts *routerParts,
--- a/internal/experiment/recorder.go
+++ b/internal/experiment/recorder.go
@@ -70,6 +70,9 @@
 // Stop implements schedule.Recorder.
 func (r *recorder) Stop(stop records.PlannedStop) { r.judge.AddPlannedStop(stop) }
 
+// Admission implements schedule.Recorder.
+func (r *recorder) Admission(admission records.Admission) { r.judge.AddAdmission(admission) }
+
 // Answer implements schedule.Recorder.
 func (r *recorder) Answer(answer records.CallerAnswer) {
 	r.judge.AddAnswer(answer)
--- a/internal/experiment/schedule/schedule.go
+++ b/internal/experiment/schedule/schedule.go
@@ -27,6 +27,9 @@
 	Departure(departure records.Departure)
 	Stop(stop records.PlannedStop)
 	Answer(answer records.CallerAnswer)
+	// Admission is what a router admitted under one revision. It comes before
+	// the end of the run, in any order.
+	Admission(admission records.Admission)
 	// Closed says that nothing more will come about a request.
 	Closed(request string)
 }
--- a/internal/experiment/sockets/recorder.go
+++ b/internal/experiment/sockets/recorder.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/martenstage/martenstage/internal/admissionrecord"
 	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/records"
@@ -18,6 +19,17 @@
 	mutex   sync.Mutex
 	stops   []records.PlannedStop
 	answers []records.CallerAnswer
+	// admitted are the summaries of all lives of all routers.
+	admitted []*admissionrecord.Summary
+}
+
+// admissions returns where a life of a router notes what it admits.
+func (m *memoryRecorder) admissions(node string) *admissionrecord.Summary {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	summary := admissionrecord.NewSummary(node)
+	m.admitted = append(m.admitted, summary)
+	return summary
 }
 
 // Answer implements load.Recorder.
@@ -40,6 +52,11 @@
 	for _, stop := range m.stops {
 		next.Stop(stop)
 	}
+	for _, summary := range m.admitted {
+		for _, admission := range summary.Take() {
+			next.Admission(admission)
+		}
+	}
 	executions, departures := m.Executions(), m.Departures()
 	slices.SortStableFunc(executions, func(one, other records.Execution) int { return one.Arrived.Compare(other.Arrived) })
 	for _, execution := range executions {
--- a/internal/experiment/sockets/router.go
+++ b/internal/experiment/sockets/router.go
@@ -99,8 +99,9 @@
 		Backends: backend.New(backend.Config{Zone: config.Zones[n.index], MaxReplyBytes: maxReplyBytes, DialTimeout: dialTimeout},
 			backend.Dependencies{Logger: logger, Registerer: registry}),
 		Claims: n.world.claims, Events: router.EventLog{Logger: logger},
-		Source:    &scriptedSource{begin: config.Begin, plans: config.Plans},
-		NewEngine: func(engine int) router.Engine { return n.world.newEngine(n.world, n.index, engine) },
+		Admissions: n.world.recorder.admissions(name),
+		Source:     &scriptedSource{begin: config.Begin, plans: config.Plans},
+		NewEngine:  func(engine int) router.Engine { return n.world.newEngine(n.world, n.index, engine) },
 	})
 }
 
--- a/internal/experiment/sockets/sockets_test.go
+++ b/internal/experiment/sockets/sockets_test.go
@@ -27,7 +27,10 @@
 }
 func (o *order) Stop(records.PlannedStop)           { *o = append(*o, "stop") }
 func (o *order) Answer(answer records.CallerAnswer) { *o = append(*o, "answer "+answer.Request) }
-func (o *order) Closed(request string)              { *o = append(*o, "closed "+request) }
+func (o *order) Admission(admission records.Admission) {
+	*o = append(*o, "admissions of "+admission.Node+" "+strconv.Itoa(admission.Count))
+}
+func (o *order) Closed(request string) { *o = append(*o, "closed "+request) }
 
 func TestRecordsAreHandedOverInOrder(t *testing.T) {
 	at := func(second int64) time.Time { return time.Unix(second, 0) }
@@ -41,10 +44,11 @@
 	recorder.Execution(records.Execution{Request: "a", Arrived: at(1)})
 	recorder.Execution(records.Execution{Request: "a", Arrived: at(3)})
 	recorder.stop(records.PlannedStop{})
+	recorder.admissions("router-1").Admitted(at(1), 7)
 	var got order
 	recorder.replay(&got)
 	require.Equal(t, order{
-		"stop", "execution a", "departure false", "execution a", "departure true", "execution b",
+		"stop", "admissions of router-1 1", "execution a", "departure false", "execution a", "departure true", "execution b",
 		"answer a", "answer b", "answer a", "closed a", "closed b",
 	}, got)
 }
--- a/internal/experiment/virtual/world_test.go
+++ b/internal/experiment/virtual/world_test.go
@@ -64,6 +64,7 @@
 func (*memory) Departure(records.Departure) {}
 func (*memory) Stop(records.PlannedStop)    {}
 func (*memory) Answer(records.CallerAnswer) {}
+func (*memory) Admission(records.Admission) {}
 func (*memory) Closed(string)               {}
 
 // play sends requests at once to a server of one slot, in a world with equal
--- a/internal/judge/admission.go
+++ b/internal/judge/admission.go
@@ -17,8 +17,9 @@
 	operators []records.OperatorAnswer
 }
 
-// admissionSpan bounds the moments of the admissions under one revision, each
-// of which lies between a start and an end.
+// admissionSpan bounds the moments of the admissions under one revision. Of
+// those that callers know of, each lies between a start and an end; of those that
+// a router recorded, the first end and the last start are known.
 type admissionSpan struct {
 	earliestEnd time.Time
 	latestStart time.Time
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -224,10 +224,14 @@
 	j.admissions.operators = append(j.admissions.operators, answer)
 }
 
-// AddAdmission adds the revision under which a follower admitted work.
+// AddAdmission adds the revision under which a router admitted work.
 func (j *Judge) AddAdmission(admission records.Admission) {
-	j.counts.Admissions++
-	j.admissions.add(admission.Node, admission.Revision, admission.At, admission.At)
+	j.counts.Admissions += max(admission.Count, 1)
+	last := admission.At
+	if admission.Until.After(last) {
+		last = admission.Until
+	}
+	j.admissions.add(admission.Node, admission.Revision, last, admission.At)
 }
 
 // CloseRequests judges the requests added so far and forgets them.
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -212,6 +212,9 @@
 		{"old revision after in force", AcceptedInForce, func(r *run) {
 			r.admissions = append(r.admissions, records.Admission{Node: "r2", At: at(60), Revision: 1})
 		}},
+		{"old revision until after in force", AcceptedInForce, func(r *run) {
+			r.admissions = append(r.admissions, records.Admission{Node: "r2", At: at(30), Until: at(60), Count: 9, Revision: 1})
+		}},
 		{"old revision after the bound", AcceptedInForce, func(r *run) {
 			r.operators[1].InForce = time.Time{}
 			r.admissions = append(r.admissions, records.Admission{Node: "r2", At: at(20_000), Revision: 1})
@@ -234,6 +237,19 @@
 	require.Len(t, seen, len(Invariants()), "every invariant has a case")
 }
 
+// A router's record sums up many admissions. All of them are counted, and the old
+// revision may be used until the new one is in force.
+func TestSummedUpAdmissionsAreCounted(t *testing.T) {
+	r := cleanRun()
+	before := r.judge().Result().Counts.Admissions
+	r.admissions = append(r.admissions,
+		records.Admission{Node: "r2", At: at(20), Until: at(40), Count: 5, Revision: 1},
+		records.Admission{Node: "r2", At: at(40), Until: at(90), Count: 7, Revision: 2})
+	result := r.judge().Result()
+	require.Empty(t, result.Violations)
+	require.Equal(t, before+12, result.Counts.Admissions)
+}
+
 func bestOfParts(shards ...uint32) []string {
 	return lo.FlatMap(shards, func(shard uint32, _ int) []string { return dataset.Digests(query("sweep", shard, 7)) })
 }
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -109,10 +109,15 @@
 	InForce time.Time `json:"in_force,omitzero"`
 }
 
-// Admission is the configuration revision under which a follower admitted work
-// at a moment.
+// Admission is the configuration revision under which a router admitted work, at
+// a moment or at several.
 type Admission struct {
-	Node     string    `json:"node"`
-	At       time.Time `json:"at"`
-	Revision uint64    `json:"revision"`
+	Node     string `json:"node"`
+	Revision uint64 `json:"revision"`
+	// At is the first moment.
+	At time.Time `json:"at"`
+	// Until is the last moment; zero when there is one only.
+	Until time.Time `json:"until,omitzero"`
+	// Count is the number of requests; zero means one.
+	Count int `json:"count,omitempty"`
 }
--- /dev/null
+++ b/internal/router/admissions_test.go
@@ -0,0 +1,111 @@
+package router_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/admissionrecord"
+	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/judge"
+	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/records"
+	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/servicetime"
+)
+
+// twoRevisions installs revision 1, and 2 when it is told to.
+type twoRevisions struct {
+	plan          *plan.Plan
+	next, changed chan struct{}
+}
+
+// Run implements router.ConfigSource.
+func (s *twoRevisions) Run(ctx context.Context, sink router.ConfigSink) error {
+	sink.InstallPlan(1, s.plan)
+	sink.ExtendLease(time.Now().Add(time.Hour))
+	<-s.next
+	sink.InstallPlan(2, s.plan)
+	close(s.changed)
+	<-ctx.Done()
+	return nil
+}
+
+func (*twoRevisions) Observe(netip.AddrPort, query.MachineState) {}
+func (*twoRevisions) Leave(context.Context) error                { return nil }
+func (*twoRevisions) Describe() string                           { return "test" }
+
+// staleEngine keeps the first configuration for ever.
+type staleEngine struct{ router.Engine }
+
+func (e staleEngine) Step(now time.Time, event query.Event) []query.Command {
+	if installed, ok := event.(query.ConfigInstalled); ok && installed.Revision > 1 {
+		return nil
+	}
+	return e.Engine.Step(now, event)
+}
+
+// judgeTwoRevisions runs a router through a change and returns what the judge
+// says of the admissions that it recorded.
+func judgeTwoRevisions(t *testing.T, wrap func(router.Engine) router.Engine) judge.Result {
+	t.Helper()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	whole := costPlan(nil, plan.Merge{Kind: plan.MergeConcat})
+	whole.Services[0].Generations[0].Shards = []plan.Shard{{Name: "all", Replicas: []plan.Replica{
+		{Address: netip.MustParseAddrPort("127.0.0.1:0"), Zone: "a", Slots: 4, Connections: 4}}}}
+	fleet, err := emulator.New(emulator.Config{Plans: []*plan.Plan{whole}, QueuePerSlot: 64, FirstVersion: 1, MaxBody: 1 << 20,
+		Model: servicetime.Model{Default: servicetime.Distribution{Median: time.Millisecond}}},
+		emulator.Dependencies{Logger: logger})
+	require.NoError(t, err)
+	require.NoError(t, fleet.Start())
+	t.Cleanup(fleet.Close)
+	metrics := prometheus.NewRegistry()
+	source := &twoRevisions{plan: fleet.BoundPlan(whole), next: make(chan struct{}), changed: make(chan struct{})}
+	admitted := admissionrecord.NewSummary("router-1")
+	served := router.New(router.Config{Name: "router-1", Zone: "a", Boot: 1, Alone: true, ProbeInterval: 10 * time.Millisecond}, router.Dependencies{
+		Logger: logger, Registerer: metrics, Claims: router.NewLocalClaims(), Events: router.EventLog{Logger: logger},
+		Backends: backend.New(backend.Config{Zone: "a"}, backend.Dependencies{Logger: logger, Registerer: metrics}),
+		Source:   source, Admissions: admitted,
+		NewEngine: func(int) router.Engine { return wrap(query.New(query.Config{Zone: "a"})) },
+	})
+	running, end := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- served.Run(running) }()
+	t.Cleanup(func() {
+		end()
+		<-ended
+	})
+	ask := func() query.Answer {
+		return served.Query(running, router.Request{CallerID: "r", Route: "find", Body: []byte(`{}`)})
+	}
+	require.Eventually(t, func() bool { return ask().Complete }, 20*time.Second, time.Millisecond)
+	close(source.next)
+	<-source.changed
+	inForce := time.Now()
+	time.Sleep(2 * judge.DefaultClockSkew) // an earlier admission may be that much late
+	require.True(t, ask().Complete)
+	judged := judge.New(judge.Config{})
+	judged.AddOperatorAnswer(records.OperatorAnswer{ChangeID: "second", Accepted: true, Revision: 2, Received: inForce, InForce: inForce})
+	lo.ForEach(admitted.Take(), func(admission records.Admission, _ int) { judged.AddAdmission(admission) })
+	return judged.Result()
+}
+
+// What a router records of its admissions shows the judge an engine that admits
+// under a revision that is said to be replaced everywhere.
+func TestStaleAdmissionsAreCaught(t *testing.T) {
+	sound := judgeTwoRevisions(t, func(sound router.Engine) router.Engine { return sound })
+	require.Empty(t, sound.Violations)
+	require.GreaterOrEqual(t, sound.Counts.Admissions, 2)
+	broken := judgeTwoRevisions(t, func(sound router.Engine) router.Engine { return staleEngine{sound} })
+	require.Equal(t, map[judge.Invariant]int{judge.AcceptedInForce: 1}, broken.ByInvariant)
+}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -89,6 +89,8 @@
 	Source   ConfigSource
 	// Forwarder may be nil when Config.Alone is set.
 	Forwarder Forwarder
+	// Admissions may be nil: nothing is recorded then.
+	Admissions AdmissionLog
 	// NewEngine creates the engine with an index in [0, Config.Engines).
 	NewEngine func(index int) Engine
 }
--- a/internal/router/engine_loop.go
+++ b/internal/router/engine_loop.go
@@ -45,8 +45,10 @@
 	timer      *time.Timer
 
 	// The rest belongs to the goroutine alone.
-	waiting  map[query.RequestID]chan<- query.Answer
+	waiting  map[query.RequestID]waiter
 	attempts map[query.AttemptID]flight
+	// admitting is the request that the engine decides about, 0 for none.
+	admitting query.RequestID
 	// immediate holds outcomes decided without leaving the goroutine.
 	immediate []query.Event
 
@@ -55,6 +57,12 @@
 	ended   chan struct{}
 }
 
+// waiter is a request under way: where its answer goes, and since when.
+type waiter struct {
+	reply   chan<- query.Answer
+	arrived time.Time
+}
+
 // flight is an attempt that a sender carries.
 type flight struct {
 	cancel   context.CancelFunc
@@ -73,7 +81,7 @@
 		notices:    ring.New[notice](noticeRing),
 		outcomes:   ring.New[query.Event](config.MaxAttempts + requestEvents*config.MaxRequests),
 		timer:      time.NewTimer(time.Hour),
-		waiting:    make(map[query.RequestID]chan<- query.Answer),
+		waiting:    make(map[query.RequestID]waiter),
 		attempts:   make(map[query.AttemptID]flight),
 		stopped:    make(chan struct{}),
 		ended:      make(chan struct{}),
@@ -111,8 +119,10 @@
 		arrived.reply <- l.router.refusal(verdict.ReasonOverloaded, "too many requests under way")
 		return
 	}
-	l.waiting[arrived.request.ID] = arrived.reply
+	l.waiting[arrived.request.ID] = waiter{reply: arrived.reply, arrived: time.Now()}
+	l.admitting = arrived.request.ID
 	l.step(ctx, query.RequestArrived{Request: arrived.request})
+	l.admitting = 0
 }
 
 // step feeds one event to the engine and carries out what it commands.
@@ -234,12 +244,23 @@
 const settleTimeout = 5 * time.Second
 
 func (l *engineLoop) respond(command query.Respond) {
-	reply, ok := l.waiting[command.Request]
+	asked, ok := l.waiting[command.Request]
 	if !ok {
 		return
 	}
 	delete(l.waiting, command.Request)
-	reply <- command.Answer
+	l.recordAdmission(command, asked.arrived)
+	asked.reply <- command.Answer
+}
+
+// recordAdmission notes under which revision the engine admitted a request, by
+// its own word, unless it refused it on arrival.
+func (l *engineLoop) recordAdmission(command query.Respond, arrived time.Time) {
+	answer := command.Answer
+	refused := command.Request == l.admitting && answer.Err != nil && answer.Verdict == verdict.NotRun
+	if l.router.admitted != nil && !refused {
+		l.router.admitted.Admitted(arrived, answer.ConfigRevision)
+	}
 }
 
 func (l *engineLoop) wake(at time.Time) {
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -23,6 +23,7 @@
 	Upstream   []string `long:"upstream" koanf:"upstream" validate:"dive,ip_port" description:"Address of a relay, or of a control voter on a small site, to follow; repeat it to name several"`
 	Control    []string `long:"control" koanf:"control" validate:"dive,ip_port" description:"Address of a control voter for claims and events; the upstreams when empty"`
 	DataFolder string   `long:"data-folder" koanf:"data-folder" description:"Folder for events on their way to the journal; when empty they go to the log only"`
+	Admissions string   `long:"admission-record" koanf:"admission-record" description:"File to which is appended, each second, how many requests were admitted under which configuration; for tests and audits, none when empty"`
 	PolicyFile string   `long:"policy-file" koanf:"policy-file" description:"Policy file for a single router without control, in place of upstreams"`
 
 	rpc.SecurityOptions `koanf:",squash"`
--- a/internal/router/ports.go
+++ b/internal/router/ports.go
@@ -72,6 +72,14 @@
 	Settle(ctx context.Context, callerID string, outcome verdict.Verdict) error
 }
 
+// AdmissionLog takes note of admitted requests, for the judge of a run. Admitted
+// is called by all engines.
+type AdmissionLog interface {
+	// Admitted says that a request was admitted at a moment under a revision. A
+	// request whose caller went away before its answer may be left out.
+	Admitted(at time.Time, revision uint64)
+}
+
 // EventSink takes events for the journal. Record does not block; what it
 // can't take it counts.
 type EventSink interface {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,7 @@
 	routes   *routestats.Recorder
 	backends *backend.Client
 	claims   ClaimRegistry
+	admitted AdmissionLog
 	events   EventSink
 	source   ConfigSource
 
@@ -77,6 +78,7 @@
 		routes:   routestats.NewRecorder(time.Now()),
 		backends: dependencies.Backends,
 		claims:   dependencies.Claims,
+		admitted: dependencies.Admissions,
 		events:   dependencies.Events,
 		source:   dependencies.Source,
 
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -174,6 +174,7 @@
 			data-folder: $folder/router-$((index + 1))
 			stop-notice: $2
 			stop-quiet: 200ms
+			admission-record: $folder/records/admissions-$((index + 1)).jsonl
 		END
 	done
 }
@@ -228,8 +229,13 @@
 	stop backends
 }
 
-# conclude prints the report and the judge's findings; it fails on violations.
+# conclude prints the report and the judge's findings; it fails on violations,
+# and when a router recorded no admission.
 conclude() {
+	local index
+	for index in "${!callers[@]}"; do
+		[[ -s $folder/records/admissions-$((index + 1)).jsonl ]] || fail "router $((index + 1)) recorded no admission"
+	done
 	"$bin/martenbench" judge --folder "$folder/records" --policy-file "$policy" --report
 }
 
