Blame the router that refused for a refusal during a cut

The check was wrong, not the product: no lease was missed because of the cut.

Change: the check looks at the router that the request was handed over to.

--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -47,6 +47,8 @@
 type submission struct {
 	*callerRequest
 	router *router
+	// served is the router that the request was handed over to, or router.
+	served *router
 	sent   time.Duration
 	// read is when the router took the request from its socket, long after it
 	// was sent if it did not run. It can't know that, so that its answer is
@@ -108,7 +110,7 @@
 			break
 		}
 	}
-	sent := &submission{callerRequest: c, router: chosen, sent: w.queue.Now()}
+	sent := &submission{callerRequest: c, router: chosen, served: chosen, sent: w.queue.Now()}
 	w.trace.detail(c.caller.name(), "request_sent", c.id, "route", c.route, "router", chosen.name())
 	w.queue.After(c.deadline+patience, sent.timeOut)
 	if !w.network.Connected(&c.caller.place, &chosen.place) {
--- a/internal/simulation/forward.go
+++ b/internal/simulation/forward.go
@@ -39,6 +39,7 @@
 		left = request.Deadline.Sub(r.now())
 	}
 	r.forwarding++
+	s.served = peer
 	r.world.call(call{
 		from: &r.process, to: &peer.process, timeout: s.deadline + margin,
 		handle: func(back reply) {
--- a/internal/simulation/regions.go
+++ b/internal/simulation/regions.go
@@ -184,8 +184,8 @@
 	seen.refused[answer.Reason]++
 	switch verdict.Reason(answer.Reason) {
 	case verdict.ReasonNoLease:
-		if w.queue.Now()-s.router.startedAt > leaseRegained {
-			w.fail(propertyIsolation, "%s has no lease during the cut: request %s refused", s.router.name(), s.id)
+		if w.queue.Now()-s.served.startedAt > leaseRegained {
+			w.fail(propertyIsolation, "%s has no lease during the cut: request %s refused", s.served.name(), s.id)
 		}
 	case verdict.ReasonClaimsUnavailable:
 		if w.queue.Now()-w.voterTrouble > leaderRegained {
