--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -116,6 +116,8 @@
 	Forwarder Forwarder
 	// Regions carries requests to other regions; nil when Config.Alone is set.
 	Regions RegionCaller
+	// Admissions may be nil: nothing is recorded then.
+	Admissions AdmissionLog
 	// NewEngine creates the engine with an index in [0, Config.Engines).
 	NewEngine func(index int) Engine
 }
--- a/internal/simulation/build.go
+++ b/internal/simulation/build.go
@@ -10,7 +10,6 @@
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/judge"
-	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/servicetime"
 	"github.com/martenstage/martenstage/internal/simulation/disk"
 	"github.com/martenstage/martenstage/internal/simulation/network"
@@ -56,8 +55,8 @@
 			Stragglers: servicetime.Stragglers{Fraction: 0.08, Factor: 8, Period: 5 * time.Second},
 		},
 		backendAt: map[netip.AddrPort]*backend{}, completed: map[string]time.Duration{}, answers: map[string]int{},
-		faultKinds: map[FaultKind]int{}, decoded: map[string]*plan.Plan{},
-		lastVoter: uint64(len(of.voters)), version: firstVersion, replaced: func() {},
+		faultKinds: map[FaultKind]int{},
+		lastVoter:  uint64(len(of.voters)), version: firstVersion, replaced: func() {},
 		trafficEnd: end, horizon: end + 3*time.Second,
 	}
 	w.raft = newRaftChecks(w)
