Count what waits at back ends when a request is admitted

Admission counted only what waits in the router; with one slot the wait is at the back end.

Change: a shard counts as late if the queue here, the reported queue (at most the router's own attempts there) and an attempt's usual time exceed the time left; more late shards than the policy spares at its first moment are a refusal. With nothing ahead there is none. Experiments state slots and median.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -52,6 +52,12 @@
 	return float64(expected.Wait) <= share(priority)*bound
 }
 
+// InTime reports whether a shard whose part is expected after a time, all
+// waits and the work itself counted, may be counted on within the time left.
+func (g Gate) InTime(priority plan.Priority, expected, left time.Duration) bool {
+	return float64(expected) <= share(priority)*float64(left)
+}
+
 func share(priority plan.Priority) float64 {
 	switch priority {
 	case plan.PriorityInteractive:
--- a/internal/balancer/group.go
+++ b/internal/balancer/group.go
@@ -71,6 +71,21 @@
 // Slots returns the number of slots of the usable replicas.
 func (g *Group) Slots() int { return g.slots }
 
+// Queued returns how many attempts wait at the replicas by their last reports,
+// of each at most as many as this router has there: a report is believed only
+// where own attempts meet what it tells of. Suspect replicas are left out,
+// since new work does not go there.
+func (g *Group) Queued() int {
+	queued := 0
+	for _, member := range g.members {
+		server := member.server
+		if server.Usable() && !server.suspect {
+			queued += min(server.load.queued, server.inFlight)
+		}
+	}
+	return queued
+}
+
 // Generation returns the shard map that the group belongs to.
 func (g *Group) Generation() *Generation { return g.generation }
 
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -115,6 +115,7 @@
 	if err != nil {
 		return result, err
 	}
+	result.describe(made, &config)
 	// Worlds share nothing, so they may run side by side.
 	outcomes := make([]VariantResult, len(config.Variants))
 	var running sync.WaitGroup
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -81,3 +81,22 @@
 		require.NoError(b, err)
 	}
 }
+
+// With service times of a fifth of the deadline, what is queued at the back
+// ends makes answers partial long before anything waits in the routers. Who is
+// taken in gets most of the shards all the same, and more load takes nothing
+// away.
+func TestSurgeOnSlowServersKeepsCoverage(t *testing.T) {
+	const seeds, whole = 3, 0.9
+	var first, second, coverage float64
+	for seed := range uint64(seeds) {
+		result, err := RunVirtual(Config{Plan: bangkok(t), Scenario: "surge", Variants: []string{"martenstage"},
+			Seed: seed + 1, Duration: 10 * time.Second, Slots: 1, Median: 20 * time.Millisecond})
+		require.NoError(t, err)
+		row := result.Variants["martenstage"].Routes["quick-pick"]
+		first, second = first+row.FirstHalf.Goodput, second+row.SecondHalf.Goodput
+		coverage += row.Coverage / seeds
+	}
+	require.Greater(t, coverage, 0.85)
+	require.GreaterOrEqual(t, second, whole*first)
+}
--- a/internal/experiment/print.go
+++ b/internal/experiment/print.go
@@ -29,6 +29,8 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	slots := lo.Ternary(r.Slots > 0, fmt.Sprint(r.Slots), "as configured")
+	fmt.Fprintf(output, "back ends: service time median %.0fms, slots %s\n", r.MedianMs, slots)
 	if r.DisturbedSeconds > 0 {
 		fmt.Fprintf(output, "%d of %.0f seconds left out of all rows: the machine was too busy\n", r.DisturbedSeconds, r.Seconds)
 	}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"time"
+
 	"github.com/martenstage/martenstage/internal/judge"
 	"github.com/martenstage/martenstage/internal/report"
 )
@@ -12,12 +14,23 @@
 	Virtual    bool    `json:"virtual"`
 	Seed       uint64  `json:"seed"`
 	Seconds    float64 `json:"seconds"`
+	// MedianMs is the median service time and Slots the slots of every back
+	// end, where they are not those of the configuration (0): both change with
+	// the scenario over sockets.
+	MedianMs float64 `json:"service_time_median_ms"`
+	Slots    int     `json:"slots,omitempty"`
 	// DisturbedSeconds is how many seconds of a run over sockets were left out
 	// of the sums of all variants, because the machine was too busy.
 	DisturbedSeconds int                      `json:"disturbed_seconds,omitempty"`
 	Variants         map[string]VariantResult `json:"variants"`
 }
 
+// describe notes the size of the back ends that the variants met.
+func (r *Result) describe(made *setting, config *Config) {
+	r.MedianMs = float64(made.model.Default.Median) / float64(time.Millisecond)
+	r.Slots = config.Slots
+}
+
 // VariantResult is the outcome of one variant.
 type VariantResult struct {
 	Routes     map[string]RouteResult `json:"routes"`
--- a/internal/experiment/sockets.go
+++ b/internal/experiment/sockets.go
@@ -52,6 +52,7 @@
 	if err != nil {
 		return result, err
 	}
+	result.describe(made, &config)
 	runs, err := made.startAll(&config)
 	if err != nil {
 		return result, err
--- a/internal/query/admit.go
+++ b/internal/query/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/admission"
+	"github.com/martenstage/martenstage/internal/balancer"
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/verdict"
@@ -82,7 +83,7 @@
 	if !e.gate.Admits(priority, len(e.requests)) {
 		return e.refuseSurge(route, leastRetryAfter)
 	}
-	if e.waiting == 0 || !e.config.Tuning.limited() {
+	if !e.config.Tuning.limited() {
 		return nil
 	}
 	if len(route.moments) > 0 {
@@ -90,11 +91,11 @@
 		// still wait.
 		left = min(left, route.moments[0])
 	}
-	expected := e.expect(input, route)
-	if e.gate.Feasible(priority, expected, left) {
+	expected := e.expect(input, route, left)
+	if expected.late <= expected.spared && e.gate.Feasible(priority, expected.busiest, left) {
 		return nil
 	}
-	return e.refuseSurge(route, expected.Wait)
+	return e.refuseSurge(route, max(expected.busiest.Wait, expected.latest-left))
 }
 
 func (e *Engine) refuseSurge(route *routeView, wait time.Duration) *verdict.Error {
@@ -104,28 +105,58 @@
 	return e.refusal(verdict.ReasonOverloaded, wait)
 }
 
+// expectation is how a request would fare at the shards that it needs.
+type expectation struct {
+	// busiest is the shard with the longest wait for a place.
+	busiest admission.Expectation
+	// late counts the shards whose part is not expected in time, of which the
+	// policy may spare some; latest is when the last of them is expected.
+	late   int
+	spared int
+	latest time.Duration
+}
+
 // expect finds the longest wait of all shards that the request needs, since
-// the slowest one sets its latency.
-func (e *Engine) expect(input Request, route *routeView) admission.Expectation {
-	var longest admission.Expectation
+// the slowest one sets its latency, and counts the shards that would be late.
+// For these, what is queued at replicas counts as well: a replica that takes
+// its time makes a request late though nothing waits here.
+func (e *Engine) expect(input Request, route *routeView, left time.Duration) expectation {
+	var found expectation
 	partitions := route.service.partitions
 	if len(partitions) == 0 {
-		return longest
+		return found
 	}
 	newest := partitions[len(partitions)-1]
 	first, count := 0, len(newest.Groups)
 	if route.Target == plan.TargetKey {
 		first, count = ShardOfKey(input.Key, count), 1
 	}
+	found.spared = int(float64(count) * route.spared)
 	for index := first; index < first+count; index++ {
-		ahead := newest.queues[index].Ahead(route.Policy.Priority)
 		group := newest.Groups[index]
+		ahead := newest.queues[index].Ahead(route.Policy.Priority)
 		wait := admission.Wait(ahead, group.Slots(), group.Typical())
-		if wait >= longest.Wait {
-			longest = admission.Expectation{Wait: wait, Typical: max(group.Typical(), time.Millisecond)}
+		if wait >= found.busiest.Wait {
+			found.busiest = admission.Expectation{Wait: wait, Typical: max(group.Typical(), time.Millisecond)}
+		}
+		if whole := wholeTime(group, ahead); !e.gate.InTime(route.Policy.Priority, whole, left) {
+			found.late++
+			found.latest = max(found.latest, whole)
 		}
 	}
-	return longest
+	return found
+}
+
+// wholeTime is how long a shard's part is expected to take: the wait for a
+// place and at the replica, and the attempt itself. It is 0 where nothing is
+// ahead: however slow the replicas have become, the next attempt finds out how
+// they are now.
+func wholeTime(group *balancer.Group, ahead int) time.Duration {
+	ahead += group.Queued()
+	if ahead == 0 {
+		return 0
+	}
+	return admission.Wait(ahead, group.Slots(), group.Typical()) + group.Typical()
 }
 
 // refusal returns an error for a request of which nothing was sent, with a
--- a/internal/query/policy_test.go
+++ b/internal/query/policy_test.go
@@ -122,3 +122,40 @@
 	}
 	require.Equal(t, uint64(2), pinned(), "little capacity is better than none")
 }
+
+// A queue at the replicas makes a request late though nothing waits in the
+// router. It is refused while that queue stands and its policy can't spare the
+// shards, and taken in as soon as the queue is gone, however slow the replicas
+// were.
+func TestRequestsAreRefusedWhileReplicasQueueForTooLong(t *testing.T) {
+	const shards, moment, slow, queued = 4, 40 * time.Millisecond, 30 * time.Millisecond, 2
+	policy := testPolicy()
+	policy.Hedge = plan.Hedge{}
+	late := plan.Condition{Kind: plan.ConditionElapsed, Duration: moment}
+	policy.Statements = append(policy.Statements, plan.Statement{Action: plan.ActionAnswer, Condition: plan.Condition{
+		Kind: plan.ConditionAll, Operands: []plan.Condition{{Kind: plan.ConditionCoverage, Ratio: 0.75}, late},
+	}})
+	h := newHarness(t, Config{Zone: "a"}, testPlan(shards, 1, policy))
+	queue := func(send Send, waiting int) PartArrived {
+		arrived := part(send)
+		arrived.Report = Report{Known: true, Load: backendapi.Load{InFlight: 2, Slots: 2, Queued: waiting}}
+		return arrived
+	}
+	first, second, third := only[Send](h.arrive()), only[Send](h.arrive()), only[Send](h.arrive())
+	require.Len(t, third, shards)
+	h.after(slow, queue(first[0], queued))
+	spared := h.arrive()
+	require.Empty(t, only[Respond](spared), "one late shard of four is spared")
+	h.step(CallerGone{Request: h.next})
+	h.step(queue(first[1], queued))
+	refusals := only[Respond](h.arrive())
+	require.Len(t, refusals, 1)
+	require.Equal(t, verdict.ReasonOverloaded, refusals[0].Answer.Err.Reason)
+	require.Equal(t, verdict.NotRun, refusals[0].Answer.Verdict)
+	for _, sends := range [][]Send{second, third} {
+		for _, send := range sends {
+			h.step(queue(send, 0))
+		}
+	}
+	require.Len(t, only[Send](h.arrive()), shards)
+}
--- a/internal/query/view.go
+++ b/internal/query/view.go
@@ -21,6 +21,9 @@
 	moments []time.Duration
 	// wanted is the largest coverage that the policy names.
 	wanted float64
+	// spared is the share of the shards that an answer at the first of the
+	// moments may be without.
+	spared float64
 }
 
 // serviceView is one definition of a service. Requests that were admitted
@@ -136,9 +139,33 @@
 	}
 	slices.Sort(view.moments)
 	view.moments = slices.Compact(view.moments)
+	for index := range route.Policy.Statements {
+		view.spared = max(view.spared, view.sparedBy(&route.Policy.Statements[index]))
+	}
 	return view
 }
 
+// sparedBy returns the share of the shards that a statement of the form
+// "answer when coverage >= RATIO and elapsed >= the first moment" does without.
+func (r *routeView) sparedBy(statement *plan.Statement) float64 {
+	if statement.Action != plan.ActionAnswer || statement.Condition.Kind != plan.ConditionAll {
+		return 0
+	}
+	ratio, first := 0.0, false
+	for _, operand := range statement.Condition.Operands {
+		switch operand.Kind {
+		case plan.ConditionCoverage:
+			ratio = max(ratio, operand.Ratio)
+		case plan.ConditionElapsed:
+			first = operand.Duration == r.moments[0]
+		}
+	}
+	if !first || ratio == 0 {
+		return 0
+	}
+	return 1 - ratio
+}
+
 // scan collects the moments and coverages that a condition names.
 func (r *routeView) scan(condition *plan.Condition) {
 	switch condition.Kind {
