--- a/internal/control/change_encoding.go
+++ b/internal/control/change_encoding.go
@@ -4,42 +4,42 @@
 	"sync"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 
+	"github.com/martenstage/martenstage/internal/configdelta"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/state"
 	"github.com/martenstage/martenstage/internal/textdelta"
 )
 
-// textCache holds the text of the newest revision that was needed whole, so that
-// the next change need not rebuild it.
-type textCache struct {
+// configurationCache holds the newest revision that this voter compiled, so that
+// the next change need not rebuild its text. The plan is the compiler's own, whose
+// parts the next plan shares, which makes comparing them cheap.
+type configurationCache struct {
 	mutex    sync.Mutex
 	revision uint64
-	text     string
+	latest   configdelta.Configuration
 }
 
-func (c *textCache) put(revision uint64, text string) {
+func (c *configurationCache) put(revision uint64, latest configdelta.Configuration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if revision > c.revision {
-		c.revision, c.text = revision, text
+		c.revision, c.latest = revision, latest
 	}
 }
 
-func (c *textCache) get(revision uint64) (string, bool) {
+func (c *configurationCache) get(revision uint64) (configdelta.Configuration, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.text, c.revision == revision && revision != 0
+	return c.latest, c.revision == revision && revision != 0
 }
 
 // text returns the text of a revision, and whether it is kept. A text that can't
 // be rebuilt is an error of code DataLoss, which no other attempt would mend.
 func (s *Server) text(number uint64) (text string, kept bool, err error) {
-	if text, cached := s.texts.get(number); cached {
-		return text, true, nil
+	if latest, cached := s.compiled.get(number); cached {
+		return latest.Text, true, nil
 	}
 	var whole []byte
 	var deltas [][]byte
@@ -72,7 +72,7 @@
 // snapshot holds the whole chain that the latest revision is rebuilt from. So
 // neither a new leader, a log that was cut, nor an entry that is committed long
 // after it was proposed can meet another base.
-func (s *Server) encodeChange(command *v1.ChangeCommand, text string, compiled *plan.Plan) error {
+func (s *Server) encodeChange(command *v1.ChangeCommand, next configdelta.Configuration) error {
 	revision, latest, _ := s.store.Latest()
 	expected := command.GetExpectedRevision()
 	if expected < revision {
@@ -81,48 +81,45 @@
 		return nil
 	}
 	if expected == revision && revision != 0 {
-		fitting, err := s.encodeDeltas(command, text, plans{base: latest, next: compiled})
+		fitting, err := s.encodeDeltas(command, latest, next)
 		if err != nil || fitting {
 			return err
 		}
 	}
 	var err error
-	if command.CompressedPlan, err = plan.Pack(compiled); err != nil {
+	if command.CompressedPlan, err = plan.Pack(next.Plan); err != nil {
 		return err
 	}
-	command.CompressedText, err = compress([]byte(text))
+	command.CompressedText, err = compress([]byte(next.Text))
 	return err
 }
 
-// plans are those before and after a change.
-type plans struct{ base, next *plan.Plan }
-
 // encodeDeltas puts text and plan into a change as differences from the revision
 // that it expects. It returns false when the history has no room for them or
 // they would not lead to the text and the plan.
-func (s *Server) encodeDeltas(command *v1.ChangeCommand, text string, change plans) (bool, error) {
+func (s *Server) encodeDeltas(command *v1.ChangeCommand, applied *plan.Plan, next configdelta.Configuration) (bool, error) {
 	expected := command.GetExpectedRevision()
 	if !s.deltaFits(0, 0) {
 		return false, nil
 	}
-	base, kept, err := s.text(expected)
-	if err != nil {
-		// The change goes whole, and the history has a sound text to build on.
-		s.logger.WithError(err).Error("text_damaged")
-		return false, nil
+	base, kept := s.compiled.get(expected)
+	if !kept {
+		var err error
+		if base.Text, kept, err = s.text(expected); err != nil {
+			// The change goes whole, and the history has a sound text to build on.
+			s.logger.WithError(err).Error("text_damaged")
+			return false, nil
+		}
+		base.Plan = applied
 	}
 	if !kept {
 		return false, nil
 	}
-	textDelta, err := textdelta.Make([]byte(base), []byte(text))
-	if err != nil {
-		return false, err
-	}
-	planDelta, err := encodePlanDelta(change, expected)
-	if err != nil || planDelta == nil || !s.deltaFits(len(textDelta), len(planDelta)) {
+	delta, made, err := configdelta.Make(expected, base, next)
+	if err != nil || !made || !s.deltaFits(delta.Size()) {
 		return false, err
 	}
-	command.TextDelta, command.PlanDelta = textDelta, planDelta
+	command.TextDelta, command.PlanDelta = delta.Text, delta.Plan
 	return true, nil
 }
 
@@ -133,19 +130,6 @@
 	return fits
 }
 
-// encodePlanDelta returns nil when the delta does not lead to the plan, so that
-// a fault in making one costs bytes and no voter its way along the log.
-func encodePlanDelta(change plans, revision uint64) ([]byte, error) {
-	delta := plan.Delta(change.base, change.next)
-	delta.BaseRevision = revision
-	reached, err := plan.ApplyDelta(change.base, delta)
-	if err != nil || !plan.Equal(reached, change.next) {
-		return nil, nil
-	}
-	encoded, err := proto.MarshalOptions{Deterministic: true}.Marshal(delta)
-	return encoded, errors.Wrap(err, "encode a plan delta")
-}
-
 // wholeLatest returns text and plan of the latest revision as a change holds
 // them whole.
 func wholeLatest(machine *state.Machine) (text, packed []byte, err error) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,6 +40,7 @@
 	routes   *routestats.Recorder
 	backends *backend.Client
 	claims   ClaimRegistry
+	admitted AdmissionLog
 	events   EventSink
 	source   ConfigSource
 
@@ -75,19 +76,21 @@
 // New returns a router that does nothing until Run.
 func New(config Config, dependencies Dependencies) *Router {
 	config = config.withDefaults()
+	metrics := newRouterMetrics(dependencies.Registerer)
 	created := &Router{
 		config:   config,
 		logger:   dependencies.Logger,
-		metrics:  newRouterMetrics(dependencies.Registerer),
+		metrics:  metrics,
 		routes:   routestats.NewRecorder(time.Now()),
 		backends: dependencies.Backends,
 		claims:   dependencies.Claims,
+		admitted: dependencies.Admissions,
 		events:   dependencies.Events,
 		source:   dependencies.Source,
 
 		forwarder: dependencies.Forwarder,
 
-		prober: newProber(config, dependencies.Backends),
+		prober: newProber(config, dependencies.Backends, metrics),
 		warmer: newWarmer(dependencies.Backends),
 	}
 	created.cells = cell.NewCells([]string{config.Name})
--- a/internal/simulation/voter.go
+++ b/internal/simulation/voter.go
@@ -73,8 +73,8 @@
 	control       *control
 }
 
-func newVoter(world *World, index int) *voter {
-	v := &voter{process: newProcess(world, placeIn(zones[index%len(zones)], voterName(index))), id: uint64(index + 1)}
+func newVoter(world *World, at seat, id uint64) *voter {
+	v := &voter{process: newProcess(world, at), id: id}
 	v.wake = alarm{process: &v.process, act: func() { v.step(consensus.Wake{}) }}
 	v.control = newControl(v)
 	return v
@@ -95,7 +95,7 @@
 		v.end()
 		return
 	}
-	v.core, v.machine, v.applied = core, state.New(state.DefaultLimits()), 0
+	v.core, v.machine, v.applied = core, newMachine(), 0
 	v.inbox, v.stepping, v.failed = nil, false, false
 	v.proposals, v.outcomes, v.reads = map[uint64]func(any, error){}, map[uint64]awaited{}, map[uint64]func(error){}
 	v.waiting, v.sinceSnapshot, v.issued, v.synced = nil, 0, 0, 0
@@ -127,10 +127,12 @@
 	}
 	v.stepping = true
 	boot := v.boot
-	for len(v.inbox) > 0 && v.boot == boot {
-		next := v.inbox[0]
-		v.inbox = v.inbox[1:]
-		v.carryOut(v.core.Step(v.now(), next))
+	for next := 0; next < len(v.inbox) && v.boot == boot; next++ {
+		v.carryOut(v.core.Step(v.now(), v.inbox[next]))
+	}
+	if v.boot == boot {
+		clear(v.inbox)
+		v.inbox = v.inbox[:0]
 	}
 	v.stepping = false
 }
@@ -157,18 +159,27 @@
 		if to == nil {
 			continue
 		}
-		v.world.trace.detail(v.name(), "message", subjectRaft, "type", int(message.Type), "to", message.To, "term", message.Term,
-			"index", message.LogIndex, "entries", len(message.Entries), "commit", message.Commit, "reject", message.Reject)
+		v.world.trace.message(v.name(), &message)
+		// One event for all arrivals: a message may come twice.
+		var received consensus.Event = consensus.Receive{Message: message}
+		id := message.To
 		v.world.network.Send(network.Message{From: &v.place, To: &to.place, Repeatable: true, Arrive: func() {
-			to.deliver(to.boot, func() {
-				if to.id == message.To {
-					to.step(consensus.Receive{Message: message})
-				}
-			})
+			to.receive(id, received)
 		}})
 	}
 }
 
+// receive takes in a message to a voter of an id, now or when the voter thaws.
+func (v *voter) receive(id uint64, received consensus.Event) {
+	if !v.frozen {
+		if v.running && v.id == id {
+			v.step(received)
+		}
+		return
+	}
+	v.deliver(v.boot, func() { v.receive(id, received) })
+}
+
 // persist writes a unit and lets go of the promises that rest on it, and on all
 // before it, once it is synced.
 func (v *voter) persist(output consensus.Output) {
@@ -185,13 +196,13 @@
 		v.send(output.AfterPersist)
 		output.AfterPersist = nil
 	}
-	boot := v.boot
-	v.disk.Write(output.Persist, func(err error) {
-		v.deliver(boot, func() { v.written(output, err) })
+	boot, unit, promises := v.boot, output.Persist, output.AfterPersist
+	v.disk.Write(unit, func(err error) {
+		v.deliver(boot, func() { v.written(unit, promises, err) })
 	})
 }
 
-func (v *voter) written(output consensus.Output, err error) {
+func (v *voter) written(unit *consensus.Persist, promises []consensus.Message, err error) {
 	if v.failed {
 		return
 	}
@@ -202,10 +213,10 @@
 		v.failUpTo(^uint64(0))
 		return
 	}
-	v.send(output.AfterPersist)
-	if output.Persist != nil {
-		v.synced, v.unsyncedSince = output.Persist.Sequence, v.now()
-		v.step(consensus.Persisted{Sequence: output.Persist.Sequence})
+	v.send(promises)
+	if unit != nil {
+		v.synced, v.unsyncedSince = unit.Sequence, v.now()
+		v.step(consensus.Persisted{Sequence: unit.Sequence})
 	}
 }
 
@@ -250,6 +261,7 @@
 func (v *voter) apply(entry consensus.Entry) {
 	v.world.raft.apply(v, entry)
 	var result any
+	before := v.machine.Latest().Number
 	if entry.Kind == consensus.EntryData {
 		applied, err := v.machine.Apply(entry.Data)
 		if err != nil {
@@ -258,6 +270,9 @@
 		}
 		result = applied
 	}
+	if v.machine.Latest().Number != before {
+		v.world.raft.revised(v, entry.Index)
+	}
 	v.sinceSnapshot++
 	v.advance(entry.Index)
 	if waiting, ok := v.outcomes[entry.Index]; ok {
@@ -362,10 +377,10 @@
 }
 
 // initialState is what the first voters find on their disks.
-func initialState(voters int) consensus.Restored {
-	members := make([]consensus.Member, voters)
-	for index := range members {
-		members[index] = consensus.Member{ID: uint64(index + 1), Address: voterName(index)}
+func initialState(voters []seat) consensus.Restored {
+	members := make([]consensus.Member, len(voters))
+	for index, at := range voters {
+		members[index] = consensus.Member{ID: uint64(index + 1), Address: at.name}
 	}
 	return consensus.Restored{
 		HardState: consensus.HardState{Term: 1},
