Reuse regions in incremental compiles, and test connections that are never made

And what becomes of a request whose connection is neither taken nor refused had no test.

Change: a region is kept like a policy. A listener with a full queue stands for a network that drops packets.

--- a/internal/forward/region_test.go
+++ b/internal/forward/region_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -280,3 +282,50 @@
 		})
 	}
 }
+
+// deafAddress returns an address at which connections are neither taken nor
+// refused: the queue of its listener is full, so that the kernel drops further
+// ones, as a network does that drops packets.
+func deafAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	require.NoError(t, syscall.Bind(socket, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(socket, 0))
+	bound, err := syscall.Getsockname(socket)
+	require.NoError(t, err)
+	address := fmt.Sprint("127.0.0.1:", bound.(*syscall.SockaddrInet4).Port)
+	for {
+		waiting, err := net.DialTimeout("tcp4", address, 200*time.Millisecond)
+		if err != nil {
+			return netip.MustParseAddrPort(address)
+		}
+		t.Cleanup(func() { _ = waiting.Close() })
+	}
+}
+
+// Connections that are never made are given up well before the deadline, so that
+// the request provably was not run and another entry can be asked.
+func TestConnectionsThatAreNeverMade(t *testing.T) {
+	deaf := deafAddress(t)
+	near := newNearSide(t, remote.Config{FirstPause: time.Hour, LongestPause: time.Hour}, remotePlan(deaf))
+	hasty := near.ask("send", "hasty", 3*time.Millisecond)
+	require.Equal(t, verdict.NotRun, hasty.Verdict)
+	refused := near.ask("send", "id", 2*time.Second)
+	require.Equal(t, verdict.NotRun, refused.Verdict)
+	require.Equal(t, verdict.ReasonRegionUnreachable, refused.Err.Reason, "not timeout")
+	require.Eventually(t, func() bool { return !near.Status().Regions[0].Reachable }, longWait, time.Millisecond)
+	before := near.calls.crossings.Load()
+	require.Equal(t, verdict.ReasonRegionUnreachable, near.ask("send", "id", 2*time.Second).Err.Reason)
+	require.Equal(t, before, near.calls.crossings.Load())
+
+	member, _, record := newFleet(t)
+	both := newNearSide(t, remote.Config{}, remotePlan(deaf, netip.MustParseAddrPort(member.listener.Address())))
+	both.warm(t)
+	for number := range 10 {
+		id := fmt.Sprint("beside-", number)
+		require.Nil(t, both.ask("send", id, 4*time.Second).Err)
+		require.Equal(t, 1, executionsOf(record, id))
+	}
+}
--- a/internal/policy/assemble.go
+++ b/internal/policy/assemble.go
@@ -11,13 +11,14 @@
 )
 
 // parsedDeclaration is what is kept of a declaration that is right by itself:
-// a checked service, a checked policy, or a route, which has no meaning alone.
+// a checked service, policy or region, or a route, which has no meaning alone.
 type parsedDeclaration struct {
 	service *plan.Service
 	// servers are those of the service: by its groups when it has one generation,
 	// otherwise all in one list.
 	servers [][]serverUse
 	policy  *checkedPolicy
+	region  *plan.Region
 	route   *routeNode
 	// words counts the tokens.
 	words int
@@ -85,6 +86,11 @@
 			}
 			check.policies[policy.compiled.Name] = policy
 			namesGroups = namesGroups || len(policy.covered) > 0
+		case parsed.region != nil:
+			if _, taken := check.regions[parsed.region.Name]; taken || len(check.regions) == maxRegions {
+				return nil, false
+			}
+			check.regions[parsed.region.Name] = parsed.region
 		default:
 			routes = append(routes, parsed.route)
 		}
--- a/internal/policy/fuzz_test.go
+++ b/internal/policy/fuzz_test.go
@@ -17,6 +17,7 @@
 	f.Add("policy p { answer when not (covered(a, b) or coverage < 5% and not settled) at 1ms fail")
 	f.Add("route r { service x policy } policy p { deadline -5ms hedge at p99.9 between 1 and 2")
 	f.Add("service service { slots 99999999999999999999 generation 1 { group group { } } }\r\n\x00é")
+	f.Add("region n { router 10.0.0.1:1 router 10.0.0.1:1 } route r { region m deadline 1 repeatable service s } region {")
 	f.Fuzz(func(t *testing.T, text string) {
 		compiled, err := Compile("fuzz", []byte(text))
 		formatted, formatErr := Format("text", text)
--- a/internal/policy/incremental_test.go
+++ b/internal/policy/incremental_test.go
@@ -79,6 +79,8 @@
 	"127.0.1.1:7000", "127.0.1.4:7000", "group a {", "group b {", "replica 127.0.1.6:7000 zone a slots 1\n", "replica 127.0.0.3:7000 zone a shared\n",
 	"service u {\n\tslots 2\n\tconnections 70\n\tgeneration 1 {\n\t\tgroup g1 {\n\t\t\treplica 127.0.0.8:7000 zone a\n\t\t}\n\t}\n}\n",
 	"policy late {\n\tdeadline 2s\n\trepeatable\n\tanswer when covered(g1)\n\tat 1s fail\n}\n",
+	"region far {\n\trouter 10.0.0.3:1\n}\n", "region north {", "north", "router 10.0.0.1:8081\n", "deadline 1s\n", "repeatable\n",
+	"route l {\n\tregion far\n\tdeadline 1s\n}\n",
 	"route l {\n\tservice u\n\tpolicy late\n}\n", "route l {\n\tservice t\n\tpolicy late\n}\n",
 }
 
@@ -142,6 +144,9 @@
 		"a route to nothing":                {"\tpolicy claim\n\ttarget key", "\tpolicy missing\n\ttarget key", false},
 		"a covered group that is gone":      {"generation 2 {\n\t\tgroup g1", "generation 2 {\n\t\tgroup g3", false},
 		"a group by name and a key":         {"\tpolicy quick\n\ttarget all", "\tpolicy quick\n\ttarget key", false},
+		"a second region of a name":         {"region north {\n\trouter 10.0.0.2:8081", "region north {\n\trouter 10.0.0.3:1\n}\nregion north {\n\trouter 10.0.0.2:8081", false},
+		"a route to no region":              {"region north\n\tdeadline", "region south\n\tdeadline", false},
+		"another entry router":              {"router 10.0.0.2:8081", "router 10.0.0.3:8081", true},
 		"lines above a policy":              {"service t {", "# one\n# two\nservice t {", true},
 		"a comment before everything":       {"service s {", "# service x {\nservice s {", true},
 		"a service that no route refers to": {"service t {", "service v { slots 1 connections 1 generation 1 { group g { replica 127.0.0.7:7000 zone a } } }\nservice t {", true},
@@ -215,3 +220,23 @@
 		}
 	})
 }
+
+// TestRegionsAreReused checks that a text with regions is not left to the full
+// compiler, and that a region which did not change is not parsed again.
+func TestRegionsAreReused(t *testing.T) {
+	compiler := NewCompiler("site.policy")
+	require.True(t, requireSameAsFull(t, compiler, smallText))
+	require.NotEmpty(t, compiler.segments)
+	region := func() *plan.Region {
+		for _, part := range compiler.segments {
+			if part.parsed.region != nil {
+				return part.parsed.region
+			}
+		}
+		return nil
+	}
+	before := region()
+	require.NotNil(t, before)
+	require.True(t, requireSameAsFull(t, compiler, strings.Replace(smallText, "deadline 100ms", "deadline 101ms", 1)))
+	require.Same(t, before, region())
+}
--- a/internal/policy/remote.go
+++ b/internal/policy/remote.go
@@ -101,8 +101,11 @@
 		c.report.add(node.Name.Pos, "route %s names no deadline", route.Name)
 	}
 	route.Region = region.Value
-	c.unknownName(keywordRegion, region)
-	return route, c.regions[route.Region] != nil
+	if c.regions[route.Region] == nil {
+		c.unknownName(keywordRegion, region)
+		return route, false
+	}
+	return route, true
 }
 
 // explainRemote describes what is done with the requests of a remote route.
--- a/internal/remote/region_test.go
+++ b/internal/remote/region_test.go
@@ -280,3 +280,13 @@
 		}
 	}
 }
+
+// TestAConnectionThatTookTooLongIsADoubt: how long it may take is the caller's
+// choice, so that only a probe says that the entry is gone.
+func TestAConnectionThatTookTooLongIsADoubt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	region := New(Config{}, entriesOf(1))
+	require.Equal(t, Unchanged, region.Step(now, Asked{Entry: entryNumber(0), Outcome: SlowConnect, Begun: now}))
+	require.Equal(t, entriesOf(1), region.DueProbes(now))
+	require.Equal(t, BecameUnreachable, region.Probed(now, entryNumber(0), false))
+}
