Look at the lease and give it up under one lock

Cause: the keeper of connection shares looked whether the lease had run out, and gave the shares up afterwards. A lease granted in between was taken as given up. Control renews each second, which hid it; a router on a policy file is granted its lease once, and then never became ready. A test of regions met it once in 12 runs on a loaded machine.

Change: both under the lock that a grant takes.

The failing run of the regions' test was this fault, not the test's.

--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -81,6 +81,22 @@
 func (k *shareKeeper) setLease(valid bool) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
+	k.takeLease(valid)
+}
+
+// lapse gives the shares up if the lease had run out at a time. The lease is
+// looked at with the lock held: one that is granted meanwhile would otherwise be
+// taken as given up, and a lease that is granted only once was then missed.
+func (k *shareKeeper) lapse(at time.Time) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !k.router.leaseValidAt(at) {
+		k.takeLease(false)
+	}
+}
+
+// takeLease is called with the lock held.
+func (k *shareKeeper) takeLease(valid bool) {
 	if k.lapsed == !valid {
 		return
 	}
@@ -157,9 +173,7 @@
 	for {
 		// Requests admitted before the lapse finish in this time. It ends well
 		// before the others take over what this router held.
-		if !k.router.leaseValidAt(time.Now().Add(-k.router.config.ShareDelay / lapseFraction)) {
-			k.setLease(false)
-		}
+		k.lapse(time.Now().Add(-k.router.config.ShareDelay / lapseFraction))
 		k.mutex.Lock()
 		next := k.apply(time.Now())
 		k.mutex.Unlock()
