Run the scale bench over a control group for each region

Cause: the design has a control group for each of 9 regions, but the bench drove one group, so neither the cost of 27 voters nor the independence of regions was measured.

Followers draw their ends from the seed alone. With one region the run is as before.

--- a/cmd/martenbench/hollow.go
+++ b/cmd/martenbench/hollow.go
@@ -25,6 +25,8 @@
 	Followers int      `long:"followers" koanf:"followers" required:"yes" validate:"min=1" description:"How many followers run at once"`
 	Relays    []string `long:"relay" koanf:"relay" required:"yes" validate:"min=1,dive,ip_port" description:"Address of a relay; repeat it to name all, in the same order for each process"`
 	Zones     int      `long:"zones" koanf:"zones" default:"1" validate:"min=1" description:"Zones that relays and followers are dealt to in turn"`
+	ZoneNames []string `long:"zone" koanf:"zone" description:"Zone that followers are dealt to in turn; repeat it to name all of a region, whose followers then know all relays. Excludes --zones"`
+	Services  string   `long:"services" koanf:"services" description:"Begin of the names of the services of the followers' region; a plan with another service is counted"`
 	Metrics   string   `long:"metrics-listen" koanf:"metrics-listen" required:"yes" validate:"ip_port" description:"Address of the metrics page and of the run's questions"`
 	Churn     int64    `long:"churn" koanf:"churn" default:"0" validate:"min=0" description:"How many times faster than 23,150 a day over 4,500 nodes followers end; 0 for never"`
 	Seed      uint64   `long:"seed" koanf:"seed" default:"1" description:"Seed of restarts and jitter"`
@@ -50,6 +52,7 @@
 
 	fleet := scale.NewFleet(scale.FleetConfig{
 		Name: c.Name, Followers: c.Followers, Relays: c.Relays, Zones: c.Zones, Seed: c.Seed,
+		ZoneNames: c.ZoneNames, Services: c.Services,
 	}, security, logger)
 	fleet.SetChurn(c.Churn)
 	listener, err := net.Listen("tcp4", c.Metrics)
--- a/internal/scale/change_bench_test.go
+++ b/internal/scale/change_bench_test.go
@@ -24,7 +24,7 @@
 
 func benchmarkChange(b *testing.B, servers int) {
 	const zones, cellRouters = 26, 64
-	configuration := NewConfiguration(servers, zones, cellRouters)
+	configuration := NewConfiguration(ConfigurationShape{Servers: servers, Zones: ZonesOf(0, 1, zones), CellRouters: cellRouters})
 	base := compiled(b, configuration.Text())
 	configuration.Change()
 	text := configuration.Text()
--- a/internal/scale/churn.go
+++ b/internal/scale/churn.go
@@ -68,20 +68,30 @@
 	}
 }
 
-// awaitEnd waits until the churn ends a follower, or the context does. Ends of
-// one follower are independent of its age.
-func (f *Fleet) awaitEnd(ctx context.Context, random *rand.Rand) ending {
+// end is how a follower ends, and for how long its place then stays empty.
+type end struct {
+	kind    ending
+	absence time.Duration
+}
+
+func endBy(kind ending) end { return end{kind: kind, absence: kind.absence()} }
+
+// awaitEnd waits until the churn or a fault ends a follower, or the context
+// does. Ends of one follower are independent of its age.
+func (f *Fleet) awaitEnd(ctx context.Context, own *place, random *rand.Rand) end {
 	const perStep = float64(endsPerDay) / targetMachines * float64(churnStep) / float64(day)
 	ticker := time.NewTicker(churnStep)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return endRestart
+			return endBy(endRestart)
+		case absence := <-own.struck:
+			return end{kind: endFailure, absence: absence}
 		case <-ticker.C:
 		}
 		if random.Float64() < perStep*float64(f.churn.Load()) {
-			return drawEnding(random)
+			return endBy(drawEnding(random))
 		}
 	}
 }
--- a/internal/scale/configuration.go
+++ b/internal/scale/configuration.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"strings"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -14,42 +16,60 @@
 	serverPort       = 9
 )
 
+// ConfigurationShape says what a Configuration declares.
+type ConfigurationShape struct {
+	// First is the number of servers of other regions before these; no two
+	// regions have a server with the same address.
+	First   int
+	Servers int
+	// Zones that the servers are dealt to in turn.
+	Zones []string
+	// CellRouters is how many routers connect to the servers of a service.
+	CellRouters int
+	// Prefix begins the names of services, policies and routes.
+	Prefix string
+}
+
 // Configuration generates texts for a number of servers. Each text differs
 // from the one before by the address of one replica, the commonest change of a
 // running fleet. All addresses lie in 127.0.0.0/8, where nothing listens.
 type Configuration struct {
-	servers int
-	zones   int
-	// cellRouters is how many routers connect to the servers of a service.
-	cellRouters int
+	shape ConfigurationShape
 	// moved counts how often each server's address was replaced.
 	moved map[int]int
 	next  int
 }
 
-// NewConfiguration returns the configuration of a number of servers in a
-// number of zones, whose services have cells of a number of routers.
-func NewConfiguration(servers, zones, cellRouters int) *Configuration {
-	return &Configuration{
-		servers: max(servers, replicasPerShard), zones: max(zones, 1), cellRouters: max(cellRouters, 1),
-		moved: make(map[int]int),
+// NewConfiguration returns the first configuration of a shape.
+func NewConfiguration(shape ConfigurationShape) *Configuration {
+	shape.Servers = max(shape.Servers, replicasPerShard)
+	shape.CellRouters = max(shape.CellRouters, 1)
+	if len(shape.Zones) == 0 {
+		shape.Zones = []string{zoneName(0)}
 	}
+	return &Configuration{shape: shape, moved: make(map[int]int)}
+}
+
+// regionShape is the part of a run's configuration that a region owns.
+func regionShape(config RunConfig, region int) ConfigurationShape {
+	shape := ConfigurationShape{
+		First: firstOf(config.Servers, config.Regions, region), Servers: Share(config.Servers, config.Regions, region),
+		Zones: ZonesOf(region, config.Regions, config.Zones), CellRouters: config.CellRouters,
+		Prefix: ServicePrefix(region, config.Regions),
+	}
+	return shape
 }
 
 // Addresses returns the present addresses of all servers.
 func (c *Configuration) Addresses() []netip.AddrPort {
-	addresses := make([]netip.AddrPort, c.servers)
-	for server := range addresses {
-		addresses[server] = c.address(server)
-	}
-	return addresses
+	return lo.Times(c.shape.Servers, c.address)
 }
 
 // Change replaces the address of one server.
 func (c *Configuration) Change() {
 	// A prime step spreads changes over services.
 	const step = 7919
-	c.moved[c.next%c.servers]++
+	c.moved[c.next%c.shape.Servers]++
 	c.next += step
 }
 
@@ -57,26 +77,29 @@
 func (c *Configuration) Text() string {
 	const bytesPerServer = 64
 	var text strings.Builder
-	text.Grow(c.servers * bytesPerServer)
+	text.Grow(c.shape.Servers * bytesPerServer)
 	services := 0
-	for first := 0; first < c.servers; first += shardsPerService * replicasPerShard {
+	for first := 0; first < c.shape.Servers; first += shardsPerService * replicasPerShard {
 		c.writeService(&text, services, first)
 		services++
 	}
+	prefix := c.shape.Prefix
 	for service := range services {
-		fmt.Fprintf(&text, "policy policy-%02d {\n\tdeadline 100ms\n\trepeatable\n\tanswer when coverage >= 99%%\n\tat 90ms answer\n}\n\n", service)
-		fmt.Fprintf(&text, "route all-%02d {\n\tservice service-%02d\n\tpolicy policy-%02d\n\ttarget all\n}\n\n", service, service, service)
+		fmt.Fprintf(&text, "policy %spolicy-%02d {\n\tdeadline 100ms\n\trepeatable\n\tanswer when coverage >= 99%%\n\tat 90ms answer\n}\n\n", prefix, service)
+		fmt.Fprintf(&text, "route %sall-%02d {\n\tservice %sservice-%02d\n\tpolicy %spolicy-%02d\n\ttarget all\n}\n\n",
+			prefix, service, prefix, service, prefix, service)
 	}
 	return text.String()
 }
 
 func (c *Configuration) writeService(text *strings.Builder, service, first int) {
-	fmt.Fprintf(text, "service service-%02d {\n\tslots 5\n\tconnections 70\n\tcell routers %d\n\tgeneration 1 {\n", service, c.cellRouters)
-	last := min(first+shardsPerService*replicasPerShard, c.servers)
+	fmt.Fprintf(text, "service %sservice-%02d {\n\tslots 5\n\tconnections 70\n\tcell routers %d\n\tgeneration 1 {\n",
+		c.shape.Prefix, service, c.shape.CellRouters)
+	last := min(first+shardsPerService*replicasPerShard, c.shape.Servers)
 	for shard := first; shard < last; shard += replicasPerShard {
 		fmt.Fprintf(text, "\t\tgroup g%03d {\n", (shard-first)/replicasPerShard)
 		for server := shard; server < min(shard+replicasPerShard, last); server++ {
-			fmt.Fprintf(text, "\t\t\treplica %s zone zone-%02d\n", c.address(server), server%c.zones)
+			fmt.Fprintf(text, "\t\t\treplica %s zone %s\n", c.address(server), c.shape.Zones[server%len(c.shape.Zones)])
 		}
 		text.WriteString("\t\t}\n")
 	}
@@ -87,6 +110,7 @@
 func (c *Configuration) address(server int) netip.AddrPort {
 	const firstNetwork, networks = 64, 128
 	network := firstNetwork + c.moved[server]%networks
-	address := netip.AddrFrom4([4]byte{127, byte(network), byte(server >> 8), byte(server)})
+	number := c.shape.First + server
+	address := netip.AddrFrom4([4]byte{127, byte(network), byte(number >> 8), byte(number)})
 	return netip.AddrPortFrom(address, serverPort)
 }
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -26,9 +26,15 @@
 	// Followers is how many run at once.
 	Followers int
 	// Relays are dealt to the zones in turn; each follower is given those of
-	// its zone.
+	// its zone. With ZoneNames each is given all of them.
 	Relays []string
 	Zones  int
+	// ZoneNames are the zones that the followers are dealt to in turn; when
+	// empty, they are numbered from 0 to Zones.
+	ZoneNames []string
+	// Services begins the names of the services that the followers may be told
+	// of. A plan with another one is counted as foreign.
+	Services string
 	// Seed of restarts and jitter.
 	Seed uint64
 }
@@ -40,8 +46,9 @@
 	logger   logrus.FieldLogger
 	traffic  traffic
 	// churn is how many times faster than the stated rate followers restart.
-	churn atomic.Int64
-	boots atomic.Uint64
+	churn  atomic.Int64
+	boots  atomic.Uint64
+	places []*place
 
 	mutex  sync.Mutex
 	lives  []*life
@@ -52,6 +59,7 @@
 func NewFleet(config FleetConfig, security *rpc.Security, logger logrus.FieldLogger) *Fleet {
 	config.Zones = max(config.Zones, 1)
 	fleet := &Fleet{config: config, security: security, logger: logger}
+	fleet.places = lo.Times(config.Followers, func(index int) *place { return newPlace(index, fleet.zoneOf(index)) })
 	fleet.boots.Store(uint64(time.Now().UnixNano()))
 	return fleet
 }
@@ -63,45 +71,53 @@
 // Run keeps the followers running until the context ends.
 func (f *Fleet) Run(ctx context.Context) {
 	var slots sync.WaitGroup
-	for index := range f.config.Followers {
-		slots.Go(func() { f.runSlot(ctx, index) })
+	for _, one := range f.places {
+		slots.Go(func() { f.runPlace(ctx, one) })
 	}
 	slots.Wait()
 }
 
-// runSlot runs one follower after another in the place of one router.
-func (f *Fleet) runSlot(ctx context.Context, index int) {
-	random := rand.New(rand.NewPCG(f.config.Seed, uint64(index)))
-	name := fmt.Sprintf("%s-%04d", f.config.Name, index)
+// sources are the random numbers of one follower.
+type sources struct {
+	jitter, ends *rand.Rand
+}
+
+// runPlace runs one follower after another in the place of one router.
+func (f *Fleet) runPlace(ctx context.Context, own *place) {
+	random := rand.New(rand.NewPCG(f.config.Seed, uint64(own.index)))
+	name := fmt.Sprintf("%s-%04d", f.config.Name, own.index)
 	// Spread starts over a while, as an orderly start of a fleet does.
 	spread := time.Duration(f.config.Followers) * startPace
 	if !wait.For(ctx, time.Duration(random.Int64N(int64(spread)))) {
 		return
 	}
-	for replaced := 0; ctx.Err() == nil; {
-		ending := f.runLife(ctx, name, index, random)
-		f.count(ending)
-		if ending != endRestart {
+	for replaced, lives := 0, uint64(0); ctx.Err() == nil; {
+		lives++
+		// The follower draws from its own source, in a goroutine of its own.
+		ends := rand.New(rand.NewPCG(f.config.Seed, uint64(own.index)+lives<<32))
+		ended := f.runLife(ctx, name, own, sources{jitter: random, ends: ends})
+		f.count(ended.kind)
+		if ended.kind != endRestart {
 			replaced++
-			name = fmt.Sprintf("%s-%04d-%d", f.config.Name, index, replaced)
+			name = fmt.Sprintf("%s-%04d-%d", f.config.Name, own.index, replaced)
 		}
-		if !wait.For(ctx, ending.absence()) {
+		if !wait.For(ctx, ended.absence) {
 			return
 		}
 	}
 }
 
-// runLife runs a follower until its end comes by the churn.
-func (f *Fleet) runLife(ctx context.Context, name string, index int, random *rand.Rand) ending {
+// runLife runs a follower until its end comes by the churn or by a fault.
+func (f *Fleet) runLife(ctx context.Context, name string, own *place, random sources) end {
 	client := rpc.NewClient(f.security, rpc.ClientConfig{Dial: f.traffic.dial})
 	defer client.CloseIdle()
-	started := &life{}
-	upper, err := follower.New(follower.Config{Node: f.node(name, index), Upstreams: f.upstreams(index)}, follower.Deps{
-		Dial: follower.NewDial(client), Sink: started, Logger: f.logger, Registerer: unregistered{}, Random: random.Float64,
+	started := &life{services: f.config.Services}
+	upper, err := follower.New(follower.Config{Node: f.node(name, own), Upstreams: f.upstreams(own.index)}, follower.Deps{
+		Dial: follower.NewDial(client), Sink: started, Logger: f.logger, Registerer: unregistered{}, Random: random.jitter.Float64,
 	})
 	if err != nil {
 		f.logger.WithField("reason", err).Error("follower not started")
-		return endFailure
+		return endBy(endFailure)
 	}
 	f.add(started)
 	running, cancel := context.WithCancel(ctx)
@@ -110,14 +126,14 @@
 		defer close(done)
 		_ = upper.Run(running)
 	}()
-	ending := f.awaitEnd(ctx, rand.New(rand.NewPCG(f.config.Seed, f.boots.Load())))
-	if ending != endFailure && ctx.Err() == nil {
+	ended := f.awaitEnd(ctx, own, random.ends)
+	if ended.kind != endFailure && ctx.Err() == nil {
 		f.leave(ctx, upper)
 	}
 	cancel()
 	<-done
 	started.end()
-	return ending
+	return ended
 }
 
 func (f *Fleet) leave(ctx context.Context, upper *follower.Follower) {
@@ -129,19 +145,27 @@
 	}
 }
 
-func (f *Fleet) node(name string, index int) membership.Node {
+func (f *Fleet) node(name string, own *place) membership.Node {
 	const firstPort, ports = 20000, 40000
 	return membership.Node{
-		Name: name, Role: membership.RoleRouter, Zone: f.zoneName(index),
-		Address: fmt.Sprintf("127.200.%d.%d:%d", index>>8&0xff, index&0xff, firstPort+index%ports),
+		Name: name, Role: membership.RoleRouter, Zone: own.zone,
+		Address: fmt.Sprintf("127.200.%d.%d:%d", own.index>>8&0xff, own.index&0xff, firstPort+own.index%ports),
 		Boot:    f.boots.Add(1),
 	}
 }
 
-func (f *Fleet) zoneName(index int) string { return fmt.Sprintf("zone-%02d", index%f.config.Zones) }
+func (f *Fleet) zoneOf(index int) string {
+	if names := f.config.ZoneNames; len(names) > 0 {
+		return names[index%len(names)]
+	}
+	return zoneName(index % f.config.Zones)
+}
 
-// upstreams returns the relays of a follower's zone.
+// upstreams returns the relays that a follower is given.
 func (f *Fleet) upstreams(index int) []string {
+	if len(f.config.ZoneNames) > 0 {
+		return f.config.Relays
+	}
 	own := lo.Filter(f.config.Relays, func(_ string, relay int) bool {
 		return relay%f.config.Zones == index%f.config.Zones
 	})
--- a/internal/scale/life.go
+++ b/internal/scale/life.go
@@ -2,9 +2,12 @@
 
 import (
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
 )
@@ -12,10 +15,15 @@
 // life is what one run of a hollow follower learned. It implements
 // follower.Sink.
 type life struct {
+	// services begins the names of the services that a plan may have.
+	services string
+
 	mutex    sync.Mutex
 	installs []install
 	until    time.Time
 	gaps     []gap
+	// foreign counts plans with services of another region.
+	foreign int
 	// routers and machines are the versions of the tables. Their content is
 	// not kept: the tables of thousands of followers in one process would be
 	// all that its memory shows. Real routers beside the fleet show their cost.
@@ -36,10 +44,16 @@
 }
 
 // InstallPlan implements follower.Sink. The follower itself keeps the plan.
-func (l *life) InstallPlan(revision uint64, _ *plan.Plan) {
+func (l *life) InstallPlan(revision uint64, installed *plan.Plan) {
 	now := time.Now()
+	foreign := lo.SomeBy(installed.Services, func(service plan.Service) bool {
+		return !strings.HasPrefix(service.Name, l.services)
+	})
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if foreign {
+		l.foreign++
+	}
 	l.installs = append(l.installs, install{revision: revision, at: now})
 }
 
@@ -81,14 +95,27 @@
 	l.ended = time.Now()
 }
 
-// state returns the installed revision and whether the lease is valid.
-func (l *life) state(now time.Time) (revision uint64, holding bool) {
+// lifeState is what a follower is at a moment.
+type lifeState struct {
+	ended    bool
+	revision uint64
+	holding  bool
+	// lapsed says that it had a lease and lost it.
+	lapsed  bool
+	foreign int
+}
+
+func (l *life) state(now time.Time) lifeState {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	state := lifeState{ended: !l.ended.IsZero(), foreign: l.foreign}
 	if len(l.installs) == 0 {
-		return 0, false
+		return state
 	}
-	return l.installs[len(l.installs)-1].revision, now.Before(l.until)
+	state.revision = l.installs[len(l.installs)-1].revision
+	state.holding = now.Before(l.until)
+	state.lapsed = !l.until.IsZero() && !state.holding
+	return state
 }
 
 // reached says when the follower had a revision or a higher one installed.
--- a/internal/scale/machines.go
+++ b/internal/scale/machines.go
@@ -53,14 +53,14 @@
 	return float64(endsPerDay) * targetServers / targetMachines * float64(speed) / day.Seconds()
 }
 
-// run restarts servers until the context ends.
-func (m *machines) run(ctx context.Context, speed int64) {
-	if speed == 0 {
+// run restarts servers at a rate until the context ends.
+func (m *machines) run(ctx context.Context, perSecond float64) {
+	if perSecond == 0 {
 		return
 	}
 	var under sync.WaitGroup
 	defer under.Wait()
-	ticker := time.NewTicker(time.Duration(float64(time.Second) / restartsPerSecond(speed)))
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / perSecond))
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/scale/page.go
+++ b/internal/scale/page.go
@@ -15,6 +15,7 @@
 	pathState   = "/state"
 	pathReport  = "/report"
 	pathChurn   = "/churn"
+	pathFail    = "/fail"
 )
 
 // churnRequest sets the factor of SetChurn.
@@ -30,24 +31,27 @@
 	mux.HandleFunc("GET "+pathState, func(response http.ResponseWriter, _ *http.Request) {
 		respond(response, f.State())
 	})
-	mux.HandleFunc("POST "+pathReport, func(response http.ResponseWriter, request *http.Request) {
-		var asked ReportRequest
-		if err := json.NewDecoder(request.Body).Decode(&asked); err != nil {
-			http.Error(response, err.Error(), http.StatusBadRequest)
-			return
-		}
-		respond(response, f.Report(asked))
-	})
-	mux.HandleFunc("POST "+pathChurn, func(response http.ResponseWriter, request *http.Request) {
-		var asked churnRequest
+	mux.HandleFunc("POST "+pathReport, answering(f.Report))
+	mux.HandleFunc("POST "+pathChurn, answering(func(asked churnRequest) State {
+		f.SetChurn(asked.Factor)
+		return f.State()
+	}))
+	mux.HandleFunc("POST "+pathFail, answering(func(asked failRequest) failResponse {
+		return failResponse{Failed: f.Fail(asked)}
+	}))
+	return mux
+}
+
+// answering decodes a request, and encodes what is answered to it.
+func answering[Request, Response any](answer func(Request) Response) http.HandlerFunc {
+	return func(response http.ResponseWriter, request *http.Request) {
+		var asked Request
 		if err := json.NewDecoder(request.Body).Decode(&asked); err != nil {
 			http.Error(response, err.Error(), http.StatusBadRequest)
 			return
 		}
-		f.SetChurn(asked.Factor)
-		respond(response, f.State())
-	})
-	return mux
+		respond(response, answer(asked))
+	}
 }
 
 func respond(response http.ResponseWriter, value any) {
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -33,6 +33,10 @@
 type Process struct {
 	Role Role   `json:"role"`
 	Name string `json:"name"`
+	// Region that it belongs to; 0 when there is one only.
+	Region int `json:"region"`
+	// Zone of a voter or relay; empty when the run doesn't need it.
+	Zone string `json:"zone"`
 	// PID on this machine, for the bytes that it reads and writes.
 	PID int `json:"pid"`
 	// Metrics is the address of its metrics page.
@@ -69,11 +73,11 @@
 	// read and written are bytes of all system calls: sockets, and for control
 	// also the data folder.
 	read, written float64
+	// stored are bytes that the process caused to be written to a disk.
+	stored float64
 	// received and sent are bytes of the followers' connections, of hollow
 	// processes only.
 	received, sent float64
-	// inForce is the revision in force that control reports.
-	inForce float64
 }
 
 // sampler reads the state of processes.
@@ -92,17 +96,13 @@
 	if err != nil {
 		return sample{}, err
 	}
-	read, written, err := systemCallBytes(process.PID)
+	taken, err := transferred(process.PID)
 	if err != nil {
 		return sample{}, errors.Wrapf(err, "process %s", process.Name)
 	}
-	return sample{
-		cpu:      values["process_cpu_seconds_total"],
-		resident: values["process_resident_memory_bytes"],
-		read:     read, written: written,
-		received: values[metricReceived], sent: values[metricSent],
-		inForce: values["martenstage_revision_in_force"],
-	}, nil
+	taken.cpu, taken.resident = values["process_cpu_seconds_total"], values["process_resident_memory_bytes"]
+	taken.received, taken.sent = values[metricReceived], values[metricSent]
+	return taken, nil
 }
 
 // metrics reads the samples without labels of a metrics page.
@@ -163,22 +163,25 @@
 	return body, err
 }
 
-// systemCallBytes returns what a process has read and written in all, as Linux
-// counts it: sockets and files alike.
-func systemCallBytes(pid int) (read, written float64, err error) {
+// transferred returns a sample with the bytes that a process has moved in all,
+// as Linux counts them: sockets and files alike, and what went to a disk.
+func transferred(pid int) (sample, error) {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
 	if err != nil {
-		return 0, 0, err
+		return sample{}, err
 	}
+	var taken sample
 	for line := range strings.Lines(string(text)) {
 		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
 		number, _ := strconv.ParseFloat(value, 64)
 		switch name {
 		case "rchar":
-			read = number
+			taken.read = number
 		case "wchar":
-			written = number
+			taken.written = number
+		case "write_bytes":
+			taken.stored = number
 		}
 	}
-	return read, written, nil
+	return taken, nil
 }
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -49,6 +49,23 @@
 	Running        int    `json:"running"`
 	Holding        int    `json:"holding"`
 	LowestRevision uint64 `json:"lowest_revision"`
+	// Lapsed followers run and had a lease that they lost.
+	Lapsed int `json:"lapsed"`
+	// Foreign counts plans, of all followers so far, with services of another
+	// region.
+	Foreign int `json:"foreign"`
+}
+
+// plus adds the states of two fleets up.
+func (s State) plus(other State) State {
+	lowest := min(s.LowestRevision, other.LowestRevision)
+	if s.Running == 0 {
+		lowest = other.LowestRevision
+	}
+	return State{
+		Running: s.Running + other.Running, Holding: s.Holding + other.Holding, LowestRevision: lowest,
+		Lapsed: s.Lapsed + other.Lapsed, Foreign: s.Foreign + other.Foreign,
+	}
 }
 
 func newDelays() *hdrhistogram.Histogram {
@@ -92,20 +109,21 @@
 	now := time.Now()
 	var state State
 	for _, one := range f.all() {
-		one.mutex.Lock()
-		ended := !one.ended.IsZero()
-		one.mutex.Unlock()
-		if ended {
+		known := one.state(now)
+		state.Foreign += known.foreign
+		if known.ended {
 			continue
 		}
-		revision, holding := one.state(now)
-		if state.Running == 0 || revision < state.LowestRevision {
-			state.LowestRevision = revision
+		if state.Running == 0 || known.revision < state.LowestRevision {
+			state.LowestRevision = known.revision
 		}
 		state.Running++
-		if holding {
+		if known.holding {
 			state.Holding++
 		}
+		if known.lapsed {
+			state.Lapsed++
+		}
 	}
 	return state
 }
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -4,19 +4,19 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
 // Result is the outcome of a run. The fields up to ControlMB are those of the
 // first phase, the stated rates.
 type Result struct {
+	Regions int `json:"regions"`
 	Routers int `json:"routers"`
 	Servers int `json:"servers"`
 	Relays  int `json:"relays"`
+	Voters  int `json:"voters"`
 	Phase
 	Phases []Phase `json:"phases"`
-	// Sizes of what travels.
+	// TextBytes is the size of the largest region's configuration.
 	TextBytes int `json:"text_bytes"`
 	// Load is the machine's load average at the start and the end; other work
 	// on it shows there.
@@ -69,8 +69,15 @@
 	ControlCorePercent float64 `json:"control_core_percent"`
 	ControlMB          float64 `json:"control_mb"`
 	ControlKBPerSecond float64 `json:"control_kb_per_s"`
-	// ControlCorePercentAll sums all voters up.
+	// ControlStoredKBPerSecond is what the busiest voter has written to disk.
+	ControlStoredKBPerSecond float64 `json:"control_stored_kb_per_s"`
+	// ControlCorePercentAll sums all voters up, RelayCorePercentAll all relays.
 	ControlCorePercentAll float64 `json:"control_core_percent_all"`
+	RelayCorePercentAll   float64 `json:"relay_core_percent_all"`
+	// ForeignPlans counts plans with services of another region.
+	ForeignPlans int `json:"foreign_plans"`
+	// ByRegion has the same figures for each region, when there are several.
+	ByRegion []Phase `json:"by_region,omitempty"`
 	// Usages lists processes other than hollow ones and relays one by one.
 	Usages []Usage `json:"processes"`
 }
@@ -81,118 +88,8 @@
 	CorePercent float64 `json:"core_percent"`
 	MB          float64 `json:"mb"`
 	KBPerSecond float64 `json:"kb_per_s"`
-}
-
-const (
-	bytesPerMB = 1 << 20
-	bytesPerKB = 1 << 10
-	percent    = 100
-)
-
-// usage compares two samples of a process. Bytes count both directions.
-func usage(process Process, before, after sample, seconds float64) Usage {
-	used := Usage{
-		Name:        process.Name,
-		CorePercent: percent * (after.cpu - before.cpu) / seconds,
-		MB:          after.resident / bytesPerMB,
-		KBPerSecond: (after.read - before.read + after.written - before.written) / bytesPerKB / seconds,
-	}
-	if process.Role == RoleHollow {
-		used.KBPerSecond = (after.received - before.received + after.sent - before.sent) / bytesPerKB / seconds
-	}
-	return used
-}
-
-// setUsages fills in what the processes used between two rounds of samples.
-func (p *Phase) setUsages(processes []Process, dead map[string]bool, before, after []sample) {
-	byRole := make(map[Role][]Usage)
-	followers := 0
-	for index, process := range processes {
-		if dead[process.Name] {
-			continue
-		}
-		used := usage(process, before[index], after[index], p.Seconds)
-		byRole[process.Role] = append(byRole[process.Role], used)
-		followers += process.Followers
-		if process.Role == RoleControl || process.Role == RoleRouter {
-			p.Usages = append(p.Usages, used)
-		}
-	}
-	hollow, relay, control := total(byRole[RoleHollow]), total(byRole[RoleRelay]), largest(byRole[RoleControl])
-	if followers > 0 {
-		hollow = hollow.over(followers)
-	}
-	relay = relay.over(max(len(byRole[RoleRelay]), 1))
-	p.FollowerCorePercent, p.FollowerMB, p.FollowerKBPerSecond = hollow.CorePercent, hollow.MB, hollow.KBPerSecond
-	p.RelayCorePercent, p.RelayMB, p.RelayKBPerSecond = relay.CorePercent, relay.MB, relay.KBPerSecond
-	p.ControlCorePercent, p.ControlMB, p.ControlKBPerSecond = control.CorePercent, control.MB, control.KBPerSecond
-	p.ControlCorePercentAll = total(byRole[RoleControl]).CorePercent
-}
-
-// setSubmitted fills in what became of the phase's changes.
-func (p *Phase) setSubmitted(sent submitted) {
-	p.Accepted = len(sent.accepted)
-	p.AcceptedPerSecond = float64(len(sent.accepted)) / p.Seconds
-	p.ApplyP50, p.ApplyMax = middleAndMax(sent.took)
-	p.Resent = sent.resent
-}
-
-func total(usages []Usage) Usage {
-	var sum Usage
-	for _, used := range usages {
-		sum.CorePercent += used.CorePercent
-		sum.MB += used.MB
-		sum.KBPerSecond += used.KBPerSecond
-	}
-	return sum
-}
-
-func largest(usages []Usage) Usage {
-	var most Usage
-	for _, used := range usages {
-		most.CorePercent = max(most.CorePercent, used.CorePercent)
-		most.MB = max(most.MB, used.MB)
-		most.KBPerSecond = max(most.KBPerSecond, used.KBPerSecond)
-	}
-	return most
-}
-
-func (u Usage) over(count int) Usage {
-	divisor := float64(count)
-	return Usage{CorePercent: u.CorePercent / divisor, MB: u.MB / divisor, KBPerSecond: u.KBPerSecond / divisor}
-}
-
-// setReports merges what the fleets report of a phase's revisions.
-func (p *Phase) setReports(accepted []Accepted, reports []Report) {
-	delays := newDelays()
-	last := make([]time.Time, len(accepted))
-	for _, report := range reports {
-		if report.Delays != nil {
-			delays.Merge(hdrhistogram.Import(report.Delays))
-		}
-		for index, at := range report.Last {
-			if at.After(last[index]) {
-				last[index] = at
-			}
-		}
-		p.Behind += report.Behind
-		p.Gaps += report.Gaps
-		p.LongestGap = max(p.LongestGap, report.LongestGap.Seconds())
-		p.Churn.Restarts += report.Churn.Restarts
-		p.Churn.Replacements += report.Churn.Replacements
-		p.Churn.Failures += report.Churn.Failures
-	}
-	const p50, p99 = 50, 99
-	p.InForceP50 = seconds(delays.ValueAtPercentile(p50))
-	p.InForceP99 = seconds(delays.ValueAtPercentile(p99))
-	p.InForceMax = seconds(delays.Max())
-	var slowest []float64
-	for index, at := range last {
-		if !at.IsZero() {
-			slowest = append(slowest, max(0, at.Sub(accepted[index].At).Seconds()))
-		}
-	}
-	p.LastP50, _ = middleAndMax(slowest)
+	// StoredKBPerSecond is what was written to a disk.
+	StoredKBPerSecond float64 `json:"stored_kb_per_s"`
 }
 
 func seconds(microseconds int64) float64 {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -13,7 +13,7 @@
 
 func TestChangeReplacesOneReplica(t *testing.T) {
 	const servers, zones, cellRouters = 3000, 26, 64
-	configuration := NewConfiguration(servers, zones, cellRouters)
+	configuration := NewConfiguration(ConfigurationShape{Servers: servers, Zones: ZonesOf(0, 1, zones), CellRouters: cellRouters})
 	before, err := policy.Compile("before", []byte(configuration.Text()))
 	require.NoError(t, err)
 	require.Equal(t, servers, countReplicas(before))
@@ -103,8 +103,11 @@
 
 func TestDeadProcessIsLeftOut(t *testing.T) {
 	processes := []Process{{Role: RoleControl, Name: "control-1"}, {Role: RoleControl, Name: "control-2"}}
-	phase := Phase{Seconds: 10}
-	phase.setUsages(processes, map[string]bool{"control-1": true}, make([]sample, 2), []sample{{cpu: 9}, {cpu: 1}})
+	run := &Run{processes: processes, dead: newDeaths()}
+	run.dead.add(processes[:1])
+	const seconds = 10
+	phase := Phase{Seconds: seconds}
+	phase.setUsages(run.usagesOf(0, seconds, measured{before: make([]sample, 2), after: []sample{{cpu: 9}, {cpu: 1}}}))
 	require.InDelta(t, 10, phase.ControlCorePercent, 1e-9)
 	require.Len(t, phase.Usages, 1)
 }
--- a/internal/scale/watcher.go
+++ b/internal/scale/watcher.go
@@ -8,9 +8,16 @@
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
+// inForcePoll is the grain of the times at which control reports a revision in
+// force. With several groups it is coarser, since each look takes processor time.
+const (
+	inForcePoll        = 50 * time.Millisecond
+	inForcePollRegions = 200 * time.Millisecond
+)
+
 // watcher notes when control first reports each revision in force.
 type watcher struct {
-	owner *Run
+	owner *group
 
 	mutex   sync.Mutex
 	highest uint64
@@ -18,7 +25,7 @@
 	reached []Accepted
 }
 
-func newWatcher(run *Run) *watcher { return &watcher{owner: run} }
+func newWatcher(owner *group) *watcher { return &watcher{owner: owner} }
 
 // want notes a revision to wait for.
 func (w *watcher) want(revision uint64) {
@@ -30,7 +37,11 @@
 // run polls until the context ends.
 func (w *watcher) run(ctx context.Context) {
 	var last uint64
-	for wait.For(ctx, inForcePoll) {
+	pause := inForcePoll
+	if len(w.owner.run.groups) > 1 {
+		pause = inForcePollRegions
+	}
+	for wait.For(ctx, pause) {
 		w.mutex.Lock()
 		waiting := w.highest > last
 		w.mutex.Unlock()
@@ -48,10 +59,9 @@
 
 // delays returns the times from acceptance to the report, in seconds, and how
 // many revisions were never reported.
-func (w *watcher) delays(accepted []Accepted) (middle, most float64, missing int) {
+func (w *watcher) delays(accepted []Accepted) (waited []float64, missing int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	var waited []float64
 	index := 0
 	for _, one := range accepted {
 		for index < len(w.reached) && w.reached[index].Revision < one.Revision {
@@ -63,6 +73,5 @@
 		}
 		waited = append(waited, max(0, w.reached[index].At.Sub(one.At).Seconds()))
 	}
-	middle, most = middleAndMax(waited)
-	return middle, most, missing
+	return waited, missing
 }
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -4,21 +4,27 @@
 # exactly those processes. Prints the result of `martenbench scale`.
 #
 #   scripts/scale.sh --routers 250 --servers 1000 --relays 4 [--json] [...]
+#   scripts/scale.sh --regions 9 --routers 4500 --servers 57000 --relays 18 [...]
 #
-# Further options are passed on to `martenbench scale`. Environment:
+# With several regions each has voters, relays and followers of its own; numbers
+# are totals. Further options are passed on to `martenbench scale`. Environment:
 #   SCALE_BIN      folder of the programs (default: bin)
-#   SCALE_VOTERS   control voters (default: 3)
-#   SCALE_REAL     real routers that probe their back ends (default: 1)
-#   SCALE_QUIET    real routers that probe only once an hour (default: 1)
-#   SCALE_ZONES    zones of relays and followers (default: one for two relays)
+#   SCALE_VOTERS   control voters of each region (default: 3)
+#   SCALE_REAL     real routers of the first region that probe their back ends (default: 1)
+#   SCALE_QUIET    real routers there that probe only once an hour (default: 1)
+#   SCALE_ZONES    zones of relays and followers (default: one for two relays;
+#                  with several regions 26, dealt to the regions in turn)
+#   SCALE_MEMORY   soft bound on the memory of each hollow process, as GOMEMLIMIT
+#                  has it (default: none)
 #   SCALE_PORT     first port (default: 21000)
 #   SCALE_KEEP     keep the folder with the logs when set
 set -euo pipefail
 
-routers=250 servers=1000 relays=4
+regions=1 routers=250 servers=1000 relays=4
 passed=()
 while (($#)); do
 	case $1 in
+	--regions) regions=$2; shift 2 ;;
 	--routers) routers=$2; shift 2 ;;
 	--servers) servers=$2; shift 2 ;;
 	--relays) relays=$2; shift 2 ;;
@@ -28,7 +34,7 @@
 
 bin=${SCALE_BIN:-bin}
 voters=${SCALE_VOTERS:-3}
-zones=${SCALE_ZONES:-$(((relays + 1) / 2))}
+zones=${SCALE_ZONES:-$((regions > 1 ? 26 : (relays + 1) / 2))}
 port=${SCALE_PORT:-21000}
 per_process=1200
 folder=$(mktemp -d "${TMPDIR:-/tmp}/martenstage-scale.XXXXXX")
@@ -60,14 +66,14 @@
 trap stop EXIT
 trap 'exit 130' INT TERM
 
-# start ROLE NAME FOLLOWERS ADDRESS METRICS PROGRAM ARGUMENTS...
+# start ROLE NAME FOLLOWERS ADDRESS METRICS ZONE PROGRAM ARGUMENTS...
 start() {
-	local role=$1 name=$2 followers=$3 address=$4 metrics=$5
-	shift 5
+	local role=$1 name=$2 followers=$3 address=$4 metrics=$5 zone=$6
+	shift 6
 	"$@" >"$folder/$name.log" 2>&1 &
 	pids+=($!)
-	printf '{"role":"%s","name":"%s","pid":%d,"followers":%d,"address":"%s","metrics":"%s"}\n' \
-		"$role" "$name" $! "$followers" "$address" "$metrics" >>"$folder/processes"
+	printf '{"role":"%s","name":"%s","region":%d,"zone":"%s","pid":%d,"followers":%d,"address":"%s","metrics":"%s"}\n' \
+		"$role" "$name" "$region" "$zone" $! "$followers" "$address" "$metrics" >>"$folder/processes"
 }
 
 next_address() {
@@ -75,34 +81,41 @@
 	port=$((port + 1))
 }
 
-next_address
-platform=$address
-control=() voter_options=()
-for ((id = 1; id <= voters; id++)); do
-	next_address
-	control+=("$address")
-	voter_options+=(--voter "$id=$address")
-done
-for ((id = 1; id <= voters; id++)); do
-	next_address
-	start control "control-$id" 0 "${control[id - 1]}" "$address" \
-		"$bin/martenstage" control --id "$id" --data-folder "$folder/control-$id" --listen "${control[id - 1]}" \
-		--metrics-listen "$address" --platform "$platform" --insecure-plaintext --log-level warning "${voter_options[@]}"
-done
+# share TOTAL: what falls to the region; the first ones take the rest.
+share() { echo $(($1 / regions + (region < $1 % regions ? 1 : 0))); }
 
-upstreams=()
-for one in "${control[@]}"; do upstreams+=(--upstream "$one"); done
-relay_options=() router_options=()
-for ((index = 0; index < relays; index++)); do
-	next_address
-	listen=$address
-	next_address
-	start relay "relay-$index" 0 "$listen" "$address" \
-		"$bin/martenstage" relay --name "relay-$index" --zone "$(printf 'zone-%02d' $((index % zones)))" --listen "$listen" \
-		--metrics-listen "$address" --insecure-plaintext --log-level warning "${upstreams[@]}"
-	relay_options+=(--relay "$listen")
-	((index % zones == 0)) && router_options+=(--upstream "$listen")
-done
+start_control() {
+	local id control=() voter_options=()
+	for ((id = 1; id <= voters; id++)); do
+		next_address
+		control+=("$address")
+		voter_options+=(--voter "$id=$address")
+	done
+	for ((id = 1; id <= voters; id++)); do
+		next_address
+		start control "${prefix}control-$id" 0 "${control[id - 1]}" "$address" "${zone_names[(id - 1) % ${#zone_names[@]}]}" \
+			"$bin/martenstage" control --id "$id" --data-folder "$folder/${prefix}control-$id" --listen "${control[id - 1]}" \
+			--metrics-listen "$address" --platform "$platform" --insecure-plaintext --log-level warning "${voter_options[@]}"
+	done
+	upstreams=()
+	for one in "${control[@]}"; do upstreams+=(--upstream "$one"); done
+}
+
+start_relays() {
+	local index listen zone
+	relay_options=() router_options=()
+	for ((index = 0; index < $(share "$relays"); index++)); do
+		next_address
+		listen=$address
+		next_address
+		zone=${zone_names[index % ${#zone_names[@]}]}
+		start relay "${prefix}relay-$index" 0 "$listen" "$address" "$zone" \
+			"$bin/martenstage" relay --name "${prefix}relay-$index" --zone "$zone" --listen "$listen" \
+			--metrics-listen "$address" --insecure-plaintext --log-level warning "${upstreams[@]}"
+		relay_options+=(--relay "$listen")
+		if ((index % ${#zone_names[@]} == 0 || regions > 1)); then router_options+=(--upstream "$listen"); fi
+	done
+}
 
 # A real router is started like any; a probe interval of an hour leaves only
 # what following control costs.
@@ -112,21 +125,49 @@
 	next_address
 	local callers=$address
 	next_address
-	start router "$name" 0 "$address" "$callers" \
-		"$bin/martenstage" router --name "$name" --zone zone-00 --callers-listen "$callers" --peers-listen "$address" \
+	start router "$name" 0 "$address" "$callers" "${zone_names[0]}" \
+		"$bin/martenstage" router --name "$name" --zone "${zone_names[0]}" --callers-listen "$callers" --peers-listen "$address" \
 		--insecure-plaintext --log-level warning "${router_options[@]}" "$@"
 }
-for ((index = 0; index < ${SCALE_REAL:-1}; index++)); do real_router "router-$index"; done
-for ((index = 0; index < ${SCALE_QUIET:-1}; index++)); do real_router "quiet-$index" --probe-interval 1h; done
 
-processes=$(((routers + per_process - 1) / per_process))
-for ((index = 0; index < processes; index++)); do
-	count=$((routers / processes + (index < routers % processes ? 1 : 0)))
+start_real_routers() {
+	local index
+	for ((index = 0; index < ${SCALE_REAL:-1}; index++)); do real_router "router-$index"; done
+	for ((index = 0; index < ${SCALE_QUIET:-1}; index++)); do real_router "quiet-$index" --probe-interval 1h; done
+}
+
+start_hollow() {
+	local index count own processes zone_options=(--zones "$zones") limit=()
+	own=$(share "$routers")
+	if ((regions > 1)); then
+		zone_options=(--services "region-$region-")
+		for one in "${zone_names[@]}"; do zone_options+=(--zone "$one"); done
+	fi
+	if [[ -n ${SCALE_MEMORY:-} ]]; then limit=(env "GOMEMLIMIT=$SCALE_MEMORY"); fi
+	processes=$(((own + per_process - 1) / per_process))
+	for ((index = 0; index < processes; index++)); do
+		count=$((own / processes + (index < own % processes ? 1 : 0)))
+		next_address
+		start hollow "${prefix}hollow-$index" "$count" "$address" "$address" "" \
+			"${limit[@]}" "$bin/martenbench" hollow --name "${prefix}hollow-$index" --followers "$count" "${zone_options[@]}" \
+			--metrics-listen "$address" --seed "$((region * 1000 + index + 1))" "${relay_options[@]}"
+	done
+}
+
+platforms=()
+for ((region = 0; region < regions; region++)); do
+	prefix=""
+	if ((regions > 1)); then prefix="region-$region-"; fi
+	zone_names=()
+	for ((zone = region; zone < zones || zone == region; zone += regions)); do zone_names+=("$(printf 'zone-%02d' "$zone")"); done
 	next_address
-	start hollow "hollow-$index" "$count" "$address" "$address" \
-		"$bin/martenbench" hollow --name "hollow-$index" --followers "$count" --zones "$zones" \
-		--metrics-listen "$address" --seed "$((index + 1))" "${relay_options[@]}"
+	platform=$address
+	platforms+=(--platform-listen "$platform")
+	start_control
+	start_relays
+	if ((region == 0)); then start_real_routers; fi
+	start_hollow
 done
 
-"$bin/martenbench" scale --processes "$folder/processes" --routers "$routers" --servers "$servers" \
-	--relays "$relays" --zones "$zones" --platform-listen "$platform" "${passed[@]}"
+"$bin/martenbench" scale --processes "$folder/processes" --regions "$regions" --routers "$routers" --servers "$servers" \
+	--relays "$relays" --zones "$zones" "${platforms[@]}" "${passed[@]}"
