--- a/cmd/martenstage/router_test.go
+++ b/cmd/martenstage/router_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/callers"
+	"github.com/martenstage/martenstage/internal/control"
 	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
@@ -28,6 +29,7 @@
 	"github.com/martenstage/martenstage/internal/policy"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // sitePolicy has a search over two shards, and a send that runs at most once.
@@ -58,7 +60,10 @@
 	t       *testing.T
 	voters  []*voterProcess
 	routers []*routerProcess
-	fleet   *emulator.Fleet
+	client  *control.Client
+	// text is the configuration of revision 1.
+	text  string
+	fleet *emulator.Fleet
 	// closeFleet may be called twice.
 	closeFleet func()
 	record     *emulator.MemoryRecorder
@@ -75,7 +80,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	site := &routerSite{t: t, record: &emulator.MemoryRecorder{}}
-	text := fmt.Sprintf(sitePolicy, lo.ToAnySlice(freeAddresses(t, 6))...)
+	text := fmt.Sprintf(sitePolicy, lo.ToAnySlice(testaddress.List(6))...)
 	compiled, err := policy.Compile("site.policy", []byte(text))
 	require.NoError(t, err)
 	logger := logrus.New()
@@ -89,7 +94,7 @@
 	t.Cleanup(site.closeFleet)
 
 	voters, client := startVoters(t)
-	site.voters = voters
+	site.voters, site.client, site.text = voters, client, text
 	applied, err := client.Apply(ctx, &v1.ApplyRequest{ChangeId: "first", Text: text, Author: "test"})
 	require.NoError(t, err)
 	require.Equal(t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, applied.GetResult(), applied.GetDetail())
@@ -103,7 +108,7 @@
 }
 
 func (s *routerSite) addRouter(name string, extra []string) {
-	addresses := freeAddresses(s.t, 2)
+	addresses := testaddress.List(2)
 	arguments := []string{"router", "--insecure-plaintext", "--name", name, "--zone", "a", "--probe-interval", "50ms",
 		"--callers-listen", addresses[0], "--peers-listen", addresses[1], "--data-folder", s.t.TempDir()}
 	for _, voter := range s.voters {
--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/martenstage/martenstage/internal/configdelta"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/state"
@@ -76,7 +77,7 @@
 	if latest == s.revision {
 		return nil
 	}
-	decoded, err := s.decodePlan(s.machine.CompressedPlan())
+	decoded, err := s.latestPlan(latest)
 	if err != nil {
 		return err
 	}
@@ -86,6 +87,20 @@
 	return nil
 }
 
+// latestPlan returns the plan of the latest revision. A difference from the plan
+// that is published costs only what differs; anything else is read whole.
+func (s *Store) latestPlan(revision uint64) (*plan.Plan, error) {
+	deltas := s.machine.PlanDeltas()
+	if len(deltas) > 0 && s.latest != nil && revision == s.revision+1 {
+		return configdelta.ApplyPlan(s.latest, s.revision, deltas[len(deltas)-1])
+	}
+	whole, err := s.decodePlan(s.machine.CompressedPlan())
+	if err != nil {
+		return nil, err
+	}
+	return configdelta.ApplyPlans(whole, revision, deltas)
+}
+
 func (s *Store) decodePlan(compressed []byte) (*plan.Plan, error) {
 	data, err := decompress(compressed)
 	if err != nil {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -8,7 +8,9 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/backend"
+	"github.com/martenstage/martenstage/internal/probing"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/remote"
 )
 
 // Config sets the size and pace of a Router.
@@ -28,8 +30,15 @@
 	MaxRequests int
 	// MaxAttempts bounds the attempts in flight of one engine.
 	MaxAttempts int
-	// ProbeInterval is the pause between two probes of one back end.
+	// ProbeInterval is the least pause between two probes of one back end, that
+	// of one in doubt.
 	ProbeInterval time.Duration
+	// ProbeIdlePause, ProbeHeardPause and ProbeDownPause are the longest pauses
+	// for a back end that is idle, whose replies come, and that is down; see
+	// package probing.
+	ProbeIdlePause  time.Duration
+	ProbeHeardPause time.Duration
+	ProbeDownPause  time.Duration
 	// ProbeTimeout bounds one probe.
 	ProbeTimeout time.Duration
 	// CancelTimeout bounds the sending of one cancellation.
@@ -44,6 +53,10 @@
 	// than a lease and the time after it for which connections are kept, a
 	// quarter of this delay.
 	ShareDelay time.Duration
+	// Regions bounds what another region may take of this router.
+	Regions remote.Config
+	// ReachTimeout bounds one probe of another region's entry router.
+	ReachTimeout time.Duration
 }
 
 // Defaults of Config.
@@ -52,11 +65,12 @@
 	DefaultAdmissionRing = 1024
 	DefaultMaxRequests   = 4096
 	DefaultMaxAttempts   = 16384
-	DefaultProbeInterval = 250 * time.Millisecond
+	DefaultProbeInterval = probing.DefaultInterval
 	DefaultProbeTimeout  = time.Second
 	DefaultCancelTimeout = time.Second
 	DefaultRefusalPause  = 250 * time.Millisecond
 	DefaultShareDelay    = 15 * time.Second
+	DefaultReachTimeout  = time.Second
 )
 
 // withDefaults fills zero values.
@@ -69,10 +83,21 @@
 	c.ProbeTimeout = cmp.Or(c.ProbeTimeout, DefaultProbeTimeout)
 	c.CancelTimeout = cmp.Or(c.CancelTimeout, DefaultCancelTimeout)
 	c.RefusalPause = cmp.Or(c.RefusalPause, DefaultRefusalPause)
+	c.ReachTimeout = cmp.Or(c.ReachTimeout, DefaultReachTimeout)
 	c.ShareDelay = cmp.Or(c.ShareDelay, DefaultShareDelay)
 	return c
 }
 
+// probing returns the pauses of the prober.
+func (c Config) probing() probing.Config {
+	return probing.Config{
+		Interval:   c.ProbeInterval,
+		IdlePause:  c.ProbeIdlePause,
+		HeardPause: c.ProbeHeardPause,
+		DownPause:  c.ProbeDownPause,
+	}
+}
+
 // Engine is the decision core that an engine loop drives; query.Engine is one.
 type Engine interface {
 	Step(now time.Time, event query.Event) []query.Command
@@ -89,6 +114,8 @@
 	Source   ConfigSource
 	// Forwarder may be nil when Config.Alone is set.
 	Forwarder Forwarder
+	// Regions carries requests to other regions; nil when Config.Alone is set.
+	Regions RegionCaller
 	// NewEngine creates the engine with an index in [0, Config.Engines).
 	NewEngine func(index int) Engine
 }
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -10,6 +10,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/routestats"
 	"github.com/martenstage/martenstage/internal/verdict"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Status describes a router for its status page.
@@ -23,6 +24,7 @@
 	LeaseValid bool            `json:"lease_valid"`
 	Stopping   bool            `json:"stopping"`
 	Services   []ServiceStatus `json:"services" nullable:"false"`
+	Regions    []RegionStatus  `json:"regions" nullable:"false" doc:"Other regions that routes lead to"`
 }
 
 // ServiceStatus describes one service as the router sees it.
@@ -93,6 +95,25 @@
 	return current.plan.RouteNamed(name)
 }
 
+// RemoteRoutes lists the routes in force that other regions own.
+func (r *Router) RemoteRoutes() []plan.RemoteRoute {
+	current := r.installed.Load()
+	if current == nil {
+		return nil
+	}
+	return current.plan.RemoteRoutes
+}
+
+// RemoteRouteNamed returns a route in force that another region owns.
+func (r *Router) RemoteRouteNamed(name string) (*plan.RemoteRoute, bool) {
+	current := r.installed.Load()
+	if current == nil {
+		return nil, false
+	}
+	route, found := current.remotes[name]
+	return route, found
+}
+
 // RouteReports returns what was done with requests lately, by route.
 func (r *Router) RouteReports(now time.Time) []*v1.RouteReport { return r.routes.Reports(now) }
 
@@ -123,6 +144,7 @@
 		LeaseValid: r.leaseValid(),
 		Stopping:   r.stopping.Load(),
 		Services:   []ServiceStatus{},
+		Regions:    r.regions.status(),
 	}
 	if until := r.leaseUntil.Load(); until != nil {
 		status.LeaseUntil = *until
@@ -149,6 +171,10 @@
 	return status
 }
 
+// handedPoll is the pause between two looks at the requests that other regions
+// handed over.
+const handedPoll = 5 * time.Millisecond
+
 // BeginStop makes the router report not ready, so that callers move away. It
 // still serves.
 func (r *Router) BeginStop() { r.stopping.Store(true) }
@@ -169,6 +195,13 @@
 			return ctx.Err()
 		}
 	}
+	// A request of another region may be with a router of its cell, where no
+	// engine of this router knows of it.
+	for r.handed.Load() > 0 {
+		if !wait.For(ctx, handedPoll) {
+			return ctx.Err()
+		}
+	}
 	r.settling.Wait()
 	if err := r.events.Flush(ctx); err != nil {
 		return err
