Ask the voter again that a change refused long ago stays refused

Cause: with the resent change id, the check of the refused one had left the test of an old data folder too. Unlike the other it depends on no clock. Change: it is back. Measured: the test passes.

--- a/cmd/martenstage/upgrade_test.go
+++ b/cmd/martenstage/upgrade_test.go
@@ -158,6 +158,7 @@
 		}, read.GetText())
 	}
 	latest := uint64(len(history))
+	require.Equal(t, v1.ApplyResult_APPLY_RESULT_CONFLICT, mustApply(ctx, t, client, "too-late", 0).GetResult())
 	for number := range uint64(3) {
 		response := mustApply(ctx, t, client, fmt.Sprint("new-", number), latest+number)
 		require.Equal(t, v1.ApplyResult_APPLY_RESULT_ACCEPTED, response.GetResult(), response.GetDetail())
