Run a hollow follower alone beside the shared ones

Cause: hollow followers share their process, so their mean memory leaves out what a process of its own holds.

Change: SCALE_SINGLE starts processes of one hollow follower, listed one by one in the result and not counted among the followers.

--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -25,6 +25,9 @@
 	RoleRelay   Role = "relay"
 	// RoleHollow is a process of hollow followers.
 	RoleHollow Role = "hollow"
+	// RoleSingle is a process of one hollow follower, which shares its memory
+	// with no other. It is not counted among the followers.
+	RoleSingle Role = "single"
 	// RoleRouter is a real router beside the hollow ones.
 	RoleRouter Role = "router"
 )
--- a/internal/scale/usage.go
+++ b/internal/scale/usage.go
@@ -15,7 +15,7 @@
 		KBPerSecond:       (after.read - before.read + after.written - before.written) / bytesPerKB / seconds,
 		StoredKBPerSecond: (after.stored - before.stored) / bytesPerKB / seconds,
 	}
-	if process.Role == RoleHollow {
+	if process.Role == RoleHollow || process.Role == RoleSingle {
 		used.KBPerSecond = (after.received - before.received + after.sent - before.sent) / bytesPerKB / seconds
 	}
 	return used
@@ -33,7 +33,7 @@
 	for index, process := range measured.processes {
 		used := measured.used[index]
 		byRole[process.Role] = append(byRole[process.Role], used)
-		if process.Role == RoleControl || process.Role == RoleRouter {
+		if process.Role != RoleHollow && process.Role != RoleRelay {
 			p.Usages = append(p.Usages, used)
 		}
 	}
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -12,6 +12,8 @@
 #   SCALE_VOTERS   control voters of each region (default: 3)
 #   SCALE_REAL     real routers of the first region that probe their back ends (default: 1)
 #   SCALE_QUIET    real routers there that probe only once an hour (default: 1)
+#   SCALE_SINGLE   processes of one hollow follower there, for the memory that
+#                  one alone takes; not among the followers (default: 0)
 #   SCALE_ZONES    zones of relays and followers (default: one for two relays;
 #                  with several regions 26, dealt to the regions in turn)
 #   SCALE_MEMORY   soft bound on the memory of each hollow process, as GOMEMLIMIT
@@ -117,6 +119,13 @@
 	done
 }
 
+# single NAME: a hollow follower in a process of its own.
+single() {
+	next_address
+	start single "$1" 0 "$address" "$address" "${zone_names[0]}" \
+		"$bin/martenbench" hollow --name "$1" --followers 1 --zone "${zone_names[0]}" --metrics-listen "$address" "${relay_options[@]}"
+}
+
 # A real router is started like any; a probe interval of an hour leaves only
 # what following control costs.
 real_router() {
@@ -134,6 +143,7 @@
 	local index
 	for ((index = 0; index < ${SCALE_REAL:-1}; index++)); do real_router "router-$index"; done
 	for ((index = 0; index < ${SCALE_QUIET:-1}; index++)); do real_router "quiet-$index" --probe-interval 1h; done
+	for ((index = 0; index < ${SCALE_SINGLE:-0}; index++)); do single "single-$index"; done
 }
 
 start_hollow() {
