--- a/internal/simulation/control.go
+++ b/internal/simulation/control.go
@@ -56,7 +56,7 @@
 	}
 	if latest := c.voter.machine.Latest(); latest.Number != c.revision {
 		c.revision = latest.Number
-		c.plan = c.voter.world.latestPlan(c.voter.machine)
+		c.plan = latestPlan(c.voter.machine)
 		c.granter.planChanged()
 		c.confirmOnce()
 	}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -45,8 +45,6 @@
 	mutations mutations
 	model     servicetime.Model
 	routes    *plan.Plan
-	// decoded are the plans that voters read, by their encoded form.
-	decoded map[string]*plan.Plan
 
 	voters    []*voter
 	relays    []*relay
