Sum up what the start of a fleet takes

Cause: whoever starts is told to all others, so a mass start costs the square of a group's nodes; nothing measured it.

Change: the result has processor time and bytes of each role from the start of the processes until all followers hold the first revision.

--- a/internal/scale/regions_test.go
+++ b/internal/scale/regions_test.go
@@ -110,6 +110,14 @@
 	require.Equal(t, []int{1, 2}, []int{here, elsewhere}, "all but the named region are struck")
 }
 
+func TestJoinIsWhatWasUsedSinceTheStart(t *testing.T) {
+	processes := []Process{{Role: RoleControl}, {Role: RoleControl}, {Role: RoleHollow, Followers: 4}, {Role: RoleSingle}}
+	used := joined(processes, []sample{
+		{cpu: 2, written: 1024}, {cpu: 3, written: 512}, {cpu: 8, received: 4096, sent: 4096}, {cpu: 100, received: 1 << 20},
+	})
+	require.Equal(t, Join{FollowerCPUSeconds: 2, FollowerKB: 2, ControlCPUSeconds: 3, ControlKB: 1}, used)
+}
+
 func TestFaultPicksItsRegionOnly(t *testing.T) {
 	var processes []Process
 	add := func(role Role, region int, name, zone string) {
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -25,6 +25,20 @@
 	StartedAt  time.Time `json:"started_at"`
 	// JoinSeconds is the time until all followers held the first revision.
 	JoinSeconds float64 `json:"join_s"`
+	// Join is what the start of all processes took until then.
+	Join Join `json:"join"`
+}
+
+// Join is what processes used from their start until all followers held the
+// first revision. Followers' figures are means; the others are those of the
+// process that used most.
+type Join struct {
+	FollowerCPUSeconds float64 `json:"follower_cpu_s"`
+	FollowerKB         float64 `json:"follower_kb"`
+	RelayCPUSeconds    float64 `json:"relay_cpu_s"`
+	RelayKB            float64 `json:"relay_kb"`
+	ControlCPUSeconds  float64 `json:"control_cpu_s"`
+	ControlKB          float64 `json:"control_kb"`
 }
 
 // Phase is a part of a run at one speed.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -89,6 +89,11 @@
 		return result, err
 	}
 	result.JoinSeconds = time.Since(r.started).Seconds()
+	taken, _, err := r.samples(ctx)
+	if err != nil {
+		return result, err
+	}
+	result.Join = joined(r.processes, taken)
 	r.logger.WithFields(logrus.Fields{"followers": result.Routers, "seconds": result.JoinSeconds}).Info("all followers hold a lease")
 	wait.For(ctx, r.config.Settle)
 	if err := r.phases(ctx, &result); err != nil {
--- a/internal/scale/usage.go
+++ b/internal/scale/usage.go
@@ -76,3 +76,19 @@
 		KBPerSecond: u.KBPerSecond / divisor, StoredKBPerSecond: u.StoredKBPerSecond / divisor,
 	}
 }
+
+// joined sums up what processes used since they started. Over a second, the
+// differences that usage forms are totals.
+func joined(processes []Process, taken []sample) Join {
+	byRole := make(map[Role][]Usage)
+	for index, process := range processes {
+		byRole[process.Role] = append(byRole[process.Role], usage(process, sample{}, taken[index], 1))
+	}
+	follower := total(byRole[RoleHollow]).over(max(followersOf(processes), 1))
+	relay, control := largest(byRole[RoleRelay]), largest(byRole[RoleControl])
+	return Join{
+		FollowerCPUSeconds: follower.CorePercent / percent, FollowerKB: follower.KBPerSecond,
+		RelayCPUSeconds: relay.CorePercent / percent, RelayKB: relay.KBPerSecond,
+		ControlCPUSeconds: control.CorePercent / percent, ControlKB: control.KBPerSecond,
+	}
+}
