--- a/internal/scale/usage.go
+++ b/internal/scale/usage.go
@@ -15,7 +15,7 @@
 		KBPerSecond:       (after.read - before.read + after.written - before.written) / bytesPerKB / seconds,
 		StoredKBPerSecond: (after.stored - before.stored) / bytesPerKB / seconds,
 	}
-	if process.Role == RoleHollow {
+	if process.Role == RoleHollow || process.Role == RoleSingle {
 		used.KBPerSecond = (after.received - before.received + after.sent - before.sent) / bytesPerKB / seconds
 	}
 	return used
@@ -33,7 +33,7 @@
 	for index, process := range measured.processes {
 		used := measured.used[index]
 		byRole[process.Role] = append(byRole[process.Role], used)
-		if process.Role == RoleControl || process.Role == RoleRouter {
+		if process.Role != RoleHollow && process.Role != RoleRelay {
 			p.Usages = append(p.Usages, used)
 		}
 	}
@@ -76,3 +76,19 @@
 		KBPerSecond: u.KBPerSecond / divisor, StoredKBPerSecond: u.StoredKBPerSecond / divisor,
 	}
 }
+
+// joined sums up what processes used since they started. Over a second, the
+// differences that usage forms are totals.
+func joined(processes []Process, taken []sample) Join {
+	byRole := make(map[Role][]Usage)
+	for index, process := range processes {
+		byRole[process.Role] = append(byRole[process.Role], usage(process, sample{}, taken[index], 1))
+	}
+	follower := total(byRole[RoleHollow]).over(max(followersOf(processes), 1))
+	relay, control := largest(byRole[RoleRelay]), largest(byRole[RoleControl])
+	return Join{
+		FollowerCPUSeconds: follower.CorePercent / percent, FollowerKB: follower.KBPerSecond,
+		RelayCPUSeconds: relay.CorePercent / percent, RelayKB: relay.KBPerSecond,
+		ControlCPUSeconds: control.CorePercent / percent, ControlKB: control.KBPerSecond,
+	}
+}
