Simulate disks in trouble, paused leaders and returns before the list

Cause: no named schedule let disks fail while a voter is replaced, paused a leader for longer than its leases last with clocks at the bound of their drift, or let a back end return before the platform's list knew that it had left.

--- a/internal/simulation/backend.go
+++ b/internal/simulation/backend.go
@@ -242,7 +242,7 @@
 	// One that denies its departure is known to leave from its first
 	// refusal on, or from when the platform lists it, whichever comes first.
 	boot := b.boot
-	b.world.queue.After(platformLag, func() {
+	b.world.queue.After(b.world.platformLag, func() {
 		if b.departing && b.boot == boot {
 			b.departureKnown()
 		}
--- a/internal/simulation/build.go
+++ b/internal/simulation/build.go
@@ -57,7 +57,8 @@
 		backendAt: map[netip.AddrPort]*backend{}, completed: map[string]time.Duration{}, answers: map[string]int{},
 		faultKinds: map[FaultKind]int{},
 		lastVoter:  uint64(len(of.voters)), version: firstVersion, replaced: func() {},
-		trafficEnd: end, horizon: end + 3*time.Second,
+		platformLag: usualPlatformLag,
+		trafficEnd:  end, horizon: end + 3*time.Second,
 	}
 	w.raft = newRaftChecks(w)
 	w.build()
--- a/internal/simulation/layout.go
+++ b/internal/simulation/layout.go
@@ -33,8 +33,8 @@
 	variants []configuration
 
 	// faultsEnd is when the last fault is over; meanGap is the mean time between
-	// two requests of an area.
-	faultsEnd, meanGap time.Duration
+	// two requests of an area, changeGap between two changes of configuration.
+	faultsEnd, meanGap, changeGap time.Duration
 	// cut is how long the regions lose each other from faultsBegin on; 0 for
 	// never.
 	cut time.Duration
@@ -148,6 +148,7 @@
 const (
 	usualFaultsEnd = 26 * time.Second
 	usualGap       = 180 * time.Millisecond
+	usualChangeGap = 4 * time.Second
 )
 
 // usual is the world of 3 voters, 2 relays, 3 routers and 11 back ends of two
@@ -160,7 +161,7 @@
 		zones: []string{"a", "b", "c"}, desksBackends: 8, notifyBackends: 3, groups: map[uint32]int{1: 3, 2: 4},
 		callers: seats("callers", "a", "b"), operators: seats("operator", "a", "b"),
 	}},
-	variants: usualVariants(2), faultsEnd: usualFaultsEnd, meanGap: usualGap,
+	variants: usualVariants(2), faultsEnd: usualFaultsEnd, meanGap: usualGap, changeGap: usualChangeGap,
 }.finish()
 
 // small is the world of 3 voters, 1 relay, 2 routers and 6 back ends of one
@@ -173,7 +174,7 @@
 		zones: []string{"a", "b", "c"}, desksBackends: 6, groups: map[uint32]int{1: 2, 2: 3},
 		callers: seats("callers", "a", "b"), operators: seats("operator", "a", "b"),
 	}},
-	variants: usualVariants(1), faultsEnd: usualFaultsEnd, meanGap: usualGap,
+	variants: usualVariants(1), faultsEnd: usualFaultsEnd, meanGap: usualGap, changeGap: usualChangeGap,
 }.finish()
 
 // usualVariants are configurations of two shard maps; cells of routers have a
--- a/internal/simulation/platform.go
+++ b/internal/simulation/platform.go
@@ -13,7 +13,7 @@
 }
 
 const (
-	platformLag      = 3 * time.Second
+	usualPlatformLag = 3 * time.Second
 	platformInterval = time.Second
 )
 
@@ -33,6 +33,6 @@
 			current[b.name()] = membership.Live
 		}
 	}
-	p.world.queue.After(platformLag, func() { p.list = current })
+	p.world.queue.After(p.world.platformLag, func() { p.list = current })
 	p.world.queue.After(platformInterval, p.publish)
 }
--- a/internal/simulation/process.go
+++ b/internal/simulation/process.go
@@ -27,6 +27,24 @@
 	return process{world: world, place: world.layout.place(at)}
 }
 
+// newClock draws a clock that keeps the bound on drift.
+func newClock(world *World) virtualtime.Local {
+	// The bound is 0.5 %; no clock comes nearer to it than a thousandth of that.
+	const bound, offset = 4990, int64(2 * time.Second)
+	local := virtualtime.Local{
+		Drift:  world.setup.Int64N(2*bound) - bound,
+		Offset: time.Duration(world.setup.Int64N(2*offset) - offset),
+	}
+	switch {
+	case !world.driftAtBound:
+	case local.Drift < 0:
+		local.Drift = -bound
+	default:
+		local.Drift = bound
+	}
+	return local
+}
+
 func (p *process) name() string { return p.place.Name }
 
 // now returns what the process's own clock shows.
--- a/internal/simulation/regions.go
+++ b/internal/simulation/regions.go
@@ -12,6 +12,16 @@
 // regionalGap is the mean time between two requests of a region's own callers.
 const regionalGap = 500 * time.Millisecond
 
+// changeGapOf is the mean time between two changes in a region. In a long cut it is
+// that of 37,000 changes a day over nine regions.
+func changeGapOf(cut time.Duration) time.Duration {
+	const longGap = 21 * time.Second
+	if cut > shortCut {
+		return longGap
+	}
+	return usualChangeGap
+}
+
 // regionNames are the regions of the worlds of two.
 var regionNames = []string{"north", "south"}
 
@@ -50,7 +60,7 @@
 		prefix: region + "-", zones: zones, regions: regionsOfZones(),
 		voters: seats(region+"-control", zones...), relays: seats(region+"-relay", zones[:2]...),
 		routers: seats(region+"-router", zones...), areas: []area{areaOf(number)},
-		variants: usualVariants(2), faultsEnd: faultsBegin + cut + time.Second, meanGap: regionalGap, cut: cut,
+		variants: usualVariants(2), faultsEnd: faultsBegin + cut + time.Second, meanGap: regionalGap, changeGap: changeGapOf(cut), cut: cut,
 		visitors: seats(other+"-visitors-of-"+region, regionZones[other][0]),
 	}.finish()
 }
@@ -60,7 +70,7 @@
 func oneGroup(cut time.Duration) *layout {
 	both := layout{
 		regions: regionsOfZones(), variants: usualVariants(2),
-		faultsEnd: faultsBegin + cut + time.Second, meanGap: regionalGap, cut: cut,
+		faultsEnd: faultsBegin + cut + time.Second, meanGap: regionalGap, changeGap: changeGapOf(cut), cut: cut,
 	}
 	for number := range regionNames {
 		of := regionLayout(number, cut)
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -32,6 +32,9 @@
 	"second-loss-after-repair":          secondLoss,
 	"restart-after-hundreds-of-changes": restartAfterChanges,
 	"night-failure":                     nightFailure,
+	"disk-trouble-in-replacement":       diskTroubleInReplacement,
+	"paused-leader":                     pausedLeader,
+	"return-before-the-list":            returnBeforeTheList,
 }
 
 // Scenarios returns the names of the scenarios.
