--- a/internal/plan/delta.go
+++ b/internal/plan/delta.go
@@ -32,6 +32,7 @@
 		delete(routesBefore, route.Name)
 	}
 	delta.RemovedRoutes = sortedKeys(routesBefore)
+	addRemote(delta, base, next)
 	return delta
 }
 
@@ -69,12 +70,15 @@
 	return settingsEqual(left, right) &&
 		slices.EqualFunc(left.Generations, right.Generations, func(a, b Generation) bool {
 			return a.Number == b.Number &&
-				slices.EqualFunc(a.Shards, b.Shards, func(a, b Shard) bool { return a.ID == b.ID })
+				(sameList(a.Shards, b.Shards) || slices.EqualFunc(a.Shards, b.Shards, func(a, b Shard) bool { return a.ID == b.ID }))
 		})
 }
 
 func changedShards(before, after []Shard) []Shard {
 	var changed []Shard
+	if sameList(before, after) {
+		return nil
+	}
 	for index, shard := range after {
 		if !shardsEqual(before[index], shard) {
 			changed = append(changed, shard)
@@ -105,6 +109,9 @@
 		return nil, errors.Wrap(err, "routes of the delta")
 	}
 	next := &Plan{Services: services, Routes: routes}
+	if err := applyRemote(next, base, delta, reader); err != nil {
+		return nil, err
+	}
 	for _, changes := range delta.GetChangedShards() {
 		if err := replaceShards(next, changes, reader); err != nil {
 			return nil, err
--- a/internal/plan/equal.go
+++ b/internal/plan/equal.go
@@ -6,13 +6,19 @@
 // don't count: they move whenever the text above them does.
 func Equal(left, right *Plan) bool {
 	return slices.EqualFunc(left.Services, right.Services, servicesEqual) &&
-		slices.EqualFunc(left.Routes, right.Routes, routesEqual)
+		slices.EqualFunc(left.Routes, right.Routes, routesEqual) &&
+		slices.EqualFunc(left.Regions, right.Regions, regionsEqual) &&
+		slices.Equal(left.RemoteRoutes, right.RemoteRoutes)
+}
+
+func regionsEqual(left, right Region) bool {
+	return left.Name == right.Name && slices.Equal(left.Entries, right.Entries)
 }
 
 func servicesEqual(left, right Service) bool {
 	return settingsEqual(left, right) &&
 		slices.EqualFunc(left.Generations, right.Generations, func(a, b Generation) bool {
-			return a.Number == b.Number && slices.EqualFunc(a.Shards, b.Shards, shardsEqual)
+			return a.Number == b.Number && (sameList(a.Shards, b.Shards) || slices.EqualFunc(a.Shards, b.Shards, shardsEqual))
 		})
 }
 
@@ -26,7 +32,8 @@
 }
 
 func shardsEqual(left, right Shard) bool {
-	return left.ID == right.ID && left.Name == right.Name && slices.Equal(left.Replicas, right.Replicas)
+	return left.ID == right.ID && left.Name == right.Name &&
+		(sameList(left.Replicas, right.Replicas) || slices.Equal(left.Replicas, right.Replicas))
 }
 
 func routesEqual(left, right Route) bool {
