--- a/cmd/martenstage/router_wiring.go
+++ b/cmd/martenstage/router_wiring.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +14,7 @@
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenstage/martenstage/internal/admissionrecord"
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/callers"
 	"github.com/martenstage/martenstage/internal/controlclient"
@@ -27,6 +29,7 @@
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/spool"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 // routerBoot is the start number of this process.
@@ -58,6 +61,9 @@
 	} else {
 		err = joinControl(injector, parts, &dependencies)
 	}
+	if err == nil {
+		err = recordAdmissions(options, parts, &dependencies)
+	}
 	if err != nil {
 		return nil, errors.CombineErrors(err, parts.close())
 	}
@@ -135,6 +141,22 @@
 	return nil
 }
 
+// recordAdmissions writes admissions down if a file is named for that.
+func recordAdmissions(options *router.Options, parts *routerParts, dependencies *router.Dependencies) error {
+	if options.Admissions == "" {
+		return nil
+	}
+	file, err := admissionrecord.Open(options.Admissions, options.Name, parts.logger)
+	if err != nil {
+		return exitcode.With(exitcode.Settings, err)
+	}
+	closeOthers := parts.close
+	parts.helpers = append(parts.helpers, file.Run)
+	parts.close = func() error { return errors.CombineErrors(file.Close(), closeOthers()) }
+	dependencies.Admissions = file
+	return nil
+}
+
 // servePeers listens for requests that other routers hand over. It returns
 // the address at which they reach this one.
 func servePeers(options *router.Options, security *rpc.Security, parts *routerParts,
@@ -143,21 +165,27 @@
 	if err != nil {
 		return "", err
 	}
-	dependencies.Forwarder = forward.NewClient(options.Name, security)
+	client := forward.NewClient(options.Name, security)
+	dependencies.Forwarder, dependencies.Regions = client, client
 	mux := http.NewServeMux()
 	path, handler := forward.NewHandler(localRouter{parts}, security)
 	mux.Handle(path, handler)
 	server := rpc.NewServerOn(listener, mux, security, parts.logger)
 	parts.helpers = append(parts.helpers, func(ctx context.Context) {
-		go func() {
+		var closing sync.WaitGroup
+		closing.Go(func() {
 			<-ctx.Done()
 			bounded, cancel := context.WithTimeout(context.Background(), options.StopLimit)
 			defer cancel()
-			_ = server.Shutdown(bounded)
-		}()
+			if err := server.Shutdown(bounded); err != nil {
+				parts.logger.WithError(err).Warn("answers to other routers were cut off")
+			}
+		})
 		if err := server.Serve(); err != nil {
 			parts.logger.WithError(err).Error("listener for routers failed")
 		}
+		// Serving ends when the shutdown begins; answers may still be written.
+		closing.Wait()
 	})
 	if options.Advertise != "" {
 		return options.Advertise, nil
@@ -173,6 +201,14 @@
 	return l.parts.router.QueryLocal(ctx, request)
 }
 
+// QueryCrossed implements forward.Local.
+func (l localRouter) QueryCrossed(ctx context.Context, request router.Request) query.Answer {
+	return l.parts.router.QueryCrossed(ctx, request)
+}
+
+// Ready implements forward.Local.
+func (l localRouter) Ready() (bool, verdict.Reason) { return l.parts.router.Ready() }
+
 // finishRouter makes the router and the callers' API over its dependencies.
 func finishRouter(injector do.Injector, parts *routerParts, dependencies router.Dependencies) {
 	options := do.MustInvoke[*router.Options](injector)
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -115,6 +115,7 @@
 	if err != nil {
 		return result, err
 	}
+	result.describe(made, &config)
 	// Worlds share nothing, so they may run side by side.
 	outcomes := make([]VariantResult, len(config.Variants))
 	var running sync.WaitGroup
@@ -133,7 +134,9 @@
 	world := virtual.New(s.world(), s.engines(variant, seed), recorder)
 	arrivals := load.NewArrivals(seed, s.rates(), s.duration, variant)
 	world.Run(arrivals.Next)
-	return recorder.result(s.duration)
+	result := recorder.result(s.duration)
+	result.Probes = world.Probes()
+	return result
 }
 
 func (s *setting) world() virtual.Config {
--- a/internal/simulation/change.go
+++ b/internal/simulation/change.go
@@ -57,7 +57,7 @@
 // encodeChange puts text and plan into a change: as differences from the latest
 // revision when it is written against that one, whole otherwise.
 func (c *control) encodeChange(command *v1.ChangeCommand, text string) error {
-	compiled := compiledTexts()[text]
+	compiled := c.voter.world.layout.compiled()[text]
 	if machine := c.voter.machine; machine.Latest().Number == command.GetExpectedRevision() && machine.DeltaFits(0, 0) {
 		base := configdelta.Configuration{Text: latestText(machine), Plan: c.plan}
 		delta, made, err := configdelta.Make(command.GetExpectedRevision(), base, configdelta.Configuration{Text: text, Plan: compiled})
@@ -86,7 +86,7 @@
 		c.world.fail("state_equal", "%s has another state than others after entry %d", v.name(), index)
 	}
 	c.states[index] = digest
-	compiled := compiledTexts()[latestText(v.machine)]
+	compiled := c.world.layout.compiled()[latestText(v.machine)]
 	if compiled == nil || !plan.Equal(compiled, latestPlan(v.machine)) {
 		c.world.fail("plan_of_text", "%s has a plan of another text for revision %d", v.name(), v.machine.Latest().Number)
 	}
