Keep declared regions between compiles too

Cause: regions and remote routes came to the language; a text with one of them was left to the whole compile each time, since a remote route looks its region up among the declared names. Change: a region is a kept declaration like the others. The property test draws regions, and expects that its first text is not left to the whole compile: that expectation failed before.

--- a/internal/policy/assemble.go
+++ b/internal/policy/assemble.go
@@ -11,13 +11,14 @@
 )
 
 // parsedDeclaration is what is kept of a declaration that is right by itself:
-// a checked service, a checked policy, or a route, which has no meaning alone.
+// a checked service, policy or region, or a route, which has no meaning alone.
 type parsedDeclaration struct {
 	service *plan.Service
 	// servers are those of the service: by its groups when it has one generation,
 	// otherwise all in one list.
 	servers [][]serverUse
 	policy  *checkedPolicy
+	region  *plan.Region
 	route   *routeNode
 	// words counts the tokens.
 	words int
@@ -64,32 +65,22 @@
 // something to report.
 func assemble(segments []segment) (*plan.Plan, bool) {
 	report := &reporter{}
-	check := newChecker(report, &source{report: report})
+	src := &source{report: report, declared: map[string][]string{}}
+	check := newChecker(report, src)
 	var routes []*routeNode
 	words, servers, namesGroups := 0, 0, false
 	for _, part := range segments {
 		parsed := part.parsed
 		words += parsed.words
-		switch {
-		case parsed.service != nil:
-			service := *parsed.service
-			if _, taken := check.services[service.Name]; taken {
-				return nil, false
-			}
-			check.services[service.Name] = &service
-			servers += lo.SumBy(parsed.servers, func(group []serverUse) int { return len(group) })
-		case parsed.policy != nil:
-			policy := parsed.policy.atLine(part.line)
-			if _, taken := check.policies[policy.compiled.Name]; taken {
-				return nil, false
-			}
-			check.policies[policy.compiled.Name] = policy
-			namesGroups = namesGroups || len(policy.covered) > 0
-		default:
+		servers += lo.SumBy(parsed.servers, func(group []serverUse) int { return len(group) })
+		namesGroups = namesGroups || parsed.policy != nil && len(parsed.policy.covered) > 0
+		if parsed.route != nil {
 			routes = append(routes, parsed.route)
+		} else if !check.take(part) {
+			return nil, false
 		}
 	}
-	if words > maxTokens || !serversAgree(segments, servers) {
+	if words > maxTokens || len(check.regions) > maxRegions || !serversAgree(segments, servers) {
 		return nil, false
 	}
 	if namesGroups {
@@ -99,6 +90,28 @@
 	return compiled, len(report.found) == 0
 }
 
+// take keeps a declaration for the routes, as the checks of whole declarations
+// do. It returns false when one of its name is there.
+func (c *checker) take(part segment) bool {
+	taken := false
+	switch parsed := part.parsed; {
+	case parsed.service != nil:
+		service := *parsed.service
+		_, taken = c.services[service.Name]
+		c.services[service.Name] = &service
+	case parsed.policy != nil:
+		policy := parsed.policy.atLine(part.line)
+		_, taken = c.policies[policy.compiled.Name]
+		c.policies[policy.compiled.Name] = policy
+	case parsed.region != nil:
+		name := parsed.region.Name
+		_, taken = c.regions[name]
+		c.regions[name] = parsed.region
+		c.source.declared[keywordRegion] = append(c.source.declared[keywordRegion], name)
+	}
+	return !taken
+}
+
 // atLine returns the policy of a declaration that starts at a line. It was
 // parsed as if it started at line 1.
 func (p *checkedPolicy) atLine(line int) *checkedPolicy {
--- a/internal/policy/incremental.go
+++ b/internal/policy/incremental.go
@@ -256,6 +256,9 @@
 	case declaration.Policy != nil:
 		check.policy(declaration.Policy)
 		parsed.policy = check.policies[declaration.Policy.Name.Value]
+	case declaration.Region != nil:
+		check.region(declaration.Region)
+		parsed.region = check.regions[declaration.Region.Name.Value]
 	case declaration.Route != nil:
 		parsed.route = declaration.Route
 	default:
--- a/internal/policy/incremental_test.go
+++ b/internal/policy/incremental_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -71,12 +72,17 @@
 }
 `
 
+// declarationHead matches the beginnings of smallText's and groupsText's
+// declarations, which stand at the beginning of a line.
+var declarationHead = regexp.MustCompile(`(?m)^(service|policy|route|region) \w+ \{`)
+
 // replacements are parts of texts that turn up in edits: right and wrong words,
 // whole declarations, comments that look like declarations, and halves of both.
 var replacements = []string{
 	"", " ", "\n", "}", "{", "#", "# service s {\n", "service", "route", "service x {", "not", "(", ")", "é", "\xff", "\u2028",
 	"g1", "g9", "s", "t", "quick", "claim", "r", "3", "0", "shared", "127.0.0.1:7000", "127.0.0.3:7000", "replica 127.0.0.9:7000 zone a\n",
 	"127.0.1.1:7000", "127.0.1.4:7000", "group a {", "group b {", "replica 127.0.1.6:7000 zone a slots 1\n", "replica 127.0.0.3:7000 zone a shared\n",
+	"region south {\n\trouter 10.0.0.9:8081\n}\n", "region north", "region south", "\trouter 10.0.0.1:8081\n", "\tdeadline 2s\n",
 	"service u {\n\tslots 2\n\tconnections 70\n\tgeneration 1 {\n\t\tgroup g1 {\n\t\t\treplica 127.0.0.8:7000 zone a\n\t\t}\n\t}\n}\n",
 	"policy late {\n\tdeadline 2s\n\trepeatable\n\tanswer when covered(g1)\n\tat 1s fail\n}\n",
 	"route l {\n\tservice u\n\tpolicy late\n}\n", "route l {\n\tservice t\n\tpolicy late\n}\n",
@@ -117,6 +123,7 @@
 		compiler := NewCompiler("site.policy")
 		text := smallText + groupsText
 		require.True(t, requireSameAsFull(t, compiler, text))
+		require.Len(t, compiler.segments, len(declarationHead.FindAllString(text, -1)), "nothing was left to the full compile")
 		for range rapid.IntRange(1, 10).Draw(t, "edits") {
 			edited := drawEdit(t, text)
 			if requireSameAsFull(t, compiler, edited) || rapid.Bool().Draw(t, "go on with the fault") {
