Let a faulty text delay no other operator's change

Cause: the compiler that remembers held its lock through the whole compile that a text with an error takes, so racing operators with faulty texts waited in a row. Change: the whole compile runs outside the lock. A recovery on a state whose latest revision is a difference is tested.

--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -288,3 +288,28 @@
 	require.False(t, raiser.allKnow(testContext(t), server.voter.Status().ID, []consensus.MemberStatus{ready, old}))
 	require.True(t, raiser.allKnow(testContext(t), server.voter.Status().ID, []consensus.MemberStatus{ready}))
 }
+
+// TestRecoveryRepeatsDifferences accepts the latest text again on a state whose
+// latest revision is a difference: text and plan stay, and so does what the
+// history held before.
+func TestRecoveryRepeatsDifferences(t *testing.T) {
+	const lost = 3
+	changes := newChanger(t, compilePolicy, state.LatestFormat)
+	var texts []string
+	for index := range 4 {
+		texts = append(texts, strings.Replace(smallSite, "slots 2", fmt.Sprint("slots 2", index), 1))
+		_, err := changes.server.store.Apply(changes.make(t, texts[index]))
+		require.NoError(t, err)
+	}
+	machine := changes.server.store.machine
+	require.NotEmpty(t, machine.Latest().TextDelta)
+	require.NoError(t, Recovery{ID: 4, LostChanges: lost}.repeatLatest(machine, time.UnixMilli(1_700_000_000_000)))
+	for range lost {
+		texts = append(texts, texts[3])
+	}
+	changes.server.compiled = configurationCache{}
+	snapshot, err := changes.server.store.Snapshot()
+	require.NoError(t, err)
+	require.NoError(t, changes.server.store.Restore(snapshot))
+	changes.requireHistory(t, texts)
+}
--- a/internal/policy/incremental.go
+++ b/internal/policy/incremental.go
@@ -43,14 +43,22 @@
 
 // Compile does what the function Compile does.
 func (c *Compiler) Compile(text string) (*plan.Plan, error) {
+	if compiled, sure := c.compileChange(text); sure {
+		return compiled, nil
+	}
+	// Outside the lock: a faulty text of one operator delays no other.
+	return Compile(c.filename, []byte(text))
+}
+
+// compileChange compiles a text and remembers it, if nothing can be wrong.
+func (c *Compiler) compileChange(text string) (*plan.Plan, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	compiled, segments, sure := c.reuse(text)
-	if !sure {
-		return Compile(c.filename, []byte(text))
+	if sure {
+		c.text, c.segments = text, segments
 	}
-	c.text, c.segments = text, segments
-	return compiled, nil
+	return compiled, sure
 }
 
 // reuse compiles with what is known. It returns false when the text may have an
