Take no single lost probe for a return, and probe in steps

Besides, a router with few probes spent more on each (0.29 ms against 0.12 ms): its process woke up for every one. Change: two probes in a row must be lost before the next ready counts, in the balancer and in the schedule. Probes that fall due within 20 ms are made together.

--- a/internal/balancer/presence.go
+++ b/internal/balancer/presence.go
@@ -42,8 +42,8 @@
 	refused   bool
 	refusedAt time.Time
 	// turned is set when the health endpoint, since refusedAt, has said
-	// something other than ready. Its next ready is then a change of mind and
-	// not the same lie again.
+	// something other than ready, or the server was unreachable. Its next ready is
+	// then a change of mind and not the same lie again.
 	turned bool
 	// left is set by the word of others, at leftAt; recalled when they took it
 	// back.
@@ -136,7 +136,8 @@
 
 func (p *presence) failProbe() {
 	p.failedProbes++
-	p.turned = p.turned || p.refused
+	// One lost probe is no news of the server, and must not make it alive.
+	p.turned = p.turned || (p.refused && p.failedProbes >= unreachableAfter)
 }
 
 func (p *presence) passProbe(now time.Time, state backendapi.ReadyState, config Config) {
--- a/internal/balancer/presence_test.go
+++ b/internal/balancer/presence_test.go
@@ -69,6 +69,25 @@
 	require.Equal(t, []journal.Kind{journal.KindShardUncovered}, kinds(pool), "once")
 }
 
+// One lost probe says nothing; two in a row say that the server was away, so
+// that its next word is a new one.
+func TestADrainIsNotEndedByOneLostProbe(t *testing.T) {
+	pool, _ := newPool(1)
+	pool.ObserveHealth(start, address(0), true, ready(1))
+	left, _ := pool.Server(address(0))
+	pool.ObserveDrain(start, left)
+	for range 3 {
+		pool.ObserveHealth(start, address(0), false, backendapi.Health{})
+		pool.ObserveHealth(start, address(0), true, ready(1))
+		require.False(t, left.Usable(), "a lost probe is no news")
+	}
+	for range unreachableAfter {
+		pool.ObserveHealth(start, address(0), false, backendapi.Health{})
+	}
+	pool.ObserveHealth(start, address(0), true, ready(1))
+	require.True(t, left.Usable())
+}
+
 func TestADrainIsNotEndedByAnEndpointThatLies(t *testing.T) {
 	pool, group := newPool(2)
 	for replica := range 2 {
--- a/internal/probing/config.go
+++ b/internal/probing/config.go
@@ -24,6 +24,9 @@
 	// which the endpoint says something else is seen; see
 	// balancer.DefaultDrainDistrust.
 	distrust = 5 * time.Minute
+	// unreachableAfter is how many lost probes in a row say something about a back
+	// end that refused as draining; see package balancer.
+	unreachableAfter = 2
 	// downPart is the part of the time that a back end has been down for which
 	// the next probe waits.
 	downPart = 4
--- a/internal/probing/schedule.go
+++ b/internal/probing/schedule.go
@@ -67,6 +67,8 @@
 	// probedAt is when the last probe ended, or when the first is due.
 	probedAt  time.Time
 	condition condition
+	// lost is how many probes in a row got no answer.
+	lost int
 	// since is when the condition was first found.
 	since    time.Time
 	holdings string
@@ -148,7 +150,12 @@
 	if found != s.condition {
 		s.condition, s.since = found, probe.At
 	}
-	if found != conditionReady {
+	if found == conditionUnreachable {
+		s.lost++
+	} else {
+		s.lost = 0
+	}
+	if found != conditionReady && (found != conditionUnreachable || s.lost >= unreachableAfter) {
 		// The health endpoint agrees that the back end is not to be used; from
 		// here on its return is what is waited for.
 		s.refusedAt = time.Time{}
--- a/internal/router/prober.go
+++ b/internal/router/prober.go
@@ -32,6 +32,7 @@
 	timeout  time.Duration
 	backends *backend.Client
 	metrics  *routerMetrics
+	started  time.Time
 
 	mutex   sync.Mutex
 	running map[netip.AddrPort]*probeLoop
@@ -63,6 +64,7 @@
 		timeout:  config.ProbeTimeout,
 		backends: backends,
 		metrics:  metrics,
+		started:  time.Now(),
 		running:  make(map[netip.AddrPort]*probeLoop),
 	}
 }
@@ -130,7 +132,7 @@
 			if !refill.IsZero() && refill.Before(due) {
 				next = refill
 			}
-			timer.Reset(next.Sub(now))
+			timer.Reset(p.inStep(next).Sub(now))
 			select {
 			case <-timer.C:
 			case <-loop.hurry:
@@ -143,6 +145,21 @@
 	}
 }
 
+// step is the time within which probes of different back ends are made together,
+// because waking up the process for each costs more than the probe.
+const step = 20 * time.Millisecond
+
+// inStep returns the end of the step that a moment falls into. Short intervals
+// are kept as they are.
+func (p *prober) inStep(moment time.Time) time.Time {
+	const stepsInInterval = 10
+	if p.pauses.Interval < stepsInInterval*step {
+		return moment
+	}
+	elapsed := moment.Sub(p.started)
+	return p.started.Add((elapsed + step - 1) / step * step)
+}
+
 func (p *prober) probe(ctx context.Context, loop *probeLoop) {
 	target := *loop.target.Load()
 	bounded, cancel := context.WithTimeout(ctx, p.timeout)
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -110,6 +110,8 @@
 	{2314, defaultScenario, "the simulated back end took a departure back and denied it at once"},
 	{3433, defaultScenario, "a query in the socket of a paused back end counted as sent when it was read"},
 	{7081, defaultScenario, "a router that was restarted took nothing back of what it had observed"},
+	{21471, defaultScenario, "likewise, for a departure that the router had been told of"},
+	{21614, defaultScenario, "one lost probe passed for the return of a back end whose endpoint lies"},
 	{33, "night-failure", "the leader elected after a relay died did not know of it"},
 	{52, "replica-loss", "like random seed 143"},
 }
