Test the bounds of the probe schedule one by one

Cause: of faults put into a scratch copy of package probing, a distrust without end and an outage without a longest pause were not found by the random walk: it seldom walks minutes in one state. Change: tests of the return from outages of 0.3 s to an hour, of the end of the distrust, of probes that could not be made, and a table of what the end of an attempt means. Conclusion: tests only.

--- a/internal/probing/schedule_test.go
+++ b/internal/probing/schedule_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/martenstage/martenstage/internal/backendapi"
 	"github.com/martenstage/martenstage/internal/probing"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 var begin = time.Unix(1_000_000, 0)
@@ -213,3 +215,75 @@
 		require.Less(t, count, total/3, "a burst: %v", counts)
 	}
 }
+
+// A back end is away for some time: its return is noticed within a third of the
+// time that it was away, and within 5 s however long that was.
+func TestReturnIsNoticedInAPartOfTheOutage(t *testing.T) {
+	for _, outage := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second, time.Minute, time.Hour} {
+		for seed := range uint64(20) {
+			schedule := probing.New(testConfig, begin, seed)
+			schedule.Probed(probing.Probe{At: begin, Reachable: true, State: backendapi.StateReady})
+			gone := schedule.Due()
+			back := gone.Add(outage)
+			for schedule.Due().Before(back) {
+				schedule.Probed(probing.Probe{At: schedule.Due()})
+			}
+			bound := max(outage/3, probing.Longest(testConfig.Interval))
+			require.LessOrEqual(t, schedule.Due().Sub(back), min(bound, 5*time.Second), "%v, seed %d", outage, seed)
+		}
+	}
+}
+
+// An endpoint that never stops saying ready after a refusal is probed closely for
+// as long as it is not believed, and then as any other.
+func TestDistrustEnds(t *testing.T) {
+	schedule := probing.New(testConfig, begin, 1)
+	schedule.SetRouters(64)
+	ready := func(at time.Time) time.Duration {
+		schedule.Probed(probing.Probe{At: at, Reachable: true, State: backendapi.StateReady})
+		return schedule.Due().Sub(at)
+	}
+	ready(begin)
+	schedule.Heard(probing.Reply{Sent: begin, At: begin, Meaning: probing.MeaningDraining})
+	require.LessOrEqual(t, ready(begin.Add(5*time.Minute-time.Second)), probing.Longest(testConfig.Interval))
+	require.GreaterOrEqual(t, ready(begin.Add(5*time.Minute)), shortest(testConfig.IdlePause))
+}
+
+// A probe that could not be made is tried again an interval later.
+func TestSkippedProbesAreMadeUpFor(t *testing.T) {
+	schedule := probing.New(testConfig, begin, 1)
+	schedule.SetRouters(64)
+	schedule.Skipped(begin)
+	require.Equal(t, begin.Add(testConfig.Interval), schedule.Due())
+	schedule.Probed(probing.Probe{At: begin, Reachable: true, State: backendapi.StateReady})
+	schedule.Skipped(begin.Add(time.Second))
+	require.LessOrEqual(t, schedule.Due().Sub(begin.Add(time.Second)), probing.Longest(testConfig.Interval))
+}
+
+func TestWhatTheEndOfAnAttemptMeans(t *testing.T) {
+	serving := query.Report{Known: true, Holdings: "a"}
+	draining := query.Report{Known: true, Holdings: "a", Draining: true}
+	failed := func(ran verdict.Verdict, reason verdict.Reason, report query.Report) query.Event {
+		return query.AttemptFailed{Verdict: ran, Reason: reason, Report: report}
+	}
+	for name, test := range map[string]struct {
+		outcome query.Event
+		want    probing.Meaning
+	}{
+		"part":                     {query.PartArrived{Report: serving}, probing.MeaningServing},
+		"part with a mark":         {query.PartArrived{Report: draining}, probing.MeaningDraining},
+		"part without a report":    {query.PartArrived{}, probing.MeaningNone},
+		"refused as draining":      {failed(verdict.NotRun, verdict.ReasonDraining, query.Report{Known: true}), probing.MeaningDraining},
+		"refused for load":         {failed(verdict.NotRun, verdict.ReasonOverloaded, serving), probing.MeaningLost},
+		"refused, unknown":         {failed(verdict.NotRun, verdict.ReasonSnapshotGone, serving), probing.MeaningMoved},
+		"refused, unknown shard":   {failed(verdict.NotRun, verdict.ReasonNoReplica, serving), probing.MeaningMoved},
+		"no connection to spare":   {failed(verdict.NotRun, verdict.ReasonNoReplica, query.Report{}), probing.MeaningNone},
+		"canceled by the router":   {failed(verdict.MayHaveRun, verdict.ReasonCanceled, query.Report{}), probing.MeaningNone},
+		"connection refused":       {failed(verdict.NotRun, verdict.ReasonConnection, query.Report{}), probing.MeaningLost},
+		"timeout":                  {failed(verdict.MayHaveRun, verdict.ReasonTimeout, query.Report{}), probing.MeaningLost},
+		"error of the back end":    {failed(verdict.MayHaveRun, verdict.ReasonBackendError, serving), probing.MeaningLost},
+		"an event of another kind": {query.TimerFired{}, probing.MeaningNone},
+	} {
+		require.Equal(t, test.want, probing.ReplyOf(test.outcome, begin, begin).Meaning, name)
+	}
+}
