Test what ends the close probing of a back end

Cause: of the faults put into a scratch copy three more were not found by the random walk: one lost probe that ends a departure, a reply that counts from when it was read, and a served query that does not end the close probing. Change: a test for each. Conclusion: tests only.

--- a/internal/probing/schedule_test.go
+++ b/internal/probing/schedule_test.go
@@ -247,6 +247,14 @@
 	schedule.Heard(probing.Reply{Sent: begin, At: begin, Meaning: probing.MeaningDraining})
 	require.LessOrEqual(t, ready(begin.Add(5*time.Minute-time.Second)), probing.Longest(testConfig.Interval))
 	require.GreaterOrEqual(t, ready(begin.Add(5*time.Minute)), shortest(testConfig.IdlePause))
+
+	// A query that was sent later and served ends it at once, one before does not.
+	now := begin.Add(6 * time.Minute)
+	schedule.Heard(probing.Reply{Sent: now, At: now, Meaning: probing.MeaningDraining})
+	schedule.Heard(probing.Reply{Sent: now.Add(-time.Second), At: now, Meaning: probing.MeaningServing})
+	require.LessOrEqual(t, ready(now), probing.Longest(testConfig.Interval))
+	schedule.Heard(probing.Reply{Sent: now.Add(time.Second), At: now, Meaning: probing.MeaningServing})
+	require.GreaterOrEqual(t, ready(now), shortest(testConfig.IdlePause))
 }
 
 // A probe that could not be made is tried again an interval later.
@@ -287,3 +295,38 @@
 		require.Equal(t, test.want, probing.ReplyOf(test.outcome, begin, begin).Meaning, name)
 	}
 }
+
+// A reply that waited to be read proves no more than one read at once.
+func TestAReplyCountsFromWhenItsQueryWasSent(t *testing.T) {
+	dueAfter := func(read time.Duration) time.Time {
+		schedule := probing.New(testConfig, begin, 1)
+		schedule.SetRouters(64)
+		schedule.Probed(probing.Probe{At: begin, Reachable: true, State: backendapi.StateReady, Holdings: "a"})
+		sent := begin.Add(time.Second)
+		schedule.Heard(probing.Reply{Sent: sent, At: sent.Add(read), Meaning: probing.MeaningServing, Holdings: "a"})
+		return schedule.Due()
+	}
+	require.True(t, dueAfter(0).After(begin.Add(time.Second)), "it counts")
+	require.Equal(t, dueAfter(0), dueAfter(time.Second))
+}
+
+// One lost probe does not end the close probing of a back end that refused while
+// its endpoint says ready; two do.
+func TestOneLostProbeSaysNothingOfADeparture(t *testing.T) {
+	for lost, close := range map[int]bool{1: true, 2: false} {
+		schedule := probing.New(testConfig, begin, 1)
+		schedule.SetRouters(64)
+		now := begin
+		probe := func(reachable bool) {
+			now = now.Add(time.Second)
+			schedule.Probed(probing.Probe{At: now, Reachable: reachable, State: backendapi.StateReady})
+		}
+		probe(true)
+		schedule.Heard(probing.Reply{Sent: now, At: now, Meaning: probing.MeaningDraining})
+		for range lost {
+			probe(false)
+		}
+		probe(true)
+		require.Equal(t, close, schedule.Due().Sub(now) <= probing.Longest(testConfig.Interval), "%d lost", lost)
+	}
+}
