--- a/internal/probing/schedule_test.go
+++ b/internal/probing/schedule_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/martenstage/martenstage/internal/backendapi"
 	"github.com/martenstage/martenstage/internal/probing"
+	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 var begin = time.Unix(1_000_000, 0)
@@ -34,6 +36,7 @@
 	served  time.Time // sent
 	doubted bool
 	refused bool
+	lost    int
 
 	refusedAt, watched, downFrom time.Time
 }
@@ -60,7 +63,13 @@
 	}
 	m.schedule.Probed(m.probed)
 	m.doubted = false
-	m.refused = m.refused && m.ready() && m.now.Sub(m.refusedAt) < 5*time.Minute
+	if reachable {
+		m.lost = 0
+	} else {
+		m.lost++
+	}
+	agrees := (reachable && state != backendapi.StateReady) || m.lost >= 2
+	m.refused = m.refused && !agrees && m.now.Sub(m.refusedAt) < 5*time.Minute
 }
 
 func (m *model) ready() bool { return m.probed.Reachable && m.probed.State == backendapi.StateReady }
@@ -206,3 +215,118 @@
 		require.Less(t, count, total/3, "a burst: %v", counts)
 	}
 }
+
+// A back end is away for some time: its return is noticed within a third of the
+// time that it was away, and within 5 s however long that was.
+func TestReturnIsNoticedInAPartOfTheOutage(t *testing.T) {
+	for _, outage := range []time.Duration{300 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second, time.Minute, time.Hour} {
+		for seed := range uint64(20) {
+			schedule := probing.New(testConfig, begin, seed)
+			schedule.Probed(probing.Probe{At: begin, Reachable: true, State: backendapi.StateReady})
+			gone := schedule.Due()
+			back := gone.Add(outage)
+			for schedule.Due().Before(back) {
+				schedule.Probed(probing.Probe{At: schedule.Due()})
+			}
+			bound := max(outage/3, probing.Longest(testConfig.Interval))
+			require.LessOrEqual(t, schedule.Due().Sub(back), min(bound, 5*time.Second), "%v, seed %d", outage, seed)
+		}
+	}
+}
+
+// An endpoint that never stops saying ready after a refusal is probed closely for
+// as long as it is not believed, and then as any other.
+func TestDistrustEnds(t *testing.T) {
+	schedule := probing.New(testConfig, begin, 1)
+	schedule.SetRouters(64)
+	ready := func(at time.Time) time.Duration {
+		schedule.Probed(probing.Probe{At: at, Reachable: true, State: backendapi.StateReady})
+		return schedule.Due().Sub(at)
+	}
+	ready(begin)
+	schedule.Heard(probing.Reply{Sent: begin, At: begin, Meaning: probing.MeaningDraining})
+	require.LessOrEqual(t, ready(begin.Add(5*time.Minute-time.Second)), probing.Longest(testConfig.Interval))
+	require.GreaterOrEqual(t, ready(begin.Add(5*time.Minute)), shortest(testConfig.IdlePause))
+
+	// A query that was sent later and served ends it at once, one before does not.
+	now := begin.Add(6 * time.Minute)
+	schedule.Heard(probing.Reply{Sent: now, At: now, Meaning: probing.MeaningDraining})
+	schedule.Heard(probing.Reply{Sent: now.Add(-time.Second), At: now, Meaning: probing.MeaningServing})
+	require.LessOrEqual(t, ready(now), probing.Longest(testConfig.Interval))
+	schedule.Heard(probing.Reply{Sent: now.Add(time.Second), At: now, Meaning: probing.MeaningServing})
+	require.GreaterOrEqual(t, ready(now), shortest(testConfig.IdlePause))
+}
+
+// A probe that could not be made is tried again an interval later.
+func TestSkippedProbesAreMadeUpFor(t *testing.T) {
+	schedule := probing.New(testConfig, begin, 1)
+	schedule.SetRouters(64)
+	schedule.Skipped(begin)
+	require.Equal(t, begin.Add(testConfig.Interval), schedule.Due())
+	schedule.Probed(probing.Probe{At: begin, Reachable: true, State: backendapi.StateReady})
+	schedule.Skipped(begin.Add(time.Second))
+	require.LessOrEqual(t, schedule.Due().Sub(begin.Add(time.Second)), probing.Longest(testConfig.Interval))
+}
+
+func TestWhatTheEndOfAnAttemptMeans(t *testing.T) {
+	serving := query.Report{Known: true, Holdings: "a"}
+	draining := query.Report{Known: true, Holdings: "a", Draining: true}
+	failed := func(ran verdict.Verdict, reason verdict.Reason, report query.Report) query.Event {
+		return query.AttemptFailed{Verdict: ran, Reason: reason, Report: report}
+	}
+	for name, test := range map[string]struct {
+		outcome query.Event
+		want    probing.Meaning
+	}{
+		"part":                     {query.PartArrived{Report: serving}, probing.MeaningServing},
+		"part with a mark":         {query.PartArrived{Report: draining}, probing.MeaningDraining},
+		"part without a report":    {query.PartArrived{}, probing.MeaningNone},
+		"refused as draining":      {failed(verdict.NotRun, verdict.ReasonDraining, query.Report{Known: true}), probing.MeaningDraining},
+		"refused for load":         {failed(verdict.NotRun, verdict.ReasonOverloaded, serving), probing.MeaningLost},
+		"refused, unknown":         {failed(verdict.NotRun, verdict.ReasonSnapshotGone, serving), probing.MeaningMoved},
+		"refused, unknown shard":   {failed(verdict.NotRun, verdict.ReasonNoReplica, serving), probing.MeaningMoved},
+		"no connection to spare":   {failed(verdict.NotRun, verdict.ReasonNoReplica, query.Report{}), probing.MeaningNone},
+		"canceled by the router":   {failed(verdict.MayHaveRun, verdict.ReasonCanceled, query.Report{}), probing.MeaningNone},
+		"connection refused":       {failed(verdict.NotRun, verdict.ReasonConnection, query.Report{}), probing.MeaningLost},
+		"timeout":                  {failed(verdict.MayHaveRun, verdict.ReasonTimeout, query.Report{}), probing.MeaningLost},
+		"error of the back end":    {failed(verdict.MayHaveRun, verdict.ReasonBackendError, serving), probing.MeaningLost},
+		"an event of another kind": {query.TimerFired{}, probing.MeaningNone},
+	} {
+		require.Equal(t, test.want, probing.ReplyOf(test.outcome, begin, begin).Meaning, name)
+	}
+}
+
+// A reply that waited to be read proves no more than one read at once.
+func TestAReplyCountsFromWhenItsQueryWasSent(t *testing.T) {
+	dueAfter := func(read time.Duration) time.Time {
+		schedule := probing.New(testConfig, begin, 1)
+		schedule.SetRouters(64)
+		schedule.Probed(probing.Probe{At: begin, Reachable: true, State: backendapi.StateReady, Holdings: "a"})
+		sent := begin.Add(time.Second)
+		schedule.Heard(probing.Reply{Sent: sent, At: sent.Add(read), Meaning: probing.MeaningServing, Holdings: "a"})
+		return schedule.Due()
+	}
+	require.True(t, dueAfter(0).After(begin.Add(time.Second)), "it counts")
+	require.Equal(t, dueAfter(0), dueAfter(time.Second))
+}
+
+// One lost probe does not end the close probing of a back end that refused while
+// its endpoint says ready; two do.
+func TestOneLostProbeSaysNothingOfADeparture(t *testing.T) {
+	for lost, close := range map[int]bool{1: true, 2: false} {
+		schedule := probing.New(testConfig, begin, 1)
+		schedule.SetRouters(64)
+		now := begin
+		probe := func(reachable bool) {
+			now = now.Add(time.Second)
+			schedule.Probed(probing.Probe{At: now, Reachable: reachable, State: backendapi.StateReady})
+		}
+		probe(true)
+		schedule.Heard(probing.Reply{Sent: now, At: now, Meaning: probing.MeaningDraining})
+		for range lost {
+			probe(false)
+		}
+		probe(true)
+		require.Equal(t, close, schedule.Due().Sub(now) <= probing.Longest(testConfig.Interval), "%d lost", lost)
+	}
+}
