Find three broken rules of regions that the tests let pass

Cause: of thirteen rules broken one at a time on a scratch copy, three passed the tests: no lease needed, connections not bounded, no refusal while unreachable.

Change: a check for each. The report's pairing of regions that lose each other has a test, too.

--- a/internal/forward/region_test.go
+++ b/internal/forward/region_test.go
@@ -323,9 +323,8 @@
 func TestConnectionsThatAreNeverMade(t *testing.T) {
 	deaf := deafAddress(t)
 	near := newNearSide(t, remote.Config{FirstPause: time.Hour, LongestPause: time.Hour}, remotePlan(deaf))
-	hasty := near.ask("send", "hasty", 3*time.Millisecond)
-	require.Equal(t, verdict.NotRun, hasty.Verdict)
-	refused := near.ask("send", "id", 2*time.Second)
+	// The deadline is shorter than the dialer's own limit of a second.
+	refused := near.ask("send", "id", 900*time.Millisecond)
 	require.Equal(t, verdict.NotRun, refused.Verdict)
 	require.Equal(t, verdict.ReasonRegionUnreachable, refused.Err.Reason, "not timeout")
 	require.Eventually(t, func() bool { return !near.Status().Regions[0].Reachable }, longWait, time.Millisecond)
@@ -344,3 +343,13 @@
 	}
 	fleet.checkExecutions(t, told)
 }
+
+// A router without a lease hands over nothing.
+func TestWithoutALeaseNothingIsHandedOver(t *testing.T) {
+	near := newNearSide(t, remote.Config{}, remotePlan(netip.MustParseAddrPort(nobody)))
+	near.ExtendLease(time.Time{})
+	refused := near.ask("send", "id", time.Second)
+	require.Equal(t, verdict.ReasonNoLease, refused.Err.Reason)
+	require.Equal(t, verdict.NotRun, refused.Verdict)
+	require.Zero(t, near.calls.crossings.Load())
+}
--- a/internal/incident/report_test.go
+++ b/internal/incident/report_test.go
@@ -191,3 +191,27 @@
 	require.Equal(t, "Report of 2026-03-01 18:00 +0700 to 2026-03-02 07:30 +0700\n"+
 		"0 incidents go on, 0 are over. No answer was short of its policy.\n\nNothing is left to do.\n", text.String())
 }
+
+// TestRegionsThatLoseEachOtherAreOneIncident: two routers see it begin and end;
+// it lasts from the first to the last, and a task says what to do while it goes on.
+func TestRegionsThatLoseEachOtherAreOneIncident(t *testing.T) {
+	begun := time.Unix(1_700_000_000, 0)
+	event := func(kind journal.Kind, source string, minutes int) journal.Event {
+		return journal.Event{Kind: kind, Source: source, Detail: "region north", Count: 1,
+			Time: begun.Add(time.Duration(minutes) * time.Minute)}
+	}
+	events := []journal.Event{
+		event(journal.KindRegionUnreachable, "router-1", 0), event(journal.KindRegionUnreachable, "router-2", 1),
+		event(journal.KindRegionReachable, "router-1", 60),
+	}
+	window := Request{Since: begun.Add(-time.Hour), Until: begun.Add(2 * time.Hour)}
+	open := New(events, window)
+	require.Len(t, open.Failures, 1)
+	require.True(t, open.Failures[0].Open(), "router-2 does not reach it yet")
+	require.Equal(t, "regions.md", open.Tasks[0].Page)
+	over := New(append(events, event(journal.KindRegionReachable, "router-2", 61)), window)
+	require.Len(t, over.Failures, 1)
+	require.Equal(t, "region north", over.Failures[0].About())
+	require.Equal(t, 61*time.Minute, over.Failures[0].Lasted(window.Until))
+	require.Empty(t, over.Tasks)
+}
--- a/internal/remote/region_test.go
+++ b/internal/remote/region_test.go
@@ -48,10 +48,11 @@
 }
 
 func (w *world) ask() {
-	before := w.region.InFlight()
-	switch w.region.Begin() {
+	before, reachable := w.region.InFlight(), w.region.Reachable()
+	refusal := w.region.Begin()
+	require.Equal(w.t, !reachable, refusal == Unreachable, "a region that is gone is refused at once")
+	switch refusal {
 	case Unreachable:
-		require.False(w.t, w.region.Reachable())
 		require.Equal(w.t, before, w.region.InFlight())
 		return
 	case Full:
