--- a/internal/control/doc.go
+++ b/internal/control/doc.go
@@ -6,6 +6,8 @@
 //	server.go        wiring, listening, planned stop
 //	store.go         the applied state, shared by all services
 //	config_*.go      ConfigService: changes, history, voters, status, drain marks
+//	change_*.go      a change as differences for the log
+//	format_*.go      the format of the state, raised when all voters know it
 //	claim_*.go       ClaimService: claims, committed in groups
 //	journal_*.go     JournalService: events
 //	leader.go        confirmed reads, and the one hop to the leader
--- a/internal/control/recover.go
+++ b/internal/control/recover.go
@@ -117,21 +117,12 @@
 	return founded, nil
 }
 
-// repeatLatest accepts the latest text again under higher numbers. All but the
-// first are differences where these fit, so that the history keeps its texts.
+// repeatLatest accepts the latest text again under higher numbers.
 func (r Recovery) repeatLatest(machine *state.Machine, now time.Time) error {
 	if machine.Latest().Number == 0 {
 		return nil
 	}
-	text, packed, err := wholeLatest(machine)
-	if err != nil {
-		return err
-	}
-	unpacked, err := decompress(text)
-	if err != nil {
-		return err
-	}
-	unchanged, err := textdelta.Make(string(unpacked), string(unpacked))
+	again, err := newRepetition(machine)
 	if err != nil {
 		return err
 	}
@@ -142,15 +133,9 @@
 			ChangeId: id, ExpectedRevision: latest.Number, RequestHash: state.ApplyHash(id, 0),
 			Author: recoveryAuthor, Comment: fmt.Sprintf("revision %d again, after the loss of the quorum", latest.Number),
 		}
-		planDelta, err := proto.Marshal(&v1.PlanDelta{BaseRevision: latest.Number})
-		if err != nil {
+		if err := again.encode(command, machine); err != nil {
 			return err
 		}
-		if machine.DeltaFits(len(unchanged), len(planDelta)) {
-			command.TextDelta, command.PlanDelta = unchanged, planDelta
-		} else {
-			command.CompressedText, command.CompressedPlan = text, packed
-		}
 		data, err := state.Encode(now, &v1.StateCommand{Body: &v1.StateCommand_Change{Change: command}})
 		if err != nil {
 			return err
@@ -162,6 +147,40 @@
 	return nil
 }
 
+// repetition is the latest text and plan, to be submitted again: whole, and the
+// text as its difference from itself.
+type repetition struct {
+	text, plan []byte
+	unchanged  []byte
+}
+
+func newRepetition(machine *state.Machine) (again repetition, err error) {
+	if again.text, again.plan, err = wholeLatest(machine); err != nil {
+		return again, err
+	}
+	unpacked, err := decompress(again.text)
+	if err != nil {
+		return again, err
+	}
+	again.unchanged, err = textdelta.Make(string(unpacked), string(unpacked))
+	return again, err
+}
+
+// encode puts text and plan into a change, as differences where these fit, so
+// that the history keeps its older texts.
+func (r repetition) encode(command *v1.ChangeCommand, machine *state.Machine) error {
+	unchanged, err := proto.Marshal(&v1.PlanDelta{BaseRevision: command.GetExpectedRevision()})
+	if err != nil {
+		return err
+	}
+	if machine.DeltaFits(len(r.unchanged), len(unchanged)) {
+		command.TextDelta, command.PlanDelta = r.unchanged, unchanged
+		return nil
+	}
+	command.CompressedText, command.CompressedPlan = r.text, r.plan
+	return nil
+}
+
 // survivor is the state at the end of a voter's log.
 type survivor struct {
 	machine     *state.Machine
