--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -1,7 +1,7 @@
 // Package policy is the configuration language: it declares services with
 // their groups and replicas, policies, and the routes that join the two.
 //
-// Text passes through four steps, each in its own files:
+// The parts, each in its own files:
 //
 //	lexer.go, syntax.go, parse.go   text → syntax tree, on participle
 //	check_*.go, values.go           syntax tree → plan.Plan, with every error found
