Try slow replicas again by load

Change: a trial also waits until others got 100 attempts of the group, and comes after 30 s in any case.

The test that tried the server after two seconds without load now checks that it is not tried within 100 attempts, then is, and not twice in a second; a second test has the 30 s.

--- a/internal/balancer/attempts.go
+++ b/internal/balancer/attempts.go
@@ -71,7 +71,7 @@
 	// nothing about it now.
 	server.latency.Reset(now, elapsed)
 	server.setSuspect(float64(elapsed) > slowFactor*group.typical)
-	server.probeAt = now.Add(p.config.ProbeInterval)
+	server.avoid(now)
 }
 
 // learn takes the latency of an answered attempt into what is known about the
@@ -113,7 +113,7 @@
 func (p *Pool) suspectFor(now time.Time, server *Server, elapsed time.Duration) {
 	server.latency.Reset(now, elapsed)
 	server.setSuspect(true)
-	server.probeAt = now.Add(p.config.ProbeInterval)
+	server.avoid(now)
 }
 
 // ObserveSlow takes in that an attempt has been out for some time: the server
--- a/internal/balancer/choose.go
+++ b/internal/balancer/choose.go
@@ -52,6 +52,7 @@
 	if len(found) == 0 {
 		return nil, availability
 	}
+	group.passOver()
 	return p.cheapest(found), Available
 }
 
@@ -164,15 +165,34 @@
 	}
 	for _, member := range group.members {
 		server := member.server
-		if server.suspect && !now.Before(server.probeAt) && server.inFlight == 0 && server.Usable() &&
+		if server.suspect && p.probeDue(now, server) && server.inFlight == 0 && server.Usable() &&
 			server.presence.fresh(now, p.config) && !server.Ejected(now) && member.holds(need.Version) && server.limit.Value() > 0 {
-			server.probeAt = now.Add(p.config.ProbeInterval)
+			server.avoid(now)
 			return server
 		}
 	}
 	return nil
 }
 
+// probeDue reports whether a suspect server was avoided for long enough.
+func (p *Pool) probeDue(now time.Time, server *Server) bool {
+	avoided := now.Sub(server.avoided)
+	return avoided >= p.config.ProbePatience ||
+		avoided >= p.config.ProbeInterval && server.passedOver >= p.config.ProbeAttempts
+}
+
+// passOver counts an attempt that went to another server of the group.
+func (g *Group) passOver() {
+	if g.suspects == 0 {
+		return
+	}
+	for _, member := range g.members {
+		if member.server.suspect {
+			member.server.passedOver++
+		}
+	}
+}
+
 // hasRoom reports whether the server may get one more attempt.
 func (s *Server) hasRoom(need Need) bool {
 	if need.Spare && !s.hasSpareSlot() {
--- a/internal/balancer/pool.go
+++ b/internal/balancer/pool.go
@@ -32,6 +32,8 @@
 // Defaults of Config.
 const (
 	DefaultProbeInterval = time.Second
+	DefaultProbePatience = 30 * time.Second
+	DefaultProbeAttempts = 100
 	DefaultZonePenalty   = 1.25
 	DefaultLoadHalfLife  = time.Second
 	DefaultWordHold      = 5 * time.Second
@@ -49,9 +51,13 @@
 	Selection Selection
 	// LatencyHalfLife is that of the groups' histograms.
 	LatencyHalfLife time.Duration
-	// ProbeInterval is how long a suspect server gets no work that others can
-	// do; then one attempt tries it again.
+	// A suspect server gets no work that others can do, until one attempt tries
+	// it again: after ProbeInterval if others got ProbeAttempts attempts
+	// meanwhile, so that trials stay a small share of the load, and after
+	// ProbePatience in any case.
 	ProbeInterval time.Duration
+	ProbePatience time.Duration
+	ProbeAttempts int
 	// ZonePenalty multiplies the cost of servers in other zones.
 	ZonePenalty float64
 	// LoadHalfLife is the age at which a reported load counts half.
@@ -82,6 +88,8 @@
 
 func (c Config) withDefaults() Config {
 	c.ProbeInterval = cmp.Or(c.ProbeInterval, DefaultProbeInterval)
+	c.ProbePatience = cmp.Or(c.ProbePatience, DefaultProbePatience)
+	c.ProbeAttempts = cmp.Or(c.ProbeAttempts, DefaultProbeAttempts)
 	c.ZonePenalty = cmp.Or(c.ZonePenalty, DefaultZonePenalty)
 	c.LoadHalfLife = cmp.Or(c.LoadHalfLife, DefaultLoadHalfLife)
 	c.WordHold = cmp.Or(c.WordHold, DefaultWordHold)
--- a/internal/balancer/presence_test.go
+++ b/internal/balancer/presence_test.go
@@ -126,13 +126,41 @@
 	require.True(t, slow.Suspect())
 
 	later := start.Add(2 * DefaultProbeInterval)
+	for range DefaultProbeAttempts {
+		chosen, _ := pool.Choose(later, group, Need{Version: 1, Hedged: true})
+		require.NotSame(t, slow, chosen, "trials are a small share of the load")
+	}
 	chosen, _ := pool.Choose(later, group, Need{Version: 1, Hedged: true})
 	require.Same(t, slow, chosen, "one attempt, which a hedge would rescue")
 	pool.Begin(slow)
+	pool.Finish(later, group, slow, Result{Outcome: Answered, Elapsed: 50 * time.Millisecond})
+	require.True(t, slow.Suspect())
+
+	for range DefaultProbeAttempts {
+		chosen, _ = pool.Choose(later, group, Need{Version: 1, Hedged: true})
+		require.NotSame(t, slow, chosen, "no second trial at once, however much was sent")
+	}
+	chosen, _ = pool.Choose(later.Add(DefaultProbeInterval), group, Need{Version: 1, Hedged: true})
+	require.Same(t, slow, chosen)
+	pool.Begin(slow)
 	pool.Finish(later, group, slow, Result{Outcome: Answered, Elapsed: 5 * time.Millisecond})
 	require.False(t, slow.Suspect())
 }
 
+func TestASuspectServerIsTriedWithoutLoadAfterAWhile(t *testing.T) {
+	pool, group := newPool(2)
+	for replica := range 2 {
+		pool.ObserveHealth(start, address(replica), true, ready(1))
+	}
+	slow, _ := pool.Server(address(0))
+	pool.suspectFor(start, slow, time.Second)
+	need := Need{Version: 1, Hedged: true}
+	chosen, _ := pool.Choose(start.Add(DefaultProbePatience-1), group, need)
+	require.NotSame(t, slow, chosen)
+	chosen, _ = pool.Choose(start.Add(DefaultProbePatience), group, need)
+	require.Same(t, slow, chosen)
+}
+
 func TestAnOwnLoadAboveTheReportedOneIsBelievedMore(t *testing.T) {
 	var honest, lying reportedLoad
 	for range 20 {
--- a/internal/balancer/server.go
+++ b/internal/balancer/server.go
@@ -25,9 +25,12 @@
 	limit       admission.Limit
 	inFlight    int
 
-	latency    latency.Average
-	suspect    bool
-	probeAt    time.Time
+	latency latency.Average
+	suspect bool
+	// avoided is since when a suspect server was not tried, and passedOver how
+	// many attempts of its groups went elsewhere since.
+	avoided    time.Time
+	passedOver int
 	load       reportedLoad
 	presence   presence
 	outlier    outlier
@@ -67,6 +70,9 @@
 	}
 }
 
+// avoid begins the time in which a suspect server is not tried.
+func (s *Server) avoid(now time.Time) { s.avoided, s.passedOver = now, 0 }
+
 // Groups calls visit with each group that the server is a member of, in the
 // order in which they were made.
 func (s *Server) Groups(visit func(*Group)) {
