Keep hedge tokens for servers that stall

Change: where the budget earns no more than the quantile spends, four fifths of its burst wait for shards whose attempts are at suspect servers.

--- a/internal/query/hedge.go
+++ b/internal/query/hedge.go
@@ -14,6 +14,9 @@
 	// leastPostponement is the pause before a hedge that was due but could not
 	// be sent is looked at again.
 	leastPostponement = time.Millisecond
+	// rescueShare is the part of a hedge budget's burst that is kept for shards
+	// whose attempts are at suspect servers, see keptForRescue.
+	rescueShare = 0.8
 )
 
 // shardsDue takes the decisions of shards whose time has come.
@@ -131,10 +134,26 @@
 		return true
 	}
 	state := r.route.service.state
-	return state.hedges.Tokens() >= 1 && !e.now.Before(state.overloadedUntil) &&
+	kept := 0.0
+	if !rescue {
+		kept = keptForRescue(r.route)
+	}
+	return state.hedges.Tokens() >= 1+kept && !e.now.Before(state.overloadedUntil) &&
 		(rescue || r.partition.queues[shard.group.Index()].Waiting() == 0)
 }
 
+// keptForRescue is how many tokens ordinary hedges leave for rescues. Hedging
+// at a quantile q takes a token for a share 1 - q of all attempts. Where that
+// is all that the budget earns, nothing would be left for servers that stall.
+func keptForRescue(route *routeView) float64 {
+	limits := route.service.definition.HedgeBudget
+	const rounding = 1e-9
+	if limits.Ratio > 1-route.Policy.Hedge.Quantile+rounding {
+		return 0
+	}
+	return rescueShare * max(0, limits.Burst-1)
+}
+
 // postponeHedge looks at the hedge again after part of the typical latency.
 func (e *Engine) postponeHedge(r *request, shard *shardState) {
 	r.setDue(shard, e.now.Add(max(shard.group.Typical()/2, leastPostponement)))
--- a/internal/query/policy_test.go
+++ b/internal/query/policy_test.go
@@ -159,3 +159,25 @@
 	}
 	require.Len(t, only[Send](h.arrive()), shards)
 }
+
+// Where the budget earns no more than ordinary hedges spend, the larger part of
+// its burst waits for attempts at servers that stall.
+func TestHedgesLeaveTokensForServersThatStall(t *testing.T) {
+	const usual, due, stalled = 5 * time.Millisecond, 7 * time.Millisecond, 20 * time.Millisecond
+	h := newHarness(t, Config{Zone: "a"}, testPlan(1, 2, testPolicy()))
+	for range 2 * leastObservations {
+		send := only[Send](h.arrive())[0]
+		h.after(usual, part(send))
+	}
+	hedges := 0
+	for range 2 * int(h.plan.Services[0].HedgeBudget.Burst) {
+		send := only[Send](h.arrive())[0]
+		hedges += len(only[Send](h.after(due, TimerFired{})))
+		h.step(part(send))
+	}
+	require.NotZero(t, hedges)
+	require.LessOrEqual(t, hedges, 3, "10 tokens, of which 7 are kept, and 1 earned by 20 attempts")
+	h.arrive()
+	require.Empty(t, only[Send](h.after(due, TimerFired{})))
+	require.Len(t, only[Send](h.after(stalled, TimerFired{})), 1)
+}
