Spare only shards that are late without a queue

One shard of eight was spared though its queue made it late.

Change: spared are only shards whose attempts alone exceed the time left.

The engine's test now has a shard late by a queue (refused), one late by itself (spared) and two (refused).

--- a/internal/query/admit.go
+++ b/internal/query/admit.go
@@ -92,7 +92,7 @@
 		left = min(left, route.moments[0])
 	}
 	expected := e.expect(input, route, left)
-	if expected.late <= expected.spared && e.gate.Feasible(priority, expected.busiest, left) {
+	if expected.late == 0 && expected.slow <= expected.spared && e.gate.Feasible(priority, expected.busiest, left) {
 		return nil
 	}
 	return e.refuseSurge(route, max(expected.busiest.Wait, expected.latest-left))
@@ -109,9 +109,12 @@
 type expectation struct {
 	// busiest is the shard with the longest wait for a place.
 	busiest admission.Expectation
-	// late counts the shards whose part is not expected in time, of which the
-	// policy may spare some; latest is when the last of them is expected.
+	// late counts the shards whose part is not expected in time because of what
+	// is ahead, and slow those where an attempt itself takes too long. Refusals
+	// do not help the latter, of which the policy may spare some. latest is when
+	// the last part of both is expected.
 	late   int
+	slow   int
 	spared int
 	latest time.Duration
 }
@@ -140,8 +143,12 @@
 			found.busiest = admission.Expectation{Wait: wait, Typical: max(group.Typical(), time.Millisecond)}
 		}
 		if whole := wholeTime(group, ahead); !e.gate.InTime(route.Policy.Priority, whole, left) {
-			found.late++
 			found.latest = max(found.latest, whole)
+			if group.Typical() > left {
+				found.slow++
+			} else {
+				found.late++
+			}
 		}
 	}
 	return found
--- a/internal/query/policy_test.go
+++ b/internal/query/policy_test.go
@@ -124,40 +124,47 @@
 }
 
 // A queue at the replicas makes a request late though nothing waits in the
-// router. It is refused while that queue stands and its policy can't spare the
-// shards, and taken in as soon as the queue is gone, however slow the replicas
-// were.
+// router: it is refused while that queue stands, and taken in as soon as it is
+// gone, however slow the replicas were. A shard that is late by itself is
+// spared where the policy answers without it.
 func TestRequestsAreRefusedWhileReplicasQueueForTooLong(t *testing.T) {
-	const shards, moment, slow, queued = 4, 40 * time.Millisecond, 30 * time.Millisecond, 2
+	const shards, moment, busy, slow, queued = 4, 40 * time.Millisecond, 30 * time.Millisecond, 50 * time.Millisecond, 2
 	policy := testPolicy()
 	policy.Hedge = plan.Hedge{}
 	late := plan.Condition{Kind: plan.ConditionElapsed, Duration: moment}
 	policy.Statements = append(policy.Statements, plan.Statement{Action: plan.ActionAnswer, Condition: plan.Condition{
 		Kind: plan.ConditionAll, Operands: []plan.Condition{{Kind: plan.ConditionCoverage, Ratio: 0.75}, late},
 	}})
-	h := newHarness(t, Config{Zone: "a"}, testPlan(shards, 1, policy))
 	queue := func(send Send, waiting int) PartArrived {
 		arrived := part(send)
 		arrived.Report = Report{Known: true, Load: backendapi.Load{InFlight: 2, Slots: 2, Queued: waiting}}
 		return arrived
 	}
-	first, second, third := only[Send](h.arrive()), only[Send](h.arrive()), only[Send](h.arrive())
-	require.Len(t, third, shards)
-	h.after(slow, queue(first[0], queued))
-	spared := h.arrive()
-	require.Empty(t, only[Respond](spared), "one late shard of four is spared")
-	h.step(CallerGone{Request: h.next})
-	h.step(queue(first[1], queued))
-	refusals := only[Respond](h.arrive())
-	require.Len(t, refusals, 1)
-	require.Equal(t, verdict.ReasonOverloaded, refusals[0].Answer.Err.Reason)
-	require.Equal(t, verdict.NotRun, refusals[0].Answer.Verdict)
-	for _, sends := range [][]Send{second, third} {
-		for _, send := range sends {
+	for _, once := range []struct {
+		took   time.Duration
+		shards int
+		taken  bool
+	}{{busy, 1, false}, {slow, 1, true}, {slow, 2, false}} {
+		h := newHarness(t, Config{Zone: "a"}, testPlan(shards, 1, policy))
+		first, second, third := only[Send](h.arrive()), only[Send](h.arrive()), only[Send](h.arrive())
+		require.Len(t, third, shards)
+		h.now = h.now.Add(once.took)
+		for _, send := range first[:once.shards] {
+			h.step(queue(send, queued))
+		}
+		answers := only[Respond](h.arrive())
+		if once.taken {
+			require.Empty(t, answers)
+			continue
+		}
+		require.Len(t, answers, 1, "%+v", once)
+		require.Equal(t, verdict.ReasonOverloaded, answers[0].Answer.Err.Reason)
+		require.Equal(t, verdict.NotRun, answers[0].Answer.Verdict)
+		for _, send := range append(second, third...) {
 			h.step(queue(send, 0))
 		}
+		require.Len(t, only[Send](h.arrive()), shards)
 	}
-	require.Len(t, only[Send](h.arrive()), shards)
 }
 
 // Where the budget earns no more than ordinary hedges spend, the larger part of
