Cut the router's reply to the caller at every byte

Until now only the query's way was cut, and the caller's request. The test cuts the reply after each of its bytes by a reset and sends the request again: 409 claim_held with verdict ran every time, and one execution each in the record of the emulated back ends.

--- a/internal/callers/reset_test.go
+++ b/internal/callers/reset_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/testlink"
 )
 
 // executionsByRequest ends the back ends and counts the executions of every
@@ -91,3 +92,41 @@
 	}
 	require.LessOrEqual(t, executions[idOf(length)], 1)
 }
+
+// The reply of the router is cut after every byte of it, by a reset, and its
+// caller, who can't know what became of the request, sends it again. It is told
+// that it ran, and the back ends' record has it once.
+func TestCutRepliesToTheCallerRunNothingTwice(t *testing.T) {
+	s := newSite(t, time.Millisecond, StopConfig{Limit: time.Minute})
+	link := testlink.New(t, s.address)
+	const body = `{"to":"host"}`
+	ask := func(id string) string {
+		socket, err := net.Dial("tcp4", link.Address().String())
+		require.NoError(t, err)
+		defer socket.Close()
+		_, err = io.WriteString(socket, "POST /v1/routes/send/query?key=k HTTP/1.1\r\nHost: "+s.address+"\r\n"+HeaderRequest+": "+id+
+			"\r\nConnection: close\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		require.NoError(t, err)
+		reply, _ := io.ReadAll(socket) // a reset is what the test is about
+		return string(reply)
+	}
+	whole := ask("whole")
+	require.Contains(t, whole, "200 OK")
+	ids := []string{"whole"}
+	for cut := range len(whole) {
+		id := fmt.Sprintf("cut-%04d", cut)
+		ids = append(ids, id)
+		link.LimitReplies(int64(cut))
+		require.LessOrEqual(t, len(ask(id)), cut)
+	}
+	for _, id := range ids {
+		status, again := s.post("/v1/routes/send/query?key=k", id, body)
+		require.Equal(t, http.StatusConflict, status, "%s: %v", id, again)
+		require.Equal(t, "claim_held", again["reason"], id)
+		require.Equal(t, "ran", again["verdict"], id)
+	}
+	executions := s.executionsByRequest()
+	for _, id := range ids {
+		require.Equal(t, 1, executions[id], id)
+	}
+}
