Don't check a platform's list again that has not changed

Cause: 27 voters read the list of their region's servers every 2 s, parse it whole and make a table of it, though its machines seldom change between two reads.

Change: machines of the same text are those of the read before; the voters keep the table that they made of them.

--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -36,7 +36,20 @@
 	if r.client == nil {
 		return
 	}
-	r.client.Run(ctx, func(list platform.List) { server.SetPlatform(platformStates(list)) })
+	var states map[string]membership.State
+	var known []platform.Machine
+	r.client.Run(ctx, func(list platform.List) {
+		// A list that has not changed comes with the same machines.
+		if states == nil || !sameMachines(known, list.Machines) {
+			states, known = platformStates(list), list.Machines
+		}
+		server.SetPlatform(states)
+	})
+}
+
+// sameMachines reports whether two lists are one in memory.
+func sameMachines(left, right []platform.Machine) bool {
+	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
 }
 
 func platformStates(list platform.List) map[string]membership.State {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,10 +1,13 @@
 package platform
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +39,11 @@
 	logger logrus.FieldLogger
 	reads  *prometheus.CounterVec
 	listed prometheus.Gauge
+
+	mutex sync.Mutex
+	// latest is the list that was read last, listedText the text of its machines.
+	latest     List
+	listedText []byte
 }
 
 // NewClient returns a client; it reads nothing before Run or Read. The
@@ -68,7 +76,9 @@
 	return client, nil
 }
 
-// Read fetches and checks the list once.
+// Read fetches and checks the list once. The machines of a list that has not
+// changed since the read before are those of that read: the caller must not
+// change them.
 func (c *Client) Read(ctx context.Context) (List, error) {
 	url := "http://" + c.config.Address.String() + PathMachines
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -90,7 +100,27 @@
 	if len(text) > MaxListBytes {
 		return List{}, errors.Newf("platform list: larger than %d bytes", MaxListBytes)
 	}
-	return ParseList(text)
+	return c.parse(text)
+}
+
+// parse checks a list. What a large site lists seldom changes between two
+// reads, so machines of the same text are not checked again.
+func (c *Client) parse(text []byte) (List, error) {
+	var document struct {
+		AsOf     time.Time       `json:"as_of"`
+		Machines json.RawMessage `json:"machines"`
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if err := json.Unmarshal(text, &document); err == nil && len(c.listedText) > 0 && bytes.Equal(document.Machines, c.listedText) {
+		c.latest.AsOf = document.AsOf
+		return c.latest, nil
+	}
+	list, err := ParseList(text)
+	if err == nil {
+		c.latest, c.listedText = list, document.Machines
+	}
+	return list, err
 }
 
 // Run reads the list until the context ends and hands each good one over. A
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -114,3 +115,49 @@
 	require.EqualValues(t, 3, reads.Load())
 	require.Equal(t, machineOne, lists[0].Machines[0].Address)
 }
+
+func TestUnchangedMachinesAreCheckedOnce(t *testing.T) {
+	client := &Client{}
+	read := func(text string) List {
+		list, err := client.parse([]byte(text))
+		require.NoError(t, err)
+		return list
+	}
+	first := read(`{"as_of":"2026-01-02T03:04:05Z","machines":[{"address":"127.1.1.1:7000","state":"live"}]}`)
+	same := read(`{"as_of":"2026-01-02T03:04:07Z","machines":[{"address":"127.1.1.1:7000","state":"live"}]}`)
+	require.Equal(t, 2*time.Second, same.AsOf.Sub(first.AsOf))
+	require.Same(t, &first.Machines[0], &same.Machines[0])
+
+	_, err := client.parse([]byte(`{"as_of":"2026-01-02T03:04:08Z","machines":[{"address":"127.1.1.1:7000","state":"odd"}]}`))
+	require.Error(t, err)
+	require.Equal(t, StateLeaving, read(`{"as_of":"2026-01-02T03:04:09Z","machines":[{"address":"127.1.1.1:7000","state":"leaving"}]}`).Machines[0].State)
+	require.Empty(t, read(`{"as_of":"2026-01-02T03:04:09Z","machines":[]}`).Machines)
+	require.Empty(t, read(`{"as_of":"2026-01-02T03:04:09Z"}`).Machines)
+	_, err = client.parse([]byte(`{"as_of":"2026-01-02T03:04:11Z","machines":[]`))
+	require.Error(t, err, "a list that is cut short")
+}
+
+func BenchmarkReadOfAnUnchangedList(b *testing.B) {
+	const machines = 6333
+	var addresses []netip.AddrPort
+	for index := range machines {
+		addresses = append(addresses, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 64, byte(index >> 8), byte(index)}), 9))
+	}
+	text, err := json.Marshal(NewStandIn(StandInConfig{Machines: addresses}).List())
+	require.NoError(b, err)
+	b.Run("whole", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			_, err := ParseList(text)
+			require.NoError(b, err)
+		}
+	})
+	b.Run("unchanged", func(b *testing.B) {
+		b.ReportAllocs()
+		client := &Client{}
+		for b.Loop() {
+			_, err := client.parse(text)
+			require.NoError(b, err)
+		}
+	})
+}
