Look at the version of the drain marks before listing them

Change: state.Machine has DrainsVersion, and the list is made when it changed. Digests of a part are written into one string without a copy.

--- a/internal/control/store.go
+++ b/internal/control/store.go
@@ -68,7 +68,7 @@
 
 // publish wakes those who wait for a newer plan or newer drain marks.
 func (s *Store) publish() error {
-	if _, version := s.machine.Drains(); version != s.drains {
+	if version := s.machine.DrainsVersion(); version != s.drains {
 		s.drains = version
 		close(s.drainsChanged)
 		s.drainsChanged = make(chan struct{})
--- a/internal/dataset/dataset.go
+++ b/internal/dataset/dataset.go
@@ -11,6 +11,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -99,17 +100,15 @@
 // FormatDigests returns the text forms of hashes, all within one string.
 func FormatDigests(hashes []uint64) []string {
 	const longest = 16 // digits
-	text := make([]byte, 0, len(hashes)*longest)
-	ends := make([]int, len(hashes))
-	for index, hash := range hashes {
-		text = strconv.AppendUint(text, hash, hexadecimal)
-		ends[index] = len(text)
-	}
-	whole, begin := string(text), 0
+	var text strings.Builder
+	text.Grow(len(hashes) * longest)
 	digests := make([]string, len(hashes))
-	for index, end := range ends {
-		digests[index] = whole[begin:end]
-		begin = end
+	for index, hash := range hashes {
+		var digits [longest]byte
+		begin := text.Len()
+		text.Write(strconv.AppendUint(digits[:0], hash, hexadecimal))
+		// The builder never moves what it holds: it has room for all.
+		digests[index] = text.String()[begin:]
 	}
 	return digests
 }
--- a/internal/simulation/control.go
+++ b/internal/simulation/control.go
@@ -63,7 +63,8 @@
 		c.granter.planChanged()
 		c.confirmOnce()
 	}
-	if marks, version := c.voter.machine.Drains(); version != c.drainsVersion {
+	if c.voter.machine.DrainsVersion() != c.drainsVersion {
+		marks, version := c.voter.machine.Drains()
 		c.drainsVersion = version
 		c.spreadDrains(marks)
 	}
--- a/internal/state/drains.go
+++ b/internal/state/drains.go
@@ -37,6 +37,9 @@
 // every change of them.
 func (m *Machine) Drains() ([]Drain, uint64) { return m.drains.sorted(), m.drains.version }
 
+// DrainsVersion returns the version alone, without the cost of the marks.
+func (m *Machine) DrainsVersion() uint64 { return m.drains.version }
+
 // DrainHash is the request hash of a drain command.
 func DrainHash(address string, draining bool) []byte {
 	sum := sha256.Sum256([]byte("drain " + address + " " + lo.Ternary(draining, "begin", "end")))
