Cross regions in the simulator by the core that chooses entry routers

Cause: callers of the simulated regions asked the other region's routers themselves, though a router now hands such requests over (package remote).

The judge of the region that owns the route judges the answer, and knows the planned stops of the other region's routers, too. After the cut a request must cross again, or the run fails.

--- a/internal/simulation/build.go
+++ b/internal/simulation/build.go
@@ -55,8 +55,8 @@
 			Stragglers: servicetime.Stragglers{Fraction: 0.08, Factor: 8, Period: 5 * time.Second},
 		},
 		backendAt: map[netip.AddrPort]*backend{}, completed: map[string]time.Duration{}, answers: map[string]int{},
-		faultKinds: map[FaultKind]int{},
-		lastVoter:  uint64(len(of.voters)), version: firstVersion, replaced: func() {},
+		faultKinds: map[FaultKind]int{}, crossings: map[string]int{},
+		lastVoter: uint64(len(of.voters)), version: firstVersion, replaced: func() {},
 		platformLag: usualPlatformLag,
 		trafficEnd:  end, horizon: end + 3*time.Second,
 	}
--- a/internal/simulation/caller.go
+++ b/internal/simulation/caller.go
@@ -97,11 +97,22 @@
 	}
 }
 
+// abroad reports whether the caller is of another region than the route.
+func (c *callerRequest) abroad() bool { return slices.Contains(c.caller.world.visitors, c.caller) }
+
+// routers are those of the caller's region.
+func (c *callerRequest) routers() []*router {
+	if c.abroad() {
+		return c.caller.world.neighbour.routers
+	}
+	return c.area.routers
+}
+
 // submit sends the request to the first router from a number on that its
 // caller takes for ready.
 func (c *callerRequest) submit(first int) {
 	w := c.caller.world
-	routers := c.area.routers
+	routers := c.routers()
 	chosen := routers[first%len(routers)]
 	for offset := range routers {
 		candidate := routers[(first+offset)%len(routers)]
@@ -232,7 +243,7 @@
 	s.resends++
 	const leastPause = 50 * time.Millisecond
 	pause = max(pause, leastPause) + time.Duration(w.workload.Int64N(int64(leastPause)))
-	w.queue.After(pause, func() { s.submit(slices.Index(s.area.routers, s.router) + 1) })
+	w.queue.After(pause, func() { s.submit(slices.Index(s.routers(), s.router) + 1) })
 }
 
 // query answers a request here, or through a router of its service's cell.
@@ -243,6 +254,10 @@
 	if s.limit > 0 {
 		request.Deadline = r.now().Add(s.limit)
 	}
+	if s.abroad() {
+		r.cross(s, request)
+		return
+	}
 	if peer := r.cellPeer(s.service); peer != nil {
 		r.forward(peer, s, request)
 		return
--- a/internal/simulation/regions.go
+++ b/internal/simulation/regions.go
@@ -1,7 +1,9 @@
 package simulation
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/records"
@@ -90,7 +92,9 @@
 	return func(seed uint64) []*World {
 		const apart = 1 << 40
 		common := newShared(seed)
-		return []*World{newWorldOf(seed, layouts[0], common), newWorldOf(seed+apart, layouts[1], common)}
+		north, south := newWorldOf(seed, layouts[0], common), newWorldOf(seed+apart, layouts[1], common)
+		north.neighbour, south.neighbour = south, north
+		return []*World{north, south}
 	}
 }
 
@@ -177,7 +181,11 @@
 // watchIsolation notes an answer to a request of a region's own caller that was
 // sent during the cut, and fails when it was refused because of the cut.
 func (w *World) watchIsolation(s *submission, answer *records.CallerAnswer) {
-	if !w.cutOff(s.sent) || s.caller.place.Region != s.router.place.Region {
+	if s.abroad() {
+		w.noteCrossing(s, answer)
+		return
+	}
+	if !w.cutOff(s.sent) {
 		return
 	}
 	seen := &s.area.isolated
@@ -204,6 +212,18 @@
 	}
 }
 
+// noteCrossing notes what became of a request of a caller of the other region.
+func (w *World) noteCrossing(s *submission, answer *records.CallerAnswer) {
+	when := "apart: "
+	if !w.cutOff(s.sent) {
+		when = "joined: "
+	}
+	w.crossings[when+cmp.Or(answer.Reason, answer.Error, "answered")]++
+	if answer.Complete && answer.Status == http.StatusOK {
+		w.crossed = w.queue.Now()
+	}
+}
+
 // propertyIsolation is that a region goes on without the other.
 const propertyIsolation = "region_alone"
 
@@ -212,6 +232,9 @@
 	if w.layout.cut == 0 {
 		return
 	}
+	if len(w.visitors) > 0 && w.crossed < w.layout.faultsEnd+calm {
+		w.fail("recovery", "no whole answer to a caller of the other region in the last %v", checkFor)
+	}
 	for _, a := range w.areas {
 		seen := a.isolated
 		w.trace.note("world", "isolation", "area", a.suffix, "answered", seen.answered, "whole", seen.whole,
--- a/internal/simulation/regions_test.go
+++ b/internal/simulation/regions_test.go
@@ -86,6 +86,32 @@
 	}
 }
 
+// Callers ask routers of their own region for routes of the other. During the cut
+// they are told that it can't be reached, most of them at once; before and after it
+// they get whole answers.
+func TestRequestsCrossToTheOtherRegionUnlessItIsCutOff(t *testing.T) {
+	kind, faults, err := Choice{World: "regions"}.resolve()
+	require.NoError(t, err)
+	seen := map[string]int{}
+	for seed := uint64(1); seed <= 5; seed++ {
+		worlds := kind.make(seed)
+		for _, w := range worlds {
+			faults(w)
+		}
+		outcome := runAll(worlds...)
+		require.False(t, outcome.Failed(), "%v %v", outcome.Violations, outcome.Failures)
+		for _, w := range worlds {
+			for name, times := range w.crossings {
+				seen[name] += times
+			}
+		}
+	}
+	t.Log(seen)
+	require.Zero(t, seen["apart: answered"])
+	require.Positive(t, seen["joined: answered"])
+	require.Greater(t, seen["apart: "+string(verdict.ReasonRegionUnreachable)], seen["apart: no answer in time"])
+}
+
 func TestUnknownWorldsAreRefused(t *testing.T) {
 	_, err := Run(Config{Runs: 1, Choice: Choice{World: "none"}})
 	require.ErrorIs(t, err, ErrUnknownWorld)
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -38,14 +38,16 @@
 // router carries out what its engine commands.
 type router struct {
 	process
-	engine  engine
-	wake    alarm
-	growth  alarm
-	follow  *follower
-	claims  *claimClient
-	spool   *spool
-	members []string // live routers
-	watches map[netip.AddrPort]*watch
+	engine engine
+	wake   alarm
+	growth alarm
+	follow *follower
+	claims *claimClient
+	// crossing is nil where there is no other region.
+	crossing *crossing
+	spool    *spool
+	members  []string // live routers
+	watches  map[netip.AddrPort]*watch
 
 	revision uint64
 	plan     *plan.Plan
@@ -101,6 +103,10 @@
 	r.spool.start()
 	r.follow.start()
 	r.watchLease()
+	if r.world.neighbour != nil {
+		r.crossing = newCrossing(r)
+		r.crossing.probe()
+	}
 }
 
 // step feeds one event to the engine and carries out what it commands.
@@ -209,7 +215,11 @@
 
 func (r *router) exit() {
 	r.world.trace.note(r.name(), "stopped")
-	r.world.judge.AddPlannedStop(records.PlannedStop{Router: r.name(), Began: r.stopBegan, Exited: r.world.queue.Wall()})
+	stop := records.PlannedStop{Router: r.name(), Began: r.stopBegan, Exited: r.world.queue.Wall()}
+	r.world.judge.AddPlannedStop(stop)
+	if r.world.neighbour != nil {
+		r.world.neighbour.judge.AddPlannedStop(stop) // it judges the requests that crossed
+	}
 	r.end()
 	r.world.cutCallers(r, true)
 }
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -218,7 +218,12 @@
 	clear(w.completed)
 	for _, a := range w.areas {
 		for index, route := range traffic {
-			w.queue.After(time.Duration(index)*time.Second, func() { w.newRequest(a, a.callers, a.route(route)) })
+			w.queue.After(time.Duration(index)*time.Second, func() {
+				w.newRequest(a, a.callers, a.route(route))
+				if len(w.visitors) > 0 {
+					w.newRequest(a, w.visitors, a.route(route))
+				}
+			})
 		}
 	}
 }
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -33,7 +33,10 @@
 type World struct {
 	seed   uint64
 	layout *layout
-	queue  *virtualtime.Queue
+	// neighbour is the world of the other region, nil without one. Callers of
+	// each ask routers of their own region for routes of the other.
+	neighbour *World
+	queue     *virtualtime.Queue
 	// Each kind of choice has a random source of its own, so that one schedule
 	// of faults can be changed without changing the workload.
 	setup, timing, workload *rand.Rand
@@ -64,6 +67,10 @@
 	journaled           []journal.Event
 	// completed is when the last whole answer of a route came.
 	completed map[string]time.Duration
+	// crossed is when the last whole answer to a caller of the other region came.
+	crossed time.Duration
+	// crossings counts what became of the requests of those callers.
+	crossings map[string]int
 	answers   map[string]int
 	inForce   uint64
 	failures  []Failure
