Allocate nothing in a consensus step that has nothing to persist

Change: the hard state is copied only when it is given out; the slice has room for eight members from the beginning.

--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -254,10 +254,14 @@
 	c.send(Message{Type: MessageSnapshot, To: member.id, Snapshot: c.snapshot})
 }
 
+// usualMembers is more than a group of five has while one is replaced.
+const usualMembers = 8
+
 // quorumIndex is the highest index that a quorum of voters has synced. The
 // leader itself counts only with what its own disk has synced.
 func (c *Core) quorumIndex() uint64 {
-	var synced []uint64
+	// Room for the usual number of members, which needs no allocation.
+	synced := make([]uint64, 0, usualMembers)
 	for _, member := range c.membership().Members {
 		switch {
 		case member.Learner:
--- a/internal/consensus/persistence.go
+++ b/internal/consensus/persistence.go
@@ -79,7 +79,9 @@
 	p.snapshot, p.replaceLog, p.compactTo = nil, false, 0
 	if changed {
 		p.hardState, p.hardStateSequence = hardState, p.issued
-		persist.HardState = &hardState
+		// A copy, so that a call that changes nothing allocates nothing.
+		kept := hardState
+		persist.HardState = &kept
 	}
 	persist.Entries = log.between(p.nextIndex, log.lastIndex())
 	p.nextIndex = log.lastIndex() + 1
