--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -114,12 +114,25 @@
 	{52, "replica-loss", "like random seed 143"},
 }
 
+// foundInRegions is the same of the world of two regions.
+var foundInRegions = []struct {
+	seed  uint64
+	cause string
+}{
+	{383, "a router that had handed a request over was blamed for a refusal of one that had just started"},
+}
+
 func TestSeedsThatOnceFailed(t *testing.T) {
 	for _, failure := range found {
 		t.Run(fmt.Sprint(failure.scenario, "/", failure.seed), func(t *testing.T) {
 			requireClean(t, Config{Seed: failure.seed, Runs: 1, Choice: Choice{Scenario: failure.scenario}})
 		})
 	}
+	for _, failure := range foundInRegions {
+		t.Run(fmt.Sprint("regions/", failure.seed), func(t *testing.T) {
+			requireClean(t, Config{Seed: failure.seed, Runs: 1, Choice: Choice{World: "regions"}})
+		})
+	}
 }
 
 // tally counts what happened in several runs.
