Tell a probe without a word from a refused connection

Change: a probe says whether nothing was heard in time. Only such probes count in pairs; a refused or reset connection is news and counts at once.

--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 
@@ -26,12 +27,18 @@
 		return observed, false
 	}
 	if err != nil || json.Unmarshal(body, &observed.Health) != nil {
-		return query.HealthObserved{Address: address}, true
+		return query.HealthObserved{Address: address, Silent: isTimeout(err)}, true
 	}
 	observed.Reachable = true
 	return observed, true
 }
 
+// isTimeout reports whether a call failed because its time ran out.
+func isTimeout(err error) bool {
+	var network net.Error
+	return errors.Is(err, context.DeadlineExceeded) || (errors.As(err, &network) && network.Timeout())
+}
+
 // Cancel tells a back end that an attempt is no longer wanted.
 func (s *Sender) Cancel(ctx context.Context, address netip.AddrPort, request string, attempt query.AttemptID) error {
 	document, err := json.Marshal(backendapi.CancelRequest{Request: request, Attempt: s.attemptName(attempt)})
--- /dev/null
+++ b/internal/backend/probe_test.go
@@ -0,0 +1,61 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// TestOnlyATimeoutIsSilence probes a server that accepts and says nothing, one
+// that closes the connection, and an address at which nobody listens.
+func TestOnlyATimeoutIsSilence(t *testing.T) {
+	t.Parallel()
+	serve := func(handle func(net.Conn)) netip.AddrPort {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				accepted, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				handle(accepted)
+			}
+		}()
+		return netip.MustParseAddrPort(listener.Addr().String())
+	}
+	kept := make(chan net.Conn, 8)
+	t.Cleanup(func() {
+		for len(kept) > 0 {
+			_ = (<-kept).Close()
+		}
+	})
+	client := New(Config{DialTimeout: 30 * time.Second}, Dependencies{Logger: logrus.New(), Registerer: prometheus.NewRegistry()})
+	t.Cleanup(client.Close)
+	for name, test := range map[string]struct {
+		address netip.AddrPort
+		silent  bool
+	}{
+		"silent":  {serve(func(accepted net.Conn) { kept <- accepted }), true},
+		"closed":  {serve(func(accepted net.Conn) { _ = accepted.Close() }), false},
+		"refused": {netip.MustParseAddrPort("127.0.0.1:1"), false},
+	} {
+		timeout := 30 * time.Second // a busy machine may take long to refuse
+		if test.silent {
+			timeout = 50 * time.Millisecond
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		observed, asked := client.Probe(ctx, test.address)
+		cancel()
+		require.True(t, asked, name)
+		require.False(t, observed.Reachable, name)
+		require.Equal(t, test.silent, observed.Silent, name)
+	}
+}
--- a/internal/balancer/presence.go
+++ b/internal/balancer/presence.go
@@ -125,6 +125,7 @@
 	p.change(now, server, func() {
 		if !reachable {
 			server.presence.failProbe()
+			server.presence.turned = server.presence.turned || server.presence.refused
 			return
 		}
 		server.presence.passProbe(now, health.State, p.config)
@@ -134,12 +135,24 @@
 	return server
 }
 
-func (p *presence) failProbe() {
-	p.failedProbes++
-	// One lost probe is no news of the server, and must not make it alive.
-	p.turned = p.turned || (p.refused && p.failedProbes >= unreachableAfter)
+// ObserveSilence takes in a probe of which nothing was heard in time. One alone
+// is no news of the server, and must not make a departure end. It returns nil for
+// a server that is not known.
+func (p *Pool) ObserveSilence(now time.Time, address netip.AddrPort) *Server {
+	server, known := p.servers[address]
+	if !known {
+		return nil
+	}
+	p.change(now, server, func() {
+		presence := &server.presence
+		presence.failProbe()
+		presence.turned = presence.turned || (presence.refused && presence.failedProbes >= unreachableAfter)
+	})
+	return server
 }
 
+func (p *presence) failProbe() { p.failedProbes++ }
+
 func (p *presence) passProbe(now time.Time, state backendapi.ReadyState, config Config) {
 	p.probed, p.probedAt, p.failedProbes, p.health = true, now, 0, state
 	if state != backendapi.StateReady {
--- a/internal/balancer/presence_test.go
+++ b/internal/balancer/presence_test.go
@@ -77,15 +77,21 @@
 	left, _ := pool.Server(address(0))
 	pool.ObserveDrain(start, left)
 	for range 3 {
-		pool.ObserveHealth(start, address(0), false, backendapi.Health{})
+		pool.ObserveSilence(start, address(0))
 		pool.ObserveHealth(start, address(0), true, ready(1))
 		require.False(t, left.Usable(), "a lost probe is no news")
 	}
 	for range unreachableAfter {
-		pool.ObserveHealth(start, address(0), false, backendapi.Health{})
+		pool.ObserveSilence(start, address(0))
 	}
 	pool.ObserveHealth(start, address(0), true, ready(1))
 	require.True(t, left.Usable())
+
+	// A connection that is refused or reset is news: the process went.
+	pool.ObserveDrain(start, left)
+	pool.ObserveHealth(start, address(0), false, backendapi.Health{})
+	pool.ObserveHealth(start, address(0), true, ready(1))
+	require.True(t, left.Usable())
 }
 
 func TestADrainIsNotEndedByAnEndpointThatLies(t *testing.T) {
--- a/internal/probing/schedule.go
+++ b/internal/probing/schedule.go
@@ -10,8 +10,10 @@
 type Probe struct {
 	// At is when the outcome came.
 	At time.Time
-	// Reachable is false when the probe got no answer; the rest is then empty.
+	// Reachable is false when the probe got no answer. Silent is set in addition
+	// when nothing was heard in time, which is no news of the back end.
 	Reachable bool
+	Silent    bool
 	State     backendapi.ReadyState
 	// Holdings is the back end's mark for what it can serve, if it has one.
 	Holdings string
@@ -67,7 +69,7 @@
 	// probedAt is when the last probe ended, or when the first is due.
 	probedAt  time.Time
 	condition condition
-	// lost is how many probes in a row got no answer.
+	// lost is how many probes in a row were lost without a word.
 	lost int
 	// since is when the condition was first found.
 	since    time.Time
@@ -150,12 +152,11 @@
 	if found != s.condition {
 		s.condition, s.since = found, probe.At
 	}
-	if found == conditionUnreachable {
-		s.lost++
-	} else {
+	s.lost++
+	if !probe.Silent {
 		s.lost = 0
 	}
-	if found != conditionReady && (found != conditionUnreachable || s.lost >= unreachableAfter) {
+	if found != conditionReady && (!probe.Silent || s.lost >= unreachableAfter) {
 		// The health endpoint agrees that the back end is not to be used; from
 		// here on its return is what is waited for.
 		s.refusedAt = time.Time{}
--- a/internal/probing/schedule_test.go
+++ b/internal/probing/schedule_test.go
@@ -54,7 +54,7 @@
 		m.now = due
 	}
 	before := m.probed
-	m.probed = probing.Probe{At: m.now, Reachable: reachable, State: state, Holdings: m.mark}
+	m.probed = probing.Probe{At: m.now, Reachable: reachable, Silent: !reachable, State: state, Holdings: m.mark}
 	if !reachable {
 		m.probed.State, m.probed.Holdings = "", ""
 	}
@@ -310,23 +310,27 @@
 	require.Equal(t, dueAfter(0), dueAfter(time.Second))
 }
 
-// One lost probe does not end the close probing of a back end that refused while
-// its endpoint says ready; two do.
+// One probe without a word does not end the close probing of a back end that
+// refused while its endpoint says ready; two do, and so does a reset connection.
 func TestOneLostProbeSaysNothingOfADeparture(t *testing.T) {
-	for lost, close := range map[int]bool{1: true, 2: false} {
+	for _, test := range []struct {
+		lost   int
+		silent bool
+		close  bool
+	}{{1, true, true}, {2, true, false}, {1, false, false}} {
 		schedule := probing.New(testConfig, begin, 1)
 		schedule.SetRouters(64)
 		now := begin
 		probe := func(reachable bool) {
 			now = now.Add(time.Second)
-			schedule.Probed(probing.Probe{At: now, Reachable: reachable, State: backendapi.StateReady})
+			schedule.Probed(probing.Probe{At: now, Reachable: reachable, Silent: !reachable && test.silent, State: backendapi.StateReady})
 		}
 		probe(true)
 		schedule.Heard(probing.Reply{Sent: now, At: now, Meaning: probing.MeaningDraining})
-		for range lost {
+		for range test.lost {
 			probe(false)
 		}
 		probe(true)
-		require.Equal(t, close, schedule.Due().Sub(now) <= probing.Longest(testConfig.Interval), "%d lost", lost)
+		require.Equal(t, test.close, schedule.Due().Sub(now) <= probing.Longest(testConfig.Interval), "%+v", test)
 	}
 }
--- a/internal/query/backends.go
+++ b/internal/query/backends.go
@@ -11,8 +11,11 @@
 type warmLevels map[netip.AddrPort]int
 
 func (e *Engine) healthObserved(event HealthObserved) {
-	server := e.pool.ObserveHealth(e.now, event.Address, event.Reachable, event.Health)
-	e.serverChanged(server)
+	if event.Silent {
+		e.serverChanged(e.pool.ObserveSilence(e.now, event.Address))
+		return
+	}
+	e.serverChanged(e.pool.ObserveHealth(e.now, event.Address, event.Reachable, event.Health))
 }
 
 func (e *Engine) machineObserved(event MachineObserved) {
--- a/internal/query/event.go
+++ b/internal/query/event.go
@@ -134,7 +134,10 @@
 	Address netip.AddrPort
 	// Reachable is false when the probe failed; Health is then empty.
 	Reachable bool
-	Health    backendapi.Health
+	// Silent is set in addition when nothing was heard in time, which may be the
+	// network's doing: it is no news of the back end.
+	Silent bool
+	Health backendapi.Health
 }
 
 // MachineObserved is a word about a back end from the platform list, an
--- a/internal/simulation/probe.go
+++ b/internal/simulation/probe.go
@@ -62,7 +62,9 @@
 		from: &r.process, to: &w.server.process, timeout: probeTimeout,
 		handle: func(reply reply) { reply(w.server.health()) },
 		done: func(result callResult) {
-			observed := query.HealthObserved{Address: w.server.address, Reachable: !result.failed}
+			observed := query.HealthObserved{
+				Address: w.server.address, Reachable: !result.failed, Silent: result.failed && !result.refused,
+			}
 			if !result.failed {
 				observed.Health = r.world.mutations.health(result.answer)
 			}
