--- a/internal/simulation/build.go
+++ b/internal/simulation/build.go
@@ -55,9 +55,10 @@
 			Stragglers: servicetime.Stragglers{Fraction: 0.08, Factor: 8, Period: 5 * time.Second},
 		},
 		backendAt: map[netip.AddrPort]*backend{}, completed: map[string]time.Duration{}, answers: map[string]int{},
-		faultKinds: map[FaultKind]int{},
-		lastVoter:  uint64(len(of.voters)), version: firstVersion, replaced: func() {},
-		trafficEnd: end, horizon: end + 3*time.Second,
+		faultKinds: map[FaultKind]int{}, crossings: map[string]int{},
+		lastVoter: uint64(len(of.voters)), version: firstVersion, replaced: func() {},
+		platformLag: usualPlatformLag,
+		trafficEnd:  end, horizon: end + 3*time.Second,
 	}
 	w.raft = newRaftChecks(w)
 	w.build()
--- a/internal/simulation/simulation_test.go
+++ b/internal/simulation/simulation_test.go
@@ -110,16 +110,31 @@
 	{2314, defaultScenario, "the simulated back end took a departure back and denied it at once"},
 	{3433, defaultScenario, "a query in the socket of a paused back end counted as sent when it was read"},
 	{7081, defaultScenario, "a router that was restarted took nothing back of what it had observed"},
+	{21471, defaultScenario, "likewise, for a departure that the router had been told of"},
+	{21614, defaultScenario, "one lost probe passed for the return of a back end whose endpoint lies"},
 	{33, "night-failure", "the leader elected after a relay died did not know of it"},
 	{52, "replica-loss", "like random seed 143"},
 }
 
+// foundInRegions is the same of the world of two regions.
+var foundInRegions = []struct {
+	seed  uint64
+	cause string
+}{
+	{383, "a router that had handed a request over was blamed for a refusal of one that had just started"},
+}
+
 func TestSeedsThatOnceFailed(t *testing.T) {
 	for _, failure := range found {
 		t.Run(fmt.Sprint(failure.scenario, "/", failure.seed), func(t *testing.T) {
 			requireClean(t, Config{Seed: failure.seed, Runs: 1, Choice: Choice{Scenario: failure.scenario}})
 		})
 	}
+	for _, failure := range foundInRegions {
+		t.Run(fmt.Sprint("regions/", failure.seed), func(t *testing.T) {
+			requireClean(t, Config{Seed: failure.seed, Runs: 1, Choice: Choice{World: "regions"}})
+		})
+	}
 }
 
 // tally counts what happened in several runs.
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -33,7 +33,10 @@
 type World struct {
 	seed   uint64
 	layout *layout
-	queue  *virtualtime.Queue
+	// neighbour is the world of the other region, nil without one. Callers of
+	// each ask routers of their own region for routes of the other.
+	neighbour *World
+	queue     *virtualtime.Queue
 	// Each kind of choice has a random source of its own, so that one schedule
 	// of faults can be changed without changing the workload.
 	setup, timing, workload *rand.Rand
@@ -64,6 +67,10 @@
 	journaled           []journal.Event
 	// completed is when the last whole answer of a route came.
 	completed map[string]time.Duration
+	// crossed is when the last whole answer to a caller of the other region came.
+	crossed time.Duration
+	// crossings counts what became of the requests of those callers.
+	crossings map[string]int
 	answers   map[string]int
 	inForce   uint64
 	failures  []Failure
@@ -74,6 +81,10 @@
 	disturbed bool
 	// operatorsAway keeps operators from changing anything by themselves.
 	operatorsAway bool
+	// platformLag is how far the platform's list lags behind.
+	platformLag time.Duration
+	// driftAtBound lets every clock run as fast or as slow as it may.
+	driftAtBound bool
 	// voterTrouble is when the last fault of a voter began or ended.
 	voterTrouble time.Duration
 
@@ -106,8 +117,7 @@
 
 // operate lets the operators submit changes now and then.
 func (w *World) operate() {
-	const meanGap = 4 * time.Second
-	gap := time.Duration(w.workload.ExpFloat64() * float64(meanGap)).Round(time.Microsecond)
+	gap := time.Duration(w.workload.ExpFloat64() * float64(w.layout.changeGap)).Round(time.Microsecond)
 	w.queue.After(gap, func() {
 		if w.queue.Now() > w.trafficEnd-checkFor/2 {
 			return
