Report ready only once the cells are known

Cause: TestPlannedStopWaitsForRequestsOfOtherRegions hung once under load. A router that had just got its first list of live routers reported ready before it had worked out which of them serve what; a request that came in between was taken for one of its own and refused with no_replica. The probes of its own back ends were then not awaited either. Ruled out: the lease (it was granted before), and the stop (it had not begun). Change: readiness waits for the cells, and the probed back ends are set before them.

--- a/internal/forward/offer_test.go
+++ b/internal/forward/offer_test.go
@@ -117,3 +117,21 @@
 	crossing.Wait()
 	require.Nil(t, answer.Err)
 }
+
+// A router that reports ready knows its cells: it hands over what it does not
+// serve itself, from the first request on.
+func TestReadyRouterKnowsItsCells(t *testing.T) {
+	const routers = 100
+	for range routers {
+		entry := newOutsider(t, func(_ *router.Config, dependencies *router.Dependencies) { dependencies.Forwarder = ran{} })
+		answer := entry.QueryCrossed(t.Context(), router.Request{CallerID: "x", Route: "find", Body: []byte(`{}`)})
+		require.Nil(t, answer.Err)
+	}
+}
+
+// ran is a cell's router that answers at once.
+type ran struct{}
+
+func (ran) Forward(context.Context, router.Peer, router.Request) query.Answer {
+	return query.Answer{Verdict: verdict.Ran}
+}
--- a/internal/router/installation.go
+++ b/internal/router/installation.go
@@ -54,7 +54,7 @@
 }
 
 // cellsKnown reports whether the router knows which services it serves.
-func (r *Router) cellsKnown() bool { return r.config.Alone || r.peers.Load() != nil }
+func (r *Router) cellsKnown() bool { return r.config.Alone || r.foreign.Load() != nil }
 
 // put replaces what is installed. It is called from the configuration source's
 // goroutine.
@@ -83,9 +83,10 @@
 			return
 		}
 	}
-	r.refreshCells(next.plan)
-	// Before the routes are there, so that readiness waits for the probes.
+	// Before the cells and the routes are there, so that readiness waits for the
+	// probes.
 	r.prober.retarget(r.runContext, r.probeTargets(next.own))
+	r.refreshCells(next.plan)
 	r.installed.Store(next)
 	r.metrics.revision.Set(float64(next.revision))
 }
