Compare regions and remote routes of two plans by one function

Cause: the comparison of the other regions and that of the routes that they own were the same loop, written twice. Change: settingsThatDiffer does it for both. Conclusion: no behaviour changes.

--- a/internal/plan/remote.go
+++ b/internal/plan/remote.go
@@ -125,28 +125,27 @@
 
 // addRemote lists the other regions and remote routes that differ.
 func (d *Difference) addRemote(before, after *Plan) {
-	for _, name := range unionOfNames(before.Regions, after.Regions, regionName) {
-		earlier, inBefore := before.RegionNamed(name)
-		later, inAfter := after.RegionNamed(name)
-		one := RouteDifference{Name: name, Presence: presenceOf(inBefore, inAfter)}
-		if one.Presence == Changed {
-			one.Settings = changedSettings(regionSettings(*earlier), regionSettings(*later))
-		}
-		if one.Presence != Changed || len(one.Settings) > 0 {
-			d.Regions = append(d.Regions, one)
-		}
-	}
-	for _, name := range unionOfNames(before.RemoteRoutes, after.RemoteRoutes, remoteRouteName) {
-		earlier, inBefore := before.RemoteRouteNamed(name)
-		later, inAfter := after.RemoteRouteNamed(name)
+	d.Regions = append(d.Regions, settingsThatDiffer(before.Regions, after.Regions, regionName, regionSettings)...)
+	d.RemoteRoutes = append(d.RemoteRoutes,
+		settingsThatDiffer(before.RemoteRoutes, after.RemoteRoutes, remoteRouteName, remoteSettings)...)
+}
+
+// settingsThatDiffer compares what has the same name in two lists.
+func settingsThatDiffer[T any](before, after []T, nameOf func(T) string, settingsOf func(T) []setting) []RouteDifference {
+	earlier, later := lo.KeyBy(before, nameOf), lo.KeyBy(after, nameOf)
+	var found []RouteDifference
+	for _, name := range unionOfNames(before, after, nameOf) {
+		_, inBefore := earlier[name]
+		_, inAfter := later[name]
 		one := RouteDifference{Name: name, Presence: presenceOf(inBefore, inAfter)}
 		if one.Presence == Changed {
-			one.Settings = changedSettings(remoteSettings(*earlier), remoteSettings(*later))
+			one.Settings = changedSettings(settingsOf(earlier[name]), settingsOf(later[name]))
 		}
 		if one.Presence != Changed || len(one.Settings) > 0 {
-			d.RemoteRoutes = append(d.RemoteRoutes, one)
+			found = append(found, one)
 		}
 	}
+	return found
 }
 
 func regionSettings(region Region) []setting {
