--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 # Formatter, vet and static analysis; each prints what it objects to.
 lint:
-	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd internal platform); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
@@ -39,7 +39,7 @@
 	./scripts/fleet.sh $(DEPLOYMENT)
 
 format:
-	gofmt -w cmd internal
+	gofmt -w cmd internal platform
 
 generate:
 	buf generate
--- a/cmd/martenstage/examples.go
+++ b/cmd/martenstage/examples.go
@@ -15,6 +15,14 @@
 	},
 	"relay":  {"martenstage relay --settings /etc/martenstage/relay.yaml"},
 	"router": {"martenstage router --settings /etc/martenstage/router.yaml", "martenstage router --policy-file deploy/bangkok/bangkok.policy"},
+	"gateway": {
+		"martenstage gateway --settings /etc/martenstage/gateway.yaml",
+		"martenstage gateway --clients-listen 10.0.0.9:8080 --ready-listen 10.0.0.9:8082 --seed 10.0.0.1:7200 --peer-port 7201",
+	},
+	"directory": {
+		"martenstage directory --settings /etc/martenstage/directory.yaml",
+		"martenstage directory --control-listen 10.0.0.1:7200 --peer-listen 10.0.0.1:7201 --seed 10.0.0.1:7200 --peer-port 7201 --bootstrap --losses 0 --data-folder /var/lib/martenstage/directory",
+	},
 	"status": {
 		"martenstage status --control 10.0.0.1:7100 --control 10.0.0.2:7100",
 		"martenstage status --watch",
--- /dev/null
+++ b/cmd/martenstage/gateway.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/exitcode"
+	"github.com/martenstage/martenstage/internal/gateway"
+	"github.com/martenstage/martenstage/internal/metrics"
+	"github.com/martenstage/martenstage/platform"
+)
+
+// gatewayCommand runs a router of a site with registered servers.
+type gatewayCommand struct {
+	gateway.Options
+	processCommand
+}
+
+// Execute implements flags.Commander.
+func (c *gatewayCommand) Execute([]string) error {
+	if err := c.load(&c.Options); err != nil {
+		return err
+	}
+	process, err := newRegisteredProcess("gateway", c.LogLevel, c.MemoryLimit)
+	if err != nil {
+		return exitcode.With(exitcode.Settings, err)
+	}
+	defer process.close()
+	stopping, restore := untilSignal()
+	defer restore()
+	return c.run(stopping, process)
+}
+
+func (c *gatewayCommand) run(stopping context.Context, process *registeredProcess) error {
+	running := gateway.New(gateway.Config{
+		Name: c.Name, Zone: c.Zone, Seeds: c.SeedAddresses(), Grace: c.Grace, Budget: c.BudgetLimits(),
+		ParseDocument: platform.ParseDocument, Dialect: platform.Headers{}, Codec: platform.Headers{},
+	}, gateway.Environment{Logger: process.logger, Registerer: process.registry})
+	clients, err := listen("clients-listen", c.ClientsListen)
+	if err != nil {
+		return err
+	}
+	if err := process.serve("ready-listen", c.ReadyListen, platform.ReadyHandler(running.Ready)); err != nil {
+		return err
+	}
+	if err := process.serve("metrics-listen", c.MetricsListen, metrics.Handler(process.registry)); err != nil {
+		return err
+	}
+	go process.watch(stopping, c.Settings, c.reloadSeeds, running.SetSeeds)
+	process.logger.WithFields(logrus.Fields{
+		"role": "gateway", "node": c.Name, "zone": c.Zone, "address": clients.Addr(), "seeds": c.SeedAddresses(),
+	}).Info("started")
+	return running.Run(stopping, clients)
+}
+
+// reloadSeeds reads the settings again and returns the seeds.
+func (c *gatewayCommand) reloadSeeds() ([]string, error) {
+	reloaded := c.Options
+	if err := c.load(&reloaded); err != nil {
+		return nil, err
+	}
+	return reloaded.SeedAddresses(), nil
+}
--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -39,6 +39,16 @@
 		{Name: "relay", Short: "Run a relay", Long: "Runs a relay, which fans out configuration and leases, until SIGTERM.", Data: &relayCommand{}},
 		{Name: "settings", Short: "Make and check the settings of processes", Children: settingsCommands()},
 		{Name: "keys", Short: "Make a site's authority and issue certificates", Children: keysCommands()},
+		{
+			Name: "gateway", Short: "Run a router of a site whose servers announce themselves",
+			Long: "Runs a router that follows directory nodes, until SIGTERM, which stops it as planned. SIGHUP or a changed settings file replaces the seeds.",
+			Data: &gatewayCommand{},
+		},
+		{
+			Name: "directory", Short: "Run a control node of a site whose servers announce themselves",
+			Long: "Runs a directory node, which keeps the routing document and the servers' registrations, until SIGTERM, which hands leadership over first. SIGHUP or a changed settings file replaces the seeds.",
+			Data: &directoryCommand{},
+		},
 		{Name: "router", Short: "Run a router", Long: "Runs a router until SIGTERM, which stops it as planned.", Data: &routerCommand{}},
 	}
 }
--- /dev/null
+++ b/cmd/martenstage/registered.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/metrics"
+	"github.com/martenstage/martenstage/internal/settings"
+)
+
+// registeredProcess is what the roles of sites with registered servers have in
+// common: a bounded log on standard output, listeners and reload.
+type registeredProcess struct {
+	logger   *logrus.Logger
+	registry *prometheus.Registry
+	sink     *logging.Sink
+	servers  []*http.Server
+	running  sync.WaitGroup
+}
+
+// httpCloseTime bounds the end of the listeners that carry short calls.
+const httpCloseTime = 300 * time.Millisecond
+
+func newRegisteredProcess(role, level string, memoryLimit int64) (*registeredProcess, error) {
+	if memoryLimit > 0 {
+		debug.SetMemoryLimit(memoryLimit)
+	}
+	registry := metrics.NewRegistry(role)
+	sink := logging.NewSink(os.Stdout, registry)
+	logger, err := logging.New(sink, level)
+	if err != nil {
+		return nil, err
+	}
+	return &registeredProcess{logger: logger, registry: registry, sink: sink}, nil
+}
+
+// serve serves a handler at an address until close; an empty address is none.
+func (p *registeredProcess) serve(key, address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := listen(key, address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	p.servers = append(p.servers, server)
+	p.running.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			p.logger.WithError(err).WithField("listener", key).Error("listener_failed")
+		}
+	})
+	return nil
+}
+
+// close ends the listeners and the log.
+func (p *registeredProcess) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), httpCloseTime)
+	defer cancel()
+	for _, server := range p.servers {
+		if server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	}
+	p.running.Wait()
+	p.sink.Close()
+}
+
+// watch reloads the settings file; only the seeds change in a running process.
+func (p *registeredProcess) watch(ctx context.Context, path string, seeds func() ([]string, error), set func([]string)) {
+	settings.Watch(ctx, path, func(reason string) {
+		updated, err := seeds()
+		if err != nil {
+			p.logger.WithError(err).WithField("reason", reason).Error("settings_refused")
+			return
+		}
+		set(updated)
+		p.logger.WithField("reason", reason).WithField("seeds", updated).Info("settings_reloaded")
+	})
+}
--- /dev/null
+++ b/internal/directory/following.go
@@ -0,0 +1,68 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/consensus"
+)
+
+// maxFollowWait bounds how long a router's call is held. It is also how long a
+// router that hears nothing keeps a node that has become silent.
+const maxFollowWait = time.Second
+
+// Follow answers a router as soon as there is something that it does not know,
+// or after the time that it is ready to wait. A node that hears no leader fails
+// with ErrUnavailable, so that the router follows another one.
+func (n *Node) Follow(ctx context.Context, request FollowRequest) (FollowReply, error) {
+	deadline := time.NewTimer(min(request.Wait, maxFollowWait))
+	defer deadline.Stop()
+	for {
+		if !n.inGroup() {
+			return FollowReply{}, errors.Wrap(ErrUnavailable, "no leader is heard")
+		}
+		reply, news, changed := n.news(request)
+		if news {
+			return reply, nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return reply, nil
+		case <-ctx.Done():
+			return FollowReply{}, ctx.Err()
+		}
+	}
+}
+
+// news returns what a router does not know, whether that is anything, and a
+// channel that is closed when there is more.
+func (n *Node) news(request FollowRequest) (FollowReply, bool, <-chan struct{}) {
+	applied := n.member.state()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := time.Now()
+	n.gateways[request.Gateway] = now
+	reply := FollowReply{
+		Source: n.source, Revision: n.registry.Revision(), Settled: n.settled,
+		Gateways: len(n.liveGateways(now, gatewayLifetime)),
+		Nodes:    lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
+	}
+	same := request.Source == n.source
+	since := request.Revision
+	if !same {
+		since, request.Departures = 0, 0
+	}
+	reply.Whole = !same
+	reply.Instances = n.registry.Since(now, since)
+	reply.Departed, reply.Departures = applied.departures(request.Departures)
+	version, text, _ := applied.document()
+	if version > request.Version {
+		reply.Version, reply.Document = version, text
+	}
+	news := !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0
+	return reply, news, n.changed
+}
--- /dev/null
+++ b/internal/directory/formation.go
@@ -0,0 +1,113 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/voter"
+)
+
+// candidate is a node that asked to become a voter.
+type candidate struct {
+	ID      uint64
+	Address string
+	Asked   time.Time
+}
+
+// formationRules are the bounds of the decisions on membership.
+type formationRules struct {
+	// Size is how many voters the group has: two for each loss to be borne at
+	// once, and one.
+	Size int
+	// ReplaceAfter is how long a voter must be silent before a waiting node takes
+	// its place.
+	ReplaceAfter time.Duration
+	// CandidateLifetime is how long after its last call a candidate counts.
+	CandidateLifetime time.Duration
+}
+
+// memberView is a member as the leader sees it.
+type memberView struct {
+	consensus.MemberStatus
+	// Silent is for how long it has not answered.
+	Silent time.Duration
+	// Retiring says that it is being stopped for good.
+	Retiring bool
+}
+
+// decideChange returns the next membership change that the leader should make,
+// if any. One is made at a time; each is safe by itself, so a leader that dies
+// between two of them leaves the rest to the next one.
+//
+//  1. A voter whose address now belongs to a node with another id has lost its
+//     disk for certain. It is removed first: it can never count again, so that
+//     removing it only lowers the quorum that the others have to reach.
+//  2. A group below its size takes candidates in.
+//  3. A full group takes a candidate in only to replace a voter that is silent,
+//     and removes that voter afterwards. It never shrinks because of silence.
+func decideChange(members []memberView, candidates []candidate, rules formationRules) (consensus.Change, bool) {
+	if wiped, found := findWiped(members, candidates); found {
+		return consensus.Change{Kind: consensus.RemoveMember, ID: wiped}, true
+	}
+	if learner, found := lo.Find(members, func(m memberView) bool { return m.Learner }); found {
+		return decideLearner(learner, members, rules)
+	}
+	voters := lo.CountBy(members, func(m memberView) bool { return !m.Learner })
+	gone, anyGone := findGone(members, rules)
+	if voters > rules.Size && anyGone {
+		return consensus.Change{Kind: consensus.RemoveMember, ID: gone.ID}, true
+	}
+	newcomer, waiting := lo.Find(candidates, func(c candidate) bool { return !isMember(members, c.ID) })
+	if waiting && (voters < rules.Size || voters == rules.Size && anyGone) {
+		return consensus.Change{Kind: consensus.AddLearner, ID: newcomer.ID, Address: newcomer.Address}, true
+	}
+	return consensus.Change{}, false
+}
+
+// decideLearner promotes a learner that is still wanted and there, and drops one
+// that is not.
+func decideLearner(learner memberView, members []memberView, rules formationRules) (consensus.Change, bool) {
+	if learner.Silent > rules.ReplaceAfter {
+		return consensus.Change{Kind: consensus.RemoveMember, ID: learner.ID}, true
+	}
+	return consensus.Change{Kind: consensus.PromoteLearner, ID: learner.ID}, true
+}
+
+func findWiped(members []memberView, candidates []candidate) (uint64, bool) {
+	for _, asking := range candidates {
+		for _, member := range members {
+			if member.Address == asking.Address && member.ID != asking.ID {
+				return member.ID, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// findGone returns the voter that has been silent for longest, if that is long
+// enough, or one that retires.
+func findGone(members []memberView, rules formationRules) (memberView, bool) {
+	gone := lo.Filter(members, func(m memberView, _ int) bool {
+		return !m.Learner && (m.Silent > rules.ReplaceAfter || m.Retiring)
+	})
+	if len(gone) == 0 {
+		return memberView{}, false
+	}
+	return lo.MaxBy(gone, func(a, b memberView) bool { return a.Silent > b.Silent }), true
+}
+
+func isMember(members []memberView, id uint64) bool {
+	return lo.ContainsBy(members, func(m memberView) bool { return m.ID == id })
+}
+
+// refusalOf returns why the group refused a change; Accepted for other errors.
+func refusalOf(err error) consensus.Refusal {
+	var refused *voter.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Refusal
+	}
+	return consensus.Accepted
+}
--- /dev/null
+++ b/internal/directory/machine.go
@@ -0,0 +1,165 @@
+package directory
+
+import (
+	"bytes"
+	"encoding/json"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/voter"
+)
+
+// maxDepartures bounds the remembered departures; the oldest are forgotten. The
+// ids of instances are never used again, and an instance that left ends within
+// minutes.
+const maxDepartures = 20_000
+
+// command is one entry of the replicated log.
+type command struct {
+	// Document of Version is to be put in force.
+	Version  uint64 `json:"version,omitempty"`
+	Document []byte `json:"document,omitempty"`
+	// Departures are ids of instances that get no new work.
+	Departures []string `json:"departures,omitempty"`
+	// Formed says that the group has reached its size once.
+	Formed bool `json:"formed,omitempty"`
+}
+
+// putResult is what applying a document gave.
+type putResult struct {
+	// Held is the version in force after the command.
+	Held uint64
+	// Installed says that the command's document is the one in force.
+	Installed bool
+}
+
+// replicated is the state that the log drives.
+type replicated struct {
+	Version    uint64   `json:"version"`
+	Document   []byte   `json:"document"`
+	Departures []string `json:"departures"`
+	Formed     bool     `json:"formed"`
+}
+
+// machine applies the log. It is safe for concurrent use.
+type machine struct {
+	mutex sync.Mutex
+	state replicated
+	// departed holds the ids of state.Departures.
+	departed map[string]bool
+	// removed counts departures that were forgotten, so that positions go on.
+	removed int
+	changed chan struct{}
+}
+
+var _ voter.StateMachine = (*machine)(nil)
+
+func newMachine() *machine {
+	return &machine{departed: make(map[string]bool), changed: make(chan struct{})}
+}
+
+// Apply carries out a committed command and returns a putResult or an error.
+func (m *machine) Apply(_ uint64, data []byte) any {
+	var decoded command
+	if err := json.Unmarshal(data, &decoded); err != nil {
+		return errors.Wrap(err, "a log entry can't be read")
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	result := m.putDocument(decoded)
+	for _, id := range decoded.Departures {
+		m.depart(id)
+	}
+	m.state.Formed = m.state.Formed || decoded.Formed
+	m.notify()
+	return result
+}
+
+// putDocument lets the highest version win. A version that is not higher than
+// the one held changes nothing, whatever its content.
+func (m *machine) putDocument(decoded command) putResult {
+	if decoded.Version <= m.state.Version {
+		same := decoded.Version == m.state.Version && bytes.Equal(decoded.Document, m.state.Document)
+		return putResult{Held: m.state.Version, Installed: same}
+	}
+	m.state.Version, m.state.Document = decoded.Version, decoded.Document
+	return putResult{Held: decoded.Version, Installed: true}
+}
+
+func (m *machine) depart(id string) {
+	if m.departed[id] {
+		return
+	}
+	m.departed[id] = true
+	m.state.Departures = append(m.state.Departures, id)
+	if len(m.state.Departures) > maxDepartures {
+		delete(m.departed, m.state.Departures[0])
+		m.state.Departures = m.state.Departures[1:]
+		m.removed++
+	}
+}
+
+func (m *machine) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot returns the whole state.
+func (m *machine) Snapshot() ([]byte, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return json.Marshal(m.state)
+}
+
+// Restore replaces the whole state.
+func (m *machine) Restore(data []byte) error {
+	var restored replicated
+	if err := json.Unmarshal(data, &restored); err != nil {
+		return errors.Wrap(err, "a snapshot can't be read")
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.state = restored
+	m.departed = make(map[string]bool, len(restored.Departures))
+	for _, id := range restored.Departures {
+		m.departed[id] = true
+	}
+	m.removed = 0
+	m.notify()
+	return nil
+}
+
+// document returns the version in force, its text, and a channel that is closed
+// with the next change of the state.
+func (m *machine) document() (version uint64, text []byte, changed <-chan struct{}) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.Version, m.state.Document, m.changed
+}
+
+// hasDeparted reports whether an instance said that it leaves.
+func (m *machine) hasDeparted(id string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.departed[id]
+}
+
+// departures returns the ids from a position on, and the position behind them.
+// After a restored snapshot positions begin anew; a position that is beyond the
+// end gives all.
+func (m *machine) departures(from int) (ids []string, next int) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	next = m.removed + len(m.state.Departures)
+	if from < m.removed || from > next {
+		from = m.removed
+	}
+	return append([]string(nil), m.state.Departures[from-m.removed:]...), next
+}
+
+func (m *machine) formed() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.Formed
+}
--- /dev/null
+++ b/internal/directory/metrics.go
@@ -0,0 +1,56 @@
+package directory
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+type metrics struct {
+	operations *prometheus.CounterVec
+	seconds    *prometheus.HistogramVec
+	changes    *prometheus.CounterVec
+	instances  *prometheus.GaugeVec
+	version    prometheus.Gauge
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
+	return &metrics{
+		operations: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_directory_operations_total", Help: "Calls of operators and servers by kind and outcome.",
+		}, []string{"operation", "outcome"}),
+		seconds: factory.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "martenstage_directory_operation_seconds", Help: "Time that calls of operators and servers took.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12),
+		}, []string{"operation"}),
+		changes: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_directory_member_changes_total", Help: "Changes of the group that this node made as its leader.",
+		}, []string{"kind", "outcome"}),
+		instances: factory.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "martenstage_directory_instances_count", Help: "Known servers by state.",
+		}, []string{"state"}),
+		version: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_directory_document_version", Help: "Version of the routing document that this node holds.",
+		}),
+	}
+}
+
+// replacingRegisterer lets a voter that is opened again in the same process
+// register its collectors in the place of the former ones.
+type replacingRegisterer struct{ prometheus.Registerer }
+
+// MustRegister registers collectors, each in the place of an equal one.
+func (r replacingRegisterer) MustRegister(collectors ...prometheus.Collector) {
+	for _, collector := range collectors {
+		err := r.Register(collector)
+		var registered prometheus.AlreadyRegisteredError
+		if errors.As(err, &registered) {
+			r.Unregister(registered.ExistingCollector)
+			err = r.Register(collector)
+		}
+		if err != nil {
+			panic(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/directory/node.go
@@ -0,0 +1,169 @@
+package directory
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/voter"
+)
+
+// Node is one control node. Its methods may be called from any goroutine.
+type Node struct {
+	config  Config
+	logger  logrus.FieldLogger
+	metrics *metrics
+	started time.Time
+	// source names this start of the node, so that a router can tell whose
+	// revisions it holds.
+	source string
+	seeds  atomic.Pointer[[]string]
+	member *memberHost
+	peers  *peerClient
+
+	mutex    sync.Mutex
+	registry *registry.Table
+	changed  chan struct{}
+	// fresh are servers whose change was reported to this node since the last
+	// share, beats those that only repeated themselves.
+	fresh      map[string]bool
+	beats      map[string]bool
+	gateways   map[string]time.Time
+	candidates map[string]candidate
+	// refused holds ids that can't be members any more.
+	refused map[uint64]bool
+	// silentSince is when the leader last heard a member.
+	silentSince map[uint64]time.Time
+	// settled says that the registry was taken over from another node, or that
+	// all servers had time to announce themselves.
+	settled bool
+}
+
+// Open loads the identity and starts the voter.
+func Open(config Config, environment Environment) (*Node, error) {
+	node := &Node{
+		config:      config,
+		logger:      environment.Logger.WithField(logging.FieldNode, config.Name),
+		metrics:     newMetrics(environment.Registerer),
+		started:     time.Now(),
+		source:      config.Name + "/" + time.Now().Format(time.RFC3339Nano),
+		peers:       newPeerClient(),
+		registry:    registry.New(missingHeartbeats*config.HeartbeatInterval, forgetAfter),
+		changed:     make(chan struct{}),
+		fresh:       make(map[string]bool),
+		beats:       make(map[string]bool),
+		gateways:    make(map[string]time.Time),
+		candidates:  make(map[string]candidate),
+		refused:     make(map[uint64]bool),
+		silentSince: make(map[uint64]time.Time),
+	}
+	node.SetSeeds(config.Seeds)
+	member, err := openMember(config, environment, node.peers)
+	if err != nil {
+		return nil, err
+	}
+	node.member = member
+	return node, nil
+}
+
+// SetSeeds replaces the seeds, after a reload of the settings.
+func (n *Node) SetSeeds(seeds []string) {
+	copied := append([]string(nil), seeds...)
+	n.seeds.Store(&copied)
+}
+
+// Run carries out the node's duties until the context ends, then hands
+// leadership over and closes the voter.
+func (n *Node) Run(ctx context.Context) error {
+	var duties sync.WaitGroup
+	for _, duty := range []func(context.Context){
+		n.runJoining, n.runFormation, n.runSharing, n.runDepartures, n.runRecovery,
+	} {
+		duties.Go(func() { duty(ctx) })
+	}
+	<-ctx.Done()
+	duties.Wait()
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return n.member.close(closing)
+}
+
+// every calls a step at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, step func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			step()
+		}
+	}
+}
+
+// status returns the voter's state.
+func (n *Node) status() voter.Status { return n.member.voter().Status() }
+
+// Leads reports whether this node believes that it leads.
+func (n *Node) Leads() bool { return n.status().Role == consensus.Leader }
+
+// inGroup reports whether the node hears a leader, so that what it tells routers
+// is at most about an election timeout old.
+func (n *Node) inGroup() bool {
+	status := n.status()
+	return status.Leader != 0 && status.DiskError == nil
+}
+
+// peerAddresses returns the other nodes: members, else what was known before.
+func (n *Node) peerAddresses() []string {
+	var addresses []string
+	seen := map[string]bool{n.config.PeerAddress: true, "": true}
+	add := func(address string) {
+		if !seen[address] {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	for _, member := range n.status().Members {
+		add(member.Address)
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	for _, address := range *n.seeds.Load() {
+		add(address)
+	}
+	for _, address := range n.member.knownGroup() {
+		add(address)
+	}
+	return addresses
+}
+
+// announce wakes the routers that wait for news. The caller holds the mutex.
+func (n *Node) announce() {
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// runRecovery opens the voter again after its disk failed.
+func (n *Node) runRecovery(ctx context.Context) {
+	every(ctx, reopenDelay, func() {
+		status := n.status()
+		if status.DiskError == nil {
+			return
+		}
+		n.logger.WithError(status.DiskError).Warn("disk_failed: the voter is opened again")
+		if err := n.member.reopen(); err != nil {
+			n.logger.WithError(err).Warn("voter_not_opened")
+			return
+		}
+		n.logger.Info("voter_opened_again")
+	})
+}
--- /dev/null
+++ b/internal/directory/operations.go
@@ -0,0 +1,174 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+// Put takes a routing document. Nil means that a quorum has synced it, or that a
+// version at least as high is in force already. Other outcomes are
+// *routing.InvalidError (nothing was changed) and ErrUnavailable (it may be in
+// force, now or later).
+func (n *Node) Put(ctx context.Context, text []byte) error {
+	began := time.Now()
+	version, err := n.config.CheckDocument(text)
+	if err == nil {
+		message := putMessage{Version: version, Text: text}
+		err = n.atLeader(ctx, func(ctx context.Context) error { return n.putHere(ctx, message) }, pathPut, message, nil)
+	}
+	n.told("put", began, err, logrus.Fields{"version": version, "bytes": len(text)})
+	return err
+}
+
+// putHere is Put at the leader.
+func (n *Node) putHere(ctx context.Context, message putMessage) error {
+	if held, _, _ := n.member.state().document(); held >= message.Version {
+		// What is held here may be newer than what a quorum has; only a confirmed
+		// read proves that it is committed.
+		return n.confirm(ctx)
+	}
+	if !n.mayAcknowledge() {
+		return errors.Wrap(ErrUnavailable, "the group has not reached its size")
+	}
+	_, err := n.propose(ctx, command{Version: message.Version, Document: message.Text})
+	return err
+}
+
+// mayAcknowledge reports whether what a quorum has synced survives the losses
+// that are to be borne: not before the group had its full size once. A group
+// that does not reach it in time goes on, since fewer nodes may be all there is.
+func (n *Node) mayAcknowledge() bool {
+	if n.member.state().formed() {
+		return true
+	}
+	return time.Since(n.started) > formingPatience
+}
+
+// Read returns the document in force and its version, confirmed by a quorum
+// after the call began; version 0 means none. It fails with ErrUnavailable.
+func (n *Node) Read(ctx context.Context) (version uint64, text []byte, err error) {
+	began := time.Now()
+	var reply readReply
+	err = n.atLeader(ctx, func(ctx context.Context) error {
+		reply, err = n.readHere(ctx)
+		return err
+	}, pathRead, struct{}{}, &reply)
+	n.told("read", began, err, logrus.Fields{"version": reply.Version})
+	return reply.Version, reply.Text, err
+}
+
+func (n *Node) readHere(ctx context.Context) (readReply, error) {
+	if err := n.confirm(ctx); err != nil {
+		return readReply{}, err
+	}
+	version, text, _ := n.member.state().document()
+	return readReply{Version: version, Text: text}, nil
+}
+
+// Heartbeat takes in what a server says of itself. Leaving is acknowledged, by a
+// nil error, only once a quorum has it; else the error is ErrUnavailable.
+func (n *Node) Heartbeat(ctx context.Context, instance registry.Instance) error {
+	if instance.State == registry.Leaving {
+		n.report(instance)
+		return n.Depart(ctx, instance.ID)
+	}
+	n.report(instance)
+	return nil
+}
+
+// Depart takes in that an instance leaves or is gone. It is acknowledged like
+// leaving in Heartbeat.
+func (n *Node) Depart(ctx context.Context, id string) error {
+	if n.member.state().hasDeparted(id) {
+		return nil
+	}
+	began := time.Now()
+	message := departMessage{ID: id}
+	err := n.atLeader(ctx, func(ctx context.Context) error { return n.departHere(ctx, message) }, pathDepart, message, nil)
+	n.told("depart", began, err, logrus.Fields{"instance": id})
+	return err
+}
+
+func (n *Node) departHere(ctx context.Context, message departMessage) error {
+	_, err := n.propose(ctx, command{Departures: []string{message.ID}})
+	return err
+}
+
+// propose replicates a command and returns what applying it gave.
+func (n *Node) propose(ctx context.Context, proposed command) (putResult, error) {
+	data, err := json.Marshal(proposed)
+	if err != nil {
+		return putResult{}, err
+	}
+	applied, err := n.member.voter().Propose(ctx, data)
+	if err != nil {
+		return putResult{}, errors.Wrapf(ErrUnavailable, "%v", err)
+	}
+	result, ok := applied.(putResult)
+	if !ok {
+		return putResult{}, errors.Wrapf(ErrUnavailable, "%v", applied)
+	}
+	return result, nil
+}
+
+func (n *Node) confirm(ctx context.Context) error {
+	if err := n.member.voter().ConfirmRead(ctx); err != nil {
+		return errors.Wrapf(ErrUnavailable, "%v", err)
+	}
+	return nil
+}
+
+// atLeader runs an operation here if this node leads, else at the leader, within
+// operationTimeout. It waits a while for a leader to be known.
+func (n *Node) atLeader(
+	ctx context.Context, here func(context.Context) error, path string, message, reply any,
+) error {
+	ctx, cancel := context.WithTimeout(ctx, operationTimeout)
+	defer cancel()
+	for {
+		status := n.status()
+		if status.Role == consensus.Leader {
+			return here(ctx)
+		}
+		if status.Leader != 0 && status.LeaderAddress != "" {
+			return n.peers.call(ctx, status.LeaderAddress, path, message, reply)
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ErrUnavailable, "no leader is known")
+		case <-time.After(leaderPoll):
+		}
+	}
+}
+
+// told counts and logs one operation.
+func (n *Node) told(operation string, began time.Time, err error, fields logrus.Fields) {
+	outcome := "done"
+	var invalid *routing.InvalidError
+	switch {
+	case errors.As(err, &invalid):
+		outcome = "invalid"
+	case err != nil:
+		outcome = "unavailable"
+	}
+	took := time.Since(began)
+	n.metrics.operations.WithLabelValues(operation, outcome).Inc()
+	n.metrics.seconds.WithLabelValues(operation).Observe(took.Seconds())
+	status := n.status()
+	entry := n.logger.WithFields(fields).WithFields(logrus.Fields{
+		"outcome": outcome, "took": took, "leader": status.Leader, "term": status.Term,
+	})
+	if err != nil {
+		entry.WithField(logrus.ErrorKey, err).Warn(operation)
+		return
+	}
+	entry.Info(operation)
+}
--- /dev/null
+++ b/internal/directory/options.go
@@ -0,0 +1,82 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+)
+
+// Config says who a node is.
+type Config struct {
+	// Name of the node, for logs.
+	Name string
+	// PeerAddress is where the other nodes and the routers reach this one; IP
+	// and port.
+	PeerAddress string
+	// Seeds are peer addresses of some nodes, this one perhaps among them.
+	Seeds []string
+	// Bootstrap says that the group is being formed for the first time, so that a
+	// seed with an empty folder is a founder.
+	Bootstrap bool
+	// Folder keeps the identity and the log.
+	Folder string
+	// Losses is how many nodes may be lost at once.
+	Losses int
+	// HeartbeatInterval is how often servers announce themselves.
+	HeartbeatInterval time.Duration
+	// CheckDocument reads a routing document and returns its version, or a
+	// *routing.InvalidError.
+	CheckDocument func(text []byte) (version uint64, err error)
+}
+
+// Environment is what a node needs of its process.
+type Environment struct {
+	Logger     *logrus.Logger
+	Registerer prometheus.Registerer
+}
+
+// Bounds of a node's duties.
+const (
+	// missingHeartbeats is after how many intervals without a heartbeat a server
+	// counts as missing.
+	missingHeartbeats = 4
+	// forgetAfter is when a silent server is forgotten.
+	forgetAfter = 2 * time.Minute
+	// shareInterval is how often changed servers are told to the other nodes, and
+	// beatShareInterval how often mere heartbeats are.
+	shareInterval     = 100 * time.Millisecond
+	beatShareInterval = time.Second
+	// joinInterval is how often a node that is no voter asks to become one.
+	joinInterval = 200 * time.Millisecond
+	// orphanAfter is how long a voter without a leader waits before it asks the
+	// others whether it is still a member.
+	orphanAfter = 1500 * time.Millisecond
+	// formationInterval is how often the leader looks at the membership.
+	formationInterval = 100 * time.Millisecond
+	replaceAfter      = 1200 * time.Millisecond
+	candidateLifetime = 1500 * time.Millisecond
+	changeTimeout     = 1500 * time.Millisecond
+	// formingPatience is how long the first acknowledgement waits for a group
+	// that does not reach its size.
+	formingPatience = 8 * time.Second
+	// operationTimeout bounds one call of an operator or server: it moves to the
+	// next node after a second.
+	operationTimeout = 900 * time.Millisecond
+	leaderPoll       = 20 * time.Millisecond
+	// reopenDelay is how long a node waits before it opens a failed folder again.
+	reopenDelay  = 300 * time.Millisecond
+	closeTimeout = 1500 * time.Millisecond
+	// gatewayLifetime is how long after its last call a router counts as live.
+	gatewayLifetime = 10 * time.Second
+	// groupLossesFactor makes a quorum outlive the losses: two voters for each,
+	// and one.
+	groupLossesFactor = 2
+)
+
+// ErrUnavailable says that the node can't be sure of the answer, or that what
+// was asked may or may not be done. The caller asks again, at any node.
+var ErrUnavailable = errors.New("the control group does not answer")
+
+func (c Config) groupSize() int { return groupLossesFactor*c.Losses + 1 }
--- /dev/null
+++ b/internal/directory/peer_client.go
@@ -0,0 +1,101 @@
+package directory
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/voter"
+)
+
+// Bounds of calls between nodes.
+const (
+	peerDialTimeout   = 400 * time.Millisecond
+	deliverTimeout    = 500 * time.Millisecond
+	deliverBytesRate  = 10 << 20 // bytes per second
+	deliverCallBytes  = 1 << 20
+	peerIdlePerHost   = 8
+	maxPeerReplyBytes = 64 << 20
+)
+
+// peerClient calls other nodes.
+type peerClient struct{ http *http.Client }
+
+var _ voter.Transport = (*peerClient)(nil)
+
+func newPeerClient() *peerClient {
+	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
+	return &peerClient{http: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdlePerHost, DisableCompression: true,
+	}}}
+}
+
+// Send delivers consensus messages in order. A failure loses the rest of them,
+// which the protocol allows for.
+func (c *peerClient) Send(_ uint64, address string, messages [][]byte) {
+	for len(messages) > 0 {
+		count, size := 0, 0
+		for count < len(messages) && size < deliverCallBytes {
+			size += len(messages[count])
+			count++
+		}
+		if !c.deliver(address, messages[:count], size) {
+			return
+		}
+		messages = messages[count:]
+	}
+}
+
+func (c *peerClient) deliver(address string, messages [][]byte, size int) bool {
+	timeout := deliverTimeout + time.Duration(size)*time.Second/deliverBytesRate
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_, err := c.post(ctx, address, pathDeliver, frame(messages))
+	return err == nil
+}
+
+// call posts a message as JSON and reads the reply into reply, unless nil.
+// Errors are ErrUnavailable or *routing.InvalidError.
+func (c *peerClient) call(ctx context.Context, address, path string, message, reply any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	answer, err := c.post(ctx, address, path, body)
+	if err != nil || reply == nil {
+		return err
+	}
+	if err := json.Unmarshal(answer, reply); err != nil {
+		return errors.Wrapf(ErrUnavailable, "reply of %s: %v", address, err)
+	}
+	return nil
+}
+
+func (c *peerClient) post(ctx context.Context, address, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(ErrUnavailable, "%v", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxPeerReplyBytes))
+	switch {
+	case err != nil:
+		return nil, errors.Wrapf(ErrUnavailable, "reply of %s: %v", address, err)
+	case response.StatusCode == http.StatusUnprocessableEntity:
+		return nil, &routing.InvalidError{Detail: string(answer)}
+	case response.StatusCode != http.StatusOK:
+		return nil, errors.Wrapf(ErrUnavailable, "%s says %d %s", address, response.StatusCode, answer)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/directory/peer_messages.go
@@ -0,0 +1,131 @@
+package directory
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/registry"
+)
+
+// Paths of the calls between nodes, and of routers to nodes. They are this
+// project's own and need not be stable over versions of one deployment.
+const (
+	pathDeliver  = "/peer/deliver"
+	pathJoin     = "/peer/join"
+	pathShare    = "/peer/share"
+	pathRegistry = "/peer/registry"
+	pathPut      = "/peer/put"
+	pathRead     = "/peer/read"
+	pathDepart   = "/peer/depart"
+	// PathFollow is what routers call for news.
+	PathFollow = "/router/follow"
+)
+
+// joinRequest asks to become a member.
+type joinRequest struct {
+	ID      uint64 `json:"id"`
+	Address string `json:"address"`
+}
+
+// joinReply says how the group sees the node that asked.
+type joinReply struct {
+	// Removed says that the id can't be a member any more.
+	Removed bool `json:"removed"`
+	// Group are the peer addresses of the members.
+	Group []string `json:"group"`
+}
+
+// shareMessage tells another node of servers and routers.
+type shareMessage struct {
+	Instances []registry.Instance `json:"instances,omitempty"`
+	// Gateways are routers that called since the last message.
+	Gateways []string `json:"gateways,omitempty"`
+	// Settled says that the sender's table is not one that was just begun.
+	Settled bool `json:"settled,omitempty"`
+}
+
+// putMessage carries a document to the leader.
+type putMessage struct {
+	Version uint64 `json:"version"`
+	Text    []byte `json:"text"`
+}
+
+// departMessage carries a departure to the leader.
+type departMessage struct {
+	ID string `json:"id"`
+}
+
+// readReply carries the document in force from the leader.
+type readReply struct {
+	Version uint64 `json:"version"`
+	Text    []byte `json:"text"`
+}
+
+// FollowRequest is what a router knows.
+type FollowRequest struct {
+	Gateway string `json:"gateway"`
+	// Version of the document that the router holds; 0 for none.
+	Version uint64 `json:"version"`
+	// Source, Revision and Departures are from the last reply.
+	Source     string `json:"source"`
+	Revision   uint64 `json:"revision"`
+	Departures int    `json:"departures"`
+	// Wait is how long the node may hold the call while there is no news.
+	Wait time.Duration `json:"wait"`
+}
+
+// FollowReply is what a router does not know yet.
+type FollowReply struct {
+	Source string `json:"source"`
+	// Version and Document are set when the router's version is lower.
+	Version  uint64 `json:"version"`
+	Document []byte `json:"document,omitempty"`
+	// Revision of the node's table; Instances are those that changed since, or
+	// all if the router came from another source.
+	Revision  uint64              `json:"revision"`
+	Instances []registry.Instance `json:"instances,omitempty"`
+	// Whole says that Instances are all that the node knows.
+	Whole bool `json:"whole,omitempty"`
+	// Settled says that a server that is not in a whole table is gone.
+	Settled    bool     `json:"settled"`
+	Departed   []string `json:"departed,omitempty"`
+	Departures int      `json:"departures"`
+	// Nodes are peer addresses of the group, to follow when this one is lost.
+	Nodes []string `json:"nodes"`
+	// Gateways is how many routers are live.
+	Gateways int `json:"gateways"`
+}
+
+// maxFramedMessage bounds one consensus message in a call.
+const maxFramedMessage = 160 << 20
+
+// frame puts consensus messages behind each other, each with its length.
+func frame(messages [][]byte) []byte {
+	size := 0
+	for _, message := range messages {
+		size += len(message) + binary.MaxVarintLen64
+	}
+	framed := make([]byte, 0, size)
+	for _, message := range messages {
+		framed = binary.AppendUvarint(framed, uint64(len(message)))
+		framed = append(framed, message...)
+	}
+	return framed
+}
+
+// unframe reverses frame.
+func unframe(framed []byte) ([][]byte, error) {
+	var messages [][]byte
+	for len(framed) > 0 {
+		length, read := binary.Uvarint(framed)
+		if read <= 0 || length > maxFramedMessage || uint64(len(framed)-read) < length {
+			return nil, errors.New("the messages are cut short")
+		}
+		framed = framed[read:]
+		messages = append(messages, framed[:length])
+		framed = framed[length:]
+	}
+	return messages, nil
+}
--- /dev/null
+++ b/internal/directory/peer_server.go
@@ -0,0 +1,85 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+// PeerHandler serves the calls of other nodes and of routers.
+func (n *Node) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(pathDeliver, n.serveDeliver)
+	mux.Handle(pathJoin, handle(func(_ context.Context, request joinRequest) (joinReply, error) { return n.joined(request), nil }))
+	mux.Handle(pathShare, handle(func(_ context.Context, message shareMessage) (struct{}, error) {
+		n.takeIn(message)
+		return struct{}{}, nil
+	}))
+	mux.Handle(pathRegistry, handle(func(context.Context, struct{}) (shareMessage, error) { return n.table(), nil }))
+	mux.Handle(pathPut, handle(func(ctx context.Context, message putMessage) (struct{}, error) {
+		return struct{}{}, n.putHere(ctx, message)
+	}))
+	mux.Handle(pathDepart, handle(func(ctx context.Context, message departMessage) (struct{}, error) {
+		return struct{}{}, n.departHere(ctx, message)
+	}))
+	mux.Handle(pathRead, handle(func(ctx context.Context, _ struct{}) (readReply, error) { return n.readHere(ctx) }))
+	mux.Handle(PathFollow, handle(n.Follow))
+	return mux
+}
+
+func (n *Node) serveDeliver(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxFramedMessage))
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	messages, err := unframe(body)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n.member.voter().Deliver(messages)
+}
+
+// handle serves one call with JSON in and out.
+func handle[Request, Reply any](serve func(context.Context, Request) (Reply, error)) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		var decoded Request
+		body := http.MaxBytesReader(writer, request.Body, maxPeerReplyBytes)
+		if err := json.NewDecoder(body).Decode(&decoded); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		ctx, cancel := context.WithTimeout(request.Context(), 2*maxFollowWait)
+		defer cancel()
+		reply, err := serve(ctx, decoded)
+		if err != nil {
+			http.Error(writer, detail(err), statusOf(err))
+			return
+		}
+		writer.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(writer).Encode(reply)
+	})
+}
+
+func statusOf(err error) int {
+	var invalid *routing.InvalidError
+	if errors.As(err, &invalid) {
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusServiceUnavailable
+}
+
+// detail returns what the other side builds the error from again.
+func detail(err error) string {
+	var invalid *routing.InvalidError
+	if errors.As(err, &invalid) {
+		return invalid.Detail
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/directory/settings.go
@@ -0,0 +1,36 @@
+package directory
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/settings"
+)
+
+// Options are the settings of the directory role.
+type Options struct {
+	Name          string   `long:"name" koanf:"name" default:"directory" validate:"required" description:"Name of this node, unique in the fleet"`
+	ControlListen string   `long:"control-listen" koanf:"control-listen" default:"127.0.0.1:7200" validate:"ip_port" description:"Address for servers and operators"`
+	PeerListen    string   `long:"peer-listen" koanf:"peer-listen" default:"127.0.0.1:7201" validate:"ip_port" description:"Address for other directory nodes and routers, under which they reach this one"`
+	MetricsListen string   `long:"metrics-listen" koanf:"metrics-listen" validate:"omitempty,ip_port" description:"Address for metrics; none when empty"`
+	Seeds         []string `long:"seed" koanf:"seeds" validate:"dive,ip_port" description:"Address of a directory node; its port is replaced by peer-port if that is set. Repeat it to name several"`
+	PeerPort      uint16   `long:"peer-port" koanf:"peer-port" description:"Port at which all directory nodes are reached by routers and each other"`
+	DataFolder    string   `long:"data-folder" koanf:"data-folder" validate:"required" description:"Folder for identity and log"`
+	Bootstrap     bool     `long:"bootstrap" koanf:"bootstrap" description:"The group is formed for the first time: a seed with an empty folder founds it"`
+	Losses        int      `long:"losses" koanf:"losses" default:"1" validate:"min=0,max=4" description:"Nodes that may be lost at once; the group has two voters for each and one more"`
+
+	HeartbeatInterval time.Duration `long:"heartbeat-interval" koanf:"heartbeat-interval" default:"1s" validate:"min=10ms" description:"How often servers announce themselves"`
+	Grace             time.Duration `long:"grace" koanf:"grace" default:"30s" validate:"min=1s" description:"Longest planned stop"`
+	LogLevel          string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
+	MemoryLimit       int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
+}
+
+// SeedAddresses are where nodes reach each other.
+func (o *Options) SeedAddresses() []string { return settings.WithPort(o.Seeds, o.PeerPort) }
+
+// Config is the configuration of a node.
+func (o *Options) Config(check func([]byte) (uint64, error)) Config {
+	return Config{
+		Name: o.Name, PeerAddress: o.PeerListen, Seeds: o.SeedAddresses(), Bootstrap: o.Bootstrap,
+		Folder: o.DataFolder, Losses: o.Losses, HeartbeatInterval: o.HeartbeatInterval, CheckDocument: check,
+	}
+}
--- /dev/null
+++ b/internal/directory/sharing.go
@@ -0,0 +1,196 @@
+package directory
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/registry"
+)
+
+// report takes in a heartbeat that a server sent to this node.
+func (n *Node) report(instance registry.Instance) {
+	if n.member.state().hasDeparted(instance.ID) {
+		instance.State = registry.Leaving
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.registry.Report(time.Now(), instance) {
+		n.fresh[instance.ID] = true
+		n.announce()
+		n.logger.WithField("instance", instance.ID).WithField("service", instance.Service).
+			WithField("address", instance.Address).WithField("state", instance.State).Info("instance_changed")
+		return
+	}
+	n.beats[instance.ID] = true
+}
+
+// runSharing tells the other nodes what servers said to this one, and takes the
+// table of another node over at the start.
+func (n *Node) runSharing(ctx context.Context) {
+	lastBeats := time.Now()
+	every(ctx, shareInterval, func() {
+		n.settle(ctx)
+		withBeats := time.Since(lastBeats) >= beatShareInterval
+		if withBeats {
+			lastBeats = time.Now()
+			n.expire()
+		}
+		message := n.takeShare(withBeats)
+		if len(message.Instances) == 0 && len(message.Gateways) == 0 {
+			return
+		}
+		for _, address := range n.peerAddresses() {
+			go func() {
+				calling, cancel := context.WithTimeout(ctx, deliverTimeout)
+				defer cancel()
+				_ = n.peers.call(calling, address, pathShare, message, nil)
+			}()
+		}
+	})
+}
+
+// takeShare empties the sets of what is to be told.
+func (n *Node) takeShare(withBeats bool) shareMessage {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	wanted := maps.Clone(n.fresh)
+	clear(n.fresh)
+	message := shareMessage{Settled: n.settled}
+	now := time.Now()
+	if withBeats {
+		maps.Copy(wanted, n.beats)
+		clear(n.beats)
+		message.Gateways = n.liveGateways(now, 2*beatShareInterval)
+	}
+	if len(wanted) == 0 {
+		return message
+	}
+	for _, instance := range n.registry.Since(now, 0) {
+		if wanted[instance.ID] && instance.State != registry.Missing {
+			message.Instances = append(message.Instances, instance)
+		}
+	}
+	return message
+}
+
+// liveGateways returns the routers that called within a time, ordered by name.
+func (n *Node) liveGateways(now time.Time, within time.Duration) []string {
+	var live []string
+	for name, called := range n.gateways {
+		if now.Sub(called) <= within {
+			live = append(live, name)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// takeIn merges what another node told.
+func (n *Node) takeIn(message shareMessage) {
+	departed := n.member.state()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := time.Now()
+	changed := false
+	for _, instance := range message.Instances {
+		if departed.hasDeparted(instance.ID) {
+			instance.State = registry.Leaving
+		}
+		changed = n.registry.Report(now, instance) || changed
+	}
+	for _, name := range message.Gateways {
+		n.gateways[name] = now
+	}
+	if changed {
+		n.announce()
+	}
+}
+
+// settle asks another node for its whole table until one that is settled
+// answered, or until every server had time to announce itself.
+func (n *Node) settle(ctx context.Context) {
+	n.mutex.Lock()
+	settled := n.settled
+	n.mutex.Unlock()
+	if settled {
+		return
+	}
+	if time.Since(n.started) > missingHeartbeats*n.config.HeartbeatInterval {
+		n.setSettled("time")
+		return
+	}
+	for _, address := range n.peerAddresses() {
+		calling, cancel := context.WithTimeout(ctx, shareInterval)
+		var message shareMessage
+		err := n.peers.call(calling, address, pathRegistry, struct{}{}, &message)
+		cancel()
+		if err != nil {
+			continue
+		}
+		n.takeIn(message)
+		if message.Settled {
+			n.setSettled(address)
+			return
+		}
+	}
+}
+
+func (n *Node) setSettled(from string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.settled = true
+	n.logger.WithField("from", from).WithField("instances", n.registry.Count(registry.Ready)).Info("registry_settled")
+}
+
+// table returns all that this node knows of servers.
+func (n *Node) table() shareMessage {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := time.Now()
+	return shareMessage{Instances: n.registry.Heard(now, time.Time{}), Gateways: n.liveGateways(now, gatewayLifetime), Settled: n.settled}
+}
+
+func (n *Node) expire() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := time.Now()
+	for name, called := range n.gateways {
+		if now.Sub(called) > gatewayLifetime {
+			delete(n.gateways, name)
+		}
+	}
+	if n.registry.Expire(now) {
+		n.announce()
+	}
+	for _, state := range []registry.State{registry.Ready, registry.Leaving, registry.Missing} {
+		n.metrics.instances.WithLabelValues(string(state)).Set(float64(n.registry.Count(state)))
+	}
+}
+
+// runDepartures marks in the table who is known to leave by the replicated log,
+// and wakes routers when the document changed.
+func (n *Node) runDepartures(ctx context.Context) {
+	position := 0
+	for {
+		applied, replaced := n.member.state(), n.member.wasReplaced()
+		version, _, changed := applied.document()
+		ids, next := applied.departures(position)
+		position = next
+		n.metrics.version.Set(float64(version))
+		n.mutex.Lock()
+		for _, id := range ids {
+			n.registry.Leave(id)
+		}
+		n.announce()
+		n.mutex.Unlock()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-replaced:
+			position = 0
+		}
+	}
+}
--- /dev/null
+++ b/internal/exchange/pool.go
@@ -0,0 +1,120 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// Pool keeps connections to instances. It is safe for concurrent use.
+type Pool struct {
+	codec  Codec
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	opened prometheus.Counter
+	failed prometheus.Counter
+	ended  *prometheus.CounterVec
+
+	mutex sync.Mutex
+	idle  map[string][]*connection
+}
+
+// dialTimeout bounds the wait for a connection: servers are in the same region,
+// and one that takes longer is better left to another server.
+const dialTimeout = 250 * time.Millisecond
+
+// NewPool returns a pool without connections.
+func NewPool(codec Codec, registerer prometheus.Registerer) *Pool {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	factory := promauto.With(registerer)
+	return &Pool{
+		codec: codec, idle: make(map[string][]*connection),
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp4", address)
+		},
+		opened: factory.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_exchange_connections_opened_total", Help: "Connections opened to servers.",
+		}),
+		failed: factory.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_exchange_connections_failed_total", Help: "Connections to servers that did not come up.",
+		}),
+		ended: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_exchange_attempts_total", Help: "Ended attempts by how they ended.",
+		}, []string{"outcome"}),
+	}
+}
+
+// take returns a kept connection to an instance, the one used last, or nil.
+func (p *Pool) take(instance string) *connection {
+	now := time.Now()
+	for {
+		kept := p.pop(instance)
+		if kept == nil || kept.usable(now) {
+			return kept
+		}
+		_ = kept.Close()
+	}
+}
+
+func (p *Pool) pop(instance string) *connection {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	kept := p.idle[instance]
+	if len(kept) == 0 {
+		return nil
+	}
+	last := kept[len(kept)-1]
+	p.idle[instance] = kept[:len(kept)-1]
+	return last
+}
+
+// put keeps a connection for the next attempt.
+func (p *Pool) put(instance string, kept *connection) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.idle[instance] = append(p.idle[instance], kept)
+}
+
+// Forget closes the kept connections to an instance.
+func (p *Pool) Forget(instance string) {
+	p.mutex.Lock()
+	kept := p.idle[instance]
+	delete(p.idle, instance)
+	p.mutex.Unlock()
+	for _, connection := range kept {
+		_ = connection.Close()
+	}
+}
+
+// Prune closes kept connections whose idle time is over.
+func (p *Pool) Prune() {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for instance, kept := range p.idle {
+		usable := kept[:0]
+		for _, connection := range kept {
+			if connection.current(now) {
+				usable = append(usable, connection)
+				continue
+			}
+			_ = connection.Close()
+		}
+		p.idle[instance] = usable
+	}
+}
+
+// Close closes all kept connections.
+func (p *Pool) Close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for instance, kept := range p.idle {
+		for _, connection := range kept {
+			_ = connection.Close()
+		}
+		delete(p.idle, instance)
+	}
+}
--- /dev/null
+++ b/internal/gateway/following.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/scatter"
+)
+
+// Bounds of following.
+const (
+	followWait    = 700 * time.Millisecond
+	followTimeout = 1100 * time.Millisecond
+	// firstTimeout bounds the first call to a node, which is answered at once.
+	firstTimeout  = 400 * time.Millisecond
+	followPause   = 60 * time.Millisecond
+	followSpacing = 20 * time.Millisecond
+	maxFollowed   = 64 << 20
+)
+
+// follower takes documents and servers over from the directory.
+type follower struct {
+	gateway  *Gateway
+	client   *http.Client
+	request  directory.FollowRequest
+	node     string
+	nodes    []string
+	position int
+	lost     bool
+	// servers are the ids told to the engine; departed those never told again.
+	servers  map[string]bool
+	departed map[string]bool
+}
+
+func newFollower(gateway *Gateway) *follower {
+	dialer := &net.Dialer{Timeout: firstTimeout, KeepAlive: -1}
+	return &follower{
+		gateway: gateway,
+		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
+		request: directory.FollowRequest{Gateway: gateway.config.Name + "/" + gateway.started.Format(time.RFC3339Nano)},
+		servers: make(map[string]bool), departed: make(map[string]bool),
+	}
+}
+
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.node == "" {
+			f.node = f.next()
+		}
+		pause := followSpacing
+		if err := f.call(ctx); err != nil && ctx.Err() == nil {
+			f.noteLost(err)
+			f.node, pause = "", followPause
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// next returns the node after the last one that was tried, of the group as last
+// told and the seeds.
+func (f *follower) next() string {
+	known := lo.Uniq(append(slices.Clone(f.nodes), f.gateway.seedList()...))
+	if len(known) == 0 {
+		return ""
+	}
+	if f.position == 0 {
+		f.position = int(f.gateway.seed % uint64(len(known)))
+	}
+	f.position++
+	return known[f.position%len(known)]
+}
+
+func (f *follower) noteLost(err error) {
+	f.gateway.metrics.followFailures.Inc()
+	if !f.lost {
+		f.gateway.logger.WithField("node", f.node).WithField("reason", err).Warn("directory_lost")
+	}
+	f.lost = true
+}
+
+// call asks the followed node for news and takes them in.
+func (f *follower) call(ctx context.Context) error {
+	if f.node == "" {
+		return errors.New("no directory node is known")
+	}
+	timeout := followTimeout
+	if f.lost || f.request.Source == "" {
+		timeout = firstTimeout
+		f.request.Wait = 0
+	} else {
+		f.request.Wait = followWait
+	}
+	calling, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply, err := f.post(calling)
+	if err != nil {
+		return err
+	}
+	if f.lost {
+		f.lost = false
+		f.gateway.logger.WithField("node", f.node).WithField("source", reply.Source).Info("directory_regained")
+	}
+	f.takeIn(reply)
+	return nil
+}
+
+func (f *follower) post(ctx context.Context) (directory.FollowReply, error) {
+	var reply directory.FollowReply
+	body, err := json.Marshal(f.request)
+	if err != nil {
+		return reply, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.node+directory.PathFollow, bytes.NewReader(body))
+	if err != nil {
+		return reply, err
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return reply, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxFollowed))
+	if err != nil {
+		return reply, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return reply, errors.Newf("%d: %s", response.StatusCode, bytes.TrimSpace(answer))
+	}
+	return reply, json.Unmarshal(answer, &reply)
+}
+
+func (f *follower) takeIn(reply directory.FollowReply) {
+	f.takeServers(reply)
+	f.takeDocument(reply)
+	if len(reply.Nodes) > 0 {
+		f.nodes = reply.Nodes
+	}
+	f.gateway.loop.events <- scatter.RoutersCounted{Count: reply.Gateways}
+	f.request.Source, f.request.Revision, f.request.Departures = reply.Source, reply.Revision, reply.Departures
+}
+
+func (f *follower) takeServers(reply directory.FollowReply) {
+	var gone []string
+	for _, id := range reply.Departed {
+		f.departed[id] = true
+		if f.servers[id] {
+			gone = append(gone, id)
+		}
+	}
+	told := make(map[string]bool, len(reply.Instances))
+	var changed []scatter.Server
+	now := time.Now()
+	for _, instance := range reply.Instances {
+		told[instance.ID] = true
+		if f.departed[instance.ID] {
+			continue
+		}
+		f.servers[instance.ID] = true
+		changed = append(changed, toServer(now, instance))
+	}
+	if reply.Whole && reply.Settled {
+		gone = append(gone, lo.Reject(lo.Keys(f.servers), func(id string, _ int) bool { return told[id] })...)
+	}
+	for _, id := range gone {
+		delete(f.servers, id)
+	}
+	if len(changed) > 0 {
+		f.gateway.loop.events <- scatter.ServersChanged{Servers: changed}
+	}
+	if len(gone) > 0 {
+		f.gateway.loop.events <- scatter.ServersGone{IDs: gone}
+	}
+}
+
+func toServer(now time.Time, instance registry.Instance) scatter.Server {
+	return scatter.Server{
+		ID: instance.ID, Service: instance.Service, Address: instance.Address, Zone: instance.Zone, Slots: instance.Slots,
+		Leaving: instance.State == registry.Leaving, Missing: instance.State == registry.Missing,
+		WarmAt: now.Add(instance.WarmLeft),
+	}
+}
+
+// takeDocument puts a newer document in force; an older one is never taken.
+func (f *follower) takeDocument(reply directory.FollowReply) {
+	if reply.Version <= f.request.Version {
+		return
+	}
+	document, err := f.gateway.config.ParseDocument(reply.Document)
+	if err != nil {
+		f.gateway.logger.WithField("version", reply.Version).WithError(err).Error("document_not_read")
+		return
+	}
+	f.request.Version = reply.Version
+	f.gateway.install(document, f.node)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
+)
+
+// Gateway is one router.
+type Gateway struct {
+	config   Config
+	logger   logrus.FieldLogger
+	metrics  *metrics
+	started  time.Time
+	seed     uint64
+	seeds    atomic.Pointer[[]string]
+	pool     *exchange.Pool
+	loop     *loop
+	table    atomic.Pointer[routing.Table]
+	stopping atomic.Bool
+	// closing says that connections end with their next answer.
+	closing  atomic.Bool
+	inFlight atomic.Int64
+	told     atomic.Uint64
+}
+
+// New returns a router that knows no document yet.
+func New(config Config, environment Environment) *Gateway {
+	gateway := &Gateway{
+		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
+		metrics: newMetrics(environment.Registerer), started: time.Now(),
+		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
+	}
+	gateway.SetSeeds(config.Seeds)
+	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget})
+	gateway.loop = newLoop(engine, gateway.pool, gateway.logger)
+	return gateway
+}
+
+// SetSeeds replaces the seeds, after a reload of the settings.
+func (g *Gateway) SetSeeds(seeds []string) {
+	copied := append([]string(nil), seeds...)
+	g.seeds.Store(&copied)
+}
+
+func (g *Gateway) seedList() []string { return *g.seeds.Load() }
+
+// Ready reports whether the router wants new connections.
+func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.table.Load() != nil }
+
+// install puts a document in force.
+func (g *Gateway) install(document *routing.Document, from string) {
+	before := uint64(0)
+	if table := g.table.Load(); table != nil {
+		before = table.Document().Version
+	}
+	g.loop.events <- scatter.DocumentChanged{Services: document.Services}
+	g.table.Store(routing.NewTable(document))
+	g.metrics.version.Set(float64(document.Version))
+	g.logger.WithFields(logrus.Fields{
+		"version": document.Version, "before": before, "routes": len(document.Routes), "from": from,
+	}).Info("document_installed")
+}
+
+// Run serves clients until the context ends, which begins a planned stop: the
+// router is not ready at once, goes on serving until it gets no new connections,
+// ends each connection with its next answer and returns once all is answered, at
+// the latest within the grace.
+func (g *Gateway) Run(stopping context.Context, clients net.Listener) error {
+	duties, end := context.WithCancel(context.Background())
+	defer end()
+	var running sync.WaitGroup
+	running.Go(func() { g.loop.run(duties) })
+	running.Go(func() { newFollower(g).run(duties) })
+	server := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(clients) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "clients can't be served")
+	case <-stopping.Done():
+	}
+	g.stop(server)
+	end()
+	running.Wait()
+	g.pool.Close()
+	return nil
+}
+
+// stop carries out the planned stop.
+func (g *Gateway) stop(server *http.Server) {
+	deadline := time.Now().Add(g.config.Grace - stopMargin)
+	g.stopping.Store(true)
+	g.logger.WithField("in_flight", g.inFlight.Load()).Info("stopping")
+	time.Sleep(min(unreadyTime, g.config.Grace/2))
+	g.closing.Store(true)
+	finishing, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	err := server.Shutdown(finishing)
+	g.logger.WithField("unanswered", g.inFlight.Load()).WithField(logrus.ErrorKey, err).Info("stopped")
+}
--- /dev/null
+++ b/internal/gateway/loop.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/scatter"
+)
+
+// loop is the goroutine that owns the engine.
+type loop struct {
+	engine   *scatter.Engine
+	pool     *exchange.Pool
+	logger   logrus.FieldLogger
+	events   chan scatter.Event
+	requests chan submitted
+	waiting  map[scatter.RequestID]submitted
+	attempts map[scatter.AttemptID]*exchange.Attempt
+	last     scatter.RequestID
+	timer    *time.Timer
+}
+
+// submitted is a request on its way into the engine.
+type submitted struct {
+	arrived scatter.Arrived
+	request *message.Request
+	// id receives the engine's name of the request, answer its result.
+	id     chan scatter.RequestID
+	answer chan scatter.Result
+}
+
+func newLoop(engine *scatter.Engine, pool *exchange.Pool, logger logrus.FieldLogger) *loop {
+	return &loop{
+		engine: engine, pool: pool, logger: logger,
+		events: make(chan scatter.Event, eventBacklog), requests: make(chan submitted, maxInFlight),
+		waiting:  make(map[scatter.RequestID]submitted),
+		attempts: make(map[scatter.AttemptID]*exchange.Attempt),
+		timer:    time.NewTimer(time.Hour),
+	}
+}
+
+// run steps the engine until the context ends.
+func (l *loop) run(ctx context.Context) {
+	prune := time.NewTicker(pruneInterval)
+	defer prune.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-l.events:
+			l.step(event)
+		case arriving := <-l.requests:
+			l.admit(arriving)
+		case <-l.timer.C:
+			l.step(scatter.TimerFired{})
+		case <-prune.C:
+			l.pool.Prune()
+		}
+	}
+}
+
+func (l *loop) admit(arriving submitted) {
+	l.last++
+	arriving.arrived.ID = l.last
+	arriving.id <- l.last
+	l.waiting[l.last] = arriving
+	l.step(arriving.arrived)
+}
+
+func (l *loop) step(event scatter.Event) {
+	switch event := event.(type) {
+	case scatter.Ended:
+		delete(l.attempts, event.Attempt)
+	case scatter.ServersGone:
+		for _, id := range event.IDs {
+			l.pool.Forget(id)
+		}
+	}
+	for _, command := range l.engine.Step(time.Now(), event) {
+		l.carryOut(command)
+	}
+	if gone, ok := event.(scatter.ClientGone); ok {
+		// Only now: a timer that was due in this step may have sent for it.
+		delete(l.waiting, gone.Request)
+	}
+}
+
+func (l *loop) carryOut(command scatter.Command) {
+	switch command := command.(type) {
+	case scatter.Send:
+		l.send(command)
+	case scatter.Abort:
+		if out, ok := l.attempts[command.Attempt]; ok {
+			out.Abort()
+		}
+	case scatter.Respond:
+		if waiting, ok := l.waiting[command.Request]; ok {
+			delete(l.waiting, command.Request)
+			waiting.answer <- command.Result
+		}
+	case scatter.Wake:
+		l.timer.Reset(time.Until(command.At))
+	case scatter.Noted:
+		l.logger.WithFields(logrus.Fields{
+			"server": command.Server.ID, "service": command.Server.Service, "address": command.Server.Address,
+			"detail": command.Detail, "leaving": command.Server.Leaving, "missing": command.Server.Missing,
+		}).Info(command.Belief)
+	}
+}
+
+// send starts an attempt. Its request is waited for, since the engine sends
+// nothing for requests that were answered.
+func (l *loop) send(command scatter.Send) {
+	attempt := l.pool.Start(l.waiting[command.Request].request, command.Server, command.Deadline)
+	l.attempts[command.Attempt] = attempt
+	go func() { l.events <- scatter.Ended{Attempt: command.Attempt, Outcome: attempt.Run()} }()
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+type metrics struct {
+	requests       *prometheus.CounterVec
+	seconds        prometheus.Histogram
+	extras         prometheus.Counter
+	denied         prometheus.Counter
+	missing        prometheus.Counter
+	followFailures prometheus.Counter
+	version        prometheus.Gauge
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	factory := promauto.With(registerer)
+	counter := func(name, help string) prometheus.Counter {
+		return factory.NewCounter(prometheus.CounterOpts{Name: "martenstage_gateway_" + name, Help: help})
+	}
+	return &metrics{
+		requests: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_gateway_requests_total", Help: "Ended requests by outcome and status.",
+		}, []string{"outcome", "status"}),
+		seconds: factory.NewHistogram(prometheus.HistogramOpts{
+			Name: "martenstage_gateway_request_seconds", Help: "Time from the arrival of a request to its end.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 1.6, 20),
+		}),
+		extras:         counter("extra_attempts_total", "Hedges and retries."),
+		denied:         counter("denied_attempts_total", "Hedges and retries that the budget did not pay for."),
+		missing:        counter("missing_parts_total", "Shards left out of answers."),
+		followFailures: counter("follow_failures_total", "Failed calls to directory nodes."),
+		version: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_gateway_document_version", Help: "Version of the routing document in force.",
+		}),
+	}
+}
--- /dev/null
+++ b/internal/gateway/options.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
+)
+
+// Dialect reads and writes the headers of a deployment's contract with its
+// clients.
+type Dialect interface {
+	// RequestID returns the client's name for its try; empty if it gave none.
+	RequestID(header http.Header) string
+	// Remaining returns how long the client still waits.
+	Remaining(header http.Header) (time.Duration, bool)
+	// Gathered marks an answer that was put together from parts.
+	Gathered(header http.Header, stamps []string, missing int)
+	// ComeBack tells a client when to send a request again that has not run.
+	ComeBack(header http.Header, after time.Duration)
+}
+
+// Config says who a router is.
+type Config struct {
+	Name string
+	Zone string
+	// Seeds are peer addresses of directory nodes.
+	Seeds []string
+	// Grace is how long a stop may take.
+	Grace time.Duration
+	// Budget bounds hedges and retries of each service, over all routers.
+	Budget scatter.BudgetLimits
+	// ParseDocument reads a routing document.
+	ParseDocument func(text []byte) (*routing.Document, error)
+	Dialect       Dialect
+	Codec         exchange.Codec
+}
+
+// Environment is what a router needs of its process.
+type Environment struct {
+	Logger     *logrus.Logger
+	Registerer prometheus.Registerer
+}
+
+// Bounds of a router.
+const (
+	// maxInFlight bounds the requests without an answer.
+	maxInFlight  = 2000
+	eventBacklog = 8192
+	// defaultDeadline is that of a client that gives none.
+	defaultDeadline = 30 * time.Second
+	// answerMargin is kept from the client's deadline for the way back.
+	answerMargin = 10 * time.Millisecond
+	// defaultBodyBytes bounds bodies while the document does not.
+	defaultBodyBytes = 8 << 20
+	maxHeaderBytes   = 64 << 10
+	headerTime       = 10 * time.Second
+	pruneInterval    = 2 * time.Second
+	// unreadyTime is how long a stopping router still takes new connections: it
+	// is taken out after two readiness calls, a second apart, that failed.
+	unreadyTime = 2300 * time.Millisecond
+	// stopMargin is kept from the grace for the end of the process.
+	stopMargin = 500 * time.Millisecond
+	// startRetry is when a client of a router without a document may come back.
+	startRetry = 200 * time.Millisecond
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// passedOn returns the headers that do not concern one connection only.
+func passedOn(header http.Header) message.Header {
+	dropped := hopHeaders
+	if named := header["Connection"]; len(named) > 0 {
+		dropped = append(connectionTokens(named), hopHeaders...)
+	}
+	passed := make(message.Header, len(header))
+	for name, values := range header {
+		passed[name] = values
+	}
+	for _, name := range dropped {
+		delete(passed, name)
+	}
+	return passed
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,191 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// exchangeState is what is known of one request while it is served.
+type exchangeState struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *http.Request
+	arrived time.Time
+	id      string
+	route   *routing.Route
+	version uint64
+}
+
+// ServeHTTP serves one request of a client.
+func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	state := &exchangeState{gateway: g, writer: writer, request: request, arrived: time.Now(), id: g.config.Dialect.RequestID(request.Header)}
+	if g.closing.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	table := g.table.Load()
+	if table == nil {
+		state.refuse(http.StatusServiceUnavailable, verdict.ReasonNoLease, startRetry)
+		return
+	}
+	state.version = table.Document().Version
+	state.route = table.Find(request.Host, pathOf(state.target()))
+	if state.route == nil {
+		state.refuse(http.StatusNotFound, verdict.ReasonUnknownRoute, 0)
+		return
+	}
+	if g.inFlight.Add(1) > maxInFlight {
+		g.inFlight.Add(-1)
+		state.refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, startRetry)
+		return
+	}
+	defer g.inFlight.Add(-1)
+	state.serve(table)
+}
+
+// target is the path and query as the client sent them.
+func (s *exchangeState) target() string {
+	if target := s.request.RequestURI; len(target) > 0 && target[0] == '/' {
+		return target
+	}
+	return s.request.URL.RequestURI()
+}
+
+func (s *exchangeState) serve(table *routing.Table) {
+	body, status := s.readBody(table.Document().Limits.BodyBytes)
+	if status != 0 {
+		s.refuse(status, verdict.ReasonBodyTooLarge, 0)
+		return
+	}
+	arriving := submitted{
+		arrived: s.arrival(),
+		request: &message.Request{
+			Method: s.request.Method, Target: s.target(), Host: s.request.Host,
+			Header: passedOn(s.request.Header), Body: body, ID: s.id,
+		},
+		id: make(chan scatter.RequestID, 1), answer: make(chan scatter.Result, 1),
+	}
+	s.gateway.loop.requests <- arriving
+	select {
+	case result := <-arriving.answer:
+		s.answer(result)
+	case <-s.request.Context().Done():
+		s.gateway.loop.events <- scatter.ClientGone{Request: <-arriving.id}
+		s.tell("client_gone", 0, scatter.Result{})
+	}
+}
+
+// readBody reads the whole body; status is 0 or the refusal.
+func (s *exchangeState) readBody(limit int64) (body []byte, status int) {
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(s.writer, s.request.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, http.StatusRequestEntityTooLarge
+	case err != nil:
+		return nil, http.StatusBadRequest
+	}
+	return body, 0
+}
+
+// arrival sets the times that bound the request.
+func (s *exchangeState) arrival() scatter.Arrived {
+	remaining, given := s.gateway.config.Dialect.Remaining(s.request.Header)
+	if !given {
+		remaining = defaultDeadline
+	}
+	held := min(max(0, remaining-answerMargin), s.route.Timeout)
+	arrived := scatter.Arrived{Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(held)}
+	if s.route.Target > 0 {
+		arrived.Target = s.arrived.Add(s.route.Target)
+	}
+	if !s.route.Gathers() {
+		arrived.Services = []string{s.route.ServiceOf(s.id)}
+	}
+	return arrived
+}
+
+// answer writes the result of a request.
+func (s *exchangeState) answer(result scatter.Result) {
+	switch {
+	case len(result.Parts) == 0:
+		s.fail(result)
+	case s.route.Gathers():
+		s.writeGathered(result)
+	default:
+		s.writeReply(result)
+	}
+}
+
+func (s *exchangeState) writeGathered(result scatter.Result) {
+	header := s.writer.Header()
+	stamps := lo.Map(result.Parts, func(part *message.Reply, _ int) string { return part.Stamp })
+	s.gateway.config.Dialect.Gathered(header, stamps, result.Missing)
+	header.Set("Content-Type", "application/octet-stream")
+	s.write(http.StatusOK, greatestRecords(result.Parts, s.route.TopRecords))
+	s.tell("answered", http.StatusOK, result)
+}
+
+// writeReply passes the answer of a server on unchanged.
+func (s *exchangeState) writeReply(result scatter.Result) {
+	reply := result.Parts[0]
+	header := s.writer.Header()
+	for name, values := range passedOn(reply.Header) {
+		header[name] = values
+	}
+	if _, typed := header["Content-Type"]; !typed {
+		// Nil keeps net/http from guessing one.
+		header["Content-Type"] = nil
+	}
+	s.write(reply.Status, reply.Body)
+	s.tell("answered", reply.Status, result)
+}
+
+func (s *exchangeState) write(status int, body []byte) {
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	s.writer.WriteHeader(status)
+	_, _ = s.writer.Write(body)
+}
+
+// fail answers a request that brought nothing. Only one that provably has not
+// run is refused with 503; the others have a status that promises nothing.
+func (s *exchangeState) fail(result scatter.Result) {
+	status := http.StatusBadGateway
+	switch {
+	case result.Verdict == verdict.NotRun:
+		status = http.StatusServiceUnavailable
+	case result.Reason == verdict.ReasonTimeout:
+		status = http.StatusGatewayTimeout
+	}
+	s.writeFailure(status, result.Reason, result.RetryAfter)
+	s.tell("failed", status, result)
+}
+
+// refuse answers a request that was not passed on at all.
+func (s *exchangeState) refuse(status int, reason verdict.Reason, after time.Duration) {
+	s.writeFailure(status, reason, after)
+	s.tell("refused", status, scatter.Result{Verdict: verdict.NotRun, Reason: reason, RetryAfter: after})
+}
+
+func (s *exchangeState) writeFailure(status int, reason verdict.Reason, after time.Duration) {
+	if after > 0 {
+		s.gateway.config.Dialect.ComeBack(s.writer.Header(), after)
+	}
+	s.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.write(status, slices.Concat([]byte(reason), []byte("\n")))
+}
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/settings"
+)
+
+// Options are the settings of the gateway role.
+type Options struct {
+	Name          string   `long:"name" koanf:"name" default:"gateway" validate:"required" description:"Name of this router, unique in the fleet"`
+	Zone          string   `long:"zone" koanf:"zone" default:"default" validate:"required" description:"Zone that this router runs in"`
+	ClientsListen string   `long:"clients-listen" koanf:"clients-listen" default:"127.0.0.1:8080" validate:"ip_port" description:"Address for clients"`
+	ReadyListen   string   `long:"ready-listen" koanf:"ready-listen" default:"127.0.0.1:8082" validate:"ip_port" description:"Address for readiness calls"`
+	MetricsListen string   `long:"metrics-listen" koanf:"metrics-listen" validate:"omitempty,ip_port" description:"Address for metrics; none when empty"`
+	Seeds         []string `long:"seed" koanf:"seeds" validate:"dive,ip_port" description:"Address of a directory node; its port is replaced by peer-port if that is set. Repeat it to name several"`
+	PeerPort      uint16   `long:"peer-port" koanf:"peer-port" description:"Port at which all directory nodes are reached by routers and each other"`
+
+	Grace       time.Duration `long:"grace" koanf:"grace" default:"30s" validate:"min=1s" description:"Longest planned stop"`
+	ExtraRatio  float64       `long:"extra-ratio" koanf:"extra-ratio" default:"0.1" validate:"min=0" description:"Hedges and retries allowed at a service, of all routers, as a share of its requests"`
+	ExtraSlack  float64       `long:"extra-slack" koanf:"extra-slack" default:"20" validate:"min=0" description:"Hedges and retries allowed beyond that"`
+	LogLevel    string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
+	MemoryLimit int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
+}
+
+// SeedAddresses are where directory nodes are reached by routers.
+func (o *Options) SeedAddresses() []string { return settings.WithPort(o.Seeds, o.PeerPort) }
+
+// BudgetLimits are the bounds of hedges and retries.
+func (o *Options) BudgetLimits() scatter.BudgetLimits {
+	return scatter.BudgetLimits{Ratio: o.ExtraRatio, Slack: o.ExtraSlack}
+}
--- /dev/null
+++ b/internal/message/message.go
@@ -0,0 +1,40 @@
+// Package message holds the requests and replies that pass through a router
+// unchanged, as plain data without a connection.
+package message
+
+// Header maps canonical header names to their values.
+type Header = map[string][]string
+
+// Request is one whole request of a client.
+type Request struct {
+	Method string
+	// Target is the path and query as the client sent them.
+	Target string
+	Host   string
+	// Header holds what is passed on.
+	Header Header
+	Body   []byte
+	// ID is the client's name for this try of its request.
+	ID string
+}
+
+// Reply is one whole answer of a server.
+type Reply struct {
+	Status int
+	Header Header
+	Body   []byte
+	// Stamp is the server's signature on the answer; empty for none.
+	Stamp string
+}
+
+// Succeeded reports whether the server answered with a 2xx status.
+func (r *Reply) Succeeded() bool { return r.Status >= 200 && r.Status < 300 }
+
+// Load is what a server says of its load.
+type Load struct {
+	// Known is false when it said nothing.
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,208 @@
+// Package registry keeps the table of servers that announce themselves by
+// heartbeat. Every directory node holds a table of its own and merges those of
+// the others, so that a server is known everywhere whichever node it called.
+//
+// The table is soft state: it is rebuilt from heartbeats after a restart. That a
+// server leaves is durable elsewhere (package directory) and only repeated here.
+// A Table belongs to one goroutine or is guarded by its owner; it reads no clock.
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State is what a server says of itself.
+type State string
+
+// States of an instance.
+const (
+	Ready   State = "ready"
+	Leaving State = "leaving"
+	// Missing is never reported: a table sets it once heartbeats stay away.
+	Missing State = "missing"
+)
+
+// Instance is one start of a server. Its id is never used again.
+type Instance struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	// Address is IP and port. It may be given to another server later.
+	Address string `json:"address"`
+	Zone    string `json:"zone,omitempty"`
+	Slots   int    `json:"slots"`
+	State   State  `json:"state"`
+	// Sequence rises with each heartbeat, so that a late one can be told.
+	Sequence uint64 `json:"sequence"`
+	// WarmLeft is for how much longer the server stays slow after its start,
+	// counted from when the entry was handed out.
+	WarmLeft time.Duration `json:"warm_left,omitempty"`
+	// Age is how long ago the last heartbeat came, counted likewise.
+	Age time.Duration `json:"age,omitempty"`
+}
+
+// entry is an instance with times of the table's own clock.
+type entry struct {
+	instance Instance
+	heard    time.Time
+	warm     time.Time
+	// revision at which the entry last changed in a way that routers must know.
+	revision uint64
+	// registered orders entries of the same address.
+	registered uint64
+}
+
+// Table is the set of known instances.
+type Table struct {
+	missingAfter time.Duration
+	forgetAfter  time.Duration
+	entries      map[string]*entry
+	byAddress    map[string]string
+	revision     uint64
+	registered   uint64
+}
+
+// New returns an empty table. An instance that was not heard of for
+// missingAfter becomes Missing, and is forgotten after forgetAfter.
+func New(missingAfter, forgetAfter time.Duration) *Table {
+	return &Table{
+		missingAfter: missingAfter, forgetAfter: forgetAfter,
+		entries: make(map[string]*entry), byAddress: make(map[string]string),
+	}
+}
+
+// Revision rises with every change that routers must know.
+func (t *Table) Revision() uint64 { return t.revision }
+
+// Report takes in a heartbeat, or what another table knows of one, that is
+// instance.Age old. It reports whether routers must know of it. A heartbeat with
+// a lower sequence than the last one is ignored; leaving is never taken back.
+func (t *Table) Report(now time.Time, instance Instance) bool {
+	heard := now.Add(-instance.Age)
+	known, exists := t.entries[instance.ID]
+	if !exists {
+		if instance.Age > t.missingAfter {
+			return false
+		}
+		t.add(heard, now, instance)
+		return true
+	}
+	if instance.Sequence < known.instance.Sequence {
+		return false
+	}
+	if heard.After(known.heard) {
+		known.heard = heard
+	}
+	before := known.instance
+	known.instance.Sequence = instance.Sequence
+	known.warm = now.Add(instance.WarmLeft)
+	if before.State != Leaving && instance.State != Missing {
+		known.instance.State = instance.State
+	}
+	known.instance.Slots = instance.Slots
+	if before.State == known.instance.State && before.Slots == known.instance.Slots {
+		return false
+	}
+	t.touch(known)
+	return true
+}
+
+func (t *Table) add(heard, now time.Time, instance Instance) {
+	t.registered++
+	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft), registered: t.registered}
+	t.entries[instance.ID] = added
+	if previous, taken := t.byAddress[instance.Address]; taken {
+		t.replaceAt(previous)
+	}
+	t.byAddress[instance.Address] = instance.ID
+	t.touch(added)
+}
+
+// replaceAt marks the former owner of an address: whoever listens there now is
+// another instance.
+func (t *Table) replaceAt(id string) {
+	if former, ok := t.entries[id]; ok && former.instance.State == Ready {
+		former.instance.State = Missing
+		t.touch(former)
+	}
+}
+
+// Leave marks an instance as leaving, whether it is known or not known yet.
+func (t *Table) Leave(id string) bool {
+	known, exists := t.entries[id]
+	if !exists || known.instance.State == Leaving {
+		return false
+	}
+	known.instance.State = Leaving
+	t.touch(known)
+	return true
+}
+
+// Expire marks instances that were not heard of as missing and forgets those
+// that were missing for long. It reports whether anything changed.
+func (t *Table) Expire(now time.Time) bool {
+	before := t.revision
+	for id, known := range t.entries {
+		silent := now.Sub(known.heard)
+		switch {
+		case silent > t.forgetAfter:
+			delete(t.entries, id)
+			if t.byAddress[known.instance.Address] == id {
+				delete(t.byAddress, known.instance.Address)
+			}
+		case silent > t.missingAfter && known.instance.State == Ready:
+			known.instance.State = Missing
+			t.touch(known)
+		}
+	}
+	return t.revision != before
+}
+
+// Since returns the instances that changed after a revision, ordered by id; 0
+// gives all.
+func (t *Table) Since(now time.Time, revision uint64) []Instance {
+	var changed []Instance
+	for _, known := range t.entries {
+		if known.revision > revision {
+			changed = append(changed, known.at(now))
+		}
+	}
+	slices.SortFunc(changed, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return changed
+}
+
+// Heard returns the instances whose heartbeat came after a time.
+func (t *Table) Heard(now, after time.Time) []Instance {
+	var heard []Instance
+	for _, known := range t.entries {
+		if known.heard.After(after) && known.instance.State != Missing {
+			heard = append(heard, known.at(now))
+		}
+	}
+	slices.SortFunc(heard, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
+	return heard
+}
+
+// Count returns how many instances are in a state.
+func (t *Table) Count(state State) int {
+	count := 0
+	for _, known := range t.entries {
+		if known.instance.State == state {
+			count++
+		}
+	}
+	return count
+}
+
+func (e *entry) at(now time.Time) Instance {
+	instance := e.instance
+	instance.Age = max(0, now.Sub(e.heard))
+	instance.WarmLeft = max(0, e.warm.Sub(now))
+	return instance
+}
+
+func (t *Table) touch(changed *entry) {
+	t.revision++
+	changed.revision = t.revision
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,84 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/martenstage/martenstage/internal/registry"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ready(id, address string, sequence uint64) registry.Instance {
+	return registry.Instance{ID: id, Service: "s", Address: address, Slots: 2, State: registry.Ready, Sequence: sequence}
+}
+
+func stateOf(table *registry.Table, now time.Time, id string) registry.State {
+	for _, instance := range table.Since(now, 0) {
+		if instance.ID == id {
+			return instance.State
+		}
+	}
+	return ""
+}
+
+func TestLateHeartbeatDoesNotTakeLeavingBack(t *testing.T) {
+	table := registry.New(5*time.Second, time.Minute)
+	require.True(t, table.Report(start, ready("a", "10.0.0.1:1", 4)))
+	leaving := ready("a", "10.0.0.1:1", 6)
+	leaving.State = registry.Leaving
+	require.True(t, table.Report(start, leaving))
+	require.False(t, table.Report(start, ready("a", "10.0.0.1:1", 5)))
+	require.False(t, table.Report(start, ready("a", "10.0.0.1:1", 7)))
+	require.Equal(t, registry.Leaving, stateOf(table, start, "a"))
+}
+
+func TestAddressReuseRetiresTheFormerOwner(t *testing.T) {
+	table := registry.New(5*time.Second, time.Minute)
+	table.Report(start, ready("a", "10.0.0.1:1", 4))
+	table.Report(start, ready("b", "10.0.0.1:1", 1))
+	require.Equal(t, registry.Missing, stateOf(table, start, "a"))
+	require.Equal(t, registry.Ready, stateOf(table, start, "b"))
+}
+
+func TestSilentInstanceBecomesMissingAndReturns(t *testing.T) {
+	table := registry.New(5*time.Second, time.Minute)
+	table.Report(start, ready("a", "10.0.0.1:1", 1))
+	require.False(t, table.Expire(start.Add(4*time.Second)))
+	require.True(t, table.Expire(start.Add(6*time.Second)))
+	require.Equal(t, registry.Missing, stateOf(table, start, "a"))
+	require.True(t, table.Report(start.Add(7*time.Second), ready("a", "10.0.0.1:1", 2)))
+	require.Equal(t, registry.Ready, stateOf(table, start, "a"))
+	table.Expire(start.Add(2 * time.Minute))
+	require.Empty(t, table.Since(start, 0))
+}
+
+func TestTablesAgreeInWhateverOrderTheyAreTold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 12).Draw(t, "count")
+		var reports []registry.Instance
+		for number := range count {
+			report := ready("a", "10.0.0.1:1", uint64(number))
+			if rapid.Bool().Draw(t, "leaving") {
+				report.State = registry.Leaving
+			}
+			reports = append(reports, report)
+		}
+		inOrder, shuffled := registry.New(time.Minute, time.Hour), registry.New(time.Minute, time.Hour)
+		for _, report := range reports {
+			inOrder.Report(start, report)
+		}
+		// What one node heard goes on to others, in any order, and each repeats
+		// the newest at the end.
+		for _, report := range rapid.Permutation(reports).Draw(t, "order") {
+			shuffled.Report(start, report)
+		}
+		for _, report := range inOrder.Since(start, 0) {
+			shuffled.Report(start, report)
+		}
+		require.Equal(t, inOrder.Since(start, 0)[0].State, shuffled.Since(start, 0)[0].State)
+	})
+}
--- /dev/null
+++ b/internal/routing/check.go
@@ -0,0 +1,81 @@
+package routing
+
+import "fmt"
+
+// InvalidError says why a document may not be put in force.
+type InvalidError struct{ Detail string }
+
+// Error returns the reason.
+func (e *InvalidError) Error() string { return "the document is not valid: " + e.Detail }
+
+// Check returns nil for a document that may be put in force, or an
+// *InvalidError that names the first route at fault.
+func (d *Document) Check() error {
+	if d.Version == 0 {
+		return invalid("it has no version")
+	}
+	services := make(map[string]bool, len(d.Services))
+	for _, service := range d.Services {
+		if service.Name == "" || services[service.Name] {
+			return invalid("service name %q is empty or stands twice", service.Name)
+		}
+		services[service.Name] = true
+	}
+	places := make(map[place]string, len(d.Routes))
+	for index := range d.Routes {
+		route := &d.Routes[index]
+		if err := route.check(services); err != nil {
+			return err
+		}
+		at := place{canonicalHost(route.Host), route.Prefix}
+		if other, taken := places[at]; taken {
+			return invalid("routes %q and %q share host %s and prefix %s", other, route.Name, route.Host, route.Prefix)
+		}
+		places[at] = route.Name
+	}
+	return nil
+}
+
+// place is what no two routes may have in common.
+type place struct{ host, prefix string }
+
+func (r *Route) check(services map[string]bool) error {
+	if r.Timeout <= 0 {
+		return invalid("route %q has no timeout", r.Name)
+	}
+	if (len(r.Targets) == 0) == (len(r.Shards) == 0) {
+		return invalid("route %q names no service, or both shards and services", r.Name)
+	}
+	weights := 0
+	for _, target := range r.Targets {
+		if !services[target.Service] {
+			return invalid("route %q names the unknown service %q", r.Name, target.Service)
+		}
+		if target.Weight < 0 {
+			return invalid("route %q has a negative weight", r.Name)
+		}
+		weights += target.Weight
+	}
+	if len(r.Targets) > 0 && weights == 0 {
+		return invalid("the weights of route %q sum to 0", r.Name)
+	}
+	return r.checkShards(services)
+}
+
+func (r *Route) checkShards(services map[string]bool) error {
+	seen := make(map[string]bool, len(r.Shards))
+	for _, shard := range r.Shards {
+		if !services[shard] {
+			return invalid("route %q names the unknown service %q", r.Name, shard)
+		}
+		if seen[shard] {
+			return invalid("route %q names the shard %q twice", r.Name, shard)
+		}
+		seen[shard] = true
+	}
+	return nil
+}
+
+func invalid(format string, arguments ...any) error {
+	return &InvalidError{Detail: fmt.Sprintf(format, arguments...)}
+}
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"net"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Table finds the route of a request in one document. It is safe for
+// concurrent use.
+type Table struct {
+	document *Document
+	// byHost holds the routes of a host, longest prefix first.
+	byHost   map[string][]*Route
+	services map[string]*Service
+}
+
+// NewTable indexes a checked document.
+func NewTable(document *Document) *Table {
+	table := &Table{
+		document: document,
+		byHost:   make(map[string][]*Route),
+		services: make(map[string]*Service, len(document.Services)),
+	}
+	for index := range document.Routes {
+		route := &document.Routes[index]
+		host := canonicalHost(route.Host)
+		table.byHost[host] = append(table.byHost[host], route)
+	}
+	for _, routes := range table.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for index := range document.Services {
+		table.services[document.Services[index].Name] = &document.Services[index]
+	}
+	return table
+}
+
+// Document returns the document that the table was made from.
+func (t *Table) Document() *Document { return t.document }
+
+// Find returns the route of a host whose prefix is the longest that begins the
+// path, or nil. A port in the host is ignored.
+func (t *Table) Find(host, path string) *Route {
+	for _, route := range t.byHost[canonicalHost(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Service returns a service of the document, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// ServiceOf returns the service that answers a request of a route without
+// shards. Requests are divided by a hash of their id, so that the choice needs
+// no state and agrees on every router.
+func (r *Route) ServiceOf(requestID string) string {
+	total := 0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	if total == 0 {
+		return ""
+	}
+	position := int(xxhash.Sum64String(requestID) % uint64(total))
+	for _, target := range r.Targets {
+		if position < target.Weight {
+			return target.Service
+		}
+		position -= target.Weight
+	}
+	return ""
+}
+
+// canonicalHost returns a host in lower case and without a port.
+func canonicalHost(host string) string {
+	if strings.IndexByte(host, ':') >= 0 {
+		if name, _, err := net.SplitHostPort(host); err == nil {
+			host = name
+		}
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/internal/scatter/decide.go
@@ -0,0 +1,213 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// decide answers a request once waiting longer is of no use.
+func (e *Engine) decide(waiting *request) {
+	if waiting.answered {
+		return
+	}
+	over := !e.now.Before(waiting.deadline)
+	if !waiting.route.Gathers() {
+		if waiting.open == 0 || over {
+			e.answerSingle(waiting, over)
+		}
+		return
+	}
+	total := len(waiting.calls)
+	suffices := waiting.parts > 0 && share(waiting.parts, total) >= waiting.route.LeastShare
+	possible := share(waiting.parts+waiting.open, total) >= waiting.route.LeastShare
+	pastCut := !waiting.cut.IsZero() && !e.now.Before(waiting.cut)
+	switch {
+	case suffices && (waiting.open == 0 || pastCut || over):
+		e.answerParts(waiting)
+	case over:
+		e.fail(waiting, verdict.ReasonTimeout)
+	case !possible || waiting.open == 0:
+		e.fail(waiting, verdict.ReasonCoverage)
+	}
+}
+
+// share is a part of a whole, with room for the rounding of the least share.
+func share(part, whole int) float64 { return float64(part)/float64(whole) + 1e-9 }
+
+func (e *Engine) answerParts(waiting *request) {
+	result := e.result(waiting)
+	for _, called := range waiting.calls {
+		if called.part != nil {
+			result.Parts = append(result.Parts, called.part)
+		}
+	}
+	result.Missing = len(waiting.calls) - len(result.Parts)
+	e.respond(waiting, result)
+}
+
+// answerSingle answers with the server's reply, also with its failure, or fails.
+func (e *Engine) answerSingle(waiting *request, over bool) {
+	called := waiting.calls[0]
+	reply := called.part
+	if reply == nil {
+		reply = called.reply
+	}
+	if reply != nil {
+		result := e.result(waiting)
+		result.Parts = []*message.Reply{reply}
+		e.respond(waiting, result)
+		return
+	}
+	reason := verdict.ReasonNoReplica
+	switch {
+	case over:
+		reason = verdict.ReasonTimeout
+	case len(called.tried) > 0:
+		reason = failureReason(called.last)
+	}
+	e.fail(waiting, reason)
+}
+
+func (e *Engine) fail(waiting *request, reason verdict.Reason) {
+	result := e.result(waiting)
+	result.Reason = reason
+	result.Verdict = waiting.verdict()
+	if result.Verdict == verdict.NotRun {
+		result.RetryAfter = refusalPause
+	}
+	e.respond(waiting, result)
+}
+
+// verdict folds what is known of all attempts; one that is out may have run.
+func (r *request) verdict() verdict.Verdict {
+	var verdicts []verdict.Verdict
+	for _, called := range r.calls {
+		verdicts = append(verdicts, called.verdicts...)
+		if called.part != nil {
+			verdicts = append(verdicts, verdict.Ran)
+		}
+		for range called.live {
+			verdicts = append(verdicts, verdict.MayHaveRun)
+		}
+	}
+	return verdict.Combine(verdicts...)
+}
+
+func (e *Engine) respond(waiting *request, result Result) {
+	e.emit(Respond{Request: waiting.id, Result: result})
+	e.close(waiting)
+}
+
+// maxLacking bounds the calls that a result tells of.
+const maxLacking = 4
+
+func (e *Engine) result(waiting *request) Result {
+	result := Result{Attempts: waiting.attempts, Extras: waiting.extras, Denied: waiting.denied}
+	for _, called := range waiting.calls {
+		if called.part == nil && len(result.Lacking) < maxLacking {
+			lack := Lack{Service: called.group.service, Failure: called.last, Open: len(called.live) > 0}
+			if len(called.tried) > 0 {
+				lack.Server = called.tried[len(called.tried)-1].ID
+			}
+			result.Lacking = append(result.Lacking, lack)
+		}
+	}
+	return result
+}
+
+// Hedge delays.
+const (
+	hedgeQuantile = 0.92
+	// hedgeFactor is put on the quantile, hedgeFloor under it.
+	hedgeFactor = 1.1
+	hedgeFloor  = 4 * time.Millisecond
+	// minObservations is how many attempts of a route make its quantile count.
+	minObservations = 30
+	// firstHedgeShare of the target is the delay before that.
+	firstHedgeShare   = 0.4
+	defaultHedgeDelay = 100 * time.Millisecond
+)
+
+// hedgeDelay is how long an attempt may be out before another server is asked.
+func (e *Engine) hedgeDelay(route *routing.Route) time.Duration {
+	observed := e.histogram(route)
+	if observed.Count() >= minObservations {
+		return max(hedgeFloor, time.Duration(hedgeFactor*float64(observed.Quantile(hedgeQuantile))))
+	}
+	if route.Target > 0 {
+		return time.Duration(firstHedgeShare * float64(route.Target))
+	}
+	return defaultHedgeDelay
+}
+
+// hedge asks another server while an attempt is out for longer than most are.
+func (e *Engine) hedge(id AttemptID) {
+	out, exists := e.attempts[id]
+	if !exists || out.call.settled {
+		return
+	}
+	called := out.call
+	route := called.request.route
+	if len(called.live) > 1 || len(called.tried)-called.unsent >= route.MaxAttempts {
+		return
+	}
+	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
+	if found != available || chosen.doubted(e.now) || !e.pay(called, hedgeReserve) {
+		return
+	}
+	e.send(called, chosen, true)
+}
+
+// learn takes in what an attempt tells of its server.
+func (e *Engine) learn(ended *attempt, outcome Outcome) {
+	from := ended.server
+	from.report(e.now, outcome.Load)
+	took := e.now.Sub(ended.started)
+	route := ended.call.request.route
+	switch outcome.Failure {
+	case NoFailure:
+		e.learnReply(ended, outcome, took)
+	case Refused:
+		from.fullUntil = e.now.Add(fullTime)
+	case OtherInstance:
+		from.replaced = true
+		e.emit(Noted{Server: from.Server, Belief: "server_replaced"})
+	case Aborted:
+		e.histogram(route).Observe(e.now, took)
+		from.observe(e.now, e.ratio(route, took))
+	case NotConnected, Broken, TimedOut:
+		from.failed(e.now)
+		e.emit(Noted{Server: from.Server, Belief: "server_suspected", Detail: outcome.Failure.String()})
+	}
+}
+
+func (e *Engine) learnReply(ended *attempt, outcome Outcome, took time.Duration) {
+	from := ended.server
+	if !outcome.Reply.Succeeded() {
+		from.failures++
+		if from.failures > toleratedFailures {
+			from.failed(e.now)
+			e.emit(Noted{Server: from.Server, Belief: "server_suspected", Detail: "error_replies"})
+		}
+		return
+	}
+	route := ended.call.request.route
+	from.observe(e.now, e.ratio(route, took))
+	e.histogram(route).Observe(e.now, took)
+	from.succeeded()
+}
+
+// toleratedFailures in a row are taken for the requests' fault.
+const toleratedFailures = 2
+
+// ratio is a time relative to the median of the route.
+func (e *Engine) ratio(route *routing.Route, took time.Duration) float64 {
+	typical := e.histogram(route).Quantile(0.5)
+	if typical <= 0 {
+		return 1
+	}
+	return float64(took) / float64(typical)
+}
--- /dev/null
+++ b/internal/scatter/doc.go
@@ -0,0 +1,19 @@
+// Package scatter decides how the requests of registered sites are answered:
+// which server of a service gets a request, when a second one is asked, and when
+// the answer is given. A request to one service has one call; a request that
+// gathers has one call for each shard.
+//
+// It is a deterministic state machine without I/O: Engine.Step takes the time
+// and an event and returns commands for the shell to carry out. One goroutine
+// owns an engine.
+//
+//	first attempt  at once, to the server with the least expected delay
+//	hedge          to another server once an attempt is out longer than most are
+//	retry          after a failure, if the request may run again or provably has
+//	               not run
+//	budget         hedges and retries of a service spend tokens that first
+//	               attempts earn, so that over all routers the arrivals beyond the
+//	               first stay below a share of the requests
+//	answer         when all parts are in; at the cut, when the parts that are in
+//	               suffice; as soon as success is impossible
+package scatter
--- /dev/null
+++ b/internal/scatter/events.go
@@ -0,0 +1,187 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// RequestID numbers a request within one engine.
+type RequestID uint64
+
+// AttemptID numbers an attempt within one engine; it is never used again.
+type AttemptID uint64
+
+// Event is an input of Engine.Step.
+type Event interface{ isEvent() }
+
+// Arrived submits a request.
+type Arrived struct {
+	ID RequestID
+	// Route is that of the document in force at arrival; its shards are those
+	// that the answer is made of.
+	Route *routing.Route
+	// Services are the shards, or the one service.
+	Services []string
+	// Deadline is when the answer is given at the latest.
+	Deadline time.Time
+	// Target is when an answer is still worth most; zero for none.
+	Target time.Time
+}
+
+// Ended is the end of an attempt; there is exactly one for each Send.
+type Ended struct {
+	Attempt AttemptID
+	Outcome Outcome
+}
+
+// ClientGone says that nobody waits for a request any more.
+type ClientGone struct{ Request RequestID }
+
+// ServersChanged tells of servers that are new or have changed.
+type ServersChanged struct{ Servers []Server }
+
+// ServersGone tells of servers that get no new work and are forgotten.
+type ServersGone struct{ IDs []string }
+
+// DocumentChanged tells of the services of a new document.
+type DocumentChanged struct{ Services []routing.Service }
+
+// RoutersCounted tells how many routers share the servers.
+type RoutersCounted struct{ Count int }
+
+// TimerFired says that the time of the last Wake has come.
+type TimerFired struct{}
+
+func (Arrived) isEvent()         {}
+func (Ended) isEvent()           {}
+func (ClientGone) isEvent()      {}
+func (ServersChanged) isEvent()  {}
+func (ServersGone) isEvent()     {}
+func (DocumentChanged) isEvent() {}
+func (RoutersCounted) isEvent()  {}
+func (TimerFired) isEvent()      {}
+
+// Server is one start of a server.
+type Server struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Leaving servers get no new work.
+	Leaving bool
+	// Missing servers are silent towards the directory; they get work only if
+	// there is no other.
+	Missing bool
+	// WarmAt is when the server is no longer slow from its start.
+	WarmAt time.Time
+}
+
+// Failure says in which way an attempt failed.
+type Failure uint8
+
+// Failures.
+const (
+	// NoFailure is a whole reply of the server, whatever its status.
+	NoFailure Failure = iota
+	// NotConnected: no connection came up; nothing was sent.
+	NotConnected
+	// Refused: the server says that it did not run the request.
+	Refused
+	// OtherInstance: another server answers at the address.
+	OtherInstance
+	// Broken: the connection or the answer broke off, or was no answer.
+	Broken
+	// TimedOut: the attempt's time was over.
+	TimedOut
+	// Aborted: the engine ended it.
+	Aborted
+)
+
+// String returns the failure in lower case, for logs.
+func (f Failure) String() string {
+	return [...]string{"none", "not_connected", "refused", "other_instance", "broken", "timed_out", "aborted"}[f]
+}
+
+// Outcome is what became of an attempt.
+type Outcome struct {
+	Failure Failure
+	Verdict verdict.Verdict
+	// Reply is set when the server answered as a whole.
+	Reply *message.Reply
+	Load  message.Load
+}
+
+// Command is an output of Engine.Step; the shell carries them out in order.
+type Command interface{ isCommand() }
+
+// Send sends one attempt.
+type Send struct {
+	Attempt AttemptID
+	Request RequestID
+	Server  Server
+	// Deadline is until when the server may work.
+	Deadline time.Time
+	// Extra says that it is not the first attempt of its call.
+	Extra bool
+}
+
+// Abort ends an attempt whose answer is not wanted any more. Its Ended follows.
+type Abort struct{ Attempt AttemptID }
+
+// Respond gives a request its one answer.
+type Respond struct {
+	Request RequestID
+	Result  Result
+}
+
+// Wake asks for TimerFired at a time; each replaces the one before.
+type Wake struct{ At time.Time }
+
+// Noted tells of a changed belief about a server, for the log.
+type Noted struct {
+	Server Server
+	Belief string
+	Detail string
+}
+
+func (Send) isCommand()    {}
+func (Abort) isCommand()   {}
+func (Respond) isCommand() {}
+func (Wake) isCommand()    {}
+func (Noted) isCommand()   {}
+
+// Result is the answer to a request.
+type Result struct {
+	// Parts are the replies that make up the answer: one for each shard that is
+	// in, or the one reply of a service. It is empty for a failure of the router's
+	// own.
+	Parts   []*message.Reply
+	Missing int
+	// Verdict and Reason are set when there are no parts.
+	Verdict verdict.Verdict
+	Reason  verdict.Reason
+	// RetryAfter is when a request that has not run may come back.
+	RetryAfter time.Duration
+	// Attempts and Extras count what was sent, and how much of it beyond the
+	// first of each call.
+	Attempts int
+	Extras   int
+	// Denied counts the extra attempts that the budget did not pay for.
+	Denied int
+	// Lacking tells of the first few calls without a part.
+	Lacking []Lack
+}
+
+// Lack is a call that brought no part.
+type Lack struct {
+	Service string
+	// Server is the one that was asked last; empty for none.
+	Server  string
+	Failure Failure
+	// Open says that an attempt was still out.
+	Open bool
+}
--- /dev/null
+++ b/internal/scatter/group.go
@@ -0,0 +1,105 @@
+package scatter
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// group is the servers of one service.
+type group struct {
+	service string
+	servers []*server
+	// connections bounds those to each server, of all routers together.
+	connections int
+	budget      extraBudget
+	// waiting are calls for which no server had room.
+	waiting []*call
+}
+
+// availability says why choose returned no server.
+type availability uint8
+
+const (
+	available availability = iota
+	// busy: all that may be used are at their limit.
+	busy
+	// absent: there is none.
+	absent
+)
+
+// spare is the part of a server's connections that no router counts on, for
+// those that are still closing.
+const spareConnections = 2
+
+// connectionLimit is this router's share of the connections to one server.
+func (g *group) connectionLimit(routers int) int {
+	if g.connections <= 0 {
+		return unlimitedConnections
+	}
+	return max(1, (g.connections-spareConnections)/max(1, routers))
+}
+
+const unlimitedConnections = 64
+
+// attemptLimit bounds this router's attempts at one server: what its slots take
+// and one that waits.
+func (g *group) attemptLimit(candidate *server, routers int) int {
+	return min(g.connectionLimit(routers), max(1, candidate.Slots)+1)
+}
+
+// choose returns the server with the least expected delay among those that were
+// not tried. Doubted servers are taken only if no other may be used.
+func (g *group) choose(now time.Time, tried []*server, view choiceView) (*server, availability) {
+	var best, bestDoubted *server
+	var bestCost, bestDoubtedCost float64
+	found := absent
+	for _, candidate := range g.servers {
+		if !candidate.usable() || slices.Contains(tried, candidate) {
+			continue
+		}
+		if len(candidate.inFlight) >= g.attemptLimit(candidate, view.routers) {
+			if !candidate.doubted(now) {
+				found = busy
+			}
+			continue
+		}
+		cost := candidate.cost(now, view.zone, view.stalledAfter) * (1 + jitter*view.random.Float64())
+		if candidate.doubted(now) {
+			if bestDoubted == nil || cost < bestDoubtedCost {
+				bestDoubted, bestDoubtedCost = candidate, cost
+			}
+			continue
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = candidate, cost
+		}
+	}
+	switch {
+	case best != nil:
+		return best, available
+	case found == busy:
+		return nil, busy
+	case bestDoubted != nil:
+		return bestDoubted, available
+	case g.anyUntried(tried):
+		return nil, busy
+	}
+	return nil, absent
+}
+
+// anyUntried reports whether a usable server is left, be it at its limit.
+func (g *group) anyUntried(tried []*server) bool {
+	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.usable() && !slices.Contains(tried, s) })
+}
+
+// jitter spreads equal costs, so that routers do not herd.
+const jitter = 0.15
+
+// choiceView is what a choice depends on beside the group.
+type choiceView struct {
+	zone         string
+	routers      int
+	stalledAfter time.Duration
+	random       *rand.Rand
+}
--- /dev/null
+++ b/internal/scatter/request.go
@@ -0,0 +1,261 @@
+package scatter
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// request is one request without an answer.
+type request struct {
+	id       RequestID
+	route    *routing.Route
+	deadline time.Time
+	// cut is when parts that suffice are answered with; zero for never.
+	cut      time.Time
+	calls    []*call
+	open     int
+	parts    int
+	attempts int
+	extras   int
+	denied   int
+	answered bool
+}
+
+// call is what a request asks of one service.
+type call struct {
+	request *request
+	group   *group
+	// tried are the servers that were sent to; live the attempts still out.
+	tried []*server
+	live  []*attempt
+	// unsent counts attempts that came to no connection.
+	unsent   int
+	settled  bool
+	waiting  bool
+	part     *message.Reply
+	verdicts []verdict.Verdict
+	last     Failure
+	// reply is the server's own failure, passed on if nothing better comes.
+	reply *message.Reply
+}
+
+// attempt is one message to one server.
+type attempt struct {
+	id      AttemptID
+	call    *call
+	server  *server
+	started time.Time
+	extra   bool
+}
+
+// Bounds of attempts.
+const (
+	// maxUnsent bounds the servers that a call tries to connect to in vain.
+	maxUnsent = 3
+	// abortGrace is how long an attempt that nobody waits for may go on: closing
+	// costs a connection, and most end sooner.
+	abortGrace = 250 * time.Millisecond
+	// cutMargin and cutShare are kept from the target for the way back.
+	cutMargin = 7 * time.Millisecond
+	cutShare  = 0.06
+)
+
+func (e *Engine) arrive(event Arrived) {
+	arrived := &request{id: event.ID, route: event.Route, deadline: event.Deadline, open: len(event.Services)}
+	if event.Route.Gathers() && !event.Target.IsZero() {
+		margin := max(cutMargin, time.Duration(cutShare*float64(event.Route.Target)))
+		arrived.cut = event.Target.Add(-margin)
+		e.timers.add(timer{at: arrived.cut, kind: timerCut, request: event.ID})
+	}
+	e.requests[event.ID] = arrived
+	e.timers.add(timer{at: event.Deadline, kind: timerDeadline, request: event.ID})
+	for _, service := range event.Services {
+		called := &call{request: arrived, group: e.group(service)}
+		arrived.calls = append(arrived.calls, called)
+	}
+	for _, called := range arrived.calls {
+		called.group.budget.earn(e.config.Budget, e.routers)
+		e.dispatch(called, false)
+	}
+	e.decide(arrived)
+}
+
+// dispatch sends an attempt of a call, lets it wait for room, or settles it when
+// there is no server.
+func (e *Engine) dispatch(called *call, extra bool) {
+	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
+	switch {
+	case found == available:
+		e.send(called, chosen, extra)
+	case found == busy && !called.waiting:
+		called.waiting = true
+		called.group.waiting = append(called.group.waiting, called)
+	case found == absent && len(called.live) == 0:
+		e.settle(called)
+	}
+}
+
+func (e *Engine) view(called *call) choiceView {
+	return choiceView{
+		zone: e.config.Zone, routers: e.routers, random: e.random,
+		stalledAfter: 2 * e.hedgeDelay(called.request.route),
+	}
+}
+
+func (e *Engine) send(called *call, chosen *server, extra bool) {
+	e.last++
+	sent := &attempt{id: e.last, call: called, server: chosen, started: e.now, extra: extra}
+	e.attempts[sent.id] = sent
+	chosen.inFlight[sent.id] = e.now
+	called.tried = append(called.tried, chosen)
+	called.live = append(called.live, sent)
+	waiting := called.request
+	waiting.attempts++
+	if extra {
+		waiting.extras++
+	}
+	e.emit(Send{Attempt: sent.id, Request: waiting.id, Server: chosen.Server, Deadline: waiting.deadline, Extra: extra})
+	if waiting.route.Repeatable && len(called.tried) < waiting.route.MaxAttempts {
+		e.timers.add(timer{at: e.now.Add(e.hedgeDelay(waiting.route)), kind: timerHedge, attempt: sent.id})
+	}
+}
+
+// end takes in the end of an attempt.
+func (e *Engine) end(event Ended) {
+	ended, known := e.attempts[event.Attempt]
+	if !known {
+		return
+	}
+	delete(e.attempts, event.Attempt)
+	delete(ended.server.inFlight, event.Attempt)
+	e.learn(ended, event.Outcome)
+	called := ended.call
+	called.live = slices.DeleteFunc(called.live, func(a *attempt) bool { return a == ended })
+	if !called.settled {
+		e.conclude(called, ended, event.Outcome)
+	}
+	e.serveGroup(ended.server.Service)
+}
+
+// conclude takes the outcome of an attempt into its open call.
+func (e *Engine) conclude(called *call, ended *attempt, outcome Outcome) {
+	called.verdicts = append(called.verdicts, outcome.Verdict)
+	called.last = outcome.Failure
+	if outcome.Failure == NoFailure && outcome.Reply.Succeeded() {
+		called.part = outcome.Reply
+		e.settle(called)
+		e.decide(called.request)
+		return
+	}
+	if outcome.Reply != nil && outcome.Failure == NoFailure {
+		called.reply = outcome.Reply
+	}
+	if outcome.Failure == NotConnected {
+		called.unsent++
+		called.request.attempts--
+	}
+	if len(called.live) == 0 {
+		e.retry(called, outcome)
+		e.decide(called.request)
+	}
+}
+
+// retry sends a call again after its last attempt failed, or settles it.
+func (e *Engine) retry(called *call, outcome Outcome) {
+	route := called.request.route
+	sent := len(called.tried) - called.unsent
+	mayRun := route.Repeatable || outcome.Verdict == verdict.NotRun
+	if !mayRun || sent >= max(1, route.MaxAttempts) || called.unsent > maxUnsent {
+		e.settle(called)
+		return
+	}
+	if sent > 0 && !e.pay(called, retryReserve) {
+		e.settle(called)
+		return
+	}
+	e.dispatch(called, sent > 0)
+}
+
+// Tokens that stay in the budget: a retry is known to be needed, a hedge only
+// likely to be.
+const (
+	retryReserve = 0
+	hedgeReserve = 1
+)
+
+func (e *Engine) pay(called *call, reserve float64) bool {
+	if called.group.budget.spend(reserve) {
+		return true
+	}
+	called.request.denied++
+	return false
+}
+
+// settle closes a call, with a part or without.
+func (e *Engine) settle(called *call) {
+	if called.settled {
+		return
+	}
+	called.settled, called.waiting = true, false
+	called.request.open--
+	if called.part != nil {
+		called.request.parts++
+	}
+	e.abortLater(called)
+}
+
+// abortLater lets attempts that nobody waits for end by themselves for a while.
+func (e *Engine) abortLater(called *call) {
+	for _, left := range called.live {
+		e.timers.add(timer{at: e.now.Add(abortGrace), kind: timerAbort, attempt: left.id})
+	}
+}
+
+// serveWaiting sends what waits wherever there is room now.
+func (e *Engine) serveWaiting() {
+	for _, service := range slices.Sorted(maps.Keys(e.groups)) {
+		e.serveGroup(service)
+	}
+}
+
+// serveGroup sends calls of a service that wait for room, first come first
+// served within the rank of their routes.
+func (e *Engine) serveGroup(service string) {
+	in := e.group(service)
+	if len(in.waiting) == 0 {
+		return
+	}
+	waiting := slices.DeleteFunc(in.waiting, func(c *call) bool { return !c.waiting })
+	slices.SortStableFunc(waiting, func(a, b *call) int { return a.request.route.Priority - b.request.route.Priority })
+	in.waiting = nil
+	for _, called := range waiting {
+		called.waiting = false
+		e.dispatch(called, len(called.tried) > called.unsent)
+		if called.settled {
+			e.decide(called.request)
+		}
+	}
+}
+
+// clientGone drops a request without an answer.
+func (e *Engine) clientGone(id RequestID) {
+	waiting, ok := e.requests[id]
+	if !ok {
+		return
+	}
+	e.close(waiting)
+}
+
+// close ends a request: its open calls are settled and nothing more is sent.
+func (e *Engine) close(closed *request) {
+	delete(e.requests, closed.id)
+	closed.answered = true
+	for _, called := range closed.calls {
+		e.settle(called)
+	}
+}
--- /dev/null
+++ b/internal/scatter/server.go
@@ -0,0 +1,135 @@
+package scatter
+
+import (
+	"time"
+
+	"github.com/martenstage/martenstage/internal/message"
+)
+
+// server is what the engine knows of one server.
+type server struct {
+	Server
+	// inFlight are the attempts of this router that have not ended.
+	inFlight map[AttemptID]time.Time
+	// others is the load by other routers that the server last reported.
+	others   int
+	reported time.Time
+	// pace is how long attempts take here, relative to their route's typical time.
+	pace     float64
+	observed time.Time
+	// failures in a row, and until when the server is avoided for them.
+	failures     int
+	suspectUntil time.Time
+	// fullUntil is until when it is avoided because it refused work.
+	fullUntil time.Time
+	// replaced says that another server answers at the address.
+	replaced bool
+}
+
+// Bounds of what is believed of a server.
+const (
+	firstSuspicion   = 250 * time.Millisecond
+	longestSuspicion = 4 * time.Second
+	fullTime         = 40 * time.Millisecond
+	// loadLifetime is the age at which a reported load counts no more.
+	loadLifetime = 400 * time.Millisecond
+	// paceHalfLife is the age at which a server's pace is half forgotten.
+	paceHalfLife = 3 * time.Second
+	paceWeight   = 0.25
+	slowestPace  = 30.0
+	fastestPace  = 0.4
+	// zoneCost makes servers in other zones dearer, coldCost those that warm up.
+	zoneCost = 1.25
+	coldCost = 1.5
+	// stalledCost makes a server dearer whose attempt is out for long.
+	stalledCost = 6.0
+)
+
+func newServer(told Server) *server {
+	return &server{Server: told, inFlight: make(map[AttemptID]time.Time), pace: 1}
+}
+
+// usable reports whether the server may get new work at all.
+func (s *server) usable() bool { return !s.Leaving && !s.replaced }
+
+// doubted reports whether it should get work only if there is no other.
+func (s *server) doubted(now time.Time) bool {
+	return s.Missing || now.Before(s.suspectUntil) || now.Before(s.fullUntil)
+}
+
+// load is the work that a new attempt would meet, by own count and what the
+// server reported, whose weight falls with its age.
+func (s *server) load(now time.Time) float64 {
+	load := float64(len(s.inFlight))
+	if age := now.Sub(s.reported); age < loadLifetime {
+		load += float64(s.others) * (1 - float64(age)/float64(loadLifetime))
+	}
+	return load
+}
+
+// cost is the expected delay of a new attempt in units of the typical time.
+func (s *server) cost(now time.Time, zone string, stalledAfter time.Duration) float64 {
+	slots := max(1, s.Slots)
+	cost := (s.load(now) + 1) / float64(slots)
+	cost = max(cost, 1/float64(slots)) * s.currentPace(now)
+	if s.Zone != zone {
+		cost *= zoneCost
+	}
+	if now.Before(s.WarmAt) {
+		cost *= coldCost
+	}
+	if s.oldest(now) > stalledAfter {
+		cost *= stalledCost
+	}
+	return cost
+}
+
+// oldest is how long the oldest attempt has been out.
+func (s *server) oldest(now time.Time) time.Duration {
+	var oldest time.Duration
+	for _, sent := range s.inFlight {
+		oldest = max(oldest, now.Sub(sent))
+	}
+	return oldest
+}
+
+// currentPace drifts back to 1, so that a server that was slow is tried again.
+func (s *server) currentPace(now time.Time) float64 {
+	age := now.Sub(s.observed)
+	if age <= 0 {
+		return s.pace
+	}
+	keep := float64(paceHalfLife) / float64(paceHalfLife+age)
+	return 1 + (s.pace-1)*keep
+}
+
+// observe takes in how long an attempt took, relative to the typical time.
+func (s *server) observe(now time.Time, ratio float64) {
+	ratio = min(max(ratio, fastestPace), slowestPace)
+	s.pace = s.currentPace(now)*(1-paceWeight) + ratio*paceWeight
+	s.observed = now
+}
+
+// succeeded ends all doubt.
+func (s *server) succeeded() {
+	s.failures, s.suspectUntil, s.fullUntil = 0, time.Time{}, time.Time{}
+}
+
+// failed makes the server avoided for a time that doubles with each failure.
+func (s *server) failed(now time.Time) {
+	pause := min(firstSuspicion<<min(s.failures, 5), longestSuspicion)
+	s.failures++
+	s.suspectUntil = now.Add(pause)
+}
+
+// report takes in the load that the server told with an answer.
+func (s *server) report(now time.Time, load message.Load) {
+	if !load.Known {
+		return
+	}
+	s.others = max(0, load.Running+load.Waiting-len(s.inFlight))
+	s.reported = now
+	if load.Slots > 0 {
+		s.Slots = load.Slots
+	}
+}
--- a/internal/settings/address.go
+++ b/internal/settings/address.go
@@ -30,3 +30,20 @@
 	}
 	return "; did you mean " + name + "?"
 }
+
+// WithPort returns addresses with their port replaced, unless the port is 0.
+func WithPort(addresses []string, port uint16) []string {
+	if port == 0 {
+		return addresses
+	}
+	replaced := make([]string, 0, len(addresses))
+	for _, text := range addresses {
+		address, err := ParseAddress(text)
+		if err != nil {
+			replaced = append(replaced, text)
+			continue
+		}
+		replaced = append(replaced, netip.AddrPortFrom(address.Addr(), port).String())
+	}
+	return replaced
+}
--- a/internal/voter/membership.go
+++ b/internal/voter/membership.go
@@ -21,11 +21,22 @@
 		return nil
 	}
 	if !known {
-		change := consensus.Change{Kind: consensus.AddLearner, ID: id, Address: address}
-		if err := v.changeUntilDone(ctx, change); err != nil {
-			return errors.Wrapf(err, "adding learner %d", id)
+		if err := v.AddLearner(ctx, id, address); err != nil {
+			return err
 		}
 	}
+	return v.Promote(ctx, id)
+}
+
+// AddLearner lets a machine receive the log without a vote.
+func (v *Voter) AddLearner(ctx context.Context, id uint64, address string) error {
+	change := consensus.Change{Kind: consensus.AddLearner, ID: id, Address: address}
+	return errors.Wrapf(v.changeUntilDone(ctx, change), "adding learner %d", id)
+}
+
+// Promote makes a learner a voter once its synced log covers the commit index,
+// within the context's time.
+func (v *Voter) Promote(ctx context.Context, id uint64) error {
 	err := v.changeUntilDone(ctx, consensus.Change{Kind: consensus.PromoteLearner, ID: id})
 	return errors.Wrapf(err, "promoting learner %d", id)
 }
