--- a/internal/directory/identity.go
+++ b/internal/directory/identity.go
@@ -52,12 +52,18 @@
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return errors.Wrap(err, "the data folder can't be made")
 	}
-	path := filepath.Join(folder, identityFile)
+	return replaceFile(folder, identityFile, data)
+}
+
+// replaceFile puts a file in the place of another so that after a loss of power
+// either of them is there whole.
+func replaceFile(folder, name string, data []byte) error {
+	path := filepath.Join(folder, name)
 	if err := writeSynced(path+".new", data); err != nil {
 		return err
 	}
 	if err := os.Rename(path+".new", path); err != nil {
-		return errors.Wrap(err, "the identity can't be put in place")
+		return errors.Wrapf(err, "%s can't be put in place", name)
 	}
 	return syncFolder(folder)
 }
@@ -65,7 +71,7 @@
 func writeSynced(path string, data []byte) error {
 	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o644)
 	if err != nil {
-		return errors.Wrap(err, "the identity can't be written")
+		return errors.Wrapf(err, "%s can't be written", path)
 	}
 	if _, err := file.Write(data); err != nil {
 		return errors.CombineErrors(err, file.Close())
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -69,6 +69,7 @@
 		return nil, err
 	}
 	node.member = member
+	node.restoreTable()
 	return node, nil
 }
 
@@ -83,7 +84,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		n.runJoining, n.runFormation, n.runSharing, n.runDepartures, n.runRecovery,
+		n.runJoining, n.runFormation, n.runSharing, n.runDepartures, n.runRecovery, n.runTableFile,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -48,7 +48,7 @@
 	return &follower{
 		gateway: gateway,
 		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
-		request: directory.FollowRequest{Gateway: gateway.config.Name + "/" + gateway.started.Format(time.RFC3339Nano)},
+		request: directory.FollowRequest{Gateway: gateway.config.Name},
 		servers: make(map[string]bool), departed: make(map[string]bool),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,9 @@
 	table    atomic.Pointer[routing.Table]
 	stopping atomic.Bool
 	// closing says that connections end with their next answer.
-	closing  atomic.Bool
+	closing atomic.Bool
+	// known is closed once there is a document.
+	known    chan struct{}
 	inFlight atomic.Int64
 	told     atomic.Uint64
 }
@@ -41,7 +43,8 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: time.Now(),
-		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
+		known: make(chan struct{}),
+		seed:  xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget})
@@ -67,7 +70,9 @@
 		before = table.Document().Version
 	}
 	g.loop.events <- scatter.DocumentChanged{Services: document.Services}
-	g.table.Store(routing.NewTable(document))
+	if g.table.Swap(routing.NewTable(document)) == nil {
+		close(g.known)
+	}
 	g.metrics.version.Set(float64(document.Version))
 	g.logger.WithFields(logrus.Fields{
 		"version": document.Version, "before": before, "routes": len(document.Routes), "from": from,
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -67,6 +67,10 @@
 	unreadyTime = 2300 * time.Millisecond
 	// stopMargin is kept from the grace for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// startPatience and startShare bound how long a request waits for the first
+	// document; the share is of the client's time.
+	startPatience = time.Second
+	startShare    = 2
 	// startRetry is when a client of a router without a document may come back.
 	startRetry = 200 * time.Millisecond
 )
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -33,7 +33,7 @@
 	if g.closing.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	table := g.table.Load()
+	table := state.awaitTable()
 	if table == nil {
 		state.refuse(http.StatusServiceUnavailable, verdict.ReasonNoLease, startRetry)
 		return
@@ -53,6 +53,31 @@
 	state.serve(table)
 }
 
+// awaitTable returns the table of the document in force. A router that has just
+// started waits for its first one, as long as the client does.
+func (s *exchangeState) awaitTable() *routing.Table {
+	if table := s.gateway.table.Load(); table != nil {
+		return table
+	}
+	patience := time.NewTimer(min(s.remaining()/startShare, startPatience))
+	defer patience.Stop()
+	select {
+	case <-s.gateway.known:
+	case <-patience.C:
+	case <-s.request.Context().Done():
+	}
+	return s.gateway.table.Load()
+}
+
+// remaining is how long the client waits from the arrival of its request.
+func (s *exchangeState) remaining() time.Duration {
+	remaining, given := s.gateway.config.Dialect.Remaining(s.request.Header)
+	if !given {
+		return defaultDeadline
+	}
+	return max(0, remaining-answerMargin)
+}
+
 // target is the path and query as the client sent them.
 func (s *exchangeState) target() string {
 	if target := s.request.RequestURI; len(target) > 0 && target[0] == '/' {
@@ -103,11 +128,7 @@
 
 // arrival sets the times that bound the request.
 func (s *exchangeState) arrival() scatter.Arrived {
-	remaining, given := s.gateway.config.Dialect.Remaining(s.request.Header)
-	if !given {
-		remaining = defaultDeadline
-	}
-	held := min(max(0, remaining-answerMargin), s.route.Timeout)
+	held := min(s.remaining(), s.route.Timeout)
 	arrived := scatter.Arrived{Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(held)}
 	if s.route.Target > 0 {
 		arrived.Target = s.arrived.Add(s.route.Target)
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -155,7 +155,7 @@
 		return
 	}
 	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
-	if found != available || chosen.doubted(e.now) || !e.pay(called, hedgeReserve) {
+	if found != available || chosen.doubted(e.now) || !chosen.free(e.now) || !e.pay(called, hedgeReserve) {
 		return
 	}
 	e.send(called, chosen, true)
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -14,6 +14,7 @@
 type request struct {
 	id       RequestID
 	route    *routing.Route
+	arrived  time.Time
 	deadline time.Time
 	// cut is when parts that suffice are answered with; zero for never.
 	cut      time.Time
@@ -34,9 +35,11 @@
 	tried []*server
 	live  []*attempt
 	// unsent counts attempts that came to no connection.
-	unsent   int
-	settled  bool
-	waiting  bool
+	unsent  int
+	settled bool
+	waiting bool
+	// skipped says that nothing was sent because no answer was to be had in time.
+	skipped  bool
 	part     *message.Reply
 	verdicts []verdict.Verdict
 	last     Failure
@@ -58,15 +61,18 @@
 	// maxUnsent bounds the servers that a call tries to connect to in vain.
 	maxUnsent = 3
 	// abortGrace is how long an attempt that nobody waits for may go on: closing
-	// costs a connection, and most end sooner.
-	abortGrace = 250 * time.Millisecond
+	// costs a connection, and most end sooner, but a queue of work without use
+	// makes other requests late.
+	abortGrace = 25 * time.Millisecond
+	// absentPatience is how long a call waits for a server to be known.
+	absentPatience = time.Second
 	// cutMargin and cutShare are kept from the target for the way back.
 	cutMargin = 7 * time.Millisecond
 	cutShare  = 0.06
 )
 
 func (e *Engine) arrive(event Arrived) {
-	arrived := &request{id: event.ID, route: event.Route, deadline: event.Deadline, open: len(event.Services)}
+	arrived := &request{id: event.ID, route: event.Route, arrived: e.now, deadline: event.Deadline, open: len(event.Services)}
 	if event.Route.Gathers() && !event.Target.IsZero() {
 		margin := max(cutMargin, time.Duration(cutShare*float64(event.Route.Target)))
 		arrived.cut = event.Target.Add(-margin)
@@ -90,13 +96,48 @@
 func (e *Engine) dispatch(called *call, extra bool) {
 	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
 	switch {
+	case found == available && e.hopeless(called, chosen):
+		called.skipped = true
+		e.settle(called)
 	case found == available:
 		e.send(called, chosen, extra)
-	case found == busy && !called.waiting:
-		called.waiting = true
-		called.group.waiting = append(called.group.waiting, called)
-	case found == absent && len(called.live) == 0:
-		e.settle(called)
+	case found == absent && (len(called.tried) > 0 || e.now.Sub(called.request.arrived) >= absentPatience):
+		if len(called.live) == 0 {
+			e.settle(called)
+		}
+	case !called.waiting:
+		e.await(called, found)
+	}
+}
+
+// hopeless reports whether the best server is so crowded that its part would
+// come after the cut, where the answer can do without it. Sending it would only
+// make the parts of others late.
+func (e *Engine) hopeless(called *call, chosen *server) bool {
+	waiting := called.request
+	if waiting.cut.IsZero() || !e.now.Before(waiting.cut) || chosen.free(e.now) {
+		return false
+	}
+	missing := 0
+	for _, other := range waiting.calls {
+		if other.settled && other.part == nil {
+			missing++
+		}
+	}
+	if share(len(waiting.calls)-missing-1, len(waiting.calls)) < waiting.route.LeastShare {
+		return false
+	}
+	typical := e.histogram(waiting.route).Quantile(0.5)
+	predicted := time.Duration(chosen.expected(e.now) * float64(typical))
+	return e.now.Add(predicted).After(waiting.cut)
+}
+
+// await lets a call wait for room, or for a server to be known.
+func (e *Engine) await(called *call, found availability) {
+	called.waiting = true
+	called.group.waiting = append(called.group.waiting, called)
+	if found == absent {
+		e.timers.add(timer{at: called.request.arrived.Add(absentPatience), kind: timerAbsent, service: called.group.service})
 	}
 }
 
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -41,6 +41,8 @@
 	// zoneCost makes servers in other zones dearer, coldCost those that warm up.
 	zoneCost = 1.25
 	coldCost = 1.5
+	// crowding is what each filled slot adds: the load of others is known late.
+	crowding = 0.2
 	// stalledCost makes a server dearer whose attempt is out for long.
 	stalledCost = 6.0
 )
@@ -67,23 +69,34 @@
 	return load
 }
 
-// cost is the expected delay of a new attempt in units of the typical time.
+// cost is the expected time of a new attempt in units of the typical time: the
+// work itself, and the wait for a slot if none is free.
 func (s *server) cost(now time.Time, zone string, stalledAfter time.Duration) float64 {
-	slots := max(1, s.Slots)
-	cost := (s.load(now) + 1) / float64(slots)
-	cost = max(cost, 1/float64(slots)) * s.currentPace(now)
+	cost := s.expected(now)
 	if s.Zone != zone {
 		cost *= zoneCost
 	}
-	if now.Before(s.WarmAt) {
-		cost *= coldCost
-	}
 	if s.oldest(now) > stalledAfter {
 		cost *= stalledCost
 	}
 	return cost
 }
 
+// expected is cost without what only makes a server less welcome.
+func (s *server) expected(now time.Time) float64 {
+	slots := float64(max(1, s.Slots))
+	load := s.load(now)
+	expected := 1 + crowding*load/slots + max(0, load+1-slots)/slots
+	expected *= s.currentPace(now)
+	if now.Before(s.WarmAt) {
+		expected *= coldCost
+	}
+	return expected
+}
+
+// free reports whether a slot is likely to be free.
+func (s *server) free(now time.Time) bool { return s.load(now) < float64(max(1, s.Slots)) }
+
 // oldest is how long the oldest attempt has been out.
 func (s *server) oldest(now time.Time) time.Duration {
 	var oldest time.Duration
--- a/internal/scatter/timers.go
+++ b/internal/scatter/timers.go
@@ -13,6 +13,7 @@
 	timerCut
 	timerDeadline
 	timerAbort
+	timerAbsent
 )
 
 // timer is one thing to look at later. Timers are never removed: one whose
@@ -22,6 +23,7 @@
 	kind    timerKind
 	request RequestID
 	attempt AttemptID
+	service string
 }
 
 type timerHeap []timer
