--- a/internal/scatter/budget.go
+++ b/internal/scatter/budget.go
@@ -14,18 +14,26 @@
 const (
 	usedRatio = 0.8
 	usedSlack = 0.6
+	// startSlack is what a router begins with, small enough for all routers to be
+	// started again in one window.
+	startSlack = 0.25
 )
 
 // extraBudget is this router's share of a service's budget: a bucket that first
-// attempts fill. A full bucket is a share of the slack, and it starts empty, so
-// that over any window all routers together, also those that were restarted in
-// it, send at most ratio × requests + slack.
+// attempts fill. A full bucket is a share of the slack, and it starts with little,
+// so that over any window all routers together, also those that were restarted
+// in it, send at most ratio × requests + slack.
 type extraBudget struct {
-	tokens float64
+	tokens  float64
+	started bool
 }
 
 // earn credits a first attempt.
 func (b *extraBudget) earn(limits BudgetLimits, routers int) {
+	if !b.started {
+		b.started = true
+		b.tokens = limits.Slack * startSlack / float64(max(1, routers))
+	}
 	b.tokens = min(b.tokens+limits.Ratio*usedRatio, limits.burst(routers))
 }
 
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -120,9 +120,9 @@
 
 // Hedge delays.
 const (
-	hedgeQuantile = 0.92
+	hedgeQuantile = 0.85
 	// hedgeFactor is put on the quantile, hedgeFloor under it.
-	hedgeFactor = 1.1
+	hedgeFactor = 1.0
 	hedgeFloor  = 4 * time.Millisecond
 	// minObservations is how many attempts of a route make its quantile count.
 	minObservations = 30
@@ -154,8 +154,8 @@
 	if len(called.live) > 1 || len(called.tried)-called.unsent >= route.MaxAttempts {
 		return
 	}
-	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
-	if found != available || chosen.doubted(e.now) || !chosen.free(e.now) || !e.pay(called, hedgeReserve) {
+	chosen, found := called.group.choose(e.now, called.tried, e.view())
+	if found != available || chosen.doubted(e.now) || !e.pay(called, hedgeReserve) {
 		return
 	}
 	e.send(called, chosen, true)
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -64,7 +64,7 @@
 			}
 			continue
 		}
-		cost := candidate.cost(now, view.zone, view.stalledAfter) * (1 + jitter*view.random.Float64())
+		cost := candidate.cost(now, view.zone) * (1 + jitter*view.random.Float64())
 		if candidate.doubted(now) {
 			if bestDoubted == nil || cost < bestDoubtedCost {
 				bestDoubted, bestDoubtedCost = candidate, cost
@@ -98,8 +98,7 @@
 
 // choiceView is what a choice depends on beside the group.
 type choiceView struct {
-	zone         string
-	routers      int
-	stalledAfter time.Duration
-	random       *rand.Rand
+	zone    string
+	routers int
+	random  *rand.Rand
 }
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -35,11 +35,9 @@
 	tried []*server
 	live  []*attempt
 	// unsent counts attempts that came to no connection.
-	unsent  int
-	settled bool
-	waiting bool
-	// skipped says that nothing was sent because no answer was to be had in time.
-	skipped  bool
+	unsent   int
+	settled  bool
+	waiting  bool
 	part     *message.Reply
 	verdicts []verdict.Verdict
 	last     Failure
@@ -60,10 +58,11 @@
 const (
 	// maxUnsent bounds the servers that a call tries to connect to in vain.
 	maxUnsent = 3
-	// abortGrace is how long an attempt that nobody waits for may go on: closing
-	// costs a connection, and most end sooner, but a queue of work without use
-	// makes other requests late.
-	abortGrace = 25 * time.Millisecond
+	// An attempt that nobody waits for may go on for a while: closing costs a
+	// connection, and most end sooner. At a crowded server its work without use
+	// makes others late, so that it ends soon.
+	abortGrace        = 150 * time.Millisecond
+	abortGraceCrowded = 20 * time.Millisecond
 	// absentPatience is how long a call waits for a server to be known.
 	absentPatience = time.Second
 	// cutMargin and cutShare are kept from the target for the way back.
@@ -94,11 +93,8 @@
 // dispatch sends an attempt of a call, lets it wait for room, or settles it when
 // there is no server.
 func (e *Engine) dispatch(called *call, extra bool) {
-	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
+	chosen, found := called.group.choose(e.now, called.tried, e.view())
 	switch {
-	case found == available && e.hopeless(called, chosen):
-		called.skipped = true
-		e.settle(called)
 	case found == available:
 		e.send(called, chosen, extra)
 	case found == absent && (len(called.tried) > 0 || e.now.Sub(called.request.arrived) >= absentPatience):
@@ -110,28 +106,6 @@
 	}
 }
 
-// hopeless reports whether the best server is so crowded that its part would
-// come after the cut, where the answer can do without it. Sending it would only
-// make the parts of others late.
-func (e *Engine) hopeless(called *call, chosen *server) bool {
-	waiting := called.request
-	if waiting.cut.IsZero() || !e.now.Before(waiting.cut) || chosen.free(e.now) {
-		return false
-	}
-	missing := 0
-	for _, other := range waiting.calls {
-		if other.settled && other.part == nil {
-			missing++
-		}
-	}
-	if share(len(waiting.calls)-missing-1, len(waiting.calls)) < waiting.route.LeastShare {
-		return false
-	}
-	typical := e.histogram(waiting.route).Quantile(0.5)
-	predicted := time.Duration(chosen.expected(e.now) * float64(typical))
-	return e.now.Add(predicted).After(waiting.cut)
-}
-
 // await lets a call wait for room, or for a server to be known.
 func (e *Engine) await(called *call, found availability) {
 	called.waiting = true
@@ -141,18 +115,15 @@
 	}
 }
 
-func (e *Engine) view(called *call) choiceView {
-	return choiceView{
-		zone: e.config.Zone, routers: e.routers, random: e.random,
-		stalledAfter: 2 * e.hedgeDelay(called.request.route),
-	}
+func (e *Engine) view() choiceView {
+	return choiceView{zone: e.config.Zone, routers: e.routers, random: e.random}
 }
 
 func (e *Engine) send(called *call, chosen *server, extra bool) {
 	e.last++
 	sent := &attempt{id: e.last, call: called, server: chosen, started: e.now, extra: extra}
 	e.attempts[sent.id] = sent
-	chosen.inFlight[sent.id] = e.now
+	chosen.inFlight[sent.id] = e.now.Add(e.hedgeDelay(called.request.route))
 	called.tried = append(called.tried, chosen)
 	called.live = append(called.live, sent)
 	waiting := called.request
@@ -253,7 +224,11 @@
 // abortLater lets attempts that nobody waits for end by themselves for a while.
 func (e *Engine) abortLater(called *call) {
 	for _, left := range called.live {
-		e.timers.add(timer{at: e.now.Add(abortGrace), kind: timerAbort, attempt: left.id})
+		grace := abortGrace
+		if left.server.crowded(e.now) {
+			grace = abortGraceCrowded
+		}
+		e.timers.add(timer{at: e.now.Add(grace), kind: timerAbort, attempt: left.id})
 	}
 }
 
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -9,7 +9,8 @@
 // server is what the engine knows of one server.
 type server struct {
 	Server
-	// inFlight are the attempts of this router that have not ended.
+	// inFlight are the attempts of this router that have not ended, with the time
+	// by which most of their route have.
 	inFlight map[AttemptID]time.Time
 	// others is the load by other routers that the server last reported.
 	others   int
@@ -41,8 +42,6 @@
 	// zoneCost makes servers in other zones dearer, coldCost those that warm up.
 	zoneCost = 1.25
 	coldCost = 1.5
-	// crowding is what each filled slot adds: the load of others is known late.
-	crowding = 0.2
 	// stalledCost makes a server dearer whose attempt is out for long.
 	stalledCost = 6.0
 )
@@ -71,12 +70,12 @@
 
 // cost is the expected time of a new attempt in units of the typical time: the
 // work itself, and the wait for a slot if none is free.
-func (s *server) cost(now time.Time, zone string, stalledAfter time.Duration) float64 {
+func (s *server) cost(now time.Time, zone string) float64 {
 	cost := s.expected(now)
 	if s.Zone != zone {
 		cost *= zoneCost
 	}
-	if s.oldest(now) > stalledAfter {
+	if s.stalled(now) {
 		cost *= stalledCost
 	}
 	return cost
@@ -86,7 +85,7 @@
 func (s *server) expected(now time.Time) float64 {
 	slots := float64(max(1, s.Slots))
 	load := s.load(now)
-	expected := 1 + crowding*load/slots + max(0, load+1-slots)/slots
+	expected := max(1, load+1) / slots
 	expected *= s.currentPace(now)
 	if now.Before(s.WarmAt) {
 		expected *= coldCost
@@ -94,18 +93,20 @@
 	return expected
 }
 
-// free reports whether a slot is likely to be free.
-func (s *server) free(now time.Time) bool { return s.load(now) < float64(max(1, s.Slots)) }
-
-// oldest is how long the oldest attempt has been out.
-func (s *server) oldest(now time.Time) time.Duration {
-	var oldest time.Duration
-	for _, sent := range s.inFlight {
-		oldest = max(oldest, now.Sub(sent))
+// stalled reports whether an attempt is out for longer than most of its route
+// are, so that the server is likely to pause.
+func (s *server) stalled(now time.Time) bool {
+	for _, expected := range s.inFlight {
+		if now.After(expected) {
+			return true
+		}
 	}
-	return oldest
+	return false
 }
 
+// crowded reports whether work is likely to wait for a slot.
+func (s *server) crowded(now time.Time) bool { return s.load(now) > float64(max(1, s.Slots)) }
+
 // currentPace drifts back to 1, so that a server that was slow is tried again.
 func (s *server) currentPace(now time.Time) float64 {
 	age := now.Sub(s.observed)
