--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -172,32 +172,44 @@
 		e.learnReply(ended, outcome, took)
 	case Refused:
 		from.fullUntil = e.now.Add(fullTime)
+		e.timers.add(timer{at: from.fullUntil, kind: timerRoom, service: from.Service})
 	case OtherInstance:
 		from.replaced = true
 		e.emit(Noted{Server: from.Server, Belief: "server_replaced"})
 	case Aborted:
 		e.histogram(route).Observe(e.now, took)
 		from.observe(e.now, e.ratio(route, took))
+		if from.heard.Before(ended.started) {
+			// Silent for all that time: it pauses, or is gone.
+			e.suspect(ended, outcome.Failure.String())
+		}
 	case NotConnected, Broken, TimedOut:
-		from.failed(e.now)
-		e.emit(Noted{Server: from.Server, Belief: "server_suspected", Detail: outcome.Failure.String()})
+		e.suspect(ended, outcome.Failure.String())
 	}
 }
 
 func (e *Engine) learnReply(ended *attempt, outcome Outcome, took time.Duration) {
 	from := ended.server
 	if !outcome.Reply.Succeeded() {
-		from.failures++
-		if from.failures > toleratedFailures {
-			from.failed(e.now)
-			e.emit(Noted{Server: from.Server, Belief: "server_suspected", Detail: "error_replies"})
+		from.errors++
+		if from.errors > toleratedFailures {
+			e.suspect(ended, "error_replies")
 		}
 		return
 	}
 	route := ended.call.request.route
 	from.observe(e.now, e.ratio(route, took))
 	e.histogram(route).Observe(e.now, took)
-	from.succeeded()
+	from.succeeded(e.now)
+}
+
+// suspect makes the server of an attempt avoided for a while.
+func (e *Engine) suspect(ended *attempt, detail string) {
+	before := ended.server.suspectUntil
+	ended.server.failed(e.now, ended.started)
+	if ended.server.suspectUntil != before {
+		e.emit(Noted{Server: ended.server.Server, Belief: "server_suspected", Detail: detail})
+	}
 }
 
 // toleratedFailures in a row are taken for the requests' fault.
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -107,7 +107,7 @@
 			if _, out := e.attempts[due.attempt]; out {
 				e.emit(Abort{Attempt: due.attempt})
 			}
-		case timerAbsent:
+		case timerRoom:
 			e.serveGroup(due.service)
 		case timerCut, timerDeadline:
 			if waiting, ok := e.requests[due.request]; ok {
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -58,7 +58,7 @@
 		if !candidate.usable() || slices.Contains(tried, candidate) {
 			continue
 		}
-		if len(candidate.inFlight) >= g.attemptLimit(candidate, view.routers) {
+		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(candidate, view.routers) {
 			if !candidate.doubted(now) {
 				found = busy
 			}
@@ -88,6 +88,11 @@
 	return nil, absent
 }
 
+// full reports whether some server has just refused work for want of room.
+func (g *group) full(now time.Time) bool {
+	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.usable() && s.full(now) })
+}
+
 // anyUntried reports whether a usable server is left, be it at its limit.
 func (g *group) anyUntried(tried []*server) bool {
 	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.usable() && !slices.Contains(tried, s) })
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -86,6 +86,7 @@
 	for _, called := range arrived.calls {
 		called.group.budget.earn(e.config.Budget, e.routers)
 		e.dispatch(called, false)
+		e.serveGroup(called.group.service)
 	}
 	e.decide(arrived)
 }
@@ -101,17 +102,36 @@
 		if len(called.live) == 0 {
 			e.settle(called)
 		}
+	case found == busy && e.canSpare(called):
+		e.settle(called)
 	case !called.waiting:
 		e.await(called, found)
 	}
 }
 
+// canSpare reports whether a shard whose servers just refused work for want of
+// room can be left out of an answer, so that what it still does goes to requests
+// that need it.
+func (e *Engine) canSpare(called *call) bool {
+	waiting := called.request
+	if !waiting.route.Gathers() || !called.group.full(e.now) {
+		return false
+	}
+	missing := 0
+	for _, other := range waiting.calls {
+		if other.settled && other.part == nil {
+			missing++
+		}
+	}
+	return share(len(waiting.calls)-missing-1, len(waiting.calls)) >= waiting.route.LeastShare
+}
+
 // await lets a call wait for room, or for a server to be known.
 func (e *Engine) await(called *call, found availability) {
 	called.waiting = true
 	called.group.waiting = append(called.group.waiting, called)
 	if found == absent {
-		e.timers.add(timer{at: called.request.arrived.Add(absentPatience), kind: timerAbsent, service: called.group.service})
+		e.timers.add(timer{at: called.request.arrived.Add(absentPatience), kind: timerRoom, service: called.group.service})
 	}
 }
 
@@ -186,11 +206,26 @@
 		e.settle(called)
 		return
 	}
-	if sent > 0 && !e.pay(called, retryReserve) {
-		e.settle(called)
+	e.dispatchExtra(called, sent > 0)
+}
+
+// dispatchExtra is dispatch of a retry. One that the budget does not pay for yet
+// waits until first attempts have earned it.
+func (e *Engine) dispatchExtra(called *call, extra bool) {
+	if !extra {
+		e.dispatch(called, false)
 		return
 	}
-	e.dispatch(called, sent > 0)
+	_, found := called.group.choose(e.now, called.tried, e.view())
+	switch {
+	case found == absent || found == busy && e.canSpare(called):
+		e.settle(called)
+	case found == busy || !called.group.budget.spend(retryReserve):
+		called.waiting = true
+		called.group.waiting = append(called.group.waiting, called)
+	default:
+		e.dispatch(called, true)
+	}
 }
 
 // Tokens that stay in the budget: a retry is known to be needed, a hedge only
@@ -251,7 +286,7 @@
 	in.waiting = nil
 	for _, called := range waiting {
 		called.waiting = false
-		e.dispatch(called, len(called.tried) > called.unsent)
+		e.dispatchExtra(called, len(called.tried) > called.unsent)
 		if called.settled {
 			e.decide(called.request)
 		}
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -18,8 +18,13 @@
 	// pace is how long attempts take here, relative to their route's typical time.
 	pace     float64
 	observed time.Time
+	// heard is when the last good answer came.
+	heard time.Time
 	// failures in a row, and until when the server is avoided for them.
-	failures     int
+	failures int
+	// errors are failures in a row that the server itself answered with.
+	errors       int
+	suspectedAt  time.Time
 	suspectUntil time.Time
 	// fullUntil is until when it is avoided because it refused work.
 	fullUntil time.Time
@@ -54,9 +59,10 @@
 func (s *server) usable() bool { return !s.Leaving && !s.replaced }
 
 // doubted reports whether it should get work only if there is no other.
-func (s *server) doubted(now time.Time) bool {
-	return s.Missing || now.Before(s.suspectUntil) || now.Before(s.fullUntil)
-}
+func (s *server) doubted(now time.Time) bool { return s.Missing || now.Before(s.suspectUntil) }
+
+// full reports whether it has just refused work for want of room.
+func (s *server) full(now time.Time) bool { return now.Before(s.fullUntil) }
 
 // load is the work that a new attempt would meet, by own count and what the
 // server reported, whose weight falls with its age.
@@ -125,15 +131,21 @@
 }
 
 // succeeded ends all doubt.
-func (s *server) succeeded() {
+func (s *server) succeeded(now time.Time) {
+	s.heard = now
+	s.errors = 0
 	s.failures, s.suspectUntil, s.fullUntil = 0, time.Time{}, time.Time{}
 }
 
 // failed makes the server avoided for a time that doubles with each failure.
-func (s *server) failed(now time.Time) {
+// Attempts that were out together fail together; they count once.
+func (s *server) failed(now, started time.Time) {
+	if started.Before(s.suspectedAt) {
+		return
+	}
 	pause := min(firstSuspicion<<min(s.failures, 5), longestSuspicion)
 	s.failures++
-	s.suspectUntil = now.Add(pause)
+	s.suspectedAt, s.suspectUntil = now, now.Add(pause)
 }
 
 // report takes in the load that the server told with an answer.
--- a/internal/scatter/timers.go
+++ b/internal/scatter/timers.go
@@ -13,7 +13,7 @@
 	timerCut
 	timerDeadline
 	timerAbort
-	timerAbsent
+	timerRoom
 )
 
 // timer is one thing to look at later. Timers are never removed: one whose
