--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -67,8 +67,13 @@
 		return scatter.Outcome{Failure: scatter.Aborted, Verdict: verdict.NotRun}
 	}
 	_ = used.SetDeadline(a.deadline.Add(replyGrace))
+	unproved := !used.proved
 	written := a.write(used)
 	outcome, reusable := a.read(used)
+	if unproved && outcome.Failure == scatter.Broken && used.read == 0 {
+		outcome.Failure = scatter.Unaccepted
+	}
+	used.proved = true
 	if !a.release() {
 		reusable = false
 		if outcome.Failure != scatter.NoFailure {
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -15,6 +15,9 @@
 	reader *bufio.Reader
 	// idleUntil is when the server may close it; zero if it did not say.
 	idleUntil time.Time
+	// proved says that it has carried an answer; read counts the bytes that came.
+	proved bool
+	read   int
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
 }
@@ -22,7 +25,16 @@
 const readBufferBytes = 4 << 10
 
 func newConnection(dialed net.Conn) *connection {
-	return &connection{Conn: dialed, reader: bufio.NewReaderSize(dialed, readBufferBytes)}
+	made := &connection{Conn: dialed}
+	made.reader = bufio.NewReaderSize(made, readBufferBytes)
+	return made
+}
+
+// Read counts the bytes that came.
+func (c *connection) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.read += count
+	return count, err
 }
 
 // Idle times of connections whose server did not say when it closes them, and
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,8 @@
 	running.Go(func() { g.loop.run(duties) })
 	running.Go(func() { newFollower(g).run(duties) })
 	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
+		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
+		ConnContext: withConnection,
 	}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(clients) }()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -131,7 +131,7 @@
 	held := min(s.remaining(), s.route.Timeout)
 	arrived := scatter.Arrived{Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(held)}
 	if s.route.Target > 0 {
-		arrived.Target = s.arrived.Add(s.route.Target)
+		arrived.Target = s.arrived.Add(s.route.Target - s.away())
 	}
 	if !s.route.Gathers() {
 		arrived.Services = []string{s.route.ServiceOf(s.id)}
@@ -139,6 +139,15 @@
 	return arrived
 }
 
+// away is how much of the client's waiting is spent outside of this router.
+func (s *exchangeState) away() time.Duration {
+	connection, ok := s.request.Context().Value(clientConnectionKey{}).(*clientConnection)
+	if !ok {
+		return unknownRoundTrip
+	}
+	return connection.away()
+}
+
 // answer writes the result of a request.
 func (s *exchangeState) answer(result scatter.Result) {
 	switch {
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -173,6 +173,9 @@
 	case Refused:
 		from.fullUntil = e.now.Add(fullTime)
 		e.timers.add(timer{at: from.fullUntil, kind: timerRoom, service: from.Service})
+	case Unaccepted:
+		from.overConnected(e.now)
+		e.timers.add(timer{at: from.fullUntil, kind: timerRoom, service: from.Service})
 	case OtherInstance:
 		from.replaced = true
 		e.emit(Noted{Server: from.Server, Belief: "server_replaced"})
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -186,7 +186,7 @@
 // failureReason names a failure towards the log.
 func failureReason(failure Failure) verdict.Reason {
 	switch failure {
-	case NotConnected, Broken:
+	case NotConnected, Unaccepted, Broken:
 		return verdict.ReasonConnection
 	case Refused:
 		return verdict.ReasonOverloaded
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -93,6 +93,9 @@
 	Refused
 	// OtherInstance: another server answers at the address.
 	OtherInstance
+	// Unaccepted: a new connection was reset before anything was answered, as
+	// servers do beyond their limit of connections.
+	Unaccepted
 	// Broken: the connection or the answer broke off, or was no answer.
 	Broken
 	// TimedOut: the attempt's time was over.
@@ -103,7 +106,7 @@
 
 // String returns the failure in lower case, for logs.
 func (f Failure) String() string {
-	return [...]string{"none", "not_connected", "refused", "other_instance", "broken", "timed_out", "aborted"}[f]
+	return [...]string{"none", "not_connected", "refused", "other_instance", "unaccepted", "broken", "timed_out", "aborted"}[f]
 }
 
 // Outcome is what became of an attempt.
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -44,8 +44,12 @@
 
 // attemptLimit bounds this router's attempts at one server: what its slots take
 // and one that waits.
-func (g *group) attemptLimit(candidate *server, routers int) int {
-	return min(g.connectionLimit(routers), max(1, candidate.Slots)+1)
+func (g *group) attemptLimit(now time.Time, candidate *server, routers int) int {
+	limit := min(g.connectionLimit(routers), max(1, candidate.Slots)+1)
+	if now.Before(candidate.connectionsUntil) {
+		limit = min(limit, candidate.connections)
+	}
+	return limit
 }
 
 // choose returns the server with the least expected delay among those that were
@@ -58,7 +62,7 @@
 		if !candidate.usable() || slices.Contains(tried, candidate) {
 			continue
 		}
-		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(candidate, view.routers) {
+		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(now, candidate, view.routers) {
 			if !candidate.doubted(now) {
 				found = busy
 			}
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -65,9 +65,9 @@
 	abortGraceCrowded = 20 * time.Millisecond
 	// absentPatience is how long a call waits for a server to be known.
 	absentPatience = time.Second
-	// cutMargin and cutShare are kept from the target for the way back.
-	cutMargin = 7 * time.Millisecond
-	cutShare  = 0.06
+	// cutMargin and cutShare are kept from the target for merging and writing.
+	cutMargin = 3 * time.Millisecond
+	cutShare  = 0.02
 )
 
 func (e *Engine) arrive(event Arrived) {
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -28,6 +28,10 @@
 	suspectUntil time.Time
 	// fullUntil is until when it is avoided because it refused work.
 	fullUntil time.Time
+	// connections bounds the attempts until a time, because the server reset
+	// connections beyond them.
+	connections      int
+	connectionsUntil time.Time
 	// replaced says that another server answers at the address.
 	replaced bool
 }
@@ -37,6 +41,8 @@
 	firstSuspicion   = 250 * time.Millisecond
 	longestSuspicion = 4 * time.Second
 	fullTime         = 40 * time.Millisecond
+	// connectionPause is how long a server that reset new connections gets no more.
+	connectionPause = time.Second
 	// loadLifetime is the age at which a reported load counts no more.
 	loadLifetime = 400 * time.Millisecond
 	// paceHalfLife is the age at which a server's pace is half forgotten.
@@ -148,6 +154,15 @@
 	s.suspectedAt, s.suspectUntil = now, now.Add(pause)
 }
 
+// overConnected takes in that the server has more connections than it accepts:
+// this router makes do with those that work until others had time to close
+// theirs.
+func (s *server) overConnected(now time.Time) {
+	s.connections = max(1, len(s.inFlight))
+	s.connectionsUntil = now.Add(connectionPause)
+	s.fullUntil = now.Add(fullTime)
+}
+
 // report takes in the load that the server told with an answer.
 func (s *server) report(now time.Time, load message.Load) {
 	if !load.Known {
