--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -61,10 +61,19 @@
 			replies <- reply
 		}()
 	}
+	removed := false
+	var group []string
 	for range asked {
-		if reply := <-replies; reply.Removed && request.ID == n.member.id() {
-			n.startOver(request.ID)
-		}
+		reply := <-replies
+		removed = removed || reply.Removed
+		group = append(group, reply.Group...)
+	}
+	// The leader may be none of those that were asked; the next round asks it.
+	n.mutex.Lock()
+	n.told = lo.Uniq(group)
+	n.mutex.Unlock()
+	if removed {
+		n.startOver(request.ID)
 	}
 }
 
@@ -76,6 +85,9 @@
 func (n *Node) joinTargets() []string {
 	known := append(n.peerAddresses(), *n.seeds.Load()...)
 	known = append(known, n.member.knownGroup()...)
+	n.mutex.Lock()
+	known = append(slices.Clone(n.told), known...)
+	n.mutex.Unlock()
 	return lo.Without(lo.Uniq(known), n.config.PeerAddress, "")
 }
 
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -36,6 +36,8 @@
 	beats      map[string]bool
 	gateways   map[string]time.Time
 	candidates map[string]candidate
+	// told are the members that other nodes named to this one, which is none.
+	told []string
 	// refused holds ids that can't be members any more.
 	refused map[uint64]bool
 	// silentSince is when the leader last heard a member.
@@ -115,6 +117,17 @@
 // Leads reports whether this node believes that it leads.
 func (n *Node) Leads() bool { return n.status().Role == consensus.Leader }
 
+// Voters returns the peer addresses of the voters as this node knows them.
+func (n *Node) Voters() map[string]bool {
+	voters := map[string]bool{}
+	for _, member := range n.status().Members {
+		if !member.Learner {
+			voters[member.Address] = true
+		}
+	}
+	return voters
+}
+
 // inGroup reports whether the node hears a leader, so that what it tells routers
 // is at most about an election timeout old.
 func (n *Node) inGroup() bool {
--- /dev/null
+++ b/internal/directory/node_test.go
@@ -0,0 +1,159 @@
+package directory_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+func TestSeedsFormAGroupThatOthersJoin(t *testing.T) {
+	c := newCluster(t, 5)
+	c.startAll(true)
+	c.everywhere("not five voters", c.hasVoters(0, 1, 2, 3, 4))
+	c.put(document(1, "first"))
+	c.everywhere("not read", c.reads(document(1, "first")))
+}
+
+func TestHighestVersionWins(t *testing.T) {
+	c := newCluster(t, 1)
+	c.startAll(true)
+	node := c.nodes[0]
+	c.put(document(5, "five"))
+	ctx := context.Background()
+	require.NoError(t, node.Put(ctx, document(5, "five")), "sent again")
+	require.NoError(t, node.Put(ctx, document(5, "other content under the held version")))
+	require.NoError(t, node.Put(ctx, document(3, "an older one arrives once more")))
+	_, text, err := node.Read(ctx)
+	require.NoError(t, err)
+	require.Equal(t, string(document(5, "five")), string(text))
+
+	var invalid *routing.InvalidError
+	require.ErrorAs(t, node.Put(ctx, []byte("no document")), &invalid)
+	require.NoError(t, node.Put(ctx, document(9, "nine")))
+	_, text, err = node.Read(ctx)
+	require.NoError(t, err)
+	require.Equal(t, string(document(9, "nine")), string(text))
+}
+
+func TestWhatWasAcknowledgedSurvivesTheLossOfTwoDisks(t *testing.T) {
+	c := newCluster(t, 5)
+	c.startAll(true)
+	c.put(document(1, "first"))
+	c.everywhere("not five voters", c.hasVoters(0, 1, 2, 3, 4))
+	c.put(document(2, "kept"))
+	for index := range c.nodes {
+		c.stop(index)
+	}
+	c.wipe(0)
+	c.wipe(1)
+	c.startAll(false)
+	c.everywhere("lost", c.reads(document(2, "kept")))
+	c.everywhere("the wiped nodes are no voters again", c.hasVoters(0, 1, 2, 3, 4))
+}
+
+func TestNodeAtAnotherAddressTakesThePlaceOfOneThatIsGone(t *testing.T) {
+	c := newCluster(t, 6)
+	for index := range 5 {
+		c.start(index, true)
+	}
+	c.everywhere("not five voters", c.hasVoters(0, 1, 2, 3, 4))
+	c.put(document(1, "kept"))
+	c.stop(0)
+	c.start(5, false)
+	c.everywhere("not replaced", c.hasVoters(1, 2, 3, 4, 5))
+	c.everywhere("not read", c.reads(document(1, "kept")))
+
+	// The one that was replaced returns, and is told so.
+	c.start(0, false)
+	c.stop(1)
+	c.everywhere("did not join again", c.hasVoters(0, 2, 3, 4, 5))
+	c.everywhere("not read", c.reads(document(1, "kept")))
+}
+
+func TestMinorityNeitherAcknowledgesNorReads(t *testing.T) {
+	c := newCluster(t, 5)
+	c.startAll(true)
+	c.everywhere("not five voters", c.hasVoters(0, 1, 2, 3, 4))
+	c.put(document(1, "kept"))
+	for index := range 3 {
+		c.stop(index)
+	}
+	c.everywhere("a leader without a quorum goes on", func(node *runningNode) bool {
+		_, _, err := node.Read(context.Background())
+		return err != nil
+	})
+	ctx := context.Background()
+	require.ErrorIs(t, c.nodes[3].Put(ctx, document(2, "not taken")), directory.ErrUnavailable)
+	require.ErrorIs(t, c.nodes[4].Heartbeat(ctx, instance("i1", "s", registry.Leaving, 2)), directory.ErrUnavailable)
+	require.NoError(t, c.nodes[4].Heartbeat(ctx, instance("i2", "s", registry.Ready, 2)))
+	c.everywhere("routers are told what may be old", func(node *runningNode) bool {
+		_, err := node.Follow(ctx, directory.FollowRequest{Gateway: "test"})
+		return err != nil
+	})
+}
+
+func TestHeartbeatAtOneNodeIsKnownEverywhere(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll(true)
+	ctx := context.Background()
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
+	c.everywhere("not known", func(node *runningNode) bool { return stateAt(node, "i1") == registry.Ready })
+	c.eventually("leaving is not acknowledged", func(node *runningNode) bool {
+		return node.Heartbeat(ctx, instance("i1", "s", registry.Leaving, 2)) == nil
+	})
+	c.everywhere("leaving is not known", func(node *runningNode) bool { return stateAt(node, "i1") == registry.Leaving })
+	require.NoError(t, c.nodes[1].Heartbeat(ctx, instance("i1", "s", registry.Ready, 9)))
+	require.Equal(t, registry.Leaving, stateAt(c.nodes[1], "i1"), "leaving was taken back")
+}
+
+func TestDeparturesAndServersSurviveARestartOfAll(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll(true)
+	ctx := context.Background()
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i2", "s", registry.Ready, 1)))
+	c.eventually("not acknowledged", func(node *runningNode) bool { return node.Depart(ctx, "i2") == nil })
+	c.everywhere("not known", func(node *runningNode) bool { return stateAt(node, "i1") == registry.Ready })
+	// The table is written a little later.
+	time.Sleep(time.Second)
+	for index := range c.nodes {
+		c.stop(index)
+	}
+	c.startAll(false)
+	c.everywhere("a server is forgotten", func(node *runningNode) bool { return stateAt(node, "i1") == registry.Ready })
+	c.everywhere("a departure is forgotten", func(node *runningNode) bool {
+		reply, err := node.Follow(ctx, directory.FollowRequest{Gateway: "test"})
+		return err == nil && len(reply.Departed) == 1 && reply.Departed[0] == "i2"
+	})
+}
+
+func TestFollowTellsNewsAndNothingTwice(t *testing.T) {
+	c := newCluster(t, 1)
+	c.startAll(true)
+	ctx := context.Background()
+	c.put(document(1, "first"))
+	node := c.nodes[0]
+	first, err := node.Follow(ctx, directory.FollowRequest{Gateway: "g"})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, first.Version)
+	require.Equal(t, 1, first.Gateways)
+	known := directory.FollowRequest{
+		Gateway: "g", Version: first.Version, Source: first.Source, Revision: first.Revision, Departures: first.Departures,
+		Wait: 100 * time.Millisecond,
+	}
+	quiet, err := node.Follow(ctx, known)
+	require.NoError(t, err)
+	require.Zero(t, quiet.Version)
+	require.Empty(t, quiet.Instances)
+	require.NoError(t, node.Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
+	news, err := node.Follow(ctx, known)
+	require.NoError(t, err)
+	require.Len(t, news.Instances, 1)
+	require.False(t, news.Whole)
+}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -24,7 +24,7 @@
 		message := putMessage{Version: version, Text: text}
 		err = n.atLeader(ctx, func(ctx context.Context) error { return n.putHere(ctx, message) }, pathPut, message, nil)
 	}
-	n.told("put", began, err, logrus.Fields{"version": version, "bytes": len(text)})
+	n.record("put", began, err, logrus.Fields{"version": version, "bytes": len(text)})
 	return err
 }
 
@@ -61,7 +61,7 @@
 		reply, err = n.readHere(ctx)
 		return err
 	}, pathRead, struct{}{}, &reply)
-	n.told("read", began, err, logrus.Fields{"version": reply.Version})
+	n.record("read", began, err, logrus.Fields{"version": reply.Version})
 	return reply.Version, reply.Text, err
 }
 
@@ -93,7 +93,7 @@
 	began := time.Now()
 	message := departMessage{ID: id}
 	err := n.atLeader(ctx, func(ctx context.Context) error { return n.departHere(ctx, message) }, pathDepart, message, nil)
-	n.told("depart", began, err, logrus.Fields{"instance": id})
+	n.record("depart", began, err, logrus.Fields{"instance": id})
 	return err
 }
 
@@ -149,8 +149,8 @@
 	}
 }
 
-// told counts and logs one operation.
-func (n *Node) told(operation string, began time.Time, err error, fields logrus.Fields) {
+// record counts and logs one operation.
+func (n *Node) record(operation string, began time.Time, err error, fields logrus.Fields) {
 	outcome := "done"
 	var invalid *routing.InvalidError
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,12 +63,18 @@
 // Ready reports whether the router wants new connections.
 func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.table.Load() != nil }
 
+// Version returns that of the document in force; 0 for none.
+func (g *Gateway) Version() uint64 {
+	table := g.table.Load()
+	if table == nil {
+		return 0
+	}
+	return table.Document().Version
+}
+
 // install puts a document in force.
 func (g *Gateway) install(document *routing.Document, from string) {
-	before := uint64(0)
-	if table := g.table.Load(); table != nil {
-		before = table.Document().Version
-	}
+	before := g.Version()
 	g.loop.events <- scatter.DocumentChanged{Services: document.Services}
 	if g.table.Swap(routing.NewTable(document)) == nil {
 		close(g.known)
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,319 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/gateway"
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
+)
+
+// dialect is a contract of the tests' own, towards clients and servers.
+type dialect struct{}
+
+func (dialect) RequestID(header http.Header) string { return header.Get("X-Id") }
+func (dialect) Remaining(header http.Header) (time.Duration, bool) {
+	remaining, err := time.ParseDuration(header.Get("X-Left"))
+	return remaining, err == nil
+}
+func (dialect) Gathered(header http.Header, stamps []string, missing int) {
+	header.Set("X-Stamps", strings.Join(stamps, ","))
+	header.Set("X-Missing", fmt.Sprint(missing))
+}
+func (dialect) ComeBack(header http.Header, after time.Duration) {
+	header.Set("Retry-After", after.String())
+}
+func (dialect) Outgoing(header message.Header, remaining time.Duration, instance string) {
+	header["X-Left"] = []string{remaining.String()}
+	header["X-Meant"] = []string{instance}
+}
+func (dialect) Reply(status int, header message.Header) exchange.ReplyInfo {
+	values := http.Header(header)
+	return exchange.ReplyInfo{
+		RequestID: values.Get("X-Id"), Stamp: values.Get("X-Stamp"),
+		NotExecuted: values.Get("X-Not-Run") != "", OtherInstance: status == http.StatusMisdirectedRequest,
+	}
+}
+
+// directoryStub answers routers with what a test set.
+type directoryStub struct {
+	mutex sync.Mutex
+	reply directory.FollowReply
+}
+
+func (d *directoryStub) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	var asked directory.FollowRequest
+	_ = json.NewDecoder(request.Body).Decode(&asked)
+	d.mutex.Lock()
+	reply := d.reply
+	d.mutex.Unlock()
+	reply.Gateways = 1
+	if reply.Version <= asked.Version {
+		reply.Version, reply.Document = 0, nil
+		time.Sleep(20 * time.Millisecond)
+	}
+	_ = json.NewEncoder(writer).Encode(reply)
+}
+
+// site is a router between a directory and servers of one test.
+type site struct {
+	t         *testing.T
+	directory *directoryStub
+	router    *gateway.Gateway
+	address   string
+	stop      context.CancelFunc
+	done      chan error
+}
+
+func startSite(t *testing.T, document *routing.Document, servers map[string]http.HandlerFunc) *site {
+	stub := &directoryStub{}
+	node := serve(t, stub)
+	s := &site{t: t, directory: stub, done: make(chan error, 1)}
+	for service, handler := range servers {
+		address := serve(t, handler)
+		stub.reply.Instances = append(stub.reply.Instances, registry.Instance{
+			ID: "i-" + service, Service: service, Address: address, Slots: 2, State: registry.Ready,
+		})
+	}
+	stub.reply.Source, stub.reply.Whole, stub.reply.Nodes = "stub", true, []string{node}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	s.router = gateway.New(gateway.Config{
+		Name: "router", Zone: "a", Seeds: []string{node}, Grace: 3 * time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
+		ParseDocument: func(text []byte) (*routing.Document, error) {
+			parsed := &routing.Document{}
+			return parsed, json.Unmarshal(text, parsed)
+		},
+		Dialect: dialect{}, Codec: dialect{},
+	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
+	go func() { s.done <- s.router.Run(ctx, listener) }()
+	t.Cleanup(cancel)
+	if document != nil {
+		s.install(document)
+	}
+	return s
+}
+
+func serve(t *testing.T, handler http.Handler) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+// install puts a document in force and waits until it is.
+func (s *site) install(document *routing.Document) {
+	text, err := json.Marshal(document)
+	require.NoError(s.t, err)
+	s.directory.mutex.Lock()
+	s.directory.reply.Version, s.directory.reply.Document = document.Version, text
+	s.directory.mutex.Unlock()
+	require.Eventually(s.t, func() bool { return s.router.Version() == document.Version }, 10*time.Second, time.Millisecond)
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+func (s *site) ask(method, path string, body io.Reader) answer {
+	s.t.Helper()
+	request, err := http.NewRequest(method, "http://"+s.address+path, body)
+	require.NoError(s.t, err)
+	request.Host = "site"
+	request.Header.Set("X-Id", "r-1")
+	request.Header.Set("X-Left", "3s")
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(s.t, err)
+	defer func() { _ = response.Body.Close() }()
+	read, err := io.ReadAll(response.Body)
+	require.NoError(s.t, err)
+	return answer{status: response.StatusCode, header: response.Header, body: string(read)}
+}
+
+func echo(writer http.ResponseWriter, request *http.Request) {
+	body, _ := io.ReadAll(request.Body)
+	writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+	writer.Header().Set("X-Stamp", "of-"+request.Header.Get("X-Meant"))
+	writer.Header().Set("X-Own", "kept")
+	_, _ = fmt.Fprintf(writer, "%s %s %s %s", request.Method, request.RequestURI, request.Header.Get("X-Client"), body)
+}
+
+func oneRoute(version uint64, service string) *routing.Document {
+	return &routing.Document{
+		Version:  version,
+		Services: []routing.Service{{Name: "s"}, {Name: "t"}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "site", Prefix: "/a/", Repeatable: true, Timeout: 2 * time.Second, MaxAttempts: 2,
+			Targets: []routing.Target{{Service: service, Weight: 1}},
+		}},
+		Limits: routing.Limits{BodyBytes: 1000},
+	}
+}
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": echo})
+	got := s.ask(http.MethodPost, "/a/b%2Fc?x=%20y", strings.NewReader("the body"))
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "POST /a/b%2Fc?x=%20y  the body", got.body)
+	require.Equal(t, "of-i-s", got.header.Get("X-Stamp"))
+	require.Equal(t, "kept", got.header.Get("X-Own"))
+
+	chunked := s.ask(http.MethodPost, "/a/b", io.MultiReader(strings.NewReader("in "), strings.NewReader("chunks")))
+	require.Equal(t, "POST /a/b  in chunks", chunked.body)
+}
+
+func TestUnknownRouteAndLongBodyAreRefused(t *testing.T) {
+	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": echo})
+	require.Equal(t, http.StatusNotFound, s.ask(http.MethodGet, "/other/", nil).status)
+	require.Equal(t, http.StatusRequestEntityTooLarge, s.ask(http.MethodPost, "/a/", bytes.NewReader(make([]byte, 1001))).status)
+}
+
+func TestWithoutADocumentNothingIsDenied(t *testing.T) {
+	s := startSite(t, nil, nil)
+	require.False(t, s.router.Ready())
+	got := s.ask(http.MethodGet, "/a/", nil)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
+
+func TestRequestWaitsForTheFirstDocument(t *testing.T) {
+	s := startSite(t, nil, map[string]http.HandlerFunc{"s": echo})
+	answered := make(chan int, 1)
+	go func() { answered <- s.ask(http.MethodGet, "/a/", nil).status }()
+	time.Sleep(50 * time.Millisecond)
+	s.install(oneRoute(1, "s"))
+	require.Equal(t, http.StatusOK, <-answered)
+}
+
+func TestNewerDocumentTakesForceAndAnOlderOneNever(t *testing.T) {
+	s := startSite(t, oneRoute(5, "s"), map[string]http.HandlerFunc{"s": echo, "t": echo})
+	require.Equal(t, "of-i-s", s.ask(http.MethodGet, "/a/", nil).header.Get("X-Stamp"))
+	s.install(oneRoute(6, "t"))
+	require.Equal(t, "of-i-t", s.ask(http.MethodGet, "/a/", nil).header.Get("X-Stamp"))
+	text, err := json.Marshal(oneRoute(4, "s"))
+	require.NoError(t, err)
+	s.directory.mutex.Lock()
+	s.directory.reply.Version, s.directory.reply.Document = 4, text
+	s.directory.mutex.Unlock()
+	time.Sleep(150 * time.Millisecond)
+	require.EqualValues(t, 6, s.router.Version())
+	require.Equal(t, "of-i-t", s.ask(http.MethodGet, "/a/", nil).header.Get("X-Stamp"))
+}
+
+func TestGatheredAnswerNamesItsParts(t *testing.T) {
+	part := func(records ...string) http.HandlerFunc {
+		return func(writer http.ResponseWriter, request *http.Request) {
+			writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+			writer.Header().Set("X-Stamp", request.Header.Get("X-Meant"))
+			_, _ = io.WriteString(writer, strings.Join(records, ""))
+		}
+	}
+	document := oneRoute(1, "s")
+	document.Routes[0].Targets, document.Routes[0].Shards = nil, []string{"s", "t"}
+	document.Routes[0].TopRecords, document.Routes[0].LeastShare = 2, 0.5
+	s := startSite(t, document, map[string]http.HandlerFunc{
+		"s": part("aaaaaaaaaaaaaaaa", "cccccccccccccccc"), "t": part("bbbbbbbbbbbbbbbb", "remainder"),
+	})
+	got := s.ask(http.MethodGet, "/a/", nil)
+	require.Equal(t, "ccccccccccccccccbbbbbbbbbbbbbbbb", got.body)
+	require.Equal(t, "i-s,i-t", got.header.Get("X-Stamps"))
+	require.Equal(t, "0", got.header.Get("X-Missing"))
+}
+
+func TestFailureStatusFollowsTheVerdict(t *testing.T) {
+	refuse := func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+		writer.Header().Set("X-Not-Run", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+	broken := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	silent := func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
+	for want, handler := range map[int]http.HandlerFunc{
+		http.StatusServiceUnavailable: refuse, http.StatusBadGateway: broken, http.StatusGatewayTimeout: silent,
+	} {
+		document := oneRoute(1, "s")
+		document.Routes[0].Timeout = 300 * time.Millisecond
+		s := startSite(t, document, map[string]http.HandlerFunc{"s": handler})
+		got := s.ask(http.MethodGet, "/a/", nil)
+		require.Equal(t, want, got.status)
+		require.Equal(t, want == http.StatusServiceUnavailable, got.header.Get("Retry-After") != "")
+	}
+}
+
+func TestClientThatLeavesEndsTheWorkAtTheServer(t *testing.T) {
+	ended := make(chan struct{})
+	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": func(_ http.ResponseWriter, request *http.Request) {
+		<-request.Context().Done()
+		close(ended)
+	}})
+	conn, err := net.Dial("tcp4", s.address)
+	require.NoError(t, err)
+	_, _ = io.WriteString(conn, "GET /a/ HTTP/1.1\r\nHost: site\r\nX-Id: r\r\nX-Left: 10s\r\n\r\n")
+	time.Sleep(100 * time.Millisecond)
+	require.NoError(t, conn.Close())
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the server goes on for a client that left")
+	}
+}
+
+func TestPlannedStopAnswersWhatWasRead(t *testing.T) {
+	var served atomic.Int64
+	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		echo(writer, request)
+	}})
+	statuses := make(chan int, 64)
+	var clients sync.WaitGroup
+	ask := func() {
+		clients.Go(func() {
+			statuses <- s.ask(http.MethodGet, "/a/", nil).status
+			served.Add(1)
+		})
+	}
+	for range 4 {
+		ask()
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.stop()
+	require.Eventually(t, func() bool { return !s.router.Ready() }, time.Second, time.Millisecond)
+	for range 4 {
+		ask()
+	}
+	clients.Wait()
+	close(statuses)
+	for status := range statuses {
+		require.Equal(t, http.StatusOK, status)
+	}
+	require.EqualValues(t, 8, served.Load())
+	require.NoError(t, <-s.done)
+}
--- /dev/null
+++ b/internal/scatter/engine_test.go
@@ -0,0 +1,280 @@
+package scatter_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+func TestWholeAnswerComesWithTheLastPart(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("x", 1)
+	h.servers("y", 1)
+	id := h.arrive(gatherRoute("x", "y"))
+	sent := h.take()
+	require.Len(t, sent, 2)
+	h.end(sent[0], good("x"))
+	h.unanswered(id)
+	h.end(sent[1], good("y"))
+	result := h.result(id)
+	require.Len(t, result.Parts, 2)
+	require.Zero(t, result.Missing)
+}
+
+func TestPartsThatSufficeAreAnsweredAtTheCut(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("x", 1)
+	h.servers("y", 1)
+	id := h.arrive(gatherRoute("x", "y"))
+	sent := h.take()
+	h.end(sent[0], good("x"))
+	h.advance(90 * time.Millisecond)
+	h.unanswered(id)
+	h.advance(10 * time.Millisecond)
+	result := h.result(id)
+	require.Len(t, result.Parts, 1)
+	require.Equal(t, 1, result.Missing)
+}
+
+func TestTooFewPartsWaitBeyondTheCut(t *testing.T) {
+	h := newHarness(t, plenty)
+	route := gatherRoute("x", "y")
+	route.LeastShare = 0.9
+	h.servers("x", 1)
+	h.servers("y", 1)
+	id := h.arrive(route)
+	sent := h.take()
+	h.end(sent[0], good("x"))
+	h.advance(300 * time.Millisecond)
+	h.unanswered(id)
+	h.end(sent[1], good("y"))
+	require.Len(t, h.result(id).Parts, 2)
+}
+
+func TestDeadlineEndsEveryRequest(t *testing.T) {
+	h := newHarness(t, plenty)
+	route := gatherRoute("x", "y")
+	route.LeastShare = 1
+	h.servers("x", 1)
+	h.servers("y", 1)
+	gathered := h.arrive(route)
+	single := singleRoute(true)
+	single.Targets[0].Service = "x"
+	one := h.arrive(single)
+	h.advance(time.Second)
+	require.Equal(t, verdict.ReasonTimeout, h.result(gathered).Reason)
+	require.Equal(t, verdict.MayHaveRun, h.result(gathered).Verdict)
+	require.Equal(t, verdict.ReasonTimeout, h.result(one).Reason)
+	require.Zero(t, h.engine.InFlight())
+}
+
+func TestFailsAtOnceWhenTheShareCanNotBeReached(t *testing.T) {
+	h := newHarness(t, scatter.BudgetLimits{})
+	route := gatherRoute("x", "y")
+	route.LeastShare = 0.9
+	route.MaxAttempts = 1
+	h.servers("x", 1)
+	h.servers("y", 1)
+	id := h.arrive(route)
+	sent := h.take()
+	h.end(sent[1], failure(scatter.Broken, verdict.MayHaveRun))
+	require.Equal(t, verdict.ReasonCoverage, h.result(id).Reason)
+}
+
+func TestRefusedEverywhereIsNotRunAndSaysWhenToComeBack(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 2)
+	id := h.arrive(singleRoute(false))
+	for range 2 {
+		sent := h.take()
+		require.Len(t, sent, 1)
+		h.end(sent[0], failure(scatter.Refused, verdict.NotRun))
+	}
+	result := h.result(id)
+	require.Equal(t, verdict.NotRun, result.Verdict)
+	require.Positive(t, result.RetryAfter)
+}
+
+func TestDoubtfulAttemptOfAnUnrepeatableRequestIsNotRepeated(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 3)
+	id := h.arrive(singleRoute(false))
+	sent := h.take()
+	h.end(sent[0], failure(scatter.Broken, verdict.MayHaveRun))
+	require.Empty(t, h.take())
+	require.Equal(t, verdict.MayHaveRun, h.result(id).Verdict)
+	require.Zero(t, h.result(id).RetryAfter)
+}
+
+func TestUnrepeatableRequestIsNeverHedged(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 3)
+	h.arrive(singleRoute(false))
+	h.advance(900 * time.Millisecond)
+	require.Len(t, h.take(), 1)
+}
+
+func TestSilentAttemptIsHedgedAtAnotherServer(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 2)
+	id := h.arrive(singleRoute(true))
+	h.advance(150 * time.Millisecond)
+	sent := h.take()
+	require.Len(t, sent, 2)
+	require.NotEqual(t, sent[0].Server.ID, sent[1].Server.ID)
+	require.True(t, sent[1].Extra)
+	h.end(sent[1], good("fast"))
+	require.Equal(t, "fast", string(h.result(id).Parts[0].Body))
+	h.advance(time.Second)
+	require.True(t, h.aborted[sent[0].Attempt], "the attempt that lost goes on for ever")
+}
+
+func TestServerThatLeavesOrIsGoneGetsNothing(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 2)
+	h.step(scatter.ServersChanged{Servers: []scatter.Server{{ID: "s/0", Service: "s", Address: "s/0", Slots: 2, Leaving: true}}})
+	for range 4 {
+		h.arrive(singleRoute(true))
+	}
+	for _, send := range h.take() {
+		require.Equal(t, "s/1", send.Server.ID)
+	}
+	h.step(scatter.ServersChanged{Servers: []scatter.Server{{ID: "s/0", Service: "s", Address: "s/0", Slots: 2}}})
+	h.step(scatter.ServersGone{IDs: []string{"s/1"}})
+	h.arrive(singleRoute(true))
+	require.Empty(t, h.take(), "a word that it lives takes leaving back")
+}
+
+func TestReplacedInstanceIsNotAskedAgain(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 2)
+	h.arrive(singleRoute(false))
+	first := h.take()[0]
+	h.end(first, failure(scatter.OtherInstance, verdict.NotRun))
+	for range 5 {
+		h.arrive(singleRoute(true))
+	}
+	for _, send := range h.take() {
+		require.NotEqual(t, first.Server.ID, send.Server.ID)
+	}
+}
+
+func TestNoServerIsWaitedForAWhile(t *testing.T) {
+	h := newHarness(t, plenty)
+	route := singleRoute(true)
+	route.Timeout = 5 * time.Second
+	early := h.arrive(route)
+	h.advance(300 * time.Millisecond)
+	h.servers("s", 1)
+	sent := h.take()
+	require.Len(t, sent, 1)
+	h.end(sent[0], good("late"))
+	require.Len(t, h.result(early).Parts, 1)
+
+	h.step(scatter.ServersGone{IDs: []string{"s/0"}})
+	never := h.arrive(route)
+	h.advance(1100 * time.Millisecond)
+	require.Equal(t, verdict.NotRun, h.result(never).Verdict)
+	require.Equal(t, verdict.ReasonNoReplica, h.result(never).Reason)
+}
+
+func TestAttemptsStayWithinTheShareOfConnections(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.step(scatter.DocumentChanged{Services: []routing.Service{{Name: "s", MaxConnections: 10}}})
+	h.step(scatter.RoutersCounted{Count: 8})
+	h.servers("s", 1)
+	route := singleRoute(true)
+	route.MaxAttempts = 1
+	first, second := h.arrive(route), h.arrive(route)
+	sent := h.take()
+	require.Len(t, sent, 1, "8 routers share 8 connections")
+	h.end(sent[0], good("1"))
+	require.Len(t, h.result(first).Parts, 1)
+	h.unanswered(second)
+	h.end(h.take()[0], good("2"))
+	require.Len(t, h.result(second).Parts, 1)
+}
+
+func TestOwnFailureOfAServerIsPassedOn(t *testing.T) {
+	h := newHarness(t, scatter.BudgetLimits{})
+	h.servers("s", 1)
+	id := h.arrive(singleRoute(true))
+	sent := h.take()
+	h.end(sent[0], scatter.Outcome{Verdict: verdict.Ran, Reply: &message.Reply{Status: 500, Stamp: "its own"}})
+	result := h.result(id)
+	require.Len(t, result.Parts, 1)
+	require.Equal(t, 500, result.Parts[0].Status)
+}
+
+func TestGatheredPartIsNeverAFailureReply(t *testing.T) {
+	h := newHarness(t, scatter.BudgetLimits{})
+	h.servers("x", 1)
+	h.servers("y", 1)
+	id := h.arrive(gatherRoute("x", "y"))
+	sent := h.take()
+	h.end(sent[0], scatter.Outcome{Verdict: verdict.Ran, Reply: &message.Reply{Status: 500, Stamp: "failed"}})
+	h.end(sent[1], good("y"))
+	result := h.result(id)
+	require.Len(t, result.Parts, 1)
+	require.Equal(t, "stamp-y", result.Parts[0].Stamp)
+	require.Equal(t, 1, result.Missing)
+}
+
+func TestClientThatLeavesEndsItsAttempts(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 1)
+	id := h.arrive(singleRoute(true))
+	sent := h.take()
+	h.step(scatter.ClientGone{Request: id})
+	h.advance(500 * time.Millisecond)
+	require.True(t, h.aborted[sent[0].Attempt])
+	require.Zero(t, h.engine.InFlight())
+	require.Empty(t, h.take(), "something was sent for a client that left")
+	h.unanswered(id)
+}
+
+func TestShardThatRefusesIsLeftOutOnlyWhereItCanBe(t *testing.T) {
+	for _, sample := range []struct {
+		least   float64
+		answers bool
+	}{{0.5, true}, {1, false}} {
+		h := newHarness(t, plenty)
+		h.servers("x", 1)
+		h.servers("y", 1)
+		route := gatherRoute("x", "y")
+		route.LeastShare = sample.least
+		h.arrive(route)
+		first := h.take()
+		h.end(first[0], failure(scatter.Refused, verdict.NotRun))
+		second := h.arrive(route)
+		for _, send := range h.take() {
+			if send.Request == second {
+				require.Equal(t, "y", send.Server.Service)
+				h.end(send, good("y"))
+			}
+		}
+		_, answered := h.results[second]
+		require.Equal(t, sample.answers, answered)
+	}
+}
+
+func TestServerThatResetsNewConnectionsStaysInUse(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 1)
+	route := singleRoute(true)
+	route.MaxAttempts = 1
+	h.arrive(route)
+	h.end(h.take()[0], failure(scatter.Unaccepted, verdict.MayHaveRun))
+	id := h.arrive(route)
+	h.advance(60 * time.Millisecond)
+	sent := h.take()
+	require.Len(t, sent, 1, "the server was taken out for a limit of connections")
+	h.end(sent[0], good("ok"))
+	require.Len(t, h.result(id).Parts, 1)
+}
