--- /dev/null
+++ b/internal/slicing/slicing_test.go
@@ -0,0 +1,117 @@
+package slicing_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/martenstage/martenstage/internal/slicing"
+)
+
+func TestEveryShardIsInExactlyOneSlice(t *testing.T) {
+	zoneNames := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		var routers []slicing.Router
+		for number := range rapid.IntRange(0, 20).Draw(t, "routers") {
+			zone := rapid.SampledFrom(zoneNames).Draw(t, "zone")
+			routers = append(routers, slicing.Router{Name: fmt.Sprint("r", number), Zone: zone, Address: "x"})
+		}
+		self := slicing.Router{Name: "self", Zone: rapid.SampledFrom(zoneNames).Draw(t, "own")}
+		places := map[string][]string{}
+		var shards []string
+		for number := range rapid.IntRange(1, 120).Draw(t, "shards") {
+			shard := fmt.Sprint("s", number)
+			shards = append(shards, shard)
+			places[shard] = rapid.SliceOfNDistinct(rapid.SampledFrom(zoneNames), 0, 3, rapid.ID[string]).Draw(t, "places")
+		}
+		assigned := slicing.Assign(self, shards, func(shard string) []string { return places[shard] }, routers, "id")
+		var all []string
+		own := 0
+		for _, slice := range assigned {
+			require.NotEmpty(t, slice.Shards)
+			all = append(all, slice.Shards...)
+			if slice.Router.Name == "" {
+				own++
+				continue
+			}
+			require.NotEqual(t, "self", slice.Router.Name)
+			for _, shard := range slice.Shards {
+				require.Contains(t, places[shard], slice.Router.Zone)
+			}
+		}
+		require.LessOrEqual(t, own, 1)
+		slices.Sort(all)
+		slices.Sort(shards)
+		require.Equal(t, shards, all)
+	})
+}
+
+func TestShardsWithAServerInTheOwnZoneStay(t *testing.T) {
+	self := slicing.Router{Name: "self", Zone: "a"}
+	routers := []slicing.Router{{Name: "other", Zone: "b"}}
+	assigned := slicing.Assign(self, []string{"near", "far", "nowhere"}, func(shard string) []string {
+		return map[string][]string{"near": {"b", "a"}, "far": {"b"}, "nowhere": {"c"}}[shard]
+	}, routers, "id")
+	require.Equal(t, []slicing.Slice{
+		{Shards: []string{"nowhere", "near"}}, {Router: routers[0], Shards: []string{"far"}},
+	}, assigned)
+}
+
+func TestFewRoutersOfALargeZoneMeetEachShard(t *testing.T) {
+	var routers []slicing.Router
+	for number := range 16 {
+		routers = append(routers, slicing.Router{Name: fmt.Sprintf("r%02d", number), Zone: "b"})
+	}
+	var shards []string
+	for number := range 42 {
+		shards = append(shards, fmt.Sprint("s", number))
+	}
+	met := map[string]map[string]bool{}
+	for request := range 500 {
+		self := slicing.Router{Name: "self", Zone: "a"}
+		for _, slice := range slicing.Assign(self, shards, func(string) []string { return []string{"b"} }, routers, fmt.Sprint(request)) {
+			for _, shard := range slice.Shards {
+				if met[shard] == nil {
+					met[shard] = map[string]bool{}
+				}
+				met[shard][slice.Router.Name] = true
+			}
+		}
+	}
+	for shard, by := range met {
+		require.LessOrEqual(t, len(by), 6, shard)
+	}
+}
+
+func TestCollectionDecides(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cut, deadline := start.Add(100*time.Millisecond), start.Add(time.Second)
+	for name, sample := range map[string]struct {
+		in, out int
+		at      time.Duration
+		want    slicing.Decision
+	}{
+		"nothing yet":               {0, 0, 0, slicing.Wait},
+		"whole":                     {10, 0, time.Millisecond, slicing.Answer},
+		"whole but for the lost":    {9, 1, time.Millisecond, slicing.Answer},
+		"enough, before the cut":    {9, 0, 99 * time.Millisecond, slicing.Wait},
+		"enough, at the cut":        {9, 0, 100 * time.Millisecond, slicing.Answer},
+		"too few at the cut":        {8, 0, 100 * time.Millisecond, slicing.Wait},
+		"out of reach":              {5, 2, time.Millisecond, slicing.FailCoverage},
+		"too few at the deadline":   {8, 0, time.Second, slicing.FailTimeout},
+		"enough at the deadline":    {9, 0, time.Second, slicing.Answer},
+		"nothing at the deadline":   {0, 0, time.Second, slicing.FailTimeout},
+		"all lost":                  {0, 10, 0, slicing.FailCoverage},
+		"late, the last one it has": {9, 0, 500 * time.Millisecond, slicing.Answer},
+	} {
+		collection := slicing.Collection{Total: 10, In: sample.in, Out: sample.out, Least: 0.9, Cut: cut, Deadline: deadline}
+		require.Equal(t, sample.want, collection.Decide(start.Add(sample.at)), name)
+	}
+	collection := slicing.Collection{Total: 1, Cut: cut, Deadline: deadline}
+	require.Equal(t, cut, collection.Next(start))
+	require.Equal(t, deadline, collection.Next(cut))
+}
