Gather slices through routers in the servers' zones

Cause: parts cross zones whole (1,000 B each) and every router holds connections to every server, which large sites can't pay for. Change: a gathered request is divided by zone; another router gathers the shards near it and sends what it merged; one that fails is replaced by gathering here, each attempt then paid from the budget.

--- a/cmd/martenstage/gateway.go
+++ b/cmd/martenstage/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"github.com/sirupsen/logrus"
 
@@ -34,13 +35,19 @@
 
 func (c *gatewayCommand) run(stopping context.Context, process *registeredProcess) error {
 	running := gateway.New(gateway.Config{
-		Name: c.Name, Zone: c.Zone, Seeds: c.SeedAddresses(), Grace: c.Grace, Budget: c.BudgetLimits(),
+		Name: c.Name, Zone: c.Zone, PeerAddress: c.PeerListen, Seeds: c.SeedAddresses(), Grace: c.Grace, Budget: c.BudgetLimits(),
 		ParseDocument: platform.ParseDocument, Dialect: platform.Headers{}, Codec: platform.Headers{},
 	}, gateway.Environment{Logger: process.logger, Registerer: process.registry})
 	clients, err := listen("clients-listen", c.ClientsListen)
 	if err != nil {
 		return err
 	}
+	var others net.Listener
+	if c.PeerListen != "" {
+		if others, err = listen("peer-listen", c.PeerListen); err != nil {
+			return err
+		}
+	}
 	if err := process.serve("ready-listen", c.ReadyListen, platform.ReadyHandler(running.Ready)); err != nil {
 		return err
 	}
@@ -51,7 +58,7 @@
 	process.logger.WithFields(logrus.Fields{
 		"role": "gateway", "node": c.Name, "zone": c.Zone, "address": clients.Addr(), "seeds": c.SeedAddresses(),
 	}).Info("started")
-	return running.Run(stopping, clients)
+	return running.Run(stopping, clients, others)
 }
 
 // reloadSeeds reads the settings again and returns the seeds.
--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -45,11 +45,18 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
-	n.gateways[request.Gateway] = now
+	if n.routers.report(now, request.Router, 0) {
+		n.announce()
+	}
 	reply := FollowReply{
 		Source: n.source, Revision: n.registry.Revision(), Settled: n.settled,
-		Gateways: len(n.liveGateways(now, gatewayLifetime)),
-		Nodes:    lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
+		RouterCount: len(n.routers.within(now, routerLifetime)),
+		Nodes:       lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
+	}
+	routers, digest := n.routers.askable(now)
+	reply.RoutersDigest = digest
+	if digest != request.Routers {
+		reply.Routers = routers
 	}
 	same := request.Source == n.source
 	since := request.Revision
@@ -63,6 +70,6 @@
 	if version > request.Version {
 		reply.Version, reply.Document = version, text
 	}
-	news := !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0
+	news := !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || digest != request.Routers
 	return reply, news, n.changed
 }
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -34,7 +34,7 @@
 	// share, beats those that only repeated themselves.
 	fresh      map[string]bool
 	beats      map[string]bool
-	gateways   map[string]time.Time
+	routers    routerTable
 	candidates map[string]candidate
 	// told are the members that other nodes named to this one, which is none.
 	told []string
@@ -60,7 +60,7 @@
 		changed:     make(chan struct{}),
 		fresh:       make(map[string]bool),
 		beats:       make(map[string]bool),
-		gateways:    make(map[string]time.Time),
+		routers:     make(routerTable),
 		candidates:  make(map[string]candidate),
 		refused:     make(map[uint64]bool),
 		silentSince: make(map[uint64]time.Time),
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -68,8 +68,6 @@
 	// reopenDelay is how long a node waits before it opens a failed folder again.
 	reopenDelay  = 300 * time.Millisecond
 	closeTimeout = 1500 * time.Millisecond
-	// gatewayLifetime is how long after its last call a router counts as live.
-	gatewayLifetime = 10 * time.Second
 	// heartbeat and electionTimeout of the consensus: nodes are a millisecond or
 	// two apart, and routers that start wait for a leader.
 	heartbeat       = 50 * time.Millisecond
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -40,8 +40,8 @@
 // shareMessage tells another node of servers and routers.
 type shareMessage struct {
 	Instances []registry.Instance `json:"instances,omitempty"`
-	// Gateways are routers that called since the last message.
-	Gateways []string `json:"gateways,omitempty"`
+	// Routers are those that called lately.
+	Routers []sharedRouter `json:"routers,omitempty"`
 	// Settled says that the sender's table is not one that was just begun.
 	Settled bool `json:"settled,omitempty"`
 }
@@ -63,15 +63,32 @@
 	Text    []byte `json:"text"`
 }
 
+// Router is a router as it announces itself.
+type Router struct {
+	Name string `json:"name"`
+	Zone string `json:"zone,omitempty"`
+	// Address is where other routers reach it; empty if they can't.
+	Address string `json:"address,omitempty"`
+	// Stopping routers are not to be asked for anything new.
+	Stopping bool `json:"stopping,omitempty"`
+}
+
+// sharedRouter is a router with the time since its last call.
+type sharedRouter struct {
+	Router
+	Age time.Duration `json:"age"`
+}
+
 // FollowRequest is what a router knows.
 type FollowRequest struct {
-	Gateway string `json:"gateway"`
+	Router Router `json:"router"`
 	// Version of the document that the router holds; 0 for none.
 	Version uint64 `json:"version"`
 	// Source, Revision and Departures are from the last reply.
 	Source     string `json:"source"`
 	Revision   uint64 `json:"revision"`
 	Departures int    `json:"departures"`
+	Routers    uint64 `json:"routers"`
 	// Wait is how long the node may hold the call while there is no news.
 	Wait time.Duration `json:"wait"`
 }
@@ -94,8 +111,12 @@
 	Departures int      `json:"departures"`
 	// Nodes are peer addresses of the group, to follow when this one is lost.
 	Nodes []string `json:"nodes"`
-	// Gateways is how many routers are live.
-	Gateways int `json:"gateways"`
+	// RouterCount is how many routers share the servers.
+	RouterCount int `json:"router_count"`
+	// Routers are those that can be asked, ordered by name, and RoutersDigest tells
+	// one such list from another; the list is left out if the router has it.
+	Routers       []Router `json:"routers,omitempty"`
+	RoutersDigest uint64   `json:"routers_digest"`
 }
 
 // maxFramedMessage bounds one consensus message in a call.
--- /dev/null
+++ b/internal/directory/routers.go
@@ -0,0 +1,75 @@
+package directory
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+)
+
+// Times that tell whether a router is there.
+const (
+	// routerLifetime is how long after its last call a router counts among those
+	// that share the servers.
+	routerLifetime = 10 * time.Second
+	// routerLiveness is how long after it other routers ask it for something.
+	routerLiveness = 2500 * time.Millisecond
+	// routerShare is how recent a call is that other nodes are told of.
+	routerShare = 2 * beatShareInterval
+)
+
+// knownRouter is a router with the time of its last call, at whichever node.
+type knownRouter struct {
+	Router
+	called time.Time
+}
+
+// routerTable holds the routers; its owner guards it.
+type routerTable map[string]knownRouter
+
+// report takes in a call and reports whether others must know of it at once.
+func (t routerTable) report(now time.Time, router Router, age time.Duration) bool {
+	called := now.Add(-age)
+	known, exists := t[router.Name]
+	if exists && known.called.After(called) {
+		return false
+	}
+	t[router.Name] = knownRouter{Router: router, called: called}
+	return !exists || known.Router != router
+}
+
+// within returns the routers that called within a time, ordered by name.
+func (t routerTable) within(now time.Time, limit time.Duration) []sharedRouter {
+	var found []sharedRouter
+	for _, known := range t {
+		if age := now.Sub(known.called); age <= limit {
+			found = append(found, sharedRouter{Router: known.Router, Age: max(0, age)})
+		}
+	}
+	slices.SortFunc(found, func(a, b sharedRouter) int { return cmp.Compare(a.Name, b.Name) })
+	return found
+}
+
+// expire forgets routers that did not call for long.
+func (t routerTable) expire(now time.Time) {
+	for name, known := range t {
+		if now.Sub(known.called) > routerLifetime {
+			delete(t, name)
+		}
+	}
+}
+
+// askable returns the routers that can be asked, and a digest of the list.
+func (t routerTable) askable(now time.Time) ([]Router, uint64) {
+	live := lo.FilterMap(t.within(now, routerLiveness), func(known sharedRouter, _ int) (Router, bool) {
+		return known.Router, known.Address != "" && !known.Stopping
+	})
+	text, err := json.Marshal(live)
+	if err != nil {
+		return nil, 0
+	}
+	return live, xxhash.Sum64(text)
+}
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/registry"
@@ -38,7 +37,7 @@
 			n.expire()
 		}
 		message := n.takeShare(withBeats)
-		if len(message.Instances) == 0 && len(message.Gateways) == 0 {
+		if len(message.Instances) == 0 && len(message.Routers) == 0 {
 			return
 		}
 		for _, address := range n.peerAddresses() {
@@ -62,7 +61,7 @@
 	if withBeats {
 		maps.Copy(wanted, n.beats)
 		clear(n.beats)
-		message.Gateways = n.liveGateways(now, 2*beatShareInterval)
+		message.Routers = n.routers.within(now, routerShare)
 	}
 	if len(wanted) == 0 {
 		return message
@@ -75,18 +74,6 @@
 	return message
 }
 
-// liveGateways returns the routers that called within a time, ordered by name.
-func (n *Node) liveGateways(now time.Time, within time.Duration) []string {
-	var live []string
-	for name, called := range n.gateways {
-		if now.Sub(called) <= within {
-			live = append(live, name)
-		}
-	}
-	slices.Sort(live)
-	return live
-}
-
 // takeIn merges what another node told.
 func (n *Node) takeIn(message shareMessage) {
 	departed := n.member.state()
@@ -100,8 +87,8 @@
 		}
 		changed = n.registry.Report(now, instance) || changed
 	}
-	for _, name := range message.Gateways {
-		n.gateways[name] = now
+	for _, router := range message.Routers {
+		changed = n.routers.report(now, router.Router, router.Age) || changed
 	}
 	if changed {
 		n.announce()
@@ -149,18 +136,14 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
-	return shareMessage{Instances: n.registry.Heard(now, time.Time{}), Gateways: n.liveGateways(now, gatewayLifetime), Settled: n.settled}
+	return shareMessage{Instances: n.registry.Heard(now, time.Time{}), Routers: n.routers.within(now, routerLifetime), Settled: n.settled}
 }
 
 func (n *Node) expire() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
-	for name, called := range n.gateways {
-		if now.Sub(called) > gatewayLifetime {
-			delete(n.gateways, name)
-		}
-	}
+	n.routers.expire(now)
 	if n.registry.Expire(now) {
 		n.announce()
 	}
--- a/internal/directory/table_file.go
+++ b/internal/directory/table_file.go
@@ -33,19 +33,24 @@
 	for index := range kept.Instances {
 		kept.Instances[index].Age = 0
 	}
+	for index := range kept.Routers {
+		// They count among those that share the servers, but are not asked before
+		// they called.
+		kept.Routers[index].Age = routerLiveness
+	}
 	n.takeIn(kept)
-	n.logger.WithField("instances", len(kept.Instances)).WithField("gateways", len(kept.Gateways)).Info("server_table_restored")
+	n.logger.WithField("instances", len(kept.Instances)).WithField("routers", len(kept.Routers)).Info("server_table_restored")
 }
 
 // runTableFile writes the table when it has changed.
 func (n *Node) runTableFile(ctx context.Context) {
 	var written uint64
-	var gateways int
+	var routers int
 	every(ctx, tableInterval, func() {
 		n.mutex.Lock()
-		revision, live := n.registry.Revision(), len(n.liveGateways(time.Now(), gatewayLifetime))
+		revision, live := n.registry.Revision(), len(n.routers.within(time.Now(), routerLifetime))
 		n.mutex.Unlock()
-		if revision == written && live == gateways {
+		if revision == written && live == routers {
 			return
 		}
 		data, err := json.Marshal(n.table())
@@ -56,6 +61,6 @@
 			n.logger.WithError(err).Debug("server_table_not_written")
 			return
 		}
-		written, gateways = revision, live
+		written, routers = revision, live
 	})
 }
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -48,7 +48,7 @@
 	return &follower{
 		gateway: gateway,
 		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
-		request: directory.FollowRequest{Gateway: gateway.config.Name},
+		request: directory.FollowRequest{},
 		servers: make(map[string]bool), departed: make(map[string]bool),
 	}
 }
@@ -104,6 +104,10 @@
 	} else {
 		f.request.Wait = followWait
 	}
+	f.request.Router = directory.Router{
+		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress,
+		Stopping: f.gateway.stopping.Load(),
+	}
 	calling, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := f.post(calling)
@@ -149,7 +153,12 @@
 	if len(reply.Nodes) > 0 {
 		f.nodes = reply.Nodes
 	}
-	f.gateway.loop.events <- scatter.RoutersCounted{Count: reply.Gateways}
+	f.gateway.loop.events <- scatter.RoutersCounted{Count: reply.RouterCount}
+	if reply.RoutersDigest != f.request.Routers {
+		f.gateway.peers.setRouters(reply.Routers)
+		f.gateway.logger.WithField("routers", len(reply.Routers)).Info("routers_changed")
+	}
+	f.request.Routers = reply.RoutersDigest
 	f.request.Source, f.request.Revision, f.request.Departures = reply.Source, reply.Revision, reply.Departures
 }
 
@@ -163,6 +172,7 @@
 	}
 	told := make(map[string]bool, len(reply.Instances))
 	var changed []scatter.Server
+	var instances []registry.Instance
 	now := time.Now()
 	for _, instance := range reply.Instances {
 		told[instance.ID] = true
@@ -171,6 +181,7 @@
 		}
 		f.servers[instance.ID] = true
 		changed = append(changed, toServer(now, instance))
+		instances = append(instances, instance)
 	}
 	if reply.Whole && reply.Settled {
 		gone = append(gone, lo.Reject(lo.Keys(f.servers), func(id string, _ int) bool { return told[id] })...)
@@ -178,6 +189,7 @@
 	for _, id := range gone {
 		delete(f.servers, id)
 	}
+	f.gateway.peers.setServers(instances, gone)
 	if len(changed) > 0 {
 		f.gateway.loop.events <- scatter.ServersChanged{Servers: changed}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,9 @@
 	// known is closed once there is a document.
 	known    chan struct{}
 	inFlight atomic.Int64
-	told     atomic.Uint64
+	answers  atomic.Uint64
+	peers    *peers
+	slices   *sliceClient
 }
 
 // New returns a router that knows no document yet.
@@ -43,8 +45,8 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: time.Now(),
-		known: make(chan struct{}),
-		seed:  xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
+		known: make(chan struct{}), peers: newPeers(), slices: newSliceClient(),
+		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget})
@@ -89,7 +91,9 @@
 // router is not ready at once, goes on serving until it gets no new connections,
 // ends each connection with its next answer and returns once all is answered, at
 // the latest within the grace.
-func (g *Gateway) Run(stopping context.Context, clients net.Listener) error {
+//
+// Other routers are served at the second listener; nil for none.
+func (g *Gateway) Run(stopping context.Context, clients, others net.Listener) error {
 	duties, end := context.WithCancel(context.Background())
 	defer end()
 	var running sync.WaitGroup
@@ -99,14 +103,18 @@
 		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: withConnection,
 	}
-	served := make(chan error, 1)
+	served := make(chan error, 2)
 	go func() { served <- server.Serve(clients) }()
+	peerServer := &http.Server{Handler: g.PeerHandler(), ReadHeaderTimeout: headerTime}
+	if others != nil {
+		go func() { served <- peerServer.Serve(others) }()
+	}
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "clients can't be served")
 	case <-stopping.Done():
 	}
-	g.stop(server)
+	g.stop(server, peerServer)
 	end()
 	running.Wait()
 	g.pool.Close()
@@ -114,7 +122,7 @@
 }
 
 // stop carries out the planned stop.
-func (g *Gateway) stop(server *http.Server) {
+func (g *Gateway) stop(server, peerServer *http.Server) {
 	deadline := time.Now().Add(g.config.Grace - stopMargin)
 	g.stopping.Store(true)
 	g.logger.WithField("in_flight", g.inFlight.Load()).Info("stopping")
@@ -122,6 +130,6 @@
 	g.closing.Store(true)
 	finishing, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	err := server.Shutdown(finishing)
+	err := errors.CombineErrors(server.Shutdown(finishing), peerServer.Shutdown(finishing))
 	g.logger.WithField("unanswered", g.inFlight.Load()).WithField(logrus.ErrorKey, err).Info("stopped")
 }
--- /dev/null
+++ b/internal/gateway/gather.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/slicing"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// Times that a gathered answer keeps from its target.
+const (
+	// cutMargin and cutShare are for merging and writing.
+	cutMargin = 3 * time.Millisecond
+	cutShare  = 0.02
+	// sliceMargin is for the way of a slice from another router.
+	sliceMargin = 4 * time.Millisecond
+)
+
+// gatherState is one request that is put together from slices.
+type gatherState struct {
+	*exchangeState
+	message    *message.Request
+	collection slicing.Collection
+	events     chan gatherEvent
+	slices     []*sliceState
+	stamps     []string
+	records    [][]byte
+	result     scatter.Result
+	cancel     context.CancelFunc
+	context    context.Context
+	fallbacks  int
+}
+
+// sliceState is one slice of a request.
+type sliceState struct {
+	slicing.Slice
+	// open are the positions, in Shards, of which nothing is known yet.
+	open map[int]bool
+	// local is set once this router gathers the slice itself.
+	local *gathering
+	ended bool
+}
+
+// serveGather answers a request whose route names shards.
+func (s *exchangeState) serveGather(passed *message.Request) {
+	ctx, cancel := context.WithCancel(s.request.Context())
+	defer cancel()
+	arrived := s.arrival()
+	state := &gatherState{
+		exchangeState: s, message: passed, context: ctx, cancel: cancel,
+		collection: slicing.Collection{
+			Total: len(s.route.Shards), Least: s.route.LeastShare, Deadline: arrived.Deadline, Cut: s.cut(),
+		},
+		// Each shard gives a part or is lost, at most twice, and each slice ends.
+		events: make(chan gatherEvent, 6*len(s.route.Shards)+16),
+	}
+	routers, zones := s.gateway.peers.view()
+	self := slicing.Router{Name: s.gateway.config.Name, Zone: s.gateway.config.Zone}
+	for _, slice := range slicing.Assign(self, s.route.Shards, func(shard string) []string { return zones[shard] }, routers, s.id) {
+		state.begin(slice)
+	}
+	state.wait()
+}
+
+// cut is when parts that suffice are answered with; zero for never.
+func (s *exchangeState) cut() time.Time {
+	if s.route.Target <= 0 {
+		return time.Time{}
+	}
+	margin := max(cutMargin, time.Duration(cutShare*float64(s.route.Target)))
+	return s.arrived.Add(s.route.Target - s.away() - margin)
+}
+
+// begin gathers a slice here or asks its router for it.
+func (g *gatherState) begin(slice slicing.Slice) {
+	state := &sliceState{Slice: slice, open: make(map[int]bool, len(slice.Shards))}
+	for position := range slice.Shards {
+		state.open[position] = true
+	}
+	g.slices = append(g.slices, state)
+	index := len(g.slices) - 1
+	if slice.Router.Name == "" {
+		g.gatherHere(index, false)
+		return
+	}
+	g.gateway.metrics.slicesAsked.Inc()
+	asked := g.sliceRequest(slice)
+	go func() {
+		accepted, err := g.gateway.slices.ask(g.context, slice.Router, asked, func(frame sliceFrame) {
+			g.events <- gatherEvent{slice: index, frame: &frame}
+		})
+		if err != nil {
+			g.events <- gatherEvent{slice: index, failed: true, accepted: accepted, reason: err}
+		}
+	}()
+}
+
+func (g *gatherState) sliceRequest(slice slicing.Slice) sliceRequest {
+	now := time.Now()
+	asked := sliceRequest{
+		Request: g.message, Shards: slice.Shards, Route: g.route.Name, MaxAttempts: g.route.MaxAttempts,
+		Priority: g.route.Priority, TopRecords: g.route.TopRecords, LeastShare: g.route.LeastShare, Target: g.route.Target,
+		DeadlineLeft: g.collection.Deadline.Sub(now),
+	}
+	if !g.collection.Cut.IsZero() {
+		asked.CutLeft = max(0, g.collection.Cut.Sub(now)-sliceMargin)
+	}
+	return asked
+}
+
+// gatherHere gives what is open of a slice to the own engine.
+func (g *gatherState) gatherHere(index int, repeat bool) {
+	state := g.slices[index]
+	var open []int
+	for position := range state.Shards {
+		if state.open[position] {
+			open = append(open, position)
+		}
+	}
+	shards := make([]string, len(open))
+	for number, position := range open {
+		shards[number] = state.Shards[position]
+	}
+	// From now on positions are those of the shards that were open.
+	state.Shards, state.open = shards, make(map[int]bool, len(shards))
+	for position := range shards {
+		state.open[position] = true
+	}
+	gathering := g.gateway.submitShards(localSlice{
+		request: g.message, route: g.route, shards: shards, deadline: g.collection.Deadline,
+		repeat: repeat, events: g.events, slice: index,
+	})
+	state.local = &gathering
+}
+
+// wait takes events in until the collection decides, then answers.
+func (g *gatherState) wait() {
+	timer := time.NewTimer(time.Until(g.collection.Next(time.Now())))
+	defer timer.Stop()
+	defer g.finish()
+	for {
+		now := time.Now()
+		switch decision := g.collection.Decide(now); decision {
+		case slicing.Answer:
+			g.answer()
+			return
+		case slicing.FailCoverage, slicing.FailTimeout:
+			g.failGather(decision)
+			return
+		}
+		select {
+		case event := <-g.events:
+			g.takeIn(event)
+		case <-timer.C:
+			timer.Reset(max(time.Millisecond, time.Until(g.collection.Next(time.Now()))))
+		case <-g.request.Context().Done():
+			g.tell("client_gone", 0, g.result)
+			return
+		}
+	}
+}
+
+func (g *gatherState) takeIn(event gatherEvent) {
+	state := g.slices[event.slice]
+	switch {
+	case event.frame != nil:
+		g.takeFrame(state, event.frame)
+	case event.failed:
+		g.fallBack(event)
+	case event.ended:
+		state.ended = true
+		for _, position := range event.lost {
+			g.lose(state, position)
+		}
+		g.addResult(event.result)
+	default:
+		g.takePart(state, event.part.Shard, event.part.Reply.Stamp)
+		g.records = append(g.records, event.part.Reply.Body)
+	}
+}
+
+func (g *gatherState) takeFrame(state *sliceState, frame *sliceFrame) {
+	for number, position := range frame.Shards {
+		g.takePart(state, position, frame.Stamps[number])
+	}
+	g.records = append(g.records, frame.Records)
+	for _, position := range frame.Lost {
+		g.lose(state, position)
+	}
+	state.ended = state.ended || frame.Last
+}
+
+func (g *gatherState) takePart(state *sliceState, position int, stamp string) {
+	if state.open[position] {
+		delete(state.open, position)
+		g.collection.In++
+		g.stamps = append(g.stamps, stamp)
+	}
+}
+
+func (g *gatherState) lose(state *sliceState, position int) {
+	if state.open[position] {
+		delete(state.open, position)
+		g.collection.Out++
+		if len(g.result.Lacking) < maxLackingTold {
+			g.result.Lacking = append(g.result.Lacking, scatter.Lack{Service: state.Shards[position], Server: state.Router.Name})
+		}
+	}
+}
+
+// maxLackingTold bounds the shards that a log line names.
+const maxLackingTold = 4
+
+// fallBack gathers here what a router that failed has not brought.
+func (g *gatherState) fallBack(event gatherEvent) {
+	state := g.slices[event.slice]
+	if g.context.Err() != nil || state.ended {
+		return
+	}
+	g.gateway.peers.doubt(state.Router.Name)
+	g.gateway.metrics.slicesFailed.Inc()
+	g.gateway.logger.WithField("router", state.Router.Name).WithField("accepted", event.accepted).
+		WithField("request", g.id).WithField("reason", event.reason).Info("router_doubted")
+	g.fallbacks++
+	g.gatherHere(event.slice, event.accepted)
+}
+
+func (g *gatherState) addResult(result scatter.Result) {
+	g.result.Attempts += result.Attempts
+	g.result.Extras += result.Extras
+	g.result.Denied += result.Denied
+	for _, lack := range result.Lacking {
+		if len(g.result.Lacking) < maxLackingTold {
+			g.result.Lacking = append(g.result.Lacking, lack)
+		}
+	}
+	g.result.Verdict = result.Verdict
+}
+
+// finish ends what is still on its way.
+func (g *gatherState) finish() {
+	g.cancel()
+	for _, state := range g.slices {
+		if state.local != nil && !state.ended {
+			state.local.abandon()
+		}
+	}
+}
+
+func (g *gatherState) answer() {
+	missing := g.collection.Total - g.collection.In
+	header := g.writer.Header()
+	g.gateway.config.Dialect.Gathered(header, g.stamps, missing)
+	header.Set("Content-Type", "application/octet-stream")
+	g.write(http.StatusOK, greatestRecords(g.records, g.route.TopRecords))
+	g.told = gatherTold{missing: missing, slices: len(g.slices), fallbacks: g.fallbacks}
+	g.tell("answered", http.StatusOK, g.result)
+}
+
+// failGather answers that too few parts came. Only what one router gathered alone
+// can be proved not to have run.
+func (g *gatherState) failGather(decision slicing.Decision) {
+	alone := len(g.slices) == 1 && g.slices[0].Router.Name == "" && g.slices[0].ended
+	g.result.Reason = verdict.ReasonCoverage
+	if decision == slicing.FailTimeout {
+		g.result.Reason = verdict.ReasonTimeout
+	}
+	if !alone || g.result.Verdict != verdict.NotRun {
+		g.result.Verdict = verdict.MayHaveRun
+	} else {
+		g.result.RetryAfter = startRetry
+	}
+	g.told = gatherTold{missing: g.collection.Total - g.collection.In, slices: len(g.slices), fallbacks: g.fallbacks}
+	g.fail(g.result)
+}
+
+// gatherTold is what the log says of a gathered answer.
+type gatherTold struct {
+	missing   int
+	slices    int
+	fallbacks int
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -31,6 +31,19 @@
 	// id receives the engine's name of the request, answer its result.
 	id     chan scatter.RequestID
 	answer chan scatter.Result
+	// events receives, in the place of answer, the parts and the end of a request
+	// that gathers, marked with slice. It has room for all of them.
+	events chan<- gatherEvent
+	slice  int
+}
+
+// end hands the result of a request on.
+func (s submitted) end(result scatter.Result) {
+	if s.events != nil {
+		s.events <- gatherEvent{slice: s.slice, ended: true, lost: result.Missing, result: result}
+		return
+	}
+	s.answer <- result
 }
 
 func newLoop(engine *scatter.Engine, pool *exchange.Pool, logger logrus.FieldLogger) *loop {
@@ -83,7 +96,7 @@
 	for _, command := range l.engine.Step(time.Now(), event) {
 		l.carryOut(command)
 	}
-	if gone, ok := event.(scatter.ClientGone); ok {
+	if gone, ok := event.(scatter.Abandoned); ok {
 		// Only now: a timer that was due in this step may have sent for it.
 		delete(l.waiting, gone.Request)
 	}
@@ -100,7 +113,11 @@
 	case scatter.Respond:
 		if waiting, ok := l.waiting[command.Request]; ok {
 			delete(l.waiting, command.Request)
-			waiting.answer <- command.Result
+			waiting.end(command.Result)
+		}
+	case scatter.Part:
+		if waiting, ok := l.waiting[command.Request]; ok {
+			waiting.events <- gatherEvent{slice: waiting.slice, part: command}
 		}
 	case scatter.Wake:
 		l.timer.Reset(time.Until(command.At))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,9 @@
 	denied         prometheus.Counter
 	missing        prometheus.Counter
 	followFailures prometheus.Counter
+	slicesAsked    prometheus.Counter
+	slicesFailed   prometheus.Counter
+	slicesServed   prometheus.Counter
 	version        prometheus.Gauge
 }
 
@@ -31,6 +34,9 @@
 		extras:         counter("extra_attempts_total", "Hedges and retries."),
 		denied:         counter("denied_attempts_total", "Hedges and retries that the budget did not pay for."),
 		missing:        counter("missing_parts_total", "Shards left out of answers."),
+		slicesAsked:    counter("slices_asked_total", "Slices that other routers were asked for."),
+		slicesFailed:   counter("slices_failed_total", "Slices that other routers did not bring, so that they were gathered here."),
+		slicesServed:   counter("slices_served_total", "Slices gathered for other routers."),
 		followFailures: counter("follow_failures_total", "Failed calls to directory nodes."),
 		version: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_document_version", Help: "Version of the routing document in force.",
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -30,6 +30,8 @@
 type Config struct {
 	Name string
 	Zone string
+	// PeerAddress is where other routers reach this one; empty for nowhere.
+	PeerAddress string
 	// Seeds are peer addresses of directory nodes.
 	Seeds []string
 	// Grace is how long a stop may take.
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/slicing"
+)
+
+// peerDoubt is how long a router that failed is not asked.
+const peerDoubt = 1500 * time.Millisecond
+
+// peers is what a router knows of the others, and of where servers are. It is
+// safe for concurrent use.
+type peers struct {
+	mutex    sync.Mutex
+	routers  []slicing.Router
+	doubted  map[string]time.Time
+	places   map[string]place
+	zones    map[string][]string
+	outdated bool
+}
+
+// place is the service and zone of a server that may get work.
+type place struct{ service, zone string }
+
+func newPeers() *peers {
+	return &peers{doubted: make(map[string]time.Time), places: make(map[string]place)}
+}
+
+// setRouters replaces the routers that may be asked.
+func (p *peers) setRouters(routers []directory.Router) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.routers = lo.Map(routers, func(r directory.Router, _ int) slicing.Router {
+		return slicing.Router{Name: r.Name, Zone: r.Zone, Address: r.Address}
+	})
+}
+
+// setServers takes in changed servers and those that are gone.
+func (p *peers) setServers(changed []registry.Instance, gone []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, instance := range changed {
+		if instance.State == registry.Ready {
+			p.places[instance.ID] = place{instance.Service, instance.Zone}
+		} else {
+			delete(p.places, instance.ID)
+		}
+	}
+	for _, id := range gone {
+		delete(p.places, id)
+	}
+	p.outdated = p.outdated || len(changed)+len(gone) > 0
+}
+
+// doubt keeps a router from being asked for a while.
+func (p *peers) doubt(name string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.doubted[name] = time.Now().Add(peerDoubt)
+}
+
+// view returns the routers that may be asked now and the zones of each service.
+// The results are not changed afterwards.
+func (p *peers) view() (routers []slicing.Router, zones map[string][]string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.outdated {
+		p.outdated = false
+		p.zones = make(map[string][]string)
+		for _, at := range p.places {
+			if !slices.Contains(p.zones[at.service], at.zone) {
+				p.zones[at.service] = append(p.zones[at.service], at.zone)
+			}
+		}
+		for _, names := range p.zones {
+			slices.Sort(names)
+		}
+	}
+	now := time.Now()
+	routers = lo.Filter(p.routers, func(r slicing.Router, _ int) bool { return now.After(p.doubted[r.Name]) })
+	return routers, p.zones
+}
--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"container/heap"
-
-	"github.com/martenstage/martenstage/internal/message"
 )
 
 // recordBytes is the length of a record; records are ordered byte by byte.
@@ -12,10 +10,9 @@
 
 // greatestRecords returns the greatest records of all parts, greatest first.
 // Equal records all count; a remainder shorter than a record is none.
-func greatestRecords(parts []*message.Reply, limit int) []byte {
+func greatestRecords(parts [][]byte, limit int) []byte {
 	kept := make(recordHeap, 0, limit+1)
-	for _, part := range parts {
-		body := part.Body
+	for _, body := range parts {
 		for ; len(body) >= recordBytes; body = body[recordBytes:] {
 			record := body[:recordBytes]
 			if len(kept) >= limit {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/routing"
@@ -25,6 +24,8 @@
 	id      string
 	route   *routing.Route
 	version uint64
+	// told is what the log says of an answer put together from slices.
+	told gatherTold
 }
 
 // ServeHTTP serves one request of a client.
@@ -92,20 +93,33 @@
 		s.refuse(status, verdict.ReasonBodyTooLarge, 0)
 		return
 	}
+	passed := &message.Request{
+		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
+		Header: passedOn(s.request.Header), Body: body, ID: s.id,
+	}
+	if s.route.Gathers() {
+		s.serveGather(passed)
+		return
+	}
+	s.serveSingle(passed)
+}
+
+// serveSingle answers a request that goes to one service.
+func (s *exchangeState) serveSingle(passed *message.Request) {
 	arriving := submitted{
-		arrived: s.arrival(),
-		request: &message.Request{
-			Method: s.request.Method, Target: s.target(), Host: s.request.Host,
-			Header: passedOn(s.request.Header), Body: body, ID: s.id,
-		},
+		arrived: s.arrival(), request: passed,
 		id: make(chan scatter.RequestID, 1), answer: make(chan scatter.Result, 1),
 	}
 	s.gateway.loop.requests <- arriving
 	select {
 	case result := <-arriving.answer:
-		s.answer(result)
+		if result.Reply == nil {
+			s.fail(result)
+			return
+		}
+		s.writeReply(result)
 	case <-s.request.Context().Done():
-		s.gateway.loop.events <- scatter.ClientGone{Request: <-arriving.id}
+		s.gateway.loop.events <- scatter.Abandoned{Request: <-arriving.id}
 		s.tell("client_gone", 0, scatter.Result{})
 	}
 }
@@ -126,13 +140,10 @@
 	return body, 0
 }
 
-// arrival sets the times that bound the request.
+// arrival sets the time that bounds the request and the service that it goes to.
 func (s *exchangeState) arrival() scatter.Arrived {
 	held := min(s.remaining(), s.route.Timeout)
 	arrived := scatter.Arrived{Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(held)}
-	if s.route.Target > 0 {
-		arrived.Target = s.arrived.Add(s.route.Target - s.away())
-	}
 	if !s.route.Gathers() {
 		arrived.Services = []string{s.route.ServiceOf(s.id)}
 	}
@@ -148,30 +159,9 @@
 	return connection.away()
 }
 
-// answer writes the result of a request.
-func (s *exchangeState) answer(result scatter.Result) {
-	switch {
-	case len(result.Parts) == 0:
-		s.fail(result)
-	case s.route.Gathers():
-		s.writeGathered(result)
-	default:
-		s.writeReply(result)
-	}
-}
-
-func (s *exchangeState) writeGathered(result scatter.Result) {
-	header := s.writer.Header()
-	stamps := lo.Map(result.Parts, func(part *message.Reply, _ int) string { return part.Stamp })
-	s.gateway.config.Dialect.Gathered(header, stamps, result.Missing)
-	header.Set("Content-Type", "application/octet-stream")
-	s.write(http.StatusOK, greatestRecords(result.Parts, s.route.TopRecords))
-	s.tell("answered", http.StatusOK, result)
-}
-
 // writeReply passes the answer of a server on unchanged.
 func (s *exchangeState) writeReply(result scatter.Result) {
-	reply := result.Parts[0]
+	reply := result.Reply
 	header := s.writer.Header()
 	for name, values := range passedOn(reply.Header) {
 		header[name] = values
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -12,6 +12,7 @@
 	Name          string   `long:"name" koanf:"name" default:"gateway" validate:"required" description:"Name of this router, unique in the fleet"`
 	Zone          string   `long:"zone" koanf:"zone" default:"default" validate:"required" description:"Zone that this router runs in"`
 	ClientsListen string   `long:"clients-listen" koanf:"clients-listen" default:"127.0.0.1:8080" validate:"ip_port" description:"Address for clients"`
+	PeerListen    string   `long:"peer-listen" koanf:"peer-listen" validate:"omitempty,ip_port" description:"Address for other routers, under which they reach this one; none when empty"`
 	ReadyListen   string   `long:"ready-listen" koanf:"ready-listen" default:"127.0.0.1:8082" validate:"ip_port" description:"Address for readiness calls"`
 	MetricsListen string   `long:"metrics-listen" koanf:"metrics-listen" validate:"omitempty,ip_port" description:"Address for metrics; none when empty"`
 	Seeds         []string `long:"seed" koanf:"seeds" validate:"dive,ip_port" description:"Address of a directory node; its port is replaced by peer-port if that is set. Repeat it to name several"`
--- /dev/null
+++ b/internal/gateway/slice_messages.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"encoding/binary"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/message"
+)
+
+// pathSlice is the call by which a router asks another one to gather some shards.
+const pathSlice = "/router/slice"
+
+// sliceRequest asks for the parts of some shards.
+type sliceRequest struct {
+	Request *message.Request `json:"request"`
+	Shards  []string         `json:"shards"`
+	// The parts of the route that matter to those shards.
+	Route       string  `json:"route"`
+	MaxAttempts int     `json:"max_attempts"`
+	Priority    int     `json:"priority"`
+	TopRecords  int     `json:"top_records"`
+	LeastShare  float64 `json:"least_share"`
+	// Target of the route, for first delays.
+	Target time.Duration `json:"target"`
+	// CutLeft is when the parts that are in are to be sent; DeadlineLeft when to
+	// end. Both count from the arrival.
+	CutLeft      time.Duration `json:"cut_left"`
+	DeadlineLeft time.Duration `json:"deadline_left"`
+}
+
+// sliceFrame is one message of the answer, which is a stream of frames.
+type sliceFrame struct {
+	// Shards are the positions, in the request, of the parts that are in this
+	// frame, and Stamps their signatures.
+	Shards []int
+	Stamps []string
+	// Lost are positions of shards of which no part will come.
+	Lost []int
+	// Records are the greatest of the parts in this frame.
+	Records []byte
+	// Last says that nothing follows.
+	Last bool
+}
+
+// Bounds of a frame.
+const (
+	maxFrameBytes = 16 << 20
+	frameHeader   = 4
+)
+
+var errFrame = errors.New("a slice's frame is damaged")
+
+// encode puts the frame's length before it.
+func (f sliceFrame) encode() []byte {
+	body := make([]byte, frameHeader, frameHeader+len(f.Records)+64*(len(f.Stamps)+1))
+	last := byte(0)
+	if f.Last {
+		last = 1
+	}
+	body = append(body, last)
+	body = binary.AppendUvarint(body, uint64(len(f.Shards)))
+	for index, shard := range f.Shards {
+		body = binary.AppendUvarint(body, uint64(shard))
+		body = binary.AppendUvarint(body, uint64(len(f.Stamps[index])))
+		body = append(body, f.Stamps[index]...)
+	}
+	body = binary.AppendUvarint(body, uint64(len(f.Lost)))
+	for _, shard := range f.Lost {
+		body = binary.AppendUvarint(body, uint64(shard))
+	}
+	body = append(body, f.Records...)
+	binary.BigEndian.PutUint32(body, uint32(len(body)-frameHeader))
+	return body
+}
+
+// readFrame reads one frame of a stream whose shards are below a number.
+func readFrame(reader io.Reader, shards int) (sliceFrame, error) {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return sliceFrame{}, err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size == 0 || size > maxFrameBytes {
+		return sliceFrame{}, errFrame
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(reader, body); err != nil {
+		return sliceFrame{}, err
+	}
+	return decodeFrame(body, shards)
+}
+
+func decodeFrame(body []byte, shards int) (sliceFrame, error) {
+	decoder := frameDecoder{rest: body[1:], shards: uint64(shards)}
+	frame := sliceFrame{Last: body[0] == 1}
+	for range decoder.count() {
+		frame.Shards = append(frame.Shards, decoder.shard())
+		frame.Stamps = append(frame.Stamps, decoder.text())
+	}
+	for range decoder.count() {
+		frame.Lost = append(frame.Lost, decoder.shard())
+	}
+	frame.Records = decoder.rest
+	if decoder.failed || len(frame.Records)%recordBytes != 0 {
+		return sliceFrame{}, errFrame
+	}
+	return frame, nil
+}
+
+// frameDecoder reads the parts of a frame; after a failure it gives zeros.
+type frameDecoder struct {
+	rest   []byte
+	shards uint64
+	failed bool
+}
+
+func (d *frameDecoder) number(limit uint64) uint64 {
+	value, read := binary.Uvarint(d.rest)
+	if d.failed || read <= 0 || value > limit {
+		d.failed = true
+		return 0
+	}
+	d.rest = d.rest[read:]
+	return value
+}
+
+func (d *frameDecoder) count() int { return int(d.number(d.shards)) }
+
+func (d *frameDecoder) shard() int {
+	position := d.number(d.shards)
+	d.failed = d.failed || position == d.shards
+	return int(position)
+}
+
+func (d *frameDecoder) text() string {
+	length := d.number(uint64(len(d.rest)))
+	if length > uint64(len(d.rest)) {
+		d.failed = true
+	}
+	if d.failed {
+		return ""
+	}
+	text := string(d.rest[:length])
+	d.rest = d.rest[length:]
+	return text
+}
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -24,15 +24,15 @@
 	s.gateway.metrics.seconds.Observe(took.Seconds())
 	s.gateway.metrics.extras.Add(float64(result.Extras))
 	s.gateway.metrics.denied.Add(float64(result.Denied))
-	s.gateway.metrics.missing.Add(float64(result.Missing))
+	s.gateway.metrics.missing.Add(float64(s.told.missing))
 	late := target > 0 && took > target
-	ordinary := outcome == "answered" && !late && result.Missing == 0 && status < 400
-	if ordinary && s.gateway.told.Add(1)%sampleEvery != 0 {
+	ordinary := outcome == "answered" && !late && s.told.missing == 0 && status < 400
+	if ordinary && s.gateway.answers.Add(1)%sampleEvery != 0 {
 		return
 	}
 	fields := logrus.Fields{
 		"request": s.id, "route": route, "version": s.version, "outcome": outcome, "status": status, "took": took,
-		"attempts": result.Attempts, "extras": result.Extras, "denied": result.Denied, "missing": result.Missing, "late": late,
+		"attempts": result.Attempts, "extras": result.Extras, "denied": result.Denied, "missing": s.told.missing, "late": late, "slices": s.told.slices, "fallbacks": s.told.fallbacks,
 	}
 	if result.Reason != "" {
 		fields["reason"], fields["verdict"] = result.Reason, result.Verdict
--- a/internal/scatter/doc.go
+++ b/internal/scatter/doc.go
@@ -14,6 +14,7 @@
 //	budget         hedges and retries of a service spend tokens that first
 //	               attempts earn, so that over all routers the arrivals beyond the
 //	               first stay below a share of the requests
-//	answer         when all parts are in; at the cut, when the parts that are in
-//	               suffice; as soon as success is impossible
+//	answer         the reply of the service, or a failure as soon as success is
+//	               impossible; parts are given as they come, and whoever gathers
+//	               them decides when they suffice (package slicing)
 package scatter
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -64,8 +64,8 @@
 		e.arrive(event)
 	case Ended:
 		e.end(event)
-	case ClientGone:
-		e.clientGone(event.Request)
+	case Abandoned:
+		e.abandon(event.Request)
 	case ServersChanged:
 		for _, told := range event.Servers {
 			e.changeServer(told)
@@ -109,7 +109,7 @@
 			}
 		case timerRoom:
 			e.serveGroup(due.service)
-		case timerCut, timerDeadline:
+		case timerDeadline:
 			if waiting, ok := e.requests[due.request]; ok {
 				e.decide(waiting)
 			}
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -27,8 +27,9 @@
 	Services []string
 	// Deadline is when the answer is given at the latest.
 	Deadline time.Time
-	// Target is when an answer is still worth most; zero for none.
-	Target time.Time
+	// Repeat says that servers may have been asked by another router before, so
+	// that every attempt has to be paid for.
+	Repeat bool
 }
 
 // Ended is the end of an attempt; there is exactly one for each Send.
@@ -37,8 +38,9 @@
 	Outcome Outcome
 }
 
-// ClientGone says that nobody waits for a request any more.
-type ClientGone struct{ Request RequestID }
+// Abandoned says that nobody waits for a request any more: it was answered with
+// what was there, or its client left.
+type Abandoned struct{ Request RequestID }
 
 // ServersChanged tells of servers that are new or have changed.
 type ServersChanged struct{ Servers []Server }
@@ -57,7 +59,7 @@
 
 func (Arrived) isEvent()         {}
 func (Ended) isEvent()           {}
-func (ClientGone) isEvent()      {}
+func (Abandoned) isEvent()       {}
 func (ServersChanged) isEvent()  {}
 func (ServersGone) isEvent()     {}
 func (DocumentChanged) isEvent() {}
@@ -135,7 +137,17 @@
 // Abort ends an attempt whose answer is not wanted any more. Its Ended follows.
 type Abort struct{ Attempt AttemptID }
 
-// Respond gives a request its one answer.
+// Part gives a part of a request that gathers. Respond follows once no more can
+// come.
+type Part struct {
+	Request RequestID
+	// Shard is the position in Arrived.Services.
+	Shard int
+	Reply *message.Reply
+}
+
+// Respond ends a request: with the answer of its service, or, of a request that
+// gathers, with what is known of the shards without a part.
 type Respond struct {
 	Request RequestID
 	Result  Result
@@ -153,18 +165,19 @@
 
 func (Send) isCommand()    {}
 func (Abort) isCommand()   {}
+func (Part) isCommand()    {}
 func (Respond) isCommand() {}
 func (Wake) isCommand()    {}
 func (Noted) isCommand()   {}
 
-// Result is the answer to a request.
+// Result is how a request ended.
 type Result struct {
-	// Parts are the replies that make up the answer: one for each shard that is
-	// in, or the one reply of a service. It is empty for a failure of the router's
-	// own.
-	Parts   []*message.Reply
-	Missing int
-	// Verdict and Reason are set when there are no parts.
+	// Reply is that of the service; nil for a failure of the router's own and for
+	// requests that gather.
+	Reply *message.Reply
+	// Missing are the positions of shards without a part.
+	Missing []int
+	// Verdict and Reason are set when there is no reply.
 	Verdict verdict.Verdict
 	Reason  verdict.Reason
 	// RetryAfter is when a request that has not run may come back.
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -16,11 +16,8 @@
 	route    *routing.Route
 	arrived  time.Time
 	deadline time.Time
-	// cut is when parts that suffice are answered with; zero for never.
-	cut      time.Time
 	calls    []*call
 	open     int
-	parts    int
 	attempts int
 	extras   int
 	denied   int
@@ -29,8 +26,9 @@
 
 // call is what a request asks of one service.
 type call struct {
-	request *request
-	group   *group
+	request  *request
+	position int
+	group    *group
 	// tried are the servers that were sent to; live the attempts still out.
 	tried []*server
 	live  []*attempt
@@ -65,25 +63,21 @@
 	abortGraceCrowded = 20 * time.Millisecond
 	// absentPatience is how long a call waits for a server to be known.
 	absentPatience = time.Second
-	// cutMargin and cutShare are kept from the target for merging and writing.
-	cutMargin = 3 * time.Millisecond
-	cutShare  = 0.02
 )
 
 func (e *Engine) arrive(event Arrived) {
 	arrived := &request{id: event.ID, route: event.Route, arrived: e.now, deadline: event.Deadline, open: len(event.Services)}
-	if event.Route.Gathers() && !event.Target.IsZero() {
-		margin := max(cutMargin, time.Duration(cutShare*float64(event.Route.Target)))
-		arrived.cut = event.Target.Add(-margin)
-		e.timers.add(timer{at: arrived.cut, kind: timerCut, request: event.ID})
-	}
 	e.requests[event.ID] = arrived
 	e.timers.add(timer{at: event.Deadline, kind: timerDeadline, request: event.ID})
-	for _, service := range event.Services {
-		called := &call{request: arrived, group: e.group(service)}
+	for position, service := range event.Services {
+		called := &call{request: arrived, position: position, group: e.group(service)}
 		arrived.calls = append(arrived.calls, called)
 	}
 	for _, called := range arrived.calls {
+		if event.Repeat {
+			e.dispatchExtra(called, true)
+			continue
+		}
 		called.group.budget.earn(e.config.Budget, e.routers)
 		e.dispatch(called, false)
 		e.serveGroup(called.group.service)
@@ -180,6 +174,9 @@
 	called.last = outcome.Failure
 	if outcome.Failure == NoFailure && outcome.Reply.Succeeded() {
 		called.part = outcome.Reply
+		if called.request.route.Gathers() {
+			e.emit(Part{Request: called.request.id, Shard: called.position, Reply: outcome.Reply})
+		}
 		e.settle(called)
 		e.decide(called.request)
 		return
@@ -250,9 +247,6 @@
 	}
 	called.settled, called.waiting = true, false
 	called.request.open--
-	if called.part != nil {
-		called.request.parts++
-	}
 	e.abortLater(called)
 }
 
@@ -293,8 +287,8 @@
 	}
 }
 
-// clientGone drops a request without an answer.
-func (e *Engine) clientGone(id RequestID) {
+// abandon drops a request without an answer.
+func (e *Engine) abandon(id RequestID) {
 	waiting, ok := e.requests[id]
 	if !ok {
 		return
--- a/internal/scatter/timers.go
+++ b/internal/scatter/timers.go
@@ -10,7 +10,6 @@
 
 const (
 	timerHedge timerKind = iota
-	timerCut
 	timerDeadline
 	timerAbort
 	timerRoom
