--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -45,7 +45,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
-	if n.routers.report(now, request.Router, 0) {
+	if n.routers.report(now, request.Router, 0, true) {
 		n.announce()
 	}
 	reply := FollowReply{
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -33,7 +33,7 @@
 	// fresh are servers whose change was reported to this node since the last
 	// share, beats those that only repeated themselves.
 	fresh      map[string]bool
-	beats      map[string]bool
+	beats      map[string]uint64
 	routers    routerTable
 	candidates map[string]candidate
 	// told are the members that other nodes named to this one, which is none.
@@ -59,7 +59,7 @@
 		registry:    registry.New(missingHeartbeats*config.HeartbeatInterval, forgetAfter),
 		changed:     make(chan struct{}),
 		fresh:       make(map[string]bool),
-		beats:       make(map[string]bool),
+		beats:       make(map[string]uint64),
 		routers:     make(routerTable),
 		candidates:  make(map[string]candidate),
 		refused:     make(map[uint64]bool),
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -70,8 +70,8 @@
 	closeTimeout = 1500 * time.Millisecond
 	// heartbeat and electionTimeout of the consensus: nodes are a millisecond or
 	// two apart, and routers that start wait for a leader.
-	heartbeat       = 50 * time.Millisecond
-	electionTimeout = 250 * time.Millisecond
+	heartbeat       = 80 * time.Millisecond
+	electionTimeout = 280 * time.Millisecond
 	// tableInterval is how often a changed table of servers is written to disk.
 	tableInterval = 500 * time.Millisecond
 	// groupLossesFactor makes a quorum outlive the losses: two voters for each,
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -40,12 +40,20 @@
 // shareMessage tells another node of servers and routers.
 type shareMessage struct {
 	Instances []registry.Instance `json:"instances,omitempty"`
+	// Beats are servers that only repeated themselves.
+	Beats []beat `json:"beats,omitempty"`
 	// Routers are those that called lately.
 	Routers []sharedRouter `json:"routers,omitempty"`
 	// Settled says that the sender's table is not one that was just begun.
 	Settled bool `json:"settled,omitempty"`
 }
 
+// beat is a heartbeat without news, of a server that the receiver knows.
+type beat struct {
+	ID       string `json:"i"`
+	Sequence uint64 `json:"s"`
+}
+
 // putMessage carries a document to the leader.
 type putMessage struct {
 	Version uint64 `json:"version"`
--- a/internal/directory/routers.go
+++ b/internal/directory/routers.go
@@ -25,19 +25,26 @@
 type knownRouter struct {
 	Router
 	called time.Time
+	// here is when it last called this node.
+	here time.Time
 }
 
 // routerTable holds the routers; its owner guards it.
 type routerTable map[string]knownRouter
 
-// report takes in a call and reports whether others must know of it at once.
-func (t routerTable) report(now time.Time, router Router, age time.Duration) bool {
+// report takes in a call, here or at another node, and reports whether it is
+// news.
+func (t routerTable) report(now time.Time, router Router, age time.Duration, here bool) bool {
 	called := now.Add(-age)
 	known, exists := t[router.Name]
 	if exists && known.called.After(called) {
 		return false
 	}
-	t[router.Name] = knownRouter{Router: router, called: called}
+	updated := knownRouter{Router: router, called: called, here: known.here}
+	if here {
+		updated.here = called
+	}
+	t[router.Name] = updated
 	return !exists || known.Router != router
 }
 
@@ -53,6 +60,13 @@
 	return found
 }
 
+// direct returns the routers that called this node within a time.
+func (t routerTable) direct(now time.Time, limit time.Duration) []sharedRouter {
+	return lo.Filter(t.within(now, limit), func(found sharedRouter, _ int) bool {
+		return now.Sub(t[found.Name].here) <= limit
+	})
+}
+
 // expire forgets routers that did not call for long.
 func (t routerTable) expire(now time.Time) {
 	for name, known := range t {
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/registry"
@@ -22,7 +23,7 @@
 			WithField("address", instance.Address).WithField("state", instance.State).Info("instance_changed")
 		return
 	}
-	n.beats[instance.ID] = true
+	n.beats[instance.ID] = instance.Sequence
 }
 
 // runSharing tells the other nodes what servers said to this one, and takes the
@@ -37,7 +38,7 @@
 			n.expire()
 		}
 		message := n.takeShare(withBeats)
-		if len(message.Instances) == 0 && len(message.Routers) == 0 {
+		if len(message.Instances)+len(message.Beats)+len(message.Routers) == 0 {
 			return
 		}
 		for _, address := range n.peerAddresses() {
@@ -56,12 +57,17 @@
 	defer n.mutex.Unlock()
 	wanted := maps.Clone(n.fresh)
 	clear(n.fresh)
+	for id := range wanted {
+		delete(n.beats, id)
+	}
 	message := shareMessage{Settled: n.settled}
 	now := time.Now()
 	if withBeats {
-		maps.Copy(wanted, n.beats)
+		for _, id := range slices.Sorted(maps.Keys(n.beats)) {
+			message.Beats = append(message.Beats, beat{ID: id, Sequence: n.beats[id]})
+		}
 		clear(n.beats)
-		message.Routers = n.routers.within(now, routerShare)
+		message.Routers = n.routers.direct(now, routerShare)
 	}
 	if len(wanted) == 0 {
 		return message
@@ -87,8 +93,11 @@
 		}
 		changed = n.registry.Report(now, instance) || changed
 	}
+	for _, repeated := range message.Beats {
+		changed = n.registry.Refresh(now, repeated.ID, repeated.Sequence) || changed
+	}
 	for _, router := range message.Routers {
-		changed = n.routers.report(now, router.Router, router.Age) || changed
+		changed = n.routers.report(now, router.Router, router.Age, false) || changed
 	}
 	if changed {
 		n.announce()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -108,6 +108,22 @@
 	return true
 }
 
+// Refresh takes in a heartbeat of a known instance that brings nothing new. It
+// reports whether routers must know of it: the instance was missing.
+func (t *Table) Refresh(now time.Time, id string, sequence uint64) bool {
+	known, exists := t.entries[id]
+	if !exists || sequence < known.instance.Sequence {
+		return false
+	}
+	known.instance.Sequence, known.heard = sequence, now
+	if known.instance.State != Missing {
+		return false
+	}
+	known.instance.State = Ready
+	t.touch(known)
+	return true
+}
+
 func (t *Table) add(heard, now time.Time, instance Instance) {
 	t.registered++
 	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft), registered: t.registered}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -56,6 +56,18 @@
 	require.Empty(t, table.Since(start, 0))
 }
 
+func TestRefreshKeepsAServerAndBringsAMissingOneBack(t *testing.T) {
+	table := registry.New(5*time.Second, time.Minute)
+	table.Report(start, ready("a", "10.0.0.1:1", 1))
+	require.False(t, table.Refresh(start.Add(4*time.Second), "a", 2))
+	require.False(t, table.Expire(start.Add(8*time.Second)))
+	require.True(t, table.Expire(start.Add(10*time.Second)))
+	require.False(t, table.Refresh(start.Add(10*time.Second), "a", 1), "a late heartbeat brings it back")
+	require.True(t, table.Refresh(start.Add(10*time.Second), "a", 3))
+	require.Equal(t, registry.Ready, stateOf(table, start, "a"))
+	require.False(t, table.Refresh(start, "unknown", 1))
+}
+
 func TestTablesAgreeInWhateverOrderTheyAreTold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 12).Draw(t, "count")
