--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,10 @@
 	answers  atomic.Uint64
 	peers    *peers
 	slices   *sliceClient
+	// sliceLag is that of slices from other routers, answerLag that from the cut
+	// until an answer is written.
+	sliceLag  lag
+	answerLag lag
 }
 
 // New returns a router that knows no document yet.
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -16,8 +16,9 @@
 	// cutMargin and cutShare are for merging and writing.
 	cutMargin = 3 * time.Millisecond
 	cutShare  = 0.02
-	// sliceMargin is for the way of a slice from another router.
-	sliceMargin = 4 * time.Millisecond
+	// firstSliceMargin is for the way of a slice from another router, until that
+	// was observed.
+	firstSliceMargin = 4 * time.Millisecond
 )
 
 // gatherState is one request that is put together from slices.
@@ -33,11 +34,15 @@
 	cancel     context.CancelFunc
 	context    context.Context
 	fallbacks  int
+	// atCut says that the answer is given since its cut has come.
+	atCut bool
 }
 
 // sliceState is one slice of a request.
 type sliceState struct {
 	slicing.Slice
+	// due is when another router sends what it has by then; zero for never.
+	due time.Time
 	// open are the positions, in Shards, of which nothing is known yet.
 	open map[int]bool
 	// local is set once this router gathers the slice itself.
@@ -71,7 +76,7 @@
 	if s.route.Target <= 0 {
 		return time.Time{}
 	}
-	margin := max(cutMargin, time.Duration(cutShare*float64(s.route.Target)))
+	margin := s.gateway.answerLag.margin(max(cutMargin, time.Duration(cutShare*float64(s.route.Target))))
 	return s.arrived.Add(s.route.Target - s.away() - margin)
 }
 
@@ -89,9 +94,12 @@
 	}
 	g.gateway.metrics.slicesAsked.Inc()
 	asked := g.sliceRequest(slice)
+	if !g.collection.Cut.IsZero() {
+		state.due = time.Now().Add(asked.CutLeft)
+	}
 	go func() {
 		accepted, err := g.gateway.slices.ask(g.context, slice.Router, asked, func(frame sliceFrame) {
-			g.events <- gatherEvent{slice: index, frame: &frame}
+			g.events <- gatherEvent{slice: index, frame: &frame, at: time.Now()}
 		})
 		if err != nil {
 			g.events <- gatherEvent{slice: index, failed: true, accepted: accepted, reason: err}
@@ -107,7 +115,7 @@
 		DeadlineLeft: g.collection.Deadline.Sub(now),
 	}
 	if !g.collection.Cut.IsZero() {
-		asked.CutLeft = max(0, g.collection.Cut.Sub(now)-sliceMargin)
+		asked.CutLeft = max(0, g.collection.Cut.Sub(now)-g.gateway.sliceLag.margin(firstSliceMargin))
 	}
 	return asked
 }
@@ -156,6 +164,7 @@
 		case event := <-g.events:
 			g.takeIn(event)
 		case <-timer.C:
+			g.atCut = g.collection.Decide(g.collection.Cut) == slicing.Answer
 			timer.Reset(max(time.Millisecond, time.Until(g.collection.Next(time.Now()))))
 		case <-g.request.Context().Done():
 			g.tell("client_gone", 0, g.result)
@@ -168,6 +177,7 @@
 	state := g.slices[event.slice]
 	switch {
 	case event.frame != nil:
+		g.observeLag(state, event)
 		g.takeFrame(state, event.frame)
 	case event.failed:
 		g.fallBack(event)
@@ -183,6 +193,15 @@
 	}
 }
 
+// observeLag learns how late the frame that was sent at the cut came in.
+func (g *gatherState) observeLag(state *sliceState, event gatherEvent) {
+	if state.due.IsZero() || event.at.Before(state.due) || event.frame.Last && len(event.frame.Lost) == 0 {
+		return
+	}
+	g.gateway.sliceLag.observe(time.Since(state.due))
+	state.due = time.Time{}
+}
+
 func (g *gatherState) takeFrame(state *sliceState, frame *sliceFrame) {
 	for number, position := range frame.Shards {
 		g.takePart(state, position, frame.Stamps[number])
@@ -257,6 +276,9 @@
 	g.gateway.config.Dialect.Gathered(header, g.stamps, missing)
 	header.Set("Content-Type", "application/octet-stream")
 	g.write(http.StatusOK, greatestRecords(g.records, g.route.TopRecords))
+	if g.atCut {
+		g.gateway.answerLag.observe(time.Since(g.collection.Cut))
+	}
 	g.told = gatherTold{missing: missing, slices: len(g.slices), fallbacks: g.fallbacks}
 	g.tell("answered", http.StatusOK, g.result)
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,6 +21,7 @@
 	Grace       time.Duration `long:"grace" koanf:"grace" default:"30s" validate:"min=1s" description:"Longest planned stop"`
 	ExtraRatio  float64       `long:"extra-ratio" koanf:"extra-ratio" default:"0.1" validate:"min=0" description:"Hedges and retries allowed at a service, of all routers, as a share of its requests"`
 	ExtraSlack  float64       `long:"extra-slack" koanf:"extra-slack" default:"20" validate:"min=0" description:"Hedges and retries allowed beyond that"`
+	ExtraWindow time.Duration `long:"extra-window" koanf:"extra-window" default:"10s" validate:"min=100ms" description:"Length of the windows in which hedges and retries are counted"`
 	LogLevel    string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
 	MemoryLimit int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
 }
@@ -30,5 +31,5 @@
 
 // BudgetLimits are the bounds of hedges and retries.
 func (o *Options) BudgetLimits() scatter.BudgetLimits {
-	return scatter.BudgetLimits{Ratio: o.ExtraRatio, Slack: o.ExtraSlack}
+	return scatter.BudgetLimits{Ratio: o.ExtraRatio, Slack: o.ExtraSlack, Window: o.ExtraWindow}
 }
--- a/internal/scatter/budget.go
+++ b/internal/scatter/budget.go
@@ -1,44 +1,67 @@
 package scatter
 
+import "time"
+
 // BudgetLimits bound the arrivals at a service beyond the first of each request,
 // over all routers and any window.
 type BudgetLimits struct {
 	// Ratio of extra arrivals to requests.
 	Ratio float64
-	// Slack is how many extra arrivals are allowed beyond that.
+	// Slack is how many extra arrivals are allowed in a window beyond that.
 	Slack float64
+	// Window is the length of the windows; 0 takes DefaultBudgetWindow.
+	Window time.Duration
 }
 
-// Parts of the limits that routers make use of: the rest is for requests that
-// one side counts and the other does not.
+// DefaultBudgetWindow is that of BudgetLimits.
+const DefaultBudgetWindow = 10 * time.Second
+
+// Parts of the limits that routers make use of. The rest is for requests that one
+// side counts and the other does not. Of the slack, a full bucket, what trickles
+// in over a window and what routers begin with that are started in it add up to
+// less than the whole.
 const (
-	usedRatio = 0.8
-	usedSlack = 0.6
-	// startSlack is what a router begins with, small enough for all routers to be
-	// started again in one window.
-	startSlack = 0.25
+	usedRatio  = 0.8
+	burstSlack = 0.3
+	flowSlack  = 0.4
+	startSlack = 0.2
 )
 
 // extraBudget is this router's share of a service's budget: a bucket that first
-// attempts fill. A full bucket is a share of the slack, and it starts with little,
-// so that over any window all routers together, also those that were restarted
-// in it, send at most ratio × requests + slack.
+// attempts and time fill. What a full bucket holds is a share of the slack, as is
+// what flows in over a window, and it starts with little, so that over any window
+// all routers together, also those that were started again in it, send at most
+// ratio × requests + slack.
 type extraBudget struct {
-	tokens  float64
-	started bool
+	tokens float64
+	filled time.Time
 }
 
 // earn credits a first attempt.
-func (b *extraBudget) earn(limits BudgetLimits, routers int) {
-	if !b.started {
-		b.started = true
-		b.tokens = limits.Slack * startSlack / float64(max(1, routers))
-	}
+func (b *extraBudget) earn(now time.Time, limits BudgetLimits, routers int) {
+	b.flow(now, limits, routers)
 	b.tokens = min(b.tokens+limits.Ratio*usedRatio, limits.burst(routers))
 }
 
+// flow credits the time since the last call.
+func (b *extraBudget) flow(now time.Time, limits BudgetLimits, routers int) {
+	share := limits.Slack / float64(max(1, routers))
+	if b.filled.IsZero() {
+		b.filled, b.tokens = now, startSlack*share
+		return
+	}
+	window := limits.Window
+	if window <= 0 {
+		window = DefaultBudgetWindow
+	}
+	gained := flowSlack * share * float64(now.Sub(b.filled)) / float64(window)
+	b.tokens = min(b.tokens+gained, limits.burst(routers))
+	b.filled = now
+}
+
 // spend takes one token if that leaves at least a reserve.
-func (b *extraBudget) spend(reserve float64) bool {
+func (b *extraBudget) spend(now time.Time, limits BudgetLimits, routers int, reserve float64) bool {
+	b.flow(now, limits, routers)
 	if b.tokens < 1+reserve {
 		return false
 	}
@@ -46,6 +69,10 @@
 	return true
 }
 
+// burst is what a full bucket holds: at least one attempt and the reserve of
+// hedges, unless nothing at all is allowed.
 func (l BudgetLimits) burst(routers int) float64 {
-	return max(1, l.Slack*usedSlack/float64(max(1, routers)))
+	return max(min(leastBurst, l.Slack), burstSlack*l.Slack/float64(max(1, routers)))
 }
+
+const leastBurst = 1.5
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -78,7 +78,7 @@
 			e.dispatchExtra(called, true)
 			continue
 		}
-		called.group.budget.earn(e.config.Budget, e.routers)
+		called.group.budget.earn(e.now, e.config.Budget, e.routers)
 		e.dispatch(called, false)
 		e.serveGroup(called.group.service)
 	}
@@ -217,7 +217,7 @@
 	switch {
 	case found == absent || found == busy && e.canSpare(called):
 		e.settle(called)
-	case found == busy || !called.group.budget.spend(retryReserve):
+	case found == busy || !called.group.budget.spend(e.now, e.config.Budget, e.routers, retryReserve):
 		called.waiting = true
 		called.group.waiting = append(called.group.waiting, called)
 	default:
@@ -229,11 +229,11 @@
 // likely to be.
 const (
 	retryReserve = 0
-	hedgeReserve = 1
+	hedgeReserve = 0.3
 )
 
 func (e *Engine) pay(called *call, reserve float64) bool {
-	if called.group.budget.spend(reserve) {
+	if called.group.budget.spend(e.now, e.config.Budget, e.routers, reserve) {
 		return true
 	}
 	called.request.denied++
