--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -110,7 +110,7 @@
 
 // Hedge delays.
 const (
-	hedgeQuantile = 0.85
+	hedgeQuantile = 0.90
 	// hedgeFactor is put on the quantile, hedgeFloor under it.
 	hedgeFactor = 1.0
 	hedgeFloor  = 4 * time.Millisecond
