--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -225,15 +225,9 @@
 	if state.open[position] {
 		delete(state.open, position)
 		g.collection.Out++
-		if len(g.result.Lacking) < maxLackingTold {
-			g.result.Lacking = append(g.result.Lacking, scatter.Lack{Service: state.Shards[position], Server: state.Router.Name})
-		}
 	}
 }
 
-// maxLackingTold bounds the shards that a log line names.
-const maxLackingTold = 4
-
 // fallBack gathers here what a router that failed has not brought.
 func (g *gatherState) fallBack(event gatherEvent) {
 	state := g.slices[event.slice]
@@ -252,11 +246,6 @@
 	g.result.Attempts += result.Attempts
 	g.result.Extras += result.Extras
 	g.result.Denied += result.Denied
-	for _, lack := range result.Lacking {
-		if len(g.result.Lacking) < maxLackingTold {
-			g.result.Lacking = append(g.result.Lacking, lack)
-		}
-	}
 	g.result.Verdict = result.Verdict
 }
 
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -113,8 +113,13 @@
 	case scatter.Respond:
 		if waiting, ok := l.waiting[command.Request]; ok {
 			delete(l.waiting, command.Request)
+			l.tellLacking(waiting.request.ID, command.Result)
 			waiting.end(command.Result)
 		}
+	case scatter.Dropped:
+		if waiting, ok := l.waiting[command.Request]; ok {
+			l.tellLacking(waiting.request.ID, command.Result)
+		}
 	case scatter.Part:
 		if waiting, ok := l.waiting[command.Request]; ok {
 			waiting.events <- gatherEvent{slice: waiting.slice, part: command}
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -37,8 +38,32 @@
 	if result.Reason != "" {
 		fields["reason"], fields["verdict"] = result.Reason, result.Verdict
 	}
-	for index, lack := range result.Lacking {
-		fields["lacking_"+strconv.Itoa(index)] = lack.Service + "/" + lack.Server + "/" + lack.Failure.String() + "/" + strconv.FormatBool(lack.Open)
-	}
 	s.gateway.logger.WithFields(fields).Info("request")
 }
+
+// tellLacking logs, for a service or shard that brought nothing, what was done
+// to get it.
+func (l *loop) tellLacking(request string, result scatter.Result) {
+	for _, lack := range result.Lacking {
+		l.logger.WithFields(logrus.Fields{
+			"request": request, "service": lack.Service, "server": lack.Server, "failure": lack.Failure.String(),
+			"open": lack.Open, "steps": stepsText(lack.Steps),
+		}).Info("part_missing")
+	}
+}
+
+// stepsText writes steps as "3.1ms sent i-1; 40ms hedged i-2".
+func stepsText(steps []scatter.Step) string {
+	texts := make([]string, 0, len(steps))
+	for _, step := range steps {
+		text := step.After.Round(100*time.Microsecond).String() + " " + step.Kind.String()
+		if step.Server != "" {
+			text += " " + step.Server
+		}
+		if step.Kind == scatter.StepEnded {
+			text += " " + step.Failure.String()
+		}
+		texts = append(texts, text)
+	}
+	return strings.Join(texts, "; ")
+}
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -98,7 +98,7 @@
 	result := Result{Attempts: waiting.attempts, Extras: waiting.extras, Denied: waiting.denied}
 	for _, called := range waiting.calls {
 		if called.part == nil && len(result.Lacking) < maxLacking {
-			lack := Lack{Service: called.group.service, Failure: called.last, Open: len(called.live) > 0}
+			lack := Lack{Service: called.group.service, Failure: called.last, Open: len(called.live) > 0, Steps: called.steps}
 			if len(called.tried) > 0 {
 				lack.Server = called.tried[len(called.tried)-1].ID
 			}
@@ -114,6 +114,9 @@
 	// hedgeFactor is put on the quantile, hedgeFloor under it.
 	hedgeFactor = 1.0
 	hedgeFloor  = 4 * time.Millisecond
+	// hedgeAgainPart of the delay is waited before a hedge that was not possible is
+	// tried again.
+	hedgeAgainPart = 4
 	// minObservations is how many attempts of a route make its quantile count.
 	minObservations = 30
 	// firstHedgeShare of the target is the delay before that.
@@ -146,6 +149,9 @@
 	}
 	chosen, found := called.group.choose(e.now, called.tried, e.view())
 	if found != available || chosen.doubted(e.now) || !e.pay(called, hedgeReserve) {
+		// There may be room, or a token, a little later.
+		again := max(hedgeFloor, e.hedgeDelay(route)/hedgeAgainPart)
+		e.timers.add(timer{at: e.now.Add(again), kind: timerHedge, attempt: id})
 		return
 	}
 	e.send(called, chosen, true)
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -153,6 +153,12 @@
 	Result  Result
 }
 
+// Dropped tells how far a request had come that was abandoned.
+type Dropped struct {
+	Request RequestID
+	Result  Result
+}
+
 // Wake asks for TimerFired at a time; each replaces the one before.
 type Wake struct{ At time.Time }
 
@@ -167,6 +173,7 @@
 func (Abort) isCommand()   {}
 func (Part) isCommand()    {}
 func (Respond) isCommand() {}
+func (Dropped) isCommand() {}
 func (Wake) isCommand()    {}
 func (Noted) isCommand()   {}
 
@@ -200,4 +207,36 @@
 	Failure Failure
 	// Open says that an attempt was still out.
 	Open bool
+	// Steps are what was done for the call, in order.
+	Steps []Step
+}
+
+// StepKind says what a step of a call was.
+type StepKind uint8
+
+// Step kinds.
+const (
+	StepSent StepKind = iota
+	StepHedged
+	StepRetried
+	StepEnded
+	// StepWaits: no server had room, or none was known.
+	StepWaits
+	// StepDenied: the budget did not pay for another attempt.
+	StepDenied
+)
+
+// String returns the kind in lower case, for logs.
+func (k StepKind) String() string {
+	return [...]string{"sent", "hedged", "retried", "ended", "waits", "denied"}[k]
+}
+
+// Step is one thing that was done for a call.
+type Step struct {
+	Kind StepKind
+	// After is the time since the arrival of the request.
+	After  time.Duration
+	Server string
+	// Failure is that of StepEnded.
+	Failure Failure
 }
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -41,6 +41,22 @@
 	last     Failure
 	// reply is the server's own failure, passed on if nothing better comes.
 	reply *message.Reply
+	steps []Step
+}
+
+// maxSteps bounds the steps that are kept of a call.
+const maxSteps = 12
+
+// note keeps a step of a call.
+func (e *Engine) note(called *call, step Step) {
+	repeated := len(called.steps) > 0 && called.steps[len(called.steps)-1].Kind == step.Kind
+	if repeated && (step.Kind == StepWaits || step.Kind == StepDenied) {
+		return
+	}
+	if len(called.steps) < maxSteps {
+		step.After = e.now.Sub(called.request.arrived)
+		called.steps = append(called.steps, step)
+	}
 }
 
 // attempt is one message to one server.
@@ -122,6 +138,7 @@
 
 // await lets a call wait for room, or for a server to be known.
 func (e *Engine) await(called *call, found availability) {
+	e.note(called, Step{Kind: StepWaits})
 	called.waiting = true
 	called.group.waiting = append(called.group.waiting, called)
 	if found == absent {
@@ -142,9 +159,15 @@
 	called.live = append(called.live, sent)
 	waiting := called.request
 	waiting.attempts++
+	kind := StepSent
 	if extra {
 		waiting.extras++
+		kind = StepRetried
+		if len(called.live) > 1 {
+			kind = StepHedged
+		}
 	}
+	e.note(called, Step{Kind: kind, Server: chosen.ID})
 	e.emit(Send{Attempt: sent.id, Request: waiting.id, Server: chosen.Server, Deadline: waiting.deadline, Extra: extra})
 	if waiting.route.Repeatable && len(called.tried) < waiting.route.MaxAttempts {
 		e.timers.add(timer{at: e.now.Add(e.hedgeDelay(waiting.route)), kind: timerHedge, attempt: sent.id})
@@ -170,6 +193,7 @@
 
 // conclude takes the outcome of an attempt into its open call.
 func (e *Engine) conclude(called *call, ended *attempt, outcome Outcome) {
+	e.note(called, Step{Kind: StepEnded, Server: ended.server.ID, Failure: outcome.Failure})
 	called.verdicts = append(called.verdicts, outcome.Verdict)
 	called.last = outcome.Failure
 	if outcome.Failure == NoFailure && outcome.Reply.Succeeded() {
@@ -217,7 +241,7 @@
 	switch {
 	case found == absent || found == busy && e.canSpare(called):
 		e.settle(called)
-	case found == busy || !called.group.budget.spend(e.now, e.config.Budget, e.routers, retryReserve):
+	case found == busy || !e.pay(called, retryReserve):
 		called.waiting = true
 		called.group.waiting = append(called.group.waiting, called)
 	default:
@@ -237,6 +261,7 @@
 		return true
 	}
 	called.request.denied++
+	e.note(called, Step{Kind: StepDenied})
 	return false
 }
 
@@ -293,6 +318,7 @@
 	if !ok {
 		return
 	}
+	e.emit(Dropped{Request: id, Result: e.result(waiting)})
 	e.close(waiting)
 }
 
