--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -33,6 +33,11 @@
 			Examples: []string{"martenstage report --since 18:00", "martenstage report --since 12h --service seat-finder --html night.html"},
 			Data:     &reportCommand{},
 		},
+		{
+			Name: "explain", Short: "Put the log lines of one request into a timeline",
+			Long: "Reads logs of gateways and directory nodes and prints, by time, the lines that name a request and those by which a process changed its belief about a server or router that the request met. See docs/OPERATIONS.md.",
+			Data: &explainCommand{},
+		},
 		{Name: "drain", Short: "Mark a back end as leaving", Long: "Routers send a marked back end no new work after a few seconds; work under way ends as usual. The mark stays until undrain.", Data: &drainCommand{draining: true}},
 		{Name: "undrain", Short: "Remove the mark of drain", Long: "Routers use the back end again, from a small share of work upwards.", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
