--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -234,10 +234,11 @@
 	if g.context.Err() != nil || state.ended {
 		return
 	}
-	g.gateway.peers.doubt(state.Router.Name)
 	g.gateway.metrics.slicesFailed.Inc()
-	g.gateway.logger.WithField("router", state.Router.Name).WithField("accepted", event.accepted).
-		WithField("request", g.id).WithField("reason", event.reason).Info("router_doubted")
+	if g.gateway.peers.doubt(state.Router.Name) {
+		g.gateway.logger.WithField("router", state.Router.Name).WithField("accepted", event.accepted).
+			WithField("request", g.id).WithField("reason", event.reason).Info("router_doubted")
+	}
 	g.fallbacks++
 	g.gatherHere(event.slice, event.accepted)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -59,11 +59,15 @@
 	p.outdated = p.outdated || len(changed)+len(gone) > 0
 }
 
-// doubt keeps a router from being asked for a while.
-func (p *peers) doubt(name string) {
+// doubt keeps a router from being asked for a while. It reports whether that is
+// news.
+func (p *peers) doubt(name string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.doubted[name] = time.Now().Add(peerDoubt)
+	now := time.Now()
+	before := p.doubted[name]
+	p.doubted[name] = now.Add(peerDoubt)
+	return now.After(before)
 }
 
 // view returns the routers that may be asked now and the zones of each service.
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -16,9 +16,9 @@
 
 // Bounds of asking another router.
 const (
-	peerDialTimeout = 40 * time.Millisecond
+	peerDialTimeout = 60 * time.Millisecond
 	// acceptTime is how long a router may take to say that it has the request.
-	acceptTime      = 40 * time.Millisecond
+	acceptTime      = 90 * time.Millisecond
 	peerIdlePerHost = 16
 	peerIdleTime    = 20 * time.Second
 )
