--- a/cmd/martenstage/settings.go
+++ b/cmd/martenstage/settings.go
@@ -11,7 +11,9 @@
 
 	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/control"
+	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/exitcode"
+	"github.com/martenstage/martenstage/internal/gateway"
 	"github.com/martenstage/martenstage/internal/relay"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/settings"
@@ -52,8 +54,17 @@
 	site.RoleControl: func() any { return &control.Options{} },
 	site.RoleRelay:   func() any { return &relay.Options{} },
 	site.RoleRouter:  func() any { return &router.Options{} },
+	roleDirectory:    func() any { return &directory.Options{} },
+	roleGateway:      func() any { return &gateway.Options{} },
 }
 
+// Roles of sites whose servers announce themselves; their settings are not made
+// from a site's description.
+const (
+	roleDirectory = "directory"
+	roleGateway   = "gateway"
+)
+
 type settingsGenerate struct {
 	Site string `long:"site" required:"yes" value-name:"FILE" description:"Description of the site"`
 	Out  string `long:"out" required:"yes" value-name:"FOLDER" description:"Folder for the files; those of an earlier run are written over"`
@@ -140,7 +151,7 @@
 The settings of all processes of a site are made from one description: see
 [Installing](install.md).
 `)
-	for _, role := range []string{site.RoleControl, site.RoleRelay, site.RoleRouter} {
+	for _, role := range []string{site.RoleControl, site.RoleRelay, site.RoleRouter, roleDirectory, roleGateway} {
 		fmt.Fprintf(&page, "\n## %s\n\n", role)
 		page.WriteString("| Key | Type | Default | Bounds | Meaning |\n| --- | --- | --- | --- | --- |\n")
 		for _, option := range settings.Options(roleSettings[role]()) {
