--- /dev/null
+++ b/internal/gateway/slice_test.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestFramesAreReadAsTheyWereWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.IntRange(1, 50).Draw(t, "shards")
+		position := rapid.IntRange(0, shards-1)
+		frame := sliceFrame{Last: rapid.Bool().Draw(t, "last")}
+		for range rapid.IntRange(0, shards).Draw(t, "parts") {
+			frame.Shards = append(frame.Shards, position.Draw(t, "shard"))
+			frame.Stamps = append(frame.Stamps, rapid.String().Draw(t, "stamp"))
+		}
+		frame.Lost = rapid.SliceOfN(position, 0, shards).Draw(t, "lost")
+		frame.Records = bytes.Repeat([]byte("0123456789abcdef"), rapid.IntRange(0, 20).Draw(t, "records"))
+		stream := bytes.NewReader(append(frame.encode(), "rest"...))
+		read, err := readFrame(stream, shards)
+		require.NoError(t, err)
+		require.Equal(t, frame.Shards, read.Shards)
+		require.Equal(t, frame.Stamps, read.Stamps)
+		require.ElementsMatch(t, frame.Lost, read.Lost)
+		require.Equal(t, frame.Last, read.Last)
+		require.True(t, bytes.Equal(frame.Records, read.Records))
+		require.Equal(t, len("rest"), stream.Len())
+	})
+}
+
+func TestDamagedFramesAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 1, 60).Draw(t, "body")
+		frame, err := decodeFrame(body, 3)
+		if err != nil {
+			return
+		}
+		require.Zero(t, len(frame.Records)%recordBytes)
+		for _, shard := range append(frame.Shards, frame.Lost...) {
+			require.Less(t, shard, 3)
+		}
+	})
+	whole := sliceFrame{Shards: []int{1}, Stamps: []string{"stamp"}, Records: make([]byte, recordBytes)}.encode()
+	for length := range len(whole) {
+		_, err := readFrame(bytes.NewReader(whole[:length]), 3)
+		require.Error(t, err, length)
+	}
+}
+
+func TestLagFollowsTheSlowAndForgets(t *testing.T) {
+	var observed lag
+	require.Equal(t, 4*time.Millisecond, observed.margin(4*time.Millisecond))
+	observed.observe(12 * time.Millisecond)
+	require.Equal(t, 12*time.Millisecond, observed.margin(0))
+	observed.observe(time.Minute)
+	require.Equal(t, longestLag, observed.margin(0))
+	for range 200 {
+		observed.observe(time.Millisecond)
+	}
+	require.Less(t, observed.margin(0), 2*time.Millisecond)
+}
