--- a/cmd/martenstage/directory.go
+++ b/cmd/martenstage/directory.go
@@ -22,14 +22,7 @@
 	if err := c.load(&c.Options); err != nil {
 		return err
 	}
-	process, err := newRegisteredProcess("directory", c.LogLevel, c.MemoryLimit)
-	if err != nil {
-		return exitcode.With(exitcode.Settings, err)
-	}
-	defer process.close()
-	stopping, restore := untilSignal()
-	defer restore()
-	return c.run(stopping, process)
+	return runRegistered(roleDirectory, c.LogLevel, c.MemoryLimit, c.run)
 }
 
 func (c *directoryCommand) run(stopping context.Context, process *registeredProcess) error {
--- a/cmd/martenstage/gateway.go
+++ b/cmd/martenstage/gateway.go
@@ -6,7 +6,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/gateway"
 	"github.com/martenstage/martenstage/internal/metrics"
 	"github.com/martenstage/martenstage/platform"
@@ -23,14 +22,7 @@
 	if err := c.load(&c.Options); err != nil {
 		return err
 	}
-	process, err := newRegisteredProcess("gateway", c.LogLevel, c.MemoryLimit)
-	if err != nil {
-		return exitcode.With(exitcode.Settings, err)
-	}
-	defer process.close()
-	stopping, restore := untilSignal()
-	defer restore()
-	return c.run(stopping, process)
+	return runRegistered(roleGateway, c.LogLevel, c.MemoryLimit, c.run)
 }
 
 func (c *gatewayCommand) run(stopping context.Context, process *registeredProcess) error {
--- a/cmd/martenstage/registered.go
+++ b/cmd/martenstage/registered.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
 	"github.com/martenstage/martenstage/internal/settings"
@@ -27,6 +28,18 @@
 	running  sync.WaitGroup
 }
 
+// runRegistered runs a role of a site with registered servers until a signal.
+func runRegistered(role, level string, memoryLimit int64, run func(context.Context, *registeredProcess) error) error {
+	process, err := newRegisteredProcess(role, level, memoryLimit)
+	if err != nil {
+		return exitcode.With(exitcode.Settings, err)
+	}
+	defer process.close()
+	stopping, restore := untilSignal()
+	defer restore()
+	return run(stopping, process)
+}
+
 // httpCloseTime bounds the end of the listeners that carry short calls.
 const httpCloseTime = 300 * time.Millisecond
 
