--- a/cmd/martenbench/backends.go
+++ b/cmd/martenbench/backends.go
@@ -13,10 +13,10 @@
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
 	"github.com/martenstage/martenstage/internal/settings"
 )
 
--- a/cmd/martenbench/experiment.go
+++ b/cmd/martenbench/experiment.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/exitcode"
-	"github.com/martenstage/martenstage/internal/experiment"
+	"github.com/martenstage/martenstage/internal/proof/experiment"
 )
 
 // experimentCommand compares variants of the query engine.
--- a/cmd/martenbench/hollow.go
+++ b/cmd/martenbench/hollow.go
@@ -14,8 +14,8 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
+	"github.com/martenstage/martenstage/internal/proof/scale"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/scale"
 	"github.com/martenstage/martenstage/internal/settings"
 )
 
--- a/cmd/martenbench/judge.go
+++ b/cmd/martenbench/judge.go
@@ -6,11 +6,11 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/martenstage/martenstage/internal/dataset"
 	"github.com/martenstage/martenstage/internal/exitcode"
-	"github.com/martenstage/martenstage/internal/judge"
 	"github.com/martenstage/martenstage/internal/plan"
-	"github.com/martenstage/martenstage/internal/report"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
+	"github.com/martenstage/martenstage/internal/proof/judge"
+	"github.com/martenstage/martenstage/internal/proof/report"
 )
 
 // judgeCommand judges the record files of a run.
--- a/cmd/martenbench/load.go
+++ b/cmd/martenbench/load.go
@@ -15,10 +15,10 @@
 
 	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/exitcode"
-	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/report"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/report"
 	"github.com/martenstage/martenstage/internal/settings"
 )
 
--- a/cmd/martenbench/platform.go
+++ b/cmd/martenbench/platform.go
@@ -11,8 +11,8 @@
 
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/machinelist"
 	"github.com/martenstage/martenstage/internal/plan"
-	"github.com/martenstage/martenstage/internal/platform"
 	"github.com/martenstage/martenstage/internal/settings"
 )
 
@@ -44,9 +44,9 @@
 	if err != nil {
 		return err
 	}
-	config := platform.StandInConfig{}
+	config := machinelist.StandInConfig{}
 	if c.Script != "" {
-		if config, err = platform.ReadScript(c.Script); err != nil {
+		if config, err = machinelist.ReadScript(c.Script); err != nil {
 			return exitcode.With(exitcode.Settings, err)
 		}
 	}
@@ -54,7 +54,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	logger.WithField(logging.FieldAddress, c.Listen).WithField("machines", len(config.Machines)).Info("platform stand-in starts")
-	return serveHTTP(ctx, c.Listen, platform.NewStandIn(config).Handler())
+	return serveHTTP(ctx, c.Listen, machinelist.NewStandIn(config).Handler())
 }
 
 // replicaAddresses returns the addresses of all replicas, each once.
--- a/cmd/martenbench/scale.go
+++ b/cmd/martenbench/scale.go
@@ -16,8 +16,8 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/proof/scale"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/scale"
 )
 
 // scaleCommand measures running processes under changes and restarts.
--- a/cmd/martenbench/simulate.go
+++ b/cmd/martenbench/simulate.go
@@ -12,7 +12,7 @@
 
 	"github.com/martenstage/martenstage/internal/cli"
 	"github.com/martenstage/martenstage/internal/exitcode"
-	"github.com/martenstage/martenstage/internal/simulation"
+	"github.com/martenstage/martenstage/internal/proof/simulation"
 )
 
 // simulateCommand runs the whole fleet on a virtual clock.
--- a/cmd/martenbench/summing.go
+++ b/cmd/martenbench/summing.go
@@ -3,9 +3,9 @@
 import (
 	"sync"
 
-	"github.com/martenstage/martenstage/internal/load"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/report"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/report"
 )
 
 // summingRecorder passes answers on and keeps the last one of each request for
--- a/cmd/martenstage/control_test.go
+++ b/cmd/martenstage/control_test.go
@@ -19,8 +19,8 @@
 	"github.com/martenstage/martenstage/internal/control"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // testTimeout bounds every wait of these tests.
--- a/cmd/martenstage/cost_test.go
+++ b/cmd/martenstage/cost_test.go
@@ -18,8 +18,8 @@
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // securedSite is a site's authority and three voters with keys of it.
--- a/cmd/martenstage/full_state_bench_test.go
+++ b/cmd/martenstage/full_state_bench_test.go
@@ -17,10 +17,10 @@
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/control"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/raftlog"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/state"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // Sizes of a full state, by the limits of the state machine.
--- a/cmd/martenstage/group_test.go
+++ b/cmd/martenstage/group_test.go
@@ -21,8 +21,8 @@
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
 	"github.com/martenstage/martenstage/internal/keys"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/testaddress"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
--- a/cmd/martenstage/journal_test.go
+++ b/cmd/martenstage/journal_test.go
@@ -26,9 +26,9 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/spool"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // Environment of a process that records numbered events.
--- a/cmd/martenstage/operator_test.go
+++ b/cmd/martenstage/operator_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/exitcode"
-	"github.com/martenstage/martenstage/internal/testaddress"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 )
 
 // runCommand runs the program and returns what it printed and its exit code.
--- a/cmd/martenstage/recovery_test.go
+++ b/cmd/martenstage/recovery_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/martenstage/martenstage/internal/control"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // smallPolicy is a configuration whose comment tells changes apart.
--- a/cmd/martenstage/regions_test.go
+++ b/cmd/martenstage/regions_test.go
@@ -16,8 +16,8 @@
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/journal"
+	"github.com/martenstage/martenstage/internal/proof/testlink"
 	"github.com/martenstage/martenstage/internal/router"
-	"github.com/martenstage/martenstage/internal/testlink"
 )
 
 // regionPolicy adds the own routes that the other region asks, and the way to
--- a/cmd/martenstage/registered_test.go
+++ b/cmd/martenstage/registered_test.go
@@ -22,8 +22,8 @@
 	"github.com/martenstage/martenstage/internal/gateway"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/settings"
-	"github.com/martenstage/martenstage/internal/testaddress"
 	"github.com/martenstage/martenstage/internal/trace"
 )
 
@@ -97,7 +97,7 @@
 		command := &gatewayCommand{Options: gateway.Options{}}
 		require.NoError(t, settings.Fill(map[string]any{
 			"name": fmt.Sprint("g", index), "zone": fmt.Sprint("z", index), "clients-listen": clients, "seeds": peers,
-			"ready-listen": testaddress.Next().String(), "peer-listen": testaddress.Next().String(), "grace": "2s",
+			"ready-listen": testaddress.Next().String(), "peer-listen": testaddress.Next().String(), "stop-limit": "2s",
 		}, &command.Options))
 		site.gateways = append(site.gateways, clients)
 		site.stops = append(site.stops, site.run(site.process("gateway"), command.run))
--- a/cmd/martenstage/router_test.go
+++ b/cmd/martenstage/router_test.go
@@ -22,14 +22,14 @@
 
 	"github.com/martenstage/martenstage/internal/callers"
 	"github.com/martenstage/martenstage/internal/control"
-	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/policy"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // sitePolicy has a search over two shards, and a send that runs at most once.
--- a/cmd/martenstage/upgrade_test.go
+++ b/cmd/martenstage/upgrade_test.go
@@ -27,10 +27,10 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/raftlog"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/state"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 const (
--- a/internal/admissionrecord/admissionrecord_test.go
+++ b/internal/admissionrecord/admissionrecord_test.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"github.com/martenstage/martenstage/internal/recordfile"
+	"github.com/martenstage/martenstage/internal/proof/recordfile"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
--- a/internal/callers/api_test.go
+++ b/internal/callers/api_test.go
@@ -21,11 +21,11 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/backend"
-	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
-	"github.com/martenstage/martenstage/internal/servicetime"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
--- a/internal/callers/reset_test.go
+++ b/internal/callers/reset_test.go
@@ -12,8 +12,8 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/testlink"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/testlink"
 )
 
 // executionsByRequest ends the back ends and counts the executions of every
--- a/internal/control/author_test.go
+++ b/internal/control/author_test.go
@@ -14,8 +14,8 @@
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/keys"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // issue signs keys and returns their files.
--- a/internal/control/cluster_test.go
+++ b/internal/control/cluster_test.go
@@ -19,8 +19,8 @@
 	"github.com/martenstage/martenstage/internal/consensus"
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // testTimeout bounds every wait of the tests; none of them measures time.
--- a/internal/control/platform.go
+++ b/internal/control/platform.go
@@ -6,14 +6,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenstage/martenstage/internal/machinelist"
 	"github.com/martenstage/martenstage/internal/membership"
-	"github.com/martenstage/martenstage/internal/platform"
 	"github.com/martenstage/martenstage/internal/settings"
 )
 
 // platformReader hands the platform's list of machines to the server. The list
 // lags, so it can only take machines out of use.
-type platformReader struct{ client *platform.Client }
+type platformReader struct{ client *machinelist.Client }
 
 // newPlatformReader returns a reader of the list at an address; without one it
 // reads nothing.
@@ -25,7 +25,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client, err := platform.NewClient(platform.ClientConfig{Address: parsed}, logger, registerer)
+	client, err := machinelist.NewClient(machinelist.ClientConfig{Address: parsed}, logger, registerer)
 	if err != nil {
 		return nil, err
 	}
@@ -37,8 +37,8 @@
 		return
 	}
 	var states map[string]membership.State
-	var known []platform.Machine
-	r.client.Run(ctx, func(list platform.List) {
+	var known []machinelist.Machine
+	r.client.Run(ctx, func(list machinelist.List) {
 		// A list that has not changed comes with the same machines.
 		if states == nil || !sameMachines(known, list.Machines) {
 			states, known = platformStates(list), list.Machines
@@ -48,15 +48,15 @@
 }
 
 // sameMachines reports whether two lists are one in memory.
-func sameMachines(left, right []platform.Machine) bool {
+func sameMachines(left, right []machinelist.Machine) bool {
 	return len(left) == len(right) && (len(left) == 0 || &left[0] == &right[0])
 }
 
-func platformStates(list platform.List) map[string]membership.State {
+func platformStates(list machinelist.List) map[string]membership.State {
 	states := make(map[string]membership.State, len(list.Machines))
 	for _, machine := range list.Machines {
 		states[machine.Address.String()] = membership.Live
-		if machine.State == platform.StateLeaving {
+		if machine.State == machinelist.StateLeaving {
 			states[machine.Address.String()] = membership.Leaving
 		}
 	}
--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -17,9 +17,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/routing"
-	"github.com/martenstage/martenstage/internal/testaddress"
 )
 
 // patience bounds waits for what has to come about in the end.
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -19,7 +19,7 @@
 	Losses        int      `long:"losses" koanf:"losses" default:"1" validate:"min=0,max=4" description:"Nodes that may be lost at once; the group has two voters for each and one more"`
 
 	HeartbeatInterval time.Duration `long:"heartbeat-interval" koanf:"heartbeat-interval" default:"1s" validate:"min=10ms" description:"How often servers announce themselves"`
-	Grace             time.Duration `long:"grace" koanf:"grace" default:"30s" validate:"min=1s" description:"Longest planned stop"`
+	StopLimit         time.Duration `long:"stop-limit" koanf:"stop-limit" default:"30s" validate:"min=1s" description:"Longest planned stop"`
 	LogLevel          string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
 	MemoryLimit       int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
 }
--- a/internal/forward/cost_test.go
+++ b/internal/forward/cost_test.go
@@ -22,13 +22,13 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/testlink"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/remote"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/testlink"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/cell"
-	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
--- a/internal/forward/region_test.go
+++ b/internal/forward/region_test.go
@@ -19,11 +19,11 @@
 
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/testlink"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/remote"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
-	"github.com/martenstage/martenstage/internal/testlink"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
--- a/internal/platform/list.go
+++ b/internal/machinelist/list.go
@@ -1,4 +1,4 @@
-// Package platform reads the platform's list of live and leaving machines, and
+// Package machinelist reads the platform's list of live and leaving machines, and
 // holds a stand-in for the platform that serves one. The list lags behind
 // reality: it can take a machine out of use, but it is no proof that a machine
 // is alive.
@@ -7,7 +7,7 @@
 //
 //	{"as_of":"2026-01-02T03:04:05Z","machines":[
 //	  {"address":"127.1.1.1:7000","state":"leaving","since":"2026-01-02T03:04:00Z"}]}
-package platform
+package machinelist
 
 import (
 	"encoding/json"
--- a/internal/dataset/dataset_test.go
+++ b/internal/proof/dataset/dataset_test.go
@@ -60,7 +60,7 @@
 // field that no item has, which would hide a wrong order from the judge.
 func TestItemsHaveTheFieldsThatDeploymentsSortBy(t *testing.T) {
 	for _, name := range []string{"bangkok", "norte-grande"} {
-		path := "../../deploy/" + name + "/" + name + ".policy"
+		path := "../../../deploy/" + name + "/" + name + ".policy"
 		text, err := os.ReadFile(path)
 		require.NoError(t, err)
 		compiled, err := policy.Compile(path, text)
--- a/internal/docwalk/walk_test.go
+++ b/internal/proof/docwalk/walk_test.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	root = "../.."
+	root = "../../.."
 	// walkLimit bounds the walk through one page.
 	walkLimit = 60 * time.Second
 	// pagesNetwork is the loopback network that pages use.
--- a/internal/emulator/config.go
+++ b/internal/proof/emulator/config.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/plan"
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // Defaults of Config.
--- a/internal/emulator/fault.go
+++ b/internal/proof/emulator/fault.go
@@ -9,7 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // FaultKind says what a fault does.
--- a/internal/emulator/inject.go
+++ b/internal/proof/emulator/inject.go
@@ -9,7 +9,7 @@
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // ErrUnknownFault is returned for a fault id that is not active.
--- a/internal/emulator/outlook.go
+++ b/internal/proof/emulator/outlook.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // Outlook is what will become of a query on a server, for experiments that
--- a/internal/emulator/pure_test.go
+++ b/internal/proof/emulator/pure_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
 func TestServersHoldOneOrTwoVersionsInOrder(t *testing.T) {
--- a/internal/emulator/script.go
+++ b/internal/proof/emulator/script.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"go.yaml.in/yaml/v3"
 
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // Script is what a run does to its back ends, as read from a YAML file. Parts
--- a/internal/emulator/serve.go
+++ b/internal/proof/emulator/serve.go
@@ -8,9 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
-	"github.com/martenstage/martenstage/internal/dataset"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/servicetime"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
--- a/internal/emulator/versions.go
+++ b/internal/proof/emulator/versions.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // Roll is the arrival of a new index version of a service. Every server gets
--- a/internal/experiment/deployment.go
+++ b/internal/proof/experiment/deployment.go
@@ -13,10 +13,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/policy"
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // DeploymentWide is a made-up deployment with one service of many shards.
--- a/internal/experiment/experiment.go
+++ b/internal/proof/experiment/experiment.go
@@ -8,13 +8,13 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/experiment/virtual"
-	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/experiment/virtual"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 	"github.com/martenstage/martenstage/internal/query"
-	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // VariantOracle is the variant that knows service times beforehand.
--- a/internal/experiment/experiment_test.go
+++ b/internal/proof/experiment/experiment_test.go
@@ -11,7 +11,7 @@
 )
 
 func bangkok(t require.TestingT) *plan.Plan {
-	compiled, err := LoadPlan("bangkok", "../../deploy/bangkok/bangkok.policy")
+	compiled, err := LoadPlan("bangkok", "../../../deploy/bangkok/bangkok.policy")
 	require.NoError(t, err)
 	return compiled
 }
--- a/internal/experiment/oracle.go
+++ b/internal/proof/experiment/oracle.go
@@ -4,8 +4,8 @@
 	"net/netip"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/experiment/virtual"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/experiment/virtual"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
--- a/internal/experiment/recorder.go
+++ b/internal/proof/experiment/recorder.go
@@ -4,13 +4,13 @@
 	"net/http"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/dataset"
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
-	"github.com/martenstage/martenstage/internal/judge"
-	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/judge"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/report"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/report"
 )
 
 // recorder judges and sums up the records of one variant while it runs.
--- a/internal/experiment/result.go
+++ b/internal/proof/experiment/result.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/martenstage/martenstage/internal/judge"
-	"github.com/martenstage/martenstage/internal/report"
+	"github.com/martenstage/martenstage/internal/proof/judge"
+	"github.com/martenstage/martenstage/internal/proof/report"
 )
 
 // Result is the outcome of an experiment.
--- a/internal/experiment/scenario.go
+++ b/internal/proof/experiment/scenario.go
@@ -9,11 +9,11 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
-	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // setting is everything that a scenario decides about a run, on the virtual
--- a/internal/experiment/sockets.go
+++ b/internal/proof/experiment/sockets.go
@@ -9,9 +9,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/experiment/sockets"
-	"github.com/martenstage/martenstage/internal/lag"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/experiment/sockets"
+	"github.com/martenstage/martenstage/internal/proof/lag"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 )
--- a/internal/experiment/sockets/config.go
+++ b/internal/proof/experiment/sockets/config.go
@@ -3,11 +3,11 @@
 import (
 	"time"
 
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
-	"github.com/martenstage/martenstage/internal/load"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/router"
-	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
 // Config describes one run. Times count from Begin.
--- a/internal/experiment/sockets/foresight.go
+++ b/internal/proof/experiment/sockets/foresight.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/query"
-	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
 // foresight predicts when replies will be back. It knows service times and
--- a/internal/experiment/sockets/recorder.go
+++ b/internal/proof/experiment/sockets/recorder.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/admissionrecord"
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
--- a/internal/experiment/sockets/router.go
+++ b/internal/proof/experiment/sockets/router.go
@@ -14,9 +14,9 @@
 
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/callers"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/router"
-	"github.com/martenstage/martenstage/internal/testaddress"
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
--- a/internal/experiment/sockets/sockets_test.go
+++ b/internal/proof/experiment/sockets/sockets_test.go
@@ -8,12 +8,12 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
 // order notes what is handed over, in order.
--- a/internal/experiment/sockets/source.go
+++ b/internal/proof/experiment/sockets/source.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/wait"
--- a/internal/experiment/sockets/world.go
+++ b/internal/proof/experiment/sockets/world.go
@@ -11,10 +11,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
-	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/load"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/wait"
 )
--- a/internal/experiment/virtual/caller.go
+++ b/internal/proof/experiment/virtual/caller.go
@@ -8,11 +8,11 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
-	"github.com/martenstage/martenstage/internal/load"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/verdict"
-	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // callerRequest is a request as its caller follows it, over its resends.
--- a/internal/experiment/virtual/config.go
+++ b/internal/proof/experiment/virtual/config.go
@@ -4,10 +4,10 @@
 	"net/netip"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/query"
-	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
 // Engine decides the life of requests; query.Engine is one.
--- a/internal/experiment/virtual/fault.go
+++ b/internal/proof/experiment/virtual/fault.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"slices"
 
-	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // schedule arranges a fault's beginning and end on every server it selects.
--- a/internal/experiment/virtual/foresight.go
+++ b/internal/proof/experiment/virtual/foresight.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/emulator"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
 	"github.com/martenstage/martenstage/internal/query"
 )
 
--- a/internal/experiment/virtual/probe.go
+++ b/internal/proof/experiment/virtual/probe.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/probing"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 	"github.com/martenstage/martenstage/internal/query"
-	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // watch is one server as one router probes it.
--- a/internal/experiment/virtual/router.go
+++ b/internal/proof/experiment/virtual/router.go
@@ -6,8 +6,8 @@
 
 	"github.com/martenstage/martenstage/internal/backendapi"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 	"github.com/martenstage/martenstage/internal/query"
-	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 const (
--- a/internal/experiment/virtual/server.go
+++ b/internal/proof/experiment/virtual/server.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
-	"github.com/martenstage/martenstage/internal/dataset"
-	"github.com/martenstage/martenstage/internal/emulator"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
 // holding names one shard of a server.
--- a/internal/experiment/virtual/world.go
+++ b/internal/proof/experiment/virtual/world.go
@@ -5,12 +5,12 @@
 	"net/netip"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/experiment/schedule"
-	"github.com/martenstage/martenstage/internal/load"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/experiment/schedule"
+	"github.com/martenstage/martenstage/internal/proof/load"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // World is one run.
--- a/internal/judge/folder.go
+++ b/internal/proof/judge/folder.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/martenstage/martenstage/internal/recordfile"
+	"github.com/martenstage/martenstage/internal/proof/recordfile"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
--- a/internal/judge/judge.go
+++ b/internal/proof/judge/judge.go
@@ -19,8 +19,8 @@
 
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/dataset"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
--- a/internal/judge/judge_test.go
+++ b/internal/proof/judge/judge_test.go
@@ -12,8 +12,8 @@
 	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
-	"github.com/martenstage/martenstage/internal/dataset"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
--- a/internal/judge/merge.go
+++ b/internal/proof/judge/merge.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/dataset"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
--- a/internal/load/arrivals.go
+++ b/internal/proof/load/arrivals.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 )
 
 // Arrival is one request that callers will send.
--- a/internal/load/load.go
+++ b/internal/proof/load/load.go
@@ -16,8 +16,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/lag"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/lag"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/verdict"
 	"github.com/martenstage/martenstage/internal/wait"
--- a/internal/report/folder.go
+++ b/internal/proof/report/folder.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/martenstage/martenstage/internal/plan"
-	"github.com/martenstage/martenstage/internal/recordfile"
+	"github.com/martenstage/martenstage/internal/proof/recordfile"
 	"github.com/martenstage/martenstage/internal/records"
 )
 
--- a/internal/scale/machines.go
+++ b/internal/proof/scale/machines.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/martenstage/martenstage/internal/platform"
+	"github.com/martenstage/martenstage/internal/machinelist"
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
@@ -24,7 +24,7 @@
 // machines stands in for the platform whose list of servers the voters read,
 // and restarts servers at the target's rate.
 type machines struct {
-	standIn   *platform.StandIn
+	standIn   *machinelist.StandIn
 	addresses []netip.AddrPort
 	server    *http.Server
 	next      int
@@ -34,7 +34,7 @@
 // serveMachines serves the list of a configuration's servers at an address.
 func serveMachines(address string, configuration *Configuration) (*machines, error) {
 	addresses := configuration.Addresses()
-	standIn := platform.NewStandIn(platform.StandInConfig{Machines: addresses})
+	standIn := machinelist.NewStandIn(machinelist.StandInConfig{Machines: addresses})
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "platform list")
@@ -77,11 +77,11 @@
 }
 
 func (m *machines) restart(ctx context.Context, address netip.AddrPort) {
-	defer m.standIn.Change(address, platform.StateLive)
-	m.standIn.Change(address, platform.StateLeaving)
+	defer m.standIn.Change(address, machinelist.StateLive)
+	m.standIn.Change(address, machinelist.StateLeaving)
 	if !wait.For(ctx, leavingTime) {
 		return
 	}
-	m.standIn.Change(address, platform.StateGone)
+	m.standIn.Change(address, machinelist.StateGone)
 	wait.For(ctx, goneTime)
 }
--- a/internal/simulation/attempt.go
+++ b/internal/proof/simulation/attempt.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
 	"github.com/martenstage/martenstage/internal/query"
-	"github.com/martenstage/martenstage/internal/simulation/network"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
--- a/internal/simulation/backend.go
+++ b/internal/proof/simulation/backend.go
@@ -9,12 +9,12 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
-	"github.com/martenstage/martenstage/internal/dataset"
-	"github.com/martenstage/martenstage/internal/judge"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
+	"github.com/martenstage/martenstage/internal/proof/judge"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/virtualtime"
 )
 
 // holding names one shard of a back end.
--- a/internal/simulation/build.go
+++ b/internal/proof/simulation/build.go
@@ -9,11 +9,11 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/consensus"
-	"github.com/martenstage/martenstage/internal/judge"
-	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/simulation/disk"
-	"github.com/martenstage/martenstage/internal/simulation/network"
-	"github.com/martenstage/martenstage/internal/virtualtime"
+	"github.com/martenstage/martenstage/internal/proof/judge"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/simulation/disk"
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 )
 
 // areaState is an area in a run.
--- a/internal/simulation/caller.go
+++ b/internal/proof/simulation/caller.go
@@ -11,10 +11,10 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
-	"github.com/martenstage/martenstage/internal/dataset"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/simulation/network"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
--- a/internal/simulation/disk/disk.go
+++ b/internal/proof/simulation/disk/disk.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/consensus"
-	"github.com/martenstage/martenstage/internal/virtualtime"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 )
 
 // ErrFailed is what a failing disk answers. Nobody knows then what it holds.
--- a/internal/simulation/fault.go
+++ b/internal/proof/simulation/fault.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/simulation/network"
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
 )
 
 // FaultKind says what fails.
--- a/internal/simulation/layout.go
+++ b/internal/proof/simulation/layout.go
@@ -11,7 +11,7 @@
 
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/policy"
-	"github.com/martenstage/martenstage/internal/simulation/network"
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
 )
 
 // seat is a process's name and its zone.
--- a/internal/simulation/mutation_test.go
+++ b/internal/proof/simulation/mutation_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
-	"github.com/martenstage/martenstage/internal/judge"
+	"github.com/martenstage/martenstage/internal/proof/judge"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
--- a/internal/simulation/network/network.go
+++ b/internal/proof/simulation/network/network.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/virtualtime"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 )
 
 // Place is where a process runs.
--- a/internal/simulation/process.go
+++ b/internal/proof/simulation/process.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/martenstage/martenstage/internal/simulation/network"
-	"github.com/martenstage/martenstage/internal/virtualtime"
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 )
 
 // process is what all processes of the fleet have in common: a place, a clock
--- a/internal/simulation/regions.go
+++ b/internal/proof/simulation/regions.go
@@ -6,8 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
 	"github.com/martenstage/martenstage/internal/records"
-	"github.com/martenstage/martenstage/internal/simulation/network"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
--- a/internal/simulation/run.go
+++ b/internal/proof/simulation/run.go
@@ -13,7 +13,7 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/journal"
-	"github.com/martenstage/martenstage/internal/judge"
+	"github.com/martenstage/martenstage/internal/proof/judge"
 )
 
 // Config selects the runs.
--- a/internal/simulation/schedule_test.go
+++ b/internal/proof/simulation/schedule_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/martenstage/martenstage/internal/judge"
+	"github.com/martenstage/martenstage/internal/proof/judge"
 )
 
 // mostFaults bounds a drawn schedule.
--- a/internal/simulation/trace.go
+++ b/internal/proof/simulation/trace.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/martenstage/martenstage/internal/consensus"
-	"github.com/martenstage/martenstage/internal/virtualtime"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 )
 
 // subjectRaft is that of the messages among voters.
--- a/internal/simulation/voter.go
+++ b/internal/proof/simulation/voter.go
@@ -6,8 +6,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/consensus"
-	"github.com/martenstage/martenstage/internal/simulation/disk"
-	"github.com/martenstage/martenstage/internal/simulation/network"
+	"github.com/martenstage/martenstage/internal/proof/simulation/disk"
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
 	"github.com/martenstage/martenstage/internal/state"
 )
 
--- a/internal/simulation/world.go
+++ b/internal/proof/simulation/world.go
@@ -12,13 +12,13 @@
 
 	"github.com/samber/lo"
 
-	"github.com/martenstage/martenstage/internal/dataset"
 	"github.com/martenstage/martenstage/internal/journal"
-	"github.com/martenstage/martenstage/internal/judge"
 	"github.com/martenstage/martenstage/internal/plan"
-	"github.com/martenstage/martenstage/internal/servicetime"
-	"github.com/martenstage/martenstage/internal/simulation/network"
-	"github.com/martenstage/martenstage/internal/virtualtime"
+	"github.com/martenstage/martenstage/internal/proof/dataset"
+	"github.com/martenstage/martenstage/internal/proof/judge"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/simulation/network"
+	"github.com/martenstage/martenstage/internal/proof/virtualtime"
 )
 
 // Times of a run. Faults end early enough for the fleet to recover before it is
--- a/internal/testlink/link.go
+++ b/internal/proof/testlink/link.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/martenstage/martenstage/internal/testaddress"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 )
 
 // Link takes TCP connections and passes their bytes to a target and back.
--- a/internal/router/admissions_test.go
+++ b/internal/router/admissions_test.go
@@ -14,13 +14,13 @@
 
 	"github.com/martenstage/martenstage/internal/admissionrecord"
 	"github.com/martenstage/martenstage/internal/backend"
-	"github.com/martenstage/martenstage/internal/emulator"
-	"github.com/martenstage/martenstage/internal/judge"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/judge"
+	"github.com/martenstage/martenstage/internal/proof/servicetime"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/router"
-	"github.com/martenstage/martenstage/internal/servicetime"
 )
 
 // twoRevisions installs revision 1, and 2 when it is told to.
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -14,7 +14,7 @@
 all=$(go list ./...)
 seeded=$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{end}}{{end}}
 {{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{end}}{{end}}' ./... | sed '/^$/d' | sort -u)
-raced=$(grep -E "/internal/($race_pattern)\$" <<<"$all" || true)
+raced=$(grep -E "/internal/(proof/)?($race_pattern)\$" <<<"$all" || true)
 
 run() { # run NAME "PACKAGES" ARGUMENTS...
   local name=$1 packages=$2
