Pay for a repeated slice's attempts also after they waited

Found by reading: a slice that is gathered again after its router failed has to pay for each attempt, but a call of it that had waited for a token was sent without one as soon as the service had room. The test fails before the change.

--- a/internal/scatter/engine_test.go
+++ b/internal/scatter/engine_test.go
@@ -46,6 +46,10 @@
 	route := gatherRoute("x")
 	h.step(scatter.Arrived{ID: 77, Route: route, Services: []string{"x"}, Deadline: h.now.Add(time.Second), Repeat: true})
 	require.Empty(t, h.take(), "an attempt that may be a second one was not paid for")
+	// Room at the service is no payment.
+	h.servers("x", 2)
+	h.advance(20 * time.Millisecond)
+	require.Empty(t, h.take(), "an attempt that waited for a token was sent without one")
 	h.advance(time.Second)
 	require.Equal(t, []int{0}, h.result(77).Missing)
 }
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -33,7 +33,9 @@
 	tried []*server
 	live  []*attempt
 	// unsent counts attempts that came to no connection.
-	unsent   int
+	unsent int
+	// repeat says that another router may have sent the first attempt.
+	repeat   bool
 	settled  bool
 	waiting  bool
 	part     *message.Reply
@@ -86,12 +88,12 @@
 	e.requests[event.ID] = arrived
 	e.timers.add(timer{at: event.Deadline, kind: timerDeadline, request: event.ID})
 	for position, service := range event.Services {
-		called := &call{request: arrived, position: position, group: e.group(service)}
+		called := &call{request: arrived, position: position, group: e.group(service), repeat: event.Repeat}
 		arrived.calls = append(arrived.calls, called)
 	}
 	for _, called := range arrived.calls {
-		if event.Repeat {
-			e.dispatchExtra(called, true)
+		if called.repeat {
+			e.dispatchExtra(called)
 			continue
 		}
 		called.group.budget.earn(e.now, e.config.Budget, e.routers)
@@ -227,13 +229,16 @@
 		e.settle(called)
 		return
 	}
-	e.dispatchExtra(called, sent > 0)
+	e.dispatchExtra(called)
 }
 
-// dispatchExtra is dispatch of a retry. One that the budget does not pay for yet
-// waits until first attempts have earned it.
-func (e *Engine) dispatchExtra(called *call, extra bool) {
-	if !extra {
+// isExtra reports whether the next attempt of a call is one beyond the first.
+func (c *call) isExtra() bool { return c.repeat || len(c.tried) > c.unsent }
+
+// dispatchExtra is dispatch of what may be a retry. One that the budget does not
+// pay for yet waits until first attempts have earned it.
+func (e *Engine) dispatchExtra(called *call) {
+	if !called.isExtra() {
 		e.dispatch(called, false)
 		return
 	}
@@ -305,7 +310,7 @@
 	in.waiting = nil
 	for _, called := range waiting {
 		called.waiting = false
-		e.dispatchExtra(called, len(called.tried) > called.unsent)
+		e.dispatchExtra(called)
 		if called.settled {
 			e.decide(called.request)
 		}
