--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -60,7 +60,9 @@
 	if response.StatusCode != http.StatusOK {
 		return false, errors.Newf("status %d", response.StatusCode)
 	}
-	for {
+	// Each frame but the last brings a part, so that there are no more than these;
+	// the receiver of events has room for them.
+	for range len(asked.Shards) + 2 {
 		frame, err := readFrame(response.Body, len(asked.Shards))
 		if err != nil {
 			return true, err
@@ -72,6 +74,7 @@
 			return true, nil
 		}
 	}
+	return true, errFrame
 }
 
 func isDialError(err error) bool {
