--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -358,6 +358,11 @@
 
 func TestSliceOfARouterThatIsSilentOrBreaksOffIsGatheredHere(t *testing.T) {
 	for name, handler := range map[string]http.HandlerFunc{
+		"floods": func(writer http.ResponseWriter, _ *http.Request) {
+			for range 10_000 {
+				_, _ = io.WriteString(writer, "\x00\x00\x00\x03\x00\x00\x00")
+			}
+		},
 		"silent":  func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() },
 		"refuses": func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusServiceUnavailable) },
 		"breaks off": func(writer http.ResponseWriter, _ *http.Request) {
