--- a/internal/directory/formation.go
+++ b/internal/directory/formation.go
@@ -53,7 +53,7 @@
 		return consensus.Change{Kind: consensus.RemoveMember, ID: wiped}, true
 	}
 	if learner, found := lo.Find(members, func(m memberView) bool { return m.Learner }); found {
-		return decideLearner(learner, members, rules)
+		return decideLearner(learner, rules)
 	}
 	voters := lo.CountBy(members, func(m memberView) bool { return !m.Learner })
 	gone, anyGone := findGone(members, rules)
@@ -69,7 +69,7 @@
 
 // decideLearner promotes a learner that is still wanted and there, and drops one
 // that is not.
-func decideLearner(learner memberView, members []memberView, rules formationRules) (consensus.Change, bool) {
+func decideLearner(learner memberView, rules formationRules) (consensus.Change, bool) {
 	if learner.Silent > rules.ReplaceAfter {
 		return consensus.Change{Kind: consensus.RemoveMember, ID: learner.ID}, true
 	}
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/voter"
@@ -114,9 +113,6 @@
 // status returns the voter's state.
 func (n *Node) status() voter.Status { return n.member.voter().Status() }
 
-// Leads reports whether this node believes that it leads.
-func (n *Node) Leads() bool { return n.status().Role == consensus.Leader }
-
 // Voters returns the peer addresses of the voters as this node knows them.
 func (n *Node) Voters() map[string]bool {
 	voters := map[string]bool{}
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -76,11 +76,10 @@
 // Heartbeat takes in what a server says of itself. Leaving is acknowledged, by a
 // nil error, only once a quorum has it; else the error is ErrUnavailable.
 func (n *Node) Heartbeat(ctx context.Context, instance registry.Instance) error {
+	n.report(instance)
 	if instance.State == registry.Leaving {
-		n.report(instance)
 		return n.Depart(ctx, instance.ID)
 	}
-	n.report(instance)
 	return nil
 }
 
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -67,7 +67,6 @@
 	call    *call
 	server  *server
 	started time.Time
-	extra   bool
 }
 
 // Bounds of attempts.
@@ -154,7 +153,7 @@
 
 func (e *Engine) send(called *call, chosen *server, extra bool) {
 	e.last++
-	sent := &attempt{id: e.last, call: called, server: chosen, started: e.now, extra: extra}
+	sent := &attempt{id: e.last, call: called, server: chosen, started: e.now}
 	e.attempts[sent.id] = sent
 	chosen.inFlight[sent.id] = e.now.Add(e.hedgeDelay(called.request.route))
 	called.tried = append(called.tried, chosen)
