Search for a directory node at all nodes side by side

Change: a router without a node asks all known ones, each again after a pause that doubles to 120 ms, with 150 ms a call, and follows the first that answers. Test: TestASilentNodeDoesNotDelayTheSearch failed before.

--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,29 +21,26 @@
 const (
 	followWait    = 700 * time.Millisecond
 	followTimeout = 1100 * time.Millisecond
-	// firstTimeout bounds the first call to a node, which is answered at once.
-	firstTimeout  = 400 * time.Millisecond
-	followPause   = 60 * time.Millisecond
 	followSpacing = 20 * time.Millisecond
 	maxFollowed   = 64 << 20
 )
 
 // follower takes documents and servers over from the directory.
 type follower struct {
-	gateway  *Gateway
-	client   *http.Client
-	request  directory.FollowRequest
-	node     string
-	nodes    []string
-	position int
-	lost     bool
+	gateway *Gateway
+	client  *http.Client
+	request directory.FollowRequest
+	// node is followed; empty while one is searched for.
+	node  string
+	nodes []string
+	lost  bool
 	// servers are the ids told to the engine; departed those never told again.
 	servers  map[string]bool
 	departed map[string]bool
 }
 
 func newFollower(gateway *Gateway) *follower {
-	dialer := &net.Dialer{Timeout: firstTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: searchTimeout, KeepAlive: -1}
 	return &follower{
 		gateway: gateway,
 		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
@@ -55,35 +51,17 @@
 
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.node == "" {
-			f.node = f.next()
-		}
-		pause := followSpacing
 		if err := f.call(ctx); err != nil && ctx.Err() == nil {
 			f.noteLost(err)
-			f.node, pause = "", followPause
+			f.node = ""
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(followSpacing):
 		}
 	}
 }
 
-// next returns the node after the last one that was tried, of the group as last
-// told and the seeds.
-func (f *follower) next() string {
-	known := lo.Uniq(append(slices.Clone(f.nodes), f.gateway.seedList()...))
-	if len(known) == 0 {
-		return ""
-	}
-	if f.position == 0 {
-		f.position = int(f.gateway.seed % uint64(len(known)))
-	}
-	f.position++
-	return known[f.position%len(known)]
-}
-
 func (f *follower) noteLost(err error) {
 	f.gateway.metrics.followFailures.Inc()
 	if !f.lost {
@@ -92,25 +70,22 @@
 	f.lost = true
 }
 
-// call asks the followed node for news and takes them in.
+// call asks the followed node for news, or searches for a node, and takes in what
+// was answered.
 func (f *follower) call(ctx context.Context) error {
-	if f.node == "" {
-		return errors.New("no directory node is known")
+	f.request.Router = directory.Router{
+		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress,
+		Stopping: f.gateway.stopping.Load(),
 	}
-	timeout := followTimeout
-	if f.lost || f.request.Source == "" {
-		timeout = firstTimeout
+	var reply directory.FollowReply
+	var err error
+	if f.node == "" {
 		f.request.Wait = 0
+		f.node, reply, err = f.search(ctx)
 	} else {
 		f.request.Wait = followWait
+		reply, err = f.post(ctx, f.node, followTimeout)
 	}
-	f.request.Router = directory.Router{
-		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress,
-		Stopping: f.gateway.stopping.Load(),
-	}
-	calling, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	reply, err := f.post(calling)
 	if err != nil {
 		return err
 	}
@@ -122,13 +97,15 @@
 	return nil
 }
 
-func (f *follower) post(ctx context.Context) (directory.FollowReply, error) {
+func (f *follower) post(ctx context.Context, node string, timeout time.Duration) (directory.FollowReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var reply directory.FollowReply
 	body, err := json.Marshal(f.request)
 	if err != nil {
 		return reply, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.node+directory.PathFollow, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+directory.PathFollow, bytes.NewReader(body))
 	if err != nil {
 		return reply, err
 	}
--- /dev/null
+++ b/internal/gateway/searching_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/gateway"
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+// TestASilentNodeDoesNotDelayTheSearch has one node that never answers and one
+// that hears no leader at first: the second one is asked while the call to the
+// first is still open, and again once it has refused.
+func TestASilentNodeDoesNotDelayTheSearch(t *testing.T) {
+	var refused, overtaken atomic.Int64
+	answered := make(chan struct{})
+	silent := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		select {
+		case <-answered:
+			overtaken.Add(1)
+		case <-request.Context().Done():
+		}
+	}))
+	document, err := json.Marshal(oneRoute(1, "s"))
+	require.NoError(t, err)
+	leading := serve(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		switch refused.Add(1) {
+		case 1, 2:
+			http.Error(writer, "no leader is heard", http.StatusServiceUnavailable)
+			return
+		case 3:
+			close(answered)
+		}
+		_ = json.NewEncoder(writer).Encode(directory.FollowReply{Source: "leading", Whole: true, RouterCount: 1, Version: 1, Document: document})
+	}))
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	router := gateway.New(gateway.Config{
+		Name: "router", Seeds: []string{silent, leading}, Grace: time.Second, Dialect: dialect{}, Codec: dialect{},
+		ParseDocument: func(text []byte) (*routing.Document, error) {
+			parsed := &routing.Document{}
+			return parsed, json.Unmarshal(text, parsed)
+		},
+	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- router.Run(ctx, listener, nil) }()
+	require.Eventually(t, router.Ready, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return overtaken.Load() > 0 }, 10*time.Second, time.Millisecond)
+	cancel()
+	require.NoError(t, <-done)
+}
