Share a shard's budget and connections among the routers that gather it

Ruled out: the reserve that hedges leave (0.3 of a token). Change: slicing counts a shard's gatherers, the same at all routers; they hold 85 % of the slack and of the connections, all routers the rest for when they stand in. A router that sees few others scales the count by the number of all. Tests: budget property over gatherers and restarts; TestRoutersThatGatherAShard HoldItsBudget, TestConnectionsAreSharedByThoseThatGather (new interface).

--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -34,6 +34,8 @@
 	node  string
 	nodes []string
 	lost  bool
+	// routerCount is how many routers there are, as last told.
+	routerCount int
 	// servers are the ids told to the engine; departed those never told again.
 	servers  map[string]bool
 	departed map[string]bool
@@ -130,15 +132,33 @@
 	if len(reply.Nodes) > 0 {
 		f.nodes = reply.Nodes
 	}
-	f.gateway.loop.events <- scatter.RoutersCounted{Count: reply.RouterCount}
-	if reply.RoutersDigest != f.request.Routers {
-		f.gateway.peers.setRouters(reply.Routers)
-		f.gateway.logger.WithField("routers", len(reply.Routers)).Info("routers_changed")
-	}
+	f.takeRouters(reply)
 	f.request.Routers = reply.RoutersDigest
 	f.request.Source, f.request.Revision, f.request.Departures = reply.Source, reply.Revision, reply.Departures
 }
 
+// takeRouters takes in how many routers there are, which ones, and who of them
+// asks which servers.
+func (f *follower) takeRouters(reply directory.FollowReply) {
+	gateway := f.gateway
+	gateway.loop.events <- scatter.RoutersCounted{Count: reply.RouterCount}
+	if reply.RoutersDigest != f.request.Routers {
+		gateway.peers.setRouters(reply.Routers)
+		gateway.logger.WithField("routers", len(reply.Routers)).Info("routers_changed")
+	}
+	if reply.RouterCount != f.routerCount {
+		f.routerCount = reply.RouterCount
+		gateway.peers.recount()
+	}
+	table := gateway.table.Load()
+	if table == nil {
+		return
+	}
+	if counted, changed := gateway.peers.countGatherers(gateway.self(), table.Document().Routes, reply.RouterCount); changed {
+		gateway.loop.events <- scatter.GatherersCounted{Gatherers: counted}
+	}
+}
+
 func (f *follower) takeServers(reply directory.FollowReply) {
 	var gone []string
 	for _, id := range reply.Departed {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/slicing"
 )
 
 // Gateway is one router.
@@ -78,6 +79,11 @@
 	return table.Document().Version
 }
 
+// self is this router as others know it.
+func (g *Gateway) self() slicing.Router {
+	return slicing.Router{Name: g.config.Name, Zone: g.config.Zone, Address: g.config.PeerAddress}
+}
+
 // install puts a document in force.
 func (g *Gateway) install(document *routing.Document, from string) {
 	before := g.Version()
@@ -85,6 +91,7 @@
 	if g.table.Swap(routing.NewTable(document)) == nil {
 		close(g.known)
 	}
+	g.peers.recount()
 	g.metrics.version.Set(float64(document.Version))
 	g.logger.WithFields(logrus.Fields{
 		"version": document.Version, "before": before, "routes": len(document.Routes), "from": from,
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -64,8 +64,7 @@
 		events: make(chan gatherEvent, 6*len(s.route.Shards)+16),
 	}
 	routers, zones := s.gateway.peers.view()
-	self := slicing.Router{Name: s.gateway.config.Name, Zone: s.gateway.config.Zone}
-	for _, slice := range slicing.Assign(self, s.route.Shards, func(shard string) []string { return zones[shard] }, routers, s.id) {
+	for _, slice := range slicing.Assign(s.gateway.self(), s.route.Shards, func(shard string) []string { return zones[shard] }, routers, s.id) {
 		state.begin(slice)
 	}
 	state.wait()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,8 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/slicing"
 )
 
@@ -24,6 +27,8 @@
 	places   map[string]place
 	zones    map[string][]string
 	outdated bool
+	// changed says that routers or places are others than those last counted.
+	changed bool
 }
 
 // place is the service and zone of a server that may get work.
@@ -37,6 +42,7 @@
 func (p *peers) setRouters(routers []directory.Router) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.changed = true
 	p.routers = lo.Map(routers, func(r directory.Router, _ int) slicing.Router {
 		return slicing.Router{Name: r.Name, Zone: r.Zone, Address: r.Address}
 	})
@@ -56,7 +62,9 @@
 	for _, id := range gone {
 		delete(p.places, id)
 	}
-	p.outdated = p.outdated || len(changed)+len(gone) > 0
+	if len(changed)+len(gone) > 0 {
+		p.outdated, p.changed = true, true
+	}
 }
 
 // doubt keeps a router from being asked for a while. It reports whether that is
@@ -70,24 +78,62 @@
 	return now.After(before)
 }
 
-// view returns the routers that may be asked now and the zones of each service.
-// The results are not changed afterwards.
-func (p *peers) view() (routers []slicing.Router, zones map[string][]string) {
+// countGatherers returns, for the shards of routes, how many routers gather each,
+// and whether that may differ from the last count. Of all routers, as many are
+// taken to gather a shard in proportion as of those that can be asked, so that
+// none takes the share of one that is only out of sight.
+func (p *peers) countGatherers(self slicing.Router, routes []routing.Route, routerCount int) (map[string]scatter.Gatherers, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.outdated {
-		p.outdated = false
-		p.zones = make(map[string][]string)
-		for _, at := range p.places {
-			if !slices.Contains(p.zones[at.service], at.zone) {
-				p.zones[at.service] = append(p.zones[at.service], at.zone)
+	if !p.changed {
+		return nil, false
+	}
+	p.changed = false
+	p.updateZones()
+	scale := max(1, float64(routerCount)/float64(max(1, len(p.routers))))
+	counted := make(map[string]scatter.Gatherers)
+	for _, route := range routes {
+		for shard, gatherers := range slicing.CountGatherers(self, route.Shards, func(shard string) []string { return p.zones[shard] }, p.routers) {
+			counted[shard] = scatter.Gatherers{
+				Count: max(counted[shard].Count, int(math.Ceil(scale*float64(gatherers.Count)))),
+				Self:  counted[shard].Self || gatherers.Self,
 			}
 		}
-		for _, names := range p.zones {
-			slices.Sort(names)
-		}
 	}
+	return counted, true
+}
+
+// recount makes the next count a new one.
+func (p *peers) recount() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.changed = true
+}
+
+// view returns the routers that may be asked now and the zones of each service.
+// The results are not changed afterwards.
+func (p *peers) view() (routers []slicing.Router, zones map[string][]string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.updateZones()
 	now := time.Now()
 	routers = lo.Filter(p.routers, func(r slicing.Router, _ int) bool { return now.After(p.doubted[r.Name]) })
 	return routers, p.zones
 }
+
+// updateZones works the zones of services out anew if servers have changed.
+func (p *peers) updateZones() {
+	if !p.outdated {
+		return
+	}
+	p.outdated = false
+	p.zones = make(map[string][]string)
+	for _, at := range p.places {
+		if !slices.Contains(p.zones[at.service], at.zone) {
+			p.zones[at.service] = append(p.zones[at.service], at.zone)
+		}
+	}
+	for _, names := range p.zones {
+		slices.Sort(names)
+	}
+}
--- a/internal/scatter/budget.go
+++ b/internal/scatter/budget.go
@@ -38,30 +38,30 @@
 }
 
 // earn credits a first attempt.
-func (b *extraBudget) earn(now time.Time, limits BudgetLimits, routers int) {
-	b.flow(now, limits, routers)
-	b.tokens = min(b.tokens+limits.Ratio*usedRatio, limits.burst(routers))
+func (b *extraBudget) earn(now time.Time, limits BudgetLimits, share float64) {
+	b.flow(now, limits, share)
+	b.tokens = min(b.tokens+limits.Ratio*usedRatio, limits.burst(share))
 }
 
 // flow credits the time since the last call.
-func (b *extraBudget) flow(now time.Time, limits BudgetLimits, routers int) {
-	share := limits.Slack / float64(max(1, routers))
+func (b *extraBudget) flow(now time.Time, limits BudgetLimits, share float64) {
+	slack := limits.Slack * share
 	if b.filled.IsZero() {
-		b.filled, b.tokens = now, startSlack*share
+		b.filled, b.tokens = now, startSlack*slack
 		return
 	}
 	window := limits.Window
 	if window <= 0 {
 		window = DefaultBudgetWindow
 	}
-	gained := flowSlack * share * float64(now.Sub(b.filled)) / float64(window)
-	b.tokens = min(b.tokens+gained, limits.burst(routers))
+	gained := flowSlack * slack * float64(now.Sub(b.filled)) / float64(window)
+	b.tokens = min(b.tokens+gained, limits.burst(share))
 	b.filled = now
 }
 
 // spend takes one token if that leaves at least a reserve.
-func (b *extraBudget) spend(now time.Time, limits BudgetLimits, routers int, reserve float64) bool {
-	b.flow(now, limits, routers)
+func (b *extraBudget) spend(now time.Time, limits BudgetLimits, share float64, reserve float64) bool {
+	b.flow(now, limits, share)
 	if b.tokens < 1+reserve {
 		return false
 	}
@@ -71,8 +71,8 @@
 
 // burst is what a full bucket holds: at least one attempt and the reserve of
 // hedges, unless nothing at all is allowed.
-func (l BudgetLimits) burst(routers int) float64 {
-	return max(min(leastBurst, l.Slack), burstSlack*l.Slack/float64(max(1, routers)))
+func (l BudgetLimits) burst(share float64) float64 {
+	return max(min(leastBurst, l.Slack), burstSlack*l.Slack*share)
 }
 
 const leastBurst = 1.5
--- a/internal/scatter/budget_test.go
+++ b/internal/scatter/budget_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
@@ -21,15 +22,19 @@
 		routers := rapid.IntRange(1, 12).Draw(t, "routers")
 		route := singleRoute(true)
 		route.Timeout = 400 * time.Millisecond
-		start := func() *harness {
+		gatherers := rapid.IntRange(0, routers).Draw(t, "gatherers")
+		start := func(index int) *harness {
 			h := newHarness(t, limits)
 			h.step(scatter.RoutersCounted{Count: routers})
+			h.step(scatter.GatherersCounted{Gatherers: map[string]scatter.Gatherers{
+				"s": {Count: gatherers, Self: index < gatherers},
+			}})
 			h.servers("s", 3)
 			return h
 		}
 		fleet := make([]*harness, routers)
 		for index := range fleet {
-			fleet[index] = start()
+			fleet[index] = start(index)
 		}
 		var firsts, extras []time.Duration
 		restarted := rapid.IntRange(0, 60).Draw(t, "restarted")
@@ -37,7 +42,7 @@
 			at := time.Duration(tick) * 250 * time.Millisecond
 			for index, router := range fleet {
 				if tick == restarted {
-					router = start()
+					router = start(index)
 					router.now = origin.Add(at)
 					fleet[index] = router
 				}
@@ -72,3 +77,53 @@
 	}
 	return count
 }
+
+// TestRoutersThatGatherAShardHoldItsBudget gives the routers that ask a shard in
+// the ordinary course more of what its servers allow than an equal part.
+func TestRoutersThatGatherAShardHoldItsBudget(t *testing.T) {
+	const routers, gatherers = 16, 4
+	hedges := func(self bool) int {
+		h := newHarness(t, scatter.BudgetLimits{Ratio: 0.2, Slack: 56})
+		h.step(scatter.RoutersCounted{Count: routers})
+		h.step(scatter.GatherersCounted{Gatherers: map[string]scatter.Gatherers{"s": {Count: gatherers, Self: self}}})
+		h.servers("s", 8)
+		h.arrive(singleRoute(true))
+		h.take()
+		h.advance(limitsWindow)
+		h.take()
+		for range 8 {
+			h.arrive(singleRoute(true))
+		}
+		h.advance(500 * time.Millisecond)
+		extras := 0
+		for _, send := range h.take() {
+			if send.Extra {
+				extras++
+			}
+		}
+		return extras
+	}
+	require.GreaterOrEqual(t, hedges(true), 3)
+	require.LessOrEqual(t, hedges(false), 2)
+}
+
+// TestConnectionsAreSharedByThoseThatGather lets few gatherers use the
+// connections that a server accepts.
+func TestConnectionsAreSharedByThoseThatGather(t *testing.T) {
+	inFlight := func(gatherers scatter.Gatherers) int {
+		h := newHarness(t, plenty)
+		h.step(scatter.RoutersCounted{Count: 64})
+		h.step(scatter.DocumentChanged{Services: []routing.Service{{Name: "s", MaxConnections: 54}}})
+		h.step(scatter.GatherersCounted{Gatherers: map[string]scatter.Gatherers{"s": gatherers}})
+		h.servers("s", 1)
+		for range 10 {
+			h.arrive(singleRoute(false))
+		}
+		return len(h.take())
+	}
+	require.Equal(t, 3, inFlight(scatter.Gatherers{Count: 12, Self: true}))
+	require.Equal(t, 1, inFlight(scatter.Gatherers{Count: 12}))
+	require.Equal(t, 1, inFlight(scatter.Gatherers{}))
+}
+
+const limitsWindow = scatter.DefaultBudgetWindow
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -147,7 +147,7 @@
 	if len(called.live) > 1 || len(called.tried)-called.unsent >= route.MaxAttempts {
 		return
 	}
-	chosen, found := called.group.choose(e.now, called.tried, e.view())
+	chosen, found := called.group.choose(e.now, called.tried, e.view(called.group))
 	if found != available || chosen.doubted(e.now) || !e.pay(called, hedgeReserve) {
 		// There may be room, or a token, a little later.
 		again := max(hedgeFloor, e.hedgeDelay(route)/hedgeAgainPart)
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -79,6 +79,8 @@
 		e.changeServices(event.Services)
 	case RoutersCounted:
 		e.routers = max(1, event.Count)
+	case GatherersCounted:
+		e.countGatherers(event.Gatherers)
 	case TimerFired:
 	}
 }
@@ -170,7 +172,20 @@
 	}
 }
 
-// typical returns the histogram of a route's attempts.
+func (e *Engine) countGatherers(counted map[string]Gatherers) {
+	for service, known := range e.groups {
+		known.gatherers = counted[service]
+	}
+	for service, gatherers := range counted {
+		e.group(service).gatherers = gatherers
+	}
+}
+
+// share is the part of what a service allows all routers together that this one
+// may use.
+func (e *Engine) share(of *group) float64 { return of.gatherers.share(e.routers) }
+
+// histogram returns the histogram of a route's attempts.
 func (e *Engine) histogram(route *routing.Route) *latency.Histogram {
 	existing, ok := e.routes[route.Name]
 	if !ok {
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -54,17 +54,30 @@
 // RoutersCounted tells how many routers share the servers.
 type RoutersCounted struct{ Count int }
 
+// GatherersCounted tells, for the services that are shards, how many routers ask
+// each in the ordinary course. Services that are not named are asked by all.
+type GatherersCounted struct{ Gatherers map[string]Gatherers }
+
+// Gatherers are the routers that ask the servers of a shard in the ordinary
+// course: their requests are divided by shard (package slicing).
+type Gatherers struct {
+	Count int
+	// Self says that this router is one of them.
+	Self bool
+}
+
 // TimerFired says that the time of the last Wake has come.
 type TimerFired struct{}
 
-func (Arrived) isEvent()         {}
-func (Ended) isEvent()           {}
-func (Abandoned) isEvent()       {}
-func (ServersChanged) isEvent()  {}
-func (ServersGone) isEvent()     {}
-func (DocumentChanged) isEvent() {}
-func (RoutersCounted) isEvent()  {}
-func (TimerFired) isEvent()      {}
+func (Arrived) isEvent()          {}
+func (Ended) isEvent()            {}
+func (Abandoned) isEvent()        {}
+func (ServersChanged) isEvent()   {}
+func (ServersGone) isEvent()      {}
+func (DocumentChanged) isEvent()  {}
+func (RoutersCounted) isEvent()   {}
+func (GatherersCounted) isEvent() {}
+func (TimerFired) isEvent()       {}
 
 // Server is one start of a server.
 type Server struct {
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -13,6 +13,7 @@
 	// connections bounds those to each server, of all routers together.
 	connections int
 	budget      extraBudget
+	gatherers   Gatherers
 	// waiting are calls for which no server had room.
 	waiting []*call
 }
@@ -32,20 +33,42 @@
 // those that are still closing.
 const spareConnections = 2
 
+// gathererPart is the part of what a shard's servers allow that is divided among
+// its gatherers; the rest is for all routers, as any may stand in for another.
+const gathererPart = 0.85
+
+// share is this router's part of what servers allow all routers together. The
+// parts of all routers add up to 1.
+func (g Gatherers) share(routers int) float64 {
+	equal := 1 / float64(max(1, routers))
+	if g.Count <= 0 {
+		return equal
+	}
+	part := (1 - gathererPart) * equal
+	if g.Self {
+		part += gathererPart / float64(g.Count)
+	}
+	return part
+}
+
 // connectionLimit is this router's share of the connections to one server.
-func (g *group) connectionLimit(routers int) int {
+func (g *group) connectionLimit(share float64) int {
 	if g.connections <= 0 {
 		return unlimitedConnections
 	}
-	return max(1, (g.connections-spareConnections)/max(1, routers))
+	return max(1, int(share*float64(g.connections-spareConnections)+roundingSlack))
 }
 
+// roundingSlack keeps a share that is a whole number of connections from being
+// rounded down.
+const roundingSlack = 1e-9
+
 const unlimitedConnections = 64
 
 // attemptLimit bounds this router's attempts at one server: what its slots take
 // and one that waits.
-func (g *group) attemptLimit(now time.Time, candidate *server, routers int) int {
-	limit := min(g.connectionLimit(routers), max(1, candidate.Slots)+1)
+func (g *group) attemptLimit(now time.Time, candidate *server, share float64) int {
+	limit := min(g.connectionLimit(share), max(1, candidate.Slots)+1)
 	if now.Before(candidate.connectionsUntil) {
 		limit = min(limit, candidate.connections)
 	}
@@ -62,7 +85,7 @@
 		if !candidate.usable() || slices.Contains(tried, candidate) {
 			continue
 		}
-		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(now, candidate, view.routers) {
+		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(now, candidate, view.share) {
 			if !candidate.doubted(now) {
 				found = busy
 			}
@@ -107,7 +130,8 @@
 
 // choiceView is what a choice depends on beside the group.
 type choiceView struct {
-	zone    string
-	routers int
-	random  *rand.Rand
+	zone string
+	// share is this router's part of what the servers allow.
+	share  float64
+	random *rand.Rand
 }
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -95,7 +95,7 @@
 			e.dispatchExtra(called)
 			continue
 		}
-		called.group.budget.earn(e.now, e.config.Budget, e.routers)
+		called.group.budget.earn(e.now, e.config.Budget, e.share(called.group))
 		e.dispatch(called, false)
 		e.serveGroup(called.group.service)
 	}
@@ -105,7 +105,7 @@
 // dispatch sends an attempt of a call, lets it wait for room, or settles it when
 // there is no server.
 func (e *Engine) dispatch(called *call, extra bool) {
-	chosen, found := called.group.choose(e.now, called.tried, e.view())
+	chosen, found := called.group.choose(e.now, called.tried, e.view(called.group))
 	switch {
 	case found == available:
 		e.send(called, chosen, extra)
@@ -147,8 +147,8 @@
 	}
 }
 
-func (e *Engine) view() choiceView {
-	return choiceView{zone: e.config.Zone, routers: e.routers, random: e.random}
+func (e *Engine) view(of *group) choiceView {
+	return choiceView{zone: e.config.Zone, share: e.share(of), random: e.random}
 }
 
 func (e *Engine) send(called *call, chosen *server, extra bool) {
@@ -241,7 +241,7 @@
 		e.dispatch(called, false)
 		return
 	}
-	_, found := called.group.choose(e.now, called.tried, e.view())
+	_, found := called.group.choose(e.now, called.tried, e.view(called.group))
 	switch {
 	case found == absent || found == busy && e.canSpare(called):
 		e.settle(called)
@@ -261,7 +261,7 @@
 )
 
 func (e *Engine) pay(called *call, reserve float64) bool {
-	if called.group.budget.spend(e.now, e.config.Budget, e.routers, reserve) {
+	if called.group.budget.spend(e.now, e.config.Budget, e.share(called.group), reserve) {
 		return true
 	}
 	called.request.denied++
--- a/internal/slicing/assign.go
+++ b/internal/slicing/assign.go
@@ -170,7 +170,7 @@
 			continue
 		}
 		members := l.cellMembers(zone, cell)
-		if slices.ContainsFunc(members, func(member Router) bool { return member.Name == self.Name }) {
+		if containsRouter(members, self) {
 			assigned = append(assigned, Slice{Shards: held})
 			continue
 		}
@@ -180,6 +180,35 @@
 	return assigned
 }
 
+// Gatherers are the routers that gather a shard, whoever asks.
+type Gatherers struct {
+	Count int
+	// Self says that the own router is one of them.
+	Self bool
+}
+
+// CountGatherers returns the gatherers of each shard whose place is known.
+func CountGatherers(self Router, shards []string, zones func(shard string) []string, routers []Router) map[string]Gatherers {
+	layout := newLayout(self, shards, zones, routers)
+	counted := make(map[string]Gatherers, len(shards))
+	for _, shard := range shards {
+		var gatherers Gatherers
+		for _, zone := range layout.places[shard] {
+			members := layout.cellMembers(zone, layout.cell(zone, shard))
+			gatherers.Count += len(members)
+			gatherers.Self = gatherers.Self || containsRouter(members, self)
+		}
+		if gatherers.Count > 0 {
+			counted[shard] = gatherers
+		}
+	}
+	return counted
+}
+
+func containsRouter(members []Router, wanted Router) bool {
+	return slices.ContainsFunc(members, func(member Router) bool { return member.Name == wanted.Name })
+}
+
 // mergeOwn joins the slices that stay with the router that was asked.
 func mergeOwn(assigned []Slice) []Slice {
 	var own []string
--- a/internal/slicing/slicing_test.go
+++ b/internal/slicing/slicing_test.go
@@ -124,6 +124,12 @@
 	for shard, by := range met {
 		require.LessOrEqual(t, len(by), 3*4, shard)
 	}
+	for _, self := range routers {
+		counted := slicing.CountGatherers(self, shards, zones, routers)
+		for shard, by := range met {
+			require.Equal(t, slicing.Gatherers{Count: len(by), Self: by[self.Name]}, counted[shard], shard)
+		}
+	}
 }
 
 // TestFarShardsAreAskedForInFewZones holds messages between zones down, and
