Give room at crowded servers first to requests within their targets

Change: calls that wait for room are sent in the order of: target not yet passed, rank of the route, arrival. Test: TestRoomGoesFirstToRequestsWithinTheirTarget failed before.

--- a/internal/scatter/engine_test.go
+++ b/internal/scatter/engine_test.go
@@ -168,6 +168,24 @@
 	require.Equal(t, verdict.ReasonNoReplica, h.result(never).Reason)
 }
 
+func TestRoomGoesFirstToRequestsWithinTheirTarget(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 1)
+	route := singleRoute(false)
+	for range 3 {
+		h.arrive(route)
+	}
+	running := h.take()
+	overdue := h.arrive(route)
+	h.advance(route.Target + time.Millisecond)
+	fresh := h.arrive(route)
+	require.Empty(t, h.take())
+	h.end(running[0], good("a"))
+	require.Equal(t, fresh, h.take()[0].Request)
+	h.end(running[1], good("b"))
+	require.Equal(t, overdue, h.take()[0].Request)
+}
+
 func TestAttemptsStayWithinTheShareOfConnections(t *testing.T) {
 	h := newHarness(t, plenty)
 	h.step(scatter.DocumentChanged{Services: []routing.Service{{Name: "s", MaxConnections: 10}}})
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -297,15 +298,19 @@
 	}
 }
 
-// serveGroup sends calls of a service that wait for room, first come first
-// served within the rank of their routes.
+// serveGroup sends calls of a service that wait for room: first those whose
+// requests can still be answered within their targets, since an answer after it
+// is worth little and a queue longer than the target would make all late; then by
+// the rank of their routes, first come first served.
 func (e *Engine) serveGroup(service string) {
 	in := e.group(service)
 	if len(in.waiting) == 0 {
 		return
 	}
 	waiting := slices.DeleteFunc(in.waiting, func(c *call) bool { return !c.waiting })
-	slices.SortStableFunc(waiting, func(a, b *call) int { return a.request.route.Priority - b.request.route.Priority })
+	slices.SortStableFunc(waiting, func(a, b *call) int {
+		return cmp.Or(cmp.Compare(e.overdue(a), e.overdue(b)), cmp.Compare(a.request.route.Priority, b.request.route.Priority))
+	})
 	in.waiting = nil
 	for _, called := range waiting {
 		called.waiting = false
@@ -316,6 +321,15 @@
 	}
 }
 
+// overdue is 1 for a call whose request is past its target, else 0.
+func (e *Engine) overdue(waiting *call) int {
+	target := waiting.request.route.Target
+	if target > 0 && e.now.Sub(waiting.request.arrived) > target {
+		return 1
+	}
+	return 0
+}
+
 // abandon drops a request without an answer.
 func (e *Engine) abandon(id RequestID) {
 	waiting, ok := e.requests[id]
