Take servers that failed in the order of hope, one attempt at a time

Change: a server is sound, on trial (one attempt at a time until it answers), doubted or unreachable; worse ones are taken only where the better have no room for good, and no call waits for the end of a trial while another server is there. Tests: TestServerThatFailedIsTriedWithOneAttempt and TestServersThatFailedAreTakenInTheOrderOfHope failed before.

--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -148,7 +148,7 @@
 		return
 	}
 	chosen, found := called.group.choose(e.now, called.tried, e.view(called.group))
-	if found != available || chosen.doubted(e.now) || !e.pay(called, hedgeReserve) {
+	if found != available || chosen.condition(e.now) >= doubted || !e.pay(called, hedgeReserve) {
 		// There may be room, or a token, a little later.
 		again := max(hedgeFloor, e.hedgeDelay(route)/hedgeAgainPart)
 		e.timers.add(timer{at: e.now.Add(again), kind: timerHedge, attempt: id})
@@ -180,10 +180,10 @@
 		from.observe(e.now, e.ratio(route, took))
 		if from.heard.Before(ended.started) {
 			// Silent for all that time: it pauses, or is gone.
-			e.suspect(ended, outcome.Failure.String())
+			e.suspect(ended, outcome.Failure, outcome.Failure.String())
 		}
 	case NotConnected, Broken, TimedOut:
-		e.suspect(ended, outcome.Failure.String())
+		e.suspect(ended, outcome.Failure, outcome.Failure.String())
 	}
 }
 
@@ -192,7 +192,7 @@
 	if !outcome.Reply.Succeeded() {
 		from.errors++
 		if from.errors > toleratedFailures {
-			e.suspect(ended, "error_replies")
+			e.suspect(ended, outcome.Failure, "error_replies")
 		}
 		return
 	}
@@ -203,9 +203,10 @@
 }
 
 // suspect makes the server of an attempt avoided for a while.
-func (e *Engine) suspect(ended *attempt, detail string) {
+func (e *Engine) suspect(ended *attempt, failure Failure, detail string) {
 	before := ended.server.suspectUntil
 	ended.server.failed(e.now, ended.started)
+	ended.server.unconnected = failure == NotConnected
 	if ended.server.suspectUntil != before {
 		e.emit(Noted{Server: ended.server.Server, Belief: "server_suspected", Detail: detail})
 	}
--- a/internal/scatter/engine_test.go
+++ b/internal/scatter/engine_test.go
@@ -186,6 +186,65 @@
 	require.Equal(t, overdue, h.take()[0].Request)
 }
 
+func TestServerThatFailedIsTriedWithOneAttempt(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 2)
+	route := singleRoute(false)
+	h.arrive(route)
+	failing := h.take()[0]
+	h.end(failing, failure(scatter.Broken, verdict.MayHaveRun))
+	h.advance(300 * time.Millisecond)
+	for range 6 {
+		h.arrive(route)
+	}
+	var trial scatter.Send
+	trials := 0
+	for _, send := range h.take() {
+		if send.Server.ID == failing.Server.ID {
+			trial = send
+			trials++
+		}
+	}
+	require.Equal(t, 1, trials)
+	h.end(trial, good("a"))
+	require.Equal(t, failing.Server.ID, h.take()[0].Server.ID)
+}
+
+// TestServersThatFailedAreTakenInTheOrderOfHope has no sound server: one is slow
+// and was given up, to the other one no connection came up.
+func TestServersThatFailedAreTakenInTheOrderOfHope(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 2)
+	route := singleRoute(false)
+	h.arrive(route)
+	h.arrive(route)
+	first := h.take()
+	require.NotEqual(t, first[0].Server.ID, first[1].Server.ID)
+	slow, dark := first[0].Server.ID, first[1].Server.ID
+	h.advance(100 * time.Millisecond)
+	h.end(first[1], failure(scatter.NotConnected, verdict.NotRun))
+	h.end(first[0], failure(scatter.Aborted, verdict.MayHaveRun))
+	// What the unconnected attempt left is sent to the other server.
+	for _, send := range h.take() {
+		require.Equal(t, slow, send.Server.ID)
+	}
+	for range 5 {
+		h.arrive(route)
+	}
+	for _, send := range h.take() {
+		require.Equal(t, slow, send.Server.ID, "a call goes to a server that can't be reached")
+	}
+	h.advance(300 * time.Millisecond)
+	tried := map[string]int{}
+	for range 5 {
+		h.arrive(route)
+	}
+	for _, send := range h.take() {
+		tried[send.Server.ID]++
+	}
+	require.LessOrEqual(t, tried[dark], 1, "more than one trial")
+}
+
 func TestAttemptsStayWithinTheShareOfConnections(t *testing.T) {
 	h := newHarness(t, plenty)
 	h.step(scatter.DocumentChanged{Services: []routing.Service{{Name: "s", MaxConnections: 10}}})
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -69,6 +69,9 @@
 // and one that waits.
 func (g *group) attemptLimit(now time.Time, candidate *server, share float64) int {
 	limit := min(g.connectionLimit(share), max(1, candidate.Slots)+1)
+	if candidate.condition(now) == onTrial {
+		limit = 1
+	}
 	if now.Before(candidate.connectionsUntil) {
 		limit = min(limit, candidate.connections)
 	}
@@ -76,40 +79,40 @@
 }
 
 // choose returns the server with the least expected delay among those that were
-// not tried. Doubted servers are taken only if no other may be used.
+// not tried. It is a sound one, or one on trial, if there is any; else one that is
+// doubted, and one that could not be reached only where there is no other. A call
+// waits for room at the better ones before it takes a worse one; for the end of a
+// trial it waits only where there is nothing else.
 func (g *group) choose(now time.Time, tried []*server, view choiceView) (*server, availability) {
-	var best, bestDoubted *server
-	var bestCost, bestDoubtedCost float64
-	found := absent
+	var best [conditions]*server
+	var leastCost [conditions]float64
+	var atLimit [conditions]bool
 	for _, candidate := range g.servers {
 		if !candidate.usable() || slices.Contains(tried, candidate) {
 			continue
 		}
+		condition := candidate.condition(now)
 		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(now, candidate, view.share) {
-			if !candidate.doubted(now) {
-				found = busy
-			}
+			atLimit[condition] = true
 			continue
 		}
+		if condition == onTrial {
+			condition = sound
+		}
 		cost := candidate.cost(now, view.zone) * (1 + jitter*view.random.Float64())
-		if candidate.doubted(now) {
-			if bestDoubted == nil || cost < bestDoubtedCost {
-				bestDoubted, bestDoubtedCost = candidate, cost
-			}
-			continue
+		if best[condition] == nil || cost < leastCost[condition] {
+			best[condition], leastCost[condition] = candidate, cost
 		}
-		if best == nil || cost < bestCost {
-			best, bestCost = candidate, cost
+	}
+	for condition := range conditions {
+		switch {
+		case best[condition] != nil:
+			return best[condition], available
+		case atLimit[condition] && condition != onTrial:
+			return nil, busy
 		}
 	}
-	switch {
-	case best != nil:
-		return best, available
-	case found == busy:
-		return nil, busy
-	case bestDoubted != nil:
-		return bestDoubted, available
-	case g.anyUntried(tried):
+	if atLimit[onTrial] {
 		return nil, busy
 	}
 	return nil, absent
@@ -120,11 +123,6 @@
 	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.usable() && s.full(now) })
 }
 
-// anyUntried reports whether a usable server is left, be it at its limit.
-func (g *group) anyUntried(tried []*server) bool {
-	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.usable() && !slices.Contains(tried, s) })
-}
-
 // jitter spreads equal costs, so that routers do not herd.
 const jitter = 0.15
 
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -26,6 +26,8 @@
 	errors       int
 	suspectedAt  time.Time
 	suspectUntil time.Time
+	// unconnected says that no connection came up at the last failure.
+	unconnected bool
 	// fullUntil is until when it is avoided because it refused work.
 	fullUntil time.Time
 	// connections bounds the attempts until a time, because the server reset
@@ -64,8 +66,33 @@
 // usable reports whether the server may get new work at all.
 func (s *server) usable() bool { return !s.Leaving && !s.replaced }
 
-// doubted reports whether it should get work only if there is no other.
-func (s *server) doubted(now time.Time) bool { return s.Missing || now.Before(s.suspectUntil) }
+// condition says how far a server is believed to answer; less is better.
+type condition uint8
+
+const (
+	sound condition = iota
+	// onTrial: it has not answered since its last failure, which is some time ago;
+	// one attempt at a time is enough to find out.
+	onTrial
+	// doubted: it failed a short time ago, or the directory misses it.
+	doubted
+	// unreachable: it is doubted since no connection came up.
+	unreachable
+	// conditions is how many there are.
+	conditions
+)
+
+func (s *server) condition(now time.Time) condition {
+	switch suspected := now.Before(s.suspectUntil); {
+	case suspected && s.unconnected:
+		return unreachable
+	case suspected || s.Missing:
+		return doubted
+	case s.failures > 0:
+		return onTrial
+	}
+	return sound
+}
 
 // full reports whether it has just refused work for want of room.
 func (s *server) full(now time.Time) bool { return now.Before(s.fullUntil) }
