Enforce the document's limits on headers and on the times of connections

Change: a header beyond the limit is refused with 431 and not run; connections that take longer for a header, or rest longer, than the document in force allows are closed, counted by limit; times are the steady clock's, so that a step of the time of day closes nothing. A request that is served is under neither limit. Ruled out: http.Server's own fields, which can't change while it serves; a server for each document, which leaves old connections under old limits. Tests: TestHeaderBeyondTheLimitIsRefused, TestConnectionsBeyondTheTimesAreClosed failed before; TestRequestMayTakeLongerThanTheTimesOfItsConnection.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	answers  atomic.Uint64
 	peers    *peers
 	slices   *sliceClient
+	clients  *clientConnections
 	// sliceLag is that of slices from other routers, answerLag that from the cut
 	// until an answer is written.
 	sliceLag  lag
@@ -50,7 +51,7 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: time.Now(),
-		known: make(chan struct{}), peers: newPeers(), slices: newSliceClient(),
+		known: make(chan struct{}), peers: newPeers(), slices: newSliceClient(), clients: newClientConnections(environment.Registerer),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	gateway.SetSeeds(config.Seeds)
@@ -112,8 +113,9 @@
 	running.Go(func() { newFollower(g).run(duties) })
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: withConnection,
+		ConnContext: g.clients.begin, ConnState: g.clients.change,
 	}
+	running.Go(func() { g.enforceLimits(duties) })
 	served := make(chan error, 2)
 	go func() { served <- server.Serve(clients) }()
 	peerServer := &http.Server{Handler: g.PeerHandler(), ReadHeaderTimeout: headerTime}
@@ -132,6 +134,23 @@
 	return nil
 }
 
+// enforceLimits closes connections of clients that exceed the times of the
+// document in force.
+func (g *Gateway) enforceLimits(ctx context.Context) {
+	check := time.NewTicker(limitInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-check.C:
+			if table := g.table.Load(); table != nil {
+				g.clients.enforce(now, table.Document().Limits)
+			}
+		}
+	}
+}
+
 // stop carries out the planned stop.
 func (g *Gateway) stop(server, peerServer *http.Server) {
 	deadline := time.Now().Add(g.config.Grace - stopMargin)
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,72 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+// limitedSite has a document with a limit of each kind.
+func limitedSite(t *testing.T, limits routing.Limits) *site {
+	document := oneRoute(1, "s")
+	document.Limits = limits
+	return startSite(t, document, map[string]http.HandlerFunc{"s": echo})
+}
+
+func TestHeaderBeyondTheLimitIsRefused(t *testing.T) {
+	s := limitedSite(t, routing.Limits{HeaderBytes: 2000})
+	require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/", nil).status)
+	long := "/a/?" + strings.Repeat("x", 2000)
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, s.ask(http.MethodGet, long, nil).status)
+}
+
+// closedBy sends bytes and waits until the router closes the connection.
+func closedBy(t *testing.T, s *site, sent string) {
+	t.Helper()
+	conn, err := net.Dial("tcp4", s.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, sent)
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+	_, err = io.ReadAll(conn)
+	require.NoError(t, err, "the connection stays open")
+}
+
+const wholeRequest = "GET /a/ HTTP/1.1\r\nHost: site\r\nX-Id: r-1\r\nX-Left: 3s\r\n\r\n"
+
+func TestConnectionsBeyondTheTimesAreClosed(t *testing.T) {
+	idle := limitedSite(t, routing.Limits{IdleTime: 100 * time.Millisecond})
+	closedBy(t, idle, "")
+	closedBy(t, idle, wholeRequest)
+	header := limitedSite(t, routing.Limits{HeaderTime: 100 * time.Millisecond})
+	closedBy(t, header, "GET /a/ HTTP/1.1\r\nHost: si")
+}
+
+// TestRequestMayTakeLongerThanTheTimesOfItsConnection has a server that answers
+// only after both limits have passed.
+func TestRequestMayTakeLongerThanTheTimesOfItsConnection(t *testing.T) {
+	document := oneRoute(1, "s")
+	document.Limits = routing.Limits{HeaderTime: 50 * time.Millisecond, IdleTime: 50 * time.Millisecond}
+	s := startSite(t, document, map[string]http.HandlerFunc{"s": func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(1200 * time.Millisecond)
+		echo(writer, request)
+	}})
+	conn, err := net.Dial("tcp4", s.address)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, wholeRequest)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.NoError(t, response.Body.Close())
+}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -64,6 +64,8 @@
 	maxHeaderBytes   = 64 << 10
 	headerTime       = 10 * time.Second
 	pruneInterval    = 2 * time.Second
+	// limitInterval is how often the times of clients' connections are looked at.
+	limitInterval = 500 * time.Millisecond
 	// unreadyTime is how long a stopping router still takes new connections: it
 	// is taken out after two readiness calls, a second apart, that failed.
 	unreadyTime = 2300 * time.Millisecond
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -31,6 +31,9 @@
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	state := &exchangeState{gateway: g, writer: writer, request: request, arrived: time.Now(), id: g.config.Dialect.RequestID(request.Header)}
+	if connection, ok := state.connection(); ok {
+		connection.serving()
+	}
 	if g.closing.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -40,6 +43,10 @@
 		return
 	}
 	state.version = table.Document().Version
+	if limit := table.Document().Limits.HeaderBytes; limit > 0 && headerBytes(request) > limit {
+		state.refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.ReasonHeaderTooLarge, 0)
+		return
+	}
 	state.route = table.Find(request.Host, pathOf(state.target()))
 	if state.route == nil {
 		state.refuse(http.StatusNotFound, verdict.ReasonUnknownRoute, 0)
@@ -152,13 +159,19 @@
 
 // away is how much of the client's waiting is spent outside of this router.
 func (s *exchangeState) away() time.Duration {
-	connection, ok := s.request.Context().Value(clientConnectionKey{}).(*clientConnection)
+	connection, ok := s.connection()
 	if !ok {
 		return unknownRoundTrip
 	}
 	return connection.away()
 }
 
+// connection returns what is known of the client's connection.
+func (s *exchangeState) connection() (*clientConnection, bool) {
+	connection, ok := s.request.Context().Value(clientConnectionKey{}).(*clientConnection)
+	return connection, ok
+}
+
 // writeReply passes the answer of a server on unchanged.
 func (s *exchangeState) writeReply(result scatter.Result) {
 	reply := result.Reply
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -98,6 +98,7 @@
 	ReasonUnknownRoute      Reason = "unknown_route"
 	ReasonBadRequest        Reason = "bad_request"
 	ReasonBodyTooLarge      Reason = "body_too_large"
+	ReasonHeaderTooLarge    Reason = "header_too_large"
 	ReasonDeadlinePassed    Reason = "deadline_passed"
 	ReasonDeadlineTooShort  Reason = "deadline_too_short"
 	ReasonNoLease           Reason = "no_lease"
