Keep cells while routers are away, pack documents, search with few bytes

From second 25 on there are 360 routes over 135 shards, a document of 372 KB, and from 27.7 on 33 routers are restarted in turn: - who gathers a shard was worked out for each of the 360 routes at each change of servers or routers; - a router that left the list moved the cells of all others of its zone (77,046 new connections, 1,086 reset over the cap); - a started router asked all nodes for everything at once, 2.5 MB over 65 Mbit/s, gave up after 150 ms and began again; each version went to 64 routers as text; - a slice gathered again here could use all attempts of the route beside those of the router that had failed. Ruled out: servers (42 of 70,000 attempts not run), the group (leader back in 0.4 s). Change: equal lists of shards are kept and laid out once; routers that stop or are silent stay in the list as absent for 10 s; documents travel compressed, packed once a version; a search only probes, then one node is asked for all; a repeat leaves one attempt to the other router. Tests changed: layouts are made by NewLayout in place of Assign, the stub of the directory packs its documents; no expectation was taken out.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -24,9 +24,12 @@
 		if !n.inGroup() {
 			return FollowReply{}, errors.Wrap(ErrUnavailable, "no leader is heard")
 		}
-		reply, news, changed := n.news(request)
-		if news {
-			return reply, nil
+		if request.Probe {
+			return FollowReply{Source: n.source}, nil
+		}
+		reply, news, changed, err := n.news(request)
+		if news || err != nil {
+			return reply, err
 		}
 		select {
 		case <-changed:
@@ -40,7 +43,7 @@
 
 // news returns what a router does not know, whether that is anything, and a
 // channel that is closed when there is more.
-func (n *Node) news(request FollowRequest) (FollowReply, bool, <-chan struct{}) {
+func (n *Node) news(request FollowRequest) (reply FollowReply, news bool, changed <-chan struct{}, err error) {
 	applied := n.member.state()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -48,12 +51,12 @@
 	if n.routers.report(now, request.Router, 0, true) {
 		n.announce()
 	}
-	reply := FollowReply{
+	reply = FollowReply{
 		Source: n.source, Revision: n.registry.Revision(), Settled: n.settled,
 		RouterCount: len(n.routers.within(now, routerLifetime)),
 		Nodes:       lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
 	}
-	routers, digest := n.routers.askable(now)
+	routers, digest := n.routers.listed(now)
 	reply.RoutersDigest = digest
 	if digest != request.Routers {
 		reply.Routers = routers
@@ -68,8 +71,11 @@
 	reply.Departed, reply.Departures = applied.departures(request.Departures)
 	version, text, _ := applied.document()
 	if version > request.Version {
-		reply.Version, reply.Document = version, text
+		reply.Version = version
+		if reply.Document, err = n.packer.pack(version, text); err != nil {
+			return FollowReply{}, false, nil, errors.Mark(err, ErrUnavailable)
+		}
 	}
-	news := !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || digest != request.Routers
-	return reply, news, n.changed
+	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || digest != request.Routers
+	return reply, news, n.changed, nil
 }
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -25,6 +25,7 @@
 	seeds  atomic.Pointer[[]string]
 	member *memberHost
 	peers  *peerClient
+	packer documentPacker
 
 	mutex    sync.Mutex
 	registry *registry.Table
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -81,6 +81,15 @@
 	Stopping bool `json:"stopping,omitempty"`
 }
 
+// ListedRouter is a router as others are told of it.
+type ListedRouter struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone,omitempty"`
+	Address string `json:"address"`
+	// Absent says that it is not to be asked now: it stops or is silent.
+	Absent bool `json:"absent,omitempty"`
+}
+
 // sharedRouter is a router with the time since its last call.
 type sharedRouter struct {
 	Router
@@ -97,6 +106,8 @@
 	Revision   uint64 `json:"revision"`
 	Departures int    `json:"departures"`
 	Routers    uint64 `json:"routers"`
+	// Probe asks only whether the node can be followed: the reply names its source.
+	Probe bool `json:"probe,omitempty"`
 	// Wait is how long the node may hold the call while there is no news.
 	Wait time.Duration `json:"wait"`
 }
@@ -105,8 +116,8 @@
 type FollowReply struct {
 	Source string `json:"source"`
 	// Version and Document are set when the router's version is lower.
-	Version  uint64 `json:"version"`
-	Document []byte `json:"document,omitempty"`
+	Version  uint64         `json:"version"`
+	Document PackedDocument `json:"document,omitempty"`
 	// Revision of the node's table; Instances are those that changed since, or
 	// all if the router came from another source.
 	Revision  uint64              `json:"revision"`
@@ -121,10 +132,10 @@
 	Nodes []string `json:"nodes"`
 	// RouterCount is how many routers share the servers.
 	RouterCount int `json:"router_count"`
-	// Routers are those that can be asked, ordered by name, and RoutersDigest tells
-	// one such list from another; the list is left out if the router has it.
-	Routers       []Router `json:"routers,omitempty"`
-	RoutersDigest uint64   `json:"routers_digest"`
+	// Routers are those that others can reach, ordered by name, and RoutersDigest
+	// tells one such list from another; the list is left out if the router has it.
+	Routers       []ListedRouter `json:"routers,omitempty"`
+	RoutersDigest uint64         `json:"routers_digest"`
 }
 
 // maxFramedMessage bounds one consensus message in a call.
--- a/internal/directory/routers.go
+++ b/internal/directory/routers.go
@@ -76,14 +76,17 @@
 	}
 }
 
-// askable returns the routers that can be asked, and a digest of the list.
-func (t routerTable) askable(now time.Time) ([]Router, uint64) {
-	live := lo.FilterMap(t.within(now, routerLiveness), func(known sharedRouter, _ int) (Router, bool) {
-		return known.Router, known.Address != "" && !known.Stopping
+// listed returns the routers that others can reach, and a digest of the list. One
+// that stops or is silent is absent in it, but keeps its place for some time: it
+// may only be starting again.
+func (t routerTable) listed(now time.Time) ([]ListedRouter, uint64) {
+	list := lo.FilterMap(t.within(now, routerLifetime), func(known sharedRouter, _ int) (ListedRouter, bool) {
+		absent := known.Stopping || known.Age > routerLiveness
+		return ListedRouter{Name: known.Name, Zone: known.Zone, Address: known.Address, Absent: absent}, known.Address != ""
 	})
-	text, err := json.Marshal(live)
+	text, err := json.Marshal(list)
 	if err != nil {
 		return nil, 0
 	}
-	return live, xxhash.Sum64(text)
+	return list, xxhash.Sum64(text)
 }
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -14,6 +14,7 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
 )
 
@@ -22,7 +23,10 @@
 	followWait    = 700 * time.Millisecond
 	followTimeout = 1100 * time.Millisecond
 	followSpacing = 20 * time.Millisecond
-	maxFollowed   = 64 << 20
+	// firstTimeout bounds the first call to a node, which is answered with all that
+	// it knows.
+	firstTimeout = 1500 * time.Millisecond
+	maxFollowed  = 64 << 20
 )
 
 // follower takes documents and servers over from the directory.
@@ -83,10 +87,13 @@
 	var err error
 	if f.node == "" {
 		f.request.Wait = 0
-		f.node, reply, err = f.search(ctx)
+		if f.node, err = f.search(ctx); err != nil {
+			return err
+		}
+		reply, err = f.post(ctx, f.node, f.request, firstTimeout)
 	} else {
 		f.request.Wait = followWait
-		reply, err = f.post(ctx, f.node, followTimeout)
+		reply, err = f.post(ctx, f.node, f.request, followTimeout)
 	}
 	if err != nil {
 		return err
@@ -99,19 +106,19 @@
 	return nil
 }
 
-func (f *follower) post(ctx context.Context, node string, timeout time.Duration) (directory.FollowReply, error) {
+func (f *follower) post(ctx context.Context, node string, request directory.FollowRequest, timeout time.Duration) (directory.FollowReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var reply directory.FollowReply
-	body, err := json.Marshal(f.request)
+	body, err := json.Marshal(request)
 	if err != nil {
 		return reply, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+directory.PathFollow, bytes.NewReader(body))
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+directory.PathFollow, bytes.NewReader(body))
 	if err != nil {
 		return reply, err
 	}
-	response, err := f.client.Do(request)
+	response, err := f.client.Do(call)
 	if err != nil {
 		return reply, err
 	}
@@ -154,7 +161,7 @@
 	if table == nil {
 		return
 	}
-	if counted, changed := gateway.peers.countGatherers(gateway.self(), table.Document().Routes, reply.RouterCount); changed {
+	if counted, changed := gateway.peers.countGatherers(table.ShardLists(), reply.RouterCount); changed {
 		gateway.loop.events <- scatter.GatherersCounted{Gatherers: counted}
 	}
 }
@@ -208,7 +215,7 @@
 	if reply.Version <= f.request.Version {
 		return
 	}
-	document, err := f.gateway.config.ParseDocument(reply.Document)
+	document, err := f.readDocument(reply.Document)
 	if err != nil {
 		f.gateway.logger.WithField("version", reply.Version).WithError(err).Error("document_not_read")
 		return
@@ -216,3 +223,11 @@
 	f.request.Version = reply.Version
 	f.gateway.install(document, f.node)
 }
+
+func (f *follower) readDocument(packed directory.PackedDocument) (*routing.Document, error) {
+	text, err := packed.Text()
+	if err != nil {
+		return nil, err
+	}
+	return f.gateway.config.ParseDocument(text)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,9 +51,10 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: time.Now(),
-		known: make(chan struct{}), peers: newPeers(), slices: newSliceClient(), clients: newClientConnections(environment.Registerer),
+		known: make(chan struct{}), slices: newSliceClient(), clients: newClientConnections(environment.Registerer),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
+	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget})
 	gateway.loop = newLoop(engine, gateway.pool, gateway.logger)
@@ -80,11 +81,6 @@
 	return table.Document().Version
 }
 
-// self is this router as others know it.
-func (g *Gateway) self() slicing.Router {
-	return slicing.Router{Name: g.config.Name, Zone: g.config.Zone, Address: g.config.PeerAddress}
-}
-
 // install puts a document in force.
 func (g *Gateway) install(document *routing.Document, from string) {
 	before := g.Version()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -132,11 +132,17 @@
 	text, err := json.Marshal(document)
 	require.NoError(s.t, err)
 	s.directory.mutex.Lock()
-	s.directory.reply.Version, s.directory.reply.Document = document.Version, text
+	s.directory.reply.Version, s.directory.reply.Document = document.Version, pack(s.t, text)
 	s.directory.mutex.Unlock()
 	require.Eventually(s.t, func() bool { return s.router.Version() == document.Version }, 10*time.Second, time.Millisecond)
 }
 
+func pack(t *testing.T, text []byte) directory.PackedDocument {
+	packed, err := directory.PackDocument(text)
+	require.NoError(t, err)
+	return packed
+}
+
 type answer struct {
 	status int
 	header http.Header
@@ -221,7 +227,7 @@
 	text, err := json.Marshal(oneRoute(4, "s"))
 	require.NoError(t, err)
 	s.directory.mutex.Lock()
-	s.directory.reply.Version, s.directory.reply.Document = 4, text
+	s.directory.reply.Version, s.directory.reply.Document = 4, pack(t, text)
 	s.directory.mutex.Unlock()
 	time.Sleep(150 * time.Millisecond)
 	require.EqualValues(t, 6, s.router.Version())
@@ -334,7 +340,7 @@
 	for index := range s.directory.reply.Instances {
 		s.directory.reply.Instances[index].Zone = map[string]string{"s": "a", "t": "b"}[s.directory.reply.Instances[index].Service]
 	}
-	s.directory.reply.Routers = []directory.Router{{Name: "other", Zone: "b", Address: other}}
+	s.directory.reply.Routers = []directory.ListedRouter{{Name: "other", Zone: "b", Address: other}}
 	s.directory.reply.RoutersDigest = 1
 	s.directory.reply.Revision++
 	s.directory.mutex.Unlock()
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -61,8 +61,7 @@
 		// Each shard gives a part or is lost, at most twice, and each slice ends.
 		events: make(chan gatherEvent, 6*len(s.route.Shards)+16),
 	}
-	routers, zones := s.gateway.peers.view()
-	for _, slice := range slicing.Assign(s.gateway.self(), s.route.Shards, func(shard string) []string { return zones[shard] }, routers, s.id) {
+	for _, slice := range s.gateway.peers.layout(s.route.Shards).Assign(s.id) {
 		state.begin(slice)
 	}
 	state.wait()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,7 +10,6 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/registry"
-	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/slicing"
 )
@@ -21,12 +20,18 @@
 // peers is what a router knows of the others, and of where servers are. It is
 // safe for concurrent use.
 type peers struct {
+	self slicing.Router
+
 	mutex    sync.Mutex
 	routers  []slicing.Router
 	doubted  map[string]time.Time
 	places   map[string]place
 	zones    map[string][]string
 	outdated bool
+	// layouts are those of the lists of shards that were asked for, by the list's
+	// first element; they hold until something changes or a doubt ends.
+	layouts map[*string]*slicing.Layout
+	until   time.Time
 	// changed says that routers or places are others than those last counted.
 	changed bool
 }
@@ -34,18 +39,25 @@
 // place is the service and zone of a server that may get work.
 type place struct{ service, zone string }
 
-func newPeers() *peers {
-	return &peers{doubted: make(map[string]time.Time), places: make(map[string]place)}
+func newPeers(self slicing.Router) *peers {
+	return &peers{
+		self: self, doubted: make(map[string]time.Time), places: make(map[string]place),
+		layouts: make(map[*string]*slicing.Layout),
+	}
 }
 
-// setRouters replaces the routers that may be asked.
-func (p *peers) setRouters(routers []directory.Router) {
+// setRouters replaces the routers that are known.
+func (p *peers) setRouters(routers []directory.ListedRouter) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.change()
+	p.routers = lo.Map(routers, func(r directory.ListedRouter, _ int) slicing.Router { return slicing.Router(r) })
+}
+
+// change forgets what was worked out. The caller holds the mutex.
+func (p *peers) change() {
 	p.changed = true
-	p.routers = lo.Map(routers, func(r directory.Router, _ int) slicing.Router {
-		return slicing.Router{Name: r.Name, Zone: r.Zone, Address: r.Address}
-	})
+	clear(p.layouts)
 }
 
 // setServers takes in changed servers and those that are gone.
@@ -63,7 +75,8 @@
 		delete(p.places, id)
 	}
 	if len(changed)+len(gone) > 0 {
-		p.outdated, p.changed = true, true
+		p.outdated = true
+		p.change()
 	}
 }
 
@@ -75,25 +88,25 @@
 	now := time.Now()
 	before := p.doubted[name]
 	p.doubted[name] = now.Add(peerDoubt)
+	clear(p.layouts)
 	return now.After(before)
 }
 
-// countGatherers returns, for the shards of routes, how many routers gather each,
-// and whether that may differ from the last count. Of all routers, as many are
-// taken to gather a shard in proportion as of those that can be asked, so that
+// countGatherers returns, for the shards of lists, how many routers gather each,
+// and whether that may differ from the last count. If there are more routers than
+// are listed, as many of them are taken to gather a shard in proportion, so that
 // none takes the share of one that is only out of sight.
-func (p *peers) countGatherers(self slicing.Router, routes []routing.Route, routerCount int) (map[string]scatter.Gatherers, bool) {
+func (p *peers) countGatherers(lists [][]string, routerCount int) (map[string]scatter.Gatherers, bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if !p.changed {
 		return nil, false
 	}
 	p.changed = false
-	p.updateZones()
 	scale := max(1, float64(routerCount)/float64(max(1, len(p.routers))))
 	counted := make(map[string]scatter.Gatherers)
-	for _, route := range routes {
-		for shard, gatherers := range slicing.CountGatherers(self, route.Shards, func(shard string) []string { return p.zones[shard] }, p.routers) {
+	for _, shards := range lists {
+		for shard, gatherers := range p.layoutOf(shards).Gatherers() {
 			counted[shard] = scatter.Gatherers{
 				Count: max(counted[shard].Count, int(math.Ceil(scale*float64(gatherers.Count)))),
 				Self:  counted[shard].Self || gatherers.Self,
@@ -103,22 +116,56 @@
 	return counted, true
 }
 
-// recount makes the next count a new one.
+// recount makes the next count a new one: the document or the number of routers
+// is another.
 func (p *peers) recount() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.changed = true
+	p.change()
 }
 
-// view returns the routers that may be asked now and the zones of each service.
-// The results are not changed afterwards.
-func (p *peers) view() (routers []slicing.Router, zones map[string][]string) {
+// layout returns where the shards of a route can be gathered now.
+func (p *peers) layout(shards []string) *slicing.Layout {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.updateZones()
+	return p.layoutOf(shards)
+}
+
+// layoutOf is layout for callers that hold the mutex.
+func (p *peers) layoutOf(shards []string) *slicing.Layout {
 	now := time.Now()
-	routers = lo.Filter(p.routers, func(r slicing.Router, _ int) bool { return now.After(p.doubted[r.Name]) })
-	return routers, p.zones
+	if !p.until.IsZero() && now.After(p.until) {
+		clear(p.layouts)
+	}
+	if known, ok := p.layouts[&shards[0]]; ok {
+		return known
+	}
+	p.updateZones()
+	routers, until := p.present(now)
+	if len(p.layouts) == 0 {
+		p.until = until
+	}
+	made := slicing.NewLayout(p.self, shards, func(shard string) []string { return p.zones[shard] }, routers)
+	p.layouts[&shards[0]] = made
+	return made
+}
+
+// present returns the routers, of which doubted ones are absent, and when the
+// first doubt ends; zero for never.
+func (p *peers) present(now time.Time) ([]slicing.Router, time.Time) {
+	var until time.Time
+	routers := slices.Clone(p.routers)
+	for index, router := range routers {
+		ends, doubted := p.doubted[router.Name]
+		if !doubted || now.After(ends) {
+			continue
+		}
+		routers[index].Absent = true
+		if until.IsZero() || ends.Before(until) {
+			until = ends
+		}
+	}
+	return routers, until
 }
 
 // updateZones works the zones of services out anew if servers have changed.
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -29,16 +29,16 @@
 
 var errNoNode = errors.New("no directory node answers")
 
-// found is a node that answered, with its answer.
+// found is a node that can be followed, or why none can.
 type found struct {
-	node  string
-	reply directory.FollowReply
-	err   error
+	node string
+	err  error
 }
 
 // search asks all known nodes side by side until one answers, so that one that is
-// silent, or hears no leader yet, delays nothing.
-func (f *follower) search(ctx context.Context) (string, directory.FollowReply, error) {
+// silent, or hears no leader yet, delays nothing. What is asked is answered with
+// few bytes, since all may answer.
+func (f *follower) search(ctx context.Context) (string, error) {
 	searching, cancel := context.WithTimeout(ctx, searchTime)
 	defer cancel()
 	candidates := f.candidates()
@@ -50,24 +50,25 @@
 	for range candidates {
 		answer := <-answers
 		if answer.err == nil {
-			return answer.node, answer.reply, nil
+			return answer.node, nil
 		}
 		failure = errors.CombineErrors(answer.err, failure)
 	}
-	return "", directory.FollowReply{}, failure
+	return "", failure
 }
 
 // ask calls one node after a pause, again and again until it answers or the
 // context ends.
 func (f *follower) ask(ctx context.Context, node string, pause time.Duration) found {
 	asked := found{node: node, err: errNoNode}
+	probe := directory.FollowRequest{Probe: true}
 	for next := firstSearchPause; ; next = min(2*next, longestSearchPause) {
 		select {
 		case <-ctx.Done():
 			return asked
 		case <-time.After(pause):
 		}
-		if asked.reply, asked.err = f.post(ctx, node, searchTimeout); asked.err == nil {
+		if _, asked.err = f.post(ctx, node, probe, searchTimeout); asked.err == nil {
 			return asked
 		}
 		pause = next
--- a/internal/gateway/searching_test.go
+++ b/internal/gateway/searching_test.go
@@ -35,6 +35,7 @@
 	}))
 	document, err := json.Marshal(oneRoute(1, "s"))
 	require.NoError(t, err)
+	packed := pack(t, document)
 	leading := serve(t, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		switch refused.Add(1) {
 		case 1, 2:
@@ -43,7 +44,7 @@
 		case 3:
 			close(answered)
 		}
-		_ = json.NewEncoder(writer).Encode(directory.FollowReply{Source: "leading", Whole: true, RouterCount: 1, Version: 1, Document: document})
+		_ = json.NewEncoder(writer).Encode(directory.FollowReply{Source: "leading", Whole: true, RouterCount: 1, Version: 1, Document: packed})
 	}))
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -15,9 +15,10 @@
 	// byHost holds the routes of a host, longest prefix first.
 	byHost   map[string][]*Route
 	services map[string]*Service
+	lists    [][]string
 }
 
-// NewTable indexes a checked document.
+// NewTable indexes a checked document, whose routes share equal lists from then on.
 func NewTable(document *Document) *Table {
 	table := &Table{
 		document: document,
@@ -26,6 +27,9 @@
 	}
 	for index := range document.Routes {
 		route := &document.Routes[index]
+		if route.Gathers() {
+			route.Shards = table.shared(route.Shards)
+		}
 		host := canonicalHost(route.Host)
 		table.byHost[host] = append(table.byHost[host], route)
 	}
@@ -38,6 +42,22 @@
 	return table
 }
 
+// shared returns the list that equal lists of shards share, so that a large
+// document holds, and what is worked out of them is kept for, each only once.
+func (t *Table) shared(shards []string) []string {
+	for _, list := range t.lists {
+		if slices.Equal(list, shards) {
+			return list
+		}
+	}
+	t.lists = append(t.lists, shards)
+	return shards
+}
+
+// ShardLists returns the different lists of shards of the document's routes. Equal
+// lists of routes are one of these.
+func (t *Table) ShardLists() [][]string { return t.lists }
+
 // Document returns the document that the table was made from.
 func (t *Table) Document() *Document { return t.document }
 
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -144,7 +144,7 @@
 	}
 	called := out.call
 	route := called.request.route
-	if len(called.live) > 1 || len(called.tried)-called.unsent >= route.MaxAttempts {
+	if len(called.live) > 1 || len(called.tried)-called.unsent >= called.maxAttempts() {
 		return
 	}
 	chosen, found := called.group.choose(e.now, called.tried, e.view(called.group))
--- a/internal/scatter/engine_test.go
+++ b/internal/scatter/engine_test.go
@@ -245,6 +245,26 @@
 	require.LessOrEqual(t, tried[dark], 1, "more than one trial")
 }
 
+// TestRepeatLeavesAnAttemptToTheOtherRouter has another router that may have asked
+// one server of each shard: only the rest of the route's attempts may be used.
+func TestRepeatLeavesAnAttemptToTheOtherRouter(t *testing.T) {
+	for attempts, want := range map[int]int{1: 0, 2: 1, 3: 2} {
+		h := newHarness(t, plenty)
+		h.servers("s", 4)
+		route := gatherRoute("s")
+		route.MaxAttempts = attempts
+		h.step(scatter.Arrived{ID: 1, Route: route, Services: route.Shards, Deadline: h.now.Add(time.Second), Repeat: true})
+		for range 4 {
+			for _, send := range h.take() {
+				want--
+				h.end(send, failure(scatter.Broken, verdict.MayHaveRun))
+			}
+		}
+		require.Zero(t, want, "route with %d attempts", attempts)
+		require.Equal(t, []int{0}, h.result(1).Missing)
+	}
+}
+
 func TestAttemptsStayWithinTheShareOfConnections(t *testing.T) {
 	h := newHarness(t, plenty)
 	h.step(scatter.DocumentChanged{Services: []routing.Service{{Name: "s", MaxConnections: 10}}})
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -1,8 +1,6 @@
 package scatter
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -92,7 +90,11 @@
 		arrived.calls = append(arrived.calls, called)
 	}
 	for _, called := range arrived.calls {
-		if called.repeat {
+		switch {
+		case called.repeat && called.maxAttempts() < 1:
+			e.settle(called)
+			continue
+		case called.repeat:
 			e.dispatchExtra(called)
 			continue
 		}
@@ -121,33 +123,6 @@
 	}
 }
 
-// canSpare reports whether a shard whose servers just refused work for want of
-// room can be left out of an answer, so that what it still does goes to requests
-// that need it.
-func (e *Engine) canSpare(called *call) bool {
-	waiting := called.request
-	if !waiting.route.Gathers() || !called.group.full(e.now) {
-		return false
-	}
-	missing := 0
-	for _, other := range waiting.calls {
-		if other.settled && other.part == nil {
-			missing++
-		}
-	}
-	return share(len(waiting.calls)-missing-1, len(waiting.calls)) >= waiting.route.LeastShare
-}
-
-// await lets a call wait for room, or for a server to be known.
-func (e *Engine) await(called *call, found availability) {
-	e.note(called, Step{Kind: StepWaits})
-	called.waiting = true
-	called.group.waiting = append(called.group.waiting, called)
-	if found == absent {
-		e.timers.add(timer{at: called.request.arrived.Add(absentPatience), kind: timerRoom, service: called.group.service})
-	}
-}
-
 func (e *Engine) view(of *group) choiceView {
 	return choiceView{zone: e.config.Zone, share: e.share(of), random: e.random}
 }
@@ -171,7 +146,7 @@
 	}
 	e.note(called, Step{Kind: kind, Server: chosen.ID})
 	e.emit(Send{Attempt: sent.id, Request: waiting.id, Server: chosen.Server, Deadline: waiting.deadline, Extra: extra})
-	if waiting.route.Repeatable && len(called.tried) < waiting.route.MaxAttempts {
+	if waiting.route.Repeatable && len(called.tried) < called.maxAttempts() {
 		e.timers.add(timer{at: e.now.Add(e.hedgeDelay(waiting.route)), kind: timerHedge, attempt: sent.id})
 	}
 }
@@ -225,13 +200,23 @@
 	route := called.request.route
 	sent := len(called.tried) - called.unsent
 	mayRun := route.Repeatable || outcome.Verdict == verdict.NotRun
-	if !mayRun || sent >= max(1, route.MaxAttempts) || called.unsent > maxUnsent {
+	if !mayRun || sent >= called.maxAttempts() || called.unsent > maxUnsent {
 		e.settle(called)
 		return
 	}
 	e.dispatchExtra(called)
 }
 
+// maxAttempts bounds the servers that a call may be sent to. Of a repeat, another
+// router is taken to have sent one attempt.
+func (c *call) maxAttempts() int {
+	limit := max(1, c.request.route.MaxAttempts)
+	if c.repeat {
+		limit--
+	}
+	return limit
+}
+
 // isExtra reports whether the next attempt of a call is one beyond the first.
 func (c *call) isExtra() bool { return c.repeat || len(c.tried) > c.unsent }
 
@@ -247,8 +232,7 @@
 	case found == absent || found == busy && e.canSpare(called):
 		e.settle(called)
 	case found == busy || !e.pay(called, retryReserve):
-		called.waiting = true
-		called.group.waiting = append(called.group.waiting, called)
+		called.enqueue()
 	default:
 		e.dispatch(called, true)
 	}
@@ -291,45 +275,6 @@
 	}
 }
 
-// serveWaiting sends what waits wherever there is room now.
-func (e *Engine) serveWaiting() {
-	for _, service := range slices.Sorted(maps.Keys(e.groups)) {
-		e.serveGroup(service)
-	}
-}
-
-// serveGroup sends calls of a service that wait for room: first those whose
-// requests can still be answered within their targets, since an answer after it
-// is worth little and a queue longer than the target would make all late; then by
-// the rank of their routes, first come first served.
-func (e *Engine) serveGroup(service string) {
-	in := e.group(service)
-	if len(in.waiting) == 0 {
-		return
-	}
-	waiting := slices.DeleteFunc(in.waiting, func(c *call) bool { return !c.waiting })
-	slices.SortStableFunc(waiting, func(a, b *call) int {
-		return cmp.Or(cmp.Compare(e.overdue(a), e.overdue(b)), cmp.Compare(a.request.route.Priority, b.request.route.Priority))
-	})
-	in.waiting = nil
-	for _, called := range waiting {
-		called.waiting = false
-		e.dispatchExtra(called)
-		if called.settled {
-			e.decide(called.request)
-		}
-	}
-}
-
-// overdue is 1 for a call whose request is past its target, else 0.
-func (e *Engine) overdue(waiting *call) int {
-	target := waiting.request.route.Target
-	if target > 0 && e.now.Sub(waiting.request.arrived) > target {
-		return 1
-	}
-	return 0
-}
-
 // abandon drops a request without an answer.
 func (e *Engine) abandon(id RequestID) {
 	waiting, ok := e.requests[id]
--- a/internal/slicing/assign.go
+++ b/internal/slicing/assign.go
@@ -21,6 +21,9 @@
 	Zone string
 	// Address is where other routers reach it.
 	Address string
+	// Absent says that it is not asked now: it stops, is silent or failed. It keeps
+	// its place in its cell, so that others keep theirs.
+	Absent bool
 }
 
 // Slice is the part of a request's shards that one router gathers.
@@ -35,42 +38,41 @@
 // connections to its own share only.
 const shardsPerRouter = 14
 
-// Assign divides shards into slices. Zones names the zones in which each shard
-// has servers; shards of an unknown place, and those for whose zones no router
-// is given, stay with self. Routers are those that may be asked, self excluded
-// or not. Equal arguments give equal slices; the request's id spreads the load
-// over zones and over the routers of a cell.
-func Assign(self Router, shards []string, zones func(shard string) []string, routers []Router, requestID string) []Slice {
-	layout := newLayout(self, shards, zones, routers)
-	chosen := layout.chooseZones(self.Zone, shards, requestID)
-	var assigned []Slice
-	for _, zone := range slices.Sorted(maps.Keys(chosen)) {
-		if zone == "" {
-			assigned = append(assigned, Slice{Shards: chosen[zone]})
-			continue
-		}
-		assigned = append(assigned, layout.shareOut(self, zone, chosen[zone], requestID)...)
-	}
-	return mergeOwn(assigned)
-}
-
-// layout is where the shards of a request can be gathered. But for the router
-// that asks, it is the same at all routers that know the same routers and servers.
-type layout struct {
+// Layout is where the shards of a route can be gathered. But for the router that
+// asks, it is the same at all routers that know the same routers and servers. It
+// is not changed once made.
+type Layout struct {
+	self    Router
+	shards  []string
 	members map[string][]Router
-	// places are the zones with servers and routers of each shard.
+	// zones are those of each shard with servers and routers, places those of them
+	// in which a router can be asked now.
+	zones  map[string][]string
 	places map[string][]string
-	// held counts the shards that can be gathered in each zone.
+	// held counts the shards of each zone.
 	held map[string]int
 }
 
-func newLayout(self Router, shards []string, zones func(string) []string, routers []Router) layout {
-	made := layout{members: routersByZone(self, routers), places: make(map[string][]string, len(shards)), held: make(map[string]int)}
+// NewLayout returns the layout of shards as self sees it. Zones names the zones in
+// which each shard has servers; self may be among the routers or not.
+func NewLayout(self Router, shards []string, zones func(shard string) []string, routers []Router) *Layout {
+	made := &Layout{
+		self: self, shards: shards, members: routersByZone(self, routers), held: make(map[string]int),
+		zones: make(map[string][]string, len(shards)), places: make(map[string][]string, len(shards)),
+	}
+	present := make(map[string]bool, len(made.members))
+	for zone, members := range made.members {
+		present[zone] = slices.ContainsFunc(members, func(member Router) bool { return !member.Absent })
+	}
 	for _, shard := range shards {
 		for _, zone := range zones(shard) {
-			if len(made.members[zone]) > 0 {
+			if len(made.members[zone]) == 0 {
+				continue
+			}
+			made.zones[shard] = append(made.zones[shard], zone)
+			made.held[zone]++
+			if present[zone] {
 				made.places[shard] = append(made.places[shard], zone)
-				made.held[zone]++
 			}
 		}
 	}
@@ -78,6 +80,7 @@
 }
 
 func routersByZone(self Router, routers []Router) map[string][]Router {
+	self.Absent = false
 	byZone := map[string][]Router{self.Zone: {self}}
 	for _, router := range routers {
 		if router.Name != self.Name {
@@ -90,17 +93,34 @@
 	return byZone
 }
 
+// Assign divides the shards into slices. Those of an unknown place, and those for
+// whose zones no router can be asked, stay with self. Equal layouts give equal
+// slices; the request's id spreads the load over zones and over the routers of a
+// cell.
+func (l *Layout) Assign(requestID string) []Slice {
+	chosen := l.chooseZones(requestID)
+	var assigned []Slice
+	for _, zone := range slices.Sorted(maps.Keys(chosen)) {
+		if zone == "" {
+			assigned = append(assigned, Slice{Shards: chosen[zone]})
+			continue
+		}
+		assigned = append(assigned, l.shareOut(zone, chosen[zone], requestID)...)
+	}
+	return mergeOwn(assigned)
+}
+
 // chooseZones gives each shard a zone that has both a server of it and a router:
 // the router's own zone, or one of as few others as the shards need.
-func (l layout) chooseZones(own string, shards []string, requestID string) map[string][]string {
+func (l *Layout) chooseZones(requestID string) map[string][]string {
 	chosen := map[string][]string{}
 	var rest []string
-	for _, shard := range shards {
+	for _, shard := range l.shards {
 		switch places := l.places[shard]; {
 		case len(places) == 0:
 			chosen[""] = append(chosen[""], shard)
-		case slices.Contains(places, own):
-			chosen[own] = append(chosen[own], shard)
+		case slices.Contains(places, l.self.Zone):
+			chosen[l.self.Zone] = append(chosen[l.self.Zone], shard)
 		default:
 			rest = append(rest, shard)
 		}
@@ -123,7 +143,7 @@
 // pickZone returns the next zone to ask: over many requests each zone comes as
 // often as it has shards, so that the load is even (weighted rendezvous hashing,
 // Schindelhauer and Schomaker 2005).
-func (l layout) pickZone(shards []string, requestID string) string {
+func (l *Layout) pickZone(shards []string, requestID string) string {
 	count := map[string]int{}
 	for _, shard := range shards {
 		for _, zone := range l.places[shard] {
@@ -141,24 +161,24 @@
 }
 
 // cells is how many cells the routers of a zone form.
-func (l layout) cells(zone string) int {
+func (l *Layout) cells(zone string) int {
 	return min(len(l.members[zone]), (l.held[zone]+shardsPerRouter-1)/shardsPerRouter)
 }
 
 // cell returns the cell of a zone that gathers a shard.
-func (l layout) cell(zone, shard string) int {
+func (l *Layout) cell(zone, shard string) int {
 	return int(xxhash.Sum64String(shard) % uint64(l.cells(zone)))
 }
 
 // cellMembers returns the routers of a cell.
-func (l layout) cellMembers(zone string, cell int) []Router {
+func (l *Layout) cellMembers(zone string, cell int) []Router {
 	cells := l.cells(zone)
 	return lo.Filter(l.members[zone], func(_ Router, position int) bool { return position%cells == cell })
 }
 
 // shareOut divides the shards of a zone among its routers: each to a router of
-// the cell that it belongs to.
-func (l layout) shareOut(self Router, zone string, shards []string, requestID string) []Slice {
+// the cell that it belongs to, or of another one if none of it can be asked.
+func (l *Layout) shareOut(zone string, shards []string, requestID string) []Slice {
 	byCell := make([][]string, l.cells(zone))
 	for _, shard := range shards {
 		cell := l.cell(zone, shard)
@@ -169,8 +189,11 @@
 		if len(held) == 0 {
 			continue
 		}
-		members := l.cellMembers(zone, cell)
-		if containsRouter(members, self) {
+		members := present(l.cellMembers(zone, cell))
+		if len(members) == 0 {
+			members = present(l.members[zone])
+		}
+		if containsRouter(members, l.self) {
 			assigned = append(assigned, Slice{Shards: held})
 			continue
 		}
@@ -180,6 +203,10 @@
 	return assigned
 }
 
+func present(members []Router) []Router {
+	return lo.Filter(members, func(member Router, _ int) bool { return !member.Absent })
+}
+
 // Gatherers are the routers that gather a shard, whoever asks.
 type Gatherers struct {
 	Count int
@@ -187,20 +214,21 @@
 	Self bool
 }
 
-// CountGatherers returns the gatherers of each shard whose place is known.
-func CountGatherers(self Router, shards []string, zones func(shard string) []string, routers []Router) map[string]Gatherers {
-	layout := newLayout(self, shards, zones, routers)
-	counted := make(map[string]Gatherers, len(shards))
-	for _, shard := range shards {
+// Gatherers returns those of each shard whose place is known, also those that are
+// absent now.
+func (l *Layout) Gatherers() map[string]Gatherers {
+	counted := make(map[string]Gatherers, len(l.shards))
+	for shard, zones := range l.zones {
 		var gatherers Gatherers
-		for _, zone := range layout.places[shard] {
-			members := layout.cellMembers(zone, layout.cell(zone, shard))
-			gatherers.Count += len(members)
-			gatherers.Self = gatherers.Self || containsRouter(members, self)
-		}
-		if gatherers.Count > 0 {
-			counted[shard] = gatherers
+		for _, zone := range zones {
+			cells, cell := l.cells(zone), l.cell(zone, shard)
+			gatherers.Count += (len(l.members[zone]) + cells - 1 - cell) / cells
+			if zone == l.self.Zone {
+				own := slices.IndexFunc(l.members[zone], func(member Router) bool { return member.Name == l.self.Name })
+				gatherers.Self = own%cells == cell
+			}
 		}
+		counted[shard] = gatherers
 	}
 	return counted
 }
--- a/internal/slicing/slicing_test.go
+++ b/internal/slicing/slicing_test.go
@@ -18,7 +18,9 @@
 		var routers []slicing.Router
 		for number := range rapid.IntRange(0, 20).Draw(t, "routers") {
 			zone := rapid.SampledFrom(zoneNames).Draw(t, "zone")
-			routers = append(routers, slicing.Router{Name: fmt.Sprint("r", number), Zone: zone, Address: "x"})
+			routers = append(routers, slicing.Router{
+				Name: fmt.Sprint("r", number), Zone: zone, Address: "x", Absent: rapid.Bool().Draw(t, "absent"),
+			})
 		}
 		self := slicing.Router{Name: "self", Zone: rapid.SampledFrom(zoneNames).Draw(t, "own")}
 		places := map[string][]string{}
@@ -28,7 +30,7 @@
 			shards = append(shards, shard)
 			places[shard] = rapid.SliceOfNDistinct(rapid.SampledFrom(zoneNames), 0, 3, rapid.ID[string]).Draw(t, "places")
 		}
-		assigned := slicing.Assign(self, shards, func(shard string) []string { return places[shard] }, routers, "id")
+		assigned := slicing.NewLayout(self, shards, func(shard string) []string { return places[shard] }, routers).Assign("id")
 		var all []string
 		own := 0
 		for _, slice := range assigned {
@@ -39,6 +41,7 @@
 				continue
 			}
 			require.NotEqual(t, "self", slice.Router.Name)
+			require.False(t, slice.Router.Absent)
 			for _, shard := range slice.Shards {
 				require.Contains(t, places[shard], slice.Router.Zone)
 			}
@@ -53,9 +56,9 @@
 func TestShardsWithAServerInTheOwnZoneStay(t *testing.T) {
 	self := slicing.Router{Name: "self", Zone: "a"}
 	routers := []slicing.Router{{Name: "other", Zone: "b"}}
-	assigned := slicing.Assign(self, []string{"near", "far", "nowhere"}, func(shard string) []string {
+	assigned := slicing.NewLayout(self, []string{"near", "far", "nowhere"}, func(shard string) []string {
 		return map[string][]string{"near": {"b", "a"}, "far": {"b"}, "nowhere": {"c"}}[shard]
-	}, routers, "id")
+	}, routers).Assign("id")
 	require.Equal(t, []slicing.Slice{
 		{Shards: []string{"nowhere", "near"}}, {Router: routers[0], Shards: []string{"far"}},
 	}, assigned)
@@ -73,7 +76,7 @@
 	met := map[string]map[string]bool{}
 	for request := range 500 {
 		self := slicing.Router{Name: "self", Zone: "a"}
-		for _, slice := range slicing.Assign(self, shards, func(string) []string { return []string{"b"} }, routers, fmt.Sprint(request)) {
+		for _, slice := range slicing.NewLayout(self, shards, func(string) []string { return []string{"b"} }, routers).Assign(fmt.Sprint(request)) {
 			for _, shard := range slice.Shards {
 				if met[shard] == nil {
 					met[shard] = map[string]bool{}
@@ -108,7 +111,7 @@
 	met := map[string]map[string]bool{}
 	for request := range 800 {
 		self := routers[request%len(routers)]
-		for _, slice := range slicing.Assign(self, shards, zones, routers, fmt.Sprint(request)) {
+		for _, slice := range slicing.NewLayout(self, shards, zones, routers).Assign(fmt.Sprint(request)) {
 			for _, shard := range slice.Shards {
 				if met[shard] == nil {
 					met[shard] = map[string]bool{}
@@ -125,7 +128,7 @@
 		require.LessOrEqual(t, len(by), 3*4, shard)
 	}
 	for _, self := range routers {
-		counted := slicing.CountGatherers(self, shards, zones, routers)
+		counted := slicing.NewLayout(self, shards, zones, routers).Gatherers()
 		for shard, by := range met {
 			require.Equal(t, slicing.Gatherers{Count: len(by), Self: by[self.Name]}, counted[shard], shard)
 		}
@@ -139,13 +142,52 @@
 	routers := []slicing.Router{{Name: "other-b", Zone: "b"}, {Name: "other-c", Zone: "c"}}
 	times := map[string]int{}
 	for request := range 1000 {
-		assigned := slicing.Assign(self, []string{"s1", "s2", "s3"}, func(string) []string { return []string{"b", "c"} }, routers, fmt.Sprint(request))
+		assigned := slicing.NewLayout(self, []string{"s1", "s2", "s3"}, func(string) []string { return []string{"b", "c"} }, routers).Assign(fmt.Sprint(request))
 		require.Len(t, assigned, 1)
 		times[assigned[0].Router.Zone]++
 	}
 	require.InDelta(t, 500, times["b"], 75)
 }
 
+// TestRoutersThatAreAwayMoveNoOther has routers away, one after the other, as when
+// all are restarted in turn: the shards of the others stay where they are, and with
+// them the connections.
+func TestRoutersThatAreAwayMoveNoOther(t *testing.T) {
+	var shards []string
+	for number := range 60 {
+		shards = append(shards, fmt.Sprint("s", number))
+	}
+	zones := func(string) []string { return []string{"b"} }
+	self := slicing.Router{Name: "self", Zone: "a"}
+	gathered := func(absent int) map[string]map[string]bool {
+		var routers []slicing.Router
+		for number := range 16 {
+			routers = append(routers, slicing.Router{Name: fmt.Sprintf("r%02d", number), Zone: "b", Absent: number == absent})
+		}
+		met := map[string]map[string]bool{}
+		layout := slicing.NewLayout(self, shards, zones, routers)
+		for request := range 200 {
+			for _, slice := range layout.Assign(fmt.Sprint(request)) {
+				for _, shard := range slice.Shards {
+					if met[shard] == nil {
+						met[shard] = map[string]bool{}
+					}
+					met[shard][slice.Router.Name] = true
+				}
+			}
+		}
+		return met
+	}
+	whole := gathered(-1)
+	for absent := range 16 {
+		for shard, by := range gathered(absent) {
+			for name := range by {
+				require.True(t, whole[shard][name], "%s gathers %s only while router %d is away", name, shard, absent)
+			}
+		}
+	}
+}
+
 func TestAnswerIsDueAtTheCutIfPartsSufficedBefore(t *testing.T) {
 	cut := time.Unix(1000, 0)
 	for name, sample := range map[string]struct {
