--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -53,7 +53,7 @@
 	slowestPace  = 30.0
 	fastestPace  = 0.4
 	// zoneCost makes servers in other zones dearer, coldCost those that warm up.
-	zoneCost = 2.0
+	zoneCost = 3.0
 	coldCost = 1.5
 	// stalledCost makes a server dearer whose attempt is out for long.
 	stalledCost = 6.0
