Let the log's file grow by 1 MiB at a time

Most logs hold less than 1 MiB. Ruled out: the heap (2.9 MB in use on a node that runs alone, 5.8 MB in all). Test: TestSmallLogTakesLittleSpace fails with bbolt's own step.

--- a/internal/raftlog/database.go
+++ b/internal/raftlog/database.go
@@ -33,6 +33,9 @@
 			Timeout: lockWait, InitialMmapSize: initialMapBytes,
 			FreelistType: bbolt.FreelistMapType, OpenFile: options.OpenFile,
 		})
+		if openError == nil {
+			database.AllocSize = growBytes
+		}
 		return openError
 	})
 	if errors.Is(err, bbolterrors.ErrTimeout) {
--- a/internal/raftlog/log.go
+++ b/internal/raftlog/log.go
@@ -20,6 +20,9 @@
 	lockWait = 200 * time.Millisecond
 	// initialMapBytes avoids remapping while the log is small.
 	initialMapBytes = 64 << 20
+	// growBytes is how much the file grows at a time. bbolt's own 16 MiB would be
+	// counted as memory, as the file is mapped, while most logs hold less than one.
+	growBytes = 1 << 20
 	// appendFillPercent fills pages well, because keys only grow.
 	appendFillPercent = 0.95
 	// firstTransaction is the number of the first one in a new bbolt file.
--- a/internal/raftlog/log_test.go
+++ b/internal/raftlog/log_test.go
@@ -116,6 +116,20 @@
 	return unit
 }
 
+// TestSmallLogTakesLittleSpace holds the file, which is mapped and so takes memory,
+// to the size of what it holds.
+func TestSmallLogTakesLittleSpace(t *testing.T) {
+	folder := t.TempDir()
+	log, _ := mustOpen(t, folder)
+	defer func() { require.NoError(t, log.Close()) }()
+	require.NoError(t, log.Write([]*consensus.Persist{{
+		HardState: &consensus.HardState{Term: 1}, Entries: []consensus.Entry{{Index: 1, Term: 1, Data: make([]byte, 64<<10)}},
+	}}))
+	written, err := os.Stat(filepath.Join(folder, databaseName))
+	require.NoError(t, err)
+	require.Less(t, written.Size(), int64(3<<20))
+}
+
 func TestFolderInUseIsRefused(t *testing.T) {
 	folder := t.TempDir()
 	log, _ := mustOpen(t, folder)
