Keep what a voter said when the last attempt is cut off by the caller's time

A command that goes round its voters until its 300 ms are over may begin one more round just before; its attempts are cut off, and their errors replaced what the voters had said. Change: an attempt that the end of the whole call cut off replaces no earlier word. Test: TestAttemptThatWasCutOffReplacesNoEarlierWord (new method). The test of the command is unchanged.

--- a/internal/control/client.go
+++ b/internal/control/client.go
@@ -175,7 +175,7 @@
 			return response, false, definite(err)
 		}
 		doubtful = doubtful || !hadNoEffect(err)
-		said[client.next%len(client.voters)] = err
+		said.note(client.next%len(client.voters), err, ctx.Err() != nil)
 		client.next++
 		if attempt%len(client.voters) != 0 {
 			continue
--- a/internal/control/client_errors.go
+++ b/internal/control/client_errors.go
@@ -20,6 +20,15 @@
 // that was not asked yet.
 type failures []error
 
+// note keeps what a voter said last. An attempt that was cut off, since the whole
+// call's time was over, says nothing about the voter: it replaces no earlier word.
+func (f failures) note(index int, err error, cutOff bool) {
+	if cutOff && f[index] != nil {
+		return
+	}
+	f[index] = err
+}
+
 // allCertificates reports whether every voter was asked and none was trusted.
 func (f failures) allCertificates() bool {
 	for _, err := range f {
--- a/internal/control/client_errors_test.go
+++ b/internal/control/client_errors_test.go
@@ -113,3 +113,14 @@
 	}
 	require.ErrorContains(t, err, "connection refused")
 }
+
+func TestAttemptThatWasCutOffReplacesNoEarlierWord(t *testing.T) {
+	refused, over := errors.New("connection refused"), errors.New("context deadline exceeded")
+	said := make(failures, 2)
+	said.note(0, refused, false)
+	said.note(0, over, true)
+	said.note(1, over, true)
+	require.Equal(t, failures{refused, over}, said)
+	said.note(0, over, false)
+	require.Equal(t, failures{over, over}, said)
+}
