--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -12,7 +12,6 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -70,7 +69,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &soakServer{
 		site: s, id: fmt.Sprintf("%s%d", service, number), service: service, zone: fmt.Sprint("z", number%soakRouters),
-		link: testlink.New(s.t.(*testing.T), listener.Addr().String()), left: make(chan struct{}),
+		link: testlink.New(s.t, listener.Addr().String()), left: make(chan struct{}),
 		slots: make(chan struct{}, soakSlots), cancel: cancel,
 	}
 	started.behave(soakWell)
--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -45,6 +45,10 @@
 // channel that is closed when there is more.
 func (n *Node) news(request FollowRequest) (reply FollowReply, news bool, changed <-chan struct{}, err error) {
 	applied := n.member.state()
+	version, document, err := n.newerDocument(applied, request.Version)
+	if err != nil {
+		return FollowReply{}, false, nil, err
+	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
@@ -52,7 +56,7 @@
 		n.announce()
 	}
 	reply = FollowReply{
-		Source: n.source, Revision: n.registry.Revision(), Settled: n.settled,
+		Source: n.source, Revision: n.registry.Revision(), Settled: n.settled, Version: version, Document: document,
 		RouterCount: len(n.routers.within(now, routerLifetime)),
 		Nodes:       lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
 	}
@@ -69,13 +73,20 @@
 	reply.Whole = !same
 	reply.Instances = n.registry.Since(now, since)
 	reply.Departed, reply.Departures = applied.departures(request.Departures)
-	version, text, _ := applied.document()
-	if version > request.Version {
-		reply.Version = version
-		if reply.Document, err = n.packer.pack(version, text); err != nil {
-			return FollowReply{}, false, nil, errors.Mark(err, ErrUnavailable)
-		}
-	}
 	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || digest != request.Routers
 	return reply, news, n.changed, nil
 }
+
+// newerDocument returns the document if its version is above one, else 0 and
+// nothing.
+func (n *Node) newerDocument(applied *machine, above uint64) (uint64, PackedDocument, error) {
+	version, text, _ := applied.document()
+	if version <= above {
+		return 0, nil, nil
+	}
+	packed, err := n.packer.pack(version, text)
+	if err != nil {
+		return 0, nil, errors.Mark(err, ErrUnavailable)
+	}
+	return version, packed, nil
+}
--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/slicing"
+)
+
+// knownPeers knows two routers in the zone of the only server of a shard.
+func knownPeers() *peers {
+	known := newPeers(slicing.Router{Name: "self", Zone: "a"})
+	known.setRouters([]directory.ListedRouter{{Name: "r1", Zone: "b", Address: "x"}, {Name: "r2", Zone: "b", Address: "y"}})
+	known.setServers([]registry.Instance{{ID: "i", Service: "s", Zone: "b", State: registry.Ready}}, nil)
+	return known
+}
+
+func TestDoubtedRouterIsNotAskedUntilTheDoubtEnds(t *testing.T) {
+	known, shards := knownPeers(), []string{"s"}
+	first := known.layout(shards).Assign("request")[0].Router.Name
+	require.True(t, known.doubt(first))
+	require.False(t, known.doubt(first), "a doubt that goes on is news")
+	require.NotEqual(t, first, known.layout(shards).Assign("request")[0].Router.Name)
+	past := time.Now().Add(-time.Millisecond)
+	known.doubted[first], known.until = past, past
+	require.Equal(t, first, known.layout(shards).Assign("request")[0].Router.Name)
+}
+
+// TestGatherersAreCountedForRoutersOutOfSight takes no larger part where few of
+// the routers that there are can be seen, as after a restart of all.
+func TestGatherersAreCountedForRoutersOutOfSight(t *testing.T) {
+	known, lists := knownPeers(), [][]string{{"s"}}
+	counted, changed := known.countGatherers(lists, 2)
+	require.True(t, changed)
+	require.Equal(t, map[string]scatter.Gatherers{"s": {Count: 2}}, counted)
+	_, changed = known.countGatherers(lists, 2)
+	require.False(t, changed)
+	known.recount()
+	counted, _ = known.countGatherers(lists, 7)
+	require.Equal(t, map[string]scatter.Gatherers{"s": {Count: 7}}, counted)
+}
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -60,3 +60,14 @@
 	require.Zero(t, counts["none"])
 	require.InDelta(t, 0.75, float64(counts["a"])/8000, 0.03)
 }
+
+func TestEqualListsOfShardsAreKeptOnce(t *testing.T) {
+	large := document()
+	large.Routes = append(large.Routes,
+		routing.Route{Name: "same", Host: "h", Prefix: "/1/", Shards: []string{"a", "b"}},
+		routing.Route{Name: "other", Host: "h", Prefix: "/2/", Shards: []string{"b", "a"}},
+	)
+	table := routing.NewTable(large)
+	require.Equal(t, [][]string{{"a", "b"}, {"b", "a"}}, table.ShardLists())
+	require.Same(t, &table.Find("site.example", "/x/y/1").Shards[0], &table.Find("h", "/1/").Shards[0])
+}
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -36,7 +36,7 @@
 }
 
 // share is a part of a whole, with room for the rounding of the least share.
-func share(part, whole int) float64 { return float64(part)/float64(whole) + 1e-9 }
+func share(part, whole int) float64 { return float64(part)/float64(whole) + roundingSlack }
 
 // answerSingle answers with the server's reply, also with its failure, or fails.
 func (e *Engine) answerSingle(waiting *request, over bool) {
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -59,8 +59,7 @@
 	return max(1, int(share*float64(g.connections-spareConnections)+roundingSlack))
 }
 
-// roundingSlack keeps a share that is a whole number of connections from being
-// rounded down.
+// roundingSlack keeps a share that is just a limit from being taken for less.
 const roundingSlack = 1e-9
 
 const unlimitedConnections = 64
--- a/internal/slicing/assign.go
+++ b/internal/slicing/assign.go
@@ -218,13 +218,13 @@
 // absent now.
 func (l *Layout) Gatherers() map[string]Gatherers {
 	counted := make(map[string]Gatherers, len(l.shards))
+	own := slices.IndexFunc(l.members[l.self.Zone], func(member Router) bool { return member.Name == l.self.Name })
 	for shard, zones := range l.zones {
 		var gatherers Gatherers
 		for _, zone := range zones {
 			cells, cell := l.cells(zone), l.cell(zone, shard)
 			gatherers.Count += (len(l.members[zone]) + cells - 1 - cell) / cells
 			if zone == l.self.Zone {
-				own := slices.IndexFunc(l.members[zone], func(member Router) bool { return member.Name == l.self.Name })
 				gatherers.Self = own%cells == cell
 			}
 		}
