Favour the same requests at every router, keep queues short at servers, see pauses early

Hedges and pauses were timed by a quantile that the slow servers had raised to 100 ms. Change: calls that wait go out by rank drawn from the request's id in four levels, then by due time; a server without a free slot gets about two calls beyond its slots from all routers; a server that is silent for twice the typical time is taken to pause; hedges go out before half of the time left; servers that can't answer in time are taken last. Each request tells in one line which parts were missing when due, and why.

--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -56,7 +56,7 @@
 	state := &gatherState{
 		exchangeState: s, message: passed, context: ctx, cancel: cancel,
 		collection: slicing.Collection{
-			Total: len(s.route.Shards), Least: s.route.LeastShare, Deadline: arrived.Deadline, Cut: s.cut(),
+			Total: len(s.route.Shards), Least: s.route.LeastShare, Deadline: arrived.Deadline, Cut: arrived.Due,
 		},
 		// Each shard gives a part or is lost, at most twice, and each slice ends.
 		events: make(chan gatherEvent, 6*len(s.route.Shards)+16),
@@ -135,7 +135,7 @@
 		state.open[position] = true
 	}
 	gathering := g.gateway.submitShards(localSlice{
-		request: g.message, route: g.route, shards: shards, deadline: g.collection.Deadline,
+		request: g.message, route: g.route, shards: shards, deadline: g.collection.Deadline, due: g.collection.Cut,
 		repeat: repeat, events: g.events, slice: index,
 	})
 	state.local = &gathering
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -120,6 +120,10 @@
 		if waiting, ok := l.waiting[command.Request]; ok {
 			l.tellLacking(waiting.request.ID, command.Result)
 		}
+	case scatter.Overdue:
+		if waiting, ok := l.waiting[command.Request]; ok {
+			l.tellOverdue(waiting, command.Result)
+		}
 	case scatter.Part:
 		if waiting, ok := l.waiting[command.Request]; ok {
 			waiting.events <- gatherEvent{slice: waiting.slice, part: command, at: time.Now()}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/message"
@@ -150,13 +151,19 @@
 // arrival sets the time that bounds the request and the service that it goes to.
 func (s *exchangeState) arrival() scatter.Arrived {
 	held := min(s.remaining(), s.route.Timeout)
-	arrived := scatter.Arrived{Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(held)}
+	arrived := scatter.Arrived{
+		Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(held), Due: s.cut(), Rank: rankOf(s.id),
+	}
 	if !s.route.Gathers() {
 		arrived.Services = []string{s.route.ServiceOf(s.id)}
 	}
 	return arrived
 }
 
+// rankOf draws the rank of a request from the client's name for it, which all routers
+// that serve a part of it know.
+func rankOf(requestID string) uint64 { return xxhash.Sum64String(requestID) }
+
 // away is how much of the client's waiting is spent outside of this router.
 func (s *exchangeState) away() time.Duration {
 	connection, ok := s.connection()
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -31,6 +31,15 @@
 	DeadlineLeft time.Duration `json:"deadline_left"`
 }
 
+// due is when the parts of a request that arrived at a time are sent; zero for when
+// they come.
+func (r *sliceRequest) due(arrived time.Time) time.Time {
+	if r.Target <= 0 {
+		return time.Time{}
+	}
+	return arrived.Add(r.CutLeft)
+}
+
 // sliceFrame is one message of the answer, which is a stream of frames.
 type sliceFrame struct {
 	// Shards are the positions, in the request, of the parts that are in this
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -71,7 +71,7 @@
 	now := time.Now()
 	events := make(chan gatherEvent, 2*len(asked.Shards)+1)
 	gathering := g.submitShards(localSlice{
-		request: asked.Request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), events: events,
+		request: asked.Request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events,
 		route: &routing.Route{
 			Name: asked.Route, Repeatable: true, Timeout: asked.DeadlineLeft, Target: asked.Target, Priority: asked.Priority,
 			MaxAttempts: asked.MaxAttempts, Shards: asked.Shards, LeastShare: asked.LeastShare,
@@ -110,7 +110,9 @@
 	route    *routing.Route
 	shards   []string
 	deadline time.Time
-	repeat   bool
+	// due is when the parts that are in are sent.
+	due    time.Time
+	repeat bool
 	// events receives one event for each part and one at the end; it has room for
 	// them all.
 	events chan<- gatherEvent
@@ -148,7 +150,10 @@
 // submitShards gives shards to the engine.
 func (g *Gateway) submitShards(local localSlice) gathering {
 	arriving := submitted{
-		arrived: scatter.Arrived{Route: local.route, Services: local.shards, Deadline: local.deadline, Repeat: local.repeat},
+		arrived: scatter.Arrived{
+			Route: local.route, Services: local.shards, Deadline: local.deadline, Due: local.due,
+			Rank: rankOf(local.request.ID), Repeat: local.repeat,
+		},
 		request: local.request, id: make(chan scatter.RequestID, 1), events: local.events, slice: local.slice,
 	}
 	g.loop.requests <- arriving
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -42,13 +42,29 @@
 	s.gateway.logger.WithFields(fields).Info("request")
 }
 
+// maxMissingTold bounds the lines of a request and router about missing parts.
+const maxMissingTold = 4
+
+// tellOverdue logs, in one line, which parts of a request have not come when they are
+// due, and why.
+func (l *loop) tellOverdue(waiting submitted, result scatter.Result) {
+	causes := make([]string, 0, len(result.Lacking))
+	for _, lack := range result.Lacking {
+		causes = append(causes, lack.Service+":"+lack.Cause.String()+":"+lack.Server)
+	}
+	l.logger.WithFields(logrus.Fields{
+		"request": waiting.request.ID, "route": waiting.arrived.Route.Name, "lacking": result.Lacked,
+		"parts": strings.Join(causes, " "),
+	}).Info("parts_overdue")
+}
+
 // tellLacking logs, for a service or shard that brought nothing, what was done
 // to get it.
 func (l *loop) tellLacking(request string, result scatter.Result) {
-	for _, lack := range result.Lacking {
+	for _, lack := range result.Lacking[:min(maxMissingTold, len(result.Lacking))] {
 		l.logger.WithFields(logrus.Fields{
 			"request": request, "service": lack.Service, "server": lack.Server, "failure": lack.Failure.String(),
-			"open": lack.Open, "steps": stepsText(lack.Steps),
+			"cause": lack.Cause.String(), "open": lack.Open, "steps": stepsText(lack.Steps),
 		}).Info("part_missing")
 	}
 }
--- a/internal/latency/histogram.go
+++ b/internal/latency/histogram.go
@@ -35,9 +35,13 @@
 	decayed  time.Time
 	total    float32
 	buckets  [bucketCount]float32
-	cached   cachedQuantile
+	cached   [cachedQuantiles]cachedQuantile
+	replaced int
 }
 
+// cachedQuantiles is how many different ones are kept.
+const cachedQuantiles = 4
+
 type cachedQuantile struct {
 	quantile float64
 	value    time.Duration
@@ -60,7 +64,9 @@
 	h.decay(now)
 	h.buckets[bucketOf(duration)]++
 	h.total++
-	h.cached.fresh--
+	for index := range h.cached {
+		h.cached[index].fresh--
+	}
 }
 
 // Count returns the weight of all observations: their number, less decay.
@@ -72,11 +78,22 @@
 	if h.total <= 0 {
 		return 0
 	}
-	if h.cached.quantile == quantile && h.cached.fresh > 0 {
-		return h.cached.value
+	slot := -1
+	for index := range h.cached {
+		if h.cached[index].quantile == quantile {
+			slot = index
+			break
+		}
+	}
+	if slot >= 0 && h.cached[slot].fresh > 0 {
+		return h.cached[slot].value
+	}
+	if slot < 0 {
+		slot = h.replaced
+		h.replaced = (h.replaced + 1) % cachedQuantiles
 	}
-	h.cached = cachedQuantile{quantile: quantile, value: h.compute(quantile), fresh: refreshEvery}
-	return h.cached.value
+	h.cached[slot] = cachedQuantile{quantile: quantile, value: h.compute(quantile), fresh: refreshEvery}
+	return h.cached[slot].value
 }
 
 func (h *Histogram) compute(quantile float64) time.Duration {
@@ -109,7 +126,7 @@
 		h.buckets[index] *= factor
 		h.total += h.buckets[index]
 	}
-	h.cached.fresh = 0
+	h.cached = [cachedQuantiles]cachedQuantile{}
 }
 
 func bucketOf(duration time.Duration) int {
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -91,72 +91,6 @@
 	e.close(waiting)
 }
 
-// maxLacking bounds the calls that a result tells of.
-const maxLacking = 4
-
-func (e *Engine) result(waiting *request) Result {
-	result := Result{Attempts: waiting.attempts, Extras: waiting.extras, Denied: waiting.denied}
-	for _, called := range waiting.calls {
-		if called.part == nil && len(result.Lacking) < maxLacking {
-			lack := Lack{Service: called.group.service, Failure: called.last, Open: len(called.live) > 0, Steps: called.steps}
-			if len(called.tried) > 0 {
-				lack.Server = called.tried[len(called.tried)-1].ID
-			}
-			result.Lacking = append(result.Lacking, lack)
-		}
-	}
-	return result
-}
-
-// Hedge delays.
-const (
-	hedgeQuantile = 0.90
-	// hedgeFactor is put on the quantile, hedgeFloor under it.
-	hedgeFactor = 1.0
-	hedgeFloor  = 4 * time.Millisecond
-	// hedgeAgainPart of the delay is waited before a hedge that was not possible is
-	// tried again.
-	hedgeAgainPart = 4
-	// minObservations is how many attempts of a route make its quantile count.
-	minObservations = 30
-	// firstHedgeShare of the target is the delay before that.
-	firstHedgeShare   = 0.4
-	defaultHedgeDelay = 100 * time.Millisecond
-)
-
-// hedgeDelay is how long an attempt may be out before another server is asked.
-func (e *Engine) hedgeDelay(route *routing.Route) time.Duration {
-	observed := e.histogram(route)
-	if observed.Count() >= minObservations {
-		return max(hedgeFloor, time.Duration(hedgeFactor*float64(observed.Quantile(hedgeQuantile))))
-	}
-	if route.Target > 0 {
-		return time.Duration(firstHedgeShare * float64(route.Target))
-	}
-	return defaultHedgeDelay
-}
-
-// hedge asks another server while an attempt is out for longer than most are.
-func (e *Engine) hedge(id AttemptID) {
-	out, exists := e.attempts[id]
-	if !exists || out.call.settled {
-		return
-	}
-	called := out.call
-	route := called.request.route
-	if len(called.live) > 1 || len(called.tried)-called.unsent >= called.maxAttempts() {
-		return
-	}
-	chosen, found := called.group.choose(e.now, called.tried, e.view(called.group))
-	if found != available || chosen.condition(e.now) >= doubted || !e.pay(called, hedgeReserve) {
-		// There may be room, or a token, a little later.
-		again := max(hedgeFloor, e.hedgeDelay(route)/hedgeAgainPart)
-		e.timers.add(timer{at: e.now.Add(again), kind: timerHedge, attempt: id})
-		return
-	}
-	e.send(called, chosen, true)
-}
-
 // learn takes in what an attempt tells of its server.
 func (e *Engine) learn(ended *attempt, outcome Outcome) {
 	from := ended.server
@@ -217,7 +151,7 @@
 
 // ratio is a time relative to the median of the route.
 func (e *Engine) ratio(route *routing.Route, took time.Duration) float64 {
-	typical := e.histogram(route).Quantile(0.5)
+	typical := e.typical(route)
 	if typical <= 0 {
 		return 1
 	}
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -109,6 +109,10 @@
 			if _, out := e.attempts[due.attempt]; out {
 				e.emit(Abort{Attempt: due.attempt})
 			}
+		case timerDue:
+			if waiting, ok := e.requests[due.request]; ok && waiting.open > 0 {
+				e.emit(Overdue{Request: waiting.id, Result: e.result(waiting)})
+			}
 		case timerRoom:
 			e.serveGroup(due.service)
 		case timerDeadline:
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -27,6 +27,12 @@
 	Services []string
 	// Deadline is when the answer is given at the latest.
 	Deadline time.Time
+	// Due is by when a reply is of full use; zero for at any time.
+	Due time.Time
+	// Rank orders requests that compete for room, the least first. All routers that
+	// serve a part of a request give it the same one, so that they favour the same
+	// requests where not all can be served (DAGOR: Zhou et al., SoCC 2018).
+	Rank uint64
 	// Repeat says that servers may have been asked by another router before, so
 	// that every attempt has to be paid for.
 	Repeat bool
@@ -172,6 +178,12 @@
 	Result  Result
 }
 
+// Overdue tells what a request lacks when its parts are due.
+type Overdue struct {
+	Request RequestID
+	Result  Result
+}
+
 // Wake asks for TimerFired at a time; each replaces the one before.
 type Wake struct{ At time.Time }
 
@@ -187,6 +199,7 @@
 func (Part) isCommand()    {}
 func (Respond) isCommand() {}
 func (Dropped) isCommand() {}
+func (Overdue) isCommand() {}
 func (Wake) isCommand()    {}
 func (Noted) isCommand()   {}
 
@@ -208,22 +221,11 @@
 	Extras   int
 	// Denied counts the extra attempts that the budget did not pay for.
 	Denied int
-	// Lacking tells of the first few calls without a part.
+	// Lacked counts the calls without a part; Lacking tells of the first few.
+	Lacked  int
 	Lacking []Lack
 }
 
-// Lack is a call that brought no part.
-type Lack struct {
-	Service string
-	// Server is the one that was asked last; empty for none.
-	Server  string
-	Failure Failure
-	// Open says that an attempt was still out.
-	Open bool
-	// Steps are what was done for the call, in order.
-	Steps []Step
-}
-
 // StepKind says what a step of a call was.
 type StepKind uint8
 
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -71,15 +72,28 @@
 	if candidate.condition(now) == onTrial {
 		limit = 1
 	}
+	if candidate.crowded(now) {
+		limit = min(limit, crowdedLimit(candidate, share))
+	}
 	if now.Before(candidate.connectionsUntil) {
 		limit = min(limit, candidate.connections)
 	}
 	return limit
 }
 
+// crowdedSpare is how many attempts beyond its slots a server holds that has no
+// slot free: enough to have work when one ends. What waits with the routers goes out
+// in the order of its urgency; what waits at the server does not.
+const crowdedSpare = 2
+
+// crowdedLimit is this router's part of what a server without a free slot is given.
+func crowdedLimit(candidate *server, share float64) int {
+	return max(1, int(math.Ceil(share*float64(max(1, candidate.Slots)+crowdedSpare)-roundingSlack)))
+}
+
 // choose returns the server with the least expected delay among those that were
-// not tried. It is a sound one, or one on trial, if there is any; else one that is
-// doubted, and one that could not be reached only where there is no other. A call
+// not tried. It is a sound one, or one on trial, if there is any; else one that is too
+// slow for what is due, one that is doubted, and one that could not be reached only where there is no other. A call
 // waits for room at the better ones before it takes a worse one; for the end of a
 // trial it waits only where there is nothing else.
 func (g *group) choose(now time.Time, tried []*server, view choiceView) (*server, availability) {
@@ -91,6 +105,9 @@
 			continue
 		}
 		condition := candidate.condition(now)
+		if condition < tooSlow && view.late(now, candidate) {
+			condition = tooSlow
+		}
 		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(now, candidate, view.share) {
 			atLimit[condition] = true
 			continue
@@ -131,4 +148,17 @@
 	// share is this router's part of what the servers allow.
 	share  float64
 	random *rand.Rand
+	// left is the time until the part is due, 0 if that does not matter any more;
+	// typical is that of the route's attempts.
+	left    time.Duration
+	typical time.Duration
+}
+
+// late reports whether a server is not expected to answer by the time that the part
+// is due: it is too slow, or pauses.
+func (v choiceView) late(now time.Time, candidate *server) bool {
+	if v.left <= 0 {
+		return false
+	}
+	return candidate.currentPace(now)*float64(v.typical) > float64(v.left) || candidate.stalled(now)
 }
--- a/internal/scatter/harness_test.go
+++ b/internal/scatter/harness_test.go
@@ -30,6 +30,7 @@
 	aborted map[scatter.AttemptID]bool
 	results map[scatter.RequestID]scatter.Result
 	parts   map[scatter.RequestID][]scatter.Part
+	overdue map[scatter.RequestID]scatter.Result
 	last    scatter.RequestID
 }
 
@@ -37,7 +38,7 @@
 	return &harness{
 		t: t, now: origin, engine: scatter.New(scatter.Config{Zone: "a", Seed: 1, Budget: limits}),
 		aborted: map[scatter.AttemptID]bool{}, results: map[scatter.RequestID]scatter.Result{},
-		parts: map[scatter.RequestID][]scatter.Part{},
+		parts: map[scatter.RequestID][]scatter.Part{}, overdue: map[scatter.RequestID]scatter.Result{},
 	}
 }
 
@@ -56,6 +57,8 @@
 			h.results[command.Request] = command.Result
 		case scatter.Part:
 			h.parts[command.Request] = append(h.parts[command.Request], command)
+		case scatter.Overdue:
+			h.overdue[command.Request] = command.Result
 		case scatter.Wake:
 			h.wake = command.At
 		}
@@ -99,7 +102,10 @@
 }
 
 // arrive submits a request of a route and returns its id.
-func (h *harness) arrive(route *routing.Route) scatter.RequestID {
+func (h *harness) arrive(route *routing.Route) scatter.RequestID { return h.arriveRanked(route, 0) }
+
+// arriveRanked is arrive of a request with a rank.
+func (h *harness) arriveRanked(route *routing.Route, rank uint64) scatter.RequestID {
 	h.last++
 	services := route.Shards
 	if !route.Gathers() {
@@ -107,7 +113,7 @@
 	}
 	h.step(scatter.Arrived{
 		ID: h.last, Route: route, Services: services,
-		Deadline: h.now.Add(route.Timeout),
+		Deadline: h.now.Add(route.Timeout), Due: h.now.Add(route.Target), Rank: rank,
 	})
 	return h.last
 }
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -15,6 +15,9 @@
 	route    *routing.Route
 	arrived  time.Time
 	deadline time.Time
+	// due and rank are those of Arrived.
+	due      time.Time
+	rank     uint64
 	calls    []*call
 	open     int
 	attempts int
@@ -66,6 +69,8 @@
 	call    *call
 	server  *server
 	started time.Time
+	// expected is by when most attempts would have ended.
+	expected time.Time
 }
 
 // Bounds of attempts.
@@ -82,9 +87,12 @@
 )
 
 func (e *Engine) arrive(event Arrived) {
-	arrived := &request{id: event.ID, route: event.Route, arrived: e.now, deadline: event.Deadline, open: len(event.Services)}
+	arrived := &request{id: event.ID, route: event.Route, arrived: e.now, deadline: event.Deadline, due: event.Due, rank: event.Rank, open: len(event.Services)}
 	e.requests[event.ID] = arrived
 	e.timers.add(timer{at: event.Deadline, kind: timerDeadline, request: event.ID})
+	if !event.Due.IsZero() {
+		e.timers.add(timer{at: event.Due, kind: timerDue, request: event.ID})
+	}
 	for position, service := range event.Services {
 		called := &call{request: arrived, position: position, group: e.group(service), repeat: event.Repeat}
 		arrived.calls = append(arrived.calls, called)
@@ -108,7 +116,7 @@
 // dispatch sends an attempt of a call, lets it wait for room, or settles it when
 // there is no server.
 func (e *Engine) dispatch(called *call, extra bool) {
-	chosen, found := called.group.choose(e.now, called.tried, e.view(called.group))
+	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
 	switch {
 	case found == available:
 		e.send(called, chosen, extra)
@@ -123,15 +131,23 @@
 	}
 }
 
-func (e *Engine) view(of *group) choiceView {
-	return choiceView{zone: e.config.Zone, share: e.share(of), random: e.random}
+// view is what a choice for a call depends on beside the servers.
+func (e *Engine) view(called *call) choiceView {
+	view := choiceView{zone: e.config.Zone, share: e.share(called.group), random: e.random}
+	asked := called.request
+	if !asked.due.IsZero() && !e.overdue(called) {
+		view.left = asked.due.Sub(e.now)
+		view.typical = e.typical(asked.route)
+	}
+	return view
 }
 
 func (e *Engine) send(called *call, chosen *server, extra bool) {
 	e.last++
 	sent := &attempt{id: e.last, call: called, server: chosen, started: e.now}
 	e.attempts[sent.id] = sent
-	chosen.inFlight[sent.id] = e.now.Add(e.hedgeDelay(called.request.route))
+	sent.expected = e.now.Add(e.patience(called.request.route, chosen))
+	chosen.inFlight[sent.id] = sent
 	called.tried = append(called.tried, chosen)
 	called.live = append(called.live, sent)
 	waiting := called.request
@@ -147,7 +163,7 @@
 	e.note(called, Step{Kind: kind, Server: chosen.ID})
 	e.emit(Send{Attempt: sent.id, Request: waiting.id, Server: chosen.Server, Deadline: waiting.deadline, Extra: extra})
 	if waiting.route.Repeatable && len(called.tried) < called.maxAttempts() {
-		e.timers.add(timer{at: e.now.Add(e.hedgeDelay(waiting.route)), kind: timerHedge, attempt: sent.id})
+		e.timers.add(timer{at: e.now.Add(e.callHedgeDelay(called)), kind: timerHedge, attempt: sent.id})
 	}
 }
 
@@ -227,7 +243,7 @@
 		e.dispatch(called, false)
 		return
 	}
-	_, found := called.group.choose(e.now, called.tried, e.view(called.group))
+	_, found := called.group.choose(e.now, called.tried, e.view(called))
 	switch {
 	case found == absent || found == busy && e.canSpare(called):
 		e.settle(called)
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -9,9 +9,8 @@
 // server is what the engine knows of one server.
 type server struct {
 	Server
-	// inFlight are the attempts of this router that have not ended, with the time
-	// by which most of their route have.
-	inFlight map[AttemptID]time.Time
+	// inFlight are the attempts of this router that have not ended.
+	inFlight map[AttemptID]*attempt
 	// others is the load by other routers that the server last reported.
 	others   int
 	reported time.Time
@@ -60,7 +59,7 @@
 )
 
 func newServer(told Server) *server {
-	return &server{Server: told, inFlight: make(map[AttemptID]time.Time), pace: 1}
+	return &server{Server: told, inFlight: make(map[AttemptID]*attempt), pace: 1}
 }
 
 // usable reports whether the server may get new work at all.
@@ -74,6 +73,9 @@
 	// onTrial: it has not answered since its last failure, which is some time ago;
 	// one attempt at a time is enough to find out.
 	onTrial
+	// tooSlow: no answer is expected by the time that the part is due. Only a choice
+	// for a call says so, never the server alone.
+	tooSlow
 	// doubted: it failed a short time ago, or the directory misses it.
 	doubted
 	// unreachable: it is doubted since no connection came up.
@@ -132,11 +134,11 @@
 	return expected
 }
 
-// stalled reports whether an attempt is out for longer than most of its route
-// are, so that the server is likely to pause.
+// stalled reports whether an attempt is out for longer than most are and nothing
+// came from the server since it was sent, so that the server is likely to pause.
 func (s *server) stalled(now time.Time) bool {
-	for _, expected := range s.inFlight {
-		if now.After(expected) {
+	for _, out := range s.inFlight {
+		if now.After(out.expected) && s.heard.Before(out.started) {
 			return true
 		}
 	}
--- a/internal/scatter/timers.go
+++ b/internal/scatter/timers.go
@@ -13,6 +13,7 @@
 	timerDeadline
 	timerAbort
 	timerRoom
+	timerDue
 )
 
 // timer is one thing to look at later. Timers are never removed: one whose
--- a/internal/scatter/waiting.go
+++ b/internal/scatter/waiting.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -45,19 +46,14 @@
 	}
 }
 
-// serveGroup sends calls of a service that wait for room: first those whose
-// requests can still be answered within their targets, since an answer after it
-// is worth little and a queue longer than the target would make all late; then by
-// the rank of their routes, first come first served.
+// serveGroup sends calls of a service that wait for room, the most urgent first.
 func (e *Engine) serveGroup(service string) {
 	in := e.group(service)
 	if len(in.waiting) == 0 {
 		return
 	}
 	waiting := slices.DeleteFunc(in.waiting, func(c *call) bool { return !c.waiting })
-	slices.SortStableFunc(waiting, func(a, b *call) int {
-		return cmp.Or(cmp.Compare(e.overdue(a), e.overdue(b)), cmp.Compare(a.request.route.Priority, b.request.route.Priority))
-	})
+	slices.SortStableFunc(waiting, e.compareUrgency)
 	in.waiting = nil
 	for _, called := range waiting {
 		called.waiting = false
@@ -68,11 +64,39 @@
 	}
 }
 
-// overdue is 1 for a call whose request is past its target, else 0.
-func (e *Engine) overdue(waiting *call) int {
-	target := waiting.request.route.Target
-	if target > 0 && e.now.Sub(waiting.request.arrived) > target {
+// rankLevels is how many levels of rank there are. Within a level those that are due
+// first go first, so that calls with little time, and those of the most urgent rank,
+// are both served soon. Figures in docs/results/0013: 4 levels and 16 served alike,
+// one level (due alone) worse.
+const (
+	rankLevels    = 4
+	rankLevelSpan = math.MaxUint64/rankLevels + 1
+)
+
+// compareUrgency orders calls that wait for room. Those whose parts can still be in
+// when they are due go first, since later ones are worth little, and a queue that is
+// longer than the time until then would make all late. Of them the same requests go
+// first at every router and shard: a gathered answer needs nearly all of its shards,
+// so that routers which each chose by themselves would spoil nearly all answers.
+func (e *Engine) compareUrgency(a, b *call) int {
+	overdueA, overdueB := e.overdue(a), e.overdue(b)
+	switch {
+	case overdueA != overdueB && overdueB:
+		return -1
+	case overdueA != overdueB:
 		return 1
+	case overdueA:
+		return cmp.Compare(a.request.route.Priority, b.request.route.Priority)
 	}
-	return 0
+	return cmp.Or(
+		cmp.Compare(a.request.rank/rankLevelSpan, b.request.rank/rankLevelSpan),
+		a.request.due.Compare(b.request.due),
+		cmp.Compare(a.request.route.Priority, b.request.route.Priority),
+	)
+}
+
+// overdue reports whether the reply to a call can't be in when it is due.
+func (e *Engine) overdue(waiting *call) bool {
+	due := waiting.request.due
+	return !due.IsZero() && e.now.Add(e.quickest(waiting.request.route)).After(due)
 }
