Keep parts in the zone while there is time; take tables of other nodes over once

Cause: bytes between zones are the largest price that policy moves. Change: a sound server of the own zone that is expected to answer within 0.4 of the time left is taken whatever others would take; a node tells another only what its table has beyond what it told before. What still crosses are attempts while the near server is slow, paused or full.

--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -48,6 +48,19 @@
 	Settled bool `json:"settled,omitempty"`
 }
 
+// tablePosition is up to where a node has taken over the table of another one: the
+// other's source and the revision of its table.
+type tablePosition struct {
+	Source   string `json:"source"`
+	Revision uint64 `json:"revision"`
+}
+
+// tableReply is what a node knows of servers beyond a position.
+type tableReply struct {
+	shareMessage
+	Position tablePosition `json:"position"`
+}
+
 // beat is a heartbeat without news, of a server that the receiver knows.
 type beat struct {
 	ID       string `json:"i"`
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -20,7 +20,9 @@
 		n.takeIn(message)
 		return struct{}{}, nil
 	}))
-	mux.Handle(pathRegistry, handle(func(context.Context, struct{}) (shareMessage, error) { return n.table(), nil }))
+	mux.Handle(pathRegistry, handle(func(_ context.Context, known tablePosition) (tableReply, error) {
+		return n.table(known), nil
+	}))
 	mux.Handle(pathPut, handle(func(ctx context.Context, message putMessage) (struct{}, error) {
 		return struct{}{}, n.putHere(ctx, message)
 	}))
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -30,8 +30,9 @@
 // table of another node over at the start.
 func (n *Node) runSharing(ctx context.Context) {
 	lastBeats := time.Now()
+	taken := make(map[string]tablePosition)
 	every(ctx, shareInterval, func() {
-		n.settle(ctx)
+		n.settle(ctx, taken)
 		withBeats := time.Since(lastBeats) >= beatShareInterval
 		if withBeats {
 			lastBeats = time.Now()
@@ -104,9 +105,10 @@
 	}
 }
 
-// settle asks another node for its whole table until one that is settled
-// answered, or until every server had time to announce itself.
-func (n *Node) settle(ctx context.Context) {
+// settle takes over the tables of other nodes until one that is settled answered, or
+// until every server had time to announce itself. Only the first answer of a node is
+// its whole table; taken holds how far each was taken over.
+func (n *Node) settle(ctx context.Context, taken map[string]tablePosition) {
 	n.mutex.Lock()
 	settled := n.settled
 	n.mutex.Unlock()
@@ -119,14 +121,15 @@
 	}
 	for _, address := range n.peerAddresses() {
 		calling, cancel := context.WithTimeout(ctx, shareInterval)
-		var message shareMessage
-		err := n.peers.call(calling, address, pathRegistry, struct{}{}, &message)
+		var reply tableReply
+		err := n.peers.call(calling, address, pathRegistry, taken[address], &reply)
 		cancel()
 		if err != nil {
 			continue
 		}
-		n.takeIn(message)
-		if message.Settled {
+		taken[address] = reply.Position
+		n.takeIn(reply.shareMessage)
+		if reply.Settled {
 			n.setSettled(address)
 			return
 		}
@@ -140,12 +143,26 @@
 	n.logger.WithField("from", from).WithField("instances", n.registry.Count(registry.Ready)).Info("registry_settled")
 }
 
-// table returns all that this node knows of servers.
-func (n *Node) table() shareMessage {
+// table returns what this node knows of servers beyond a position in its table; all
+// of it for a position of another source.
+func (n *Node) table(known tablePosition) tableReply {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := time.Now()
-	return shareMessage{Instances: n.registry.Heard(now, time.Time{}), Routers: n.routers.within(now, routerLifetime), Settled: n.settled}
+	reply := tableReply{Position: tablePosition{Source: n.source, Revision: n.registry.Revision()}}
+	reply.Settled = n.settled
+	if known == reply.Position {
+		return reply
+	}
+	since := uint64(0)
+	if known.Source == n.source {
+		since = known.Revision
+	}
+	reply.Instances = slices.DeleteFunc(n.registry.Since(now, since), func(instance registry.Instance) bool {
+		return instance.State == registry.Missing
+	})
+	reply.Routers = n.routers.within(now, routerLifetime)
+	return reply
 }
 
 func (n *Node) expire() {
--- a/internal/directory/table_file.go
+++ b/internal/directory/table_file.go
@@ -53,7 +53,7 @@
 		if revision == written && live == routers {
 			return
 		}
-		data, err := json.Marshal(n.table())
+		data, err := json.Marshal(n.table(tablePosition{}).shareMessage)
 		if err == nil {
 			err = replaceFile(n.config.Folder, tableFile, data)
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -188,18 +188,6 @@
 	return changed
 }
 
-// Heard returns the instances whose heartbeat came after a time.
-func (t *Table) Heard(now, after time.Time) []Instance {
-	var heard []Instance
-	for _, known := range t.entries {
-		if known.heard.After(after) && known.instance.State != Missing {
-			heard = append(heard, known.at(now))
-		}
-	}
-	slices.SortFunc(heard, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return heard
-}
-
 // Count returns how many instances are in a state.
 func (t *Table) Count(state State) int {
 	count := 0
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -133,6 +133,7 @@
 	route := ended.call.request.route
 	from.observe(e.now, e.ratio(route, took))
 	e.histogram(route).Observe(e.now, took)
+	ended.call.group.took.Observe(e.now, took)
 	from.succeeded(e.now)
 }
 
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/martenstage/martenstage/internal/latency"
 )
 
 // group is the servers of one service.
@@ -15,6 +17,8 @@
 	connections int
 	budget      extraBudget
 	gatherers   Gatherers
+	// took is the average time of the attempts at its servers.
+	took latency.Average
 	// waiting are calls for which no server had room.
 	waiting []*call
 }
@@ -95,11 +99,14 @@
 // not tried. It is a sound one, or one on trial, if there is any; else one that is too
 // slow for what is due, one that is doubted, and one that could not be reached only where there is no other. A call
 // waits for room at the better ones before it takes a worse one; for the end of a
-// trial it waits only where there is nothing else.
+// trial it waits only where there is nothing else. A sound one of the own zone goes
+// before all others while it is expected to answer in good time.
 func (g *group) choose(now time.Time, tried []*server, view choiceView) (*server, availability) {
 	var best [conditions]*server
 	var leastCost [conditions]float64
 	var atLimit [conditions]bool
+	var near *server
+	nearCost := math.Inf(1)
 	for _, candidate := range g.servers {
 		if !candidate.usable() || slices.Contains(tried, candidate) {
 			continue
@@ -116,10 +123,16 @@
 			condition = sound
 		}
 		cost := candidate.cost(now, view.zone) * (1 + jitter*view.random.Float64())
+		if cost < nearCost && condition == sound && candidate.Zone == view.zone && view.inGoodTime(now, candidate) {
+			near, nearCost = candidate, cost
+		}
 		if best[condition] == nil || cost < leastCost[condition] {
 			best[condition], leastCost[condition] = candidate, cost
 		}
 	}
+	if near != nil {
+		return near, available
+	}
 	for condition := range conditions {
 		switch {
 		case best[condition] != nil:
@@ -152,6 +165,27 @@
 	// typical is that of the route's attempts.
 	left    time.Duration
 	typical time.Duration
+	// ahead is what an attempt takes that is before it at a server.
+	ahead time.Duration
+}
+
+// goodTimeShare is the part of the time left within which a server of the own zone is
+// expected to answer for it to be taken whatever others would take: bytes between
+// zones have a price, and an answer sooner than needed is worth no more.
+const goodTimeShare = 0.4
+
+// inGoodTime reports whether a server is expected to answer well before the part is
+// due.
+func (v choiceView) inGoodTime(now time.Time, candidate *server) bool {
+	if v.left <= 0 || candidate.stalled(now) {
+		return false
+	}
+	ahead := max(0, candidate.load(now)+1-float64(max(1, candidate.Slots))) / float64(max(1, candidate.Slots))
+	work := candidate.currentPace(now) * float64(v.typical)
+	if now.Before(candidate.WarmAt) {
+		work *= coldCost
+	}
+	return work+ahead*float64(v.ahead) <= goodTimeShare*float64(v.left)
 }
 
 // late reports whether a server is not expected to answer by the time that the part
--- a/internal/scatter/overload_test.go
+++ b/internal/scatter/overload_test.go
@@ -38,7 +38,10 @@
 // orders of arrival: both send them by rank level.
 func TestRoutersFavourTheSameRequests(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		ranks := rapid.SliceOfNDistinct(rapid.Uint64(), 2, 8, func(rank uint64) uint64 { return rank >> 62 }).Draw(t, "ranks")
+		var ranks []uint64
+		for _, level := range rapid.Permutation([]uint64{0, 1, 2, 3}).Draw(t, "levels") {
+			ranks = append(ranks, level<<62|rapid.Uint64Range(0, 1<<62-1).Draw(t, "within"))
+		}
 		var orders [][]uint64
 		for _, arriving := range [][]uint64{ranks, rapid.Permutation(ranks).Draw(t, "other")} {
 			orders = append(orders, servedOrder(t, arriving))
@@ -160,6 +163,27 @@
 	})
 }
 
+// TestPartsStayInTheZoneWhileThereIsTime sends to a server of another zone only what
+// the one of the own zone would not answer well before it is due.
+func TestPartsStayInTheZoneWhileThereIsTime(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.step(scatter.ServersChanged{Servers: []scatter.Server{
+		{ID: "near", Service: "s", Address: "near", Zone: "a", Slots: 4}, {ID: "far", Service: "s", Address: "far", Zone: "b", Slots: 4},
+	}})
+	patient, hasty := singleRoute(false), singleRoute(false)
+	hasty.Name, hasty.Target = "hasty", 20*time.Millisecond
+	h.learnTypical(patient, 10*time.Millisecond)
+	h.learnTypical(hasty, 10*time.Millisecond)
+	for range 4 {
+		h.arrive(patient)
+	}
+	for _, sent := range h.take() {
+		require.Equal(t, "near", sent.Server.ID)
+	}
+	h.arrive(hasty)
+	require.Equal(t, "far", h.take()[0].Server.ID, "the near server has no free slot and there is little time")
+}
+
 // TestCausesOfPartsThatAreDue names why each part is missing when it is due.
 func TestCausesOfPartsThatAreDue(t *testing.T) {
 	h := newHarness(t, plenty)
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -137,7 +137,7 @@
 	asked := called.request
 	if !asked.due.IsZero() && !e.overdue(called) {
 		view.left = asked.due.Sub(e.now)
-		view.typical = e.typical(asked.route)
+		view.typical, view.ahead = e.typical(asked.route), called.group.took.Value()
 	}
 	return view
 }
