Refuse at once while there is no document, and say when to come back

Change: a request waits 15 ms for the first document, then it is refused as not run with 250 to 350 ms, by its rank, to come back; the search for a node pauses 50 ms at the most. The test that a request is held until the document comes is replaced by one that it is told when to come back, before there is a document, and is served then.

--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -279,7 +279,7 @@
 	if !alone || g.result.Verdict != verdict.NotRun {
 		g.result.Verdict = verdict.MayHaveRun
 	} else {
-		g.result.RetryAfter = startRetry
+		g.result.RetryAfter = g.comeBack()
 	}
 	g.told = g.toTell()
 	g.fail(g.result)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -71,12 +71,15 @@
 	unreadyTime = 2300 * time.Millisecond
 	// stopMargin is kept from the grace for the end of the process.
 	stopMargin = 500 * time.Millisecond
-	// startPatience and startShare bound how long a request waits for the first
-	// document; the share is of the client's time.
-	startPatience = time.Second
-	startShare    = 2
-	// startRetry is when a client of a router without a document may come back.
-	startRetry = 200 * time.Millisecond
+	// startPatience bounds how long a request waits for the first document. A start of
+	// all processes takes longer, and what had waited would meet servers all at once,
+	// before the requests that are still in time (docs/results/0013).
+	startPatience = 15 * time.Millisecond
+	// startRetry is when a client of a router that can't serve yet may come back: a
+	// document comes 150 to 350 ms after all processes start. Up to startSpread is
+	// added by the request's rank, so that not all come back at one moment.
+	startRetry  = 250 * time.Millisecond
+	startSpread = 100 * time.Millisecond
 )
 
 // hopHeaders concern one connection only and are not passed on.
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -22,7 +22,7 @@
 	// firstSearchPause and longestSearchPause bound the pause after a node's
 	// failure, which doubles with each.
 	firstSearchPause   = 20 * time.Millisecond
-	longestSearchPause = 120 * time.Millisecond
+	longestSearchPause = 50 * time.Millisecond
 	// searchTime is after how long a search fails.
 	searchTime = 2 * time.Second
 )
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -40,7 +41,7 @@
 	}
 	table := state.awaitTable()
 	if table == nil {
-		state.refuse(http.StatusServiceUnavailable, verdict.ReasonNoLease, startRetry)
+		state.refuse(http.StatusServiceUnavailable, verdict.ReasonNoLease, state.comeBack())
 		return
 	}
 	state.version = table.Document().Version
@@ -55,20 +56,26 @@
 	}
 	if g.inFlight.Add(1) > maxInFlight {
 		g.inFlight.Add(-1)
-		state.refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, startRetry)
+		state.refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, state.comeBack())
 		return
 	}
 	defer g.inFlight.Add(-1)
 	state.serve(table)
 }
 
+// comeBack is after how long a request that this router can't serve now may come
+// back.
+func (s *exchangeState) comeBack() time.Duration {
+	return startRetry + time.Duration(float64(startSpread)*float64(rankOf(s.id))/math.MaxUint64)
+}
+
 // awaitTable returns the table of the document in force. A router that has just
-// started waits for its first one, as long as the client does.
+// started waits a moment for its first one.
 func (s *exchangeState) awaitTable() *routing.Table {
 	if table := s.gateway.table.Load(); table != nil {
 		return table
 	}
-	patience := time.NewTimer(min(s.remaining()/startShare, startPatience))
+	patience := time.NewTimer(min(s.remaining(), startPatience))
 	defer patience.Stop()
 	select {
 	case <-s.gateway.known:
