Elect a first leader early: a started voter that has heard none asks soon

Change: until a voter has led or heard a leader since its start it asks for pre-votes after an eighth to five eighths of the election timeout; voters that hear a leader give none, so that a running group is not disturbed.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -32,6 +32,8 @@
 	electionDeadline time.Time
 	leaderContact    time.Time
 	votes            map[uint64]bool
+	// ledSinceStart says that this voter has led or heard a leader since its start.
+	ledSinceStart bool
 	// transferCampaign says that the election was asked for by the leader.
 	transferCampaign bool
 
@@ -132,12 +134,9 @@
 	return c.finish()
 }
 
-// start sets the first deadline, at half of the usual ones: a leader's heartbeat
-// comes far sooner, and when all restarted there is nobody to spare. An only
-// voter has nobody to wait for.
+// start sets the first deadline. An only voter has nobody to wait for.
 func (c *Core) start() {
 	c.resetElectionDeadline()
-	c.electionDeadline = c.now.Add(c.electionDeadline.Sub(c.now) / 2)
 	if c.promotable() && c.membership().Voters() == 1 {
 		c.electionDeadline = c.now
 	}
@@ -266,9 +265,20 @@
 // and voters that hold no log yet may not.
 func (c *Core) promotable() bool { return c.membership().IsVoter(c.config.ID) }
 
+// Parts of the election timeout within which a voter campaigns that has not heard a
+// leader since its start: when all restarted there is nobody to spare, and where there
+// is a leader the voters that hear it give no pre-vote, so that asking costs nothing.
+const (
+	startTimeoutPart = 8
+	startJitterPart  = 2
+)
+
 func (c *Core) resetElectionDeadline() {
-	jitter := time.Duration(c.random.Int64N(int64(c.config.ElectionTimeout)))
-	c.electionDeadline = c.now.Add(c.config.ElectionTimeout + jitter)
+	least, span := c.config.ElectionTimeout, c.config.ElectionTimeout
+	if !c.ledSinceStart {
+		least, span = least/startTimeoutPart, span/startJitterPart
+	}
+	c.electionDeadline = c.now.Add(least + time.Duration(c.random.Int64N(int64(span))))
 }
 
 // halt ends this voter's part in the group until it is restarted.
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -75,6 +75,7 @@
 	if c.role == Leader {
 		c.endLeadership()
 	}
+	c.ledSinceStart = c.ledSinceStart || leader != 0
 	if c.role != Follower {
 		c.resetElectionDeadline()
 	}
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -21,7 +21,7 @@
 }
 
 func (c *Core) becomeLeader() {
-	c.role, c.leader, c.votes = Leader, c.config.ID, nil
+	c.role, c.leader, c.votes, c.ledSinceStart = Leader, c.config.ID, nil, true
 	c.leadership = leadership{firstIndex: c.log.lastIndex() + 1}
 	c.syncProgress()
 	// Entries of earlier terms are only committed through one of our own term
--- a/internal/consensus/scenario_test.go
+++ b/internal/consensus/scenario_test.go
@@ -57,10 +57,13 @@
 }
 
 // campaign lets time pass until the voter asks for votes; the others only stop
-// hearing from a leader.
+// hearing from a leader. Those that have heard none since their start would campaign
+// themselves after that time; for them none passes.
 func (c *cluster) campaign(id uint64, others ...uint64) {
 	for _, other := range others {
-		c.nodes[other].clock = c.nodes[other].clock.Add(DefaultElectionTimeout)
+		if c.nodes[other].core.ledSinceStart {
+			c.nodes[other].clock = c.nodes[other].clock.Add(DefaultElectionTimeout)
+		}
 	}
 	c.nodes[id].clock = c.nodes[id].clock.Add(2 * DefaultElectionTimeout)
 	c.step(c.nodes[id], Wake{})
@@ -86,6 +89,20 @@
 
 func (c *cluster) crashAll(id uint64) { c.crash(c.nodes[id], len(c.nodes[id].cache)) }
 
+// TestFirstElectionIsEarlyUntilALeaderIsHeard draws a started voter's deadlines within
+// a part of the election timeout, and whole ones once it has heard a leader.
+func TestFirstElectionIsEarlyUntilALeaderIsHeard(t *testing.T) {
+	c := newCluster(t)
+	started := c.nodes[1]
+	c.step(started, Wake{})
+	require.Less(t, started.core.electionDeadline.Sub(started.clock), DefaultElectionTimeout)
+	c.elect(1, 2, 3)
+	c.exchange(among(1, 2, 3))
+	follower := c.nodes[2]
+	require.True(t, follower.core.ledSinceStart)
+	require.GreaterOrEqual(t, follower.core.electionDeadline.Sub(follower.clock), DefaultElectionTimeout)
+}
+
 // TestEntryOfEarlierTermIsNotCommittedByCount is figure 3.7 of the
 // dissertation: an entry of an earlier term on a majority can be overwritten.
 func TestEntryOfEarlierTermIsNotCommittedByCount(t *testing.T) {
