Drop the rank of requests; tell where answers were lost (martenstage losses)

On-call had no way to sum up causes. New command losses sums up, from the routers' logs, what was late, failed, refused or partial by cause, second, route, shard and server, as text or JSON; lines of requests tell how many shards the route has.

--- a/cmd/martenstage/examples.go
+++ b/cmd/martenstage/examples.go
@@ -31,6 +31,7 @@
 	"drain":   {"martenstage drain 10.0.1.7:7000"},
 	"undrain": {"martenstage undrain 10.0.1.7:7000"},
 	"explain": {"martenstage explain 9c41d07be2a35f68 gateway-1.log gateway-2.log directory-1.log"},
+	"losses":  {"martenstage losses gateway-*.log", "martenstage losses --json gateway-1.log gateway-2.log"},
 	"events":  {"martenstage events --since 18:00 --service seat-finder", "martenstage events --since 12h --json"},
 	"report":  {"martenstage report --since 18:00", "martenstage report --since 18:00 --html report.html"},
 
--- a/cmd/martenstage/explain.go
+++ b/cmd/martenstage/explain.go
@@ -23,7 +23,7 @@
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
-	lines, err := c.read()
+	lines, _, err := readLogs(c.Args.Logs)
 	if err != nil {
 		return err
 	}
@@ -37,22 +37,23 @@
 	return nil
 }
 
-func (c *explainCommand) read() ([]trace.Line, error) {
-	if len(c.Args.Logs) == 0 {
-		lines, _, err := trace.Read("-", os.Stdin)
-		return lines, err
+// readLogs reads log files, or standard input when none is named, and counts the lines
+// that are not of a log.
+func readLogs(paths []string) (all []trace.Line, passedOver int, err error) {
+	if len(paths) == 0 {
+		return trace.Read("-", os.Stdin)
 	}
-	var all []trace.Line
-	for _, path := range c.Args.Logs {
+	for _, path := range paths {
 		file, err := os.Open(path)
 		if err != nil {
-			return nil, exitcode.With(exitcode.Usage, errors.Wrap(err, "a log can't be read"))
+			return nil, 0, exitcode.With(exitcode.Usage, errors.Wrap(err, "a log can't be read"))
 		}
-		lines, _, err := trace.Read(filepath.Base(path), file)
+		lines, passed, err := trace.Read(filepath.Base(path), file)
 		if err := errors.CombineErrors(err, file.Close()); err != nil {
-			return nil, err
+			return nil, 0, err
 		}
 		all = append(all, lines...)
+		passedOver += passed
 	}
-	return all, nil
+	return all, passedOver, nil
 }
--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -38,6 +38,11 @@
 			Long: "Reads logs of gateways and directory nodes and prints, by time, the lines that name a request and those by which a process changed its belief about a server or router that the request met. See docs/OPERATIONS.md.",
 			Data: &explainCommand{},
 		},
+		{
+			Name: "losses", Short: "Tell where answers were lost, and why",
+			Long: "Reads logs of gateways and prints what was late, failed, refused or partial by cause, second, route, shard and server. See docs/operate/overload-registered.md.",
+			Data: &lossesCommand{},
+		},
 		{Name: "drain", Short: "Mark a back end as leaving", Long: "Routers send a marked back end no new work after a few seconds; work under way ends as usual. The mark stays until undrain.", Data: &drainCommand{draining: true}},
 		{Name: "undrain", Short: "Remove the mark of drain", Long: "Routers use the back end again, from a small share of work upwards.", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -286,7 +286,7 @@
 }
 
 func (g *gatherState) toTell() gatherTold {
-	told := gatherTold{missing: g.collection.Total - g.collection.In, slices: len(g.slices), fallbacks: g.fallbacks}
+	told := gatherTold{shards: g.collection.Total, missing: g.collection.Total - g.collection.In, slices: len(g.slices), fallbacks: g.fallbacks}
 	if !g.collection.Cut.IsZero() {
 		told.cut = g.collection.Cut.Sub(g.arrived)
 	}
@@ -295,6 +295,7 @@
 
 // gatherTold is what the log says of a gathered answer.
 type gatherTold struct {
+	shards    int
 	missing   int
 	slices    int
 	fallbacks int
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -77,7 +77,7 @@
 	startPatience = 15 * time.Millisecond
 	// startRetry is when a client of a router that can't serve yet may come back: a
 	// document comes 150 to 350 ms after all processes start. Up to startSpread is
-	// added by the request's rank, so that not all come back at one moment.
+	// added by the request's id, so that not all come back at one moment.
 	startRetry  = 250 * time.Millisecond
 	startSpread = 100 * time.Millisecond
 )
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -66,7 +66,7 @@
 // comeBack is after how long a request that this router can't serve now may come
 // back.
 func (s *exchangeState) comeBack() time.Duration {
-	return startRetry + time.Duration(float64(startSpread)*float64(rankOf(s.id))/math.MaxUint64)
+	return startRetry + time.Duration(float64(startSpread)*float64(xxhash.Sum64String(s.id))/math.MaxUint64)
 }
 
 // awaitTable returns the table of the document in force. A router that has just
@@ -159,7 +159,7 @@
 func (s *exchangeState) arrival() scatter.Arrived {
 	held := min(s.remaining(), s.route.Timeout)
 	arrived := scatter.Arrived{
-		Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(held), Due: s.cut(), Rank: rankOf(s.id),
+		Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(held), Due: s.cut(),
 	}
 	if !s.route.Gathers() {
 		arrived.Services = []string{s.route.ServiceOf(s.id)}
@@ -167,10 +167,6 @@
 	return arrived
 }
 
-// rankOf draws the rank of a request from the client's name for it, which all routers
-// that serve a part of it know.
-func rankOf(requestID string) uint64 { return xxhash.Sum64String(requestID) }
-
 // away is how much of the client's waiting is spent outside of this router.
 func (s *exchangeState) away() time.Duration {
 	connection, ok := s.connection()
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -151,8 +151,7 @@
 func (g *Gateway) submitShards(local localSlice) gathering {
 	arriving := submitted{
 		arrived: scatter.Arrived{
-			Route: local.route, Services: local.shards, Deadline: local.deadline, Due: local.due,
-			Rank: rankOf(local.request.ID), Repeat: local.repeat,
+			Route: local.route, Services: local.shards, Deadline: local.deadline, Due: local.due, Repeat: local.repeat,
 		},
 		request: local.request, id: make(chan scatter.RequestID, 1), events: local.events, slice: local.slice,
 	}
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -34,7 +34,8 @@
 	fields := logrus.Fields{
 		"request": s.id, "route": route, "version": s.version, "outcome": outcome, "status": status, "took": took,
 		"attempts": result.Attempts, "extras": result.Extras, "denied": result.Denied, "late": late,
-		"missing": s.told.missing, "slices": s.told.slices, "fallbacks": s.told.fallbacks, "cut": s.told.cut,
+		"missing": s.told.missing, "slices": s.told.slices, "shards": s.told.shards,
+		"fallbacks": s.told.fallbacks, "cut": s.told.cut,
 	}
 	if result.Reason != "" {
 		fields["reason"], fields["verdict"] = result.Reason, result.Verdict
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -29,10 +29,6 @@
 	Deadline time.Time
 	// Due is by when a reply is of full use; zero for at any time.
 	Due time.Time
-	// Rank orders requests that compete for room, the least first. All routers that
-	// serve a part of a request give it the same one, so that they favour the same
-	// requests where not all can be served (DAGOR: Zhou et al., SoCC 2018).
-	Rank uint64
 	// Repeat says that servers may have been asked by another router before, so
 	// that every attempt has to be paid for.
 	Repeat bool
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -15,9 +15,8 @@
 	route    *routing.Route
 	arrived  time.Time
 	deadline time.Time
-	// due and rank are those of Arrived.
+	// due is that of Arrived.
 	due      time.Time
-	rank     uint64
 	calls    []*call
 	open     int
 	attempts int
@@ -87,7 +86,7 @@
 )
 
 func (e *Engine) arrive(event Arrived) {
-	arrived := &request{id: event.ID, route: event.Route, arrived: e.now, deadline: event.Deadline, due: event.Due, rank: event.Rank, open: len(event.Services)}
+	arrived := &request{id: event.ID, route: event.Route, arrived: e.now, deadline: event.Deadline, due: event.Due, open: len(event.Services)}
 	e.requests[event.ID] = arrived
 	e.timers.add(timer{at: event.Deadline, kind: timerDeadline, request: event.ID})
 	if !event.Due.IsZero() {
--- a/internal/scatter/waiting.go
+++ b/internal/scatter/waiting.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 )
 
@@ -64,32 +63,22 @@
 	}
 }
 
-// rankLevels is how many levels of rank there are. Within a level those that are due
-// first go first, so that calls with little time, and those of the most urgent rank,
-// are both served soon. Figures in docs/results/0013: 4 levels and 16 served alike,
-// one level (due alone) worse.
-const (
-	rankLevels    = 4
-	rankLevelSpan = math.MaxUint64/rankLevels + 1
-)
-
 // compareUrgency orders calls that wait for room. Those whose parts can still be in
 // when they are due go first, since later ones are worth little, and a queue that is
-// longer than the time until then would make all late. Of them the same requests go
-// first at every router and shard: a gathered answer needs nearly all of its shards,
-// so that routers which each chose by themselves would spoil nearly all answers.
+// longer than the time until then would make all late; of them the first due. The
+// others go by the priority of their routes. Other orders served alike or worse
+// (docs/results/0013).
 func (e *Engine) compareUrgency(a, b *call) int {
 	overdueA, overdueB := e.overdue(a), e.overdue(b)
 	switch {
-	case overdueA != overdueB && overdueB:
-		return -1
-	case overdueA != overdueB:
-		return 1
-	case overdueA:
+	case overdueA && overdueB:
 		return cmp.Compare(a.request.route.Priority, b.request.route.Priority)
+	case overdueA:
+		return 1
+	case overdueB:
+		return -1
 	}
 	return cmp.Or(
-		cmp.Compare(a.request.rank/rankLevelSpan, b.request.rank/rankLevelSpan),
 		a.request.due.Compare(b.request.due),
 		cmp.Compare(a.request.route.Priority, b.request.route.Priority),
 	)
