--- a/internal/scatter/doc.go
+++ b/internal/scatter/doc.go
@@ -8,7 +8,10 @@
 // owns an engine.
 //
 //	first attempt  at once, to the server with the least expected delay
-//	hedge          to another server once an attempt is out longer than most are
+//	room           a server without a free slot gets little more; calls wait here, the
+//	               first due first, and those that can't be in time any more last
+//	hedge          to another server once an attempt is out longer than most are, or
+//	               for half of the time until its part is due
 //	retry          after a failure, if the request may run again or provably has
 //	               not run
 //	budget         hedges and retries of a service spend tokens that first
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -95,104 +94,7 @@
 	return max(1, int(math.Ceil(share*float64(max(1, candidate.Slots)+crowdedSpare)-roundingSlack)))
 }
 
-// choose returns the server with the least expected delay among those that were
-// not tried. It is a sound one, or one on trial, if there is any; else one that is too
-// slow for what is due, one that is doubted, and one that could not be reached only where there is no other. A call
-// waits for room at the better ones before it takes a worse one; for the end of a
-// trial it waits only where there is nothing else. A sound one of the own zone goes
-// before all others while it is expected to answer in good time.
-func (g *group) choose(now time.Time, tried []*server, view choiceView) (*server, availability) {
-	var best [conditions]*server
-	var leastCost [conditions]float64
-	var atLimit [conditions]bool
-	var near *server
-	nearCost := math.Inf(1)
-	for _, candidate := range g.servers {
-		if !candidate.usable() || slices.Contains(tried, candidate) {
-			continue
-		}
-		condition := candidate.condition(now)
-		if condition < tooSlow && view.late(now, candidate) {
-			condition = tooSlow
-		}
-		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(now, candidate, view.share) {
-			atLimit[condition] = true
-			continue
-		}
-		if condition == onTrial {
-			condition = sound
-		}
-		cost := candidate.cost(now, view.zone) * (1 + jitter*view.random.Float64())
-		if cost < nearCost && condition == sound && candidate.Zone == view.zone && view.inGoodTime(now, candidate) {
-			near, nearCost = candidate, cost
-		}
-		if best[condition] == nil || cost < leastCost[condition] {
-			best[condition], leastCost[condition] = candidate, cost
-		}
-	}
-	if near != nil {
-		return near, available
-	}
-	for condition := range conditions {
-		switch {
-		case best[condition] != nil:
-			return best[condition], available
-		case atLimit[condition] && condition != onTrial:
-			return nil, busy
-		}
-	}
-	if atLimit[onTrial] {
-		return nil, busy
-	}
-	return nil, absent
-}
-
 // full reports whether some server has just refused work for want of room.
 func (g *group) full(now time.Time) bool {
 	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.usable() && s.full(now) })
 }
-
-// jitter spreads equal costs, so that routers do not herd.
-const jitter = 0.15
-
-// choiceView is what a choice depends on beside the group.
-type choiceView struct {
-	zone string
-	// share is this router's part of what the servers allow.
-	share  float64
-	random *rand.Rand
-	// left is the time until the part is due, 0 if that does not matter any more;
-	// typical is that of the route's attempts.
-	left    time.Duration
-	typical time.Duration
-	// ahead is what an attempt takes that is before it at a server.
-	ahead time.Duration
-}
-
-// goodTimeShare is the part of the time left within which a server of the own zone is
-// expected to answer for it to be taken whatever others would take: bytes between
-// zones have a price, and an answer sooner than needed is worth no more.
-const goodTimeShare = 0.4
-
-// inGoodTime reports whether a server is expected to answer well before the part is
-// due.
-func (v choiceView) inGoodTime(now time.Time, candidate *server) bool {
-	if v.left <= 0 || candidate.stalled(now) {
-		return false
-	}
-	ahead := max(0, candidate.load(now)+1-float64(max(1, candidate.Slots))) / float64(max(1, candidate.Slots))
-	work := candidate.currentPace(now) * float64(v.typical)
-	if now.Before(candidate.WarmAt) {
-		work *= coldCost
-	}
-	return work+ahead*float64(v.ahead) <= goodTimeShare*float64(v.left)
-}
-
-// late reports whether a server is not expected to answer by the time that the part
-// is due: it is too slow, or pauses.
-func (v choiceView) late(now time.Time, candidate *server) bool {
-	if v.left <= 0 {
-		return false
-	}
-	return candidate.currentPace(now)*float64(v.typical) > float64(v.left) || candidate.stalled(now)
-}
