Survive SIGHUP during a planned stop; end the soak's work at the time that was handed

The seeds had changed in that moment, which sends SIGHUP, and settings.Watch gave the signal back to its default as soon as the stop began. The rig's mute server held its slot until its client closed, which never shows behind a cut link; the platform's servers end work at the time that they are handed. Change: SIGHUP stays caught until the process ends; the rig's servers end work in time.

--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -126,14 +126,19 @@
 	if trouble == soakSlow {
 		work = soakSlowWork
 	}
+	// Work ends at the time that was handed: a client behind a cut link never seems to
+	// leave, and would hold its slot for good.
+	ctx, cancel := context.WithTimeout(request.Context(), soakTimeHanded(request))
+	defer cancel()
 	select {
 	case <-time.After(work):
-	case <-request.Context().Done():
-		return
+	case <-ctx.Done():
+		panic(http.ErrAbortHandler)
 	}
 	switch trouble {
 	case soakMute:
-		<-request.Context().Done()
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
 	case soakLoses:
 		panic(http.ErrAbortHandler)
 	case soakFails:
@@ -150,6 +155,15 @@
 	}
 }
 
+// soakTimeHanded is how long a server may work on a request.
+func soakTimeHanded(request *http.Request) time.Duration {
+	milliseconds, err := strconv.Atoi(request.Header.Get("X-Deadline-Ms"))
+	if err != nil {
+		return soakBeatPatience
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
 // answerTwice sends a second answer, to a request of another id, on the connection.
 func (r *soakServer) answerTwice(writer http.ResponseWriter, id string, part []byte) {
 	conn, buffered, err := http.NewResponseController(writer).Hijack()
--- a/internal/settings/watch.go
+++ b/internal/settings/watch.go
@@ -14,11 +14,12 @@
 const watchInterval = time.Second
 
 // Watch calls changed after SIGHUP and when the content of the file is another,
-// until the context ends. From its call on, SIGHUP does not end the process.
+// until the context ends. From its call on, SIGHUP does not end the process, also not
+// once the context has ended: settings may change while a planned stop finishes what
+// was begun.
 func Watch(ctx context.Context, path string, changed func(reason string)) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	known, _ := os.ReadFile(path)
--- /dev/null
+++ b/internal/settings/watch_test.go
@@ -0,0 +1,28 @@
+package settings_test
+
+import (
+	"context"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/settings"
+)
+
+// TestHangupDoesNotEndAProcessThatStops sends SIGHUP after the context has ended, as
+// when settings change during a planned stop: the process lives on to finish it.
+func TestHangupDoesNotEndAProcessThatStops(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		settings.Watch(ctx, filepath.Join(t.TempDir(), "none"), func(string) {})
+	}()
+	cancel()
+	<-watched
+	require.NoError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP))
+	time.Sleep(50 * time.Millisecond)
+}
