Look once more when the watcher of a scale run ends

The run settles by looking itself, and then stops the watcher, which looks each 200 ms: what came into force in between counted as never reported. Change: the watcher looks once more at its end. The check is as strict as before: a revision that is not in force by then still counts. Conclusion: a fault of the tool, not of the product.

--- a/internal/proof/scale/watcher.go
+++ b/internal/proof/scale/watcher.go
@@ -17,7 +17,9 @@
 
 // watcher notes when control first reports each revision in force.
 type watcher struct {
-	owner *group
+	// inForce asks control for the revision in force, 0 if it does not answer.
+	inForce func(ctx context.Context) uint64
+	pause   time.Duration
 
 	mutex   sync.Mutex
 	highest uint64
@@ -25,7 +27,16 @@
 	reached []Accepted
 }
 
-func newWatcher(owner *group) *watcher { return &watcher{owner: owner} }
+func newWatcher(owner *group) *watcher {
+	made := &watcher{inForce: owner.inForce, pause: inForcePoll}
+	if len(owner.run.groups) > 1 {
+		made.pause = inForcePollRegions
+	}
+	return made
+}
+
+// lastLookTimeout bounds the look after the context has ended.
+const lastLookTimeout = 5 * time.Second
 
 // want notes a revision to wait for.
 func (w *watcher) want(revision uint64) {
@@ -34,26 +45,33 @@
 	w.highest = max(w.highest, revision)
 }
 
-// run polls until the context ends.
+// run polls until the context ends, and looks once more then: what came into force
+// since the last look would else count as never reported.
 func (w *watcher) run(ctx context.Context) {
-	var last uint64
-	pause := inForcePoll
-	if len(w.owner.run.groups) > 1 {
-		pause = inForcePollRegions
+	for wait.For(ctx, w.pause) {
+		w.look(ctx)
 	}
-	for wait.For(ctx, pause) {
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastLookTimeout)
+	defer cancel()
+	w.look(last)
+}
+
+// look notes the revision in force if it has risen and a higher one is waited for.
+func (w *watcher) look(ctx context.Context) {
+	w.mutex.Lock()
+	seen := uint64(0)
+	if len(w.reached) > 0 {
+		seen = w.reached[len(w.reached)-1].Revision
+	}
+	waiting := w.highest > seen
+	w.mutex.Unlock()
+	if !waiting {
+		return
+	}
+	if now := w.inForce(ctx); now > seen {
 		w.mutex.Lock()
-		waiting := w.highest > last
-		w.mutex.Unlock()
-		if !waiting {
-			continue
-		}
-		if now := w.owner.inForce(ctx); now > last {
-			last = now
-			w.mutex.Lock()
-			w.reached = append(w.reached, Accepted{Revision: now, At: time.Now()})
-			w.mutex.Unlock()
-		}
+		defer w.mutex.Unlock()
+		w.reached = append(w.reached, Accepted{Revision: now, At: time.Now()})
 	}
 }
 
