--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -41,7 +41,9 @@
 	soakSlowWork     = 150 * time.Millisecond
 	soakHeartbeat    = 300 * time.Millisecond
 	soakBeatPatience = time.Second
-	soakSlots        = 4
+	// soakLongestWork bounds work whose caller hands no time.
+	soakLongestWork = time.Second
+	soakSlots       = 4
 )
 
 // soakServer is one start of a server, behind a link that can be cut.
@@ -159,7 +161,7 @@
 func soakTimeHanded(request *http.Request) time.Duration {
 	milliseconds, err := strconv.Atoi(request.Header.Get("X-Deadline-Ms"))
 	if err != nil {
-		return soakBeatPatience
+		return soakLongestWork
 	}
 	return time.Duration(milliseconds) * time.Millisecond
 }
--- a/internal/scatter/lack.go
+++ b/internal/scatter/lack.go
@@ -1,6 +1,9 @@
 package scatter
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Cause says why a call has no part yet.
 type Cause uint8
@@ -131,10 +134,5 @@
 
 // hasSound reports whether a server may get work that is not believed to fail.
 func (g *group) hasSound(now time.Time) bool {
-	for _, member := range g.servers {
-		if member.usable() && member.condition(now) < doubted {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(g.servers, func(s *server) bool { return s.usable() && s.condition(now) < doubted })
 }
