Compress news for routers from 2 KiB on

Change: long replies to routers travel as gzip by a library's handler (klauspost/compress, which was an indirect dependency); net/http reads them.

--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -7,10 +7,25 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"github.com/klauspost/compress/gzhttp"
+	"github.com/klauspost/compress/gzip"
 
 	"github.com/martenstage/martenstage/internal/routing"
 )
 
+// compressFrom is from how many bytes on news for routers travel compressed: the whole
+// tables of servers and routers, which hundreds of routers ask for at once.
+const compressFrom = 2 << 10
+
+// compressed lets a handler's long replies be compressed, if the caller takes that.
+func compressed(handler http.Handler) http.Handler {
+	wrap, err := gzhttp.NewWrapper(gzhttp.MinSize(compressFrom), gzhttp.CompressionLevel(gzip.BestSpeed))
+	if err != nil {
+		panic(errors.Wrap(err, "the options of compression are constants"))
+	}
+	return wrap(handler)
+}
+
 // PeerHandler serves the calls of other nodes and of routers.
 func (n *Node) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -30,7 +45,7 @@
 		return struct{}{}, n.departHere(ctx, message)
 	}))
 	mux.Handle(pathRead, handle(func(ctx context.Context, _ struct{}) (readReply, error) { return n.readHere(ctx) }))
-	mux.Handle(PathFollow, handle(n.Follow))
+	mux.Handle(PathFollow, compressed(handle(n.Follow)))
 	return mux
 }
 
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -49,7 +49,7 @@
 	dialer := &net.Dialer{Timeout: searchTimeout, KeepAlive: -1}
 	return &follower{
 		gateway: gateway,
-		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
+		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
 		request: directory.FollowRequest{},
 		servers: make(map[string]bool), departed: make(map[string]bool),
 	}
