--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -35,6 +35,7 @@
 	fresh      map[string]bool
 	beats      map[string]uint64
 	routers    routerTable
+	demand     demand
 	candidates map[string]candidate
 	// told are the members that other nodes named to this one, which is none.
 	told []string
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -103,15 +103,19 @@
 	Absent bool `json:"absent,omitempty"`
 }
 
-// sharedRouter is a router with the time since its last call.
+// sharedRouter is a router with the time since its last call, and what it told in it.
 type sharedRouter struct {
 	Router
 	Age time.Duration `json:"age"`
+	// Calls is how many calls to servers of shards the router makes a second.
+	Calls float64 `json:"calls,omitempty"`
 }
 
 // FollowRequest is what a router knows.
 type FollowRequest struct {
 	Router Router `json:"router"`
+	// Calls is how many calls to servers of shards the router makes a second.
+	Calls float64 `json:"calls,omitempty"`
 	// Version of the document that the router holds; 0 for none.
 	Version uint64 `json:"version"`
 	// Source, Revision and Departures are from the last reply.
@@ -145,6 +149,9 @@
 	Nodes []string `json:"nodes"`
 	// RouterCount is how many routers share the servers.
 	RouterCount int `json:"router_count"`
+	// Calls is how many calls to servers of shards all routers make a second, in
+	// steps that change seldom.
+	Calls float64 `json:"calls,omitempty"`
 	// Routers are those that others can reach, ordered by name, and RoutersDigest
 	// tells one such list from another; the list is left out if the router has it.
 	Routers       []ListedRouter `json:"routers,omitempty"`
--- a/internal/directory/routers.go
+++ b/internal/directory/routers.go
@@ -27,6 +27,8 @@
 	called time.Time
 	// here is when it last called this node.
 	here time.Time
+	// calls is how many calls to servers of shards it makes a second.
+	calls float64
 }
 
 // routerTable holds the routers; its owner guards it.
@@ -34,18 +36,23 @@
 
 // report takes in a call, here or at another node, and reports whether it is
 // news.
-func (t routerTable) report(now time.Time, router Router, age time.Duration, here bool) bool {
-	called := now.Add(-age)
-	known, exists := t[router.Name]
+func (t routerTable) report(now time.Time, told sharedRouter, here bool) bool {
+	called := now.Add(-told.Age)
+	known, exists := t[told.Name]
 	if exists && known.called.After(called) {
 		return false
 	}
-	updated := knownRouter{Router: router, called: called, here: known.here}
+	updated := knownRouter{Router: told.Router, called: called, here: known.here, calls: told.Calls}
 	if here {
 		updated.here = called
 	}
-	t[router.Name] = updated
-	return !exists || known.Router != router
+	t[told.Name] = updated
+	return !exists || known.Router != told.Router
+}
+
+// calls is how many calls to servers of shards all routers make a second.
+func (t routerTable) calls(now time.Time) float64 {
+	return lo.SumBy(t.within(now, routerLiveness), func(known sharedRouter) float64 { return known.Calls })
 }
 
 // within returns the routers that called within a time, ordered by name.
@@ -53,7 +60,7 @@
 	var found []sharedRouter
 	for _, known := range t {
 		if age := now.Sub(known.called); age <= limit {
-			found = append(found, sharedRouter{Router: known.Router, Age: max(0, age)})
+			found = append(found, sharedRouter{Router: known.Router, Age: max(0, age), Calls: known.calls})
 		}
 	}
 	slices.SortFunc(found, func(a, b sharedRouter) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -98,7 +98,7 @@
 		changed = n.registry.Refresh(now, repeated.ID, repeated.Sequence) || changed
 	}
 	for _, router := range message.Routers {
-		changed = n.routers.report(now, router.Router, router.Age, false) || changed
+		changed = n.routers.report(now, router, false) || changed
 	}
 	if changed {
 		n.announce()
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -83,6 +83,7 @@
 		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress,
 		Stopping: f.gateway.stopping.Load(),
 	}
+	f.request.Calls = f.gateway.shardCalls.perSecond(time.Now())
 	var reply directory.FollowReply
 	var err error
 	if f.node == "" {
@@ -153,6 +154,7 @@
 		gateway.peers.setRouters(reply.Routers)
 		gateway.logger.WithField("routers", len(reply.Routers)).Info("routers_changed")
 	}
+	gateway.peers.setCalls(reply.Calls)
 	if reply.RouterCount != f.routerCount {
 		f.routerCount = reply.RouterCount
 		gateway.peers.recount()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,8 @@
 	peers    *peers
 	slices   *sliceClient
 	clients  *clientConnections
+	// shardCalls is how often servers of shards are called, beyond repeats.
+	shardCalls rate
 	// sliceLag is that of slices from other routers, answerLag that from the cut
 	// until an answer is written.
 	sliceLag  lag
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -21,12 +22,20 @@
 	firstSliceMargin = 4 * time.Millisecond
 )
 
+// eventsPerShard bounds the events of a request: a shard is in at most three slices
+// (that of the router that gathers it, of one that stands in for it, and of this one),
+// in each of which it gives a part or is lost, and each slice has an end or a failure
+// besides.
+const eventsPerShard = 3 * 4
+
 // gatherState is one request that is put together from slices.
 type gatherState struct {
 	*exchangeState
-	message    *message.Request
+	message *message.Request
+	// encoded is message as it travels to other routers; nil until one is asked.
+	encoded    json.RawMessage
 	collection slicing.Collection
-	events     chan gatherEvent
+	events     chan *gatherEvent
 	slices     []*sliceState
 	stamps     []string
 	records    [][]byte
@@ -36,18 +45,6 @@
 	fallbacks  int
 }
 
-// sliceState is one slice of a request.
-type sliceState struct {
-	slicing.Slice
-	// due is when another router sends what it has by then; zero for never.
-	due time.Time
-	// open are the positions, in Shards, of which nothing is known yet.
-	open map[int]bool
-	// local is set once this router gathers the slice itself.
-	local *gathering
-	ended bool
-}
-
 // serveGather answers a request whose route names shards.
 func (s *exchangeState) serveGather(passed *message.Request) {
 	ctx, cancel := context.WithCancel(s.request.Context())
@@ -58,11 +55,10 @@
 		collection: slicing.Collection{
 			Total: len(s.route.Shards), Least: s.route.LeastShare, Deadline: arrived.Deadline, Cut: arrived.Due,
 		},
-		// Each shard gives a part or is lost, at most twice, and each slice ends.
-		events: make(chan gatherEvent, 6*len(s.route.Shards)+16),
+		events: make(chan *gatherEvent, eventsPerShard*len(s.route.Shards)+16),
 	}
-	for _, slice := range s.gateway.peers.layout(s.route.Shards).Assign(s.id) {
-		state.begin(slice)
+	for _, slice := range s.gateway.peers.layout(s.route.Shards).Assign(s.id, s.route.Shards) {
+		state.begin(slice, origin{})
 	}
 	state.wait()
 }
@@ -76,71 +72,6 @@
 	return s.arrived.Add(s.route.Target - s.away() - margin)
 }
 
-// begin gathers a slice here or asks its router for it.
-func (g *gatherState) begin(slice slicing.Slice) {
-	state := &sliceState{Slice: slice, open: make(map[int]bool, len(slice.Shards))}
-	for position := range slice.Shards {
-		state.open[position] = true
-	}
-	g.slices = append(g.slices, state)
-	index := len(g.slices) - 1
-	if slice.Router.Name == "" {
-		g.gatherHere(index, false)
-		return
-	}
-	g.gateway.metrics.slicesAsked.Inc()
-	asked := g.sliceRequest(slice)
-	if !g.collection.Cut.IsZero() {
-		state.due = time.Now().Add(asked.CutLeft)
-	}
-	go func() {
-		accepted, err := g.gateway.slices.ask(g.context, slice.Router, asked, func(frame sliceFrame) {
-			g.events <- gatherEvent{slice: index, frame: &frame, at: time.Now()}
-		})
-		if err != nil {
-			g.events <- gatherEvent{slice: index, failed: true, accepted: accepted, reason: err}
-		}
-	}()
-}
-
-func (g *gatherState) sliceRequest(slice slicing.Slice) sliceRequest {
-	now := time.Now()
-	asked := sliceRequest{
-		Request: g.message, Shards: slice.Shards, Route: g.route.Name, MaxAttempts: g.route.MaxAttempts,
-		Priority: g.route.Priority, TopRecords: g.route.TopRecords, LeastShare: g.route.LeastShare, Target: g.route.Target,
-		DeadlineLeft: g.collection.Deadline.Sub(now),
-	}
-	if !g.collection.Cut.IsZero() {
-		asked.CutLeft = max(0, g.collection.Cut.Sub(now)-g.gateway.sliceLag.margin(firstSliceMargin))
-	}
-	return asked
-}
-
-// gatherHere gives what is open of a slice to the own engine.
-func (g *gatherState) gatherHere(index int, repeat bool) {
-	state := g.slices[index]
-	var open []int
-	for position := range state.Shards {
-		if state.open[position] {
-			open = append(open, position)
-		}
-	}
-	shards := make([]string, len(open))
-	for number, position := range open {
-		shards[number] = state.Shards[position]
-	}
-	// From now on positions are those of the shards that were open.
-	state.Shards, state.open = shards, make(map[int]bool, len(shards))
-	for position := range shards {
-		state.open[position] = true
-	}
-	gathering := g.gateway.submitShards(localSlice{
-		request: g.message, route: g.route, shards: shards, deadline: g.collection.Deadline, due: g.collection.Cut,
-		repeat: repeat, events: g.events, slice: index,
-	})
-	state.local = &gathering
-}
-
 // wait takes events in until the collection decides, then answers.
 func (g *gatherState) wait() {
 	timer := time.NewTimer(time.Until(g.collection.Next(time.Now())))
@@ -168,7 +99,7 @@
 	}
 }
 
-func (g *gatherState) takeIn(event gatherEvent) {
+func (g *gatherState) takeIn(event *gatherEvent) {
 	state := g.slices[event.slice]
 	switch {
 	case event.frame != nil:
@@ -189,7 +120,7 @@
 }
 
 // observeLag learns how late the frame that was sent at the cut came in.
-func (g *gatherState) observeLag(state *sliceState, event gatherEvent) {
+func (g *gatherState) observeLag(state *sliceState, event *gatherEvent) {
 	if state.due.IsZero() || event.at.Before(state.due) || event.frame.Last && len(event.frame.Lost) == 0 {
 		return
 	}
@@ -223,21 +154,6 @@
 	}
 }
 
-// fallBack gathers here what a router that failed has not brought.
-func (g *gatherState) fallBack(event gatherEvent) {
-	state := g.slices[event.slice]
-	if g.context.Err() != nil || state.ended {
-		return
-	}
-	g.gateway.metrics.slicesFailed.Inc()
-	if g.gateway.peers.doubt(state.Router.Name) {
-		g.gateway.logger.WithField("router", state.Router.Name).WithField("accepted", event.accepted).
-			WithField("request", g.id).WithField("reason", event.reason).Info("router_doubted")
-	}
-	g.fallbacks++
-	g.gatherHere(event.slice, event.accepted)
-}
-
 func (g *gatherState) addResult(result scatter.Result) {
 	g.result.Attempts += result.Attempts
 	g.result.Extras += result.Extras
--- /dev/null
+++ b/internal/gateway/gather_bench_test.go
@@ -0,0 +1,140 @@
+package gateway_test
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+// Sizes of the measured site: a sweep of a large index, gathered by other routers.
+const (
+	measuredShards  = 180
+	measuredRouters = 16
+)
+
+// BenchmarkGatherBySlices is a request over many shards, all gathered by other
+// routers, which answer at once: the processor time of the router that was asked,
+// with that of the client and the stand-ins.
+func BenchmarkGatherBySlices(b *testing.B) {
+	document := oneRoute(1, "s")
+	route := &document.Routes[0]
+	route.Targets, route.Shards, document.Services = nil, nil, nil
+	route.TopRecords, route.LeastShare = 50, 0.95
+	site := startSite(b, nil, nil)
+	reply := &site.directory.reply
+	for number := range measuredShards {
+		name := fmt.Sprint("s", number)
+		route.Shards = append(route.Shards, name)
+		document.Services = append(document.Services, routing.Service{Name: name})
+		reply.Instances = append(reply.Instances, registry.Instance{
+			ID: "i-" + name, Service: name, Address: "127.0.0.1:1", Zone: "b", Slots: 2, State: registry.Ready,
+		})
+	}
+	for number := range measuredRouters {
+		reply.Routers = append(reply.Routers, directory.ListedRouter{Name: fmt.Sprint("other", number), Zone: "b", Address: sliceStandIn(b)})
+	}
+	reply.RoutersDigest, reply.Revision = 1, 1
+	site.install(document)
+	b.ReportAllocs()
+	for b.Loop() {
+		if got := site.ask(http.MethodGet, "/a/", nil); got.status != http.StatusOK || got.header.Get("X-Missing") != "0" {
+			b.Fatalf("%+v", got)
+		}
+	}
+}
+
+// sliceStandIn answers each request for a slice with all of its parts, in one write.
+func sliceStandIn(b *testing.B) string {
+	return serve(b, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		var asked struct{ Shards []string }
+		if err := json.NewDecoder(request.Body).Decode(&asked); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		_, _ = writer.Write(standInFrame(asked.Shards))
+	}))
+}
+
+func standInFrame(shards []string) []byte {
+	body := []byte{1}
+	body = binary.AppendUvarint(body, uint64(len(shards)))
+	for position, shard := range shards {
+		body = binary.AppendUvarint(body, uint64(position))
+		body = binary.AppendUvarint(body, uint64(len(shard)))
+		body = append(body, shard...)
+	}
+	body = binary.AppendUvarint(body, 0)
+	body = append(body, make([]byte, 50*16)...)
+	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+}
+
+// BenchmarkGatherHere is a request over the shards of one cell, gathered by the
+// router that was asked from servers that answer at once.
+func BenchmarkGatherHere(b *testing.B) {
+	const shards = 14
+	document := oneRoute(1, "s")
+	route := &document.Routes[0]
+	route.Targets, route.Shards, document.Services = nil, nil, nil
+	route.TopRecords, route.LeastShare = 50, 0.95
+	site := startSite(b, nil, nil)
+	reply := &site.directory.reply
+	for number := range shards {
+		name := fmt.Sprint("s", number)
+		route.Shards = append(route.Shards, name)
+		document.Services = append(document.Services, routing.Service{Name: name})
+		reply.Instances = append(reply.Instances, registry.Instance{
+			ID: "i-" + name, Service: name, Address: partStandIn(b), Zone: "a", Slots: 2, State: registry.Ready,
+		})
+	}
+	reply.Revision = 1
+	site.install(document)
+	time.Sleep(50 * time.Millisecond)
+	b.ReportAllocs()
+	for b.Loop() {
+		if got := site.ask(http.MethodGet, "/a/", nil); got.status != http.StatusOK || got.header.Get("X-Missing") != "0" {
+			b.Fatalf("%+v", got)
+		}
+	}
+}
+
+// partStandIn answers whatever comes in one piece with the same part.
+func partStandIn(b *testing.B) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = listener.Close() })
+	answer := append([]byte("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Stamp: s\r\nContent-Length: 1000\r\n\r\n"), make([]byte, 1000)...)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answerEach(conn, answer)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func answerEach(conn net.Conn, answer []byte) {
+	defer func() { _ = conn.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+		if _, err := conn.Write(answer); err != nil && err != io.EOF {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/gather_slices.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/slicing"
+)
+
+// sliceState is one slice of a request.
+type sliceState struct {
+	slicing.Slice
+	// due is when another router sends what it has by then; zero for never.
+	due time.Time
+	// origin says how the slice came about.
+	origin origin
+	// open are the positions, in Shards, of which nothing is known yet.
+	open map[int]bool
+	// local is set once this router gathers the slice itself.
+	local *gathering
+	ended bool
+}
+
+// origin says how a slice came about.
+type origin struct {
+	// standIn says that a router failed with the shards before.
+	standIn bool
+	// repeat says that it may have sent attempts for them.
+	repeat bool
+}
+
+// begin gathers a slice here or asks its router for it.
+func (g *gatherState) begin(slice slicing.Slice, from origin) {
+	state := &sliceState{Slice: slice, origin: from, open: make(map[int]bool, len(slice.Shards))}
+	for position := range slice.Shards {
+		state.open[position] = true
+	}
+	g.slices = append(g.slices, state)
+	index := len(g.slices) - 1
+	if slice.Router.Name == "" {
+		g.gatherHere(index, from.repeat)
+		return
+	}
+	g.gateway.metrics.slicesAsked.Inc()
+	asked := g.sliceRequest(slice, from)
+	if !g.collection.Cut.IsZero() {
+		state.due = time.Now().Add(asked.CutLeft)
+	}
+	go func() {
+		accepted, err := g.gateway.slices.ask(g.context, slice.Router, asked, func(frame sliceFrame) {
+			g.events <- &gatherEvent{slice: index, frame: &frame, at: time.Now()}
+		})
+		if err != nil {
+			g.events <- &gatherEvent{slice: index, failed: true, accepted: accepted, reason: err}
+		}
+	}()
+}
+
+// sliceRequest is what the router of a slice is asked.
+func (g *gatherState) sliceRequest(slice slicing.Slice, from origin) sliceRequest {
+	now := time.Now()
+	asked := sliceRequest{
+		Request: g.encode(), Shards: slice.Shards, Route: g.route.Name, MaxAttempts: g.route.MaxAttempts,
+		Priority: g.route.Priority, TopRecords: g.route.TopRecords, LeastShare: g.route.LeastShare, Target: g.route.Target,
+		DeadlineLeft: g.collection.Deadline.Sub(now), Repeat: from.repeat,
+	}
+	if !g.collection.Cut.IsZero() {
+		asked.CutLeft = max(0, g.collection.Cut.Sub(now)-g.gateway.sliceLag.margin(firstSliceMargin))
+	}
+	return asked
+}
+
+// encode returns the client's request as it travels to other routers.
+func (g *gatherState) encode() json.RawMessage {
+	if g.encoded != nil {
+		return g.encoded
+	}
+	encoded, err := json.Marshal(g.message)
+	if err != nil {
+		panic(errors.Wrap(err, "a request holds only texts and bytes"))
+	}
+	g.encoded = encoded
+	return encoded
+}
+
+// gatherHere gives a slice to the own engine.
+func (g *gatherState) gatherHere(index int, repeat bool) {
+	state := g.slices[index]
+	gathering := g.gateway.submitShards(localSlice{
+		request: g.message, route: g.route, shards: state.Shards, deadline: g.collection.Deadline, due: g.collection.Cut,
+		repeat: repeat, events: g.events, slice: index,
+	})
+	state.local = &gathering
+}
+
+// fallBack has what a router that failed has not brought gathered by those that stand
+// in for it, which know its servers, or here if those fail too.
+func (g *gatherState) fallBack(event *gatherEvent) {
+	failed := g.slices[event.slice]
+	if g.context.Err() != nil || failed.ended {
+		return
+	}
+	g.gateway.metrics.slicesFailed.Inc()
+	if g.gateway.peers.doubt(failed.Router.Name) {
+		g.gateway.logger.WithField("router", failed.Router.Name).WithField("accepted", event.accepted).
+			WithField("request", g.id).WithField("reason", event.reason).Info("router_doubted")
+	}
+	g.fallbacks++
+	open := failed.leave()
+	from := origin{standIn: true, repeat: failed.origin.repeat || event.accepted}
+	if failed.origin.standIn {
+		g.begin(slicing.Slice{Shards: open}, from)
+		return
+	}
+	for _, slice := range g.gateway.peers.layout(g.route.Shards).Assign(g.id, open) {
+		g.begin(slice, from)
+	}
+}
+
+// leave ends a slice whose router failed and returns the shards that it leaves open.
+func (s *sliceState) leave() []string {
+	open := lo.Filter(s.Shards, func(_ string, position int) bool { return s.open[position] })
+	s.ended = true
+	clear(s.open)
+	return open
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -33,14 +33,14 @@
 	answer chan scatter.Result
 	// events receives, in the place of answer, the parts and the end of a request
 	// that gathers, marked with slice. It has room for all of them.
-	events chan<- gatherEvent
+	events chan<- *gatherEvent
 	slice  int
 }
 
 // end hands the result of a request on.
 func (s submitted) end(result scatter.Result) {
 	if s.events != nil {
-		s.events <- gatherEvent{slice: s.slice, ended: true, lost: result.Missing, result: result}
+		s.events <- &gatherEvent{slice: s.slice, ended: true, lost: result.Missing, result: result}
 		return
 	}
 	s.answer <- result
@@ -126,7 +126,7 @@
 		}
 	case scatter.Part:
 		if waiting, ok := l.waiting[command.Request]; ok {
-			waiting.events <- gatherEvent{slice: waiting.slice, part: command, at: time.Now()}
+			waiting.events <- &gatherEvent{slice: waiting.slice, part: command, at: time.Now()}
 		}
 	case scatter.Wake:
 		l.timer.Reset(time.Until(command.At))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,8 +22,10 @@
 type peers struct {
 	self slicing.Router
 
-	mutex    sync.Mutex
-	routers  []slicing.Router
+	mutex   sync.Mutex
+	routers []slicing.Router
+	// calls is how many calls to servers of shards all routers make a second.
+	calls    float64
 	doubted  map[string]time.Time
 	places   map[string]place
 	zones    map[string][]string
@@ -54,6 +56,16 @@
 	p.routers = lo.Map(routers, func(r directory.ListedRouter, _ int) slicing.Router { return slicing.Router(r) })
 }
 
+// setCalls takes in how many calls all routers make a second.
+func (p *peers) setCalls(calls float64) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.calls != calls {
+		p.calls = calls
+		p.change()
+	}
+}
+
 // change forgets what was worked out. The caller holds the mutex.
 func (p *peers) change() {
 	p.changed = true
@@ -145,7 +157,9 @@
 	if len(p.layouts) == 0 {
 		p.until = until
 	}
-	made := slicing.NewLayout(p.self, shards, func(shard string) []string { return p.zones[shard] }, routers)
+	made := slicing.NewLayout(p.self, shards, slicing.Site{
+		Zones: func(shard string) []string { return p.zones[shard] }, Routers: routers, Calls: p.calls,
+	})
 	p.layouts[&shards[0]] = made
 	return made
 }
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -2,12 +2,11 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/martenstage/martenstage/internal/message"
 )
 
 // pathSlice is the call by which a router asks another one to gather some shards.
@@ -15,8 +14,10 @@
 
 // sliceRequest asks for the parts of some shards.
 type sliceRequest struct {
-	Request *message.Request `json:"request"`
-	Shards  []string         `json:"shards"`
+	// Request is that of the client, a message.Request: it is the same in all slices
+	// and encoded once.
+	Request json.RawMessage `json:"request"`
+	Shards  []string        `json:"shards"`
 	// The parts of the route that matter to those shards.
 	Route       string  `json:"route"`
 	MaxAttempts int     `json:"max_attempts"`
@@ -29,6 +30,8 @@
 	// end. Both count from the arrival.
 	CutLeft      time.Duration `json:"cut_left"`
 	DeadlineLeft time.Duration `json:"deadline_left"`
+	// Repeat says that servers may have been asked by another router before.
+	Repeat bool `json:"repeat,omitempty"`
 }
 
 // due is when the parts of a request that arrived at a time are sent; zero for when
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -24,8 +24,12 @@
 // in when all is or at the cut, and then whatever comes later.
 func (g *Gateway) serveSlice(writer http.ResponseWriter, request *http.Request) {
 	var asked sliceRequest
+	var passed message.Request
 	err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxSliceBytes)).Decode(&asked)
-	if err != nil || asked.Request == nil || len(asked.Shards) == 0 {
+	if err == nil {
+		err = json.Unmarshal(asked.Request, &passed)
+	}
+	if err != nil || len(asked.Shards) == 0 {
 		http.Error(writer, "the slice can't be read", http.StatusBadRequest)
 		return
 	}
@@ -35,7 +39,7 @@
 	}
 	defer g.inFlight.Add(-1)
 	writer.WriteHeader(http.StatusOK)
-	stream := &sliceStream{writer: writer, controller: http.NewResponseController(writer), asked: &asked}
+	stream := &sliceStream{writer: writer, controller: http.NewResponseController(writer), asked: &asked, request: &passed}
 	if stream.controller.Flush() != nil {
 		return
 	}
@@ -48,6 +52,7 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	asked      *sliceRequest
+	request    *message.Request
 	pending    sliceFrame
 	parts      [][]byte
 }
@@ -69,9 +74,9 @@
 func (g *Gateway) gatherSlice(request *http.Request, stream *sliceStream) {
 	asked := stream.asked
 	now := time.Now()
-	events := make(chan gatherEvent, 2*len(asked.Shards)+1)
+	events := make(chan *gatherEvent, 2*len(asked.Shards)+1)
 	gathering := g.submitShards(localSlice{
-		request: asked.Request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events,
+		request: stream.request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events, repeat: asked.Repeat,
 		route: &routing.Route{
 			Name: asked.Route, Repeatable: true, Timeout: asked.DeadlineLeft, Target: asked.Target, Priority: asked.Priority,
 			MaxAttempts: asked.MaxAttempts, Shards: asked.Shards, LeastShare: asked.LeastShare,
@@ -115,7 +120,7 @@
 	repeat bool
 	// events receives one event for each part and one at the end; it has room for
 	// them all.
-	events chan<- gatherEvent
+	events chan<- *gatherEvent
 	// slice is the mark of its events.
 	slice int
 }
@@ -155,6 +160,7 @@
 		},
 		request: local.request, id: make(chan scatter.RequestID, 1), events: local.events, slice: local.slice,
 	}
+	g.shardCalls.add(len(local.shards))
 	g.loop.requests <- arriving
 	return gathering{gateway: g, id: arriving.id}
 }
