Wait for routers by what they take, and send slices again over new connections

Cause: 60 to 90 ms of waiting for a silent router are most of a target of 100 ms. Change: three times the usual time until a slice is accepted, 25 to 90 ms; net/http may replay a slice on a connection that ends before anything came, which proves that nothing was sent; up to three routers are tried before the shards are gathered here. Test: TestSliceIsSentAgainOverANewConnection failed before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -423,3 +423,24 @@
 	require.ElementsMatch(t, []string{"i-s", "t"}, strings.Split(got.header.Get("X-Stamps"), ","), "the stand-in signs with the shard's name")
 	require.True(t, <-repeats)
 }
+
+// TestSliceIsSentAgainOverANewConnection has a router end a kept connection when the next
+// slice comes, as after a restart: it is asked once more, and not doubted.
+func TestSliceIsSentAgainOverANewConnection(t *testing.T) {
+	var slices atomic.Int64
+	other := serve(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		var slice struct{ Shards []string }
+		_ = json.NewDecoder(request.Body).Decode(&slice)
+		if slices.Add(1) == 2 {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = writer.Write(standInFrame(slice.Shards))
+	}))
+	s := gatherAcross(t, other)
+	for range 2 {
+		got := s.ask(http.MethodGet, "/a/", nil)
+		require.Equal(t, http.StatusOK, got.status)
+		require.ElementsMatch(t, []string{"i-s", "t"}, strings.Split(got.header.Get("X-Stamps"), ","))
+	}
+	require.EqualValues(t, 3, slices.Load())
+}
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -22,11 +22,10 @@
 	firstSliceMargin = 4 * time.Millisecond
 )
 
-// eventsPerShard bounds the events of a request: a shard is in at most three slices
-// (that of the router that gathers it, of one that stands in for it, and of this one),
-// in each of which it gives a part or is lost, and each slice has an end or a failure
-// besides.
-const eventsPerShard = 3 * 4
+// eventsPerShard bounds the events of a request: a shard is in the slices of the router
+// that gathers it, of those that stand in for it and of this one; in each it gives a
+// part or is lost, and each slice has two frames more than parts and a failure.
+const eventsPerShard = (maxStandIns + 2) * 4
 
 // gatherState is one request that is put together from slices.
 type gatherState struct {
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -24,10 +24,15 @@
 	ended bool
 }
 
+// maxStandIns bounds the routers that are asked for a shard one after the other, before
+// it is gathered here: by a router that has next to no share of what its servers allow,
+// and no connection to them.
+const maxStandIns = 3
+
 // origin says how a slice came about.
 type origin struct {
-	// standIn says that a router failed with the shards before.
-	standIn bool
+	// failed is how many routers failed with the shards before.
+	failed int
 	// repeat says that it may have sent attempts for them.
 	repeat bool
 }
@@ -110,8 +115,8 @@
 	}
 	g.fallbacks++
 	open := failed.leave()
-	from := origin{standIn: true, repeat: failed.origin.repeat || event.accepted}
-	if failed.origin.standIn {
+	from := origin{failed: failed.origin.failed + 1, repeat: failed.origin.repeat || event.accepted}
+	if from.failed > maxStandIns {
 		g.begin(slicing.Slice{Shards: open}, from)
 		return
 	}
--- /dev/null
+++ b/internal/gateway/patience.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/martenstage/martenstage/internal/latency"
+)
+
+// Bounds of how long a router may take to say that it has a slice, from the first byte
+// of a connection that may have to be opened. Routers of the same zone say so within a
+// few ms, those of a far region after a round trip of some 40 ms; one without power says
+// nothing, and each ms until another one is asked is lost for the request.
+const (
+	leastPatience   = 25 * time.Millisecond
+	longestPatience = 90 * time.Millisecond
+	// patienceFactor is how many times the usual time a router may take.
+	patienceFactor = 3
+)
+
+// patience is how long routers are waited for, by how long they took of late. The zero
+// value waits for the longest time. It is safe for concurrent use.
+type patience struct {
+	mutex sync.Mutex
+	usual latency.Average
+}
+
+// observe takes in how long a router took, or was waited for in vain: where most are
+// slow, the patience grows.
+func (p *patience) observe(now time.Time, took time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.usual.Observe(now, min(took, longestPatience))
+}
+
+// current is how long to wait for the next one.
+func (p *patience) current() time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.usual.Observed().IsZero() {
+		return longestPatience
+	}
+	return min(longestPatience, max(leastPatience, patienceFactor*p.usual.Value()))
+}
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,18 +18,19 @@
 
 // Bounds of asking another router.
 const (
-	peerDialTimeout = 60 * time.Millisecond
-	// acceptTime is how long a router may take to say that it has the request.
-	acceptTime      = 90 * time.Millisecond
 	peerIdlePerHost = 16
 	peerIdleTime    = 20 * time.Second
 )
 
 // sliceClient asks other routers for slices.
-type sliceClient struct{ http *http.Client }
+type sliceClient struct {
+	http *http.Client
+	// patience is how long a router may take to say that it has a slice.
+	patience patience
+}
 
 func newSliceClient() *sliceClient {
-	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: longestPatience, KeepAlive: -1}
 	return &sliceClient{http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdlePerHost, IdleConnTimeout: peerIdleTime,
 		DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
@@ -45,21 +48,11 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+router.Address+pathSlice, bytes.NewReader(body))
-	if err != nil {
-		return false, err
-	}
-	patience := time.AfterFunc(acceptTime, func() { cancel(errNotAccepted) })
-	response, err := c.http.Do(request)
-	patience.Stop()
+	response, accepted, err := c.accepted(ctx, cancel, router, body)
 	if err != nil {
-		// A refused connection proves that it has nothing; silence proves nothing.
-		return !isDialError(err), err
+		return accepted, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return false, errors.Newf("status %d", response.StatusCode)
-	}
 	// Each frame but the last brings a part, so that there are no more than these;
 	// the receiver of events has room for them.
 	for range len(asked.Shards) + 2 {
@@ -77,7 +70,38 @@
 	return true, errFrame
 }
 
-func isDialError(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
+// accepted sends a slice and waits until the router says that it has it. When it returns
+// an error, may says whether the router may have sent something to servers.
+func (c *sliceClient) accepted(ctx context.Context, cancel context.CancelCauseFunc, router slicing.Router, body []byte) (response *http.Response, may bool, err error) {
+	var written atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteHeaders: func() { written.Store(true) },
+	})
+	request, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+router.Address+pathSlice, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, err
+	}
+	// A kept connection may be to an earlier start of the router. Where it ends before
+	// anything came, nothing was sent to servers, so that net/http may send the slice
+	// again over a new one; an empty key says so to it alone.
+	request.Header["Idempotency-Key"] = []string{}
+	silence := time.AfterFunc(c.patience.current(), func() { cancel(errNotAccepted) })
+	defer silence.Stop()
+	began := time.Now()
+	response, err = c.http.Do(request)
+	ended := time.Now()
+	silent := errors.Is(context.Cause(ctx), errNotAccepted)
+	if err == nil || silent {
+		c.patience.observe(ended, ended.Sub(began))
+	}
+	if err != nil {
+		// Silence proves nothing once something was written. A connection that ends does:
+		// a router says that it has a slice before it sends anything.
+		return nil, written.Load() && silent, err
+	}
+	if response.StatusCode != http.StatusOK {
+		_ = response.Body.Close()
+		return nil, false, errors.Newf("status %d", response.StatusCode)
+	}
+	return response, true, nil
 }
