Tell all routers of one that failed

Change: a router that fails with a slice is told to the directory; told by two within 2 s it is absent for all until it calls again. Absent names travel apart from the list.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -60,10 +60,14 @@
 		RouterCount: len(n.routers.within(now, routerLifetime)), Calls: n.demand.follow(now, n.routers.calls(now)),
 		Nodes: lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
 	}
-	routers, digest := n.routers.listed(now)
-	reply.RoutersDigest = digest
-	if digest != request.Routers {
-		reply.Routers = routers
+	list := n.routers.listed(now)
+	reply.RoutersDigest, reply.AbsentDigest = list.routersDigest, list.absentDigest
+	otherRouters, otherAbsent := list.routersDigest != request.Routers, list.absentDigest != request.Absent
+	if otherRouters {
+		reply.Routers = list.routers
+	}
+	if otherAbsent {
+		reply.Absent = list.absent
 	}
 	same := request.Source == n.source
 	since := request.Revision
@@ -73,7 +77,7 @@
 	reply.Whole = !same
 	reply.Instances = n.registry.Since(now, since)
 	reply.Departed, reply.Departures = applied.departures(request.Departures)
-	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || digest != request.Routers
+	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || otherRouters || otherAbsent
 	return reply, news, n.changed, nil
 }
 
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -32,10 +32,12 @@
 	changed  chan struct{}
 	// fresh are servers whose change was reported to this node since the last
 	// share, beats those that only repeated themselves.
-	fresh      map[string]bool
-	beats      map[string]uint64
-	routers    routerTable
-	demand     demand
+	fresh   map[string]bool
+	beats   map[string]uint64
+	routers routerTable
+	demand  demand
+	// doubts are what routers told this node since the last share.
+	doubts     []Doubt
 	candidates map[string]candidate
 	// told are the members that other nodes named to this one, which is none.
 	told []string
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -21,6 +21,8 @@
 	pathDepart   = "/peer/depart"
 	// PathFollow is what routers call for news.
 	PathFollow = "/router/follow"
+	// PathDoubt is where routers tell which others failed.
+	PathDoubt = "/router/doubt"
 )
 
 // joinRequest asks to become a member.
@@ -44,10 +46,19 @@
 	Beats []beat `json:"beats,omitempty"`
 	// Routers are those that called lately.
 	Routers []sharedRouter `json:"routers,omitempty"`
+	// Doubts are what routers told lately of others that failed.
+	Doubts []Doubt `json:"doubts,omitempty"`
 	// Settled says that the sender's table is not one that was just begun.
 	Settled bool `json:"settled,omitempty"`
 }
 
+// Doubt is what a router tells of others that failed with a slice.
+type Doubt struct {
+	// By is the router that tells it, Routers the ones that failed.
+	By      string   `json:"by"`
+	Routers []string `json:"routers"`
+}
+
 // tablePosition is up to where a node has taken over the table of another one: the
 // other's source and the revision of its table.
 type tablePosition struct {
@@ -99,8 +110,6 @@
 	Name    string `json:"name"`
 	Zone    string `json:"zone,omitempty"`
 	Address string `json:"address"`
-	// Absent says that it is not to be asked now: it stops or is silent.
-	Absent bool `json:"absent,omitempty"`
 }
 
 // sharedRouter is a router with the time since its last call, and what it told in it.
@@ -118,11 +127,13 @@
 	Calls float64 `json:"calls,omitempty"`
 	// Version of the document that the router holds; 0 for none.
 	Version uint64 `json:"version"`
-	// Source, Revision and Departures are from the last reply.
+	// Source, Revision and Departures are from the last reply, as are the digests
+	// Routers and Absent.
 	Source     string `json:"source"`
 	Revision   uint64 `json:"revision"`
 	Departures int    `json:"departures"`
 	Routers    uint64 `json:"routers"`
+	Absent     uint64 `json:"absent"`
 	// Probe asks only whether the node can be followed: the reply names its source.
 	Probe bool `json:"probe,omitempty"`
 	// Wait is how long the node may hold the call while there is no news.
@@ -156,6 +167,11 @@
 	// tells one such list from another; the list is left out if the router has it.
 	Routers       []ListedRouter `json:"routers,omitempty"`
 	RoutersDigest uint64         `json:"routers_digest"`
+	// Absent names those of them that are not to be asked now: they stop, are silent or
+	// failed. AbsentDigest is to it as RoutersDigest is to Routers. That changes often
+	// where many routers fail, so that it travels apart.
+	Absent       []string `json:"absent,omitempty"`
+	AbsentDigest uint64   `json:"absent_digest"`
 }
 
 // maxFramedMessage bounds one consensus message in a call.
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -45,6 +45,10 @@
 		return struct{}{}, n.departHere(ctx, message)
 	}))
 	mux.Handle(pathRead, handle(func(ctx context.Context, _ struct{}) (readReply, error) { return n.readHere(ctx) }))
+	mux.Handle(PathDoubt, handle(func(_ context.Context, told Doubt) (struct{}, error) {
+		n.doubtRouters(told)
+		return struct{}{}, nil
+	}))
 	mux.Handle(PathFollow, compressed(handle(n.Follow)))
 	return mux
 }
--- a/internal/directory/routers.go
+++ b/internal/directory/routers.go
@@ -3,10 +3,12 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 )
 
@@ -19,8 +21,15 @@
 	routerLiveness = 2500 * time.Millisecond
 	// routerShare is how recent a call is that other nodes are told of.
 	routerShare = 2 * beatShareInterval
+	// doubtLifetime is within which time doubtersNeeded routers have to tell that a
+	// router failed for it to count as absent.
+	doubtLifetime = 2 * time.Second
 )
 
+// doubtersNeeded is how many routers have to tell that another one failed. What one alone
+// tells may be its own fault: it is slow, or cut off from some.
+const doubtersNeeded = 2
+
 // knownRouter is a router with the time of its last call, at whichever node.
 type knownRouter struct {
 	Router
@@ -29,6 +38,16 @@
 	here time.Time
 	// calls is how many calls to servers of shards it makes a second.
 	calls float64
+	// doubts are when each other router told last that it failed.
+	doubts map[string]time.Time
+}
+
+// doubted reports whether several others told that the router failed, after its last
+// call: one that calls again is there.
+func (k knownRouter) doubted(now time.Time) bool {
+	return doubtersNeeded <= lo.CountBy(lo.Values(k.doubts), func(told time.Time) bool {
+		return told.After(k.called) && now.Sub(told) <= doubtLifetime+routerLiveness
+	})
 }
 
 // routerTable holds the routers; its owner guards it.
@@ -47,7 +66,28 @@
 		updated.here = called
 	}
 	t[told.Name] = updated
-	return !exists || known.Router != told.Router
+	return !exists || known.Router != told.Router || known.doubted(now)
+}
+
+// doubt takes in that a router told of others that failed, and reports whether one of
+// them is absent for it that was not before.
+func (t routerTable) doubt(now time.Time, told Doubt) bool {
+	news := false
+	for _, name := range told.Routers {
+		known, exists := t[name]
+		if !exists || name == told.By {
+			continue
+		}
+		before := known.doubted(now)
+		maps.DeleteFunc(known.doubts, func(_ string, at time.Time) bool { return now.Sub(at) > doubtLifetime })
+		if known.doubts == nil {
+			known.doubts = make(map[string]time.Time)
+		}
+		known.doubts[told.By] = now
+		t[name] = known
+		news = news || known.doubted(now) != before
+	}
+	return news
 }
 
 // calls is how many calls to servers of shards all routers make a second.
@@ -83,17 +123,37 @@
 	}
 }
 
-// listed returns the routers that others can reach, and a digest of the list. One
-// that stops or is silent is absent in it, but keeps its place for some time: it
-// may only be starting again.
-func (t routerTable) listed(now time.Time) ([]ListedRouter, uint64) {
-	list := lo.FilterMap(t.within(now, routerLifetime), func(known sharedRouter, _ int) (ListedRouter, bool) {
-		absent := known.Stopping || known.Age > routerLiveness
-		return ListedRouter{Name: known.Name, Zone: known.Zone, Address: known.Address, Absent: absent}, known.Address != ""
-	})
+// routerList is what routers are told of each other.
+type routerList struct {
+	routers       []ListedRouter
+	routersDigest uint64
+	absent        []string
+	absentDigest  uint64
+}
+
+// listed returns the routers that others can reach, and which of them are absent. One
+// that stops, is silent or failed keeps its place for some time: it may only be starting
+// again.
+func (t routerTable) listed(now time.Time) routerList {
+	var list routerList
+	for _, known := range t.within(now, routerLifetime) {
+		if known.Address == "" {
+			continue
+		}
+		list.routers = append(list.routers, ListedRouter{Name: known.Name, Zone: known.Zone, Address: known.Address})
+		if known.Stopping || known.Age > routerLiveness || t[known.Name].doubted(now) {
+			list.absent = append(list.absent, known.Name)
+		}
+	}
+	list.routersDigest, list.absentDigest = digestOf(list.routers), digestOf(list.absent)
+	return list
+}
+
+// digestOf tells one list from another; it is never 0, which stands for none.
+func digestOf(list any) uint64 {
 	text, err := json.Marshal(list)
 	if err != nil {
-		return nil, 0
+		panic(errors.Wrap(err, "a list holds only texts"))
 	}
-	return list, xxhash.Sum64(text)
+	return max(1, xxhash.Sum64(text))
 }
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -4,8 +4,11 @@
 	"context"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/martenstage/martenstage/internal/registry"
 )
 
@@ -39,7 +42,7 @@
 			n.expire()
 		}
 		message := n.takeShare(withBeats)
-		if len(message.Instances)+len(message.Beats)+len(message.Routers) == 0 {
+		if len(message.Instances)+len(message.Beats)+len(message.Routers)+len(message.Doubts) == 0 {
 			return
 		}
 		for _, address := range n.peerAddresses() {
@@ -61,7 +64,8 @@
 	for id := range wanted {
 		delete(n.beats, id)
 	}
-	message := shareMessage{Settled: n.settled}
+	message := shareMessage{Settled: n.settled, Doubts: n.doubts}
+	n.doubts = nil
 	now := time.Now()
 	if withBeats {
 		for _, id := range slices.Sorted(maps.Keys(n.beats)) {
@@ -100,11 +104,36 @@
 	for _, router := range message.Routers {
 		changed = n.routers.report(now, router, false) || changed
 	}
+	for _, told := range message.Doubts {
+		changed = n.routers.doubt(now, told) || changed
+	}
 	if changed {
 		n.announce()
 	}
 }
 
+// doubtRouters takes in that routers failed, from one that asked them.
+func (n *Node) doubtRouters(told Doubt) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	told.Routers = lo.Slice(told.Routers, 0, maxDoubted)
+	if len(n.doubts) < maxDoubtsShared {
+		n.doubts = append(n.doubts, told)
+	}
+	if n.routers.doubt(time.Now(), told) {
+		n.announce()
+		n.logger.WithField("by", told.By).WithField("routers", strings.Join(told.Routers, " ")).Info("routers_doubted")
+	}
+}
+
+// Bounds of what routers tell of others.
+const (
+	// maxDoubted is how many routers one may tell of at once.
+	maxDoubted = 64
+	// maxDoubtsShared is how many such messages are passed on in one interval.
+	maxDoubtsShared = 256
+)
+
 // settle takes over the tables of other nodes until one that is settled answered, or
 // until every server had time to announce itself. Only the first answer of a node is
 // its whole table; taken holds how far each was taken over.
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,8 @@
 	node  string
 	nodes []string
 	lost  bool
+	// followed is node, for others than the one goroutine that follows.
+	followed atomic.Pointer[string]
 	// routerCount is how many routers there are, as last told.
 	routerCount int
 	// servers are the ids told to the engine; departed those never told again.
@@ -57,7 +60,7 @@
 
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.call(ctx); err != nil && ctx.Err() == nil {
+		if err := f.follow(ctx); err != nil && ctx.Err() == nil {
 			f.noteLost(err)
 			f.node = ""
 		}
@@ -76,9 +79,9 @@
 	f.lost = true
 }
 
-// call asks the followed node for news, or searches for a node, and takes in what
+// follow asks the followed node for news, or searches for a node, and takes in what
 // was answered.
-func (f *follower) call(ctx context.Context) error {
+func (f *follower) follow(ctx context.Context) error {
 	f.request.Router = directory.Router{
 		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress,
 		Stopping: f.gateway.stopping.Load(),
@@ -103,35 +106,47 @@
 		f.lost = false
 		f.gateway.logger.WithField("node", f.node).WithField("source", reply.Source).Info("directory_regained")
 	}
+	followed := f.node
+	f.followed.Store(&followed)
 	f.takeIn(reply)
 	return nil
 }
 
+// post asks a node for news.
 func (f *follower) post(ctx context.Context, node string, request directory.FollowRequest, timeout time.Duration) (directory.FollowReply, error) {
+	var reply directory.FollowReply
+	err := f.call(ctx, node+directory.PathFollow, request, timeout, &reply)
+	return reply, err
+}
+
+// call posts a message to a node's address and path, and reads the reply into reply,
+// unless nil.
+func (f *follower) call(ctx context.Context, target string, message any, timeout time.Duration, reply any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var reply directory.FollowReply
-	body, err := json.Marshal(request)
+	body, err := json.Marshal(message)
 	if err != nil {
-		return reply, err
+		return err
 	}
-	call, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+directory.PathFollow, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target, bytes.NewReader(body))
 	if err != nil {
-		return reply, err
+		return err
 	}
-	response, err := f.client.Do(call)
+	response, err := f.client.Do(request)
 	if err != nil {
-		return reply, err
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxFollowed))
-	if err != nil {
-		return reply, err
-	}
-	if response.StatusCode != http.StatusOK {
-		return reply, errors.Newf("%d: %s", response.StatusCode, bytes.TrimSpace(answer))
+	switch {
+	case err != nil:
+		return err
+	case response.StatusCode != http.StatusOK:
+		return errors.Newf("%d: %s", response.StatusCode, bytes.TrimSpace(answer))
+	case reply == nil:
+		return nil
 	}
-	return reply, json.Unmarshal(answer, &reply)
+	return json.Unmarshal(answer, reply)
 }
 
 func (f *follower) takeIn(reply directory.FollowReply) {
@@ -141,7 +156,7 @@
 		f.nodes = reply.Nodes
 	}
 	f.takeRouters(reply)
-	f.request.Routers = reply.RoutersDigest
+	f.request.Routers, f.request.Absent = reply.RoutersDigest, reply.AbsentDigest
 	f.request.Source, f.request.Revision, f.request.Departures = reply.Source, reply.Revision, reply.Departures
 }
 
@@ -154,6 +169,10 @@
 		gateway.peers.setRouters(reply.Routers)
 		gateway.logger.WithField("routers", len(reply.Routers)).Info("routers_changed")
 	}
+	if reply.AbsentDigest != f.request.Absent {
+		gateway.peers.setAbsent(reply.Absent)
+		gateway.logger.WithField("absent", len(reply.Absent)).Info("absent_routers_changed")
+	}
 	gateway.peers.setCalls(reply.Calls)
 	if reply.RouterCount != f.routerCount {
 		f.routerCount = reply.RouterCount
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,8 @@
 	clients  *clientConnections
 	// shardCalls is how often servers of shards are called, beyond repeats.
 	shardCalls rate
+	// doubts are routers that failed, to be told to the directory.
+	doubts chan string
 	// sliceLag is that of slices from other routers, answerLag that from the cut
 	// until an answer is written.
 	sliceLag  lag
@@ -53,7 +55,7 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: time.Now(),
-		known: make(chan struct{}), slices: newSliceClient(), clients: newClientConnections(environment.Registerer),
+		known: make(chan struct{}), doubts: make(chan string, doubtBacklog), slices: newSliceClient(), clients: newClientConnections(environment.Registerer),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
@@ -108,7 +110,9 @@
 	defer end()
 	var running sync.WaitGroup
 	running.Go(func() { g.loop.run(duties) })
-	running.Go(func() { newFollower(g).run(duties) })
+	following := newFollower(g)
+	running.Go(func() { following.run(duties) })
+	running.Go(func() { following.tellDoubts(duties) })
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: g.clients.begin, ConnState: g.clients.change,
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -110,6 +110,7 @@
 	}
 	g.gateway.metrics.slicesFailed.Inc()
 	if g.gateway.peers.doubt(failed.Router.Name) {
+		g.gateway.tellDoubt(failed.Router.Name)
 		g.gateway.logger.WithField("router", failed.Router.Name).WithField("accepted", event.accepted).
 			WithField("request", g.id).WithField("reason", event.reason).Info("router_doubted")
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,7 +25,9 @@
 	mutex   sync.Mutex
 	routers []slicing.Router
 	// calls is how many calls to servers of shards all routers make a second.
-	calls    float64
+	calls float64
+	// absent are those of them that the directory says are not to be asked.
+	absent   map[string]bool
 	doubted  map[string]time.Time
 	places   map[string]place
 	zones    map[string][]string
@@ -53,7 +55,17 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.change()
-	p.routers = lo.Map(routers, func(r directory.ListedRouter, _ int) slicing.Router { return slicing.Router(r) })
+	p.routers = lo.Map(routers, func(r directory.ListedRouter, _ int) slicing.Router {
+		return slicing.Router{Name: r.Name, Zone: r.Zone, Address: r.Address}
+	})
+}
+
+// setAbsent replaces which routers are not to be asked now. That moves no share.
+func (p *peers) setAbsent(names []string) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.absent = lo.SliceToMap(names, func(name string) (string, bool) { return name, true })
+	clear(p.layouts)
 }
 
 // setCalls takes in how many calls all routers make a second.
@@ -170,6 +182,7 @@
 	var until time.Time
 	routers := slices.Clone(p.routers)
 	for index, router := range routers {
+		routers[index].Absent = p.absent[router.Name]
 		ends, doubted := p.doubted[router.Name]
 		if !doubted || now.After(ends) {
 			continue
