--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,8 @@
 	clients  *clientConnections
 	// shardCalls is how often servers of shards are called, beyond repeats.
 	shardCalls rate
+	// called are services that this router calls itself.
+	called calledServices
 	// doubts are routers that failed, to be told to the directory.
 	doubts chan string
 	// sliceLag is that of slices from other routers, answerLag that from the cut
