--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -186,6 +186,7 @@
 	}
 	if counted, changed := gateway.peers.countGatherers(table.ShardLists(), reply.RouterCount); changed {
 		gateway.loop.events <- scatter.GatherersCounted{Gatherers: counted}
+		gateway.tellGatherers(reply.Calls, counted)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,8 @@
 	shardCalls rate
 	// called are services that this router calls itself.
 	called calledServices
+	// gatherersTold is what the log last said of who gathers; the one that follows owns it.
+	gatherersTold gathererCount
 	// doubts are routers that failed, to be told to the directory.
 	doubts chan string
 	// sliceLag is that of slices from other routers, answerLag that from the cut
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -85,3 +85,32 @@
 	}
 	return strings.Join(texts, "; ")
 }
+
+// tellGatherers logs who gathers from now on: how many services this router has a share of,
+// and the least and the most routers that share one.
+func (g *Gateway) tellGatherers(calls float64, counted map[string]scatter.Gatherers) {
+	own, least, most := 0, 0, 0
+	for _, gatherers := range counted {
+		if gatherers.Self {
+			own++
+		}
+		if least == 0 || gatherers.Count < least {
+			least = gatherers.Count
+		}
+		most = max(most, gatherers.Count)
+	}
+	told := gathererCount{calls: calls, services: len(counted), own: own, least: least, most: most}
+	if told == g.gatherersTold {
+		return
+	}
+	g.gatherersTold = told
+	g.logger.WithFields(logrus.Fields{
+		"calls": calls, "services": told.services, "shards": own, "least": least, "most": most,
+	}).Info("gatherers_changed")
+}
+
+// gathererCount is what the log says of who gathers.
+type gathererCount struct {
+	calls                      float64
+	services, own, least, most int
+}
--- a/internal/scatter/engine_test.go
+++ b/internal/scatter/engine_test.go
@@ -85,6 +85,22 @@
 	require.Positive(t, result.RetryAfter)
 }
 
+// TestRefusedWithoutATokenIsToldAtOnce has a server refuse a request that the budget does
+// not pay another attempt for: the client is told at once when to come back, in place of
+// at its deadline. One that may have run waits for a token.
+func TestRefusedWithoutATokenIsToldAtOnce(t *testing.T) {
+	h := newHarness(t, scatter.BudgetLimits{})
+	h.servers("s", 2)
+	refused := h.arrive(singleRoute(true))
+	h.end(h.take()[0], failure(scatter.Refused, verdict.NotRun))
+	result := h.result(refused)
+	require.Equal(t, verdict.NotRun, result.Verdict)
+	require.Positive(t, result.RetryAfter)
+	doubtful := h.arrive(singleRoute(true))
+	h.end(h.take()[0], failure(scatter.Broken, verdict.MayHaveRun))
+	h.unanswered(doubtful)
+}
+
 func TestDoubtfulAttemptOfAnUnrepeatableRequestIsNotRepeated(t *testing.T) {
 	h := newHarness(t, plenty)
 	h.servers("s", 3)
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -246,13 +246,26 @@
 	switch {
 	case found == absent || found == busy && e.canSpare(called):
 		e.settle(called)
-	case found == busy || !e.pay(called, retryReserve):
+	case found == busy:
+		called.enqueue()
+	case !e.pay(called, retryReserve):
+		if called.refusable() {
+			e.settle(called)
+			return
+		}
 		called.enqueue()
 	default:
 		e.dispatch(called, true)
 	}
 }
 
+// refusable reports whether the request of a call that the budget does not pay for can be
+// refused at once: it has not run anywhere, so that its client may send it again, which
+// needs no token. A shard's call waits, as its request may suffice without it.
+func (c *call) refusable() bool {
+	return !c.request.route.Gathers() && !c.repeat && len(c.live) == 0 && verdict.Combine(c.verdicts...) == verdict.NotRun
+}
+
 // Tokens that stay in the budget: a retry is known to be needed, a hedge only
 // likely to be.
 const (
