Reconcile the tables of directory nodes after a cut

Cause: what a server says first is told to the other nodes once, without an answer. Change: a heartbeat of an unknown server makes a node take over what the others know beyond what it had, at most once a second. Test: TestServerThatWasToldInACutIsKnownAfterIt failed before.

--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -48,6 +48,8 @@
 	// settled says that the registry was taken over from another node, or that
 	// all servers had time to announce themselves.
 	settled bool
+	// lacking says that another node told of a server that this one does not know.
+	lacking bool
 }
 
 // Open loads the identity and starts the voter.
@@ -89,7 +91,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		n.runJoining, n.runFormation, n.runSharing, n.runDepartures, n.runRecovery, n.runTableFile,
+		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/directory/node_test.go
+++ b/internal/directory/node_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -157,3 +159,32 @@
 	require.Len(t, news.Instances, 1)
 	require.False(t, news.Whole)
 }
+
+// TestServerThatWasToldInACutIsKnownAfterIt has a node miss what another one told of a
+// server: it knows the server soon after the other one tells that it repeated itself.
+func TestServerThatWasToldInACutIsKnownAfterIt(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll(true)
+	c.put(document(1, "a"))
+	c.everywhere("the servers are not settled", func(node *runningNode) bool {
+		reply, err := node.Follow(context.Background(), directory.FollowRequest{Router: directory.Router{Name: "test"}})
+		return err == nil && reply.Settled
+	})
+	deaf := c.nodes[2]
+	require.NoError(t, deaf.server.Close())
+	ctx := context.Background()
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
+	c.eventually("the server is told of nowhere", func(node *runningNode) bool {
+		return node == c.nodes[1] && stateAt(node, "i1") == registry.Ready
+	})
+	listener, err := net.Listen("tcp4", c.addresses[2])
+	require.NoError(t, err)
+	deaf.server = &http.Server{Handler: deaf.PeerHandler()}
+	go func() { _ = deaf.server.Serve(listener) }()
+	sequence := uint64(1)
+	c.eventually("the server is not known after the cut", func(node *runningNode) bool {
+		sequence++
+		require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, sequence)))
+		return node == deaf && stateAt(node, "i1") == registry.Ready
+	})
+}
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -100,6 +100,7 @@
 	}
 	for _, repeated := range message.Beats {
 		changed = n.registry.Refresh(now, repeated.ID, repeated.Sequence) || changed
+		n.lacking = n.lacking || !n.registry.Knows(repeated.ID)
 	}
 	for _, router := range message.Routers {
 		changed = n.routers.report(now, router, false) || changed
@@ -134,66 +135,6 @@
 	maxDoubtsShared = 256
 )
 
-// settle takes over the tables of other nodes until one that is settled answered, or
-// until every server had time to announce itself. Only the first answer of a node is
-// its whole table; taken holds how far each was taken over.
-func (n *Node) settle(ctx context.Context, taken map[string]tablePosition) {
-	n.mutex.Lock()
-	settled := n.settled
-	n.mutex.Unlock()
-	if settled {
-		return
-	}
-	if time.Since(n.started) > missingHeartbeats*n.config.HeartbeatInterval {
-		n.setSettled("time")
-		return
-	}
-	for _, address := range n.peerAddresses() {
-		calling, cancel := context.WithTimeout(ctx, shareInterval)
-		var reply tableReply
-		err := n.peers.call(calling, address, pathRegistry, taken[address], &reply)
-		cancel()
-		if err != nil {
-			continue
-		}
-		taken[address] = reply.Position
-		n.takeIn(reply.shareMessage)
-		if reply.Settled {
-			n.setSettled(address)
-			return
-		}
-	}
-}
-
-func (n *Node) setSettled(from string) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.settled = true
-	n.logger.WithField("from", from).WithField("instances", n.registry.Count(registry.Ready)).Info("registry_settled")
-}
-
-// table returns what this node knows of servers beyond a position in its table; all
-// of it for a position of another source.
-func (n *Node) table(known tablePosition) tableReply {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	now := time.Now()
-	reply := tableReply{Position: tablePosition{Source: n.source, Revision: n.registry.Revision()}}
-	reply.Settled = n.settled
-	if known == reply.Position {
-		return reply
-	}
-	since := uint64(0)
-	if known.Source == n.source {
-		since = known.Revision
-	}
-	reply.Instances = slices.DeleteFunc(n.registry.Since(now, since), func(instance registry.Instance) bool {
-		return instance.State == registry.Missing
-	})
-	reply.Routers = n.routers.within(now, routerLifetime)
-	return reply
-}
-
 func (n *Node) expire() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -124,6 +124,12 @@
 	return true
 }
 
+// Knows reports whether the table holds an instance.
+func (t *Table) Knows(id string) bool {
+	_, exists := t.entries[id]
+	return exists
+}
+
 func (t *Table) add(heard, now time.Time, instance Instance) {
 	t.registered++
 	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft), registered: t.registered}
