Give a call that waits for a server one timer, not one for each look

Change: a call gets the timer for the end of its wait once. Test: TestWaitingForAServerTakesNoMoreThanItsTimers failed before.

--- a/internal/scatter/engine_test.go
+++ b/internal/scatter/engine_test.go
@@ -184,6 +184,18 @@
 	require.Equal(t, verdict.ReasonNoReplica, h.result(never).Reason)
 }
 
+// TestWaitingForAServerTakesNoMoreThanItsTimers has requests wait for a service of which no
+// server is known, with more arriving all the time: each holds its own timers and no others.
+func TestWaitingForAServerTakesNoMoreThanItsTimers(t *testing.T) {
+	const arrivals, timersOfARequest = 14, 4
+	h := newHarness(t, plenty)
+	for range arrivals {
+		h.arrive(gatherRoute("s"))
+		h.advance(100 * time.Millisecond)
+		require.LessOrEqual(t, h.engine.Timers(), arrivals*timersOfARequest)
+	}
+}
+
 func TestRoomGoesFirstToRequestsWithinTheirTarget(t *testing.T) {
 	h := newHarness(t, plenty)
 	h.servers("s", 1)
--- /dev/null
+++ b/internal/scatter/export_test.go
@@ -0,0 +1,4 @@
+package scatter
+
+// Timers returns how many timers the engine holds.
+func (e *Engine) Timers() int { return len(e.timers) }
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -36,9 +36,11 @@
 	// unsent counts attempts that came to no connection.
 	unsent int
 	// repeat says that another router may have sent the first attempt.
-	repeat   bool
-	settled  bool
-	waiting  bool
+	repeat  bool
+	settled bool
+	waiting bool
+	// patient says that there is a timer for the end of its wait for a server.
+	patient  bool
 	part     *message.Reply
 	verdicts []verdict.Verdict
 	last     Failure
--- a/internal/scatter/waiting.go
+++ b/internal/scatter/waiting.go
@@ -16,7 +16,8 @@
 func (e *Engine) await(called *call, found availability) {
 	e.note(called, Step{Kind: StepWaits})
 	called.enqueue()
-	if found == absent {
+	if found == absent && !called.patient {
+		called.patient = true
 		e.timers.add(timer{at: called.request.arrived.Add(absentPatience), kind: timerRoom, service: called.group.service})
 	}
 }
