Order calls of routes without a target by their deadline

Change: such a request is due at its deadline, as request.allowed has it; one function says so. Test: TestWithoutATargetARequestIsDueAtItsDeadline failed before.

--- a/internal/scatter/harness_test.go
+++ b/internal/scatter/harness_test.go
@@ -108,10 +108,11 @@
 	if !route.Gathers() {
 		services = []string{route.ServiceOf("x")}
 	}
-	h.step(scatter.Arrived{
-		ID: h.last, Route: route, Services: services,
-		Deadline: h.now.Add(route.Timeout), Due: h.now.Add(route.Target),
-	})
+	arrived := scatter.Arrived{ID: h.last, Route: route, Services: services, Deadline: h.now.Add(route.Timeout)}
+	if route.Target > 0 {
+		arrived.Due = h.now.Add(route.Target)
+	}
+	h.step(arrived)
 	return h.last
 }
 
--- a/internal/scatter/lack.go
+++ b/internal/scatter/lack.go
@@ -117,11 +117,15 @@
 
 // allowed is the time from the arrival of a request until it is due, or its
 // deadline.
-func (r *request) allowed() time.Duration {
+func (r *request) allowed() time.Duration { return r.usefulUntil().Sub(r.arrived) }
+
+// usefulUntil is by when a reply is of full use: when the request is due, or its deadline
+// where its route has no target.
+func (r *request) usefulUntil() time.Time {
 	if r.due.IsZero() {
-		return r.deadline.Sub(r.arrived)
+		return r.deadline
 	}
-	return r.due.Sub(r.arrived)
+	return r.due
 }
 
 // lastStep returns the kind of the last step that was noted.
--- a/internal/scatter/overload_test.go
+++ b/internal/scatter/overload_test.go
@@ -54,6 +54,25 @@
 	}
 }
 
+// TestWithoutATargetARequestIsDueAtItsDeadline lets a route without a target wait behind
+// one that has one.
+func TestWithoutATargetARequestIsDueAtItsDeadline(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 1)
+	hasty, patient := singleRoute(false), singleRoute(false)
+	patient.Name, patient.Target = "patient", 0
+	for range 3 {
+		h.arrive(hasty)
+	}
+	running := h.take()
+	second := h.arrive(patient)
+	first := h.arrive(hasty)
+	for index, expected := range []scatter.RequestID{first, second} {
+		h.end(running[index], good("x"))
+		require.Equal(t, expected, h.take()[0].Request)
+	}
+}
+
 // TestCrowdedServerIsSentLittle keeps what can't be worked on with the routers,
 // where it goes out in the order of its urgency.
 func TestCrowdedServerIsSentLittle(t *testing.T) {
--- a/internal/scatter/waiting.go
+++ b/internal/scatter/waiting.go
@@ -80,7 +80,7 @@
 		return -1
 	}
 	return cmp.Or(
-		a.request.due.Compare(b.request.due),
+		a.request.usefulUntil().Compare(b.request.usefulUntil()),
 		cmp.Compare(a.request.route.Priority, b.request.route.Priority),
 	)
 }
