--- a/internal/gateway/gather_bench_test.go
+++ b/internal/gateway/gather_bench_test.go
@@ -23,32 +23,57 @@
 	measuredRouters = 16
 )
 
+// cellShards are the shards of one cell.
+const cellShards = 14
+
 // BenchmarkGatherBySlices is a request over many shards, all gathered by other
 // routers, which answer at once: the processor time of the router that was asked,
 // with that of the client and the stand-ins.
 func BenchmarkGatherBySlices(b *testing.B) {
+	site, document := measuredSite(b, measuredShards, "b", func() string { return "127.0.0.1:1" })
+	reply := &site.directory.reply
+	for number := range measuredRouters {
+		reply.Routers = append(reply.Routers, directory.ListedRouter{Name: fmt.Sprint("other", number), Zone: "b", Address: sliceStandIn(b)})
+	}
+	reply.RoutersDigest = 1
+	site.measure(b, document)
+}
+
+// BenchmarkGatherHere is a request over the shards of one cell, gathered by the
+// router that was asked from servers that answer at once.
+func BenchmarkGatherHere(b *testing.B) {
+	site, document := measuredSite(b, cellShards, "a", func() string { return partStandIn(b) })
+	site.measure(b, document)
+}
+
+// measuredSite is a router of zone a with a route over shards, each with one server in a
+// zone; the document is not installed yet.
+func measuredSite(b *testing.B, shards int, zone string, server func() string) (*site, *routing.Document) {
 	document := oneRoute(1, "s")
 	route := &document.Routes[0]
 	route.Targets, route.Shards, document.Services = nil, nil, nil
 	route.TopRecords, route.LeastShare = 50, 0.95
-	site := startSite(b, nil, nil)
-	reply := &site.directory.reply
-	for number := range measuredShards {
+	started := startSite(b, nil, nil)
+	reply := &started.directory.reply
+	for number := range shards {
 		name := fmt.Sprint("s", number)
 		route.Shards = append(route.Shards, name)
 		document.Services = append(document.Services, routing.Service{Name: name})
 		reply.Instances = append(reply.Instances, registry.Instance{
-			ID: "i-" + name, Service: name, Address: "127.0.0.1:1", Zone: "b", Slots: 2, State: registry.Ready,
+			ID: "i-" + name, Service: name, Address: server(), Zone: zone, Slots: 2, State: registry.Ready,
 		})
 	}
-	for number := range measuredRouters {
-		reply.Routers = append(reply.Routers, directory.ListedRouter{Name: fmt.Sprint("other", number), Zone: "b", Address: sliceStandIn(b)})
-	}
-	reply.RoutersDigest, reply.Revision = 1, 1
-	site.install(document)
+	reply.Revision = 1
+	return started, document
+}
+
+// measure installs the document and sends requests over its shards.
+func (s *site) measure(b *testing.B, document *routing.Document) {
+	s.install(document)
+	time.Sleep(50 * time.Millisecond)
 	b.ReportAllocs()
 	for b.Loop() {
-		if got := site.ask(http.MethodGet, "/a/", nil); got.status != http.StatusOK || got.header.Get("X-Missing") != "0" {
+		if got := s.ask(http.MethodGet, "/a/", nil); got.status != http.StatusOK || got.header.Get("X-Missing") != "0" {
 			b.Fatalf("%+v", got)
 		}
 	}
@@ -79,35 +104,6 @@
 	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
 }
 
-// BenchmarkGatherHere is a request over the shards of one cell, gathered by the
-// router that was asked from servers that answer at once.
-func BenchmarkGatherHere(b *testing.B) {
-	const shards = 14
-	document := oneRoute(1, "s")
-	route := &document.Routes[0]
-	route.Targets, route.Shards, document.Services = nil, nil, nil
-	route.TopRecords, route.LeastShare = 50, 0.95
-	site := startSite(b, nil, nil)
-	reply := &site.directory.reply
-	for number := range shards {
-		name := fmt.Sprint("s", number)
-		route.Shards = append(route.Shards, name)
-		document.Services = append(document.Services, routing.Service{Name: name})
-		reply.Instances = append(reply.Instances, registry.Instance{
-			ID: "i-" + name, Service: name, Address: partStandIn(b), Zone: "a", Slots: 2, State: registry.Ready,
-		})
-	}
-	reply.Revision = 1
-	site.install(document)
-	time.Sleep(50 * time.Millisecond)
-	b.ReportAllocs()
-	for b.Loop() {
-		if got := site.ask(http.MethodGet, "/a/", nil); got.status != http.StatusOK || got.header.Get("X-Missing") != "0" {
-			b.Fatalf("%+v", got)
-		}
-	}
-}
-
 // partStandIn answers whatever comes in one piece with the same part.
 func partStandIn(b *testing.B) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
