Count the routers that may have asked before, so that no shard is asked at more servers than its route allows

Cause: with up to three routers standing in one after the other, each was taken for the second one only: of a shard with three servers and two attempts, three could be asked where two routers are silent but alive, as slow ones are. Change: Earlier, a number, in place of Repeat. Test: TestEarlierRoutersLeaveNoAttemptBeyondTheRoute (the field did not exist before).

--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -33,8 +33,8 @@
 type origin struct {
 	// failed is how many routers failed with the shards before.
 	failed int
-	// repeat says that it may have sent attempts for them.
-	repeat bool
+	// earlier is how many of them may have sent attempts.
+	earlier int
 }
 
 // begin gathers a slice here or asks its router for it.
@@ -46,7 +46,7 @@
 	g.slices = append(g.slices, state)
 	index := len(g.slices) - 1
 	if slice.Router.Name == "" {
-		g.gatherHere(index, from.repeat)
+		g.gatherHere(index)
 		return
 	}
 	g.gateway.metrics.slicesAsked.Inc()
@@ -70,7 +70,7 @@
 	asked := sliceRequest{
 		Request: g.encode(), Shards: slice.Shards, Route: g.route.Name, MaxAttempts: g.route.MaxAttempts,
 		Priority: g.route.Priority, TopRecords: g.route.TopRecords, LeastShare: g.route.LeastShare, Target: g.route.Target,
-		DeadlineLeft: g.collection.Deadline.Sub(now), Repeat: from.repeat,
+		DeadlineLeft: g.collection.Deadline.Sub(now), Earlier: from.earlier,
 	}
 	if !g.collection.Cut.IsZero() {
 		asked.CutLeft = max(0, g.collection.Cut.Sub(now)-g.gateway.sliceLag.margin(firstSliceMargin))
@@ -92,11 +92,11 @@
 }
 
 // gatherHere gives a slice to the own engine.
-func (g *gatherState) gatherHere(index int, repeat bool) {
+func (g *gatherState) gatherHere(index int) {
 	state := g.slices[index]
 	gathering := g.gateway.submitShards(localSlice{
 		request: g.message, route: g.route, shards: state.Shards, deadline: g.collection.Deadline, due: g.collection.Cut,
-		repeat: repeat, events: g.events, slice: index,
+		earlier: state.origin.earlier, events: g.events, slice: index,
 	})
 	state.local = &gathering
 }
@@ -116,7 +116,10 @@
 	}
 	g.fallbacks++
 	open := failed.leave()
-	from := origin{failed: failed.origin.failed + 1, repeat: failed.origin.repeat || event.accepted}
+	from := origin{failed: failed.origin.failed + 1, earlier: failed.origin.earlier}
+	if event.accepted {
+		from.earlier++
+	}
 	if from.failed > maxStandIns {
 		g.begin(slicing.Slice{Shards: open}, from)
 		return
--- a/internal/gateway/gather_test.go
+++ b/internal/gateway/gather_test.go
@@ -106,25 +106,25 @@
 // asked before.
 func TestSliceOfARouterThatIsSilentIsGatheredByAnotherOfItsCell(t *testing.T) {
 	var asked atomic.Int64
-	repeats := make(chan bool, 4)
+	earlier := make(chan int, 4)
 	other := http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		var slice struct {
-			Shards []string
-			Repeat bool
+			Shards  []string
+			Earlier int
 		}
 		_ = json.NewDecoder(request.Body).Decode(&slice)
 		if asked.Add(1) == 1 {
 			<-request.Context().Done()
 			return
 		}
-		repeats <- slice.Repeat
+		earlier <- slice.Earlier
 		_, _ = writer.Write(standInFrame(slice.Shards))
 	})
 	s := gatherAcross(t, serve(t, other), serve(t, other))
 	got := s.ask(http.MethodGet, "/a/", nil)
 	require.Equal(t, http.StatusOK, got.status)
 	require.ElementsMatch(t, []string{"i-s", "t"}, strings.Split(got.header.Get("X-Stamps"), ","), "the stand-in signs with the shard's name")
-	require.True(t, <-repeats)
+	require.Equal(t, 1, <-earlier)
 }
 
 // TestSliceIsSentAgainOverANewConnection has a router end a kept connection when the next
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -30,8 +30,8 @@
 	// end. Both count from the arrival.
 	CutLeft      time.Duration `json:"cut_left"`
 	DeadlineLeft time.Duration `json:"deadline_left"`
-	// Repeat says that servers may have been asked by another router before.
-	Repeat bool `json:"repeat,omitempty"`
+	// Earlier is how many other routers may have asked servers before.
+	Earlier int `json:"earlier,omitempty"`
 }
 
 // due is when the parts of a request that arrived at a time are sent; zero for when
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -76,7 +76,7 @@
 	now := time.Now()
 	events := make(chan *gatherEvent, 2*len(asked.Shards)+1)
 	gathering := g.submitShards(localSlice{
-		request: stream.request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events, repeat: asked.Repeat,
+		request: stream.request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events, earlier: asked.Earlier,
 		route: &routing.Route{
 			Name: asked.Route, Repeatable: true, Timeout: asked.DeadlineLeft, Target: asked.Target, Priority: asked.Priority,
 			MaxAttempts: asked.MaxAttempts, Shards: asked.Shards, LeastShare: asked.LeastShare,
@@ -116,8 +116,9 @@
 	shards   []string
 	deadline time.Time
 	// due is when the parts that are in are sent.
-	due    time.Time
-	repeat bool
+	due time.Time
+	// earlier is how many other routers may have asked servers before.
+	earlier int
 	// events receives one event for each part and one at the end; it has room for
 	// them all.
 	events chan<- *gatherEvent
@@ -156,7 +157,7 @@
 func (g *Gateway) submitShards(local localSlice) gathering {
 	arriving := submitted{
 		arrived: scatter.Arrived{
-			Route: local.route, Services: local.shards, Deadline: local.deadline, Due: local.due, Repeat: local.repeat,
+			Route: local.route, Services: local.shards, Deadline: local.deadline, Due: local.due, Earlier: local.earlier,
 		},
 		request: local.request, id: make(chan scatter.RequestID, 1), events: local.events, slice: local.slice,
 	}
--- a/internal/scatter/engine_test.go
+++ b/internal/scatter/engine_test.go
@@ -44,7 +44,7 @@
 	h := newHarness(t, scatter.BudgetLimits{})
 	h.servers("x", 1)
 	route := gatherRoute("x")
-	h.step(scatter.Arrived{ID: 77, Route: route, Services: []string{"x"}, Deadline: h.now.Add(time.Second), Repeat: true})
+	h.step(scatter.Arrived{ID: 77, Route: route, Services: []string{"x"}, Deadline: h.now.Add(time.Second), Earlier: 1})
 	require.Empty(t, h.take(), "an attempt that may be a second one was not paid for")
 	// Room at the service is no payment.
 	h.servers("x", 2)
@@ -273,6 +273,17 @@
 	require.LessOrEqual(t, tried[dark], 1, "more than one trial")
 }
 
+// TestEarlierRoutersLeaveNoAttemptBeyondTheRoute has two routers that may have asked a
+// shard of a route with two attempts: a third one sends nothing and says so at once.
+func TestEarlierRoutersLeaveNoAttemptBeyondTheRoute(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("x", 3)
+	route := gatherRoute("x")
+	h.step(scatter.Arrived{ID: 1, Route: route, Services: route.Shards, Deadline: h.now.Add(time.Second), Earlier: 2})
+	require.Empty(t, h.take())
+	require.Equal(t, []int{0}, h.result(1).Missing)
+}
+
 // TestRepeatLeavesAnAttemptToTheOtherRouter has another router that may have asked
 // one server of each shard: only the rest of the route's attempts may be used.
 func TestRepeatLeavesAnAttemptToTheOtherRouter(t *testing.T) {
@@ -281,7 +292,7 @@
 		h.servers("s", 4)
 		route := gatherRoute("s")
 		route.MaxAttempts = attempts
-		h.step(scatter.Arrived{ID: 1, Route: route, Services: route.Shards, Deadline: h.now.Add(time.Second), Repeat: true})
+		h.step(scatter.Arrived{ID: 1, Route: route, Services: route.Shards, Deadline: h.now.Add(time.Second), Earlier: 1})
 		for range 4 {
 			for _, send := range h.take() {
 				want--
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -29,9 +29,9 @@
 	Deadline time.Time
 	// Due is by when a reply is of full use; zero for at any time.
 	Due time.Time
-	// Repeat says that servers may have been asked by another router before, so
-	// that every attempt has to be paid for.
-	Repeat bool
+	// Earlier is how many other routers may have asked servers before: each of them is
+	// taken to have sent one attempt, and every further one has to be paid for.
+	Earlier int
 }
 
 // Ended is the end of an attempt; there is exactly one for each Send.
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -35,8 +35,8 @@
 	live  []*attempt
 	// unsent counts attempts that came to no connection.
 	unsent int
-	// repeat says that another router may have sent the first attempt.
-	repeat  bool
+	// earlier is how many other routers may have sent an attempt.
+	earlier int
 	settled bool
 	waiting bool
 	// patient says that there is a timer for the end of its wait for a server.
@@ -95,15 +95,15 @@
 		e.timers.add(timer{at: event.Due, kind: timerDue, request: event.ID})
 	}
 	for position, service := range event.Services {
-		called := &call{request: arrived, position: position, group: e.group(service), repeat: event.Repeat}
+		called := &call{request: arrived, position: position, group: e.group(service), earlier: event.Earlier}
 		arrived.calls = append(arrived.calls, called)
 	}
 	for _, called := range arrived.calls {
 		switch {
-		case called.repeat && called.maxAttempts() < 1:
+		case called.earlier > 0 && called.maxAttempts() < 1:
 			e.settle(called)
 			continue
-		case called.repeat:
+		case called.earlier > 0:
 			e.dispatchExtra(called)
 			continue
 		}
@@ -224,18 +224,12 @@
 	e.dispatchExtra(called)
 }
 
-// maxAttempts bounds the servers that a call may be sent to. Of a repeat, another
-// router is taken to have sent one attempt.
-func (c *call) maxAttempts() int {
-	limit := max(1, c.request.route.MaxAttempts)
-	if c.repeat {
-		limit--
-	}
-	return limit
-}
+// maxAttempts bounds the servers that a call may be sent to. Each earlier router is taken
+// to have sent one attempt.
+func (c *call) maxAttempts() int { return max(1, c.request.route.MaxAttempts) - c.earlier }
 
 // isExtra reports whether the next attempt of a call is one beyond the first.
-func (c *call) isExtra() bool { return c.repeat || len(c.tried) > c.unsent }
+func (c *call) isExtra() bool { return c.earlier > 0 || len(c.tried) > c.unsent }
 
 // dispatchExtra is dispatch of what may be a retry. One that the budget does not
 // pay for yet waits until first attempts have earned it.
@@ -265,7 +259,7 @@
 // refused at once: it has not run anywhere, so that its client may send it again, which
 // needs no token. A shard's call waits, as its request may suffice without it.
 func (c *call) refusable() bool {
-	return !c.request.route.Gathers() && !c.repeat && len(c.live) == 0 && verdict.Combine(c.verdicts...) == verdict.NotRun
+	return !c.request.route.Gathers() && c.earlier == 0 && len(c.live) == 0 && verdict.Combine(c.verdicts...) == verdict.NotRun
 }
 
 // Tokens that stay in the budget: a retry is known to be needed, a hedge only
