Wait longer for a router that was sent a slice, so that no shard is asked at a server too many

A router that is busy itself (0.19 cores, twenty slices) took others for silent after 40 ms whose word lay in its own buffers; those had hedged already, and a third router sent one more. Change: 40 ms (four times the usual) only for a connection to come up, which proves nothing sent where it does not; a router that was sent a slice has 90 ms and 15 ms of grace, in which what came in is read first.

--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -18,6 +18,12 @@
 
 // Bounds of asking another router.
 const (
+	// acceptTime is how long a router that was sent a slice may take to say that it has
+	// it; acceptGrace is what passes after that before it is taken for silent, so that a
+	// router that was busy itself reads first what has come in meanwhile. Both are long,
+	// since one that is taken for silent wrongly may have asked second servers already.
+	acceptTime      = 90 * time.Millisecond
+	acceptGrace     = 15 * time.Millisecond
 	peerIdlePerHost = 16
 	peerIdleTime    = 20 * time.Second
 )
@@ -25,16 +31,29 @@
 // sliceClient asks other routers for slices.
 type sliceClient struct {
 	http *http.Client
-	// patience is how long a router may take to say that it has a slice.
+	// patience is how long a connection to a router may take to come up.
 	patience patience
 }
 
 func newSliceClient() *sliceClient {
-	dialer := &net.Dialer{Timeout: longestPatience, KeepAlive: -1}
-	return &sliceClient{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdlePerHost, IdleConnTimeout: peerIdleTime,
+	client := &sliceClient{}
+	client.http = &http.Client{Transport: &http.Transport{
+		DialContext: client.dial, MaxIdleConnsPerHost: peerIdlePerHost, IdleConnTimeout: peerIdleTime,
 		DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
-	}}}
+	}}
+	return client
+}
+
+// dial connects to a router, which proves nothing sent where it fails.
+func (c *sliceClient) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	began := time.Now()
+	dialer := net.Dialer{Timeout: c.patience.current(), KeepAlive: -1}
+	conn, err := dialer.DialContext(ctx, network, address)
+	var failure net.Error
+	if err == nil || errors.As(err, &failure) && failure.Timeout() {
+		c.patience.observe(time.Now(), time.Since(began))
+	}
+	return conn, err
 }
 
 var errNotAccepted = errors.New("the router did not accept the slice in time")
@@ -73,7 +92,7 @@
 // accepted sends a slice and waits until the router says that it has it. When it returns
 // an error, may says whether the router may have sent something to servers.
 func (c *sliceClient) accepted(ctx context.Context, cancel context.CancelCauseFunc, router slicing.Router, body []byte) (response *http.Response, may bool, err error) {
-	var written atomic.Bool
+	var written, answered atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		WroteHeaders: func() { written.Store(true) },
 	})
@@ -85,16 +104,18 @@
 	// anything came, nothing was sent to servers, so that net/http may send the slice
 	// again over a new one; an empty key says so to it alone.
 	request.Header["Idempotency-Key"] = []string{}
-	silence := time.AfterFunc(c.patience.current(), func() { cancel(errNotAccepted) })
+	silence := time.AfterFunc(acceptTime, func() {
+		time.AfterFunc(acceptGrace, func() {
+			if !answered.Load() {
+				cancel(errNotAccepted)
+			}
+		})
+	})
 	defer silence.Stop()
-	began := time.Now()
 	response, err = c.http.Do(request)
-	ended := time.Now()
-	silent := errors.Is(context.Cause(ctx), errNotAccepted)
-	if err == nil || silent {
-		c.patience.observe(ended, ended.Sub(began))
-	}
+	answered.Store(err == nil)
 	if err != nil {
+		silent := errors.Is(context.Cause(ctx), errNotAccepted)
 		// Silence proves nothing once something was written. A connection that ends does:
 		// a router says that it has a slice before it sends anything.
 		return nil, written.Load() && silent, err
--- /dev/null
+++ b/internal/slicing/layout_bench_test.go
@@ -0,0 +1,28 @@
+package slicing_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/martenstage/martenstage/internal/slicing"
+)
+
+// BenchmarkNewLayout works out who gathers 180 shards, with servers in three of six zones
+// each, among 295 routers: each router does so whenever routers, servers or calls change.
+func BenchmarkNewLayout(b *testing.B) {
+	zoneNames := []string{"a", "b", "c", "d", "e", "f"}
+	var routers []slicing.Router
+	for number := range 295 {
+		routers = append(routers, slicing.Router{Name: fmt.Sprintf("front-%s-%d", zoneNames[number%6], number), Zone: zoneNames[number%6]})
+	}
+	shards := namedShards(180)
+	places := map[string][]string{}
+	for number, shard := range shards {
+		places[shard] = []string{zoneNames[number%6], zoneNames[(number+1)%6], zoneNames[(number+2)%6]}
+	}
+	site := slicing.Site{Zones: func(shard string) []string { return places[shard] }, Routers: routers, Calls: 8192}
+	b.ReportAllocs()
+	for b.Loop() {
+		slicing.NewLayout(routers[0], shards, site).Gatherers()
+	}
+}
