Ask few other routers where requests are few, so that connections between routers are open

Some 60 routers that take requests ask 84 that gather, spread by request: each pair meets once in a minute or so, and most slices open a connection at two routers of 0.19 cores. Change: where fewer than one slice in two seconds would come for each pair, the zones and routers that a router asks go by its own name; elsewhere by the request's id as before.

--- a/internal/slicing/assign.go
+++ b/internal/slicing/assign.go
@@ -11,24 +11,29 @@
 
 // Assign divides shards of the layout into slices. Those of an unknown place, and those for
 // whose zones no router can be asked, stay with self. Equal layouts give equal
-// slices; the request's id spreads the load over zones and over the routers of a
-// cell.
+// slices; what the load goes by, over zones and over the routers of a cell, is the
+// request's id, or, where routers seldom ask each other, the router that asks: its
+// connections are to few others then, and are open when it needs them.
 func (l *Layout) Assign(requestID string, shards []string) []Slice {
-	chosen := l.chooseZones(requestID, shards)
+	key := requestID
+	if l.sticky {
+		key = l.self.Name
+	}
+	chosen := l.chooseZones(key, shards)
 	var assigned []Slice
 	for _, zone := range slices.Sorted(maps.Keys(chosen)) {
 		if zone == "" {
 			assigned = append(assigned, Slice{Shards: chosen[zone]})
 			continue
 		}
-		assigned = append(assigned, l.zones[zone].shareOut(l.self, chosen[zone], requestID)...)
+		assigned = append(assigned, l.zones[zone].shareOut(l.self, chosen[zone], key)...)
 	}
 	return mergeOwn(assigned)
 }
 
 // chooseZones gives each shard a zone that has both a server of it and a router:
 // the router's own zone, or one of as few others as the shards need.
-func (l *Layout) chooseZones(requestID string, shards []string) map[string][]string {
+func (l *Layout) chooseZones(key string, shards []string) map[string][]string {
 	chosen := map[string][]string{}
 	var rest []string
 	for _, shard := range shards {
@@ -42,7 +47,7 @@
 		}
 	}
 	for len(rest) > 0 {
-		zone := l.pickZone(rest, requestID)
+		zone := l.pickZone(rest, key)
 		var left []string
 		for _, shard := range rest {
 			if slices.Contains(l.places[shard], zone) {
@@ -56,10 +61,10 @@
 	return chosen
 }
 
-// pickZone returns the next zone to ask: over many requests each zone comes as
+// pickZone returns the next zone to ask: over many keys each zone comes as
 // often as it has shards, so that the load is even (weighted rendezvous hashing,
 // Schindelhauer and Schomaker 2005).
-func (l *Layout) pickZone(shards []string, requestID string) string {
+func (l *Layout) pickZone(shards []string, key string) string {
 	count := map[string]int{}
 	for _, shard := range shards {
 		for _, zone := range l.places[shard] {
@@ -68,7 +73,7 @@
 	}
 	best, least := "", math.Inf(1)
 	for _, zone := range slices.Sorted(maps.Keys(count)) {
-		uniform := (float64(xxhash.Sum64String(requestID+"/"+zone)>>11) + 1) / (1 << 53)
+		uniform := (float64(xxhash.Sum64String(key+"/"+zone)>>11) + 1) / (1 << 53)
 		if cost := -math.Log(uniform) / float64(count[zone]); cost < least {
 			best, least = zone, cost
 		}
@@ -78,7 +83,7 @@
 
 // shareOut divides shards among the routers of the zone: each to a router that
 // gathers for the cell that it belongs to, which is self where that is one of them.
-func (z *zoneLayout) shareOut(self Router, shards []string, requestID string) []Slice {
+func (z *zoneLayout) shareOut(self Router, shards []string, key string) []Slice {
 	byCell := make([][]string, len(z.cells))
 	for _, shard := range shards {
 		cell := z.cellOf(shard)
@@ -94,7 +99,7 @@
 			assigned = append(assigned, Slice{Shards: held})
 			continue
 		}
-		pick := xxhash.Sum64String(requestID+"/"+strconv.Itoa(number)) % uint64(len(asked))
+		pick := xxhash.Sum64String(key+"/"+strconv.Itoa(number)) % uint64(len(asked))
 		assigned = append(assigned, Slice{Router: asked[pick], Shards: held})
 	}
 	return assigned
--- a/internal/slicing/layout.go
+++ b/internal/slicing/layout.go
@@ -48,6 +48,11 @@
 	// router measured, of 0.19 cores. Fewer routers keep their connections warm and
 	// learn sooner what a server does; a slice is late where its router is busy.
 	callsPerGatherer = 110.0
+	// stickyBelow is how many slices a second one router asks of another, if requests are
+	// spread over all that gather, below which each asks few of them: with fewer, most
+	// slices meet a connection that has yet to be opened, at both ends by routers with
+	// little processor time. Small fleets lie above 1, those of 60 and 300 below 0.2.
+	stickyBelow = 0.5
 )
 
 // Layout is where the shards of a route can be gathered. But for the router that
@@ -55,6 +60,8 @@
 // a second. It is not changed once made.
 type Layout struct {
 	self Router
+	// sticky says that slices go by the router that asks and not by the request.
+	sticky bool
 	// zones are those with routers, by name.
 	zones map[string]*zoneLayout
 	// held are the zones of each shard with servers and routers, places those of them
@@ -114,9 +121,14 @@
 			}
 		}
 	}
+	routers, gatherers := 0, 0
 	for _, zone := range made.zones {
 		zone.formCells(site.Calls / float64(max(1, places)))
+		routers += len(zone.routers)
+		gatherers += lo.SumBy(zone.cells, func(formed cell) int { return formed.gathering })
 	}
+	slicesPerPair := site.Calls / shardsPerCell / float64(max(1, routers*gatherers))
+	made.sticky = site.Calls > 0 && slicesPerPair < stickyBelow
 	return made
 }
 
