Serve an operator's evacuations of zones: durable, told to routers, obeyed by all sends

Routers move a zone's services one after the other over 0.4 of evacuate-within (new setting), at once where they can't tell the order's age; engine and layouts of slices obey the same view (package evacuation, pure). A service without servers elsewhere is refused at once. Tests: they failed before (no such call): directory (told everywhere, idempotent, two disks lost, minority), platform, scatter, and a property over orders in any sequence.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -69,6 +69,11 @@
 	if otherAbsent {
 		reply.Absent = list.absent
 	}
+	evacuated, revision := applied.evacuations()
+	otherEvacuated := revision > request.Evacuations
+	if reply.Evacuations = revision; otherEvacuated {
+		reply.Evacuated = zoneNames(evacuated)
+	}
 	same := request.Source == n.source
 	since := request.Revision
 	if !same {
@@ -77,7 +82,7 @@
 	reply.Whole = !same
 	reply.Instances = n.registry.Since(now, since)
 	reply.Departed, reply.Departures = applied.departures(request.Departures)
-	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || otherRouters || otherAbsent
+	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || otherRouters || otherAbsent || otherEvacuated
 	return reply, news, n.changed, nil
 }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -24,6 +24,8 @@
 	Departures []string `json:"departures,omitempty"`
 	// Formed says that the group has reached its size once.
 	Formed bool `json:"formed,omitempty"`
+	// Evacuations are orders of operators, in the order in which they hold.
+	Evacuations []evacuationOrder `json:"evacuations,omitempty"`
 }
 
 // putResult is what applying a document gave.
@@ -40,6 +42,10 @@
 	Document   []byte   `json:"document"`
 	Departures []string `json:"departures"`
 	Formed     bool     `json:"formed"`
+	// Evacuated are the zones whose servers get no requests, ordered by name, and
+	// EvacuationRevision rises whenever they change.
+	Evacuated          []Evacuation `json:"evacuated,omitempty"`
+	EvacuationRevision uint64       `json:"evacuation_revision,omitempty"`
 }
 
 // machine applies the log. It is safe for concurrent use.
@@ -72,6 +78,9 @@
 		m.depart(id)
 	}
 	m.state.Formed = m.state.Formed || decoded.Formed
+	for _, order := range decoded.Evacuations {
+		m.evacuate(order)
+	}
 	m.notify()
 	return result
 }
--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -12,6 +12,7 @@
 	changes    *prometheus.CounterVec
 	instances  *prometheus.GaugeVec
 	version    prometheus.Gauge
+	evacuated  prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -33,6 +34,9 @@
 		version: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_directory_document_version", Help: "Version of the routing document that this node holds.",
 		}),
+		evacuated: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_directory_evacuated_zones_count", Help: "Zones whose servers get no requests, by order of an operator.",
+		}),
 	}
 }
 
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -36,12 +36,15 @@
 		return n.confirm(ctx)
 	}
 	if !n.mayAcknowledge() {
-		return errors.Wrap(ErrUnavailable, "the group has not reached its size")
+		return errNotFormed
 	}
 	_, err := n.propose(ctx, command{Version: message.Version, Document: message.Text})
 	return err
 }
 
+// errNotFormed is an ErrUnavailable.
+var errNotFormed = errors.Wrap(ErrUnavailable, "the group has not reached its size")
+
 // mayAcknowledge reports whether what a quorum has synced survives the losses
 // that are to be borne: not before the group had its full size once. A group
 // that does not reach it in time goes on, since fewer nodes may be all there is.
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -19,6 +19,7 @@
 	pathPut      = "/peer/put"
 	pathRead     = "/peer/read"
 	pathDepart   = "/peer/depart"
+	pathEvacuate = "/peer/evacuate"
 	// PathFollow is what routers call for news.
 	PathFollow = "/router/follow"
 	// PathDoubt is where routers tell which others failed.
@@ -136,6 +137,8 @@
 	Absent     uint64 `json:"absent"`
 	// Probe asks only whether the node can be followed: the reply names its source.
 	Probe bool `json:"probe,omitempty"`
+	// Evacuations is the highest revision of the evacuated zones that the router holds.
+	Evacuations uint64 `json:"evacuations,omitempty"`
 	// Wait is how long the node may hold the call while there is no news.
 	Wait time.Duration `json:"wait"`
 }
@@ -172,6 +175,10 @@
 	// where many routers fail, so that it travels apart.
 	Absent       []string `json:"absent,omitempty"`
 	AbsentDigest uint64   `json:"absent_digest"`
+	// Evacuations is the revision of the zones whose servers get no requests; Evacuated
+	// names them if the router holds a lower one.
+	Evacuations uint64   `json:"evacuations,omitempty"`
+	Evacuated   []string `json:"evacuated,omitempty"`
 }
 
 // maxFramedMessage bounds one consensus message in a call.
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -44,6 +44,9 @@
 	mux.Handle(pathDepart, handle(func(ctx context.Context, message departMessage) (struct{}, error) {
 		return struct{}{}, n.departHere(ctx, message)
 	}))
+	mux.Handle(pathEvacuate, handle(func(ctx context.Context, order evacuationOrder) (struct{}, error) {
+		return struct{}{}, n.evacuateHere(ctx, order)
+	}))
 	mux.Handle(pathRead, handle(func(ctx context.Context, _ struct{}) (readReply, error) { return n.readHere(ctx) }))
 	mux.Handle(PathDoubt, handle(func(_ context.Context, told Doubt) (struct{}, error) {
 		n.doubtRouters(told)
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -152,12 +152,14 @@
 // and wakes routers when the document changed.
 func (n *Node) runDepartures(ctx context.Context) {
 	position := 0
+	var evacuations uint64
 	for {
 		applied, replaced := n.member.state(), n.member.wasReplaced()
 		version, _, changed := applied.document()
 		ids, next := applied.departures(position)
 		position = next
 		n.metrics.version.Set(float64(version))
+		evacuations = n.tellEvacuations(applied, evacuations)
 		n.mutex.Lock()
 		for _, id := range ids {
 			n.registry.Leave(id)
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/evacuation"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
@@ -43,6 +44,10 @@
 	followed atomic.Pointer[string]
 	// routerCount is how many routers there are, as last told.
 	routerCount int
+	// evacuated says which servers get nothing by an operator's order; moving that this
+	// still changes with time.
+	evacuated evacuation.View
+	moving    bool
 	// servers are the ids told to the engine; departed those never told again.
 	servers  map[string]bool
 	departed map[string]bool
@@ -97,17 +102,22 @@
 		reply, err = f.post(ctx, f.node, f.request, firstTimeout)
 	} else {
 		f.request.Wait = followWait
+		if f.moving {
+			f.request.Wait = evacuationStep
+		}
 		reply, err = f.post(ctx, f.node, f.request, followTimeout)
 	}
 	if err != nil {
 		return err
 	}
+	regained := f.lost
 	if f.lost {
 		f.lost = false
 		f.gateway.logger.WithField("node", f.node).WithField("source", reply.Source).Info("directory_regained")
 	}
 	followed := f.node
 	f.followed.Store(&followed)
+	f.takeEvacuations(reply, regained)
 	f.takeIn(reply)
 	return nil
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	slicesFailed   prometheus.Counter
 	slicesServed   prometheus.Counter
 	version        prometheus.Gauge
+	evacuated      prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -41,5 +42,8 @@
 		version: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_document_version", Help: "Version of the routing document in force.",
 		}),
+		evacuated: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_gateway_evacuated_zones_count", Help: "Zones whose servers get no requests, by order of an operator.",
+		}),
 	}
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -38,6 +38,9 @@
 	Grace time.Duration
 	// Budget bounds hedges and retries of each service, over all routers.
 	Budget scatter.BudgetLimits
+	// EvacuateWithin is how long after the acknowledgement of an evacuation requests may
+	// still go to the zone; 0 for not at all.
+	EvacuateWithin time.Duration
 	// ParseDocument reads a routing document.
 	ParseDocument func(text []byte) (*routing.Document, error)
 	Dialect       Dialect
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/evacuation"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/slicing"
@@ -32,6 +33,8 @@
 	places   map[string]place
 	zones    map[string][]string
 	outdated bool
+	// evacuated says which servers get nothing by an operator's order.
+	evacuated evacuation.View
 	// layouts are those of the lists of shards that were asked for, by the list's
 	// first element; they hold until something changes or a doubt ends.
 	layouts map[*string]*slicing.Layout
@@ -78,6 +81,15 @@
 	}
 }
 
+// setEvacuated takes in which servers get nothing by an operator's order; also the same
+// again, since their services leave one after the other.
+func (p *peers) setEvacuated(view evacuation.View) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.evacuated, p.outdated = view, true
+	p.change()
+}
+
 // change forgets what was worked out. The caller holds the mutex.
 func (p *peers) change() {
 	p.changed = true
@@ -202,7 +214,11 @@
 	}
 	p.outdated = false
 	p.zones = make(map[string][]string)
+	now := time.Now()
 	for _, at := range p.places {
+		if p.evacuated.Empty(now, at.zone, at.service) {
+			continue
+		}
 		if !slices.Contains(p.zones[at.service], at.zone) {
 			p.zones[at.service] = append(p.zones[at.service], at.zone)
 		}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -18,12 +18,13 @@
 	Seeds         []string `long:"seed" koanf:"seeds" validate:"dive,ip_port" description:"Address of a directory node; its port is replaced by peer-port if that is set. Repeat it to name several"`
 	PeerPort      uint16   `long:"peer-port" koanf:"peer-port" description:"Port at which all directory nodes are reached by routers and each other"`
 
-	StopLimit   time.Duration `long:"stop-limit" koanf:"stop-limit" default:"30s" validate:"min=1s" description:"Longest planned stop"`
-	ExtraRatio  float64       `long:"extra-ratio" koanf:"extra-ratio" default:"0.1" validate:"min=0" description:"Hedges and retries allowed at a service, of all routers, as a share of its requests"`
-	ExtraSlack  float64       `long:"extra-slack" koanf:"extra-slack" default:"20" validate:"min=0" description:"Hedges and retries allowed beyond that"`
-	ExtraWindow time.Duration `long:"extra-window" koanf:"extra-window" default:"10s" validate:"min=100ms" description:"Length of the windows in which hedges and retries are counted"`
-	LogLevel    string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
-	MemoryLimit int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
+	StopLimit      time.Duration `long:"stop-limit" koanf:"stop-limit" default:"30s" validate:"min=1s" description:"Longest planned stop"`
+	ExtraRatio     float64       `long:"extra-ratio" koanf:"extra-ratio" default:"0.1" validate:"min=0" description:"Hedges and retries allowed at a service, of all routers, as a share of its requests"`
+	ExtraSlack     float64       `long:"extra-slack" koanf:"extra-slack" default:"20" validate:"min=0" description:"Hedges and retries allowed beyond that"`
+	ExtraWindow    time.Duration `long:"extra-window" koanf:"extra-window" default:"10s" validate:"min=100ms" description:"Length of the windows in which hedges and retries are counted"`
+	EvacuateWithin time.Duration `long:"evacuate-within" koanf:"evacuate-within" default:"5s" validate:"min=0" description:"How long after the acknowledgement of an evacuation requests may still go to the zone"`
+	LogLevel       string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
+	MemoryLimit    int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
 }
 
 // SeedAddresses are where directory nodes are reached by routers.
--- a/internal/scatter/choice.go
+++ b/internal/scatter/choice.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/martenstage/martenstage/internal/evacuation"
 )
 
 // choose returns the server with the least expected delay among those that were not
@@ -16,7 +18,7 @@
 func (g *group) choose(now time.Time, tried []*server, view choiceView) (*server, availability) {
 	found := choice{nearCost: math.Inf(1)}
 	for _, candidate := range g.servers {
-		if !candidate.usable() || slices.Contains(tried, candidate) {
+		if !candidate.usable() || slices.Contains(tried, candidate) || view.evacuated.Empty(now, candidate.Zone, candidate.Service) {
 			continue
 		}
 		condition := view.condition(now, candidate)
@@ -87,6 +89,8 @@
 	// typical is that of the route's attempts.
 	left    time.Duration
 	typical time.Duration
+	// evacuated says which servers get nothing by an operator's order.
+	evacuated evacuation.View
 	// ahead is what an attempt takes that is before it at a server.
 	ahead time.Duration
 }
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/martenstage/martenstage/internal/evacuation"
 	"github.com/martenstage/martenstage/internal/latency"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/verdict"
@@ -32,7 +33,9 @@
 	timers   timerHeap
 	last     AttemptID
 	woken    time.Time
-	commands []Command
+	// evacuated says which servers get nothing by an operator's order.
+	evacuated evacuation.View
+	commands  []Command
 }
 
 // New returns an engine that knows no servers.
@@ -81,6 +84,9 @@
 		e.routers = max(1, event.Count)
 	case GatherersCounted:
 		e.countGatherers(event.Gatherers)
+	case ZonesEvacuated:
+		e.evacuated = event.View
+		e.serveWaiting()
 	case TimerFired:
 	}
 }
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/martenstage/martenstage/internal/evacuation"
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/verdict"
@@ -68,6 +69,10 @@
 	Self bool
 }
 
+// ZonesEvacuated tells which servers get nothing because an operator has their zone
+// evacuated.
+type ZonesEvacuated struct{ View evacuation.View }
+
 // TimerFired says that the time of the last Wake has come.
 type TimerFired struct{}
 
@@ -79,6 +84,7 @@
 func (DocumentChanged) isEvent()  {}
 func (RoutersCounted) isEvent()   {}
 func (GatherersCounted) isEvent() {}
+func (ZonesEvacuated) isEvent()   {}
 func (TimerFired) isEvent()       {}
 
 // Server is one start of a server.
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -121,7 +121,7 @@
 	switch {
 	case found == available:
 		e.send(called, chosen, extra)
-	case found == absent && (len(called.tried) > 0 || e.now.Sub(called.request.arrived) >= absentPatience):
+	case found == absent && (len(called.tried) > 0 || e.now.Sub(called.request.arrived) >= absentPatience || e.withheld(called.group)):
 		if len(called.live) == 0 {
 			e.settle(called)
 		}
@@ -132,9 +132,17 @@
 	}
 }
 
+// withheld reports whether the only servers of a service are in evacuated zones, so that
+// waiting for one to be known is of no use.
+func (e *Engine) withheld(of *group) bool {
+	return len(of.servers) > 0 && !slices.ContainsFunc(of.servers, func(s *server) bool {
+		return !e.evacuated.Empty(e.now, s.Zone, s.Service)
+	})
+}
+
 // view is what a choice for a call depends on beside the servers.
 func (e *Engine) view(called *call) choiceView {
-	view := choiceView{zone: e.config.Zone, share: e.share(called.group), random: e.random}
+	view := choiceView{zone: e.config.Zone, share: e.share(called.group), random: e.random, evacuated: e.evacuated}
 	asked := called.request
 	if !asked.due.IsZero() && !e.overdue(called) {
 		view.left = asked.due.Sub(e.now)
