Grant attempts beyond the first of a shard by the router that asked, so that it counts all

A router there sent slices over kept connections; front-bkk-thon-16 took one up, sent an attempt and hedged 42 ms later; the asker heard nothing, counted one attempt for it after 105 ms and had the shards gathered by front-bkk-thon-6: three servers where the route allows two. The count of one attempt for each earlier router was wrong. Ruled out: attempts resent by the exchange; slices taken up twice. Change: a router that gathers for another sends one attempt a shard by itself; each further one it claims from the asker (one small call for all shards of a step). The asker counts what it granted; a slice that was given up grants nothing more. Shards whose attempts may all be spent are not given to stand-ins.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	answers  atomic.Uint64
 	peers    *peers
 	slices   *sliceClient
+	claims   *claimBook
 	clients  *clientConnections
 	// shardCalls is how often servers of shards are called, beyond repeats.
 	shardCalls rate
@@ -57,13 +58,13 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: time.Now(),
-		known: make(chan struct{}), doubts: make(chan string, doubtBacklog), slices: newSliceClient(), clients: newClientConnections(environment.Registerer),
+		known: make(chan struct{}), doubts: make(chan string, doubtBacklog), slices: newSliceClient(), claims: newClaimBook(), clients: newClientConnections(environment.Registerer),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget})
-	gateway.loop = newLoop(engine, gateway.pool, gateway.logger)
+	gateway.loop = newLoop(engine, gateway.pool, gateway.slices.claim, gateway.logger)
 	return gateway
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -99,11 +99,7 @@
 	logger.SetOutput(io.Discard)
 	s.router = gateway.New(gateway.Config{
 		Name: "router", Zone: "a", Seeds: []string{node}, Grace: 3 * time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
-		ParseDocument: func(text []byte) (*routing.Document, error) {
-			parsed := &routing.Document{}
-			return parsed, json.Unmarshal(text, parsed)
-		},
-		Dialect: dialect{}, Codec: dialect{},
+		ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
 	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -118,6 +114,11 @@
 	return s
 }
 
+func parseDocument(text []byte) (*routing.Document, error) {
+	parsed := &routing.Document{}
+	return parsed, json.Unmarshal(text, parsed)
+}
+
 func serve(t testing.TB, handler http.Handler) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -164,6 +164,7 @@
 func (g *gatherState) finish() {
 	g.cancel()
 	for _, state := range g.slices {
+		g.gateway.claims.close(state.token)
 		if state.local != nil && !state.ended {
 			state.local.abandon()
 		}
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/slicing"
 )
@@ -22,6 +21,8 @@
 	// local is set once this router gathers the slice itself.
 	local *gathering
 	ended bool
+	// token is that of its claims, at this router; 0 for none.
+	token claimToken
 }
 
 // maxStandIns bounds the routers that are asked for a shard one after the other, before
@@ -50,7 +51,9 @@
 		return
 	}
 	g.gateway.metrics.slicesAsked.Inc()
+	state.token = g.gateway.claims.open()
 	asked := g.sliceRequest(slice, from)
+	asked.Claims = claimTarget{Address: g.gateway.config.PeerAddress, Token: state.token}
 	if !g.collection.Cut.IsZero() {
 		state.due = time.Now().Add(asked.CutLeft)
 	}
@@ -115,23 +118,46 @@
 			WithField("request", g.id).WithField("reason", event.reason).Info("router_doubted")
 	}
 	g.fallbacks++
-	open := failed.leave()
-	from := origin{failed: failed.origin.failed + 1, earlier: failed.origin.earlier}
+	repeated := g.gateway.claims.close(failed.token)
+	spent := failed.origin.earlier
 	if event.accepted {
-		from.earlier++
+		spent++
 	}
-	if from.failed > maxStandIns {
-		g.begin(slicing.Slice{Shards: open}, from)
-		return
+	for earlier, open := range failed.leave(spent, repeated) {
+		g.standIn(open, origin{failed: failed.origin.failed + 1, earlier: earlier})
 	}
-	for _, slice := range g.gateway.peers.layout(g.route.Shards).Assign(g.id, open) {
-		g.begin(slice, from)
+}
+
+// standIn has shards gathered whose router failed. Those for which as many servers may
+// have been asked as the route allows are lost.
+func (g *gatherState) standIn(shards []string, from origin) {
+	switch {
+	case from.earlier >= max(1, g.route.MaxAttempts):
+		g.collection.Out += len(shards)
+	case from.failed > maxStandIns:
+		g.begin(slicing.Slice{Shards: shards}, from)
+	default:
+		for _, slice := range g.gateway.peers.layout(g.route.Shards).Assign(g.id, shards) {
+			g.begin(slice, from)
+		}
 	}
 }
 
-// leave ends a slice whose router failed and returns the shards that it leaves open.
-func (s *sliceState) leave() []string {
-	open := lo.Filter(s.Shards, func(_ string, position int) bool { return s.open[position] })
+// leave ends a slice whose router failed and returns the shards that it leaves open, by
+// how many attempts may have been sent for them: as many as were spent, and one more for
+// those that were repeated.
+func (s *sliceState) leave(spent int, repeated map[int]bool) map[int][]string {
+	open := make(map[int][]string)
+	for position, shard := range s.Shards {
+		if !s.open[position] {
+			continue
+		}
+		attempts := spent
+		if repeated[position] {
+			attempts++
+		}
+		open[attempts] = append(open[attempts], shard)
+	}
 	s.ended = true
 	clear(s.open)
 	return open
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -22,6 +22,9 @@
 	attempts map[scatter.AttemptID]*exchange.Attempt
 	last     scatter.RequestID
 	timer    *time.Timer
+	// claiming is what the present step asked for; claim carries such a message.
+	claiming map[scatter.RequestID][]int
+	claim    func(claimTarget, []int) error
 }
 
 // submitted is a request on its way into the engine.
@@ -35,6 +38,9 @@
 	// that gathers, marked with slice. It has room for all of them.
 	events chan<- *gatherEvent
 	slice  int
+	// claims is where attempts beyond the first of a shard are asked for; a zero token
+	// is for those that need not be.
+	claims claimTarget
 }
 
 // end hands the result of a request on.
@@ -46,12 +52,13 @@
 	s.answer <- result
 }
 
-func newLoop(engine *scatter.Engine, pool *exchange.Pool, logger logrus.FieldLogger) *loop {
+func newLoop(engine *scatter.Engine, pool *exchange.Pool, claim func(claimTarget, []int) error, logger logrus.FieldLogger) *loop {
 	return &loop{
-		engine: engine, pool: pool, logger: logger,
+		engine: engine, pool: pool, claim: claim, logger: logger,
 		events: make(chan scatter.Event, eventBacklog), requests: make(chan submitted, maxInFlight),
 		waiting:  make(map[scatter.RequestID]submitted),
 		attempts: make(map[scatter.AttemptID]*exchange.Attempt),
+		claiming: make(map[scatter.RequestID][]int),
 		timer:    time.NewTimer(time.Hour),
 	}
 }
@@ -96,6 +103,7 @@
 	for _, command := range l.engine.Step(time.Now(), event) {
 		l.carryOut(command)
 	}
+	l.sendClaims()
 	if gone, ok := event.(scatter.Abandoned); ok {
 		// Only now: a timer that was due in this step may have sent for it.
 		delete(l.waiting, gone.Request)
@@ -106,6 +114,8 @@
 	switch command := command.(type) {
 	case scatter.Send:
 		l.send(command)
+	case scatter.Claim:
+		l.claiming[command.Request] = append(l.claiming[command.Request], command.Shard)
 	case scatter.Abort:
 		if out, ok := l.attempts[command.Attempt]; ok {
 			out.Abort()
--- /dev/null
+++ b/internal/gateway/one_way_test.go
@@ -0,0 +1,116 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/gateway"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/scatter"
+)
+
+// startRouter starts a router that follows a directory stub and serves other routers at
+// an address.
+func startRouter(t *testing.T, name, zone string, peers net.Listener, stub *directoryStub) *site {
+	node := serve(t, stub)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	s := &site{t: t, directory: stub, done: make(chan error, 1)}
+	s.router = gateway.New(gateway.Config{
+		Name: name, Zone: zone, PeerAddress: peers.Addr().String(), Seeds: []string{node}, Grace: 3 * time.Second,
+		Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100}, ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
+	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
+	clients, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = clients.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { s.done <- s.router.Run(ctx, clients, peers) }()
+	return s
+}
+
+// deafPath passes on what comes in at a new address to a listener, and nothing back.
+func deafPath(t *testing.T, to string) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			from, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = from.Close() }()
+				onwards, err := net.Dial("tcp4", to)
+				if err != nil {
+					return
+				}
+				defer func() { _ = onwards.Close() }()
+				go func() { _, _ = io.Copy(io.Discard, onwards) }()
+				_, _ = io.Copy(onwards, from)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func listenLocal(t *testing.T) net.Listener {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	return listener
+}
+
+// TestServersAskedStayWithinTheRouteWhenNothingIsHeardFromOthers has a router ask others,
+// by paths on which nothing comes back, for a shard whose servers are silent: the router
+// that was asked first would hedge, those that stand in for it ask as well, and over all
+// of them no more servers are asked than the route allows.
+func TestServersAskedStayWithinTheRouteWhenNothingIsHeardFromOthers(t *testing.T) {
+	var mutex sync.Mutex
+	asked := map[string]int{}
+	stub := &directoryStub{}
+	for count := range 12 {
+		number := strconv.Itoa(count)
+		address := serve(t, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+			mutex.Lock()
+			asked[number]++
+			mutex.Unlock()
+			<-request.Context().Done()
+		}))
+		stub.reply.Instances = append(stub.reply.Instances, registry.Instance{
+			ID: "i-t" + number, Service: "t", Address: address, Zone: "b", Slots: 2, State: registry.Ready,
+		})
+	}
+	stub.reply.Source, stub.reply.Whole, stub.reply.RoutersDigest = "stub", true, 1
+	document := oneRoute(1, "t")
+	document.Routes[0].Targets, document.Routes[0].Shards = nil, []string{"t"}
+	document.Routes[0].Target, document.Routes[0].TopRecords, document.Routes[0].LeastShare = 100*time.Millisecond, 1, 1
+	asker := listenLocal(t)
+	for _, name := range []string{"other0", "other1", "other2"} {
+		peers := listenLocal(t)
+		startRouter(t, name, "b", peers, stub).install(document)
+		stub.mutex.Lock()
+		stub.reply.Routers = append(stub.reply.Routers, directory.ListedRouter{Name: name, Zone: "b", Address: deafPath(t, peers.Addr().String())})
+		stub.mutex.Unlock()
+	}
+	s := startRouter(t, "asker", "a", asker, stub)
+	s.install(document)
+	got := s.ask(http.MethodGet, "/a/", nil)
+	require.GreaterOrEqual(t, got.status, 500)
+	time.Sleep(200 * time.Millisecond)
+	mutex.Lock()
+	defer mutex.Unlock()
+	require.NotEmpty(t, asked)
+	require.LessOrEqual(t, len(asked), document.Routes[0].MaxAttempts)
+}
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -32,6 +32,8 @@
 	DeadlineLeft time.Duration `json:"deadline_left"`
 	// Earlier is how many other routers may have asked servers before.
 	Earlier int `json:"earlier,omitempty"`
+	// Claims is where attempts beyond the first of a shard are asked for.
+	Claims claimTarget `json:"claims"`
 }
 
 // due is when the parts of a request that arrived at a time are sent; zero for when
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -17,6 +17,7 @@
 func (g *Gateway) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathSlice, g.serveSlice)
+	mux.HandleFunc("POST "+pathClaim, g.serveClaim)
 	return mux
 }
 
@@ -76,7 +77,7 @@
 	now := time.Now()
 	events := make(chan *gatherEvent, 2*len(asked.Shards)+1)
 	gathering := g.submitShards(localSlice{
-		request: stream.request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events, earlier: asked.Earlier,
+		request: stream.request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events, earlier: asked.Earlier, claims: asked.Claims,
 		route: &routing.Route{
 			Name: asked.Route, Repeatable: true, Timeout: asked.DeadlineLeft, Target: asked.Target, Priority: asked.Priority,
 			MaxAttempts: asked.MaxAttempts, Shards: asked.Shards, LeastShare: asked.LeastShare,
@@ -119,6 +120,9 @@
 	due time.Time
 	// earlier is how many other routers may have asked servers before.
 	earlier int
+	// claims is where attempts beyond the first of a shard are asked for; a zero token
+	// is for those that need not be.
+	claims claimTarget
 	// events receives one event for each part and one at the end; it has room for
 	// them all.
 	events chan<- *gatherEvent
@@ -158,8 +162,9 @@
 	arriving := submitted{
 		arrived: scatter.Arrived{
 			Route: local.route, Services: local.shards, Deadline: local.deadline, Due: local.due, Earlier: local.earlier,
+			Claims: local.claims.Token != 0,
 		},
-		request: local.request, id: make(chan scatter.RequestID, 1), events: local.events, slice: local.slice,
+		claims: local.claims, request: local.request, id: make(chan scatter.RequestID, 1), events: local.events, slice: local.slice,
 	}
 	g.shardCalls.add(len(local.shards))
 	g.loop.requests <- arriving
--- /dev/null
+++ b/internal/scatter/claims.go
@@ -0,0 +1,60 @@
+package scatter
+
+// claim says how far a call has come with asking for attempts beyond its first.
+type claim uint8
+
+const (
+	unclaimed claim = iota
+	// claimed: it was asked for, and nothing is known yet.
+	claimed
+	granted
+	refused
+)
+
+// mayRepeat reports whether an attempt beyond the first may be sent, and asks for it if
+// that is not known. Whoever asked for the shards counts every attempt that may have
+// been sent, also by a router that it does not hear any more: without that, a router that
+// hedged behind a path that is cut one way and those that stand in for it would ask more
+// servers of a shard than its route allows.
+func (e *Engine) mayRepeat(called *call) bool {
+	asked := called.request
+	if !asked.claims || called.claim == granted || len(called.tried) == called.unsent {
+		return true
+	}
+	if called.claim == unclaimed {
+		called.claim = claimed
+		e.note(called, Step{Kind: StepClaims})
+		e.emit(Claim{Request: asked.id, Shard: called.position})
+	}
+	return false
+}
+
+// takeGrant takes in whether calls may be repeated, and repeats them.
+func (e *Engine) takeGrant(event Granted) {
+	waiting, ok := e.requests[event.Request]
+	if !ok {
+		return
+	}
+	for _, position := range event.Shards {
+		if position < len(waiting.calls) {
+			e.repeatGranted(waiting.calls[position], event.Refused)
+		}
+	}
+	e.decide(waiting)
+}
+
+func (e *Engine) repeatGranted(called *call, isRefused bool) {
+	called.claim = granted
+	if isRefused {
+		called.claim = refused
+	}
+	switch {
+	case called.settled || called.waiting:
+	case len(called.live) > 0 && !isRefused:
+		e.hedge(called.live[len(called.live)-1].id)
+	case len(called.live) == 0 && isRefused:
+		e.settle(called)
+	case len(called.live) == 0:
+		e.dispatchExtra(called)
+	}
+}
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -67,6 +67,8 @@
 		e.arrive(event)
 	case Ended:
 		e.end(event)
+	case Granted:
+		e.takeGrant(event)
 	case Abandoned:
 		e.abandon(event.Request)
 	case ServersChanged:
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -33,6 +33,18 @@
 	// Earlier is how many other routers may have asked servers before: each of them is
 	// taken to have sent one attempt, and every further one has to be paid for.
 	Earlier int
+	// Claims says that whoever asked counts the attempts: each one beyond the first of a
+	// shard is sent only once it was granted.
+	Claims bool
+}
+
+// Granted answers a Claim: attempts beyond the first may be sent for some shards of a
+// request, or may not.
+type Granted struct {
+	Request RequestID
+	// Shards are positions in Arrived.Services.
+	Shards  []int
+	Refused bool
 }
 
 // Ended is the end of an attempt; there is exactly one for each Send.
@@ -77,6 +89,7 @@
 type TimerFired struct{}
 
 func (Arrived) isEvent()          {}
+func (Granted) isEvent()          {}
 func (Ended) isEvent()            {}
 func (Abandoned) isEvent()        {}
 func (ServersChanged) isEvent()   {}
@@ -155,6 +168,13 @@
 	Extra bool
 }
 
+// Claim asks for attempts beyond the first of a shard. One Granted follows.
+type Claim struct {
+	Request RequestID
+	// Shard is the position in Arrived.Services.
+	Shard int
+}
+
 // Abort ends an attempt whose answer is not wanted any more. Its Ended follows.
 type Abort struct{ Attempt AttemptID }
 
@@ -197,6 +217,7 @@
 }
 
 func (Send) isCommand()    {}
+func (Claim) isCommand()   {}
 func (Abort) isCommand()   {}
 func (Part) isCommand()    {}
 func (Respond) isCommand() {}
@@ -241,11 +262,13 @@
 	StepWaits
 	// StepDenied: the budget did not pay for another attempt.
 	StepDenied
+	// StepClaims: another attempt is asked for.
+	StepClaims
 )
 
 // String returns the kind in lower case, for logs.
 func (k StepKind) String() string {
-	return [...]string{"sent", "hedged", "retried", "ended", "waits", "denied"}[k]
+	return [...]string{"sent", "hedged", "retried", "ended", "waits", "denied", "claims"}[k]
 }
 
 // Step is one thing that was done for a call.
--- a/internal/scatter/harness_test.go
+++ b/internal/scatter/harness_test.go
@@ -32,6 +32,7 @@
 	parts   map[scatter.RequestID][]scatter.Part
 	overdue map[scatter.RequestID]scatter.Result
 	last    scatter.RequestID
+	claims  []scatter.Claim
 }
 
 func newHarness(t reporter, limits scatter.BudgetLimits) *harness {
@@ -59,6 +60,8 @@
 			h.parts[command.Request] = append(h.parts[command.Request], command)
 		case scatter.Overdue:
 			h.overdue[command.Request] = command.Result
+		case scatter.Claim:
+			h.claims = append(h.claims, command)
 		case scatter.Wake:
 			h.wake = command.At
 		}
--- a/internal/scatter/hedging.go
+++ b/internal/scatter/hedging.go
@@ -97,7 +97,11 @@
 		return
 	}
 	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
-	if found != available || chosen.condition(e.now) >= doubted || !e.pay(called, hedgeReserve) {
+	possible := found == available && chosen.condition(e.now) < doubted
+	if possible && !e.mayRepeat(called) {
+		return
+	}
+	if !possible || !e.pay(called, hedgeReserve) {
 		// There may be room, or a token, a little later.
 		again := max(hedgeFloor, e.hedgeDelay(route)/hedgeAgainPart)
 		e.timers.add(timer{at: e.now.Add(again), kind: timerHedge, attempt: id})
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -23,6 +23,8 @@
 	extras   int
 	denied   int
 	answered bool
+	// claims is that of Arrived.
+	claims bool
 }
 
 // call is what a request asks of one service.
@@ -39,6 +41,7 @@
 	earlier int
 	settled bool
 	waiting bool
+	claim   claim
 	// patient says that there is a timer for the end of its wait for a server.
 	patient  bool
 	part     *message.Reply
@@ -88,7 +91,7 @@
 )
 
 func (e *Engine) arrive(event Arrived) {
-	arrived := &request{id: event.ID, route: event.Route, arrived: e.now, deadline: event.Deadline, due: event.Due, open: len(event.Services)}
+	arrived := &request{id: event.ID, route: event.Route, arrived: e.now, deadline: event.Deadline, due: event.Due, open: len(event.Services), claims: event.Claims}
 	e.requests[event.ID] = arrived
 	e.timers.add(timer{at: event.Deadline, kind: timerDeadline, request: event.ID})
 	if !event.Due.IsZero() {
@@ -248,6 +251,10 @@
 	}
 	_, found := called.group.choose(e.now, called.tried, e.view(called))
 	switch {
+	case found == available && !e.mayRepeat(called):
+		if called.claim == refused && len(called.live) == 0 {
+			e.settle(called)
+		}
 	case found == absent || found == busy && e.canSpare(called):
 		e.settle(called)
 	case found == busy:
