Use servers that answer though the directory misses them, and hedge to missing ones

Ruled out: budget (5 and 18 denials), the size of the slow servers' share alone. Change: an answer of the last 2.5 s outweighs the directory's silence; a missing server that has not answered here of late is taken before a doubted one, gets hedges, and is taken before a call waits for room at a server that is too slow.

--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -44,6 +44,9 @@
 	fullTime         = 40 * time.Millisecond
 	// connectionPause is how long a server that reset new connections gets no more.
 	connectionPause = time.Second
+	// answerTrust is for how long an answer shows that a server is there which the
+	// directory misses. In fleets of hundreds a router meets a server each two seconds.
+	answerTrust = 2500 * time.Millisecond
 	// loadLifetime is the age at which a reported load counts no more.
 	loadLifetime = 400 * time.Millisecond
 	// paceHalfLife is the age at which a server's pace is half forgotten.
@@ -76,7 +79,9 @@
 	// tooSlow: no answer is expected by the time that the part is due. Only a choice
 	// for a call says so, never the server alone.
 	tooSlow
-	// doubted: it failed a short time ago, or the directory misses it.
+	// missing: the directory misses it, and it has not answered here of late either.
+	missing
+	// doubted: it failed a short time ago.
 	doubted
 	// unreachable: it is doubted since no connection came up.
 	unreachable
@@ -88,14 +93,24 @@
 	switch suspected := now.Before(s.suspectUntil); {
 	case suspected && s.unconnected:
 		return unreachable
-	case suspected || s.Missing:
+	case suspected:
 		return doubted
+	case s.Missing && !s.answeredOfLate(now):
+		return missing
 	case s.failures > 0:
 		return onTrial
 	}
 	return sound
 }
 
+// answeredOfLate reports whether a good answer came from the server a short time ago.
+// That outweighs its silence towards the directory, which may be the directory's: while
+// its nodes were cut from each other, a third of all servers were passed over for three
+// seconds, though they answered.
+func (s *server) answeredOfLate(now time.Time) bool {
+	return !s.heard.IsZero() && now.Sub(s.heard) <= answerTrust
+}
+
 // full reports whether it has just refused work for want of room.
 func (s *server) full(now time.Time) bool { return now.Before(s.fullUntil) }
 
