Tell heartbeats that come late from those of the instance at an address

Cause: a heartbeat held up by a cut made its sender ready again, though another instance had announced itself at the same address since, and that one was held for missing. Change: an instance that was replaced at its address is believed again only after two heartbeats in a row, counted once over nodes, while the owner sends none. A server that turns cold again is told to routers (its end only was kept). Tests: both failed before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -49,8 +49,6 @@
 	warm     time.Time
 	// revision at which the entry last changed in a way that routers must know.
 	revision uint64
-	// registered orders entries of the same address.
-	registered uint64
 }
 
 // Table is the set of known instances.
@@ -59,8 +57,17 @@
 	forgetAfter  time.Duration
 	entries      map[string]*entry
 	byAddress    map[string]string
-	revision     uint64
-	registered   uint64
+	// rivals are, by address, instances that go on sending heartbeats although another
+	// one announced itself there since.
+	rivals   map[string]rival
+	revision uint64
+}
+
+// rival is an instance with the heartbeats that it sent since the owner of its address
+// sent the last one.
+type rival struct {
+	id    string
+	beats int
 }
 
 // New returns an empty table. An instance that was not heard of for
@@ -68,7 +75,7 @@
 func New(missingAfter, forgetAfter time.Duration) *Table {
 	return &Table{
 		missingAfter: missingAfter, forgetAfter: forgetAfter,
-		entries: make(map[string]*entry), byAddress: make(map[string]string),
+		entries: make(map[string]*entry), byAddress: make(map[string]string), rivals: make(map[string]rival),
 	}
 }
 
@@ -94,14 +101,16 @@
 	if heard.After(known.heard) {
 		known.heard = heard
 	}
+	owned := t.owns(known, instance.Sequence)
 	before := known.instance
 	known.instance.Sequence = instance.Sequence
+	turnedCold := instance.WarmLeft > 0 && !now.Before(known.warm)
 	known.warm = now.Add(instance.WarmLeft)
-	if before.State != Leaving && instance.State != Missing {
+	if before.State != Leaving && instance.State != Missing && (owned || instance.State == Leaving) {
 		known.instance.State = instance.State
 	}
 	known.instance.Slots = instance.Slots
-	if before.State == known.instance.State && before.Slots == known.instance.Slots {
+	if before.State == known.instance.State && before.Slots == known.instance.Slots && !turnedCold {
 		return false
 	}
 	t.touch(known)
@@ -115,8 +124,9 @@
 	if !exists || sequence < known.instance.Sequence {
 		return false
 	}
+	owned := t.owns(known, sequence)
 	known.instance.Sequence, known.heard = sequence, now
-	if known.instance.State != Missing {
+	if known.instance.State != Missing || !owned {
 		return false
 	}
 	known.instance.State = Ready
@@ -124,6 +134,38 @@
 	return true
 }
 
+// rivalBeats is how many heartbeats in a row an instance has to send to be believed at an
+// address at which another one announced itself since: one may have been held up by a cut
+// until its sender had ended and a new instance was there.
+const rivalBeats = 2
+
+// owns takes in a heartbeat of a known instance and reports whether it is the one at its
+// address. What other nodes tell of the same heartbeat counts once.
+func (t *Table) owns(known *entry, sequence uint64) bool {
+	id, address := known.instance.ID, known.instance.Address
+	owner := t.entries[t.byAddress[address]]
+	if owner == nil || owner == known {
+		t.byAddress[address] = id
+		delete(t.rivals, address)
+		return true
+	}
+	claiming := t.rivals[address]
+	if claiming.id != id {
+		claiming = rival{id: id}
+	}
+	if sequence > known.instance.Sequence {
+		claiming.beats++
+	}
+	t.rivals[address] = claiming
+	if claiming.beats < rivalBeats {
+		return false
+	}
+	t.replaceAt(owner.instance.ID)
+	t.byAddress[address] = id
+	delete(t.rivals, address)
+	return true
+}
+
 // Knows reports whether the table holds an instance.
 func (t *Table) Knows(id string) bool {
 	_, exists := t.entries[id]
@@ -131,8 +173,7 @@
 }
 
 func (t *Table) add(heard, now time.Time, instance Instance) {
-	t.registered++
-	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft), registered: t.registered}
+	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft)}
 	t.entries[instance.ID] = added
 	if previous, taken := t.byAddress[instance.Address]; taken {
 		t.replaceAt(previous)
@@ -172,6 +213,7 @@
 			delete(t.entries, id)
 			if t.byAddress[known.instance.Address] == id {
 				delete(t.byAddress, known.instance.Address)
+				delete(t.rivals, known.instance.Address)
 			}
 		case silent > t.missingAfter && known.instance.State == Ready:
 			known.instance.State = Missing
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -94,3 +94,53 @@
 		require.Equal(t, inOrder.Since(start, 0)[0].State, shuffled.Since(start, 0)[0].State)
 	})
 }
+
+func TestServerThatTurnsColdIsTold(t *testing.T) {
+	table := registry.New(4*time.Second, time.Minute)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	report := func(sequence uint64, left time.Duration) bool {
+		now = now.Add(time.Second)
+		return table.Report(now, registry.Instance{ID: "i", Service: "s", Address: "a", Slots: 2, State: registry.Ready, Sequence: sequence, WarmLeft: left})
+	}
+	require.True(t, report(1, 0))
+	require.False(t, report(2, 0))
+	require.True(t, report(3, 3*time.Second), "it turned cold")
+	require.False(t, report(4, 2*time.Second), "its end is known")
+	require.Equal(t, 2*time.Second, table.Since(now, 0)[0].WarmLeft)
+}
+
+// TestHeartbeatThatComesLateDoesNotBringItsSenderBack has a heartbeat arrive after another
+// instance has announced itself at the same address.
+func TestHeartbeatThatComesLateDoesNotBringItsSenderBack(t *testing.T) {
+	table := registry.New(4*time.Second, time.Minute)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	beat := func(id string, sequence uint64) {
+		now = now.Add(300 * time.Millisecond)
+		table.Report(now, registry.Instance{ID: id, Service: "s-" + id, Address: "a", Slots: 2, State: registry.Ready, Sequence: sequence})
+	}
+	state := func(id string) registry.State {
+		for _, known := range table.Since(now, 0) {
+			if known.ID == id {
+				return known.State
+			}
+		}
+		return ""
+	}
+	beat("old", 7)
+	beat("new", 1)
+	require.Equal(t, registry.Missing, state("old"))
+	beat("old", 8)
+	require.Equal(t, registry.Missing, state("old"), "its heartbeat came late")
+	require.Equal(t, registry.Ready, state("new"))
+	beat("new", 2)
+	table.Refresh(now, "old", 9)
+	require.Equal(t, registry.Missing, state("old"))
+
+	// A node that has just started hears the late one last: the other one goes on.
+	beat("late", 30)
+	require.Equal(t, registry.Missing, state("new"))
+	beat("new", 3)
+	beat("new", 4)
+	require.Equal(t, registry.Ready, state("new"))
+	require.Equal(t, registry.Missing, state("late"))
+}
