Bound what cold servers get of all routers; read slowness and warm-up from headers

Cause: a document's rate for cold servers, and the time that answers say a server stays cold, were not read; a load header with a fourth figure was dropped whole. What does not fit goes to other servers or is refused at once. A told slowness weighs with its age, gone after 200 ms, and is kept out of the pace.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -253,7 +253,7 @@
 
 // classify turns a whole answer into the outcome.
 func classify(reply *message.Reply, info ReplyInfo) scatter.Outcome {
-	outcome := scatter.Outcome{Reply: reply, Load: info.Load, Verdict: verdict.Ran}
+	outcome := scatter.Outcome{Reply: reply, Load: info.Load, ColdFor: info.ColdFor, Verdict: verdict.Ran}
 	switch {
 	case info.OtherInstance:
 		outcome.Failure, outcome.Verdict = scatter.OtherInstance, verdict.NotRun
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -26,4 +26,7 @@
 	// OtherInstance says that another instance than the one meant answered.
 	OtherInstance bool
 	Load          message.Load
+	// ColdFor is for how much longer the server says that it is cold; 0 if it says
+	// nothing.
+	ColdFor time.Duration
 }
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -174,7 +174,6 @@
 // asks which servers.
 func (f *follower) takeRouters(reply directory.FollowReply) {
 	gateway := f.gateway
-	gateway.loop.events <- scatter.RoutersCounted{Count: reply.RouterCount}
 	if reply.RoutersDigest != f.request.Routers {
 		gateway.peers.setRouters(reply.Routers)
 		gateway.logger.WithField("routers", len(reply.Routers)).Info("routers_changed")
@@ -183,6 +182,7 @@
 		gateway.peers.setAbsent(reply.Absent)
 		gateway.logger.WithField("absent", len(reply.Absent)).Info("absent_routers_changed")
 	}
+	gateway.loop.events <- scatter.RoutersCounted{Count: reply.RouterCount, Rank: gateway.peers.rank()}
 	gateway.peers.setCalls(reply.Calls)
 	if reply.RouterCount != f.routerCount {
 		f.routerCount = reply.RouterCount
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,7 @@
 	}
 	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
 	gateway.SetSeeds(config.Seeds)
-	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget})
+	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget, Cold: config.Cold})
 	gateway.loop = newLoop(engine, gateway.pool, gateway.slices.claim, gateway.logger)
 	return gateway
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -38,6 +38,8 @@
 	Grace time.Duration
 	// Budget bounds hedges and retries of each service, over all routers.
 	Budget scatter.BudgetLimits
+	// Cold bounds what cold servers get of all routers.
+	Cold scatter.ColdLimits
 	// EvacuateWithin is how long after the acknowledgement of an evacuation requests may
 	// still go to the zone; 0 for not at all.
 	EvacuateWithin time.Duration
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -143,15 +143,23 @@
 	counted := make(map[string]scatter.Gatherers)
 	for _, shards := range lists {
 		for shard, gatherers := range p.layoutOf(shards).Gatherers() {
+			known := counted[shard]
 			counted[shard] = scatter.Gatherers{
-				Count: max(counted[shard].Count, int(math.Ceil(scale*float64(gatherers.Count)))),
-				Self:  counted[shard].Self || gatherers.Self,
+				Count: max(known.Count, int(math.Ceil(scale*float64(gatherers.Count)))),
+				Self:  known.Self || gatherers.Self, Rank: max(known.Rank, gatherers.Rank),
 			}
 		}
 	}
 	return counted, true
 }
 
+// rank is the position of this router among those that are listed, by name.
+func (p *peers) rank() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return lo.CountBy(p.routers, func(router slicing.Router) bool { return router.Name < p.self.Name })
+}
+
 // recount makes the next count a new one: the document or the number of routers
 // is another.
 func (p *peers) recount() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -22,6 +22,8 @@
 	ExtraRatio     float64       `long:"extra-ratio" koanf:"extra-ratio" default:"0.1" validate:"min=0" description:"Hedges and retries allowed at a service, of all routers, as a share of its requests"`
 	ExtraSlack     float64       `long:"extra-slack" koanf:"extra-slack" default:"20" validate:"min=0" description:"Hedges and retries allowed beyond that"`
 	ExtraWindow    time.Duration `long:"extra-window" koanf:"extra-window" default:"10s" validate:"min=100ms" description:"Length of the windows in which hedges and retries are counted"`
+	ColdOver       float64       `long:"cold-over" koanf:"cold-over" default:"1.2" validate:"min=1" description:"How many times the rate that a service names for its cold servers each may get in any second, of all routers"`
+	ColdSlack      float64       `long:"cold-slack" koanf:"cold-slack" default:"1" validate:"min=0" description:"Requests in any second allowed beyond that"`
 	EvacuateWithin time.Duration `long:"evacuate-within" koanf:"evacuate-within" default:"5s" validate:"min=0" description:"How long after the acknowledgement of an evacuation requests may still go to the zone"`
 	LogLevel       string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
 	MemoryLimit    int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
@@ -30,6 +32,11 @@
 // SeedAddresses are where directory nodes are reached by routers.
 func (o *Options) SeedAddresses() []string { return settings.WithPort(o.Seeds, o.PeerPort) }
 
+// ColdLimits are the bounds of what cold servers get.
+func (o *Options) ColdLimits() scatter.ColdLimits {
+	return scatter.ColdLimits{Over: o.ColdOver, Slack: o.ColdSlack}
+}
+
 // BudgetLimits are the bounds of hedges and retries.
 func (o *Options) BudgetLimits() scatter.BudgetLimits {
 	return scatter.BudgetLimits{Ratio: o.ExtraRatio, Slack: o.ExtraSlack, Window: o.ExtraWindow}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -37,4 +37,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how long work takes there just now, in multiples of the usual; 0 if
+	// that was not said.
+	Slowness float64
 }
--- a/internal/routing/document.go
+++ b/internal/routing/document.go
@@ -58,6 +58,9 @@
 	// MaxConnections bounds the connections to each server, from all callers
 	// together; 0 for no bound.
 	MaxConnections int
+	// ColdRate is how many requests a second one of its servers bears while it is cold,
+	// from all routers together; 0 for no bound.
+	ColdRate float64
 }
 
 // Limits bound what a client may send and how long it may take. Zero values
--- a/internal/scatter/choice.go
+++ b/internal/scatter/choice.go
@@ -21,6 +21,9 @@
 		if !candidate.usable() || slices.Contains(tried, candidate) || view.evacuated.Empty(now, candidate.Zone, candidate.Service) {
 			continue
 		}
+		if candidate.withheldCold(now, view.cold) {
+			continue
+		}
 		condition := view.condition(now, candidate)
 		if candidate.full(now) || len(candidate.inFlight) >= g.attemptLimit(now, candidate, view.share) {
 			found.atLimit[condition] = true
@@ -93,6 +96,8 @@
 	typical time.Duration
 	// evacuated says which servers get nothing by an operator's order.
 	evacuated evacuation.View
+	// cold is this router's part of what cold servers bear.
+	cold coldShare
 	// ahead is what an attempt takes that is before it at a server.
 	ahead time.Duration
 }
--- /dev/null
+++ b/internal/scatter/cold_test.go
@@ -0,0 +1,148 @@
+package scatter_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+// coldHarness is a router whose service s bounds what its cold servers get.
+func coldHarness(t reporter, rate float64, limits scatter.ColdLimits) *harness {
+	h := newHarness(t, plenty)
+	h.engine = scatter.New(scatter.Config{Zone: "a", Seed: 1, Budget: plenty, Cold: limits})
+	h.step(scatter.DocumentChanged{Services: []routing.Service{{Name: "s", ColdRate: rate}}})
+	return h
+}
+
+func (h *harness) cold(id string, left time.Duration) {
+	h.step(scatter.ServersChanged{Servers: []scatter.Server{{
+		ID: id, Service: "s", Address: id, Zone: "a", Slots: 2, WarmAt: h.now.Add(left),
+	}}})
+}
+
+// TestColdServersGetNoMoreThanTheyBear has routers that gather a shard, or all of them
+// where it is no shard, get requests in bursts: in any second a cold server gets no more
+// of all of them than its service allows.
+func TestColdServersGetNoMoreThanTheyBear(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.SampledFrom([]float64{2, 8, 25, 100}).Draw(t, "rate")
+		limits := scatter.ColdLimits{Over: 1.5, Slack: 5}
+		count := rapid.IntRange(1, 80).Draw(t, "routers")
+		gathering := rapid.IntRange(0, count).Draw(t, "gathering")
+		var routers []*harness
+		for number := range count {
+			router := coldHarness(t, rate, limits)
+			router.step(scatter.RoutersCounted{Count: count, Rank: number})
+			if gathering > 0 {
+				router.step(scatter.GatherersCounted{Gatherers: map[string]scatter.Gatherers{
+					"s": {Count: gathering, Self: number < gathering, Rank: number},
+				}})
+			}
+			router.cold("s/0", time.Minute)
+			routers = append(routers, router)
+		}
+		var sent []time.Duration
+		const tick = 50 * time.Millisecond
+		for number := range 120 {
+			burst := rapid.IntRange(0, 3).Draw(t, "burst")
+			for _, router := range routers {
+				for range burst {
+					router.arrive(singleRoute(true))
+				}
+				for _, send := range router.take() {
+					sent = append(sent, time.Duration(number)*tick)
+					router.end(send, good("x"))
+				}
+				router.advance(tick)
+			}
+		}
+		for number := range 120 {
+			from := time.Duration(number) * tick
+			require.LessOrEqual(t, float64(within(sent, from, time.Second)), rate*limits.Over+limits.Slack, "from %v", from)
+		}
+	})
+}
+
+func TestColdServerGetsSomethingAndTheRestGoesElsewhere(t *testing.T) {
+	h := coldHarness(t, 10, scatter.ColdLimits{Over: 1.5, Slack: 5})
+	h.cold("cold", time.Minute)
+	h.servers("s", 1)
+	count := map[string]int{}
+	var out []scatter.Send
+	for range 400 {
+		h.arrive(singleRoute(false))
+		for _, send := range h.take() {
+			count[send.Server.ID]++
+			out = append(out, send)
+		}
+		h.advance(10 * time.Millisecond)
+		if len(out) > 2 {
+			h.end(out[0], good("x"))
+			out = out[1:]
+		}
+	}
+	require.Greater(t, count["cold"], 10)
+	require.LessOrEqual(t, count["cold"], 10*4)
+	require.Greater(t, count["s/0"], 300)
+}
+
+func TestWhatNoServerBearsIsRefusedAtOnce(t *testing.T) {
+	h := coldHarness(t, 10, scatter.ColdLimits{Over: 1.5, Slack: 5})
+	h.cold("cold", time.Minute)
+	id := h.arrive(singleRoute(true))
+	require.Equal(t, verdict.NotRun, h.result(id).Verdict)
+	require.Positive(t, h.result(id).RetryAfter)
+}
+
+func TestServerThatSaysItIsColdIsBelieved(t *testing.T) {
+	h := coldHarness(t, 2, scatter.ColdLimits{Over: 1, Slack: 0})
+	h.servers("s", 2)
+	h.advance(time.Second)
+	outcome := good("x")
+	outcome.ColdFor = 10 * time.Second
+	h.arrive(singleRoute(true))
+	first := h.take()[0]
+	h.end(first, outcome)
+	for range 20 {
+		h.arrive(singleRoute(true))
+		sent := h.take()
+		require.NotEqual(t, first.Server.ID, sent[0].Server.ID)
+		h.end(sent[0], good("x"))
+		h.advance(10 * time.Millisecond)
+	}
+}
+
+func TestServerThatSaysItIsSlowIsLessWelcomeForAMoment(t *testing.T) {
+	h := newHarness(t, plenty)
+	h.servers("s", 2)
+	loaded := func(slowness float64) scatter.Outcome {
+		outcome := good("x")
+		outcome.Load = message.Load{Known: true, Slots: 2, Slowness: slowness}
+		return outcome
+	}
+	for range 40 {
+		h.arrive(singleRoute(false))
+		sent := h.take()[0]
+		h.advance(10 * time.Millisecond)
+		h.end(sent, loaded(1))
+	}
+	h.arrive(singleRoute(false))
+	slow := h.take()[0]
+	h.advance(30 * time.Millisecond)
+	h.end(slow, loaded(3))
+	for number := range 3 {
+		h.arrive(singleRoute(false))
+		sent := h.take()[0]
+		require.NotEqual(t, slow.Server.ID, sent.Server.ID, fmt.Sprint(number))
+		h.advance(10 * time.Millisecond)
+		h.end(sent, loaded(1))
+	}
+}
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -95,6 +95,10 @@
 func (e *Engine) learn(ended *attempt, outcome Outcome) {
 	from := ended.server
 	from.report(e.now, outcome.Load)
+	if outcome.ColdFor > 0 {
+		from.WarmAt = e.now.Add(outcome.ColdFor)
+		from.turnCold(e.now)
+	}
 	took := e.now.Sub(ended.started)
 	route := ended.call.request.route
 	switch outcome.Failure {
@@ -131,7 +135,8 @@
 		return
 	}
 	route := ended.call.request.route
-	from.observe(e.now, e.ratio(route, took))
+	// What the server itself told of its slowness is no part of its pace.
+	from.observe(e.now, e.ratio(route, took)/max(1, outcome.Load.Slowness))
 	e.histogram(route).Observe(e.now, took)
 	ended.call.group.took.Observe(e.now, took)
 	from.succeeded(e.now)
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -17,6 +17,7 @@
 	// Seed of the random source: equal seeds and events give equal commands.
 	Seed   uint64
 	Budget BudgetLimits
+	Cold   ColdLimits
 }
 
 // Engine is the decision core of one router. One goroutine owns it.
@@ -25,6 +26,7 @@
 	random   *rand.Rand
 	now      time.Time
 	routers  int
+	rank     int
 	groups   map[string]*group
 	servers  map[string]*server
 	requests map[RequestID]*request
@@ -83,7 +85,7 @@
 	case DocumentChanged:
 		e.changeServices(event.Services)
 	case RoutersCounted:
-		e.routers = max(1, event.Count)
+		e.routers, e.rank = max(1, event.Count), event.Rank
 	case GatherersCounted:
 		e.countGatherers(event.Gatherers)
 	case ZonesEvacuated:
@@ -148,6 +150,7 @@
 	known, exists := e.servers[told.ID]
 	if !exists {
 		added := newServer(told)
+		added.turnCold(e.now)
 		e.servers[told.ID] = added
 		in := e.group(told.Service)
 		in.servers = append(in.servers, added)
@@ -159,6 +162,7 @@
 		e.emit(Noted{Server: told, Belief: "server_changed"})
 	}
 	known.Server = told
+	known.turnCold(e.now)
 }
 
 func (e *Engine) forgetServer(id string) {
@@ -180,7 +184,8 @@
 
 func (e *Engine) changeServices(services []routing.Service) {
 	for _, service := range services {
-		e.group(service.Name).connections = service.MaxConnections
+		in := e.group(service.Name)
+		in.connections, in.coldRate = service.MaxConnections, service.ColdRate
 	}
 }
 
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -67,7 +67,11 @@
 type DocumentChanged struct{ Services []routing.Service }
 
 // RoutersCounted tells how many routers share the servers.
-type RoutersCounted struct{ Count int }
+type RoutersCounted struct {
+	Count int
+	// Rank is the position of this one in an order that all of them share, from 0.
+	Rank int
+}
 
 // GatherersCounted tells, for the services that are shards, how many routers ask
 // each in the ordinary course. Services that are not named are asked by all.
@@ -77,8 +81,10 @@
 // course: their requests are divided by shard (package slicing).
 type Gatherers struct {
 	Count int
-	// Self says that this router is one of them.
+	// Self says that this router is one of them; Rank is its position among them then,
+	// from 0.
 	Self bool
+	Rank int
 }
 
 // ZonesEvacuated tells which servers get nothing because an operator has their zone
@@ -112,7 +118,7 @@
 	// Missing servers are silent towards the directory; they get work only if
 	// there is no other.
 	Missing bool
-	// WarmAt is when the server is no longer slow from its start.
+	// WarmAt is when the server is no longer cold: slow, and able to bear few requests.
 	WarmAt time.Time
 }
 
@@ -152,6 +158,8 @@
 	// Reply is set when the server answered as a whole.
 	Reply *message.Reply
 	Load  message.Load
+	// ColdFor is for how much longer the server says that it is cold; 0 for nothing said.
+	ColdFor time.Duration
 }
 
 // Command is an output of Engine.Step; the shell carries them out in order.
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -14,8 +14,11 @@
 	servers []*server
 	// connections bounds those to each server, of all routers together.
 	connections int
-	budget      extraBudget
-	gatherers   Gatherers
+	// coldRate bounds the requests a second to each cold server, of all routers
+	// together; 0 for no bound.
+	coldRate  float64
+	budget    extraBudget
+	gatherers Gatherers
 	// took is the average time of the attempts at its servers.
 	took latency.Average
 	// waiting are calls for which no server had room.
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -135,17 +135,18 @@
 	}
 }
 
-// withheld reports whether the only servers of a service are in evacuated zones, so that
-// waiting for one to be known is of no use.
+// withheld reports whether the only servers of a service are in evacuated zones or bear
+// no more for being cold, so that waiting for one to be known is of no use.
 func (e *Engine) withheld(of *group) bool {
+	cold := e.coldShare(of)
 	return len(of.servers) > 0 && !slices.ContainsFunc(of.servers, func(s *server) bool {
-		return !e.evacuated.Empty(e.now, s.Zone, s.Service)
+		return !e.evacuated.Empty(e.now, s.Zone, s.Service) && !s.withheldCold(e.now, cold)
 	})
 }
 
 // view is what a choice for a call depends on beside the servers.
 func (e *Engine) view(called *call) choiceView {
-	view := choiceView{zone: e.config.Zone, share: e.share(called.group), random: e.random, evacuated: e.evacuated}
+	view := choiceView{zone: e.config.Zone, share: e.share(called.group), random: e.random, evacuated: e.evacuated, cold: e.coldShare(called.group)}
 	asked := called.request
 	if !asked.due.IsZero() && !e.overdue(called) {
 		view.left = asked.due.Sub(e.now)
@@ -160,6 +161,7 @@
 	e.attempts[sent.id] = sent
 	sent.expected = e.now.Add(e.patience(called.request.route, chosen))
 	chosen.inFlight[sent.id] = sent
+	chosen.spendCold(e.now, e.coldShare(called.group))
 	called.tried = append(called.tried, chosen)
 	called.live = append(called.live, sent)
 	waiting := called.request
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -35,6 +35,13 @@
 	connectionsUntil time.Time
 	// replaced says that another server answers at the address.
 	replaced bool
+	// coldTokens is what this router may send to the server while it is cold, filled at
+	// coldFilled.
+	coldTokens float64
+	coldFilled time.Time
+	// slowness is how long work took at the server when it last reported that, in
+	// multiples of the usual; 0 if it does not.
+	slowness float64
 }
 
 // Bounds of what is believed of a server.
@@ -49,6 +56,8 @@
 	answerTrust = 2500 * time.Millisecond
 	// loadLifetime is the age at which a reported load counts no more.
 	loadLifetime = 400 * time.Millisecond
+	// slownessLifetime is the age at which a reported slowness counts no more.
+	slownessLifetime = 200 * time.Millisecond
 	// paceHalfLife is the age at which a server's pace is half forgotten.
 	paceHalfLife = 3 * time.Second
 	paceWeight   = 0.25
@@ -142,7 +151,7 @@
 	slots := float64(max(1, s.Slots))
 	load := s.load(now)
 	expected := max(1, load+1) / slots
-	expected *= s.currentPace(now)
+	expected *= s.currentPace(now) * s.reportedSlowness(now)
 	if now.Before(s.WarmAt) {
 		expected *= coldCost
 	}
@@ -160,6 +169,16 @@
 	return false
 }
 
+// reportedSlowness is how long work takes there by the server's own word, in multiples of
+// the usual. It changes many times a second, so that its weight falls with its age.
+func (s *server) reportedSlowness(now time.Time) float64 {
+	age := now.Sub(s.reported)
+	if s.slowness <= 0 || age >= slownessLifetime {
+		return 1
+	}
+	return 1 + (s.slowness-1)*(1-float64(age)/float64(slownessLifetime))
+}
+
 // crowded reports whether work is likely to wait for a slot.
 func (s *server) crowded(now time.Time) bool { return s.load(now) > float64(max(1, s.Slots)) }
 
@@ -213,7 +232,7 @@
 		return
 	}
 	s.others = max(0, load.Running+load.Waiting-len(s.inFlight))
-	s.reported = now
+	s.reported, s.slowness = now, load.Slowness
 	if load.Slots > 0 {
 		s.Slots = load.Slots
 	}
--- a/internal/slicing/layout.go
+++ b/internal/slicing/layout.go
@@ -189,10 +189,14 @@
 // whoever asks.
 type Gatherers struct {
 	Count int
-	// Self says that the own router is one of them.
+	// Self says that the own router is one of them; Rank is its position among them then,
+	// from 0, by zone and name.
 	Self bool
+	Rank int
 }
 
+func (l *Layout) isSelf(router Router) bool { return router.Name == l.self.Name }
+
 // Gatherers returns those of each shard whose place is known: the routers that gather
 // and the first ones that stand in for them, also those that are absent now.
 func (l *Layout) Gatherers() map[string]Gatherers {
@@ -203,8 +207,10 @@
 			zone := l.zones[name]
 			in := zone.cells[zone.cellOf(shard)]
 			sharing := lo.Slice(in.members, 0, in.gathering+reserves)
+			if position := slices.IndexFunc(sharing, l.isSelf); position >= 0 {
+				gatherers.Self, gatherers.Rank = true, gatherers.Count+position
+			}
 			gatherers.Count += len(sharing)
-			gatherers.Self = gatherers.Self || containsRouter(sharing, l.self)
 		}
 		counted[shard] = gatherers
 	}
