Leave out routers that are cut off from all other zones; refuse at once what needs those

Change: a failure of a router of another zone after 150 ms of silence from all other zones begins rounds of probes (connections to 4 routers of other zones and 2 of the own), and has the zone's other routers probe, too. One answer ends it. A router without processor time hears its own zone as little and isolates nobody; a cut of the core alone is not looked at. Package isolation is the core. Tests: failed before (always ready); the detector by property.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	peers    *peers
 	slices   *sliceClient
 	claims   *claimBook
+	reach    *reach
 	clients  *clientConnections
 	// shardCalls is how often servers of shards are called, beyond repeats.
 	shardCalls rate
@@ -62,6 +63,7 @@
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
+	gateway.reach = newReach(gateway)
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget, Cold: config.Cold})
 	gateway.loop = newLoop(engine, gateway.pool, gateway.slices.claim, gateway.logger)
@@ -76,8 +78,11 @@
 
 func (g *Gateway) seedList() []string { return *g.seeds.Load() }
 
-// Ready reports whether the router wants new connections.
-func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.table.Load() != nil }
+// Ready reports whether the router wants new connections: it does not while it stops,
+// knows no document or is cut off from all other zones.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.table.Load() != nil && !g.reach.isolated.Load()
+}
 
 // Version returns that of the document in force; 0 for none.
 func (g *Gateway) Version() uint64 {
@@ -116,6 +121,7 @@
 	following := newFollower(g)
 	running.Go(func() { following.run(duties) })
 	running.Go(func() { following.tellDoubts(duties) })
+	running.Go(func() { g.reach.run(duties) })
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: g.clients.begin, ConnState: g.clients.change,
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -102,6 +102,7 @@
 	state := g.slices[event.slice]
 	switch {
 	case event.frame != nil:
+		g.gateway.reach.hear(state.Router.Zone)
 		g.observeLag(state, event)
 		g.takeFrame(state, event.frame, event.at)
 	case event.failed:
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -112,6 +112,7 @@
 		return
 	}
 	g.gateway.metrics.slicesFailed.Inc()
+	g.gateway.reach.fail(failed.Router.Zone)
 	if g.gateway.peers.doubt(failed.Router.Name) {
 		g.gateway.tellDoubt(failed.Router.Name)
 		g.gateway.logger.WithField("router", failed.Router.Name).WithField("accepted", event.accepted).
--- /dev/null
+++ b/internal/gateway/isolating_test.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+// plainDialect reads nothing from requests and marks only when to come back.
+type plainDialect struct{ Dialect }
+
+func (plainDialect) RequestID(http.Header) string                { return "r" }
+func (plainDialect) Remaining(http.Header) (time.Duration, bool) { return time.Second, true }
+func (plainDialect) ComeBack(header http.Header, after time.Duration) {
+	header.Set("Retry-After", after.String())
+}
+
+// TestRouterCutOffFromOtherZonesIsNotReadyAndRefusesAtOnce has the routers of the other zone
+// keep silent to probes while those of the own zone answer: the router is not ready, and
+// refuses what its zone's servers do not suffice for. Once another zone answers it is as
+// before.
+func TestRouterCutOffFromOtherZonesIsNotReadyAndRefusesAtOnce(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	g := New(Config{Name: "r0", Zone: "a", Dialect: plainDialect{}}, Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
+	var cut atomic.Bool
+	cut.Store(true)
+	g.reach.dial = func(ctx context.Context, address string) error {
+		if strings.HasPrefix(address, "b") && cut.Load() {
+			return context.DeadlineExceeded
+		}
+		return errors.New("refused, so that it is reached")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go g.loop.run(ctx)
+	go g.reach.run(ctx)
+	g.peers.setRouters([]directory.ListedRouter{
+		{Name: "r0", Zone: "a", Address: "a:0"}, {Name: "r1", Zone: "a", Address: "a:1"}, {Name: "r2", Zone: "b", Address: "b:2"},
+	})
+	g.peers.setServers([]registry.Instance{
+		{ID: "i1", Service: "s", Zone: "a", State: registry.Ready}, {ID: "i2", Service: "t", Zone: "b", State: registry.Ready},
+	}, nil)
+	g.install(&routing.Document{Version: 1, Routes: []routing.Route{
+		{Name: "all", Host: "h", Prefix: "/all/", Timeout: time.Second, Shards: []string{"s", "t"}, LeastShare: 1},
+	}}, "test")
+	require.True(t, g.Ready())
+	g.reach.fail("a")
+	require.Never(t, func() bool { return !g.Ready() }, 50*time.Millisecond, time.Millisecond)
+	require.Eventually(t, func() bool {
+		g.reach.fail("b")
+		return !g.Ready()
+	}, 10*time.Second, time.Millisecond)
+	require.True(t, g.withinZone([]string{"s", "t"}, 0.5))
+
+	recorder := httptest.NewRecorder()
+	g.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "http://h/all/", nil))
+	require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
+	require.NotEmpty(t, recorder.Header().Get("Retry-After"))
+	require.Equal(t, "close", recorder.Header().Get("Connection"))
+
+	cut.Store(false)
+	require.Eventually(t, g.Ready, 10*time.Second, time.Millisecond)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	slicesServed   prometheus.Counter
 	version        prometheus.Gauge
 	evacuated      prometheus.Gauge
+	isolated       prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -42,6 +43,9 @@
 		version: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_document_version", Help: "Version of the routing document in force.",
 		}),
+		isolated: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_gateway_isolated_bool", Help: "1 while routers of the own zone are reached and none of any other.",
+		}),
 		evacuated: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_evacuated_zones_count", Help: "Zones whose servers get no requests, by order of an operator.",
 		}),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -33,6 +33,8 @@
 	places   map[string]place
 	zones    map[string][]string
 	outdated bool
+	// isolated says that the routers of other zones are out of reach.
+	isolated bool
 	// evacuated says which servers get nothing by an operator's order.
 	evacuated evacuation.View
 	// layouts are those of the lists of shards that were asked for, by the list's
@@ -202,7 +204,7 @@
 	var until time.Time
 	routers := slices.Clone(p.routers)
 	for index, router := range routers {
-		routers[index].Absent = p.absent[router.Name]
+		routers[index].Absent = p.absent[router.Name] || p.isolated && router.Zone != p.self.Zone
 		ends, doubted := p.doubted[router.Name]
 		if !doubted || now.After(ends) {
 			continue
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,7 +36,7 @@
 	if connection, ok := state.connection(); ok {
 		connection.serving()
 	}
-	if g.closing.Load() {
+	if g.closing.Load() || g.reach.isolated.Load() {
 		writer.Header().Set("Connection", "close")
 	}
 	table := state.awaitTable()
@@ -112,6 +112,9 @@
 		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
 		Header: passedOn(s.request.Header), Body: body, ID: s.id,
 	}
+	if s.refuseIsolated() {
+		return
+	}
 	if s.route.Gathers() {
 		s.serveGather(passed)
 		return
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -18,6 +18,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+pathSlice, g.serveSlice)
 	mux.HandleFunc("POST "+pathClaim, g.serveClaim)
+	mux.HandleFunc("POST "+pathProbe, g.serveProbe)
 	return mux
 }
 
--- /dev/null
+++ b/internal/isolation/isolation_test.go
@@ -0,0 +1,43 @@
+package isolation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/martenstage/martenstage/internal/isolation"
+)
+
+var origin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestOnlyAFailureAfterSilenceIsSuspected(t *testing.T) {
+	var detector isolation.Detector
+	require.True(t, detector.Suspects(origin), "nothing was heard ever")
+	detector.Heard(origin)
+	require.False(t, detector.Suspects(origin.Add(isolation.Quiet)))
+	require.True(t, detector.Suspects(origin.Add(isolation.Quiet+1)))
+	detector.Take(isolation.Round{Own: 1})
+	require.False(t, detector.Suspects(origin.Add(time.Hour)), "probes are on their way already")
+}
+
+func TestRoundsInVainIsolateUntilAnotherZoneAnswers(t *testing.T) {
+	var detector isolation.Detector
+	require.Equal(t, isolation.Uncertain, detector.Take(isolation.Round{Own: 2}))
+	require.Equal(t, isolation.Isolated, detector.Take(isolation.Round{Own: 1}))
+	require.Equal(t, isolation.Isolated, detector.Take(isolation.Round{}))
+	require.Equal(t, isolation.Connected, detector.Take(isolation.Round{Others: 1}))
+	require.Equal(t, isolation.Uncertain, detector.Take(isolation.Round{Own: 2}))
+}
+
+// TestRouterThatHearsNobodyIsNotIsolated: it may itself be frozen, slow or cut off alone.
+func TestRouterThatHearsNobodyIsNotIsolated(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var detector isolation.Detector
+		for range rapid.IntRange(1, 50).Draw(t, "rounds") {
+			others := rapid.IntRange(0, 1).Draw(t, "others")
+			require.NotEqual(t, isolation.Isolated, detector.Take(isolation.Round{Others: others}))
+		}
+	})
+}
