End connections whose bytes stay unacknowledged

Cause: an open connection may go silent for good, without a reset; an attempt on one waited for its deadline, a consensus message for its time-out on each kept connection. Change: TCP_USER_TIMEOUT of 2 s to servers, 1 s between routers, nodes and from routers to nodes (package liveness). What was sent on one counts as possibly run, as on any that breaks. Slices had a time-out of their own already (105 ms until they are accepted).

--- a/internal/directory/peer_client.go
+++ b/internal/directory/peer_client.go
@@ -11,16 +11,20 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/liveness"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
 // Bounds of calls between nodes.
 const (
-	peerDialTimeout   = 400 * time.Millisecond
-	deliverTimeout    = 500 * time.Millisecond
-	deliverBytesRate  = 10 << 20 // bytes per second
-	deliverCallBytes  = 1 << 20
+	peerDialTimeout  = 400 * time.Millisecond
+	deliverTimeout   = 500 * time.Millisecond
+	deliverBytesRate = 10 << 20 // bytes per second
+	deliverCallBytes = 1 << 20
+	// peerSilence is how long bytes that were sent to a node may stay unacknowledged by its
+	// machine before the connection ends.
+	peerSilence       = time.Second
 	peerIdlePerHost   = 8
 	maxPeerReplyBytes = 64 << 20
 )
@@ -31,7 +35,7 @@
 var _ voter.Transport = (*peerClient)(nil)
 
 func newPeerClient() *peerClient {
-	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: liveness.Bound(peerSilence)}
 	return &peerClient{http: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdlePerHost, DisableCompression: true,
 	}}}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -8,6 +8,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/martenstage/martenstage/internal/liveness"
 )
 
 // Pool keeps connections to instances. It is safe for concurrent use.
@@ -26,9 +28,14 @@
 // and one that takes longer is better left to another server.
 const dialTimeout = 250 * time.Millisecond
 
+// serverSilence is how long bytes that were sent to a server may stay unacknowledged by its
+// machine before the connection ends: it has gone silent for good, or lies behind a cut.
+// A server that pauses or works acknowledges.
+const serverSilence = 2 * time.Second
+
 // NewPool returns a pool without connections.
 func NewPool(codec Codec, registerer prometheus.Registerer) *Pool {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: liveness.Bound(serverSilence)}
 	factory := promauto.With(registerer)
 	return &Pool{
 		codec: codec, idle: make(map[string][]*connection),
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -15,6 +15,7 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/evacuation"
+	"github.com/martenstage/martenstage/internal/liveness"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
@@ -54,7 +55,7 @@
 }
 
 func newFollower(gateway *Gateway) *follower {
-	dialer := &net.Dialer{Timeout: searchTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: searchTimeout, KeepAlive: -1, Control: liveness.Bound(peerSilence)}
 	return &follower{
 		gateway: gateway,
 		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/liveness"
 	"github.com/martenstage/martenstage/internal/slicing"
 )
 
@@ -22,8 +23,11 @@
 	// it; acceptGrace is what passes after that before it is taken for silent, so that a
 	// router that was busy itself reads first what has come in meanwhile. Both are long,
 	// since one that is taken for silent wrongly may have asked second servers already.
-	acceptTime      = 90 * time.Millisecond
-	acceptGrace     = 15 * time.Millisecond
+	acceptTime  = 90 * time.Millisecond
+	acceptGrace = 15 * time.Millisecond
+	// peerSilence is how long bytes that were sent to a router may stay unacknowledged by
+	// its machine before the connection ends.
+	peerSilence     = time.Second
 	peerIdlePerHost = 16
 	peerIdleTime    = 20 * time.Second
 )
@@ -47,7 +51,7 @@
 // dial connects to a router, which proves nothing sent where it fails.
 func (c *sliceClient) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	began := time.Now()
-	dialer := net.Dialer{Timeout: c.patience.current(), KeepAlive: -1}
+	dialer := net.Dialer{Timeout: c.patience.current(), KeepAlive: -1, Control: liveness.Bound(peerSilence)}
 	conn, err := dialer.DialContext(ctx, network, address)
 	var failure net.Error
 	if err == nil || errors.As(err, &failure) && failure.Timeout() {
