--- a/internal/gateway/records.go
+++ b/internal/gateway/records.go
@@ -30,7 +30,7 @@
 
 // greatestRecords returns the greatest records of all parts, greatest first.
 // Equal records all count; a remainder shorter than a record is none. Records are held as
-// numbers: of 14 parts of 1,000 bytes 50 take 15 microseconds, and 45 as slices of bytes
+// numbers: of 14 parts of 1,000 bytes 50 take 12 microseconds, and 37 as slices of bytes
 // in a heap of the library (BenchmarkGreatestRecords).
 func greatestRecords(parts [][]byte, limit int) []byte {
 	kept := make([]record, 0, limit)
