--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -43,6 +43,11 @@
 			Long: "Reads logs of gateways and prints what was late, failed, refused or partial by cause, second, route, shard and server. See docs/operate/overload-registered.md.",
 			Data: &lossesCommand{},
 		},
+		{
+			Name: "evacuations", Short: "List the zones of a registered site whose servers get no requests",
+			Long: "Asks a directory node which zones are evacuated, since when and who ordered it. See docs/operate/evacuating-a-zone.md.",
+			Data: &evacuationsCommand{},
+		},
 		{Name: "drain", Short: "Mark a back end as leaving", Long: "Routers send a marked back end no new work after a few seconds; work under way ends as usual. The mark stays until undrain.", Data: &drainCommand{draining: true}},
 		{Name: "undrain", Short: "Remove the mark of drain", Long: "Routers use the back end again, from a small share of work upwards.", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
--- a/internal/directory/evacuations.go
+++ b/internal/directory/evacuations.go
@@ -87,10 +87,24 @@
 	return m.state.Evacuated, m.state.EvacuationRevision
 }
 
+// EvacuationList is the evacuated zones as a node knows them.
+type EvacuationList struct {
+	Revision  uint64       `json:"revision"`
+	Evacuated []Evacuation `json:"evacuated"`
+}
+
 // Evacuations returns the zones that are evacuated as this node knows them.
-func (n *Node) Evacuations() []Evacuation {
-	held, _ := n.member.state().evacuations()
-	return held
+func (n *Node) Evacuations() EvacuationList {
+	held, revision := n.member.state().evacuations()
+	return EvacuationList{Revision: revision, Evacuated: held}
+}
+
+// ListEvacuations asks the node at a peer address for the zones that are evacuated as it
+// knows them.
+func ListEvacuations(ctx context.Context, address string) (EvacuationList, error) {
+	var list EvacuationList
+	err := newPeerClient().call(ctx, address, pathEvacuations, struct{}{}, &list)
+	return list, err
 }
 
 // tellEvacuations logs and counts the zones that are evacuated, if their revision is
--- a/internal/directory/evacuations_test.go
+++ b/internal/directory/evacuations_test.go
@@ -39,7 +39,10 @@
 	c.everywhere("not taken back", evacuated("a"))
 	c.order("never evacuated", true)
 	c.everywhere("changed", evacuated("a"))
-	held := c.nodes[0].Evacuations()
+	list, err := directory.ListEvacuations(context.Background(), c.addresses[0])
+	require.NoError(t, err)
+	require.EqualValues(t, 3, list.Revision)
+	held := list.Evacuated
 	require.Len(t, held, 1)
 	require.Equal(t, "10.0.0.9:1", held[0].By)
 	require.False(t, held[0].At.IsZero())
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -20,6 +20,8 @@
 	pathRead     = "/peer/read"
 	pathDepart   = "/peer/depart"
 	pathEvacuate = "/peer/evacuate"
+	// pathEvacuations is for operators.
+	pathEvacuations = "/operator/evacuations"
 	// PathFollow is what routers call for news.
 	PathFollow = "/router/follow"
 	// PathDoubt is where routers tell which others failed.
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -47,6 +47,7 @@
 	mux.Handle(pathEvacuate, handle(func(ctx context.Context, order evacuationOrder) (struct{}, error) {
 		return struct{}{}, n.evacuateHere(ctx, order)
 	}))
+	mux.Handle(pathEvacuations, handle(func(context.Context, struct{}) (EvacuationList, error) { return n.Evacuations(), nil }))
 	mux.Handle(pathRead, handle(func(ctx context.Context, _ struct{}) (readReply, error) { return n.readHere(ctx) }))
 	mux.Handle(PathDoubt, handle(func(_ context.Context, told Doubt) (struct{}, error) {
 		n.doubtRouters(told)
