Probe eight routers spread over the other zones before a router calls itself isolated

Cause: where 60 % of all routers lose power, four drawn at random are silent in 13 % of the rounds, so that some routers of 295 would call themselves isolated for a moment. Change: eight are probed, about as many of each other zone. Test: the sample; failed before (four, drawn from all).

--- a/internal/gateway/isolating.go
+++ b/internal/gateway/isolating.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,8 +26,9 @@
 	// probeInterval lies between rounds while the router is isolated.
 	probeInterval = 200 * time.Millisecond
 	// probedOthers and probedOwn are how many routers of other zones and of the own one
-	// are probed in a round.
-	probedOthers = 4
+	// are probed in a round. Where 60 % of all routers lost power, four others were silent
+	// in one round of eight, and eight are in one of sixty.
+	probedOthers = 8
 	probedOwn    = 2
 	// warnedPeers is how many routers of its zone a router tells that it began to probe:
 	// with a few requests a second each would find it out by one that fails.
@@ -205,20 +207,16 @@
 	return true
 }
 
-// sample returns some routers of the own zone and of others, other ones each time.
+// sample returns some routers of the own zone and, from each about as many, of others;
+// other ones each time.
 func (p *peers) sample(own, others int) (inZone, elsewhere []slicing.Router) {
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	for _, router := range lo.Shuffle(append([]slicing.Router(nil), p.routers...)) {
-		switch {
-		case router.Name == p.self.Name:
-		case router.Zone == p.self.Zone && len(inZone) < own:
-			inZone = append(inZone, router)
-		case router.Zone != p.self.Zone && len(elsewhere) < others:
-			elsewhere = append(elsewhere, router)
-		}
-	}
-	return inZone, elsewhere
+	routers := lo.Shuffle(slices.Clone(p.routers))
+	p.mutex.Unlock()
+	byZone := lo.GroupBy(routers, func(router slicing.Router) string { return router.Zone })
+	inZone = lo.Reject(byZone[p.self.Zone], func(router slicing.Router, _ int) bool { return router.Name == p.self.Name })
+	delete(byZone, p.self.Zone)
+	return lo.Slice(inZone, 0, own), lo.Slice(lo.Interleave(lo.Values(byZone)...), 0, others)
 }
 
 // setIsolated takes in whether the routers of other zones are out of reach.
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -44,3 +45,25 @@
 	counted, _ = known.countGatherers(lists, 7)
 	require.Equal(t, map[string]scatter.Gatherers{"s": {Count: 7}}, counted)
 }
+
+func TestSampleIsDrawnFromAllZones(t *testing.T) {
+	p := newPeers(slicing.Router{Name: "a0", Zone: "a"})
+	var listed []directory.ListedRouter
+	for zone, count := range map[string]int{"a": 5, "b": 40, "c": 2, "d": 40} {
+		for number := range count {
+			listed = append(listed, directory.ListedRouter{Name: zone + strconv.Itoa(number), Zone: zone, Address: zone})
+		}
+	}
+	p.setRouters(listed)
+	for range 50 {
+		own, others := p.sample(2, 8)
+		require.Len(t, own, 2)
+		require.Len(t, others, 8)
+		zones := map[string]int{}
+		for _, router := range append(own, others...) {
+			require.NotEqual(t, "a0", router.Name)
+			zones[router.Zone]++
+		}
+		require.Equal(t, map[string]int{"a": 2, "b": 3, "c": 2, "d": 3}, zones)
+	}
+}
