Spend a grant with each attempt; count only a server's own failures as lost answers

Cause: read again, one grant allowed a router all attempts that a route has left, while the router that granted it counted one: with three attempts or more a shard whose attempts fail could be asked at a server too many. Answers such as 404 counted as lost, too. Change: each attempt beyond the first takes a grant of its own, and grants are counted. Test: the property of claims has attempts fail as well; it failed before (5 of 4).

--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -44,12 +44,13 @@
 // concurrent use.
 type claimBook struct {
 	mutex sync.Mutex
-	// granted are the shards that may be repeated, by position, of each open slice.
-	granted map[claimToken]map[int]bool
+	// granted counts the attempts beyond the first that may be sent for each shard, by its
+	// position, of each open slice.
+	granted map[claimToken]map[int]int
 }
 
 func newClaimBook() *claimBook {
-	return &claimBook{granted: make(map[claimToken]map[int]bool)}
+	return &claimBook{granted: make(map[claimToken]map[int]int)}
 }
 
 // open returns the token of a new slice.
@@ -74,17 +75,17 @@
 		return false
 	}
 	if granted == nil {
-		granted = make(map[int]bool, len(asked.Shards))
+		granted = make(map[int]int, len(asked.Shards))
 		b.granted[asked.Token] = granted
 	}
 	for _, position := range asked.Shards {
-		granted[position] = true
+		granted[position]++
 	}
 	return true
 }
 
 // close ends the claims of a slice and returns what was granted.
-func (b *claimBook) close(token claimToken) map[int]bool {
+func (b *claimBook) close(token claimToken) map[int]int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	granted := b.granted[token]
@@ -120,7 +121,8 @@
 	if err != nil {
 		return err
 	}
-	// Granted twice is as granted once, so that a kept connection that ended may be replaced.
+	// One that is granted twice is counted twice, which only leaves attempts unused, so that
+	// a kept connection that ended may be replaced.
 	request.Header["Idempotency-Key"] = []string{}
 	response, err := c.http.Do(request)
 	if err != nil {
--- a/internal/gateway/claims_test.go
+++ b/internal/gateway/claims_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 func TestClaimsEndWithTheirSlice(t *testing.T) {
@@ -16,14 +17,14 @@
 	token, other := book.open(), book.open()
 	require.True(t, book.grant(claimRequest{Token: token, Shards: []int{1, 3}}))
 	require.True(t, book.grant(claimRequest{Token: token, Shards: []int{3}}))
-	require.Equal(t, map[int]bool{1: true, 3: true}, book.close(token))
+	require.Equal(t, map[int]int{1: 1, 3: 2}, book.close(token))
 	require.False(t, book.grant(claimRequest{Token: token, Shards: []int{0}}))
 	require.Empty(t, book.close(other))
 	require.Empty(t, book.granted)
 }
 
 // deafAsker is a router that asks others for one slice, of shards whose servers never
-// answer, over paths that lose messages either way.
+// give a good answer, over paths that lose messages either way.
 type deafAsker struct {
 	book  *claimBook
 	route *routing.Route
@@ -40,7 +41,9 @@
 	// claimed and wake are what the last step asked for.
 	claimed []int
 	wake    time.Time
-	asker   *deafAsker
+	// out are the attempts that have not ended.
+	out   []scatter.AttemptID
+	asker *deafAsker
 }
 
 var gatherStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -68,6 +71,7 @@
 		switch command := command.(type) {
 		case scatter.Send:
 			g.asker.sent[command.Server.Service]++
+			g.out = append(g.out, command.Attempt)
 		case scatter.Claim:
 			g.claimed = append(g.claimed, command.Shard)
 		case scatter.Wake:
@@ -76,11 +80,16 @@
 	}
 }
 
-// run lets time pass. Claims may be lost on their way, or their answers.
+// run lets time pass. Attempts may fail, claims may be lost on their way, or their answers.
 func (g *gatherer) run(t *rapid.T, until time.Duration) {
 	for end := gatherStart.Add(until); !g.wake.IsZero() && !g.wake.After(end); {
 		g.now, g.wake = g.wake, time.Time{}
 		g.step(scatter.TimerFired{})
+		for len(g.out) > 0 && rapid.Bool().Draw(t, "an attempt fails") {
+			failed := g.out[0]
+			g.out = g.out[1:]
+			g.step(scatter.Ended{Attempt: failed, Outcome: scatter.Outcome{Failure: scatter.Broken, Verdict: verdict.MayHaveRun}})
+		}
 		if shards := g.claimed; len(shards) > 0 {
 			g.claimed = nil
 			answered := rapid.Bool().Draw(t, "claim comes in") && g.asker.book.grant(claimRequest{Token: g.token, Shards: shards})
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -119,12 +119,12 @@
 			WithField("request", g.id).WithField("reason", event.reason).Info("router_doubted")
 	}
 	g.fallbacks++
-	repeated := g.gateway.claims.close(failed.token)
+	granted := g.gateway.claims.close(failed.token)
 	spent := failed.origin.earlier
 	if event.accepted {
 		spent++
 	}
-	for earlier, open := range failed.leave(spent, repeated) {
+	for earlier, open := range failed.leave(spent, granted) {
 		g.standIn(open, origin{failed: failed.origin.failed + 1, earlier: earlier})
 	}
 }
@@ -145,18 +145,15 @@
 }
 
 // leave ends a slice whose router failed and returns the shards that it leaves open, by
-// how many attempts may have been sent for them: as many as were spent, and one more for
-// those that were repeated.
-func (s *sliceState) leave(spent int, repeated map[int]bool) map[int][]string {
+// how many attempts may have been sent for them: as many as were spent, and those that
+// were granted.
+func (s *sliceState) leave(spent int, granted map[int]int) map[int][]string {
 	open := make(map[int][]string)
 	for position, shard := range s.Shards {
 		if !s.open[position] {
 			continue
 		}
-		attempts := spent
-		if repeated[position] {
-			attempts++
-		}
+		attempts := spent + granted[position]
 		open[attempts] = append(open[attempts], shard)
 	}
 	s.ended = true
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -30,6 +30,13 @@
 // Succeeded reports whether the server answered with a 2xx status.
 func (r *Reply) Succeeded() bool { return r.Status >= 200 && r.Status < 300 }
 
+// firstServerFailure is the least status of a server's own failure (RFC 9110, section 15.6).
+const firstServerFailure = 500
+
+// ServerFailed reports whether the server answered with a failure of its own, not with one
+// that is the request's.
+func (r *Reply) ServerFailed() bool { return r.Status >= firstServerFailure }
+
 // Load is what a server says of its load.
 type Load struct {
 	// Known is false when it said nothing.
--- a/internal/scatter/claims.go
+++ b/internal/scatter/claims.go
@@ -31,6 +31,14 @@
 	return false
 }
 
+// spendGrant counts an attempt that is about to be sent: each one beyond the first takes a
+// grant of its own.
+func (c *call) spendGrant() {
+	if len(c.tried) > c.unsent && c.claim == granted {
+		c.claim, c.claimDue = unclaimed, false
+	}
+}
+
 // claimLead is how long before a hedge its attempt is claimed: a claim takes 0.4 to 6 ms
 // from and to routers of 0.19 cores, and the answer to most sweeps waits for a hedge.
 const claimLead = 8 * time.Millisecond
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -131,7 +131,7 @@
 
 func (e *Engine) learnReply(ended *attempt, outcome Outcome, took time.Duration) {
 	from := ended.server
-	from.countLoss(e.now, !outcome.Reply.Succeeded())
+	from.countLoss(e.now, outcome.Reply.ServerFailed())
 	if !outcome.Reply.Succeeded() {
 		from.errors++
 		if from.errors > toleratedFailures {
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -164,6 +164,7 @@
 	e.attempts[sent.id] = sent
 	sent.expected = e.now.Add(e.patience(called.request.route, chosen))
 	chosen.inFlight[sent.id] = sent
+	called.spendGrant()
 	chosen.spendCold(e.now, e.coldShare(called.group))
 	called.tried = append(called.tried, chosen)
 	called.live = append(called.live, sent)
