--- a/internal/gateway/isolating.go
+++ b/internal/gateway/isolating.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
+	"github.com/samber/lo/mutable"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/isolation"
@@ -211,8 +212,9 @@
 // other ones each time.
 func (p *peers) sample(own, others int) (inZone, elsewhere []slicing.Router) {
 	p.mutex.Lock()
-	routers := lo.Shuffle(slices.Clone(p.routers))
+	routers := slices.Clone(p.routers)
 	p.mutex.Unlock()
+	mutable.Shuffle(routers)
 	byZone := lo.GroupBy(routers, func(router slicing.Router) string { return router.Zone })
 	inZone = lo.Reject(byZone[p.self.Zone], func(router slicing.Router, _ int) bool { return router.Name == p.self.Name })
 	delete(byZone, p.self.Zone)
