Take no buffer for a length alone; let answers to HEAD requests have none

Cause: read again, reserved what a Content-Length promised, up to 16 MB an attempt, of a router with 184 MB, and took the answer to a HEAD request for one that was cut short. Change: bodies up to 64 KB take one buffer, longer ones grow as they come; a reply without a body has none whatever its length says. Tests: both failed before.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -225,13 +225,18 @@
 	return reply, info, !response.Close && !unframed, nil
 }
 
-// readBody reads a body whole. One whose length is told takes one buffer of that length:
-// growing one took a third of the bytes that a slice of 14 parts allocates.
+// oneBufferBytes bounds the bodies that take one buffer: a length alone, which a faulty
+// server may make up, takes no more memory than that.
+const oneBufferBytes = 64 << 10
+
+// readBody reads a body whole. A short one whose length is told takes one buffer: growing
+// one took a third of the bytes that a slice of 14 parts allocates.
 func readBody(response *http.Response) ([]byte, error) {
-	if length := response.ContentLength; length >= 0 {
-		if length > maxReplyBytes {
-			return nil, errLarge
-		}
+	if response.Body == http.NoBody {
+		// Also where a length is told, as in the answer to a HEAD request.
+		return nil, nil
+	}
+	if length := response.ContentLength; length >= 0 && length <= oneBufferBytes {
 		body := make([]byte, length)
 		_, err := io.ReadFull(response.Body, body)
 		if err != nil {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -307,3 +307,35 @@
 	}
 	require.EqualValues(t, 2, connections.Load(), "the rest of a body met the next request")
 }
+
+// TestAnswerToAHeadRequestHasALengthAndNoBody over a connection that is kept.
+func TestAnswerToAHeadRequestHasALengthAndNoBody(t *testing.T) {
+	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\n")
+		return true
+	})
+	pool := newPool(t)
+	request := &message.Request{Method: http.MethodHead, Target: "/", Host: "h", ID: "r"}
+	for range 2 {
+		outcome := pool.Start(pool.Encode(request), scatter.Server{ID: "i", Address: b.listener.Addr().String()}, time.Now().Add(2*time.Second)).Run()
+		require.Equal(t, scatter.NoFailure, outcome.Failure)
+		require.Empty(t, outcome.Reply.Body)
+	}
+	require.EqualValues(t, 1, b.connections.Load())
+}
+
+// TestLengthAloneTakesNoMemory has servers promise long bodies and break off.
+func TestLengthAloneTakesNoMemory(t *testing.T) {
+	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Stamp: s\r\nContent-Length: 16000000\r\n\r\nshort")
+		return false
+	})
+	pool := newPool(t)
+	allocated := testing.Benchmark(func(bench *testing.B) {
+		bench.ReportAllocs()
+		for bench.Loop() {
+			require.Equal(t, scatter.Broken, run(pool, b, "r").Failure)
+		}
+	})
+	require.Less(t, allocated.AllocedBytesPerOp(), int64(1<<20))
+}
--- a/internal/gateway/isolating.go
+++ b/internal/gateway/isolating.go
@@ -130,7 +130,11 @@
 		return
 	}
 	r.gateway.peers.setIsolated(isolated)
-	r.gateway.metrics.isolated.Set(map[bool]float64{true: 1}[isolated])
+	if isolated {
+		r.gateway.metrics.isolated.Set(1)
+	} else {
+		r.gateway.metrics.isolated.Set(0)
+	}
 	r.gateway.logger.WithFields(logrus.Fields{"isolated": isolated, "own": round.Own, "others": round.Others}).Warn("isolation_changed")
 }
 
