Ask slicing whether shards suffice, in place of a second copy of the check

Cause: read again, the gateway's isolation compared a share with the least one, with a rounding slack of its own, beside the same check of slicing.Collection. Change: slicing.Suffices serves both; the same expression and the same slack. Measured: nothing; behaviour is as before.

--- a/internal/gateway/isolating.go
+++ b/internal/gateway/isolating.go
@@ -195,13 +195,9 @@
 
 // withinZone reports whether the servers of the own zone suffice for a route.
 func (g *Gateway) withinZone(shards []string, least float64) bool {
-	held := g.peers.heldInZone(shards)
-	return float64(held)/float64(len(shards))+roundingSlack >= least
+	return slicing.Suffices(g.peers.heldInZone(shards), len(shards), least)
 }
 
-// roundingSlack keeps a share that was written with few digits reachable.
-const roundingSlack = 1e-9
-
 // refuseIsolated refuses at once a request that needs servers of other zones, which this
 // router does not reach. It reports whether it did.
 func (s *exchangeState) refuseIsolated() bool {
--- a/internal/slicing/collect.go
+++ b/internal/slicing/collect.go
@@ -67,8 +67,12 @@
 	return Wait
 }
 
-func (c *Collection) reaches(parts int) bool {
-	return float64(parts)/float64(c.Total)+roundingSlack >= c.Least
+func (c *Collection) reaches(parts int) bool { return Suffices(parts, c.Total, c.Least) }
+
+// Suffices reports whether so many parts of a total reach the least share, 0 to 1, that an
+// answer needs.
+func Suffices(parts, total int, least float64) bool {
+	return float64(parts)/float64(total)+roundingSlack >= least
 }
 
 // Next returns when Decide may change without another part.
