Log which request an attempt that broke off belonged to, by its fingerprint

Cause: logs named the server of such an attempt and not its request, so that two presentations of one request could not be told from two requests, nor a router that remembers from one that does not. Conclusion: sight for the hypotheses; no decision depends on it.

--- /dev/null
+++ b/internal/gateway/broken_log_test.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestLinesAboutBrokenAttemptsAreBounded(t *testing.T) {
+	var bounded brokenLog
+	start := time.Unix(1000, 0)
+	for range maxBrokenTold {
+		leftOut, tells := bounded.take(start)
+		require.True(t, tells)
+		require.Zero(t, leftOut)
+	}
+	for range 7 {
+		_, tells := bounded.take(start.Add(time.Second - 1))
+		require.False(t, tells)
+	}
+	leftOut, tells := bounded.take(start.Add(time.Second))
+	require.True(t, tells)
+	require.Equal(t, 7, leftOut)
+}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -27,6 +27,8 @@
 	// claiming is what the present step asked for; claim carries such a message.
 	claiming map[scatter.RequestID][]int
 	claim    func(claimTarget, []int) error
+	// breaks logs attempts that broke off.
+	breaks brokenLog
 }
 
 // submitted is a request on its way into the engine.
@@ -154,7 +156,15 @@
 // send starts an attempt. Its request is waited for, since the engine sends
 // nothing for requests that were answered.
 func (l *loop) send(command scatter.Send) {
-	attempt := l.pool.Start(l.waiting[command.Request].encoded, command.Server, command.Deadline)
+	waiting := l.waiting[command.Request]
+	attempt := l.pool.Start(waiting.encoded, command.Server, command.Deadline)
 	l.attempts[command.Attempt] = attempt
-	go func() { l.events <- scatter.Ended{Attempt: command.Attempt, Outcome: attempt.Run()} }()
+	began := time.Now()
+	go func() {
+		outcome := attempt.Run()
+		l.events <- scatter.Ended{Attempt: command.Attempt, Outcome: outcome}
+		if outcome.Failure == scatter.Broken || outcome.Failure == scatter.Unaccepted {
+			l.breaks.tell(l.logger, waiting.request, command.Server, outcome.Failure, time.Since(began))
+		}
+	}()
 }
