--- a/cmd/martenstage/registered_test.go
+++ b/cmd/martenstage/registered_test.go
@@ -129,6 +129,11 @@
 func (s *registeredSite) serve(id, service, zone string) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(s.t, err)
+	s.servers[id] = s.serveAt(listener, id, service, zone)
+}
+
+// serveAt runs a server at a listener.
+func (s *registeredSite) serveAt(listener net.Listener, id, service, zone string) *registeredServer {
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &registeredServer{site: s, id: id, service: service, zone: zone, cancel: cancel}
 	started.say("ready")
@@ -138,7 +143,7 @@
 	started.server = &http.Server{Handler: started}
 	go func() { _ = started.server.Serve(listener) }()
 	go started.announce(ctx, listener.Addr().String())
-	s.servers[id] = started
+	return started
 }
 
 func (r *registeredServer) say(state string)               { r.state.Store(&state) }
@@ -186,10 +191,12 @@
  "services":[{"name":"a","health_path":"/health","max_conns":20},{"name":"b","health_path":"/health","max_conns":20}],"limits":{}}`
 
 // put gives the operator's document to whichever node takes it.
-func (s *registeredSite) put(version int) {
+func (s *registeredSite) put(version int) { s.putText(fmt.Sprintf(registeredDocument, version)) }
+
+func (s *registeredSite) putText(document string) {
 	require.Eventually(s.t, func() bool {
 		for _, node := range s.control {
-			response, err := http.Post("http://"+node+"/-/config/put", "application/json", strings.NewReader(fmt.Sprintf(registeredDocument, version)))
+			response, err := http.Post("http://"+node+"/-/config/put", "application/json", strings.NewReader(document))
 			if err == nil {
 				_ = response.Body.Close()
 				if response.StatusCode == http.StatusOK {
