--- /dev/null
+++ b/internal/exchange/ended_test.go
@@ -0,0 +1,26 @@
+package exchange_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/scatter"
+)
+
+// TestServerHasEndedOnlyIfNothingListens asks about an address that is served, and again once
+// nothing listens there.
+func TestServerHasEndedOnlyIfNothingListens(t *testing.T) {
+	pool := exchange.NewPool(nil, prometheus.NewRegistry())
+	t.Cleanup(pool.Close)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := scatter.Server{ID: "i", Address: listener.Addr().String()}
+	require.False(t, pool.HasEnded(server, false))
+	require.False(t, pool.HasEnded(server, true))
+	require.NoError(t, listener.Close())
+	require.True(t, pool.HasEnded(server, false))
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -4,13 +4,16 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/martenstage/martenstage/internal/liveness"
 	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/scatter"
 )
 
 // Pool keeps connections to instances. It is safe for concurrent use.
@@ -129,3 +132,26 @@
 		delete(p.idle, instance)
 	}
 }
+
+// HasEnded reports whether nothing listens at the address of a server any more: the process
+// that an attempt was sent to has ended, and no other has taken its place yet. A server
+// that can't be reached, or that is silent, is not taken for ended. A connection that comes
+// up proves the opposite and is kept for the next attempt, unless the server just turned
+// one away.
+func (p *Pool) HasEnded(server scatter.Server, turnedAway bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	dialed, err := p.dial(ctx, server.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	p.opened.Inc()
+	if turnedAway {
+		_ = dialed.Close()
+		return false
+	}
+	opened := newConnection(dialed)
+	opened.keep(time.Now(), nil)
+	p.put(server.ID, opened)
+	return false
+}
--- a/internal/scatter/claims.go
+++ b/internal/scatter/claims.go
@@ -62,6 +62,7 @@
 			e.repeatGranted(waiting.calls[position], event.Refused)
 		}
 	}
+	e.reviewHeld(waiting)
 	e.decide(waiting)
 }
 
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -27,11 +27,7 @@
 	if over {
 		result.Reason = verdict.ReasonTimeout
 	}
-	for _, called := range waiting.calls {
-		if called.part == nil {
-			result.Missing = append(result.Missing, called.position)
-		}
-	}
+	result.Missing = waiting.missing()
 	e.respond(waiting, result)
 }
 
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -73,6 +73,8 @@
 		e.takeGrant(event)
 	case Abandoned:
 		e.abandon(event.Request)
+	case Withdrawn:
+		e.withdraw(event.Request)
 	case ServersChanged:
 		for _, told := range event.Servers {
 			e.changeServer(told)
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -57,6 +57,10 @@
 // what was there, or its client left.
 type Abandoned struct{ Request RequestID }
 
+// Withdrawn says that a request is quarantined: nothing more is sent for it, what is out is
+// aborted, and it ends at once.
+type Withdrawn struct{ Request RequestID }
+
 // ServersChanged tells of servers that are new or have changed.
 type ServersChanged struct{ Servers []Server }
 
@@ -98,6 +102,7 @@
 func (Granted) isEvent()          {}
 func (Ended) isEvent()            {}
 func (Abandoned) isEvent()        {}
+func (Withdrawn) isEvent()        {}
 func (ServersChanged) isEvent()   {}
 func (ServersGone) isEvent()      {}
 func (DocumentChanged) isEvent()  {}
@@ -272,11 +277,13 @@
 	StepDenied
 	// StepClaims: another attempt is asked for.
 	StepClaims
+	// StepHeld: attempts of the request broke off, and no server has answered it.
+	StepHeld
 )
 
 // String returns the kind in lower case, for logs.
 func (k StepKind) String() string {
-	return [...]string{"sent", "hedged", "retried", "ended", "waits", "denied", "claims"}[k]
+	return [...]string{"sent", "hedged", "retried", "ended", "waits", "denied", "claims", "held"}[k]
 }
 
 // Step is one thing that was done for a call.
--- a/internal/scatter/hedging.go
+++ b/internal/scatter/hedging.go
@@ -97,7 +97,7 @@
 		return
 	}
 	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
-	possible := found == available && chosen.condition(e.now) < doubted
+	possible := found == available && chosen.condition(e.now) < doubted && !called.request.holds()
 	if possible && !e.mayRepeat(called) {
 		called.claimDue = true
 		return
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -25,6 +25,11 @@
 	answered bool
 	// claims is that of Arrived.
 	claims bool
+	// replied says that a server has answered, broken counts attempts that broke off.
+	replied bool
+	broken  int
+	// held counts the calls that get no attempt for that.
+	held int
 }
 
 // call is what a request asks of one service.
@@ -41,7 +46,9 @@
 	earlier int
 	settled bool
 	waiting bool
-	claim   claim
+	// held says that it gets no attempt until a server has answered its request.
+	held  bool
+	claim claim
 	// claimDue says that the attempt that was claimed is to be sent as soon as it is
 	// granted.
 	claimDue bool
@@ -200,9 +207,11 @@
 	e.learn(ended, event.Outcome)
 	called := ended.call
 	called.live = slices.DeleteFunc(called.live, func(a *attempt) bool { return a == ended })
+	called.request.observe(event.Outcome)
 	if !called.settled {
 		e.conclude(called, ended, event.Outcome)
 	}
+	e.reviewHeld(called.request)
 	e.serveGroup(ended.server.Service)
 }
 
@@ -255,6 +264,10 @@
 // dispatchExtra is dispatch of what may be a retry. One that the budget does not
 // pay for yet waits until first attempts have earned it.
 func (e *Engine) dispatchExtra(called *call) {
+	if called.request.holds() {
+		e.hold(called)
+		return
+	}
 	if !called.isExtra() {
 		e.dispatch(called, false)
 		return
--- a/internal/scatter/waiting.go
+++ b/internal/scatter/waiting.go
@@ -58,8 +58,11 @@
 	for _, called := range waiting {
 		called.waiting = false
 		e.dispatchExtra(called)
-		if called.settled {
+		switch {
+		case called.settled:
 			e.decide(called.request)
+		case called.held:
+			e.reviewHeld(called.request)
 		}
 	}
 }
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -124,6 +124,11 @@
 	// ReasonWrongRegion: the region that was asked does not own the route.
 	ReasonWrongRegion Reason = "wrong_region"
 	ReasonInternal    Reason = "internal"
+	// ReasonQuarantined: the request ends the servers that run it, and is sent to none.
+	ReasonQuarantined Reason = "quarantined"
+	// ReasonOnTrial: the same request is being tried at one server, since servers ended
+	// while it ran there.
+	ReasonOnTrial Reason = "on_trial"
 )
 
 // Error is a refusal or failure with its verdict. RetryAfter, when positive,
