Keep the requests that end servers in the replicated log and tell routers

Cause: what one router learns of such a request has to bind all of them, and outlast a restart of all.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -74,6 +74,8 @@
 	if reply.Evacuations = revision; otherEvacuated {
 		reply.Evacuated = zoneNames(evacuated)
 	}
+	reply.Quarantine, reply.QuarantineEntries = applied.quarantineNews(request.Quarantine)
+	otherQuarantine := reply.Quarantine > request.Quarantine
 	same := request.Source == n.source
 	since := request.Revision
 	if !same {
@@ -82,7 +84,7 @@
 	reply.Whole = !same
 	reply.Instances = n.registry.Since(now, since)
 	reply.Departed, reply.Departures = applied.departures(request.Departures)
-	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || otherRouters || otherAbsent || otherEvacuated
+	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || otherRouters || otherAbsent || otherEvacuated || otherQuarantine
 	return reply, news, n.changed, nil
 }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
@@ -26,6 +27,8 @@
 	Formed bool `json:"formed,omitempty"`
 	// Evacuations are orders of operators, in the order in which they hold.
 	Evacuations []evacuationOrder `json:"evacuations,omitempty"`
+	// Quarantine are orders about requests that end servers.
+	Quarantine []quarantine.Order `json:"quarantine,omitempty"`
 }
 
 // putResult is what applying a document gave.
@@ -34,6 +37,8 @@
 	Held uint64
 	// Installed says that the command's document is the one in force.
 	Installed bool
+	// Quarantine is what orders about requests that end servers gave.
+	Quarantine QuarantineReply
 }
 
 // replicated is the state that the log drives.
@@ -46,6 +51,8 @@
 	// EvacuationRevision rises whenever they change.
 	Evacuated          []Evacuation `json:"evacuated,omitempty"`
 	EvacuationRevision uint64       `json:"evacuation_revision,omitempty"`
+	// Quarantine holds the requests that end servers.
+	Quarantine quarantine.Book `json:"quarantine"`
 }
 
 // machine applies the log. It is safe for concurrent use.
@@ -81,6 +88,9 @@
 	for _, order := range decoded.Evacuations {
 		m.evacuate(order)
 	}
+	if len(decoded.Quarantine) > 0 {
+		result.Quarantine = m.applyQuarantine(decoded.Quarantine)
+	}
 	m.notify()
 	return result
 }
--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -4,6 +4,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+	"github.com/samber/lo"
+
+	"github.com/martenstage/martenstage/internal/quarantine"
 )
 
 type metrics struct {
@@ -13,6 +16,10 @@
 	instances  *prometheus.GaugeVec
 	version    prometheus.Gauge
 	evacuated  prometheus.Gauge
+	// quarantined counts records by standing, quarantineOrders the orders that this node
+	// carried out as the leader.
+	quarantined      *prometheus.GaugeVec
+	quarantineOrders *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -37,9 +44,22 @@
 		evacuated: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_directory_evacuated_zones_count", Help: "Zones whose servers get no requests, by order of an operator.",
 		}),
+		quarantined: factory.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "martenstage_directory_quarantine_requests_count", Help: "Requests under which servers ended, by standing.",
+		}, []string{"standing"}),
+		quarantineOrders: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_directory_quarantine_orders_total", Help: "Orders about such requests that this node carried out as the leader, by kind.",
+		}, []string{"kind"}),
 	}
 }
 
+// tellQuarantine takes in a book.
+func (m *metrics) tellQuarantine(book quarantine.Book) {
+	quarantined := lo.CountBy(book.Records, func(r quarantine.Record) bool { return r.Quarantined })
+	m.quarantined.WithLabelValues(quarantine.Quarantined.String()).Set(float64(quarantined))
+	m.quarantined.WithLabelValues(quarantine.Suspected.String()).Set(float64(len(book.Records) - quarantined))
+}
+
 // replacingRegisterer lets a voter that is opened again in the same process
 // register its collectors in the place of the former ones.
 type replacingRegisterer struct{ prometheus.Registerer }
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -91,7 +91,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile,
+		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/registry"
 )
 
@@ -22,6 +23,12 @@
 	pathEvacuate = "/peer/evacuate"
 	// pathEvacuations is for operators.
 	pathEvacuations = "/operator/evacuations"
+	// pathQuarantineLeader carries orders about requests that end servers to the leader,
+	// pathQuarantineList is for operators.
+	pathQuarantineLeader = "/peer/quarantine"
+	pathQuarantineList   = "/operator/quarantine"
+	// PathQuarantine is where routers and operators give such orders.
+	PathQuarantine = "/router/quarantine"
 	// PathFollow is what routers call for news.
 	PathFollow = "/router/follow"
 	// PathDoubt is where routers tell which others failed.
@@ -141,6 +148,9 @@
 	Probe bool `json:"probe,omitempty"`
 	// Evacuations is the highest revision of the evacuated zones that the router holds.
 	Evacuations uint64 `json:"evacuations,omitempty"`
+	// Quarantine is the highest revision of the requests that end servers that the router
+	// holds.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 	// Wait is how long the node may hold the call while there is no news.
 	Wait time.Duration `json:"wait"`
 }
@@ -181,6 +191,10 @@
 	// names them if the router holds a lower one.
 	Evacuations uint64   `json:"evacuations,omitempty"`
 	Evacuated   []string `json:"evacuated,omitempty"`
+	// Quarantine is the revision of the requests that end servers; QuarantineEntries are
+	// all of them if the router holds a lower one.
+	Quarantine        uint64             `json:"quarantine,omitempty"`
+	QuarantineEntries []quarantine.Entry `json:"quarantine_entries,omitempty"`
 }
 
 // maxFramedMessage bounds one consensus message in a call.
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -10,6 +10,7 @@
 	"github.com/klauspost/compress/gzhttp"
 	"github.com/klauspost/compress/gzip"
 
+	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/routing"
 )
 
@@ -48,6 +49,9 @@
 		return struct{}{}, n.evacuateHere(ctx, order)
 	}))
 	mux.Handle(pathEvacuations, handle(func(context.Context, struct{}) (EvacuationList, error) { return n.Evacuations(), nil }))
+	mux.Handle(pathQuarantineLeader, handle(n.quarantineHere))
+	mux.Handle(PathQuarantine, handle(n.Quarantine))
+	mux.Handle(pathQuarantineList, handle(func(context.Context, struct{}) (quarantine.Book, error) { return n.QuarantineList(), nil }))
 	mux.Handle(pathRead, handle(func(ctx context.Context, _ struct{}) (readReply, error) { return n.readHere(ctx) }))
 	mux.Handle(PathDoubt, handle(func(_ context.Context, told Doubt) (struct{}, error) {
 		n.doubtRouters(told)
