Refuse requests that end their servers, and try suspected ones at one server first

Cause: routers remember nothing of a request beyond its own attempts. Change: an attempt that broke off is evidence if nothing listens at its server's address any more and no server has answered the request. Routers report it, try a suspected request at one server when the directory grants that, refuse a quarantined one at once with 400 and say in the body whether it may have run, take no slices of it, and withdraw what is under way.

--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -43,6 +43,8 @@
 	lost  bool
 	// followed is node, for others than the one goroutine that follows.
 	followed atomic.Pointer[string]
+	// known are all nodes, the one that is followed first, for others than that goroutine.
+	known atomic.Pointer[[]string]
 	// routerCount is how many routers there are, as last told.
 	routerCount int
 	// evacuated says which servers get nothing by an operator's order; moving that this
@@ -120,6 +122,7 @@
 	f.followed.Store(&followed)
 	f.takeEvacuations(reply, regained)
 	f.takeIn(reply)
+	f.setReachable(followed)
 	return nil
 }
 
@@ -161,6 +164,7 @@
 }
 
 func (f *follower) takeIn(reply directory.FollowReply) {
+	f.takeQuarantine(reply)
 	f.takeServers(reply)
 	f.takeDocument(reply)
 	if len(reply.Nodes) > 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,7 +41,13 @@
 	slices   *sliceClient
 	claims   *claimBook
 	reach    *reach
-	clients  *clientConnections
+	follower *follower
+	// quarantine are the requests that end servers; breaks and endings bound the lines
+	// about attempts that broke off and about servers that ended.
+	quarantine *quarantineWatch
+	breaks     lineLimit
+	endings    lineLimit
+	clients    *clientConnections
 	// shardCalls is how often servers of shards are called, beyond repeats.
 	shardCalls rate
 	// gatherersTold is what the log last said of who gathers; the one that follows owns it.
@@ -66,7 +72,9 @@
 	gateway.reach = newReach(gateway)
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget, Cold: config.Cold})
-	gateway.loop = newLoop(engine, gateway.pool, gateway.slices.claim, gateway.logger)
+	gateway.loop = newLoop(engine, gateway.pool, loopPorts{claim: gateway.slices.claim, weigh: gateway.weigh}, gateway.logger)
+	gateway.quarantine = newQuarantineWatch(gateway.logger, gateway.metrics)
+	gateway.follower = newFollower(gateway)
 	return gateway
 }
 
@@ -118,9 +126,9 @@
 	defer end()
 	var running sync.WaitGroup
 	running.Go(func() { g.loop.run(duties) })
-	following := newFollower(g)
-	running.Go(func() { following.run(duties) })
-	running.Go(func() { following.tellDoubts(duties) })
+	running.Go(func() { g.follower.run(duties) })
+	running.Go(func() { g.follower.tellDoubts(duties) })
+	running.Go(func() { g.follower.tellQuarantine(duties) })
 	running.Go(func() { g.reach.run(duties) })
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/slicing"
 	"github.com/martenstage/martenstage/internal/verdict"
@@ -30,7 +29,7 @@
 // gatherState is one request that is put together from slices.
 type gatherState struct {
 	*exchangeState
-	message *message.Request
+	message *fingerprinted
 	// encoded is message as it travels to other routers; nil until one is asked.
 	encoded    json.RawMessage
 	collection slicing.Collection
@@ -42,10 +41,12 @@
 	cancel     context.CancelFunc
 	context    context.Context
 	fallbacks  int
+	// withdrawn says that the request was found to be quarantined on its way.
+	withdrawn bool
 }
 
 // serveGather answers a request whose route names shards.
-func (s *exchangeState) serveGather(passed *message.Request) {
+func (s *exchangeState) serveGather(passed *fingerprinted) {
 	ctx, cancel := context.WithCancel(s.request.Context())
 	defer cancel()
 	arrived := s.arrival()
@@ -78,6 +79,10 @@
 	defer g.finish()
 	for {
 		now := time.Now()
+		if g.withdrawn {
+			g.failWithdrawn()
+			return
+		}
 		switch decision := g.collection.Decide(now); decision {
 		case slicing.Answer:
 			g.answer()
@@ -109,6 +114,7 @@
 		g.fallBack(event)
 	case event.ended:
 		state.ended = true
+		g.withdrawn = g.withdrawn || event.result.Reason == verdict.ReasonQuarantined
 		for _, position := range event.lost {
 			g.lose(state, position)
 		}
@@ -202,6 +208,14 @@
 	g.fail(g.result)
 }
 
+// failWithdrawn answers a request that was found to be quarantined after it had been sent to
+// servers or routers.
+func (g *gatherState) failWithdrawn() {
+	g.result.Verdict, g.result.Reason = verdict.MayHaveRun, verdict.ReasonQuarantined
+	g.told = g.toTell()
+	g.fail(g.result)
+}
+
 func (g *gatherState) toTell() gatherTold {
 	told := gatherTold{shards: g.collection.Total, missing: g.collection.Total - g.collection.In, slices: len(g.slices), fallbacks: g.fallbacks}
 	if !g.collection.Cut.IsZero() {
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -73,7 +73,7 @@
 	asked := sliceRequest{
 		Request: g.encode(), Shards: slice.Shards, Route: g.route.Name, MaxAttempts: g.route.MaxAttempts,
 		Priority: g.route.Priority, TopRecords: g.route.TopRecords, LeastShare: g.route.LeastShare, Target: g.route.Target,
-		DeadlineLeft: g.collection.Deadline.Sub(now), Earlier: from.earlier,
+		DeadlineLeft: g.collection.Deadline.Sub(now), Earlier: from.earlier, Tried: g.tried, Caller: g.caller(),
 	}
 	if !g.collection.Cut.IsZero() {
 		asked.CutLeft = max(0, g.collection.Cut.Sub(now)-g.gateway.sliceLag.margin(firstSliceMargin))
@@ -86,7 +86,7 @@
 	if g.encoded != nil {
 		return g.encoded
 	}
-	encoded, err := json.Marshal(g.message)
+	encoded, err := json.Marshal(g.message.Request)
 	if err != nil {
 		panic(errors.Wrap(err, "a request holds only texts and bytes"))
 	}
@@ -98,7 +98,7 @@
 func (g *gatherState) gatherHere(index int) {
 	state := g.slices[index]
 	gathering := g.gateway.submitShards(localSlice{
-		request: g.message, route: g.route, shards: state.Shards, deadline: g.collection.Deadline, due: g.collection.Cut,
+		request: g.message, evidence: g.evidence(), route: g.route, shards: state.Shards, deadline: g.collection.Deadline, due: g.collection.Cut,
 		earlier: state.origin.earlier, events: g.events, slice: index,
 	})
 	state.local = &gathering
@@ -111,6 +111,10 @@
 	if g.context.Err() != nil || failed.ended {
 		return
 	}
+	if errors.Is(event.reason, errWithdrawn) {
+		g.withdrawn = true
+		return
+	}
 	g.gateway.metrics.slicesFailed.Inc()
 	g.gateway.reach.fail(failed.Router.Zone)
 	if g.gateway.peers.doubt(failed.Router.Name) {
--- a/internal/gateway/line_limit_test.go
+++ b/internal/gateway/line_limit_test.go
@@ -8,9 +8,9 @@
 )
 
 func TestLinesAboutBrokenAttemptsAreBounded(t *testing.T) {
-	var bounded brokenLog
+	var bounded lineLimit
 	start := time.Unix(1000, 0)
-	for range maxBrokenTold {
+	for range maxLinesASecond {
 		leftOut, tells := bounded.take(start)
 		require.True(t, tells)
 		require.Zero(t, leftOut)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -7,7 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/exchange"
-	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/scatter"
 )
 
@@ -27,14 +27,17 @@
 	// claiming is what the present step asked for; claim carries such a message.
 	claiming map[scatter.RequestID][]int
 	claim    func(claimTarget, []int) error
-	// breaks logs attempts that broke off.
-	breaks brokenLog
+	// weigh takes in what an attempt that ended shows of its request.
+	weigh func(sentAttempt)
+	// withdrawn are requests that are quarantined from now on.
+	withdrawn chan []quarantine.Fingerprint
 }
 
 // submitted is a request on its way into the engine.
 type submitted struct {
-	arrived scatter.Arrived
-	request *message.Request
+	arrived  scatter.Arrived
+	request  *fingerprinted
+	evidence *evidence
 	// encoded is the request for its attempts; it is set on admission.
 	encoded *exchange.Encoded
 	// id receives the engine's name of the request, answer its result.
@@ -58,10 +61,17 @@
 	s.answer <- result
 }
 
-func newLoop(engine *scatter.Engine, pool *exchange.Pool, claim func(claimTarget, []int) error, logger logrus.FieldLogger) *loop {
+// loopPorts are what a loop calls.
+type loopPorts struct {
+	claim func(claimTarget, []int) error
+	weigh func(sentAttempt)
+}
+
+func newLoop(engine *scatter.Engine, pool *exchange.Pool, ports loopPorts, logger logrus.FieldLogger) *loop {
 	return &loop{
-		engine: engine, pool: pool, claim: claim, logger: logger,
-		events: make(chan scatter.Event, eventBacklog), requests: make(chan submitted, maxInFlight),
+		engine: engine, pool: pool, claim: ports.claim, weigh: ports.weigh, logger: logger,
+		withdrawn: make(chan []quarantine.Fingerprint, withdrawnBacklog),
+		events:    make(chan scatter.Event, eventBacklog), requests: make(chan submitted, maxInFlight),
 		waiting:  make(map[scatter.RequestID]submitted),
 		attempts: make(map[scatter.AttemptID]*exchange.Attempt),
 		claiming: make(map[scatter.RequestID][]int),
@@ -81,6 +91,8 @@
 			l.step(event)
 		case arriving := <-l.requests:
 			l.admit(arriving)
+		case quarantined := <-l.withdrawn:
+			l.withdraw(quarantined)
 		case <-l.timer.C:
 			l.step(scatter.TimerFired{})
 		case <-prune.C:
@@ -93,7 +105,7 @@
 	l.last++
 	arriving.arrived.ID = l.last
 	arriving.id <- l.last
-	arriving.encoded = l.pool.Encode(arriving.request)
+	arriving.encoded = l.pool.Encode(arriving.request.Request)
 	l.waiting[l.last] = arriving
 	l.step(arriving.arrived)
 }
@@ -162,9 +174,8 @@
 	began := time.Now()
 	go func() {
 		outcome := attempt.Run()
+		took := time.Since(began)
 		l.events <- scatter.Ended{Attempt: command.Attempt, Outcome: outcome}
-		if outcome.Failure == scatter.Broken || outcome.Failure == scatter.Unaccepted {
-			l.breaks.tell(l.logger, waiting.request, command.Server, outcome.Failure, time.Since(began))
-		}
+		l.weigh(sentAttempt{waiting: waiting, server: command.Server, outcome: outcome, took: took})
 	}()
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,12 @@
 	version        prometheus.Gauge
 	evacuated      prometheus.Gauge
 	isolated       prometheus.Gauge
+	// Of requests that end servers.
+	serversEnded       prometheus.Counter
+	refusedQuarantined prometheus.Counter
+	ordersDropped      prometheus.Counter
+	trials             *prometheus.CounterVec
+	quarantined        *prometheus.GaugeVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -33,12 +39,21 @@
 			Name: "martenstage_gateway_request_seconds", Help: "Time from the arrival of a request to its end.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 1.6, 20),
 		}),
-		extras:         counter("extra_attempts_total", "Hedges and retries."),
-		denied:         counter("denied_attempts_total", "Hedges and retries that the budget did not pay for."),
-		missing:        counter("missing_parts_total", "Shards left out of answers."),
-		slicesAsked:    counter("slices_asked_total", "Slices that other routers were asked for."),
-		slicesFailed:   counter("slices_failed_total", "Slices that other routers did not bring, so that they were gathered here."),
-		slicesServed:   counter("slices_served_total", "Slices gathered for other routers."),
+		extras:             counter("extra_attempts_total", "Hedges and retries."),
+		denied:             counter("denied_attempts_total", "Hedges and retries that the budget did not pay for."),
+		missing:            counter("missing_parts_total", "Shards left out of answers."),
+		slicesAsked:        counter("slices_asked_total", "Slices that other routers were asked for."),
+		slicesFailed:       counter("slices_failed_total", "Slices that other routers did not bring, so that they were gathered here."),
+		slicesServed:       counter("slices_served_total", "Slices gathered for other routers."),
+		serversEnded:       counter("servers_ended_total", "Servers that had ended when an attempt at them broke off."),
+		refusedQuarantined: counter("quarantined_requests_total", "Requests refused because they end the servers that run them."),
+		ordersDropped:      counter("quarantine_orders_dropped_total", "Reports about such requests that were dropped because too many waited to be told."),
+		trials: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_gateway_trials_total", Help: "Suspected requests that were tried at one server, by outcome.",
+		}, []string{"outcome"}),
+		quarantined: factory.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "martenstage_gateway_quarantine_requests_count", Help: "Requests under which servers ended, as this router knows them, by standing.",
+		}, []string{"standing"}),
 		followFailures: counter("follow_failures_total", "Failed calls to directory nodes."),
 		version: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_document_version", Help: "Version of the routing document in force.",
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -60,6 +60,8 @@
 	// maxInFlight bounds the requests without an answer.
 	maxInFlight  = 2000
 	eventBacklog = 8192
+	// withdrawnBacklog bounds the changes of what is quarantined that wait for the engine.
+	withdrawnBacklog = 64
 	// defaultDeadline is that of a client that gives none.
 	defaultDeadline = 30 * time.Second
 	// answerMargin is kept from the client's deadline for the way back.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -26,6 +26,9 @@
 	id      string
 	route   *routing.Route
 	version uint64
+	// tried says that a server has just answered the request, which was suspected to end its
+	// servers.
+	tried bool
 	// told is what the log says of an answer put together from slices.
 	told gatherTold
 }
@@ -108,11 +111,11 @@
 		s.refuse(status, verdict.ReasonBodyTooLarge, 0)
 		return
 	}
-	passed := &message.Request{
+	passed := newFingerprinted(&message.Request{
 		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
 		Header: passedOn(s.request.Header), Body: body, ID: s.id,
-	}
-	if s.refuseIsolated() {
+	})
+	if s.refuseIsolated() || !s.guard(passed) {
 		return
 	}
 	if s.route.Gathers() {
@@ -123,9 +126,9 @@
 }
 
 // serveSingle answers a request that goes to one service.
-func (s *exchangeState) serveSingle(passed *message.Request) {
+func (s *exchangeState) serveSingle(passed *fingerprinted) {
 	arriving := submitted{
-		arrived: s.arrival(), request: passed,
+		arrived: s.arrival(), request: passed, evidence: s.evidence(),
 		id: make(chan scatter.RequestID, 1), answer: make(chan scatter.Result, 1),
 	}
 	s.gateway.loop.requests <- arriving
@@ -211,6 +214,10 @@
 // fail answers a request that brought nothing. Only one that provably has not
 // run is refused with 503; the others have a status that promises nothing.
 func (s *exchangeState) fail(result scatter.Result) {
+	if result.Reason == verdict.ReasonQuarantined {
+		s.refuseQuarantined(result)
+		return
+	}
 	status := http.StatusBadGateway
 	switch {
 	case result.Verdict == verdict.NotRun:
@@ -232,6 +239,10 @@
 	if after > 0 {
 		s.gateway.config.Dialect.ComeBack(s.writer.Header(), after)
 	}
+	s.writeFailureText(status, string(reason))
+}
+
+func (s *exchangeState) writeFailureText(status int, text string) {
 	s.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	s.write(status, slices.Concat([]byte(reason), []byte("\n")))
+	s.write(status, slices.Concat([]byte(text), []byte("\n")))
 }
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -60,6 +60,12 @@
 	return conn, err
 }
 
+// statusWithdrawn is the answer of a router that knows the request of a slice as one that
+// ends its servers, or may; errWithdrawn is what comes of it. Nothing was sent.
+const statusWithdrawn = http.StatusUnprocessableEntity
+
+var errWithdrawn = errors.New("the request of the slice is quarantined or suspected")
+
 var errNotAccepted = errors.New("the router did not accept the slice in time")
 
 // ask sends a slice to a router and hands on its frames. When it returns an
@@ -124,6 +130,10 @@
 		// a router says that it has a slice before it sends anything.
 		return nil, written.Load() && silent, err
 	}
+	if response.StatusCode == statusWithdrawn {
+		_ = response.Body.Close()
+		return nil, false, errWithdrawn
+	}
 	if response.StatusCode != http.StatusOK {
 		_ = response.Body.Close()
 		return nil, false, errors.Newf("status %d", response.StatusCode)
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -32,6 +32,11 @@
 	DeadlineLeft time.Duration `json:"deadline_left"`
 	// Earlier is how many other routers may have asked servers before.
 	Earlier int `json:"earlier,omitempty"`
+	// Tried says that a server has just answered the request, which was suspected to end
+	// its servers.
+	Tried bool `json:"tried,omitempty"`
+	// Caller is the address of the client.
+	Caller string `json:"caller,omitempty"`
 	// Claims is where attempts beyond the first of a shard are asked for.
 	Claims claimTarget `json:"claims"`
 }
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
 )
@@ -35,13 +36,18 @@
 		http.Error(writer, "the slice can't be read", http.StatusBadRequest)
 		return
 	}
+	fingerprinted := newFingerprinted(&passed)
+	if standing := g.quarantine.standing(fingerprinted); standing == quarantine.Quarantined || standing == quarantine.Suspected && !asked.Tried {
+		http.Error(writer, "the request is "+standing.String(), statusWithdrawn)
+		return
+	}
 	if g.stopping.Load() || g.inFlight.Add(1) > maxInFlight {
 		http.Error(writer, "no slices are taken", http.StatusServiceUnavailable)
 		return
 	}
 	defer g.inFlight.Add(-1)
 	writer.WriteHeader(http.StatusOK)
-	stream := &sliceStream{writer: writer, controller: http.NewResponseController(writer), asked: &asked, request: &passed}
+	stream := &sliceStream{writer: writer, controller: http.NewResponseController(writer), asked: &asked, request: fingerprinted}
 	if stream.controller.Flush() != nil {
 		return
 	}
@@ -54,7 +60,7 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	asked      *sliceRequest
-	request    *message.Request
+	request    *fingerprinted
 	pending    sliceFrame
 	parts      [][]byte
 }
@@ -78,7 +84,7 @@
 	now := time.Now()
 	events := make(chan *gatherEvent, 2*len(asked.Shards)+1)
 	gathering := g.submitShards(localSlice{
-		request: stream.request, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events, earlier: asked.Earlier, claims: asked.Claims,
+		request: stream.request, evidence: &evidence{route: asked.Route, caller: asked.Caller}, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events, earlier: asked.Earlier, claims: asked.Claims,
 		route: &routing.Route{
 			Name: asked.Route, Repeatable: true, Timeout: asked.DeadlineLeft, Target: asked.Target, Priority: asked.Priority,
 			MaxAttempts: asked.MaxAttempts, Shards: asked.Shards, LeastShare: asked.LeastShare,
@@ -113,7 +119,8 @@
 
 // localSlice is shards that this router gathers itself.
 type localSlice struct {
-	request  *message.Request
+	request  *fingerprinted
+	evidence *evidence
 	route    *routing.Route
 	shards   []string
 	deadline time.Time
@@ -165,7 +172,7 @@
 			Route: local.route, Services: local.shards, Deadline: local.deadline, Due: local.due, Earlier: local.earlier,
 			Claims: local.claims.Token != 0,
 		},
-		claims: local.claims, request: local.request, id: make(chan scatter.RequestID, 1), events: local.events, slice: local.slice,
+		claims: local.claims, request: local.request, evidence: local.evidence, id: make(chan scatter.RequestID, 1), events: local.events, slice: local.slice,
 	}
 	g.shardCalls.add(len(local.shards))
 	g.loop.requests <- arriving
--- /dev/null
+++ b/internal/gateway/trying.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenstage/martenstage/internal/quarantine"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/verdict"
+)
+
+const (
+	// maxTriedShards bounds the shards at whose servers a trial is attempted until one is
+	// there to run it.
+	maxTriedShards = 3
+	// trialPatience is how long after its answer the outcome of a trial is waited for: a
+	// connection to the server that was tried tells whether it has ended.
+	trialPatience = 300 * time.Millisecond
+)
+
+// guard answers requests that are quarantined, and tries those that are suspected. It
+// reports whether the request is to be served like any.
+func (s *exchangeState) guard(passed *fingerprinted) bool {
+	switch s.gateway.quarantine.standing(passed) {
+	case quarantine.Quarantined:
+		s.refuseQuarantined(scatter.Result{Verdict: verdict.NotRun})
+		return false
+	case quarantine.Suspected:
+		return s.serveTrial(passed)
+	}
+	return true
+}
+
+// refuseQuarantined gives the final answer to a request that ends its servers: the status
+// says that the request itself is refused, and the body whether it may have run.
+func (s *exchangeState) refuseQuarantined(result scatter.Result) {
+	result.Reason = verdict.ReasonQuarantined
+	s.gateway.metrics.refusedQuarantined.Inc()
+	s.writeFailureText(http.StatusBadRequest, string(result.Reason)+" "+result.Verdict.String())
+	s.tell("quarantined", http.StatusBadRequest, result)
+}
+
+// serveTrial sends a suspected request to one server alone, if that is granted. It reports
+// whether the request may go on after it.
+func (s *exchangeState) serveTrial(passed *fingerprinted) bool {
+	if !s.grantTrial(passed) {
+		s.refuse(http.StatusServiceUnavailable, verdict.ReasonOnTrial, s.comeBack())
+		return false
+	}
+	result, end, sent := s.try(passed)
+	s.tellTrial(passed, result, end, sent)
+	switch {
+	case !sent:
+		s.gateway.quarantine.tell(s.order(quarantine.Return, passed))
+		result.Verdict, result.RetryAfter = verdict.NotRun, s.comeBack()
+		s.fail(result)
+	case end == trialEnded:
+		s.refuseQuarantined(result)
+	case result.Reply != nil && s.route.Gathers():
+		s.tried = true
+		return true
+	case result.Reply != nil:
+		s.writeReply(result)
+	default:
+		s.gateway.quarantine.tell(s.order(quarantine.Return, passed))
+		s.fail(result)
+	}
+	return false
+}
+
+func (s *exchangeState) order(kind quarantine.Kind, passed *fingerprinted) quarantine.Order {
+	return quarantine.Order{Kind: kind, Fingerprint: passed.fingerprint(), By: s.gateway.config.Name}
+}
+
+// grantTrial asks the directory for a trial.
+func (s *exchangeState) grantTrial(passed *fingerprinted) bool {
+	ctx, cancel := context.WithTimeout(s.request.Context(), min(orderTimeout, s.remaining()))
+	defer cancel()
+	reply, err := s.gateway.follower.order(ctx, []quarantine.Order{s.order(quarantine.Try, passed)})
+	granted := err == nil && reply.Outcomes[0].Granted
+	if !granted {
+		s.gateway.logger.WithField("request", s.id).WithField("fingerprint", passed.fingerprint().Short()).
+			WithField("reason", err).Info("trial_not_granted")
+	}
+	return granted
+}
+
+// try sends a request to one server of its service or, if it gathers, of one of the first
+// shards that has one. It returns the result, what became of the server, and whether
+// anything may have run. It does not end with the client, since what it finds out counts
+// for all.
+func (s *exchangeState) try(passed *fingerprinted) (result scatter.Result, end trialEnd, sent bool) {
+	services := s.arrival().Services
+	first := int(xxhash.Sum64String(s.id) % uint64(len(services)))
+	for offset := range min(maxTriedShards, len(services)) {
+		service := services[(first+offset)%len(services)]
+		result, end = s.tryAt(passed, service)
+		if result.Reply != nil || result.Verdict != verdict.NotRun {
+			return result, end, true
+		}
+	}
+	return result, end, false
+}
+
+func (s *exchangeState) tryAt(passed *fingerprinted, service string) (scatter.Result, trialEnd) {
+	arrived := s.arrival()
+	shown := s.evidence()
+	shown.trial = make(chan trialEnd, 1)
+	arriving := submitted{
+		request: passed, evidence: shown, id: make(chan scatter.RequestID, 1), answer: make(chan scatter.Result, 1),
+		arrived: scatter.Arrived{
+			Services: []string{service}, Deadline: arrived.Deadline, Due: arrived.Due,
+			Route: &routing.Route{
+				Name: s.route.Name, Repeatable: s.route.Repeatable, Timeout: s.route.Timeout, Target: s.route.Target,
+				Priority: s.route.Priority, MaxAttempts: 1, Targets: []routing.Target{{Service: service, Weight: 1}},
+			},
+		},
+	}
+	s.gateway.loop.requests <- arriving
+	result := <-arriving.answer
+	if result.Reply == nil && result.Verdict == verdict.NotRun {
+		return result, trialUnclear
+	}
+	patience := time.NewTimer(trialPatience)
+	defer patience.Stop()
+	select {
+	case end := <-shown.trial:
+		return result, end
+	case <-patience.C:
+		return result, trialUnclear
+	}
+}
+
+func (s *exchangeState) tellTrial(passed *fingerprinted, result scatter.Result, end trialEnd, sent bool) {
+	outcome := [...]string{"unclear", "answered", "server_ended"}[end]
+	if !sent {
+		outcome = "not_sent"
+	}
+	s.gateway.metrics.trials.WithLabelValues(outcome).Inc()
+	s.gateway.logger.WithFields(logrus.Fields{
+		"request": s.id, "fingerprint": passed.fingerprint().Short(), "route": s.route.Name, "outcome": outcome,
+		"reason": result.Reason, "took": time.Since(s.arrived),
+	}).Info("trial_ended")
+}
+
+// evidence is that of a request of this client.
+func (s *exchangeState) evidence() *evidence {
+	return &evidence{route: s.route.Name, caller: s.caller()}
+}
+
+// caller is the client's address without its port.
+func (s *exchangeState) caller() string {
+	host, _, err := net.SplitHostPort(s.request.RemoteAddr)
+	if err != nil {
+		return s.request.RemoteAddr
+	}
+	return host
+}
