--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -162,7 +162,16 @@
 			case 5:
 				f.present(router, "harmless-"+name, false, fleetShards)
 			case 6:
+				// Several callers send the same at one moment.
+				for _, each := range f.routers {
+					f.present(each, "marked-"+name, true, 0)
+				}
+			case 7:
 				*router = fleetRouter{since: f.now}
+			case 8:
+				for range 2 * fleetContact {
+					f.step()
+				}
 			default:
 				f.step()
 			}
