--- a/cmd/martenstage/crashing_request_test.go
+++ b/cmd/martenstage/crashing_request_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
 )
 
 // Times of servers that a request ends.
@@ -175,7 +178,78 @@
 				}
 			}
 			require.LessOrEqual(t, record.late(crashContact), 3, "attempts after three servers had ended")
+			requireRefused(t, site, path)
 			require.Equal(t, http.StatusOK, site.ask(0, "/"+route+"/harmless", "harmless").status)
 		})
 	}
 }
+
+// requireRefused asks each router for a request that is quarantined: the answer is final,
+// comes at once and says that the request has not run.
+func requireRefused(t *testing.T, site *registeredSite, path string) {
+	for router := range site.gateways {
+		got := site.ask(router, path, fmt.Sprint("refused-", router))
+		require.Equal(t, http.StatusBadRequest, got.status)
+		require.Equal(t, "quarantined not_run\n", got.body)
+		require.Empty(t, got.header.Get("Retry-After"))
+	}
+}
+
+// TestHarmlessRequestIsServedAfterServersEndedUnderIt has a harmless request run on all
+// servers when another one ends them: it is suspected, and served when it comes again.
+func TestHarmlessRequestIsServedAfterServersEndedUnderIt(t *testing.T) {
+	site, record := startCrashSite(t)
+	var underway sync.WaitGroup
+	for number := range 4 {
+		underway.Go(func() { site.ask(number%len(site.gateways), "/sweep/harmless", fmt.Sprint("underway-", number)) })
+	}
+	time.Sleep(crashWork / 2)
+	site.ask(0, "/sweep/"+crashTarget, "ends")
+	underway.Wait()
+	require.Positive(t, record.ends())
+	site.whole()
+	for router := range site.gateways {
+		require.Eventually(t, func() bool {
+			got := site.ask(router, "/sweep/harmless", fmt.Sprint("again-", router))
+			require.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, got.status, got.body)
+			return got.status == http.StatusOK
+		}, 10*time.Second, 20*time.Millisecond)
+	}
+	require.Eventually(t, func() bool {
+		book, err := directory.ListQuarantine(context.Background(), site.peers[0])
+		return err == nil && len(book.Records) <= 1
+	}, 10*time.Second, 20*time.Millisecond, "the harmless request stays suspected")
+}
+
+// TestOperatorListsAndLiftsQuarantine reads what on-call reads of a request that ended its
+// servers, and lifts it: the request is sent again.
+func TestOperatorListsAndLiftsQuarantine(t *testing.T) {
+	site, record := startCrashSite(t)
+	for record.ends() < 3 {
+		site.ask(0, "/look/"+crashTarget, "ends")
+		site.whole()
+	}
+	require.Eventually(t, func() bool { return site.ask(1, "/look/"+crashTarget, "ends").status == http.StatusBadRequest }, 10*time.Second, 20*time.Millisecond)
+	book, err := directory.ListQuarantine(context.Background(), site.peers[0])
+	require.NoError(t, err)
+	require.Len(t, book.Records, 1)
+	require.Equal(t, "look", book.Records[0].Route)
+	require.Equal(t, "127.0.0.1", book.Records[0].Caller)
+	require.GreaterOrEqual(t, book.Records[0].Ended, 3)
+	fingerprint := book.Records[0].Fingerprint.String()
+	for _, line := range []string{"msg=server_ended_under_request", "msg=trial_ended", "msg=quarantine_changed", "after=quarantined", fingerprint} {
+		require.Contains(t, site.log.String(), line)
+	}
+	command := &quarantineCommand{Lift: fingerprint}
+	command.Arguments.Address = site.peers[0]
+	require.NoError(t, command.Execute(nil))
+	ended := record.ends()
+	require.Eventually(t, func() bool {
+		site.ask(0, "/look/"+crashTarget, "lifted")
+		return record.ends() > ended
+	}, 10*time.Second, 20*time.Millisecond)
+	command.Lift = "12"
+	require.Error(t, command.Execute(nil))
+	command.Lift = ""
+	require.NoError(t, command.Execute(nil))
+}
--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -48,6 +48,11 @@
 			Long: "Asks a directory node which zones are evacuated, since when and who ordered it. See docs/operate/evacuating-a-zone.md.",
 			Data: &evacuationsCommand{},
 		},
+		{
+			Name: "quarantine", Short: "List the requests of a registered site that end the servers which run them, or lift one",
+			Long: "Asks a directory node under which requests servers ended, which of them are sent to no server, and the evidence; with --lift it takes that back for one. See docs/operate/requests-that-end-servers.md.",
+			Data: &quarantineCommand{},
+		},
 		{Name: "drain", Short: "Mark a back end as leaving", Long: "Routers send a marked back end no new work after a few seconds; work under way ends as usual. The mark stays until undrain.", Data: &drainCommand{draining: true}},
 		{Name: "undrain", Short: "Remove the mark of drain", Long: "Routers use the back end again, from a small share of work upwards.", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
--- a/cmd/martenstage/registered_test.go
+++ b/cmd/martenstage/registered_test.go
@@ -30,9 +30,11 @@
 // registeredSite is directory nodes, routers and servers of one test, with the
 // commands' own wiring.
 type registeredSite struct {
-	t        *testing.T
-	log      *logBuffer
-	control  []string
+	t       *testing.T
+	log     *logBuffer
+	control []string
+	// peers are the peer addresses of the nodes.
+	peers    []string
 	stops    []func()
 	gateways []string
 	servers  map[string]*registeredServer
@@ -82,6 +84,7 @@
 func startRegisteredSite(t *testing.T, nodes, gateways int) *registeredSite {
 	site := &registeredSite{t: t, log: &logBuffer{}, servers: map[string]*registeredServer{}}
 	peers := testaddress.List(nodes)
+	site.peers = peers
 	for index := range nodes {
 		control := testaddress.Next().String()
 		command := &directoryCommand{Options: directory.Options{}}
--- /dev/null
+++ b/internal/directory/quarantine_test.go
@@ -0,0 +1,98 @@
+package directory_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/quarantine"
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+func endsServers(target string) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(&message.Request{Method: "GET", Target: target})
+}
+
+// give gives orders until some node has carried them out.
+func (c *cluster) give(orders ...quarantine.Order) (reply directory.QuarantineReply) {
+	c.t.Helper()
+	c.eventually("no node takes the orders", func(node *runningNode) bool {
+		var err error
+		reply, err = node.Quarantine(context.Background(), directory.QuarantineOrders{Orders: orders})
+		return err == nil
+	})
+	return reply
+}
+
+// knows reports whether a router that follows a node is told of a request's standing.
+func knows(fingerprint quarantine.Fingerprint, standing quarantine.Standing) func(*runningNode) bool {
+	return func(node *runningNode) bool {
+		reply, err := node.Follow(context.Background(), directory.FollowRequest{Router: directory.Router{Name: "test"}})
+		if err != nil {
+			return false
+		}
+		var view quarantine.View
+		view.Take(reply.Quarantine, reply.QuarantineEntries)
+		return view.Standing(fingerprint) == standing
+	}
+}
+
+func quarantined(target string) []quarantine.Order {
+	return []quarantine.Order{
+		{Kind: quarantine.Report, Fingerprint: endsServers(target), Servers: []string{"i-1", "i-2"}, Route: "r", Caller: "10.0.0.9", By: "g"},
+		{Kind: quarantine.Try, Fingerprint: endsServers(target), By: "g"},
+		{Kind: quarantine.Report, Fingerprint: endsServers(target), Servers: []string{"i-3"}, Tried: true, By: "g"},
+	}
+}
+
+func TestQuarantineIsToldToRoutersEverywhereAndLiftedByAnOperator(t *testing.T) {
+	c := newCluster(t, 3)
+	c.startAll(true)
+	reply := c.give(quarantined("/a")...)
+	require.True(t, reply.Outcomes[1].Granted)
+	require.Equal(t, quarantine.Quarantined, reply.Outcomes[2].After)
+	c.everywhere("not told", knows(endsServers("/a"), quarantine.Quarantined))
+
+	book, err := directory.ListQuarantine(context.Background(), c.addresses[0])
+	require.NoError(t, err)
+	require.Len(t, book.Records, 1)
+	require.Equal(t, []string{"i-1", "i-2", "i-3"}, book.Records[0].Servers)
+	require.Equal(t, "10.0.0.9", book.Records[0].Caller)
+	require.False(t, book.Records[0].At.IsZero())
+
+	before, err := directory.LiftQuarantine(context.Background(), c.addresses[1], endsServers("/a"), "operator")
+	require.NoError(t, err)
+	require.Equal(t, quarantine.Quarantined, before)
+	c.everywhere("not lifted", knows(endsServers("/a"), quarantine.Unknown))
+	before, err = directory.LiftQuarantine(context.Background(), c.addresses[1], endsServers("/a"), "operator")
+	require.NoError(t, err)
+	require.Equal(t, quarantine.Unknown, before)
+}
+
+func TestQuarantineOutlivesTheLossOfTwoDisksAndARestartOfAll(t *testing.T) {
+	c := newCluster(t, 5)
+	c.startAll(true)
+	c.put(document(1, "first"))
+	c.everywhere("not five voters", c.hasVoters(0, 1, 2, 3, 4))
+	c.give(quarantined("/a")...)
+	for index := range c.nodes {
+		c.stop(index)
+	}
+	c.wipe(0)
+	c.wipe(1)
+	c.startAll(false)
+	c.everywhere("lost", knows(endsServers("/a"), quarantine.Quarantined))
+}
+
+func TestOrdersThatCannotBeReadAreRefused(t *testing.T) {
+	c := newCluster(t, 1)
+	c.startAll(true)
+	var invalid *routing.InvalidError
+	for _, orders := range [][]quarantine.Order{nil, {{Kind: "other"}}, make([]quarantine.Order, 300)} {
+		_, err := c.nodes[0].Quarantine(context.Background(), directory.QuarantineOrders{Orders: orders})
+		require.ErrorAs(t, err, &invalid)
+	}
+}
