--- a/cmd/martenstage/process.go
+++ b/cmd/martenstage/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/samber/do/v2"
@@ -13,6 +14,7 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/settings"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // processCommand is what the commands that run a process have in common.
@@ -42,6 +44,17 @@
 	Run(stopping context.Context) error
 }
 
+// tellSuspensions logs each suspension of the machine until the context ends: what the
+// process believed before it may be old.
+func tellSuspensions(ctx context.Context, logger logrus.FieldLogger) {
+	err := steadyclock.Watch(ctx, func(length time.Duration) {
+		logger.WithField("length", length).Warn("machine_suspended")
+	})
+	if err != nil {
+		logger.WithError(err).Warn("suspensions_not_seen")
+	}
+}
+
 // runProcess builds a process and runs it until a signal.
 func runProcess[P process](injector do.Injector) error {
 	stopping, restore := untilSignal()
@@ -50,6 +63,11 @@
 	if err != nil {
 		return err
 	}
+	logger, err := do.Invoke[*logrus.Logger](injector)
+	if err != nil {
+		return err
+	}
+	go tellSuspensions(stopping, logger)
 	return built.Run(stopping)
 }
 
--- a/cmd/martenstage/registered.go
+++ b/cmd/martenstage/registered.go
@@ -37,6 +37,7 @@
 	defer process.close()
 	stopping, restore := untilSignal()
 	defer restore()
+	go tellSuspensions(stopping, process.logger)
 	return run(stopping, process)
 }
 
--- a/cmd/martenstage/router.go
+++ b/cmd/martenstage/router.go
@@ -51,6 +51,7 @@
 	}).Info("router started")
 	running, end := context.WithCancel(context.Background())
 	defer end()
+	go tellSuspensions(running, parts.logger)
 	var helpers sync.WaitGroup
 	for _, helper := range parts.helpers {
 		helpers.Go(func() { helper(running) })
--- a/internal/callers/api.go
+++ b/internal/callers/api.go
@@ -17,6 +17,7 @@
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -61,7 +62,7 @@
 	if config.MaxBody == 0 {
 		config.MaxBody = DefaultMaxBody
 	}
-	handlers := &api{config: config, router: served, logger: logger, now: time.Now}
+	handlers := &api{config: config, router: served, logger: logger, now: steadyclock.Now}
 	mux := http.NewServeMux()
 	settings := huma.DefaultConfig("martenstage callers' API", "1")
 	settings.DocsPath = ""
--- a/internal/callers/slow.go
+++ b/internal/callers/slow.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Bounds for callers that stall. A stalled caller holds a connection and a
@@ -26,10 +28,10 @@
 	if !deadline.IsZero() && deadline.Before(limit) {
 		limit = deadline
 	}
-	if least := time.Now().Add(leastBodyLimit); limit.Before(least) {
+	if least := steadyclock.Now().Add(leastBodyLimit); limit.Before(least) {
 		limit = least
 	}
-	_ = http.NewResponseController(writer).SetReadDeadline(limit)
+	_ = http.NewResponseController(writer).SetReadDeadline(steadyclock.Runtime(limit))
 }
 
 // unboundBody lets the server go on watching the connection, by which it sees
--- a/internal/controlclient/claims.go
+++ b/internal/controlclient/claims.go
@@ -18,6 +18,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/ring"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -129,7 +130,7 @@
 }
 
 func (c *Claims) hold(request router.ClaimRequest, call uint64) {
-	now := time.Now()
+	now := steadyclock.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.held[request.CallerID] = heldClaim{call: call, expires: now.Add(request.Expiry)}
--- a/internal/controlclient/source.go
+++ b/internal/controlclient/source.go
@@ -20,6 +20,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/routestats"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 const (
@@ -139,7 +140,7 @@
 		known = &observation{}
 		s.observations[address] = known
 	}
-	known.seenAt = time.Now()
+	known.seenAt = steadyclock.Now()
 	if known.state == word {
 		return false
 	}
@@ -189,7 +190,7 @@
 
 // Delivered implements follower.Reporter.
 func (s *Source) Delivered(upstream follower.Upstream, _ *v1.SyncRequest) {
-	now := time.Now()
+	now := steadyclock.Now()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for address, known := range s.observations {
--- a/internal/directory/evacuations.go
+++ b/internal/directory/evacuations.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Evacuation is a zone whose servers get no requests, by an operator's order.
@@ -35,12 +36,12 @@
 // it; sent again, it changes nothing. Other outcomes are *routing.InvalidError (nothing
 // was changed) and ErrUnavailable (it may be in force, now or later).
 func (n *Node) Evacuate(ctx context.Context, zone string, ended bool, by string) error {
-	began := time.Now()
+	began := steadyclock.Now()
 	var err error
 	if zone == "" || len(zone) > maxZoneName {
 		err = &routing.InvalidError{Detail: "the name of a zone has between 1 and 200 bytes"}
 	} else {
-		order := evacuationOrder{Evacuation: Evacuation{Zone: zone, By: by, At: began.UTC()}, Ended: ended}
+		order := evacuationOrder{Evacuation: Evacuation{Zone: zone, By: by, At: time.Now().UTC()}, Ended: ended} // The wall clock: a person reads it.
 		err = n.atLeader(ctx, func(ctx context.Context) error { return n.evacuateHere(ctx, order) }, pathEvacuate, order, nil)
 	}
 	operation := "evacuation_started"
--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // maxFollowWait bounds how long a router's call is held. It is also how long a
@@ -51,7 +52,7 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := steadyclock.Now()
 	if n.routers.report(now, sharedRouter{Router: request.Router, Calls: request.Calls}, true) {
 		n.announce()
 	}
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
@@ -25,9 +26,9 @@
 			return
 		}
 		if lost.IsZero() {
-			lost = time.Now()
+			lost = steadyclock.Now()
 		}
-		if isVoter(status) && time.Since(lost) < orphanAfter {
+		if isVoter(status) && steadyclock.Since(lost) < orphanAfter {
 			return
 		}
 		n.askToJoin(ctx)
@@ -112,7 +113,7 @@
 		reply.Removed = true
 		return reply
 	}
-	n.candidates[request.Address] = candidate{ID: request.ID, Address: request.Address, Asked: time.Now()}
+	n.candidates[request.Address] = candidate{ID: request.ID, Address: request.Address, Asked: steadyclock.Now()}
 	return reply
 }
 
@@ -158,7 +159,7 @@
 func (n *Node) viewMembers(status voter.Status) []memberView {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := steadyclock.Now()
 	views := make([]memberView, 0, len(status.Members))
 	for _, member := range status.Members {
 		if member.Active || member.ID == status.ID {
@@ -182,7 +183,7 @@
 	var waiting []candidate
 	for address, asking := range n.candidates {
 		switch {
-		case time.Since(asking.Asked) > rules.CandidateLifetime || n.refused[asking.ID]:
+		case steadyclock.Since(asking.Asked) > rules.CandidateLifetime || n.refused[asking.ID]:
 			delete(n.candidates, address)
 		default:
 			waiting = append(waiting, asking)
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
@@ -58,8 +59,8 @@
 		config:      config,
 		logger:      environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics:     newMetrics(environment.Registerer),
-		started:     time.Now(),
-		source:      config.Name + "/" + time.Now().Format(time.RFC3339Nano),
+		started:     steadyclock.Now(),
+		source:      config.Name + "/" + time.Now().Format(time.RFC3339Nano), // The wall clock: a person reads it.
 		peers:       newPeerClient(),
 		registry:    registry.New(missingHeartbeats*config.HeartbeatInterval, forgetAfter),
 		changed:     make(chan struct{}),
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -11,6 +11,7 @@
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Put takes a routing document. Nil means that a quorum has synced it, or that a
@@ -18,7 +19,7 @@
 // *routing.InvalidError (nothing was changed) and ErrUnavailable (it may be in
 // force, now or later).
 func (n *Node) Put(ctx context.Context, text []byte) error {
-	began := time.Now()
+	began := steadyclock.Now()
 	version, err := n.config.CheckDocument(text)
 	if err == nil {
 		message := putMessage{Version: version, Text: text}
@@ -52,13 +53,13 @@
 	if n.member.state().formed() {
 		return true
 	}
-	return time.Since(n.started) > formingPatience
+	return steadyclock.Since(n.started) > formingPatience
 }
 
 // Read returns the document in force and its version, confirmed by a quorum
 // after the call began; version 0 means none. It fails with ErrUnavailable.
 func (n *Node) Read(ctx context.Context) (version uint64, text []byte, err error) {
-	began := time.Now()
+	began := steadyclock.Now()
 	var reply readReply
 	err = n.atLeader(ctx, func(ctx context.Context) error {
 		reply, err = n.readHere(ctx)
@@ -92,7 +93,7 @@
 	if n.member.state().hasDeparted(id) {
 		return nil
 	}
-	began := time.Now()
+	began := steadyclock.Now()
 	message := departMessage{ID: id}
 	err := n.atLeader(ctx, func(ctx context.Context) error { return n.departHere(ctx, message) }, pathDepart, message, nil)
 	n.record("depart", began, err, logrus.Fields{"instance": id})
@@ -161,7 +162,7 @@
 	case err != nil:
 		outcome = "unavailable"
 	}
-	took := time.Since(began)
+	took := steadyclock.Since(began)
 	n.metrics.operations.WithLabelValues(operation, outcome).Inc()
 	n.metrics.seconds.WithLabelValues(operation).Observe(took.Seconds())
 	status := n.status()
--- a/internal/directory/quarantine.go
+++ b/internal/directory/quarantine.go
@@ -10,6 +10,7 @@
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Times after which a standing ends. Ages count from when the leader first held the record:
@@ -72,7 +73,7 @@
 	if err := checkOrders(asked.Orders); err != nil {
 		return QuarantineReply{}, err
 	}
-	now := time.Now().UTC()
+	now := time.Now().UTC() // The wall clock: a person reads it.
 	for index := range asked.Orders {
 		asked.Orders[index].At = now
 	}
@@ -190,7 +191,7 @@
 			clear(ages)
 			return
 		}
-		orders := ages.due(time.Now(), book.Records)
+		orders := ages.due(steadyclock.Now(), book.Records)
 		if len(orders) == 0 {
 			return
 		}
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -5,11 +5,11 @@
 	"maps"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // report takes in a heartbeat that a server sent to this node.
@@ -19,7 +19,7 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if n.registry.Report(time.Now(), instance) {
+	if n.registry.Report(steadyclock.Now(), instance) {
 		n.fresh[instance.ID] = true
 		n.announce()
 		n.logger.WithField("instance", instance.ID).WithField("service", instance.Service).
@@ -32,13 +32,13 @@
 // runSharing tells the other nodes what servers said to this one, and takes the
 // table of another node over at the start.
 func (n *Node) runSharing(ctx context.Context) {
-	lastBeats := time.Now()
+	lastBeats := steadyclock.Now()
 	taken := make(map[string]tablePosition)
 	every(ctx, shareInterval, func() {
 		n.settle(ctx, taken)
-		withBeats := time.Since(lastBeats) >= beatShareInterval
+		withBeats := steadyclock.Since(lastBeats) >= beatShareInterval
 		if withBeats {
-			lastBeats = time.Now()
+			lastBeats = steadyclock.Now()
 			n.expire()
 		}
 		message := n.takeShare(withBeats)
@@ -66,7 +66,7 @@
 	}
 	message := shareMessage{Settled: n.settled, Doubts: n.doubts}
 	n.doubts = nil
-	now := time.Now()
+	now := steadyclock.Now()
 	if withBeats {
 		for _, id := range slices.Sorted(maps.Keys(n.beats)) {
 			message.Beats = append(message.Beats, beat{ID: id, Sequence: n.beats[id]})
@@ -90,7 +90,7 @@
 	departed := n.member.state()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := steadyclock.Now()
 	changed := false
 	for _, instance := range message.Instances {
 		if departed.hasDeparted(instance.ID) {
@@ -121,7 +121,7 @@
 	if len(n.doubts) < maxDoubtsShared {
 		n.doubts = append(n.doubts, told)
 	}
-	if n.routers.doubt(time.Now(), told) {
+	if n.routers.doubt(steadyclock.Now(), told) {
 		n.announce()
 		n.logger.WithField("by", told.By).WithField("routers", strings.Join(told.Routers, " ")).Info("routers_doubted")
 	}
@@ -138,7 +138,7 @@
 func (n *Node) expire() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := steadyclock.Now()
 	n.routers.expire(now)
 	if n.registry.Expire(now) {
 		n.announce()
--- a/internal/directory/table_file.go
+++ b/internal/directory/table_file.go
@@ -5,9 +5,10 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // tableFile keeps the servers and routers that a node knew, so that a site whose
@@ -48,7 +49,7 @@
 	var routers int
 	every(ctx, tableInterval, func() {
 		n.mutex.Lock()
-		revision, live := n.registry.Revision(), len(n.routers.within(time.Now(), routerLifetime))
+		revision, live := n.registry.Revision(), len(n.routers.within(steadyclock.Now(), routerLifetime))
 		n.mutex.Unlock()
 		if revision == written && live == routers {
 			return
--- a/internal/directory/takeover.go
+++ b/internal/directory/takeover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Times of taking over the tables of other nodes.
@@ -30,7 +31,7 @@
 	if settled {
 		return
 	}
-	if time.Since(n.started) > missingHeartbeats*n.config.HeartbeatInterval {
+	if steadyclock.Since(n.started) > missingHeartbeats*n.config.HeartbeatInterval {
 		n.setSettled("time")
 		return
 	}
@@ -42,7 +43,7 @@
 			from = address
 		}
 	}
-	if from != "" && (all || time.Since(n.started) > settleTime) {
+	if from != "" && (all || steadyclock.Since(n.started) > settleTime) {
 		n.setSettled(from)
 	}
 }
@@ -97,7 +98,7 @@
 func (n *Node) table(known tablePosition) tableReply {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	now := time.Now()
+	now := steadyclock.Now()
 	reply := tableReply{Position: tablePosition{Source: n.source, Revision: n.registry.Revision()}}
 	reply.Settled = n.settled
 	if known == reply.Position {
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -62,7 +63,7 @@
 		a.pool.put(a.server.ID, used)
 		return scatter.Outcome{Failure: scatter.Aborted, Verdict: verdict.NotRun}
 	}
-	_ = used.SetDeadline(a.deadline.Add(replyGrace))
+	_ = used.SetDeadline(steadyclock.Runtime(a.deadline.Add(replyGrace)))
 	unproved := !used.proved
 	written := a.write(used)
 	outcome, reusable := a.read(used)
@@ -99,7 +100,7 @@
 	if kept := a.pool.take(a.server.ID); kept != nil {
 		return kept, nil
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), a.deadline)
+	ctx, cancel := steadyclock.WithDeadline(context.Background(), a.deadline)
 	defer cancel()
 	if !a.dials(cancel) {
 		return nil, context.Canceled
@@ -164,7 +165,7 @@
 // write sends the request and returns a channel that is closed once it is sent
 // whole. What fails here shows when the answer is read.
 func (a *Attempt) write(used *connection) <-chan struct{} {
-	data := a.request.with(a.pool.codec, time.Until(a.deadline), a.server.ID)
+	data := a.request.with(a.pool.codec, steadyclock.Until(a.deadline), a.server.ID)
 	written := make(chan struct{})
 	send := func() {
 		if _, err := used.Write(data); err == nil {
@@ -192,7 +193,7 @@
 			}
 			continue
 		}
-		used.keep(time.Now(), reply.Header)
+		used.keep(steadyclock.Now(), reply.Header)
 		return classify(reply, info), again && used.reader.Buffered() == 0
 	}
 	return a.broken(errForeign), false
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -86,8 +86,12 @@
 	return pool
 }
 
+func newRequest(id string) *message.Request {
+	return &message.Request{Method: http.MethodGet, Target: "/p?q=1", Host: "h", Header: message.Header{"X-Other": {"1"}}, ID: id}
+}
+
 func run(pool *exchange.Pool, b *backend, id string) scatter.Outcome {
-	request := &message.Request{Method: http.MethodGet, Target: "/p?q=1", Host: "h", Header: message.Header{"X-Other": {"1"}}, ID: id}
+	request := newRequest(id)
 	server := scatter.Server{ID: "instance", Address: b.listener.Addr().String()}
 	return pool.Start(pool.Encode(request), server, time.Now().Add(2*time.Second)).Run()
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -14,6 +14,7 @@
 	"github.com/martenstage/martenstage/internal/liveness"
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Pool keeps connections to instances. It is safe for concurrent use.
@@ -63,7 +64,7 @@
 
 // take returns a kept connection to an instance, the one used last, or nil.
 func (p *Pool) take(instance string) *connection {
-	now := time.Now()
+	now := steadyclock.Now()
 	for {
 		kept := p.pop(instance)
 		if kept == nil || kept.usable(now) {
@@ -105,7 +106,7 @@
 
 // Prune closes kept connections whose idle time is over.
 func (p *Pool) Prune() {
-	now := time.Now()
+	now := steadyclock.Now()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for instance, kept := range p.idle {
@@ -151,7 +152,7 @@
 		return false
 	}
 	opened := newConnection(dialed)
-	opened.keep(time.Now(), nil)
+	opened.keep(steadyclock.Now(), nil)
 	p.put(server.ID, opened)
 	return false
 }
--- /dev/null
+++ b/internal/exchange/suspension_test.go
@@ -0,0 +1,45 @@
+package exchange_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
+)
+
+// TestKeptConnectionIsTooOldAfterASuspension keeps a connection, and has the machine be
+// suspended for longer than servers keep idle ones: the next attempt opens another, and
+// has its whole time.
+func TestKeptConnectionIsTooOldAfterASuspension(t *testing.T) {
+	began := time.Now()
+	var suspended atomic.Int64
+	t.Cleanup(steadyclock.Replace(steadyclock.New(func() (running, sinceBoot time.Duration, err error) {
+		running = time.Since(began)
+		return running, running + time.Duration(suspended.Load()), nil
+	})))
+	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, reply("r", "body"))
+		return true
+	})
+	pool := newPool(t)
+	ask := func() {
+		request := newRequest("r")
+		server := scatter.Server{ID: "instance", Address: b.listener.Addr().String()}
+		outcome := pool.Start(pool.Encode(request), server, steadyclock.Now().Add(2*time.Second)).Run()
+		require.Equal(t, scatter.NoFailure, outcome.Failure)
+	}
+	ask()
+	ask()
+	require.EqualValues(t, 1, b.connections.Load())
+	suspended.Add(int64(time.Minute))
+	time.Sleep(3 * time.Millisecond)
+	ask()
+	require.EqualValues(t, 2, b.connections.Load())
+}
--- a/internal/follower/call.go
+++ b/internal/follower/call.go
@@ -12,6 +12,7 @@
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // outcome is what came of one call.
@@ -49,7 +50,7 @@
 	defer cancel()
 	// The lease counts from here, the earliest moment at which the server can
 	// have known of the call.
-	sentAt := time.Now()
+	sentAt := steadyclock.Now()
 	routers, machines := f.deps.Sink.Versions()
 	f.mutex.Lock()
 	round := f.rounds.begin(sentAt, cancel)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -14,6 +14,7 @@
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
@@ -111,12 +112,12 @@
 	for ctx.Err() == nil && !f.hasLeft() {
 		outcome := f.call(ctx)
 		f.metrics.calls.WithLabelValues(outcome.label()).Inc()
-		f.noticeLapse(time.Now())
+		f.noticeLapse(steadyclock.Now())
 		switch {
 		case outcome.poked:
 		case outcome.granted():
 			f.lost = ""
-			f.upstreams.succeeded(time.Now())
+			f.upstreams.succeeded(steadyclock.Now())
 		default:
 			f.noticeLoss(ctx, outcome)
 			f.moveOn(ctx, outcome)
@@ -152,7 +153,7 @@
 		return
 	}
 	f.lost = address
-	now := time.Now()
+	now := steadyclock.Now()
 	f.deps.Events.Record(journal.Event{
 		Time: now, Kind: journal.KindUpstreamLost, Address: address, Detail: outcome.reason(), Count: 1, LastTime: now,
 	})
--- a/internal/follower/handler.go
+++ b/internal/follower/handler.go
@@ -17,6 +17,7 @@
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/routestats"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
@@ -118,10 +119,10 @@
 		return nil, err
 	}
 	if message.GetLeaving() {
-		h.leave(time.Now(), nodeFromWire(message.GetNode()))
+		h.leave(steadyclock.Now(), nodeFromWire(message.GetNode()))
 		return connect.NewResponse(&v1.SyncResponse{}), nil
 	}
-	first := h.receive(time.Now(), message)
+	first := h.receive(steadyclock.Now(), message)
 	if !first {
 		if err := h.hold(ctx, message); err != nil {
 			return nil, err
@@ -182,7 +183,7 @@
 func (h *Handler) RouteReports() []*v1.RouteReport {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.routes.Sum(time.Now())
+	return h.routes.Sum(steadyclock.Now())
 }
 
 // acknowledgedBy is the revision that a child vouches for: a relay for its
@@ -262,7 +263,7 @@
 	case err != nil:
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	now := time.Now()
+	now := steadyclock.Now()
 	// Read after the confirmation, which guarantees that it is the latest.
 	revision, latest, _ := h.deps.Plans.Latest()
 	h.mutex.Lock()
--- a/internal/follower/handler_run.go
+++ b/internal/follower/handler_run.go
@@ -12,6 +12,7 @@
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/lease"
 	"github.com/martenstage/martenstage/internal/membership"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
@@ -38,13 +39,13 @@
 			return
 		case <-changed:
 		case <-tables.C:
-			h.publishMachines(time.Now())
+			h.publishMachines(steadyclock.Now())
 		case <-h.acknowledged:
 			wait.For(ctx, progressDelay)
-			h.progress(time.Now())
+			h.progress(steadyclock.Now())
 		case <-expire.C:
-			h.expire(time.Now())
-			h.progress(time.Now())
+			h.expire(steadyclock.Now())
+			h.progress(steadyclock.Now())
 		}
 	}
 }
@@ -74,7 +75,7 @@
 	if err != nil {
 		return // another voter leads, or none does; the next round asks again
 	}
-	now := time.Now()
+	now := steadyclock.Now()
 	revision, latest, _ := h.deps.Plans.Latest()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -177,7 +178,7 @@
 // RevisionInForce returns the highest revision that whoever admits work below
 // admits it under at least.
 func (h *Handler) RevisionInForce() uint64 {
-	now := time.Now()
+	now := steadyclock.Now()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.installLocal()
@@ -208,7 +209,7 @@
 func (h *Handler) UpdateTables(update func(now time.Time)) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	update(time.Now())
+	update(steadyclock.Now())
 }
 
 // Root is the Handler of a control voter with its tables.
@@ -239,7 +240,7 @@
 
 // Nodes describes all nodes that are or were lately known.
 func (r *Root) Nodes() []*v1.NodeStatus {
-	now := time.Now()
+	now := steadyclock.Now()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	acknowledged := make(map[string]uint64)
--- a/internal/follower/rounds.go
+++ b/internal/follower/rounds.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // rounds counts calls, so that a waiter can tell when one that was sent after
@@ -82,5 +84,5 @@
 	}
 	cancel := r.cancel
 	r.poked = true
-	r.timer = time.AfterFunc(pokeSpacing-time.Since(r.sentAt), cancel)
+	r.timer = time.AfterFunc(pokeSpacing-steadyclock.Since(r.sentAt), cancel)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -14,6 +13,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -38,7 +38,7 @@
 
 // Forward implements router.Forwarder.
 func (c *Client) Forward(ctx context.Context, peer router.Peer, request router.Request) query.Answer {
-	message := requestToWire(c.name, request, time.Now())
+	message := requestToWire(c.name, request, steadyclock.Now())
 	response, err := c.peer(peer.Address.String()).Query(ctx, connect.NewRequest(message))
 	if err != nil {
 		return failed(ctx, peer, err)
--- a/internal/forward/region.go
+++ b/internal/forward/region.go
@@ -15,6 +15,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/remote"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -28,7 +29,7 @@
 
 // Cross implements router.RegionCaller. The context's deadline bounds the call.
 func (c *Client) Cross(ctx context.Context, entry netip.AddrPort, request router.Request) router.Crossing {
-	message := requestToWire(c.name, request, time.Now())
+	message := requestToWire(c.name, request, steadyclock.Now())
 	message.Crossed, message.IdGenerated = true, request.IDGenerated
 	asked, cancel, connected := watched(ctx)
 	defer cancel()
@@ -99,7 +100,7 @@
 	record := &connection{}
 	limit := longestConnect
 	if deadline, ok := ctx.Deadline(); ok {
-		limit = min(limit, time.Until(deadline)/connectShare)
+		limit = min(limit, steadyclock.Until(deadline)/connectShare)
 	}
 	giveUp := time.AfterFunc(limit, func() {
 		if !record.got.Load() {
--- a/internal/forward/service.go
+++ b/internal/forward/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -14,6 +13,7 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -44,7 +44,7 @@
 	if message.Msg.GetCrossed() {
 		answering = s.local.QueryCrossed
 	}
-	answer := answering(ctx, requestFromWire(message.Msg, time.Now()))
+	answer := answering(ctx, requestFromWire(message.Msg, steadyclock.Now()))
 	return connect.NewResponse(answerToWire(answer)), nil
 }
 
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // clientConnection is what a router knows of the connection of a client.
@@ -43,7 +44,7 @@
 
 func newClientConnections(registerer prometheus.Registerer) *clientConnections {
 	return &clientConnections{
-		started: time.Now(), open: make(map[net.Conn]*clientConnection),
+		started: steadyclock.Now(), open: make(map[net.Conn]*clientConnection),
 		closed: promauto.With(registerer).NewCounterVec(prometheus.CounterOpts{
 			Name: "martenstage_gateway_client_connections_closed_total", Help: "Connections of clients that were closed for a limit of the document.",
 		}, []string{"limit"}),
@@ -53,7 +54,7 @@
 // begin lets handlers find the connection of a request.
 func (c *clientConnections) begin(ctx context.Context, conn net.Conn) context.Context {
 	began := &clientConnection{conn: conn}
-	began.since.Store(int64(time.Since(c.started)))
+	began.since.Store(int64(steadyclock.Since(c.started)))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.open[conn] = began
@@ -70,7 +71,7 @@
 	}
 	switch state {
 	case http.StateActive, http.StateIdle:
-		changed.since.Store(int64(time.Since(c.started)))
+		changed.since.Store(int64(steadyclock.Since(c.started)))
 		changed.reading.Store(state == http.StateActive)
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
--- a/internal/gateway/evacuating.go
+++ b/internal/gateway/evacuating.go
@@ -7,6 +7,7 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Times of moving requests out of a zone that is evacuated, and back.
@@ -23,7 +24,7 @@
 // while, or that heard it from another node, can't tell how old the order is, and carries
 // it out at once.
 func (f *follower) takeEvacuations(reply directory.FollowReply, regained bool) {
-	now := time.Now()
+	now := steadyclock.Now()
 	newer := reply.Evacuations > f.request.Evacuations
 	if newer {
 		over := time.Duration(evacuationPart * float64(f.gateway.config.EvacuateWithin))
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -19,6 +19,7 @@
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Bounds of following.
@@ -94,7 +95,7 @@
 		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress,
 		Stopping: f.gateway.stopping.Load(),
 	}
-	f.request.Calls = f.gateway.shardCalls.perSecond(time.Now())
+	f.request.Calls = f.gateway.shardCalls.perSecond(steadyclock.Now())
 	var reply directory.FollowReply
 	var err error
 	if f.node == "" {
@@ -214,7 +215,7 @@
 	told := make(map[string]bool, len(reply.Instances))
 	var changed []scatter.Server
 	var instances []registry.Instance
-	now := time.Now()
+	now := steadyclock.Now()
 	for _, instance := range reply.Instances {
 		told[instance.ID] = true
 		if f.departed[instance.ID] {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/slicing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Gateway is one router.
@@ -64,7 +65,7 @@
 func New(config Config, environment Environment) *Gateway {
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
-		metrics: newMetrics(environment.Registerer), started: time.Now(),
+		metrics: newMetrics(environment.Registerer), started: steadyclock.Now(),
 		known: make(chan struct{}), doubts: make(chan string, doubtBacklog), slices: newSliceClient(), claims: newClaimBook(), clients: newClientConnections(environment.Registerer),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
@@ -172,12 +173,12 @@
 
 // stop carries out the planned stop.
 func (g *Gateway) stop(server, peerServer *http.Server) {
-	deadline := time.Now().Add(g.config.Grace - stopMargin)
+	deadline := steadyclock.Now().Add(g.config.Grace - stopMargin)
 	g.stopping.Store(true)
 	g.logger.WithField("in_flight", g.inFlight.Load()).Info("stopping")
 	time.Sleep(min(unreadyTime, g.config.Grace/2))
 	g.closing.Store(true)
-	finishing, cancel := context.WithDeadline(context.Background(), deadline)
+	finishing, cancel := steadyclock.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := errors.CombineErrors(server.Shutdown(finishing), peerServer.Shutdown(finishing))
 	g.logger.WithField("unanswered", g.inFlight.Load()).WithField(logrus.ErrorKey, err).Info("stopped")
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -8,6 +8,7 @@
 
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/slicing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -74,11 +75,11 @@
 
 // wait takes events in until the collection decides, then answers.
 func (g *gatherState) wait() {
-	timer := time.NewTimer(time.Until(g.collection.Next(time.Now())))
+	timer := time.NewTimer(steadyclock.Until(g.collection.Next(steadyclock.Now())))
 	defer timer.Stop()
 	defer g.finish()
 	for {
-		now := time.Now()
+		now := steadyclock.Now()
 		if g.withdrawn {
 			g.failWithdrawn()
 			return
@@ -95,7 +96,7 @@
 		case event := <-g.events:
 			g.takeIn(event)
 		case <-timer.C:
-			timer.Reset(max(time.Millisecond, time.Until(g.collection.Next(time.Now()))))
+			timer.Reset(max(time.Millisecond, steadyclock.Until(g.collection.Next(steadyclock.Now()))))
 		case <-g.request.Context().Done():
 			g.tell("client_gone", 0, g.result)
 			return
@@ -130,7 +131,7 @@
 	if state.due.IsZero() || event.at.Before(state.due) || event.frame.Last && len(event.frame.Lost) == 0 {
 		return
 	}
-	g.gateway.sliceLag.observe(time.Since(state.due))
+	g.gateway.sliceLag.observe(steadyclock.Since(state.due))
 	state.due = time.Time{}
 }
 
@@ -184,7 +185,7 @@
 	g.gateway.config.Dialect.Gathered(header, g.stamps, missing)
 	header.Set("Content-Type", "application/octet-stream")
 	g.write(http.StatusOK, greatestRecords(g.records, g.route.TopRecords))
-	if late := time.Since(g.collection.Cut); late > 0 && g.collection.DueAtCut() {
+	if late := steadyclock.Since(g.collection.Cut); late > 0 && g.collection.DueAtCut() {
 		g.gateway.answerLag.observe(late)
 	}
 	g.told = g.toTell()
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/slicing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // sliceState is one slice of a request.
@@ -55,11 +56,11 @@
 	asked := g.sliceRequest(slice, from)
 	asked.Claims = claimTarget{Address: g.gateway.config.PeerAddress, Token: state.token}
 	if !g.collection.Cut.IsZero() {
-		state.due = time.Now().Add(asked.CutLeft)
+		state.due = steadyclock.Now().Add(asked.CutLeft)
 	}
 	go func() {
 		accepted, err := g.gateway.slices.ask(g.context, slice.Router, asked, func(frame sliceFrame) {
-			g.events <- &gatherEvent{slice: index, frame: &frame, at: time.Now()}
+			g.events <- &gatherEvent{slice: index, frame: &frame, at: steadyclock.Now()}
 		})
 		if err != nil {
 			g.events <- &gatherEvent{slice: index, failed: true, accepted: accepted, reason: err}
@@ -69,7 +70,7 @@
 
 // sliceRequest is what the router of a slice is asked.
 func (g *gatherState) sliceRequest(slice slicing.Slice, from origin) sliceRequest {
-	now := time.Now()
+	now := steadyclock.Now()
 	asked := sliceRequest{
 		Request: g.encode(), Shards: slice.Shards, Route: g.route.Name, MaxAttempts: g.route.MaxAttempts,
 		Priority: g.route.Priority, TopRecords: g.route.TopRecords, LeastShare: g.route.LeastShare, Target: g.route.Target,
--- a/internal/gateway/isolating.go
+++ b/internal/gateway/isolating.go
@@ -16,6 +16,7 @@
 
 	"github.com/martenstage/martenstage/internal/isolation"
 	"github.com/martenstage/martenstage/internal/slicing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -67,7 +68,7 @@
 // hear takes in that a router of a zone answered.
 func (r *reach) hear(zone string) {
 	if zone != r.gateway.config.Zone {
-		r.heard.Store(int64(time.Since(r.gateway.started)))
+		r.heard.Store(int64(steadyclock.Since(r.gateway.started)))
 	}
 }
 
@@ -96,7 +97,7 @@
 			return
 		case told := <-r.suspicions:
 			detector.Heard(r.gateway.started.Add(time.Duration(r.heard.Load())))
-			if told || detector.Suspects(time.Now()) {
+			if told || detector.Suspects(steadyclock.Now()) {
 				r.probe(ctx, &detector, told)
 			}
 		}
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -9,6 +9,7 @@
 	"github.com/martenstage/martenstage/internal/exchange"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // loop is the goroutine that owns the engine.
@@ -119,7 +120,7 @@
 			l.pool.Forget(id)
 		}
 	}
-	for _, command := range l.engine.Step(time.Now(), event) {
+	for _, command := range l.engine.Step(steadyclock.Now(), event) {
 		l.carryOut(command)
 	}
 	l.sendClaims()
@@ -156,10 +157,10 @@
 		}
 	case scatter.Part:
 		if waiting, ok := l.waiting[command.Request]; ok {
-			waiting.events <- &gatherEvent{slice: waiting.slice, part: command, at: time.Now()}
+			waiting.events <- &gatherEvent{slice: waiting.slice, part: command, at: steadyclock.Now()}
 		}
 	case scatter.Wake:
-		l.timer.Reset(time.Until(command.At))
+		l.timer.Reset(steadyclock.Until(command.At))
 	case scatter.Noted:
 		l.noted = append(l.noted, command)
 	}
@@ -171,10 +172,10 @@
 	waiting := l.waiting[command.Request]
 	attempt := l.pool.Start(waiting.encoded, command.Server, command.Deadline)
 	l.attempts[command.Attempt] = attempt
-	began := time.Now()
+	began := steadyclock.Now()
 	go func() {
 		outcome := attempt.Run()
-		took := time.Since(began)
+		took := steadyclock.Since(began)
 		l.events <- scatter.Ended{Attempt: command.Attempt, Outcome: outcome}
 		l.weigh(sentAttempt{waiting: waiting, server: command.Server, outcome: outcome, took: took})
 	}()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -13,6 +13,7 @@
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/slicing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // peerDoubt is how long a router that failed is not asked.
@@ -123,7 +124,7 @@
 func (p *peers) doubt(name string) bool {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	now := time.Now()
+	now := steadyclock.Now()
 	before := p.doubted[name]
 	p.doubted[name] = now.Add(peerDoubt)
 	clear(p.layouts)
@@ -179,7 +180,7 @@
 
 // layoutOf is layout for callers that hold the mutex.
 func (p *peers) layoutOf(shards []string) *slicing.Layout {
-	now := time.Now()
+	now := steadyclock.Now()
 	if !p.until.IsZero() && now.After(p.until) {
 		clear(p.layouts)
 	}
@@ -224,7 +225,7 @@
 	}
 	p.outdated = false
 	p.zones = make(map[string][]string)
-	now := time.Now()
+	now := steadyclock.Now()
 	for _, at := range p.places {
 		if p.evacuated.Empty(now, at.zone, at.service) {
 			continue
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -35,7 +36,7 @@
 
 // ServeHTTP serves one request of a client.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	state := &exchangeState{gateway: g, writer: writer, request: request, arrived: time.Now(), id: g.config.Dialect.RequestID(request.Header)}
+	state := &exchangeState{gateway: g, writer: writer, request: request, arrived: steadyclock.Now(), id: g.config.Dialect.RequestID(request.Header)}
 	if connection, ok := state.connection(); ok {
 		connection.serving()
 	}
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -15,6 +15,7 @@
 
 	"github.com/martenstage/martenstage/internal/liveness"
 	"github.com/martenstage/martenstage/internal/slicing"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Bounds of asking another router.
@@ -50,12 +51,12 @@
 
 // dial connects to a router, which proves nothing sent where it fails.
 func (c *sliceClient) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	began := time.Now()
+	began := steadyclock.Now()
 	dialer := net.Dialer{Timeout: c.patience.current(), KeepAlive: -1, Control: liveness.Bound(peerSilence)}
 	conn, err := dialer.DialContext(ctx, network, address)
 	var failure net.Error
 	if err == nil || errors.As(err, &failure) && failure.Timeout() {
-		c.patience.observe(time.Now(), time.Since(began))
+		c.patience.observe(steadyclock.Now(), steadyclock.Since(began))
 	}
 	return conn, err
 }
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -9,6 +9,7 @@
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // maxSliceBytes bounds a request for a slice.
@@ -81,7 +82,7 @@
 
 func (g *Gateway) gatherSlice(request *http.Request, stream *sliceStream) {
 	asked := stream.asked
-	now := time.Now()
+	now := steadyclock.Now()
 	events := make(chan *gatherEvent, 2*len(asked.Shards)+1)
 	gathering := g.submitShards(localSlice{
 		request: stream.request, evidence: &evidence{route: asked.Route, caller: asked.Caller}, shards: asked.Shards, deadline: now.Add(asked.DeadlineLeft), due: asked.due(now), events: events, earlier: asked.Earlier, claims: asked.Claims,
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // sampleEvery is of how many ordinary answers one is logged. Requests that
@@ -17,7 +18,7 @@
 
 // tell counts and logs the end of a request.
 func (s *exchangeState) tell(outcome string, status int, result scatter.Result) {
-	took := time.Since(s.arrived)
+	took := steadyclock.Since(s.arrived)
 	route, target := "", time.Duration(0)
 	if s.route != nil {
 		route, target = s.route.Name, s.route.Target
--- a/internal/gateway/trying.go
+++ b/internal/gateway/trying.go
@@ -12,6 +12,7 @@
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -145,7 +146,7 @@
 	s.gateway.metrics.trials.WithLabelValues(outcome).Inc()
 	s.gateway.logger.WithFields(logrus.Fields{
 		"request": s.id, "fingerprint": passed.fingerprint().Short(), "route": s.route.Name, "outcome": outcome,
-		"reason": result.Reason, "took": time.Since(s.arrived),
+		"reason": result.Reason, "took": steadyclock.Since(s.arrived),
 	}).Info("trial_ended")
 }
 
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -65,7 +65,7 @@
 
 // bootNumber is higher at every start, as long as the machine's clock is not
 // set back by more than the time that a start takes.
-func bootNumber() uint64 { return uint64(time.Now().UnixNano()) }
+func bootNumber() uint64 { return uint64(time.Now().UnixNano()) } // The wall clock: it tells starts apart.
 
 func (p *Process) openSpool() error {
 	if p.options.DataFolder == "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/martenstage/martenstage/internal/membership"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/routestats"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Config describes a relay.
@@ -132,7 +133,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	remaining := time.Until(r.until)
+	remaining := steadyclock.Until(r.until)
 	if r.until.IsZero() || remaining <= 0 {
 		return follower.Entitlement{}, &follower.NotLeaderError{}
 	}
--- a/internal/router/admissions_test.go
+++ b/internal/router/admissions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/router"
+	"github.com/martenstage/martenstage/internal/steadyclock"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 // twoRevisions installs revision 1, and 2 when it is told to.
@@ -54,12 +57,8 @@
 	return e.Engine.Step(now, event)
 }
 
-// judgeTwoRevisions runs a router through a change and returns what the judge
-// says of the admissions that it recorded.
-func judgeTwoRevisions(t *testing.T, wrap func(router.Engine) router.Engine) judge.Result {
-	t.Helper()
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+// oneBackend starts a back end and returns the plan of a route to it.
+func oneBackend(t *testing.T, logger *logrus.Logger) *plan.Plan {
 	whole := costPlan(nil, plan.Merge{Kind: plan.MergeConcat})
 	whole.Services[0].Generations[0].Shards = []plan.Shard{{Name: "all", Replicas: []plan.Replica{
 		{Address: netip.MustParseAddrPort("127.0.0.1:0"), Zone: "a", Slots: 4, Connections: 4}}}}
@@ -69,9 +68,15 @@
 	require.NoError(t, err)
 	require.NoError(t, fleet.Start())
 	t.Cleanup(fleet.Close)
+	return fleet.BoundPlan(whole)
+}
+
+// runAdmissions runs a router that takes its configuration from a source and records its
+// admissions, and returns what asks it.
+func runAdmissions(
+	t *testing.T, logger *logrus.Logger, source router.ConfigSource, admitted *admissionrecord.Summary, wrap func(router.Engine) router.Engine,
+) (ask func() query.Answer) {
 	metrics := prometheus.NewRegistry()
-	source := &twoRevisions{plan: fleet.BoundPlan(whole), next: make(chan struct{}), changed: make(chan struct{})}
-	admitted := admissionrecord.NewSummary("router-1")
 	served := router.New(router.Config{Name: "router-1", Zone: "a", Boot: 1, Alone: true, ProbeInterval: 10 * time.Millisecond}, router.Dependencies{
 		Logger: logger, Registerer: metrics, Claims: router.NewLocalClaims(), Events: router.EventLog{Logger: logger},
 		Backends: backend.New(backend.Config{Zone: "a"}, backend.Dependencies{Logger: logger, Registerer: metrics}),
@@ -85,9 +90,25 @@
 		end()
 		<-ended
 	})
-	ask := func() query.Answer {
+	return func() query.Answer {
 		return served.Query(running, router.Request{CallerID: "r", Route: "find", Body: []byte(`{}`)})
 	}
+}
+
+func silentLogger() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
+// judgeTwoRevisions runs a router through a change and returns what the judge
+// says of the admissions that it recorded.
+func judgeTwoRevisions(t *testing.T, wrap func(router.Engine) router.Engine) judge.Result {
+	t.Helper()
+	logger := silentLogger()
+	source := &twoRevisions{plan: oneBackend(t, logger), next: make(chan struct{}), changed: make(chan struct{})}
+	admitted := admissionrecord.NewSummary("router-1")
+	ask := runAdmissions(t, logger, source, admitted, wrap)
 	require.Eventually(t, func() bool { return ask().Complete }, 20*time.Second, time.Millisecond)
 	close(source.next)
 	<-source.changed
@@ -109,3 +130,42 @@
 	broken := judgeTwoRevisions(t, func(sound router.Engine) router.Engine { return staleEngine{sound} })
 	require.Equal(t, map[judge.Invariant]int{judge.AcceptedInForce: 1}, broken.ByInvariant)
 }
+
+// leased installs a plan under a lease that ends.
+type leased struct {
+	plan  *plan.Plan
+	lease time.Duration
+}
+
+// Run implements router.ConfigSource.
+func (s *leased) Run(ctx context.Context, sink router.ConfigSink) error {
+	sink.InstallPlan(1, s.plan)
+	sink.ExtendLease(steadyclock.Now().Add(s.lease))
+	<-ctx.Done()
+	return nil
+}
+
+func (*leased) Observe(netip.AddrPort, query.MachineState) {}
+func (*leased) Leave(context.Context) error                { return nil }
+func (*leased) Describe() string                           { return "test" }
+
+// TestLeaseEndsWhileTheMachineIsSuspended suspends a router's machine for longer than its
+// lease, while the clock that stands still then says that it is good: nothing is admitted.
+func TestLeaseEndsWhileTheMachineIsSuspended(t *testing.T) {
+	began := time.Now()
+	var suspended atomic.Int64
+	t.Cleanup(steadyclock.Replace(steadyclock.New(func() (running, sinceBoot time.Duration, err error) {
+		running = time.Since(began)
+		return running, running + time.Duration(suspended.Load()), nil
+	})))
+	logger := silentLogger()
+	source := &leased{plan: oneBackend(t, logger), lease: time.Hour}
+	ask := runAdmissions(t, logger, source, admissionrecord.NewSummary("router-1"), func(engine router.Engine) router.Engine { return engine })
+	require.Eventually(t, func() bool { return ask().Complete }, 20*time.Second, time.Millisecond)
+	suspended.Add(int64(2 * time.Hour))
+	time.Sleep(3 * time.Millisecond)
+	answer := ask()
+	require.NotNil(t, answer.Err)
+	require.Equal(t, verdict.ReasonNoLease, answer.Err.Reason)
+	require.Equal(t, verdict.NotRun, answer.Err.Verdict)
+}
--- a/internal/router/cells.go
+++ b/internal/router/cells.go
@@ -10,6 +10,7 @@
 
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -71,8 +72,8 @@
 	if !r.leaseValid() {
 		return r.refusal(verdict.ReasonNoLease, "the configuration lease has run out")
 	}
-	request.Deadline = boundedDeadline(route.Policy.Deadline, request.Deadline, time.Now())
-	bounded, cancel := context.WithDeadline(ctx, request.Deadline.Add(forwardGrace))
+	request.Deadline = boundedDeadline(route.Policy.Deadline, request.Deadline, steadyclock.Now())
+	bounded, cancel := steadyclock.WithDeadline(ctx, request.Deadline.Add(forwardGrace))
 	defer cancel()
 	answer := r.refusal(verdict.ReasonNoReplica, "no router of the service's cell is known")
 	ran := verdict.NotRun
--- a/internal/router/engine_loop.go
+++ b/internal/router/engine_loop.go
@@ -9,6 +9,7 @@
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/ring"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -119,7 +120,7 @@
 		arrived.reply <- l.router.refusal(verdict.ReasonOverloaded, "too many requests under way")
 		return
 	}
-	l.waiting[arrived.request.ID] = waiter{reply: arrived.reply, arrived: time.Now()}
+	l.waiting[arrived.request.ID] = waiter{reply: arrived.reply, arrived: steadyclock.Now()}
 	l.admitting = arrived.request.ID
 	l.step(ctx, query.RequestArrived{Request: arrived.request})
 	l.admitting = 0
@@ -129,7 +130,7 @@
 func (l *engineLoop) step(ctx context.Context, event query.Event) {
 	l.finishFlight(event)
 	for {
-		for _, command := range l.engine.Step(time.Now(), event) {
+		for _, command := range l.engine.Step(steadyclock.Now(), event) {
 			l.execute(ctx, command)
 		}
 		if len(l.immediate) == 0 {
@@ -194,7 +195,7 @@
 	attemptContext, cancel := context.WithTimeout(ctx, attempt.Timeout)
 	l.attempts[attempt.Attempt] = flight{cancel: cancel, callerID: attempt.CallerID}
 	go func() {
-		sent := time.Now()
+		sent := steadyclock.Now()
 		outcome := l.sender.Send(attemptContext, attempt)
 		l.router.prober.heard(attempt.Address, outcome, sent)
 		l.pushOutcome(outcome)
@@ -273,7 +274,7 @@
 		l.timer.Stop()
 		return
 	}
-	l.timer.Reset(time.Until(at))
+	l.timer.Reset(steadyclock.Until(at))
 }
 
 // pushOutcome hands an outcome to the engine; it must not be lost.
--- a/internal/router/local_claims.go
+++ b/internal/router/local_claims.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -32,7 +33,7 @@
 func (c *LocalClaims) Claim(_ context.Context, request ClaimRequest) query.ClaimDecision {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	now := time.Now()
+	now := steadyclock.Now()
 	held, ok := c.claims[request.CallerID]
 	switch {
 	case !ok:
--- a/internal/router/prober.go
+++ b/internal/router/prober.go
@@ -12,6 +12,7 @@
 	"github.com/martenstage/martenstage/internal/backend"
 	"github.com/martenstage/martenstage/internal/probing"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -64,7 +65,7 @@
 		timeout:  config.ProbeTimeout,
 		backends: backends,
 		metrics:  metrics,
-		started:  time.Now(),
+		started:  steadyclock.Now(),
 		running:  make(map[netip.AddrPort]*probeLoop),
 	}
 }
@@ -108,7 +109,7 @@
 	seed := xxhash.Sum64String(p.name + " " + target.address.String())
 	started := &probeLoop{
 		cancel: cancel, hurry: make(chan struct{}, 1),
-		schedule: probing.New(p.pauses, time.Now(), seed),
+		schedule: probing.New(p.pauses, steadyclock.Now(), seed),
 	}
 	started.aim(target)
 	p.running[target.address] = started
@@ -120,7 +121,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		now := time.Now()
+		now := steadyclock.Now()
 		due, refill := loop.turn()
 		switch {
 		case !now.Before(due):
@@ -207,14 +208,14 @@
 // heard takes in the end of an attempt that was sent at a time.
 func (p *prober) heard(address netip.AddrPort, outcome query.Event, sent time.Time) {
 	if loop := p.loopOf(address); loop != nil {
-		loop.heard(outcome, sent, time.Now(), p.pauses.Interval)
+		loop.heard(outcome, sent, steadyclock.Now(), p.pauses.Interval)
 	}
 }
 
 // watch takes in that the word of others about a back end changed.
 func (p *prober) watch(address netip.AddrPort) {
 	if loop := p.loopOf(address); loop != nil {
-		loop.change(func() { loop.schedule.Watch(time.Now()) })
+		loop.change(func() { loop.schedule.Watch(steadyclock.Now()) })
 	}
 }
 
@@ -260,7 +261,7 @@
 func (l *probeLoop) probed(observed query.HealthObserved) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.schedule.Probed(probing.ProbeOf(observed, time.Now()))
+	l.schedule.Probed(probing.ProbeOf(observed, steadyclock.Now()))
 	l.refillAt = time.Time{}
 }
 
@@ -269,7 +270,7 @@
 func (l *probeLoop) skipped() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.schedule.Skipped(time.Now())
+	l.schedule.Skipped(steadyclock.Now())
 }
 
 func (l *probeLoop) refilled() {
--- a/internal/router/region_probes.go
+++ b/internal/router/region_probes.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // run probes entry routers that fail, until the context ends. No caller's
@@ -41,7 +43,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for name, region := range s.known {
-		for _, entry := range region.DueProbes(time.Now()) {
+		for _, entry := range region.DueProbes(steadyclock.Now()) {
 			s.probes.Go(func() { s.probe(ctx, name, entry) })
 		}
 	}
@@ -59,7 +61,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if region, found := s.known[name]; found {
-		s.report(name, region.Probed(time.Now(), entry, err == nil))
+		s.report(name, region.Probed(steadyclock.Now(), entry, err == nil))
 	}
 	s.wakeProber()
 }
@@ -71,7 +73,7 @@
 	wait := time.Hour
 	for _, region := range s.known {
 		if next, found := region.NextProbe(); found {
-			wait = min(wait, time.Until(next))
+			wait = min(wait, steadyclock.Until(next))
 		}
 	}
 	return max(wait, 0)
--- a/internal/router/regions.go
+++ b/internal/router/regions.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +13,7 @@
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/remote"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -100,7 +100,7 @@
 
 // admit refuses what this router may not or can not hand over.
 func (s *regions) admit(ctx context.Context, route *plan.RemoteRoute, request Request) query.Answer {
-	now := time.Now()
+	now := steadyclock.Now()
 	switch {
 	case s.router.refusing.Load():
 		return s.router.refusal(verdict.ReasonStopping, "the router is being stopped")
@@ -117,7 +117,7 @@
 	}
 	defer way.end()
 	request.Deadline = boundedDeadline(route.Deadline, request.Deadline, now)
-	bounded, cancel := context.WithDeadline(ctx, request.Deadline.Add(forwardGrace))
+	bounded, cancel := steadyclock.WithDeadline(ctx, request.Deadline.Add(forwardGrace))
 	defer cancel()
 	return way.offer(bounded, request)
 }
@@ -170,7 +170,7 @@
 func (s *regions) unreachable(route *plan.RemoteRoute, region *remote.Region, why string) query.Answer {
 	answer := s.router.refusal(verdict.ReasonRegionUnreachable, "region "+route.Region+" can't be reached: "+why)
 	if region != nil {
-		answer.Err.RetryAfter = region.RetryAfter(time.Now(), answer.Err.RetryAfter)
+		answer.Err.RetryAfter = region.RetryAfter(steadyclock.Now(), answer.Err.RetryAfter)
 	}
 	return answer
 }
@@ -182,7 +182,7 @@
 	var last query.Answer
 	ran := verdict.NotRun
 	for range maxForwards {
-		begun := time.Now()
+		begun := steadyclock.Now()
 		entry, found := w.choose(request, tried)
 		if !found {
 			break
@@ -217,7 +217,7 @@
 func (w *crossingWay) step(asked remote.Asked) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	change := w.region.Step(time.Now(), asked)
+	change := w.region.Step(steadyclock.Now(), asked)
 	if !w.current() {
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/routestats"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
@@ -81,7 +82,7 @@
 		config:   config,
 		logger:   dependencies.Logger,
 		metrics:  metrics,
-		routes:   routestats.NewRecorder(time.Now()),
+		routes:   routestats.NewRecorder(steadyclock.Now()),
 		backends: dependencies.Backends,
 		claims:   dependencies.Claims,
 		admitted: dependencies.Admissions,
@@ -155,9 +156,9 @@
 
 // counted answers a request and counts the answer.
 func (r *Router) counted(request Request, answering func() query.Answer) query.Answer {
-	arrived := time.Now()
+	arrived := steadyclock.Now()
 	answer := answering()
-	elapsed := time.Since(arrived)
+	elapsed := steadyclock.Since(arrived)
 	r.metrics.countAnswer(r.routeLabel(request.Route), answer, elapsed)
 	r.routes.Record(arrived.Add(elapsed), r.routeLabel(request.Route), sampleOf(answer, elapsed))
 	return answer
@@ -268,7 +269,7 @@
 func (r *Router) record(event journal.Event) {
 	event.Source = r.config.Name
 	if event.Time.IsZero() {
-		event.Time = time.Now()
+		event.Time = time.Now() // The wall clock: a person reads it.
 	}
 	r.events.Record(event)
 }
--- a/internal/router/shares.go
+++ b/internal/router/shares.go
@@ -11,6 +11,7 @@
 	"github.com/martenstage/martenstage/internal/cell"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // shareKeeper holds this router's share of every back end's connections and
@@ -56,7 +57,7 @@
 	k.ledger.Outside(k.joined(installed.own))
 	k.plan, k.own, k.cells = installed.plan, installed.own, cells
 	k.targets = k.router.probeTargets(installed.own)
-	k.refresh(time.Now())
+	k.refresh(steadyclock.Now())
 }
 
 // joined returns the back ends that the router had no share of until now,
@@ -104,7 +105,7 @@
 	if k.lapsed {
 		k.ledger.Reset()
 	}
-	k.refresh(time.Now())
+	k.refresh(steadyclock.Now())
 }
 
 // refresh computes the shares anew and applies what changed.
@@ -173,13 +174,13 @@
 	for {
 		// Requests admitted before the lapse finish in this time. It ends well
 		// before the others take over what this router held.
-		k.lapse(time.Now().Add(-k.router.config.ShareDelay / lapseFraction))
+		k.lapse(steadyclock.Now().Add(-k.router.config.ShareDelay / lapseFraction))
 		k.mutex.Lock()
-		next := k.apply(time.Now())
+		next := k.apply(steadyclock.Now())
 		k.mutex.Unlock()
 		pause := leaseCheck
 		if !next.IsZero() {
-			pause = min(pause, max(time.Until(next), time.Millisecond))
+			pause = min(pause, max(steadyclock.Until(next), time.Millisecond))
 		}
 		select {
 		case <-time.After(pause):
--- a/internal/router/static.go
+++ b/internal/router/static.go
@@ -7,6 +7,7 @@
 
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // StaticSource is a ConfigSource for a single router without control: one plan
@@ -28,7 +29,7 @@
 func (s *StaticSource) Run(ctx context.Context, sink ConfigSink) error {
 	sink.InstallPlan(staticRevision, s.Plan)
 	sink.InstallRouters(nil) // there are no others
-	sink.ExtendLease(time.Now().Add(endlessLease))
+	sink.ExtendLease(steadyclock.Now().Add(endlessLease))
 	<-ctx.Done()
 	return nil
 }
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -9,6 +9,7 @@
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/routestats"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
 	"github.com/martenstage/martenstage/internal/wait"
 )
@@ -70,7 +71,7 @@
 	return known
 }
 
-func (r *Router) leaseValid() bool { return r.leaseValidAt(time.Now()) }
+func (r *Router) leaseValid() bool { return r.leaseValidAt(steadyclock.Now()) }
 
 func (r *Router) leaseValidAt(at time.Time) bool {
 	until := r.leaseUntil.Load()
--- a/internal/voter/loop.go
+++ b/internal/voter/loop.go
@@ -5,6 +5,7 @@
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // stalledTimeouts is after how many election timeouts of waiting for its disk a
@@ -77,7 +78,7 @@
 }
 
 func (l *coreLoop) step(event consensus.Event) consensus.Output {
-	output := l.core.Step(time.Now(), event)
+	output := l.core.Step(steadyclock.Now(), event)
 	l.senders.post(output.Messages)
 	l.persist(output)
 	l.handOver(output)
@@ -86,7 +87,7 @@
 	if output.Wake.IsZero() {
 		l.timer.Stop()
 	} else {
-		l.timer.Reset(time.Until(output.Wake))
+		l.timer.Reset(steadyclock.Until(output.Wake))
 	}
 	return output
 }
@@ -97,7 +98,7 @@
 	}
 	if output.Persist != nil {
 		if l.issued == l.synced {
-			l.unsyncedSince = time.Now()
+			l.unsyncedSince = steadyclock.Now()
 		}
 		l.issued = output.Persist.Sequence
 	}
@@ -131,7 +132,7 @@
 		return
 	}
 	l.synced = l.Voter.synced.Load()
-	l.unsyncedSince = time.Now()
+	l.unsyncedSince = steadyclock.Now()
 	l.step(consensus.Persisted{Sequence: l.synced})
 }
 
@@ -146,7 +147,7 @@
 	if l.issued == l.synced {
 		return 0
 	}
-	return time.Since(l.unsyncedSince)
+	return steadyclock.Since(l.unsyncedSince)
 }
 
 func (l *coreLoop) noteState(state consensus.SoftState) {
@@ -154,7 +155,7 @@
 	l.state = state
 	if previous.Role == consensus.Leader && state.Role != consensus.Leader {
 		// The new leader soon commits or overwrites what is still open.
-		l.abandonAt = time.Now().Add(2 * l.config.ElectionTimeout)
+		l.abandonAt = steadyclock.Now().Add(2 * l.config.ElectionTimeout)
 	}
 	if previous.Leader != state.Leader {
 		l.metrics.leaders.Inc()
@@ -165,7 +166,7 @@
 
 // abandon ends proposals whose outcome did not become known in time.
 func (l *coreLoop) abandon() {
-	if l.abandonAt.IsZero() || time.Now().Before(l.abandonAt) {
+	if l.abandonAt.IsZero() || steadyclock.Now().Before(l.abandonAt) {
 		return
 	}
 	l.abandonAt = time.Time{}
--- a/internal/voter/writer.go
+++ b/internal/voter/writer.go
@@ -1,10 +1,9 @@
 package voter
 
 import (
-	"time"
-
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/logging"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
@@ -46,14 +45,14 @@
 		messages = append(messages, request.messages...)
 	}
 	if len(units) > 0 {
-		started := time.Now()
+		started := steadyclock.Now()
 		if err := v.store.Write(units); err != nil {
 			// What is on the disk is not known now, so nothing that rests on it
 			// may be said, ever.
 			v.diskFailed(err)
 			return false
 		}
-		v.metrics.syncSeconds.Observe(time.Since(started).Seconds())
+		v.metrics.syncSeconds.Observe(steadyclock.Since(started).Seconds())
 		v.metrics.groupUnits.Observe(float64(len(units)))
 		v.synced.Store(units[len(units)-1].Sequence)
 	}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // For waits for a duration and reports whether it lasted to its end; false
@@ -25,7 +27,7 @@
 
 // Until waits for a moment and reports whether it came; false means that the
 // context ended before.
-func Until(ctx context.Context, moment time.Time) bool { return For(ctx, time.Until(moment)) }
+func Until(ctx context.Context, moment time.Time) bool { return For(ctx, steadyclock.Until(moment)) }
 
 // Notify leaves a notice in a channel of capacity one, unless one is there.
 func Notify(notice chan<- struct{}) {
