Try suspected requests without a grant where no directory node is reached

Cause: harmless requests that were suspected would be refused for as long as there is no leader. Change: one trial at a time at each router; a router quarantines by its own reports where it reaches no book; a trial without a heard grant is not given back.

--- a/internal/gateway/quarantining.go
+++ b/internal/gateway/quarantining.go
@@ -40,10 +40,12 @@
 
 	mutex sync.Mutex
 	view  quarantine.View
+	// trying are the requests that this router tries now.
+	trying map[quarantine.Fingerprint]bool
 }
 
 func newQuarantineWatch(logger logrus.FieldLogger, metrics *metrics) *quarantineWatch {
-	return &quarantineWatch{logger: logger, metrics: metrics, orders: make(chan quarantine.Order, orderBacklog)}
+	return &quarantineWatch{logger: logger, metrics: metrics, orders: make(chan quarantine.Order, orderBacklog), trying: make(map[quarantine.Fingerprint]bool)}
 }
 
 // standing returns how a request is to be treated. While no server ended under any, it
@@ -61,6 +63,24 @@
 	return w.view.Standing(fingerprint)
 }
 
+// beginTrial reports whether this router may try a request now: one trial at a time. Each
+// that may is followed by endTrial.
+func (w *quarantineWatch) beginTrial(fingerprint quarantine.Fingerprint) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.trying[fingerprint] {
+		return false
+	}
+	w.trying[fingerprint] = true
+	return true
+}
+
+func (w *quarantineWatch) endTrial(fingerprint quarantine.Fingerprint) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.trying, fingerprint)
+}
+
 // revision returns that of the book that was told last.
 func (w *quarantineWatch) revision() uint64 {
 	w.mutex.Lock()
@@ -92,7 +112,7 @@
 // report tells the directory, soon, that a server ended under a request.
 func (w *quarantineWatch) report(order quarantine.Order) {
 	w.mutex.Lock()
-	w.view.Reported(order.Fingerprint)
+	w.view.Reported(order.Fingerprint, order.Tried)
 	w.mutex.Unlock()
 	w.tell(order)
 }
--- a/internal/gateway/trying.go
+++ b/internal/gateway/trying.go
@@ -50,7 +50,14 @@
 // serveTrial sends a suspected request to one server alone, if that is granted. It reports
 // whether the request may go on after it.
 func (s *exchangeState) serveTrial(passed *fingerprinted) bool {
-	if !s.grantTrial(passed) {
+	watch := s.gateway.quarantine
+	if !watch.beginTrial(passed.fingerprint()) {
+		s.refuse(http.StatusServiceUnavailable, verdict.ReasonOnTrial, s.comeBack())
+		return false
+	}
+	defer watch.endTrial(passed.fingerprint())
+	grant := s.askTrial(passed)
+	if grant == grantRefused {
 		s.refuse(http.StatusServiceUnavailable, verdict.ReasonOnTrial, s.comeBack())
 		return false
 	}
@@ -58,7 +65,7 @@
 	s.tellTrial(passed, result, end, sent)
 	switch {
 	case !sent:
-		s.gateway.quarantine.tell(s.order(quarantine.Return, passed))
+		s.returnTrial(passed, grant)
 		result.Verdict, result.RetryAfter = verdict.NotRun, s.comeBack()
 		s.fail(result)
 	case end == trialEnded:
@@ -69,27 +76,50 @@
 	case result.Reply != nil:
 		s.writeReply(result)
 	default:
-		s.gateway.quarantine.tell(s.order(quarantine.Return, passed))
+		s.returnTrial(passed, grant)
 		s.fail(result)
 	}
 	return false
 }
 
+// returnTrial gives a granted trial back. One of which no grant was heard may have been
+// counted or not; it is left so, since returning another's would allow one too many.
+func (s *exchangeState) returnTrial(passed *fingerprinted, grant trialGrant) {
+	if grant == grantHeard {
+		s.gateway.quarantine.tell(s.order(quarantine.Return, passed))
+	}
+}
+
+// trialGrant is what came of asking for a trial.
+type trialGrant uint8
+
+const (
+	grantRefused trialGrant = iota
+	grantHeard
+	// grantUnknown: no node was reached.
+	grantUnknown
+)
+
 func (s *exchangeState) order(kind quarantine.Kind, passed *fingerprinted) quarantine.Order {
 	return quarantine.Order{Kind: kind, Fingerprint: passed.fingerprint(), By: s.gateway.config.Name}
 }
 
-// grantTrial asks the directory for a trial.
-func (s *exchangeState) grantTrial(passed *fingerprinted) bool {
+// askTrial asks the directory for a trial. A router that reaches no node tries without a
+// grant: otherwise harmless requests that were suspected would be refused for as long as
+// there is no leader. It makes one trial at a time, and stops by its own reports.
+func (s *exchangeState) askTrial(passed *fingerprinted) trialGrant {
 	ctx, cancel := context.WithTimeout(s.request.Context(), min(orderTimeout, s.remaining()))
 	defer cancel()
 	reply, err := s.gateway.follower.order(ctx, []quarantine.Order{s.order(quarantine.Try, passed)})
-	granted := err == nil && reply.Outcomes[0].Granted
-	if !granted {
-		s.gateway.logger.WithField("request", s.id).WithField("fingerprint", passed.fingerprint().Short()).
-			WithField("reason", err).Info("trial_not_granted")
+	if err == nil && reply.Outcomes[0].Granted {
+		return grantHeard
+	}
+	s.gateway.logger.WithField("request", s.id).WithField("fingerprint", passed.fingerprint().Short()).
+		WithField("reason", err).WithField("goes_on", err != nil).Info("trial_not_granted")
+	if err != nil {
+		return grantUnknown
 	}
-	return granted
+	return grantRefused
 }
 
 // try sends a request to one server of its service or, if it gathers, of one of the first
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -145,7 +145,7 @@
 func TestViewTakesNewerRevisionsAndKeepsOwnReports(t *testing.T) {
 	var view quarantine.View
 	require.True(t, view.Empty())
-	view.Reported(fingerprintOf("own"))
+	view.Reported(fingerprintOf("own"), false)
 	require.Equal(t, quarantine.Suspected, view.Standing(fingerprintOf("own")))
 	added := view.Take(3, []quarantine.Entry{{Fingerprint: fingerprintOf("q"), Quarantined: true}, {Fingerprint: fingerprintOf("s")}})
 	require.Equal(t, []quarantine.Fingerprint{fingerprintOf("q")}, added)
@@ -156,7 +156,23 @@
 	require.Equal(t, quarantine.Suspected, view.Standing(fingerprintOf("own")))
 	require.Empty(t, view.Take(4, nil))
 	require.True(t, view.Empty(), "acquitted by then")
-	view.Reported(fingerprintOf("dropped"))
+	view.Reported(fingerprintOf("dropped"), false)
 	view.Acknowledged(fingerprintOf("dropped"), 0)
 	require.True(t, view.Empty())
 }
+
+// TestRouterThatReachesNoBookQuarantinesByItsOwnReports has servers end under a request at
+// one router whose reports are not acknowledged.
+func TestRouterThatReachesNoBookQuarantinesByItsOwnReports(t *testing.T) {
+	var view quarantine.View
+	own := fingerprintOf("own")
+	for range 5 {
+		view.Reported(own, false)
+		require.Equal(t, quarantine.Suspected, view.Standing(own))
+	}
+	view.Reported(own, true)
+	require.Equal(t, quarantine.Quarantined, view.Standing(own))
+	view.Acknowledged(own, 1)
+	view.Take(1, nil)
+	require.Equal(t, quarantine.Unknown, view.Standing(own), "the book knows better")
+}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -93,7 +93,7 @@
 		case ends:
 			f.starts++
 			f.ends[name] = append(f.ends[name], f.now)
-			router.view.Reported(fingerprintOf(name))
+			router.view.Reported(fingerprintOf(name), tried)
 			f.tell(router, report(name, tried, fmt.Sprint("i-", f.starts)))
 			if tried && !marked {
 				f.chances++
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -12,10 +12,11 @@
 	own map[Fingerprint]ownStanding
 }
 
-// ownStanding is a standing by an own report. Until is the revision from which on the told
-// one counts; 0 while the report is not acknowledged.
+// ownStanding is a standing by own reports of servers that ended. Until is the revision from
+// which on the told one counts; 0 while the last report is not acknowledged.
 type ownStanding struct {
 	standing Standing
+	ended    int
 	until    uint64
 }
 
@@ -63,14 +64,24 @@
 	return quarantined
 }
 
-// Reported takes in that this router reports a request.
-func (v *View) Reported(fingerprint Fingerprint) {
+// Reported takes in that this router reports a server that ended under a request, or that
+// ended in its trial. By its own reports alone a router quarantines a request as a book would,
+// so that one that reaches no book stops as well.
+func (v *View) Reported(fingerprint Fingerprint, tried bool) {
 	if v.own == nil {
 		v.own = make(map[Fingerprint]ownStanding)
 	}
-	if _, known := v.own[fingerprint]; known || len(v.own) < MaxRecords {
-		v.own[fingerprint] = ownStanding{standing: Suspected}
+	own, known := v.own[fingerprint]
+	if !known && len(v.own) >= MaxRecords {
+		return
 	}
+	own.ended++
+	own.until = 0
+	own.standing = max(own.standing, Suspected)
+	if tried && own.ended >= quarantineAfter {
+		own.standing = Quarantined
+	}
+	v.own[fingerprint] = own
 }
 
 // Acknowledged takes in that a book of a revision holds what this router reported, or that
