Soak: requests that end the server which runs them, beside all other faults

Cause: neither the soak nor its judge knew of such requests. Change: one marked request on each route ends its server, which another replaces, and comes again at any router; judged where nothing befell a process for 4 s, and in calm at the end. The draws of the schedules are untouched.

--- a/cmd/martenstage/soak_judge_test.go
+++ b/cmd/martenstage/soak_judge_test.go
@@ -91,6 +91,9 @@
 	leaves   []soakLeave
 	reads    []soakRead
 	stops    []soakStop
+	// ends are the servers that a marked request ended, troubles what befell processes.
+	ends     []soakEnd
+	troubles []soakTroubled
 }
 
 func (r *soakRecords) note(take func(*soakRecords)) {
@@ -128,7 +131,7 @@
 	defer r.mutex.Unlock()
 	var broken []string
 	for _, check := range []func() []string{
-		r.wrongAnswers, r.repeated, r.refusedButRan, r.lateArrivals, r.overBudget, r.staleReads, r.backwards, r.cutByStops,
+		r.wrongAnswers, r.repeated, r.refusedButRan, r.lateArrivals, r.overBudget, r.staleReads, r.backwards, r.cutByStops, r.sentAgain,
 	} {
 		broken = append(broken, check()...)
 	}
@@ -331,6 +334,20 @@
 		"too many extra arrivals": {&soakRecords{arrivals: many(soakSlack + 1)}, &soakRecords{arrivals: many(soakSlack + 3)}},
 		"a stale read":            {&soakRecords{reads: []soakRead{{4, 4}}}, &soakRecords{reads: []soakRead{{3, 4}}}},
 		"a router that goes back": {&soakRecords{requests: []soakRequest{version(3, 0), version(4, 1)}}, &soakRecords{requests: []soakRequest{version(4, 0), version(3, 1)}}},
+		"a request that ended three servers sent again": {
+			&soakRecords{ends: threeEnds(start), arrivals: marked(soakMaySend, start.Add(soakContact+1))},
+			&soakRecords{ends: threeEnds(start), arrivals: marked(soakMaySend+1, start.Add(soakContact+1))},
+		},
+		"a request that ended three servers sent again long after a kill": {
+			&soakRecords{
+				ends: threeEnds(start), arrivals: marked(soakMaySend+1, start.Add(3*soakContact)),
+				troubles: []soakTroubled{{start.Add(soakContact), start.Add(2*soakContact + 1)}},
+			},
+			&soakRecords{
+				ends: threeEnds(start), arrivals: marked(soakMaySend+1, start.Add(3*soakContact)),
+				troubles: []soakTroubled{{start.Add(soakContact), start.Add(2*soakContact - 1)}},
+			},
+		},
 		"a request cut by a stop": {
 			&soakRecords{stops: []soakStop{{0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(1), ended: start.Add(2), broken: true}}},
 			&soakRecords{stops: []soakStop{{0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(-1), ended: start.Add(2), broken: true}}},
--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -56,6 +56,8 @@
 	server  *http.Server
 	trouble atomic.Pointer[soakTrouble]
 	leaving atomic.Bool
+	// ending says that a marked request is ending it.
+	ending atomic.Bool
 	// left is closed once the departure was acknowledged.
 	left   chan struct{}
 	once   sync.Once
@@ -116,6 +118,11 @@
 		return
 	}
 	note(true)
+	if isMarked(id) {
+		time.Sleep(soakWork)
+		r.site.end(r, id)
+		panic(http.ErrAbortHandler)
+	}
 	r.answer(writer, request, trouble)
 }
 
--- a/cmd/martenstage/soak_test.go
+++ b/cmd/martenstage/soak_test.go
@@ -75,10 +75,17 @@
 	for number := range soakClients * soakRouters {
 		clients.Go(func() { site.client(ctx, number) })
 	}
+	clients.Go(func() { site.sendMarked(ctx) })
 	schedule := soakSchedule(*soakSeed, time.Duration(*soakSeconds)*time.Second)
 	for _, fault := range schedule {
 		time.Sleep(fault.pause)
+		began := time.Now()
 		site.inject(fault)
+		if fault.befallsProcesses() {
+			site.records.note(func(records *soakRecords) {
+				records.troubles = append(records.troubles, soakTroubled{began, time.Now()})
+			})
+		}
 		site.read(fault.target % soakNodes)
 	}
 	site.requireServing("after the faults")
@@ -88,6 +95,7 @@
 	}, soakRecoveryTime, 100*time.Millisecond, "the newest document can't be read")
 	cancel()
 	clients.Wait()
+	site.sendMarkedInCalm()
 	t.Log(site.records.summary(len(schedule)))
 	require.Empty(t, site.records.violations(), "seed %d", *soakSeed)
 }
@@ -135,6 +143,9 @@
 // ask sends one request and returns it with its answer.
 func (s *soakSite) ask(client *http.Client, asked soakRequest) soakRequest {
 	path := "/" + string(asked.route) + "/x"
+	if isMarked(asked.id) {
+		path = "/" + string(asked.route) + "/marked"
+	}
 	if asked.route == soakVersion {
 		path = fmt.Sprintf("/version/%d/x", asked.version)
 	}
@@ -282,8 +293,8 @@
 	for _, request := range r.requests {
 		statuses[request.status]++
 	}
-	return fmt.Sprintf("%d faults, %d requests, status %v, %d arrivals, %d departures, %d reads, %d planned stops",
-		faults, len(r.requests), statuses, len(r.arrivals), len(r.leaves), len(r.reads), len(r.stops))
+	return fmt.Sprintf("%d faults, %d requests, status %v, %d arrivals, %d departures, %d reads, %d planned stops, %d servers ended by marked requests",
+		faults, len(r.requests), statuses, len(r.arrivals), len(r.leaves), len(r.reads), len(r.stops), len(r.ends))
 }
 
 func TestSoakScheduleDependsOnItsSeedOnly(t *testing.T) {
--- a/internal/proof/testlink/link.go
+++ b/internal/proof/testlink/link.go
@@ -52,6 +52,13 @@
 // target.
 func (l *Link) LimitReplies(bytes int64) { l.replyLimit.Store(bytes) }
 
+// Close ends the listener and resets all connections: nothing listens at the address any
+// more.
+func (l *Link) Close() {
+	_ = l.listener.Close()
+	l.Reset()
+}
+
 // Reset ends all connections without a farewell.
 func (l *Link) Reset() {
 	l.mutex.Lock()
