Serve at once what was acquitted meanwhile; bound the lines of refusals; tests of trials

Cause: a router that has not been told yet that a request was acquitted asked for a trial, got none and refused it with 503 (TestSuspectedRequestIsServedByItsTrial, as first written, failed so for 10 s). Change: the reply to a request for a trial tells the standing: unknown is served, quarantined is refused for good. At most 20 lines a second about refusals. Nodes count records when they change, in place of every 10 s.

--- a/internal/directory/quarantine.go
+++ b/internal/directory/quarantine.go
@@ -181,12 +181,21 @@
 	return orders
 }
 
-// runQuarantine lets standings end at the leader, and counts them at every node.
+// countQuarantine counts the records by standing, if their revision is another than the one
+// last counted, and returns it.
+func (n *Node) countQuarantine(applied *machine, counted uint64) uint64 {
+	book := applied.quarantine()
+	if book.Revision != counted {
+		n.metrics.tellQuarantine(book)
+	}
+	return book.Revision
+}
+
+// runQuarantine lets standings end at the leader.
 func (n *Node) runQuarantine(ctx context.Context) {
 	ages := quarantineAges{}
 	every(ctx, expiryInterval, func() {
 		book := n.QuarantineList()
-		n.metrics.tellQuarantine(book)
 		if n.status().Role != consensus.Leader {
 			clear(ages)
 			return
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -152,7 +152,7 @@
 // and wakes routers when the document changed.
 func (n *Node) runDepartures(ctx context.Context) {
 	position := 0
-	var evacuations uint64
+	var evacuations, quarantined uint64
 	for {
 		applied, replaced := n.member.state(), n.member.wasReplaced()
 		version, _, changed := applied.document()
@@ -160,6 +160,7 @@
 		position = next
 		n.metrics.version.Set(float64(version))
 		evacuations = n.tellEvacuations(applied, evacuations)
+		quarantined = n.countQuarantine(applied, quarantined)
 		n.mutex.Lock()
 		for _, id := range ids {
 			n.registry.Leave(id)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,11 +43,12 @@
 	claims   *claimBook
 	reach    *reach
 	follower *follower
-	// quarantine are the requests that end servers; breaks and endings bound the lines
-	// about attempts that broke off and about servers that ended.
+	// quarantine are the requests that end servers; breaks, endings and refusals bound the
+	// lines about attempts that broke off, servers that ended and requests refused for that.
 	quarantine *quarantineWatch
 	breaks     lineLimit
 	endings    lineLimit
+	refusals   lineLimit
 	clients    *clientConnections
 	// shardCalls is how often servers of shards are called, beyond repeats.
 	shardCalls rate
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	"github.com/martenstage/martenstage/internal/exchange"
 	"github.com/martenstage/martenstage/internal/gateway"
 	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
@@ -58,13 +60,22 @@
 type directoryStub struct {
 	mutex sync.Mutex
 	reply directory.FollowReply
+	// book holds the requests that end servers; refuses makes orders about them fail.
+	book    quarantine.Book
+	refuses bool
+	orders  []quarantine.Order
 }
 
 func (d *directoryStub) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == directory.PathQuarantine {
+		d.serveOrders(writer, request)
+		return
+	}
 	var asked directory.FollowRequest
 	_ = json.NewDecoder(request.Body).Decode(&asked)
 	d.mutex.Lock()
 	reply := d.reply
+	reply.Quarantine, reply.QuarantineEntries = d.book.Revision, d.book.Entries()
 	d.mutex.Unlock()
 	reply.RouterCount = 1
 	if reply.Version <= asked.Version {
@@ -74,6 +85,41 @@
 	_ = json.NewEncoder(writer).Encode(reply)
 }
 
+// serveOrders carries out orders about requests that end servers.
+func (d *directoryStub) serveOrders(writer http.ResponseWriter, request *http.Request) {
+	var asked directory.QuarantineOrders
+	_ = json.NewDecoder(request.Body).Decode(&asked)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.refuses {
+		http.Error(writer, "no leader", http.StatusServiceUnavailable)
+		return
+	}
+	var reply directory.QuarantineReply
+	for _, order := range asked.Orders {
+		reply.Outcomes = append(reply.Outcomes, d.book.Apply(order))
+	}
+	d.orders = append(d.orders, asked.Orders...)
+	reply.Revision = d.book.Revision
+	_ = json.NewEncoder(writer).Encode(reply)
+}
+
+// give carries out orders of a test's own.
+func (d *directoryStub) give(orders ...quarantine.Order) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, order := range orders {
+		d.book.Apply(order)
+	}
+}
+
+// records returns the requests that end servers.
+func (d *directoryStub) records() []quarantine.Record {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Clone(d.book.Records)
+}
+
 // addServer makes the stub tell of a server.
 func (d *directoryStub) addServer(id, service, zone, address string) {
 	d.mutex.Lock()
--- a/internal/gateway/line_limit.go
+++ b/internal/gateway/line_limit.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxLinesASecond bounds the lines about attempts that broke off, and those about servers
-// that ended: a request that ends its servers shows in a few of them, while a lost zone
+// maxLinesASecond bounds the lines about attempts that broke off, those about servers that
+// ended and those about requests refused for it: a request that ends its servers shows in a few of them, while a lost zone
 // would fill the log.
 const maxLinesASecond = 20
 
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -16,6 +16,10 @@
 // failed, were refused, came late or lack parts are always told.
 const sampleEvery = 64
 
+// outcomeQuarantined is that of requests that end their servers. A caller that sends one in a
+// loop fills no log with it.
+const outcomeQuarantined = "quarantined"
+
 // tell counts and logs the end of a request.
 func (s *exchangeState) tell(outcome string, status int, result scatter.Result) {
 	took := steadyclock.Since(s.arrived)
@@ -33,6 +37,11 @@
 	if ordinary && s.gateway.answers.Add(1)%sampleEvery != 0 {
 		return
 	}
+	if outcome == outcomeQuarantined {
+		if _, tells := s.gateway.refusals.take(steadyclock.Now()); !tells {
+			return
+		}
+	}
 	fields := logrus.Fields{
 		"request": s.id, "route": route, "version": s.version, "outcome": outcome, "status": status, "took": took,
 		"attempts": result.Attempts, "extras": result.Extras, "denied": result.Denied, "late": late,
--- a/internal/gateway/trying.go
+++ b/internal/gateway/trying.go
@@ -44,7 +44,7 @@
 	result.Reason = verdict.ReasonQuarantined
 	s.gateway.metrics.refusedQuarantined.Inc()
 	s.writeFailureText(http.StatusBadRequest, string(result.Reason)+" "+result.Verdict.String())
-	s.tell("quarantined", http.StatusBadRequest, result)
+	s.tell(outcomeQuarantined, http.StatusBadRequest, result)
 }
 
 // serveTrial sends a suspected request to one server alone, if that is granted. It reports
@@ -57,10 +57,22 @@
 	}
 	defer watch.endTrial(passed.fingerprint())
 	grant := s.askTrial(passed)
-	if grant == grantRefused {
+	switch grant {
+	case grantRefused:
 		s.refuse(http.StatusServiceUnavailable, verdict.ReasonOnTrial, s.comeBack())
 		return false
+	case grantQuarantined:
+		s.refuseQuarantined(scatter.Result{Verdict: verdict.NotRun})
+		return false
+	case grantNeedless:
+		s.tried = true
+		return true
 	}
+	return s.endTrial(passed, grant)
+}
+
+// endTrial makes a trial and answers the request by its outcome, unless it may go on.
+func (s *exchangeState) endTrial(passed *fingerprinted, grant trialGrant) bool {
 	result, end, sent := s.try(passed)
 	s.tellTrial(passed, result, end, sent)
 	switch {
@@ -98,6 +110,10 @@
 	grantHeard
 	// grantUnknown: no node was reached.
 	grantUnknown
+	// grantNeedless and grantQuarantined: the request is not suspected any more, which this
+	// router has not been told yet.
+	grantNeedless
+	grantQuarantined
 )
 
 func (s *exchangeState) order(kind quarantine.Kind, passed *fingerprinted) quarantine.Order {
@@ -111,8 +127,14 @@
 	ctx, cancel := context.WithTimeout(s.request.Context(), min(orderTimeout, s.remaining()))
 	defer cancel()
 	reply, err := s.gateway.follower.order(ctx, []quarantine.Order{s.order(quarantine.Try, passed)})
-	if err == nil && reply.Outcomes[0].Granted {
+	switch {
+	case err != nil:
+	case reply.Outcomes[0].Granted:
 		return grantHeard
+	case reply.Outcomes[0].Before == quarantine.Unknown:
+		return grantNeedless
+	case reply.Outcomes[0].Before == quarantine.Quarantined:
+		return grantQuarantined
 	}
 	s.gateway.logger.WithField("request", s.id).WithField("fingerprint", passed.fingerprint().Short()).
 		WithField("reason", err).WithField("goes_on", err != nil).Info("trial_not_granted")
