Name what attempts show in plain terms; work a trial's arrival out once

Cause: orders and functions had words of a court; each look at the arrival counted one more request of the client's connection, by which its round trip is reckoned. Change: names (clear, observe); try takes the arrival once. Measured: tests of the gateway, the quarantine and of whole sites pass.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -43,21 +43,21 @@
 	took    time.Duration
 }
 
-// weigh takes in what an attempt shows. An attempt that broke off is evidence only if its
+// observe takes in what an attempt shows. An attempt that broke off is evidence only if its
 // server has ended since: answers are lost for other reasons as well. It may wait for a
 // connection, and is called by the goroutine of the attempt.
-func (g *Gateway) weigh(sent sentAttempt) {
+func (g *Gateway) observe(sent sentAttempt) {
 	shown := sent.waiting.evidence
 	end := trialUnclear
 	switch failure := sent.outcome.Failure; failure {
 	case scatter.NoFailure:
 		end = trialAnswered
-		g.acquit(sent)
+		g.observeAnswer(sent)
 	case scatter.Broken, scatter.Unaccepted:
 		g.tellBroken(sent)
 		if g.pool.HasEnded(sent.server, failure == scatter.Unaccepted) {
 			end = trialEnded
-			g.accuse(sent)
+			g.observeEnd(sent)
 		}
 	}
 	if shown.trial != nil && sent.outcome.Verdict != verdict.NotRun {
@@ -78,17 +78,17 @@
 	}).Info("attempt_broke_off")
 }
 
-// acquit takes in that a server answered a request.
-func (g *Gateway) acquit(sent sentAttempt) {
+// observeAnswer takes in that a server answered a request.
+func (g *Gateway) observeAnswer(sent sentAttempt) {
 	shown := sent.waiting.evidence
 	if first := !shown.replied.Swap(true); first && (shown.reported.Load() || shown.trial != nil) {
-		g.quarantine.tell(quarantine.Order{Kind: quarantine.Acquit, Fingerprint: sent.waiting.request.fingerprint(), By: g.config.Name})
+		g.quarantine.tell(quarantine.Order{Kind: quarantine.Clear, Fingerprint: sent.waiting.request.fingerprint(), By: g.config.Name})
 	}
 }
 
-// accuse takes in that a server ended under a request. One that another server has answered
+// observeEnd takes in that a server ended under a request. One that another server has answered
 // is not reported: it does not end each server that runs it.
-func (g *Gateway) accuse(sent sentAttempt) {
+func (g *Gateway) observeEnd(sent sentAttempt) {
 	shown := sent.waiting.evidence
 	g.metrics.serversEnded.Inc()
 	fingerprint := sent.waiting.request.fingerprint()
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -28,8 +28,8 @@
 	// claiming is what the present step asked for; claim carries such a message.
 	claiming map[scatter.RequestID][]int
 	claim    func(claimTarget, []int) error
-	// weigh takes in what an attempt that ended shows of its request.
-	weigh func(sentAttempt)
+	// observe takes in what an attempt that ended shows of its request.
+	observe func(sentAttempt)
 	// withdrawn are requests that are quarantined from now on.
 	withdrawn chan []quarantine.Fingerprint
 }
@@ -64,13 +64,13 @@
 
 // loopPorts are what a loop calls.
 type loopPorts struct {
-	claim func(claimTarget, []int) error
-	weigh func(sentAttempt)
+	claim   func(claimTarget, []int) error
+	observe func(sentAttempt)
 }
 
 func newLoop(engine *scatter.Engine, pool *exchange.Pool, ports loopPorts, logger logrus.FieldLogger) *loop {
 	return &loop{
-		engine: engine, pool: pool, claim: ports.claim, weigh: ports.weigh, logger: logger,
+		engine: engine, pool: pool, claim: ports.claim, observe: ports.observe, logger: logger,
 		withdrawn: make(chan []quarantine.Fingerprint, withdrawnBacklog),
 		events:    make(chan scatter.Event, eventBacklog), requests: make(chan submitted, maxInFlight),
 		waiting:  make(map[scatter.RequestID]submitted),
@@ -177,6 +177,6 @@
 		outcome := attempt.Run()
 		took := steadyclock.Since(began)
 		l.events <- scatter.Ended{Attempt: command.Attempt, Outcome: outcome}
-		l.weigh(sentAttempt{waiting: waiting, server: command.Server, outcome: outcome, took: took})
+		l.observe(sentAttempt{waiting: waiting, server: command.Server, outcome: outcome, took: took})
 	}()
 }
--- a/internal/gateway/trying.go
+++ b/internal/gateway/trying.go
@@ -68,11 +68,11 @@
 		s.tried = true
 		return true
 	}
-	return s.endTrial(passed, grant)
+	return s.runTrial(passed, grant)
 }
 
-// endTrial makes a trial and answers the request by its outcome, unless it may go on.
-func (s *exchangeState) endTrial(passed *fingerprinted, grant trialGrant) bool {
+// runTrial makes a trial and answers the request by its outcome, unless it may go on.
+func (s *exchangeState) runTrial(passed *fingerprinted, grant trialGrant) bool {
 	result, end, sent := s.try(passed)
 	s.tellTrial(passed, result, end, sent)
 	switch {
@@ -149,11 +149,12 @@
 // anything may have run. It does not end with the client, since what it finds out counts
 // for all.
 func (s *exchangeState) try(passed *fingerprinted) (result scatter.Result, end trialEnd, sent bool) {
-	services := s.arrival().Services
+	arrived := s.arrival()
+	services := arrived.Services
 	first := int(xxhash.Sum64String(s.id) % uint64(len(services)))
 	for offset := range min(maxTriedShards, len(services)) {
 		service := services[(first+offset)%len(services)]
-		result, end = s.tryAt(passed, service)
+		result, end = s.tryAt(passed, arrived, service)
 		if result.Reply != nil || result.Verdict != verdict.NotRun {
 			return result, end, true
 		}
@@ -161,8 +162,8 @@
 	return result, end, false
 }
 
-func (s *exchangeState) tryAt(passed *fingerprinted, service string) (scatter.Result, trialEnd) {
-	arrived := s.arrival()
+// tryAt sends a request to one server of a service, as part of one that arrived.
+func (s *exchangeState) tryAt(passed *fingerprinted, arrived scatter.Arrived, service string) (scatter.Result, trialEnd) {
 	shown := s.evidence()
 	shown.trial = make(chan trialEnd, 1)
 	arriving := submitted{
--- a/internal/gateway/trying_test.go
+++ b/internal/gateway/trying_test.go
@@ -24,7 +24,7 @@
 	return quarantine.Order{Kind: quarantine.Report, Fingerprint: askedOf(path), Servers: []string{"i-gone"}}
 }
 
-func convict(path string) []quarantine.Order {
+func quarantineOf(path string) []quarantine.Order {
 	return []quarantine.Order{{Kind: quarantine.Report, Fingerprint: askedOf(path), Servers: []string{"i-1", "i-2", "i-3"}, Tried: true}}
 }
 
@@ -59,7 +59,7 @@
 func TestQuarantinedRequestIsRefusedAndOthersServed(t *testing.T) {
 	var served atomic.Int64
 	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": counted(&served, echo)})
-	s.directory.give(convict("/a/x")...)
+	s.directory.give(quarantineOf("/a/x")...)
 	got := s.untilKnown("/a/x", http.StatusBadRequest)
 	require.Equal(t, "quarantined not_run\n", got.body)
 	require.Empty(t, got.header.Get("Retry-After"))
@@ -170,7 +170,7 @@
 		answers := make(chan answer, 1)
 		go func() { answers <- s.ask(http.MethodGet, "/a/x", nil) }()
 		<-began
-		s.directory.give(convict("/a/x")...)
+		s.directory.give(quarantineOf("/a/x")...)
 		got := <-answers
 		require.Equal(t, http.StatusBadRequest, got.status, name)
 		require.Equal(t, "quarantined may_have_run\n", got.body, name)
@@ -188,7 +188,7 @@
 		stub.reply.Source, stub.reply.Whole, stub.reply.RoutersDigest = "stub", true, 1
 		stub.reply.Routers = []directory.ListedRouter{{Name: "other", Zone: "b", Address: peers.Addr().String()}}
 	}
-	knowing.give(convict("/a/x")...)
+	knowing.give(quarantineOf("/a/x")...)
 	startRouter(t, "other", "b", peers, knowing, knowing, nil).install(gathered("t"))
 	s := startRouter(t, "asker", "a", listenLocal(t), unknowing, unknowing, nil)
 	s.install(gathered("t"))
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -32,8 +32,8 @@
 	Try Kind = "try"
 	// Return gives a trial back in which no server ran the request, or none ended.
 	Return Kind = "return"
-	// Acquit tells that a server answered a suspected request.
-	Acquit Kind = "acquit"
+	// Clear tells that a server answered a suspected request.
+	Clear Kind = "clear"
 	// Lift ends suspicion or quarantine by an operator's order.
 	Lift Kind = "lift"
 	// Expire ends a suspicion that is old, and lets a request that was quarantined for
@@ -63,7 +63,7 @@
 
 // Check returns an error if an order is not one that a book takes.
 func (o Order) Check() error {
-	if !slices.Contains([]Kind{Report, Try, Return, Acquit, Lift, Expire}, o.Kind) {
+	if !slices.Contains([]Kind{Report, Try, Return, Clear, Lift, Expire}, o.Kind) {
 		return errors.Newf("%.40q is no kind of order", o.Kind)
 	}
 	for _, text := range append([]string{o.Route, o.Caller, o.By}, o.Servers...) {
@@ -146,7 +146,7 @@
 		b.Records[at].Trials = max(0, b.Records[at].Trials-1)
 	case order.Kind == Expire && b.Records[at].Quarantined:
 		b.Records[at].Quarantined, b.Records[at].Trials = false, 0
-	case order.Kind == Acquit && b.Records[at].Quarantined:
+	case order.Kind == Clear && b.Records[at].Quarantined:
 		// Its answer is from before the quarantine, or from a router that does not know it.
 	default:
 		b.Records = slices.Delete(b.Records, at, at+1)
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -54,7 +54,7 @@
 	require.Equal(t, quarantine.Suspected, outcome.Before)
 	require.Equal(t, quarantine.Quarantined, outcome.After)
 	require.False(t, book.Apply(order(quarantine.Try, "r")).Granted)
-	book.Apply(order(quarantine.Acquit, "r"))
+	book.Apply(order(quarantine.Clear, "r"))
 	require.Equal(t, quarantine.Quarantined, standing(&book, "r"), "an answer from before")
 }
 
@@ -84,7 +84,7 @@
 func TestAnswerEndsSuspicionAndAnOperatorLiftsAll(t *testing.T) {
 	var book quarantine.Book
 	book.Apply(report("r", false, "i-1"))
-	require.Equal(t, quarantine.Unknown, book.Apply(order(quarantine.Acquit, "r")).After)
+	require.Equal(t, quarantine.Unknown, book.Apply(order(quarantine.Clear, "r")).After)
 	book.Apply(report("q", true, "i-1", "i-2", "i-3"))
 	require.Equal(t, quarantine.Quarantined, standing(&book, "q"))
 	require.Equal(t, quarantine.Unknown, book.Apply(order(quarantine.Lift, "q")).After)
@@ -155,7 +155,7 @@
 	view.Acknowledged(fingerprintOf("own"), 4)
 	require.Equal(t, quarantine.Suspected, view.Standing(fingerprintOf("own")))
 	require.Empty(t, view.Take(4, nil))
-	require.True(t, view.Empty(), "acquitted by then")
+	require.True(t, view.Empty(), "cleared by then")
 	view.Reported(fingerprintOf("dropped"), false)
 	view.Acknowledged(fingerprintOf("dropped"), 0)
 	require.True(t, view.Empty())
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -99,7 +99,7 @@
 				f.chances++
 			}
 		case tried:
-			f.tell(router, order(quarantine.Acquit, name))
+			f.tell(router, order(quarantine.Clear, name))
 		}
 	}
 }
