--- a/internal/exchange/suspension_test.go
+++ b/internal/exchange/suspension_test.go
@@ -4,12 +4,12 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/martenstage/martenstage/internal/proof/suspension"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
@@ -18,12 +18,7 @@
 // suspended for longer than servers keep idle ones: the next attempt opens another, and
 // has its whole time.
 func TestKeptConnectionIsTooOldAfterASuspension(t *testing.T) {
-	began := time.Now()
-	var suspended atomic.Int64
-	t.Cleanup(steadyclock.Replace(steadyclock.New(func() (running, sinceBoot time.Duration, err error) {
-		running = time.Since(began)
-		return running, running + time.Duration(suspended.Load()), nil
-	})))
+	machine := suspension.NewMachine(t)
 	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
 		_, _ = io.WriteString(conn, reply("r", "body"))
 		return true
@@ -38,8 +33,7 @@
 	ask()
 	ask()
 	require.EqualValues(t, 1, b.connections.Load())
-	suspended.Add(int64(time.Minute))
-	time.Sleep(3 * time.Millisecond)
+	machine.Suspend(time.Minute)
 	ask()
 	require.EqualValues(t, 2, b.connections.Load())
 }
--- a/internal/router/admissions_test.go
+++ b/internal/router/admissions_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/netip"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/martenstage/martenstage/internal/proof/emulator"
 	"github.com/martenstage/martenstage/internal/proof/judge"
 	"github.com/martenstage/martenstage/internal/proof/servicetime"
+	"github.com/martenstage/martenstage/internal/proof/suspension"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/records"
 	"github.com/martenstage/martenstage/internal/router"
@@ -152,18 +152,12 @@
 // TestLeaseEndsWhileTheMachineIsSuspended suspends a router's machine for longer than its
 // lease, while the clock that stands still then says that it is good: nothing is admitted.
 func TestLeaseEndsWhileTheMachineIsSuspended(t *testing.T) {
-	began := time.Now()
-	var suspended atomic.Int64
-	t.Cleanup(steadyclock.Replace(steadyclock.New(func() (running, sinceBoot time.Duration, err error) {
-		running = time.Since(began)
-		return running, running + time.Duration(suspended.Load()), nil
-	})))
+	machine := suspension.NewMachine(t)
 	logger := silentLogger()
 	source := &leased{plan: oneBackend(t, logger), lease: time.Hour}
 	ask := runAdmissions(t, logger, source, admissionrecord.NewSummary("router-1"), func(engine router.Engine) router.Engine { return engine })
 	require.Eventually(t, func() bool { return ask().Complete }, 20*time.Second, time.Millisecond)
-	suspended.Add(int64(2 * time.Hour))
-	time.Sleep(3 * time.Millisecond)
+	machine.Suspend(2 * time.Hour)
 	answer := ask()
 	require.NotNil(t, answer.Err)
 	require.Equal(t, verdict.ReasonNoLease, answer.Err.Reason)
--- a/internal/steadyclock/steadyclock_test.go
+++ b/internal/steadyclock/steadyclock_test.go
@@ -6,43 +6,21 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/martenstage/martenstage/internal/proof/suspension"
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
-// machine has two clocks that a test steps apart.
-type machine struct {
-	suspended atomic.Int64
-	began     time.Time
-}
-
-func (m *machine) read() (running, sinceBoot time.Duration, err error) {
-	running = time.Since(m.began)
-	return running, running + time.Duration(m.suspended.Load()), nil
-}
-
-func suspendable(t *testing.T) *machine {
-	tested := &machine{began: time.Now()}
-	tested.suspended.Store(int64(time.Hour)) // It was suspended before the process began.
-	t.Cleanup(steadyclock.Replace(steadyclock.New(tested.read)))
-	return tested
-}
-
-// pass lets the clock look anew.
-func pass() { time.Sleep(3 * time.Millisecond) }
-
 func TestTimeCountsWhileTheMachineIsSuspended(t *testing.T) {
-	tested := suspendable(t)
+	tested := suspension.NewMachine(t)
 	before, deadline := steadyclock.Now(), steadyclock.Now().Add(time.Minute)
 	require.Less(t, steadyclock.Since(before), 30*time.Second, "what was before the process counts")
-	tested.suspended.Add(int64(45 * time.Second))
-	pass()
+	tested.Suspend(45 * time.Second)
 	require.GreaterOrEqual(t, steadyclock.Since(before), 45*time.Second)
 	require.LessOrEqual(t, steadyclock.Until(deadline), 15*time.Second)
 	require.LessOrEqual(t, time.Until(steadyclock.Runtime(deadline)), 15*time.Second)
@@ -53,30 +31,28 @@
 }
 
 func TestTimeNeverGoesBack(t *testing.T) {
-	tested := suspendable(t)
-	tested.suspended.Add(int64(10 * time.Second))
-	pass()
+	tested := suspension.NewMachine(t)
+	tested.Suspend(10 * time.Second)
 	known := steadyclock.Now()
-	tested.suspended.Add(int64(-5 * time.Second))
-	pass()
+	tested.Suspend(-5 * time.Second)
 	require.True(t, steadyclock.Now().After(known))
 }
 
 func TestClocksThatAreReadApartMakeNoSuspension(t *testing.T) {
-	tested := suspendable(t)
-	clock := steadyclock.New(tested.read)
-	tested.suspended.Add(int64(20 * time.Microsecond))
+	tested := suspension.NewMachine(t)
+	clock := steadyclock.New(tested.Read)
+	tested.Suspend(20 * time.Microsecond)
 	require.Zero(t, clock.Suspended())
 }
 
 func TestWatchTellsSuspensionsOnce(t *testing.T) {
-	tested := suspendable(t)
+	tested := suspension.NewMachine(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	told := make(chan time.Duration, 8)
 	ended := make(chan error, 1)
 	go func() { ended <- steadyclock.Watch(ctx, func(length time.Duration) { told <- length }) }()
-	pass()
-	tested.suspended.Add(int64(7 * time.Second))
+	time.Sleep(3 * time.Millisecond) // It begins with what it finds.
+	tested.Suspend(7 * time.Second)
 	require.Equal(t, 7*time.Second, (<-told).Round(time.Second))
 	cancel()
 	require.NoError(t, <-ended)
@@ -88,7 +64,7 @@
 	t.Cleanup(steadyclock.Replace(steadyclock.New(func() (time.Duration, time.Duration, error) { return 0, 0, failing })))
 	require.ErrorIs(t, steadyclock.Watch(context.Background(), nil), failing)
 	before := steadyclock.Now()
-	pass()
+	time.Sleep(3 * time.Millisecond)
 	require.True(t, steadyclock.Now().After(before))
 }
 
