Go by own reports until a node has them; let suspected slices come again

Cause, both found by reading: a router that asks for a trial before its own report has come in was told that the request is unknown, and served it like any; and a router that had not heard of a suspicion yet answered with 400, for good, when another one took no slice of it. Change: unknown counts only once the own report is acknowledged; slices of a suspected request are refused apart, and the client gets 502, which it may repeat. Measured: TestRequestWhoseReportIsUnderWayIsNotServedLikeAny fails without the first; all tests of the gateway pass.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -60,10 +60,12 @@
 type directoryStub struct {
 	mutex sync.Mutex
 	reply directory.FollowReply
-	// book holds the requests that end servers; refuses makes orders about them fail.
-	book    quarantine.Book
-	refuses bool
-	orders  []quarantine.Order
+	// book holds the requests that end servers; refuses makes orders about them fail,
+	// refusesReports just reports.
+	book           quarantine.Book
+	refuses        bool
+	refusesReports bool
+	orders         []quarantine.Order
 }
 
 func (d *directoryStub) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
@@ -91,7 +93,8 @@
 	_ = json.NewDecoder(request.Body).Decode(&asked)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.refuses {
+	reports := slices.ContainsFunc(asked.Orders, func(o quarantine.Order) bool { return o.Kind == quarantine.Report })
+	if d.refuses || d.refusesReports && reports {
 		http.Error(writer, "no leader", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -42,8 +42,9 @@
 	cancel     context.CancelFunc
 	context    context.Context
 	fallbacks  int
-	// withdrawn says that the request was found to be quarantined on its way.
-	withdrawn bool
+	// withdrawn is why the request ends on its way: it was found to be quarantined, or another
+	// router knows it to be suspected, which this one was not told yet; empty for neither.
+	withdrawn verdict.Reason
 }
 
 // serveGather answers a request whose route names shards.
@@ -80,7 +81,7 @@
 	defer g.finish()
 	for {
 		now := steadyclock.Now()
-		if g.withdrawn {
+		if g.withdrawn != "" {
 			g.failWithdrawn()
 			return
 		}
@@ -115,7 +116,9 @@
 		g.fallBack(event)
 	case event.ended:
 		state.ended = true
-		g.withdrawn = g.withdrawn || event.result.Reason == verdict.ReasonQuarantined
+		if event.result.Reason == verdict.ReasonQuarantined {
+			g.withdrawn = verdict.ReasonQuarantined
+		}
 		for _, position := range event.lost {
 			g.lose(state, position)
 		}
@@ -209,10 +212,9 @@
 	g.fail(g.result)
 }
 
-// failWithdrawn answers a request that was found to be quarantined after it had been sent to
-// servers or routers.
+// failWithdrawn answers a request that ends after it had been sent to servers or routers.
 func (g *gatherState) failWithdrawn() {
-	g.result.Verdict, g.result.Reason = verdict.MayHaveRun, verdict.ReasonQuarantined
+	g.result.Verdict, g.result.Reason = verdict.MayHaveRun, g.withdrawn
 	g.told = g.toTell()
 	g.fail(g.result)
 }
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -8,6 +8,7 @@
 
 	"github.com/martenstage/martenstage/internal/slicing"
 	"github.com/martenstage/martenstage/internal/steadyclock"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 // sliceState is one slice of a request.
@@ -112,8 +113,12 @@
 	if g.context.Err() != nil || failed.ended {
 		return
 	}
-	if errors.Is(event.reason, errWithdrawn) {
-		g.withdrawn = true
+	switch {
+	case errors.Is(event.reason, errQuarantined):
+		g.withdrawn = verdict.ReasonQuarantined
+		return
+	case errors.Is(event.reason, errSuspected):
+		g.withdrawn = verdict.ReasonOnTrial
 		return
 	}
 	g.gateway.metrics.slicesFailed.Inc()
--- a/internal/gateway/quarantining.go
+++ b/internal/gateway/quarantining.go
@@ -81,6 +81,14 @@
 	delete(w.trying, fingerprint)
 }
 
+// pending reports whether this router's report of a request is not known to have reached a
+// node.
+func (w *quarantineWatch) pending(fingerprint quarantine.Fingerprint) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.view.Pending(fingerprint)
+}
+
 // revision returns that of the book that was told last.
 func (w *quarantineWatch) revision() uint64 {
 	w.mutex.Lock()
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -61,11 +61,17 @@
 	return conn, err
 }
 
-// statusWithdrawn is the answer of a router that knows the request of a slice as one that
-// ends its servers, or may; errWithdrawn is what comes of it. Nothing was sent.
-const statusWithdrawn = http.StatusUnprocessableEntity
+// Answers of a router that knows the request of a slice as one that ends its servers, or may,
+// and what comes of them. It has sent nothing.
+const (
+	statusQuarantined = http.StatusUnprocessableEntity
+	statusSuspected   = http.StatusConflict
+)
 
-var errWithdrawn = errors.New("the request of the slice is quarantined or suspected")
+var (
+	errQuarantined = errors.New("the request of the slice is quarantined")
+	errSuspected   = errors.New("the request of the slice is suspected")
+)
 
 var errNotAccepted = errors.New("the router did not accept the slice in time")
 
@@ -131,13 +137,22 @@
 		// a router says that it has a slice before it sends anything.
 		return nil, written.Load() && silent, err
 	}
-	if response.StatusCode == statusWithdrawn {
-		_ = response.Body.Close()
-		return nil, false, errWithdrawn
-	}
-	if response.StatusCode != http.StatusOK {
+	if err := sliceRefusal(response.StatusCode); err != nil {
 		_ = response.Body.Close()
-		return nil, false, errors.Newf("status %d", response.StatusCode)
+		return nil, false, err
 	}
 	return response, true, nil
 }
+
+// sliceRefusal returns why a router did not take a slice; nil if it did.
+func sliceRefusal(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case statusQuarantined:
+		return errQuarantined
+	case statusSuspected:
+		return errSuspected
+	}
+	return errors.Newf("status %d", status)
+}
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -38,8 +38,12 @@
 		return
 	}
 	fingerprinted := newFingerprinted(&passed)
-	if standing := g.quarantine.standing(fingerprinted); standing == quarantine.Quarantined || standing == quarantine.Suspected && !asked.Tried {
-		http.Error(writer, "the request is "+standing.String(), statusWithdrawn)
+	switch standing := g.quarantine.standing(fingerprinted); {
+	case standing == quarantine.Quarantined:
+		http.Error(writer, "the request is quarantined", statusQuarantined)
+		return
+	case standing == quarantine.Suspected && !asked.Tried:
+		http.Error(writer, "the request is suspected", statusSuspected)
 		return
 	}
 	if g.stopping.Load() || g.inFlight.Add(1) > maxInFlight {
--- a/internal/gateway/trying.go
+++ b/internal/gateway/trying.go
@@ -131,7 +131,7 @@
 	case err != nil:
 	case reply.Outcomes[0].Granted:
 		return grantHeard
-	case reply.Outcomes[0].Before == quarantine.Unknown:
+	case reply.Outcomes[0].Before == quarantine.Unknown && !s.gateway.quarantine.pending(passed.fingerprint()):
 		return grantNeedless
 	case reply.Outcomes[0].Before == quarantine.Quarantined:
 		return grantQuarantined
--- a/internal/gateway/trying_test.go
+++ b/internal/gateway/trying_test.go
@@ -177,40 +177,68 @@
 	}
 }
 
-// TestRouterTakesNoSliceOfAQuarantinedRequest has a router that does not know the request ask
-// one that does: nothing is sent, and the client gets the final answer.
-func TestRouterTakesNoSliceOfAQuarantinedRequest(t *testing.T) {
-	var served atomic.Int64
-	knowing, unknowing := &directoryStub{}, &directoryStub{}
-	peers := listenLocal(t)
-	for _, stub := range []*directoryStub{knowing, unknowing} {
-		stub.addServer("i-t", "t", "b", serve(t, counted(&served, echo)))
-		stub.reply.Source, stub.reply.Whole, stub.reply.RoutersDigest = "stub", true, 1
-		stub.reply.Routers = []directory.ListedRouter{{Name: "other", Zone: "b", Address: peers.Addr().String()}}
+// TestRouterTakesNoSliceOfARequestThatEndsServers has a router that does not know the request
+// ask one that does: nothing is sent. The client of a quarantined one gets the final answer,
+// that of a suspected one may come again.
+func TestRouterTakesNoSliceOfARequestThatEndsServers(t *testing.T) {
+	for status, orders := range map[int][]quarantine.Order{
+		http.StatusBadRequest: quarantineOf("/a/x"),
+		http.StatusBadGateway: {suspect("/a/x")},
+	} {
+		var served atomic.Int64
+		knowing, unknowing := &directoryStub{}, &directoryStub{}
+		peers := listenLocal(t)
+		for _, stub := range []*directoryStub{knowing, unknowing} {
+			stub.addServer("i-t", "t", "b", serve(t, counted(&served, echo)))
+			stub.reply.Source, stub.reply.Whole, stub.reply.RoutersDigest = "stub", true, 1
+			stub.reply.Routers = []directory.ListedRouter{{Name: "other", Zone: "b", Address: peers.Addr().String()}}
+		}
+		knowing.give(orders...)
+		startRouter(t, "other", "b", peers, knowing, knowing, nil).install(gathered("t"))
+		s := startRouter(t, "asker", "a", listenLocal(t), unknowing, unknowing, nil)
+		s.install(gathered("t"))
+		require.Equal(t, status, s.ask(http.MethodGet, "/a/x", nil).status)
+		require.Zero(t, served.Load())
+		require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/y", nil).status)
 	}
-	knowing.give(quarantineOf("/a/x")...)
-	startRouter(t, "other", "b", peers, knowing, knowing, nil).install(gathered("t"))
-	s := startRouter(t, "asker", "a", listenLocal(t), unknowing, unknowing, nil)
-	s.install(gathered("t"))
-	got := s.ask(http.MethodGet, "/a/x", nil)
-	require.Equal(t, http.StatusBadRequest, got.status)
-	require.Zero(t, served.Load())
-	require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/y", nil).status)
 }
 
-// TestReportIsGivenAgainUntilANodeHasIt has nodes refuse a report at first.
-func TestReportIsGivenAgainUntilANodeHasIt(t *testing.T) {
+// endsOnce listens as a server that ends with its first request.
+func endsOnce(t *testing.T, count *atomic.Int64) (address string) {
 	listener := listenLocal(t)
 	server := &http.Server{}
 	server.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		count.Add(1)
 		_ = server.Close()
 		panic(http.ErrAbortHandler)
 	})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	return listener.Addr().String()
+}
+
+// TestRequestWhoseReportIsUnderWayIsNotServedLikeAny has a book that does not know the request
+// yet, since the report of the router that saw its server end has not come in: the router goes
+// by what it saw.
+func TestRequestWhoseReportIsUnderWayIsNotServedLikeAny(t *testing.T) {
+	var ended, served atomic.Int64
+	s := startSite(t, nil, map[string]http.HandlerFunc{"t": counted(&served, echo)})
+	s.directory.refusesReports = true
+	s.directory.addServer("i-s", "s", "", endsOnce(t, &ended))
+	s.install(oneRoute(1, "s"))
+	require.Equal(t, http.StatusBadGateway, s.ask(http.MethodGet, "/a/x", nil).status)
+	s.install(oneRoute(2, "t"))
+	require.Eventually(t, func() bool { return s.ask(http.MethodGet, "/a/x", nil).status == http.StatusServiceUnavailable }, 10*time.Second, time.Millisecond)
+	require.Zero(t, served.Load())
+	require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/y", nil).status)
+}
+
+// TestReportIsGivenAgainUntilANodeHasIt has nodes refuse a report at first.
+func TestReportIsGivenAgainUntilANodeHasIt(t *testing.T) {
+	var ended atomic.Int64
 	s := startSite(t, nil, nil)
 	s.directory.refuses = true
-	s.directory.addServer("i-s", "s", "", listener.Addr().String())
+	s.directory.addServer("i-s", "s", "", endsOnce(t, &ended))
 	s.install(oneRoute(1, "s"))
 	require.Equal(t, http.StatusBadGateway, s.ask(http.MethodGet, "/a/x", nil).status)
 	time.Sleep(100 * time.Millisecond)
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -28,6 +28,13 @@
 	return max(v.told[fingerprint], v.own[fingerprint].standing)
 }
 
+// Pending reports whether this router has reported a request and no book is known to hold
+// that yet, so that a book in which it is unknown tells nothing.
+func (v *View) Pending(fingerprint Fingerprint) bool {
+	own, known := v.own[fingerprint]
+	return known && own.until == 0
+}
+
 // Revision returns that of the book that was told last.
 func (v *View) Revision() uint64 { return v.revision }
 
