Take the time of clients' limits from the steady clock as well

Cause: found by reading: the time of a ticker is the runtime's, while the connections' times count suspensions; after one, no limit would have been enforced for its length.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -164,9 +164,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-check.C:
+		case <-check.C:
 			if table := g.table.Load(); table != nil {
-				g.clients.enforce(now, table.Document().Limits)
+				g.clients.enforce(steadyclock.Now(), table.Document().Limits)
 			}
 		}
 	}
