--- a/internal/scatter/breaking.go
+++ b/internal/scatter/breaking.go
@@ -6,7 +6,8 @@
 // having answered, before it gets no further ones until one answers: it may be what ends
 // its servers, and each repeat would end the second server of a shard as well. Its first
 // attempts are out by then; to bound those, all requests would have to wait for one server
-// first, which takes 4 to 15 ms of 50 to 120.
+// first, by which the median of sweeps rose from 40 to 55 ms and that of lookups over all
+// shards from 23 to 30 (design 0019).
 const heldAfter = 2
 
 // observe takes in what an attempt tells of whether the request ends its servers.
