--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -8,6 +8,8 @@
 //	engine      owns the scatter engine; events come in by a bounded channel
 //	follower    holds a call at one directory node, and goes on to the next one
 //	            when that fails
+//	reports     tells the directory of requests that end servers, again until a node
+//	            has it
 //	request     one for each request, of net/http
 //	attempt     one for each attempt that is out
 //
