Examples of martenstage quarantine; wait until each follower has heard the leader

TestExamplesParse: the new command had no example. TestFollowerNamesTheLeader: it asked the third voter as soon as a quorum of two had committed; one that has heard nobody names nobody, which is right (now a test of its own, by a cut). Change: the test allows a follower to name nobody until it hears the leader, within the package's patience, and still nobody else; a second test covers the state before that.

--- a/cmd/martenstage/examples.go
+++ b/cmd/martenstage/examples.go
@@ -32,9 +32,13 @@
 	"undrain":     {"martenstage undrain 10.0.1.7:7000"},
 	"explain":     {"martenstage explain 9c41d07be2a35f68 gateway-1.log gateway-2.log directory-1.log"},
 	"evacuations": {"martenstage evacuations 10.0.0.1:7201"},
-	"losses":      {"martenstage losses gateway-*.log", "martenstage losses --json gateway-1.log gateway-2.log"},
-	"events":      {"martenstage events --since 18:00 --service seat-finder", "martenstage events --since 12h --json"},
-	"report":      {"martenstage report --since 18:00", "martenstage report --since 18:00 --html report.html"},
+	"quarantine": {
+		"martenstage quarantine 10.0.0.1:7201",
+		"martenstage quarantine --lift 2f52b39ca8c50f552f52b39ca8c50f552f52b39ca8c50f552f52b39ca8c50f55 10.0.0.1:7201",
+	},
+	"losses": {"martenstage losses gateway-*.log", "martenstage losses --json gateway-1.log gateway-2.log"},
+	"events": {"martenstage events --since 18:00 --service seat-finder", "martenstage events --since 12h --json"},
+	"report": {"martenstage report --since 18:00", "martenstage report --since 18:00 --html report.html"},
 
 	"config apply":    {"martenstage config apply site.policy --dry-run", "martenstage config apply site.policy --comment \"more patience\" --wait"},
 	"config get":      {"martenstage config get > site.policy", "martenstage config get --revision 7"},
--- a/internal/voter/voter_test.go
+++ b/internal/voter/voter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -31,6 +32,17 @@
 	}
 }
 
+// namesLeader proposes at a voter that does not lead and returns which leader it names.
+func namesLeader(t *testing.T, voter *Voter) NotLeaderError {
+	t.Helper()
+	_, err := voter.Propose(context.Background(), []byte("x"))
+	var refused *NotLeaderError
+	require.ErrorAs(t, err, &refused, fmt.Sprint(voter.config.ID))
+	return *refused
+}
+
+// TestFollowerNamesTheLeader asks each follower: it names nobody until it has heard the
+// leader, which a quorum does not wait for, and then the leader alone.
 func TestFollowerNamesTheLeader(t *testing.T) {
 	g := newGroup(t, 3, nil)
 	g.propose("a")
@@ -39,9 +51,23 @@
 		if voter == leader {
 			continue
 		}
-		_, err := voter.Propose(context.Background(), []byte("x"))
-		var refused *NotLeaderError
-		require.ErrorAs(t, err, &refused, fmt.Sprint(voter.config.ID))
-		require.Equal(t, NotLeaderError{LeaderID: leader.config.ID, LeaderAddress: leader.config.Address}, *refused)
+		began, named := time.Now(), namesLeader(t, voter)
+		for ; named == (NotLeaderError{}); named = namesLeader(t, voter) {
+			require.Less(t, time.Since(began), patience, "it hears nobody")
+			time.Sleep(time.Millisecond)
+		}
+		require.Equal(t, NotLeaderError{LeaderID: leader.config.ID, LeaderAddress: leader.config.Address}, named)
 	}
 }
+
+// TestFollowerThatHeardNobodyNamesNobody cuts one of three voters off before the others elect
+// a leader.
+func TestFollowerThatHeardNobodyNamesNobody(t *testing.T) {
+	g := newGroup(t, 3, nil)
+	g.network.mutex.Lock()
+	g.network.cut[3] = true
+	g.network.mutex.Unlock()
+	g.propose("a")
+	require.NotEqual(t, uint64(3), g.leader().config.ID)
+	require.Eventually(t, func() bool { return namesLeader(t, g.network.voters[3]) == NotLeaderError{} }, patience, time.Millisecond)
+}
