--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
@@ -134,6 +135,8 @@
 
 // site is a router between a directory and servers of one test.
 type site struct {
+	// logged is what the router logged.
+	logged    *logtest.Hook
 	t         testing.TB
 	directory *directoryStub
 	router    *gateway.Gateway
@@ -152,6 +155,7 @@
 	stub.reply.Source, stub.reply.Whole, stub.reply.Nodes = "stub", true, []string{node}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	s.logged = logtest.NewLocal(logger)
 	s.router = gateway.New(gateway.Config{
 		Name: "router", Zone: "a", Seeds: []string{node}, Grace: 3 * time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
 		ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
