Be ready only once every engine holds the lease

Cause: ExtendLease stored the lease, by which the router says that it is ready, before its engines were told: the first request after readiness could get 503 no_lease. Change: the notice is waited for, as those of plans are, and readiness goes by the lease that all engines have taken in. Measured: TestReadyOnlyOnceEnginesHoldTheLease holds the notice back; without the change the router is ready meanwhile, with it only afterwards.

--- a/internal/router/admissions_test.go
+++ b/internal/router/admissions_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,6 +77,16 @@
 func runAdmissions(
 	t *testing.T, logger *logrus.Logger, source router.ConfigSource, admitted *admissionrecord.Summary, wrap func(router.Engine) router.Engine,
 ) (ask func() query.Answer) {
+	served, running := runRouter(t, logger, source, admitted, wrap)
+	return func() query.Answer {
+		return served.Query(running, router.Request{CallerID: "r", Route: "find", Body: []byte(`{}`)})
+	}
+}
+
+// runRouter runs a router until the test ends, and returns the context that it runs in.
+func runRouter(
+	t *testing.T, logger *logrus.Logger, source router.ConfigSource, admitted *admissionrecord.Summary, wrap func(router.Engine) router.Engine,
+) (*router.Router, context.Context) {
 	metrics := prometheus.NewRegistry()
 	served := router.New(router.Config{Name: "router-1", Zone: "a", Boot: 1, Alone: true, ProbeInterval: 10 * time.Millisecond}, router.Dependencies{
 		Logger: logger, Registerer: metrics, Claims: router.NewLocalClaims(), Events: router.EventLog{Logger: logger},
@@ -90,9 +101,7 @@
 		end()
 		<-ended
 	})
-	return func() query.Answer {
-		return served.Query(running, router.Request{CallerID: "r", Route: "find", Body: []byte(`{}`)})
-	}
+	return served, running
 }
 
 func silentLogger() *logrus.Logger {
@@ -163,3 +172,36 @@
 	require.Equal(t, verdict.ReasonNoLease, answer.Err.Reason)
 	require.Equal(t, verdict.NotRun, answer.Err.Verdict)
 }
+
+// slowToLease takes a lease in only once it is let.
+type slowToLease struct {
+	router.Engine
+	asked chan<- struct{}
+	let   <-chan struct{}
+}
+
+func (e slowToLease) Step(now time.Time, event query.Event) []query.Command {
+	if _, ok := event.(query.LeaseRenewed); ok {
+		e.asked <- struct{}{}
+		<-e.let
+	}
+	return e.Engine.Step(now, event)
+}
+
+// TestReadyOnlyOnceEnginesHoldTheLease delays the engine that is told of the first lease:
+// the router is not ready meanwhile, since the engine would refuse what came.
+func TestReadyOnlyOnceEnginesHoldTheLease(t *testing.T) {
+	logger := silentLogger()
+	source := &leased{plan: oneBackend(t, logger), lease: time.Hour}
+	asked, let := make(chan struct{}, 1024), make(chan struct{})
+	letAll := sync.OnceFunc(func() { close(let) })
+	served, running := runRouter(t, logger, source, admissionrecord.NewSummary("router-1"), func(engine router.Engine) router.Engine {
+		return slowToLease{Engine: engine, asked: asked, let: let}
+	})
+	t.Cleanup(letAll)
+	<-asked
+	require.Never(t, func() bool { ready, _ := served.Ready(); return ready }, 300*time.Millisecond, time.Millisecond)
+	letAll()
+	require.Eventually(t, func() bool { ready, _ := served.Ready(); return ready }, 10*time.Second, time.Millisecond)
+	require.Nil(t, served.Query(running, router.Request{CallerID: "r", Route: "find", Body: []byte(`{}`)}).Err)
+}
--- a/internal/router/installation.go
+++ b/internal/router/installation.go
@@ -178,8 +178,23 @@
 	if r.leaseValid() {
 		r.shares.setLease(true)
 	}
-	for _, loop := range r.loops {
-		loop.pushNotice(query.LeaseRenewed{Until: until}, nil)
+	r.tellLease(until)
+	r.leaseTold.Store(&until)
+}
+
+// tellLease returns once every engine has taken the lease in. Readiness waits for it: a
+// router that said it was ready before would refuse its first requests for want of a lease.
+func (r *Router) tellLease(until time.Time) {
+	taken := make([]chan struct{}, len(r.loops))
+	for index, loop := range r.loops {
+		taken[index] = make(chan struct{})
+		loop.pushNotice(query.LeaseRenewed{Until: until}, taken[index])
+	}
+	for index, loop := range r.loops {
+		select {
+		case <-taken[index]:
+		case <-loop.ended:
+		}
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -54,7 +54,9 @@
 
 	installed  atomic.Pointer[installation]
 	leaseUntil atomic.Pointer[time.Time]
-	peers      atomic.Pointer[[]Peer]
+	// leaseTold is the lease that all engines have taken in.
+	leaseTold atomic.Pointer[time.Time]
+	peers     atomic.Pointer[[]Peer]
 	// cells are those of the last list of live routers. They belong to the
 	// configuration source's goroutine.
 	cells     *cell.Cells
--- a/internal/router/status.go
+++ b/internal/router/status.go
@@ -48,7 +48,7 @@
 	switch {
 	case r.stopping.Load():
 		return false, verdict.ReasonStopping
-	case r.installed.Load() == nil, !r.leaseValid():
+	case r.installed.Load() == nil, !r.leaseValid(), !validAt(r.leaseTold.Load(), steadyclock.Now()):
 		return false, verdict.ReasonNoLease
 	case !r.backendsKnown():
 		return false, verdict.ReasonNoSnapshot
@@ -73,10 +73,10 @@
 
 func (r *Router) leaseValid() bool { return r.leaseValidAt(steadyclock.Now()) }
 
-func (r *Router) leaseValidAt(at time.Time) bool {
-	until := r.leaseUntil.Load()
-	return until != nil && at.Before(*until)
-}
+func (r *Router) leaseValidAt(at time.Time) bool { return validAt(r.leaseUntil.Load(), at) }
+
+// validAt reports whether a lease until a time, nil for none, is valid at another.
+func validAt(until *time.Time, at time.Time) bool { return until != nil && at.Before(*until) }
 
 // Routes lists the routes in force.
 func (r *Router) Routes() []plan.Route {
