--- a/internal/directory/node_test.go
+++ b/internal/directory/node_test.go
@@ -120,7 +120,7 @@
 	ctx := context.Background()
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i2", "s", registry.Ready, 1)))
-	c.eventually("not acknowledged", func(node *runningNode) bool { return node.Depart(ctx, "i2") == nil })
+	c.eventually("not acknowledged", func(node *runningNode) bool { return node.Depart(ctx, "i2", 0) == nil })
 	c.everywhere("not known", func(node *runningNode) bool { return stateAt(node, "i1") == registry.Ready })
 	// The table is written a little later.
 	time.Sleep(time.Second)
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -82,14 +82,24 @@
 func (n *Node) Heartbeat(ctx context.Context, instance registry.Instance) error {
 	n.report(instance)
 	if instance.State == registry.Leaving {
-		return n.Depart(ctx, instance.ID)
+		return n.depart(ctx, instance.ID)
 	}
 	return nil
 }
 
-// Depart takes in that an instance leaves or is gone. It is acknowledged like
-// leaving in Heartbeat.
-func (n *Node) Depart(ctx context.Context, id string) error {
+// Depart takes in that a server leaves or is gone: its start at a time, 0 for the latest one
+// that is known. It is acknowledged like leaving in Heartbeat.
+func (n *Node) Depart(ctx context.Context, name string, born int64) error {
+	id := registry.LifeID(name, born)
+	if born == 0 {
+		n.mutex.Lock()
+		id = n.registry.Newest(name)
+		n.mutex.Unlock()
+	}
+	return n.depart(ctx, id)
+}
+
+func (n *Node) depart(ctx context.Context, id string) error {
 	if n.member.state().hasDeparted(id) {
 		return nil
 	}
--- /dev/null
+++ b/internal/registry/life_test.go
@@ -0,0 +1,59 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/registry"
+)
+
+// statesIn returns the state of each instance in a table.
+func statesIn(table *registry.Table, now time.Time) map[string]registry.State {
+	states := map[string]registry.State{}
+	for _, instance := range table.Since(now, 0) {
+		states[instance.ID] = instance.State
+	}
+	return states
+}
+
+// TestLateHeartbeatsOfAnEarlierStartChangeNothing has a server start again under its name:
+// whatever comes of the start before, however often, takes the address back from nobody.
+func TestLateHeartbeatsOfAnEarlierStartChangeNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	for name, knownBefore := range map[string]bool{"the earlier start is known": true, "it is not": false} {
+		table := registry.New(5*time.Second, time.Minute)
+		life := func(born int64, sequence uint64) registry.Instance {
+			return registry.Instance{
+				ID: registry.LifeID("i", born), Born: born, Service: "s", Address: "10.0.0.1:1", Slots: 2, State: registry.Ready, Sequence: sequence,
+			}
+		}
+		if knownBefore {
+			require.True(t, table.Report(now, life(1, 50)))
+		}
+		require.True(t, table.Report(now, life(2, 1)), name)
+		for sequence := uint64(51); sequence < 60; sequence++ {
+			table.Report(now, life(1, sequence))
+			table.Refresh(now, registry.LifeID("i", 1), sequence+100)
+		}
+		require.Equal(t, map[string]registry.State{"i#1": registry.Missing, "i#2": registry.Ready}, statesIn(table, now), name)
+		require.Equal(t, "i#2", table.Newest("i"))
+		require.Equal(t, "other", table.Newest("other"))
+	}
+}
+
+// TestAStartThatLeftLeavesTheNextAlone has a start leave and its server come back under the
+// same name.
+func TestAStartThatLeftLeavesTheNextAlone(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := registry.New(5*time.Second, time.Minute)
+	first := registry.Instance{ID: registry.LifeID("i", 1), Born: 1, Service: "s", Address: "10.0.0.1:1", Slots: 2, State: registry.Leaving, Sequence: 9}
+	table.Report(now, first)
+	next := first
+	next.ID, next.Born, next.State, next.Sequence = registry.LifeID("i", 2), 2, registry.Ready, 1
+	table.Report(now, next)
+	require.Equal(t, map[string]registry.State{"i#1": registry.Leaving, "i#2": registry.Ready}, statesIn(table, now))
+	require.Equal(t, "i", registry.NameOf(next.ID))
+	require.Equal(t, "i", registry.NameOf(registry.LifeID("i", 0)), "a start of an unknown time has the name")
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -24,9 +24,13 @@
 	Missing State = "missing"
 )
 
-// Instance is one start of a server. Its id is never used again.
+// Instance is one start of a server. Its id is never used again: where a server keeps its
+// name over starts, LifeID makes one of the name and the time of the start.
 type Instance struct {
-	ID      string `json:"id"`
+	ID string `json:"id"`
+	// Born is when the server started, in ms since 1970 by its own clock; 0 if it does not
+	// say.
+	Born    int64  `json:"born,omitempty"`
 	Service string `json:"service"`
 	// Address is IP and port. It may be given to another server later.
 	Address string `json:"address"`
@@ -149,6 +153,9 @@
 		delete(t.rivals, address)
 		return true
 	}
+	if owner.instance.Born > known.instance.Born && known.instance.Born > 0 {
+		return false // It is a late one of an earlier start.
+	}
 	claiming := t.rivals[address]
 	if claiming.id != id {
 		claiming = rival{id: id}
@@ -176,6 +183,11 @@
 	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft)}
 	t.entries[instance.ID] = added
 	if previous, taken := t.byAddress[instance.Address]; taken {
+		if owner := t.entries[previous]; owner != nil && instance.Born > 0 && owner.instance.Born > instance.Born {
+			added.instance.State = Missing
+			t.touch(added)
+			return
+		}
 		t.replaceAt(previous)
 	}
 	t.byAddress[instance.Address] = instance.ID
