--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -53,6 +53,11 @@
 			Long: "Asks a directory node under which requests servers ended, which of them are sent to no server, and the evidence; with --lift it takes that back for one. See docs/operate/requests-that-end-servers.md.",
 			Data: &quarantineCommand{},
 		},
+		{
+			Name: "tenants", Short: "List what the tenants of a registered site use of their limits",
+			Long: "Asks a directory node, and by it the leader, what passed and was refused of each tenant with a limit, those refused most first. See docs/operate/tenants.md.",
+			Data: &tenantsCommand{},
+		},
 		{Name: "drain", Short: "Mark a back end as leaving", Long: "Routers send a marked back end no new work after a few seconds; work under way ends as usual. The mark stays until undrain.", Data: &drainCommand{draining: true}},
 		{Name: "undrain", Short: "Remove the mark of drain", Long: "Routers use the back end again, from a small share of work upwards.", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
