Roll-outs: orders in the replicated log, calls split by version, a sequential test of the new one

Cause: the contract of roll-outs was served by no code. Change: - rollout, a core: rules that say which servers an attempt may go to (canary 0.06 of the calls, a ramp of 0.3, all, none); evidence by route and version with times in 28 buckets; a sequential test on failures and on slowness against the old version's at the same time; the next step by that and by the time left. - directory: start and get; orders and steps outlive the final fault; sent again they change nothing, another one is refused while one runs; the leader sums what routers observe and steps; on done, replaced servers count as leaving at once. - scatter: one draw for each call; hedges and retries of a canary go to the old version, and none of the old one's go to the new; nothing goes to the new one after it is rolled back. - gateway: tells sums every 0.25 s, and what is still out at old servers; done waits for that. Good ones beside failures, slowness and both for a while, 800 plays: at most 1 in 200 is not done (asserted).

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -90,7 +90,7 @@
 	logger.SetLevel(logrus.WarnLevel)
 	node, err := directory.Open(directory.Config{
 		Name: "node-" + strconv.Itoa(index), PeerAddress: c.addresses[index], Seeds: c.seeds, Bootstrap: bootstrap,
-		Folder: c.folders[index], Losses: 2, HeartbeatInterval: 300 * time.Millisecond, CheckDocument: checkDocument, ReadLimits: readLimits, QuotaTolerance: quota.Tolerance{Over: 0.1, Slack: 20},
+		Folder: c.folders[index], Losses: 2, HeartbeatInterval: 300 * time.Millisecond, CheckDocument: checkDocument, ReadLimits: readLimits, CanaryShare: 0.1, QuotaTolerance: quota.Tolerance{Over: 0.1, Slack: 20},
 	}, directory.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
 	require.NoError(c.t, err)
 	listener, err := net.Listen("tcp4", c.addresses[index])
--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -95,6 +95,8 @@
 	if otherMetered {
 		reply.Metered = n.metered.Tenants
 	}
+	reply.Rollouts, reply.RolloutRevision = n.rolloutNews(applied, request.Rollouts)
+	otherRollouts := reply.RolloutRevision > request.Rollouts
 	same := request.Source == n.source
 	since := request.Revision
 	if !same {
@@ -103,7 +105,7 @@
 	reply.Whole = !same
 	reply.Instances = n.registry.Since(now, since)
 	reply.Departed, reply.Departures = applied.departures(request.Departures)
-	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || otherRouters || otherAbsent || otherEvacuated || otherQuarantine || otherMetered
+	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || otherRouters || otherAbsent || otherEvacuated || otherQuarantine || otherMetered || otherRollouts
 	return reply, news, n.changed, nil
 }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -27,6 +27,8 @@
 	Formed bool `json:"formed,omitempty"`
 	// Evacuations are orders of operators, in the order in which they hold.
 	Evacuations []evacuationOrder `json:"evacuations,omitempty"`
+	// Rollouts are orders of operators, and steps of the leader.
+	Rollouts []rolloutCommand `json:"rollouts,omitempty"`
 	// Quarantine are orders about requests that end servers.
 	Quarantine []quarantine.Order `json:"quarantine,omitempty"`
 }
@@ -39,6 +41,8 @@
 	Installed bool
 	// Quarantine is what orders about requests that end servers gave.
 	Quarantine QuarantineReply
+	// UnderWay is the version to which another roll-out of the service is under way.
+	UnderWay string
 }
 
 // replicated is the state that the log drives.
@@ -51,6 +55,10 @@
 	// EvacuationRevision rises whenever they change.
 	Evacuated          []Evacuation `json:"evacuated,omitempty"`
 	EvacuationRevision uint64       `json:"evacuation_revision,omitempty"`
+	// Rollouts are the latest ones, ordered by service; RolloutRevision rises whenever they
+	// change.
+	Rollouts        []Rollout `json:"rollouts,omitempty"`
+	RolloutRevision uint64    `json:"rollout_revision,omitempty"`
 	// Quarantine holds the requests that end servers.
 	Quarantine quarantine.Book `json:"quarantine"`
 }
@@ -88,6 +96,9 @@
 	for _, order := range decoded.Evacuations {
 		m.evacuate(order)
 	}
+	for _, told := range decoded.Rollouts {
+		result.UnderWay = m.applyRollout(told)
+	}
 	if len(decoded.Quarantine) > 0 {
 		result.Quarantine = m.applyQuarantine(decoded.Quarantine)
 	}
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -53,7 +53,9 @@
 	metered       Metered
 	meteredDigest uint64
 	quota         quotaKeeper
-	confirmed     atomic.Pointer[freshness]
+	// reports are what routers observed of roll-outs.
+	reports   reportBook
+	confirmed atomic.Pointer[freshness]
 	// lacking says that another node told of a server that this one does not know.
 	lacking bool
 }
@@ -75,6 +77,7 @@
 		candidates:  make(map[string]candidate),
 		refused:     make(map[uint64]bool),
 		silentSince: make(map[uint64]time.Time),
+		reports:     make(reportBook),
 		quota:       quotaKeeper{wake: make(chan struct{}, 1)},
 	}
 	node.SetSeeds(config.Seeds)
@@ -98,7 +101,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota,
+		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runRollouts,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -33,6 +33,8 @@
 	CheckDocument func(text []byte) (version uint64, err error)
 	// ReadLimits reads the limits of tenants from a checked document.
 	ReadLimits func(text []byte) (map[string]quota.Limit, error)
+	// CanaryShare of a service's requests may go to a bad version in a roll-out.
+	CanaryShare float64
 	// QuotaTolerance is by how much tenants may exceed their limits.
 	QuotaTolerance quota.Tolerance
 }
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -37,6 +37,14 @@
 	pathMetered       = "/peer/metered"
 	pathTenantsLeader = "/peer/tenants"
 	pathTenants       = "/operator/tenants"
+	// pathRolloutStart, pathRolloutRead and pathRolloutReport carry orders, reads and what
+	// routers observed to the leader; pathRolloutList is for operators.
+	pathRolloutStart  = "/peer/rollout/start"
+	pathRolloutRead   = "/peer/rollout/read"
+	pathRolloutReport = "/peer/rollout/report"
+	pathRolloutList   = "/operator/rollouts"
+	// PathRollouts is where routers tell what they observed of roll-outs.
+	PathRollouts = "/router/rollouts"
 	// PathQuota is where routers report what tenants spend and ask for tokens.
 	PathQuota = "/router/quota"
 	// PathFollow is what routers call for news.
@@ -163,6 +171,8 @@
 	Quarantine uint64 `json:"quarantine,omitempty"`
 	// Metered is the digest of the tenants that the router knows to be metered.
 	Metered uint64 `json:"metered,omitempty"`
+	// Rollouts is the highest revision of the roll-outs that the router holds.
+	Rollouts uint64 `json:"rollouts,omitempty"`
 	// Wait is how long the node may hold the call while there is no news.
 	Wait time.Duration `json:"wait"`
 }
@@ -211,6 +221,10 @@
 	// had been acknowledged; below 0 for before it. The version is at least that one. Nil is
 	// of a node that does not tell.
 	Fresh *time.Duration `json:"fresh,omitempty"`
+	// RolloutRevision is that of the roll-outs; Rollouts are all of them, by service, if the
+	// router holds a lower one.
+	RolloutRevision uint64                 `json:"rollout_revision,omitempty"`
+	Rollouts        map[string]RolloutTold `json:"rollouts,omitempty"`
 	// Metered are the tenants whose requests each need a token, if MeteredDigest is another
 	// one than the router's.
 	Metered       []string `json:"metered,omitempty"`
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -61,6 +61,11 @@
 	}))
 	mux.Handle(pathTenantsLeader, handle(n.tenantsHere))
 	mux.Handle(pathTenants, handle(func(ctx context.Context, _ struct{}) (TenantList, error) { return n.Tenants(ctx) }))
+	mux.Handle(pathRolloutStart, handle(n.startHere))
+	mux.Handle(pathRolloutRead, handle(n.rolloutsConfirmed))
+	mux.Handle(pathRolloutReport, handle(n.reportHere))
+	mux.Handle(PathRollouts, handle(n.ReportRollouts))
+	mux.Handle(pathRolloutList, handle(func(ctx context.Context, _ struct{}) (RolloutList, error) { return n.rolloutsAtLeader(ctx) }))
 	mux.Handle(pathRead, handle(func(ctx context.Context, _ struct{}) (readReply, error) { return n.readHere(ctx) }))
 	mux.Handle(PathDoubt, handle(func(_ context.Context, told Doubt) (struct{}, error) {
 		n.doubtRouters(told)
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -20,6 +20,7 @@
 	Losses        int      `long:"losses" koanf:"losses" default:"1" validate:"min=0,max=4" description:"Nodes that may be lost at once; the group has two voters for each and one more"`
 
 	HeartbeatInterval time.Duration `long:"heartbeat-interval" koanf:"heartbeat-interval" default:"1s" validate:"min=10ms" description:"How often servers announce themselves"`
+	CanaryShare       float64       `long:"canary-share" koanf:"canary-share" default:"0.1" validate:"gt=0,max=1" description:"Share of a service's requests that a bad version may get in a roll-out"`
 	QuotaOver         float64       `long:"quota-over" koanf:"quota-over" default:"0.05" validate:"min=0" description:"Share by which the requests of a tenant may exceed its limit in any window"`
 	QuotaSlack        float64       `long:"quota-slack" koanf:"quota-slack" default:"10" validate:"min=0" description:"Requests of a tenant in any window allowed beyond that"`
 	QuotaWindow       time.Duration `long:"quota-window" koanf:"quota-window" default:"5s" validate:"min=100ms" description:"Length of those windows"`
@@ -44,6 +45,7 @@
 		Name: o.Name, PeerAddress: o.PeerListen, Seeds: o.SeedAddresses(), Bootstrap: o.Bootstrap,
 		Folder: o.DataFolder, Losses: o.Losses, HeartbeatInterval: o.HeartbeatInterval,
 		CheckDocument: documents.Check, ReadLimits: documents.Limits,
+		CanaryShare:    o.CanaryShare,
 		QuotaTolerance: quota.Tolerance{Over: o.QuotaOver, Slack: o.QuotaSlack, Window: o.QuotaWindow},
 	}
 }
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/rollout"
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
@@ -153,6 +154,7 @@
 func (n *Node) runDepartures(ctx context.Context) {
 	position := 0
 	var evacuations, quarantined uint64
+	phases := make(map[uint64]rollout.Phase)
 	for {
 		applied, replaced := n.member.state(), n.member.wasReplaced()
 		version, _, changed := applied.document()
@@ -161,6 +163,7 @@
 		n.metrics.version.Set(float64(version))
 		evacuations = n.tellEvacuations(applied, evacuations)
 		quarantined = n.countQuarantine(applied, quarantined)
+		n.retireOld(applied, phases)
 		n.mutex.Lock()
 		for _, id := range ids {
 			n.registry.Leave(id)
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -175,6 +175,7 @@
 func (f *follower) takeIn(reply directory.FollowReply) {
 	f.takeQuarantine(reply)
 	f.takeMetered(reply)
+	f.takeRollouts(reply)
 	f.takeServers(reply)
 	f.takeDocument(reply)
 	if len(reply.Nodes) > 0 {
@@ -252,7 +253,7 @@
 
 func toServer(now time.Time, instance registry.Instance) scatter.Server {
 	return scatter.Server{
-		ID: instance.ID, Service: instance.Service, Address: instance.Address, Zone: instance.Zone, Slots: instance.Slots,
+		ID: instance.ID, Service: instance.Service, Address: instance.Address, Zone: instance.Zone, Version: instance.Version, Slots: instance.Slots,
 		Leaving: instance.State == registry.Leaving, Missing: instance.State == registry.Missing,
 		WarmAt: now.Add(instance.WarmLeft),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,7 @@
 	// as no node told.
 	confirmed atomic.Pointer[confirmation]
 	quotas    *quotaWatch
+	rollouts  *rolloutWatch
 	stopping  atomic.Bool
 	// closing says that connections end with their next answer.
 	closing atomic.Bool
@@ -82,12 +83,13 @@
 	if _, err := rand.Read(gateway.keySeed[:]); err != nil {
 		panic(errors.Wrap(err, "the system has no randomness")) // crypto/rand never returns one.
 	}
+	gateway.rollouts = newRolloutWatch()
 	gateway.quotas = newQuotaWatch(gateway.seed ^ uint64(gateway.started.UnixNano()))
 	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
 	gateway.reach = newReach(gateway)
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget, Cold: config.Cold})
-	gateway.loop = newLoop(engine, gateway.pool, loopPorts{claim: gateway.slices.claim, observe: gateway.observe}, gateway.logger)
+	gateway.loop = newLoop(engine, gateway.pool, loopPorts{claim: gateway.slices.claim, observe: gateway.observe, rollout: gateway.observeRollout}, gateway.logger)
 	gateway.quarantine = newQuarantineWatch(gateway.logger, gateway.metrics)
 	gateway.follower = newFollower(gateway)
 	return gateway
@@ -146,6 +148,7 @@
 	running.Go(func() { g.follower.tellDoubts(duties) })
 	running.Go(func() { g.follower.tellQuarantine(duties) })
 	running.Go(func() { g.follower.tellQuota(duties) })
+	running.Go(func() { g.follower.tellRollouts(duties) })
 	running.Go(func() { g.reach.run(duties) })
 	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: headerTime, MaxHeaderBytes: maxHeaderBytes,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -83,6 +83,8 @@
 	// requests each need a token.
 	ledger  *quota.Ledger
 	metered []string
+	// observed is what the router told last of roll-outs.
+	observed directory.RolloutReport
 }
 
 func (d *directoryStub) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
@@ -90,6 +92,13 @@
 		d.serveOrders(writer, request)
 		return
 	}
+	if request.URL.Path == directory.PathRollouts {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		d.observed = directory.RolloutReport{}
+		_ = json.NewDecoder(request.Body).Decode(&d.observed)
+		return
+	}
 	if request.URL.Path == directory.PathQuota {
 		d.serveQuota(writer, request)
 		return
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -30,6 +30,10 @@
 	claim    func(claimTarget, []int) error
 	// observe takes in what an attempt that ended shows of its request.
 	observe func(sentAttempt)
+	// observeRollout takes in how attempts at services with a roll-out ended; counting asks
+	// for those that are out.
+	observeRollout func(scatter.Observed)
+	counting       chan besideCount
 	// withdrawn are requests that are quarantined from now on.
 	withdrawn chan []quarantine.Fingerprint
 }
@@ -66,11 +70,13 @@
 type loopPorts struct {
 	claim   func(claimTarget, []int) error
 	observe func(sentAttempt)
+	rollout func(scatter.Observed)
 }
 
 func newLoop(engine *scatter.Engine, pool *exchange.Pool, ports loopPorts, logger logrus.FieldLogger) *loop {
 	return &loop{
-		engine: engine, pool: pool, claim: ports.claim, observe: ports.observe, logger: logger,
+		engine: engine, pool: pool, claim: ports.claim, observe: ports.observe, observeRollout: ports.rollout, logger: logger,
+		counting:  make(chan besideCount),
 		withdrawn: make(chan []quarantine.Fingerprint, withdrawnBacklog),
 		events:    make(chan scatter.Event, eventBacklog), requests: make(chan submitted, maxInFlight),
 		waiting:  make(map[scatter.RequestID]submitted),
@@ -94,6 +100,8 @@
 			l.admit(arriving)
 		case quarantined := <-l.withdrawn:
 			l.withdraw(quarantined)
+		case asked := <-l.counting:
+			l.count(asked)
 		case <-l.timer.C:
 			l.step(scatter.TimerFired{})
 		case <-prune.C:
@@ -161,6 +169,8 @@
 		}
 	case scatter.Wake:
 		l.timer.Reset(steadyclock.Until(command.At))
+	case scatter.Observed:
+		l.observeRollout(command)
 	case scatter.Noted:
 		l.noted = append(l.noted, command)
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -35,6 +35,8 @@
 	// Address is IP and port. It may be given to another server later.
 	Address string `json:"address"`
 	Zone    string `json:"zone,omitempty"`
+	// Version is that of the server's software.
+	Version string `json:"version,omitempty"`
 	Slots   int    `json:"slots"`
 	State   State  `json:"state"`
 	// Sequence rises with each heartbeat, so that a late one can be told.
@@ -214,6 +216,19 @@
 	return true
 }
 
+// LeaveOthers marks all instances of a service as leaving that are of another version than
+// one: a roll-out has replaced them. It reports how many it marked.
+func (t *Table) LeaveOthers(service, version string) (marked int) {
+	for _, known := range t.entries {
+		if known.instance.Service == service && known.instance.Version != version && known.instance.State != Leaving {
+			known.instance.State = Leaving
+			t.touch(known)
+			marked++
+		}
+	}
+	return marked
+}
+
 // Expire marks instances that were not heard of as missing and forgets those
 // that were missing for long. It reports whether anything changed.
 func (t *Table) Expire(now time.Time) bool {
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,230 @@
+package rollout_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/rollout"
+)
+
+// software is how a version answers at a time and share of the load.
+type software func(random *rand.Rand, at time.Duration, load float64, route string) (bad bool, took time.Duration)
+
+func good(random *rand.Rand, _ time.Duration, _ float64, _ string) (bool, time.Duration) {
+	return random.Float64() < 0.005, pace(random)
+}
+
+func pace(random *rand.Rand) time.Duration {
+	return time.Duration(15 * float64(time.Millisecond) * (0.7 + random.ExpFloat64()*0.4))
+}
+
+func failing(part float64) software {
+	return func(random *rand.Rand, at time.Duration, load float64, route string) (bool, time.Duration) {
+		bad, took := good(random, at, load, route)
+		return bad || random.Float64() < part, took
+	}
+}
+
+func slow(times float64) software {
+	return func(random *rand.Rand, at time.Duration, load float64, route string) (bool, time.Duration) {
+		bad, took := good(random, at, load, route)
+		return bad, time.Duration(times * float64(took))
+	}
+}
+
+// when is a version that is bad only in some state of things.
+func when(state func(at time.Duration, load float64, route string) bool, bad software) software {
+	return func(random *rand.Rand, at time.Duration, load float64, route string) (bool, time.Duration) {
+		if state(at, load, route) {
+			return bad(random, at, load, route)
+		}
+		return good(random, at, load, route)
+	}
+}
+
+// played is how a roll-out ended.
+type played struct {
+	phase rollout.Phase
+	at    time.Duration
+	// exposed of all requests went to the new version.
+	exposed, all int
+	// late were sent to it long after its fiftieth bad answer.
+	late int
+	why  string
+}
+
+// Parameters of a played roll-out.
+const (
+	duration = 12 * time.Second
+	tick     = 50 * time.Millisecond
+	// delay is that of evidence and of the news of a step together.
+	delay       = 400 * time.Millisecond
+	rollbackMS  = 5 * time.Second
+	canaryShare = 0.1
+	canarySlack = 50
+)
+
+// play carries a roll-out out under a load of requests a second over three routes.
+func play(seed uint64, rate float64, old, fresh software) played {
+	random := rand.New(rand.NewPCG(seed, 2))
+	evidence := rollout.Evidence{}
+	phase, told := rollout.Canary, rollout.Canary
+	var began, changed, fiftieth time.Duration
+	var result played
+	var waiting []func()
+	bad := 0
+	for at := time.Duration(0); at < duration; at += tick {
+		if at-changed >= delay/2 {
+			told = phase
+		}
+		rule := rollout.RuleOf("new", told, rollout.Limits{CanaryShare: canaryShare})
+		batch := []func(){}
+		for range int(rate*tick.Seconds() + random.Float64()) {
+			result.all++
+			route := fmt.Sprint("route-", random.IntN(3))
+			isNew := rule.SideOf(random.Float64(), true, true) == rollout.New
+			answer := old
+			if isNew {
+				answer = fresh
+				result.exposed++
+				if fiftieth > 0 && at > fiftieth+rollbackMS {
+					result.late++
+				}
+			}
+			failed, took := answer(random, at, rule.Share, route)
+			if isNew && failed {
+				if bad++; bad == 50 {
+					fiftieth = at
+				}
+			}
+			batch = append(batch, func() { evidence.Observe(route, isNew, failed, took) })
+		}
+		waiting = append(waiting, func() {
+			for _, one := range batch {
+				one()
+			}
+		})
+		if steps := int(delay / 2 / tick); len(waiting) > steps {
+			waiting[0]()
+			waiting = waiting[1:]
+		}
+		if !phase.Running() {
+			continue
+		}
+		next := rollout.Decide(rollout.Situation{
+			Phase: phase, Elapsed: at, Inside: at - began, Duration: duration, Evidence: evidence, Quiet: told == rollout.Shifted && at-changed > delay,
+		})
+		if next.Phase != "" {
+			phase, began, changed = next.Phase, at, at
+			result.phase, result.at, result.why = next.Phase, at, next.Why
+		}
+	}
+	return result
+}
+
+// TestBadVersionsAreRolledBackWithinTheirBounds plays each kind of bad version under several
+// loads: it is rolled back before the deadline and gets no more than it may.
+func TestBadVersionsAreRolledBackWithinTheirBounds(t *testing.T) {
+	later := func(at time.Duration, _ float64, _ string) bool { return at > 5*time.Second }
+	onOneRoute := func(_ time.Duration, _ float64, route string) bool { return route == "route-1" }
+	underLoad := func(_ time.Duration, load float64, _ string) bool { return load == 0 || load > 0.2 }
+	for name, bad := range map[string]software{
+		"fails at once":        failing(0.4),
+		"fails later":          when(later, failing(0.4)),
+		"fails on one route":   when(onOneRoute, failing(0.6)),
+		"fails under load":     when(underLoad, failing(0.5)),
+		"slow at once":         slow(4),
+		"slow later":           when(later, slow(4)),
+		"slow on one route":    when(onOneRoute, slow(5)),
+		"slow under load":      when(underLoad, slow(5)),
+		"fails while old does": failing(0.6),
+	} {
+		old := software(good)
+		if name == "fails while old does" {
+			old = failing(0.1)
+		}
+		for _, rate := range []float64{40, 120, 400} {
+			for seed := range uint64(20) {
+				result := play(seed, rate, old, bad)
+				require.Equal(t, rollout.RolledBack, result.phase, "%s at %v a second, seed %d", name, rate, seed)
+				require.LessOrEqual(t, float64(result.exposed), canaryShare*float64(result.all)+canarySlack, "%s at %v a second, seed %d", name, rate, seed)
+				require.Zero(t, result.late, "%s at %v a second, seed %d", name, rate, seed)
+			}
+		}
+	}
+}
+
+// TestGoodVersionsAreDoneBesideOtherTroubles has the old and the new version suffer alike.
+func TestGoodVersionsAreDoneBesideOtherTroubles(t *testing.T) {
+	some := func(at time.Duration, _ float64, _ string) bool { return at > 3*time.Second && at < 8*time.Second }
+	ended, convicted := 0, 0
+	for name, both := range map[string]software{
+		"calm": good, "failures": failing(0.15), "slow for a while": when(some, slow(5)), "failures for a while": when(some, failing(0.3)),
+	} {
+		for _, rate := range []float64{40, 400} {
+			for seed := range uint64(100) {
+				result := play(seed, rate, both, both)
+				ended++
+				if result.phase != rollout.Done {
+					convicted++
+					t.Logf("%s at %v a second, seed %d: %s, %s", name, rate, seed, result.phase, result.why)
+				}
+				require.Less(t, result.at, duration, name)
+			}
+		}
+	}
+	require.LessOrEqual(t, convicted, ended/200, "of %d", ended)
+}
+
+func TestTooFewAnswersAreNotTrusted(t *testing.T) {
+	situation := rollout.Situation{Phase: rollout.Canary, Elapsed: 11700 * time.Millisecond, Duration: duration, Evidence: rollout.Evidence{}}
+	require.Equal(t, rollout.RolledBack, rollout.Decide(situation).Phase)
+	situation.Elapsed = 10 * time.Second
+	require.Empty(t, rollout.Decide(situation).Phase, "there is time left")
+}
+
+func TestSidesFollowThePhase(t *testing.T) {
+	rule := func(phase rollout.Phase, share float64) rollout.Rule {
+		return rollout.Rule{Target: "v2", Phase: phase, Share: share}
+	}
+	for _, one := range []struct {
+		rule         rollout.Rule
+		draw         float64
+		first, known bool
+		want         rollout.Side
+	}{
+		{rollout.Rule{}, 0, true, true, rollout.Either},
+		{rule(rollout.Canary, 0.1), 0.05, true, true, rollout.New},
+		{rule(rollout.Canary, 0.1), 0.05, false, true, rollout.Old},
+		{rule(rollout.Canary, 0.1), 0.05, true, false, rollout.Old},
+		{rule(rollout.Canary, 0.1), 0.15, true, true, rollout.Old},
+		{rule(rollout.Shifted, 0), 0.99, false, true, rollout.New},
+		{rule(rollout.Shifted, 0), 0.99, true, false, rollout.Old},
+		{rule(rollout.RolledBack, 0), 0, true, true, rollout.Old},
+		{rule(rollout.Done, 0), 0, true, true, rollout.Either},
+	} {
+		require.Equal(t, one.want, one.rule.SideOf(one.draw, one.first, one.known), "%+v", one)
+	}
+	held := rule(rollout.Canary, 0.1)
+	require.True(t, held.Allows(rollout.New, "v2"))
+	require.False(t, held.Allows(rollout.New, "v1"))
+	require.False(t, held.Allows(rollout.Old, "v2"))
+	require.True(t, held.Allows(rollout.Old, "v1"))
+	require.True(t, held.Allows(rollout.Either, "v2"))
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	evidence := rollout.Evidence{}
+	for number := range 1000 {
+		evidence.Observe(fmt.Sprint(number), false, false, time.Millisecond)
+	}
+	require.LessOrEqual(t, len(evidence), 65)
+	sum := rollout.Evidence{}
+	sum.Add(evidence)
+	sum.Add(rollout.Evidence{"x": nil})
+	require.EqualValues(t, 1000, sum.Whole().Old.Answers)
+}
--- a/internal/scatter/choice.go
+++ b/internal/scatter/choice.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/evacuation"
+	"github.com/martenstage/martenstage/internal/rollout"
 )
 
 // choose returns the server with the least expected delay among those that were not
@@ -19,7 +20,7 @@
 func (g *group) choose(now time.Time, tried []*server, view choiceView) (*server, availability) {
 	found := choice{nearCost: math.Inf(1)}
 	for _, candidate := range g.servers {
-		if !candidate.usable() || slices.Contains(tried, candidate) || view.evacuated.Empty(now, candidate.Zone, candidate.Service) {
+		if !candidate.usable() || slices.Contains(tried, candidate) || view.evacuated.Empty(now, candidate.Zone, candidate.Service) || !view.rule.Allows(view.side, candidate.Version) {
 			continue
 		}
 		if candidate.withheldCold(now, view.cold) {
@@ -99,6 +100,9 @@
 	evacuated evacuation.View
 	// cold is this router's part of what cold servers bear.
 	cold coldShare
+	// rule and side say which versions a roll-out allows.
+	rule rollout.Rule
+	side rollout.Side
 	// ahead is what an attempt takes that is before it at a server.
 	ahead time.Duration
 }
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -6,6 +6,7 @@
 
 	"github.com/martenstage/martenstage/internal/evacuation"
 	"github.com/martenstage/martenstage/internal/latency"
+	"github.com/martenstage/martenstage/internal/rollout"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
@@ -37,7 +38,9 @@
 	woken    time.Time
 	// evacuated says which servers get nothing by an operator's order.
 	evacuated evacuation.View
-	commands  []Command
+	// rollouts say which servers calls of a service may go to.
+	rollouts map[string]rollout.Rule
+	commands []Command
 }
 
 // New returns an engine that knows no servers.
@@ -93,6 +96,9 @@
 	case ZonesEvacuated:
 		e.evacuated = event.View
 		e.serveWaiting()
+	case RolloutsChanged:
+		e.rollouts = event.Rules
+		e.serveWaiting()
 	case TimerFired:
 	}
 }
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -117,6 +117,8 @@
 	Service string
 	Address string
 	Zone    string
+	// Version is that of the server's software; empty where it does not say.
+	Version string
 	Slots   int
 	// Leaving servers get no new work.
 	Leaving bool
--- a/internal/scatter/hedging.go
+++ b/internal/scatter/hedging.go
@@ -96,7 +96,7 @@
 	if len(called.live) > 1 || len(called.tried)-called.unsent >= called.maxAttempts() {
 		return
 	}
-	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
+	chosen, found := e.choose(called)
 	possible := found == available && chosen.condition(e.now) < doubted && !called.request.holds()
 	if possible && !e.mayRepeat(called) {
 		called.claimDue = true
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -49,6 +49,8 @@
 	// held says that it gets no attempt until a server has answered its request.
 	held  bool
 	claim claim
+	// draw, from 0 to 1, decides whether the call is one of a roll-out's share.
+	draw float64
 	// claimDue says that the attempt that was claimed is to be sent as soon as it is
 	// granted.
 	claimDue bool
@@ -108,7 +110,7 @@
 		e.timers.add(timer{at: event.Due, kind: timerDue, request: event.ID})
 	}
 	for position, service := range event.Services {
-		called := &call{request: arrived, position: position, group: e.group(service), earlier: event.Earlier}
+		called := &call{request: arrived, position: position, group: e.group(service), earlier: event.Earlier, draw: undrawn}
 		arrived.calls = append(arrived.calls, called)
 	}
 	for _, called := range arrived.calls {
@@ -130,7 +132,7 @@
 // dispatch sends an attempt of a call, lets it wait for room, or settles it when
 // there is no server.
 func (e *Engine) dispatch(called *call, extra bool) {
-	chosen, found := called.group.choose(e.now, called.tried, e.view(called))
+	chosen, found := e.choose(called)
 	switch {
 	case found == available:
 		e.send(called, chosen, extra)
@@ -205,6 +207,7 @@
 	delete(e.attempts, event.Attempt)
 	delete(ended.server.inFlight, event.Attempt)
 	e.learn(ended, event.Outcome)
+	e.observeRollout(ended, event.Outcome)
 	called := ended.call
 	called.live = slices.DeleteFunc(called.live, func(a *attempt) bool { return a == ended })
 	called.request.observe(event.Outcome)
@@ -272,7 +275,7 @@
 		e.dispatch(called, false)
 		return
 	}
-	_, found := called.group.choose(e.now, called.tried, e.view(called))
+	_, found := e.choose(called)
 	switch {
 	case found == available && !e.mayRepeat(called):
 		if called.claim == refused && len(called.live) == 0 {
