Sum the routers up once for all that ask; let news cost what changed

Cause: each call of each router summed up, sorted and digested all routers, and looked at every known server, whenever any router or server changed: R x R and R x S for each change. Change: a sum is made at most every 25 ms and shared; changes of servers and routers wake those that wait once in 25 ms; the table keeps its entries in the order of their changes, so that news looks at what changed. Documents, evacuations, roll-outs and metered tenants wake at once as before.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -67,21 +67,21 @@
 	defer n.mutex.Unlock()
 	now := steadyclock.Now()
 	if n.routers.report(now, sharedRouter{Router: request.Router, Calls: request.Calls}, true) {
-		n.announce()
+		n.routersChanged()
 	}
+	routers := n.summary.current(now, n.routers)
 	reply = FollowReply{
 		Source: n.source, Revision: n.registry.Revision(), Settled: n.settled, Version: version, Document: document,
-		RouterCount: len(n.routers.within(now, routerLifetime)), Calls: n.demand.follow(now, n.routers.calls(now)),
+		RouterCount: routers.count, Calls: n.demand.follow(now, routers.calls),
 		Nodes: lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
 	}
-	list := n.routers.listed(now)
-	reply.RoutersDigest, reply.AbsentDigest = list.routersDigest, list.absentDigest
-	otherRouters, otherAbsent := list.routersDigest != request.Routers, list.absentDigest != request.Absent
+	reply.RoutersDigest, reply.AbsentDigest = routers.routersDigest, routers.absentDigest
+	otherRouters, otherAbsent := routers.routersDigest != request.Routers, routers.absentDigest != request.Absent
 	if otherRouters {
-		reply.Routers = list.routers
+		reply.Routers = routers.routers
 	}
 	if otherAbsent {
-		reply.Absent = list.absent
+		reply.Absent = routers.absent
 	}
 	evacuated, revision := applied.evacuations()
 	otherEvacuated := revision > request.Evacuations
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -36,7 +36,10 @@
 	fresh   map[string]bool
 	beats   map[string]uint64
 	routers routerTable
-	demand  demand
+	summary summaryKeeper
+	// announcing says that routers are woken soon.
+	announcing bool
+	demand     demand
 	// doubts are what routers told this node since the last share.
 	doubts     []Doubt
 	candidates map[string]candidate
@@ -193,3 +196,27 @@
 		n.logger.Info("voter_opened_again")
 	})
 }
+
+// announceGathering is for how long changes of servers and routers are put together until
+// routers are woken: each wakes all that wait here, and a start of all is thousands of them.
+const announceGathering = summaryLeast
+
+// announceSoon wakes the routers that wait here, after a moment. The caller holds the mutex.
+func (n *Node) announceSoon() {
+	if n.announcing {
+		return
+	}
+	n.announcing = true
+	time.AfterFunc(announceGathering, func() {
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		n.announcing = false
+		n.announce()
+	})
+}
+
+// routersChanged takes in that the routers are others. The caller holds the mutex.
+func (n *Node) routersChanged() {
+	n.summary.change()
+	n.announceSoon()
+}
--- a/internal/directory/quota_test.go
+++ b/internal/directory/quota_test.go
@@ -23,13 +23,15 @@
 // TestNodesTellHowFreshTheirDocumentIs cuts a group down to less than its quorum: what is left
 // does not claim to be any fresher than it was.
 func TestNodesTellHowFreshTheirDocumentIs(t *testing.T) {
-	c := newCluster(t, 3)
+	c := newCluster(t, 5)
 	c.startAll(true)
 	c.put(document(1, "first"))
 	c.everywhere("not fresh", freshWithin(time.Second))
-	c.everywhere("not three voters", c.hasVoters(0, 1, 2))
+	c.everywhere("not five voters", c.hasVoters(0, 1, 2, 3, 4))
 	c.stop(1)
 	c.stop(2)
+	c.stop(3)
+	c.stop(4)
 	lost := time.Now()
 	for range 20 {
 		asked := time.Now()
@@ -41,13 +43,13 @@
 	}
 }
 
-// stopGrace is within which a round that had begun before two nodes were stopped may end.
+// stopGrace is within which a round that had begun before the nodes were stopped may end.
 const stopGrace = 450 * time.Millisecond
 
 // TestAWaitingRouterIsToldHowFreshAnUnchangedDocumentIs holds a call until it ends without
 // news: the word is of the end.
 func TestAWaitingRouterIsToldHowFreshAnUnchangedDocumentIs(t *testing.T) {
-	c := newCluster(t, 1)
+	c := newCluster(t, 5)
 	c.startAll(true)
 	c.put(document(1, "first"))
 	c.everywhere("not fresh", freshWithin(time.Second))
@@ -69,7 +71,7 @@
 // TestTokensAreGrantedOverAllNodes has routers at different nodes spend one limit, until the
 // tenant is metered everywhere.
 func TestTokensAreGrantedOverAllNodes(t *testing.T) {
-	c := newCluster(t, 3)
+	c := newCluster(t, 5)
 	c.startAll(true)
 	c.put(document(1, "limit one 1 10"))
 	began, sequence, granted := time.Now(), uint64(0), 0
--- a/internal/directory/rollouts_test.go
+++ b/internal/directory/rollouts_test.go
@@ -99,7 +99,7 @@
 }
 
 func TestABadVersionIsRolledBackByEvidence(t *testing.T) {
-	c := newCluster(t, 1)
+	c := newCluster(t, 5)
 	c.startAll(true)
 	c.put(document(1, "first"))
 	c.startRollout("s", "v2", time.Hour)
@@ -116,7 +116,7 @@
 }
 
 func TestAGoodVersionIsDoneAndReplacesTheOldServers(t *testing.T) {
-	c := newCluster(t, 1)
+	c := newCluster(t, 5)
 	c.startAll(true)
 	c.put(document(1, "first"))
 	sequence := uint64(0)
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -22,7 +22,7 @@
 	defer n.mutex.Unlock()
 	if n.registry.Report(steadyclock.Now(), instance) {
 		n.fresh[instance.ID] = true
-		n.announce()
+		n.announceSoon()
 		n.logger.WithField("instance", instance.ID).WithField("service", instance.Service).
 			WithField("address", instance.Address).WithField("state", instance.State).Info("instance_changed")
 		return
@@ -78,8 +78,8 @@
 	if len(wanted) == 0 {
 		return message
 	}
-	for _, instance := range n.registry.Since(now, 0) {
-		if wanted[instance.ID] && instance.State != registry.Missing {
+	for _, id := range slices.Sorted(maps.Keys(wanted)) {
+		if instance, known := n.registry.Get(now, id); known && instance.State != registry.Missing {
 			message.Instances = append(message.Instances, instance)
 		}
 	}
@@ -103,14 +103,18 @@
 		changed = n.registry.Refresh(now, repeated.ID, repeated.Sequence) || changed
 		n.lacking = n.lacking || !n.registry.Knows(repeated.ID)
 	}
+	others := false
 	for _, router := range message.Routers {
-		changed = n.routers.report(now, router, false) || changed
+		others = n.routers.report(now, router, false) || others
 	}
 	for _, told := range message.Doubts {
-		changed = n.routers.doubt(now, told) || changed
+		others = n.routers.doubt(now, told) || others
+	}
+	if others {
+		n.routersChanged()
 	}
 	if changed {
-		n.announce()
+		n.announceSoon()
 	}
 }
 
@@ -123,7 +127,7 @@
 		n.doubts = append(n.doubts, told)
 	}
 	if n.routers.doubt(steadyclock.Now(), told) {
-		n.announce()
+		n.routersChanged()
 		n.logger.WithField("by", told.By).WithField("routers", strings.Join(told.Routers, " ")).Info("routers_doubted")
 	}
 }
@@ -142,7 +146,7 @@
 	now := steadyclock.Now()
 	n.routers.expire(now)
 	if n.registry.Expire(now) {
-		n.announce()
+		n.announceSoon()
 	}
 	for _, state := range []registry.State{registry.Ready, registry.Leaving, registry.Missing} {
 		n.metrics.instances.WithLabelValues(string(state)).Set(float64(n.registry.Count(state)))
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"slices"
 	"time"
 )
@@ -55,6 +56,8 @@
 	warm     time.Time
 	// revision at which the entry last changed in a way that routers must know.
 	revision uint64
+	// place is that in the table's order of changes.
+	place *list.Element
 }
 
 // Table is the set of known instances.
@@ -65,8 +68,12 @@
 	byAddress    map[string]string
 	// rivals are, by address, instances that go on sending heartbeats although another
 	// one announced itself there since.
-	rivals   map[string]rival
+	rivals map[string]rival
+	// changes are the entries, the one that changed last first.
+	changes  *list.List
 	revision uint64
+	// visited counts the entries that Since looked at, for tests.
+	visited int
 }
 
 // rival is an instance with the heartbeats that it sent since the owner of its address
@@ -82,6 +89,7 @@
 	return &Table{
 		missingAfter: missingAfter, forgetAfter: forgetAfter,
 		entries: make(map[string]*entry), byAddress: make(map[string]string), rivals: make(map[string]rival),
+		changes: list.New(),
 	}
 }
 
@@ -238,6 +246,7 @@
 		switch {
 		case silent > t.forgetAfter:
 			delete(t.entries, id)
+			t.changes.Remove(known.place)
 			if t.byAddress[known.instance.Address] == id {
 				delete(t.byAddress, known.instance.Address)
 				delete(t.rivals, known.instance.Address)
@@ -254,15 +263,27 @@
 // gives all.
 func (t *Table) Since(now time.Time, revision uint64) []Instance {
 	var changed []Instance
-	for _, known := range t.entries {
-		if known.revision > revision {
-			changed = append(changed, known.at(now))
+	for place := t.changes.Front(); place != nil; place = place.Next() {
+		t.visited++
+		known := place.Value.(*entry)
+		if known.revision <= revision {
+			break
 		}
+		changed = append(changed, known.at(now))
 	}
 	slices.SortFunc(changed, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return changed
 }
 
+// Get returns an instance.
+func (t *Table) Get(now time.Time, id string) (Instance, bool) {
+	known, exists := t.entries[id]
+	if !exists {
+		return Instance{}, false
+	}
+	return known.at(now), true
+}
+
 // Count returns how many instances are in a state.
 func (t *Table) Count(state State) int {
 	count := 0
@@ -284,4 +305,9 @@
 func (t *Table) touch(changed *entry) {
 	t.revision++
 	changed.revision = t.revision
+	if changed.place == nil {
+		changed.place = t.changes.PushFront(changed)
+		return
+	}
+	t.changes.MoveToFront(changed.place)
 }
