--- a/cmd/martenstage/examples.go
+++ b/cmd/martenstage/examples.go
@@ -31,6 +31,7 @@
 	"drain":       {"martenstage drain 10.0.1.7:7000"},
 	"undrain":     {"martenstage undrain 10.0.1.7:7000"},
 	"explain":     {"martenstage explain 9c41d07be2a35f68 gateway-1.log gateway-2.log directory-1.log"},
+	"rollouts":    {"martenstage rollouts 10.0.0.1:7201"},
 	"tenants":     {"martenstage tenants 10.0.0.1:7201", "martenstage tenants --most 10 10.0.0.1:7201"},
 	"evacuations": {"martenstage evacuations 10.0.0.1:7201"},
 	"quarantine": {
--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -53,6 +53,11 @@
 			Long: "Asks a directory node under which requests servers ended, which of them are sent to no server, and the evidence; with --lift it takes that back for one. See docs/operate/requests-that-end-servers.md.",
 			Data: &quarantineCommand{},
 		},
+		{
+			Name: "rollouts", Short: "List the roll-outs of a registered site, with their evidence",
+			Long: "Asks a directory node, and by it the leader, which services move to servers of another version, how far that is, what was observed of both versions and why the last step was taken. See docs/operate/rollouts.md.",
+			Data: &rolloutsCommand{},
+		},
 		{
 			Name: "tenants", Short: "List what the tenants of a registered site use of their limits",
 			Long: "Asks a directory node, and by it the leader, what passed and was refused of each tenant with a limit, those refused most first. See docs/operate/tenants.md.",
