Keep versions that were taken back barred; let replaced servers leave with the end of a roll-out

Cause, both found by a whole site of processes: in the roll-out after one that was taken back, servers of the version taken back counted as old ones and got requests again; between the end of a roll-out and the directory's word on its replaced servers, these got calls. Change: the versions that were taken back are kept with a service's roll-out, 16 at most, and get nothing on any side; a router lets servers of other versions leave when it hears the end. Measured: TestRolloutsOverAllProcesses (three directory nodes, two routers, load throughout): a version that fails is taken back after five answers and gets nothing in the next roll-out, a good one replaces its predecessor; TestTenantsOverAllProcesses over the same site.

--- a/cmd/martenstage/registered_test.go
+++ b/cmd/martenstage/registered_test.go
@@ -30,6 +30,9 @@
 // registeredSite is directory nodes, routers and servers of one test, with the
 // commands' own wiring.
 type registeredSite struct {
+	// key is that of the clients; version is that of servers that start from now on.
+	key     string
+	version string
 	t       *testing.T
 	log     *logBuffer
 	control []string
@@ -122,6 +125,7 @@
 	id      string
 	service string
 	zone    string
+	version string
 	state   atomic.Pointer[string]
 	answer  atomic.Pointer[http.HandlerFunc]
 	served  atomic.Int64
@@ -138,7 +142,7 @@
 // serveAt runs a server at a listener.
 func (s *registeredSite) serveAt(listener net.Listener, id, service, zone string) *registeredServer {
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &registeredServer{site: s, id: id, service: service, zone: zone, cancel: cancel}
+	started := &registeredServer{site: s, id: id, service: service, zone: zone, version: s.version, cancel: cancel}
 	started.say("ready")
 	started.script(func(writer http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(writer, strings.Repeat(id[len(id)-1:], 16))
@@ -172,7 +176,7 @@
 func (r *registeredServer) announce(ctx context.Context, address string) {
 	for sequence := 1; ctx.Err() == nil; sequence++ {
 		body, _ := json.Marshal(map[string]any{
-			"backend": r.service, "addr": address, "zone": r.zone, "slots": 2, "state": *r.state.Load(), "seq": sequence,
+			"backend": r.service, "addr": address, "zone": r.zone, "version": r.version, "slots": 2, "state": *r.state.Load(), "seq": sequence,
 		})
 		for _, node := range r.site.control {
 			response, err := http.Post("http://"+node+"/-/instances/"+r.id+"/heartbeat", "application/json", bytes.NewReader(body))
@@ -223,6 +227,9 @@
 	request.Host = "h"
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", "2000")
+	if s.key != "" {
+		request.Header.Set("Authorization", "Token "+s.key)
+	}
 	response, err := http.DefaultClient.Do(request)
 	require.NoError(s.t, err)
 	defer func() { _ = response.Body.Close() }()
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -23,7 +23,9 @@
 	// Why is what the last step was taken for.
 	Why string `json:"why,omitempty"`
 	// Number tells one order from another.
-	Number   uint64        `json:"number"`
+	Number uint64 `json:"number"`
+	// Barred are versions that earlier roll-outs of the service took back.
+	Barred   []string      `json:"barred,omitempty"`
 	Duration time.Duration `json:"duration"`
 	// By is the address that the order came from; Ordered and Changed are by the clocks of
 	// the nodes that took the order and the last step.
@@ -181,6 +183,7 @@
 	// Readers may hold the former list.
 	held := slices.Clone(m.state.Rollouts)
 	if exists {
+		begun.Barred = barredBy(held[at], begun.Target)
 		held[at] = begun
 	} else {
 		held = slices.Insert(held, at, begun)
@@ -189,6 +192,21 @@
 	return ""
 }
 
+// maxBarred bounds the versions of a service that stay barred; the oldest ones, whose servers
+// have long been taken away, are forgotten.
+const maxBarred = 16
+
+// barredBy returns the versions that get nothing in the roll-out to a target that follows a
+// former one.
+func barredBy(former Rollout, target string) []string {
+	barred := slices.Clone(former.Barred)
+	if former.Phase == rollout.RolledBack {
+		barred = append(barred, former.Target)
+	}
+	barred = lo.Without(barred, target)
+	return barred[max(0, len(barred)-maxBarred):]
+}
+
 func (m *machine) stepRollout(at int, exists bool, step rolloutCommand) {
 	if !exists || m.state.Rollouts[at].Number != step.Number || m.state.Rollouts[at].Phase != step.From {
 		return
@@ -214,7 +232,9 @@
 	}
 	limits := rollout.Limits{CanaryShare: n.config.CanaryShare}
 	return lo.SliceToMap(held, func(of Rollout) (string, RolloutTold) {
-		return of.Service, RolloutTold{Rule: rollout.RuleOf(of.Target, of.Phase, limits), Number: of.Number}
+		rule := rollout.RuleOf(of.Target, of.Phase, limits)
+		rule.Barred = of.Barred
+		return of.Service, RolloutTold{Rule: rule, Number: of.Number}
 	}), revision
 }
 
--- a/internal/directory/rollouts_test.go
+++ b/internal/directory/rollouts_test.go
@@ -113,6 +113,8 @@
 	require.Equal(t, "10.0.0.9:1", list.Rollouts[0].By)
 	c.startRollout("s", "v3", time.Hour)
 	c.everywhere("the next one is not begun", inPhase(rollout.Canary))
+	rule, _ = told(c.nodes[0], "s")
+	require.Equal(t, []string{"v2"}, rule.Barred, "what was taken back gets nothing in the next one either")
 }
 
 func TestAGoodVersionIsDoneAndReplacesTheOldServers(t *testing.T) {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -215,6 +215,10 @@
 	require.False(t, held.Allows(rollout.Old, "v2"))
 	require.True(t, held.Allows(rollout.Old, "v1"))
 	require.True(t, held.Allows(rollout.Either, "v2"))
+	held.Barred = []string{"v0"}
+	for _, side := range []rollout.Side{rollout.Either, rollout.Old, rollout.New} {
+		require.False(t, held.Allows(side, "v0"), "taken back before")
+	}
 }
 
 func TestEvidenceIsBounded(t *testing.T) {
--- a/internal/rollout/rule.go
+++ b/internal/rollout/rule.go
@@ -1,5 +1,7 @@
 package rollout
 
+import "slices"
+
 // Phase is how far a roll-out is.
 type Phase string
 
@@ -26,6 +28,8 @@
 	Phase  Phase  `json:"phase"`
 	// Share of the calls, 0 to 1, goes to servers of the new version in Canary and Ramp.
 	Share float64 `json:"share,omitempty"`
+	// Barred are versions that earlier roll-outs took back: they get nothing.
+	Barred []string `json:"barred,omitempty"`
 }
 
 // Side is which servers one attempt may go to.
@@ -64,6 +68,9 @@
 
 // Allows reports whether a server of a version is on a side.
 func (r Rule) Allows(side Side, version string) bool {
+	if slices.Contains(r.Barred, version) {
+		return false
+	}
 	return side == Either || (side == New) == (version == r.Target)
 }
 
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -97,8 +97,7 @@
 		e.evacuated = event.View
 		e.serveWaiting()
 	case RolloutsChanged:
-		e.rollouts = event.Rules
-		e.serveWaiting()
+		e.changeRollouts(event.Rules)
 	case TimerFired:
 	}
 }
--- a/internal/scatter/rollouts.go
+++ b/internal/scatter/rollouts.go
@@ -48,6 +48,24 @@
 	return chosen, found
 }
 
+// changeRollouts takes in where calls may go. Servers that a roll-out has replaced leave with
+// its end: they stop without a word, and what the directory tells of them may come later.
+func (e *Engine) changeRollouts(rules map[string]rollout.Rule) {
+	for service, rule := range rules {
+		if rule.Phase != rollout.Done || !e.rollouts[service].Phase.Running() {
+			continue
+		}
+		for _, replaced := range e.group(service).servers {
+			if replaced.Version != rule.Target && !replaced.Leaving {
+				replaced.Leaving = true
+				e.emit(Noted{Server: replaced.Server, Belief: "server_replaced"})
+			}
+		}
+	}
+	e.rollouts = rules
+	e.serveWaiting()
+}
+
 // offers reports whether a server of a version may get work.
 func (g *group) offers(now time.Time, version string) bool {
 	return slices.ContainsFunc(g.servers, func(s *server) bool {
