--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -99,10 +99,10 @@
 	route := ended.call.request.route
 	switch outcome.Failure {
 	case NoFailure:
-		from.countRefusal(e.now, false)
+		from.refusals.count(e.now, false)
 		e.learnReply(ended, outcome, took)
 	case Refused:
-		from.countRefusal(e.now, true)
+		from.refusals.count(e.now, true)
 		from.fullUntil = e.now.Add(fullTime)
 		e.timers.add(timer{at: from.fullUntil, kind: timerRoom, service: from.Service})
 	case Unaccepted:
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -18,13 +18,11 @@
 	pace     float64
 	observed time.Time
 	// losses is the share of attempts, of late, that brought no good answer though they
-	// may have run, as last worked out at lossesAt.
-	losses   float64
-	lossesAt time.Time
+	// may have run.
+	losses recentShare
 	// refusals is the share of attempts, of late, that the server turned away for want of
-	// room, as last worked out at refusalsAt.
-	refusals   float64
-	refusalsAt time.Time
+	// room.
+	refusals recentShare
 	// heard is when the last good answer came.
 	heard time.Time
 	// failures in a row, and until when the server is avoided for them.
@@ -98,7 +96,11 @@
 )
 
 func newServer(told Server) *server {
-	return &server{Server: told, inFlight: make(map[AttemptID]*attempt), pace: 1}
+	return &server{
+		Server: told, inFlight: make(map[AttemptID]*attempt), pace: 1,
+		losses:   recentShare{weight: lossWeight, halfLife: lossesHalfLife},
+		refusals: recentShare{weight: refusalWeight, halfLife: refusalsHalfLife},
+	}
 }
 
 // usable reports whether the server may get new work at all.
@@ -170,7 +172,7 @@
 	if s.stalled(now) {
 		cost *= stalledCost
 	}
-	return cost * (1 + lossCost*s.currentLosses(now)) * (1 + refusalCost*s.currentRefusals(now))
+	return cost * (1 + lossCost*s.losses.current(now)) * (1 + refusalCost*s.refusals.current(now))
 }
 
 // expected is cost without what only makes a server less welcome.
@@ -219,45 +221,18 @@
 	return 1 + (s.pace-1)*keep
 }
 
-// currentLosses falls with time, so that a server that lost answers is tried again.
-func (s *server) currentLosses(now time.Time) float64 {
-	age := max(0, now.Sub(s.lossesAt))
-	return s.losses * float64(lossesHalfLife) / float64(lossesHalfLife+age)
-}
-
 // lossy reports whether so many answers are lost that another server is better.
-func (s *server) lossy(now time.Time) bool { return s.currentLosses(now) > toleratedLosses }
+func (s *server) lossy(now time.Time) bool { return s.losses.current(now) > toleratedLosses }
 
 // countLoss takes in whether an attempt brought no good answer. One success does not make
 // up for it, as it does for a suspicion: of 235 servers that lost 40 % of their answers
 // each was soon believed again, and a third of all parts had to be asked for twice.
 func (s *server) countLoss(now time.Time, lost bool) {
-	share := 0.0
-	if lost {
-		share = 1
-	}
-	s.losses = s.currentLosses(now)*(1-lossWeight) + share*lossWeight
-	s.lossesAt = now
-}
-
-// currentRefusals falls with time, so that a server that refused is tried again.
-func (s *server) currentRefusals(now time.Time) float64 {
-	age := max(0, now.Sub(s.refusalsAt))
-	return s.refusals * float64(refusalsHalfLife) / float64(refusalsHalfLife+age)
+	s.losses.count(now, lost)
 }
 
 // refusing reports whether so many attempts are turned away that another server is better.
-func (s *server) refusing(now time.Time) bool { return s.currentRefusals(now) > toleratedRefusals }
-
-// countRefusal takes in whether an attempt was turned away for want of room.
-func (s *server) countRefusal(now time.Time, refused bool) {
-	share := 0.0
-	if refused {
-		share = 1
-	}
-	s.refusals = s.currentRefusals(now)*(1-refusalWeight) + share*refusalWeight
-	s.refusalsAt = now
-}
+func (s *server) refusing(now time.Time) bool { return s.refusals.current(now) > toleratedRefusals }
 
 // observe takes in how long an attempt took, relative to the typical time.
 func (s *server) observe(now time.Time, ratio float64) {
