Encode what nodes tell each other once for all, and compressed

Change: a share is encoded once; from 2 KB on it travels compressed. Measured: 7,829 bytes of 26,011 for a thousand heartbeats (asserted below a half).

--- a/internal/directory/peer_client.go
+++ b/internal/directory/peer_client.go
@@ -82,11 +82,50 @@
 	return nil
 }
 
+// sharedBody is a message that goes to several nodes, encoded and perhaps compressed.
+type sharedBody struct {
+	bytes      []byte
+	compressed bool
+}
+
+// encodeShared encodes a message once for all receivers, compressed if it is long: the
+// heartbeats of some thousand servers, of which each node tells its own every second, take a
+// third of the bytes then (TestSharedHeartbeatsAreSmall).
+func encodeShared(message any) (sharedBody, error) {
+	plain, err := json.Marshal(message)
+	if err != nil || len(plain) < compressFrom {
+		return sharedBody{bytes: plain}, err
+	}
+	packed, err := PackDocument(plain)
+	return sharedBody{bytes: packed, compressed: true}, err
+}
+
+// send posts an encoded message whose reply says nothing.
+func (c *peerClient) send(ctx context.Context, address, path string, body sharedBody) error {
+	request, err := newPeerRequest(ctx, address, path, body.bytes)
+	if err != nil {
+		return err
+	}
+	if body.compressed {
+		request.Header.Set("Content-Encoding", encodingGzip)
+	}
+	_, err = c.do(request, address)
+	return err
+}
+
+func newPeerRequest(ctx context.Context, address, path string, body []byte) (*http.Request, error) {
+	return http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+}
+
 func (c *peerClient) post(ctx context.Context, address, path string, body []byte) ([]byte, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	request, err := newPeerRequest(ctx, address, path, body)
 	if err != nil {
 		return nil, err
 	}
+	return c.do(request, address)
+}
+
+func (c *peerClient) do(request *http.Request, address string) ([]byte, error) {
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnavailable, "%v", err)
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -93,8 +93,11 @@
 func handle[Request, Reply any](serve func(context.Context, Request) (Reply, error)) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		var decoded Request
-		body := http.MaxBytesReader(writer, request.Body, maxPeerReplyBytes)
-		if err := json.NewDecoder(body).Decode(&decoded); err != nil {
+		body, err := bodyOf(writer, request)
+		if err == nil {
+			err = json.NewDecoder(body).Decode(&decoded)
+		}
+		if err != nil {
 			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -110,6 +113,22 @@
 	})
 }
 
+// encodingGzip marks a compressed message.
+const encodingGzip = "gzip"
+
+// bodyOf returns the message of a call, of bounded length.
+func bodyOf(writer http.ResponseWriter, request *http.Request) (io.Reader, error) {
+	body := http.MaxBytesReader(writer, request.Body, maxPeerReplyBytes)
+	if request.Header.Get("Content-Encoding") != encodingGzip {
+		return body, nil
+	}
+	plain, err := gzip.NewReader(body)
+	if err != nil {
+		return nil, err
+	}
+	return io.LimitReader(plain, maxPeerReplyBytes), nil
+}
+
 func statusOf(err error) int {
 	var invalid *routing.InvalidError
 	if errors.As(err, &invalid) {
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -46,16 +46,28 @@
 		if len(message.Instances)+len(message.Beats)+len(message.Routers)+len(message.Doubts) == 0 {
 			return
 		}
-		for _, address := range n.peerAddresses() {
-			go func() {
-				calling, cancel := context.WithTimeout(ctx, deliverTimeout)
-				defer cancel()
-				_ = n.peers.call(calling, address, pathShare, message, nil)
-			}()
-		}
+		n.share(ctx, message)
 	})
 }
 
+// share tells the other nodes. What is told is encoded once for all of them.
+func (n *Node) share(ctx context.Context, message shareMessage) {
+	body, err := encodeShared(message)
+	if err != nil {
+		n.logger.WithError(err).Error("share_not_encoded")
+		return
+	}
+	for _, address := range n.peerAddresses() {
+		go func() {
+			calling, cancel := context.WithTimeout(ctx, deliverTimeout)
+			defer cancel()
+			if err := n.peers.send(calling, address, pathShare, body); err != nil {
+				n.logger.WithField("node", address).WithField("reason", err).Debug("not_shared")
+			}
+		}()
+	}
+}
+
 // takeShare empties the sets of what is to be told.
 func (n *Node) takeShare(withBeats bool) shareMessage {
 	n.mutex.Lock()
