--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -62,10 +62,10 @@
 	duration = 12 * time.Second
 	tick     = 50 * time.Millisecond
 	// delay is that of evidence and of the news of a step together.
-	delay       = 400 * time.Millisecond
-	rollbackMS  = 5 * time.Second
-	canaryShare = 0.1
-	canarySlack = 50
+	delay          = 400 * time.Millisecond
+	rollbackWithin = 5 * time.Second
+	canaryShare    = 0.1
+	canarySlack    = 50
 )
 
 // play carries a roll-out out under a load of requests a second over three routes.
@@ -91,7 +91,7 @@
 			if isNew {
 				answer = fresh
 				result.exposed++
-				if fiftieth > 0 && at > fiftieth+rollbackMS {
+				if fiftieth > 0 && at > fiftieth+rollbackWithin {
 					result.late++
 				}
 			}
