Call nothing unknown before the first confirmation

Cause: a router that had just started took the lack of any word on its document's age for a node of an earlier version, and called routes unknown by a document that nobody had confirmed. Change: only a reply that says nothing of it stands for such a node. Measured: TestAnUnconfirmedRouterCallsNoRouteUnknown; the gateway's tests under the race detector.

--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -125,6 +125,9 @@
 	}
 	followed := f.node
 	f.followed.Store(&followed)
+	if reply.Fresh == nil {
+		f.gateway.confirmUntold()
+	}
 	f.takeEvacuations(reply, regained)
 	f.takeIn(reply)
 	if reply.Fresh != nil && f.request.Version >= reply.Version {
--- a/internal/gateway/identifying.go
+++ b/internal/gateway/identifying.go
@@ -34,19 +34,28 @@
 )
 
 // confirmation is since when the document in force is known to be the newest; the zero value
-// is of a router whose directory does not tell.
+// is of a router that was told nothing yet.
 type confirmation struct {
 	at   time.Time
 	told bool
+	// untold says that the directory does not tell, as nodes of an earlier version.
+	untold bool
 }
 
 // confirm takes in that the document in force was the newest at a time.
 func (g *Gateway) confirm(at time.Time) {
-	if before := g.confirmed.Load(); before == nil || at.After(before.at) {
+	if before := g.confirmed.Load(); before == nil || !before.told || at.After(before.at) {
 		g.confirmed.Store(&confirmation{at: at, told: true})
 	}
 }
 
+// confirmUntold takes in that the directory does not tell how new its document is.
+func (g *Gateway) confirmUntold() {
+	if held := g.confirmed.Load(); held == nil {
+		g.confirmed.Store(&confirmation{untold: true})
+	}
+}
+
 // confirmation returns what is known of the document that a table read after the call has.
 func (g *Gateway) confirmation() confirmation {
 	if held := g.confirmed.Load(); held != nil {
@@ -63,7 +72,9 @@
 }
 
 // certain reports whether what the document does not have can be called unknown.
-func (c confirmation) certain(now time.Time) bool { return !c.told || now.Sub(c.at) <= certainFor }
+func (c confirmation) certain(now time.Time) bool {
+	return c.untold || c.told && now.Sub(c.at) <= certainFor
+}
 
 // keysLapsed reports whether the router can serve no requests that need a key.
 func (g *Gateway) keysLapsed() bool {
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -194,3 +194,17 @@
 	}
 	return text.String()
 }
+
+// TestAnUnconfirmedRouterCallsNoRouteUnknown has a router start at a node that knows an old
+// document for certain by nobody's word: it tells no client that a route does not exist.
+func TestAnUnconfirmedRouterCallsNoRouteUnknown(t *testing.T) {
+	s := startSite(t, nil, map[string]http.HandlerFunc{"s": echo})
+	s.confirmBy(24 * time.Hour)
+	s.install(oneRoute(1, "s"))
+	got := s.ask(http.MethodGet, "/other/", nil)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/", nil).status)
+	s.confirmBy(0)
+	require.Eventually(t, func() bool { return s.ask(http.MethodGet, "/other/", nil).status == http.StatusNotFound }, 10*time.Second, time.Millisecond)
+}
