Find out that the leader is reached again, also without a request to report

Cause: a router that lost its directory went by its small shares until a report came through, and sent none while no request passed: with no token in its shares, its tenants were refused for good. Change: the goroutine that reports goes by the gate's own state and asks with an empty message until one is answered. Measured: TestLimitsAreWholeAgainAfterTheDirectoryIsLost fails without the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,9 +80,7 @@
 		known: make(chan struct{}), doubts: make(chan string, doubtBacklog), slices: newSliceClient(), claims: newClaimBook(), clients: newClientConnections(environment.Registerer),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
-	if _, err := rand.Read(gateway.keySeed[:]); err != nil {
-		panic(errors.Wrap(err, "the system has no randomness")) // crypto/rand never returns one.
-	}
+	_, _ = rand.Read(gateway.keySeed[:]) // It never returns an error: without randomness the process ends.
 	gateway.rollouts = newRolloutWatch()
 	gateway.quotas = newQuotaWatch(gateway.seed ^ uint64(gateway.started.UnixNano()))
 	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -83,6 +83,8 @@
 	// requests each need a token.
 	ledger  *quota.Ledger
 	metered []string
+	// down has the directory answer routers' calls for news with a failure.
+	down bool
 	// observed is what the router told last of roll-outs.
 	observed directory.RolloutReport
 }
@@ -106,6 +108,11 @@
 	var asked directory.FollowRequest
 	_ = json.NewDecoder(request.Body).Decode(&asked)
 	d.mutex.Lock()
+	if d.down {
+		d.mutex.Unlock()
+		http.Error(writer, "down", http.StatusServiceUnavailable)
+		return
+	}
 	reply := d.reply
 	reply.Quarantine, reply.QuarantineEntries = d.book.Revision, d.book.Entries()
 	if len(d.metered) > 0 {
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -139,11 +139,18 @@
 	asks    []tokenAsk
 }
 
-// next waits until there is something to tell and returns it. With failing it returns also
-// with nothing, after a pause, to find out whether calls come through again.
-func (w *quotaWatch) next(ctx context.Context, failing bool) (round quotaRound, ok bool) {
+// alone reports whether no leader is known to be reached.
+func (w *quotaWatch) alone() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.gate.Alone()
+}
+
+// next waits until there is something to tell and returns it. While no leader is reached it
+// returns also with nothing, after a pause, to find out whether one is again.
+func (w *quotaWatch) next(ctx context.Context) (round quotaRound, ok bool) {
 	var pause <-chan time.Time
-	if failing {
+	if w.alone() {
 		pause = time.After(quotaRetry)
 	}
 	select {
@@ -155,15 +162,7 @@
 		w.gather(ctx, &round)
 	case <-pause:
 	}
-	for len(round.asks) < askBacklog {
-		select {
-		case another := <-w.asks:
-			round.asks = append(round.asks, another)
-			continue
-		default:
-		}
-		break
-	}
+	round.asks = append(round.asks, w.waiting()...)
 	round.message.Wanted = lo.CountValuesBy(round.asks, func(ask tokenAsk) string { return ask.tenant })
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -171,6 +170,19 @@
 	return round, true
 }
 
+// waiting returns the requests that wait for a token now.
+func (w *quotaWatch) waiting() (asks []tokenAsk) {
+	for len(asks) < askBacklog {
+		select {
+		case another := <-w.asks:
+			asks = append(asks, another)
+		default:
+			return asks
+		}
+	}
+	return asks
+}
+
 // gather waits for more to report, or for a request that needs a token.
 func (w *quotaWatch) gather(ctx context.Context, round *quotaRound) {
 	w.mutex.Lock()
@@ -214,15 +226,15 @@
 
 // tellQuota reports what tenants spend and asks for tokens until the context ends.
 func (f *follower) tellQuota(ctx context.Context) {
-	watch, failing := f.gateway.quotas, false
+	watch, told := f.gateway.quotas, false
 	// A start is a sender of its own, so that its messages count from one.
 	sender := f.gateway.config.Name + "/" + time.Now().Format(time.RFC3339Nano) // The wall clock: it only tells starts apart.
 	for sequence := uint64(1); ; sequence++ {
-		round, ok := watch.next(ctx, failing)
+		round, ok := watch.next(ctx)
 		if !ok {
 			return
 		}
-		if len(round.message.Spent)+len(round.asks) == 0 && !failing {
+		if len(round.message.Spent)+len(round.asks) == 0 && !watch.alone() {
 			continue
 		}
 		round.message.Router, round.message.Sequence = sender, sequence
@@ -232,9 +244,9 @@
 		} else {
 			watch.settle(round, reply)
 		}
-		if failing != (err != nil) {
-			failing = err != nil
-			f.gateway.logger.WithField("alone", failing).WithField("reason", err).Info("quota_reports_changed")
+		if alone := watch.alone(); alone != told {
+			told = alone
+			f.gateway.logger.WithField("alone", alone).WithField("reason", err).Info("quota_reports_changed")
 		}
 	}
 }
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -208,3 +208,33 @@
 	s.confirmBy(0)
 	require.Eventually(t, func() bool { return s.ask(http.MethodGet, "/other/", nil).status == http.StatusNotFound }, 10*time.Second, time.Millisecond)
 }
+
+// TestLimitsAreWholeAgainAfterTheDirectoryIsLost has a router lose its directory for a moment,
+// with no request on its way then: its tenants do not stay at its own small share.
+func TestLimitsAreWholeAgainAfterTheDirectoryIsLost(t *testing.T) {
+	s := startSite(t, nil, map[string]http.HandlerFunc{"s": tellWho})
+	document := withTenants(1)
+	document.Tenants[0].Rate, document.Tenants[0].Burst = 1, 500
+	s.directory.mutex.Lock()
+	s.directory.ledger = quota.NewLedger(quota.Tolerance{})
+	s.directory.ledger.SetLimits(time.Now().Add(-time.Hour), quota.LimitsOf(document.Tenants))
+	s.directory.mutex.Unlock()
+	s.install(document)
+	set := func(down bool) {
+		s.directory.mutex.Lock()
+		defer s.directory.mutex.Unlock()
+		s.directory.down = down
+	}
+	set(true)
+	require.Eventually(t, func() bool { return strings.Contains(logOf(s), "directory_lost") }, 10*time.Second, time.Millisecond)
+	set(false)
+	require.Eventually(t, func() bool { return strings.Contains(logOf(s), "directory_regained") }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		for range 20 {
+			if s.askWith(keyed("first"), http.MethodGet, "/a/", nil).status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, time.Millisecond)
+}
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -142,6 +142,9 @@
 	g.failing = true
 }
 
+// Alone reports whether no leader is known to be reached.
+func (g *Gate) Alone() bool { return g.failing }
+
 // Lose takes in that the directory is not heard, before any report has failed.
 func (g *Gate) Lose() { g.failing = true }
 
