--- a/internal/directory/rollout_steps.go
+++ b/internal/directory/rollout_steps.go
@@ -116,8 +116,9 @@
 	now := steadyclock.Now()
 	at, seen := known[one.Number]
 	if !seen {
-		// Another leader began it: only the wall clock tells how long ago.
-		at.began = now.Add(-min(one.Duration, max(0, time.Since(one.Ordered))))
+		// Another leader began it.
+		passed := time.Since(one.Ordered) // The wall clock: nothing else tells how long ago by another machine's.
+		at.began = now.Add(-min(one.Duration, max(0, passed)))
 	}
 	if at.phase != one.Phase {
 		at.phase, at.entered = one.Phase, now
--- a/internal/directory/rollouts.go
+++ b/internal/directory/rollouts.go
@@ -64,8 +64,8 @@
 	var reply startReply
 	err := checkRollout(service, version, duration)
 	if err == nil {
-		// The wall clock: a person reads it, and another leader reckons from it.
-		order := rolloutCommand{Rollout: Rollout{Service: service, Target: version, Duration: duration, By: by, Ordered: time.Now().UTC()}}
+		ordered := time.Now().UTC() // The wall clock: a person reads it, and another leader reckons from it.
+		order := rolloutCommand{Rollout: Rollout{Service: service, Target: version, Duration: duration, By: by, Ordered: ordered}}
 		err = n.atLeader(ctx, func(ctx context.Context) error {
 			taken, err := n.startHere(ctx, order)
 			reply = taken
