One way to post a report to either node, and to have all engines take an event in

Change: follower.callEither, Router.tellEngines; the loop calls the watch itself. Behaviour is as before, but that a lease of which an engine did not hear since it ended is not noted as told.

--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -175,6 +175,20 @@
 	return json.Unmarshal(answer, reply)
 }
 
+// nodesTried is how many nodes a report is sent to, one after the other, until one has it.
+const nodesTried = 2
+
+// callEither posts a message to the node that is followed or, if that fails, to another.
+func (f *follower) callEither(ctx context.Context, path string, message any, timeout time.Duration, reply any) (err error) {
+	err = errNoNode
+	for _, node := range lo.Slice(f.reachable(), 0, nodesTried) {
+		if err = f.call(ctx, node+path, message, timeout, reply); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
 func (f *follower) takeIn(reply directory.FollowReply) {
 	f.takeQuarantine(reply)
 	f.takeMetered(reply)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,7 +87,7 @@
 	gateway.reach = newReach(gateway)
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget, Cold: config.Cold})
-	gateway.loop = newLoop(engine, gateway.pool, loopPorts{claim: gateway.slices.claim, observe: gateway.observe, rollout: gateway.observeRollout}, gateway.logger)
+	gateway.loop = newLoop(engine, gateway.pool, loopPorts{claim: gateway.slices.claim, observe: gateway.observe, rollout: gateway.rollouts.observe}, gateway.logger)
 	gateway.quarantine = newQuarantineWatch(gateway.logger, gateway.metrics)
 	gateway.follower = newFollower(gateway)
 	return gateway
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -25,9 +25,8 @@
 	quotaGathering = 10 * time.Millisecond
 	quotaPerRouter = 100 * time.Microsecond
 	quotaLongest   = 500 * time.Millisecond
-	// quotaTimeout bounds a call to one node, of which quotaNodes are tried.
+	// quotaTimeout bounds a call to one node.
 	quotaTimeout = 250 * time.Millisecond
-	quotaNodes   = 2
 	// quotaRetry is the pause before the next call while none comes through.
 	quotaRetry = 100 * time.Millisecond
 	// askBacklog bounds the requests that wait for a token; further ones are refused.
@@ -253,12 +252,7 @@
 
 // postQuota sends a message to the node that is followed or, if that fails, to others.
 func (f *follower) postQuota(ctx context.Context, told quota.Message) (reply quota.Reply, err error) {
-	err = errNoNode
-	for _, node := range lo.Slice(f.reachable(), 0, quotaNodes) {
-		if err = f.call(ctx, node+directory.PathQuota, told, quotaTimeout, &reply); err == nil {
-			return reply, nil
-		}
-	}
+	err = f.callEither(ctx, directory.PathQuota, told, quotaTimeout, &reply)
 	return reply, errors.Wrap(err, "the quota is not told")
 }
 
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -102,23 +102,12 @@
 		}
 		report := f.gateway.rollouts.report(f.gateway.loop.countBeside(ctx, targets))
 		report.Router, report.Start = f.gateway.config.Name, start
-		if err := f.postRollouts(ctx, report); err != nil {
+		if err := f.callEither(ctx, directory.PathRollouts, report, rolloutTimeout, nil); err != nil {
 			f.gateway.logger.WithField("services", len(targets)).WithField("reason", err).Info("rollouts_not_told")
 		}
 	}
 }
 
-// postRollouts sends a report to the node that is followed or, if that fails, to another.
-func (f *follower) postRollouts(ctx context.Context, report directory.RolloutReport) (err error) {
-	err = errNoNode
-	for _, node := range lo.Slice(f.reachable(), 0, quotaNodes) {
-		if err = f.call(ctx, node+directory.PathRollouts, report, rolloutTimeout, nil); err == nil {
-			return nil
-		}
-	}
-	return err
-}
-
 // takeRollouts takes in which servers of services with a roll-out calls may go to.
 func (f *follower) takeRollouts(reply directory.FollowReply) {
 	if reply.RolloutRevision <= f.request.Rollouts {
@@ -163,6 +152,3 @@
 		return l.engine.InFlightBeside(service, target)
 	})
 }
-
-// observeRollout hands on how an attempt at a service with a roll-out ended.
-func (g *Gateway) observeRollout(observed scatter.Observed) { g.rollouts.observe(observed) }
--- a/internal/router/installation.go
+++ b/internal/router/installation.go
@@ -71,17 +71,11 @@
 	r.shares.installPlan(next, r.cells)
 	// The engines come first: a request that sees the new owners must find
 	// them ready.
-	acknowledged := make([]chan struct{}, len(r.loops))
-	for index, loop := range r.loops {
-		acknowledged[index] = make(chan struct{})
-		loop.pushNotice(query.ConfigInstalled{Revision: next.revision, Plan: r.partOf(next.own, loop)}, acknowledged[index])
-	}
-	for index, loop := range r.loops {
-		select {
-		case <-acknowledged[index]:
-		case <-loop.ended:
-			return
-		}
+	told := r.tellEngines(func(loop *engineLoop) query.Event {
+		return query.ConfigInstalled{Revision: next.revision, Plan: r.partOf(next.own, loop)}
+	})
+	if !told {
+		return
 	}
 	// Before the cells and the routes are there, so that readiness waits for the
 	// probes.
@@ -178,24 +172,28 @@
 	if r.leaseValid() {
 		r.shares.setLease(true)
 	}
-	r.tellLease(until)
-	r.leaseTold.Store(&until)
+	// Readiness waits for the engines: a router that said it was ready before would refuse its
+	// first requests for want of a lease.
+	if r.tellEngines(func(*engineLoop) query.Event { return query.LeaseRenewed{Until: until} }) {
+		r.leaseTold.Store(&until)
+	}
 }
 
-// tellLease returns once every engine has taken the lease in. Readiness waits for it: a
-// router that said it was ready before would refuse its first requests for want of a lease.
-func (r *Router) tellLease(until time.Time) {
+// tellEngines returns once every engine has taken its event in. It reports false if one ended.
+func (r *Router) tellEngines(eventFor func(*engineLoop) query.Event) bool {
 	taken := make([]chan struct{}, len(r.loops))
 	for index, loop := range r.loops {
 		taken[index] = make(chan struct{})
-		loop.pushNotice(query.LeaseRenewed{Until: until}, taken[index])
+		loop.pushNotice(eventFor(loop), taken[index])
 	}
 	for index, loop := range r.loops {
 		select {
 		case <-taken[index]:
 		case <-loop.ended:
+			return false
 		}
 	}
+	return true
 }
 
 // ObserveMachines implements ConfigSink.
