List every open fault before mending any, each with a test that plays it

Cause: two entries left the list, one by a change of its test, and other open faults were on no list: a kept seed that no test played, answers that the soak's judge passes over, a limit of a tenant that is passed on a busy machine, and a test that is red now and then under load. Conclusion: the list holds what is open; it shrinks by mends alone.

--- a/internal/gateway/gather_test.go
+++ b/internal/gateway/gather_test.go
@@ -1,20 +1,17 @@
 package gateway_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 
-	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
@@ -149,25 +146,12 @@
 
 // TestSliceIsSentAgainOverANewConnection has a router end a kept connection when the next
 // slice comes on it, as after a restart: it is asked once more, and not doubted. A slice that
-// comes before the connection of the one before is kept takes a new one, which proves nothing;
-// nor does one that was given up for silence, since this machine was too busy for a while.
+// comes before the connection of the one before is kept takes a new one, which proves nothing.
 func TestSliceIsSentAgainOverANewConnection(t *testing.T) {
-	const trials = 50
-	for range trials {
-		if endKeptConnection(t) {
-			return
-		}
-	}
-	require.Fail(t, "every trial met silence")
-}
-
-// endKeptConnection makes one trial. It reports false if the other router was doubted for
-// silence, and fails if it was for anything else.
-func endKeptConnection(t *testing.T) bool {
 	var slices atomic.Int64
 	var ended atomic.Bool
 	var connections sync.Map
-	other := serveSlices(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	other := serve(t, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		var slice struct{ Shards []string }
 		_ = json.NewDecoder(request.Body).Decode(&slice)
 		slices.Add(1)
@@ -182,24 +166,8 @@
 	for ; !ended.Load(); asked++ {
 		require.Less(t, asked, int64(200), "no connection is kept")
 		got := s.ask(http.MethodGet, "/a/", nil)
-		if s.doubtedForSilence() {
-			return false
-		}
 		require.Equal(t, http.StatusOK, got.status)
 		require.ElementsMatch(t, []string{"i-s", "t"}, strings.Split(got.header.Get("X-Stamps"), ","))
 	}
 	require.Equal(t, asked+1, slices.Load())
-	return true
-}
-
-// doubtedForSilence reports whether the router doubted another one that took too long to
-// connect or to accept a slice.
-func (s *site) doubtedForSilence() bool {
-	for _, entry := range s.logged.AllEntries() {
-		reason, _ := entry.Data["reason"].(error)
-		if entry.Message == "router_doubted" && (errors.Is(reason, context.Canceled) || os.IsTimeout(errors.UnwrapAll(reason))) {
-			return true
-		}
-	}
-	return false
 }
--- a/internal/proof/knownred/knownred_test.go
+++ b/internal/proof/knownred/knownred_test.go
@@ -70,7 +70,7 @@
 		},
 		"a line that names no test":    {map[string]string{"KNOWN-RED.txt": listed + "./a TestGone | - | - | - | 0\n"}, false, "names no test: ./a TestGone"},
 		"a line that names no package": {map[string]string{"KNOWN-RED.txt": listed + "./none TestRed | - | - | - | 0\n"}, false, "names no test: ./none"},
-		"more lines than are allowed":  {map[string]string{"KNOWN-RED.txt": strings.Repeat(listed, 4)}, false, "has 4 lines"},
+		"more lines than are allowed":  {map[string]string{"KNOWN-RED.txt": strings.Repeat(listed, 13)}, false, "has 13 lines"},
 		"an empty list":                {map[string]string{"KNOWN-RED.txt": "\n", "a/a_test.go": "package a\n"}, true, "plain tests"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -4,7 +4,7 @@
 # with and without the race detector. Seeds of fuzz targets and their committed
 # corpora run as ordinary tests here; exploring is for scripts/fuzz.sh.
 #
-# KNOWN-RED.txt at the root lists tests that fail for a real fault, three at most, a
+# KNOWN-RED.txt at the root lists tests that fail for a real fault, twelve at most, a
 # line each: "PACKAGE TEST | command and seed | what was seen | cause | issue". Those run
 # too and are printed with their outcome, which decides nothing; every other test does.
 set -euo pipefail
@@ -14,7 +14,7 @@
 # Packages whose goroutines share state, and whose tests stay short under the
 # race detector.
 race_pattern=${RACE_PATTERN:?set by the Makefile}
-known_red_limit=3
+known_red_limit=12
 
 all=$(go list ./...)
 seeded=$(go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$.ImportPath}}{{end}}{{end}}
