Let a tenant's debt end with the window that it was made in

What callers saw: a tenant that sent more than its limit before all routers knew was told to come back after 24 to 91 s at a limit of one a second and a window of 5 s, and was refused until then. Cause: the reports of what had passed took its bucket to -63 (traced), and the bucket was filled from there at the limit's rate. What was sent longer ago than a window counts in no later one, so that paying for it keeps a tenant from what it may send and mends nothing. Change: a debt goes no deeper than what comes in within a window. Nothing is granted for a whole window after the overspending, so no window that holds it gets more than before. That the limit is passed at all is a fault of its own and stays on the list.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -158,10 +158,7 @@
 		l.reports[message.Router] = message.Sequence
 		for name, count := range message.Spent {
 			if held, limited := l.buckets[name]; limited && count > 0 {
-				l.fill(held, now)
-				held.level -= float64(count)
-				held.spent += uint64(count)
-				l.meter(held, now)
+				l.spend(held, now, count)
 			}
 		}
 	}
@@ -172,6 +169,16 @@
 	return reply
 }
 
+// spend takes requests that passed unasked out of a bucket. The debt of one that goes below
+// zero is paid within a window: what was sent before counts in no later one, so that a longer
+// debt would keep the tenant from what it may send and make up for nothing.
+func (l *Ledger) spend(held *bucket, now time.Time, count int) {
+	l.fill(held, now)
+	held.level = max(held.level-float64(count), min(held.level, -l.rate(held.limit)*l.tolerance.Window.Seconds()))
+	held.spent += uint64(count)
+	l.meter(held, now)
+}
+
 func (l *Ledger) grant(now time.Time, name string, wanted int) Grant {
 	held, limited := l.buckets[name]
 	if !limited || wanted <= 0 {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -250,6 +250,29 @@
 	require.GreaterOrEqual(t, len(f.passed), 15, "the lower limit is still served")
 }
 
+// TestADebtIsPaidWithinAWindow has a tenant send many times its limit before any router knows,
+// as on a machine that is busy: the reports of it take the bucket far below zero, and the
+// tenant was then refused for as long as its rate took to pay all of it back, 24 to 91 s of a
+// limit of one a second (a ledger's level of -63 and "next 39.7 s" were traced). What was sent
+// longer than a window ago counts in no later window.
+func TestADebtIsPaidWithinAWindow(t *testing.T) {
+	limit := quota.Limit{Rate: 1, Burst: 30}
+	ledger := quota.NewLedger(tolerance)
+	ledger.SetLimits(start, map[string]quota.Limit{tenant: limit})
+	wanted := map[string]int{tenant: 1}
+	for sequence, spent := range []int{0, 1, 40, 82, 145} {
+		overspent := quota.Message{Router: "a", Sequence: uint64(sequence + 1), Spent: map[string]int{tenant: spent}}
+		ledger.Take(start, overspent)
+	}
+	given := ledger.Take(start, quota.Message{Router: "b", Sequence: 1, Wanted: wanted}).Grants[tenant]
+	require.Zero(t, given.Granted)
+	require.LessOrEqual(t, given.Next, window+time.Second, "a window, and a token at the limit's rate")
+	early := ledger.Take(start.Add(window-time.Millisecond), quota.Message{Router: "b", Sequence: 2, Wanted: wanted})
+	require.Zero(t, early.Grants[tenant].Granted, "the window that has the debt in it gets nothing more")
+	later := ledger.Take(start.Add(given.Next+time.Millisecond), quota.Message{Router: "b", Sequence: 3, Wanted: wanted})
+	require.Equal(t, 1, later.Grants[tenant].Granted)
+}
+
 func TestAReportThatIsSentAgainCountsOnce(t *testing.T) {
 	ledger := quota.NewLedger(tolerance)
 	ledger.SetLimits(start, map[string]quota.Limit{tenant: {Rate: 1, Burst: 100}})
