Begin the bucket of a tenant that had no limit before with all of its burst

What callers saw: the fourth request of a tenant that a document had just brought was refused, at a burst of 30, wherever routers heard in time that it is metered; for 28 s at a rate of one a second. Cause: each bucket began with a fifth of the slack, which is meant for a leader that can't know what the one before it granted. That holds for no tenant that the document before lacked, and for no longer than a window. Change: a tenant without a limit before begins with a full bucket; otherwise the rest is withheld for one window. Level and what is withheld never hold more than a bucket together.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -31,8 +31,8 @@
 	// routers know that a tenant is metered.
 	granted = 0.25
 	steady  = 0.3
-	// startShare of the slack is in the buckets of a ledger that has just begun: the one
-	// before it may have granted all of a limit in the same window.
+	// startShare of the slack is in the buckets of a ledger that has just begun, until it is a
+	// window old: the one before it may have granted all of a limit in the same window.
 	startShare = 0.2
 )
 
@@ -60,12 +60,18 @@
 	since   time.Time
 	spent   uint64
 	refused uint64
+	// withheld are tokens that come into the bucket at release.
+	withheld float64
+	release  time.Time
 }
 
 // Ledger counts what tenants spend. Its owner guards it.
 type Ledger struct {
 	tolerance Tolerance
 	buckets   map[string]*bucket
+	// begun is set once it knows limits; left is when tenants lost theirs, for a window.
+	begun bool
+	left  map[string]time.Time
 	// reports are the sequence numbers of the last report of each router, so that one that
 	// is sent again, since its answer was lost, counts once.
 	reports map[string]uint64
@@ -75,29 +81,53 @@
 
 // NewLedger returns one that knows no limits.
 func NewLedger(tolerance Tolerance) *Ledger {
-	return &Ledger{tolerance: tolerance, buckets: make(map[string]*bucket), reports: make(map[string]uint64)}
+	return &Ledger{
+		tolerance: tolerance, buckets: make(map[string]*bucket),
+		left: make(map[string]time.Time), reports: make(map[string]uint64),
+	}
 }
 
 // SetLimits replaces the limits of all tenants, from now on. Tenants without a limit are
 // left out.
 func (l *Ledger) SetLimits(now time.Time, limits map[string]Limit) {
+	maps.DeleteFunc(l.left, func(_ string, at time.Time) bool { return now.Sub(at) >= l.tolerance.Window })
 	for name, limit := range limits {
 		if limit.Rate <= 0 {
 			continue
 		}
 		known, exists := l.buckets[name]
 		if !exists {
-			begun := &bucket{limit: limit, at: now}
-			begun.level = min(l.capacity(limit), l.tolerance.Slack*startShare+1)
-			l.buckets[name] = begun
+			l.buckets[name] = l.begin(now, name, limit)
 			continue
 		}
 		l.fill(known, now)
 		known.limit = limit
 		known.level = min(known.level, l.capacity(limit))
 	}
+	l.forget(now, limits)
+	l.begun = true
+}
+
+// begin returns the bucket of a tenant that had none. It is full if the tenant had no limit
+// before: nothing of it was granted in this window. Where it may have been, by an earlier ledger
+// or under a limit that was taken away, most of it is withheld until the window is over.
+func (l *Ledger) begin(now time.Time, name string, limit Limit) *bucket {
+	full := l.capacity(limit)
+	held := &bucket{limit: limit, at: now, level: full}
+	if _, lately := l.left[name]; lately || !l.begun {
+		held.level = min(full, l.tolerance.Slack*startShare+1)
+		held.withheld, held.release = full-held.level, now.Add(l.tolerance.Window)
+	}
+	return held
+}
+
+// forget drops the buckets of tenants that have no limit any more.
+func (l *Ledger) forget(now time.Time, limits map[string]Limit) {
 	maps.DeleteFunc(l.buckets, func(name string, held *bucket) bool {
 		gone := limits[name].Rate <= 0
+		if gone {
+			l.left[name] = now
+		}
 		if gone && held.metered {
 			l.revision++
 		}
@@ -120,10 +150,16 @@
 }
 
 func (l *Ledger) fill(held *bucket, now time.Time) {
+	full := l.capacity(held.limit)
 	if passed := now.Sub(held.at); passed > 0 {
-		held.level = min(l.capacity(held.limit), held.level+passed.Seconds()*l.rate(held.limit))
+		held.level = min(full, held.level+passed.Seconds()*l.rate(held.limit))
 		held.at = now
 	}
+	// Both together never hold more than a bucket does.
+	held.withheld = min(held.withheld, full-held.level)
+	if held.withheld > 0 && !now.Before(held.release) {
+		held.level, held.withheld = held.level+held.withheld, 0
+	}
 }
 
 // Message is what a router reports and asks for.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -273,6 +273,28 @@
 	require.Equal(t, 1, later.Grants[tenant].Granted)
 }
 
+// TestANewTenantMayBurstAtOnce adds a tenant to a document that is in force. Its bucket began
+// with 3 of its 31 tokens, as after a change of the leader, so that its first requests were
+// refused far below its limit as soon as routers heard that it is metered.
+func TestANewTenantMayBurstAtOnce(t *testing.T) {
+	ask := func(ledger *quota.Ledger, at time.Time) int {
+		return ledger.Take(at, quota.Message{Router: "a", Wanted: map[string]int{tenant: 100}}).Grants[tenant].Granted
+	}
+	limits := map[string]quota.Limit{tenant: {Rate: 1, Burst: 30}}
+	ledger := quota.NewLedger(tolerance)
+	ledger.SetLimits(start, nil)
+	ledger.SetLimits(start, limits)
+	require.GreaterOrEqual(t, ask(ledger, start), 30)
+	ledger.SetLimits(start, nil)
+	ledger.SetLimits(start.Add(window/2), limits)
+	require.Less(t, ask(ledger, start.Add(window/2)), 10, "what it spent before counts in the same window")
+
+	after := quota.NewLedger(tolerance)
+	after.SetLimits(start, limits)
+	require.Less(t, ask(after, start), 10, "the ledger before may have granted all")
+	require.GreaterOrEqual(t, ask(after, start.Add(window)), 30, "in a window that is over")
+}
+
 func TestAReportThatIsSentAgainCountsOnce(t *testing.T) {
 	ledger := quota.NewLedger(tolerance)
 	ledger.SetLimits(start, map[string]quota.Limit{tenant: {Rate: 1, Burst: 100}})
