Begin a term's ledger before its first document, not by a timer after it

What callers saw: the first requests of a tenant that a document brought to a site which had just formed were counted from a bucket of 3 tokens in place of 31. Cause: the ledger of a term began when a timer found the leader's freshness confirmed. A document that came sooner was the first one that the ledger saw, so that its tenants counted as ones to which an earlier leader may have granted tokens (traced: "limits map[one:{1 30}] begun=false"). Change: before it proposes a document, a leader has its ledger know the limits in force, read after a quorum confirmed it: no document of an earlier leader can be missing. Conclusion: costs a round trip within the quorum at the first document of a term.

--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -39,6 +39,7 @@
 	if !n.mayAcknowledge() {
 		return errNotFormed
 	}
+	n.beginLedger(ctx)
 	_, err := n.propose(ctx, command{Version: message.Version, Document: message.Text})
 	return err
 }
--- a/internal/directory/quota.go
+++ b/internal/directory/quota.go
@@ -35,10 +35,12 @@
 
 // quotaKeeper holds the ledger of a leader, for the term that it leads.
 type quotaKeeper struct {
-	mutex   sync.Mutex
-	ledger  *quota.Ledger
-	term    uint64
+	mutex  sync.Mutex
+	ledger *quota.Ledger
+	term   uint64
+	// version is that of the document whose limits the ledger knows, once it has begun.
 	version uint64
+	begun   bool
 	// told is the revision of the metered tenants that was told last.
 	told uint64
 	// wake is sent to when they changed.
@@ -81,21 +83,58 @@
 	if status.Role != consensus.Leader || n.freshSince(applied, steadyclock.Now()) < -leaderFreshness {
 		return nil, nil, errors.Wrap(ErrUnavailable, "this node is not known to lead")
 	}
-	keeper := &n.quota
-	keeper.mutex.Lock()
-	if keeper.ledger == nil || keeper.term != status.Term {
-		keeper.ledger, keeper.term, keeper.version, keeper.told = quota.NewLedger(n.config.QuotaTolerance), status.Term, 0, 0
+	if err := n.quota.lock(status.Term, applied, n.config); err != nil {
+		return nil, nil, err
 	}
-	if version, text, _ := applied.document(); version != keeper.version {
-		limits, err := n.config.ReadLimits(text)
+	return n.quota.ledger, n.quota.mutex.Unlock, nil
+}
+
+// lock takes in the term and the limits in force, and leaves the keeper locked unless it fails.
+func (k *quotaKeeper) lock(term uint64, applied *machine, config Config) error {
+	k.mutex.Lock()
+	if k.ledger == nil || k.term != term {
+		k.ledger, k.term, k.begun, k.told = quota.NewLedger(config.QuotaTolerance), term, false, 0
+	}
+	version, text, _ := applied.document()
+	if k.begun && version == k.version {
+		return nil
+	}
+	var limits map[string]quota.Limit
+	if version > 0 {
+		read, err := config.ReadLimits(text)
 		if err != nil {
-			keeper.mutex.Unlock()
-			return nil, nil, errors.Wrapf(ErrUnavailable, "the limits can't be read: %v", err)
+			k.mutex.Unlock()
+			return errors.Wrapf(ErrUnavailable, "the limits can't be read: %v", err)
 		}
-		keeper.ledger.SetLimits(steadyclock.Now(), limits)
-		keeper.version = version
+		limits = read
+	}
+	k.ledger.SetLimits(steadyclock.Now(), limits)
+	k.version, k.begun = version, true
+	return nil
+}
+
+// beginLedger has the ledger of a term know the limits before the first document of that term:
+// otherwise it takes the tenants which that one brings for such that an earlier leader may have
+// granted tokens to. What it is told comes after a confirmed read, so that no document of an
+// earlier leader is missing.
+func (n *Node) beginLedger(ctx context.Context) {
+	term := n.status().Term
+	n.quota.mutex.Lock()
+	begun := n.quota.begun && n.quota.term == term
+	n.quota.mutex.Unlock()
+	if begun {
+		return
+	}
+	err := n.confirm(ctx)
+	if err == nil && n.status().Term == term {
+		err = n.quota.lock(term, n.member.state(), n.config)
+	}
+	if err != nil {
+		// New tenants then begin with less of their burst, for a window.
+		n.logger.WithField("term", term).WithField("reason", err).Warn("ledger_not_begun")
+		return
 	}
-	return keeper.ledger, keeper.mutex.Unlock, nil
+	n.quota.mutex.Unlock()
 }
 
 // runQuota tells all nodes which tenants are metered, while this one leads.
