--- a/cmd/martenstage/soak_judge_test.go
+++ b/cmd/martenstage/soak_judge_test.go
@@ -58,8 +58,9 @@
 	// the request ended.
 	version, newest int
 	age             time.Duration
-	// incarnation counts the starts of the router.
-	incarnation int
+	// sentTo counts the starts of the router when the request was sent; incarnation is that,
+	// or of no known start where the router was started again until the answer.
+	sentTo, incarnation int
 }
 
 // soakArrival is one request at a server.
@@ -81,10 +82,10 @@
 // was acknowledged before it was sent.
 type soakRead struct{ version, acked int }
 
-// soakStop is a planned stop of a router that nothing else befell until it ended.
+// soakStop is a planned stop of one start of a router, which nothing else ended.
 type soakStop struct {
-	router     int
-	began, end time.Time
+	router, start int
+	began, end    time.Time
 }
 
 // soakRecords are what clients, servers and the operator saw.
@@ -296,7 +297,9 @@
 func (r *soakRecords) cutByStops() (broken []string) {
 	for _, stop := range r.stops {
 		for _, request := range r.requests {
-			crosses := request.router == stop.router && request.sent.Before(stop.began) && request.ended.After(stop.began) && !request.ended.After(stop.end)
+			// Stops that follow each other without a pause meet requests that were sent to
+			// the start before, and found no listener.
+			crosses := request.router == stop.router && request.sentTo == stop.start && request.sent.Before(stop.began) && request.ended.After(stop.began) && !request.ended.After(stop.end)
 			if crosses && request.broken {
 				broken = append(broken, fmt.Sprintf("%s was cut off by a planned stop of router %d", request.id, stop.router))
 			}
@@ -383,9 +386,13 @@
 				troubles: []soakTroubled{{start.Add(soakContact), start.Add(2*soakContact - 1)}},
 			},
 		},
+		"a request to the start that is stopped": {
+			&soakRecords{stops: []soakStop{{0, 2, start, start.Add(time.Second)}}, requests: []soakRequest{{sentTo: 1, sent: start.Add(-1), ended: start.Add(2), broken: true}}},
+			&soakRecords{stops: []soakStop{{0, 2, start, start.Add(time.Second)}}, requests: []soakRequest{{sentTo: 2, sent: start.Add(-1), ended: start.Add(2), broken: true}}},
+		},
 		"a request cut by a stop": {
-			&soakRecords{stops: []soakStop{{0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(1), ended: start.Add(2), broken: true}}},
-			&soakRecords{stops: []soakStop{{0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(-1), ended: start.Add(2), broken: true}}},
+			&soakRecords{stops: []soakStop{{0, 0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(1), ended: start.Add(2), broken: true}}},
+			&soakRecords{stops: []soakStop{{0, 0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(-1), ended: start.Add(2), broken: true}}},
 		},
 	} {
 		require.Empty(t, sample.whole.violations(), name)
--- a/cmd/martenstage/soak_marked_test.go
+++ b/cmd/martenstage/soak_marked_test.go
@@ -79,7 +79,7 @@
 	defer client.CloseIdleConnections()
 	for count := 0; ctx.Err() == nil; count++ {
 		time.Sleep(time.Duration(random.IntN(soakLongestQuiet)) * time.Millisecond)
-		s.askMarked(client, soakMarkedRoutes[random.IntN(len(soakMarkedRoutes))], random.IntN(soakRouters), count)
+		s.askMarked(client, soakMarkedRoutes[random.IntN(len(soakMarkedRoutes))], random.IntN(*soakRouters), count)
 	}
 }
 
@@ -94,13 +94,13 @@
 	count := 1 << 20
 	for _, route := range soakMarkedRoutes {
 		for s.records.endsOf(route) < 3 && count < 1<<20+50 {
-			s.askMarked(http.DefaultClient, route, count%soakRouters, count)
+			s.askMarked(http.DefaultClient, route, count%*soakRouters, count)
 			count++
 		}
 	}
 	time.Sleep(soakContact)
 	for range soakCalmRounds {
-		for router := range soakRouters {
+		for router := range *soakRouters {
 			for _, route := range soakMarkedRoutes {
 				s.askMarked(http.DefaultClient, route, router, count)
 				count++
--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -72,7 +72,7 @@
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &soakServer{
-		site: s, id: fmt.Sprintf("%s%d", service, number), service: service, zone: fmt.Sprint("z", number%soakRouters),
+		site: s, id: fmt.Sprintf("%s%d", service, number), service: service, zone: fmt.Sprint("z", number%*soakRouters),
 		link: testlink.New(s.t, listener.Addr().String()), left: make(chan struct{}),
 		slots: make(chan struct{}, soakSlots), cancel: cancel,
 	}
--- a/cmd/martenstage/soak_site_test.go
+++ b/cmd/martenstage/soak_site_test.go
@@ -23,9 +23,7 @@
 
 // Size of the site of a soak.
 const (
-	soakNodes   = 3
-	soakRouters = 3
-	soakCopies  = 2
+	soakCopies = 2
 	// soakGrace is the routers' stop limit.
 	soakGrace = 3 * time.Second
 	// soakKillGrace is what a stop may take longer before it counts as hung.
@@ -40,9 +38,28 @@
 	mutex     sync.Mutex
 	command   *exec.Cmd
 	ended     chan struct{}
-	// starts counts the incarnations; troubled is when something last befell it.
-	starts   atomic.Int64
-	troubled atomic.Int64
+	// starts counts the incarnations.
+	starts atomic.Int64
+	// begun is when the newest one began; ending is set while a fault ends it, and ownEnds
+	// counts those that ended otherwise.
+	begun   atomic.Int64
+	ending  atomic.Bool
+	ownEnds atomic.Int64
+	// taken is held by the fault that ends or freezes it, so that no two do at a time.
+	taken sync.Mutex
+}
+
+// take keeps other faults from ending or freezing processes, which are named in one order,
+// until release is called.
+func take(processes ...*soakProcess) (release func()) {
+	for _, process := range processes {
+		process.taken.Lock()
+	}
+	return func() {
+		for _, process := range processes {
+			process.taken.Unlock()
+		}
+	}
 }
 
 func (p *soakProcess) start(t testing.TB) {
@@ -54,9 +71,14 @@
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	require.NoError(t, p.command.Start())
 	p.starts.Add(1)
+	p.begun.Store(time.Now().UnixNano())
+	p.ending.Store(false)
 	p.ended = make(chan struct{})
 	go func(command *exec.Cmd, ended chan struct{}) {
 		_ = command.Wait() // how it ended is not judged here
+		if !p.ending.Load() {
+			p.ownEnds.Add(1)
+		}
 		close(ended)
 	}(p.command, p.ended)
 }
@@ -65,18 +87,19 @@
 func (p *soakProcess) signal(signal syscall.Signal) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.troubled.Store(time.Now().UnixNano())
 	_ = p.command.Process.Signal(signal)
 }
 
 // kill ends the process at once and waits for it.
 func (p *soakProcess) kill() {
+	p.ending.Store(true)
 	p.signal(syscall.SIGKILL)
 	<-p.ended
 }
 
 // stop ends it as planned; whether it did so within a time.
 func (p *soakProcess) stop(within time.Duration) bool {
+	p.ending.Store(true)
 	p.signal(syscall.SIGTERM)
 	select {
 	case <-p.ended:
@@ -108,19 +131,19 @@
 
 func startSoakSite(t *testing.T) *soakSite {
 	site := &soakSite{t: t, folder: t.TempDir(), servers: map[string][]*soakServer{}}
-	peers := testaddress.List(soakNodes)
+	peers := testaddress.List(*soakNodes)
 	var seeds []string
 	for _, peer := range peers {
 		seeds = append(slices.Clone(seeds), "--seed", peer)
 	}
-	for index := range soakNodes {
+	for index := range *soakNodes {
 		control := testaddress.Next().String()
 		site.control = append(site.control, control)
 		site.nodes = append(site.nodes, site.process(fmt.Sprint("d", index), "directory",
 			append(slices.Clone(seeds), "--control-listen", control, "--peer-listen", peers[index], "--bootstrap",
 				"--data-folder", site.dataFolder(index), "--losses", "1", "--heartbeat-interval", soakHeartbeat.String())...))
 	}
-	for index := range soakRouters {
+	for index := range *soakRouters {
 		clients := testaddress.Next().String()
 		site.clients = append(site.clients, clients)
 		site.routers = append(site.routers, site.process(fmt.Sprint("g", index), "gateway",
@@ -212,8 +235,8 @@
 func (s *soakSite) putNext(first int) bool {
 	version := s.proposed.Add(1)
 	body := fmt.Sprintf(soakDocument, version)
-	for offset := range soakNodes {
-		node := s.control[(first+offset)%soakNodes]
+	for offset := range *soakNodes {
+		node := s.control[(first+offset)%*soakNodes]
 		response, err := soakOperator.Post("http://"+node+"/-/config/put", "application/json", strings.NewReader(body))
 		if err != nil {
 			continue
--- a/cmd/martenstage/soak_test.go
+++ b/cmd/martenstage/soak_test.go
@@ -20,12 +20,16 @@
 
 var (
 	soakSeed    = flag.Uint64("soak.seed", 1, "seed of the faults of the soak")
-	soakSeconds = flag.Int("soak.seconds", 3, "how long the soak injects faults, in seconds")
+	soakSeconds = flag.Int("soak.seconds", 60, "how long the soak injects faults, in seconds")
+	soakLanes   = flag.Int("soak.lanes", 2, "how many series of faults overlap; the first alone is that of older seeds")
+	soakNodes   = flag.Int("soak.nodes", 3, "directory nodes of the soak")
+	soakRouters = flag.Int("soak.routers", 3, "gateways of the soak")
 )
 
 // Bounds of a soak's course.
 const (
 	soakClients      = 3
+	soakMostClients  = 60
 	soakPace         = 12 * time.Millisecond
 	soakDeadline     = 1500 * time.Millisecond
 	soakFormingTime  = 30 * time.Second
@@ -72,22 +76,24 @@
 	site.requireServing("at the start")
 	ctx, cancel := context.WithCancel(context.Background())
 	var clients sync.WaitGroup
-	for number := range soakClients * soakRouters {
+	for number := range min(soakMostClients, soakClients**soakRouters) {
 		clients.Go(func() { site.client(ctx, number) })
 	}
 	clients.Go(func() { site.sendMarked(ctx) })
 	schedule := soakSchedule(*soakSeed, time.Duration(*soakSeconds)*time.Second)
+	injecting, endLanes := context.WithCancel(ctx)
+	var lanes sync.WaitGroup
+	for lane := 1; lane < *soakLanes; lane++ {
+		lanes.Go(func() { site.disturb(injecting, lane) })
+	}
 	for _, fault := range schedule {
 		time.Sleep(fault.pause)
-		began := time.Now()
-		site.inject(fault)
-		if fault.befallsProcesses() {
-			site.records.note(func(records *soakRecords) {
-				records.troubles = append(records.troubles, soakTroubled{began, time.Now()})
-			})
-		}
-		site.read(fault.target % soakNodes)
+		site.play(fault)
+		site.read(fault.target % *soakNodes)
 	}
+	endLanes()
+	lanes.Wait()
+	site.requireNoOwnEnds()
 	site.requireServing("after the faults")
 	require.Eventually(t, func() bool {
 		newest, ok := site.read(0)
@@ -122,15 +128,21 @@
 	}
 }
 
-// client sends requests of all kinds to one router after the other.
+// client sends requests of all kinds to one router, over a connection that it keeps for as long
+// as the router lets it; where there are more routers than clients, to one after the other.
 func (s *soakSite) client(ctx context.Context, number int) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	kinds := []soakRoute{soakSweep, soakSweep, soakLook, soakOnce, soakVersion}
 	for count := 0; ctx.Err() == nil; count++ {
-		asked := soakRequest{route: kinds[count%len(kinds)], router: number % soakRouters, version: int(s.acked.Load())}
+		router := number % *soakRouters
+		if *soakRouters > soakMostClients {
+			router = (number + count) % *soakRouters
+		}
+		asked := soakRequest{route: kinds[count%len(kinds)], router: router, version: int(s.acked.Load())}
 		asked.id = fmt.Sprintf("%s-%d-%d", asked.route, number, count)
-		asked.incarnation = int(s.routers[asked.router].starts.Load())
+		asked.sentTo = int(s.routers[asked.router].starts.Load())
+		asked.incarnation = asked.sentTo
 		ended := s.ask(client, asked)
 		if int(s.routers[asked.router].starts.Load()) != asked.incarnation {
 			ended.incarnation = -1 - count // of no known start: compared with none
@@ -180,15 +192,26 @@
 	return asked
 }
 
+// play plays one fault and notes when it befell processes.
+func (s *soakSite) play(fault soakFault) {
+	began := time.Now()
+	s.inject(fault)
+	if fault.befallsProcesses() {
+		s.records.note(func(records *soakRecords) {
+			records.troubles = append(records.troubles, soakTroubled{began, time.Now()})
+		})
+	}
+}
+
 // inject plays one fault and heals it.
 func (s *soakSite) inject(fault soakFault) {
-	router, node := s.routers[fault.target%soakRouters], s.nodes[fault.target%soakNodes]
+	router, node := s.routers[fault.target%*soakRouters], s.nodes[fault.target%*soakNodes]
 	service := soakShards[fault.target%len(soakShards)]
 	switch fault.kind {
 	case "kill router":
 		s.restart(fault, router)
 	case "stop router":
-		s.stopRouter(fault.target % soakRouters)
+		s.stopRouter(fault.target % *soakRouters)
 	case "freeze router":
 		freeze(fault, router)
 	case "kill node":
@@ -196,8 +219,9 @@
 	case "freeze node":
 		freeze(fault, node)
 	case "wipe node":
+		defer take(node)()
 		node.kill()
-		require.NoError(s.t, os.RemoveAll(s.dataFolder(fault.target%soakNodes)))
+		require.NoError(s.t, os.RemoveAll(s.dataFolder(fault.target%*soakNodes)))
 		// A folder that was lost is never that of a first start.
 		node.arguments = without(node.arguments, "--bootstrap")
 		time.Sleep(fault.lasts)
@@ -225,10 +249,14 @@
 		time.Sleep(fault.lasts)
 		cut.Silence(false)
 		cut.Reset()
+	case "hang up router":
+		hangUp(router)
+	case "hang up node":
+		hangUp(node)
 	case "reset link":
 		s.server(service, fault.target).link.Reset()
 	case "change":
-		s.putNext(fault.target % soakNodes)
+		s.putNext(fault.target % *soakNodes)
 	}
 }
 
@@ -246,6 +274,7 @@
 }
 
 func (s *soakSite) restart(fault soakFault, processes ...*soakProcess) {
+	defer take(processes...)()
 	for _, process := range processes {
 		process.kill()
 	}
@@ -256,6 +285,7 @@
 }
 
 func freeze(fault soakFault, process *soakProcess) {
+	defer take(process)()
 	process.signal(syscall.SIGSTOP)
 	time.Sleep(fault.lasts)
 	process.signal(syscall.SIGCONT)
@@ -263,10 +293,11 @@
 
 // stopRouter stops a router as planned and notes the stop.
 func (s *soakSite) stopRouter(index int) {
-	began := time.Now()
+	defer take(s.routers[index])()
+	start, began := int(s.routers[index].starts.Load()), time.Now()
 	within := s.routers[index].stop(soakGrace + soakKillGrace)
 	require.True(s.t, within, "router %d did not end in time", index)
-	stop := soakStop{router: index, began: began, end: time.Now()}
+	stop := soakStop{router: index, start: start, began: began, end: time.Now()}
 	s.records.note(func(records *soakRecords) { records.stops = append(records.stops, stop) })
 	s.routers[index].start(s.t)
 }
