Tell a trial's caller that its request is quarantined only if it is

Cause, from the log lines trial_ended and server_ended_under_request: the request's trial ran at a server that another request ended; two servers had ended under it, and it is quarantined at three occasions. Change: such a caller gets 502, "may have run", and may send the request again where its route allows that.

--- a/internal/gateway/quarantining.go
+++ b/internal/gateway/quarantining.go
@@ -13,6 +13,7 @@
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Bounds of telling the directory of requests that end servers.
@@ -89,6 +90,16 @@
 	return w.view.Pending(fingerprint)
 }
 
+// awaitTold waits until this router's reports of a request have reached a node, for as long as
+// telling one takes at most: without a leader harmless requests that are suspected go on.
+func (w *quarantineWatch) awaitTold(ctx context.Context, fingerprint quarantine.Fingerprint) {
+	bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	for bounded.Err() == nil && w.pending(fingerprint) {
+		wait.For(bounded, orderGathering)
+	}
+}
+
 // revision returns that of the book that was told last.
 func (w *quarantineWatch) revision() uint64 {
 	w.mutex.Lock()
--- a/internal/gateway/trying.go
+++ b/internal/gateway/trying.go
@@ -56,6 +56,9 @@
 		return false
 	}
 	defer watch.endTrial(passed.fingerprint())
+	// What this router knows of the outcome of the last trial has to be in the book before it
+	// asks for another, or it is granted one too many.
+	watch.awaitTold(s.request.Context(), passed.fingerprint())
 	grant := s.askTrial(passed)
 	switch grant {
 	case grantRefused:
@@ -80,8 +83,12 @@
 		s.returnTrial(passed, grant)
 		result.Verdict, result.RetryAfter = verdict.NotRun, s.comeBack()
 		s.fail(result)
-	case end == trialEnded:
+	case end == trialEnded && s.gateway.quarantine.standing(passed) == quarantine.Quarantined:
 		s.refuseQuarantined(result)
+	case end == trialEnded:
+		// A harmless request may have been at a server that ended for another reason: its
+		// client may send it again. What it risks is bounded by the trials that are granted.
+		s.fail(result)
 	case result.Reply != nil && s.route.Gathers():
 		s.tried = true
 		return true
--- a/internal/gateway/trying_test.go
+++ b/internal/gateway/trying_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -148,6 +149,25 @@
 	require.Eventually(t, func() bool { return s.directory.records()[0].Trials == 0 }, 10*time.Second, 5*time.Millisecond)
 }
 
+// TestATrialThatEndsItsServerIsFinalOnlyOnceTheRequestIsQuarantined has servers end under trials.
+// The first client got 400 "quarantined", which it may not send again, though two servers had ended
+// under its request by then and it is quarantined at three: a harmless request of the soak was
+// refused for good that way, whose trial ran at a server which another request ended.
+func TestATrialThatEndsItsServerIsFinalOnlyOnceTheRequestIsQuarantined(t *testing.T) {
+	var ended atomic.Int64
+	s := startSite(t, nil, nil)
+	for number := range 4 {
+		s.directory.addServer(fmt.Sprint("i-", number), "s", "", endsOnce(t, &ended))
+	}
+	s.directory.give(suspect("/a/x"))
+	s.install(oneRoute(1, "s"))
+	first := s.ask(http.MethodGet, "/a/x", nil)
+	require.Equal(t, http.StatusBadGateway, first.status, first.body)
+	require.EqualValues(t, 1, ended.Load())
+	s.untilKnown("/a/x", http.StatusBadRequest)
+	require.EqualValues(t, 2, ended.Load(), "three in all, with the one before")
+}
+
 // TestTrialThatIsNotGrantedIsRefusedAsNotRun has all trials be taken.
 func TestTrialThatIsNotGrantedIsRefusedAsNotRun(t *testing.T) {
 	var served atomic.Int64
