--- a/cmd/martenstage/registered_test.go
+++ b/cmd/martenstage/registered_test.go
@@ -287,7 +287,8 @@
 	require.ElementsMatch(t, []string{"stamp-i-a1", "stamp-i-b2"}, strings.Split(sweep.header.Get("X-Part-Stamps"), ", "))
 	look := site.ask(1, "/look/x", "r2")
 	require.Equal(t, "stamp-i-a1", look.header.Get("X-Server-Stamp"))
-	// A router calls a route unknown once its document was confirmed lately, and refuses before.
+	// A router calls a route unknown once its document was confirmed lately, and refuses before:
+	// 404 is final to clients, while one that can't be sure of the newest document answers 503.
 	require.Eventually(t, func() bool {
 		status := site.ask(0, "/none/", "r3").status
 		require.Contains(t, []int{http.StatusNotFound, http.StatusServiceUnavailable}, status)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -49,6 +49,8 @@
 	passed   []time.Time
 	refused  int
 	offered  int
+	// asked are requests that waited for a token.
+	asked int
 }
 
 type event struct {
@@ -124,6 +126,7 @@
 	case quota.Refuse:
 		f.refused++
 	case quota.Ask:
+		f.asked++
 		f.send(number, nil, map[string]int{tenant: 1})
 	}
 }
@@ -265,6 +268,25 @@
 	require.LessOrEqual(t, float64(refused), 0.005*float64(offered), "of %d", offered)
 }
 
+// TestNoMoreRequestsWaitForATokenInALargerFleet counts those that do of tenants below their
+// limit: each costs its client a round trip to the leader, and the leader a message.
+func TestNoMoreRequestsWaitForATokenInALargerFleet(t *testing.T) {
+	alone := 0
+	for _, routers := range []int{1, 66, 132, 1000} {
+		offered, asked := 0, 0
+		for seed := range uint64(10) {
+			usual := 0.3 + float64(seed)
+			f := newFleet(seed, routers, quota.Limit{Rate: 1.6 * usual, Burst: math.Ceil(1.6 * usual)})
+			f.play(usual, 10*time.Second)
+			offered, asked = offered+f.offered, asked+f.asked
+		}
+		if routers == 1 {
+			alone = asked
+		}
+		require.LessOrEqual(t, asked, alone, "%d routers, of %d", routers, offered)
+	}
+}
+
 // TestRoutersWithoutALeaderSpendTheirSharesOnly cuts some routers off while a tenant sends
 // many times its usual to all of them.
 func TestRoutersWithoutALeaderSpendTheirSharesOnly(t *testing.T) {
