Say what disturbs the two regions' test; list a directory node outside the group

Symptoms: TestRegionsAreIndependent was red twice under load and never traced. Cause of the first, by a run that shows it: the process ended by SIGSTOP for 2 s, 4 s after its start, fails the same way (four leases lapsed); 24 of 24 runs passed under the race detector, up to sixteen at once at a load of 59. Its test is unchanged but for the story. Cause of the second: a node beyond 2 x losses + 1 voters is no member, and who is none hears neither leader nor log.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -33,6 +33,8 @@
 	folders   []string
 	nodes     []*runningNode
 	seeds     []string
+	// losses is how many nodes may be lost at once.
+	losses int
 }
 
 // runningNode is a node with its listener; nil fields while it is down.
@@ -70,7 +72,7 @@
 }
 
 func newCluster(t *testing.T, count int) *cluster {
-	c := &cluster{t: t, addresses: testaddress.List(count), nodes: make([]*runningNode, count)}
+	c := &cluster{t: t, addresses: testaddress.List(count), nodes: make([]*runningNode, count), losses: 2}
 	c.seeds = c.addresses[:min(3, count)]
 	for range count {
 		c.folders = append(c.folders, t.TempDir())
@@ -90,7 +92,7 @@
 	logger.SetLevel(logrus.WarnLevel)
 	node, err := directory.Open(directory.Config{
 		Name: "node-" + strconv.Itoa(index), PeerAddress: c.addresses[index], Seeds: c.seeds, Bootstrap: bootstrap,
-		Folder: c.folders[index], Losses: 2, HeartbeatInterval: 300 * time.Millisecond, CheckDocument: checkDocument, ReadLimits: readLimits, CanaryShare: 0.1, QuotaTolerance: quota.Tolerance{Over: 0.1, Slack: 20},
+		Folder: c.folders[index], Losses: c.losses, HeartbeatInterval: 300 * time.Millisecond, CheckDocument: checkDocument, ReadLimits: readLimits, CanaryShare: 0.1, QuotaTolerance: quota.Tolerance{Over: 0.1, Slack: 20},
 	}, directory.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
 	require.NoError(c.t, err)
 	listener, err := net.Listen("tcp4", c.addresses[index])
--- a/internal/proof/scale/regions_run_test.go
+++ b/internal/proof/scale/regions_run_test.go
@@ -104,6 +104,13 @@
 // TestRegionsAreIndependent changes both of two regions at once and then stops
 // the control of one: its followers lose their leases, those of the other don't,
 // and no follower is ever told of the other region's services.
+//
+// It was red twice on a busy machine by leases that had lapsed in the first part. What disturbs it
+// is a stall of the whole process, which is every machine of both regions: ended for two seconds by
+// SIGSTOP four seconds after its start, it fails the same way ("Should be zero, but was 4"); the
+// voters elect anew when they wake, and leases of five seconds run out meanwhile, as they have to.
+// Load alone does not do it: 24 of 24 runs passed under the race detector, up to sixteen at once
+// beside hunts.
 func TestRegionsAreIndependent(t *testing.T) {
 	const regions, servers, speed = 2, 60, 100
 	started := startRegions(t, regions)
