--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -10,7 +10,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 rapid_seed=${RAPID_SEED:-20261202}
-timeout=${TEST_TIMEOUT:-300s}
+timeout=${TEST_TIMEOUT:-600s}
 # Packages whose goroutines share state, and whose tests stay short under the
 # race detector.
 race_pattern=${RACE_PATTERN:?set by the Makefile}
