Tell from logs how old the state is that a node tells and a router goes by

Cause: the incident's logs could not tell its hypotheses apart: no line of a directory node said that its state is behind the group's log, none of a router whose word it went by, when it took a departure in, or what it had sent to the server before. Test: a node with a stalled disk logs state_behind with cause disk_slow, and when it caught up.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
@@ -35,6 +36,9 @@
 	seeds     []string
 	// losses is how many nodes may be lost at once.
 	losses int
+	// disks hold the nodes' logs, logged what nodes logged.
+	disks  []*stallingDisk
+	logged []*logtest.Hook
 }
 
 // runningNode is a node with its listener; nil fields while it is down.
@@ -76,6 +80,7 @@
 	c.seeds = c.addresses[:min(3, count)]
 	for range count {
 		c.folders = append(c.folders, t.TempDir())
+		c.disks, c.logged = append(c.disks, &stallingDisk{}), append(c.logged, &logtest.Hook{})
 	}
 	t.Cleanup(func() {
 		for index := range c.nodes {
@@ -89,11 +94,11 @@
 	c.t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	logger.SetLevel(logrus.WarnLevel)
+	logger.AddHook(c.logged[index])
 	node, err := directory.Open(directory.Config{
 		Name: "node-" + strconv.Itoa(index), PeerAddress: c.addresses[index], Seeds: c.seeds, Bootstrap: bootstrap,
 		Folder: c.folders[index], Losses: c.losses, HeartbeatInterval: 300 * time.Millisecond, CheckDocument: checkDocument, ReadLimits: readLimits, CanaryShare: 0.1, QuotaTolerance: quota.Tolerance{Over: 0.1, Slack: 20},
-	}, directory.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
+	}, directory.Environment{Logger: logger, Registerer: prometheus.NewRegistry(), WrapStore: c.disks[index].wrap})
 	require.NoError(c.t, err)
 	listener, err := net.Listen("tcp4", c.addresses[index])
 	require.NoError(c.t, err)
--- a/internal/directory/member.go
+++ b/internal/directory/member.go
@@ -93,7 +93,7 @@
 	opened, err := voter.Open(voter.Config{
 		ID: h.identity.ID, Address: h.config.PeerAddress,
 		Folder: filepath.Join(h.config.Folder, logFolder), InitialVoters: h.initialVoters(),
-		Heartbeat: heartbeat, ElectionTimeout: electionTimeout,
+		Heartbeat: heartbeat, ElectionTimeout: electionTimeout, WrapStore: h.environment.WrapStore,
 	}, applied, h.transport, h.environment.Logger, replacingRegisterer{h.environment.Registerer})
 	if err != nil {
 		return err
--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -21,6 +21,9 @@
 	// carried out as the leader.
 	quarantined      *prometheus.GaugeVec
 	quarantineOrders *prometheus.CounterVec
+	// behind and stateAge say how old the state is that this node tells routers.
+	behind   prometheus.Gauge
+	stateAge prometheus.Gauge
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -54,6 +57,12 @@
 		quarantineOrders: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "martenstage_directory_quarantine_orders_total", Help: "Orders about such requests that this node carried out as the leader, by kind.",
 		}, []string{"kind"}),
+		behind: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_directory_state_behind_entries", Help: "Entries of the log that this node knows to be committed and has not applied.",
+		}),
+		stateAge: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_directory_state_age_seconds", Help: "Time since the state of this node was last known to hold all that was acknowledged.",
+		}),
 	}
 }
 
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -104,7 +104,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runRollouts,
+		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runRollouts, n.runStateWatch,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/quota"
+	"github.com/martenstage/martenstage/internal/voter"
 )
 
 // Config says who a node is.
@@ -43,6 +44,8 @@
 type Environment struct {
 	Logger     *logrus.Logger
 	Registerer prometheus.Registerer
+	// WrapStore, when set, is put around the voter's log on disk.
+	WrapStore func(voter.Store) voter.Store
 }
 
 // Bounds of a node's duties.
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -176,6 +176,7 @@
 		version, _, changed := applied.document()
 		ids, next := applied.departures(position)
 		position = next
+		n.tellDepartures(ids)
 		n.metrics.version.Set(float64(version))
 		evacuations = n.tellEvacuations(applied, evacuations)
 		quarantined = n.countQuarantine(applied, quarantined)
--- /dev/null
+++ b/internal/directory/state_watch_test.go
@@ -0,0 +1,46 @@
+package directory_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+)
+
+// follower returns a node of the cluster that does not lead.
+func (c *cluster) follower() int {
+	c.t.Helper()
+	found := -1
+	c.eventually("no node follows a leader", func(node *runningNode) bool {
+		found = lo.IndexOf(c.nodes, node)
+		return node.Follows()
+	})
+	return found
+}
+
+// logs reports whether a node logged a message.
+func (c *cluster) logs(index int, message string) bool {
+	return lo.ContainsBy(c.logged[index].AllEntries(), func(entry *logrus.Entry) bool { return entry.Message == message })
+}
+
+// TestANodeBehindTheLogSaysSo stalls the disk of a node while a server departs: the node logs
+// that its state is behind and what holds it up, and when it has caught up.
+func TestANodeBehindTheLogSaysSo(t *testing.T) {
+	c := newCluster(t, 3)
+	c.losses = 1
+	c.startAll(true)
+	c.put(document(1, "first"))
+	slow := c.follower()
+	other := (slow + 1) % len(c.nodes)
+	release := c.disks[slow].stall()
+	defer release()
+	require.NoError(t, c.nodes[other].Depart(context.Background(), "i1", 0))
+	c.eventually("nothing is logged", func(*runningNode) bool { return c.logs(slow, "state_behind") })
+	told, _ := lo.Find(c.logged[slow].AllEntries(), func(entry *logrus.Entry) bool { return entry.Message == "state_behind" })
+	require.Equal(t, "disk_slow", told.Data["cause"])
+	require.False(t, c.logs(slow, "departures_applied"))
+	release()
+	c.eventually("not caught up", func(*runningNode) bool { return c.logs(slow, "state_caught_up") && c.logs(slow, "departures_applied") })
+}
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -128,6 +128,7 @@
 	if reply.Fresh == nil {
 		f.gateway.confirmUntold()
 	}
+	f.takeView(viewOf(f.node, asked, reply))
 	f.takeEvacuations(reply, regained)
 	f.takeIn(reply)
 	if reply.Fresh != nil && f.request.Version >= reply.Version {
@@ -233,6 +234,7 @@
 }
 
 func (f *follower) takeServers(reply directory.FollowReply) {
+	f.tellDepartures(reply.Departed)
 	var gone []string
 	for _, id := range reply.Departed {
 		f.departed[id] = true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,9 +37,11 @@
 	// confirmed says since when the document in force is known to be the newest; nil as long
 	// as no node told.
 	confirmed atomic.Pointer[confirmation]
-	quotas    *quotaWatch
-	rollouts  *rolloutWatch
-	stopping  atomic.Bool
+	// view says how old what the router knows of servers is; nil as long as no node told.
+	view     atomic.Pointer[view]
+	quotas   *quotaWatch
+	rollouts *rolloutWatch
+	stopping atomic.Bool
 	// closing says that connections end with their next answer.
 	closing atomic.Bool
 	// known is closed once there is a document.
@@ -87,6 +89,7 @@
 	gateway.reach = newReach(gateway)
 	gateway.SetSeeds(config.Seeds)
 	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget, Cold: config.Cold})
+	gateway.metrics.watchView(environment.Registerer, func() float64 { return gateway.viewAge(steadyclock.Now()).Seconds() })
 	gateway.loop = newLoop(engine, gateway.pool, loopPorts{claim: gateway.slices.claim, observe: gateway.observe, rollout: gateway.rollouts.observe}, gateway.logger)
 	gateway.quarantine = newQuarantineWatch(gateway.logger, gateway.metrics)
 	gateway.follower = newFollower(gateway)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,9 @@
 	ordersDropped      prometheus.Counter
 	trials             *prometheus.CounterVec
 	quarantined        *prometheus.GaugeVec
+	// Of what the directory tells of servers.
+	departures       prometheus.Counter
+	directoryChanges prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -57,7 +60,9 @@
 		quarantined: factory.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_quarantine_requests_count", Help: "Requests under which servers ended, as this router knows them, by standing.",
 		}, []string{"standing"}),
-		followFailures: counter("follow_failures_total", "Failed calls to directory nodes."),
+		departures:       counter("departures_total", "Departures of servers that directory nodes told."),
+		directoryChanges: counter("directory_changes_total", "Changes of the directory node that is followed, or of its start."),
+		followFailures:   counter("follow_failures_total", "Failed calls to directory nodes."),
 		version: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_document_version", Help: "Version of the routing document in force.",
 		}),
@@ -75,3 +80,10 @@
 		}),
 	}
 }
+
+// watchView registers how old what the router knows of servers is, seconds.
+func (m *metrics) watchView(registerer prometheus.Registerer, age func() float64) {
+	promauto.With(registerer).NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "martenstage_gateway_view_age_seconds", Help: "Time since what this router knows of servers was last known to hold all that was acknowledged.",
+	}, age)
+}
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -55,6 +55,8 @@
 		"missing": s.told.missing, "slices": s.told.slices, "shards": s.told.shards,
 		"fallbacks": s.told.fallbacks, "cut": s.told.cut,
 	}
+	viewed := s.gateway.viewed()
+	fields["directory"], fields["view_age"] = viewed.node, viewed.age(steadyclock.Now(), s.gateway.started)
 	if s.tenant != nil {
 		fields["tenant"] = s.tenant.Name
 	}
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -168,7 +168,7 @@
 	}
 	told.Leaving = told.Leaving || known.Leaving
 	if told.Leaving != known.Leaving || told.Missing != known.Missing {
-		e.emit(Noted{Server: told, Belief: "server_changed"})
+		e.emit(Noted{Server: told, Belief: "server_changed", Detail: known.recentWork(e.now)})
 	}
 	known.Server = told
 	known.turnCold(e.now)
@@ -188,7 +188,7 @@
 			break
 		}
 	}
-	e.emit(Noted{Server: known.Server, Belief: "server_forgotten"})
+	e.emit(Noted{Server: known.Server, Belief: "server_forgotten", Detail: known.recentWork(e.now)})
 }
 
 func (e *Engine) changeServices(services []routing.Service) {
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -172,7 +172,7 @@
 	sent := &attempt{id: e.last, call: called, server: chosen, started: e.now}
 	e.attempts[sent.id] = sent
 	sent.expected = e.now.Add(e.patience(called.request.route, chosen))
-	chosen.inFlight[sent.id] = sent
+	chosen.inFlight[sent.id], chosen.sent = sent, e.now
 	called.spendGrant()
 	chosen.spendCold(e.now, e.coldShare(called.group))
 	called.tried = append(called.tried, chosen)
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -1,6 +1,7 @@
 package scatter
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/message"
@@ -25,6 +26,8 @@
 	refusals recentShare
 	// heard is when the last good answer came.
 	heard time.Time
+	// sent is when the last attempt was sent.
+	sent time.Time
 	// failures in a row, and until when the server is avoided for them.
 	failures int
 	// errors are failures in a row that the server itself answered with.
@@ -106,6 +109,14 @@
 // usable reports whether the server may get new work at all.
 func (s *server) usable() bool { return !s.Leaving && !s.replaced }
 
+// recentWork says, for the log, what this router has sent to the server.
+func (s *server) recentWork(now time.Time) string {
+	if s.sent.IsZero() {
+		return "nothing sent"
+	}
+	return "in_flight=" + strconv.Itoa(len(s.inFlight)) + " last_sent=" + now.Sub(s.sent).Round(time.Millisecond).String()
+}
+
 // condition says how far a server is believed to answer; less is better.
 type condition uint8
 
