Name the disk as the cause of a state that is behind as soon as a sync takes 100 ms

Cause: the time that the oldest write waits is read up to a heartbeat late, so that a state 300 ms behind could show 290 ms of waiting and be called applying. Evidence: TestANodeBehindTheLogSaysSo, 1 of 3 runs. 100 ms is far above a sync and below the 300 ms after which a line is written.

--- a/internal/directory/state_watch.go
+++ b/internal/directory/state_watch.go
@@ -18,6 +18,8 @@
 	stateWatchInterval = 50 * time.Millisecond
 	// behindTold is for how long the state has to be behind until a line says so.
 	behindTold = 300 * time.Millisecond
+	// slowSync is from when on a write that waits for its sync is what holds the state up.
+	slowSync = 100 * time.Millisecond
 	// maxTold bounds the ids that a line names.
 	maxTold = 4
 )
@@ -69,7 +71,7 @@
 	switch {
 	case status.DiskError != nil:
 		return "disk_failed"
-	case status.UnsyncedFor > behindTold:
+	case status.UnsyncedFor > slowSync:
 		return "disk_slow"
 	case status.Leader == 0 && status.Role != consensus.Leader:
 		return "no_leader"
