Call a node's state fresh only up to the index that a quorum confirmed

What callers saw: requests to a server whose departure was acknowledged, by routers whose directory node was behind the log; also a key that was taken away would hold there longer than told. Cause: a node asked the leader for the document's version and called its whole state fresh when it held that version. Entries that change no document (departures, evacuations, quarantine, roll-outs) were not compared, and a node whose disk is held up hears the leader all the same. Why it works: the leader's confirmed read gives the commit index, which covers every entry that was acknowledged before the round began; the node waits until its own state machine has reached it. What is still open: routers do not leave a node whose state is not fresh.

--- a/internal/control/replication.go
+++ b/internal/control/replication.go
@@ -142,7 +142,7 @@
 func (s *Server) confirm(ctx context.Context) (uint64, error) { return s.confirmer.Confirm(ctx) }
 
 func (s *Server) confirmOnce(ctx context.Context) (uint64, error) {
-	if err := s.voter.ConfirmRead(ctx); err != nil {
+	if _, err := s.voter.ConfirmRead(ctx); err != nil {
 		var notLeader *voter.NotLeaderError
 		if errors.As(err, &notLeader) {
 			return 0, err
--- a/internal/directory/freshness.go
+++ b/internal/directory/freshness.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
@@ -20,15 +22,17 @@
 	notFresh = -24 * time.Hour
 )
 
-// freshness says that a machine held, at a time, every document that had been acknowledged
-// before it.
+// freshness says that a machine held, at a time, all that had been acknowledged before it:
+// documents, departures and every other entry of the log.
 type freshness struct {
 	of *machine
 	at time.Time
 }
 
-// confirmReply carries the version that a quorum has confirmed from the leader.
+// confirmReply carries from the leader up to which index a quorum has confirmed the log.
 type confirmReply struct {
+	Index uint64 `json:"index"`
+	// Version is that of the document, for nodes of the version before.
 	Version uint64 `json:"version"`
 }
 
@@ -44,38 +48,39 @@
 }
 
 func (n *Node) renewFreshness(ctx context.Context) {
-	began, applied := steadyclock.Now(), n.member.state()
+	// The machine before the voter: of a voter that is opened in between, the machine is
+	// another one, of which nothing is claimed here.
+	began, applied, member := steadyclock.Now(), n.member.state(), n.member.voter()
 	var reply confirmReply
 	err := n.atLeader(ctx, func(ctx context.Context) error {
 		confirmed, err := n.confirmHere(ctx)
 		reply = confirmed
 		return err
 	}, pathConfirm, struct{}{}, &reply)
+	if err == nil && reply.Index == 0 {
+		err = errNoIndex
+	}
+	if err == nil {
+		err = member.AwaitApplied(ctx, reply.Index)
+	}
 	if err != nil {
 		n.logger.WithField("reason", err).Debug("freshness_not_confirmed")
 		return
 	}
-	for {
-		version, _, changed := applied.document()
-		if version >= reply.Version {
-			n.confirmed.Store(&freshness{of: applied, at: began})
-			return
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
+	n.confirmed.Store(&freshness{of: applied, at: began})
 }
 
-// confirmHere returns, at the leader, the version that is in force for certain.
+// errNoIndex is of a leader of the version before, which confirms documents alone.
+var errNoIndex = errors.New("the leader does not tell the index")
+
+// confirmHere returns, at the leader, what is committed for certain.
 func (n *Node) confirmHere(ctx context.Context) (confirmReply, error) {
-	if err := n.confirm(ctx); err != nil {
+	index, err := n.confirmIndex(ctx)
+	if err != nil {
 		return confirmReply{}, err
 	}
 	version, _, _ := n.member.state().document()
-	return confirmReply{Version: version}, nil
+	return confirmReply{Index: index, Version: version}, nil
 }
 
 // freshSince returns, from a time on, when a machine held all that had been acknowledged;
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -134,10 +134,18 @@
 }
 
 func (n *Node) confirm(ctx context.Context) error {
-	if err := n.member.voter().ConfirmRead(ctx); err != nil {
-		return errors.Wrapf(ErrUnavailable, "%v", err)
+	_, err := n.confirmIndex(ctx)
+	return err
+}
+
+// confirmIndex returns, at the leader, up to which index the log is committed for certain;
+// this node has applied it.
+func (n *Node) confirmIndex(ctx context.Context) (uint64, error) {
+	index, err := n.member.voter().ConfirmRead(ctx)
+	if err != nil {
+		return 0, errors.Wrapf(ErrUnavailable, "%v", err)
 	}
-	return nil
+	return index, nil
 }
 
 // atLeader runs an operation here if this node leads, else at the leader, within
--- a/internal/voter/disk_test.go
+++ b/internal/voter/disk_test.go
@@ -128,7 +128,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 5*voter.config.ElectionTimeout)
 		defer cancel()
 		for ctx.Err() == nil {
-			require.Error(t, voter.ConfirmRead(ctx))
+			_, err := voter.ConfirmRead(ctx)
+			require.Error(t, err)
 		}
 		require.NotEqual(t, consensus.Leader, voter.Status().Role)
 	}
--- a/internal/voter/group_test.go
+++ b/internal/voter/group_test.go
@@ -167,7 +167,8 @@
 	require.Eventually(g.t, func() bool {
 		for _, voter := range g.running() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			confirmed := voter.ConfirmRead(ctx) == nil
+			_, err := voter.ConfirmRead(ctx)
+			confirmed := err == nil
 			cancel()
 			if confirmed {
 				found = voter
--- a/internal/voter/requests.go
+++ b/internal/voter/requests.go
@@ -67,26 +67,32 @@
 }
 
 // ConfirmRead returns once the local state machine holds every commit that was
-// made before the call, confirmed by a quorum. On a voter that does not lead it
-// fails with *NotLeaderError.
-func (v *Voter) ConfirmRead(ctx context.Context) error {
+// made before the call, confirmed by a quorum, and the index up to which that is.
+// On a voter that does not lead it fails with *NotLeaderError.
+func (v *Voter) ConfirmRead(ctx context.Context) (index uint64, err error) {
 	request := &readRequest{done: make(chan readAnswer, 1)}
 	if !v.reads.TryPush(request) {
-		return ErrOverloaded
+		return 0, ErrOverloaded
 	}
 	var answer readAnswer
 	select {
 	case answer = <-request.done:
 	case <-ctx.Done():
-		return ctx.Err()
+		return 0, ctx.Err()
 	case <-v.loopDone:
-		return ErrClosed
+		return 0, ErrClosed
 	}
 	if answer.err != nil {
-		return answer.err
+		return 0, answer.err
 	}
+	return answer.index, v.AwaitApplied(ctx, answer.index)
+}
+
+// AwaitApplied returns once the local state machine has reached an index. Errors are the
+// context's and ErrClosed.
+func (v *Voter) AwaitApplied(ctx context.Context, index uint64) error {
 	select {
-	case <-v.applied.reached(answer.index):
+	case <-v.applied.reached(index):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
