Let routers leave a directory node whose state is out of date

What callers saw: requests to a server whose departure was acknowledged, from the routers of a node that is behind the group's log; 18 of 60 routers beside two stalled disks. Cause: a router stayed with its node as long as that answered, whatever it said of its state's age. Change: a node's probe and its news say how old its state is; a held call ends when the state becomes out of date (0.8 s without a quorum's confirmation); the router then looks for a node whose state is newer and moves there. Where there is none it stays and serves by the list that it has: servers leave rarely, and an old list serves better than none. Each router orders the nodes for itself, so that those of one node spread over all others.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -15,11 +15,11 @@
 // router that hears nothing keeps a node that has become silent.
 const maxFollowWait = time.Second
 
-// Follow answers a router as soon as there is something that it does not know,
-// or after the time that it is ready to wait. A node that hears no leader fails
-// with ErrUnavailable, so that the router follows another one.
+// Follow answers a router as soon as there is something that it does not know, or this node's
+// state becomes out of date, or after the time that the router is ready to wait. A node that
+// hears no leader fails with ErrUnavailable, so that the router follows another one.
 func (n *Node) Follow(ctx context.Context, request FollowRequest) (FollowReply, error) {
-	arrived := steadyclock.Now()
+	arrived, staleBefore := steadyclock.Now(), n.stale.Load()
 	deadline := time.NewTimer(min(request.Wait, maxFollowWait))
 	defer deadline.Stop()
 	for {
@@ -27,13 +27,13 @@
 			return FollowReply{}, errors.Wrap(ErrUnavailable, "no leader is heard")
 		}
 		if request.Probe {
-			return FollowReply{Source: n.source}, nil
+			return n.freshProbe(arrived), nil
 		}
 		applied := n.member.state()
 		fresh := n.freshSince(applied, arrived)
 		reply, news, changed, err := n.news(applied, request)
 		reply.Fresh = &fresh
-		if news || err != nil {
+		if news || err != nil || n.stale.Load() && !staleBefore {
 			return reply, err
 		}
 		select {
--- a/internal/directory/freshness.go
+++ b/internal/directory/freshness.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/steadyclock"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Times of keeping a node's state fresh.
@@ -18,6 +19,9 @@
 	// leaderFreshness is how lately a quorum has to have confirmed a leader for it to spend
 	// what only one node may: another one may lead by now.
 	leaderFreshness = time.Second
+	// StaleAfter is from which age on a node's state counts as out of date: routers leave the
+	// node for one whose state is newer.
+	StaleAfter = 800 * time.Millisecond
 	// notFresh is told of a state that no quorum has confirmed yet.
 	notFresh = -24 * time.Hour
 )
@@ -40,11 +44,29 @@
 // of date. It is what routers that were cut off are told by: they refuse in time what a
 // newer document may forbid.
 func (n *Node) runFreshness(ctx context.Context) {
-	every(ctx, freshnessInterval, func() {
+	interval := time.NewTicker(freshnessInterval)
+	defer interval.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-interval.C:
+		case <-n.confirmNow:
+		}
 		confirming, cancel := context.WithTimeout(ctx, freshnessTimeout)
-		defer cancel()
 		n.renewFreshness(confirming)
-	})
+		cancel()
+	}
+}
+
+// freshProbe answers a router that asks whether to follow this node. A state that is out of
+// date is confirmed at once: the node may only have had no leader until now.
+func (n *Node) freshProbe(arrived time.Time) FollowReply {
+	fresh := n.freshSince(n.member.state(), arrived)
+	if fresh < -StaleAfter {
+		wait.Notify(n.confirmNow)
+	}
+	return FollowReply{Source: n.source, Fresh: &fresh}
 }
 
 func (n *Node) renewFreshness(ctx context.Context) {
--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -24,6 +24,8 @@
 	// behind and stateAge say how old the state is that this node tells routers.
 	behind   prometheus.Gauge
 	stateAge prometheus.Gauge
+	// staleTimes counts how often it became out of date.
+	staleTimes prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -60,6 +62,9 @@
 		behind: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_directory_state_behind_entries", Help: "Entries of the log that this node knows to be committed and has not applied.",
 		}),
+		staleTimes: factory.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_directory_state_stale_total", Help: "How often the state of this node became out of date, so that routers left it.",
+		}),
 		stateAge: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_directory_state_age_seconds", Help: "Time since the state of this node was last known to hold all that was acknowledged.",
 		}),
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -59,6 +59,9 @@
 	// reports are what routers observed of roll-outs.
 	reports   reportBook
 	confirmed atomic.Pointer[freshness]
+	// confirmNow has the state confirmed at once; stale says that it is out of date.
+	confirmNow chan struct{}
+	stale      atomic.Bool
 	// lacking says that another node told of a server that this one does not know.
 	lacking bool
 }
@@ -81,6 +84,7 @@
 		refused:     make(map[uint64]bool),
 		silentSince: make(map[uint64]time.Time),
 		reports:     make(reportBook),
+		confirmNow:  make(chan struct{}, 1),
 		quota:       quotaKeeper{wake: make(chan struct{}, 1)},
 	}
 	node.SetSeeds(config.Seeds)
--- a/internal/directory/state_watch.go
+++ b/internal/directory/state_watch.go
@@ -42,6 +42,7 @@
 	behind := entriesBehind(status)
 	n.metrics.behind.Set(float64(behind))
 	n.metrics.stateAge.Set(n.stateAge(now).Seconds())
+	n.watchAge(now, status)
 	if behind == 0 {
 		if watch.told {
 			n.logger.WithFields(logrus.Fields{"applied": status.Applied, "for": now.Sub(watch.since)}).Info("state_caught_up")
@@ -62,6 +63,28 @@
 	}).Warn("state_behind")
 }
 
+// watchAge takes in whether the state is out of date, and wakes the routers that wait here if it
+// has become so.
+func (n *Node) watchAge(now time.Time, status voter.Status) {
+	age := n.stateAge(now)
+	stale := age > StaleAfter
+	if n.stale.Swap(stale) == stale {
+		return
+	}
+	told := n.logger.WithFields(logrus.Fields{
+		"state_age": age, "applied": status.Applied, "committed": status.Commit, "leader": status.Leader, "unsynced_for": status.UnsyncedFor,
+	})
+	if !stale {
+		told.Info("state_fresh")
+		return
+	}
+	n.metrics.staleTimes.Inc()
+	told.Warn("state_stale")
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.announce()
+}
+
 func entriesBehind(status voter.Status) uint64 {
 	return status.Commit - min(status.Commit, status.Applied)
 }
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -42,6 +42,12 @@
 	node  string
 	nodes []string
 	lost  bool
+	// moved says that node was chosen anew and has not been asked yet.
+	moved bool
+	// nextLook is when a better node than one whose state is out of date is looked for again;
+	// staleTold says that the log has it that there is none.
+	nextLook  time.Time
+	staleTold bool
 	// followed is node, for others than the one goroutine that follows.
 	followed atomic.Pointer[string]
 	// known are all nodes, the one that is followed first, for others than that goroutine.
@@ -97,27 +103,20 @@
 		Stopping: f.gateway.stopping.Load(),
 	}
 	f.request.Calls = f.gateway.shardCalls.perSecond(steadyclock.Now())
-	var reply directory.FollowReply
-	var err error
-	var asked time.Time
+	first := f.node == "" || f.moved
 	if f.node == "" {
-		f.request.Wait = 0
-		if f.node, err = f.search(ctx); err != nil {
+		node, err := f.search(ctx)
+		if err != nil {
 			return err
 		}
-		asked = steadyclock.Now()
-		reply, err = f.post(ctx, f.node, f.request, firstTimeout)
-	} else {
-		f.request.Wait = followWait
-		if f.moving {
-			f.request.Wait = evacuationStep
-		}
-		asked = steadyclock.Now()
-		reply, err = f.post(ctx, f.node, f.request, followTimeout)
+		f.node = node
 	}
+	asked := steadyclock.Now()
+	reply, err := f.askNews(ctx, first)
 	if err != nil {
 		return err
 	}
+	f.moved = false
 	regained := f.lost
 	if f.lost {
 		f.lost = false
@@ -128,17 +127,33 @@
 	if reply.Fresh == nil {
 		f.gateway.confirmUntold()
 	}
-	f.takeView(viewOf(f.node, asked, reply))
+	taken := viewOf(f.node, asked, reply)
 	f.takeEvacuations(reply, regained)
-	f.takeIn(reply)
+	f.takeIn(reply, taken)
+	f.takeView(taken)
 	if reply.Fresh != nil && f.request.Version >= reply.Version {
 		// The node got the call after it was sent, so that its word is at least that young.
 		f.gateway.confirm(asked.Add(*reply.Fresh))
 	}
 	f.setReachable(followed)
+	f.leaveStale(ctx, taken)
 	return nil
 }
 
+// askNews asks the followed node for news. The first call to a node is answered at once, with all
+// that it knows.
+func (f *follower) askNews(ctx context.Context, first bool) (directory.FollowReply, error) {
+	if first {
+		f.request.Wait = 0
+		return f.post(ctx, f.node, f.request, firstTimeout)
+	}
+	f.request.Wait = followWait
+	if f.moving {
+		f.request.Wait = evacuationStep
+	}
+	return f.post(ctx, f.node, f.request, followTimeout)
+}
+
 // post asks a node for news.
 func (f *follower) post(ctx context.Context, node string, request directory.FollowRequest, timeout time.Duration) (directory.FollowReply, error) {
 	var reply directory.FollowReply
@@ -190,10 +205,11 @@
 	return err
 }
 
-func (f *follower) takeIn(reply directory.FollowReply) {
+func (f *follower) takeIn(reply directory.FollowReply, from view) {
 	f.takeQuarantine(reply)
 	f.takeMetered(reply)
 	f.takeRollouts(reply)
+	f.tellDepartures(reply.Departed, from)
 	f.takeServers(reply)
 	f.takeDocument(reply)
 	if len(reply.Nodes) > 0 {
@@ -234,7 +250,6 @@
 }
 
 func (f *follower) takeServers(reply directory.FollowReply) {
-	f.tellDepartures(reply.Departed)
 	var gone []string
 	for _, id := range reply.Departed {
 		f.departed[id] = true
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -1,14 +1,18 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Bounds of the search for a directory node.
@@ -25,63 +29,142 @@
 	longestSearchPause = 50 * time.Millisecond
 	// searchTime is after how long a search fails.
 	searchTime = 2 * time.Second
+	// staleChoice is for how long a search that found only nodes whose state is out of date
+	// goes on for a better one.
+	staleChoice = 200 * time.Millisecond
+	// staleLookPause lies between two searches for a better node than the one followed.
+	staleLookPause = 500 * time.Millisecond
 )
 
 var errNoNode = errors.New("no directory node answers")
 
-// found is a node that can be followed, or why none can.
+// found is what a node said to a probe, or why it said nothing.
 type found struct {
 	node string
-	err  error
+	// untold says that the node does not tell how old its state is, as nodes of an earlier
+	// version; else its state held all that had been acknowledged at a time.
+	untold bool
+	at     time.Time
+	err    error
 }
 
-// search asks all known nodes side by side until one answers, so that one that is
-// silent, or hears no leader yet, delays nothing. What is asked is answered with
-// few bytes, since all may answer.
+// fresh reports whether the node's state is not out of date.
+func (f found) fresh(now time.Time) bool { return f.untold || now.Sub(f.at) <= directory.StaleAfter }
+
+// search asks all known nodes side by side until one answers whose state is not out of date,
+// so that one that is silent, hears no leader yet or is behind delays nothing. Where all that
+// answer are out of date, the newest is taken: an old list serves better than none. What is
+// asked is answered with few bytes, since all may answer.
 func (f *follower) search(ctx context.Context) (string, error) {
 	searching, cancel := context.WithTimeout(ctx, searchTime)
 	defer cancel()
-	candidates := f.candidates()
-	answers := make(chan found, len(candidates))
-	for position, node := range candidates {
-		go func() { answers <- f.ask(searching, node, time.Duration(position)*searchStagger) }()
-	}
+	answers := f.askAll(searching, f.candidates())
+	best := found{err: errNoNode}
 	failure := errNoNode
-	for range candidates {
-		answer := <-answers
-		if answer.err == nil {
-			return answer.node, nil
+	var enough <-chan time.Time
+	for {
+		select {
+		case answer := <-answers:
+			switch {
+			case answer.err != nil:
+				failure = errors.Wrap(answer.err, answer.node)
+				continue
+			case answer.fresh(steadyclock.Now()):
+				return answer.node, nil
+			case best.err != nil || answer.at.After(best.at):
+				best = answer
+			}
+			if enough == nil {
+				enough = time.After(staleChoice)
+			}
+		case <-enough:
+			return best.node, nil
+		case <-searching.Done():
+			return "", errors.CombineErrors(errNoNode, failure)
 		}
-		failure = errors.CombineErrors(answer.err, failure)
 	}
-	return "", failure
 }
 
-// ask calls one node after a pause, again and again until it answers or the
-// context ends.
-func (f *follower) ask(ctx context.Context, node string, pause time.Duration) found {
-	asked := found{node: node, err: errNoNode}
+// askAll asks nodes side by side, again and again until the context ends.
+func (f *follower) askAll(ctx context.Context, nodes []string) <-chan found {
+	answers := make(chan found)
+	for position, node := range nodes {
+		go f.ask(ctx, node, time.Duration(position)*searchStagger, answers)
+	}
+	return answers
+}
+
+// ask calls one node after a pause, again and again until the context ends.
+func (f *follower) ask(ctx context.Context, node string, pause time.Duration, answers chan<- found) {
 	probe := directory.FollowRequest{Probe: true}
 	for next := firstSearchPause; ; next = min(2*next, longestSearchPause) {
 		select {
 		case <-ctx.Done():
-			return asked
+			return
 		case <-time.After(pause):
 		}
-		if _, asked.err = f.post(ctx, node, probe, searchTimeout); asked.err == nil {
-			return asked
+		asked := steadyclock.Now()
+		reply, err := f.post(ctx, node, probe, searchTimeout)
+		answer := found{node: node, err: err, untold: err == nil && reply.Fresh == nil}
+		if reply.Fresh != nil {
+			answer.at = asked.Add(*reply.Fresh)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case answers <- answer:
 		}
 		pause = next
 	}
 }
 
-// candidates are the nodes of the group as last told and the seeds, beginning at
-// a place of this router's own, so that routers spread over the nodes.
+// candidates are the nodes of the group as last told and the seeds, in an order of this
+// router's own: routers spread over the nodes, and those that leave one over all others.
 func (f *follower) candidates() []string {
 	known := lo.Uniq(append(slices.Clone(f.nodes), f.gateway.seedList()...))
-	if len(known) == 0 {
-		return nil
+	slices.SortFunc(known, func(a, b string) int { return cmp.Compare(f.preference(a), f.preference(b)) })
+	return known
+}
+
+// preference orders nodes for this router alone; less is better.
+func (f *follower) preference(node string) uint64 {
+	return xxhash.Sum64String(f.gateway.config.Name + "/" + node)
+}
+
+// leaveStale moves to another node if the state of the one that is followed is out of date and
+// another one's is not.
+func (f *follower) leaveStale(ctx context.Context, followed view) {
+	now := steadyclock.Now()
+	if followed.at.IsZero() || now.Sub(followed.at) <= directory.StaleAfter || now.Before(f.nextLook) {
+		return
+	}
+	f.nextLook = now.Add(staleLookPause)
+	node, better := f.searchFresh(ctx)
+	told := f.gateway.logger.WithFields(logrus.Fields{"directory": followed.node, "state_age": now.Sub(followed.at)})
+	if !better {
+		if !f.staleTold {
+			told.Warn("directory_stale: no node has a newer state")
+		}
+		f.staleTold = true
+		return
+	}
+	told.WithField("next", node).Warn("directory_left")
+	f.node, f.moved, f.staleTold = node, true, false
+}
+
+// searchFresh returns a node whose state is not out of date, if one answers in time.
+func (f *follower) searchFresh(ctx context.Context) (node string, found bool) {
+	searching, cancel := context.WithTimeout(ctx, staleChoice)
+	defer cancel()
+	answers := f.askAll(searching, lo.Without(f.candidates(), f.node))
+	for {
+		select {
+		case answer := <-answers:
+			if answer.err == nil && answer.fresh(steadyclock.Now()) {
+				return answer.node, true
+			}
+		case <-searching.Done():
+			return "", false
+		}
 	}
-	first := int(f.gateway.seed % uint64(len(known)))
-	return slices.Concat(known[first:], known[:first])
 }
--- /dev/null
+++ b/internal/gateway/stale_directory_test.go
@@ -0,0 +1,72 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+)
+
+// longStale is an age at which a node's state is out of date.
+const longStale = 10 * directory.StaleAfter
+
+// setFresh makes a stub say when its state held all that had been acknowledged, counted from
+// the arrival of each call.
+func (d *directoryStub) setFresh(at time.Duration) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.reply.Fresh = &at
+}
+
+// logs reports whether the router logged a message.
+func (s *site) logs(message string) bool {
+	return lo.ContainsBy(s.logged.AllEntries(), func(entry *logrus.Entry) bool { return entry.Message == message })
+}
+
+// addNode adds a directory node that knows the same as the site's first one.
+func (s *site) addNode(source string) *directoryStub {
+	s.directory.mutex.Lock()
+	defer s.directory.mutex.Unlock()
+	added := &directoryStub{reply: s.directory.reply}
+	added.reply.Source = source
+	s.directory.reply.Nodes = append(s.directory.reply.Nodes, serve(s.t, added))
+	added.reply.Nodes = s.directory.reply.Nodes
+	return added
+}
+
+// TestRouterGoesOnByANodeThatIsBehind guards against a router that stays with a directory node
+// whose state is out of date, and so sends to a server whose departure was acknowledged.
+func TestRouterGoesOnByANodeThatIsBehind(t *testing.T) {
+	s := startSite(t, nil, map[string]http.HandlerFunc{"s": echo})
+	s.directory.setFresh(0)
+	s.install(oneRoute(1, "s"))
+	require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/x", nil).status)
+	current := s.addNode("current")
+	current.mutex.Lock()
+	current.reply.Departed, current.reply.Departures = []string{"i-s"}, 1
+	current.mutex.Unlock()
+	s.directory.setFresh(-longStale)
+	require.Eventually(t, func() bool { return s.ask(http.MethodGet, "/a/x", nil).status == http.StatusServiceUnavailable }, 10*time.Second, 10*time.Millisecond)
+	require.True(t, s.logs("directory_left"))
+	require.True(t, s.logs("departures_taken"))
+}
+
+// TestRouterStopsServingWhereNoNodeIsCurrent guards against a router that gives up the servers it
+// knows because the state of every node is out of date.
+func TestRouterStopsServingWhereNoNodeIsCurrent(t *testing.T) {
+	s := startSite(t, nil, map[string]http.HandlerFunc{"s": echo})
+	s.directory.setFresh(0)
+	s.install(oneRoute(1, "s"))
+	other := s.addNode("other")
+	other.setFresh(-longStale)
+	s.directory.setFresh(-longStale)
+	require.Eventually(t, func() bool { return s.logs("directory_stale: no node has a newer state") }, 10*time.Second, 10*time.Millisecond)
+	require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/x", nil).status)
+	require.False(t, s.logs("directory_left"))
+	require.False(t, s.logs("directory_lost"))
+}
--- a/internal/gateway/view.go
+++ b/internal/gateway/view.go
@@ -69,14 +69,13 @@
 const maxDeparturesTold = 4
 
 // tellDepartures logs which departures were taken in, and from whom.
-func (f *follower) tellDepartures(ids []string) {
+func (f *follower) tellDepartures(ids []string, from view) {
 	if len(ids) == 0 {
 		return
 	}
-	viewed := f.gateway.viewed()
 	f.gateway.metrics.departures.Add(float64(len(ids)))
 	f.gateway.logger.WithFields(logrus.Fields{
 		"departures": len(ids), "some": strings.Join(lo.Slice(ids, 0, maxDeparturesTold), " "),
-		"directory": f.node, "view_age": viewed.age(steadyclock.Now(), f.gateway.started),
+		"directory": from.node, "view_age": from.age(steadyclock.Now(), f.gateway.started),
 	}).Info("departures_taken")
 }
