--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -50,7 +50,9 @@
 	Version    uint64   `json:"version"`
 	Document   []byte   `json:"document"`
 	Departures []string `json:"departures"`
-	Formed     bool     `json:"formed"`
+	// Forgotten counts older departures than those, so that positions go on after a snapshot.
+	Forgotten int  `json:"forgotten,omitempty"`
+	Formed    bool `json:"formed"`
 	// Evacuated are the zones whose servers get no requests, ordered by name, and
 	// EvacuationRevision rises whenever they change.
 	Evacuated          []Evacuation `json:"evacuated,omitempty"`
@@ -69,9 +71,7 @@
 	state replicated
 	// departed holds the ids of state.Departures.
 	departed map[string]bool
-	// removed counts departures that were forgotten, so that positions go on.
-	removed int
-	changed chan struct{}
+	changed  chan struct{}
 }
 
 var _ voter.StateMachine = (*machine)(nil)
@@ -126,7 +126,7 @@
 	if len(m.state.Departures) > maxDepartures {
 		delete(m.departed, m.state.Departures[0])
 		m.state.Departures = m.state.Departures[1:]
-		m.removed++
+		m.state.Forgotten++
 	}
 }
 
@@ -155,7 +155,6 @@
 	for _, id := range restored.Departures {
 		m.departed[id] = true
 	}
-	m.removed = 0
 	m.notify()
 	return nil
 }
@@ -176,16 +175,16 @@
 }
 
 // departures returns the ids from a position on, and the position behind them.
-// After a restored snapshot positions begin anew; a position that is beyond the
-// end gives all.
+// A position that is beyond the end, as of a state that is replayed, gives all.
 func (m *machine) departures(from int) (ids []string, next int) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	next = m.removed + len(m.state.Departures)
-	if from < m.removed || from > next {
-		from = m.removed
+	forgotten := m.state.Forgotten
+	next = forgotten + len(m.state.Departures)
+	if from < forgotten || from > next {
+		from = forgotten
 	}
-	return append([]string(nil), m.state.Departures[from-m.removed:]...), next
+	return append([]string(nil), m.state.Departures[from-forgotten:]...), next
 }
 
 func (m *machine) formed() bool {
