Check a heartbeat against departures under the table's lock

What callers see: nothing yet; the node's table goes on with a departed server as ready, then missing, and tells other nodes so. Routers were kept from it by the list of departures alone. Cause: a heartbeat was checked before the lock and taken in after it; a departure that was applied in between marked a table that did not hold the server yet, and was not looked at again. Why it works: either the check sees the departure, or the server is in the table when it is marked.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"slices"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
@@ -65,3 +68,32 @@
 	require.NoError(t, c.nodes[1].Depart(ctx, "i1", 0))
 	c.everywhere("the server goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
 }
+
+// TestHeartbeatBesideItsDepartureStaysReady guards against a heartbeat that is checked before a
+// departure is applied and taken into the table after it.
+func TestHeartbeatBesideItsDepartureStaysReady(t *testing.T) {
+	const servers = 3000
+	c := newCluster(t, 1)
+	c.losses = 0
+	c.startAll(true)
+	c.put(document(1, "first"))
+	ctx := context.Background()
+	node := c.nodes[0]
+	var calls sync.WaitGroup
+	for number := range servers {
+		id := "i" + strconv.Itoa(number)
+		calls.Go(func() { _ = node.Depart(ctx, id, 0) })
+		for sequence := range uint64(4) {
+			calls.Go(func() { _ = node.Heartbeat(ctx, instance(id, "s", registry.Ready, sequence)) })
+		}
+		if number%100 == 0 {
+			calls.Wait()
+		}
+	}
+	calls.Wait()
+	c.eventually("servers that have departed are not marked as leaving", func(node *runningNode) bool {
+		reply, err := newsOf(node)
+		others := lo.CountBy(reply.Instances, func(known registry.Instance) bool { return known.State != registry.Leaving })
+		return err == nil && len(reply.Departed) == servers && others == 0
+	})
+}
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -15,11 +15,12 @@
 
 // report takes in a heartbeat that a server sent to this node.
 func (n *Node) report(instance registry.Instance) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	// Under the mutex: a departure that is applied later finds the server in the table.
 	if n.member.state().hasDeparted(instance.ID) {
 		instance.State = registry.Leaving
 	}
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
 	if n.registry.Report(steadyclock.Now(), instance) {
 		n.fresh[instance.ID] = true
 		n.announceSoon()
@@ -100,9 +101,9 @@
 
 // takeIn merges what another node told.
 func (n *Node) takeIn(message shareMessage) {
-	departed := n.member.state()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	departed := n.member.state()
 	now := steadyclock.Now()
 	changed := false
 	for _, instance := range message.Instances {
