Serve a server whose machine's clock was set back before it started again

Cause: of two starts at one address the one with the later time went before, whatever became of it. Times of start are by the clocks of the servers' machines, which may jump. Change: a start that left never takes its address back, and one that is silent holds it against an earlier time of start only until two heartbeats in a row came from there. Evidence: TestStartAfterAClockWasSetBackIsNeverServed failed before (missing in place of ready), passes now; found by the test of departures without a start. Why it works: only what nodes hear decides between a start that is silent and one that is not.

--- a/internal/registry/life_test.go
+++ b/internal/registry/life_test.go
@@ -57,3 +57,27 @@
 	require.Equal(t, "i", registry.NameOf(next.ID))
 	require.Equal(t, "i", registry.NameOf(registry.LifeID("i", 0)), "a start of an unknown time has the name")
 }
+
+// TestStartAfterAClockWasSetBackIsNeverServed guards against a server that starts again with an
+// earlier time of start, since its machine's clock was set back, and counts as a late heartbeat.
+func TestStartAfterAClockWasSetBackIsNeverServed(t *testing.T) {
+	const missingAfter = 5 * time.Second
+	life := func(born int64, sequence uint64, state registry.State) registry.Instance {
+		return registry.Instance{ID: registry.LifeID("i", born), Born: born, Service: "s", Address: "10.0.0.1:1", Slots: 2, State: state, Sequence: sequence}
+	}
+	for name, before := range map[string]registry.State{"crashed": registry.Ready, "left": registry.Leaving} {
+		now := time.Unix(100, 0)
+		table := registry.New(missingAfter, time.Minute)
+		table.Report(now, life(500, 7, before))
+		now = now.Add(missingAfter + time.Second)
+		table.Expire(now)
+		for sequence := range uint64(4) {
+			table.Report(now, life(400, sequence, registry.Ready))
+			if before == registry.Leaving {
+				table.Report(now, life(500, 8+sequence, registry.Ready))
+			}
+			now = now.Add(time.Second)
+		}
+		require.Equal(t, registry.Ready, statesIn(table, now)["i#400"], name)
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -163,8 +163,8 @@
 		delete(t.rivals, address)
 		return true
 	}
-	if owner.instance.Born > known.instance.Born && known.instance.Born > 0 {
-		return false // It is a late one of an earlier start.
+	if known.instance.State == Leaving || owner.precedes(known.instance) {
+		return false // It is a late one of a start that left, or of an earlier one.
 	}
 	claiming := t.rivals[address]
 	if claiming.id != id {
@@ -183,6 +183,19 @@
 	return true
 }
 
+// later reports whether the entry is of a later start than an instance, by what both say.
+func (e *entry) later(instance Instance) bool {
+	return instance.Born > 0 && e.instance.Born > instance.Born
+}
+
+// precedes reports whether the owner of an address goes before an instance that sends heartbeats
+// from there: it is of a later start and was heard of lately. The time of a start is by the clock
+// of the server's machine, which may have been set back, so that it does not tell for one that is
+// silent.
+func (e *entry) precedes(instance Instance) bool {
+	return e.instance.State == Ready && e.later(instance)
+}
+
 // Knows reports whether the table holds an instance.
 func (t *Table) Knows(id string) bool {
 	_, exists := t.entries[id]
@@ -193,7 +206,7 @@
 	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft)}
 	t.entries[instance.ID] = added
 	if previous, taken := t.byAddress[instance.Address]; taken {
-		if owner := t.entries[previous]; owner != nil && instance.Born > 0 && owner.instance.Born > instance.Born {
+		if owner := t.entries[previous]; owner != nil && owner.instance.State != Leaving && owner.later(instance) {
 			added.instance.State = Missing
 			t.touch(added)
 			return
