Let a departure that names no start hold for every start that was heard of before it

What callers saw: nothing ended requests to a server whose departure was acknowledged, where the node that took it had not heard of the server's start yet, or of an earlier one alone. Cause: the node resolved the name by its own table, and where that had nothing recorded the bare name: the acknowledgement bound the group to an id that nobody has. Why it works: the log records the name with its own index. Each instance bears the index up to which the node that first heard of it had applied the log, so that whoever holds both can tell, at any later time and from no clock, whether the start came before the departure. A node whose state is out of date registers no new start of a server that keeps its name: it could not tell.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -97,3 +97,68 @@
 		return err == nil && len(reply.Departed) == servers && others == 0
 	})
 }
+
+// TestNextStartOfADepartedServerIsNotServed guards against a departure without a start that holds
+// for a later start of the server as well, or no more for late heartbeats of the one that left.
+func TestNextStartOfADepartedServerIsNotServed(t *testing.T) {
+	c := newCluster(t, 3)
+	c.losses = 1
+	c.startAll(true)
+	c.put(document(1, "first"))
+	c.everywhere("not fresh", freshWithin(time.Second))
+	ctx := context.Background()
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 500, registry.Ready, 7)))
+	c.everywhere("not known", func(node *runningNode) bool { return stateAt(node, "i1#500") == registry.Ready })
+	require.NoError(t, c.nodes[1].Depart(ctx, "i1", 0))
+	// The clock of the server's machine was set back before its next start.
+	c.eventually("the next start is refused", func(node *runningNode) bool {
+		return node.Heartbeat(ctx, startOf("i1", 400, registry.Ready, 1)) == nil
+	})
+	for _, node := range c.nodes {
+		require.NoError(t, node.Heartbeat(ctx, startOf("i1", 500, registry.Ready, 8)), "a late heartbeat")
+	}
+	c.everywhere("the next start is not served", func(node *runningNode) bool { return stateAt(node, "i1#400") == registry.Ready })
+	c.everywhere("the start that left is served", func(node *runningNode) bool { return stateAt(node, "i1#500") == registry.Leaving })
+	require.NoError(t, c.nodes[2].Depart(ctx, "i1", 0))
+	c.everywhere("its own departure does not hold", func(node *runningNode) bool { return stateAt(node, "i1#400") == registry.Leaving })
+}
+
+// TestDepartureThatNamesAnUnknownStartBindsNoServer guards against acknowledging a start that no
+// heartbeat named, of a server whose heartbeats name none.
+func TestDepartureThatNamesAnUnknownStartBindsNoServer(t *testing.T) {
+	c := newCluster(t, 3)
+	c.losses = 1
+	c.startAll(true)
+	c.put(document(1, "first"))
+	ctx := context.Background()
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
+	require.NoError(t, c.nodes[1].Depart(ctx, "i1", 77))
+	c.everywhere("the server goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1") == registry.Leaving })
+}
+
+// TestNodeBehindTheLogTakesAStartInThatIsOld guards against a node that lacks a departure and
+// calls a new start of the same server one that left.
+func TestNodeBehindTheLogTakesAStartInThatIsOld(t *testing.T) {
+	c := newCluster(t, 3)
+	c.losses = 1
+	c.startAll(true)
+	c.put(document(1, "first"))
+	c.everywhere("not fresh", freshWithin(time.Second))
+	ctx := context.Background()
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)))
+	behind := c.follower()
+	release := c.disks[behind].stall()
+	defer release()
+	c.eventually("not acknowledged", func(node *runningNode) bool {
+		return node != c.nodes[behind] && node.Depart(ctx, "i1", 0) == nil
+	})
+	c.eventually("the state is not out of date", func(*runningNode) bool { return c.logs(behind, "state_stale") })
+	require.ErrorIs(t, c.nodes[behind].Heartbeat(ctx, startOf("i1", 6, registry.Ready, 1)), directory.ErrUnavailable, "a new start is taken in")
+	require.NoError(t, c.nodes[behind].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 2)), "a start that is known")
+	c.eventually("the new start is taken in nowhere", func(node *runningNode) bool {
+		return node != c.nodes[behind] && node.Heartbeat(ctx, startOf("i1", 6, registry.Ready, 2)) == nil
+	})
+	release()
+	c.everywhere("the new start is not served", func(node *runningNode) bool { return stateAt(node, "i1#6") == registry.Ready })
+	c.everywhere("the start that left is served", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
+}
--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -100,12 +100,13 @@
 	same := request.Source == n.source
 	since := request.Revision
 	if !same {
-		since, request.Departures = 0, 0
+		since, request.Departures, request.DepartedNames = 0, 0, 0
 	}
 	reply.Whole = !same
 	reply.Instances = n.registry.Since(now, since)
 	reply.Departed, reply.Departures = applied.departures(request.Departures)
-	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || reply.Version > 0 || otherRouters || otherAbsent || otherEvacuated || otherQuarantine || otherMetered || otherRollouts
+	reply.DepartedNames = applied.departedNames(request.DepartedNames)
+	news = !same || len(reply.Instances) > 0 || len(reply.Departed) > 0 || len(reply.DepartedNames) > 0 || reply.Version > 0 || otherRouters || otherAbsent || otherEvacuated || otherQuarantine || otherMetered || otherRollouts
 	return reply, news, n.changed, nil
 }
 
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/quarantine"
+	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
@@ -21,8 +22,10 @@
 	// Document of Version is to be put in force.
 	Version  uint64 `json:"version,omitempty"`
 	Document []byte `json:"document,omitempty"`
-	// Departures are ids of instances that get no new work.
+	// Departures are ids of instances that get no new work; Names are servers that left
+	// without saying which of their starts is meant.
 	Departures []string `json:"departures,omitempty"`
+	Names      []string `json:"names,omitempty"`
 	// Formed says that the group has reached its size once.
 	Formed bool `json:"formed,omitempty"`
 	// Evacuations are orders of operators, in the order in which they hold.
@@ -45,14 +48,18 @@
 	UnderWay string
 }
 
-// replicated is the state that the log drives.
+// replicated is the state that the log drives, as snapshots keep it.
 type replicated struct {
 	Version    uint64   `json:"version"`
 	Document   []byte   `json:"document"`
 	Departures []string `json:"departures"`
 	// Forgotten counts older departures than those, so that positions go on after a snapshot.
-	Forgotten int  `json:"forgotten,omitempty"`
-	Formed    bool `json:"formed"`
+	Forgotten int `json:"forgotten,omitempty"`
+	// Names are the servers that left without saying which of their starts is meant, and Index
+	// is that of the last entry that was applied.
+	Names  []registry.NameDeparture `json:"names,omitempty"`
+	Index  uint64                   `json:"index,omitempty"`
+	Formed bool                     `json:"formed"`
 	// Evacuated are the zones whose servers get no requests, ordered by name, and
 	// EvacuationRevision rises whenever they change.
 	Evacuated          []Evacuation `json:"evacuated,omitempty"`
@@ -69,29 +76,28 @@
 type machine struct {
 	mutex sync.Mutex
 	state replicated
-	// departed holds the ids of state.Departures.
-	departed map[string]bool
+	// departed are the departures of the state.
+	departed *registry.Departures
 	changed  chan struct{}
 }
 
 var _ voter.StateMachine = (*machine)(nil)
 
 func newMachine() *machine {
-	return &machine{departed: make(map[string]bool), changed: make(chan struct{})}
+	return &machine{departed: registry.NewDepartures(maxDepartures), changed: make(chan struct{})}
 }
 
 // Apply carries out a committed command and returns a putResult or an error.
-func (m *machine) Apply(_ uint64, data []byte) any {
+func (m *machine) Apply(index uint64, data []byte) any {
 	var decoded command
 	if err := json.Unmarshal(data, &decoded); err != nil {
 		return errors.Wrap(err, "a log entry can't be read")
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.state.Index = index
 	result := m.putDocument(decoded)
-	for _, id := range decoded.Departures {
-		m.depart(id)
-	}
+	m.depart(decoded.Departures, decoded.Names)
 	m.state.Formed = m.state.Formed || decoded.Formed
 	for _, order := range decoded.Evacuations {
 		m.evacuate(order)
@@ -117,16 +123,15 @@
 	return putResult{Held: decoded.Version, Installed: true}
 }
 
-func (m *machine) depart(id string) {
-	if m.departed[id] {
-		return
+// depart takes in departures of the entry at the state's index.
+func (m *machine) depart(ids, names []string) {
+	for _, id := range ids {
+		if m.departed.Add(id) {
+			m.state.Forgotten++
+		}
 	}
-	m.departed[id] = true
-	m.state.Departures = append(m.state.Departures, id)
-	if len(m.state.Departures) > maxDepartures {
-		delete(m.departed, m.state.Departures[0])
-		m.state.Departures = m.state.Departures[1:]
-		m.state.Forgotten++
+	for _, name := range names {
+		m.departed.AddName(registry.NameDeparture{Name: name, Before: m.state.Index})
 	}
 }
 
@@ -139,7 +144,9 @@
 func (m *machine) Snapshot() ([]byte, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return json.Marshal(m.state)
+	whole := m.state
+	whole.Departures, whole.Names = m.departed.IDs(), m.departed.NamesAfter(0)
+	return json.Marshal(whole)
 }
 
 // Restore replaces the whole state.
@@ -150,11 +157,16 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.state = restored
-	m.departed = make(map[string]bool, len(restored.Departures))
+	m.departed = registry.NewDepartures(maxDepartures)
 	for _, id := range restored.Departures {
-		m.departed[id] = true
+		m.departed.Add(id)
 	}
+	for _, left := range restored.Names {
+		m.departed.AddName(left)
+	}
+	// The set keeps them from here on.
+	restored.Departures, restored.Names = nil, nil
+	m.state = restored
 	m.notify()
 	return nil
 }
@@ -167,11 +179,33 @@
 	return m.state.Version, m.state.Document, m.changed
 }
 
-// hasDeparted reports whether an instance said that it leaves.
+// hasDeparted reports whether the departure of a start is known by its id.
 func (m *machine) hasDeparted(id string) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.departed[id]
+	return m.departed.Has(id)
+}
+
+// holds reports whether a departure holds for an instance.
+func (m *machine) holds(instance registry.Instance) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.departed.Hold(instance)
+}
+
+// next is the index of the first entry that was not applied yet, as far as entries change the
+// state.
+func (m *machine) next() uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.Index + 1
+}
+
+// departedNames returns the departures of names above an index.
+func (m *machine) departedNames(above uint64) []registry.NameDeparture {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.departed.NamesAfter(above)
 }
 
 // departures returns the ids from a position on, and the position behind them.
@@ -180,11 +214,12 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	forgotten := m.state.Forgotten
-	next = forgotten + len(m.state.Departures)
+	ids = m.departed.IDs()
+	next = forgotten + len(ids)
 	if from < forgotten || from > next {
 		from = forgotten
 	}
-	return append([]string(nil), m.state.Departures[from-forgotten:]...), next
+	return append([]string(nil), ids[from-forgotten:]...), next
 }
 
 func (m *machine) formed() bool {
--- a/internal/directory/operations.go
+++ b/internal/directory/operations.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/consensus"
-	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
@@ -78,44 +77,6 @@
 	return readReply{Version: version, Text: text}, nil
 }
 
-// Heartbeat takes in what a server says of itself. Leaving is acknowledged, by a
-// nil error, only once a quorum has it; else the error is ErrUnavailable.
-func (n *Node) Heartbeat(ctx context.Context, instance registry.Instance) error {
-	n.report(instance)
-	if instance.State == registry.Leaving {
-		return n.depart(ctx, instance.ID)
-	}
-	return nil
-}
-
-// Depart takes in that a server leaves or is gone: its start at a time, 0 for the latest one
-// that is known. It is acknowledged like leaving in Heartbeat.
-func (n *Node) Depart(ctx context.Context, name string, born int64) error {
-	id := registry.LifeID(name, born)
-	if born == 0 {
-		n.mutex.Lock()
-		id = n.registry.Newest(name)
-		n.mutex.Unlock()
-	}
-	return n.depart(ctx, id)
-}
-
-func (n *Node) depart(ctx context.Context, id string) error {
-	if n.member.state().hasDeparted(id) {
-		return nil
-	}
-	began := steadyclock.Now()
-	message := departMessage{ID: id}
-	err := n.atLeader(ctx, func(ctx context.Context) error { return n.departHere(ctx, message) }, pathDepart, message, nil)
-	n.record("depart", began, err, logrus.Fields{"instance": id})
-	return err
-}
-
-func (n *Node) departHere(ctx context.Context, message departMessage) error {
-	_, err := n.propose(ctx, command{Departures: []string{message.ID}})
-	return err
-}
-
 // propose replicates a command and returns what applying it gave.
 func (n *Node) propose(ctx context.Context, proposed command) (putResult, error) {
 	data, err := json.Marshal(proposed)
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -114,7 +114,12 @@
 
 // departMessage carries a departure to the leader.
 type departMessage struct {
+	// ID is that of the start, or the server's name where the start was not named.
 	ID string `json:"id"`
+	// Starts are more ids that leave.
+	Starts []string `json:"starts,omitempty"`
+	// Name is that of a server of which every start leaves that was heard of before.
+	Name string `json:"name,omitempty"`
 }
 
 // readReply carries the document in force from the leader.
@@ -160,8 +165,10 @@
 	Source     string `json:"source"`
 	Revision   uint64 `json:"revision"`
 	Departures int    `json:"departures"`
-	Routers    uint64 `json:"routers"`
-	Absent     uint64 `json:"absent"`
+	// DepartedNames is the highest index of a departure that names no start.
+	DepartedNames uint64 `json:"departed_names,omitempty"`
+	Routers       uint64 `json:"routers"`
+	Absent        uint64 `json:"absent"`
 	// Probe asks only whether the node can be followed: the reply names its source.
 	Probe bool `json:"probe,omitempty"`
 	// Evacuations is the highest revision of the evacuated zones that the router holds.
@@ -193,6 +200,8 @@
 	Settled    bool     `json:"settled"`
 	Departed   []string `json:"departed,omitempty"`
 	Departures int      `json:"departures"`
+	// DepartedNames are departures that name no start.
+	DepartedNames []registry.NameDeparture `json:"departed_names,omitempty"`
 	// Nodes are peer addresses of the group, to follow when this one is lost.
 	Nodes []string `json:"nodes"`
 	// RouterCount is how many routers share the servers.
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -18,10 +18,10 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	// Under the mutex: a departure that is applied later finds the server in the table.
-	if n.member.state().hasDeparted(instance.ID) {
-		instance.State = registry.Leaving
+	if !n.registry.Knows(instance.ID) {
+		instance.Since = n.member.state().next()
 	}
-	if n.registry.Report(steadyclock.Now(), instance) {
+	if n.enter(n.member.state(), instance) {
 		n.fresh[instance.ID] = true
 		n.announceSoon()
 		n.logger.WithField("instance", instance.ID).WithField("service", instance.Service).
@@ -31,6 +31,22 @@
 	n.beats[instance.ID] = instance.Sequence
 }
 
+// enter takes what is told of an instance into the table, as leaving if a departure holds for
+// it, and reports whether routers must know of it. The caller holds the mutex.
+func (n *Node) enter(applied *machine, told registry.Instance) bool {
+	now, first := steadyclock.Now(), told
+	if known, exists := n.registry.Get(now, told.ID); exists && (told.Since == 0 || known.Since < told.Since) {
+		first.Since = known.Since
+	}
+	if !applied.holds(first) {
+		return n.registry.Report(now, told)
+	}
+	told.State = registry.Leaving
+	changed := n.registry.Report(now, told)
+	// A report with a lower sequence than the last one says nothing of the state.
+	return n.registry.Leave(told.ID) || changed
+}
+
 // runSharing tells the other nodes what servers said to this one, and takes the
 // table of another node over at the start.
 func (n *Node) runSharing(ctx context.Context) {
@@ -103,14 +119,11 @@
 func (n *Node) takeIn(message shareMessage) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	departed := n.member.state()
+	applied := n.member.state()
 	now := steadyclock.Now()
 	changed := false
 	for _, instance := range message.Instances {
-		if departed.hasDeparted(instance.ID) {
-			instance.State = registry.Leaving
-		}
-		changed = n.registry.Report(now, instance) || changed
+		changed = n.enter(applied, instance) || changed
 	}
 	for _, repeated := range message.Beats {
 		changed = n.registry.Refresh(now, repeated.ID, repeated.Sequence) || changed
@@ -169,7 +182,7 @@
 // runDepartures marks in the table who is known to leave by the replicated log,
 // and wakes routers when the document changed.
 func (n *Node) runDepartures(ctx context.Context) {
-	position := 0
+	position, named := 0, uint64(0)
 	var evacuations, quarantined uint64
 	phases := make(map[uint64]rollout.Phase)
 	for {
@@ -177,7 +190,8 @@
 		version, _, changed := applied.document()
 		ids, next := applied.departures(position)
 		position = next
-		n.tellDepartures(ids)
+		names := applied.departedNames(named)
+		n.tellDepartures(ids, names)
 		n.metrics.version.Set(float64(version))
 		evacuations = n.tellEvacuations(applied, evacuations)
 		quarantined = n.countQuarantine(applied, quarantined)
@@ -186,6 +200,10 @@
 		for _, id := range ids {
 			n.registry.Leave(id)
 		}
+		for _, left := range names {
+			n.registry.LeaveName(left)
+			named = max(named, left.Before)
+		}
 		n.announce()
 		n.mutex.Unlock()
 		select {
@@ -193,7 +211,7 @@
 			return
 		case <-changed:
 		case <-replaced:
-			position = 0
+			position, named = 0, 0
 		}
 	}
 }
--- a/internal/directory/state_watch.go
+++ b/internal/directory/state_watch.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/consensus"
+	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/voter"
 )
@@ -113,13 +114,13 @@
 }
 
 // tellDepartures logs which departures the state took in, at which index.
-func (n *Node) tellDepartures(ids []string) {
-	if len(ids) == 0 {
+func (n *Node) tellDepartures(ids []string, names []registry.NameDeparture) {
+	if len(ids)+len(names) == 0 {
 		return
 	}
 	status := n.status()
 	n.logger.WithFields(logrus.Fields{
-		"departures": len(ids), "some": strings.Join(lo.Slice(ids, 0, maxTold), " "),
+		"departures": len(ids), "names": len(names), "some": strings.Join(lo.Slice(ids, 0, maxTold), " "),
 		"applied": status.Applied, "committed": status.Commit,
 	}).Info("departures_applied")
 }
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -31,6 +31,8 @@
 	// it knows.
 	firstTimeout = 1500 * time.Millisecond
 	maxFollowed  = 64 << 20
+	// maxDepartures bounds the departures that are remembered of each kind, the latest ones.
+	maxDepartures = 50_000
 )
 
 // follower takes documents and servers over from the directory.
@@ -58,9 +60,10 @@
 	// still changes with time.
 	evacuated evacuation.View
 	moving    bool
-	// servers are the ids told to the engine; departed those never told again.
-	servers  map[string]bool
-	departed map[string]bool
+	// servers are the instances told to the engine, by id; departed say which are never told
+	// again.
+	servers  map[string]registry.Instance
+	departed *registry.Departures
 }
 
 func newFollower(gateway *Gateway) *follower {
@@ -69,7 +72,7 @@
 		gateway: gateway,
 		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
 		request: directory.FollowRequest{},
-		servers: make(map[string]bool), departed: make(map[string]bool),
+		servers: make(map[string]registry.Instance), departed: registry.NewDepartures(maxDepartures),
 	}
 }
 
@@ -250,23 +253,17 @@
 }
 
 func (f *follower) takeServers(reply directory.FollowReply) {
-	var gone []string
-	for _, id := range reply.Departed {
-		f.departed[id] = true
-		if f.servers[id] {
-			gone = append(gone, id)
-		}
-	}
+	gone := f.takeDepartures(reply)
 	told := make(map[string]bool, len(reply.Instances))
 	var changed []scatter.Server
 	var instances []registry.Instance
 	now := steadyclock.Now()
 	for _, instance := range reply.Instances {
 		told[instance.ID] = true
-		if f.departed[instance.ID] {
+		if f.departed.Hold(instance) {
 			continue
 		}
-		f.servers[instance.ID] = true
+		f.servers[instance.ID] = instance
 		changed = append(changed, toServer(now, instance))
 		instances = append(instances, instance)
 	}
@@ -285,6 +282,26 @@
 	}
 }
 
+// takeDepartures takes in which servers left, and returns the ids of those that were known.
+func (f *follower) takeDepartures(reply directory.FollowReply) (gone []string) {
+	for _, id := range reply.Departed {
+		f.departed.Add(id)
+	}
+	for _, left := range reply.DepartedNames {
+		f.departed.AddName(left)
+		f.request.DepartedNames = max(f.request.DepartedNames, left.Before)
+	}
+	if len(reply.Departed)+len(reply.DepartedNames) == 0 {
+		return nil
+	}
+	for id, known := range f.servers {
+		if f.departed.Hold(known) {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
 func toServer(now time.Time, instance registry.Instance) scatter.Server {
 	return scatter.Server{
 		ID: instance.ID, Service: instance.Service, Address: instance.Address, Zone: instance.Zone, Version: instance.Version, Slots: instance.Slots,
--- a/internal/gateway/stale_directory_test.go
+++ b/internal/gateway/stale_directory_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/registry"
 )
 
 // longStale is an age at which a node's state is out of date.
@@ -70,3 +71,26 @@
 	require.False(t, s.logs("directory_left"))
 	require.False(t, s.logs("directory_lost"))
 }
+
+// TestRouterSendsToAServerThatLeftByItsName guards against a router that goes on with a start of a
+// server whose departure names the server alone, or that leaves out its next start as well.
+func TestRouterSendsToAServerThatLeftByItsName(t *testing.T) {
+	s := startSite(t, nil, map[string]http.HandlerFunc{"s": echo})
+	s.directory.mutex.Lock()
+	left := s.directory.reply.Instances[0]
+	left.ID, left.Since = registry.LifeID("i-s", 500), 3
+	s.directory.reply.Instances = []registry.Instance{left}
+	s.directory.mutex.Unlock()
+	s.install(oneRoute(1, "s"))
+	require.Eventually(t, func() bool { return s.ask(http.MethodGet, "/a/x", nil).status == http.StatusOK }, 10*time.Second, 10*time.Millisecond)
+	s.directory.mutex.Lock()
+	s.directory.reply.DepartedNames = []registry.NameDeparture{{Name: "i-s", Before: 5}}
+	s.directory.mutex.Unlock()
+	require.Eventually(t, func() bool { return s.ask(http.MethodGet, "/a/x", nil).status == http.StatusServiceUnavailable }, 10*time.Second, 10*time.Millisecond)
+	next := left
+	next.ID, next.Since = registry.LifeID("i-s", 400), 6
+	s.directory.mutex.Lock()
+	s.directory.reply.Instances = []registry.Instance{left, next}
+	s.directory.mutex.Unlock()
+	require.Eventually(t, func() bool { return s.ask(http.MethodGet, "/a/x", nil).header.Get("X-Stamp") == "of-"+next.ID }, 10*time.Second, 10*time.Millisecond)
+}
--- a/internal/registry/life.go
+++ b/internal/registry/life.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -25,13 +26,14 @@
 	return name
 }
 
-// Newest returns the id of the latest start that is known of a server; its name if none is.
-func (t *Table) Newest(name string) string {
-	newest, born := name, int64(0)
-	for id, known := range t.entries {
-		if known.instance.Born > born && NameOf(id) == name {
-			newest, born = id, known.instance.Born
+// Starts returns the ids of all starts that are known of a server, ordered.
+func (t *Table) Starts(name string) []string {
+	var starts []string
+	for id := range t.entries {
+		if NameOf(id) == name {
+			starts = append(starts, id)
 		}
 	}
-	return newest
+	slices.Sort(starts)
+	return starts
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -42,6 +42,10 @@
 	State   State  `json:"state"`
 	// Sequence rises with each heartbeat, so that a late one can be told.
 	Sequence uint64 `json:"sequence"`
+	// Since is the index of the first entry of the log that the node which heard of the
+	// instance first had not applied then: a departure of the server from that index on came
+	// later. 0 is of a node that does not tell.
+	Since uint64 `json:"since,omitempty"`
 	// WarmLeft is for how much longer the server stays slow after its start,
 	// counted from when the entry was handed out.
 	WarmLeft time.Duration `json:"warm_left,omitempty"`
@@ -109,6 +113,9 @@
 		t.add(heard, now, instance)
 		return true
 	}
+	if instance.Since > 0 {
+		known.instance.Since = min(known.instance.Since, instance.Since)
+	}
 	if instance.Sequence < known.instance.Sequence {
 		return false
 	}
@@ -226,7 +233,8 @@
 	}
 }
 
-// Leave marks an instance as leaving, whether it is known or not known yet.
+// Leave marks an instance as leaving. One that is not known yet is left to the caller, who has
+// to check each report against the departures that it knows of.
 func (t *Table) Leave(id string) bool {
 	known, exists := t.entries[id]
 	if !exists || known.instance.State == Leaving {
@@ -237,6 +245,15 @@
 	return true
 }
 
+// LeaveName marks the starts of a server as leaving for which a departure holds.
+func (t *Table) LeaveName(left NameDeparture) {
+	for id, known := range t.entries {
+		if left.holds(known.instance) {
+			t.Leave(id)
+		}
+	}
+}
+
 // LeaveOthers marks all instances of a service as leaving that are of another version than
 // one: a roll-out has replaced them. It reports how many it marked.
 func (t *Table) LeaveOthers(service, version string) (marked int) {
