Send a request soon after its server was chosen, or choose anew

A router that stands still between choosing a server and sending (stopped, paused, starved, a dial of its own) sends by a choice of any age: the server may have left meanwhile, and its departure been acknowledged long ago. Cause: an attempt's deadline, up to minutes, was the only bound. Change: what is not sent within 0.5 s of the choice, twice the time that a connection may take, is given back as not sent; the engine chooses anew and blames neither server nor budget. Evidence: TestRequestIsSentLongAfterItsServerWasChosen, by the steady clock, not by waiting: with the check off the request is sent (the run: expected not_sent, actual none), with it 0 arrive.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -22,6 +22,8 @@
 	request  *Encoded
 	server   scatter.Server
 	deadline time.Time
+	// chosen is when the server was chosen.
+	chosen time.Time
 
 	mutex sync.Mutex
 	// cancel ends a dial that is under way; nil for none.
@@ -32,9 +34,13 @@
 
 // Start prepares an attempt; Run carries it out.
 func (p *Pool) Start(request *Encoded, server scatter.Server, deadline time.Time) *Attempt {
-	return &Attempt{pool: p, request: request, server: server, deadline: deadline}
+	return &Attempt{pool: p, request: request, server: server, deadline: deadline, chosen: steadyclock.Now()}
 }
 
+// SendWithin is within which time after the choice of its server a request is sent, or not at
+// all: longer than a connection takes to come up. A router that stood still longer chooses anew.
+const SendWithin = 2 * dialTimeout
+
 // maxReplyBytes bounds the body of an answer.
 const maxReplyBytes = 16 << 20
 
@@ -59,6 +65,10 @@
 		a.pool.failed.Inc()
 		return scatter.Outcome{Failure: scatter.NotConnected, Verdict: verdict.NotRun}
 	}
+	if steadyclock.Since(a.chosen) > SendWithin {
+		a.pool.put(a.server.ID, used)
+		return scatter.Outcome{Failure: scatter.NotSent, Verdict: verdict.NotRun}
+	}
 	if !a.use(used) {
 		a.pool.put(a.server.ID, used)
 		return scatter.Outcome{Failure: scatter.Aborted, Verdict: verdict.NotRun}
--- a/internal/exchange/suspension_test.go
+++ b/internal/exchange/suspension_test.go
@@ -7,11 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
+	"github.com/martenstage/martenstage/internal/exchange"
 	"github.com/martenstage/martenstage/internal/proof/suspension"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/steadyclock"
+	"github.com/martenstage/martenstage/internal/verdict"
 )
 
 // TestKeptConnectionIsTooOldAfterASuspension keeps a connection, and has the machine be
@@ -37,3 +40,30 @@
 	ask()
 	require.EqualValues(t, 2, b.connections.Load())
 }
+
+// TestRequestIsSentLongAfterItsServerWasChosen guards against a request that reaches a server long
+// after it was chosen, since the process or its machine stood still in between: the server may
+// have left by then.
+func TestRequestIsSentLongAfterItsServerWasChosen(t *testing.T) {
+	machine := suspension.NewMachine(t)
+	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, reply("r", "body"))
+		return true
+	})
+	pool := newPool(t)
+	server := scatter.Server{ID: "instance", Address: b.listener.Addr().String()}
+	start := func() *exchange.Attempt {
+		return pool.Start(pool.Encode(newRequest("r")), server, steadyclock.Now().Add(time.Minute))
+	}
+	for _, kept := range []bool{false, true} {
+		late := start()
+		machine.Suspend(exchange.SendWithin + time.Millisecond)
+		outcome := late.Run()
+		require.Equal(t, scatter.NotSent, outcome.Failure, "connection kept: %v", kept)
+		require.Equal(t, verdict.NotRun, outcome.Verdict)
+		require.Zero(t, b.requests.Load()-lo.Ternary[int64](kept, 1, 0))
+		if !kept {
+			require.Equal(t, scatter.NoFailure, start().Run().Failure)
+		}
+	}
+}
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -119,6 +119,7 @@
 			// Silent for all that time: it pauses, or is gone.
 			e.suspect(ended, outcome.Failure, outcome.Failure.String())
 		}
+	case NotSent: // It says nothing of the server.
 	case NotConnected:
 		e.suspect(ended, outcome.Failure, outcome.Failure.String())
 	case Broken, TimedOut:
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -231,7 +231,7 @@
 		return verdict.ReasonConnection
 	case Refused:
 		return verdict.ReasonOverloaded
-	case OtherInstance:
+	case OtherInstance, NotSent:
 		return verdict.ReasonNoReplica
 	case TimedOut, Aborted:
 		return verdict.ReasonTimeout
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -151,11 +151,14 @@
 	TimedOut
 	// Aborted: the engine ended it.
 	Aborted
+	// NotSent: the router stood still between the choice of the server and the sending, so that
+	// what the choice went by is too old; nothing was sent.
+	NotSent
 )
 
 // String returns the failure in lower case, for logs.
 func (f Failure) String() string {
-	return [...]string{"none", "not_connected", "refused", "other_instance", "unaccepted", "broken", "timed_out", "aborted"}[f]
+	return [...]string{"none", "not_connected", "refused", "other_instance", "unaccepted", "broken", "timed_out", "aborted", "not_sent"}[f]
 }
 
 // Outcome is what became of an attempt.
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -235,7 +235,7 @@
 	if outcome.Reply != nil && outcome.Failure == NoFailure {
 		called.reply = outcome.Reply
 	}
-	if outcome.Failure == NotConnected {
+	if outcome.Failure == NotConnected || outcome.Failure == NotSent {
 		called.unsent++
 		called.request.attempts--
 	}
