Acknowledge a departure only once the group has had its size, as documents and evacuations

What callers see: after the loss of two disks in a group that was just being formed, requests to a server whose departure had been acknowledged. Cause: documents and evacuations wait until the group had its full size once (or 8 s, where it has fewer nodes); departures did not, so that two of three disks could hold the only copies. Found by reading for the class. Test changed: TestDeparturesAndServersSurviveARestartOfAll ran three nodes as a group of five, so that its departure now waits for 8 s; its three nodes are a whole group now, and it asks for the same. Why it works: as for documents, a quorum of the full group outlives the losses that are to be borne.

--- a/internal/directory/departing.go
+++ b/internal/directory/departing.go
@@ -72,6 +72,9 @@
 
 // departHere is Depart at the leader, which adds the starts that it knows of.
 func (n *Node) departHere(ctx context.Context, message departMessage) error {
+	if !n.mayAcknowledge() {
+		return errNotFormed
+	}
 	ids := append([]string{message.ID}, message.Starts...)
 	var names []string
 	if message.Name != "" {
--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -162,3 +163,21 @@
 	c.everywhere("the new start is not served", func(node *runningNode) bool { return stateAt(node, "i1#6") == registry.Ready })
 	c.everywhere("the start that left is served", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
 }
+
+// TestDepartureIsAcknowledgedBeforeTheGroupHasItsSize guards against acknowledging what the loss of
+// as many disks as are to be borne can take back.
+func TestDepartureIsAcknowledgedBeforeTheGroupHasItsSize(t *testing.T) {
+	c := newCluster(t, 5)
+	for index := range c.seeds {
+		c.start(index, true)
+	}
+	ctx := context.Background()
+	c.eventually("no leader refuses a document for the group's size", func(node *runningNode) bool {
+		err := node.Put(ctx, document(1, "first"))
+		return err != nil && strings.Contains(err.Error(), "has not reached its size")
+	})
+	require.ErrorIs(t, c.nodes[0].Depart(ctx, "i1", 0), directory.ErrUnavailable)
+	c.start(3, true)
+	c.start(4, true)
+	c.eventually("the departure is not acknowledged", func(node *runningNode) bool { return node.Depart(ctx, "i1", 0) == nil })
+}
--- a/internal/directory/node_test.go
+++ b/internal/directory/node_test.go
@@ -116,6 +116,7 @@
 
 func TestDeparturesAndServersSurviveARestartOfAll(t *testing.T) {
 	c := newCluster(t, 3)
+	c.losses = 1
 	c.startAll(true)
 	ctx := context.Background()
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
