Play departures over directory nodes that are slow in different ways

A property over whole sites in one process: five directory nodes, five routers, servers and clients. Two nodes stall or slow their disks, lose their link or are paused, drawn from a seed, while servers leave in three ways (draining, deregistered and still ready, deregistered and silent), with and without a time of start; each that keeps its name starts again with an earlier one. Package faultydisk stalls, slows and fills the disk of a voter, for the directory's tests too.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/proof/faultydisk"
 	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/quota"
 	"github.com/martenstage/martenstage/internal/registry"
@@ -37,7 +38,7 @@
 	// losses is how many nodes may be lost at once.
 	losses int
 	// disks hold the nodes' logs, logged what nodes logged.
-	disks  []*stallingDisk
+	disks  []*faultydisk.Disk
 	logged []*logtest.Hook
 }
 
@@ -80,7 +81,7 @@
 	c.seeds = c.addresses[:min(3, count)]
 	for range count {
 		c.folders = append(c.folders, t.TempDir())
-		c.disks, c.logged = append(c.disks, &stallingDisk{}), append(c.logged, &logtest.Hook{})
+		c.disks, c.logged = append(c.disks, &faultydisk.Disk{}), append(c.logged, &logtest.Hook{})
 	}
 	t.Cleanup(func() {
 		for index := range c.nodes {
@@ -98,7 +99,7 @@
 	node, err := directory.Open(directory.Config{
 		Name: "node-" + strconv.Itoa(index), PeerAddress: c.addresses[index], Seeds: c.seeds, Bootstrap: bootstrap,
 		Folder: c.folders[index], Losses: c.losses, HeartbeatInterval: 300 * time.Millisecond, CheckDocument: checkDocument, ReadLimits: readLimits, CanaryShare: 0.1, QuotaTolerance: quota.Tolerance{Over: 0.1, Slack: 20},
-	}, directory.Environment{Logger: logger, Registerer: prometheus.NewRegistry(), WrapStore: c.disks[index].wrap})
+	}, directory.Environment{Logger: logger, Registerer: prometheus.NewRegistry(), WrapStore: c.disks[index].Wrap})
 	require.NoError(c.t, err)
 	listener, err := net.Listen("tcp4", c.addresses[index])
 	require.NoError(c.t, err)
--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -40,7 +40,7 @@
 	c.everywhere("not five voters", c.hasVoters(0, 1, 2, 3, 4))
 	c.everywhere("not fresh", freshWithin(time.Second))
 	behind := c.follower()
-	release := c.disks[behind].stall()
+	release := c.disks[behind].Stall()
 	defer release()
 	c.eventually("not acknowledged", func(node *runningNode) bool {
 		return node != c.nodes[behind] && node.Depart(context.Background(), "i1", 0) == nil
@@ -148,7 +148,7 @@
 	ctx := context.Background()
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)))
 	behind := c.follower()
-	release := c.disks[behind].stall()
+	release := c.disks[behind].Stall()
 	defer release()
 	c.eventually("not acknowledged", func(node *runningNode) bool {
 		return node != c.nodes[behind] && node.Depart(ctx, "i1", 0) == nil
--- a/internal/directory/state_watch_test.go
+++ b/internal/directory/state_watch_test.go
@@ -34,7 +34,7 @@
 	c.put(document(1, "first"))
 	slow := c.follower()
 	other := (slow + 1) % len(c.nodes)
-	release := c.disks[slow].stall()
+	release := c.disks[slow].Stall()
 	defer release()
 	require.NoError(t, c.nodes[other].Depart(context.Background(), "i1", 0))
 	c.eventually("nothing is logged", func(*runningNode) bool { return c.logs(slow, "state_behind") })
--- /dev/null
+++ b/internal/gateway/departing_site_test.go
@@ -0,0 +1,256 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/gateway"
+	"github.com/martenstage/martenstage/internal/proof/faultydisk"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
+	"github.com/martenstage/martenstage/internal/proof/testlink"
+	"github.com/martenstage/martenstage/internal/quota"
+	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/routing"
+	"github.com/martenstage/martenstage/internal/scatter"
+)
+
+// Size and times of a site whose servers depart.
+const (
+	departingNodes     = 5
+	departingLosses    = 2
+	departingRouters   = 5
+	departingHeartbeat = 200 * time.Millisecond
+	departingPace      = 5 * time.Millisecond
+	departingPatience  = 40 * time.Second
+)
+
+// departingSite is directory nodes, routers, servers and clients, all of them in this process.
+type departingSite struct {
+	t       *testing.T
+	nodes   []*departingNode
+	routers []*gateway.Gateway
+	ctx     context.Context
+}
+
+// departingNode is a directory node behind a link, on a disk, whose calls can be held up.
+type departingNode struct {
+	*directory.Node
+	link *testlink.Link
+	disk faultydisk.Disk
+	// paused holds calls up until it is closed; nil for not at all.
+	paused atomic.Pointer[chan struct{}]
+}
+
+// ServeHTTP passes calls on to the node.
+func (n *departingNode) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if paused := n.paused.Load(); paused != nil {
+		select {
+		case <-*paused:
+		case <-request.Context().Done():
+			return
+		}
+	}
+	n.PeerHandler().ServeHTTP(writer, request)
+}
+
+func startDepartingSite(t *testing.T) *departingSite {
+	ctx, stop := context.WithCancel(context.Background())
+	s := &departingSite{t: t, ctx: ctx}
+	var running sync.WaitGroup
+	t.Cleanup(func() {
+		stop()
+		running.Wait()
+	})
+	listeners := make([]net.Listener, departingNodes)
+	var seeds []string
+	for index := range departingNodes {
+		listener, err := net.Listen("tcp4", testaddress.Next().String())
+		require.NoError(t, err)
+		listeners[index] = listener
+		s.nodes = append(s.nodes, &departingNode{link: testlink.New(t, listener.Addr().String())})
+		seeds = append(seeds, s.nodes[index].link.Address().String())
+	}
+	for index, node := range s.nodes {
+		s.startNode(index, node, listeners[index], seeds, &running)
+	}
+	for index := range departingRouters {
+		s.startRouter(index, seeds, &running)
+	}
+	return s
+}
+
+func (s *departingSite) startNode(index int, node *departingNode, listener net.Listener, seeds []string, running *sync.WaitGroup) {
+	opened, err := directory.Open(directory.Config{
+		Name: "node-" + strconv.Itoa(index), PeerAddress: seeds[index], Seeds: seeds, Bootstrap: true, Folder: s.t.TempDir(),
+		Losses: departingLosses, HeartbeatInterval: departingHeartbeat, CheckDocument: func(text []byte) (uint64, error) {
+			document, err := parseDocument(text)
+			return document.Version, err
+		},
+		ReadLimits: func([]byte) (map[string]quota.Limit, error) { return nil, nil },
+	}, directory.Environment{Logger: silentLogger(), Registerer: prometheus.NewRegistry(), WrapStore: node.disk.Wrap})
+	require.NoError(s.t, err)
+	node.Node = opened
+	server := &http.Server{Handler: node}
+	go func() { _ = server.Serve(listener) }()
+	running.Go(func() {
+		_ = opened.Run(s.ctx)
+		_ = server.Close()
+	})
+}
+
+func (s *departingSite) startRouter(index int, seeds []string, running *sync.WaitGroup) {
+	router := gateway.New(gateway.Config{
+		Name: "router-" + strconv.Itoa(index), Seeds: seeds, Grace: time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
+		ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
+	}, gateway.Environment{Logger: silentLogger(), Registerer: prometheus.NewRegistry()})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	s.routers = append(s.routers, router)
+	running.Go(func() { _ = router.Run(s.ctx, listener, nil) })
+	running.Go(func() { s.sendRequests(index, listener.Addr().String()) })
+}
+
+func silentLogger() *logrus.Logger {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logger
+}
+
+// install puts a document with one route in force at all routers.
+func (s *departingSite) install() {
+	text, err := json.Marshal(&routing.Document{
+		Version: 1, Services: []routing.Service{{Name: "s"}},
+		Routes: []routing.Route{{
+			Name: "r", Host: "site", Prefix: "/", Repeatable: true, Timeout: time.Second, MaxAttempts: 2,
+			Targets: []routing.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	require.NoError(s.t, err)
+	s.eventually("no node takes the document", func() bool { return s.nodes[0].Put(s.ctx, text) == nil })
+	for _, router := range s.routers {
+		s.eventually("a router is not ready", router.Ready)
+	}
+}
+
+func (s *departingSite) eventually(message string, holds func() bool) {
+	s.t.Helper()
+	require.Eventually(s.t, holds, departingPatience, 10*time.Millisecond, message)
+}
+
+// sendRequests sends requests to the router at an address until the site ends.
+func (s *departingSite) sendRequests(router int, address string) {
+	for number := 0; s.ctx.Err() == nil; number++ {
+		request, err := http.NewRequestWithContext(s.ctx, http.MethodGet, "http://"+address+"/x", nil)
+		if err != nil {
+			panic(err)
+		}
+		request.Host = "site"
+		request.Header.Set("X-Id", fmt.Sprint("r-", router, "-", number))
+		request.Header.Set("X-Left", "500ms")
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		time.Sleep(departingPace)
+	}
+}
+
+// departingServer is one start of a server.
+type departingServer struct {
+	instance registry.Instance
+	// acknowledged is when its departure was, Unix ns; 0 before. latest is how long after it a
+	// request came last, ns, and arrivals counts all.
+	acknowledged atomic.Int64
+	latest       atomic.Int64
+	arrivals     atomic.Int64
+	silent       atomic.Bool
+	leaving      atomic.Bool
+	sequence     atomic.Uint64
+}
+
+// ServeHTTP answers as a sound server does, and notes when requests come.
+func (d *departingServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+	if request.Header.Get("X-Meant") != d.instance.ID {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	d.arrivals.Add(1)
+	if at := d.acknowledged.Load(); at > 0 {
+		d.noteLatest(time.Now().UnixNano() - at)
+	}
+	writer.Header().Set("X-Stamp", "of-"+d.instance.ID)
+}
+
+func (d *departingServer) noteLatest(after int64) {
+	for {
+		known := d.latest.Load()
+		if after <= known || d.latest.CompareAndSwap(known, after) {
+			return
+		}
+	}
+}
+
+// addServer starts a server that announces itself to nodes drawn from a seed.
+func (s *departingSite) addServer(name string, born int64, seed uint64) *departingServer {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(s.t, err)
+	added := &departingServer{instance: registry.Instance{
+		ID: registry.LifeID(name, born), Born: born, Service: "s", Address: listener.Addr().String(), Slots: 8, State: registry.Ready,
+	}}
+	server := &http.Server{Handler: added}
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+	go s.announce(added, rand.New(rand.NewPCG(seed, 1)))
+	return added
+}
+
+// announce sends heartbeats, to the same node as long as it takes them.
+func (s *departingSite) announce(server *departingServer, random *rand.Rand) {
+	node := random.IntN(departingNodes)
+	for s.ctx.Err() == nil {
+		if !server.silent.Load() {
+			beat := server.instance
+			beat.Sequence = server.sequence.Add(1)
+			if server.leaving.Load() {
+				beat.State = registry.Leaving
+			}
+			calling, cancel := context.WithTimeout(s.ctx, time.Second)
+			err := s.call(calling, node, func(ctx context.Context, n *directory.Node) error { return n.Heartbeat(ctx, beat) })
+			cancel()
+			if err != nil {
+				node = random.IntN(departingNodes)
+			} else if beat.State == registry.Leaving {
+				server.acknowledged.CompareAndSwap(0, time.Now().UnixNano())
+			}
+		}
+		time.Sleep(departingHeartbeat)
+	}
+}
+
+// call calls a node as a server does, unless it is paused.
+func (s *departingSite) call(ctx context.Context, node int, do func(context.Context, *directory.Node) error) error {
+	if paused := s.nodes[node].paused.Load(); paused != nil {
+		select {
+		case <-*paused:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return do(ctx, s.nodes[node].Node)
+}
