Stall, slow and fill disks in the soak, and have servers leave in each way

A third lane of the soak of real processes: disks of directory nodes stall, are slow or full, one after the other, beside the faults of the first two; servers that keep their names leave in four ways and start again with an earlier time of start. Builds with the tag storagefaults read from a file what their disk does; other builds have none of it. Older seeds are played with -soak.lanes=2.

--- a/cmd/martenstage/directory.go
+++ b/cmd/martenstage/directory.go
@@ -9,6 +9,7 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/metrics"
 	"github.com/martenstage/martenstage/internal/settings"
+	"github.com/martenstage/martenstage/internal/voter"
 	"github.com/martenstage/martenstage/platform"
 )
 
@@ -27,9 +28,12 @@
 	return runRegistered(roleDirectory, c.LogLevel, c.MemoryLimit, hangups, c.run)
 }
 
+// wrapStore is put around the log on disk; nil but in builds that play faults of disks.
+var wrapStore func(voter.Store) voter.Store
+
 func (c *directoryCommand) run(stopping context.Context, process *registeredProcess) error {
 	node, err := directory.Open(c.Config(directory.Documents{Check: platform.DocumentVersion, Limits: platform.DocumentLimits}), directory.Environment{
-		Logger: process.logger, Registerer: process.registry,
+		Logger: process.logger, Registerer: process.registry, WrapStore: wrapStore,
 	})
 	if err != nil {
 		return exitcode.With(exitcode.DataFolder, err)
--- a/cmd/martenstage/soak_judge_test.go
+++ b/cmd/martenstage/soak_judge_test.go
@@ -101,6 +101,10 @@
 	// ends are the servers that a marked request ended, troubles what befell processes.
 	ends     []soakEnd
 	troubles []soakTroubled
+	// reached are the starts of servers that a request has reached, disks counts the faults of
+	// disks.
+	reached map[string]bool
+	disks   int
 }
 
 func (r *soakRecords) note(take func(*soakRecords)) {
--- a/cmd/martenstage/soak_marked_test.go
+++ b/cmd/martenstage/soak_marked_test.go
@@ -56,7 +56,7 @@
 	listed := slices.Contains(s.servers[ended.service], ended)
 	s.mutex.Unlock()
 	// One that leaves is waited for until its departure is acknowledged.
-	if ended.leaving.Load() || !ended.ending.CompareAndSwap(false, true) {
+	if ended.kept.Load() || ended.leaving.Load() || !ended.ending.CompareAndSwap(false, true) {
 		return
 	}
 	if listed {
--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/proof/testlink"
+	"github.com/martenstage/martenstage/internal/registry"
 )
 
 // soakTrouble is how a server misbehaves.
@@ -48,8 +49,10 @@
 
 // soakServer is one start of a server, behind a link that can be cut.
 type soakServer struct {
-	site    *soakSite
-	id      string
+	site *soakSite
+	id   string
+	// born tells the starts of a server apart that keeps its id, Unix ms; 0 for one that does not.
+	born    int64
 	service string
 	zone    string
 	link    *testlink.Link
@@ -58,6 +61,8 @@
 	leaving atomic.Bool
 	// ending says that a marked request is ending it.
 	ending atomic.Bool
+	// kept says that marked requests don't end it; silent that it sends no heartbeats.
+	kept, silent atomic.Bool
 	// left is closed once the departure was acknowledged.
 	left   chan struct{}
 	once   sync.Once
@@ -68,14 +73,21 @@
 // startServer starts a server of a service that announces itself until it is
 // stopped.
 func (s *soakSite) startServer(service string, number int) *soakServer {
+	return s.startNamed(service, number, 0)
+}
+
+// startNamed is startServer of one that keeps its id over starts, with a time of start; marked
+// requests don't end it.
+func (s *soakSite) startNamed(service string, number int, born int64) *soakServer {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &soakServer{
-		site: s, id: fmt.Sprintf("%s%d", service, number), service: service, zone: fmt.Sprint("z", number%*soakRouters),
+		site: s, id: fmt.Sprintf("%s%d", service, number), born: born, service: service, zone: fmt.Sprint("z", number%*soakRouters),
 		link: testlink.New(s.t, listener.Addr().String()), left: make(chan struct{}),
 		slots: make(chan struct{}, soakSlots), cancel: cancel,
 	}
+	started.kept.Store(born > 0)
 	started.behave(soakWell)
 	started.server = &http.Server{Handler: started}
 	go func() { _ = started.server.Serve(listener) }()
@@ -85,6 +97,9 @@
 
 func (r *soakServer) behave(trouble soakTrouble) { r.trouble.Store(&trouble) }
 
+// start names one start of the server in the records.
+func (r *soakServer) start() string { return registry.LifeID(r.id, r.born) }
+
 func (r *soakServer) stop() {
 	r.cancel()
 	_ = r.server.Close()
@@ -94,10 +109,15 @@
 // makes it.
 func (r *soakServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("X-Request-Id")
-	arrival := soakArrival{id: id, service: r.service, server: r.id, at: time.Now()}
+	arrival := soakArrival{id: id, service: r.service, server: r.start(), at: time.Now()}
 	note := func(ran bool) {
 		arrival.ran = ran
-		r.site.records.note(func(records *soakRecords) { records.arrivals = append(records.arrivals, arrival) })
+		r.site.records.note(func(records *soakRecords) {
+			records.arrivals = append(records.arrivals, arrival)
+			if records.reached != nil {
+				records.reached[arrival.server] = true
+			}
+		})
 	}
 	writer.Header().Set("X-Request-Id", id)
 	if request.Header.Get("X-Expect-Instance") != r.id {
@@ -198,15 +218,15 @@
 		if leaving {
 			state = "draining"
 		}
-		body, _ := json.Marshal(map[string]any{
+		beat := map[string]any{
 			"backend": r.service, "addr": r.link.Address().String(), "zone": r.zone, "slots": soakSlots, "state": state, "seq": sequence,
-		})
-		if r.tell(client, body) && leaving {
-			r.once.Do(func() {
-				acked := time.Now()
-				r.site.records.note(func(records *soakRecords) { records.leaves = append(records.leaves, soakLeave{r.id, acked}) })
-				close(r.left)
-			})
+		}
+		if r.born > 0 {
+			beat["born"] = r.born
+		}
+		body, _ := json.Marshal(beat)
+		if !r.silent.Load() && r.tell(client, "heartbeat", body) && leaving {
+			r.noteLeft()
 		}
 		select {
 		case <-ctx.Done():
@@ -215,10 +235,19 @@
 	}
 }
 
-// tell reports whether some node acknowledged a heartbeat.
-func (r *soakServer) tell(client *http.Client, body []byte) bool {
+// noteLeft notes that the departure was acknowledged.
+func (r *soakServer) noteLeft() {
+	r.once.Do(func() {
+		acked := time.Now()
+		r.site.records.note(func(records *soakRecords) { records.leaves = append(records.leaves, soakLeave{r.start(), acked}) })
+		close(r.left)
+	})
+}
+
+// tell reports whether some node acknowledged a call.
+func (r *soakServer) tell(client *http.Client, call string, body []byte) bool {
 	for _, index := range rand.Perm(len(r.site.control)) {
-		response, err := client.Post("http://"+r.site.control[index]+"/-/instances/"+r.id+"/heartbeat", "application/json", bytes.NewReader(body))
+		response, err := client.Post("http://"+r.site.control[index]+"/-/instances/"+r.id+"/"+call, "application/json", bytes.NewReader(body))
 		if err != nil {
 			continue
 		}
--- a/cmd/martenstage/soak_site_test.go
+++ b/cmd/martenstage/soak_site_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/proof/testaddress"
@@ -62,12 +63,20 @@
 	}
 }
 
+// buildSoakProgram builds the program with faults of disks.
+var buildSoakProgram = sync.OnceValues(func() (program string, err error) {
+	program = filepath.Join(buildFolder, "martenstage-storagefaults")
+	output, err := exec.Command("go", "build", "-tags", "storagefaults", "-o", program, ".").CombinedOutput()
+	return program, errors.Wrapf(err, "go build: %s", output)
+})
+
 func (p *soakProcess) start(t testing.TB) {
-	program, err := buildOnce()
+	program, err := buildSoakProgram()
 	require.NoError(t, err)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.command = exec.Command(program, p.arguments...)
+	p.command.Env = append(os.Environ(), "MARTENSTAGE_STORAGE_FAULTS="+p.diskFaults())
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	require.NoError(t, p.command.Start())
 	p.starts.Add(1)
@@ -83,6 +92,9 @@
 	}(p.command, p.ended)
 }
 
+// diskFaults is the file that says what is wrong with the process's disk.
+func (p *soakProcess) diskFaults() string { return p.log.Name() + ".disk" }
+
 // signal sends a signal to the process that this one started.
 func (p *soakProcess) signal(signal syscall.Signal) {
 	p.mutex.Lock()
@@ -130,7 +142,7 @@
 }
 
 func startSoakSite(t *testing.T) *soakSite {
-	site := &soakSite{t: t, folder: t.TempDir(), servers: map[string][]*soakServer{}}
+	site := &soakSite{t: t, folder: t.TempDir(), servers: map[string][]*soakServer{}, records: soakRecords{reached: map[string]bool{}}}
 	peers := testaddress.List(*soakNodes)
 	var seeds []string
 	for _, peer := range peers {
@@ -192,12 +204,16 @@
 	}
 }
 
-func (s *soakSite) addServer(service string) {
+// nextNumber returns that of a new server.
+func (s *soakSite) nextNumber() int {
 	s.mutex.Lock()
-	number := s.started
+	defer s.mutex.Unlock()
 	s.started++
-	s.mutex.Unlock()
-	added := s.startServer(service, number)
+	return s.started - 1
+}
+
+func (s *soakSite) addServer(service string) {
+	added := s.startServer(service, s.nextNumber())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.servers[service] = append(s.servers[service], added)
--- a/cmd/martenstage/soak_test.go
+++ b/cmd/martenstage/soak_test.go
@@ -22,7 +22,7 @@
 var (
 	soakSeed    = flag.Uint64("soak.seed", 1, "seed of the faults of the soak")
 	soakSeconds = flag.Int("soak.seconds", 60, "how long the soak injects faults, in seconds")
-	soakLanes   = flag.Int("soak.lanes", 2, "how many series of faults overlap; the first alone is that of older seeds")
+	soakLanes   = flag.Int("soak.lanes", 3, "how many series of faults overlap; the first, or the first two, are those of older seeds")
 	soakNodes   = flag.Int("soak.nodes", 3, "directory nodes of the soak")
 	soakRouters = flag.Int("soak.routers", 3, "gateways of the soak")
 )
@@ -85,7 +85,11 @@
 	injecting, endLanes := context.WithCancel(ctx)
 	var lanes sync.WaitGroup
 	for lane := 1; lane < *soakLanes; lane++ {
-		lanes.Go(func() { site.disturb(injecting, lane) })
+		disturb := site.disturb
+		if lane == soakStorageLane {
+			disturb = site.disturbStorage
+		}
+		lanes.Go(func() { disturb(injecting, lane) })
 	}
 	for _, fault := range schedule {
 		time.Sleep(fault.pause)
@@ -327,8 +331,8 @@
 	for _, request := range r.requests {
 		statuses[request.status]++
 	}
-	return fmt.Sprintf("%d faults, %d requests, status %v, %d arrivals, %d departures, %d reads, %d planned stops, %d servers ended by marked requests",
-		faults, len(r.requests), statuses, len(r.arrivals), len(r.leaves), len(r.reads), len(r.stops), len(r.ends))
+	return fmt.Sprintf("%d faults, %d requests, status %v, %d arrivals, %d departures, %d reads, %d planned stops, %d servers ended by marked requests, %d faults of disks",
+		faults, len(r.requests), statuses, len(r.arrivals), len(r.leaves), len(r.reads), len(r.stops), len(r.ends), r.disks)
 }
 
 func TestSoakScheduleDependsOnItsSeedOnly(t *testing.T) {
