Ask other directory nodes once a look, and none while the followed one is current

Where the states of all nodes are out of date, each router looked for a newer one by asking each node up to six times a look.

--- a/internal/gateway/directory_stub_test.go
+++ b/internal/gateway/directory_stub_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/directory"
@@ -29,6 +30,8 @@
 	metered []string
 	// down has the directory answer routers' calls for news with a failure.
 	down bool
+	// calls counts the calls for news and probes.
+	calls atomic.Int64
 	// observed is what the router told last of roll-outs.
 	observed directory.RolloutReport
 }
@@ -51,6 +54,7 @@
 	}
 	var asked directory.FollowRequest
 	_ = json.NewDecoder(request.Body).Decode(&asked)
+	d.calls.Add(1)
 	d.mutex.Lock()
 	if d.down {
 		d.mutex.Unlock()
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -58,7 +58,7 @@
 func (f *follower) search(ctx context.Context) (string, error) {
 	searching, cancel := context.WithTimeout(ctx, searchTime)
 	defer cancel()
-	answers := f.askAll(searching, f.candidates())
+	answers := f.askAll(searching, f.candidates(), true)
 	best := found{err: errNoNode}
 	failure := errNoNode
 	var enough <-chan time.Time
@@ -85,39 +85,47 @@
 	}
 }
 
-// askAll asks nodes side by side, again and again until the context ends.
-func (f *follower) askAll(ctx context.Context, nodes []string) <-chan found {
+// askAll asks nodes side by side, each once or again and again until the context ends.
+func (f *follower) askAll(ctx context.Context, nodes []string, again bool) <-chan found {
 	answers := make(chan found)
 	for position, node := range nodes {
-		go f.ask(ctx, node, time.Duration(position)*searchStagger, answers)
+		go f.ask(ctx, node, time.Duration(position)*searchStagger, again, answers)
 	}
 	return answers
 }
 
-// ask calls one node after a pause, again and again until the context ends.
-func (f *follower) ask(ctx context.Context, node string, pause time.Duration, answers chan<- found) {
-	probe := directory.FollowRequest{Probe: true}
+// ask calls one node after a pause, once or again and again until the context ends.
+func (f *follower) ask(ctx context.Context, node string, pause time.Duration, again bool, answers chan<- found) {
 	for next := firstSearchPause; ; next = min(2*next, longestSearchPause) {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(pause):
 		}
-		asked := steadyclock.Now()
-		reply, err := f.post(ctx, node, probe, searchTimeout)
-		answer := found{node: node, err: err, untold: err == nil && reply.Fresh == nil}
-		if reply.Fresh != nil {
-			answer.at = asked.Add(*reply.Fresh)
-		}
+		answer := f.probe(ctx, node)
 		select {
 		case <-ctx.Done():
 			return
 		case answers <- answer:
 		}
+		if !again {
+			return
+		}
 		pause = next
 	}
 }
 
+// probe asks a node whether it can be followed, and how old its state is.
+func (f *follower) probe(ctx context.Context, node string) found {
+	asked := steadyclock.Now()
+	reply, err := f.post(ctx, node, directory.FollowRequest{Probe: true}, searchTimeout)
+	answer := found{node: node, err: err, untold: err == nil && reply.Fresh == nil}
+	if reply.Fresh != nil {
+		answer.at = asked.Add(*reply.Fresh)
+	}
+	return answer
+}
+
 // candidates are the nodes of the group as last told and the seeds, in an order of this
 // router's own: routers spread over the nodes, and those that leave one over all others.
 func (f *follower) candidates() []string {
@@ -152,11 +160,12 @@
 	f.node, f.moved, f.staleTold = node, true, false
 }
 
-// searchFresh returns a node whose state is not out of date, if one answers in time.
+// searchFresh returns a node whose state is not out of date, if one answers in time. Each is
+// asked once: where all are out of date, all routers look.
 func (f *follower) searchFresh(ctx context.Context) (node string, found bool) {
 	searching, cancel := context.WithTimeout(ctx, staleChoice)
 	defer cancel()
-	answers := f.askAll(searching, lo.Without(f.candidates(), f.node))
+	answers := f.askAll(searching, lo.Without(f.candidates(), f.node), false)
 	for {
 		select {
 		case answer := <-answers:
--- a/internal/gateway/stale_directory_test.go
+++ b/internal/gateway/stale_directory_test.go
@@ -72,6 +72,26 @@
 	require.False(t, s.logs("directory_lost"))
 }
 
+// TestRouterAsksOtherNodesOverAndOver guards against calls to nodes that are not followed: none
+// while the followed one is current, and one to each node in each look where all are out of date.
+func TestRouterAsksOtherNodesOverAndOver(t *testing.T) {
+	const rounds = 20
+	s := startSite(t, nil, map[string]http.HandlerFunc{"s": echo})
+	s.directory.setFresh(0)
+	s.install(oneRoute(1, "s"))
+	other := s.addNode("other")
+	other.setFresh(-longStale)
+	followed := s.directory.calls.Load()
+	require.Eventually(t, func() bool { return s.directory.calls.Load() >= followed+rounds }, 10*time.Second, time.Millisecond)
+	require.Zero(t, other.calls.Load())
+	s.directory.setFresh(-longStale)
+	require.Eventually(t, func() bool { return other.calls.Load() >= 2 }, 10*time.Second, time.Millisecond)
+	followed = s.directory.calls.Load()
+	asked := other.calls.Load()
+	require.Eventually(t, func() bool { return s.directory.calls.Load() >= followed+rounds }, 10*time.Second, time.Millisecond)
+	require.Less(t, other.calls.Load()-asked, int64(rounds/2), "each call looks for another node")
+}
+
 // TestRouterSendsToAServerThatLeftByItsName guards against a router that goes on with a start of a
 // server whose departure names the server alone, or that leaves out its next start as well.
 func TestRouterSendsToAServerThatLeftByItsName(t *testing.T) {
