Acknowledge a departure without a start only where the server is known

Cause, by the logs: all processes were killed 0.1 s after the server's first heartbeat, before any table was written; a node then acknowledged the departure, which named no start, of a server that nobody knew any more; its next heartbeat, still ready, counted as one of a new start. Change: without a start a departure is acknowledged once a node that takes it, or the leader, has heard of the server since its own start; until then it is recorded, so that routers drop what they know, and the server is told to ask again. Sites where no server names its start are not concerned: an id is never used again there. Tests changed: three departed a server that nobody had heard of; it sends a heartbeat first now. One sent a single heartbeat, which counts for 1.2 s; it goes on sending. The soak says how a process ended that no fault had ended.

--- a/cmd/martenstage/soak_lanes_test.go
+++ b/cmd/martenstage/soak_lanes_test.go
@@ -72,7 +72,9 @@
 // requireNoOwnEnds fails if a process ended that no fault had ended.
 func (s *soakSite) requireNoOwnEnds() {
 	for _, process := range append(append([]*soakProcess(nil), s.nodes...), s.routers...) {
-		require.Zero(s.t, process.ownEnds.Load(), "%s has ended by itself", process.name)
+		if how := process.ownEnd.Load(); how != nil {
+			require.Fail(s.t, process.name+" has ended by itself: "+*how)
+		}
 	}
 }
 
--- a/cmd/martenstage/soak_site_test.go
+++ b/cmd/martenstage/soak_site_test.go
@@ -41,11 +41,11 @@
 	ended     chan struct{}
 	// starts counts the incarnations.
 	starts atomic.Int64
-	// begun is when the newest one began; ending is set while a fault ends it, and ownEnds
-	// counts those that ended otherwise.
-	begun   atomic.Int64
-	ending  atomic.Bool
-	ownEnds atomic.Int64
+	// begun is when the newest one began; ending is set while a fault ends it, and ownEnd says
+	// how one ended otherwise; nil for none.
+	begun  atomic.Int64
+	ending atomic.Bool
+	ownEnd atomic.Pointer[string]
 	// taken is held by the fault that ends or freezes it, so that no two do at a time.
 	taken sync.Mutex
 }
@@ -84,9 +84,10 @@
 	p.ending.Store(false)
 	p.ended = make(chan struct{})
 	go func(command *exec.Cmd, ended chan struct{}) {
-		_ = command.Wait() // how it ended is not judged here
+		_ = command.Wait() // The state tells how it ended.
 		if !p.ending.Load() {
-			p.ownEnds.Add(1)
+			how := fmt.Sprintf("%s, %s after its start", command.ProcessState, time.Since(time.Unix(0, p.begun.Load())))
+			p.ownEnd.Store(&how)
 		}
 		close(ended)
 	}(p.command, p.ended)
--- a/internal/directory/departing.go
+++ b/internal/directory/departing.go
@@ -15,8 +15,8 @@
 // once a quorum has it; else the error is ErrUnavailable, as it is for a start that this node
 // can't tell from one that left.
 func (n *Node) Heartbeat(ctx context.Context, instance registry.Instance) error {
-	if instance.State != registry.Leaving && !n.mayRegister(instance) {
-		return errors.Wrap(ErrUnavailable, "the state is out of date: a new start can't be told from one that left")
+	if instance.State != registry.Leaving && !n.mayRegister(ctx, instance) {
+		return errors.Wrap(ErrUnavailable, "the state is not confirmed: a new start can't be told from one that left")
 	}
 	n.report(instance)
 	if instance.State == registry.Leaving {
@@ -26,21 +26,22 @@
 }
 
 // mayRegister reports whether a heartbeat can be taken in. A departure that names no start
-// holds for those that were heard of before it; where this node's state is out of date, it may
-// lack a departure that came before a new start of the same server.
-func (n *Node) mayRegister(instance registry.Instance) bool {
+// holds for those that were heard of before it: before a new start of a server that keeps its name
+// is taken in, this node's state has to hold each departure that was acknowledged.
+func (n *Node) mayRegister(ctx context.Context, instance registry.Instance) bool {
 	if instance.Born == 0 {
 		return true // Its id is never used again.
 	}
 	n.mutex.Lock()
 	known := n.registry.Knows(instance.ID)
 	n.mutex.Unlock()
-	return known || n.freshSince(n.member.state(), steadyclock.Now()) > -StaleAfter
+	return known || n.awaitFresh(ctx, steadyclock.Now())
 }
 
 // Depart takes in that a server leaves or is gone: its start at a time, ms since 1970 by its own
 // clock, or with 0 every start that was heard of before. It is acknowledged like leaving in
-// Heartbeat.
+// Heartbeat; without a start only where one is known, since what nobody has heard of can't be told
+// from a later start.
 func (n *Node) Depart(ctx context.Context, name string, born int64) error {
 	message, done := n.departure(name, born)
 	if done {
@@ -58,7 +59,7 @@
 	defer n.mutex.Unlock()
 	applied, starts := n.member.state(), n.registry.Starts(name)
 	if born == 0 {
-		message = departMessage{ID: name, Starts: lo.Without(starts, name), Name: name}
+		message = departMessage{ID: name, Starts: lo.Without(starts, name), Name: name, Known: n.knows(name)}
 		// A name that is an id of its own is never used again.
 		return message, applied.hasDeparted(name) && len(starts) == 1 && starts[0] == name
 	}
@@ -70,6 +71,12 @@
 	return message, applied.hasDeparted(message.ID)
 }
 
+// knows reports whether a departure of a server that names no start can be told from a later
+// start. The caller holds the mutex.
+func (n *Node) knows(name string) bool {
+	return n.registry.Heard(steadyclock.Now(), name) || !n.registry.KeepNames()
+}
+
 // departHere is Depart at the leader, which adds the starts that it knows of.
 func (n *Node) departHere(ctx context.Context, message departMessage) error {
 	if !n.mayAcknowledge() {
@@ -77,12 +84,21 @@
 	}
 	ids := append([]string{message.ID}, message.Starts...)
 	var names []string
+	known := true
 	if message.Name != "" {
 		names = []string{message.Name}
 		n.mutex.Lock()
 		ids = append(ids, n.registry.Starts(message.Name)...)
+		known = message.Known || n.knows(message.Name)
 		n.mutex.Unlock()
 	}
 	_, err := n.propose(ctx, command{Departures: lo.Uniq(ids), Names: names})
+	if err == nil && !known {
+		return errNotHeard
+	}
 	return err
 }
+
+// errNotHeard is an ErrUnavailable: what is known to routers of the server leaves, but a heartbeat
+// that is still to come would be taken for one of a new start.
+var errNotHeard = errors.Wrap(ErrUnavailable, "no start of the server is known")
--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -39,6 +41,8 @@
 	c.put(document(1, "first"))
 	c.everywhere("not five voters", c.hasVoters(0, 1, 2, 3, 4))
 	c.everywhere("not fresh", freshWithin(time.Second))
+	require.NoError(t, c.nodes[0].Heartbeat(context.Background(), instance("i1", "s", registry.Ready, 1)))
+	c.everywhere("not known", func(node *runningNode) bool { return stateAt(node, "i1") == registry.Ready })
 	behind := c.follower()
 	release := c.disks[behind].Stall()
 	defer release()
@@ -118,7 +122,12 @@
 	for _, node := range c.nodes {
 		require.NoError(t, node.Heartbeat(ctx, startOf("i1", 500, registry.Ready, 8)), "a late heartbeat")
 	}
-	c.everywhere("the next start is not served", func(node *runningNode) bool { return stateAt(node, "i1#400") == registry.Ready })
+	sequence := uint64(1)
+	c.everywhere("the next start is not served", func(node *runningNode) bool {
+		sequence++
+		require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 400, registry.Ready, sequence)))
+		return stateAt(node, "i1#400") == registry.Ready
+	})
 	c.everywhere("the start that left is served", func(node *runningNode) bool { return stateAt(node, "i1#500") == registry.Leaving })
 	require.NoError(t, c.nodes[2].Depart(ctx, "i1", 0))
 	c.everywhere("its own departure does not hold", func(node *runningNode) bool { return stateAt(node, "i1#400") == registry.Leaving })
@@ -176,8 +185,36 @@
 		err := node.Put(ctx, document(1, "first"))
 		return err != nil && strings.Contains(err.Error(), "has not reached its size")
 	})
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
 	require.ErrorIs(t, c.nodes[0].Depart(ctx, "i1", 0), directory.ErrUnavailable)
 	c.start(3, true)
 	c.start(4, true)
 	c.eventually("the departure is not acknowledged", func(node *runningNode) bool { return node.Depart(ctx, "i1", 0) == nil })
 }
+
+// TestDepartureOfAServerThatNobodyKnowsIsAcknowledged guards against acknowledging a departure that
+// names no start where all tables of servers were lost: the server's next heartbeat would count
+// as one of a new start.
+func TestDepartureOfAServerThatNobodyKnowsIsAcknowledged(t *testing.T) {
+	c := newCluster(t, 3)
+	c.losses = 1
+	c.startAll(true)
+	c.put(document(1, "first"))
+	c.everywhere("not fresh", freshWithin(time.Second))
+	ctx := context.Background()
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)))
+	for index := range c.nodes {
+		c.stop(index)
+		if err := os.Remove(filepath.Join(c.folders[index], "servers.json")); err != nil {
+			require.ErrorIs(t, err, os.ErrNotExist)
+		}
+	}
+	c.startAll(false)
+	c.everywhere("not fresh", freshWithin(time.Second))
+	acknowledged := c.nodes[1].Depart(ctx, "i1", 0) == nil
+	require.NoError(t, c.nodes[2].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 2)))
+	if !acknowledged {
+		c.eventually("not acknowledged once the server is known", func(node *runningNode) bool { return node.Depart(ctx, "i1", 0) == nil })
+	}
+	c.everywhere("the server goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
+}
--- a/internal/directory/freshness.go
+++ b/internal/directory/freshness.go
@@ -90,6 +90,31 @@
 		return
 	}
 	n.confirmed.Store(&freshness{of: applied, at: began})
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	close(n.renewed)
+	n.renewed = make(chan struct{})
+}
+
+// awaitFresh waits until the state holds all that was acknowledged before a time, within
+// freshnessTimeout, and reports whether it does.
+func (n *Node) awaitFresh(ctx context.Context, from time.Time) bool {
+	waiting, cancel := context.WithTimeout(ctx, freshnessTimeout)
+	defer cancel()
+	for {
+		n.mutex.Lock()
+		renewed := n.renewed
+		n.mutex.Unlock()
+		if n.freshSince(n.member.state(), from) >= 0 {
+			return true
+		}
+		wait.Notify(n.confirmNow)
+		select {
+		case <-renewed:
+		case <-waiting.Done():
+			return false
+		}
+	}
 }
 
 // errNoIndex is of a leader of the version before, which confirms documents alone.
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -59,8 +59,10 @@
 	// reports are what routers observed of roll-outs.
 	reports   reportBook
 	confirmed atomic.Pointer[freshness]
-	// confirmNow has the state confirmed at once; stale says that it is out of date.
+	// confirmNow has the state confirmed at once, renewed is closed once it was; stale says that
+	// it is out of date.
 	confirmNow chan struct{}
+	renewed    chan struct{}
 	stale      atomic.Bool
 	// lacking says that another node told of a server that this one does not know.
 	lacking bool
@@ -85,6 +87,7 @@
 		silentSince: make(map[uint64]time.Time),
 		reports:     make(reportBook),
 		confirmNow:  make(chan struct{}, 1),
+		renewed:     make(chan struct{}),
 		quota:       quotaKeeper{wake: make(chan struct{}, 1)},
 	}
 	node.SetSeeds(config.Seeds)
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -118,8 +118,10 @@
 	ID string `json:"id"`
 	// Starts are more ids that leave.
 	Starts []string `json:"starts,omitempty"`
-	// Name is that of a server of which every start leaves that was heard of before.
-	Name string `json:"name,omitempty"`
+	// Name is that of a server of which every start leaves that was heard of before; Known says
+	// that the node which took the departure has heard of one.
+	Name  string `json:"name,omitempty"`
+	Known bool   `json:"known,omitempty"`
 }
 
 // readReply carries the document in force from the leader.
--- a/internal/directory/state_watch_test.go
+++ b/internal/directory/state_watch_test.go
@@ -7,6 +7,8 @@
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/registry"
 )
 
 // follower returns a node of the cluster that does not lead.
@@ -34,6 +36,7 @@
 	c.put(document(1, "first"))
 	slow := c.follower()
 	other := (slow + 1) % len(c.nodes)
+	require.NoError(t, c.nodes[other].Heartbeat(context.Background(), instance("i1", "s", registry.Ready, 1)))
 	release := c.disks[slow].Stall()
 	defer release()
 	require.NoError(t, c.nodes[other].Depart(context.Background(), "i1", 0))
--- a/internal/directory/table_file.go
+++ b/internal/directory/table_file.go
@@ -32,7 +32,7 @@
 		return
 	}
 	for index := range kept.Instances {
-		kept.Instances[index].Age = 0
+		kept.Instances[index].Age, kept.Instances[index].Restored = 0, true
 	}
 	for index := range kept.Routers {
 		// They count among those that share the servers, but are not asked before
--- a/internal/registry/life.go
+++ b/internal/registry/life.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // lifeMark stands between a server's name and the time of its start. Names are parts of
@@ -37,3 +38,27 @@
 	slices.Sort(starts)
 	return starts
 }
+
+// Heard reports whether the start of a server that is in use is known: one that did not leave, or
+// that left and was heard of lately. What was only kept over a start of the table's node does not
+// count.
+func (t *Table) Heard(now time.Time, name string) bool {
+	for id, known := range t.entries {
+		inUse := known.instance.State != Leaving || now.Sub(known.heard) <= t.missingAfter
+		if inUse && !known.instance.Restored && NameOf(id) == name {
+			return true
+		}
+	}
+	return false
+}
+
+// KeepNames reports whether servers keep their names over starts: some names a time of start, or
+// none is known.
+func (t *Table) KeepNames() bool {
+	for _, known := range t.entries {
+		if known.instance.Born > 0 {
+			return true
+		}
+	}
+	return len(t.entries) == 0
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -46,6 +46,9 @@
 	// instance first had not applied then: a departure of the server from that index on came
 	// later. 0 is of a node that does not tell.
 	Since uint64 `json:"since,omitempty"`
+	// Restored says that the instance is only known from a table that was kept over a start of
+	// its node: nothing was heard of it since.
+	Restored bool `json:"restored,omitempty"`
 	// WarmLeft is for how much longer the server stays slow after its start,
 	// counted from when the entry was handed out.
 	WarmLeft time.Duration `json:"warm_left,omitempty"`
@@ -113,6 +116,7 @@
 		t.add(heard, now, instance)
 		return true
 	}
+	known.instance.Restored = known.instance.Restored && instance.Restored
 	if instance.Since > 0 {
 		known.instance.Since = min(known.instance.Since, instance.Since)
 	}
@@ -146,7 +150,7 @@
 		return false
 	}
 	owned := t.owns(known, sequence)
-	known.instance.Sequence, known.heard = sequence, now
+	known.instance.Sequence, known.heard, known.instance.Restored = sequence, now, false
 	if known.instance.State != Missing || !owned {
 		return false
 	}
