Hang up a process of the soak only once it has written a line

Cause: a lane froze the node right after its start, before the program can catch signals; 200 ms later another lane took it for started and hung up, and the signal was there when it was thawed. A process that has not run yet can't catch a signal: the case is allowed. Change: the wait of 200 ms gives way to the first line in the process's log, which comes after the signal is caught; it is looked at under the lock that starts take.

--- a/cmd/martenstage/soak_lanes_test.go
+++ b/cmd/martenstage/soak_lanes_test.go
@@ -57,15 +57,14 @@
 	}
 }
 
-// soakProgramStart is how long a program takes to its first line: the runtime can't catch
-// signals before.
-const soakProgramStart = 200 * time.Millisecond
-
-// hangUp sends SIGHUP, as when a settings file has changed. The process goes on, whatever else
-// befalls it.
+// hangUp sends SIGHUP, as when a settings file has changed, to a process that has written a line
+// since its start: it catches the signal by then, and goes on, whatever else befalls it. Before,
+// nothing can catch signals, also for as long as it is frozen.
 func hangUp(process *soakProcess) {
-	if time.Since(time.Unix(0, process.begun.Load())) >= soakProgramStart {
-		process.signal(syscall.SIGHUP)
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	if process.hasLogged() {
+		_ = process.command.Process.Signal(syscall.SIGHUP)
 	}
 }
 
--- a/cmd/martenstage/soak_site_test.go
+++ b/cmd/martenstage/soak_site_test.go
@@ -41,6 +41,8 @@
 	ended     chan struct{}
 	// starts counts the incarnations.
 	starts atomic.Int64
+	// logged is the size of the log when the newest one began.
+	logged atomic.Int64
 	// begun is when the newest one began; ending is set while a fault ends it, and ownEnd says
 	// how one ended otherwise; nil for none.
 	begun  atomic.Int64
@@ -75,6 +77,7 @@
 	require.NoError(t, err)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.logged.Store(p.logSize(t))
 	p.command = exec.Command(program, p.arguments...)
 	p.command.Env = append(os.Environ(), "MARTENSTAGE_STORAGE_FAULTS="+p.diskFaults())
 	p.command.Stdout, p.command.Stderr = p.log, p.log
@@ -93,6 +96,18 @@
 	}(p.command, p.ended)
 }
 
+func (p *soakProcess) logSize(t testing.TB) int64 {
+	info, err := p.log.Stat()
+	require.NoError(t, err)
+	return info.Size()
+}
+
+// hasLogged reports whether the process has written a line since its start.
+func (p *soakProcess) hasLogged() bool {
+	info, err := p.log.Stat()
+	return err == nil && info.Size() > p.logged.Load()
+}
+
 // diskFaults is the file that says what is wrong with the process's disk.
 func (p *soakProcess) diskFaults() string { return p.log.Name() + ".disk" }
 
