--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -33,6 +33,16 @@
 	return beat
 }
 
+// wholeCluster returns a group of its full size whose nodes are all current.
+func wholeCluster(t *testing.T) *cluster {
+	c := newCluster(t, 3)
+	c.losses = 1
+	c.startAll(true)
+	c.put(document(1, "first"))
+	c.everywhere("not fresh", freshWithin(time.Second))
+	return c
+}
+
 // TestNodeBehindTheLogCallsItsStateFresh guards against a node whose disk is held up certifying a
 // state as fresh that lacks an acknowledged departure.
 func TestNodeBehindTheLogCallsItsStateFresh(t *testing.T) {
@@ -63,11 +73,7 @@
 // TestDepartureWithoutAStartBindsNoServer guards against acknowledging a departure under an id
 // that nobody has, because the node has not heard of the server's start yet.
 func TestDepartureWithoutAStartBindsNoServer(t *testing.T) {
-	c := newCluster(t, 3)
-	c.losses = 1
-	c.startAll(true)
-	c.put(document(1, "first"))
-	c.everywhere("not fresh", freshWithin(time.Second))
+	c := wholeCluster(t)
 	ctx := context.Background()
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)))
 	require.NoError(t, c.nodes[1].Depart(ctx, "i1", 0))
@@ -106,11 +112,7 @@
 // TestNextStartOfADepartedServerIsNotServed guards against a departure without a start that holds
 // for a later start of the server as well, or no more for late heartbeats of the one that left.
 func TestNextStartOfADepartedServerIsNotServed(t *testing.T) {
-	c := newCluster(t, 3)
-	c.losses = 1
-	c.startAll(true)
-	c.put(document(1, "first"))
-	c.everywhere("not fresh", freshWithin(time.Second))
+	c := wholeCluster(t)
 	ctx := context.Background()
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 500, registry.Ready, 7)))
 	c.everywhere("not known", func(node *runningNode) bool { return stateAt(node, "i1#500") == registry.Ready })
@@ -136,10 +138,7 @@
 // TestDepartureThatNamesAnUnknownStartBindsNoServer guards against acknowledging a start that no
 // heartbeat named, of a server whose heartbeats name none.
 func TestDepartureThatNamesAnUnknownStartBindsNoServer(t *testing.T) {
-	c := newCluster(t, 3)
-	c.losses = 1
-	c.startAll(true)
-	c.put(document(1, "first"))
+	c := wholeCluster(t)
 	ctx := context.Background()
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, instance("i1", "s", registry.Ready, 1)))
 	require.NoError(t, c.nodes[1].Depart(ctx, "i1", 77))
@@ -149,11 +148,7 @@
 // TestNodeBehindTheLogTakesAStartInThatIsOld guards against a node that lacks a departure and
 // calls a new start of the same server one that left.
 func TestNodeBehindTheLogTakesAStartInThatIsOld(t *testing.T) {
-	c := newCluster(t, 3)
-	c.losses = 1
-	c.startAll(true)
-	c.put(document(1, "first"))
-	c.everywhere("not fresh", freshWithin(time.Second))
+	c := wholeCluster(t)
 	ctx := context.Background()
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)))
 	behind := c.follower()
@@ -196,11 +191,7 @@
 // names no start where all tables of servers were lost: the server's next heartbeat would count
 // as one of a new start.
 func TestDepartureOfAServerThatNobodyKnowsIsAcknowledged(t *testing.T) {
-	c := newCluster(t, 3)
-	c.losses = 1
-	c.startAll(true)
-	c.put(document(1, "first"))
-	c.everywhere("not fresh", freshWithin(time.Second))
+	c := wholeCluster(t)
 	ctx := context.Background()
 	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)))
 	for index := range c.nodes {
