--- a/cmd/martenstage/soak_records_test.go
+++ b/cmd/martenstage/soak_records_test.go
@@ -77,4 +77,3 @@
 	defer r.mutex.Unlock()
 	take(r)
 }
-
