Fault one disk of the soak at a time, until the group is whole again

Cause, by the logs: node 1 lost its disk at 12:00:08; node 0's disk was full from 10.6 to 13.7, so that no quorum could take node 1 in before; node 0 lost its disk at 14.2, while node 1 was being taken in ("adding learner …: the outcome of the proposal is not known"). Two of three disks were lost then, more than the group of three has to bear.

--- a/cmd/martenstage/soak_site_test.go
+++ b/cmd/martenstage/soak_site_test.go
@@ -153,6 +153,9 @@
 	acked   atomic.Int64
 	// ackTimes is when each version was acknowledged.
 	ackTimes sync.Map
+	// storage is held by a fault of one disk until the group is whole again: with another disk lost
+	// meanwhile it would have lost more than it has to bear.
+	storage sync.Mutex
 	// proposed is the highest version that the operator sent.
 	proposed atomic.Int64
 }
--- a/cmd/martenstage/soak_storage_test.go
+++ b/cmd/martenstage/soak_storage_test.go
@@ -73,6 +73,8 @@
 
 // disturbDisk has a fault of a node's disk last for a time.
 func (s *soakSite) disturbDisk(node *soakProcess, disk string, lasting time.Duration) {
+	s.storage.Lock()
+	defer s.storage.Unlock()
 	began := time.Now()
 	require.NoError(s.t, os.WriteFile(node.diskFaults(), []byte(disk), 0o600))
 	time.Sleep(lasting)
--- a/cmd/martenstage/soak_test.go
+++ b/cmd/martenstage/soak_test.go
@@ -225,6 +225,8 @@
 	case "freeze node":
 		freeze(fault, node)
 	case "wipe node":
+		s.storage.Lock()
+		defer s.storage.Unlock()
 		defer take(node)()
 		node.kill()
 		require.NoError(s.t, os.RemoveAll(s.dataFolder(fault.target%*soakNodes)))
