--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -143,7 +143,11 @@
 // another one's is not.
 func (f *follower) leaveStale(ctx context.Context, followed view) {
 	now := steadyclock.Now()
-	if followed.at.IsZero() || now.Sub(followed.at) <= directory.StaleAfter || now.Before(f.nextLook) {
+	if followed.at.IsZero() || now.Sub(followed.at) <= directory.StaleAfter {
+		f.staleTold = false
+		return
+	}
+	if now.Before(f.nextLook) {
 		return
 	}
 	f.nextLook = now.Add(staleLookPause)
--- a/internal/gateway/stale_directory_test.go
+++ b/internal/gateway/stale_directory_test.go
@@ -70,6 +70,12 @@
 	require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/x", nil).status)
 	require.False(t, s.logs("directory_left"))
 	require.False(t, s.logs("directory_lost"))
+	s.directory.setFresh(0)
+	calls := s.directory.calls.Load()
+	require.Eventually(t, func() bool { return s.directory.calls.Load() > calls+2 }, 10*time.Second, time.Millisecond)
+	s.logged.Reset()
+	s.directory.setFresh(-longStale)
+	require.Eventually(t, func() bool { return s.logs("directory_stale: no node has a newer state") }, 10*time.Second, 10*time.Millisecond, "it is told once only")
 }
 
 // TestRouterAsksOtherNodesOverAndOver guards against calls to nodes that are not followed: none
