Refuse slices of other routers' addresses, and answers of routers that were not asked

Cause: no message between routers named its addressee or the group of its sender. With the checks taken out, the new test gets aaaaaaaaaaaaaaaaFOREIGN-RECORD-1 in each of its three cases. Change: calls carry group and addressee, replies their sender (internal/addressee); 421 before anything is done; the slice goes to a stand-in at once. Versions of before are served. Why it works: the refusal comes from who listens, the check of the reply covers one that does not refuse; a router that names itself is known to, so that silence on it is no proof. Measured: go test -race ./internal/gateway passes, the new tests among it. Routers learn their group from directory nodes, which do not tell it yet.

--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/registry"
 )
@@ -136,6 +137,8 @@
 	Zone string `json:"zone,omitempty"`
 	// Address is where other routers reach it; empty if they can't.
 	Address string `json:"address,omitempty"`
+	// Identifies says that the router names itself in what it answers to others.
+	Identifies bool `json:"identifies,omitempty"`
 	// Stopping routers are not to be asked for anything new.
 	Stopping bool `json:"stopping,omitempty"`
 }
@@ -145,6 +148,8 @@
 	Name    string `json:"name"`
 	Zone    string `json:"zone,omitempty"`
 	Address string `json:"address"`
+	// Identifies says that the router names itself in what it answers to others.
+	Identifies bool `json:"identifies,omitempty"`
 }
 
 // sharedRouter is a router with the time since its last call, and what it told in it.
@@ -189,6 +194,8 @@
 // FollowReply is what a router does not know yet.
 type FollowReply struct {
 	Source string `json:"source"`
+	// Group is that of the node; 0 if it does not know it yet.
+	Group addressee.Group `json:"group,omitempty"`
 	// Version and Document are set when the router's version is lower.
 	Version  uint64         `json:"version"`
 	Document PackedDocument `json:"document,omitempty"`
--- a/internal/directory/routers.go
+++ b/internal/directory/routers.go
@@ -140,7 +140,7 @@
 		if known.Address == "" {
 			continue
 		}
-		list.routers = append(list.routers, ListedRouter{Name: known.Name, Zone: known.Zone, Address: known.Address})
+		list.routers = append(list.routers, ListedRouter{Name: known.Name, Zone: known.Zone, Address: known.Address, Identifies: known.Identifies})
 		if known.Stopping || known.Age > routerLiveness || t[known.Name].doubted(now) {
 			list.absent = append(list.absent, known.Name)
 		}
--- a/internal/gateway/claims.go
+++ b/internal/gateway/claims.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/scatter"
 )
 
@@ -124,11 +125,17 @@
 	// One that is granted twice is counted twice, which only leaves attempts unused, so that
 	// a kept connection that ended may be replaced.
 	request.Header["Idempotency-Key"] = []string{}
+	// The token names the asker; it is not asked by its name.
+	expected := addressee.Identity{Group: c.group()}
+	addressee.Mark(request.Header, expected)
 	response, err := c.http.Do(request)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := addressee.Check(response, expected, false); err != nil {
+		return err
+	}
 	if response.StatusCode != http.StatusOK {
 		return errors.Newf("status %d", response.StatusCode)
 	}
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -102,7 +102,7 @@
 // was answered.
 func (f *follower) follow(ctx context.Context) error {
 	f.request.Router = directory.Router{
-		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress,
+		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress, Identifies: true,
 		Stopping: f.gateway.stopping.Load(),
 	}
 	f.request.Calls = f.gateway.shardCalls.perSecond(steadyclock.Now())
@@ -120,6 +120,7 @@
 		return err
 	}
 	f.moved = false
+	f.gateway.joinGroup(reply.Group, f.node)
 	regained := f.lost
 	if f.lost {
 		f.lost = false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,9 +29,11 @@
 	started time.Time
 	seed    uint64
 	seeds   atomic.Pointer[[]string]
-	pool    *exchange.Pool
-	loop    *loop
-	table   atomic.Pointer[routing.Table]
+	// knownGroup is that of the directory nodes, an addressee.Group; 0 until one told.
+	knownGroup atomic.Uint64
+	pool       *exchange.Pool
+	loop       *loop
+	table      atomic.Pointer[routing.Table]
 	// keySeed is that of the digests of keys, drawn at the start.
 	keySeed routing.KeySeed
 	// confirmed says since when the document in force is known to be the newest; nil as long
@@ -61,7 +63,9 @@
 	refusals   lineLimit
 	// tenantRefusals bounds the lines of requests refused for their key or limit.
 	tenantRefusals lineLimit
-	clients        *clientConnections
+	// misdirected bounds the lines of calls that were meant for another process.
+	misdirected lineLimit
+	clients     *clientConnections
 	// shardCalls is how often servers of shards are called, beyond repeats.
 	shardCalls rate
 	// gatherersTold is what the log last said of who gathers; the one that follows owns it.
@@ -79,10 +83,11 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: steadyclock.Now(),
-		known: make(chan struct{}), doubts: make(chan string, doubtBacklog), slices: newSliceClient(), claims: newClaimBook(), clients: newClientConnections(environment.Registerer),
+		known: make(chan struct{}), doubts: make(chan string, doubtBacklog), claims: newClaimBook(), clients: newClientConnections(environment.Registerer),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	_, _ = rand.Read(gateway.keySeed[:]) // It never returns an error: without randomness the process ends.
+	gateway.slices = newSliceClient(gateway.group)
 	gateway.rollouts = newRolloutWatch()
 	gateway.quotas = newQuotaWatch(gateway.seed ^ uint64(gateway.started.UnixNano()))
 	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -122,6 +122,7 @@
 		return
 	}
 	g.gateway.metrics.slicesFailed.Inc()
+	g.gateway.noteAnswer(event.reason)
 	g.gateway.reach.fail(failed.Router.Zone)
 	if g.gateway.peers.doubt(failed.Router.Name) {
 		g.gateway.tellDoubt(failed.Router.Name)
--- /dev/null
+++ b/internal/gateway/group_test.go
@@ -0,0 +1,101 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/addressee"
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/routing"
+)
+
+// gatherRoute returns a document with one route that gathers the shards s and t.
+func gatherRoute(version uint64) *routing.Document {
+	document := oneRoute(version, "s")
+	document.Routes[0].Targets, document.Routes[0].Shards = nil, []string{"s", "t"}
+	document.Routes[0].TopRecords, document.Routes[0].LeastShare = 10, 1
+	return document
+}
+
+// partOf returns a server of a shard that answers with a record.
+func partOf(record string) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+		writer.Header().Set("X-Stamp", request.Header.Get("X-Meant"))
+		_, _ = io.WriteString(writer, record)
+	}
+}
+
+// strangerAt starts a router of another group at an address. Its document has the shards s and t
+// as well.
+func strangerAt(t *testing.T, name string, group addressee.Group, peers net.Listener) *site {
+	stub := &directoryStub{}
+	stub.reply.Source, stub.reply.Whole, stub.reply.Group = "other stub", true, group
+	foreign := partOf("FOREIGN-RECORD-1")
+	stranger := startRouter(t, name, "b", peers, stub, stub, map[string]http.HandlerFunc{"s": foreign, "t": foreign})
+	stranger.install(gatherRoute(1))
+	return stranger
+}
+
+// TestSliceIsNotTakenFromARouterOfAnotherGroup guards against a response that holds data of a
+// router that has got the address of one that is gone.
+func TestSliceIsNotTakenFromARouterOfAnotherGroup(t *testing.T) {
+	for name, sample := range map[string]struct {
+		stranger string
+		group    addressee.Group
+	}{
+		"another name, group unknown": {"stranger", 0},
+		"the same name":               {"other0", 2},
+		"another name":                {"stranger", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peers := listenLocal(t)
+			strangerAt(t, sample.stranger, sample.group, peers)
+			s := gatherAcross(t, peers.Addr().String())
+			s.directory.mutex.Lock()
+			s.directory.reply.Group = 1
+			s.directory.reply.Routers = []directory.ListedRouter{{Name: "other0", Zone: "b", Address: peers.Addr().String(), Identifies: true}}
+			s.directory.reply.RoutersDigest++
+			s.directory.mutex.Unlock()
+			s.install(gatherRoute(8))
+			s.install(gatherRoute(9))
+			for range 3 {
+				got := s.ask(http.MethodGet, "/a/", nil)
+				require.Equal(t, http.StatusOK, got.status)
+				require.ElementsMatch(t, []string{"i-s", "i-t"}, strings.Split(got.header.Get("X-Stamps"), ","))
+				require.Equal(t, strings.Repeat("a", 32), got.body)
+			}
+		})
+	}
+}
+
+// TestSliceForAnotherRouterIsRefused guards against a router that serves the slices of one that
+// listened at its address before.
+func TestSliceForAnotherRouterIsRefused(t *testing.T) {
+	for name, sample := range map[string]struct {
+		expected addressee.Identity
+		status   int
+	}{
+		"this router":                  {addressee.Identity{Group: 2, Name: "router"}, http.StatusBadRequest},
+		"a router of another group":    {addressee.Identity{Group: 1, Name: "router"}, http.StatusMisdirectedRequest},
+		"another router of the group":  {addressee.Identity{Group: 2, Name: "other"}, http.StatusMisdirectedRequest},
+		"a call of an earlier version": {addressee.Identity{}, http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peers := listenLocal(t)
+			strangerAt(t, "router", 2, peers)
+			call, err := http.NewRequest(http.MethodPost, "http://"+peers.Addr().String()+"/router/slice", strings.NewReader("no slice"))
+			require.NoError(t, err)
+			addressee.Mark(call.Header, sample.expected)
+			response, err := http.DefaultClient.Do(call)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, sample.status, response.StatusCode)
+		})
+	}
+}
--- a/internal/gateway/isolating.go
+++ b/internal/gateway/isolating.go
@@ -14,6 +14,7 @@
 	"github.com/samber/lo/mutable"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/isolation"
 	"github.com/martenstage/martenstage/internal/slicing"
 	"github.com/martenstage/martenstage/internal/steadyclock"
@@ -178,6 +179,7 @@
 			if err != nil {
 				return
 			}
+			addressee.Mark(request.Header, addressee.Identity{Group: r.gateway.group(), Name: router.Name})
 			response, err := r.gateway.slices.http.Do(request)
 			if err != nil {
 				r.gateway.logger.WithField("router", router.Name).WithField("reason", err).Debug("probe_not_told")
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	slicesAsked    prometheus.Counter
 	slicesFailed   prometheus.Counter
 	slicesServed   prometheus.Counter
+	misdirected    *prometheus.CounterVec
 	version        prometheus.Gauge
 	evacuated      prometheus.Gauge
 	// tenantRefusals are requests refused for their key or limit.
@@ -45,12 +46,15 @@
 			Name: "martenstage_gateway_request_seconds", Help: "Time from the arrival of a request to its end.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 1.6, 20),
 		}),
-		extras:             counter("extra_attempts_total", "Hedges and retries."),
-		denied:             counter("denied_attempts_total", "Hedges and retries that the budget did not pay for."),
-		missing:            counter("missing_parts_total", "Shards left out of answers."),
-		slicesAsked:        counter("slices_asked_total", "Slices that other routers were asked for."),
-		slicesFailed:       counter("slices_failed_total", "Slices that other routers did not bring, so that they were gathered here."),
-		slicesServed:       counter("slices_served_total", "Slices gathered for other routers."),
+		extras:       counter("extra_attempts_total", "Hedges and retries."),
+		denied:       counter("denied_attempts_total", "Hedges and retries that the budget did not pay for."),
+		missing:      counter("missing_parts_total", "Shards left out of answers."),
+		slicesAsked:  counter("slices_asked_total", "Slices that other routers were asked for."),
+		slicesFailed: counter("slices_failed_total", "Slices that other routers did not bring, so that they were gathered here."),
+		slicesServed: counter("slices_served_total", "Slices gathered for other routers."),
+		misdirected: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_gateway_misdirected_calls_total", Help: "Calls that reached another process than the one that they were meant for, received or sent.",
+		}, []string{"direction"}),
 		serversEnded:       counter("servers_ended_total", "Servers that had ended when an attempt at them broke off."),
 		refusedQuarantined: counter("quarantined_requests_total", "Requests refused because they end the servers that run them."),
 		ordersDropped:      counter("quarantine_orders_dropped_total", "Reports about such requests that were dropped because too many waited to be told."),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -62,7 +62,7 @@
 	defer p.mutex.Unlock()
 	p.change()
 	p.routers = lo.Map(routers, func(r directory.ListedRouter, _ int) slicing.Router {
-		return slicing.Router{Name: r.Name, Zone: r.Zone, Address: r.Address}
+		return slicing.Router{Name: r.Name, Zone: r.Zone, Address: r.Address, Identifies: r.Identifies}
 	})
 }
 
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/liveness"
 	"github.com/martenstage/martenstage/internal/slicing"
 	"github.com/martenstage/martenstage/internal/steadyclock"
@@ -36,12 +37,14 @@
 // sliceClient asks other routers for slices.
 type sliceClient struct {
 	http *http.Client
+	// group returns that of this router.
+	group func() addressee.Group
 	// patience is how long a connection to a router may take to come up.
 	patience patience
 }
 
-func newSliceClient() *sliceClient {
-	client := &sliceClient{}
+func newSliceClient(group func() addressee.Group) *sliceClient {
+	client := &sliceClient{group: group}
 	client.http = &http.Client{Transport: &http.Transport{
 		DialContext: client.dial, MaxIdleConnsPerHost: peerIdlePerHost, IdleConnTimeout: peerIdleTime,
 		DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
@@ -121,6 +124,8 @@
 	// anything came, nothing was sent to servers, so that net/http may send the slice
 	// again over a new one; an empty key says so to it alone.
 	request.Header["Idempotency-Key"] = []string{}
+	expected := addressee.Identity{Group: c.group(), Name: router.Name}
+	addressee.Mark(request.Header, expected)
 	silence := time.AfterFunc(acceptTime, func() {
 		time.AfterFunc(acceptGrace, func() {
 			if !answered.Load() {
@@ -137,6 +142,10 @@
 		// a router says that it has a slice before it sends anything.
 		return nil, written.Load() && silent, err
 	}
+	if err := addressee.Check(response, expected, router.Identifies); err != nil {
+		_ = response.Body.Close()
+		return nil, mayHaveTaken(response, err), err
+	}
 	if err := sliceRefusal(response.StatusCode); err != nil {
 		_ = response.Body.Close()
 		return nil, false, err
@@ -144,6 +153,14 @@
 	return response, true, nil
 }
 
+// mayHaveTaken reports whether a process that was not meant may have sent something to servers of
+// this group.
+func mayHaveTaken(response *http.Response, err error) bool {
+	var misdirected *addressee.MisdirectedError
+	stranger := errors.As(err, &misdirected) && misdirected.Expected.Group.Differs(misdirected.Found.Group)
+	return response.StatusCode == http.StatusOK && !stranger
+}
+
 // sliceRefusal returns why a router did not take a slice; nil if it did.
 func sliceRefusal(status int) error {
 	switch status {
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/routing"
@@ -21,7 +22,7 @@
 	mux.HandleFunc("POST "+pathSlice, g.serveSlice)
 	mux.HandleFunc("POST "+pathClaim, g.serveClaim)
 	mux.HandleFunc("POST "+pathProbe, g.serveProbe)
-	return mux
+	return addressee.Handler(g.identity, g.noteMisdirected, mux)
 }
 
 // serveSlice gathers shards for another router: it accepts at once, sends what is
--- a/internal/slicing/layout.go
+++ b/internal/slicing/layout.go
@@ -19,6 +19,8 @@
 	Zone string
 	// Address is where other routers reach it.
 	Address string
+	// Identifies says that it names itself in what it answers.
+	Identifies bool
 	// Absent says that it is not asked now: it stops, is silent or failed. It keeps
 	// its place in its cell, so that others keep theirs.
 	Absent bool
