Refuse calls of another group, and follow no node of one

What callers saw: requests served under another site's document and by its servers, where a directory node's address had passed to a node of another group. Cause: no call named the group of its sender; routers followed whoever answered at a node's address, nodes took in whatever was shared with them. Evidence: with the checks taken out, TestRouterDoesNotFollowANodeOfAnotherGroup gets version 7 of the foreign document in the place of 1, TestNodeRefusesCallsOfAnotherGroup 200 for a foreign share. TestVoterOfAnotherGroupAtAnAddressChangesNothing passes either way: voters drop messages of ids that are no members. Change: a group's id from its founders' addresses, learned from the leader by nodes that join and kept on disk, carried by each call; 421 for calls of another group; a router keeps its group. The limit of lines moves to package logging, since nodes need it as well.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -71,7 +71,7 @@
 	}
 	routers := n.summary.current(now, n.routers)
 	reply = FollowReply{
-		Source: n.source, Revision: n.registry.Revision(), Settled: n.settled, Version: version, Document: document,
+		Source: n.source, Group: n.group(), Revision: n.registry.Revision(), Settled: n.settled, Version: version, Document: document,
 		RouterCount: routers.count, Calls: n.demand.follow(now, routers.calls),
 		Nodes: lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
 	}
--- a/internal/directory/freshness.go
+++ b/internal/directory/freshness.go
@@ -66,7 +66,7 @@
 	if fresh < -StaleAfter {
 		wait.Notify(n.confirmNow)
 	}
-	return FollowReply{Source: n.source, Fresh: &fresh}
+	return FollowReply{Source: n.source, Group: n.group(), Fresh: &fresh}
 }
 
 func (n *Node) renewFreshness(ctx context.Context) {
--- /dev/null
+++ b/internal/directory/group_test.go
@@ -0,0 +1,93 @@
+package directory_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/addressee"
+	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/registry"
+)
+
+// groupAt returns the group that a node tells routers.
+func groupAt(node *runningNode) addressee.Group {
+	reply, err := newsOf(node)
+	if err != nil {
+		return 0
+	}
+	return reply.Group
+}
+
+// callAs sends a node a message as a process of a group does, and returns the status.
+func callAs(t *testing.T, group addressee.Group, address, path string, message any) int {
+	t.Helper()
+	body, err := json.Marshal(message)
+	require.NoError(t, err)
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	require.NoError(t, err)
+	addressee.Mark(request.Header, addressee.Identity{Group: group})
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+// TestNodeRefusesCallsOfAnotherGroup guards against a node that takes in servers, routers and
+// documents of another group, which has called an address that was its own.
+func TestNodeRefusesCallsOfAnotherGroup(t *testing.T) {
+	c := wholeCluster(t)
+	own := addressee.GroupOf(c.seeds)
+	c.everywhere("another group", func(node *runningNode) bool { return groupAt(node) == own })
+	share := map[string]any{"instances": []registry.Instance{instance("i9", "s", registry.Ready, 1)}}
+	news := directory.FollowRequest{Router: directory.Router{Name: "stranger", Address: "10.0.0.9:1"}}
+	for path, message := range map[string]any{"/peer/share": share, directory.PathFollow: news, "/peer/put": map[string]any{"version": 9, "text": []byte("9 foreign")}} {
+		require.Equal(t, http.StatusMisdirectedRequest, callAs(t, own+1, c.addresses[0], path, message), path)
+	}
+	reply, err := newsOf(c.nodes[0])
+	require.NoError(t, err)
+	require.Empty(t, reply.Instances)
+	require.Equal(t, 1, reply.RouterCount, "only the one that asks")
+	version, _, err := c.nodes[0].Read(context.Background())
+	require.NoError(t, err)
+	require.EqualValues(t, 1, version)
+	require.Equal(t, http.StatusOK, callAs(t, 0, c.addresses[0], directory.PathFollow, news), "a process that knows no group")
+}
+
+// TestNodesThatJoinLearnTheGroup guards against a node that never learns its group, which would be
+// refused by nobody and refuse nobody.
+func TestNodesThatJoinLearnTheGroup(t *testing.T) {
+	c := newCluster(t, 5)
+	c.startAll(true)
+	c.put(document(1, "first"))
+	own := addressee.GroupOf(c.seeds)
+	c.everywhere("the group is not known", func(node *runningNode) bool { return groupAt(node) == own })
+	c.stop(4)
+	c.start(4, false)
+	c.eventually("a node that starts again has forgotten its group", func(node *runningNode) bool {
+		return node == c.nodes[4] && groupAt(node) == own
+	})
+}
+
+// TestVoterOfAnotherGroupAtAnAddressChangesNothing guards against two groups whose logs mix, where a
+// founder of one listens at the address of a founder of the other: both derive the same id.
+func TestVoterOfAnotherGroupAtAnAddressChangesNothing(t *testing.T) {
+	c := wholeCluster(t)
+	c.everywhere("not three voters", c.hasVoters(0, 1, 2))
+	c.stop(2)
+	other := newCluster(t, 3)
+	other.losses, other.addresses[0] = 1, c.addresses[2]
+	other.seeds = other.addresses
+	other.startAll(true)
+	other.put(document(5, "other"))
+	c.put(document(2, "second"))
+	time.Sleep(stateShownFor)
+	c.everywhere("not read", c.reads(document(2, "second")))
+	other.everywhere("not read", other.reads(document(5, "other")))
+	c.everywhere("the group has changed", func(node *runningNode) bool { return groupAt(node) == addressee.GroupOf(c.seeds) })
+}
--- a/internal/directory/identity.go
+++ b/internal/directory/identity.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/addressee"
 )
 
 // identityFile holds the id of the voter whose log lies beside it.
@@ -25,6 +27,9 @@
 	// Group are the peer addresses known when the file was written; of a founder,
 	// those of the founders.
 	Group []string `json:"group,omitempty"`
+	// GroupID identifies the group; 0 for a founder, whose founders tell it, and as long as
+	// nobody told.
+	GroupID addressee.Group `json:"group_id,omitempty"`
 }
 
 // loadIdentity reads the identity of a folder; ok is false for an empty one.
--- a/internal/directory/member.go
+++ b/internal/directory/member.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/raftlog"
 	"github.com/martenstage/martenstage/internal/voter"
@@ -38,7 +39,7 @@
 	replaced chan struct{}
 }
 
-func openMember(config Config, environment Environment, transport voter.Transport) (*memberHost, error) {
+func openMember(config Config, environment Environment, transport *peerClient) (*memberHost, error) {
 	host := &memberHost{config: config, environment: environment, transport: transport, replaced: make(chan struct{})}
 	found, known, err := loadIdentity(config.Folder)
 	if err != nil {
@@ -51,6 +52,8 @@
 		}
 	}
 	host.identity = found
+	// Before the voter runs: what it sends names the group.
+	transport.group.set(found.ownGroup())
 	if err := host.prepare(); err != nil {
 		return nil, err
 	}
@@ -144,6 +147,19 @@
 	return nil
 }
 
+// rememberID keeps the group's id on disk.
+func (h *memberHost) rememberID(group addressee.Group) error {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	updated := h.identity
+	updated.GroupID = group
+	if err := updated.save(h.config.Folder); err != nil {
+		return err
+	}
+	h.identity = updated
+	return nil
+}
+
 // reopen starts the voter again from its folder.
 func (h *memberHost) reopen() error {
 	h.mutex.Lock()
@@ -169,7 +185,7 @@
 	if err := os.Rename(filepath.Join(h.config.Folder, logFolder), aside); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return errors.Wrap(err, "the former log can't be put aside")
 	}
-	fresh := identity{ID: drawID(), Group: h.identity.Group}
+	fresh := identity{ID: drawID(), Group: h.identity.Group, GroupID: h.identity.ownGroup()}
 	if err := fresh.save(h.config.Folder); err != nil {
 		return err
 	}
--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -25,7 +25,8 @@
 	behind   prometheus.Gauge
 	stateAge prometheus.Gauge
 	// staleTimes counts how often it became out of date.
-	staleTimes prometheus.Counter
+	staleTimes  prometheus.Counter
+	misdirected prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -62,6 +63,9 @@
 		behind: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_directory_state_behind_entries", Help: "Entries of the log that this node knows to be committed and has not applied.",
 		}),
+		misdirected: factory.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_directory_misdirected_calls_total", Help: "Calls of processes of another group, which were refused.",
+		}),
 		staleTimes: factory.NewCounter(prometheus.CounterOpts{
 			Name: "martenstage_directory_state_stale_total", Help: "How often the state of this node became out of date, so that routers left it.",
 		}),
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -26,7 +26,9 @@
 	seeds  atomic.Pointer[[]string]
 	member *memberHost
 	peers  *peerClient
-	packer documentPacker
+	// misdirected bounds the lines of calls that were meant for another group.
+	misdirected logging.LineLimit
+	packer      documentPacker
 
 	mutex    sync.Mutex
 	registry *registry.Table
@@ -111,7 +113,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var duties sync.WaitGroup
 	for _, duty := range []func(context.Context){
-		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runRollouts, n.runStateWatch,
+		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runRollouts, n.runStateWatch, n.runGroup,
 	} {
 		duties.Go(func() { duty(ctx) })
 	}
--- a/internal/directory/peer_client.go
+++ b/internal/directory/peer_client.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/liveness"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/voter"
@@ -30,7 +31,11 @@
 )
 
 // peerClient calls other nodes.
-type peerClient struct{ http *http.Client }
+type peerClient struct {
+	http *http.Client
+	// group is that of this node; operators have none.
+	group knownGroup
+}
 
 var _ voter.Transport = (*peerClient)(nil)
 
@@ -126,11 +131,16 @@
 }
 
 func (c *peerClient) do(request *http.Request, address string) ([]byte, error) {
+	expected := addressee.Identity{Group: c.group.get()}
+	addressee.Mark(request.Header, expected)
 	response, err := c.http.Do(request)
 	if err != nil {
 		return nil, errors.Wrapf(ErrUnavailable, "%v", err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := addressee.Check(response, expected, false); err != nil {
+		return nil, errors.Wrapf(ErrUnavailable, "%s: %v", address, err)
+	}
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxPeerReplyBytes))
 	switch {
 	case err != nil:
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -72,7 +72,7 @@
 		return struct{}{}, nil
 	}))
 	mux.Handle(PathFollow, compressed(handle(n.Follow)))
-	return mux
+	return n.refuseOthers(mux)
 }
 
 func (n *Node) serveDeliver(writer http.ResponseWriter, request *http.Request) {
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -68,7 +68,7 @@
 // tellBroken logs that the connection of an attempt ended before its answer was whole, so
 // that two presentations of one request show as such.
 func (g *Gateway) tellBroken(sent sentAttempt) {
-	leftOut, tells := g.breaks.take(steadyclock.Now())
+	leftOut, tells := g.breaks.Take(steadyclock.Now())
 	if !tells {
 		return
 	}
@@ -92,7 +92,7 @@
 	shown := sent.waiting.evidence
 	g.metrics.serversEnded.Inc()
 	fingerprint := sent.waiting.request.fingerprint()
-	if leftOut, tells := g.endings.take(steadyclock.Now()); tells {
+	if leftOut, tells := g.endings.Take(steadyclock.Now()); tells {
 		g.logger.WithFields(logrus.Fields{
 			"fingerprint": fingerprint.Short(), "request": sent.waiting.request.ID, "route": shown.route, "caller": shown.caller,
 			"server": sent.server.ID, "service": sent.server.Service, "took": sent.took, "trial": shown.trial != nil,
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/evacuation"
 	"github.com/martenstage/martenstage/internal/liveness"
@@ -119,6 +120,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.checkGroup(reply.Group, f.node); err != nil {
+		return err
+	}
 	f.moved = false
 	f.gateway.joinGroup(reply.Group, f.node)
 	regained := f.lost
@@ -178,11 +182,17 @@
 	if err != nil {
 		return err
 	}
+	expected := addressee.Identity{Group: f.gateway.group()}
+	addressee.Mark(request.Header, expected)
 	response, err := f.client.Do(request)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := addressee.Check(response, expected, false); err != nil {
+		f.gateway.noteAnswer(err)
+		return errors.Wrap(err, target)
+	}
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxFollowed))
 	switch {
 	case err != nil:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,13 +58,13 @@
 	// quarantine are the requests that end servers; breaks, endings and refusals bound the
 	// lines about attempts that broke off, servers that ended and requests refused for that.
 	quarantine *quarantineWatch
-	breaks     lineLimit
-	endings    lineLimit
-	refusals   lineLimit
+	breaks     logging.LineLimit
+	endings    logging.LineLimit
+	refusals   logging.LineLimit
 	// tenantRefusals bounds the lines of requests refused for their key or limit.
-	tenantRefusals lineLimit
+	tenantRefusals logging.LineLimit
 	// misdirected bounds the lines of calls that were meant for another process.
-	misdirected lineLimit
+	misdirected logging.LineLimit
 	clients     *clientConnections
 	// shardCalls is how often servers of shards are called, beyond repeats.
 	shardCalls rate
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -25,6 +25,18 @@
 	}
 }
 
+// checkGroup returns a *addressee.MisdirectedError for a directory node of another group, whose
+// documents, servers and orders are not those of this router.
+func (f *follower) checkGroup(group addressee.Group, node string) error {
+	own := f.gateway.group()
+	if !own.Differs(group) {
+		return nil
+	}
+	err := &addressee.MisdirectedError{Expected: addressee.Identity{Group: own}, Found: addressee.Identity{Group: group}}
+	f.gateway.noteAnswer(err)
+	return errors.Wrap(err, node)
+}
+
 // identity is this router as others know it.
 func (g *Gateway) identity() addressee.Identity {
 	return addressee.Identity{Group: g.group(), Name: g.config.Name}
@@ -46,7 +58,7 @@
 
 func (g *Gateway) tellMisdirected(direction string, call *addressee.MisdirectedError) {
 	g.metrics.misdirected.WithLabelValues(direction).Inc()
-	leftOut, tells := g.misdirected.take(steadyclock.Now())
+	leftOut, tells := g.misdirected.Take(steadyclock.Now())
 	if !tells {
 		return
 	}
--- a/internal/gateway/group_test.go
+++ b/internal/gateway/group_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/routing"
 )
 
@@ -99,3 +101,49 @@
 		})
 	}
 }
+
+// listenAgain listens at an address that was listened at before.
+func listenAgain(t *testing.T, address string) net.Listener {
+	var listener net.Listener
+	require.Eventually(t, func() (listening bool) {
+		var err error
+		listener, err = net.Listen("tcp4", address)
+		return err == nil
+	}, 10*time.Second, time.Millisecond)
+	return listener
+}
+
+// TestRouterDoesNotFollowANodeOfAnotherGroup guards against a router that takes documents and servers
+// from a node which has got the address of one that it followed.
+func TestRouterDoesNotFollowANodeOfAnotherGroup(t *testing.T) {
+	peers, address := listenLocal(t), testaddress.Next().String()
+	own := &directoryStub{}
+	own.reply.Source, own.reply.Whole, own.reply.Group, own.reply.Nodes = "own", true, 1, []string{address}
+	node := &http.Server{Handler: own}
+	listener := listenAgain(t, address)
+	go func() { _ = node.Serve(listener) }()
+	s := startRouterOf(t, "router", "a", peers, address)
+	s.directory = own
+	own.addServer("i-s", "s", "a", serve(t, http.HandlerFunc(echo)))
+	s.install(oneRoute(1, "s"))
+	require.NoError(t, node.Close())
+
+	foreign := &directoryStub{}
+	foreign.reply.Source, foreign.reply.Whole, foreign.reply.Group, foreign.reply.Nodes = "foreign", true, 2, []string{address}
+	other := &http.Server{Handler: foreign}
+	listener = listenAgain(t, address)
+	go func() { _ = other.Serve(listener) }()
+	t.Cleanup(func() { _ = other.Close() })
+	stranger := &site{t: t, directory: foreign}
+	stranger.prepare(oneRoute(7, "t"))
+	require.Eventually(t, func() bool { return foreign.calls.Load() > 20 }, 10*time.Second, time.Millisecond)
+	require.EqualValues(t, 1, s.router.Version())
+	require.Equal(t, http.StatusOK, s.ask(http.MethodGet, "/a/", nil).status)
+	require.NoError(t, other.Close())
+
+	back := &http.Server{Handler: own}
+	listener = listenAgain(t, address)
+	go func() { _ = back.Serve(listener) }()
+	t.Cleanup(func() { _ = back.Close() })
+	s.install(oneRoute(2, "s"))
+}
--- a/internal/gateway/one_way_test.go
+++ b/internal/gateway/one_way_test.go
@@ -23,13 +23,19 @@
 func startRouter(
 	t *testing.T, name, zone string, peers net.Listener, follow http.Handler, stub *directoryStub, servers map[string]http.HandlerFunc,
 ) *site {
-	node := serve(t, follow)
+	s := startRouterOf(t, name, zone, peers, serve(t, follow))
+	s.directory = stub
 	for service, handler := range servers {
 		stub.addServer("i-"+service, service, zone, serve(t, handler))
 	}
+	return s
+}
+
+// startRouterOf starts a router whose seed is a directory node.
+func startRouterOf(t *testing.T, name, zone string, peers net.Listener, node string) *site {
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	s := &site{t: t, directory: stub}
+	s := &site{t: t}
 	s.router = gateway.New(gateway.Config{
 		Name: name, Zone: zone, PeerAddress: peers.Addr().String(), Seeds: []string{node}, Grace: 3 * time.Second,
 		Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100}, ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -119,6 +119,9 @@
 func (f *follower) probe(ctx context.Context, node string) found {
 	asked := steadyclock.Now()
 	reply, err := f.post(ctx, node, directory.FollowRequest{Probe: true}, searchTimeout)
+	if err == nil {
+		err = f.checkGroup(reply.Group, node)
+	}
 	answer := found{node: node, err: err, untold: err == nil && reply.Fresh == nil}
 	if reply.Fresh != nil {
 		answer.at = asked.Add(*reply.Fresh)
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -39,13 +39,13 @@
 		return
 	}
 	if outcome == outcomeQuarantined {
-		if _, tells := s.gateway.refusals.take(steadyclock.Now()); !tells {
+		if _, tells := s.gateway.refusals.Take(steadyclock.Now()); !tells {
 			return
 		}
 	}
 	if ofTenant(result.Reason) {
 		s.gateway.metrics.tenantRefusals.WithLabelValues(string(result.Reason)).Inc()
-		if _, tells := s.gateway.tenantRefusals.take(steadyclock.Now()); !tells {
+		if _, tells := s.gateway.tenantRefusals.Take(steadyclock.Now()); !tells {
 			return
 		}
 	}
--- a/internal/gateway/line_limit_test.go
+++ b/internal/logging/line_limit_test.go
@@ -1,4 +1,4 @@
-package gateway
+package logging
 
 import (
 	"testing"
@@ -7,19 +7,19 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestLinesAboutBrokenAttemptsAreBounded(t *testing.T) {
-	var bounded lineLimit
+func TestLinesOfOneKindAreBounded(t *testing.T) {
+	var bounded LineLimit
 	start := time.Unix(1000, 0)
 	for range maxLinesASecond {
-		leftOut, tells := bounded.take(start)
+		leftOut, tells := bounded.Take(start)
 		require.True(t, tells)
 		require.Zero(t, leftOut)
 	}
 	for range 7 {
-		_, tells := bounded.take(start.Add(time.Second - 1))
+		_, tells := bounded.Take(start.Add(time.Second - 1))
 		require.False(t, tells)
 	}
-	leftOut, tells := bounded.take(start.Add(time.Second))
+	leftOut, tells := bounded.Take(start.Add(time.Second))
 	require.True(t, tells)
 	require.Equal(t, 7, leftOut)
 }
