Ask all nodes for the starts of a server that departs by name alone

What callers saw: a server that leaves right after its heartbeat got 503, "no start of the server is known: the control group does not answer", with the group whole. Cause: since a departure without a start needs a known one; only the node that took it and the leader were asked, and heartbeats reach them 0.1 s later at best. Change: a node that has not heard of the server asks all others at once, for 0.25 s at most. Errors of a node that answers no longer say that the group does not. Why it works: the node that acknowledged the heartbeat knows the start, and its table tells it before the departure is proposed; where none that answers does, nothing is acknowledged (TestDepartureThatNobodyHeardOfIsNotAcknowledged).

--- a/internal/directory/departing.go
+++ b/internal/directory/departing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
@@ -48,6 +49,9 @@
 		return nil
 	}
 	began := steadyclock.Now()
+	if message.Name != "" && !message.Known {
+		n.askHeard(ctx, &message)
+	}
 	err := n.atLeader(ctx, func(ctx context.Context) error { return n.departHere(ctx, message) }, pathDepart, message, nil)
 	n.record("depart", began, err, logrus.Fields{"instance": message.ID, "starts": message.Starts})
 	return err
@@ -77,6 +81,50 @@
 	return n.registry.Heard(steadyclock.Now(), name) || !n.registry.KeepNames()
 }
 
+// heardTimeout bounds the call by which a node asks the others for the starts of a server.
+const heardTimeout = 250 * time.Millisecond
+
+// heardRequest asks a node whether it has heard of a server.
+type heardRequest struct {
+	Name string `json:"name"`
+}
+
+// heardReply says whether a node has heard of a server, and of which of its starts.
+type heardReply struct {
+	Heard  bool     `json:"heard"`
+	Starts []string `json:"starts,omitempty"`
+}
+
+// heard answers another node that was told of the departure of a server that it has not heard of.
+func (n *Node) heard(asked heardRequest) heardReply {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return heardReply{Heard: n.registry.Heard(steadyclock.Now(), asked.Name), Starts: n.registry.Starts(asked.Name)}
+}
+
+// askHeard asks all other nodes at once for the starts of a server and adds them to its departure: a
+// heartbeat that one of them has acknowledged is shared with this one only a while later.
+func (n *Node) askHeard(ctx context.Context, message *departMessage) {
+	others := n.peerAddresses()
+	replies := make(chan heardReply, len(others))
+	calling, cancel := context.WithTimeout(ctx, heardTimeout)
+	defer cancel()
+	for _, address := range others {
+		go func() {
+			var reply heardReply
+			if err := n.peers.call(calling, address, pathHeard, heardRequest{Name: message.Name}, &reply); err != nil {
+				n.logger.WithField("node", address).WithField("instance", message.Name).WithField("reason", err).Info("starts_not_told")
+			}
+			replies <- reply
+		}()
+	}
+	for range others {
+		reply := <-replies
+		message.Known = message.Known || reply.Heard
+		message.Starts = lo.Uniq(append(message.Starts, lo.Without(reply.Starts, message.ID)...))
+	}
+}
+
 // departHere is Depart at the leader, which adds the starts that it knows of.
 func (n *Node) departHere(ctx context.Context, message departMessage) error {
 	if !n.mayAcknowledge() {
@@ -101,4 +149,4 @@
 
 // errNotHeard is an ErrUnavailable: what is known to routers of the server leaves, but a heartbeat
 // that is still to come would be taken for one of a new start.
-var errNotHeard = errors.Wrap(ErrUnavailable, "no start of the server is known")
+var errNotHeard = &refusedError{detail: "no node that answers has heard of the server"}
--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -80,6 +80,39 @@
 	c.everywhere("the server goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
 }
 
+// TestDepartureIsTakenWhereAnotherNodeHeardOfTheServer guards against a true departure that is refused
+// because the node and the leader have not been told yet of a heartbeat that a third one acknowledged.
+func TestDepartureIsTakenWhereAnotherNodeHeardOfTheServer(t *testing.T) {
+	const servers = 40
+	c := wholeCluster(t)
+	ctx := context.Background()
+	for number := range servers {
+		name := "i" + strconv.Itoa(number)
+		require.NoError(t, c.nodes[number%3].Heartbeat(ctx, startOf(name, 5, registry.Ready, 1)))
+		require.NoError(t, c.nodes[(number+1)%3].Depart(ctx, name, 0), name)
+	}
+	c.everywhere("a server goes on as ready", func(node *runningNode) bool {
+		reply, err := newsOf(node)
+		return err == nil && len(reply.Instances) == servers && lo.EveryBy(reply.Instances, func(known registry.Instance) bool {
+			return known.State == registry.Leaving
+		})
+	})
+}
+
+// TestDepartureThatNobodyHeardOfIsNotAcknowledged guards against the opposite: an acknowledgement that
+// a start which is heard of later is not bound by, whatever other servers are known.
+func TestDepartureThatNobodyHeardOfIsNotAcknowledged(t *testing.T) {
+	c := wholeCluster(t)
+	ctx := context.Background()
+	require.NoError(t, c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)))
+	for _, node := range c.nodes {
+		err := node.Depart(ctx, "i2", 0)
+		require.ErrorIs(t, err, directory.ErrUnavailable)
+		require.ErrorContains(t, err, "no node that answers has heard of the server")
+		require.NotContains(t, err.Error(), directory.ErrUnavailable.Error(), "the group does answer")
+	}
+}
+
 // TestHeartbeatBesideItsDepartureStaysReady guards against a heartbeat that is checked before a
 // departure is applied and taken into the table after it.
 func TestHeartbeatBesideItsDepartureStaysReady(t *testing.T) {
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -95,4 +95,13 @@
 // was asked may or may not be done. The caller asks again, at any node.
 var ErrUnavailable = errors.New("the control group does not answer")
 
+// refusedError is an ErrUnavailable of a node that does answer: its text gives the reason alone.
+type refusedError struct{ detail string }
+
+// Error implements error.
+func (e *refusedError) Error() string { return e.detail }
+
+// Is reports that it is an ErrUnavailable.
+func (e *refusedError) Is(target error) bool { return target == ErrUnavailable }
+
 func (c Config) groupSize() int { return groupLossesFactor*c.Losses + 1 }
--- a/internal/directory/peer_client.go
+++ b/internal/directory/peer_client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -148,7 +149,7 @@
 	case response.StatusCode == http.StatusUnprocessableEntity:
 		return nil, &routing.InvalidError{Detail: string(answer)}
 	case response.StatusCode != http.StatusOK:
-		return nil, errors.Wrapf(ErrUnavailable, "%s says %d %s", address, response.StatusCode, answer)
+		return nil, &refusedError{detail: fmt.Sprintf("%s says %d %s", address, response.StatusCode, bytes.TrimSpace(answer))}
 	}
 	return answer, nil
 }
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -21,6 +21,7 @@
 	pathPut      = "/peer/put"
 	pathRead     = "/peer/read"
 	pathDepart   = "/peer/depart"
+	pathHeard    = "/peer/heard"
 	pathEvacuate = "/peer/evacuate"
 	// pathEvacuations is for operators.
 	pathEvacuations = "/operator/evacuations"
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -45,6 +45,7 @@
 	mux.Handle(pathDepart, handle(func(ctx context.Context, message departMessage) (struct{}, error) {
 		return struct{}{}, n.departHere(ctx, message)
 	}))
+	mux.Handle(pathHeard, handle(func(_ context.Context, asked heardRequest) (heardReply, error) { return n.heard(asked), nil }))
 	mux.Handle(pathEvacuate, handle(func(ctx context.Context, order evacuationOrder) (struct{}, error) {
 		return struct{}{}, n.evacuateHere(ctx, order)
 	}))
