Take no wait for a processor for a suspension of the machine

What was seen: a router's admissions recorded up to 8.4 ms after the revision that replaced theirs was in force; beyond the test, leases and ages judged by a clock that ran ahead. Cause: the process's clock read CLOCK_MONOTONIC, then CLOCK_BOOTTIME. A process that waited for a processor in between took that wait for a suspension, for good. Ruled out: an admission that takes effect after the next revision binds; decision and admission are one step of the goroutine that takes revisions in. Change: the distance of the clocks is bounded from above at first, from below later, by the order of the readings. TestWaitingForAProcessorIsNoSuspension.

--- a/internal/proof/suspension/suspension.go
+++ b/internal/proof/suspension/suspension.go
@@ -24,14 +24,16 @@
 func NewMachine(t testing.TB) *Machine {
 	machine := &Machine{began: time.Now()}
 	machine.suspended.Store(int64(time.Hour))
-	t.Cleanup(steadyclock.Replace(steadyclock.New(machine.Read)))
+	t.Cleanup(steadyclock.Replace(steadyclock.New(machine)))
 	return machine
 }
 
-// Read returns what both clocks show.
-func (m *Machine) Read() (running, sinceBoot time.Duration, err error) {
-	running = time.Since(m.began)
-	return running, running + time.Duration(m.suspended.Load()), nil
+// Running implements steadyclock.Machine.
+func (m *Machine) Running() (time.Duration, error) { return time.Since(m.began), nil }
+
+// SinceBoot implements steadyclock.Machine.
+func (m *Machine) SinceBoot() (time.Duration, error) {
+	return time.Since(m.began) + time.Duration(m.suspended.Load()), nil
 }
 
 // Suspend lets a time pass that only the clock which counts since the boot sees; a negative
--- a/internal/steadyclock/steadyclock.go
+++ b/internal/steadyclock/steadyclock.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -20,9 +21,9 @@
 // Clock adds up how long the machine was suspended since the clock was made. It is safe for
 // concurrent use.
 type Clock struct {
-	read    func() (running, sinceBoot time.Duration, err error)
+	machine Machine
 	started time.Time
-	// first is what the clocks were apart when the clock was made.
+	// first is the most that the clocks were apart when the clock was made.
 	first time.Duration
 	// looked is when the clocks were last read, suspended what was found then, both ns.
 	looked    atomic.Int64
@@ -35,14 +36,55 @@
 // that long at the most that there was none.
 const lookInterval = time.Millisecond
 
-// New returns a clock by a function that reads both clocks of the machine.
-func New(read func() (running, sinceBoot time.Duration, err error)) *Clock {
-	made := &Clock{read: read, started: time.Now()}
-	running, sinceBoot, err := read()
-	made.first, made.err = sinceBoot-running, err
+// Machine has the two clocks that a Clock compares. Readings may fail.
+type Machine interface {
+	// Running returns the time that stands still while the machine is suspended.
+	Running() (time.Duration, error)
+	// SinceBoot returns the time that counts on.
+	SinceBoot() (time.Duration, error)
+}
+
+// firstReadings is how often a new clock compares those of the machine.
+const firstReadings = 8
+
+// New returns a clock that goes by those of a machine.
+func New(machine Machine) *Clock {
+	made := &Clock{machine: machine, started: time.Now(), first: math.MaxInt64}
+	for range firstReadings {
+		apart, err := atMostApart(machine)
+		if err != nil {
+			made.err = err
+			return made
+		}
+		made.first = min(made.first, apart)
+	}
 	return made
 }
 
+// The process may wait for a processor between two readings. The time that passes then must not
+// pass for a suspension: what the clocks were apart at first is never taken for less, what they are
+// apart later never for more.
+
+// atMostApart returns a bound above what the clocks are apart.
+func atMostApart(machine Machine) (time.Duration, error) {
+	running, err := machine.Running()
+	if err != nil {
+		return 0, err
+	}
+	sinceBoot, err := machine.SinceBoot()
+	return sinceBoot - running, err
+}
+
+// atLeastApart returns a bound below what the clocks are apart.
+func atLeastApart(machine Machine) (time.Duration, error) {
+	sinceBoot, err := machine.SinceBoot()
+	if err != nil {
+		return 0, err
+	}
+	running, err := machine.Running()
+	return sinceBoot - running, err
+}
+
 // Now returns the time. Its wall clock reading is off by the suspensions since the process
 // began: for what a person reads, use time.Now.
 func (c *Clock) Now() time.Time {
@@ -57,14 +99,17 @@
 // look reads both clocks. One that can't be read leaves what was found before.
 func (c *Clock) look(at int64) {
 	c.looked.Store(at)
-	running, sinceBoot, err := c.read()
-	if err != nil || c.err != nil {
+	if c.err != nil {
 		return
 	}
-	found := int64(sinceBoot - running - c.first)
+	apart, err := atLeastApart(c.machine)
+	if err != nil {
+		return
+	}
+	found := int64(apart - c.first)
 	for {
 		known := c.suspended.Load()
-		// The clocks are read one after the other, so that they are never apart to the ns.
+		// A suspension is long; less than this is not worth a step of the clock.
 		if found < known+int64(lookInterval) || c.suspended.CompareAndSwap(known, found) {
 			return
 		}
@@ -77,22 +122,25 @@
 	return time.Duration(c.suspended.Load())
 }
 
-// readMachine reads CLOCK_MONOTONIC and CLOCK_BOOTTIME (clock_gettime(2)).
-func readMachine() (running, sinceBoot time.Duration, err error) {
-	var steady, boot unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
-		return 0, 0, err
-	}
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
-		return 0, 0, err
-	}
-	return time.Duration(steady.Nano()), time.Duration(boot.Nano()), nil
+// thisMachine reads CLOCK_MONOTONIC and CLOCK_BOOTTIME (clock_gettime(2)).
+type thisMachine struct{}
+
+// Running implements Machine.
+func (thisMachine) Running() (time.Duration, error) { return readClock(unix.CLOCK_MONOTONIC) }
+
+// SinceBoot implements Machine.
+func (thisMachine) SinceBoot() (time.Duration, error) { return readClock(unix.CLOCK_BOOTTIME) }
+
+func readClock(id int32) (time.Duration, error) {
+	var read unix.Timespec
+	err := unix.ClockGettime(id, &read)
+	return time.Duration(read.Nano()), err
 }
 
 // current is the clock of the process.
 var current atomic.Pointer[Clock]
 
-func init() { current.Store(New(readMachine)) }
+func init() { current.Store(New(thisMachine{})) }
 
 // Replace puts another clock in the place of the process's and returns what takes that back.
 // It is for tests, in which the clocks of the machine can't be stepped apart.
--- a/internal/steadyclock/steadyclock_test.go
+++ b/internal/steadyclock/steadyclock_test.go
@@ -40,7 +40,7 @@
 
 func TestClocksThatAreReadApartMakeNoSuspension(t *testing.T) {
 	tested := suspension.NewMachine(t)
-	clock := steadyclock.New(tested.Read)
+	clock := steadyclock.New(tested)
 	tested.Suspend(20 * time.Microsecond)
 	require.Zero(t, clock.Suspended())
 }
@@ -59,9 +59,41 @@
 	require.Empty(t, told)
 }
 
+// pausingMachine was never suspended; some time passes at each reading, as where the process waits for
+// a processor.
+type pausingMachine struct{ now, pause time.Duration }
+
+func (m *pausingMachine) Running() (time.Duration, error) {
+	m.now += m.pause
+	return m.now, nil
+}
+
+func (m *pausingMachine) SinceBoot() (time.Duration, error) { return m.Running() }
+
+// TestWaitingForAProcessorIsNoSuspension guards against a clock that runs ahead on a busy machine: what
+// passes between two readings was taken for a suspension, for good.
+func TestWaitingForAProcessorIsNoSuspension(t *testing.T) {
+	for name, pauses := range map[string]struct{ first, later time.Duration }{
+		"while the clock is read": {0, 24 * time.Millisecond},
+		"while it is made":        {24 * time.Millisecond, 0},
+		"always":                  {24 * time.Millisecond, 24 * time.Millisecond},
+	} {
+		machine := &pausingMachine{pause: pauses.first}
+		clock := steadyclock.New(machine)
+		machine.pause = pauses.later
+		require.Zero(t, clock.Suspended(), name)
+	}
+}
+
+// failingMachine has clocks that can't be read.
+type failingMachine struct{ reason error }
+
+func (m failingMachine) Running() (time.Duration, error)   { return 0, m.reason }
+func (m failingMachine) SinceBoot() (time.Duration, error) { return 0, m.reason }
+
 func TestClocksThatCannotBeReadAreTold(t *testing.T) {
 	failing := errors.New("no such clock")
-	t.Cleanup(steadyclock.Replace(steadyclock.New(func() (time.Duration, time.Duration, error) { return 0, 0, failing })))
+	t.Cleanup(steadyclock.Replace(steadyclock.New(failingMachine{failing})))
 	require.ErrorIs(t, steadyclock.Watch(context.Background(), nil), failing)
 	before := steadyclock.Now()
 	time.Sleep(3 * time.Millisecond)
