Record admissions by the wall clock

What was seen: after a suspension of the machine for two hours, a router's record says that a request was admitted two hours from now. Evidence: TestAdmissionsAreRecordedByTheWallClock failed before: recorded 2 h ahead. Change: the record takes the wall clock.

--- a/internal/router/admissions_test.go
+++ b/internal/router/admissions_test.go
@@ -173,6 +173,21 @@
 	require.Equal(t, verdict.NotRun, answer.Err.Verdict)
 }
 
+// TestAdmissionsAreRecordedByTheWallClock guards against records whose times are off by how long the
+// machine was suspended, which are compared with those of other machines.
+func TestAdmissionsAreRecordedByTheWallClock(t *testing.T) {
+	machine := suspension.NewMachine(t)
+	logger := silentLogger()
+	source := &leased{plan: oneBackend(t, logger), lease: 4 * time.Hour}
+	admitted := admissionrecord.NewSummary("router-1")
+	ask := runAdmissions(t, logger, source, admitted, func(engine router.Engine) router.Engine { return engine })
+	machine.Suspend(2 * time.Hour)
+	require.Eventually(t, func() bool { return ask().Complete }, 20*time.Second, time.Millisecond)
+	for _, recorded := range admitted.Take() {
+		require.True(t, recorded.Until.Before(time.Now().Add(time.Hour)), "recorded at %v", recorded.Until)
+	}
+}
+
 // slowToLease takes a lease in only once it is let.
 type slowToLease struct {
 	router.Engine
--- a/internal/router/engine_loop.go
+++ b/internal/router/engine_loop.go
@@ -58,7 +58,7 @@
 	ended   chan struct{}
 }
 
-// waiter is a request under way: where its answer goes, and since when.
+// waiter is a request under way: where its answer goes, and since when by the wall clock.
 type waiter struct {
 	reply   chan<- query.Answer
 	arrived time.Time
@@ -120,7 +120,8 @@
 		arrived.reply <- l.router.refusal(verdict.ReasonOverloaded, "too many requests under way")
 		return
 	}
-	l.waiting[arrived.request.ID] = waiter{reply: arrived.reply, arrived: steadyclock.Now()}
+	now := time.Now() // The wall clock: records are compared with those of other machines.
+	l.waiting[arrived.request.ID] = waiter{reply: arrived.reply, arrived: now}
 	l.admitting = arrived.request.ID
 	l.step(ctx, query.RequestArrived{Request: arrived.request})
 	l.admitting = 0
