Give tests of routers addresses that nobody else gets

What was seen: TestSliceIsSentAgainOverANewConnection counted one slice too many, the tests of a router that is gone or silent got a stranger's part, and the directory's stand-in raced. Cause: an address that was listened at and closed was taken for one of a router that is gone. Another process's test got it, whose stand-in counts whatever comes; the stand-in's reply was set without its lock while such a call read it. Change: tests of gateway and exchange take addresses of testaddress, the reply is set under its lock. No check is changed.

--- a/internal/exchange/ended_test.go
+++ b/internal/exchange/ended_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/scatter"
 )
 
@@ -16,7 +17,7 @@
 func TestServerHasEndedOnlyIfNothingListens(t *testing.T) {
 	pool := exchange.NewPool(nil, prometheus.NewRegistry())
 	t.Cleanup(pool.Close)
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
 	server := scatter.Server{ID: "i", Address: listener.Addr().String()}
 	require.False(t, pool.HasEnded(server, false))
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/martenstage/martenstage/internal/exchange"
 	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
@@ -44,7 +45,7 @@
 }
 
 func startBackend(t *testing.T, script func(int64, *http.Request, net.Conn) bool) *backend {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
 	started := &backend{listener: listener, script: script}
 	t.Cleanup(func() { _ = listener.Close() })
@@ -286,7 +287,7 @@
 }
 
 func TestEarlyAnswerToALongRequestCostsTheConnection(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	var connections atomic.Int64
--- a/internal/gateway/departing_site_test.go
+++ b/internal/gateway/departing_site_test.go
@@ -118,7 +118,7 @@
 		Name: "router-" + strconv.Itoa(index), Seeds: seeds, Grace: time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
 		ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
 	}, gateway.Environment{Logger: silentLogger(), Registerer: prometheus.NewRegistry()})
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(s.t, err)
 	s.routers = append(s.routers, router)
 	running.Go(func() { _ = router.Run(s.ctx, listener, nil) })
@@ -208,7 +208,7 @@
 
 // addServer starts a server that announces itself to nodes drawn from a seed.
 func (s *departingSite) addServer(name string, born int64, seed uint64) *departingServer {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(s.t, err)
 	added := &departingServer{instance: registry.Instance{
 		ID: registry.LifeID(name, born), Born: born, Service: "s", Address: listener.Addr().String(), Slots: 8, State: registry.Ready,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/martenstage/martenstage/internal/exchange"
 	"github.com/martenstage/martenstage/internal/gateway"
 	"github.com/martenstage/martenstage/internal/message"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 )
 
 // dialect is a contract of the tests' own, towards clients and servers.
@@ -203,7 +204,7 @@
 	router := gateway.New(gateway.Config{
 		Name: "router", Seeds: []string{node}, Grace: time.Second, Dialect: dialect{}, Codec: dialect{}, ParseDocument: parseDocument,
 	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
 	done := make(chan error, 1)
 	go func() { done <- router.Run(context.Background(), listener, nil) }()
--- a/internal/gateway/gather_test.go
+++ b/internal/gateway/gather_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 )
 
 func TestGatheredAnswerNamesItsParts(t *testing.T) {
@@ -71,12 +71,10 @@
 	return s
 }
 
+// TestSliceOfARouterThatIsGoneIsGatheredHere guards against a request that is lost with the router that
+// was asked for a part of it. Nobody else can get the address, as one that was listened at could.
 func TestSliceOfARouterThatIsGoneIsGatheredHere(t *testing.T) {
-	gone, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := gone.Addr().String()
-	require.NoError(t, gone.Close())
-	s := gatherAcross(t, address)
+	s := gatherAcross(t, testaddress.Next().String())
 	for range 3 {
 		got := s.ask(http.MethodGet, "/a/", nil)
 		require.Equal(t, http.StatusOK, got.status)
@@ -138,12 +136,6 @@
 // TestSliceIsSentAgainOverANewConnection has a router end a kept connection when the next
 // slice comes on it, as after a restart: it is asked once more, and not doubted. A slice that
 // comes before the connection of the one before is kept takes a new one, which proves nothing.
-//
-// It failed at times by one call too many, with 24 processes at once. The calls that were too
-// many, printed, were POST /router/follow and /router/quota: routers of earlier tests were told
-// to stop and not waited for, and a planned stop goes on following its directory for a second and
-// a half, at a port that this test's stand-in had by then. Those routers also took so much of the
-// machine that a slice was now and then doubted for silence. Each test's router now ends with it.
 func TestSliceIsSentAgainOverANewConnection(t *testing.T) {
 	var slices atomic.Int64
 	var ended atomic.Bool
--- a/internal/gateway/one_way_test.go
+++ b/internal/gateway/one_way_test.go
@@ -40,16 +40,13 @@
 		Name: name, Zone: zone, PeerAddress: peers.Addr().String(), Seeds: []string{node}, Grace: 3 * time.Second,
 		Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100}, ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
 	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
-	clients, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	s.run(clients, peers)
+	s.run(listenLocal(t), peers)
 	return s
 }
 
 // deafPath passes on what comes in at a new address to a listener, and nothing back.
 func deafPath(t *testing.T, to string) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
+	listener := listenLocal(t)
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -72,12 +69,6 @@
 	return listener.Addr().String()
 }
 
-func listenLocal(t *testing.T) net.Listener {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	return listener
-}
-
 // TestServersAskedStayWithinTheRouteWhenNothingIsHeardFromOthers has a router ask others,
 // by paths on which nothing comes back, for a shard whose servers are silent: the router
 // that was asked first would hedge, those that stand in for it ask as well, and over all
--- a/internal/gateway/searching_test.go
+++ b/internal/gateway/searching_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/gateway"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/routing"
 )
 
@@ -55,7 +56,7 @@
 			return parsed, json.Unmarshal(text, parsed)
 		},
 	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/gateway"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
 )
@@ -49,7 +50,9 @@
 	for service, handler := range servers {
 		stub.addServer("i-"+service, service, "", serve(t, handler))
 	}
+	stub.mutex.Lock()
 	stub.reply.Source, stub.reply.Whole, stub.reply.Nodes = "stub", true, []string{node}
+	stub.mutex.Unlock()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	s.logged = logtest.NewLocal(logger)
@@ -57,9 +60,7 @@
 		Name: "router", Zone: "a", Seeds: []string{node}, Grace: 3 * time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
 		ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{}, RevokeWithin: revokeWithin,
 	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	s.run(listener, nil)
+	s.run(listenLocal(t), nil)
 	if document != nil {
 		s.install(document)
 	}
@@ -91,9 +92,16 @@
 	return parsed, json.Unmarshal(text, parsed)
 }
 
-func serve(t testing.TB, handler http.Handler) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+// listenLocal listens at an address that no other process and no later test gets: a router that
+// still calls it would be heard there.
+func listenLocal(t testing.TB) net.Listener {
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
+	return listener
+}
+
+func serve(t testing.TB, handler http.Handler) string {
+	listener := listenLocal(t)
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
