Send to a member where it says that it is, and write its new address down

What callers saw: a directory node that kept its folder and changed its address heard no leader; with a second node down no document or departure was acknowledged. Cause: members were sent to at the address that they were added with, for good. The moved node's calls for votes arrived, the answers went to its former address. Change: the address that a member last gave for itself goes first; the leader makes a membership change of it (MoveMember), whose entry holds the whole membership as all do. A member at another one's former address no longer passes for the replacement of one without its disk.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -83,6 +83,8 @@
 	// commit index.
 	PromoteLearner
 	RemoveMember
+	// MoveMember changes a member's address, and no quorum.
+	MoveMember
 )
 
 // Change alters one member.
@@ -119,6 +121,12 @@
 		next.Members = slices.Delete(next.Members, position, position+1)
 		next.Removed = append(next.Removed, change.ID)
 		return next, Accepted
+	case MoveMember:
+		if position < 0 {
+			return m, RefusedUnknownMember
+		}
+		next.Members[position].Address = change.Address
+		return next, Accepted
 	}
 	return m, RefusedUnknownMember
 }
--- a/internal/consensus/safety_test.go
+++ b/internal/consensus/safety_test.go
@@ -177,7 +177,7 @@
 		return
 	}
 	change := Change{
-		Kind: AddLearner + ChangeKind(choose(c.draw, "change", int(RemoveMember))),
+		Kind: AddLearner + ChangeKind(choose(c.draw, "change", int(MoveMember))),
 		ID:   uint64(1 + choose(c.draw, "member", clusterSize)),
 	}
 	output := c.step(node, ChangeMembership{Change: change})
--- a/internal/directory/formation.go
+++ b/internal/directory/formation.go
@@ -39,6 +39,8 @@
 	consensus.MemberStatus
 	// Silent is for how long it has not answered.
 	Silent time.Duration
+	// ReachedAt is the address at which it is reached now; empty if that is not known.
+	ReachedAt string
 	// Retiring says that it is being stopped for good.
 	Retiring bool
 }
@@ -47,15 +49,19 @@
 // if any. One is made at a time; each is safe by itself, so a leader that dies
 // between two of them leaves the rest to the next one.
 //
-//  1. A voter whose address now belongs to a node with another id has lost its
+//  1. A member that is reached at another address than the one it was added with has moved.
+//  2. A voter whose address now belongs to a node with another id has lost its
 //     disk for certain. It is removed first: it can never count again, so that
 //     removing it only lowers the quorum that the others have to reach.
-//  2. A node that asks becomes a learner: it follows the log and serves like the others, and
+//  3. A node that asks becomes a learner: it follows the log and serves like the others, and
 //     costs no vote. One that has been silent for long is removed.
-//  3. A group below its size, or with a voter that is silent, promotes a learner that is there.
+//  4. A group below its size, or with a voter that is silent, promotes a learner that is there.
 //     A silent voter is removed once there is one too many; the group never shrinks because of
 //     silence.
 func decideChange(members []memberView, candidates []candidate, rules formationRules) (consensus.Change, bool) {
+	if moved, found := findMoved(members); found {
+		return consensus.Change{Kind: consensus.MoveMember, ID: moved.ID, Address: moved.ReachedAt}, true
+	}
 	if wiped, found := findWiped(members, candidates); found {
 		return consensus.Change{Kind: consensus.RemoveMember, ID: wiped}, true
 	}
@@ -80,8 +86,15 @@
 	return consensus.Change{}, false
 }
 
+func findMoved(members []memberView) (memberView, bool) {
+	return lo.Find(members, func(m memberView) bool { return m.ReachedAt != "" && m.ReachedAt != m.Address })
+}
+
 func findWiped(members []memberView, candidates []candidate) (uint64, bool) {
 	for _, asking := range candidates {
+		if isMember(members, asking.ID) {
+			continue // It has moved; so may have the one that was there before.
+		}
 		for _, member := range members {
 			if member.Address == asking.Address && member.ID != asking.ID {
 				return member.ID, true
--- a/internal/directory/formation_test.go
+++ b/internal/directory/formation_test.go
@@ -38,25 +38,29 @@
 	away.Silent = 2 * rules.ReplaceAfter
 	mute := learner
 	mute.Silent = time.Minute
+	moved := five()
+	moved[1].ReachedAt = "y"
 	for name, sample := range map[string]struct {
 		members    []memberView
 		candidates []candidate
 		want       consensus.Change
 	}{
-		"a whole group takes others in as learners": {five(), []candidate{stranger}, consensus.Change{Kind: consensus.AddLearner, ID: 9, Address: "z"}},
-		"a learner of a whole group stays one":      {append(five(), learner), nil, consensus.Change{}},
-		"a learner takes a silent voter's place":    {append(five(2), learner), nil, consensus.Change{Kind: consensus.PromoteLearner, ID: 9}},
-		"but not one that is silent itself":         {append(five(2), away), []candidate{{ID: 8, Address: "y"}}, consensus.Change{Kind: consensus.AddLearner, ID: 8, Address: "y"}},
-		"a learner may be away for a while":         {append(five(), away), nil, consensus.Change{}},
-		"silence alone changes nothing":             {five(2, 3), nil, consensus.Change{}},
-		"a small group grows":                       {five()[:3], []candidate{stranger}, consensus.Change{Kind: consensus.AddLearner, ID: 9, Address: "z"}},
-		"a learner is promoted":                     {append(five()[:4], learner), nil, consensus.Change{Kind: consensus.PromoteLearner, ID: 9}},
-		"a learner that is gone is dropped":         {append(five()[:4], mute), nil, consensus.Change{Kind: consensus.RemoveMember, ID: 9}},
-		"a silent voter is replaced":                {five(2), []candidate{stranger}, consensus.Change{Kind: consensus.AddLearner, ID: 9, Address: "z"}},
-		"and removed once there is one too many":    {append(five(2), view(9, "z", 0)), nil, consensus.Change{Kind: consensus.RemoveMember, ID: 2}},
-		"six sound voters stay":                     {append(five(), view(9, "z", 0)), nil, consensus.Change{}},
-		"a wiped disk is removed first":             {five(), []candidate{{ID: 9, Address: "c"}}, consensus.Change{Kind: consensus.RemoveMember, ID: 2}},
-		"a member that asks is no newcomer":         {five(2), []candidate{{ID: 3, Address: "d"}}, consensus.Change{}},
+		"a whole group takes others in as learners":      {five(), []candidate{stranger}, consensus.Change{Kind: consensus.AddLearner, ID: 9, Address: "z"}},
+		"a learner of a whole group stays one":           {append(five(), learner), nil, consensus.Change{}},
+		"a learner takes a silent voter's place":         {append(five(2), learner), nil, consensus.Change{Kind: consensus.PromoteLearner, ID: 9}},
+		"but not one that is silent itself":              {append(five(2), away), []candidate{{ID: 8, Address: "y"}}, consensus.Change{Kind: consensus.AddLearner, ID: 8, Address: "y"}},
+		"a learner may be away for a while":              {append(five(), away), nil, consensus.Change{}},
+		"silence alone changes nothing":                  {five(2, 3), nil, consensus.Change{}},
+		"a small group grows":                            {five()[:3], []candidate{stranger}, consensus.Change{Kind: consensus.AddLearner, ID: 9, Address: "z"}},
+		"a learner is promoted":                          {append(five()[:4], learner), nil, consensus.Change{Kind: consensus.PromoteLearner, ID: 9}},
+		"a learner that is gone is dropped":              {append(five()[:4], mute), nil, consensus.Change{Kind: consensus.RemoveMember, ID: 9}},
+		"a silent voter is replaced":                     {five(2), []candidate{stranger}, consensus.Change{Kind: consensus.AddLearner, ID: 9, Address: "z"}},
+		"and removed once there is one too many":         {append(five(2), view(9, "z", 0)), nil, consensus.Change{Kind: consensus.RemoveMember, ID: 2}},
+		"six sound voters stay":                          {append(five(), view(9, "z", 0)), nil, consensus.Change{}},
+		"a wiped disk is removed first":                  {five(), []candidate{{ID: 9, Address: "c"}}, consensus.Change{Kind: consensus.RemoveMember, ID: 2}},
+		"a member that moved is written down":            {moved, []candidate{stranger}, consensus.Change{Kind: consensus.MoveMember, ID: 2, Address: "y"}},
+		"a member at another one's address wipes nobody": {five(), []candidate{{ID: 3, Address: "c"}}, consensus.Change{}},
+		"a member that asks is no newcomer":              {five(2), []candidate{{ID: 3, Address: "d"}}, consensus.Change{}},
 	} {
 		change, wanted := decideChange(sample.members, sample.candidates, rules)
 		require.Equal(t, sample.want, change, name)
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -101,9 +101,12 @@
 }
 
 // joined takes note of a node that asks to be a member, and answers how the
-// group sees it. Only a leader keeps the note.
+// group sees it. Only a leader keeps the note; where a member has moved to, each node takes in.
 func (n *Node) joined(request joinRequest) joinReply {
 	status := n.status()
+	if lo.ContainsBy(status.Members, func(m consensus.MemberStatus) bool { return m.ID == request.ID }) {
+		n.member.voter().Hear(request.ID, request.Address)
+	}
 	reply := joinReply{Group: lo.Map(status.Members, func(m consensus.MemberStatus, _ int) string { return m.Address })}
 	if status.Role != consensus.Leader {
 		return reply
@@ -168,7 +171,7 @@
 		} else if _, noted := n.silentSince[member.ID]; !noted {
 			n.silentSince[member.ID] = now
 		}
-		view := memberView{MemberStatus: member}
+		view := memberView{MemberStatus: member, ReachedAt: n.member.voter().ReachedAt(member.ID)}
 		if since, silent := n.silentSince[member.ID]; silent {
 			view.Silent = now.Sub(since)
 		}
@@ -202,6 +205,8 @@
 	switch change.Kind {
 	case consensus.RemoveMember:
 		kind, err = "remove", n.member.voter().RemoveVoter(changing, change.ID)
+	case consensus.MoveMember:
+		kind, err = "move", n.member.voter().Move(changing, change.ID, change.Address)
 	case consensus.PromoteLearner:
 		kind, err = "promote", n.member.voter().Promote(changing, change.ID)
 	default:
--- a/internal/voter/membership.go
+++ b/internal/voter/membership.go
@@ -48,6 +48,12 @@
 	return errors.Wrapf(err, "removing voter %d", id)
 }
 
+// Move changes the address of a member.
+func (v *Voter) Move(ctx context.Context, id uint64, address string) error {
+	err := v.changeUntilDone(ctx, consensus.Change{Kind: consensus.MoveMember, ID: id, Address: address})
+	return errors.Wrapf(err, "moving member %d", id)
+}
+
 func (v *Voter) member(id uint64) (consensus.MemberStatus, bool) {
 	for _, member := range v.Status().Members {
 		if member.ID == id {
--- a/internal/voter/sender.go
+++ b/internal/voter/sender.go
@@ -7,8 +7,8 @@
 	"github.com/martenstage/martenstage/internal/ring"
 )
 
-// addressBook knows where members are reached: by the membership, and before
-// that by the address that a message brought.
+// addressBook knows where members are reached: where they last said so themselves, else by the
+// membership, which keeps the address that a member had when it was added.
 type addressBook struct {
 	mutex  sync.Mutex
 	member map[uint64]string
@@ -22,21 +22,33 @@
 func (b *addressBook) of(id uint64) string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if address, ok := b.member[id]; ok {
+	if address, ok := b.heard[id]; ok {
 		return address
 	}
-	return b.heard[id]
+	return b.member[id]
 }
 
-func (b *addressBook) hear(id uint64, address string) {
+// hear takes in the address that a voter gave for itself, and returns the former one of a member that
+// has moved; empty if it has not.
+func (b *addressBook) hear(id uint64, address string) (former string) {
 	if address == "" {
-		return
+		return ""
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if _, known := b.heard[id]; known || len(b.heard) < maxPeers {
-		b.heard[id] = address
+	listed, isMember := b.member[id]
+	before, known := b.heard[id]
+	if !isMember && !known && len(b.heard) >= maxPeers {
+		return ""
 	}
+	b.heard[id] = address
+	if !known {
+		before = listed
+	}
+	if !isMember || before == address {
+		return ""
+	}
+	return before
 }
 
 func (b *addressBook) setMembers(members []consensus.MemberStatus) {
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -17,6 +17,7 @@
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/raftlog"
 	"github.com/martenstage/martenstage/internal/ring"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // Voter is a running member of the group. Its methods may be called from any
@@ -46,9 +47,11 @@
 
 	status    atomic.Pointer[Status]
 	addresses *addressBook
-	outcomes  *outcomes
-	applied   appliedIndex
-	senders   *senders
+	// moves bounds the lines about members that moved.
+	moves    logging.LineLimit
+	outcomes *outcomes
+	applied  appliedIndex
+	senders  *senders
 
 	stopOnce sync.Once
 	stop     chan struct{}
@@ -151,13 +154,36 @@
 			v.metrics.dropped.WithLabelValues("invalid").Inc()
 			continue
 		}
-		v.addresses.hear(message.From, message.FromAddress)
+		v.Hear(message.From, message.FromAddress)
 		if !v.messages.TryPush(message) {
 			v.metrics.dropped.WithLabelValues("in").Inc()
 		}
 	}
 }
 
+// Hear takes in the address at which a voter says that it is reached: a member that moved is sent
+// messages there from now on.
+func (v *Voter) Hear(id uint64, address string) {
+	former := v.addresses.hear(id, address)
+	if former == "" {
+		return
+	}
+	if leftOut, tells := v.moves.Take(steadyclock.Now()); tells {
+		v.logger.WithFields(logrus.Fields{
+			logging.FieldNode: v.config.ID, "member": id, "former": former, "address": address, "left_out": leftOut,
+		}).Info("member_moved")
+	}
+}
+
+// ReachedAt returns where a member is reached: it may have moved since the membership was last
+// changed. It is empty for an id that is unknown.
+func (v *Voter) ReachedAt(id uint64) string {
+	if id == v.config.ID {
+		return v.config.Address
+	}
+	return v.addresses.of(id)
+}
+
 // Status returns the latest state.
 func (v *Voter) Status() Status {
 	status := *v.status.Load()
