Look a key up again once the body is in

What callers saw: a request whose client took its time to send the body was served up to its route's timeout after its key had been taken away. Cause: the key was looked up before the body was read, and never again. Evidence: TestAKeyThatIsTakenAwayWhileTheBodyComesIsRefused got 200 in the place of 401. Change: the key is looked up in the document in force when the body is in, and the bound for routers that are cut off checked again. Found while what is checked at one moment and used at another was looked through.

--- a/internal/gateway/identifying.go
+++ b/internal/gateway/identifying.go
@@ -107,8 +107,7 @@
 		s.refuseUnknown(http.StatusUnauthorized, verdict.ReasonUnknownKey)
 		return false
 	case s.tenant != nil && !s.gateway.keysHold(steadyclock.Now(), s.confirmed):
-		s.writer.Header().Set("Connection", "close")
-		s.refuse(http.StatusServiceUnavailable, verdict.ReasonNoLease, s.comeBack())
+		s.refuseLapsed()
 		return false
 	}
 	if s.tenant != nil && s.tenant.Priority != nil && *s.tenant.Priority != s.route.Priority {
@@ -119,6 +118,33 @@
 	return true
 }
 
+// identifyAgain looks the key up once more when the body is in, for which the client may have taken its
+// time. It reports whether the request is to be served; else it was refused.
+func (s *exchangeState) identifyAgain(before *routing.Table) bool {
+	if s.tenant == nil {
+		return true
+	}
+	s.confirmed = s.gateway.confirmation()
+	if current := s.gateway.table.Load(); current != before && current.HasTenants() {
+		key, _ := s.gateway.config.Dialect.Key(s.request.Header)
+		if current.TenantOf(key) == nil && !s.route.Public {
+			s.refuseUnknown(http.StatusUnauthorized, verdict.ReasonUnknownKey)
+			return false
+		}
+	}
+	if !s.gateway.keysHold(steadyclock.Now(), s.confirmed) {
+		s.refuseLapsed()
+		return false
+	}
+	return true
+}
+
+// refuseLapsed refuses a request whose key may have been taken away.
+func (s *exchangeState) refuseLapsed() {
+	s.writer.Header().Set("Connection", "close")
+	s.refuse(http.StatusServiceUnavailable, verdict.ReasonNoLease, s.comeBack())
+}
+
 // tenantName returns that of the request's tenant; empty for none.
 func (s *exchangeState) tenantName() string {
 	if s.tenant == nil {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -121,6 +121,9 @@
 		s.refuse(status, verdict.ReasonBodyTooLarge, 0)
 		return
 	}
+	if !s.identifyAgain(table) {
+		return
+	}
 	passed := newFingerprinted(&message.Request{
 		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
 		Header: s.passedHeaders(table), Body: body, ID: s.id, Tenant: s.tenantName(),
--- a/internal/gateway/tenants_test.go
+++ b/internal/gateway/tenants_test.go
@@ -105,6 +105,29 @@
 	require.Equal(t, http.StatusOK, s.askWith(keyed("first"), http.MethodGet, "/a/", nil).status)
 }
 
+// TestAKeyThatIsTakenAwayWhileTheBodyComesIsRefused guards against a request that is served for as long
+// after the loss of its key as its client takes to send it.
+func TestAKeyThatIsTakenAwayWhileTheBodyComesIsRefused(t *testing.T) {
+	s := startSite(t, withTenants(1), map[string]http.HandlerFunc{"s": tellWho})
+	headers := keyed("second")
+	headers.Set("Expect", "100-continue") // The body is sent once the router reads it.
+	for index, sample := range []struct {
+		kept   string
+		status int
+	}{{"second", http.StatusOK}, {"first", http.StatusUnauthorized}} {
+		body, rest := io.Pipe()
+		answers := make(chan answer, 1)
+		go func() { answers <- s.askWith(headers, http.MethodPost, "/a/", body) }()
+		_, err := io.WriteString(rest, "begun")
+		require.NoError(t, err)
+		document := withTenants(uint64(2 + index))
+		document.Tenants[0].Keys = []string{sample.kept}
+		s.install(document)
+		require.NoError(t, rest.Close())
+		require.Equal(t, sample.status, (<-answers).status, "the tenant keeps %s", sample.kept)
+	}
+}
+
 // confirmBy has the stub say that its document was the newest a time before each call.
 func (s *site) confirmBy(age time.Duration) {
 	s.directory.mutex.Lock()
