Follow and join no group by a single seed

What callers saw: a router that started while another site's node had the address of one of its seeds followed that node for good, and served nothing of its own site. Cause: a process that knows no group believed the first seed that answered. A node that lost its folder joined another group, took over its servers and shared its own, in the same way. Change: a process that knows no group names its seeds; a node refuses it unless they founded the group or at least half of them are members. Who is no member shares with no seed.

--- a/internal/addressee/addressee.go
+++ b/internal/addressee/addressee.go
@@ -39,10 +39,26 @@
 	if len(founders) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(founders))
+	sorted := slices.Compact(slices.Sorted(slices.Values(founders)))
 	return Group(max(1, xxhash.Sum64String("group "+strings.Join(sorted, " "))))
 }
 
+// Serves reports whether a group is the one that a process with some seeds looks for: they founded it,
+// or at least half of them are its members. A seed alone proves nothing, since its address may have
+// passed to a node of another group.
+func (g Group) Serves(seeds, members []string) bool {
+	if g != 0 && g == GroupOf(seeds) {
+		return true
+	}
+	known := 0
+	for _, seed := range seeds {
+		if slices.Contains(members, seed) {
+			known++
+		}
+	}
+	return 2*known >= len(seeds)
+}
+
 // String returns the group as in headers and logs.
 func (g Group) String() string { return strconv.FormatUint(uint64(g), hexadecimal) }
 
--- a/internal/addressee/addressee_test.go
+++ b/internal/addressee/addressee_test.go
@@ -84,6 +84,25 @@
 	}
 }
 
+func TestOneSeedAloneDoesNotMakeAGroup(t *testing.T) {
+	founders := []string{"a", "b", "c"}
+	group := addressee.GroupOf(founders)
+	for name, sample := range map[string]struct {
+		seeds, members []string
+		serves         bool
+	}{
+		"its founders, all replaced":             {[]string{"c", "b", "a"}, []string{"d", "e", "f"}, true},
+		"its members":                            {[]string{"d", "e", "f"}, []string{"d", "e", "f", "g"}, true},
+		"most of its members":                    {[]string{"d", "e", "x"}, []string{"d", "e", "f"}, true},
+		"one of two":                             {[]string{"d", "x"}, []string{"d", "e", "f"}, true},
+		"one of three, whose address has passed": {[]string{"x", "y", "d"}, []string{"d", "e", "f"}, false},
+		"none":                                   {[]string{"x"}, []string{"d"}, false},
+		"a process that names none":              {nil, []string{"d"}, true},
+	} {
+		require.Equal(t, sample.serves, group.Serves(sample.seeds, sample.members), name)
+	}
+}
+
 func TestGroupsFollowFromTheirFounders(t *testing.T) {
 	founded := addressee.GroupOf([]string{"10.0.0.1:1", "10.0.0.2:1"})
 	require.Equal(t, founded, addressee.GroupOf([]string{"10.0.0.2:1", "10.0.0.1:1"}))
--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -19,6 +19,9 @@
 // state becomes out of date, or after the time that the router is ready to wait. A node that
 // hears no leader fails with ErrUnavailable, so that the router follows another one.
 func (n *Node) Follow(ctx context.Context, request FollowRequest) (FollowReply, error) {
+	if !n.servesSeeds(request.Seeds) {
+		return FollowReply{}, errOtherSeeds
+	}
 	arrived, staleBefore := steadyclock.Now(), n.stale.Load()
 	deadline := time.NewTimer(min(request.Wait, maxFollowWait))
 	defer deadline.Stop()
--- a/internal/directory/group.go
+++ b/internal/directory/group.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
@@ -16,7 +15,7 @@
 )
 
 // groupInterval is how often a node that does not know its group asks for it.
-const groupInterval = time.Second
+const groupInterval = joinInterval
 
 // knownGroup is the group of a node; 0 until it is known. It is safe for concurrent use.
 type knownGroup struct{ value atomic.Uint64 }
@@ -41,6 +40,19 @@
 	return addressee.Handler(own, n.noteMisdirected, next)
 }
 
+// errOtherSeeds is an ErrUnavailable: a process that knows no group looks for another one.
+var errOtherSeeds = &refusedError{detail: "the caller's seeds are not of this group"}
+
+// servesSeeds reports whether a process that knows no group may look for that of this node, by its
+// seeds; none are of one that knows it, or of an earlier version.
+func (n *Node) servesSeeds(seeds []string) bool {
+	if len(seeds) == 0 {
+		return true
+	}
+	members := lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address })
+	return n.group().Serves(seeds, append(members, n.config.PeerAddress))
+}
+
 func (n *Node) noteMisdirected(refused *addressee.MisdirectedError) {
 	n.metrics.misdirected.Inc()
 	if leftOut, tells := n.misdirected.Take(steadyclock.Now()); tells {
--- a/internal/directory/group_test.go
+++ b/internal/directory/group_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/registry"
 )
 
@@ -91,3 +92,30 @@
 	other.everywhere("not read", other.reads(document(5, "other")))
 	c.everywhere("the group has changed", func(node *runningNode) bool { return groupAt(node) == addressee.GroupOf(c.seeds) })
 }
+
+// TestSeedOfAnotherGroupIsNotFollowed guards against a router or node that starts while the address of
+// one of its seeds belongs to another group, and would stay with that.
+func TestSeedOfAnotherGroupIsNotFollowed(t *testing.T) {
+	c := wholeCluster(t)
+	seeds := append(testaddress.List(2), c.addresses[0])
+	for _, request := range []directory.FollowRequest{
+		{Probe: true, Seeds: seeds}, {Router: directory.Router{Name: "router", Address: "10.0.0.9:1"}, Seeds: seeds},
+	} {
+		_, err := c.nodes[0].Follow(context.Background(), request)
+		require.ErrorIs(t, err, directory.ErrUnavailable)
+		require.ErrorContains(t, err, "seeds are not of this group")
+	}
+	_, err := c.nodes[0].Follow(context.Background(), directory.FollowRequest{Probe: true, Seeds: c.seeds})
+	require.NoError(t, err)
+
+	// A node that lost its folder, while one of its seeds is an address of this group.
+	joining := newCluster(t, 1)
+	joining.seeds = append(testaddress.List(2), c.addresses[0])
+	joining.start(0, false)
+	require.NoError(t, joining.nodes[0].Heartbeat(context.Background(), instance("i1", "s", registry.Ready, 1)))
+	time.Sleep(stateShownFor)
+	c.everywhere("the group has grown", func(node *runningNode) bool {
+		reply, err := newsOf(node)
+		return err == nil && len(reply.Nodes) == 3 && len(reply.Instances) == 0
+	})
+}
--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -50,6 +50,9 @@
 // askToJoin asks every known node; the leader among them takes note.
 func (n *Node) askToJoin(ctx context.Context) {
 	request := joinRequest{ID: n.member.id(), Address: n.config.PeerAddress}
+	if n.group() == 0 {
+		request.Seeds = *n.seeds.Load()
+	}
 	replies := make(chan joinReply, maxAsked)
 	asked := lo.Slice(n.joinTargets(), 0, maxAsked)
 	calling, cancel := context.WithTimeout(ctx, joinInterval)
@@ -85,14 +88,19 @@
 // joinTargets are the nodes to ask: a stranger knows seeds, a voter that lost
 // its group also the members that it remembers.
 func (n *Node) joinTargets() []string {
-	known := append(n.peerAddresses(), *n.seeds.Load()...)
+	known := append(n.accepting(), n.peerAddresses()...)
+	known = append(known, *n.seeds.Load()...)
 	known = append(known, n.member.knownGroup()...)
-	n.mutex.Lock()
-	known = append(slices.Clone(n.told), known...)
-	n.mutex.Unlock()
 	return lo.Without(lo.Uniq(known), n.config.PeerAddress, "")
 }
 
+// accepting are the members that nodes have named which take this one in.
+func (n *Node) accepting() []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return slices.Clone(n.told)
+}
+
 func (n *Node) startOver(removed uint64) {
 	n.logger.WithField("voter", removed).Warn("removed_from_group: joins again as a new voter")
 	if err := n.member.rejoin(); err != nil {
@@ -102,23 +110,26 @@
 
 // joined takes note of a node that asks to be a member, and answers how the
 // group sees it. Only a leader keeps the note; where a member has moved to, each node takes in.
-func (n *Node) joined(request joinRequest) joinReply {
+func (n *Node) joined(request joinRequest) (joinReply, error) {
+	if !n.servesSeeds(request.Seeds) {
+		return joinReply{}, errOtherSeeds
+	}
 	status := n.status()
 	if lo.ContainsBy(status.Members, func(m consensus.MemberStatus) bool { return m.ID == request.ID }) {
 		n.member.voter().Hear(request.ID, request.Address)
 	}
 	reply := joinReply{Group: lo.Map(status.Members, func(m consensus.MemberStatus, _ int) string { return m.Address })}
 	if status.Role != consensus.Leader {
-		return reply
+		return reply, nil
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.refused[request.ID] {
 		reply.Removed = true
-		return reply
+		return reply, nil
 	}
 	n.candidates[request.Address] = candidate{ID: request.ID, Address: request.Address, Asked: steadyclock.Now()}
-	return reply
+	return reply, nil
 }
 
 // runFormation lets the leader bring the group to its size and replace voters
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -159,7 +159,8 @@
 	return status.Leader != 0 && status.DiskError == nil
 }
 
-// peerAddresses returns the other nodes: members, else what was known before.
+// peerAddresses returns the other nodes: members, or those that such named to a node that asks to
+// become one. Seeds are not among them, since the address of one may have passed to another group.
 func (n *Node) peerAddresses() []string {
 	var addresses []string
 	seen := map[string]bool{n.config.PeerAddress: true, "": true}
@@ -175,11 +176,13 @@
 	if len(addresses) > 0 {
 		return addresses
 	}
-	for _, address := range *n.seeds.Load() {
+	for _, address := range n.accepting() {
 		add(address)
 	}
-	for _, address := range n.member.knownGroup() {
-		add(address)
+	if n.group() != 0 {
+		for _, address := range n.member.knownGroup() {
+			add(address)
+		}
 	}
 	return addresses
 }
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -59,6 +59,8 @@
 type joinRequest struct {
 	ID      uint64 `json:"id"`
 	Address string `json:"address"`
+	// Seeds are those of a node that does not know its group.
+	Seeds []string `json:"seeds,omitempty"`
 }
 
 // joinReply says how the group sees the node that asked.
@@ -177,6 +179,8 @@
 	DepartedNames uint64 `json:"departed_names,omitempty"`
 	Routers       uint64 `json:"routers"`
 	Absent        uint64 `json:"absent"`
+	// Seeds are those of a router that does not know its group.
+	Seeds []string `json:"seeds,omitempty"`
 	// Probe asks only whether the node can be followed: the reply names its source.
 	Probe bool `json:"probe,omitempty"`
 	// Evacuations is the highest revision of the evacuated zones that the router holds.
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -31,7 +31,7 @@
 func (n *Node) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(pathDeliver, n.serveDeliver)
-	mux.Handle(pathJoin, handle(func(_ context.Context, request joinRequest) (joinReply, error) { return n.joined(request), nil }))
+	mux.Handle(pathJoin, handle(func(_ context.Context, request joinRequest) (joinReply, error) { return n.joined(request) }))
 	mux.Handle(pathShare, handle(func(_ context.Context, message shareMessage) (struct{}, error) {
 		n.takeIn(message)
 		return struct{}{}, nil
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -106,6 +106,7 @@
 		Name: f.gateway.config.Name, Zone: f.gateway.config.Zone, Address: f.gateway.config.PeerAddress, Identifies: true,
 		Stopping: f.gateway.stopping.Load(),
 	}
+	f.request.Seeds = f.seedsToName()
 	f.request.Calls = f.gateway.shardCalls.perSecond(steadyclock.Now())
 	first := f.node == "" || f.moved
 	if f.node == "" {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -25,6 +25,15 @@
 	}
 }
 
+// seedsToName returns the seeds as long as the router knows no group, for nodes of another one to
+// refuse it: an address of a seed may have passed to them.
+func (f *follower) seedsToName() []string {
+	if f.gateway.group() != 0 {
+		return nil
+	}
+	return f.gateway.seedList()
+}
+
 // checkGroup returns a *addressee.MisdirectedError for a directory node of another group, whose
 // documents, servers and orders are not those of this router.
 func (f *follower) checkGroup(group addressee.Group, node string) error {
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -118,7 +118,7 @@
 // probe asks a node whether it can be followed, and how old its state is.
 func (f *follower) probe(ctx context.Context, node string) found {
 	asked := steadyclock.Now()
-	reply, err := f.post(ctx, node, directory.FollowRequest{Probe: true}, searchTimeout)
+	reply, err := f.post(ctx, node, directory.FollowRequest{Probe: true, Seeds: f.seedsToName()}, searchTimeout)
 	if err == nil {
 		err = f.checkGroup(reply.Group, node)
 	}
