Have addresses pass to other processes in the soak

Cause: no lane had an address taken by another site's process, a node that moves or two that swap. Change: a fourth lane does, beside a second site of one node and one router. The stand-ins of servers get addresses that nobody else gets.

--- a/cmd/martenstage/soak_records_test.go
+++ b/cmd/martenstage/soak_records_test.go
@@ -67,9 +67,10 @@
 	ends     []soakEnd
 	troubles []soakTroubled
 	// reached are the starts of servers that a request has reached, disks counts the faults of
-	// disks.
-	reached map[string]bool
-	disks   int
+	// disks, passings the addresses that passed to another process.
+	reached  map[string]bool
+	disks    int
+	passings int
 }
 
 func (r *soakRecords) note(take func(*soakRecords)) {
--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/proof/testlink"
 	"github.com/martenstage/martenstage/internal/registry"
 )
@@ -79,7 +80,7 @@
 // startNamed is startServer of one that keeps its id over starts, with a time of start; marked
 // requests don't end it.
 func (s *soakSite) startNamed(service string, number int, born int64) *soakServer {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &soakServer{
--- a/cmd/martenstage/soak_test.go
+++ b/cmd/martenstage/soak_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +23,7 @@
 var (
 	soakSeed    = flag.Uint64("soak.seed", 1, "seed of the faults of the soak")
 	soakSeconds = flag.Int("soak.seconds", 60, "how long the soak injects faults, in seconds")
-	soakLanes   = flag.Int("soak.lanes", 3, "how many series of faults overlap; the first, or the first two, are those of older seeds")
+	soakLanes   = flag.Int("soak.lanes", 4, "how many series of faults overlap; the first ones are those of older seeds")
 	soakNodes   = flag.Int("soak.nodes", 3, "directory nodes of the soak")
 	soakRouters = flag.Int("soak.routers", 3, "gateways of the soak")
 )
@@ -73,6 +74,10 @@
 // `make soak` plays longer ones.
 func TestSoak(t *testing.T) {
 	site := startSoakSite(t)
+	var other *soakSite
+	if *soakLanes > soakAddressLane {
+		other = startOtherSite(t)
+	}
 	require.Eventually(t, func() bool { return site.putNext(0) }, soakFormingTime, 100*time.Millisecond, "no document is taken")
 	site.requireServing("at the start")
 	ctx, cancel := context.WithCancel(context.Background())
@@ -86,8 +91,11 @@
 	var lanes sync.WaitGroup
 	for lane := 1; lane < *soakLanes; lane++ {
 		disturb := site.disturb
-		if lane == soakStorageLane {
+		switch lane {
+		case soakStorageLane:
 			disturb = site.disturbStorage
+		case soakAddressLane:
+			disturb = func(ctx context.Context, _ int) { site.disturbAddresses(ctx, other) }
 		}
 		lanes.Go(func() { disturb(injecting, lane) })
 	}
@@ -107,7 +115,7 @@
 	cancel()
 	clients.Wait()
 	site.sendMarkedInCalm()
-	t.Log(site.records.summary(len(schedule)))
+	t.Log(site.records.summary(len(schedule)), countLogged(t, "call_misdirected", append(slices.Clone(site.nodes), site.routers...)...), "misdirected calls told")
 	require.Empty(t, site.records.violations(), "seed %d", *soakSeed)
 }
 
@@ -333,8 +341,8 @@
 	for _, request := range r.requests {
 		statuses[request.status]++
 	}
-	return fmt.Sprintf("%d faults, %d requests, status %v, %d arrivals, %d departures, %d reads, %d planned stops, %d servers ended by marked requests, %d faults of disks",
-		faults, len(r.requests), statuses, len(r.arrivals), len(r.leaves), len(r.reads), len(r.stops), len(r.ends), r.disks)
+	return fmt.Sprintf("%d faults, %d requests, status %v, %d arrivals, %d departures, %d reads, %d planned stops, %d servers ended by marked requests, %d faults of disks, %d addresses passed",
+		faults, len(r.requests), statuses, len(r.arrivals), len(r.leaves), len(r.reads), len(r.stops), len(r.ends), r.disks, r.passings)
 }
 
 func TestSoakScheduleDependsOnItsSeedOnly(t *testing.T) {
