Give tests of servers that end addresses that nobody else gets

Cause: an address that was listened at and closed is whoever takes it next; tests of packages forward, backend, control, controlclient and of the commands took such for one that is gone. Change: they take addresses of testaddress. No check is changed. Measured: the tests of these packages pass; none was seen to fail for it.

--- a/cmd/martenstage/crashing_request_test.go
+++ b/cmd/martenstage/crashing_request_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 )
 
 // Times of servers that a request ends.
@@ -64,7 +65,7 @@
 // serveCrashing runs servers of a service one after the other at one address: each ends
 // with the request that is marked, and the next starts a little later under another name.
 func (s *registeredSite) serveCrashing(record *crashRecord, service string, number int) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(s.t, err)
 	address := listener.Addr().String()
 	stopped := make(chan struct{})
--- a/cmd/martenstage/registered_test.go
+++ b/cmd/martenstage/registered_test.go
@@ -134,7 +134,7 @@
 }
 
 func (s *registeredSite) serve(id, service, zone string) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(s.t, err)
 	s.servers[id] = s.serveAt(listener, id, service, zone)
 }
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -21,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/backendapi"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/verdict"
 )
@@ -46,7 +47,7 @@
 // newRawServer serves each connection with a function.
 func newRawServer(t testing.TB, serve func(server *rawServer, socket *net.TCPConn)) *rawServer {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
 	server := &rawServer{listener: listener, address: listener.Addr().(*net.TCPAddr).AddrPort()}
 	t.Cleanup(func() { _ = listener.Close() })
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 )
 
 // TestOnlyATimeoutIsSilence probes a server that accepts and says nothing, one
@@ -17,7 +19,7 @@
 func TestOnlyATimeoutIsSilence(t *testing.T) {
 	t.Parallel()
 	serve := func(handle func(net.Conn)) netip.AddrPort {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := net.Listen("tcp4", testaddress.Next().String())
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
 		go func() {
--- a/internal/control/history_test.go
+++ b/internal/control/history_test.go
@@ -21,6 +21,7 @@
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/policy"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/rpc"
 	"github.com/martenstage/martenstage/internal/state"
 )
@@ -263,14 +264,14 @@
 	serve := func(id uint64, format uint32) consensus.MemberStatus {
 		mux := http.NewServeMux()
 		mux.Handle(martenstagev1connect.NewConfigServiceHandler(oldProgram{id: id, format: format}))
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		listener, err := net.Listen("tcp4", testaddress.Next().String())
 		require.NoError(t, err)
 		listening := rpc.NewServerOn(listener, mux, rpc.Plaintext(), discardLogger())
 		go func() { _ = listening.Serve() }()
 		t.Cleanup(func() { _ = listening.Close() })
 		return consensus.MemberStatus{Member: consensus.Member{ID: id, Address: listening.Address()}}
 	}
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { require.NoError(t, listener.Close()) })
 	// Connections are accepted, and nothing ever answers.
--- a/internal/controlclient/claims_test.go
+++ b/internal/controlclient/claims_test.go
@@ -15,6 +15,7 @@
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
@@ -65,7 +66,7 @@
 		fake := &fakeVoter{settled: make(chan *v1.SettleClaimRequest, 16), answer: answer}
 		mux := http.NewServeMux()
 		mux.Handle(martenstagev1connect.NewClaimServiceHandler(fake, rpc.HandlerOptions()))
-		server, err := rpc.NewServer("127.0.0.1:0", mux, rpc.Plaintext(), logger)
+		server, err := rpc.NewServer(testaddress.Next().String(), mux, rpc.Plaintext(), logger)
 		require.NoError(t, err)
 		go func() { _ = server.Serve() }()
 		t.Cleanup(func() { _ = server.Close() })
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/martenstage/martenstage/internal/cell"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/proof/emulator"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/router"
 	"github.com/martenstage/martenstage/internal/rpc"
@@ -112,7 +113,7 @@
 			_, handler := NewHandler(nodes[index], rpc.Plaintext())
 			handler.ServeHTTP(writer, request)
 		})
-		listener, err := rpc.NewServer("127.0.0.1:0", mux, rpc.Plaintext(), logger)
+		listener, err := rpc.NewServer(testaddress.Next().String(), mux, rpc.Plaintext(), logger)
 		require.NoError(t, err)
 		go func() { _ = listener.Serve() }()
 		t.Cleanup(func() { _ = listener.Close() })
--- a/internal/forward/region_test.go
+++ b/internal/forward/region_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/martenstage/martenstage/internal/journal"
 	"github.com/martenstage/martenstage/internal/plan"
+	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/proof/testlink"
 	"github.com/martenstage/martenstage/internal/query"
 	"github.com/martenstage/martenstage/internal/remote"
@@ -169,7 +170,7 @@
 			_, handler := NewHandler(nodes[index], rpc.Plaintext())
 			handler.ServeHTTP(writer, request)
 		})
-		listener, err := rpc.NewServer("127.0.0.1:0", mux, rpc.Plaintext(), logger)
+		listener, err := rpc.NewServer(testaddress.Next().String(), mux, rpc.Plaintext(), logger)
 		require.NoError(t, err)
 		go func() { _ = listener.Serve() }()
 		t.Cleanup(func() { _ = listener.Close() })
