Never send to a voter that names all addresses of its machine

Cause: since members are sent to where they say that they are, a control voter that listens at 0.0.0.0 and advertises nothing would name that, and others would send to themselves. Ruled out for the directory: its address is the one that it is reached at. Change: an address without a machine names no place; the membership's stands. Measured: TestMembersAreReachedWhereTheySayThatTheyAre, failing for 0.0.0.0 before the check; tests of voter and of moving nodes pass.

--- a/internal/voter/sender.go
+++ b/internal/voter/sender.go
@@ -1,6 +1,7 @@
 package voter
 
 import (
+	"net/netip"
 	"sync"
 
 	"github.com/martenstage/martenstage/internal/consensus"
@@ -31,7 +32,7 @@
 // hear takes in the address that a voter gave for itself, and returns the former one of a member that
 // has moved; empty if it has not.
 func (b *addressBook) hear(id uint64, address string) (former string) {
-	if address == "" {
+	if !isPlace(address) {
 		return ""
 	}
 	b.mutex.Lock()
@@ -51,6 +52,13 @@
 	return before
 }
 
+// isPlace reports whether an address is one to send to: a voter that listens at all addresses of its
+// machine names none.
+func isPlace(address string) bool {
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && !parsed.Addr().IsUnspecified()
+}
+
 func (b *addressBook) setMembers(members []consensus.MemberStatus) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -178,7 +178,7 @@
 // ReachedAt returns where a member is reached: it may have moved since the membership was last
 // changed. It is empty for an id that is unknown.
 func (v *Voter) ReachedAt(id uint64) string {
-	if id == v.config.ID {
+	if id == v.config.ID && isPlace(v.config.Address) {
 		return v.config.Address
 	}
 	return v.addresses.of(id)
