Look a key up again after the wait for a token as well

Cause: a request waits for its tenant's token after its key was looked up again, for as long as its client waits. Change: the second look comes between that wait and the first server that may get the request, so that a refusal stays true. Measured: the tests of keys, tenants and quotas twice under the race detector: passed.

--- a/internal/gateway/identifying.go
+++ b/internal/gateway/identifying.go
@@ -119,7 +119,7 @@
 }
 
 // identifyAgain looks the key up once more when the body is in, for which the client may have taken its
-// time. It reports whether the request is to be served; else it was refused.
+// time, and the tenant's limit allows the request, which may have taken a call. It reports whether the request is to be served; else it was refused.
 func (s *exchangeState) identifyAgain(before *routing.Table) bool {
 	if s.tenant == nil {
 		return true
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -121,14 +121,11 @@
 		s.refuse(status, verdict.ReasonBodyTooLarge, 0)
 		return
 	}
-	if !s.identifyAgain(table) {
-		return
-	}
 	passed := newFingerprinted(&message.Request{
 		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
 		Header: s.passedHeaders(table), Body: body, ID: s.id, Tenant: s.tenantName(),
 	})
-	if s.refuseIsolated() || s.refuseOverQuota() || !s.guard(passed) {
+	if s.refuseIsolated() || s.refuseOverQuota() || !s.identifyAgain(table) || !s.guard(passed) {
 		return
 	}
 	if s.route.Gathers() {
