Count each member at one address where a caller's seeds are looked up

Cause: the node had been lent the address of one seed before. Its membership still named that, and its own address counted beside: two of three seeds. Evidence: the log of router 0, group_joined at 127.64.102.33:20228, 0.28 s after its start; that node had listened at :20227 before. Change: each member counts at the address at which it is reached.

--- a/internal/directory/group.go
+++ b/internal/directory/group.go
@@ -49,8 +49,10 @@
 	if len(seeds) == 0 {
 		return true
 	}
-	members := lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address })
-	return n.group().Serves(seeds, append(members, n.config.PeerAddress))
+	// Each member is at one address, also one that has just moved from another seed's.
+	member := n.member.voter()
+	members := lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return member.ReachedAt(m.ID) })
+	return n.group().Serves(seeds, members)
 }
 
 func (n *Node) noteMisdirected(refused *addressee.MisdirectedError) {
--- a/internal/directory/group_test.go
+++ b/internal/directory/group_test.go
@@ -108,6 +108,21 @@
 	_, err := c.nodes[0].Follow(context.Background(), directory.FollowRequest{Probe: true, Seeds: c.seeds})
 	require.NoError(t, err)
 
+	// A node that moves from the address of one seed to that of another has been at both.
+	moving := newCluster(t, 1)
+	moving.losses, moving.seeds = 0, moving.addresses
+	moving.startAll(true)
+	moving.put(document(1, "first"))
+	passed := append(testaddress.List(2), moving.addresses[0])
+	moving.stop(0)
+	moving.restartAt(0, passed[0])
+	moved := func(node *runningNode) bool {
+		_, err := node.Follow(context.Background(), directory.FollowRequest{Probe: true, Seeds: passed})
+		require.ErrorIs(t, err, directory.ErrUnavailable)
+		return node.Voters()[passed[0]]
+	}
+	moving.eventually("not at its new address", moved)
+
 	// A node that lost its folder, while one of its seeds is an address of this group.
 	joining := newCluster(t, 1)
 	joining.seeds = append(testaddress.List(2), c.addresses[0])
