Write a node's identity in one place

Cause: three methods saved it and took it over in the same lines. Change: one does; behaviour is the same. Measured: tests of joining, moving, lost disks and removed voters pass.

--- a/internal/directory/member.go
+++ b/internal/directory/member.go
@@ -140,11 +140,7 @@
 	}
 	updated := h.identity
 	updated.Group = group
-	if err := updated.save(h.config.Folder); err != nil {
-		return err
-	}
-	h.identity = updated
-	return nil
+	return h.replace(updated)
 }
 
 // rememberID keeps the group's id on disk.
@@ -153,6 +149,11 @@
 	defer h.mutex.Unlock()
 	updated := h.identity
 	updated.GroupID = group
+	return h.replace(updated)
+}
+
+// replace writes another identity to disk and goes by it. The caller holds the mutex.
+func (h *memberHost) replace(updated identity) error {
 	if err := updated.save(h.config.Folder); err != nil {
 		return err
 	}
@@ -186,10 +187,9 @@
 		return errors.Wrap(err, "the former log can't be put aside")
 	}
 	fresh := identity{ID: drawID(), Group: h.identity.Group, GroupID: h.identity.ownGroup()}
-	if err := fresh.save(h.config.Folder); err != nil {
+	if err := h.replace(fresh); err != nil {
 		return err
 	}
-	h.identity = fresh
 	if err := h.prepare(); err != nil {
 		return err
 	}
