Hold the property of the group's size to members that move

Cause: the property let a member be removed for any candidate at its address, also for one that is a member itself, which is no proof of a lost disk since members move. Change: it allows only strangers, and draws members that are reached elsewhere. It is stricter.

--- a/internal/directory/formation_test.go
+++ b/internal/directory/formation_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -76,6 +77,9 @@
 		for id := uint64(1); id <= uint64(rapid.IntRange(1, 7).Draw(t, "members")); id++ {
 			member := view(id, string(rune('a'+id)), time.Duration(rapid.IntRange(0, 3).Draw(t, "silent"))*time.Second)
 			member.Learner = rapid.IntRange(0, 5).Draw(t, "learner") == 0
+			if rapid.IntRange(0, 5).Draw(t, "moved") == 0 {
+				member.ReachedAt = string(rune('a' + rapid.IntRange(1, 9).Draw(t, "to")))
+			}
 			members = append(members, member)
 		}
 		var candidates []candidate
@@ -84,10 +88,15 @@
 			asking := candidate{ID: id, Address: string(rune('a' + rapid.IntRange(1, 9).Draw(t, "address")))}
 			candidates = append(candidates, asking)
 			for _, member := range members {
-				wiped[member.ID] = wiped[member.ID] || member.Address == asking.Address && member.ID != asking.ID
+				wiped[member.ID] = wiped[member.ID] || member.Address == asking.Address && !isMember(members, asking.ID)
 			}
 		}
 		change, wanted := decideChange(members, candidates, rules)
+		if change.Kind == consensus.MoveMember {
+			moved, _ := lo.Find(members, func(m memberView) bool { return m.ID == change.ID })
+			require.Equal(t, moved.ReachedAt, change.Address)
+			require.NotEqual(t, moved.Address, change.Address)
+		}
 		if !wanted || change.Kind != consensus.RemoveMember || wiped[change.ID] {
 			return
 		}
