Attach two comments to what they explain

Cause: the last read of the change found a comment between functions and one line of 150 columns. Change: comments only.

--- a/internal/gateway/identifying.go
+++ b/internal/gateway/identifying.go
@@ -118,8 +118,9 @@
 	return true
 }
 
-// identifyAgain looks the key up once more when the body is in, for which the client may have taken its
-// time, and the tenant's limit allows the request, which may have taken a call. It reports whether the request is to be served; else it was refused.
+// identifyAgain looks the key up once more, after the body and the tenant's token: the client may have
+// taken its time for the one, a directory node for the other. It reports whether the request is to be
+// served; else it was refused.
 func (s *exchangeState) identifyAgain(before *routing.Table) bool {
 	if s.tenant == nil {
 		return true
--- a/internal/steadyclock/steadyclock.go
+++ b/internal/steadyclock/steadyclock.go
@@ -61,11 +61,9 @@
 	return made
 }
 
-// The process may wait for a processor between two readings. The time that passes then must not
-// pass for a suspension: what the clocks were apart at first is never taken for less, what they are
-// apart later never for more.
-
-// atMostApart returns a bound above what the clocks are apart.
+// atMostApart returns a bound above what the clocks are apart. The process may wait for a processor
+// between two readings: by this bound at first, and the one below later, that wait never counts as a
+// suspension.
 func atMostApart(machine Machine) (time.Duration, error) {
 	running, err := machine.Running()
 	if err != nil {
@@ -75,7 +73,7 @@
 	return sinceBoot - running, err
 }
 
-// atLeastApart returns a bound below what the clocks are apart.
+// atLeastApart returns a bound below what the clocks are apart; see atMostApart.
 func atLeastApart(machine Machine) (time.Duration, error) {
 	sinceBoot, err := machine.SinceBoot()
 	if err != nil {
