Log which start a request goes to, and which start took another's place

Cause: a case of a request to a departed server could not be told from another: no line named the start that a request was sent to, which starts of that server the router knew, or that one start took another's place. No decision changes. Tests of the three packages pass.

--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -28,7 +28,9 @@
 	peers  *peerClient
 	// misdirected bounds the lines of calls that were meant for another group.
 	misdirected logging.LineLimit
-	packer      documentPacker
+	// replacedLines bounds the lines of instances that others replaced.
+	replacedLines logging.LineLimit
+	packer        documentPacker
 
 	mutex    sync.Mutex
 	registry *registry.Table
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/rollout"
@@ -31,9 +32,23 @@
 	n.beats[instance.ID] = instance.Sequence
 }
 
+// tellReplaced logs which instances others have replaced. The caller holds the mutex.
+func (n *Node) tellReplaced() {
+	for _, replaced := range n.registry.TakeReplaced() {
+		leftOut, tells := n.replacedLines.Take(steadyclock.Now())
+		if !tells {
+			continue
+		}
+		n.logger.WithFields(logrus.Fields{
+			"instance": replaced.ID, "by": replaced.By, "address": replaced.Address, "left_out": leftOut,
+		}).Info("instance_replaced")
+	}
+}
+
 // enter takes what is told of an instance into the table, as leaving if a departure holds for
 // it, and reports whether routers must know of it. The caller holds the mutex.
 func (n *Node) enter(applied *machine, told registry.Instance) bool {
+	defer n.tellReplaced()
 	now, first := steadyclock.Now(), told
 	if known, exists := n.registry.Get(now, told.ID); exists && (told.Since == 0 || known.Since < told.Since) {
 		first.Since = known.Since
@@ -129,6 +144,7 @@
 		changed = n.registry.Refresh(now, repeated.ID, repeated.Sequence) || changed
 		n.lacking = n.lacking || !n.registry.Knows(repeated.ID)
 	}
+	n.tellReplaced()
 	others := false
 	for _, router := range message.Routers {
 		others = n.routers.report(now, router, false) || others
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -82,6 +82,8 @@
 	// changes are the entries, the one that changed last first.
 	changes  *list.List
 	revision uint64
+	// replaced are the replacements that were not taken yet.
+	replaced []Replacement
 	// visited counts the entries that Since looked at, for tests.
 	visited int
 }
@@ -192,7 +194,7 @@
 	if claiming.beats < rivalBeats {
 		return false
 	}
-	t.replaceAt(owner.instance.ID)
+	t.replaceAt(owner.instance.ID, id)
 	t.byAddress[address] = id
 	delete(t.rivals, address)
 	return true
@@ -227,7 +229,7 @@
 			t.touch(added)
 			return
 		}
-		t.replaceAt(previous)
+		t.replaceAt(previous, instance.ID)
 	}
 	t.byAddress[instance.Address] = instance.ID
 	t.touch(added)
@@ -235,13 +237,33 @@
 
 // replaceAt marks the former owner of an address: whoever listens there now is
 // another instance.
-func (t *Table) replaceAt(id string) {
+func (t *Table) replaceAt(id, by string) {
 	if former, ok := t.entries[id]; ok && former.instance.State == Ready {
 		former.instance.State = Missing
 		t.touch(former)
+		t.noteReplaced(former, by)
 	}
 }
 
+// Replacement says that an instance was taken for gone because another one announced itself.
+type Replacement struct{ ID, By, Address string }
+
+// maxReplacements bounds the replacements that are kept until they are taken.
+const maxReplacements = 64
+
+func (t *Table) noteReplaced(former *entry, by string) {
+	if len(t.replaced) < maxReplacements {
+		t.replaced = append(t.replaced, Replacement{ID: former.instance.ID, By: by, Address: former.instance.Address})
+	}
+}
+
+// TakeReplaced returns the replacements since the last call, the first ones if there were many.
+func (t *Table) TakeReplaced() []Replacement {
+	taken := t.replaced
+	t.replaced = nil
+	return taken
+}
+
 // Leave marks an instance as leaving. One that is not known yet is left to the caller, who has
 // to check each report against the departures that it knows of.
 func (t *Table) Leave(id string) bool {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -25,6 +25,17 @@
 	return ""
 }
 
+// TestReplacementsAreTold guards against a replacement of which the log says nothing.
+func TestReplacementsAreTold(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := registry.New(5*time.Second, time.Minute)
+	for born := range int64(2) {
+		table.Report(now, registry.Instance{ID: registry.LifeID("i", born+1), Born: born + 1, Address: "10.0.0.1:1", State: registry.Ready})
+	}
+	require.Equal(t, []registry.Replacement{{ID: "i#1", By: "i#2", Address: "10.0.0.1:1"}}, table.TakeReplaced())
+	require.Empty(t, table.TakeReplaced())
+}
+
 func TestLateHeartbeatDoesNotTakeLeavingBack(t *testing.T) {
 	table := registry.New(5*time.Second, time.Minute)
 	require.True(t, table.Report(start, ready("a", "10.0.0.1:1", 4)))
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -170,6 +170,7 @@
 	if told.Leaving != known.Leaving || told.Missing != known.Missing {
 		e.emit(Noted{Server: told, Belief: "server_changed", Detail: known.recentWork(e.now)})
 	}
+	known.missingTold = known.missingTold && told.Missing
 	known.Server = told
 	known.turnCold(e.now)
 }
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -113,7 +113,9 @@
 
 // Server is one start of a server.
 type Server struct {
-	ID      string
+	ID string
+	// Name is the server's own, which all its starts share; empty where it has none beside ID.
+	Name    string
 	Service string
 	Address string
 	Zone    string
--- a/internal/scatter/harness_test.go
+++ b/internal/scatter/harness_test.go
@@ -33,6 +33,7 @@
 	overdue map[scatter.RequestID]scatter.Result
 	last    scatter.RequestID
 	claims  []scatter.Claim
+	noted   []scatter.Noted
 }
 
 func newHarness(t reporter, limits scatter.BudgetLimits) *harness {
@@ -62,6 +63,8 @@
 			h.overdue[command.Request] = command.Result
 		case scatter.Claim:
 			h.claims = append(h.claims, command)
+		case scatter.Noted:
+			h.noted = append(h.noted, command)
 		case scatter.Wake:
 			h.wake = command.At
 		}
--- a/internal/scatter/missing_test.go
+++ b/internal/scatter/missing_test.go
@@ -65,3 +65,32 @@
 		h.end(sent, good("x"))
 	}
 }
+
+// TestUseOfAMissingServerIsToldOnce guards against a log that doesn't say which start of a server a
+// request was sent to that the directory misses, and against a line for each request.
+func TestUseOfAMissingServerIsToldOnce(t *testing.T) {
+	h := newHarness(t, plenty)
+	start := func(id string, missing bool) scatter.Server {
+		return scatter.Server{ID: id, Name: "i", Service: "s", Address: id, Zone: "a", Slots: 2, Missing: missing}
+	}
+	told := func() (details []string) {
+		for _, noted := range h.noted {
+			if noted.Belief == "missing_server_used" {
+				details = append(details, noted.Server.ID+" "+noted.Detail)
+			}
+		}
+		return details
+	}
+	h.step(scatter.ServersChanged{Servers: []scatter.Server{start("i#1", true)}})
+	h.step(scatter.ServersChanged{Servers: []scatter.Server{{ID: "other", Name: "other", Service: "s", Missing: true, Slots: 1}}})
+	h.step(scatter.ServersGone{IDs: []string{"other"}})
+	for range 3 {
+		h.arrive(singleRoute(true))
+		h.end(h.take()[0], good("x"))
+	}
+	require.Equal(t, []string{"i#1 last_answer=never starts=[i#1]"}, told())
+	h.step(scatter.ServersChanged{Servers: []scatter.Server{start("i#1", false)}})
+	h.step(scatter.ServersChanged{Servers: []scatter.Server{start("i#1", true)}})
+	h.arrive(singleRoute(true))
+	require.Len(t, told(), 2, "missing anew")
+}
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -188,6 +188,7 @@
 		}
 	}
 	e.note(called, Step{Kind: kind, Server: chosen.ID})
+	e.noteMissing(chosen)
 	e.emit(Send{Attempt: sent.id, Request: waiting.id, Server: chosen.Server, Deadline: waiting.deadline, Extra: extra})
 	if waiting.route.Repeatable && len(called.tried) < called.maxAttempts() {
 		delay := e.callHedgeDelay(called)
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/message"
@@ -42,6 +43,8 @@
 	// connections beyond them.
 	connections      int
 	connectionsUntil time.Time
+	// missingTold says that the log has it that work is sent although the directory misses it.
+	missingTold bool
 	// replaced says that another server answers at the address.
 	replaced bool
 	// coldTokens is what this router may send to the server while it is cold, filled at
@@ -117,6 +120,32 @@
 	return "in_flight=" + strconv.Itoa(len(s.inFlight)) + " last_sent=" + now.Sub(s.sent).Round(time.Millisecond).String()
 }
 
+// startsOf names the starts that are known of a server, in the order in which they were told.
+func (g *group) startsOf(named *server) []string {
+	var starts []string
+	for _, known := range g.servers {
+		if known == named || known.Name != "" && known.Name == named.Name {
+			starts = append(starts, known.ID)
+		}
+	}
+	return starts
+}
+
+// noteMissing tells, once until that changes, that work is sent to a server which the directory
+// misses, and which starts of it are known.
+func (e *Engine) noteMissing(chosen *server) {
+	if !chosen.Missing || chosen.missingTold {
+		return
+	}
+	chosen.missingTold = true
+	answered := "never"
+	if !chosen.heard.IsZero() {
+		answered = e.now.Sub(chosen.heard).Round(time.Millisecond).String()
+	}
+	starts := strings.Join(e.group(chosen.Service).startsOf(chosen), " ")
+	e.emit(Noted{Server: chosen.Server, Belief: "missing_server_used", Detail: "last_answer=" + answered + " starts=[" + starts + "]"})
+}
+
 // condition says how far a server is believed to answer; less is better.
 type condition uint8
 
