--- a/internal/gateway/departing_site_test.go
+++ b/internal/gateway/departing_site_test.go
@@ -173,25 +173,29 @@
 // departingServer is one start of a server.
 type departingServer struct {
 	instance registry.Instance
+	server   *http.Server
 	// acknowledged is when its departure was, Unix ns; 0 before. latest is how long after it a
-	// request came last, ns, and arrivals counts all.
-	acknowledged atomic.Int64
-	latest       atomic.Int64
-	arrivals     atomic.Int64
-	silent       atomic.Bool
-	leaving      atomic.Bool
-	sequence     atomic.Uint64
+	// request came last, ns, afterDeparture counts those that came after it, and arrivals all.
+	acknowledged   atomic.Int64
+	latest         atomic.Int64
+	afterDeparture atomic.Int64
+	arrivals       atomic.Int64
+	silent         atomic.Bool
+	leaving        atomic.Bool
+	sequence       atomic.Uint64
 }
 
 // ServeHTTP answers as a sound server does, and notes when requests come.
 func (d *departingServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	writer.Header().Set("X-Id", request.Header.Get("X-Id"))
-	if request.Header.Get("X-Meant") != d.instance.ID {
+	// What calls a server names it, not its start.
+	if registry.NameOf(request.Header.Get("X-Meant")) != registry.NameOf(d.instance.ID) {
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	d.arrivals.Add(1)
 	if at := d.acknowledged.Load(); at > 0 {
+		d.afterDeparture.Add(1)
 		d.noteLatest(time.Now().UnixNano() - at)
 	}
 	writer.Header().Set("X-Stamp", "of-"+d.instance.ID)
@@ -210,12 +214,17 @@
 func (s *departingSite) addServer(name string, born int64, seed uint64) *departingServer {
 	listener, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(s.t, err)
+	return s.serve(listener, name, born, seed)
+}
+
+// serve is addServer at a listener.
+func (s *departingSite) serve(listener net.Listener, name string, born int64, seed uint64) *departingServer {
 	added := &departingServer{instance: registry.Instance{
 		ID: registry.LifeID(name, born), Born: born, Service: "s", Address: listener.Addr().String(), Slots: 8, State: registry.Ready,
 	}}
-	server := &http.Server{Handler: added}
-	go func() { _ = server.Serve(listener) }()
-	s.t.Cleanup(func() { _ = server.Close() })
+	added.server = &http.Server{Handler: added}
+	go func() { _ = added.server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = added.server.Close() })
 	go s.announce(added, rand.New(rand.NewPCG(seed, 1)))
 	return added
 }
