Have one start of a server in use, and a departure bind those before it

Cause: a server that ended and started again under its name and address stood twice in the table. The earlier start was marked missing, which routers take for silent towards the directory alone, and its requests were answered by the process of the later one. A departure took out one of the two entries. Evidence: the log of the failing test: instance_replaced x#10000 by x#20000, the departure of x#20000 alone, then missing_server_used server=x#10000 at routers. Change: one rule, in package registry, says which start is in use: the later one where the order of hearing and the times of start agree; at one address, where they don't, the known one until it is silent and the other goes on. Starts that are not in use are told as replaced, and routers give them no work. A departure that names a start is recorded with its index, and holds for each start heard of before it that claims no later time of start; where the one that leaves may have been in use, starts that claim to be later are set aside until they are heard of again. Why this works: whatever a node or router knows of a start, it has the departure or the replacement as well, on the table's way or the log's; a clock alone decides nothing. The late departure of an earlier start leaves the later one in service.

--- a/internal/directory/departing.go
+++ b/internal/directory/departing.go
@@ -67,7 +67,8 @@
 		// A name that is an id of its own is never used again.
 		return message, applied.hasDeparted(name) && len(starts) == 1 && starts[0] == name
 	}
-	message = departMessage{ID: registry.LifeID(name, born)}
+	message = departMessage{ID: registry.LifeID(name, born), Start: &departedStart{Name: name, Born: born}}
+	message.Starts = n.registry.Former(message.ID)
 	if !lo.Contains(starts, message.ID) {
 		// Its heartbeats, if there are any, may have named no start.
 		message.Starts = []string{name}
@@ -130,21 +131,31 @@
 	if !n.mayAcknowledge() {
 		return errNotFormed
 	}
-	ids := append([]string{message.ID}, message.Starts...)
-	var names []string
-	known := true
+	departed, known := n.departedBy(message)
+	_, err := n.propose(ctx, departed)
+	if err == nil && !known {
+		return errNotHeard
+	}
+	return err
+}
+
+// departedBy returns what a departure binds by what the leader knows as well, and whether the server
+// is known.
+func (n *Node) departedBy(message departMessage) (departed command, known bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	ids, known := append([]string{message.ID}, message.Starts...), true
 	if message.Name != "" {
-		names = []string{message.Name}
-		n.mutex.Lock()
+		departed.Names = []string{message.Name}
 		ids = append(ids, n.registry.Starts(message.Name)...)
 		known = message.Known || n.knows(message.Name)
-		n.mutex.Unlock()
 	}
-	_, err := n.propose(ctx, command{Departures: lo.Uniq(ids), Names: names})
-	if err == nil && !known {
-		return errNotHeard
+	if message.Start != nil {
+		departed.Starts = []departedStart{*message.Start}
+		ids = append(ids, n.registry.Former(message.ID)...)
 	}
-	return err
+	departed.Departures = lo.Uniq(ids)
+	return departed, known
 }
 
 // errNotHeard is an ErrUnavailable: what is known to routers of the server leaves, but a heartbeat
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -26,6 +26,8 @@
 	// without saying which of their starts is meant.
 	Departures []string `json:"departures,omitempty"`
 	Names      []string `json:"names,omitempty"`
+	// Starts are servers that left and said which start is meant: earlier ones leave with it.
+	Starts []departedStart `json:"starts,omitempty"`
 	// Formed says that the group has reached its size once.
 	Formed bool `json:"formed,omitempty"`
 	// Evacuations are orders of operators, in the order in which they hold.
@@ -55,8 +57,8 @@
 	Departures []string `json:"departures"`
 	// Forgotten counts older departures than those, so that positions go on after a snapshot.
 	Forgotten int `json:"forgotten,omitempty"`
-	// Names are the servers that left without saying which of their starts is meant, and Index
-	// is that of the last entry that was applied.
+	// Names are the servers that left, by name and index, and Index is that of the last entry that
+	// was applied.
 	Names  []registry.NameDeparture `json:"names,omitempty"`
 	Index  uint64                   `json:"index,omitempty"`
 	Formed bool                     `json:"formed"`
@@ -97,7 +99,7 @@
 	defer m.mutex.Unlock()
 	m.state.Index = index
 	result := m.putDocument(decoded)
-	m.depart(decoded.Departures, decoded.Names)
+	m.depart(decoded)
 	m.state.Formed = m.state.Formed || decoded.Formed
 	for _, order := range decoded.Evacuations {
 		m.evacuate(order)
@@ -124,15 +126,18 @@
 }
 
 // depart takes in departures of the entry at the state's index.
-func (m *machine) depart(ids, names []string) {
-	for _, id := range ids {
+func (m *machine) depart(decoded command) {
+	for _, id := range decoded.Departures {
 		if m.departed.Add(id) {
 			m.state.Forgotten++
 		}
 	}
-	for _, name := range names {
+	for _, name := range decoded.Names {
 		m.departed.AddName(registry.NameDeparture{Name: name, Before: m.state.Index})
 	}
+	for _, start := range decoded.Starts {
+		m.departed.AddName(registry.NameDeparture{Name: start.Name, Before: m.state.Index, Born: start.Born})
+	}
 }
 
 func (m *machine) notify() {
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -126,6 +126,15 @@
 	// that the node which took the departure has heard of one.
 	Name  string `json:"name,omitempty"`
 	Known bool   `json:"known,omitempty"`
+	// Start is the start that is named, nil for none: earlier ones of its server leave with it.
+	Start *departedStart `json:"start,omitempty"`
+}
+
+// departedStart is a start of a server that left, by the server's name and the time of start, ms since
+// 1970 by the server's own clock.
+type departedStart struct {
+	Name string `json:"name"`
+	Born int64  `json:"born"`
 }
 
 // readReply carries the document in force from the leader.
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -182,6 +182,9 @@
 	maxDoubtsShared = 256
 )
 
+// stateReplaced is the label of instances that other starts of their servers have replaced.
+const stateReplaced = "replaced"
+
 func (n *Node) expire() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -193,6 +196,7 @@
 	for _, state := range []registry.State{registry.Ready, registry.Leaving, registry.Missing} {
 		n.metrics.instances.WithLabelValues(string(state)).Set(float64(n.registry.Count(state)))
 	}
+	n.metrics.instances.WithLabelValues(stateReplaced).Set(float64(n.registry.CountReplaced()))
 }
 
 // runDepartures marks in the table who is known to leave by the replicated log,
@@ -220,6 +224,7 @@
 			n.registry.LeaveName(left)
 			named = max(named, left.Before)
 		}
+		n.tellReplaced()
 		n.announce()
 		n.mutex.Unlock()
 		select {
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -317,7 +317,7 @@
 func toServer(now time.Time, instance registry.Instance) scatter.Server {
 	return scatter.Server{
 		ID: instance.ID, Name: registry.NameOf(instance.ID), Service: instance.Service, Address: instance.Address, Zone: instance.Zone, Version: instance.Version, Slots: instance.Slots,
-		Leaving: instance.State == registry.Leaving, Missing: instance.State == registry.Missing,
+		Leaving: instance.State == registry.Leaving, Missing: instance.State == registry.Missing, Replaced: instance.Replaced,
 		WarmAt: now.Add(instance.WarmLeft),
 	}
 }
--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -95,7 +95,7 @@
 		for _, noted := range told {
 			l.logger.WithFields(logrus.Fields{
 				"server": noted.Server.ID, "service": noted.Server.Service, "address": noted.Server.Address,
-				"detail": noted.Detail, "leaving": noted.Server.Leaving, "missing": noted.Server.Missing,
+				"detail": noted.Detail, "leaving": noted.Server.Leaving, "missing": noted.Server.Missing, "replaced": noted.Server.Replaced,
 			}).Info(belief)
 		}
 	}
--- a/internal/registry/departure.go
+++ b/internal/registry/departure.go
@@ -1,17 +1,27 @@
 package registry
 
-// NameDeparture says that a server left without saying which of its starts is meant: it
-// holds for each start that a directory node had heard of before the departure was in its
-// state.
+import "slices"
+
+// NameDeparture says that a server left. It holds for each start that a directory node had heard of
+// before the departure was in its state: of a departure that names a start, for those that claim no
+// later time of start; of one that names none, for all.
 type NameDeparture struct {
 	Name string `json:"name"`
 	// Before is the index of the departure in the group's log.
 	Before uint64 `json:"before"`
+	// Born is when the start that left was started, by its own clock, ms since 1970; 0 if it is not
+	// named.
+	Born int64 `json:"born,omitempty"`
 }
 
 // holds reports whether an instance is one of the starts that are meant.
 func (n NameDeparture) holds(instance Instance) bool {
-	return instance.Since <= n.Before && NameOf(instance.ID) == n.Name
+	return instance.Since <= n.Before && (n.Born == 0 || instance.Born <= n.Born) && NameOf(instance.ID) == n.Name
+}
+
+// covers reports whether the departure holds for each start for which another one of its name does.
+func (n NameDeparture) covers(other NameDeparture) bool {
+	return n.Before >= other.Before && (n.Born == 0 || other.Born != 0 && n.Born >= other.Born)
 }
 
 // Departures are the servers that left: starts by their ids, and names. It keeps a bounded
@@ -19,16 +29,17 @@
 // not ready for use.
 type Departures struct {
 	limit int
-	// ids and names are ordered by when they were added; starts and before index them.
+	// ids and names are ordered by when they were added; starts and byName index them, byName without
+	// those that another one covers.
 	ids    []string
 	names  []NameDeparture
 	starts map[string]bool
-	before map[string]uint64
+	byName map[string][]NameDeparture
 }
 
 // NewDepartures returns an empty set that keeps at most a number of ids and of names.
 func NewDepartures(limit int) *Departures {
-	return &Departures{limit: limit, starts: make(map[string]bool), before: make(map[string]uint64)}
+	return &Departures{limit: limit, starts: make(map[string]bool), byName: make(map[string][]NameDeparture)}
 }
 
 // Add takes in that a start left, and reports whether an older one was forgotten for it.
@@ -46,21 +57,28 @@
 	return true
 }
 
-// AddName takes in that a server left without naming its start.
+// AddName takes in that a server left, by its name.
 func (d *Departures) AddName(left NameDeparture) {
-	if left.Before <= d.before[left.Name] {
+	known := d.byName[left.Name]
+	if slices.ContainsFunc(known, func(other NameDeparture) bool { return other.covers(left) }) {
 		return
 	}
-	d.before[left.Name] = left.Before
+	known = slices.DeleteFunc(known, left.covers)
+	d.byName[left.Name] = append(known, left)
 	d.names = append(d.names, left)
-	if len(d.names) <= d.limit {
-		return
+	if len(d.names) > d.limit {
+		d.forgetName(d.names[0])
+		d.names = d.names[1:]
 	}
-	oldest := d.names[0]
-	d.names = d.names[1:]
-	if d.before[oldest.Name] == oldest.Before {
-		delete(d.before, oldest.Name)
+}
+
+func (d *Departures) forgetName(oldest NameDeparture) {
+	kept := slices.DeleteFunc(d.byName[oldest.Name], func(other NameDeparture) bool { return other == oldest })
+	if len(kept) == 0 {
+		delete(d.byName, oldest.Name)
+		return
 	}
+	d.byName[oldest.Name] = kept
 }
 
 // Has reports whether a start left by its id.
@@ -71,9 +89,7 @@
 	if d.starts[instance.ID] {
 		return true
 	}
-	name := NameOf(instance.ID)
-	before, left := d.before[name]
-	return left && NameDeparture{Name: name, Before: before}.holds(instance)
+	return slices.ContainsFunc(d.byName[NameOf(instance.ID)], func(left NameDeparture) bool { return left.holds(instance) })
 }
 
 // IDs returns the ids that are kept, the oldest first. They are not to be changed.
--- a/internal/registry/departure_test.go
+++ b/internal/registry/departure_test.go
@@ -35,3 +35,21 @@
 	require.Equal(t, []registry.NameDeparture{{Name: "n3", Before: 4}, {Name: "n0", Before: 5}}, departures.NamesAfter(3))
 	require.True(t, departures.Hold(registry.Instance{ID: "n0#7", Since: 4}), "the later departure of a name that was forgotten once")
 }
+
+// TestDepartureOfAStartLeavesAnEarlierOneInUse guards against routers and nodes that go on with a start
+// which they alone know of, once a later one of the same server has left by its id.
+func TestDepartureOfAStartLeavesAnEarlierOneInUse(t *testing.T) {
+	departures := registry.NewDepartures(10)
+	departures.AddName(registry.NameDeparture{Name: "i", Before: 60, Born: 20})
+	require.True(t, departures.Hold(startKnownSince(20, 60)), "the start that left")
+	require.True(t, departures.Hold(startKnownSince(10, 12)), "an earlier one")
+	require.True(t, departures.Hold(startKnownSince(0, 12)), "one that names no time")
+	require.False(t, departures.Hold(startKnownSince(30, 60)), "a later one: the departure came late")
+	require.False(t, departures.Hold(startKnownSince(10, 61)), "one heard of after it, whose clock was set back")
+	departures.AddName(registry.NameDeparture{Name: "i", Before: 70, Born: 10})
+	require.True(t, departures.Hold(startKnownSince(20, 60)), "a later departure of an earlier start takes nothing back")
+	require.True(t, departures.Hold(startKnownSince(10, 65)))
+	departures.AddName(registry.NameDeparture{Name: "i", Before: 80})
+	require.True(t, departures.Hold(startKnownSince(30, 60)))
+	require.Len(t, departures.NamesAfter(0), 3)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -52,6 +52,9 @@
 	// WarmLeft is for how much longer the server stays slow after its start,
 	// counted from when the entry was handed out.
 	WarmLeft time.Duration `json:"warm_left,omitempty"`
+	// Replaced says that another start of the same server has taken its place, or is believed rather
+	// than it: it gets no work.
+	Replaced bool `json:"replaced,omitempty"`
 	// Age is how long ago the last heartbeat came, counted likewise.
 	Age time.Duration `json:"age,omitempty"`
 }
@@ -61,6 +64,8 @@
 	instance Instance
 	heard    time.Time
 	warm     time.Time
+	// former says that the start was in use until another one of its server took its place.
+	former bool
 	// revision at which the entry last changed in a way that routers must know.
 	revision uint64
 	// place is that in the table's order of changes.
@@ -88,13 +93,6 @@
 	visited int
 }
 
-// rival is an instance with the heartbeats that it sent since the owner of its address
-// sent the last one.
-type rival struct {
-	id    string
-	beats int
-}
-
 // New returns an empty table. An instance that was not heard of for
 // missingAfter becomes Missing, and is forgotten after forgetAfter.
 func New(missingAfter, forgetAfter time.Duration) *Table {
@@ -140,6 +138,10 @@
 	if before.State != Leaving && instance.State != Missing && (owned || instance.State == Leaving) {
 		known.instance.State = instance.State
 	}
+	if instance.State == Leaving {
+		known.instance.Replaced = false
+		t.endClaims(known)
+	}
 	known.instance.Slots = instance.Slots
 	if before.State == known.instance.State && before.Slots == known.instance.Slots && !turnedCold {
 		return false
@@ -165,54 +167,6 @@
 	return true
 }
 
-// rivalBeats is how many heartbeats in a row an instance has to send to be believed at an
-// address at which another one announced itself since: one may have been held up by a cut
-// until its sender had ended and a new instance was there.
-const rivalBeats = 2
-
-// owns takes in a heartbeat of a known instance and reports whether it is the one at its
-// address. What other nodes tell of the same heartbeat counts once.
-func (t *Table) owns(known *entry, sequence uint64) bool {
-	id, address := known.instance.ID, known.instance.Address
-	owner := t.entries[t.byAddress[address]]
-	if owner == nil || owner == known {
-		t.byAddress[address] = id
-		delete(t.rivals, address)
-		return true
-	}
-	if known.instance.State == Leaving || owner.precedes(known.instance) {
-		return false // It is a late one of a start that left, or of an earlier one.
-	}
-	claiming := t.rivals[address]
-	if claiming.id != id {
-		claiming = rival{id: id}
-	}
-	if sequence > known.instance.Sequence {
-		claiming.beats++
-	}
-	t.rivals[address] = claiming
-	if claiming.beats < rivalBeats {
-		return false
-	}
-	t.replaceAt(owner.instance.ID, id)
-	t.byAddress[address] = id
-	delete(t.rivals, address)
-	return true
-}
-
-// later reports whether the entry is of a later start than an instance, by what both say.
-func (e *entry) later(instance Instance) bool {
-	return instance.Born > 0 && e.instance.Born > instance.Born
-}
-
-// precedes reports whether the owner of an address goes before an instance that sends heartbeats
-// from there: it is of a later start and was heard of lately. The time of a start is by the clock
-// of the server's machine, which may have been set back, so that it does not tell for one that is
-// silent.
-func (e *entry) precedes(instance Instance) bool {
-	return e.instance.State == Ready && e.later(instance)
-}
-
 // Knows reports whether the table holds an instance.
 func (t *Table) Knows(id string) bool {
 	_, exists := t.entries[id]
@@ -223,16 +177,27 @@
 	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft)}
 	t.entries[instance.ID] = added
 	t.addStart(added)
-	if previous, taken := t.byAddress[instance.Address]; taken {
-		if owner := t.entries[previous]; owner != nil && owner.instance.State != Leaving && owner.later(instance) {
+	t.succeed(added)
+	t.enterAddress(added)
+	t.touch(added)
+}
+
+// enterAddress makes a new entry the owner of its address, unless one that goes before it is there.
+func (t *Table) enterAddress(added *entry) {
+	address := added.instance.Address
+	owner := t.entries[t.byAddress[address]]
+	switch {
+	case added.instance.Replaced:
+		return
+	case owner != nil && owner.instance.State != Leaving && owner.later(added.instance):
+		if added.instance.State == Ready {
 			added.instance.State = Missing
-			t.touch(added)
-			return
 		}
-		t.replaceAt(previous, instance.ID)
+		return
+	case owner != nil:
+		t.replaceAt(owner.instance.ID, added.instance.ID)
 	}
-	t.byAddress[instance.Address] = instance.ID
-	t.touch(added)
+	t.byAddress[address] = added.instance.ID
 }
 
 // replaceAt marks the former owner of an address: whoever listens there now is
@@ -271,20 +236,11 @@
 	if !exists || known.instance.State == Leaving {
 		return false
 	}
-	known.instance.State = Leaving
+	known.instance.State, known.instance.Replaced = Leaving, false
 	t.touch(known)
 	return true
 }
 
-// LeaveName marks the starts of a server as leaving for which a departure holds.
-func (t *Table) LeaveName(left NameDeparture) {
-	for id, known := range t.byName[left.Name] {
-		if left.holds(known.instance) {
-			t.Leave(id)
-		}
-	}
-}
-
 // LeaveOthers marks all instances of a service as leaving that are of another version than
 // one: a roll-out has replaced them. It reports how many it marked.
 func (t *Table) LeaveOthers(service, version string) (marked int) {
@@ -346,11 +302,23 @@
 	return known.at(now), true
 }
 
-// Count returns how many instances are in a state.
+// Count returns how many instances are in a state. Those that other starts of their servers have
+// replaced are in none.
 func (t *Table) Count(state State) int {
 	count := 0
 	for _, known := range t.entries {
-		if known.instance.State == state {
+		if known.instance.State == state && !known.instance.Replaced {
+			count++
+		}
+	}
+	return count
+}
+
+// CountReplaced returns how many instances other starts of their servers have replaced.
+func (t *Table) CountReplaced() int {
+	count := 0
+	for _, known := range t.entries {
+		if known.instance.Replaced {
 			count++
 		}
 	}
--- /dev/null
+++ b/internal/registry/succession.go
@@ -0,0 +1,188 @@
+package registry
+
+// A server that keeps its name has one process at a time, and so has an address: of the starts of one
+// server, at most one is in use. The others are replaced and get no work, since the process that
+// answers for them is the one in use, with its capacity, its connections and its departure.
+//
+// Which start is in use follows from the order in which starts were heard of and from the times of
+// start that they name. Where both agree, the later one is in use at once. Where they don't, a clock was set
+// back or a heartbeat is late: at one address the start that was known stays in use until it is silent
+// and the other one goes on sending heartbeats (rivalBeats).
+
+// succeed settles which start of a server is in use, when one of them is heard of for the first time.
+func (t *Table) succeed(added *entry) {
+	for _, known := range t.byName[NameOf(added.instance.ID)] {
+		switch {
+		case known == added || known.former:
+		case added.instance.Born > known.instance.Born:
+			t.supersede(known, added)
+		case added.instance.Address == known.instance.Address:
+			t.setAside(added)
+		}
+	}
+}
+
+// supersede takes a start out of use for good measure: another one of its server has taken its
+// place, and only its own heartbeats bring it back.
+func (t *Table) supersede(known, by *entry) {
+	known.former = true
+	if known.instance.Replaced || known.instance.State == Leaving {
+		return
+	}
+	t.setAside(known)
+	t.noteReplaced(known, by.instance.ID)
+}
+
+// setAside takes a start out of use until it is the one that goes on sending heartbeats.
+func (t *Table) setAside(known *entry) {
+	if known.instance.State == Leaving {
+		return
+	}
+	known.instance.State, known.instance.Replaced = Missing, true
+	delete(t.rivals, known.instance.Address)
+	t.touch(known)
+}
+
+// rivalBeats is how many heartbeats in a row an instance has to send to be believed where another one
+// is: one may have been held up by a cut until its sender had ended and a new instance was there.
+const rivalBeats = 2
+
+// rival is an instance with the heartbeats that it sent since the one in its place sent the last one.
+type rival struct {
+	id    string
+	beats int
+}
+
+// owns takes in a heartbeat of a known instance and reports whether it is the one in use, of its
+// server and at its address. What other nodes tell of the same heartbeat counts once.
+func (t *Table) owns(known *entry, sequence uint64) bool {
+	before := t.ahead(known)
+	if before == nil && !known.instance.Replaced {
+		t.hold(known)
+		return true
+	}
+	if known.instance.State == Leaving || before != nil && before.precedes(known.instance) {
+		return false // It is a late one of a start that left, or of an earlier one.
+	}
+	claiming := t.rivals[known.instance.Address]
+	if claiming.id != known.instance.ID {
+		claiming = rival{id: known.instance.ID}
+	}
+	if sequence > known.instance.Sequence {
+		claiming.beats++
+	}
+	t.rivals[known.instance.Address] = claiming
+	if claiming.beats < rivalBeats {
+		return false
+	}
+	t.takeOver(known, before)
+	return true
+}
+
+// ahead returns the instance that is believed rather than one: the start in use of its server, or
+// the owner of its address; nil for none.
+func (t *Table) ahead(known *entry) *entry {
+	if known.instance.Replaced {
+		if current := t.current(NameOf(known.instance.ID)); current != nil {
+			return current
+		}
+	}
+	if owner := t.entries[t.byAddress[known.instance.Address]]; owner != known {
+		return owner
+	}
+	return nil
+}
+
+// current returns the start of a server that is in use: of several, one that is heard of before one
+// that is silent or left, and the one that claims to be the latest; nil for none.
+func (t *Table) current(name string) (found *entry) {
+	for _, known := range t.byName[name] {
+		switch ready := known.instance.State == Ready; {
+		case known.instance.Replaced:
+		case found == nil || ready && found.instance.State != Ready:
+			found = known
+		case ready == (found.instance.State == Ready) && known.instance.Born > found.instance.Born:
+			found = known
+		}
+	}
+	return found
+}
+
+// hold has an instance in use keep its address, and ends the claims of others. An instance that left
+// ends none: heartbeats of it that say ready are late.
+func (t *Table) hold(known *entry) {
+	t.byAddress[known.instance.Address] = known.instance.ID
+	if known.instance.State != Leaving {
+		t.endClaims(known)
+	}
+}
+
+// endClaims has the rivals of an instance begin anew: it was heard of.
+func (t *Table) endClaims(known *entry) {
+	delete(t.rivals, known.instance.Address)
+	for _, other := range t.byName[NameOf(known.instance.ID)] {
+		delete(t.rivals, other.instance.Address)
+	}
+}
+
+// takeOver puts an instance in the place of the one that was believed.
+func (t *Table) takeOver(known, before *entry) {
+	known.former = false
+	if known.instance.Replaced {
+		known.instance.Replaced = false
+		t.touch(known)
+	}
+	if before != nil && NameOf(before.instance.ID) != NameOf(known.instance.ID) {
+		t.replaceAt(before.instance.ID, known.instance.ID)
+	}
+	for _, other := range t.byName[NameOf(known.instance.ID)] {
+		if other != known {
+			t.supersede(other, known)
+		}
+	}
+	t.hold(known)
+}
+
+// later reports whether the entry is of a later start than an instance, by what both say.
+func (e *entry) later(instance Instance) bool {
+	return instance.Born > 0 && e.instance.Born > instance.Born
+}
+
+// precedes reports whether an entry goes before an instance that sends heartbeats in its place: it is
+// of a later start and was heard of lately. The time of a start is by the clock of the server's machine,
+// which may have been set back, so that it does not tell for one that is silent.
+func (e *entry) precedes(instance Instance) bool {
+	return e.instance.State == Ready && e.later(instance)
+}
+
+// LeaveName marks the starts of a server as leaving for which a departure holds. Where the departure
+// names a start, and that one may have been in use, starts that were known before it and claim to be later
+// are set aside: a clock may have been set back between them.
+func (t *Table) LeaveName(left NameDeparture) {
+	departed := t.byName[left.Name][LifeID(left.Name, left.Born)]
+	inUse := left.Born > 0 && (departed == nil || !departed.former)
+	for id, known := range t.byName[left.Name] {
+		switch {
+		case left.holds(known.instance):
+			t.Leave(id)
+		case inUse && known.instance.Since <= left.Before && !known.instance.Replaced:
+			t.setAside(known)
+			t.noteReplaced(known, LifeID(left.Name, left.Born))
+		}
+	}
+}
+
+// Former returns the ids of the starts that one start of a server has taken the place of, whatever
+// times of start they name; none where that one is not known to be in use.
+func (t *Table) Former(id string) (former []string) {
+	starts := t.byName[NameOf(id)]
+	if current := starts[id]; current == nil || current.former {
+		return nil
+	}
+	for other, known := range starts {
+		if known.former {
+			former = append(former, other)
+		}
+	}
+	return former
+}
--- /dev/null
+++ b/internal/registry/succession_test.go
@@ -0,0 +1,186 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/martenstage/martenstage/internal/registry"
+)
+
+const (
+	successionMissingAfter = 5 * time.Second
+	successionForgetAfter  = time.Minute
+	successionName         = "i"
+)
+
+// succession is a table that hears of the starts of one server, and the log of its group.
+type succession struct {
+	table *registry.Table
+	now   time.Time
+	index uint64
+	// sequences are the last ones of each start.
+	sequences map[int64]uint64
+}
+
+func newSuccession() *succession {
+	return &succession{
+		table: registry.New(successionMissingAfter, successionForgetAfter), now: time.Unix(100, 0), sequences: map[int64]uint64{},
+	}
+}
+
+// beat takes in a heartbeat of a start.
+func (s *succession) beat(born int64, address string, state registry.State) {
+	s.sequences[born]++
+	s.table.Report(s.now, registry.Instance{
+		ID: registry.LifeID(successionName, born), Born: born, Service: "s", Address: address, Slots: 2, State: state,
+		Sequence: s.sequences[born], Since: s.index + 1,
+	})
+}
+
+// depart takes in the departure of a start as a node does that applies it.
+func (s *succession) depart(born int64) {
+	id := registry.LifeID(successionName, born)
+	former := s.table.Former(id)
+	s.index++
+	for _, left := range append(former, id) {
+		s.table.Leave(left)
+	}
+	s.table.LeaveName(registry.NameDeparture{Name: successionName, Before: s.index, Born: born})
+}
+
+// inUse returns the starts that routers may send work to, by their address.
+func (s *succession) inUse() map[string][]int64 {
+	found := map[string][]int64{}
+	for _, known := range s.table.Since(s.now, 0) {
+		if known.State != registry.Leaving && !known.Replaced {
+			found[known.Address] = append(found[known.Address], known.Born)
+		}
+	}
+	return found
+}
+
+const (
+	firstAddress  = "10.0.0.1:1"
+	secondAddress = "10.0.0.2:1"
+)
+
+// TestServerThatStartedAgainStandsTwiceInTheTable guards against two starts of a server that are both
+// given work, of which the one that answers may have left.
+func TestServerThatStartedAgainStandsTwiceInTheTable(t *testing.T) {
+	for name, second := range map[string]string{"at its address": firstAddress, "at another one": secondAddress} {
+		s := newSuccession()
+		s.beat(10, firstAddress, registry.Ready)
+		s.beat(20, second, registry.Ready)
+		s.beat(10, firstAddress, registry.Ready)
+		require.Equal(t, map[string][]int64{second: {20}}, s.inUse(), name)
+		require.Equal(t, 1, s.table.Count(registry.Ready), name)
+		require.Zero(t, s.table.Count(registry.Missing), name)
+		require.Equal(t, 1, s.table.CountReplaced(), name)
+		s.depart(20)
+		s.beat(10, firstAddress, registry.Ready)
+		s.beat(10, firstAddress, registry.Ready)
+		s.beat(10, firstAddress, registry.Ready)
+		require.Empty(t, s.inUse(), name)
+	}
+}
+
+// TestLateDepartureOfAnEarlierStartTakesTheLaterOneOut guards against the opposite.
+func TestLateDepartureOfAnEarlierStartTakesTheLaterOneOut(t *testing.T) {
+	s := newSuccession()
+	s.beat(10, firstAddress, registry.Ready)
+	s.beat(20, firstAddress, registry.Ready)
+	s.beat(10, firstAddress, registry.Leaving)
+	s.depart(10)
+	require.Equal(t, map[string][]int64{firstAddress: {20}}, s.inUse())
+}
+
+// TestStartWithAClockThatWasSetBackKeepsTheEarlierOneInUse guards against requests by the entry of the
+// start before, which claims to be the later one, once the start in use has left.
+func TestStartWithAClockThatWasSetBackKeepsTheEarlierOneInUse(t *testing.T) {
+	s := newSuccession()
+	s.beat(20, firstAddress, registry.Ready)
+	s.beat(10, firstAddress, registry.Ready)
+	require.Equal(t, map[string][]int64{firstAddress: {20}}, s.inUse(), "the order is not known, and one entry is in use")
+	s.depart(10)
+	require.Empty(t, s.inUse())
+	s.beat(20, firstAddress, registry.Ready)
+	require.Empty(t, s.inUse(), "one heartbeat may be late")
+	s.beat(20, firstAddress, registry.Ready)
+	require.Equal(t, map[string][]int64{firstAddress: {20}}, s.inUse(), "it is the one that goes on")
+}
+
+// TestHeartbeatWithoutATimeOfStartReplacesAStart guards against a garbled heartbeat that takes the
+// place of the start in use.
+func TestHeartbeatWithoutATimeOfStartReplacesAStart(t *testing.T) {
+	s := newSuccession()
+	s.beat(20, firstAddress, registry.Ready)
+	s.beat(0, firstAddress, registry.Ready)
+	require.Equal(t, map[string][]int64{firstAddress: {20}}, s.inUse())
+	other := newSuccession()
+	other.beat(0, firstAddress, registry.Ready)
+	other.beat(20, firstAddress, registry.Ready)
+	require.Equal(t, map[string][]int64{firstAddress: {20}}, other.inUse(), "its software names them from this start on")
+}
+
+// TestStartsOfAServerSucceedEachOther plays a server that ends and starts again with any clock, at any
+// address, whose starts leave, and of which heartbeats come late.
+func TestStartsOfAServerSucceedEachOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSuccession()
+		addresses := []string{firstAddress, secondAddress}
+		borns := rapid.SliceOfNDistinct(rapid.Int64Range(1, 1000), 2, 5, rapid.ID[int64]).Draw(t, "borns")
+		at := make(map[int64]string)
+		for position, born := range borns {
+			at[born] = rapid.SampledFrom(addresses).Draw(t, "address")
+			playStart(t, s, born, at)
+			requireOneInUse(t, s)
+			if rapid.Bool().Draw(t, "leaves") {
+				s.beat(born, at[born], registry.Leaving)
+				s.depart(born)
+				require.NotContains(t, s.inUse(), at[born], "the start in use has left")
+				playLate(t, s, borns[:position], at)
+				require.NotContains(t, s.inUse(), at[born], "a late heartbeat brings an earlier start back")
+			}
+		}
+		born := borns[len(borns)-1] + 2000
+		at[born] = firstAddress
+		playStart(t, s, born, at)
+		s.now = s.now.Add(successionMissingAfter + time.Second)
+		s.table.Expire(s.now)
+		for range 4 {
+			s.beat(born, firstAddress, registry.Ready)
+		}
+		require.Contains(t, s.inUse()[firstAddress], born, "the last start serves")
+	})
+}
+
+// playStart has a start send some heartbeats, between which one of each start before it may be late.
+func playStart(t *rapid.T, s *succession, born int64, at map[int64]string) {
+	for range rapid.IntRange(1, 5).Draw(t, "heartbeats") {
+		s.beat(born, at[born], registry.Ready)
+		requireOneInUse(t, s)
+		if rapid.Bool().Draw(t, "time passes") {
+			s.now = s.now.Add(successionMissingAfter / 2)
+			s.table.Expire(s.now)
+		}
+	}
+}
+
+// playLate has one heartbeat of each of some starts come late.
+func playLate(t *rapid.T, s *succession, starts []int64, at map[int64]string) {
+	for _, born := range starts {
+		if rapid.Bool().Draw(t, "late") {
+			s.beat(born, at[born], registry.Ready)
+		}
+	}
+}
+
+// requireOneInUse fails if two starts of the server are given work at one address.
+func requireOneInUse(t *rapid.T, s *succession) {
+	for address, borns := range s.inUse() {
+		require.Len(t, borns, 1, address)
+	}
+}
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -109,7 +109,7 @@
 		from.overConnected(e.now)
 		e.timers.add(timer{at: from.fullUntil, kind: timerRoom, service: from.Service})
 	case OtherInstance:
-		from.replaced = true
+		from.misdirected = true
 		e.emit(Noted{Server: from.Server, Belief: "server_replaced"})
 	case Aborted:
 		e.histogram(route).Observe(e.now, took)
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -167,7 +167,7 @@
 		return
 	}
 	told.Leaving = told.Leaving || known.Leaving
-	if told.Leaving != known.Leaving || told.Missing != known.Missing {
+	if told.Leaving != known.Leaving || told.Missing != known.Missing || told.Replaced != known.Replaced {
 		e.emit(Noted{Server: told, Belief: "server_changed", Detail: known.recentWork(e.now)})
 	}
 	known.missingTold = known.missingTold && told.Missing
--- a/internal/scatter/events.go
+++ b/internal/scatter/events.go
@@ -127,6 +127,8 @@
 	// Missing servers are silent towards the directory; they get work only if
 	// there is no other.
 	Missing bool
+	// Replaced servers get no work: another start of the same server is in use in their place.
+	Replaced bool
 	// WarmAt is when the server is no longer cold: slow, and able to bear few requests.
 	WarmAt time.Time
 }
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -45,8 +45,8 @@
 	connectionsUntil time.Time
 	// missingTold says that the log has it that work is sent although the directory misses it.
 	missingTold bool
-	// replaced says that another server answers at the address.
-	replaced bool
+	// misdirected says that another server answers at the address.
+	misdirected bool
 	// coldTokens is what this router may send to the server while it is cold, filled at
 	// coldFilled.
 	coldTokens float64
@@ -110,7 +110,7 @@
 }
 
 // usable reports whether the server may get new work at all.
-func (s *server) usable() bool { return !s.Leaving && !s.replaced }
+func (s *server) usable() bool { return !s.Leaving && !s.Replaced && !s.misdirected }
 
 // recentWork says, for the log, what this router has sent to the server.
 func (s *server) recentWork(now time.Time) string {
