Count only heartbeats in a row, over a while, for a start that claims a place

Cause: of what lets a start come back into use where another one of its server is believed. - The claims to an address were ended by each heartbeat of a server that had had the address before. - Two late heartbeats of an earlier start that come at once, with a clock that was set back in between, passed for one that goes on; a heartbeat of a third start in between did not count against it. - A start whose address belonged to a replaced start of the same server was judged like a stranger there. - A start that had left was told as replaced at each copy of its departure: a line each, no decision. Change: each heartbeat of a start ends the claims of the other starts of its server; a start that is replaced has to send heartbeats over half of the time after which it would be missing. The claims of other servers to an address are as before. Why this works: late heartbeats come at once or between those of the start in use.

--- a/internal/gateway/restarted_departure_test.go
+++ b/internal/gateway/restarted_departure_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"testing"
 	"time"
 
@@ -30,13 +29,7 @@
 func (s *departingSite) restart(first *departingServer, born int64) restartedServer {
 	first.crash()
 	time.Sleep(restartPause)
-	address := first.instance.Address
-	var listener net.Listener
-	s.eventually("the address is still in use", func() (free bool) {
-		var err error
-		listener, err = net.Listen("tcp4", address)
-		return err == nil
-	})
+	listener := s.listenAt(first.instance.Address)
 	return restartedServer{first: first, second: s.serve(listener, registry.NameOf(first.instance.ID), born, restartedSeed)}
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -130,7 +130,7 @@
 	if heard.After(known.heard) {
 		known.heard = heard
 	}
-	owned := t.owns(known, instance.Sequence)
+	owned := t.owns(now, known, instance.Sequence)
 	before := known.instance
 	known.instance.Sequence = instance.Sequence
 	turnedCold := instance.WarmLeft > 0 && !now.Before(known.warm)
@@ -157,7 +157,7 @@
 	if !exists || sequence < known.instance.Sequence {
 		return false
 	}
-	owned := t.owns(known, sequence)
+	owned := t.owns(now, known, sequence)
 	known.instance.Sequence, known.heard, known.instance.Restored = sequence, now, false
 	if known.instance.State != Missing || !owned {
 		return false
@@ -188,8 +188,9 @@
 	owner := t.entries[t.byAddress[address]]
 	switch {
 	case added.instance.Replaced:
+		t.rivals[address] = rival{id: added.instance.ID, since: added.heard}
 		return
-	case owner != nil && owner.instance.State != Leaving && owner.later(added.instance):
+	case owner != nil && owner.instance.State != Leaving && !owner.instance.Replaced && owner.later(added.instance):
 		if added.instance.State == Ready {
 			added.instance.State = Missing
 		}
--- a/internal/registry/succession.go
+++ b/internal/registry/succession.go
@@ -1,5 +1,7 @@
 package registry
 
+import "time"
+
 // A server that keeps its name has one process at a time, and so has an address: of the starts of one
 // server, at most one is in use. The others are replaced and get no work, since the process that
 // answers for them is the one in use, with its capacity, its connections and its departure.
@@ -11,6 +13,7 @@
 
 // succeed settles which start of a server is in use, when one of them is heard of for the first time.
 func (t *Table) succeed(added *entry) {
+	t.endClaims(added)
 	for _, known := range t.byName[NameOf(added.instance.ID)] {
 		switch {
 		case known == added || known.former:
@@ -45,40 +48,60 @@
 
 // rivalBeats is how many heartbeats in a row an instance has to send to be believed where another one
 // is: one may have been held up by a cut until its sender had ended and a new instance was there.
-const rivalBeats = 2
-
-// rival is an instance with the heartbeats that it sent since the one in its place sent the last one.
+//
+// A start that is replaced has to send them over claimShare of the time after which an instance counts
+// as missing. Several may have been held up and come at once; the start in use is heard of in between.
+// Where another server has the address, what is meant for one that is gone is answered 421.
+const (
+	rivalBeats = 2
+	claimShare = 0.5
+)
+
+// rival is an instance with the heartbeats that it sent since the one in its place sent the last one, and
+// when the first of them came.
 type rival struct {
 	id    string
 	beats int
+	since time.Time
 }
 
 // owns takes in a heartbeat of a known instance and reports whether it is the one in use, of its
 // server and at its address. What other nodes tell of the same heartbeat counts once.
-func (t *Table) owns(known *entry, sequence uint64) bool {
+func (t *Table) owns(now time.Time, known *entry, sequence uint64) bool {
+	if sequence > known.instance.Sequence && known.instance.State != Leaving {
+		t.endClaims(known)
+	}
 	before := t.ahead(known)
 	if before == nil && !known.instance.Replaced {
 		t.hold(known)
 		return true
 	}
-	if known.instance.State == Leaving || before != nil && before.precedes(known.instance) {
-		return false // It is a late one of a start that left, or of an earlier one.
+	if known.instance.State == Leaving {
+		return false
 	}
 	claiming := t.rivals[known.instance.Address]
 	if claiming.id != known.instance.ID {
-		claiming = rival{id: known.instance.ID}
+		claiming = rival{id: known.instance.ID, since: now}
 	}
 	if sequence > known.instance.Sequence {
 		claiming.beats++
 	}
 	t.rivals[known.instance.Address] = claiming
-	if claiming.beats < rivalBeats {
+	if before != nil && before.precedes(known.instance) {
+		return false // It is a late one of an earlier start.
+	}
+	if claiming.beats < rivalBeats || known.instance.Replaced && now.Sub(claiming.since) < t.claimTime() {
 		return false
 	}
 	t.takeOver(known, before)
 	return true
 }
 
+// claimTime is over which time a start that is replaced has to send heartbeats to be believed.
+func (t *Table) claimTime() time.Duration {
+	return time.Duration(claimShare * float64(t.missingAfter))
+}
+
 // ahead returns the instance that is believed rather than one: the start in use of its server, or
 // the owner of its address; nil for none.
 func (t *Table) ahead(known *entry) *entry {
@@ -87,10 +110,11 @@
 			return current
 		}
 	}
-	if owner := t.entries[t.byAddress[known.instance.Address]]; owner != known {
-		return owner
+	owner := t.entries[t.byAddress[known.instance.Address]]
+	if owner == nil || owner == known || owner.instance.Replaced {
+		return nil
 	}
-	return nil
+	return owner
 }
 
 // current returns the start of a server that is in use: of several, one that is heard of before one
@@ -108,20 +132,22 @@
 	return found
 }
 
-// hold has an instance in use keep its address, and ends the claims of others. An instance that left
-// ends none: heartbeats of it that say ready are late.
+// hold has an instance in use keep its address, and ends the claim of another server to it. An
+// instance that left ends none: heartbeats of it that say ready are late.
 func (t *Table) hold(known *entry) {
 	t.byAddress[known.instance.Address] = known.instance.ID
 	if known.instance.State != Leaving {
-		t.endClaims(known)
+		delete(t.rivals, known.instance.Address)
 	}
 }
 
-// endClaims has the rivals of an instance begin anew: it was heard of.
+// endClaims has the other starts of an instance's server that claim its place begin anew: it was
+// heard of.
 func (t *Table) endClaims(known *entry) {
-	delete(t.rivals, known.instance.Address)
-	for _, other := range t.byName[NameOf(known.instance.ID)] {
-		delete(t.rivals, other.instance.Address)
+	for id, other := range t.byName[NameOf(known.instance.ID)] {
+		if address := other.instance.Address; other != known && t.rivals[address].id == id {
+			delete(t.rivals, address)
+		}
 	}
 }
 
@@ -165,7 +191,7 @@
 		switch {
 		case left.holds(known.instance):
 			t.Leave(id)
-		case inUse && known.instance.Since <= left.Before && !known.instance.Replaced:
+		case inUse && known.instance.Since <= left.Before && known.instance.State != Leaving && !known.instance.Replaced:
 			t.setAside(known)
 			t.noteReplaced(known, LifeID(left.Name, left.Born))
 		}
--- a/internal/registry/succession_test.go
+++ b/internal/registry/succession_test.go
@@ -106,8 +106,11 @@
 	require.Equal(t, map[string][]int64{firstAddress: {20}}, s.inUse(), "the order is not known, and one entry is in use")
 	s.depart(10)
 	require.Empty(t, s.inUse())
-	s.beat(20, firstAddress, registry.Ready)
-	require.Empty(t, s.inUse(), "one heartbeat may be late")
+	for range 3 {
+		s.beat(20, firstAddress, registry.Ready)
+	}
+	require.Empty(t, s.inUse(), "late heartbeats come at once")
+	s.now = s.now.Add(successionMissingAfter / 2)
 	s.beat(20, firstAddress, registry.Ready)
 	require.Equal(t, map[string][]int64{firstAddress: {20}}, s.inUse(), "it is the one that goes on")
 }
@@ -135,8 +138,7 @@
 		at := make(map[int64]string)
 		for position, born := range borns {
 			at[born] = rapid.SampledFrom(addresses).Draw(t, "address")
-			playStart(t, s, born, at)
-			requireOneInUse(t, s)
+			playStart(t, s, born, borns[:position], at)
 			if rapid.Bool().Draw(t, "leaves") {
 				s.beat(born, at[born], registry.Leaving)
 				s.depart(born)
@@ -147,20 +149,22 @@
 		}
 		born := borns[len(borns)-1] + 2000
 		at[born] = firstAddress
-		playStart(t, s, born, at)
+		playStart(t, s, born, borns, at)
 		s.now = s.now.Add(successionMissingAfter + time.Second)
 		s.table.Expire(s.now)
 		for range 4 {
 			s.beat(born, firstAddress, registry.Ready)
+			s.now = s.now.Add(time.Second)
 		}
 		require.Contains(t, s.inUse()[firstAddress], born, "the last start serves")
 	})
 }
 
-// playStart has a start send some heartbeats, between which one of each start before it may be late.
-func playStart(t *rapid.T, s *succession, born int64, at map[int64]string) {
+// playStart has a start send some heartbeats, between which those of earlier ones may come late.
+func playStart(t *rapid.T, s *succession, born int64, earlier []int64, at map[int64]string) {
 	for range rapid.IntRange(1, 5).Draw(t, "heartbeats") {
 		s.beat(born, at[born], registry.Ready)
+		playLate(t, s, earlier, at)
 		requireOneInUse(t, s)
 		if rapid.Bool().Draw(t, "time passes") {
 			s.now = s.now.Add(successionMissingAfter / 2)
@@ -169,10 +173,10 @@
 	}
 }
 
-// playLate has one heartbeat of each of some starts come late.
+// playLate has some heartbeats of earlier starts come late, those of one start at once.
 func playLate(t *rapid.T, s *succession, starts []int64, at map[int64]string) {
 	for _, born := range starts {
-		if rapid.Bool().Draw(t, "late") {
+		for range rapid.IntRange(0, 3).Draw(t, "late") {
 			s.beat(born, at[born], registry.Ready)
 		}
 	}
@@ -184,3 +188,24 @@
 		require.Len(t, borns, 1, address)
 	}
 }
+
+// TestServerKeepsOthersFromAnAddressThatItLeft guards against a start that never comes into use because
+// another server, which had its address before, goes on sending heartbeats from elsewhere.
+func TestServerKeepsOthersFromAnAddressThatItLeft(t *testing.T) {
+	s := newSuccession()
+	other := func(born int64, address string) {
+		s.table.Report(s.now, registry.Instance{
+			ID: registry.LifeID("other", born), Born: born, Service: "s", Address: address, Slots: 2, State: registry.Ready, Sequence: s.sequences[10],
+		})
+	}
+	other(1, firstAddress)
+	other(2, secondAddress)
+	s.beat(20, firstAddress, registry.Leaving)
+	s.depart(20)
+	for range 4 {
+		s.beat(10, firstAddress, registry.Ready)
+		s.now = s.now.Add(time.Second)
+		other(2, secondAddress)
+	}
+	require.Equal(t, []int64{10}, s.inUse()[firstAddress])
+}
