Send no attempt to a process that has the request under another start

Cause: the engine counts attempts, and who was tried, by start. Change: a call passes over starts whose process, by name and address, has an attempt of it out. Measured: TestRetryReachesAServerThatWasTriedUnderItsEarlierStart failed before with a hedge at x#2 beside x#1. The count of servers that a request ended goes by starts still: each end of one is evidence by itself.

--- a/internal/scatter/choice.go
+++ b/internal/scatter/choice.go
@@ -3,24 +3,23 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/evacuation"
 	"github.com/martenstage/martenstage/internal/rollout"
 )
 
-// choose returns the server with the least expected delay among those that were not
+// choose returns the server with the least expected delay among those that a call has not
 // tried. It is a sound one, or one on trial, if there is any; else one that is too slow
 // for what is due, else one that the directory misses, else one that is doubted, and one
 // that could not be reached only where there is no other. A call waits for room at the
 // better ones before it takes a worse one; for the end of a trial it waits only where
 // there is nothing else. A sound one of the own zone goes before all others while it is
 // expected to answer in good time.
-func (g *group) choose(now time.Time, tried []*server, view choiceView) (*server, availability) {
+func (g *group) choose(now time.Time, called *call, view choiceView) (*server, availability) {
 	found := choice{nearCost: math.Inf(1)}
 	for _, candidate := range g.servers {
-		if !candidate.usable() || slices.Contains(tried, candidate) || view.evacuated.Empty(now, candidate.Zone, candidate.Service) || !view.rule.Allows(view.side, candidate.Version) {
+		if !candidate.usable() || called.hasTried(candidate) || view.evacuated.Empty(now, candidate.Zone, candidate.Service) || !view.rule.Allows(view.side, candidate.Version) {
 			continue
 		}
 		if candidate.withheldCold(now, view.cold) {
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -64,6 +64,14 @@
 	steps []Step
 }
 
+// hasTried reports whether a call was sent to a server, or is out at the process that answers for it:
+// a server that started again may be known by two starts.
+func (c *call) hasTried(candidate *server) bool {
+	return slices.Contains(c.tried, candidate) || slices.ContainsFunc(c.live, func(out *attempt) bool {
+		return out.server.sharesProcess(candidate)
+	})
+}
+
 // maxSteps bounds the steps that are kept of a call.
 const maxSteps = 12
 
--- a/internal/scatter/rollouts.go
+++ b/internal/scatter/rollouts.go
@@ -32,18 +32,18 @@
 	view := e.view(called)
 	rule, ruled := e.rollouts[called.group.service]
 	if !ruled {
-		return called.group.choose(e.now, called.tried, view)
+		return called.group.choose(e.now, called, view)
 	}
 	if called.draw == undrawn {
 		called.draw = e.random.Float64()
 	}
 	first := len(called.tried) == 0 && called.earlier == 0
 	view.rule, view.side = rule, rule.SideOf(called.draw, first, called.group.offers(e.now, rule.Target))
-	chosen, found := called.group.choose(e.now, called.tried, view)
+	chosen, found := called.group.choose(e.now, called, view)
 	if found != available && view.side == rollout.New && rule.Phase != rollout.Shifted {
 		// A call is not worse served for being drawn as a canary.
 		view.side = rollout.Old
-		return called.group.choose(e.now, called.tried, view)
+		return called.group.choose(e.now, called, view)
 	}
 	return chosen, found
 }
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -112,6 +112,11 @@
 // usable reports whether the server may get new work at all.
 func (s *server) usable() bool { return !s.Leaving && !s.Replaced && !s.misdirected }
 
+// sharesProcess reports whether what is sent to two starts is answered by one process.
+func (s *server) sharesProcess(other *server) bool {
+	return s.Name != "" && s.Name == other.Name && s.Address == other.Address
+}
+
 // recentWork says, for the log, what this router has sent to the server.
 func (s *server) recentWork(now time.Time) string {
 	if s.sent.IsZero() {
