Close connections to a start that another one has replaced

Servers saw: connections of each router for each of their starts; together they may be more than a server accepts, which resets those beyond. Cause: the pool keeps connections by start. Where a clock was set back, the process in use has those of the start that was believed before, until they are idle for 20 s; those of attempts that were out when a server was forgotten stayed as well. Change: kept connections to replaced starts are closed, and those of attempts as these end.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -37,6 +37,9 @@
 	return &Attempt{pool: p, request: request, server: server, deadline: deadline, chosen: steadyclock.Now()}
 }
 
+// ServerID names the instance that the attempt is for.
+func (a *Attempt) ServerID() string { return a.server.ID }
+
 // SendWithin is within which time after the choice of its server a request is sent, or not at
 // all: longer than a connection takes to come up. A router that stood still longer chooses anew.
 const SendWithin = 2 * dialTimeout
--- a/internal/gateway/departing_site_test.go
+++ b/internal/gateway/departing_site_test.go
@@ -180,9 +180,11 @@
 	latest         atomic.Int64
 	afterDeparture atomic.Int64
 	arrivals       atomic.Int64
-	silent         atomic.Bool
-	leaving        atomic.Bool
-	sequence       atomic.Uint64
+	// connections are those that are open.
+	connections atomic.Int64
+	silent      atomic.Bool
+	leaving     atomic.Bool
+	sequence    atomic.Uint64
 }
 
 // ServeHTTP answers as a sound server does, and notes when requests come.
@@ -201,6 +203,15 @@
 	writer.Header().Set("X-Stamp", "of-"+d.instance.ID)
 }
 
+func (d *departingServer) noteConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		d.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		d.connections.Add(-1)
+	}
+}
+
 func (d *departingServer) noteLatest(after int64) {
 	for {
 		known := d.latest.Load()
@@ -222,7 +233,7 @@
 	added := &departingServer{instance: registry.Instance{
 		ID: registry.LifeID(name, born), Born: born, Service: "s", Address: listener.Addr().String(), Slots: 8, State: registry.Ready,
 	}}
-	added.server = &http.Server{Handler: added}
+	added.server = &http.Server{Handler: added, ConnState: added.noteConnection}
 	go func() { _ = added.server.Serve(listener) }()
 	s.t.Cleanup(func() { _ = added.server.Close() })
 	go s.announce(added, rand.New(rand.NewPCG(seed, 1)))
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -21,6 +21,7 @@
 	requests chan submitted
 	waiting  map[scatter.RequestID]submitted
 	attempts map[scatter.AttemptID]*exchange.Attempt
+	retired  retiredServers
 	last     scatter.RequestID
 	timer    *time.Timer
 	// noted are the beliefs about servers that the present step changed.
@@ -81,6 +82,7 @@
 		events:    make(chan scatter.Event, eventBacklog), requests: make(chan submitted, maxInFlight),
 		waiting:  make(map[scatter.RequestID]submitted),
 		attempts: make(map[scatter.AttemptID]*exchange.Attempt),
+		retired:  newRetiredServers(pool.Forget),
 		claiming: make(map[scatter.RequestID][]int),
 		timer:    time.NewTimer(time.Hour),
 	}
@@ -122,10 +124,17 @@
 func (l *loop) step(event scatter.Event) {
 	switch event := event.(type) {
 	case scatter.Ended:
-		delete(l.attempts, event.Attempt)
+		if out, ok := l.attempts[event.Attempt]; ok {
+			l.retired.ended(out.ServerID())
+			delete(l.attempts, event.Attempt)
+		}
 	case scatter.ServersGone:
 		for _, id := range event.IDs {
-			l.pool.Forget(id)
+			l.retired.retire(id)
+		}
+	case scatter.ServersChanged:
+		for _, changed := range event.Servers {
+			l.retired.change(changed)
 		}
 	}
 	for _, command := range l.engine.Step(steadyclock.Now(), event) {
@@ -182,6 +191,7 @@
 	waiting := l.waiting[command.Request]
 	attempt := l.pool.Start(waiting.encoded, command.Server, command.Deadline)
 	l.attempts[command.Attempt] = attempt
+	l.retired.sent(command.Server.ID)
 	began := steadyclock.Now()
 	go func() {
 		outcome := attempt.Run()
--- a/internal/gateway/restarted_departure_test.go
+++ b/internal/gateway/restarted_departure_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
@@ -137,3 +138,33 @@
 		s.eventually("the start in use gets no requests", func() bool { return server.second.arrivals.Load() > served })
 	}
 }
+
+// TestConnectionsAreKeptToAStartThatIsReplaced guards against routers that hold connections to one
+// process for each of its starts, which together are more than it accepts.
+func TestConnectionsAreKeptToAStartThatIsReplaced(t *testing.T) {
+	const born, earlier = 10_000, 5_000
+	// closedWithin is shorter than an idle connection is kept in any case.
+	const closedWithin = 10 * time.Second
+	s := startDepartingSite(t)
+	s.install()
+	first := s.addServer("x", born, restartedSeed)
+	s.eventually("a server gets no requests", func() bool { return first.arrivals.Load() > 0 })
+	server := s.restart(first, earlier)
+	s.eventually("the clock that was set back is not seen through", func() bool {
+		return s.everyNode(func(n *departingNode) bool { return n.inUse(server.second.instance.ID) })
+	})
+	require.Eventually(t, func() bool { return server.second.connections.Load() <= departingRouters }, closedWithin, 10*time.Millisecond)
+}
+
+// everyNode reports whether something holds at each node.
+func (s *departingSite) everyNode(holds func(*departingNode) bool) bool {
+	return lo.EveryBy(s.nodes, holds)
+}
+
+// inUse reports whether a node tells routers that a start is there and gets work.
+func (n *departingNode) inUse(id string) bool {
+	reply, err := n.Follow(context.Background(), directory.FollowRequest{Router: directory.Router{Name: "test"}})
+	return err == nil && lo.ContainsBy(reply.Instances, func(known registry.Instance) bool {
+		return known.ID == id && known.State == registry.Ready && !known.Replaced
+	})
+}
