Test that a departure binds a start that nobody has heard of yet

Callers see: requests that reach a server 8.3 s after an acknowledgement, where it started again, left without naming its start before any node had taken in a heartbeat of that one, and goes on sending them. Cause: the earlier start is known, though silent for long, so that the departure counts as one of a known server. What nobody has heard of can't be told from a later start. Refusing such a departure refuses true ones as well: a server that deregisters, is silent and calls a slow node first.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -80,6 +80,22 @@
 	c.everywhere("the server goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
 }
 
+// TestDepartureBindsNoStartThatNobodyHasHeardOf guards against a departure without a start that is
+// acknowledged by an earlier start, silent for long, and does not hold for the one in use, whose heartbeats
+// no node has taken in yet.
+func TestDepartureBindsNoStartThatNobodyHasHeardOf(t *testing.T) {
+	c := wholeCluster(t)
+	ctx := context.Background()
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)) })
+	c.everywhere("the earlier start is not silent", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Missing })
+	if c.nodes[1].Depart(ctx, "i1", 0) != nil {
+		return
+	}
+	// It goes on sending heartbeats, of which the first ones were lost.
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 9, registry.Ready, 4)) })
+	c.everywhere("the start in use goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#9") == registry.Leaving })
+}
+
 // insist repeats a call while the group has no leader, as servers do. That a server is unknown is never
 // a reason.
 func (c *cluster) insist(call func() error) {
