Acknowledge a departure again where it was recorded and its server is silent since

Servers saw: a departure whose first answer was lost, refused with "no node that answers has heard of the server" at each further call, for as long as they called. Cause: all starts that are known have left by then, by that very departure, and those that left count as known only for as long as they are heard of. Change: a start that was heard of lately when it left counts for 15 s more: its server repeats the departure. Why this works: the departure that is repeated holds for these starts already; one that only earlier starts are known of, silent before, is refused as before.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -80,6 +80,20 @@
 	c.everywhere("the server goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
 }
 
+// TestDepartureThatIsRecordedIsRefusedWhenRepeated guards against a server that is told that nobody has
+// heard of it, because it was silent since its departure, whose acknowledgement was lost.
+func TestDepartureThatIsRecordedIsRefusedWhenRepeated(t *testing.T) {
+	c := wholeCluster(t)
+	ctx := context.Background()
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)) })
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i2", 5, registry.Ready, 1)) })
+	c.insist(func() error { return c.nodes[1].Depart(ctx, "i1", 0) })
+	c.everywhere("the other server is not silent", func(node *runningNode) bool { return stateAt(node, "i2#5") == registry.Missing })
+	for _, node := range c.nodes {
+		c.insist(func() error { return node.Depart(ctx, "i1", 0) })
+	}
+}
+
 // TestDepartureBindsNoStartThatNobodyHasHeardOf guards against a departure without a start that is
 // acknowledged by an earlier start, silent for long, and does not hold for the one in use, whose heartbeats
 // no node has taken in yet.
--- a/internal/registry/life.go
+++ b/internal/registry/life.go
@@ -56,19 +56,27 @@
 	return slices.Sorted(maps.Keys(t.byName[name]))
 }
 
+// departureRepeats is for how long a server is taken to repeat a departure that was recorded, and
+// whose acknowledgement was lost.
+const departureRepeats = 15 * time.Second
+
 // Heard reports whether the start of a server that is in use is known: one that did not leave, or
-// that left and was heard of lately. What was only kept over a start of the table's node does not
-// count.
+// that left and was heard of lately, or was when it left and may repeat its departure. What was only kept
+// over a start of the table's node does not count.
 func (t *Table) Heard(now time.Time, name string) bool {
 	for _, known := range t.byName[name] {
-		inUse := known.instance.State != Leaving || now.Sub(known.heard) <= t.missingAfter
-		if inUse && !known.instance.Restored {
+		if !known.instance.Restored && known.mayDepart(now, t.missingAfter) {
 			return true
 		}
 	}
 	return false
 }
 
+func (e *entry) mayDepart(now time.Time, missingAfter time.Duration) bool {
+	silent := now.Sub(e.heard)
+	return e.instance.State != Leaving || silent <= missingAfter || e.leftInUse && silent <= departureRepeats
+}
+
 // KeepNames reports whether servers keep their names over starts: some names a time of start, or
 // none is known.
 func (t *Table) KeepNames() bool { return t.named > 0 || len(t.entries) == 0 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -66,6 +66,8 @@
 	warm     time.Time
 	// former says that the start was in use until another one of its server took its place.
 	former bool
+	// leftInUse says that the start was heard of lately when it left.
+	leftInUse bool
 	// revision at which the entry last changed in a way that routers must know.
 	revision uint64
 	// place is that in the table's order of changes.
@@ -136,6 +138,7 @@
 	turnedCold := instance.WarmLeft > 0 && !now.Before(known.warm)
 	known.warm = now.Add(instance.WarmLeft)
 	if before.State != Leaving && instance.State != Missing && (owned || instance.State == Leaving) {
+		known.leftInUse = instance.State == Leaving
 		known.instance.State = instance.State
 	}
 	if instance.State == Leaving {
@@ -174,7 +177,7 @@
 }
 
 func (t *Table) add(heard, now time.Time, instance Instance) {
-	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft)}
+	added := &entry{instance: instance, heard: heard, warm: now.Add(instance.WarmLeft), leftInUse: instance.State == Leaving}
 	t.entries[instance.ID] = added
 	t.addStart(added)
 	t.succeed(added)
@@ -237,6 +240,7 @@
 	if !exists || known.instance.State == Leaving {
 		return false
 	}
+	known.leftInUse = known.instance.State == Ready
 	known.instance.State, known.instance.Replaced = Leaving, false
 	t.touch(known)
 	return true
