Have servers of the soak start again under their names, and leave

Cause: the soak's servers that keep their names started again at a new address after they had left, so that no seed could show requests by an earlier start. Change: a fifth lane: three servers at a time end without a word, start again at their address, another one or one that another server had, with a clock that may be set back, leave in each way, and heartbeats of the first start come late; the start after that has to be served. Older seeds play with -soak.lanes=4.

--- a/cmd/martenstage/soak_records_test.go
+++ b/cmd/martenstage/soak_records_test.go
@@ -71,6 +71,8 @@
 	reached  map[string]bool
 	disks    int
 	passings int
+	// restarts counts the servers that started again and left.
+	restarts int
 }
 
 func (r *soakRecords) note(take func(*soakRecords)) {
--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -7,16 +7,12 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
-	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/proof/testlink"
 	"github.com/martenstage/martenstage/internal/registry"
 )
@@ -64,6 +60,9 @@
 	ending atomic.Bool
 	// kept says that marked requests don't end it; silent that it sends no heartbeats.
 	kept, silent atomic.Bool
+	// heard says that a heartbeat was acknowledged; sequence is that of the last one.
+	heard    atomic.Bool
+	sequence atomic.Uint64
 	// left is closed once the departure was acknowledged.
 	left   chan struct{}
 	once   sync.Once
@@ -80,12 +79,16 @@
 // startNamed is startServer of one that keeps its id over starts, with a time of start; marked
 // requests don't end it.
 func (s *soakSite) startNamed(service string, number int, born int64) *soakServer {
-	listener, err := net.Listen("tcp4", testaddress.Next().String())
-	require.NoError(s.t, err)
+	return s.startNamedAt(s.newHome(), service, number, born)
+}
+
+// startNamedAt is startNamed at an address.
+func (s *soakSite) startNamedAt(home soakHome, service string, number int, born int64) *soakServer {
+	listener := home.listener(s.t)
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &soakServer{
 		site: s, id: fmt.Sprintf("%s%d", service, number), born: born, service: service, zone: fmt.Sprint("z", number%*soakRouters),
-		link: testlink.New(s.t, listener.Addr().String()), left: make(chan struct{}),
+		link: home.link, left: make(chan struct{}),
 		slots: make(chan struct{}, soakSlots), cancel: cancel,
 	}
 	started.kept.Store(born > 0)
@@ -213,21 +216,18 @@
 func (r *soakServer) announce(ctx context.Context) {
 	client := &http.Client{Timeout: soakBeatPatience}
 	defer client.CloseIdleConnections()
-	for sequence := 1; ctx.Err() == nil; sequence++ {
+	for ctx.Err() == nil {
 		leaving := r.leaving.Load()
 		state := "ready"
 		if leaving {
 			state = "draining"
 		}
-		beat := map[string]any{
-			"backend": r.service, "addr": r.link.Address().String(), "zone": r.zone, "slots": soakSlots, "state": state, "seq": sequence,
-		}
-		if r.born > 0 {
-			beat["born"] = r.born
-		}
-		body, _ := json.Marshal(beat)
-		if !r.silent.Load() && r.tell(client, "heartbeat", body) && leaving {
-			r.noteLeft()
+		body := r.heartbeat(state)
+		if !r.silent.Load() && r.tell(client, "heartbeat", body) {
+			r.heard.Store(true)
+			if leaving {
+				r.noteLeft()
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -236,6 +236,18 @@
 	}
 }
 
+// heartbeat returns the next heartbeat.
+func (r *soakServer) heartbeat(state string) []byte {
+	beat := map[string]any{
+		"backend": r.service, "addr": r.link.Address().String(), "zone": r.zone, "slots": soakSlots, "state": state, "seq": r.sequence.Add(1),
+	}
+	if r.born > 0 {
+		beat["born"] = r.born
+	}
+	body, _ := json.Marshal(beat)
+	return body
+}
+
 // noteLeft notes that the departure was acknowledged.
 func (r *soakServer) noteLeft() {
 	r.once.Do(func() {
--- a/cmd/martenstage/soak_test.go
+++ b/cmd/martenstage/soak_test.go
@@ -23,7 +23,7 @@
 var (
 	soakSeed    = flag.Uint64("soak.seed", 1, "seed of the faults of the soak")
 	soakSeconds = flag.Int("soak.seconds", 60, "how long the soak injects faults, in seconds")
-	soakLanes   = flag.Int("soak.lanes", 4, "how many series of faults overlap; the first ones are those of older seeds")
+	soakLanes   = flag.Int("soak.lanes", 5, "how many series of faults overlap; the first ones are those of older seeds")
 	soakNodes   = flag.Int("soak.nodes", 3, "directory nodes of the soak")
 	soakRouters = flag.Int("soak.routers", 3, "gateways of the soak")
 )
@@ -96,6 +96,8 @@
 			disturb = site.disturbStorage
 		case soakAddressLane:
 			disturb = func(ctx context.Context, _ int) { site.disturbAddresses(ctx, other) }
+		case soakRestartLane:
+			disturb = site.disturbRestarts
 		}
 		lanes.Go(func() { disturb(injecting, lane) })
 	}
@@ -341,8 +343,8 @@
 	for _, request := range r.requests {
 		statuses[request.status]++
 	}
-	return fmt.Sprintf("%d faults, %d requests, status %v, %d arrivals, %d departures, %d reads, %d planned stops, %d servers ended by marked requests, %d faults of disks, %d addresses passed",
-		faults, len(r.requests), statuses, len(r.arrivals), len(r.leaves), len(r.reads), len(r.stops), len(r.ends), r.disks, r.passings)
+	return fmt.Sprintf("%d faults, %d requests, status %v, %d arrivals, %d departures, %d reads, %d planned stops, %d servers ended by marked requests, %d faults of disks, %d addresses passed, %d servers started again and left",
+		faults, len(r.requests), statuses, len(r.arrivals), len(r.leaves), len(r.reads), len(r.stops), len(r.ends), r.disks, r.passings, r.restarts)
 }
 
 func TestSoakScheduleDependsOnItsSeedOnly(t *testing.T) {
