--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -43,7 +43,7 @@
 			Name: "martenstage_directory_member_changes_total", Help: "Changes of the group that this node made as its leader.",
 		}, []string{"kind", "outcome"}),
 		instances: factory.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "martenstage_directory_instances_count", Help: "Known servers by state.",
+			Name: "martenstage_directory_instances_count", Help: "Known servers by state; `replaced` are earlier starts of servers that started again, which are in no other.",
 		}, []string{"state"}),
 		version: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_directory_document_version", Help: "Version of the routing document that this node holds.",
