Judge by time, not by state, whether a start was heard of when it left

Servers saw: a departure that was recorded, refused at each further call, where its start was believed to be replaced. Cause: whether a start was heard of lately when it left went by its state ready, which a start that is replaced has not. Change: the table keeps the time of its last call, and compares with when the start was heard of last. Measured: TestStartThatWasReplacedIsHeardOfWhenItLeaves failed before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -91,6 +91,8 @@
 	revision uint64
 	// replaced are the replacements that were not taken yet.
 	replaced []Replacement
+	// latest is the time of the last call that told one.
+	latest time.Time
 	// visited counts the entries that Since looked at, for tests.
 	visited int
 }
@@ -113,6 +115,7 @@
 // instance.Age old. It reports whether routers must know of it. A heartbeat with
 // a lower sequence than the last one is ignored; leaving is never taken back.
 func (t *Table) Report(now time.Time, instance Instance) bool {
+	t.latest = now
 	heard := now.Add(-instance.Age)
 	known, exists := t.entries[instance.ID]
 	if !exists {
@@ -156,6 +159,7 @@
 // Refresh takes in a heartbeat of a known instance that brings nothing new. It
 // reports whether routers must know of it: the instance was missing.
 func (t *Table) Refresh(now time.Time, id string, sequence uint64) bool {
+	t.latest = now
 	known, exists := t.entries[id]
 	if !exists || sequence < known.instance.Sequence {
 		return false
@@ -240,7 +244,7 @@
 	if !exists || known.instance.State == Leaving {
 		return false
 	}
-	known.leftInUse = known.instance.State == Ready
+	known.leftInUse = t.latest.Sub(known.heard) <= t.missingAfter
 	known.instance.State, known.instance.Replaced = Leaving, false
 	t.touch(known)
 	return true
@@ -262,6 +266,7 @@
 // Expire marks instances that were not heard of as missing and forgets those
 // that were missing for long. It reports whether anything changed.
 func (t *Table) Expire(now time.Time) bool {
+	t.latest = now
 	before := t.revision
 	for id, known := range t.entries {
 		silent := now.Sub(known.heard)
--- a/internal/registry/succession_test.go
+++ b/internal/registry/succession_test.go
@@ -209,3 +209,20 @@
 	}
 	require.Equal(t, []int64{10}, s.inUse()[firstAddress])
 }
+
+// TestStartThatWasReplacedIsHeardOfWhenItLeaves guards against a departure that is refused when it is
+// repeated, since its start was believed to be replaced.
+func TestStartThatWasReplacedIsHeardOfWhenItLeaves(t *testing.T) {
+	s := newSuccession()
+	s.beat(20, firstAddress, registry.Ready)
+	s.now = s.now.Add(successionMissingAfter + time.Second)
+	s.table.Expire(s.now)
+	s.beat(10, firstAddress, registry.Ready)
+	s.index++
+	s.table.LeaveName(registry.NameDeparture{Name: successionName, Before: s.index})
+	s.now = s.now.Add(successionMissingAfter + time.Second)
+	s.table.Expire(s.now)
+	require.True(t, s.table.Heard(s.now, successionName))
+	s.now = s.now.Add(successionMissingAfter + 5*time.Second)
+	require.False(t, s.table.Heard(s.now, successionName))
+}
