Take no order of starts from files and other nodes' tables

Cause: the order in which a table came to hold two starts counted as the order in which they were heard of, also where it read them from its file or from another node. Change: what was restored is later than nothing, and what a node tells only if it was heard of after the known one. A start that has left was in use until then, whatever is heard of later. What another node tells of a start that was heard of before a departure of its server with an earlier time of start is taken in as replaced, until it goes on itself. Why this works: the index of the first hearing and that of the departure travel with both, over files and nodes.

--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -198,6 +198,13 @@
 	return m.departed.Hold(instance)
 }
 
+// doubts reports whether an instance may be an earlier start of one that left.
+func (m *machine) doubts(instance registry.Instance) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.departed.Doubts(instance)
+}
+
 // next is the index of the first entry that was not applied yet, as far as entries change the
 // state.
 func (m *machine) next() uint64 {
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -54,6 +54,8 @@
 		first.Since = known.Since
 	}
 	if !applied.holds(first) {
+		// What is new here came from another node, which may not have applied the departure yet.
+		told.Replaced = told.Replaced || applied.doubts(first)
 		return n.registry.Report(now, told)
 	}
 	told.State = registry.Leaving
--- a/internal/registry/departure.go
+++ b/internal/registry/departure.go
@@ -97,6 +97,14 @@
 	return slices.ContainsFunc(d.byName[NameOf(instance.ID)], func(left NameDeparture) bool { return left.holds(instance) })
 }
 
+// Doubts reports whether an instance was heard of before a start of its server left that names an
+// earlier time of start: the one that left may have been in use, with a clock that was set back.
+func (d *Departures) Doubts(instance Instance) bool {
+	return slices.ContainsFunc(d.byName[NameOf(instance.ID)], func(left NameDeparture) bool {
+		return left.Born > 0 && left.Born < instance.Born && instance.Since <= left.Before
+	})
+}
+
 // IDs returns the ids that are kept, the oldest first. They are not to be changed.
 func (d *Departures) IDs() []string { return d.ids }
 
--- a/internal/registry/departure_test.go
+++ b/internal/registry/departure_test.go
@@ -55,3 +55,18 @@
 	require.True(t, departures.Hold(startKnownSince(30, 60)))
 	require.Len(t, departures.NamesAfter(0), 3)
 }
+
+// TestTableOfAnotherNodeBringsAnEarlierStartBack guards against a node that takes an earlier start, with
+// a clock that was set back after it, over from another node's table after it has applied the departure.
+func TestTableOfAnotherNodeBringsAnEarlierStartBack(t *testing.T) {
+	departures := registry.NewDepartures(10)
+	departures.AddName(registry.NameDeparture{Name: "i", Before: 60, Born: 20})
+	require.True(t, departures.Doubts(startKnownSince(90, 60)))
+	require.False(t, departures.Doubts(startKnownSince(90, 61)), "it is heard of after the departure")
+	require.False(t, departures.Doubts(startKnownSince(5, 60)), "it left")
+	s := newSuccession()
+	told := startKnownSince(90, 60)
+	told.Address, told.State, told.Replaced = firstAddress, registry.Ready, true
+	s.table.Report(s.now, told)
+	require.Empty(t, s.inUse())
+}
--- a/internal/registry/succession.go
+++ b/internal/registry/succession.go
@@ -7,17 +7,22 @@
 // answers for them is the one in use, with its capacity, its connections and its departure.
 //
 // Which start is in use follows from the order in which starts were heard of and from the times of
-// start that they name. Where both agree, the later one is in use at once. Where they don't, a clock was set
+// start that they name. Of what another node tells, only what was heard of after the known one counts as
+// later. Where both agree, the later one is in use at once. Where they don't, a clock was set
 // back or a heartbeat is late: at one address the start that was known stays in use until it is silent
 // and the other one goes on sending heartbeats (rivalBeats).
 
 // succeed settles which start of a server is in use, when one of them is heard of for the first time.
 func (t *Table) succeed(added *entry) {
 	t.endClaims(added)
+	if added.instance.Replaced {
+		added.instance.State = Missing
+		return
+	}
 	for _, known := range t.byName[NameOf(added.instance.ID)] {
 		switch {
 		case known == added || known.former:
-		case added.instance.Born > known.instance.Born:
+		case added.instance.Born > known.instance.Born && added.heardLater(known):
 			t.supersede(known, added)
 		case added.instance.Address == known.instance.Address:
 			t.setAside(added)
@@ -25,11 +30,20 @@
 	}
 }
 
-// supersede takes a start out of use for good measure: another one of its server has taken its
-// place, and only its own heartbeats bring it back.
+// heardLater reports whether an entry that is added was heard of after one that is known. When those were
+// that are restored from a file, nobody knows.
+func (e *entry) heardLater(known *entry) bool {
+	return !e.instance.Restored && (known.instance.Restored || !e.heard.Before(known.heard))
+}
+
+// supersede takes a start out of use: another one of its server has taken its place, and only its own
+// heartbeats bring it back. One that has left was in use until then, whatever is heard of after it.
 func (t *Table) supersede(known, by *entry) {
+	if known.instance.State == Leaving {
+		return
+	}
 	known.former = true
-	if known.instance.Replaced || known.instance.State == Leaving {
+	if known.instance.Replaced {
 		return
 	}
 	t.setAside(known)
--- a/internal/registry/succession_test.go
+++ b/internal/registry/succession_test.go
@@ -210,6 +210,20 @@
 	require.Equal(t, []int64{10}, s.inUse()[firstAddress])
 }
 
+// TestTableOfAnotherNodeTurnsTheOrderOfStartsRound guards against an earlier start, with a clock that was
+// set back after it, which takes the place of the start in use because another node tells of it later.
+func TestTableOfAnotherNodeTurnsTheOrderOfStartsRound(t *testing.T) {
+	for name, address := range map[string]string{"at one address": firstAddress, "at another one": secondAddress} {
+		s := newSuccession()
+		s.beat(10, address, registry.Ready)
+		s.table.Report(s.now, registry.Instance{
+			ID: registry.LifeID(successionName, 20), Born: 20, Service: "s", Address: firstAddress, Slots: 2, State: registry.Ready,
+			Sequence: 7, Age: time.Second,
+		})
+		require.Contains(t, s.inUse()[address], int64(10), name)
+	}
+}
+
 // TestStartThatWasReplacedIsHeardOfWhenItLeaves guards against a departure that is refused when it is
 // repeated, since its start was believed to be replaced.
 func TestStartThatWasReplacedIsHeardOfWhenItLeaves(t *testing.T) {
@@ -226,3 +240,35 @@
 	s.now = s.now.Add(successionMissingAfter + 5*time.Second)
 	require.False(t, s.table.Heard(s.now, successionName))
 }
+
+// TestRestoredTableDecidesWhichStartIsInUse guards against a start, with a clock that was set back before
+// it, that gets no requests because a node reads it from its file together with an earlier one.
+func TestRestoredTableDecidesWhichStartIsInUse(t *testing.T) {
+	s := newSuccession()
+	for born, address := range map[int64]string{10: secondAddress, 20: firstAddress} {
+		s.table.Report(s.now, registry.Instance{
+			ID: registry.LifeID(successionName, born), Born: born, Service: "s", Address: address, Slots: 2, State: registry.Ready, Sequence: 3, Restored: true,
+		})
+	}
+	require.Equal(t, map[string][]int64{firstAddress: {20}, secondAddress: {10}}, s.inUse())
+	s.beat(30, secondAddress, registry.Ready)
+	require.Equal(t, map[string][]int64{secondAddress: {30}}, s.inUse())
+}
+
+// TestRestoredTableBringsAnEarlierStartBack guards against requests by an earlier start, with a clock that
+// was set back after it, that a node reads from its file together with the start that has left.
+func TestRestoredTableBringsAnEarlierStartBack(t *testing.T) {
+	s := newSuccession()
+	s.index = 7
+	for _, born := range []int64{10, 20} {
+		state := registry.Ready
+		if born == 10 {
+			state = registry.Leaving
+		}
+		s.table.Report(s.now, registry.Instance{
+			ID: registry.LifeID(successionName, born), Born: born, Service: "s", Address: firstAddress, Slots: 2, State: state, Sequence: 3, Since: 5, Restored: true,
+		})
+	}
+	s.depart(10)
+	require.Empty(t, s.inUse())
+}
