Allow the soak's refusal of a departure that no node can have heard of

Cause: a server that deregisters without its start and is silent is refused by design where no node has heard of it since the node's own start (design 0023); the soak's check held each departure to an acknowledgement. Change: such a one may be refused where each node has started since the server's last acknowledged heartbeat. Every other departure is held to it as before.

--- a/cmd/martenstage/soak_storage_test.go
+++ b/cmd/martenstage/soak_storage_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/stretchr/testify/require"
 )
 
@@ -113,10 +114,18 @@
 	select {
 	case <-server.left:
 	case <-time.After(soakRecoveryTime):
-		s.t.Errorf("the departure of %s is not acknowledged (%s)", server.start(), departure.way)
+		if departure.way != soakFallsSilent || departure.names || !s.nodesStartedSince(server.heard.Load()) {
+			s.t.Errorf("the departure of %s is not acknowledged (%s)", server.start(), departure.way)
+		}
 	}
 }
 
+// nodesStartedSince reports whether each node has started since a time, Unix ns: none of them has heard of
+// a server that is silent since, whose departure is refused where it names no start.
+func (s *soakSite) nodesStartedSince(at int64) bool {
+	return lo.EveryBy(s.nodes, func(node *soakProcess) bool { return node.begun.Load() > at })
+}
+
 // deregister says that the server is gone until that is acknowledged, or the soak ends.
 func (r *soakServer) deregister(departure soakDeparture) {
 	client := &http.Client{Timeout: soakBeatPatience}
