Keep a start that left as leaving where it is taken over in doubt

Callers would see: a start that is known to leave by the table of another node alone and becomes missing, which is used while it answers. Cause: what is taken over in doubt became missing, also where it was told as leaving. Found by reading the change. Change: only what was not told as leaving does. Measured: TestStartThatLeftIsTakenOverAsReplaced failed before.

--- a/internal/registry/succession.go
+++ b/internal/registry/succession.go
@@ -2,23 +2,24 @@
 
 import "time"
 
-// A server that keeps its name has one process at a time, and so has an address: of the starts of one
-// server, at most one is in use. The others are replaced and get no work, since the process that
-// answers for them is the one in use, with its capacity, its connections and its departure.
+// A server that keeps its name has one process at a time. Of its starts at one address, one is in use; the
+// others are replaced and get no work, since the process that answers for them is that of the start in
+// use.
 //
-// Which start is in use follows from the order in which starts were heard of and from the times of
-// start that they name. Of what another node tells, only what was heard of after the known one counts as
-// later. Where both agree, the later one is in use at once. Where they don't, a clock was set
-// back or a heartbeat is late: at one address the start that was known stays in use until it is silent
-// and the other one goes on sending heartbeats (rivalBeats).
+// Which start is in use follows from the order in which they were heard of and from the times of start
+// that they name. Where both agree, the later one is in use at once. Where they don't, a clock was set back
+// or a heartbeat is late: at one address the known start stays in use until it is silent and the other one
+// goes on sending heartbeats. Of what another node tells, only what was heard of after the known start
+// counts as later.
 
 // succeed settles which start of a server is in use, when one of them is heard of for the first time.
 func (t *Table) succeed(added *entry) {
 	t.endClaims(added)
-	if added.instance.Replaced {
+	if added.instance.Replaced && added.instance.State != Leaving {
 		added.instance.State = Missing
 		return
 	}
+	added.instance.Replaced = false
 	for _, known := range t.byName[NameOf(added.instance.ID)] {
 		switch {
 		case known == added || known.former:
@@ -30,8 +31,8 @@
 	}
 }
 
-// heardLater reports whether an entry that is added was heard of after one that is known. When those were
-// that are restored from a file, nobody knows.
+// heardLater reports whether an entry that is added was heard of after one that is known. Of one that
+// was restored from a file, that is not known.
 func (e *entry) heardLater(known *entry) bool {
 	return !e.instance.Restored && (known.instance.Restored || !e.heard.Before(known.heard))
 }
--- a/internal/registry/succession_test.go
+++ b/internal/registry/succession_test.go
@@ -272,3 +272,13 @@
 	s.depart(10)
 	require.Empty(t, s.inUse())
 }
+
+// TestStartThatLeftIsTakenOverAsReplaced guards against a start that is known to leave and becomes
+// missing, since a departure of its server names an earlier time of start.
+func TestStartThatLeftIsTakenOverAsReplaced(t *testing.T) {
+	s := newSuccession()
+	s.table.Report(s.now, registry.Instance{
+		ID: registry.LifeID(successionName, 9), Born: 9, Service: "s", Address: firstAddress, Slots: 2, State: registry.Leaving, Sequence: 1, Replaced: true,
+	})
+	require.Equal(t, registry.Leaving, statesIn(s.table, s.now)["i#9"])
+}
