Leave the start in use alone where an earlier one wins an address back

Servers would see: a start that gets no work for half of the time after which it would be missing. Cause: a start that claims an address from another server took the place of all other starts of its own server as well, by two heartbeats that may be late and come at once. Found by reading the change.

--- a/internal/registry/succession.go
+++ b/internal/registry/succession.go
@@ -168,20 +168,24 @@
 
 // takeOver puts an instance in the place of the one that was believed.
 func (t *Table) takeOver(known, before *entry) {
-	known.former = false
-	if known.instance.Replaced {
-		known.instance.Replaced = false
-		t.touch(known)
-	}
 	if before != nil && NameOf(before.instance.ID) != NameOf(known.instance.ID) {
 		t.replaceAt(before.instance.ID, known.instance.ID)
 	}
+	if known.instance.Replaced {
+		t.putInUse(known)
+	}
+	t.hold(known)
+}
+
+// putInUse makes a start that was replaced the one in use, in the place of all others of its server.
+func (t *Table) putInUse(known *entry) {
+	known.former, known.instance.Replaced = false, false
+	t.touch(known)
 	for _, other := range t.byName[NameOf(known.instance.ID)] {
 		if other != known {
 			t.supersede(other, known)
 		}
 	}
-	t.hold(known)
 }
 
 // later reports whether the entry is of a later start than an instance, by what both say.
--- a/internal/registry/succession_test.go
+++ b/internal/registry/succession_test.go
@@ -273,6 +273,19 @@
 	require.Empty(t, s.inUse())
 }
 
+// TestLateHeartbeatsAtAnotherServersAddressTakeTheStartInUseOut guards against a start that gets no work
+// because late heartbeats of an earlier one win back the address that another server has since.
+func TestLateHeartbeatsAtAnotherServersAddressTakeTheStartInUseOut(t *testing.T) {
+	s := newSuccession()
+	s.beat(10, secondAddress, registry.Ready)
+	s.beat(5, firstAddress, registry.Ready)
+	s.table.Report(s.now, registry.Instance{ID: "other", Service: "s", Address: firstAddress, Slots: 2, State: registry.Ready, Sequence: 1})
+	for range 3 {
+		s.beat(5, firstAddress, registry.Ready)
+	}
+	require.Equal(t, []int64{10}, s.inUse()[secondAddress])
+}
+
 // TestStartThatLeftIsTakenOverAsReplaced guards against a start that is known to leave and becomes
 // missing, since a departure of its server names an earlier time of start.
 func TestStartThatLeftIsTakenOverAsReplaced(t *testing.T) {
