Take no site for one of servers without times of start before its servers had time to announce themselves

Cause: a departure without a start of a server that nobody knows is acknowledged where servers don't keep their names. A node that had just started took that from the first one or two servers that it heard of, which named no time of start. Evidence: all nodes started at 26.1; d0 heard of b2 alone (26.295), acknowledged the departure of a6 with starts=[] at 26.475, and took a6#... in as a new start at 26.483; registry_settled at 27.280. Change: until the node has a table that is settled, servers are taken to keep their names. Why this works: settled means that another node's table was taken over, or all servers had time to announce themselves. On a site whose servers name no times a departure in the first four heartbeats after a start of all nodes may have to be repeated.

--- a/internal/directory/departing.go
+++ b/internal/directory/departing.go
@@ -77,9 +77,10 @@
 }
 
 // knows reports whether a departure of a server that names no start can be told from a later
-// start. The caller holds the mutex.
+// start. That servers don't keep their names shows once all had time to announce themselves. The
+// caller holds the mutex.
 func (n *Node) knows(name string) bool {
-	return n.registry.Heard(steadyclock.Now(), name) || !n.registry.KeepNames()
+	return n.registry.Heard(steadyclock.Now(), name) || n.settled && !n.registry.KeepNames()
 }
 
 // heardTimeout bounds the call by which a node asks the others for the starts of a server.
--- a/internal/directory/sharing_test.go
+++ b/internal/directory/sharing_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // TestATableIsTakenOverOnce asks a node again and again for its table, as nodes do
@@ -28,3 +29,14 @@
 	require.Len(t, node.table(tablePosition{Source: "start-0", Revision: news.Position.Revision}).Instances, 3,
 		"the position is that of an earlier start")
 }
+
+// TestFirstServersTellWhetherNamesAreKept guards against a departure that is acknowledged and binds no
+// start, because the first servers that a node hears of after its start name no time of start.
+func TestFirstServersTellWhetherNamesAreKept(t *testing.T) {
+	node := &Node{registry: registry.New(time.Minute, time.Minute), routers: routerTable{}}
+	node.registry.Report(steadyclock.Now(), registry.Instance{ID: "bare", Address: "10.0.0.1:1", State: registry.Ready})
+	require.False(t, node.knows("i1"))
+	require.True(t, node.knows("bare"))
+	node.settled = true
+	require.True(t, node.knows("i1"), "no server names its time of start")
+}
