Tell other nodes of starts that are taken for replaced

Cause: a start whose order is not known yet was kept by the node that heard of it: what is missing is not shared. Another node took the departure, and later a heartbeat of that start as one of a new start. Evidence: d0 heard of c34# at 17.917; d2 recorded the departure at 18.067 with starts=[c34#]; d1 took c34# in at 18.220, with a later index than the departure. Change: replaced starts are shared and taken over, marked as such; the index of their first hearing travels with them.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -287,3 +287,19 @@
 	}
 	c.everywhere("the server goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
 }
+
+// TestDepartureBindsNoStartThatOneNodeTookForReplaced guards against a start, with a clock that was set
+// back, that one node alone knows of, and that gets requests by the others after its departure.
+func TestDepartureBindsNoStartThatOneNodeTookForReplaced(t *testing.T) {
+	c := wholeCluster(t)
+	ctx := context.Background()
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 9, registry.Ready, 1)) })
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)) })
+	c.everywhere("a node does not know of both starts", func(node *runningNode) bool {
+		reply, err := newsOf(node)
+		return err == nil && lo.ContainsBy(reply.Instances, func(known registry.Instance) bool { return known.ID == "i1#5" && known.Replaced })
+	})
+	c.insist(func() error { return c.nodes[1].Depart(ctx, "i1", 0) })
+	c.insist(func() error { return c.nodes[2].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 2)) })
+	c.everywhere("the start in use goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
+}
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -125,7 +125,7 @@
 		return message
 	}
 	for _, id := range slices.Sorted(maps.Keys(wanted)) {
-		if instance, known := n.registry.Get(now, id); known && instance.State != registry.Missing {
+		if instance, known := n.registry.Get(now, id); known && (instance.State != registry.Missing || instance.Replaced) {
 			message.Instances = append(message.Instances, instance)
 		}
 	}
--- a/internal/directory/takeover.go
+++ b/internal/directory/takeover.go
@@ -109,7 +109,7 @@
 		since = known.Revision
 	}
 	reply.Instances = slices.DeleteFunc(n.registry.Since(now, since), func(instance registry.Instance) bool {
-		return instance.State == registry.Missing
+		return instance.State == registry.Missing && !instance.Replaced
 	})
 	reply.Routers = n.routers.within(now, routerLifetime)
 	return reply
