Give a start of a server that left no work by one late heartbeat

Cause: a heartbeat of an earlier start came late, after the departure and to a node that knew no start of the server any more, since all nodes had started again; it counted as the first one of a later start. Evidence: c28 departed at 41.133 by name; at 41.234 d1 took in c28#, which had ended at about 36, as ready. Change: a start of a server that has left, of which a node hears first by another heartbeat than its first, is replaced until it goes on for half of the time after which it would be missing. Why this works: the sequence tells the first heartbeat of a start, and one that ended does not go on. Measured: TestLateHeartbeatOfAnUnknownStartBringsItIntoUse failed before; it also holds that a start that goes on, and one whose first heartbeat is heard, are served.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -303,3 +303,25 @@
 	c.insist(func() error { return c.nodes[2].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 2)) })
 	c.everywhere("the start in use goes on as ready", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Leaving })
 }
+
+// TestLateHeartbeatOfAnUnknownStartBringsItIntoUse guards against requests to a server that has left, by an
+// earlier start that no table knows any more and of which a heartbeat comes late; and against a later start
+// that is not served because its first heartbeat was lost.
+func TestLateHeartbeatOfAnUnknownStartBringsItIntoUse(t *testing.T) {
+	c := wholeCluster(t)
+	ctx := context.Background()
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 5, registry.Ready, 1)) })
+	c.insist(func() error { return c.nodes[0].Depart(ctx, "i1", 0) })
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 9, registry.Ready, 7)) })
+	reply, err := newsOf(c.nodes[0])
+	require.NoError(t, err)
+	require.True(t, lo.ContainsBy(reply.Instances, func(known registry.Instance) bool { return known.ID == "i1#9" && known.Replaced }))
+	sequence := uint64(7)
+	c.eventually("a start that goes on is not served", func(*runningNode) bool {
+		sequence++
+		c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 9, registry.Ready, sequence)) })
+		return stateAt(c.nodes[0], "i1#9") == registry.Ready
+	})
+	c.insist(func() error { return c.nodes[0].Heartbeat(ctx, startOf("i1", 11, registry.Ready, 1)) })
+	require.Equal(t, registry.Ready, stateAt(c.nodes[0], "i1#11"), "its first heartbeat was heard")
+}
--- a/internal/directory/machine.go
+++ b/internal/directory/machine.go
@@ -205,6 +205,13 @@
 	return m.departed.Doubts(instance)
 }
 
+// hasLeft reports whether some start of a server left.
+func (m *machine) hasLeft(name string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.departed.HasName(name)
+}
+
 // next is the index of the first entry that was not applied yet, as far as entries change the
 // state.
 func (m *machine) next() uint64 {
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -14,13 +14,19 @@
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
+// firstSequence bounds that of the first heartbeat of a start. One that is heard of first by a later
+// heartbeat, of a server that has left, may have ended: it has to go on before it gets work.
+const firstSequence = 1
+
 // report takes in a heartbeat that a server sent to this node.
 func (n *Node) report(instance registry.Instance) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	// Under the mutex: a departure that is applied later finds the server in the table.
 	if !n.registry.Knows(instance.ID) {
-		instance.Since = n.member.state().next()
+		applied := n.member.state()
+		instance.Since = applied.next()
+		instance.Replaced = instance.Sequence > firstSequence && applied.hasLeft(registry.NameOf(instance.ID))
 	}
 	if n.enter(n.member.state(), instance) {
 		n.fresh[instance.ID] = true
--- a/internal/registry/departure.go
+++ b/internal/registry/departure.go
@@ -89,6 +89,9 @@
 // Has reports whether a start left by its id.
 func (d *Departures) Has(id string) bool { return d.starts[id] }
 
+// HasName reports whether a server left by its name.
+func (d *Departures) HasName(name string) bool { return len(d.byName[name]) > 0 }
+
 // Hold reports whether an instance left, by its id or by its name.
 func (d *Departures) Hold(instance Instance) bool {
 	if d.starts[instance.ID] {
