Have a replaced start go on for longer than nodes take to tell of heartbeats

Cause: late heartbeats of one start came to several nodes at once; a node heard of one at once and of the next one 0.8 s later, when the other node told of it, as they do once a second. Evidence: d0 set a9# aside at 49.003, with the departure of a9#, and told routers of it as in use at 49.888. Change: the time over which a replaced start has to send heartbeats is at least two of the intervals in which nodes tell of them: 2 s. At an interval of 1.2 s it is 2.4 s, as before.

--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -94,6 +94,7 @@
 		renewed:     make(chan struct{}),
 		quota:       quotaKeeper{wake: make(chan struct{}, 1)},
 	}
+	node.registry.ClaimAtLeast(2 * beatShareInterval)
 	node.SetSeeds(config.Seeds)
 	member, err := openMember(config, environment, node.peers)
 	if err != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -78,6 +78,7 @@
 type Table struct {
 	missingAfter time.Duration
 	forgetAfter  time.Duration
+	leastClaim   time.Duration
 	entries      map[string]*entry
 	byAddress    map[string]string
 	// byName are the starts of each server, named how many entries tell a time of start.
--- a/internal/registry/succession.go
+++ b/internal/registry/succession.go
@@ -114,9 +114,13 @@
 
 // claimTime is over which time a start that is replaced has to send heartbeats to be believed.
 func (t *Table) claimTime() time.Duration {
-	return time.Duration(claimShare * float64(t.missingAfter))
+	return max(t.leastClaim, time.Duration(claimShare*float64(t.missingAfter)))
 }
 
+// ClaimAtLeast sets a lower bound of the time over which a start that is replaced has to send heartbeats to
+// be believed: longer than heartbeats that came to several nodes at once take to be told from one to another.
+func (t *Table) ClaimAtLeast(least time.Duration) { t.leastClaim = least }
+
 // ahead returns the instance that is believed rather than one: the start in use of its server, or
 // the owner of its address; nil for none.
 func (t *Table) ahead(known *entry) *entry {
--- a/internal/registry/succession_test.go
+++ b/internal/registry/succession_test.go
@@ -241,6 +241,22 @@
 	require.False(t, s.table.Heard(s.now, successionName))
 }
 
+// TestHeartbeatsToldLaterBringAnEarlierStartBack guards against late heartbeats that come to several nodes
+// at once, and are told from one to another over a while, for a start that goes on.
+func TestHeartbeatsToldLaterBringAnEarlierStartBack(t *testing.T) {
+	const toldWithin = 2 * successionMissingAfter
+	s := newSuccession()
+	s.table.ClaimAtLeast(toldWithin)
+	s.beat(20, firstAddress, registry.Ready)
+	s.beat(10, firstAddress, registry.Ready)
+	s.depart(10)
+	for range 3 {
+		s.beat(20, firstAddress, registry.Ready)
+		s.now = s.now.Add(toldWithin / 4)
+	}
+	require.Empty(t, s.inUse())
+}
+
 // TestRestoredTableDecidesWhichStartIsInUse guards against a start, with a clock that was set back before
 // it, that gets no requests because a node reads it from its file together with an earlier one.
 func TestRestoredTableDecidesWhichStartIsInUse(t *testing.T) {
