--- a/internal/gateway/restarts_property_test.go
+++ b/internal/gateway/restarts_property_test.go
@@ -118,11 +118,11 @@
 	for _, node := range random.Perm(departingNodes)[:departingLosses] {
 		kind := slownesses[random.IntN(len(slownesses))]
 		s.t.Logf("node %d: %s", node, kind)
-		mend := s.nodes[node].disturb(kind)
-		healed := time.AfterFunc(disturbedFor, mend)
+		healNode := s.nodes[node].disturb(kind)
+		healed := time.AfterFunc(disturbedFor, healNode)
 		heals = append(heals, func() {
 			if healed.Stop() {
-				mend()
+				healNode()
 			}
 		})
 	}
