--- a/internal/gateway/departures_property_test.go
+++ b/internal/gateway/departures_property_test.go
@@ -103,17 +103,7 @@
 	for _, server := range append(leaving, kept) {
 		s.eventually("a server gets no requests", func() bool { return server.arrivals.Load() > 0 })
 	}
-	for _, node := range random.Perm(departingNodes)[:departingLosses] {
-		kind := slownesses[random.IntN(len(slownesses))]
-		t.Logf("node %d: %s", node, kind)
-		heal := s.nodes[node].disturb(kind)
-		healed := time.AfterFunc(disturbedFor, heal)
-		defer func() {
-			if healed.Stop() {
-				heal()
-			}
-		}()
-	}
+	defer s.slowTwoNodes(random)()
 	time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
 	for number, server := range leaving {
 		way := waysToLeave[number%len(waysToLeave)]
@@ -146,6 +136,12 @@
 	}
 	server.silent.Store(way == leavesSilent)
 	born := lo.Ternary(random.IntN(2) == 0, server.instance.Born, 0)
+	s.deregister(server, born, random)
+}
+
+// deregister tells nodes that a server leaves, by a time of start or with 0 by none, until one
+// acknowledges it.
+func (s *departingSite) deregister(server *departingServer, born int64, random *rand.Rand) {
 	for s.ctx.Err() == nil && server.acknowledged.Load() == 0 {
 		calling, cancel := context.WithTimeout(s.ctx, time.Second)
 		err := s.call(calling, random.IntN(departingNodes), func(ctx context.Context, n *directory.Node) error {
--- a/internal/gateway/restarted_departure_test.go
+++ b/internal/gateway/restarted_departure_test.go
@@ -21,6 +21,9 @@
 	restartedSeed   = 480
 )
 
+// restartedRandom draws the nodes that a server calls.
+func restartedRandom() *rand.Rand { return rand.New(rand.NewPCG(restartedSeed, 2)) }
+
 // restartedServer is the second start of a server at the address of the first.
 type restartedServer struct {
 	first, second *departingServer
@@ -34,21 +37,6 @@
 	return restartedServer{first: first, second: s.serve(listener, registry.NameOf(first.instance.ID), born, restartedSeed)}
 }
 
-// departByID tells nodes that a start of a server leaves, until one acknowledges it.
-func (s *departingSite) departByID(server *departingServer, born int64) {
-	random := rand.New(rand.NewPCG(restartedSeed, 2))
-	for s.ctx.Err() == nil && server.acknowledged.Load() == 0 {
-		calling, cancel := context.WithTimeout(s.ctx, time.Second)
-		err := s.call(calling, random.IntN(departingNodes), func(ctx context.Context, n *directory.Node) error {
-			return n.Depart(ctx, registry.NameOf(server.instance.ID), born)
-		})
-		cancel()
-		if err == nil {
-			server.acknowledged.Store(time.Now().UnixNano())
-		}
-	}
-}
-
 // lateHeartbeats sends heartbeats of a start that has ended, as a cut holds them up.
 func (s *departingSite) lateHeartbeats(ended *departingServer, count int) {
 	for range count {
@@ -73,16 +61,16 @@
 		"says draining": {later, func(s *departingSite, server restartedServer) { server.second.leaving.Store(true) }},
 		"deregisters with its time of start": {later, func(s *departingSite, server restartedServer) {
 			server.second.silent.Store(true)
-			s.departByID(server.second, later)
+			s.deregister(server.second, later, restartedRandom())
 		}},
 		"deregisters without a time of start": {later, func(s *departingSite, server restartedServer) {
 			server.second.silent.Store(true)
-			s.departByID(server.second, 0)
+			s.deregister(server.second, 0, restartedRandom())
 		}},
 		"says draining, clock was set back": {earlier, func(s *departingSite, server restartedServer) { server.second.leaving.Store(true) }},
 		"deregisters with its time of start, clock was set back": {earlier, func(s *departingSite, server restartedServer) {
 			server.second.silent.Store(true)
-			s.departByID(server.second, earlier)
+			s.deregister(server.second, earlier, restartedRandom())
 		}},
 		"says draining, late heartbeats of the earlier start follow": {later, func(s *departingSite, server restartedServer) {
 			server.second.leaving.Store(true)
@@ -131,7 +119,7 @@
 	s.eventually("the second start gets no requests", func() bool { return server.second.arrivals.Load() > 0 })
 	first.instance.State = registry.Leaving
 	s.lateHeartbeats(first, 1)
-	s.departByID(first, born)
+	s.deregister(first, born, restartedRandom())
 	for range 4 {
 		time.Sleep(departingHeartbeat)
 		served := server.second.arrivals.Load()
