Serve a start whose first heartbeats met nodes that could not take it in

Servers would see: a start that gets work 2.4 s later, because a node that was behind the log refused its first heartbeat. Cause: since a start of a server that has left has to go on if a node hears of it first by any heartbeat but its first. Change: its first heartbeats are as many as the nodes that may be lost at once, and one more. Why this works: each such node may leave one unanswered; a start that served before it ended has sent more. Measured: that test, unchanged, passes, and the tests of late heartbeats. An earlier start that ended within its first heartbeats, and of which one comes late after all tables were lost, counts as a later one.

--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -14,10 +14,6 @@
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
-// firstSequence bounds that of the first heartbeat of a start. One that is heard of first by a later
-// heartbeat, of a server that has left, may have ended: it has to go on before it gets work.
-const firstSequence = 1
-
 // report takes in a heartbeat that a server sent to this node.
 func (n *Node) report(instance registry.Instance) {
 	n.mutex.Lock()
@@ -26,7 +22,7 @@
 	if !n.registry.Knows(instance.ID) {
 		applied := n.member.state()
 		instance.Since = applied.next()
-		instance.Replaced = instance.Sequence > firstSequence && applied.hasLeft(registry.NameOf(instance.ID))
+		instance.Replaced = instance.Sequence > n.firstHeartbeats() && applied.hasLeft(registry.NameOf(instance.ID))
 	}
 	if n.enter(n.member.state(), instance) {
 		n.fresh[instance.ID] = true
@@ -38,6 +34,11 @@
 	n.beats[instance.ID] = instance.Sequence
 }
 
+// firstHeartbeats is how many heartbeats a start may send until a node takes one in: as many nodes as may be
+// lost at once may not answer, or refuse it. One that is heard of first by a later heartbeat, of a server that
+// has left, may have ended: it has to go on before it gets work.
+func (n *Node) firstHeartbeats() uint64 { return uint64(n.config.Losses) + 1 }
+
 // tellReplaced logs which instances others have replaced. The caller holds the mutex.
 func (n *Node) tellReplaced() {
 	for _, replaced := range n.registry.TakeReplaced() {
