Log what routers' calls cost a directory node, and why a document is late

Callers saw requests handled by an old document on a large site. No line told a node that is out of processor time from one without a leader, or a late node from a late router, and directory_lost lost the node's address, since its field had the name of the router's own.

--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -27,6 +27,10 @@
 	// staleTransitions counts how often that state became stale.
 	staleTransitions prometheus.Counter
 	misdirected      prometheus.Counter
+	// routerCalls counts calls by callKind and callOutcome; completeTables counts the complete
+	// tables encoded for routers.
+	routerCalls    *prometheus.CounterVec
+	completeTables prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -69,6 +73,12 @@
 		staleTransitions: factory.NewCounter(prometheus.CounterOpts{
 			Name: "martenstage_directory_state_stale_total", Help: "How often the state of this node became out of date, so that routers left it.",
 		}),
+		routerCalls: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_directory_router_calls_total", Help: "Calls of routers by kind and outcome; abandoned ones lost their caller before the reply was ready.",
+		}, []string{"kind", "outcome"}),
+		completeTables: factory.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_directory_complete_tables_encoded_total", Help: "Complete tables of servers that were encoded for routers.",
+		}),
 		stateAge: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_directory_state_age_seconds", Help: "Time since the state of this node was last known to hold all that was acknowledged.",
 		}),
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -70,6 +70,9 @@
 	confirmNow       chan struct{}
 	freshnessRenewed chan struct{}
 	stale            atomic.Bool
+	calls            routerCalls
+	// loggedVersion is the last document version in the log. Only runDepartures uses it.
+	loggedVersion uint64
 	// tableIncomplete reports that another node shared a heartbeat of a server unknown to this
 	// one.
 	tableIncomplete bool
@@ -119,7 +122,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var tasks sync.WaitGroup
 	for _, task := range []func(context.Context){
-		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runRollouts, n.runStateWatch, n.runGroup,
+		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runRollouts, n.runStateWatch, n.runGroup, n.runRouterCalls,
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -74,7 +74,7 @@
 		n.suspectRouters(report)
 		return struct{}{}, nil
 	}))
-	mux.Handle(PathFollow, compressed(handle(n.Follow)))
+	mux.Handle(PathFollow, compressed(handle(n.followCounted)))
 	return n.rejectOtherGroups(mux)
 }
 
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -223,7 +223,7 @@
 		position = next
 		names := state.departedNames(nameIndex)
 		n.logDepartures(ids, names)
-		n.metrics.version.Set(float64(version))
+		n.recordDocument(version)
 		evacuations = n.reportEvacuations(state, evacuations)
 		quarantined = n.countQuarantine(state, quarantined)
 		n.markReplacedServers(state, phases)
--- a/internal/directory/state_watch.go
+++ b/internal/directory/state_watch.go
@@ -115,6 +115,19 @@
 	return now.Sub(confirmed.asOf)
 }
 
+// recordDocument reports the version of the document that the state holds, and logs a change.
+func (n *Node) recordDocument(version uint64) {
+	n.metrics.version.Set(float64(version))
+	if n.loggedVersion == version {
+		return
+	}
+	n.loggedVersion = version
+	status := n.status()
+	n.logger.WithFields(logrus.Fields{
+		"version": version, "applied": status.Applied, "committed": status.Commit, "leader": status.Leader, "term": status.Term,
+	}).Info("document_applied")
+}
+
 // logDepartures logs the departures that the state has applied, and at which index.
 func (n *Node) logDepartures(ids []string, names []registry.NameDeparture) {
 	if len(ids)+len(names) == 0 {
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/addressee"
 	"github.com/martenstage/martenstage/internal/directory"
@@ -66,6 +67,8 @@
 	// passed again.
 	servers  map[string]registry.Instance
 	departed *registry.Departures
+	// lastReplyAt is when the previous reply was applied; zero if there is none.
+	lastReplyAt time.Time
 }
 
 func newFollower(gateway *Gateway) *follower {
@@ -94,7 +97,9 @@
 func (f *follower) handleFollowFailure(err error) {
 	f.gateway.metrics.followFailures.Inc()
 	if !f.disconnected {
-		f.gateway.logger.WithField("node", f.node).WithField("reason", err).Warn("directory_lost")
+		f.gateway.logger.WithFields(logrus.Fields{
+			"directory": f.node, "reason": err, "since_reply": f.sinceLastReply(),
+		}).Warn("directory_lost")
 	}
 	f.disconnected = true
 	f.gateway.quotas.disconnect()
@@ -130,7 +135,7 @@
 	reconnected := f.disconnected
 	if f.disconnected {
 		f.disconnected = false
-		f.gateway.logger.WithField("node", f.node).WithField("source", reply.Source).Info("directory_regained")
+		f.gateway.logger.WithField("directory", f.node).WithField("source", reply.Source).Info("directory_regained")
 	}
 	node := f.node
 	f.followedNode.Store(&node)
@@ -146,6 +151,7 @@
 		// bound.
 		f.gateway.confirm(sentAt.Add(*reply.Fresh))
 	}
+	f.lastReplyAt = steadyclock.Now()
 	f.setNodesInOrder(node)
 	f.leaveStaleNode(ctx, newView)
 	return nil
@@ -336,7 +342,16 @@
 		return
 	}
 	f.request.Version = reply.Version
-	f.gateway.install(document, f.node)
+	f.gateway.install(document, f.node, f.sinceLastReply())
+}
+
+// sinceLastReply returns the time since the previous reply was applied, or since the start if
+// there is none: a document that arrives late was behind this gap.
+func (f *follower) sinceLastReply() time.Duration {
+	if f.lastReplyAt.IsZero() {
+		return steadyclock.Since(f.gateway.started)
+	}
+	return steadyclock.Since(f.lastReplyAt)
 }
 
 func (f *follower) readDocument(packed directory.PackedDocument) (*routing.Document, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,8 +127,9 @@
 	return table.Document().Version
 }
 
-// install makes a document the active one.
-func (g *Gateway) install(document *routing.Document, from string) {
+// install makes a document the active one. It came from a node, sinceReply after the previous
+// reply.
+func (g *Gateway) install(document *routing.Document, from string, sinceReply time.Duration) {
 	before := g.Version()
 	g.loop.events <- scatter.DocumentChanged{Services: document.Services}
 	g.setLimits(document)
@@ -138,7 +139,7 @@
 	g.peers.invalidateCount()
 	g.metrics.version.Set(float64(document.Version))
 	g.logger.WithFields(logrus.Fields{
-		"version": document.Version, "before": before, "routes": len(document.Routes), "tenants": len(document.Tenants), "from": from,
+		"version": document.Version, "before": before, "routes": len(document.Routes), "tenants": len(document.Tenants), "from": from, "since_reply": sinceReply,
 	}).Info("document_installed")
 }
 
--- a/internal/gateway/isolating_test.go
+++ b/internal/gateway/isolating_test.go
@@ -56,7 +56,7 @@
 	}, nil)
 	g.install(&routing.Document{Version: 1, Routes: []routing.Route{
 		{Name: "all", Host: "h", Prefix: "/all/", Timeout: time.Second, Shards: []string{"s", "t"}, LeastShare: 1},
-	}}, "test")
+	}}, "test", 0)
 	require.True(t, g.Ready())
 	g.isolation.recordFailure("a")
 	require.Never(t, func() bool { return !g.Ready() }, 50*time.Millisecond, time.Millisecond)
