Send complete tables by a call of their own, encoded once for all routers

Callers of a large site could be served by an old document, or refused on a route that the document in force has, for as long as many routers came to a directory node at once.

Cause: the reply that carries a document also carried the complete table of servers for a router that comes from another node, encoded and compressed for it alone. 98 tables of 9,575 servers are 1.7 s of a core; a router gives up after 1.5 s and asks again, and the node finishes the abandoned work.

Change: routers ask for the table at /router/table, beside the call that carries documents, departures and evacuations. Until a router has its first table it is not ready and takes neither requests nor slices. Routers of the previous release get tables as before; nodes of the previous release serve new routers as before.

Conclusion: work for tables grows with changes of servers and no longer with routers.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -74,7 +74,7 @@
 	}
 	routers := n.summary.current(now, n.routers)
 	reply = FollowReply{
-		Source: n.source, Group: n.group(), Revision: n.registry.Revision(), Settled: n.settled, Version: version, Document: document,
+		Source: n.source, Group: n.group(), Settled: n.settled, Version: version, Document: document,
 		RouterCount: routers.count, Calls: n.demand.update(now, routers.calls),
 		Nodes: lo.Map(n.status().Members, func(m consensus.MemberStatus, _ int) string { return m.Address }),
 	}
@@ -101,18 +101,35 @@
 	reply.Rollouts, reply.RolloutRevision = n.rolloutUpdate(state, request.RolloutRevision)
 	rolloutsDiffer := reply.RolloutRevision > request.RolloutRevision
 	sameSource := request.Source == n.source
-	since := request.Revision
 	if !sameSource {
-		since, request.Departures, request.DepartedNames = 0, 0, 0
+		request.Departures, request.DepartedNames = 0, 0
 	}
-	reply.Complete = !sameSource
-	reply.Instances = n.registry.ChangedSince(now, since)
+	n.addInstances(&reply, now, request)
 	reply.Departed, reply.Departures = state.departures(request.Departures)
 	reply.DepartedNames = state.departedNames(request.DepartedNames)
 	hasUpdates = !sameSource || len(reply.Instances) > 0 || len(reply.Departed) > 0 || len(reply.DepartedNames) > 0 || reply.Version > 0 || routersDiffer || absentDiffer || evacuationsDiffer || quarantineDiffers || meteredDiffers || rolloutsDiffer
 	return reply, hasUpdates, n.changed, nil
 }
 
+// addInstances adds the servers that a router lacks to a reply. A router without this node's
+// table gets it by a call of its own, so that a long table delays no other update. The caller
+// holds the mutex.
+func (n *Node) addInstances(reply *FollowReply, now time.Time, request FollowRequest) {
+	tableSource, since := request.Source, request.Revision
+	if request.SeparateTable {
+		tableSource = request.TableSource
+	}
+	if tableSource != n.source {
+		if request.SeparateTable {
+			reply.TableOmitted = true
+			return
+		}
+		reply.Complete, since = true, 0
+	}
+	reply.Revision = n.registry.Revision()
+	reply.Instances = n.registry.ChangedSince(now, since)
+}
+
 // newerDocument returns the document if its version is greater than above, otherwise 0 and nil.
 func (n *Node) newerDocument(state *stateMachine, above uint64) (uint64, PackedDocument, error) {
 	version, text, _ := state.document()
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -71,6 +71,7 @@
 	freshnessRenewed chan struct{}
 	stale            atomic.Bool
 	calls            routerCalls
+	tables           tableEncoder
 	// loggedVersion is the last document version in the log. Only runDepartures uses it.
 	loggedVersion uint64
 	// tableIncomplete reports that another node shared a heartbeat of a server unknown to this
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -29,6 +29,8 @@
 	// pathQuarantineList is for operators.
 	pathQuarantineLeader = "/peer/quarantine"
 	pathQuarantineList   = "/operator/quarantine"
+	// PathTable is where routers get the complete table of servers.
+	PathTable = "/router/table"
 	// PathQuarantine is where routers and operators send such orders.
 	PathQuarantine = "/router/quarantine"
 	// pathConfirm asks the leader for the confirmed log index and document version.
@@ -185,6 +187,10 @@
 	Source     string `json:"source"`
 	Revision   uint64 `json:"revision"`
 	Departures int    `json:"departures"`
+	// SeparateTable says that the router gets the complete table by a call of its own.
+	// TableSource is then the source of Revision.
+	SeparateTable bool   `json:"separate_table,omitempty"`
+	TableSource   string `json:"table_source,omitempty"`
 	// DepartedNames is the highest index of a departure by name.
 	DepartedNames uint64 `json:"departed_names,omitempty"`
 	RoutersDigest uint64 `json:"routers"`
@@ -220,6 +226,9 @@
 	Instances []registry.Instance `json:"instances,omitempty"`
 	// Complete reports that Instances are all that the node knows.
 	Complete bool `json:"whole,omitempty"`
+	// TableOmitted reports that the router holds no table of this node and gets it by a call of
+	// its own; Instances and Revision are not set.
+	TableOmitted bool `json:"table_omitted,omitempty"`
 	// Settled reports that a server that is missing from a complete table no longer exists.
 	Settled    bool     `json:"settled"`
 	Departed   []string `json:"departed,omitempty"`
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -74,6 +74,7 @@
 		n.suspectRouters(report)
 		return struct{}{}, nil
 	}))
+	mux.HandleFunc(PathTable, n.serveTable)
 	mux.Handle(PathFollow, compressed(handle(n.followCounted)))
 	return n.rejectOtherGroups(mux)
 }
--- a/internal/directory/router_calls.go
+++ b/internal/directory/router_calls.go
@@ -31,6 +31,7 @@
 const (
 	callFollow callKind = "follow"
 	callProbe  callKind = "probe"
+	callTable  callKind = "table"
 
 	callAnswered  callOutcome = "answered"
 	callRefused   callOutcome = "refused"
@@ -40,35 +41,43 @@
 // routerCalls counts the calls of routers in the present interval. It is safe for concurrent
 // use.
 type routerCalls struct {
-	follows, probes, refused, abandoned, tables atomic.Uint64
+	follows, probes, tables, refused, abandoned, encoded atomic.Uint64
 }
 
 // callSummary holds the counts of one interval.
 type callSummary struct {
-	follows, probes, refused, abandoned, tables uint64
+	follows, probes, tables, refused, abandoned, encoded uint64
 }
 
 // take returns the counts and starts a new interval.
 func (c *routerCalls) take() callSummary {
 	return callSummary{
-		follows: c.follows.Swap(0), probes: c.probes.Swap(0), refused: c.refused.Swap(0),
-		abandoned: c.abandoned.Swap(0), tables: c.tables.Swap(0),
+		follows: c.follows.Swap(0), probes: c.probes.Swap(0), tables: c.tables.Swap(0),
+		refused: c.refused.Swap(0), abandoned: c.abandoned.Swap(0), encoded: c.encoded.Swap(0),
 	}
 }
 
 // unusual reports whether an interval is worth a log line: calls failed, or routers came from
 // other nodes.
-func (s callSummary) unusual() bool { return s.refused+s.abandoned+s.tables > 0 }
+func (s callSummary) unusual() bool { return s.refused+s.abandoned+s.tables+s.encoded > 0 }
 
 // followCounted is Follow with a record of the call and its outcome.
 func (n *Node) followCounted(ctx context.Context, request FollowRequest) (FollowReply, error) {
 	reply, err := n.Follow(ctx, request)
-	kind, outcome := callFollow, callAnswered
-	counter := &n.calls.follows
+	kind := callFollow
 	if request.Probe {
-		kind, counter = callProbe, &n.calls.probes
+		kind = callProbe
 	}
-	counter.Add(1)
+	n.recordCall(ctx, kind, err)
+	if reply.Complete {
+		n.countCompleteTable()
+	}
+	return reply, err
+}
+
+// recordCall records a router's call and its outcome.
+func (n *Node) recordCall(ctx context.Context, kind callKind, err error) {
+	outcome := callAnswered
 	switch {
 	case ctx.Err() != nil:
 		outcome = callAbandoned
@@ -76,16 +85,21 @@
 	case err != nil:
 		outcome = callRefused
 		n.calls.refused.Add(1)
-	case reply.Complete:
-		n.countCompleteTable()
+	}
+	switch kind {
+	case callProbe:
+		n.calls.probes.Add(1)
+	case callTable:
+		n.calls.tables.Add(1)
+	default:
+		n.calls.follows.Add(1)
 	}
 	n.metrics.routerCalls.WithLabelValues(string(kind), string(outcome)).Inc()
-	return reply, err
 }
 
 // countCompleteTable records that a complete table is encoded.
 func (n *Node) countCompleteTable() {
-	n.calls.tables.Add(1)
+	n.calls.encoded.Add(1)
 	n.metrics.completeTables.Inc()
 }
 
@@ -99,8 +113,8 @@
 			return
 		}
 		n.logger.WithFields(logrus.Fields{
-			"follows": summary.follows, "probes": summary.probes, "refused": summary.refused, "abandoned": summary.abandoned,
-			"tables_encoded": summary.tables, "scheduling_delay": delay,
+			"follows": summary.follows, "probes": summary.probes, "tables": summary.tables, "refused": summary.refused,
+			"abandoned": summary.abandoned, "tables_encoded": summary.encoded, "scheduling_delay": delay,
 		}).Info("router_calls")
 	})
 }
--- a/internal/gateway/complete_tables_test.go
+++ b/internal/gateway/complete_tables_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -160,3 +162,19 @@
 	node.mutex.Unlock()
 	require.Eventually(t, func() bool { return router.router.Version() == 2 }, 10*time.Second, time.Millisecond, "a newer document")
 }
+
+// TestRouterWithoutServersIsReady guards against a router that takes connections, requests or
+// slices once it has a document and before it has a table of servers.
+func TestRouterWithoutServersIsReady(t *testing.T) {
+	node := &slowTableNode{version: 1, document: pack(t, mustMarshal(t, oneRoute(1, "s")))}
+	node.address = serve(t, node)
+	router := startRouterOf(t, "router", node.address)
+	require.Eventually(t, func() bool { return router.router.Version() == 1 }, 10*time.Second, time.Millisecond)
+	require.False(t, router.router.Ready())
+	require.Equal(t, http.StatusServiceUnavailable, router.send(http.MethodGet, "/a/x", nil).status)
+	require.Equal(t, http.StatusNotFound, router.send(http.MethodGet, "/unknown/x", nil).status, "the document suffices to tell")
+	slice := httptest.NewRequest(http.MethodPost, "/router/slice", strings.NewReader(`{"shards":["s"],"request":{}}`))
+	answer := httptest.NewRecorder()
+	router.router.PeerHandler().ServeHTTP(answer, slice)
+	require.Equal(t, http.StatusServiceUnavailable, answer.Code, answer.Body.String())
+}
--- a/internal/gateway/evacuating.go
+++ b/internal/gateway/evacuating.go
@@ -27,7 +27,7 @@
 	newer := reply.EvacuationRevision > f.request.EvacuationRevision
 	if newer {
 		duration := time.Duration(evacuationShare * float64(f.gateway.config.EvacuateWithin))
-		if reconnected || reply.Complete {
+		if reconnected || reply.Source != f.request.Source {
 			duration = 0
 		}
 		f.request.EvacuationRevision = reply.EvacuationRevision
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -67,6 +67,11 @@
 	// passed again.
 	servers  map[string]registry.Instance
 	departed *registry.Departures
+	// fetch is the call for a complete table that is under way, or nil; its outcome arrives at
+	// fetched. held is a table that lacks the changes since it was encoded, or nil.
+	fetch   *tableFetch
+	fetched chan fetchedTable
+	held    *fetchedTable
 	// lastReplyAt is when the previous reply was applied; zero if there is none.
 	lastReplyAt time.Time
 }
@@ -76,7 +81,8 @@
 	return &follower{
 		gateway: gateway,
 		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
-		request: directory.FollowRequest{},
+		request: directory.FollowRequest{SeparateTable: true},
+		fetched: make(chan fetchedTable),
 		servers: make(map[string]registry.Instance), departed: registry.NewDepartures(maxDepartures),
 	}
 }
@@ -144,7 +150,7 @@
 	}
 	newView := viewOf(f.node, sentAt, reply)
 	f.applyEvacuations(reply, reconnected)
-	f.applyReply(reply, newView)
+	f.applyReply(ctx, reply, newView)
 	f.updateView(newView)
 	if reply.Fresh != nil && f.request.Version >= reply.Version {
 		// The node received the call after sentAt, so that the confirmed time is a lower
@@ -158,17 +164,52 @@
 }
 
 // requestUpdate requests an update from the followed node. The first call to a node returns at
-// once, with the node's complete state.
+// once. A complete table that arrives meanwhile is completed by a call that starts at once.
 func (f *follower) requestUpdate(ctx context.Context, first bool) (directory.FollowReply, error) {
-	if first {
-		f.request.Wait = 0
-		return f.post(ctx, f.node, f.request, firstFollowTimeout)
-	}
+	timeout := followTimeout
 	f.request.Wait = followWait
-	if f.evacuating {
+	switch {
+	case first:
+		f.request.Wait, timeout = 0, firstFollowTimeout
+	case f.evacuating:
 		f.request.Wait = evacuationInterval
 	}
-	return f.post(ctx, f.node, f.request, followTimeout)
+	for {
+		answer, answered := f.awaitAnswer(ctx, timeout)
+		if answered {
+			return answer.reply, answer.err
+		}
+		f.request.Wait = 0
+	}
+}
+
+// followAnswer is the outcome of a follow request.
+type followAnswer struct {
+	reply directory.FollowReply
+	err   error
+}
+
+// awaitAnswer sends the follow request and waits for its outcome. It returns false once a
+// complete table has arrived.
+func (f *follower) awaitAnswer(ctx context.Context, timeout time.Duration) (answer followAnswer, answered bool) {
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan followAnswer, 1)
+	node, request := f.node, f.request
+	go func() {
+		reply, err := f.post(callCtx, node, request, timeout)
+		answers <- followAnswer{reply: reply, err: err}
+	}()
+	for {
+		select {
+		case answer = <-answers:
+			return answer, true
+		case fetched := <-f.fetched:
+			if f.holdTable(fetched) {
+				return followAnswer{}, false
+			}
+		}
+	}
 }
 
 // post sends a follow request to a node.
@@ -181,37 +222,43 @@
 // call posts a message to a target, which is a node's address and path, and decodes the reply
 // into reply unless it is nil.
 func (f *follower) call(ctx context.Context, target string, message any, timeout time.Duration, reply any) error {
+	_, err := f.callWithHeader(ctx, target, message, timeout, reply)
+	return err
+}
+
+// callWithHeader is call that returns the header of the reply.
+func (f *follower) callWithHeader(ctx context.Context, target string, message any, timeout time.Duration, reply any) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	body, err := json.Marshal(message)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	expected := addressee.Identity{Group: f.gateway.group()}
 	addressee.SetHeaders(request.Header, expected)
 	response, err := f.client.Do(request)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := addressee.CheckResponse(response, expected, false); err != nil {
 		f.gateway.recordMisdirectedAnswer(err)
-		return errors.Wrap(err, target)
+		return nil, errors.Wrap(err, target)
 	}
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	switch {
 	case err != nil:
-		return err
+		return nil, err
 	case response.StatusCode != http.StatusOK:
-		return errors.Newf("%d: %s", response.StatusCode, bytes.TrimSpace(answer))
+		return nil, errors.Newf("%d: %s", response.StatusCode, bytes.TrimSpace(answer))
 	case reply == nil:
-		return nil
+		return response.Header, nil
 	}
-	return json.Unmarshal(answer, reply)
+	return response.Header, json.Unmarshal(answer, reply)
 }
 
 // maxNodesTried is how many nodes a report is sent to, one after the other, until one accepts
@@ -229,19 +276,19 @@
 	return err
 }
 
-func (f *follower) applyReply(reply directory.FollowReply, from view) {
+func (f *follower) applyReply(ctx context.Context, reply directory.FollowReply, from view) {
 	f.applyQuarantine(reply)
 	f.applyMetered(reply)
 	f.applyRollouts(reply)
 	f.logDepartures(reply.Departed, from)
-	f.applyServers(reply)
+	f.applyTableChanges(ctx, reply)
 	f.applyDocument(reply)
 	if len(reply.Nodes) > 0 {
 		f.nodes = reply.Nodes
 	}
 	f.applyRouters(reply)
 	f.request.RoutersDigest, f.request.AbsentDigest = reply.RoutersDigest, reply.AbsentDigest
-	f.request.Source, f.request.Revision, f.request.Departures = reply.Source, reply.Revision, reply.Departures
+	f.request.Source, f.request.Departures = reply.Source, reply.Departures
 }
 
 // applyRouters applies the number of routers, the list of routers and which of them are
@@ -273,13 +320,20 @@
 	}
 }
 
-func (f *follower) applyServers(reply directory.FollowReply) {
-	removed := f.applyDepartures(reply)
-	listed := make(map[string]bool, len(reply.Instances))
+// serverUpdate is a change of the known servers.
+type serverUpdate struct {
+	instances []registry.Instance
+	removed   []string
+	// complete says that other servers than instances do not exist.
+	complete bool
+}
+
+func (f *follower) applyServers(update serverUpdate) {
+	listed := make(map[string]bool, len(update.instances))
+	removed, now := update.removed, steadyclock.Now()
 	var changed []scatter.Server
 	var instances []registry.Instance
-	now := steadyclock.Now()
-	for _, instance := range reply.Instances {
+	for _, instance := range update.instances {
 		listed[instance.ID] = true
 		if f.departed.Includes(instance) {
 			continue
@@ -288,7 +342,7 @@
 		changed = append(changed, toServer(now, instance))
 		instances = append(instances, instance)
 	}
-	if reply.Complete && reply.Settled {
+	if update.complete {
 		removed = append(removed, lo.Reject(lo.Keys(f.servers), func(id string, _ int) bool { return listed[id] })...)
 	}
 	for _, id := range removed {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,13 +49,15 @@
 	closing atomic.Bool
 	// documentKnown is closed once a document is installed.
 	documentKnown chan struct{}
-	inFlight      atomic.Int64
-	answers       atomic.Uint64
-	peers         *peers
-	slices        *sliceClient
-	claims        *claimTable
-	isolation     *isolationMonitor
-	follower      *follower
+	// serversKnown is closed once the router has a table of servers.
+	serversKnown chan struct{}
+	inFlight     atomic.Int64
+	answers      atomic.Uint64
+	peers        *peers
+	slices       *sliceClient
+	claims       *claimTable
+	isolation    *isolationMonitor
+	follower     *follower
 	// quarantine tracks the requests that crash servers. The limits below bound the log lines
 	// about broken attempts, crashed servers and requests refused as quarantined.
 	quarantine             *quarantineMonitor
@@ -86,7 +88,7 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: steadyclock.Now(),
-		documentKnown: make(chan struct{}), suspects: make(chan string, suspectBacklog), claims: newClaimTable(), clients: newClientConnections(environment.Registerer),
+		documentKnown: make(chan struct{}), serversKnown: make(chan struct{}), suspects: make(chan string, suspectBacklog), claims: newClaimTable(), clients: newClientConnections(environment.Registerer),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	_, _ = rand.Read(gateway.keySeed[:]) // crypto/rand.Read never returns an error; it ends the process if there is no randomness.
@@ -113,9 +115,20 @@
 func (g *Gateway) seedList() []string { return *g.seeds.Load() }
 
 // Ready reports whether the router accepts new connections. It does not while it stops, has no
-// document, is isolated from all other zones or can't confirm that keys are still valid.
+// document or no table of servers, is isolated from all other zones or can't confirm that keys
+// are still valid.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.table.Load() != nil && !g.isolation.isolated.Load() && !g.keysExpired()
+	return !g.stopping.Load() && g.table.Load() != nil && g.knowsServers() && !g.isolation.isolated.Load() && !g.keysExpired()
+}
+
+// knowsServers reports whether the router has a table of servers.
+func (g *Gateway) knowsServers() bool {
+	select {
+	case <-g.serversKnown:
+		return true
+	default:
+		return false
+	}
 }
 
 // Version returns the version of the active document; 0 for none.
--- a/internal/gateway/isolating_test.go
+++ b/internal/gateway/isolating_test.go
@@ -57,6 +57,7 @@
 	g.install(&routing.Document{Version: 1, Routes: []routing.Route{
 		{Name: "all", Host: "h", Prefix: "/all/", Timeout: time.Second, Shards: []string{"s", "t"}, LeastShare: 1},
 	}}, "test", 0)
+	close(g.serversKnown)
 	require.True(t, g.Ready())
 	g.isolation.recordFailure("a")
 	require.Never(t, func() bool { return !g.Ready() }, 50*time.Millisecond, time.Millisecond)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -68,6 +68,9 @@
 	if !state.identify(table) {
 		return
 	}
+	if state.refuseWithoutServers() {
+		return
+	}
 	if g.inFlight.Add(1) > maxInFlight {
 		g.inFlight.Add(-1)
 		state.refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, state.retryAfter())
@@ -89,14 +92,33 @@
 	if table := s.gateway.table.Load(); table != nil {
 		return table
 	}
+	s.awaitFirst(s.gateway.documentKnown)
+	return s.gateway.table.Load()
+}
+
+// awaitFirst waits briefly until something that a router lacks after its start is known.
+func (s *exchangeState) awaitFirst(known <-chan struct{}) {
 	timeout := time.NewTimer(min(s.remaining(), firstDocumentTimeout))
 	defer timeout.Stop()
 	select {
-	case <-s.gateway.documentKnown:
+	case <-known:
 	case <-timeout.C:
 	case <-s.request.Context().Done():
 	}
-	return s.gateway.table.Load()
+}
+
+// refuseWithoutServers refuses a request if the router has no table of servers, as just after
+// its start. It returns true if it has.
+func (s *exchangeState) refuseWithoutServers() bool {
+	if s.gateway.knowsServers() {
+		return false
+	}
+	s.awaitFirst(s.gateway.serversKnown)
+	if s.gateway.knowsServers() {
+		return false
+	}
+	s.refuse(http.StatusServiceUnavailable, verdict.ReasonNoLease, s.retryAfter())
+	return true
 }
 
 // remaining returns how long the client waits, counted from the arrival of its request.
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -47,7 +47,7 @@
 		http.Error(writer, "the request is suspected", statusSuspected)
 		return
 	}
-	if g.stopping.Load() || g.inFlight.Add(1) > maxInFlight {
+	if g.stopping.Load() || !g.knowsServers() || g.inFlight.Add(1) > maxInFlight {
 		http.Error(writer, "no slices are taken", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -308,6 +308,9 @@
 	return changed
 }
 
+// Len returns the number of instances, whatever their state.
+func (t *Table) Len() int { return len(t.entries) }
+
 // Get returns an instance.
 func (t *Table) Get(now time.Time, id string) (Instance, bool) {
 	known, exists := t.entries[id]
