Keep a learner that is silent for less than its timeout

Callers saw, on a large site whose leader had been cut off, refusals and changes that took seconds to reach routers; nodes left the group and came back with empty logs.

Cause: the leader's rules were built without the learner timeout of 30 s, so that a learner was removed at the first missed heartbeats. Its node then discards its log, joins under a new id and gets the state anew, and all routers that follow it go elsewhere. Conclusion: silence of a node costs it no state.

--- a/internal/directory/joining.go
+++ b/internal/directory/joining.go
@@ -135,7 +135,9 @@
 
 // runFormation lets the leader grow the group to its size and replace failed voters.
 func (n *Node) runFormation(ctx context.Context) {
-	rules := formationRules{Size: n.config.groupSize(), ReplaceAfter: replaceAfter, CandidateLifetime: candidateLifetime}
+	rules := formationRules{
+		Size: n.config.groupSize(), ReplaceAfter: replaceAfter, LearnerTimeout: learnerTimeout, CandidateLifetime: candidateLifetime,
+	}
 	runEvery(ctx, formationInterval, func() {
 		status := n.status()
 		if status.Role != consensus.Leader {
--- a/internal/directory/node_test.go
+++ b/internal/directory/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -190,3 +191,34 @@
 		return node == isolated && stateAt(node, "i1") == registry.Ready
 	})
 }
+
+// TestSilentLearnerIsRemovedAtOnce guards against a leader that removes a learner as soon as it
+// is silent, so that the node discards its log and the routers that follow it must leave.
+func TestSilentLearnerIsRemovedAtOnce(t *testing.T) {
+	c := newCluster(t, 5)
+	c.losses = 1
+	c.startAll(true)
+	c.put(document(1, "a"))
+	learner := -1
+	c.eventually("there is no learner that follows", func(node *runningNode) bool {
+		voters := node.Voters()
+		learner = slices.IndexFunc(c.addresses, func(address string) bool { return !voters[address] })
+		return len(voters) == 3 && c.nodes[learner].Follows() && c.reads(document(1, "a"))(c.nodes[learner])
+	})
+	isolated := c.nodes[learner]
+	require.NoError(t, isolated.server.Close())
+	// Heartbeats of the leader fail for several election timeouts.
+	time.Sleep(2 * time.Second)
+	listener, err := net.Listen("tcp4", c.addresses[learner])
+	require.NoError(t, err)
+	isolated.server = &http.Server{Handler: isolated.PeerHandler()}
+	go func() { _ = isolated.server.Serve(listener) }()
+	c.put(document(2, "b"))
+	c.eventuallyEverywhere("the learner does not follow again", c.reads(document(2, "b")))
+	for index := range c.nodes {
+		for _, entry := range c.logged[index].AllEntries() {
+			require.NotEqual(t, "remove", entry.Data["kind"], entry.Message)
+			require.NotContains(t, entry.Message, "removed_from_group")
+		}
+	}
+}
