Hold the calls of routers while their directory node has no leader

Callers saw 503 or old documents for seconds after the leader of a large site had been cut off.

Cause: a node that loses its leader refused all its routers at once. They search, come to other nodes, and their calls take the processor time that the election needs. Change: a router that follows the node already is held; Fresh tells how old the state is, and the router leaves a stale node for a fresh one as before. Newcomers are refused as before. TestRoutersLeaveANodeThatLosesItsLeader failed before, passes after; TestMinorityNeitherAcknowledgesNorReads is unchanged.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -16,8 +16,9 @@
 const maxFollowWait = time.Second
 
 // Follow replies to a router as soon as there is an update that it lacks or this node's state
-// becomes stale, or else after the requested wait. If the node has no leader it fails with
-// ErrUnavailable, so that the router follows another node.
+// becomes stale, or else after the requested wait. Without a leader it fails with ErrUnavailable
+// for a router that comes from elsewhere. A router that follows it already learns how old the
+// state is and decides itself: if all left at once, their calls would compete with the election.
 func (n *Node) Follow(ctx context.Context, request FollowRequest) (FollowReply, error) {
 	if !n.servesSeeds(request.Seeds) {
 		return FollowReply{}, errOtherSeeds
@@ -26,7 +27,7 @@
 	deadline := time.NewTimer(min(request.Wait, maxFollowWait))
 	defer deadline.Stop()
 	for {
-		if !n.inGroup() {
+		if !n.inGroup() && (request.Probe || request.Source != n.source) {
 			return FollowReply{}, errors.Wrap(ErrUnavailable, "no leader is heard")
 		}
 		if request.Probe {
--- a/internal/directory/node_test.go
+++ b/internal/directory/node_test.go
@@ -222,3 +222,29 @@
 		}
 	}
 }
+
+// TestRoutersLeaveANodeThatLosesItsLeader guards against a node that refuses all its routers
+// when it loses its leader: they would search together, while the nodes elect the next one.
+func TestRoutersLeaveANodeThatLosesItsLeader(t *testing.T) {
+	c := newCluster(t, 3)
+	c.losses = 1
+	c.startAll(true)
+	c.put(document(1, "a"))
+	c.eventuallyEverywhere("not read", c.reads(document(1, "a")))
+	node, ctx := c.nodes[0], context.Background()
+	router := directory.Router{Name: "g"}
+	first, err := node.Follow(ctx, directory.FollowRequest{Router: router})
+	require.NoError(t, err)
+	c.stop(1)
+	c.stop(2)
+	c.eventually("a router that comes from elsewhere is accepted", func(node *runningNode) bool {
+		_, err := node.Follow(ctx, directory.FollowRequest{Router: router})
+		return err != nil
+	})
+	request := directory.FollowRequest{Router: router, Source: first.Source, Version: first.Version, Revision: first.Revision, Departures: first.Departures}
+	c.eventually("the state never counts as stale", func(node *runningNode) bool {
+		reply, err := node.Follow(ctx, request)
+		require.NoError(t, err, "a router that follows the node is refused")
+		return *reply.Fresh < -directory.StaleAfter
+	})
+}
