Bound the probes of a router that searches a directory node

Cause: each router probed every node up to 20 times a second while none answered, and every other node each 0.5 s while all were stale: probes grew with routers times nodes, at the moment when the nodes elect a leader. Evidence: TestSearchFloodsNodesWithoutALeader counts 397 probes of one router in one search of ten nodes (2 s); the bound is three for each node. Change: a search probes one node after the other, after the first round with pauses that double to 0.2 s; a search for a fresher node probes five, the next five the next time, with pauses from 0.5 s to 2 s. After: the test passes. Conclusion: a router's probes don't grow with the nodes.

--- a/internal/gateway/complete_tables_test.go
+++ b/internal/gateway/complete_tables_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"github.com/martenstage/martenstage/internal/directory"
@@ -77,13 +78,14 @@
 	return node, address, measured
 }
 
-// startRouterOf starts a router that follows one directory node.
-func startRouterOf(t *testing.T, name, node string) *site {
-	s := &site{t: t}
+// startRouterOf starts a router that follows one of some directory nodes.
+func startRouterOf(t *testing.T, name string, nodes ...string) *site {
+	logger := silentLogger()
+	s := &site{t: t, logged: logtest.NewLocal(logger)}
 	s.router = gateway.New(gateway.Config{
-		Name: name, Seeds: []string{node}, Grace: time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
+		Name: name, Seeds: nodes, Grace: time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
 		ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
-	}, gateway.Environment{Logger: silentLogger(), Registerer: prometheus.NewRegistry()})
+	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
 	s.run(listenLocal(t), nil)
 	return s
 }
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -52,6 +52,10 @@
 	// followed one is stale. staleLogged is set once the log states that there is none.
 	nextStaleSearch time.Time
 	staleLogged     bool
+	// staleSearches counts the searches since the state became stale, stalePause is the pause
+	// after the next one.
+	staleSearches int
+	stalePause    time.Duration
 	// followedNode is node, for other goroutines than the follower's.
 	followedNode atomic.Pointer[string]
 	// knownNodes are all nodes, the followed one first, for other goroutines than the
@@ -82,7 +86,7 @@
 		gateway: gateway,
 		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
 		request: directory.FollowRequest{SeparateTable: true},
-		fetched: make(chan fetchedTable),
+		fetched: make(chan fetchedTable), stalePause: staleSearchPause,
 		servers: make(map[string]registry.Instance), departed: registry.NewDepartures(maxDepartures),
 	}
 }
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -23,18 +24,20 @@
 	searchTimeout = 150 * time.Millisecond
 	// searchStagger is the delay between the first probes of two nodes.
 	searchStagger = 10 * time.Millisecond
-	// firstSearchPause and maxSearchPause bound the pause after a failed probe of a node,
-	// which doubles with each failure.
-	firstSearchPause = 20 * time.Millisecond
-	maxSearchPause   = 50 * time.Millisecond
+	// maxSearchPause bounds the pause between two probes of a search, whatever the number of
+	// nodes. After each node was probed once, it doubles with each probe.
+	maxSearchPause = 200 * time.Millisecond
 	// maxSearchTime is the time after which a search fails.
 	maxSearchTime = 2 * time.Second
 	// freshSearchTime is how long a search that has found only nodes with stale state waits
 	// for a better one.
 	freshSearchTime = 200 * time.Millisecond
-	// staleSearchPause is the pause between two searches for a better node than the followed
-	// one.
-	staleSearchPause = 500 * time.Millisecond
+	// staleSearchPause is the pause after the first search for a better node than the followed
+	// one. It doubles with each further search, up to maxStaleSearchPause.
+	staleSearchPause    = 500 * time.Millisecond
+	maxStaleSearchPause = 2 * time.Second
+	// staleSearchNodes is how many nodes such a search probes. Each search takes the next ones.
+	staleSearchNodes = 5
 )
 
 var errNoNode = errors.New("no directory node is reachable")
@@ -55,14 +58,14 @@
 	return f.ageUnknown || now.Sub(f.at) <= directory.StaleAfter
 }
 
-// search probes all known nodes concurrently until one replies whose state is not stale, so
+// search probes all known nodes in turn, without waiting for replies, until one replies whose state is not stale, so
 // that a node that does not respond, has no leader yet or lags behind delays nothing. If all
 // nodes that reply are stale it chooses the newest, because an old list of servers is better
 // than none. Replies to probes are small, since all nodes may reply.
 func (f *follower) search(ctx context.Context) (string, error) {
 	searchCtx, cancel := context.WithTimeout(ctx, maxSearchTime)
 	defer cancel()
-	answers := f.probeAll(searchCtx, f.candidates(), true)
+	answers := f.probeInTurn(searchCtx, f.candidates())
 	best := probeResult{err: errNoNode}
 	failure := errNoNode
 	var settle <-chan time.Time
@@ -89,33 +92,38 @@
 	}
 }
 
-// probeAll probes nodes concurrently, each once or repeatedly until the context ends.
-func (f *follower) probeAll(ctx context.Context, nodes []string, repeat bool) <-chan probeResult {
+// probeInTurn probes nodes one after the other until the context ends, without waiting for
+// replies. All routers may search at the same time, so the rate of probes is bounded.
+func (f *follower) probeInTurn(ctx context.Context, nodes []string) <-chan probeResult {
 	answers := make(chan probeResult)
-	for position, node := range nodes {
-		go f.probeRepeatedly(ctx, node, time.Duration(position)*searchStagger, repeat, answers)
-	}
+	go func() {
+		pause := searchStagger
+		for count := 0; ctx.Err() == nil && len(nodes) > 0; count++ {
+			go f.probeOnce(ctx, nodes[count%len(nodes)], answers)
+			if count >= len(nodes) {
+				pause = min(2*pause, maxSearchPause)
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(jittered(pause)):
+			}
+		}
+	}()
 	return answers
 }
 
-// probeRepeatedly probes one node after a pause, once or repeatedly until the context ends.
-func (f *follower) probeRepeatedly(ctx context.Context, node string, pause time.Duration, repeat bool, answers chan<- probeResult) {
-	for next := firstSearchPause; ; next = min(2*next, maxSearchPause) {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(pause):
-		}
-		answer := f.probe(ctx, node)
-		select {
-		case <-ctx.Done():
-			return
-		case answers <- answer:
-		}
-		if !repeat {
-			return
-		}
-		pause = next
+// jittered returns a time between half and one and a half of a pause, so that routers that
+// begin a search together do not probe a node together.
+func jittered(pause time.Duration) time.Duration {
+	return pause/2 + rand.N(pause)
+}
+
+// probeOnce probes a node and reports the result unless the context has ended.
+func (f *follower) probeOnce(ctx context.Context, node string, answers chan<- probeResult) {
+	answer := f.probe(ctx, node)
+	select {
+	case <-ctx.Done():
+	case answers <- answer:
 	}
 }
 
@@ -151,13 +159,14 @@
 func (f *follower) leaveStaleNode(ctx context.Context, followed view) {
 	now := steadyclock.Now()
 	if followed.at.IsZero() || now.Sub(followed.at) <= directory.StaleAfter {
-		f.staleLogged = false
+		f.staleLogged, f.staleSearches, f.stalePause = false, 0, staleSearchPause
 		return
 	}
 	if now.Before(f.nextStaleSearch) {
 		return
 	}
-	f.nextStaleSearch = now.Add(staleSearchPause)
+	f.nextStaleSearch = now.Add(f.stalePause)
+	f.stalePause = min(2*f.stalePause, maxStaleSearchPause)
 	node, better := f.searchFresh(ctx)
 	logger := f.gateway.logger.WithFields(logrus.Fields{"directory": followed.node, "state_age": now.Sub(followed.at)})
 	if !better {
@@ -171,13 +180,18 @@
 	f.node, f.switched, f.staleLogged = node, true, false
 }
 
-// searchFresh returns a node whose state is not stale, if one replies in time. Each node is
-// probed once, since all routers search when all nodes are stale.
+// searchFresh returns a node whose state is not stale, if one replies in time. It probes a few
+// nodes, once each, since all routers search when all nodes are stale.
 func (f *follower) searchFresh(ctx context.Context) (node string, found bool) {
 	searchCtx, cancel := context.WithTimeout(ctx, freshSearchTime)
 	defer cancel()
-	answers := f.probeAll(searchCtx, lo.Without(f.candidates(), f.node), false)
-	for {
+	nodes := nextNodes(lo.Without(f.candidates(), f.node), f.staleSearches)
+	f.staleSearches++
+	answers := make(chan probeResult)
+	for _, node := range nodes {
+		go f.probeOnce(searchCtx, node, answers)
+	}
+	for range nodes {
 		select {
 		case answer := <-answers:
 			if answer.err == nil && answer.fresh(steadyclock.Now()) {
@@ -187,4 +201,15 @@
 			return "", false
 		}
 	}
+	return "", false
+}
+
+// nextNodes returns the nodes that a search for a better node probes, given the number of
+// searches before it.
+func nextNodes(nodes []string, searches int) []string {
+	if len(nodes) <= staleSearchNodes {
+		return nodes
+	}
+	start := searches * staleSearchNodes % len(nodes)
+	return append(slices.Clone(nodes[start:]), nodes[:start]...)[:staleSearchNodes]
 }
--- a/internal/gateway/searching_test.go
+++ b/internal/gateway/searching_test.go
@@ -66,3 +66,22 @@
 	cancel()
 	require.NoError(t, <-done)
 }
+
+// TestSearchFloodsNodesWithoutALeader guards against searches whose probes grow with the number
+// of nodes: while no node has a leader, all routers search at once.
+func TestSearchFloodsNodesWithoutALeader(t *testing.T) {
+	const nodes = 10
+	var probes atomic.Int64
+	leaderless := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		probes.Add(1)
+		http.Error(writer, "no leader is heard", http.StatusServiceUnavailable)
+	})
+	var addresses []string
+	for range nodes {
+		addresses = append(addresses, serve(t, leaderless))
+	}
+	s := startRouterOf(t, "router", addresses...)
+	require.Eventually(t, func() bool { return s.hasLogged("directory_lost") }, 10*time.Second, time.Millisecond, "the search ends without a node")
+	require.LessOrEqual(t, probes.Load(), int64(3*nodes), "in one search")
+	require.GreaterOrEqual(t, probes.Load(), int64(nodes), "each node is probed")
+}
