--- a/internal/gateway/departing_site_test.go
+++ b/internal/gateway/departing_site_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,8 @@
 	nodes   []*departingNode
 	routers []*gateway.Gateway
 	ctx     context.Context
+	// folder holds the folders of the nodes.
+	folder string
 }
 
 // departingNode is a directory node with a controllable link and disk, whose calls can be
@@ -70,8 +73,10 @@
 }
 
 func startDepartingSite(t *testing.T) *departingSite {
+	// Cleanups run in reverse order: the folder is removed after the nodes have ended.
+	folder := t.TempDir()
 	ctx, stop := context.WithCancel(context.Background())
-	s := &departingSite{t: t, ctx: ctx}
+	s := &departingSite{t: t, ctx: ctx, folder: folder}
 	var running sync.WaitGroup
 	t.Cleanup(func() {
 		stop()
@@ -97,7 +102,7 @@
 
 func (s *departingSite) startNode(index int, node *departingNode, listener net.Listener, seeds []string, running *sync.WaitGroup) {
 	opened, err := directory.Open(directory.Config{
-		Name: "node-" + strconv.Itoa(index), PeerAddress: seeds[index], Seeds: seeds, Bootstrap: true, Folder: s.t.TempDir(),
+		Name: "node-" + strconv.Itoa(index), PeerAddress: seeds[index], Seeds: seeds, Bootstrap: true, Folder: filepath.Join(s.folder, strconv.Itoa(index)),
 		Losses: departingLosses, HeartbeatInterval: departingHeartbeat, CheckDocument: func(text []byte) (uint64, error) {
 			document, err := parseDocument(text)
 			return document.Version, err
