--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -58,10 +58,10 @@
 	return f.ageUnknown || now.Sub(f.at) <= directory.StaleAfter
 }
 
-// search probes all known nodes in turn, without waiting for replies, until one replies whose state is not stale, so
-// that a node that does not respond, has no leader yet or lags behind delays nothing. If all
-// nodes that reply are stale it chooses the newest, because an old list of servers is better
-// than none. Replies to probes are small, since all nodes may reply.
+// search probes all known nodes in turn, without waiting for replies, until one replies whose
+// state is not stale, so that a node that does not respond, has no leader yet or lags behind
+// delays nothing. If all nodes that reply are stale it chooses the newest, because an old list
+// of servers is better than none. Replies to probes are small, since all nodes may reply.
 func (f *follower) search(ctx context.Context) (string, error) {
 	searchCtx, cancel := context.WithTimeout(ctx, maxSearchTime)
 	defer cancel()
