Bound how often changes of servers and routers wake waiting routers

Cause: each change woke all routers that wait at a node, 25 ms later at the earliest, so that calls grew with routers times changes. Change: a node wakes 2,000 routers a second at most for such changes. Documents, departures and evacuations wake all at once, as before. TestChangesWakeAllRoutersTooOften counts wakes for 1 to 10,000 routers; with the former delay of 25 ms 98 routers are woken 3,920 times a second. Conclusion: calls of routers are bounded whatever their number.

--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -40,17 +40,27 @@
 		if hasUpdates || err != nil || n.stale.Load() && !staleBefore {
 			return reply, err
 		}
-		select {
-		case <-changed:
-		case <-deadline.C:
+		if !n.awaitChange(ctx, changed, deadline.C) {
 			n.setFreshness(state, request, receivedAt, &reply)
-			return reply, nil
-		case <-ctx.Done():
-			return FollowReply{}, ctx.Err()
+			return reply, ctx.Err()
 		}
 	}
 }
 
+// awaitChange waits for a change and returns true, or false once the deadline has passed or the
+// call has ended.
+func (n *Node) awaitChange(ctx context.Context, changed <-chan struct{}, deadline <-chan time.Time) bool {
+	n.waiting.Add(1)
+	defer n.waiting.Add(-1)
+	select {
+	case <-changed:
+		return true
+	case <-deadline:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // setFreshness updates the reported freshness after a wait without updates, unless the document
 // has changed since.
 func (n *Node) setFreshness(state *stateMachine, request FollowRequest, receivedAt time.Time, reply *FollowReply) {
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -43,6 +43,7 @@
 	summary            summaryCache
 	// notifyPending reports that a notification of the waiting routers is scheduled.
 	notifyPending bool
+	notifyLimit   notifyLimit
 	demand        demand
 	// suspectReports are the reports received from routers since the last share.
 	suspectReports []SuspectReport
@@ -71,7 +72,9 @@
 	freshnessRenewed chan struct{}
 	stale            atomic.Bool
 	calls            routerCalls
-	tables           tableEncoder
+	// waiting is how many calls of routers are held.
+	waiting atomic.Int64
+	tables  tableEncoder
 	// loggedVersion is the last document version in the log. Only runDepartures uses it.
 	loggedVersion uint64
 	// tableIncomplete reports that another node shared a heartbeat of a server unknown to this
@@ -220,22 +223,43 @@
 	})
 }
 
-// notifyDelay is how long changes of servers and routers are batched before routers are
-// notified: each notification wakes all routers waiting here, and a start of the whole fleet
-// brings thousands of changes.
-const notifyDelay = summaryMinInterval
+// Limits of notifying routers of changes of servers and routers. Each notification wakes all
+// routers waiting here, and a start of the whole fleet brings thousands of changes.
+const (
+	// minNotifyDelay is the minimum time for which changes are batched.
+	minNotifyDelay = summaryMinInterval
+	// maxNotifiedPerSecond bounds the routers woken by such changes, whatever their number.
+	maxNotifiedPerSecond = 2000
+)
+
+// notifyLimit limits the rate at which waiting routers are woken. Its owner synchronizes access.
+type notifyLimit struct {
+	// next is when they may be woken again.
+	next time.Time
+}
+
+// delay returns for how long changes are batched.
+func (l *notifyLimit) delay(now time.Time) time.Duration {
+	return max(minNotifyDelay, l.next.Sub(now))
+}
+
+// notified records that a number of routers was woken.
+func (l *notifyLimit) notified(now time.Time, woken int64) {
+	l.next = now.Add(time.Duration(woken) * time.Second / maxNotifiedPerSecond)
+}
 
-// notifyRoutersSoon schedules a notification of the waiting routers after notifyDelay. The
-// caller holds the mutex.
+// notifyRoutersSoon schedules a notification of the waiting routers. The caller holds the
+// mutex.
 func (n *Node) notifyRoutersSoon() {
 	if n.notifyPending {
 		return
 	}
 	n.notifyPending = true
-	time.AfterFunc(notifyDelay, func() {
+	time.AfterFunc(n.notifyLimit.delay(steadyclock.Now()), func() {
 		n.mutex.Lock()
 		defer n.mutex.Unlock()
 		n.notifyPending = false
+		n.notifyLimit.notified(steadyclock.Now(), n.waiting.Load())
 		n.notifyRouters()
 	})
 }
--- a/internal/directory/sharing_test.go
+++ b/internal/directory/sharing_test.go
@@ -41,3 +41,20 @@
 	node.settled = true
 	require.True(t, node.knowsServer("i1"), "no server names its time of start")
 }
+
+// TestChangesWakeAllRoutersTooOften guards against notifications whose calls grow with routers
+// times changes: changes come all the time, and all routers wait again at once.
+func TestChangesWakeAllRoutersTooOften(t *testing.T) {
+	for _, routers := range []int64{1, 98, 500, 2000, 10_000} {
+		var limit notifyLimit
+		start := time.Unix(1000, 0)
+		now, woken := start, int64(0)
+		for now.Sub(start) < 10*time.Second {
+			now = now.Add(limit.delay(now))
+			limit.notified(now, routers)
+			woken += routers
+		}
+		require.LessOrEqual(t, woken, 10*maxNotifiedPerSecond+2*routers, "%d routers", routers)
+		require.LessOrEqual(t, woken/routers, int64(10*time.Second/minNotifyDelay)+1)
+	}
+}
