Let a router that starts leave its seed for a node of its own choice

Change: once, before it has a table of servers, a router leaves for the first of the reported nodes in its own order; it costs a probe and a call, no table. Conclusion: the load of routers spreads over the nodes known at their start.

--- a/internal/gateway/complete_tables.go
+++ b/internal/gateway/complete_tables.go
@@ -106,7 +106,9 @@
 	update.removed = f.applyDepartures(reply)
 	f.applyServers(update)
 	if reply.TableOmitted {
-		f.requestTable(ctx, reply.Source)
+		if !f.leaveForPreferred(reply.Nodes) {
+			f.requestTable(ctx, reply.Source)
+		}
 		return
 	}
 	f.request.TableSource, f.request.Revision = reply.Source, reply.Revision
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -48,6 +48,8 @@
 	disconnected bool
 	// switched is set when node has been replaced and the new node has not been called yet.
 	switched bool
+	// spread is set once the router has had the choice to leave the node that its seeds led to.
+	spread bool
 	// nextStaleSearch is when to search again for a better node while the state of the
 	// followed one is stale. staleLogged is set once the log states that there is none.
 	nextStaleSearch time.Time
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -154,6 +154,22 @@
 	return xxhash.Sum64String(f.gateway.config.Name + "/" + node)
 }
 
+// leaveForPreferred leaves the node that the seeds led to, once and before the router has a table
+// of servers, if another of the reported nodes is the first in its order. Otherwise all routers
+// would stay with the few nodes that are seeds.
+func (f *follower) leaveForPreferred(nodes []string) bool {
+	if f.spread || f.gateway.knowsServers() || len(nodes) == 0 {
+		return false
+	}
+	f.spread = true
+	preferred := lo.MinBy(nodes, func(a, b string) bool { return f.preference(a) < f.preference(b) })
+	if preferred == f.node {
+		return false
+	}
+	f.node = ""
+	return true
+}
+
 // leaveStaleNode switches to another node if the state of the followed one is stale and that
 // of the other is not.
 func (f *follower) leaveStaleNode(ctx context.Context, followed view) {
--- a/internal/gateway/searching_test.go
+++ b/internal/gateway/searching_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -85,3 +88,53 @@
 	require.LessOrEqual(t, probes.Load(), int64(3*nodes), "in one search")
 	require.GreaterOrEqual(t, probes.Load(), int64(nodes), "each node is probed")
 }
+
+// spreadNode is a directory node of a group that records which routers follow it.
+type spreadNode struct {
+	name      string
+	nodes     []string
+	mutex     sync.Mutex
+	followers map[string]bool
+}
+
+func (n *spreadNode) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	var follow directory.FollowRequest
+	_ = json.NewDecoder(request.Body).Decode(&follow)
+	if !follow.Probe && follow.Source == n.name {
+		n.mutex.Lock()
+		n.followers[follow.Router.Name] = true
+		n.mutex.Unlock()
+		time.Sleep(20 * time.Millisecond)
+	}
+	_ = json.NewEncoder(writer).Encode(directory.FollowReply{Source: n.name, Nodes: n.nodes, RouterCount: 1, TableOmitted: true})
+}
+
+func (n *spreadNode) count() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return len(n.followers)
+}
+
+// TestRoutersStayWithTheirSeeds guards against routers that all follow the few nodes which they
+// know when they start.
+func TestRoutersStayWithTheirSeeds(t *testing.T) {
+	const routers, nodes = 40, 4
+	group := make([]*spreadNode, nodes)
+	addresses := make([]string, nodes)
+	for index := range group {
+		group[index] = &spreadNode{name: fmt.Sprint("node-", index), followers: make(map[string]bool)}
+		addresses[index] = serve(t, group[index])
+	}
+	for _, node := range group {
+		node.nodes = addresses
+	}
+	for index := range routers {
+		startRouterOf(t, fmt.Sprint("router-", index), addresses[0])
+	}
+	following := func() int { return lo.SumBy(group, (*spreadNode).count) }
+	require.Eventually(t, func() bool { return following() >= routers }, 10*time.Second, time.Millisecond)
+	require.LessOrEqual(t, group[0].count(), routers/2)
+	for _, node := range group {
+		require.Positive(t, node.count())
+	}
+}
