Wait until the directory knows that a trial was answered

Callers got 503 (on_trial) for a suspected request that a server had just answered, when they sent it again within some ms. Cause: a router waits until its reports of crashes are on record before it asks for the next trial, but not until its report of an answer is; the directory grants two trials until then. Change: the wait covers both, for one call's time-out as before.

--- a/internal/gateway/directory_stub_test.go
+++ b/internal/gateway/directory_stub_test.go
@@ -23,7 +23,9 @@
 	quarantineTable quarantine.Ledger
 	refusesOrders   bool
 	refusesReports  bool
-	orders          []quarantine.Command
+	// clearDelay is how long orders that end a suspicion take.
+	clearDelay time.Duration
+	orders     []quarantine.Command
 	// ledger is the spending of tenants; nil while no leader is reachable. metered are the
 	// tenants that need a token for each request.
 	ledger  *quota.Ledger
@@ -92,6 +94,7 @@
 func (d *directoryStub) serveOrders(writer http.ResponseWriter, request *http.Request) {
 	var batch directory.QuarantineOrders
 	_ = json.NewDecoder(request.Body).Decode(&batch)
+	d.delayClears(batch.Orders)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	reports := slices.ContainsFunc(batch.Orders, func(o quarantine.Command) bool { return o.Kind == quarantine.Report })
@@ -108,6 +111,16 @@
 	_ = json.NewEncoder(writer).Encode(reply)
 }
 
+// delayClears waits for clearDelay if orders end a suspicion.
+func (d *directoryStub) delayClears(orders []quarantine.Command) {
+	d.mutex.Lock()
+	delay := d.clearDelay
+	d.mutex.Unlock()
+	if slices.ContainsFunc(orders, func(o quarantine.Command) bool { return o.Kind == quarantine.Clear }) {
+		time.Sleep(delay)
+	}
+}
+
 // applyOrders applies orders of the test itself.
 func (d *directoryStub) applyOrders(orders ...quarantine.Command) {
 	d.mutex.Lock()
--- a/internal/gateway/quarantining.go
+++ b/internal/gateway/quarantining.go
@@ -43,10 +43,12 @@
 	view  quarantine.View
 	// trials are the requests for which this router runs a trial now.
 	trials map[quarantine.Fingerprint]bool
+	// clears counts the queued orders that end the suspicion of a request.
+	clears map[quarantine.Fingerprint]int
 }
 
 func newQuarantineMonitor(logger logrus.FieldLogger, metrics *metrics) *quarantineMonitor {
-	return &quarantineMonitor{logger: logger, metrics: metrics, orders: make(chan quarantine.Command, orderBacklog), trials: make(map[quarantine.Fingerprint]bool)}
+	return &quarantineMonitor{logger: logger, metrics: metrics, orders: make(chan quarantine.Command, orderBacklog), trials: make(map[quarantine.Fingerprint]bool), clears: make(map[quarantine.Fingerprint]int)}
 }
 
 // standing returns how a request is to be treated. It costs nothing while no request is on
@@ -90,13 +92,22 @@
 	return m.view.Pending(fingerprint)
 }
 
-// awaitReported waits until a node has accepted this router's reports about a request. It
+// clearing reports whether a server has answered a request and no node is known to have recorded
+// that.
+func (m *quarantineMonitor) clearing(fingerprint quarantine.Fingerprint) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.clears[fingerprint] > 0
+}
+
+// awaitReported waits until a node has accepted what this router reported about a request: the
+// servers that crashed, and that one answered, after which no trial is needed. It
 // waits at most for the duration of one call, so that suspected but harmless requests are
 // still served without a leader.
 func (m *quarantineMonitor) awaitReported(ctx context.Context, fingerprint quarantine.Fingerprint) {
 	timeoutCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	for timeoutCtx.Err() == nil && m.pending(fingerprint) {
+	for timeoutCtx.Err() == nil && (m.pending(fingerprint) || m.clearing(fingerprint)) {
 		wait.For(timeoutCtx, orderBatchDelay)
 	}
 }
@@ -139,6 +150,11 @@
 
 // enqueue queues an order for sending. It never blocks.
 func (m *quarantineMonitor) enqueue(order quarantine.Command) {
+	if order.Kind == quarantine.Clear {
+		m.mutex.Lock()
+		m.clears[order.Fingerprint]++
+		m.mutex.Unlock()
+	}
 	select {
 	case m.orders <- order:
 	default:
@@ -150,12 +166,16 @@
 // acknowledge records that the quarantine table of a revision contains an order; 0 for an
 // order that was dropped.
 func (m *quarantineMonitor) acknowledge(order quarantine.Command, revision uint64) {
-	if order.Kind != quarantine.Report {
-		return
-	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.view.Acknowledged(order.Fingerprint, revision)
+	switch order.Kind {
+	case quarantine.Report:
+		m.view.Acknowledged(order.Fingerprint, revision)
+	case quarantine.Clear:
+		if m.clears[order.Fingerprint]--; m.clears[order.Fingerprint] <= 0 {
+			delete(m.clears, order.Fingerprint)
+		}
+	}
 }
 
 // nextBatch waits for an order and returns it with those that follow within orderBatchDelay.
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -99,6 +99,20 @@
 	}, 10*time.Second, 5*time.Millisecond)
 }
 
+// TestAnsweredTrialIsNotOnRecordYet guards against a router that refuses a request which a server
+// has just answered, because the directory counts its trials before it learns of the answers.
+func TestAnsweredTrialIsNotOnRecordYet(t *testing.T) {
+	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": echo})
+	s.directory.mutex.Lock()
+	s.directory.clearDelay = 100 * time.Millisecond
+	s.directory.mutex.Unlock()
+	s.directory.applyOrders(suspectOrder("/a/x"))
+	require.Eventually(t, func() bool { return s.hasLogged("quarantine_changed") }, 10*time.Second, time.Millisecond)
+	for range 5 {
+		require.Equal(t, http.StatusOK, s.send(http.MethodGet, "/a/x", nil).status)
+	}
+}
+
 // TestSuspectedGatherIsTriedAtOneShardFirst has a suspected request over three shards: the
 // server of one shard answers before the others are called.
 func TestSuspectedGatherIsTriedAtOneShardFirst(t *testing.T) {
