--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -26,16 +26,16 @@
 	searchStagger = 10 * time.Millisecond
 	// maxSearchPause bounds the pause between two probes of a search, whatever the number of
 	// nodes. After each node was probed once, it doubles with each probe.
-	maxSearchPause = 200 * time.Millisecond
+	maxSearchPause = 100 * time.Millisecond
 	// maxSearchTime is the time after which a search fails.
-	maxSearchTime = 2 * time.Second
+	maxSearchTime = 1500 * time.Millisecond
 	// freshSearchTime is how long a search that has found only nodes with stale state waits
 	// for a better one.
 	freshSearchTime = 200 * time.Millisecond
 	// staleSearchPause is the pause after the first search for a better node than the followed
 	// one. It doubles with each further search, up to maxStaleSearchPause.
 	staleSearchPause    = 500 * time.Millisecond
-	maxStaleSearchPause = 2 * time.Second
+	maxStaleSearchPause = time.Second
 	// staleSearchNodes is how many nodes such a search probes. Each search takes the next ones.
 	staleSearchNodes = 5
 )
