--- a/internal/directory/complete_table.go
+++ b/internal/directory/complete_table.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
@@ -44,9 +43,9 @@
 	return time.Duration(age) * time.Millisecond, errors.Wrap(err, "age of the table")
 }
 
-// encodedTable is a compressed RouterTable.
+// encodedTable is an encoded RouterTable.
 type encodedTable struct {
-	body      []byte
+	body      sharedBody
 	revision  uint64
 	settled   bool
 	encodedAt time.Time
@@ -71,14 +70,10 @@
 	}
 	table := RouterTable{Source: n.source, Revision: n.registry.Revision(), Settled: n.settled, Instances: n.registry.ChangedSince(now, 0)}
 	n.mutex.Unlock()
-	text, err := json.Marshal(table)
+	body, err := encodeShared(table)
 	if err != nil {
 		return nil, errors.Wrap(err, "cannot encode the table")
 	}
-	body, err := PackDocument(text)
-	if err != nil {
-		return nil, err
-	}
 	n.countCompleteTable()
 	n.tables.last = &encodedTable{body: body, revision: table.Revision, settled: table.Settled, encodedAt: now}
 	return n.tables.last, nil
@@ -101,8 +96,10 @@
 	}
 	header := writer.Header()
 	header.Set("Content-Type", "application/json")
-	header.Set("Content-Encoding", encodingGzip)
+	if encoded.body.compressed {
+		header.Set("Content-Encoding", encodingGzip)
+	}
 	header.Set(headerTableAge, strconv.FormatInt(steadyclock.Since(encoded.encodedAt).Milliseconds(), 10))
-	_, err = writer.Write(encoded.body)
+	_, err = writer.Write(encoded.body.bytes)
 	n.recordCall(request.Context(), callTable, err)
 }
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -75,8 +75,6 @@
 	// waiting is how many calls of routers are held.
 	waiting atomic.Int64
 	tables  tableEncoder
-	// loggedVersion is the last document version in the log. Only runDepartures uses it.
-	loggedVersion uint64
 	// tableIncomplete reports that another node shared a heartbeat of a server unknown to this
 	// one.
 	tableIncomplete bool
--- a/internal/directory/router_calls.go
+++ b/internal/directory/router_calls.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,25 +38,54 @@
 	callAbandoned callOutcome = "abandoned"
 )
 
-// routerCalls counts the calls of routers in the present interval. It is safe for concurrent
-// use.
-type routerCalls struct {
-	follows, probes, tables, refused, abandoned, encoded atomic.Uint64
-}
-
 // callSummary holds the counts of one interval.
 type callSummary struct {
 	follows, probes, tables, refused, abandoned, encoded uint64
 }
 
+// routerCalls counts the calls of routers in the present interval. It is safe for concurrent
+// use.
+type routerCalls struct {
+	mutex  sync.Mutex
+	counts callSummary
+}
+
 // take returns the counts and starts a new interval.
 func (c *routerCalls) take() callSummary {
-	return callSummary{
-		follows: c.follows.Swap(0), probes: c.probes.Swap(0), tables: c.tables.Swap(0),
-		refused: c.refused.Swap(0), abandoned: c.abandoned.Swap(0), encoded: c.encoded.Swap(0),
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	counts := c.counts
+	c.counts = callSummary{}
+	return counts
+}
+
+// add counts a call.
+func (c *routerCalls) add(kind callKind, outcome callOutcome) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch kind {
+	case callProbe:
+		c.counts.probes++
+	case callTable:
+		c.counts.tables++
+	default:
+		c.counts.follows++
+	}
+	switch outcome {
+	case callRefused:
+		c.counts.refused++
+	case callAbandoned:
+		c.counts.abandoned++
 	}
 }
 
+// addEncoded counts a complete table that was encoded.
+func (c *routerCalls) addEncoded() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.counts.encoded++
+}
+
 // unusual reports whether an interval is worth a log line: calls failed, or routers came from
 // other nodes.
 func (s callSummary) unusual() bool { return s.refused+s.abandoned+s.tables+s.encoded > 0 }
@@ -81,25 +110,16 @@
 	switch {
 	case ctx.Err() != nil:
 		outcome = callAbandoned
-		n.calls.abandoned.Add(1)
 	case err != nil:
 		outcome = callRefused
-		n.calls.refused.Add(1)
-	}
-	switch kind {
-	case callProbe:
-		n.calls.probes.Add(1)
-	case callTable:
-		n.calls.tables.Add(1)
-	default:
-		n.calls.follows.Add(1)
 	}
+	n.calls.add(kind, outcome)
 	n.metrics.routerCalls.WithLabelValues(string(kind), string(outcome)).Inc()
 }
 
 // countCompleteTable records that a complete table is encoded.
 func (n *Node) countCompleteTable() {
-	n.calls.encoded.Add(1)
+	n.calls.addEncoded()
 	n.metrics.completeTables.Inc()
 }
 
--- a/internal/directory/sharing.go
+++ b/internal/directory/sharing.go
@@ -214,7 +214,7 @@
 // and notifies routers of state changes, such as a new document.
 func (n *Node) runDepartures(ctx context.Context) {
 	position, nameIndex := 0, uint64(0)
-	var evacuations, quarantined uint64
+	var document, evacuations, quarantined uint64
 	phases := make(map[uint64]rollout.Phase)
 	for {
 		state, replaced := n.member.state(), n.member.machineReplaced()
@@ -223,7 +223,7 @@
 		position = next
 		names := state.departedNames(nameIndex)
 		n.logDepartures(ids, names)
-		n.recordDocument(version)
+		document = n.reportDocument(version, document)
 		evacuations = n.reportEvacuations(state, evacuations)
 		quarantined = n.countQuarantine(state, quarantined)
 		n.markReplacedServers(state, phases)
--- a/internal/directory/state_watch.go
+++ b/internal/directory/state_watch.go
@@ -115,17 +115,18 @@
 	return now.Sub(confirmed.asOf)
 }
 
-// recordDocument reports the version of the document that the state holds, and logs a change.
-func (n *Node) recordDocument(version uint64) {
+// reportDocument reports the version of the document that the state holds, logs it if it differs
+// from the last reported one, and returns it.
+func (n *Node) reportDocument(version, reported uint64) uint64 {
 	n.metrics.version.Set(float64(version))
-	if n.loggedVersion == version {
-		return
+	if version == reported {
+		return version
 	}
-	n.loggedVersion = version
 	status := n.status()
 	n.logger.WithFields(logrus.Fields{
 		"version": version, "applied": status.Applied, "committed": status.Commit, "leader": status.Leader, "term": status.Term,
 	}).Info("document_applied")
+	return version
 }
 
 // logDepartures logs the departures that the state has applied, and at which index.
--- a/internal/gateway/complete_tables_test.go
+++ b/internal/gateway/complete_tables_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,7 +17,6 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/gateway"
-	"github.com/martenstage/martenstage/internal/proof/testaddress"
 	"github.com/martenstage/martenstage/internal/quota"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/scatter"
@@ -151,12 +149,7 @@
 // after, a complete table of servers.
 func TestDocumentWaitsForACompleteTable(t *testing.T) {
 	node := &slowTableNode{version: 1, document: pack(t, mustMarshal(t, oneRoute(1, "s")))}
-	listener, err := net.Listen("tcp4", testaddress.Next().String())
-	require.NoError(t, err)
-	node.address = listener.Addr().String()
-	server := &http.Server{Handler: node}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
+	node.address = serve(t, node)
 	router := startRouterOf(t, "router", node.address)
 	require.Eventually(t, func() bool { return router.router.Version() == 1 }, 10*time.Second, time.Millisecond, "the first document")
 	node.mutex.Lock()
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -82,7 +82,7 @@
 func (g *Gateway) observeAnswer(attempt endedAttempt) {
 	evidence := attempt.submitted.evidence
 	if first := !evidence.replied.Swap(true); first && (evidence.reported.Load() || evidence.trial != nil) {
-		g.quarantine.enqueue(quarantine.Command{Kind: quarantine.Clear, Fingerprint: attempt.submitted.request.fingerprint(), By: g.config.Name})
+		g.quarantine.clear(quarantine.Command{Kind: quarantine.Clear, Fingerprint: attempt.submitted.request.fingerprint(), By: g.config.Name})
 	}
 }
 
--- a/internal/gateway/quarantining.go
+++ b/internal/gateway/quarantining.go
@@ -148,13 +148,16 @@
 	m.enqueue(order)
 }
 
+// clear reports that a server answered a request.
+func (m *quarantineMonitor) clear(order quarantine.Command) {
+	m.mutex.Lock()
+	m.clears[order.Fingerprint]++
+	m.mutex.Unlock()
+	m.enqueue(order)
+}
+
 // enqueue queues an order for sending. It never blocks.
 func (m *quarantineMonitor) enqueue(order quarantine.Command) {
-	if order.Kind == quarantine.Clear {
-		m.mutex.Lock()
-		m.clears[order.Fingerprint]++
-		m.mutex.Unlock()
-	}
 	select {
 	case m.orders <- order:
 	default:
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -14,6 +14,7 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/steadyclock"
+	"github.com/martenstage/martenstage/internal/wait"
 )
 
 // Bounds of the search for a directory node.
@@ -33,7 +34,7 @@
 	// for a better one.
 	freshSearchTime = 200 * time.Millisecond
 	// staleSearchPause is the pause after the first search for a better node than the followed
-	// one. It doubles with each further search, up to maxStaleSearchPause.
+	// one. It grows by as much with each further search, up to maxStaleSearchPause.
 	staleSearchPause    = 500 * time.Millisecond
 	maxStaleSearchPause = time.Second
 	// staleSearchNodes is how many nodes such a search probes. Each search takes the next ones.
@@ -98,14 +99,13 @@
 	answers := make(chan probeResult)
 	go func() {
 		pause := searchStagger
-		for count := 0; ctx.Err() == nil && len(nodes) > 0; count++ {
+		for count := 0; len(nodes) > 0; count++ {
 			go f.probeOnce(ctx, nodes[count%len(nodes)], answers)
 			if count >= len(nodes) {
 				pause = min(2*pause, maxSearchPause)
 			}
-			select {
-			case <-ctx.Done():
-			case <-time.After(jittered(pause)):
+			if !wait.For(ctx, jittered(pause)) {
+				return
 			}
 		}
 	}()
@@ -175,14 +175,13 @@
 func (f *follower) leaveStaleNode(ctx context.Context, followed view) {
 	now := steadyclock.Now()
 	if followed.at.IsZero() || now.Sub(followed.at) <= directory.StaleAfter {
-		f.staleLogged, f.staleSearches, f.stalePause = false, 0, staleSearchPause
+		f.staleLogged, f.staleSearches = false, 0
 		return
 	}
 	if now.Before(f.nextStaleSearch) {
 		return
 	}
-	f.nextStaleSearch = now.Add(f.stalePause)
-	f.stalePause = min(2*f.stalePause, maxStaleSearchPause)
+	f.nextStaleSearch = now.Add(min(time.Duration(f.staleSearches+1)*staleSearchPause, maxStaleSearchPause))
 	node, better := f.searchFresh(ctx)
 	logger := f.gateway.logger.WithFields(logrus.Fields{"directory": followed.node, "state_age": now.Sub(followed.at)})
 	if !better {
