Send the parts of a slice before the cutoff as well

A slice sends its parts when it is complete or at its cutoff. Change: frames at half and three quarters of the time until the cutoff, too.

--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -10,6 +10,7 @@
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
+	"github.com/martenstage/martenstage/internal/slicing"
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
@@ -96,9 +97,9 @@
 			MaxAttempts: slice.MaxAttempts, Shards: slice.Shards, LeastShare: slice.LeastShare,
 		},
 	})
-	cutoff := time.NewTimer(slice.CutLeft)
-	defer cutoff.Stop()
-	pastCutoff := false
+	frames := slicing.NewFrameSchedule(now, slice.CutLeft)
+	next := time.NewTimer(steadyclock.Until(frames.Next()))
+	defer next.Stop()
 	for {
 		select {
 		case event := <-events:
@@ -108,14 +109,16 @@
 				return
 			}
 			stream.add(event.part)
-			if pastCutoff {
+			if frames.PastCutoff() {
 				stream.send()
 			}
-		case <-cutoff.C:
-			pastCutoff = true
+		case <-next.C:
 			if len(stream.parts) > 0 {
 				stream.send()
 			}
+			if frames.Advance(); !frames.PastCutoff() {
+				next.Reset(steadyclock.Until(frames.Next()))
+			}
 		case <-request.Context().Done():
 			gather.abandon()
 			return
