Publish the view of load from the leader to all routers

Cause: routers can only make the same decision if all of them hold the same figures, with an age that holds after a suspension. Change: nodes send summaries of their routers' reports to the leader (/peer/load), which merges, plans and publishes (/peer/load/view). A node dates a view by the summary that the leader refers to, by its own clock, so that a frozen or cut-off node gives out old figures as old. Routers that send no report get no view. Conclusion: the planner is an interface (Config.NewPlanner) and not yet wired; views hold services until then.

--- a/internal/directory/cluster_test.go
+++ b/internal/directory/cluster_test.go
@@ -40,6 +40,10 @@
 	// disks wrap the nodes' logs, logged holds the log entries of the nodes.
 	disks  []*faultydisk.Disk
 	logged []*logtest.Hook
+	// newPlanner returns the admission planners of the nodes; nil for none.
+	newPlanner func() directory.AdmissionPlanner
+	// loses reports whether a call to a node is lost on its way; nil if none is.
+	loses func(to int, request *http.Request) bool
 }
 
 // runningNode is a node with its listener; the cluster's entry is nil while it is down.
@@ -98,18 +102,32 @@
 	logger.AddHook(c.logged[index])
 	node, err := directory.Open(directory.Config{
 		Name: "node-" + strconv.Itoa(index), PeerAddress: c.addresses[index], Seeds: c.seeds, Bootstrap: bootstrap,
-		Folder: c.folders[index], Losses: c.losses, HeartbeatInterval: 300 * time.Millisecond, CheckDocument: checkDocument, ReadLimits: readLimits, CanaryShare: 0.1, QuotaTolerance: quota.Tolerance{Fraction: 0.1, Slack: 20},
+		Folder: c.folders[index], Losses: c.losses, HeartbeatInterval: 300 * time.Millisecond, CheckDocument: checkDocument, ReadLimits: readLimits, ReadDocument: readLoadDocument, NewPlanner: c.newPlanner, CanaryShare: 0.1, QuotaTolerance: quota.Tolerance{Fraction: 0.1, Slack: 20},
 	}, directory.Environment{Logger: logger, Registerer: prometheus.NewRegistry(), WrapStore: c.disks[index].Wrap})
 	require.NoError(c.t, err)
 	listener, err := net.Listen("tcp4", c.addresses[index])
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &runningNode{Node: node, server: &http.Server{Handler: node.PeerHandler()}, cancel: cancel, done: make(chan error, 1)}
+	started := &runningNode{Node: node, server: &http.Server{Handler: c.lossy(index, node.PeerHandler())}, cancel: cancel, done: make(chan error, 1)}
 	go func() { _ = started.server.Serve(listener) }()
 	go func() { started.done <- node.Run(ctx) }()
 	c.nodes[index] = started
 }
 
+// lossy wraps a node's handler: lost calls get no answer until their caller gives up.
+func (c *cluster) lossy(index int, handler http.Handler) http.Handler {
+	if c.loses == nil {
+		return handler
+	}
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if c.loses(index, request) {
+			<-request.Context().Done()
+			return
+		}
+		handler.ServeHTTP(writer, request)
+	})
+}
+
 // stop shuts a node down cleanly; it does nothing if the node is down.
 func (c *cluster) stop(index int) {
 	if node := c.nodes[index]; node != nil {
--- a/internal/directory/export_test.go
+++ b/internal/directory/export_test.go
@@ -29,3 +29,6 @@
 	data, _ := json.Marshal(command{Departures: ids}) // Marshaling strings can't fail.
 	return data
 }
+
+// Leads reports whether the node leads.
+func (n *Node) Leads() bool { return n.status().Role == consensus.Leader }
--- a/internal/directory/following.go
+++ b/internal/directory/following.go
@@ -26,6 +26,7 @@
 	receivedAt, staleBefore := steadyclock.Now(), n.stale.Load()
 	deadline := time.NewTimer(min(request.Wait, maxFollowWait))
 	defer deadline.Stop()
+	recorded := false
 	for {
 		if !n.inGroup() && (request.Probe || request.Source != n.source) {
 			return FollowReply{}, errors.Wrap(ErrUnavailable, "no leader is heard")
@@ -33,9 +34,13 @@
 		if request.Probe {
 			return n.probeReply(receivedAt), nil
 		}
+		if !recorded {
+			n.recordLoad(receivedAt, request)
+			recorded = true
+		}
 		state := n.member.state()
 		fresh := n.freshnessAt(state, receivedAt)
-		reply, hasUpdates, changed, err := n.updatesFor(state, request)
+		reply, hasUpdates, changed, err := n.updatesFor(state, request, receivedAt)
 		reply.Fresh = &fresh
 		if hasUpdates || err != nil || n.stale.Load() && !staleBefore {
 			return reply, err
@@ -70,9 +75,9 @@
 	}
 }
 
-// updatesFor returns the updates that a router lacks, whether there are any, and a channel that
-// is closed on the next change.
-func (n *Node) updatesFor(state *stateMachine, request FollowRequest) (reply FollowReply, hasUpdates bool, changed <-chan struct{}, err error) {
+// updatesFor returns the updates that a router whose call arrived at a time lacks, whether there
+// are any, and a channel that is closed on the next change.
+func (n *Node) updatesFor(state *stateMachine, request FollowRequest, receivedAt time.Time) (reply FollowReply, hasUpdates bool, changed <-chan struct{}, err error) {
 	version, document, err := n.newerDocument(state, request.Version)
 	if err != nil {
 		return FollowReply{}, false, nil, err
@@ -111,6 +116,7 @@
 	}
 	reply.Rollouts, reply.RolloutRevision = n.rolloutUpdate(state, request.RolloutRevision)
 	rolloutsDiffer := reply.RolloutRevision > request.RolloutRevision
+	loadDiffers := n.addLoad(&reply, request, receivedAt)
 	sameSource := request.Source == n.source
 	if !sameSource {
 		request.Departures, request.DepartedNames = 0, 0
@@ -118,7 +124,7 @@
 	n.addInstances(&reply, now, request)
 	reply.Departed, reply.Departures = state.departures(request.Departures)
 	reply.DepartedNames = state.departedNames(request.DepartedNames)
-	hasUpdates = !sameSource || len(reply.Instances) > 0 || len(reply.Departed) > 0 || len(reply.DepartedNames) > 0 || reply.Version > 0 || routersDiffer || absentDiffer || evacuationsDiffer || quarantineDiffers || meteredDiffers || rolloutsDiffer
+	hasUpdates = !sameSource || len(reply.Instances) > 0 || len(reply.Departed) > 0 || len(reply.DepartedNames) > 0 || reply.Version > 0 || routersDiffer || absentDiffer || evacuationsDiffer || quarantineDiffers || meteredDiffers || rolloutsDiffer || loadDiffers
 	return reply, hasUpdates, n.changed, nil
 }
 
--- a/internal/directory/metrics.go
+++ b/internal/directory/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/loadview"
 	"github.com/martenstage/martenstage/internal/quarantine"
 )
 
@@ -31,6 +32,10 @@
 	// tables encoded for routers.
 	routerCalls    *prometheus.CounterVec
 	completeTables prometheus.Counter
+	// loadServices, loadViewBytes and admitted describe the view of load that this node holds.
+	loadServices  prometheus.Gauge
+	loadViewBytes prometheus.Gauge
+	admitted      *prometheus.GaugeVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -79,12 +84,31 @@
 		completeTables: factory.NewCounter(prometheus.CounterOpts{
 			Name: "martenstage_directory_complete_tables_encoded_total", Help: "Complete tables of servers that were encoded for routers.",
 		}),
+		loadServices: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_directory_load_services_count", Help: "Services that are short of capacity or have servers in trouble, as this node knows them.",
+		}),
+		loadViewBytes: factory.NewGauge(prometheus.GaugeOpts{
+			Name: "martenstage_directory_load_view_bytes", Help: "Size of the view of load that this node sends to routers.",
+		}),
+		admitted: factory.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "martenstage_directory_admitted_ratio", Help: "Share of the requests of a route that routers admit, for the routes that are short of capacity, at most 32.",
+		}, []string{"route"}),
 		stateAge: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_directory_state_age_seconds", Help: "Time since the state of this node was last known to hold all that was acknowledged.",
 		}),
 	}
 }
 
+// setLoad updates the gauges from a view of load and its size in bytes.
+func (m *metrics) setLoad(view loadview.View, bytes int) {
+	m.loadServices.Set(float64(len(view.Services)))
+	m.loadViewBytes.Set(float64(bytes))
+	m.admitted.Reset()
+	for _, route := range view.Routes[:min(len(view.Routes), loadview.MaxRoutes)] {
+		m.admitted.WithLabelValues(route.Route).Set(route.Fraction)
+	}
+}
+
 // setQuarantine updates the gauges from the quarantine records.
 func (m *metrics) setQuarantine(records quarantine.Ledger) {
 	quarantined := lo.CountBy(records.Records, func(r quarantine.Record) bool { return r.Quarantined })
--- a/internal/directory/node.go
+++ b/internal/directory/node.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenstage/martenstage/internal/loadview"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/steadyclock"
@@ -63,6 +64,10 @@
 	metered       MeteredTenants
 	meteredDigest uint64
 	quota         leaderQuota
+	// heldLoad is the view of load as last published by the leader.
+	heldLoad   loadview.Held
+	load       nodeLoad
+	leaderLoad leaderLoad
 	// rolloutReports are the observations that routers reported of rollouts.
 	rolloutReports reportTable
 	lastConfirmed  atomic.Pointer[freshness]
@@ -101,6 +106,7 @@
 		confirmNow:         make(chan struct{}, 1),
 		freshnessRenewed:   make(chan struct{}),
 		quota:              leaderQuota{changed: make(chan struct{}, 1)},
+		load:               newNodeLoad(),
 	}
 	node.registry.SetMinClaimTime(2 * heartbeatShareInterval)
 	node.SetSeeds(config.Seeds)
@@ -124,7 +130,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	var tasks sync.WaitGroup
 	for _, task := range []func(context.Context){
-		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runRollouts, n.runStateWatch, n.runGroup, n.runRouterCalls,
+		n.runJoining, n.runFormation, n.runSharing, n.runReconciling, n.runDepartures, n.runRecovery, n.runTableFile, n.runQuarantine, n.runFreshness, n.runQuota, n.runLoad, n.runRollouts, n.runStateWatch, n.runGroup, n.runRouterCalls,
 	} {
 		tasks.Go(func() { task(ctx) })
 	}
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/quota"
+	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/voter"
 )
 
@@ -33,6 +34,11 @@
 	CheckDocument func(text []byte) (version uint64, err error)
 	// ReadLimits reads the limits of tenants from a checked document.
 	ReadLimits func(text []byte) (map[string]quota.Limit, error)
+	// ReadDocument parses a checked document. If it is nil, services are not known to be short.
+	ReadDocument func(text []byte) (*routing.Document, error)
+	// NewPlanner returns the admission planner of a term. If it is nil, views hold services
+	// without routes or tenants.
+	NewPlanner func() AdmissionPlanner
 	// CanaryShare is the share of a service's requests that a bad version may get in a rollout.
 	CanaryShare float64
 	// QuotaTolerance is by how much tenants may exceed their limits.
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/addressee"
+	"github.com/martenstage/martenstage/internal/loadview"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/registry"
 )
@@ -41,6 +42,12 @@
 	pathMetered       = "/peer/metered"
 	pathTenantsLeader = "/peer/tenants"
 	pathTenants       = "/operator/tenants"
+	// pathLoad carries the summaries of the routers' reports to the leader, pathLoadView the view
+	// from it; pathLoadLeader asks the leader for its figures, and pathLoadList is for operators.
+	pathLoad       = "/peer/load"
+	pathLoadView   = "/peer/load/view"
+	pathLoadLeader = "/peer/load/leader"
+	pathLoadList   = "/peer/load/list"
 	// pathRolloutStart, pathRolloutRead and pathRolloutReport carry orders, reads and router
 	// observations to the leader; pathRolloutList is for operators.
 	pathRolloutStart  = "/peer/rollout/start"
@@ -208,6 +215,12 @@
 	MeteredDigest uint64 `json:"metered,omitempty"`
 	// RolloutRevision is the highest revision of the rollouts that the router holds.
 	RolloutRevision uint64 `json:"rollouts,omitempty"`
+	// Load is what the router observes of the load. A router that does not take part, such as one
+	// of the previous release, sends none and gets no view. LoadTerm and LoadRevision are those
+	// of the view that it holds.
+	Load         *loadview.Report `json:"load,omitempty"`
+	LoadTerm     uint64           `json:"load_term,omitempty"`
+	LoadRevision uint64           `json:"load_revision,omitempty"`
 	// Wait is how long the node may hold the call while there is no update.
 	Wait time.Duration `json:"wait"`
 }
@@ -271,6 +284,11 @@
 	// from the router's.
 	Metered       []string `json:"metered,omitempty"`
 	MeteredDigest uint64   `json:"metered_digest,omitempty"`
+	// Load is the view of the load, sent if its term and revision differ from the router's.
+	// LoadAt is the time, relative to the arrival of the call, as of which its figures were
+	// valid; it is negative if that was earlier.
+	Load   *loadview.View `json:"load,omitempty"`
+	LoadAt *time.Duration `json:"load_at,omitempty"`
 }
 
 // maxFramedMessage bounds one consensus message in a call.
--- a/internal/directory/peer_server.go
+++ b/internal/directory/peer_server.go
@@ -64,6 +64,13 @@
 	}))
 	mux.Handle(pathTenantsLeader, handle(n.tenantsAsLeader))
 	mux.Handle(pathTenants, handle(func(ctx context.Context, _ struct{}) (TenantList, error) { return n.Tenants(ctx) }))
+	mux.Handle(pathLoad, handle(n.summaryAsLeader))
+	mux.Handle(pathLoadView, handle(func(_ context.Context, published publishedView) (struct{}, error) {
+		n.acceptView(published)
+		return struct{}{}, nil
+	}))
+	mux.Handle(pathLoadLeader, handle(n.loadAsLeader))
+	mux.Handle(pathLoadList, handle(func(ctx context.Context, _ struct{}) (LoadList, error) { return n.Load(ctx) }))
 	mux.Handle(pathRolloutStart, handle(n.startRolloutAsLeader))
 	mux.Handle(pathRolloutRead, handle(n.confirmedRollouts))
 	mux.Handle(pathRolloutReport, handle(n.reportRolloutsAsLeader))
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/quota"
+	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/settings"
 )
 
@@ -24,6 +25,7 @@
 	QuotaOver         float64       `long:"quota-over" koanf:"quota-over" default:"0.05" validate:"min=0" description:"Share by which the requests of a tenant may exceed its limit in any window"`
 	QuotaSlack        float64       `long:"quota-slack" koanf:"quota-slack" default:"10" validate:"min=0" description:"Requests of a tenant in any window allowed beyond that"`
 	QuotaWindow       time.Duration `long:"quota-window" koanf:"quota-window" default:"5s" validate:"min=100ms" description:"Length of those windows"`
+	AdmissionPlan     string        `long:"admission-plan" koanf:"admission-plan" default:"on" validate:"oneof=on off" description:"Whether this node, while it leads, has routers refuse what exceeds the capacity of services, by priority and tenant"`
 	StopLimit         time.Duration `long:"stop-limit" koanf:"stop-limit" default:"30s" validate:"min=1s" description:"Longest planned stop"`
 	LogLevel          string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
 	MemoryLimit       int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
@@ -32,11 +34,17 @@
 // SeedAddresses returns the peer addresses of the seeds.
 func (o *Options) SeedAddresses() []string { return settings.WithPort(o.Seeds, o.PeerPort) }
 
+// PlansAdmission reports whether the node computes, while it leads, which share of each route's
+// requests is admitted.
+func (o *Options) PlansAdmission() bool { return o.AdmissionPlan == "on" }
+
 // Documents are the functions by which a node reads routing documents.
 type Documents struct {
 	// Check parses a document and returns its version; Limits reads the limits of its tenants.
 	Check  func(text []byte) (version uint64, err error)
 	Limits func(text []byte) (map[string]quota.Limit, error)
+	// Parse parses a checked document.
+	Parse func(text []byte) (*routing.Document, error)
 }
 
 // Config returns the configuration of a node.
@@ -44,7 +52,7 @@
 	return Config{
 		Name: o.Name, PeerAddress: o.PeerListen, Seeds: o.SeedAddresses(), Bootstrap: o.Bootstrap,
 		Folder: o.DataFolder, Losses: o.Losses, HeartbeatInterval: o.HeartbeatInterval,
-		CheckDocument: documents.Check, ReadLimits: documents.Limits,
+		CheckDocument: documents.Check, ReadLimits: documents.Limits, ReadDocument: documents.Parse,
 		CanaryShare:    o.CanaryShare,
 		QuotaTolerance: quota.Tolerance{Fraction: o.QuotaOver, Slack: o.QuotaSlack, Window: o.QuotaWindow},
 	}
