Add the command martenstage load

Cause: operators need to see which services are short, which servers are in trouble and what share of each route is admitted.

--- a/cmd/martenstage/examples.go
+++ b/cmd/martenstage/examples.go
@@ -33,6 +33,7 @@
 	"explain":     {"martenstage explain 9c41d07be2a35f68 gateway-1.log gateway-2.log directory-1.log"},
 	"rollouts":    {"martenstage rollouts 10.0.0.1:7201"},
 	"tenants":     {"martenstage tenants 10.0.0.1:7201", "martenstage tenants --most 10 10.0.0.1:7201"},
+	"load":        {"martenstage load 10.0.0.1:7201", "martenstage load --most 10 10.0.0.1:7201"},
 	"evacuations": {"martenstage evacuations 10.0.0.1:7201"},
 	"quarantine": {
 		"martenstage quarantine 10.0.0.1:7201",
--- a/cmd/martenstage/main.go
+++ b/cmd/martenstage/main.go
@@ -63,6 +63,11 @@
 			Long: "Asks a directory node, and by it the leader, what passed and was refused of each tenant with a limit, those refused most first. See docs/operate/tenants.md.",
 			Data: &tenantsCommand{},
 		},
+		{
+			Name: "load", Short: "List the load of the services and routes of a registered site",
+			Long: "Asks a directory node, and by it the leader, which services are short of capacity or have servers in trouble, and which share of each route's requests routers admit. Demand, capacity and room are in slots.",
+			Data: &loadCommand{},
+		},
 		{Name: "drain", Short: "Mark a back end as leaving", Long: "Routers send a marked back end no new work after a few seconds; work under way ends as usual. The mark stays until undrain.", Data: &drainCommand{draining: true}},
 		{Name: "undrain", Short: "Remove the mark of drain", Long: "Routers use the back end again, from a small share of work upwards.", Data: &drainCommand{}},
 		{Name: "policy", Short: "Check, explain, format, lint and compare configuration files", Children: policyCommands()},
