Declare the load report and the shared conditions of the engine

The router side builds its report from LoadReport and sends ConditionsShared. Measured: the tree builds; no behaviour changes.

--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -19,6 +19,12 @@
 	Seed   uint64
 	Budget BudgetLimits
 	Cold   ColdLimits
+	// ClassOrder sends the waiting calls of more urgent routes first.
+	ClassOrder bool
+	// SharedConditions uses the figures of ConditionsShared in the choice of servers.
+	SharedConditions bool
+	// ResendRefused sends a call that all its servers refused to one of them again.
+	ResendRefused bool
 }
 
 // Engine decides for one router. A single goroutine owns it.
@@ -98,6 +104,8 @@
 		e.dispatchWaiting()
 	case RolloutsChanged:
 		e.updateRollouts(event.Rules)
+	case ConditionsShared:
+		e.shareConditions(event)
 	case TimerFired:
 	}
 }
