Report observed conditions and use shared ones in the choice of servers

Cause: a router knows of a slow, refusing or silent server only what it sent itself, and in a large fleet it sends to a given server every few seconds. Change: Engine.LoadReport returns what the engine observed itself; its cost grows with the servers that were used lately and with waiting calls. ConditionsShared holds the figures of all routers; with Config.SharedConditions, pace and refusals are at least the shared ones, times the weight of the figure, where this router has no newer answer. A silent server gets one attempt at a time, and each server in trouble about one exploring attempt a second from all gatherers together, drawn at random.

--- a/internal/scatter/choice.go
+++ b/internal/scatter/choice.go
@@ -30,6 +30,9 @@
 			found.atLimit[condition] = true
 			continue
 		}
+		if view.explores && candidate.ownCondition(now) <= probation && candidate.exploreDue(now) {
+			return candidate, available
+		}
 		found.consider(now, candidate, condition, view)
 	}
 	return found.result()
@@ -105,6 +108,8 @@
 	side rollout.Side
 	// queueTime is the expected time for each attempt queued ahead at a server.
 	queueTime time.Duration
+	// explores says that the call may find out whether a server in trouble has recovered.
+	explores bool
 }
 
 // condition returns the condition of a server for this call.
@@ -127,7 +132,7 @@
 		return false
 	}
 	ahead := max(0, candidate.load(now)+1-float64(max(1, candidate.Slots))) / float64(max(1, candidate.Slots))
-	work := candidate.currentPace(now) * float64(v.typicalTime)
+	work := candidate.expectedPace(now) * float64(v.typicalTime)
 	if now.Before(candidate.WarmAt) {
 		work *= coldCost
 	}
@@ -140,5 +145,5 @@
 	if v.timeLeft <= 0 {
 		return false
 	}
-	return candidate.currentPace(now)*float64(v.typicalTime) > float64(v.timeLeft) || candidate.stalled(now)
+	return candidate.expectedPace(now)*float64(v.typicalTime) > float64(v.timeLeft) || candidate.stalled(now)
 }
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -98,6 +98,7 @@
 		from.startColdBudget(e.now)
 	}
 	took := e.now.Sub(ended.started)
+	e.observe(ended, outcome, took)
 	route := ended.call.request.route
 	switch outcome.Failure {
 	case NoFailure:
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/martenstage/martenstage/internal/evacuation"
@@ -46,6 +47,20 @@
 	evacuated evacuation.View
 	// rollouts determine, by service, which versions calls may go to.
 	rollouts map[string]rollout.Rule
+	// conditions are the shared figures; named are the known servers among them. exploring is
+	// the random source of exploring attempts: it is separate, so that figures without weight
+	// change no other choice.
+	conditions ConditionsShared
+	named      []*server
+	exploring  *rand.Rand
+	// recent are the servers that were used lately, and waiting the services where calls wait;
+	// both may hold others until the next LoadReport.
+	recent  []*server
+	waiting []*group
+	// sound holds the durations of attempts at sound servers, by route.
+	sound map[string]*latency.Histogram
+	// lateAt is when timers last ran late.
+	lateAt   time.Time
 	commands []Command
 }
 
@@ -55,7 +70,8 @@
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)), routers: 1,
 		groups: make(map[string]*group), servers: make(map[string]*server),
 		requests: make(map[RequestID]*request), attempts: make(map[AttemptID]*attempt),
-		histograms: make(map[string]*latency.Histogram),
+		histograms: make(map[string]*latency.Histogram), sound: make(map[string]*latency.Histogram),
+		exploring: rand.New(rand.NewPCG(config.Seed, ^config.Seed)),
 	}
 }
 
@@ -66,6 +82,7 @@
 		e.now = now
 	}
 	e.commands = e.commands[:0]
+	e.noteLate()
 	e.runTimers()
 	e.handle(event)
 	e.scheduleWake()
@@ -171,6 +188,7 @@
 		e.servers[update.ID] = added
 		grp := e.group(update.Service)
 		grp.servers = append(grp.servers, added)
+		e.applyCondition(added)
 		e.emit(LogServer{Server: update, Event: "server_known"})
 		return
 	}
@@ -190,6 +208,12 @@
 	}
 	known.Draining = true
 	delete(e.servers, id)
+	if known.listed {
+		e.recent = slices.DeleteFunc(e.recent, func(s *server) bool { return s == known })
+	}
+	if known.shared.known {
+		e.named = slices.DeleteFunc(e.named, func(s *server) bool { return s == known })
+	}
 	grp := e.group(known.Service)
 	for index, member := range grp.servers {
 		if member == known {
--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -23,6 +23,8 @@
 	attemptTime latency.Average
 	// queue holds the calls for which no server had capacity.
 	queue []*call
+	// listed says that the group is in Engine.waiting.
+	listed bool
 }
 
 // availability is the reason why choose returned no server.
@@ -75,7 +77,7 @@
 // that is queued.
 func (g *group) attemptLimit(now time.Time, candidate *server, share float64) int {
 	limit := min(g.connectionLimit(share), max(1, candidate.Slots)+1)
-	if candidate.condition(now) == probation {
+	if candidate.condition(now) == probation || candidate.sharedSilent(now) {
 		limit = 1
 	}
 	if candidate.saturated(now) {
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -166,7 +166,7 @@
 
 // view returns the inputs of a choice for a call other than the group.
 func (e *Engine) view(c *call) choiceView {
-	view := choiceView{zone: e.config.Zone, share: e.share(c.group), random: e.random, evacuated: e.evacuated, cold: e.coldShare(c.group)}
+	view := choiceView{zone: e.config.Zone, share: e.share(c.group), random: e.random, evacuated: e.evacuated, cold: e.coldShare(c.group), explores: c.explores()}
 	req := c.request
 	if !req.due.IsZero() && !e.overdue(c) {
 		view.timeLeft = req.due.Sub(e.now)
@@ -181,6 +181,8 @@
 	e.attempts[sent.id] = sent
 	sent.expected = e.now.Add(e.stallDelay(c.request.route, chosen))
 	chosen.inFlight[sent.id], chosen.lastSentAt = sent, e.now
+	e.noteSent(chosen)
+	e.scheduleExploring(chosen)
 	c.consumeGrant()
 	chosen.spendColdToken(e.now, e.coldShare(c.group))
 	c.tried = append(c.tried, chosen)
@@ -293,13 +295,13 @@
 	case found == absent || found == busy && e.canOmit(c):
 		e.settle(c)
 	case found == busy:
-		c.enqueue()
+		e.enqueue(c)
 	case !e.spendToken(c, retryReserve):
 		if c.refusable() {
 			e.settle(c)
 			return
 		}
-		c.enqueue()
+		e.enqueue(c)
 	default:
 		e.dispatch(c, true)
 	}
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -54,6 +54,9 @@
 	// slowness is how long work took at the server by its last report, as a multiple of the
 	// usual time; 0 if it did not report any.
 	slowness float64
+	observation
+	// shared is what other routers report.
+	shared sharedFigure
 }
 
 // Parameters of the state of a server.
@@ -176,7 +179,19 @@
 	conditionCount
 )
 
+// condition returns the condition by this router's own observations and the shared ones. A
+// server that others find silent gets exploring attempts (choose), and others only if there is
+// no other server.
 func (s *server) condition(now time.Time) condition {
+	own := s.ownCondition(now)
+	if own < suspected && s.sharedSilent(now) {
+		return suspected
+	}
+	return own
+}
+
+// ownCondition returns the condition by this router's own observations.
+func (s *server) ownCondition(now time.Time) condition {
 	switch isSuspected := now.Before(s.suspectUntil); {
 	case isSuspected && s.connectFailed:
 		return unreachable
@@ -221,7 +236,7 @@
 	if s.stalled(now) {
 		cost *= stalledCost
 	}
-	return cost * (1 + lossCost*s.losses.current(now)) * (1 + refusalCost*s.refusals.current(now))
+	return cost * (1 + lossCost*s.losses.current(now)) * (1 + refusalCost*s.expectedRefusals(now))
 }
 
 // expectedCost is the cost without penalties: the work itself, and the wait for a slot if none
@@ -230,7 +245,7 @@
 	slots := float64(max(1, s.Slots))
 	load := s.load(now)
 	expected := max(1, load+1) / slots
-	expected *= s.currentPace(now) * s.reportedSlowness(now)
+	expected *= s.expectedPace(now) * s.reportedSlowness(now)
 	if now.Before(s.WarmAt) {
 		expected *= coldCost
 	}
@@ -282,7 +297,7 @@
 }
 
 // refusing reports whether so many attempts are refused that another server is better.
-func (s *server) refusing(now time.Time) bool { return s.refusals.current(now) > toleratedRefusals }
+func (s *server) refusing(now time.Time) bool { return s.expectedRefusals(now) > toleratedRefusals }
 
 // recordPace records how long an attempt took, relative to the typical time.
 func (s *server) recordPace(now time.Time, ratio float64) {
--- a/internal/scatter/waiting.go
+++ b/internal/scatter/waiting.go
@@ -7,15 +7,35 @@
 )
 
 // enqueue adds a call to the queue of its service.
-func (c *call) enqueue() {
+func (e *Engine) enqueue(c *call) {
 	c.queued = true
 	c.group.queue = append(c.group.queue, c)
+	if !c.group.listed {
+		c.group.listed = true
+		e.waiting = append(e.waiting, c.group)
+	}
+}
+
+// unlist reports whether no calls wait at the service, and marks it as not listed then.
+func (g *group) unlist() bool {
+	g.listed = g.waitingCalls() > 0
+	return !g.listed
+}
+
+// waitingCalls counts the calls that wait for a server with capacity.
+func (g *group) waitingCalls() (count int) {
+	for _, c := range g.queue {
+		if c.queued {
+			count++
+		}
+	}
+	return count
 }
 
 // await queues a call until a server has capacity or becomes known.
 func (e *Engine) await(c *call, found availability) {
 	e.note(c, Step{Kind: StepQueued})
-	c.enqueue()
+	e.enqueue(c)
 	if found == absent && !c.hasWaitTimer {
 		c.hasWaitTimer = true
 		e.timers.add(timer{at: c.request.arrived.Add(serverWaitTimeout), kind: timerCapacity, service: c.group.service})
