Send a call that all its servers refused to one of them again

Cause: a call that MaxAttempts servers refused was lost, although a refusal proves that nothing ran and a server whose queue was full has places again a few milliseconds later. Change: with Config.ResendRefused such a call waits for one of the servers that refused it, until no reply can be in time. It spends a budget token and, for a slice of another router, needs a grant for each attempt. The number of servers does not grow. A request that may have run anywhere, by this or another router, is not sent again.

--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -61,12 +61,20 @@
 	lastFailure  Failure
 	// failureReply is the server's own error reply, passed on if there is no better one.
 	failureReply *message.Reply
-	steps        []Step
+	// refusers are the servers that refused the call, and notRun counts the attempts that
+	// provably did not run. resending says that the next attempt may go to a refuser.
+	refusers  []*server
+	notRun    int
+	resending bool
+	steps     []Step
 }
 
 // hasTried reports whether a call was sent to a server, or is in flight at the same process: a
 // server that restarted may be known by two incarnations.
 func (c *call) hasTried(candidate *server) bool {
+	if c.resending {
+		return !c.mayResendTo(candidate)
+	}
 	return slices.Contains(c.tried, candidate) || slices.ContainsFunc(c.inFlight, func(a *attempt) bool {
 		return a.server.sharesProcess(candidate)
 	})
@@ -185,7 +193,7 @@
 	e.scheduleExploring(chosen)
 	c.consumeGrant()
 	chosen.spendColdToken(e.now, e.coldShare(c.group))
-	c.tried = append(c.tried, chosen)
+	c.noteTried(chosen)
 	c.inFlight = append(c.inFlight, sent)
 	pending := c.request
 	pending.attempts++
@@ -234,6 +242,7 @@
 	e.note(c, Step{Kind: StepEnded, Server: ended.server.ID, Failure: outcome.Failure})
 	c.verdicts = append(c.verdicts, outcome.Verdict)
 	c.lastFailure = outcome.Failure
+	c.countNotRun(ended, outcome)
 	if outcome.Failure == NoFailure && outcome.Reply.Succeeded() {
 		c.part = outcome.Reply
 		if c.request.route.Gathers() {
@@ -247,8 +256,10 @@
 		c.failureReply = outcome.Reply
 	}
 	if outcome.Failure == NotConnected || outcome.Failure == NotSent {
-		c.unsent++
 		c.request.attempts--
+		if !slices.Contains(c.refusers, ended.server) {
+			c.unsent++
+		}
 	}
 	if len(c.inFlight) == 0 {
 		e.retry(c, outcome)
@@ -261,7 +272,7 @@
 	route := c.request.route
 	sent := len(c.tried) - c.unsent
 	mayRun := route.Repeatable || outcome.Verdict == verdict.NotRun
-	if !mayRun || sent >= c.maxAttempts() || c.unsent > maxUnsent {
+	if !mayRun || c.unsent > maxUnsent || sent >= c.maxAttempts() && !e.startResend(c) {
 		e.settle(c)
 		return
 	}
@@ -286,8 +297,14 @@
 		e.dispatch(c, false)
 		return
 	}
+	if c.resending && !e.resendUseful(c) {
+		e.settle(c)
+		return
+	}
 	_, found := e.choose(c)
 	switch {
+	case found == absent && e.startResend(c):
+		e.dispatchExtra(c)
 	case found == available && !e.mayRepeat(c):
 		if c.claim == refused && len(c.inFlight) == 0 {
 			e.settle(c)
