--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenstage/martenstage/internal/addressee"
+	"github.com/martenstage/martenstage/internal/loadview"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/registry"
 )
@@ -208,6 +209,11 @@
 	MeteredDigest uint64 `json:"metered,omitempty"`
 	// RolloutRevision is the highest revision of the rollouts that the router holds.
 	RolloutRevision uint64 `json:"rollouts,omitempty"`
+	// Load is what the router observed; nil if it reports nothing. LoadTerm and LoadRevision are
+	// those of the view of load that it holds.
+	Load         *loadview.Report `json:"load,omitempty"`
+	LoadTerm     uint64           `json:"load_term,omitempty"`
+	LoadRevision uint64           `json:"load_revision,omitempty"`
 	// Wait is how long the node may hold the call while there is no update.
 	Wait time.Duration `json:"wait"`
 }
@@ -271,6 +277,11 @@
 	// from the router's.
 	Metered       []string `json:"metered,omitempty"`
 	MeteredDigest uint64   `json:"metered_digest,omitempty"`
+	// Load is the view of load, sent if its term or revision differs from the router's. LoadAt is
+	// the time as of which its figures were valid, relative to the arrival of the call; it is
+	// negative if that was earlier.
+	Load   *loadview.View `json:"load,omitempty"`
+	LoadAt *time.Duration `json:"load_at,omitempty"`
 }
 
 // maxFramedMessage bounds one consensus message in a call.
