Report the load that a router observes and admit requests by the shared view

Cause: each router decided by its own observations, so a shortage was known to none of the others. Change: follow calls carry demand, the engine's observations and the position of the held view; the view of the reply is held, passed to the engine and decides on clients' requests before anything is sent. Each part has a setting. Conclusion: admission comes before the quota, so a refused request spends no token.

--- a/cmd/martenstage/gateway.go
+++ b/cmd/martenstage/gateway.go
@@ -30,6 +30,7 @@
 func (c *gatewayCommand) run(stopping context.Context, process *registeredProcess) error {
 	running := gateway.New(gateway.Config{
 		Name: c.Name, Zone: c.Zone, PeerAddress: c.PeerListen, Seeds: c.SeedAddresses(), Grace: c.StopLimit, Budget: c.BudgetLimits(), Cold: c.ColdLimits(), EvacuateWithin: c.EvacuateWithin, RevokeWithin: c.RevokeWithin,
+		Parts:         c.Parts(),
 		ParseDocument: platform.ParseDocument, Dialect: platform.Headers{}, Codec: platform.Headers{},
 	}, gateway.Environment{Logger: process.logger, Registerer: process.registry})
 	clients, err := listen("clients-listen", c.ClientsListen)
--- a/internal/directory/peer_messages.go
+++ b/internal/directory/peer_messages.go
@@ -209,8 +209,9 @@
 	MeteredDigest uint64 `json:"metered,omitempty"`
 	// RolloutRevision is the highest revision of the rollouts that the router holds.
 	RolloutRevision uint64 `json:"rollouts,omitempty"`
-	// Load is what the router observed; nil if it reports nothing. LoadTerm and LoadRevision are
-	// those of the view of load that it holds.
+	// Load is what the router observes of the load. A router that does not take part, such as one
+	// of the previous release, sends none and gets no view. LoadTerm and LoadRevision are those
+	// of the view that it holds.
 	Load         *loadview.Report `json:"load,omitempty"`
 	LoadTerm     uint64           `json:"load_term,omitempty"`
 	LoadRevision uint64           `json:"load_revision,omitempty"`
@@ -277,9 +278,9 @@
 	// from the router's.
 	Metered       []string `json:"metered,omitempty"`
 	MeteredDigest uint64   `json:"metered_digest,omitempty"`
-	// Load is the view of load, sent if its term or revision differs from the router's. LoadAt is
-	// the time as of which its figures were valid, relative to the arrival of the call; it is
-	// negative if that was earlier.
+	// Load is the view of the load, sent if its term and revision differ from the router's.
+	// LoadAt is the time, relative to the arrival of the call, as of which its figures were
+	// valid; it is negative if that was earlier.
 	Load   *loadview.View `json:"load,omitempty"`
 	LoadAt *time.Duration `json:"load_at,omitempty"`
 }
--- a/internal/gateway/directory_stub_test.go
+++ b/internal/gateway/directory_stub_test.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/directory"
+	"github.com/martenstage/martenstage/internal/loadview"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/quota"
 	"github.com/martenstage/martenstage/internal/registry"
+	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
 // directoryStub is a directory node whose replies a test sets.
@@ -32,6 +34,13 @@
 	metered []string
 	// down makes follow requests fail.
 	down bool
+	// load is the view of load, valid as of loadAt; nil for a node that knows of none. loadHold is
+	// how long replies that carry it are held back.
+	load     *loadview.View
+	loadAt   time.Time
+	loadHold time.Duration
+	// followed is the last follow request.
+	followed directory.FollowRequest
 	// calls counts follow requests and probes.
 	calls atomic.Int64
 	// observed is the last rollout report of the router.
@@ -63,12 +72,18 @@
 		http.Error(writer, "down", http.StatusServiceUnavailable)
 		return
 	}
-	reply := d.reply
+	d.followed = follow
+	reply, hold := d.reply, time.Duration(0)
+	if d.load != nil && (d.load.Term != follow.LoadTerm || d.load.Revision != follow.LoadRevision) {
+		validAt := steadyclock.Until(d.loadAt)
+		reply.Load, reply.LoadAt, hold = d.load, &validAt, d.loadHold
+	}
 	reply.QuarantineRevision, reply.QuarantineEntries = d.quarantineTable.Revision, d.quarantineTable.Entries()
 	if len(d.metered) > 0 {
 		reply.Metered, reply.MeteredDigest = d.metered, 1
 	}
 	d.mutex.Unlock()
+	time.Sleep(hold)
 	reply.RouterCount = max(1, reply.RouterCount)
 	if reply.Version <= follow.Version {
 		reply.Version, reply.Document = 0, nil
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -124,6 +124,7 @@
 	}
 	f.request.Seeds = f.seedsToSend()
 	f.request.Calls = f.gateway.shardCalls.perSecond(steadyclock.Now())
+	f.request.Load = f.gateway.loadReport(ctx)
 	first := f.node == "" || f.switched
 	if f.node == "" {
 		node, err := f.search(ctx)
@@ -133,10 +134,11 @@
 		f.node = node
 	}
 	sentAt := steadyclock.Now()
-	reply, err := f.requestUpdate(ctx, first)
+	answer, err := f.requestUpdate(ctx, first)
 	if err != nil {
 		return err
 	}
+	reply := answer.reply
 	if err := f.checkGroup(reply.Group, f.node); err != nil {
 		return err
 	}
@@ -155,6 +157,7 @@
 	newView := viewOf(f.node, sentAt, reply)
 	f.applyEvacuations(reply, reconnected)
 	f.applyReply(ctx, reply, newView)
+	f.applyLoad(reply, answer.sentAt)
 	f.updateView(newView)
 	if reply.Fresh != nil && f.request.Version >= reply.Version {
 		// The node received the call after sentAt, so that the confirmed time is a lower
@@ -169,28 +172,29 @@
 
 // requestUpdate requests an update from the followed node. The first call to a node returns at
 // once. A complete table that arrives meanwhile is completed by a call that starts at once.
-func (f *follower) requestUpdate(ctx context.Context, first bool) (directory.FollowReply, error) {
+func (f *follower) requestUpdate(ctx context.Context, first bool) (followAnswer, error) {
 	timeout := followTimeout
-	f.request.Wait = followWait
+	f.request.Wait = f.gateway.load.followWait(f.request.Load, f.routerCount)
 	switch {
 	case first:
 		f.request.Wait, timeout = 0, firstFollowTimeout
 	case f.evacuating:
-		f.request.Wait = evacuationInterval
+		f.request.Wait = min(f.request.Wait, evacuationInterval)
 	}
 	for {
 		answer, answered := f.awaitAnswer(ctx, timeout)
 		if answered {
-			return answer.reply, answer.err
+			return answer, answer.err
 		}
 		f.request.Wait = 0
 	}
 }
 
-// followAnswer is the outcome of a follow request.
+// followAnswer is the outcome of a follow request that was sent at sentAt.
 type followAnswer struct {
-	reply directory.FollowReply
-	err   error
+	reply  directory.FollowReply
+	err    error
+	sentAt time.Time
 }
 
 // awaitAnswer sends the follow request and waits for its outcome. It returns false once a
@@ -199,10 +203,10 @@
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan followAnswer, 1)
-	node, request := f.node, f.request
+	node, request, sentAt := f.node, f.request, steadyclock.Now()
 	go func() {
 		reply, err := f.post(callCtx, node, request, timeout)
-		answers <- followAnswer{reply: reply, err: err}
+		answers <- followAnswer{reply: reply, err: err, sentAt: sentAt}
 	}()
 	for {
 		select {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 	// view tells how old this router's knowledge of servers is; nil until a node has replied.
 	view     atomic.Pointer[view]
 	quotas   *quotaLimiter
+	load     *loadState
 	rollouts *rolloutMonitor
 	stopping atomic.Bool
 	// closing is set when connections are to be closed after their next response.
@@ -67,6 +68,8 @@
 	// tenantRefusalLines bounds the log lines about requests refused for their key or rate
 	// limit.
 	tenantRefusalLines logging.LineLimit
+	// capacityRefusalLines bounds the log lines about requests refused for lack of capacity.
+	capacityRefusalLines logging.LineLimit
 	// misdirectedLines bounds the log lines about calls that reached the wrong process.
 	misdirectedLines logging.LineLimit
 	clients          *clientConnections
@@ -94,12 +97,17 @@
 	_, _ = rand.Read(gateway.keySeed[:]) // crypto/rand.Read never returns an error; it ends the process if there is no randomness.
 	gateway.slices = newSliceClient(gateway.group)
 	gateway.rollouts = newRolloutMonitor()
+	gateway.load = newLoadState(gateway.started)
 	gateway.quotas = newQuotaLimiter(gateway.seed ^ uint64(gateway.started.UnixNano()))
 	gateway.peers = newPeers(slicing.Router{Name: config.Name, Zone: config.Zone, Address: config.PeerAddress})
 	gateway.isolation = newIsolationMonitor(gateway)
 	gateway.SetSeeds(config.Seeds)
-	engine := scatter.New(scatter.Config{Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget, Cold: config.Cold})
+	engine := scatter.New(scatter.Config{
+		Zone: config.Zone, Seed: gateway.seed ^ uint64(gateway.started.UnixNano()), Budget: config.Budget, Cold: config.Cold,
+		ClassOrder: config.Parts.ClassOrder, SharedConditions: config.Parts.SharedConditions, ResendRefused: config.Parts.ResendRefused,
+	})
 	gateway.metrics.registerViewAge(environment.Registerer, func() float64 { return gateway.viewAge(steadyclock.Now()).Seconds() })
+	gateway.metrics.registerLoadViewAge(environment.Registerer, func() float64 { return gateway.load.age(steadyclock.Now()).Seconds() })
 	gateway.loop = newLoop(engine, gateway.pool, loopCallbacks{claim: gateway.slices.claim, observe: gateway.observe, rollout: gateway.rollouts.observe}, gateway.logger)
 	gateway.quarantine = newQuarantineMonitor(gateway.logger, gateway.metrics)
 	gateway.follower = newFollower(gateway)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -35,6 +35,8 @@
 	// requests the number of attempts in flight.
 	observeRollout func(scatter.RolloutOutcome)
 	countRequests  chan countRequest
+	// loadRequests request what the engine observed.
+	loadRequests chan chan<- scatter.EngineLoad
 	// withdrawn receives requests that have become quarantined.
 	withdrawn chan []quarantine.Fingerprint
 }
@@ -77,9 +79,9 @@
 func newLoop(engine *scatter.Engine, pool *exchange.Pool, callbacks loopCallbacks, logger logrus.FieldLogger) *loop {
 	return &loop{
 		engine: engine, pool: pool, claim: callbacks.claim, observe: callbacks.observe, observeRollout: callbacks.rollout, logger: logger,
-		countRequests: make(chan countRequest),
-		withdrawn:     make(chan []quarantine.Fingerprint, withdrawnBacklog),
-		events:        make(chan scatter.Event, eventBacklog), requests: make(chan submission, maxInFlight),
+		countRequests: make(chan countRequest), loadRequests: make(chan chan<- scatter.EngineLoad),
+		withdrawn: make(chan []quarantine.Fingerprint, withdrawnBacklog),
+		events:    make(chan scatter.Event, eventBacklog), requests: make(chan submission, maxInFlight),
 		pending:       make(map[scatter.RequestID]submission),
 		attempts:      make(map[scatter.AttemptID]*exchange.Attempt),
 		retired:       newRetiredServers(pool.Forget),
@@ -104,6 +106,8 @@
 			l.withdraw(quarantined)
 		case request := <-l.countRequests:
 			l.count(request)
+		case observed := <-l.loadRequests:
+			observed <- l.engine.LoadReport(steadyclock.Now())
 		case <-l.timer.C:
 			l.step(scatter.TimerFired{})
 		case <-prune.C:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,6 +28,9 @@
 	ordersDropped      prometheus.Counter
 	trials             *prometheus.CounterVec
 	quarantined        *prometheus.GaugeVec
+	// Requests refused for lack of capacity, and the reservations of client retries.
+	admissionRefusals *prometheus.CounterVec
+	reservations      *prometheus.CounterVec
 	// Server and node changes reported by the directory.
 	departures       prometheus.Counter
 	directoryChanges prometheus.Counter
@@ -64,6 +67,12 @@
 		quarantined: factory.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_quarantine_requests_count", Help: "Requests under which servers ended, as this router knows them, by standing.",
 		}, []string{"standing"}),
+		admissionRefusals: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_gateway_admission_refusals_total", Help: "Requests refused for lack of capacity, by whether the share of the route or that of the tenant refused them.",
+		}, []string{"reason"}),
+		reservations: factory.NewCounterVec(prometheus.CounterOpts{
+			Name: "martenstage_gateway_reservations_total", Help: "Refused requests that were given a reservation or none, and requests admitted by their reservation alone.",
+		}, []string{"outcome"}),
 		departures:       counter("departures_total", "Departures of servers that directory nodes told."),
 		directoryChanges: counter("directory_changes_total", "Changes of the directory node that is followed, or of its start."),
 		followFailures:   counter("follow_failures_total", "Failed calls to directory nodes."),
@@ -91,3 +100,10 @@
 		Name: "martenstage_gateway_view_age_seconds", Help: "Time since what this router knows of servers was last known to hold all that was acknowledged.",
 	}, age)
 }
+
+// registerLoadViewAge registers the age, in seconds, of the figures of load that this router holds.
+func (m *metrics) registerLoadViewAge(registerer prometheus.Registerer, age func() float64) {
+	promauto.With(registerer).NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "martenstage_gateway_load_view_age_seconds", Help: "Age of the figures of load that this router holds; 0 while it holds none.",
+	}, age)
+}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -50,12 +50,30 @@
 	// RevokeWithin is how long after the acknowledgement of a document that revokes a key
 	// requests with the key may still be served; 0 for no bound.
 	RevokeWithin time.Duration
+	// Parts are the enabled parts of load sharing and admission.
+	Parts Parts
 	// ParseDocument parses a routing document.
 	ParseDocument func(text []byte) (*routing.Document, error)
 	Dialect       Dialect
 	Codec         exchange.Codec
 }
 
+// Parts are the parts of load sharing and admission that are enabled.
+type Parts struct {
+	// LoadReports reports demand and the observed load of servers to the directory.
+	LoadReports bool
+	// Admission refuses requests of routes that are short of capacity.
+	Admission bool
+	// Reservations gives and keeps reservations of client retries.
+	Reservations bool
+	// TenantShares applies the shares of tenants.
+	TenantShares bool
+	// ClassOrder, SharedConditions and ResendRefused are those of scatter.Config.
+	ClassOrder       bool
+	SharedConditions bool
+	ResendRefused    bool
+}
+
 // Environment holds the dependencies of a router.
 type Environment struct {
 	Logger     *logrus.Logger
--- a/internal/gateway/quarantining.go
+++ b/internal/gateway/quarantining.go
@@ -66,6 +66,11 @@
 	return m.view.Status(fingerprint)
 }
 
+// quarantined reports whether a request is quarantined.
+func (m *quarantineMonitor) quarantined(request *fingerprinted) bool {
+	return m.standing(request) == quarantine.Quarantined
+}
+
 // beginTrial reports whether this router may start a trial of a request; it runs one at a time
 // for each request. If so, endTrial must follow.
 func (m *quarantineMonitor) beginTrial(fingerprint quarantine.Fingerprint) bool {
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -24,9 +25,9 @@
 // recordOutcome counts and logs the end of a request.
 func (s *exchangeState) recordOutcome(outcome string, status int, result scatter.Result) {
 	took := steadyclock.Since(s.arrived)
-	route, target := "", time.Duration(0)
+	target := time.Duration(0)
 	if s.route != nil {
-		route, target = s.route.Name, s.route.Target
+		target = s.route.Target
 	}
 	s.gateway.metrics.requests.WithLabelValues(outcome, strconv.Itoa(status)).Inc()
 	s.gateway.metrics.seconds.Observe(took.Seconds())
@@ -43,11 +44,17 @@
 			return
 		}
 	}
-	if isTenantRefusal(result.Reason) {
-		s.gateway.metrics.tenantRefusals.WithLabelValues(string(result.Reason)).Inc()
-		if _, allowed := s.gateway.tenantRefusalLines.Allow(steadyclock.Now()); !allowed {
-			return
-		}
+	if !s.allowRefusalLine(result.Reason) {
+		return
+	}
+	s.logOutcome(outcome, status, took, late, result)
+}
+
+// logOutcome logs the end of a request.
+func (s *exchangeState) logOutcome(outcome string, status int, took time.Duration, late bool, result scatter.Result) {
+	route := ""
+	if s.route != nil {
+		route = s.route.Name
 	}
 	fields := logrus.Fields{
 		"request": s.id, "route": route, "version": s.version, "outcome": outcome, "status": status, "took": took,
@@ -63,9 +70,26 @@
 	if result.Reason != "" {
 		fields["reason"], fields["verdict"] = result.Reason, result.Verdict
 	}
+	if s.refusal != nil {
+		maps.Copy(fields, s.refusal.fields())
+	}
 	s.gateway.logger.WithFields(fields).Info("request")
 }
 
+// allowRefusalLine counts refusals of tenants and reports whether a line about a request that was
+// refused for the given reason may be written.
+func (s *exchangeState) allowRefusalLine(reason verdict.Reason) bool {
+	allowed := true
+	switch {
+	case isTenantRefusal(reason):
+		s.gateway.metrics.tenantRefusals.WithLabelValues(string(reason)).Inc()
+		_, allowed = s.gateway.tenantRefusalLines.Allow(steadyclock.Now())
+	case reason == verdict.ReasonNoCapacity:
+		_, allowed = s.gateway.capacityRefusalLines.Allow(steadyclock.Now())
+	}
+	return allowed
+}
+
 // isTenantRefusal reports whether a request was refused for its key or for its tenant's limit.
 // Their log lines are limited, so that a caller that keeps sending does not flood the log.
 func isTenantRefusal(reason verdict.Reason) bool {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,6 +34,8 @@
 	// tried is set if a server has just answered a trial of the request, which was suspected
 	// of crashing servers.
 	tried bool
+	// refusal tells why admission refused the request; nil if it did not.
+	refusal *admissionRefusal
 	// gathered describes the response in the log if it was gathered from slices.
 	gathered gatherSummary
 }
@@ -148,7 +150,7 @@
 		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
 		Header: s.forwardedHeaders(table), Body: body, ID: s.id, Tenant: s.tenantName(),
 	})
-	if s.refuseIsolated() || s.refuseOverQuota() || !s.recheckKey(table) || !s.checkQuarantine(forwarded) {
+	if !s.admit(table, forwarded) {
 		return
 	}
 	if s.route.Gathers() {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,8 +26,17 @@
 	ColdSlack      float64       `long:"cold-slack" koanf:"cold-slack" default:"1" validate:"min=0" description:"Requests in any second allowed beyond that"`
 	EvacuateWithin time.Duration `long:"evacuate-within" koanf:"evacuate-within" default:"5s" validate:"min=0" description:"How long after the acknowledgement of an evacuation requests may still go to the zone"`
 	RevokeWithin   time.Duration `long:"revoke-within" koanf:"revoke-within" default:"10s" validate:"min=0" description:"How long after a key was taken away requests with it may still be served, also by a router that is cut off; 0 for no bound"`
-	LogLevel       string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
-	MemoryLimit    int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
+
+	LoadReports      string `long:"load-reports" koanf:"load-reports" default:"on" validate:"oneof=on off" description:"Report demand and the observed load of servers to the directory"`
+	Admission        string `long:"admission" koanf:"admission" default:"on" validate:"oneof=on off" description:"Refuse requests of routes that are short of capacity, as the directory's leader decides"`
+	Reservations     string `long:"reservations" koanf:"reservations" default:"on" validate:"oneof=on off" description:"Tell refused clients a time at which their retry is admitted"`
+	TenantShares     string `long:"tenant-shares" koanf:"tenant-shares" default:"on" validate:"oneof=on off" description:"Refuse what tenants send above their share first where capacity is short"`
+	ClassOrder       string `long:"class-order" koanf:"class-order" default:"on" validate:"oneof=on off" description:"Send waiting calls of more urgent routes first"`
+	SharedConditions string `long:"shared-conditions" koanf:"shared-conditions" default:"on" validate:"oneof=on off" description:"Avoid servers that other routers find slow, refusing or silent"`
+	ResendRefused    string `long:"resend-refused" koanf:"resend-refused" default:"on" validate:"oneof=on off" description:"Send a call that all its servers refused to one of them again"`
+
+	LogLevel    string `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
+	MemoryLimit int64  `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
 }
 
 // SeedAddresses returns the addresses at which routers reach directory nodes.
@@ -38,6 +47,19 @@
 	return scatter.ColdLimits{RateFactor: o.ColdOver, Slack: o.ColdSlack}
 }
 
+// settingOn is the value of a setting that enables a part. A boolean option can't have the
+// default true.
+const settingOn = "on"
+
+// Parts returns the parts of load sharing and admission that are enabled.
+func (o *Options) Parts() Parts {
+	return Parts{
+		LoadReports: o.LoadReports == settingOn, Admission: o.Admission == settingOn, Reservations: o.Reservations == settingOn,
+		TenantShares: o.TenantShares == settingOn, ClassOrder: o.ClassOrder == settingOn,
+		SharedConditions: o.SharedConditions == settingOn, ResendRefused: o.ResendRefused == settingOn,
+	}
+}
+
 // BudgetLimits returns the limits of hedges and retries.
 func (o *Options) BudgetLimits() scatter.BudgetLimits {
 	return scatter.BudgetLimits{Ratio: o.ExtraRatio, Slack: o.ExtraSlack, Window: o.ExtraWindow}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -43,6 +43,11 @@
 
 // startSiteWithin is startSite with a value for Config.RevokeWithin.
 func startSiteWithin(t testing.TB, revokeWithin time.Duration, document *routing.Document, servers map[string]http.HandlerFunc) *site {
+	return startConfiguredSite(t, func(config *gateway.Config) { config.RevokeWithin = revokeWithin }, document, servers)
+}
+
+// startConfiguredSite is startSite with a changed configuration of the router.
+func startConfiguredSite(t testing.TB, change func(*gateway.Config), document *routing.Document, servers map[string]http.HandlerFunc) *site {
 	stub := &directoryStub{}
 	node := serve(t, stub)
 	s := &site{t: t, directory: stub}
@@ -55,10 +60,12 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	s.logged = logtest.NewLocal(logger)
-	s.router = gateway.New(gateway.Config{
+	config := gateway.Config{
 		Name: "router", Zone: "a", Seeds: []string{node}, Grace: 3 * time.Second, Budget: scatter.BudgetLimits{Ratio: 1, Slack: 100},
-		ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{}, RevokeWithin: revokeWithin,
-	}, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
+		ParseDocument: parseDocument, Dialect: dialect{}, Codec: dialect{},
+	}
+	change(&config)
+	s.router = gateway.New(config, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
 	s.run(listenLocal(t), nil)
 	if document != nil {
 		s.install(document)
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -132,6 +132,9 @@
 	// ReasonOnTrial: the same request is running on a single server as a trial, since servers
 	// terminated while running it.
 	ReasonOnTrial Reason = "on_trial"
+	// ReasonNoCapacity: the services of the route lack capacity for all requests, and this one is
+	// not among those admitted.
+	ReasonNoCapacity Reason = "no_capacity"
 )
 
 // Error is a refusal or failure with its verdict. RetryAfter, if positive, is how
