Make the test of a suspended router wait for the held reply

Cause: the test passed although the age counted from the arrival of the reply: the router had applied the view before the suspension. Change: the stub counts the replies that it holds back, and the test suspends during one. Result: with the age counted from the reply the test fails; with the code as it is, five runs with the race detector pass. Conclusion: the test now guards what it names.

--- a/internal/gateway/admitting_test.go
+++ b/internal/gateway/admitting_test.go
@@ -201,9 +201,8 @@
 	view.Revision = 1
 	s.directory.mutex.Lock()
 	s.directory.load, s.directory.loadAt, s.directory.loadHold = &view, steadyclock.Now(), 300*time.Millisecond
-	calls := s.directory.calls.Load()
 	s.directory.mutex.Unlock()
-	require.Eventually(t, func() bool { return s.directory.calls.Load() >= calls+2 }, 10*time.Second, time.Millisecond, "the call that the view answers has arrived")
+	require.Eventually(t, func() bool { return s.directory.loadHeld.Load() > 0 }, 10*time.Second, time.Millisecond, "the call that the view answers has arrived")
 	machine.Suspend(loadview.MaxAge)
 	s.awaitHeld(1)
 	require.Equal(t, http.StatusOK, s.send(http.MethodGet, "/a/", nil).status)
--- a/internal/gateway/directory_stub_test.go
+++ b/internal/gateway/directory_stub_test.go
@@ -39,6 +39,8 @@
 	load     *loadview.View
 	loadAt   time.Time
 	loadHold time.Duration
+	// loadHeld counts the replies that are or were held back.
+	loadHeld atomic.Int64
 	// followed is the last follow request.
 	followed directory.FollowRequest
 	// calls counts follow requests and probes.
@@ -83,7 +85,10 @@
 		reply.Metered, reply.MeteredDigest = d.metered, 1
 	}
 	d.mutex.Unlock()
-	time.Sleep(hold)
+	if hold > 0 {
+		d.loadHeld.Add(1)
+		time.Sleep(hold)
+	}
 	reply.RouterCount = max(1, reply.RouterCount)
 	if reply.Version <= follow.Version {
 		reply.Version, reply.Document = 0, nil
