--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -4,8 +4,8 @@
 
 const classes = int(plan.PriorityInteractive) + 1
 
-// Queue holds the attempts that wait for a shard's replicas, ordered by priority class,
-// highest first, and first in, first out within a class. Items that are no longer needed
+// Queue holds the attempts that wait for a shard's replicas, ordered by the urgency of their
+// class, and first in, first out within a class. Items that are no longer needed
 // stay in the queue until they are popped; Leave only removes them from the count.
 type Queue[T any] struct {
 	fifos  [classes]fifo[T]
@@ -19,15 +19,16 @@
 
 // Push appends an item to its class.
 func (q *Queue[T]) Push(priority plan.Priority, item T) {
-	q.fifos[priority].items = append(q.fifos[priority].items, item)
-	q.counts[priority]++
+	class := urgencyOf(priority)
+	q.fifos[class].items = append(q.fifos[class].items, item)
+	q.counts[class]++
 }
 
 // Pop removes and returns the first item, even if Leave was already called for it. If it
 // was not, the caller must call Leave.
 func (q *Queue[T]) Pop() (T, bool) {
 	var none T
-	for class := classes - 1; class >= 0; class-- {
+	for class := range q.fifos {
 		queued := &q.fifos[class]
 		if queued.head == len(queued.items) {
 			continue
@@ -43,7 +44,7 @@
 
 // PushFront puts back an item that was popped but could not be sent.
 func (q *Queue[T]) PushFront(priority plan.Priority, item T) {
-	queued := &q.fifos[priority]
+	queued := &q.fifos[urgencyOf(priority)]
 	if queued.head == 0 {
 		queued.items = append(queued.items, item)
 		copy(queued.items[1:], queued.items)
@@ -55,7 +56,7 @@
 }
 
 // Discard removes an item from the count.
-func (q *Queue[T]) Discard(priority plan.Priority) { q.counts[priority]-- }
+func (q *Queue[T]) Discard(priority plan.Priority) { q.counts[urgencyOf(priority)]-- }
 
 // Waiting returns the number of items that are still needed.
 func (q *Queue[T]) Waiting() int { return q.Ahead(0) }
@@ -63,7 +64,7 @@
 // Ahead returns the number of items that would be served before a new one of a class.
 func (q *Queue[T]) Ahead(priority plan.Priority) int {
 	count := 0
-	for class := int(priority); class < classes; class++ {
+	for class := urgency(0); class <= urgencyOf(priority); class++ {
 		count += q.counts[class]
 	}
 	return count
