--- a/internal/admission/fill.go
+++ b/internal/admission/fill.go
@@ -23,14 +23,15 @@
 	// -1 if the share is 1.
 	share      float64
 	bottleneck int
-
+	// full is the number of its services that are full, and frozen whether its share has its
+	// final value.
 	full   int
 	frozen bool
 }
 
 // fillClasses shares the capacity of the services, in slots, between classes, the first class
-// first. Each route keeps a quarter of the share that it would have without priorities. It returns
-// the mean shares in the order of the demands.
+// first, and sets the share and the bottleneck of each route. Each route keeps a quarter of the share
+// that it would have without priorities.
 func fillClasses(capacity []float64, classes [][]*demand) {
 	var all []*demand
 	for _, class := range classes {
@@ -50,78 +51,104 @@
 	}
 }
 
+// filling is the state while the shares of one class are raised together. Each step costs one pass
+// over the services and routes, and no pass over the calls of routes that go on.
+type filling struct {
+	level float64
+	// room is what is left at each service, rates the slots that the routes which are being raised
+	// need there per unit of level, and full whether room is used up.
+	room, rates []float64
+	full        []bool
+	users       [][]*demand
+	// waiting are the routes whose least share is above the level.
+	waiting []*demand
+}
+
 // fillClass raises the shares of all routes of a class together until services that they can't omit
 // are full. Room is what is left at each service without the routes' least shares; it is reduced
 // by what the routes get beyond them. A route no longer takes room of a service that is full,
 // but goes on as long as it can omit it.
 func fillClass(room []float64, class []*demand) {
-	users := make([][]*demand, len(room))
+	f := filling{
+		room: room, rates: make([]float64, len(room)), full: make([]bool, len(room)),
+		users: make([][]*demand, len(room)), waiting: class,
+	}
 	for _, route := range class {
-		route.share, route.full, route.frozen, route.bottleneck = route.least, 0, false, -1
+		route.full, route.frozen, route.bottleneck = 0, false, -1
 		for _, needed := range route.calls {
-			users[needed.service] = append(users[needed.service], route)
+			f.users[needed.service] = append(f.users[needed.service], route)
 		}
 	}
-	full := make([]bool, len(room))
-	for level := 0.0; ; {
-		next, limiting := nextLevel(room, full, class, level)
-		raise(room, full, class, level, next)
-		if limiting < 0 && next >= 1 {
-			return
+	for f.admitWaiting(); f.level < 1; f.admitWaiting() {
+		if limiting := f.raise(); limiting >= 0 {
+			f.fill(limiting)
 		}
-		level = next
-		if limiting < 0 {
-			continue
-		}
-		full[limiting] = true
-		room[limiting] = min(0, room[limiting])
-		for _, route := range users[limiting] {
-			route.full++
-			if !route.frozen && route.full > route.omittable {
-				route.frozen, route.bottleneck = true, limiting
-			}
+	}
+	for _, route := range class {
+		if !route.frozen {
+			route.share = 1
 		}
 	}
 }
 
-// nextLevel returns the next level at which a service is full, and the service, or the level at
-// which another route begins to take room beyond its least share, and -1.
-func nextLevel(room []float64, full []bool, class []*demand, level float64) (float64, int) {
-	next, limiting := 1.0, -1
-	rates := make([]float64, len(room))
-	for _, route := range class {
+// admitWaiting begins to raise the routes whose least share the level has reached.
+func (f *filling) admitWaiting() {
+	var waiting []*demand
+	for _, route := range f.waiting {
 		if route.frozen {
 			continue
 		}
-		if route.least > level {
-			next = min(next, route.least)
+		if route.least > f.level {
+			waiting = append(waiting, route)
 			continue
 		}
 		for _, needed := range route.calls {
-			rates[needed.service] += needed.slots
+			f.rates[needed.service] += needed.slots
 		}
 	}
-	for service, rate := range rates {
-		if rate <= 0 || full[service] || math.IsInf(room[service], 1) {
+	f.waiting = waiting
+}
+
+// raise raises the level to the next one at which a service is full, and returns the service, or
+// to one at which another route begins to take room beyond its least share, and returns -1.
+func (f *filling) raise() int {
+	next, limiting := 1.0, -1
+	for _, route := range f.waiting {
+		next = min(next, route.least)
+	}
+	for service, rate := range f.rates {
+		if rate <= 0 || f.full[service] || math.IsInf(f.room[service], 1) {
 			continue
 		}
-		if at := level + max(0, room[service])/rate; at < next {
+		if at := f.level + max(0, f.room[service])/rate; at < next {
 			next, limiting = at, service
 		}
 	}
-	return next, limiting
+	for service, rate := range f.rates {
+		if !f.full[service] {
+			f.room[service] -= (next - f.level) * rate
+		}
+	}
+	f.level = next
+	return limiting
 }
 
-func raise(room []float64, full []bool, class []*demand, from, to float64) {
-	for _, route := range class {
-		if route.frozen || route.least > from {
+// fill marks a service as full and ends the rise of the routes that can't omit it.
+func (f *filling) fill(service int) {
+	f.full[service] = true
+	f.room[service] = min(0, f.room[service])
+	for _, route := range f.users[service] {
+		route.full++
+		if route.frozen || route.full <= route.omittable {
 			continue
 		}
-		route.share = to
+		route.frozen, route.bottleneck = true, service
+		route.share = max(route.least, f.level)
+		if route.least > f.level {
+			continue // It was not raised yet.
+		}
 		for _, needed := range route.calls {
-			if !full[needed.service] {
-				room[needed.service] -= (to - from) * needed.slots
-			}
+			f.rates[needed.service] = max(0, f.rates[needed.service]-needed.slots)
 		}
 	}
 }
--- a/internal/admission/planner.go
+++ b/internal/admission/planner.go
@@ -16,10 +16,14 @@
 	// maxRiseTime is the longest time between two plans for which a share rises in proportion.
 	maxRiseTime = time.Second
 	// roundingError is the factor by which a figure may exceed the true rate: rates are reported
-	// in steps of a factor of 2^(1/4), rounded to the nearest one. A shortage begins only with a
-	// demand that exceeds the capacity by more. Without this, routers refused requests at a true
-	// demand of 0.92 of the capacity.
+	// in steps of a factor of 2^(1/4), rounded to the nearest one.
 	roundingError = 1.0905 // 2^(1/8)
+	// nearPlans and farPlans are the numbers of consecutive plans after which a shortage begins:
+	// farPlans if the demand exceeds all slots, not only the usable ones, and nearPlans if it
+	// exceeds the usable ones by more than the rounding of figures. With two plans in both cases,
+	// routers refused requests at a true demand of 0.93 of the usable slots, because two plans
+	// see half of the same arrivals.
+	nearPlans, farPlans = 4, 2
 	// promiseTime is for how long a fraction bounds the promises given under it.
 	promiseTime = time.Second
 	// ReturnShare is the share of the room of a route that is kept for client retries while
@@ -62,19 +66,44 @@
 	resumed bool
 	// holdUntil is the time until which no share rises.
 	holdUntil time.Time
-	// short are the services whose demand exceeded their capacity in the last plan.
-	short   map[string]bool
-	entries map[string]*entry
+	// excesses are those of services whose demand exceeded their capacity in the last plan.
+	excesses map[string]excess
+	entries  map[string]*entry
 	// tenants are the shares of tenants that are held, and above are the tenants that were above
 	// their level in the last plan.
 	tenants map[string]float64
 	above   map[string]bool
 }
 
+// excess is for how long the demand of a service has exceeded its capacity.
+type excess struct {
+	short bool
+	// near and far are the numbers of consecutive plans, see nearPlans and farPlans.
+	near, far int
+}
+
+// next returns the excess after another plan.
+func (e excess) next(demand, capacity float64) excess {
+	if demand <= capacity {
+		return excess{}
+	}
+	e.near, e.far = e.near+1, e.far+1
+	if demand <= capacity*roundingError {
+		e.near = 0
+	}
+	if demand <= capacity/loadview.Usable {
+		e.far = 0
+	}
+	e.short = e.short || e.near >= nearPlans || e.far >= farPlans
+	return e
+}
+
 // entry is the admission of one route.
 type entry struct {
 	state loadview.RouteState
 	since time.Time
+	// target is the share that the last plan had room for.
+	target float64
 	// fractions are those of the last second, the latest last.
 	fractions []fractionAt
 }
@@ -86,7 +115,7 @@
 
 // NewPlanner returns a planner that admits everything.
 func NewPlanner() *Planner {
-	return &Planner{entries: map[string]*entry{}, tenants: map[string]float64{}, short: map[string]bool{}, above: map[string]bool{}}
+	return &Planner{entries: map[string]*entry{}, tenants: map[string]float64{}, excesses: map[string]excess{}, above: map[string]bool{}}
 }
 
 // Resume continues from the last view of the leader before. It is called before the first plan.
@@ -94,11 +123,11 @@
 	p.resumed = true
 	for _, state := range view.Routes {
 		p.entries[state.Route] = &entry{state: state}
-		p.short[state.Bottleneck] = true
+		p.excesses[state.Bottleneck] = excess{short: true}
 	}
 	for _, service := range view.Services {
 		if service.Demand > service.Capacity {
-			p.short[service.Service] = true
+			p.excesses[service.Service] = excess{short: true}
 		}
 	}
 	for _, tenant := range view.Tenants {
@@ -147,20 +176,20 @@
 	}
 }
 
-// confirm removes the limits of services that were not short in the last plan too. The figures
-// of one plan may count a report twice. A shortage lasts until the demand is at most the capacity.
+// confirm removes the limits of services that are not short for certain: the figures of one plan
+// may count a report twice. A shortage lasts until the demand is at most the capacity.
 func (p *Planner) confirm(model *model) {
-	short := map[string]bool{}
+	excesses := map[string]excess{}
 	for service, index := range model.index {
-		least := model.capacity[index] * roundingError
-		if p.short[service] {
-			least = model.capacity[index]
+		current := p.excesses[service].next(model.demand[index], model.capacity[index])
+		if current != (excess{}) {
+			excesses[service] = current
 		}
-		if short[service] = model.demand[index] > least; !short[service] || !p.short[service] {
+		if !current.short {
 			model.capacity[index] = math.Inf(1)
 		}
 	}
-	p.short = short
+	p.excesses = excesses
 }
 
 // routes updates the entries and returns their states. With tenants, all affected routes have an
@@ -205,21 +234,34 @@
 	if limited.share < 1 {
 		target = max(leastFraction, (room-reserved)/(limited.offered-reserved))
 	}
-	state.Fraction = min(target, state.Fraction+rise)
+	// Figures move by a step of 2^(1/4) from one plan to the next while the demand is the same.
+	// The lesser of two targets does not follow them up.
+	confirmed := max(e.target, state.Fraction)
+	if target >= 1 {
+		confirmed = 1
+	}
+	state.Fraction = min(target, confirmed, state.Fraction+rise)
+	e.target = target
 	if state.Fraction > 1-fractionError {
 		state.Fraction = 1
 	}
-	refused := (1-state.Fraction)*(limited.offered-reserved) + limited.refused
-	state.Reservable = 1
-	if refused > 0 && (limited.share < 1 || limited.refused > 0) {
-		state.Reservable = min(1, ReturnShare*(room+limited.held)/refused)
-	}
+	state.Reservable = reservable(state.Fraction, reserved, limited)
 	if limited.bottleneck != "" {
 		state.Bottleneck = limited.bottleneck
 	}
 	state.Promised = e.promise(now)
 }
 
+// reservable returns the share of the refused requests that may hold a reservation: all once there
+// is room for all requests.
+func reservable(fraction, reserved float64, limited limit) float64 {
+	refused := (1-fraction)*(limited.offered-reserved) + limited.refused
+	if limited.share >= 1 && limited.refused <= 0 || refused <= 0 {
+		return 1
+	}
+	return min(1, ReturnShare*(limited.share*limited.offered+limited.held)/refused)
+}
+
 // promise records the fraction and returns the highest one of the last second.
 func (e *entry) promise(now time.Time) float64 {
 	e.fractions = append(e.fractions, fractionAt{at: now, fraction: e.state.Fraction})
--- a/internal/admission/tenants_test.go
+++ b/internal/admission/tenants_test.go
@@ -120,7 +120,7 @@
 func TestATenantIsHeldAfterTwoPlansAndReleasedSlowly(t *testing.T) {
 	in, _ := tenantInputs(820, 7.5, true)
 	planner, now := NewPlanner(), loopStart
-	require.Empty(t, steps(planner, &now, 2, in).Tenants)
+	require.Empty(t, steps(planner, &now, nearPlans, in).Tenants)
 	outcome := steps(planner, &now, 1, in)
 	require.Len(t, outcome.Tenants, 1)
 	require.Equal(t, "tenant-07", outcome.Tenants[0].Tenant)
