--- a/internal/admission/closed_loop_test.go
+++ b/internal/admission/closed_loop_test.go
@@ -56,6 +56,8 @@
 	windows map[string][]counts
 	// fractions are those of each view, by route.
 	fractions map[string][]float64
+	// tenants are nil if requests have none.
+	tenants *loopTenants
 }
 
 type published struct {
@@ -67,6 +69,7 @@
 	fingerprint quarantine.Fingerprint
 	route       int
 	retry       bool
+	tenant      int
 	// reserved is whether the router promised that the retry will be admitted.
 	reserved bool
 }
@@ -89,6 +92,7 @@
 	earlier  [][]int
 	promises [][]time.Duration
 	reported []loadview.RouteDemand
+	tenants  loopCounter
 }
 
 func newLoop(seed uint64, routers int, routes []loopRoute, slots func(string, time.Duration) []loadview.ServerSlots) *loop {
@@ -130,7 +134,9 @@
 		delete(l.coming, step)
 		for index, route := range l.routes {
 			for range l.draw(route.offered(at) * stepTime.Seconds()) {
-				l.arrive(step, at, loopRequest{route: index, fingerprint: l.fingerprint()})
+				request := loopRequest{route: index, fingerprint: l.fingerprint()}
+				l.tenants.assign(l.random, &request, at)
+				l.arrive(step, at, request)
 			}
 		}
 	}
@@ -159,14 +165,17 @@
 		router = l.routers[l.zoneOf(route, at)+route.zones*l.random.IntN(len(l.routers)/route.zones)]
 	}
 	router.seen[request.route]++
+	l.tenants.arrived(router, request)
 	window := l.window(route.Name, at)
 	window.offered++
 	if !request.retry {
 		window.fresh++
 	}
 	state, clock, found := l.held(router, route.Name, at)
+	state = l.tenants.share(l, router, request, state, at)
 	if !found || reservation.Admits(clock, request.fingerprint, state) {
 		window.admitted++
+		l.tenants.admitted(request, at)
 		if request.reserved {
 			window.returned++
 		}
@@ -220,22 +229,29 @@
 	return &l.windows[route][index]
 }
 
-// held returns the state of a route in the view that a router holds, and its clock.
-func (l *loop) held(router *loopRouter, route string, at time.Duration) (loadview.RouteState, reservation.Clock, bool) {
+// view returns the view that a router holds.
+func (l *loop) view(router *loopRouter, at time.Duration) (published, bool) {
 	for index := len(l.views) - 1; index >= 0; index-- {
-		if l.views[index].at > at-router.delay {
-			continue
+		if l.views[index].at <= at-router.delay {
+			return l.views[index], true
 		}
-		view := l.views[index].view
-		clock := reservation.ClockAt(loadview.Held{View: view, At: loopStart.Add(l.views[index].at + router.skew)}, loopStart.Add(at))
-		for _, state := range view.Routes {
-			if state.Route == route {
-				return state, clock, true
-			}
+	}
+	return published{}, false
+}
+
+// held returns the state of a route in the view that a router holds, and its clock.
+func (l *loop) held(router *loopRouter, route string, at time.Duration) (loadview.RouteState, reservation.Clock, bool) {
+	held, found := l.view(router, at)
+	if !found {
+		return loadview.RouteState{}, reservation.Clock{}, false
+	}
+	clock := reservation.ClockAt(loadview.Held{View: held.view, At: loopStart.Add(held.at + router.skew)}, loopStart.Add(at))
+	for _, state := range held.view.Routes {
+		if state.Route == route {
+			return state, clock, true
 		}
-		break
 	}
-	return loadview.RouteState{}, reservation.Clock{}, false
+	return loadview.RouteState{}, clock, false
 }
 
 // promisable returns the state by which a router promises: with the least fraction of the views
@@ -262,6 +278,7 @@
 	if len(router.earlier) > rateWindow {
 		router.earlier = router.earlier[1:]
 	}
+	router.tenants.report()
 	for index, route := range l.routes {
 		count := 0
 		for _, seen := range router.earlier {
@@ -304,8 +321,9 @@
 	for _, route := range l.routes {
 		inputs = append(inputs, route.RouteInput)
 	}
+	totals.Tenants = l.tenants.totals(l.routers)
 	outcome := l.planner.Plan(loopStart.Add(at), Inputs{
-		Totals: totals, Routes: inputs,
+		Totals: totals, Routes: inputs, Tenants: l.tenants.rates(),
 		Slots: func(service string) []loadview.ServerSlots { return l.slots(service, at) },
 	})
 	fractions := map[string]float64{}
@@ -321,7 +339,7 @@
 	}
 	epoch := uint64(at / reservation.EpochLength)
 	l.views = append(l.views, published{at: at, view: loadview.View{
-		Epoch: epoch, EpochElapsed: at % reservation.EpochLength, Routes: outcome.Routes,
+		Epoch: epoch, EpochElapsed: at % reservation.EpochLength, Routes: outcome.Routes, Tenants: outcome.Tenants,
 	}})
 }
 
--- a/internal/admission/replay_test.go
+++ b/internal/admission/replay_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-func (r replay) run(seed uint64, routers int) *loop {
+func (r replay) start(seed uint64, routers int) *loop {
 	route := func(name string, priority int, limit time.Duration, offered func(time.Duration) float64) loopRoute {
 		return loopRoute{
 			RouteInput: gathering(name, priority, r.least, r.shards...), work: replayWork,
@@ -106,7 +106,6 @@
 	if r.slow != nil {
 		l.states = r.slow
 	}
-	l.run(r.length)
 	return l
 }
 
@@ -117,7 +116,8 @@
 		for _, routers := range []int{1, 300} {
 			for seed := range uint64(4) {
 				t.Run(fmt.Sprintf("%s, %d routers, seed %d", name, routers, seed), func(t *testing.T) {
-					l := test.run(seed, routers)
+					l := test.start(seed, routers)
+					l.run(test.length)
 					requireSettled(t, test, l)
 					requireOpen(t, test, l)
 					requirePromises(t, test, l)
