Plan admission at the leader with package admission

Cause: the directory node publishes the view of load, and the planner was a separate part. Change: NewAdmissionPlanner adapts the planner to a node, which builds its inputs once for each document. Conclusion: wiring only.

--- a/cmd/martenstage/directory.go
+++ b/cmd/martenstage/directory.go
@@ -28,17 +28,13 @@
 	return runRegistered(roleDirectory, c.LogLevel, c.MemoryLimit, hangups, c.run)
 }
 
-// newAdmissionPlanner returns the planner of a leader's term; nil while the program has none, so
-// that views of load hold services without routes or tenants.
-var newAdmissionPlanner func() directory.AdmissionPlanner
-
 // wrapStore is put around the log on disk; nil but in builds that play faults of disks.
 var wrapStore func(voter.Store) voter.Store
 
 func (c *directoryCommand) run(stopping context.Context, process *registeredProcess) error {
 	config := c.Config(directory.Documents{Check: platform.DocumentVersion, Limits: platform.DocumentLimits, Parse: platform.ParseDocument})
 	if c.PlansAdmission() {
-		config.NewPlanner = newAdmissionPlanner
+		config.NewPlanner = directory.NewAdmissionPlanner
 	}
 	node, err := directory.Open(config, directory.Environment{
 		Logger: process.logger, Registerer: process.registry, WrapStore: wrapStore,
--- a/internal/directory/load_leader.go
+++ b/internal/directory/load_leader.go
@@ -183,7 +183,7 @@
 		return loadview.View{}, false // Without the servers, the routes would seem to have no shortage.
 	}
 	load.totals = load.merger.Totals(now)
-	inputs := PlanInputs{Totals: load.totals, Routes: load.document.routes, Tenants: load.document.tenants, Slots: load.slots.of}
+	inputs := PlanInputs{Totals: load.totals, Version: load.document.version, Routes: load.document.routes, Tenants: load.document.tenants, Slots: load.slots.of}
 	view = loadview.View{Term: load.term, Revision: load.published.Revision + 1}
 	if settled {
 		if load.planner != nil {
--- a/internal/directory/load_planning.go
+++ b/internal/directory/load_planning.go
@@ -26,7 +26,8 @@
 // PlanInputs are the figures from which a plan is computed.
 type PlanInputs struct {
 	Totals loadview.Totals
-	// Routes and Tenants are those of the routing document.
+	// Version is that of the routing document, Routes and Tenants are its routes and tenants.
+	Version uint64
 	Routes  []routing.Route
 	Tenants []routing.Tenant
 	// Slots returns the usable servers of a service; none if the service is unknown.
