--- a/internal/directory/load.go
+++ b/internal/directory/load.go
@@ -86,10 +86,11 @@
 // router's is older. Only then is the reply sent at once: a router that comes from a node which
 // is ahead would otherwise call again and again. The caller holds the mutex.
 func (n *Node) addLoad(reply *FollowReply, request FollowRequest, receivedAt time.Time) bool {
-	view := n.heldLoad.View
-	if request.Load == nil || n.heldLoad.At.IsZero() || view.Term == request.LoadTerm && view.Revision == request.LoadRevision {
+	held := &n.heldLoad.View
+	if request.Load == nil || n.heldLoad.At.IsZero() || held.Term == request.LoadTerm && held.Revision == request.LoadRevision {
 		return false
 	}
+	view := *held
 	validAt := n.heldLoad.At.Sub(receivedAt)
 	reply.Load, reply.LoadAt = &view, &validAt
 	return view.Newer(loadview.View{Term: request.LoadTerm, Revision: request.LoadRevision})
