Send waiting calls of more urgent routes first

Cause: waiting calls went by due time, so that a less urgent route with a short target was served better than a more urgent one with a long target on the same servers. Change: with Config.ClassOrder, among the calls that can still be in time those of the more urgent route go first, by due time within a class; after four more urgent ones in a row the first less urgent one. While calls wait at a service, a new one joins them instead of taking a place that came free. Evenly spaced requests below capacity are sent as without it.

--- a/internal/scatter/group.go
+++ b/internal/scatter/group.go
@@ -23,6 +23,8 @@
 	attemptTime latency.Average
 	// queue holds the calls for which no server had capacity.
 	queue []*call
+	// turns are those of the classes of calls that wait.
+	turns classTurns
 	// listed says that the group is in Engine.waiting.
 	listed bool
 }
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -139,7 +139,12 @@
 			continue
 		}
 		c.group.budget.earn(e.now, e.config.Budget, e.share(c.group))
-		e.dispatch(c, false)
+		if e.config.ClassOrder && len(c.group.queue) > 0 {
+			// A place that is free takes the call whose turn it is.
+			e.enqueue(c)
+		} else {
+			e.dispatch(c, false)
+		}
 		e.dispatchQueue(c.group.service)
 	}
 	e.decide(arrived)
--- a/internal/scatter/waiting.go
+++ b/internal/scatter/waiting.go
@@ -74,22 +74,32 @@
 	pending := slices.DeleteFunc(grp.queue, func(c *call) bool { return !c.queued })
 	slices.SortStableFunc(pending, e.compareUrgency)
 	grp.queue = nil
+	if e.config.ClassOrder {
+		e.dispatchByClass(grp, pending)
+		return
+	}
 	for _, c := range pending {
-		c.queued = false
-		e.dispatchExtra(c)
-		switch {
-		case c.settled:
-			e.decide(c.request)
-		case c.held:
-			e.releaseHeld(c.request)
-		}
+		e.dispatchQueued(c)
+	}
+}
+
+// dispatchQueued dispatches a call that was queued.
+func (e *Engine) dispatchQueued(c *call) {
+	c.queued = false
+	e.dispatchExtra(c)
+	switch {
+	case c.settled:
+		e.decide(c.request)
+	case c.held:
+		e.releaseHeld(c.request)
 	}
 }
 
 // compareUrgency orders queued calls. Calls whose parts can still be in time go first, by due
 // time, since later parts have little value, and a queue longer than the remaining time would
 // make all of them late. The others go by the priority of their routes. Other orders performed
-// no better (docs/results/0013).
+// no better (docs/results/0013). With Config.ClassOrder, those of a more urgent route go first,
+// whatever their due times.
 func (e *Engine) compareUrgency(a, b *call) int {
 	overdueA, overdueB := e.overdue(a), e.overdue(b)
 	switch {
@@ -100,6 +110,9 @@
 	case overdueB:
 		return -1
 	}
+	if e.config.ClassOrder && a.request.route.Priority != b.request.route.Priority {
+		return cmp.Compare(a.request.route.Priority, b.request.route.Priority)
+	}
 	return cmp.Or(
 		a.request.usefulUntil().Compare(b.request.usefulUntil()),
 		cmp.Compare(a.request.route.Priority, b.request.route.Priority),
