--- a/internal/scatter/conditions.go
+++ b/internal/scatter/conditions.go
@@ -40,7 +40,7 @@
 // weight is that of the figure: it counts less from loadview.FullWeightAge on, and nothing from
 // loadview.MaxAge on.
 func (f *sharedFigure) weight(now time.Time) float64 {
-	if !f.known {
+	if f == nil || !f.known {
 		return 0
 	}
 	return loadview.Held{At: f.at}.Weight(now)
@@ -63,7 +63,7 @@
 	}
 	for _, named := range previous {
 		if !named.shared.known {
-			named.shared = sharedFigure{}
+			named.shared = nil
 			e.dispatchQueue(named.Service)
 		}
 	}
@@ -79,6 +79,9 @@
 	if e.conditions.At.IsZero() || (loadview.Held{At: at}).Weight(e.now) <= 0 {
 		return
 	}
+	if of.shared == nil {
+		of.shared = &sharedFigure{}
+	}
 	of.shared.known, of.shared.state, of.shared.at = true, state, at
 	e.named = append(e.named, of)
 	if of.shared.exploredAt.IsZero() {
@@ -89,7 +92,7 @@
 // scheduleExploring draws when this router next sends an exploring attempt to a server. The
 // intervals are exponential, so that the attempts of all gatherers are spread over time.
 func (e *Engine) scheduleExploring(of *server) {
-	if !of.shared.known {
+	if of.shared == nil {
 		return
 	}
 	gatherers := e.routers
@@ -128,14 +131,14 @@
 // sharedSilent reports whether other routers find the server silent and this one has not heard
 // from it since.
 func (s *server) sharedSilent(now time.Time) bool {
-	return s.shared.known && s.shared.state.Condition == loadview.Silent && s.shared.weight(now) > 0 && !s.outweighs(loadview.Silent)
+	return s.shared != nil && s.shared.state.Condition == loadview.Silent && s.shared.weight(now) > 0 && !s.outweighs(loadview.Silent)
 }
 
 // expectedPace is the pace that is expected of the server: its own observed one, or the shared
 // one if that is greater and newer.
 func (s *server) expectedPace(now time.Time) float64 {
 	pace := s.currentPace(now)
-	if !s.shared.known || s.outweighs(loadview.Slow) {
+	if s.shared == nil || s.outweighs(loadview.Slow) {
 		return pace
 	}
 	return max(pace, 1+(s.shared.state.Pace-1)*s.shared.weight(now))
@@ -144,7 +147,7 @@
 // expectedRefusals is the share of attempts that the server is expected to refuse.
 func (s *server) expectedRefusals(now time.Time) float64 {
 	refusals := s.refusals.current(now)
-	if !s.shared.known || s.outweighs(loadview.Refusing) {
+	if s.shared == nil || s.outweighs(loadview.Refusing) {
 		return refusals
 	}
 	return max(refusals, s.shared.state.Refusals*s.shared.weight(now))
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -98,7 +98,7 @@
 		from.startColdBudget(e.now)
 	}
 	took := e.now.Sub(ended.started)
-	e.observe(ended, outcome, took)
+	e.observe(ended, outcome)
 	route := ended.call.request.route
 	switch outcome.Failure {
 	case NoFailure:
@@ -144,8 +144,10 @@
 	route := ended.call.request.route
 	// A slowness that the server reported itself counts in its pace, too: the report expires
 	// after 200 ms, while a slow server stays slow for seconds.
-	from.recordPace(e.now, e.ratio(route, took))
-	e.histogram(route).Observe(e.now, took)
+	ratio, observed := e.ratio(route, took), e.durationsOf(route)
+	e.observeWork(ended, outcome, took, ratio, observed.sound)
+	from.recordPace(e.now, ratio)
+	observed.all.Observe(e.now, took)
 	ended.call.group.attemptTime.Observe(e.now, took)
 	from.recordSuccess(e.now)
 }
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -39,7 +39,7 @@
 	servers     map[string]*server
 	requests    map[RequestID]*request
 	attempts    map[AttemptID]*attempt
-	histograms  map[string]*latency.Histogram
+	durations   map[string]*durations
 	timers      timerHeap
 	lastAttempt AttemptID
 	wakeAt      time.Time
@@ -57,8 +57,6 @@
 	// both may hold others until the next LoadReport.
 	recent  []*server
 	waiting []*group
-	// sound holds the durations of attempts at sound servers, by route.
-	sound map[string]*latency.Histogram
 	// lateAt is when timers last ran late.
 	lateAt   time.Time
 	commands []Command
@@ -70,7 +68,7 @@
 		config: config, random: rand.New(rand.NewPCG(config.Seed, config.Seed)), routers: 1,
 		groups: make(map[string]*group), servers: make(map[string]*server),
 		requests: make(map[RequestID]*request), attempts: make(map[AttemptID]*attempt),
-		histograms: make(map[string]*latency.Histogram), sound: make(map[string]*latency.Histogram),
+		durations: make(map[string]*durations),
 		exploring: rand.New(rand.NewPCG(config.Seed, ^config.Seed)),
 	}
 }
@@ -211,7 +209,7 @@
 	if known.listed {
 		e.recent = slices.DeleteFunc(e.recent, func(s *server) bool { return s == known })
 	}
-	if known.shared.known {
+	if known.shared != nil {
 		e.named = slices.DeleteFunc(e.named, func(s *server) bool { return s == known })
 	}
 	grp := e.group(known.Service)
@@ -243,16 +241,22 @@
 // share is this router's share of what a service allows all routers together.
 func (e *Engine) share(g *group) float64 { return g.gatherers.share(e.routers) }
 
-// histogram returns the histogram of a route's attempts.
-func (e *Engine) histogram(route *routing.Route) *latency.Histogram {
-	existing, ok := e.histograms[route.Name]
+// durations are those of a route's attempts, and of its attempts at sound servers.
+type durations struct{ all, sound *latency.Histogram }
+
+// durationsOf returns the durations of a route's attempts.
+func (e *Engine) durationsOf(route *routing.Route) *durations {
+	existing, ok := e.durations[route.Name]
 	if !ok {
-		existing = latency.NewHistogram(latency.DefaultHalfLife)
-		e.histograms[route.Name] = existing
+		existing = &durations{all: latency.NewHistogram(latency.DefaultHalfLife), sound: latency.NewHistogram(latency.DefaultHalfLife)}
+		e.durations[route.Name] = existing
 	}
 	return existing
 }
 
+// histogram returns the histogram of a route's attempts.
+func (e *Engine) histogram(route *routing.Route) *latency.Histogram { return e.durationsOf(route).all }
+
 // notRunRetryAfter is the delay after which a client may retry a request that has not run.
 const notRunRetryAfter = 150 * time.Millisecond
 
--- a/internal/scatter/observing.go
+++ b/internal/scatter/observing.go
@@ -8,7 +8,6 @@
 
 	"github.com/martenstage/martenstage/internal/latency"
 	"github.com/martenstage/martenstage/internal/loadview"
-	"github.com/martenstage/martenstage/internal/routing"
 )
 
 // EngineLoad is what an engine observed itself; it holds no figure of ConditionsShared.
@@ -77,7 +76,7 @@
 }
 
 // observe records the end of an attempt, before recordOutcome changes the state of the server.
-func (e *Engine) observe(ended *attempt, outcome Outcome, took time.Duration) {
+func (e *Engine) observe(ended *attempt, outcome Outcome) {
 	from := ended.server
 	switch outcome.Failure {
 	case NoFailure, Refused:
@@ -91,18 +90,19 @@
 		from.unheardUntil = e.now
 		from.failedOutright = outcome.Failure != Aborted && outcome.Failure != TimedOut
 	}
-	if outcome.Failure == NoFailure && outcome.Reply.Succeeded() && !ended.started.Before(e.lateAt) {
-		e.observeWork(ended, outcome, took)
-	}
 }
 
-// observeWork records how long a server took for an answer.
-func (e *Engine) observeWork(ended *attempt, outcome Outcome, took time.Duration) {
-	from, route := ended.server, ended.call.request.route
+// observeWork records how long a server took for a good answer, absolutely and relative to the
+// typical time, before its pace changes. What a suspended router measured does not count.
+func (e *Engine) observeWork(ended *attempt, outcome Outcome, took time.Duration, ratio float64, sound *latency.Histogram) {
+	from := ended.server
+	if ended.started.Before(e.lateAt) {
+		return
+	}
 	if from.currentPace(e.now) < loadview.SlowPace && from.refusals.current(e.now) <= loadview.RefusingShare {
-		e.soundTimes(route).Observe(e.now, took)
+		sound.Observe(e.now, took)
 	}
-	if e.ratio(route, took) < loadview.SlowPace {
+	if ratio < loadview.SlowPace {
 		from.slowEndedAt, from.slowConfirmed = time.Time{}, false
 		return
 	}
@@ -116,16 +116,6 @@
 	}
 }
 
-// soundTimes returns the histogram of a route's attempts at sound servers.
-func (e *Engine) soundTimes(route *routing.Route) *latency.Histogram {
-	existing, ok := e.sound[route.Name]
-	if !ok {
-		existing = latency.NewHistogram(latency.DefaultHalfLife)
-		e.sound[route.Name] = existing
-	}
-	return existing
-}
-
 // LoadReport returns what the engine observed up to now. Like Step, it must be called by the
 // goroutine that owns the engine. Its cost grows with the servers that were used within the
 // last seconds and with the waiting calls, not with the servers of the site.
@@ -165,9 +155,9 @@
 
 // reportWork adds the work of the routes that have enough observations.
 func (e *Engine) reportWork(work map[string]time.Duration) {
-	for route, observed := range e.sound {
-		if observed.Count() >= minObservations {
-			work[route] = observed.Quantile(unqueuedQuantile)
+	for route, observed := range e.durations {
+		if observed.sound.Count() >= minObservations {
+			work[route] = observed.sound.Quantile(unqueuedQuantile)
 		}
 	}
 }
--- a/internal/scatter/server.go
+++ b/internal/scatter/server.go
@@ -55,8 +55,8 @@
 	// usual time; 0 if it did not report any.
 	slowness float64
 	observation
-	// shared is what other routers report.
-	shared sharedFigure
+	// shared is what other routers report, nil if nothing.
+	shared *sharedFigure
 }
 
 // Parameters of the state of a server.
