--- a/internal/scatter/doc.go
+++ b/internal/scatter/doc.go
@@ -9,11 +9,15 @@
 //
 //	first attempt  at once, to the server with the least expected delay
 //	queue          a server without a free slot gets little more work; calls are queued
-//	               here, by due time, and those that can't be in time any more come last
+//	               here, by due time (with Config.ClassOrder by class first), and those that can't
+//	               be in time any more come last
+//	conditions     servers that other routers find in trouble are avoided until this router has
+//	               heard from them, if Config.SharedConditions is set
 //	hedge          to another server once an attempt is in flight for longer than most
 //	               are, or for half of the time until its part is due
 //	retry          after a failure, if the request may run again or provably has
-//	               not run
+//	               not run; with Config.ResendRefused a call that all its servers refused may go to
+//	               one of them again
 //	budget         hedges and retries of a service spend tokens that first
 //	               attempts earn, so that over all routers the extra attempts
 //	               stay below a share of the requests
--- a/internal/scatter/shared_choice_test.go
+++ b/internal/scatter/shared_choice_test.go
@@ -23,6 +23,8 @@
 	h.servers("s", 2)
 	route := singleRoute(false)
 	h.learnTypical(route, 10*time.Millisecond)
+	// No answer is newer than the figure.
+	h.advance(loadview.MaxAge)
 	state.ID = "s/0"
 	h.step(scatter.ConditionsShared{At: h.now.Add(-age), Servers: map[string]loadview.ServerState{"s/0": state}})
 	return h, route
@@ -61,6 +63,19 @@
 	}
 }
 
+// TestOldFiguresCountLess guards against figures that lose their effect all at once, which would
+// send all routers back at the same moment: near the greatest age, a server that was slow is
+// taken before one with work in flight, and up to the age of full weight it is not.
+func TestOldFiguresCountLess(t *testing.T) {
+	for age, expected := range map[time.Duration]string{0: "s/1", loadview.FullWeightAge: "s/1", 2500 * time.Millisecond: "s/0"} {
+		h, route := sharing(t, age, loadview.ServerState{Condition: loadview.Slow, Pace: 2.5})
+		for _, server := range []string{"s/1", expected} {
+			h.arrive(route)
+			require.Equal(t, server, h.take()[0].Server.ID, age)
+		}
+	}
+}
+
 // TestOwnAnswerOutweighsOlderFigure guards against a router that ignores what it saw itself: a
 // server that it has heard from since the time of the figure is used as before.
 func TestOwnAnswerOutweighsOlderFigure(t *testing.T) {
