--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -61,12 +61,20 @@
 	lastFailure  Failure
 	// failureReply is the server's own error reply, passed on if there is no better one.
 	failureReply *message.Reply
-	steps        []Step
+	// refusers are the servers that refused the call, and notRun counts the attempts that
+	// provably did not run. resending says that the next attempt may go to a refuser.
+	refusers  []*server
+	notRun    int
+	resending bool
+	steps     []Step
 }
 
 // hasTried reports whether a call was sent to a server, or is in flight at the same process: a
 // server that restarted may be known by two incarnations.
 func (c *call) hasTried(candidate *server) bool {
+	if c.resending {
+		return !c.mayResendTo(candidate)
+	}
 	return slices.Contains(c.tried, candidate) || slices.ContainsFunc(c.inFlight, func(a *attempt) bool {
 		return a.server.sharesProcess(candidate)
 	})
@@ -131,7 +139,12 @@
 			continue
 		}
 		c.group.budget.earn(e.now, e.config.Budget, e.share(c.group))
-		e.dispatch(c, false)
+		if e.config.ClassOrder && len(c.group.queue) > 0 {
+			// A place that is free takes the call whose turn it is.
+			e.enqueue(c)
+		} else {
+			e.dispatch(c, false)
+		}
 		e.dispatchQueue(c.group.service)
 	}
 	e.decide(arrived)
@@ -166,7 +179,7 @@
 
 // view returns the inputs of a choice for a call other than the group.
 func (e *Engine) view(c *call) choiceView {
-	view := choiceView{zone: e.config.Zone, share: e.share(c.group), random: e.random, evacuated: e.evacuated, cold: e.coldShare(c.group)}
+	view := choiceView{zone: e.config.Zone, share: e.share(c.group), random: e.random, evacuated: e.evacuated, cold: e.coldShare(c.group), explores: c.explores()}
 	req := c.request
 	if !req.due.IsZero() && !e.overdue(c) {
 		view.timeLeft = req.due.Sub(e.now)
@@ -181,9 +194,11 @@
 	e.attempts[sent.id] = sent
 	sent.expected = e.now.Add(e.stallDelay(c.request.route, chosen))
 	chosen.inFlight[sent.id], chosen.lastSentAt = sent, e.now
+	e.noteSent(chosen)
+	e.scheduleExploring(chosen)
 	c.consumeGrant()
 	chosen.spendColdToken(e.now, e.coldShare(c.group))
-	c.tried = append(c.tried, chosen)
+	c.noteTried(chosen)
 	c.inFlight = append(c.inFlight, sent)
 	pending := c.request
 	pending.attempts++
@@ -232,6 +247,7 @@
 	e.note(c, Step{Kind: StepEnded, Server: ended.server.ID, Failure: outcome.Failure})
 	c.verdicts = append(c.verdicts, outcome.Verdict)
 	c.lastFailure = outcome.Failure
+	c.countNotRun(ended, outcome)
 	if outcome.Failure == NoFailure && outcome.Reply.Succeeded() {
 		c.part = outcome.Reply
 		if c.request.route.Gathers() {
@@ -245,8 +261,10 @@
 		c.failureReply = outcome.Reply
 	}
 	if outcome.Failure == NotConnected || outcome.Failure == NotSent {
-		c.unsent++
 		c.request.attempts--
+		if !slices.Contains(c.refusers, ended.server) {
+			c.unsent++
+		}
 	}
 	if len(c.inFlight) == 0 {
 		e.retry(c, outcome)
@@ -259,7 +277,7 @@
 	route := c.request.route
 	sent := len(c.tried) - c.unsent
 	mayRun := route.Repeatable || outcome.Verdict == verdict.NotRun
-	if !mayRun || sent >= c.maxAttempts() || c.unsent > maxUnsent {
+	if !mayRun || c.unsent > maxUnsent || sent >= c.maxAttempts() && !e.startResend(c) {
 		e.settle(c)
 		return
 	}
@@ -284,8 +302,14 @@
 		e.dispatch(c, false)
 		return
 	}
+	if c.resending && !e.resendUseful(c) {
+		e.settle(c)
+		return
+	}
 	_, found := e.choose(c)
 	switch {
+	case found == absent && e.startResend(c):
+		e.dispatchExtra(c)
 	case found == available && !e.mayRepeat(c):
 		if c.claim == refused && len(c.inFlight) == 0 {
 			e.settle(c)
@@ -293,13 +317,13 @@
 	case found == absent || found == busy && e.canOmit(c):
 		e.settle(c)
 	case found == busy:
-		c.enqueue()
+		e.enqueue(c)
 	case !e.spendToken(c, retryReserve):
 		if c.refusable() {
 			e.settle(c)
 			return
 		}
-		c.enqueue()
+		e.enqueue(c)
 	default:
 		e.dispatch(c, true)
 	}
--- a/internal/scatter/waiting.go
+++ b/internal/scatter/waiting.go
@@ -7,15 +7,35 @@
 )
 
 // enqueue adds a call to the queue of its service.
-func (c *call) enqueue() {
+func (e *Engine) enqueue(c *call) {
 	c.queued = true
 	c.group.queue = append(c.group.queue, c)
+	if !c.group.listed {
+		c.group.listed = true
+		e.waiting = append(e.waiting, c.group)
+	}
+}
+
+// unlist reports whether no calls wait at the service, and marks it as not listed then.
+func (g *group) unlist() bool {
+	g.listed = g.waitingCalls() > 0
+	return !g.listed
+}
+
+// waitingCalls counts the calls that wait for a server with capacity.
+func (g *group) waitingCalls() (count int) {
+	for _, c := range g.queue {
+		if c.queued {
+			count++
+		}
+	}
+	return count
 }
 
 // await queues a call until a server has capacity or becomes known.
 func (e *Engine) await(c *call, found availability) {
 	e.note(c, Step{Kind: StepQueued})
-	c.enqueue()
+	e.enqueue(c)
 	if found == absent && !c.hasWaitTimer {
 		c.hasWaitTimer = true
 		e.timers.add(timer{at: c.request.arrived.Add(serverWaitTimeout), kind: timerCapacity, service: c.group.service})
@@ -54,22 +74,32 @@
 	pending := slices.DeleteFunc(grp.queue, func(c *call) bool { return !c.queued })
 	slices.SortStableFunc(pending, e.compareUrgency)
 	grp.queue = nil
+	if e.config.ClassOrder {
+		e.dispatchByClass(grp, pending)
+		return
+	}
 	for _, c := range pending {
-		c.queued = false
-		e.dispatchExtra(c)
-		switch {
-		case c.settled:
-			e.decide(c.request)
-		case c.held:
-			e.releaseHeld(c.request)
-		}
+		e.dispatchQueued(c)
+	}
+}
+
+// dispatchQueued dispatches a call that was queued.
+func (e *Engine) dispatchQueued(c *call) {
+	c.queued = false
+	e.dispatchExtra(c)
+	switch {
+	case c.settled:
+		e.decide(c.request)
+	case c.held:
+		e.releaseHeld(c.request)
 	}
 }
 
 // compareUrgency orders queued calls. Calls whose parts can still be in time go first, by due
 // time, since later parts have little value, and a queue longer than the remaining time would
 // make all of them late. The others go by the priority of their routes. Other orders performed
-// no better (docs/results/0013).
+// no better (docs/results/0013). With Config.ClassOrder, those of a more urgent route go first,
+// whatever their due times.
 func (e *Engine) compareUrgency(a, b *call) int {
 	overdueA, overdueB := e.overdue(a), e.overdue(b)
 	switch {
@@ -80,6 +110,9 @@
 	case overdueB:
 		return -1
 	}
+	if e.config.ClassOrder && a.request.route.Priority != b.request.route.Priority {
+		return cmp.Compare(a.request.route.Priority, b.request.route.Priority)
+	}
 	return cmp.Or(
 		a.request.usefulUntil().Compare(b.request.usefulUntil()),
 		cmp.Compare(a.request.route.Priority, b.request.route.Priority),
