Report servers that come into trouble while a follow call is held

Cause: a node holds a calm router's call for 700 ms; with the paths to the leader and back, other routers would know of a server in trouble later than 1 s after it was observed. Change: the router looks at its observations every 250 ms while a call is held, and starts a new call once servers have come into trouble. Conclusion: the interval grows with the routers as that of the calls does, so the nodes get no more calls than under load.

--- a/internal/gateway/admitting_test.go
+++ b/internal/gateway/admitting_test.go
@@ -435,3 +435,45 @@
 	require.Equal(t, 1, strings.Count(logOf(s), "load_view_changed\n"))
 	require.Equal(t, http.StatusOK, s.send(http.MethodGet, "/a/", nil).status)
 }
+
+// TestServerInTroubleIsReportedAtOnce guards against a follow call that is held while a server has
+// come into trouble: the other routers would know of it too late. A call that ends at that time
+// reports it too, so that the test repeats until a call does that started for this.
+func TestServerInTroubleIsReportedAtOnce(t *testing.T) {
+	for range 8 {
+		if reportsDuringCall(t) {
+			return
+		}
+	}
+	require.Fail(t, "each report came with the next ordinary call")
+}
+
+// reportsDuringCall has the only server stop responding, and reports whether the router started a
+// call to report it, which a node must not hold.
+func reportsDuringCall(t *testing.T) bool {
+	s := startConfiguredSite(t, everyPart, oneRoute(1, "s"), map[string]http.HandlerFunc{
+		"s": func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() },
+	})
+	s.directory.mutex.Lock()
+	s.directory.hold = time.Second
+	s.directory.mutex.Unlock()
+	calls := s.directory.calls.Load()
+	require.Eventually(t, func() bool { return s.directory.calls.Load() > calls+1 }, 10*time.Second, time.Millisecond)
+	answers := make(chan answer, 1)
+	go func() { answers <- s.sendWith(http.Header{"X-Left": {"1500ms"}}, http.MethodGet, "/a/", nil) }()
+	var troubled []loadview.ServerState
+	var allowed time.Duration
+	require.Eventually(t, func() bool {
+		s.directory.mutex.Lock()
+		defer s.directory.mutex.Unlock()
+		allowed = s.directory.followed.Wait
+		if load := s.directory.followed.Load; load != nil && len(load.Services) > 0 {
+			troubled = load.Services[0].Servers
+		}
+		return len(troubled) > 0
+	}, 10*time.Second, time.Millisecond)
+	require.Equal(t, "i-s", troubled[0].ID)
+	require.Equal(t, loadview.Silent, troubled[0].Condition)
+	require.Equal(t, http.StatusGatewayTimeout, (<-answers).status)
+	return allowed == 0
+}
--- a/internal/gateway/directory_stub_test.go
+++ b/internal/gateway/directory_stub_test.go
@@ -41,6 +41,8 @@
 	loadHold time.Duration
 	// loadHeld counts the replies that are or were held back.
 	loadHeld atomic.Int64
+	// hold is how long further calls without updates are held, at most as long as the router allows.
+	hold time.Duration
 	// followed is the last follow request.
 	followed directory.FollowRequest
 	// calls counts follow requests and probes.
@@ -75,7 +77,7 @@
 		return
 	}
 	d.followed = follow
-	reply, hold := d.reply, time.Duration(0)
+	reply, hold, longest := d.reply, time.Duration(0), d.hold
 	if d.load != nil && (d.load.Term != follow.LoadTerm || d.load.Revision != follow.LoadRevision) {
 		validAt := steadyclock.Until(d.loadAt)
 		reply.Load, reply.LoadAt, hold = d.load, &validAt, d.loadHold
@@ -92,7 +94,7 @@
 	reply.RouterCount = max(1, reply.RouterCount)
 	if reply.Version <= follow.Version {
 		reply.Version, reply.Document = 0, nil
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(max(20*time.Millisecond, min(longest, follow.Wait)))
 	}
 	_ = json.NewEncoder(writer).Encode(reply)
 }
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -171,7 +171,8 @@
 }
 
 // requestUpdate requests an update from the followed node. The first call to a node returns at
-// once. A complete table that arrives meanwhile is completed by a call that starts at once.
+// once. A complete table that arrives meanwhile is completed, and servers that come into trouble
+// meanwhile are reported, by a call that starts at once.
 func (f *follower) requestUpdate(ctx context.Context, first bool) (followAnswer, error) {
 	timeout := followTimeout
 	f.request.Wait = f.gateway.load.followWait(f.request.Load, f.routerCount)
@@ -198,7 +199,7 @@
 }
 
 // awaitAnswer sends the follow request and waits for its outcome. It returns false once a
-// complete table has arrived.
+// complete table has arrived or servers have come into trouble.
 func (f *follower) awaitAnswer(ctx context.Context, timeout time.Duration) (answer followAnswer, answered bool) {
 	callCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -208,10 +209,16 @@
 		reply, err := f.post(callCtx, node, request, timeout)
 		answers <- followAnswer{reply: reply, err: err, sentAt: sentAt}
 	}()
+	observe := time.NewTicker(loadInterval(f.routerCount))
+	defer observe.Stop()
 	for {
 		select {
 		case answer = <-answers:
 			return answer, true
+		case <-observe.C:
+			if f.refreshReport(ctx) {
+				return followAnswer{}, false
+			}
 		case fetched := <-f.fetched:
 			if f.holdTable(fetched) {
 				return followAnswer{}, false
--- a/internal/gateway/load.go
+++ b/internal/gateway/load.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/directory"
@@ -60,7 +61,32 @@
 	if (report == nil || len(report.Services) == 0) && l.heldView().View.Empty() {
 		return followWait
 	}
-	return min(followWait, loadFollowWait+time.Duration(max(0, routers-loadFollowRouters))*loadFollowWaitPerRouter)
+	return min(followWait, loadInterval(routers))
+}
+
+// loadInterval returns the interval of reports under load.
+func loadInterval(routers int) time.Duration {
+	return loadFollowWait + time.Duration(max(0, routers-loadFollowRouters))*loadFollowWaitPerRouter
+}
+
+// reportsTrouble reports whether a report names servers in trouble.
+func reportsTrouble(report *loadview.Report) bool {
+	return report != nil && lo.SomeBy(report.Services, func(s loadview.ServiceReport) bool { return len(s.Servers) > 0 })
+}
+
+// refreshReport replaces the report of the follow call that is under way if servers have come into
+// trouble since it was sent, and reports whether it did: with a call that a node holds for
+// followWait, other routers would know of them too late.
+func (f *follower) refreshReport(ctx context.Context) bool {
+	if f.request.Load == nil || reportsTrouble(f.request.Load) {
+		return false
+	}
+	report := f.gateway.loadReport(ctx)
+	if !reportsTrouble(report) {
+		return false
+	}
+	f.request.Load = report
+	return true
 }
 
 // loadReport returns what this router observed. Without reports it is empty, because a node sends
