--- a/internal/admission/planner_test.go
+++ b/internal/admission/planner_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -74,6 +75,33 @@
 	}
 }
 
+// Guards against refusals by figures that are rounded up, and against a demand between the usable
+// slots and all slots that is never limited.
+func TestASmallShortageTakesLongerToBegin(t *testing.T) {
+	for name, test := range map[string]struct {
+		demand float64 // relative to the usable slots
+		plans  int     // until the shortage begins, 0 for never
+	}{
+		"within the rounding":   {demand: 1.09},
+		"beyond the rounding":   {demand: 1.1, plans: nearPlans},
+		"just within all slots": {demand: 1.17, plans: nearPlans},
+		"more than all slots":   {demand: 1.18, plans: farPlans},
+	} {
+		t.Run(name, func(t *testing.T) {
+			planner, now := NewPlanner(), loopStart
+			in := twoClasses(offered(850*test.demand), offered(0))
+			for plan := 1; plan <= 10; plan++ {
+				outcome := steps(planner, &now, 1, in)
+				require.Equal(t, test.plans > 0 && plan >= test.plans, len(outcome.Routes) > 0, "plan %d", plan)
+			}
+			if test.plans > 0 {
+				in.Totals.Routes["urgent"] = offered(851)
+				require.NotEmpty(t, steps(planner, &now, 10, in).Routes, "a shortage ends at the usable slots")
+			}
+		})
+	}
+}
+
 func TestSomeRoutesAreAlwaysAdmitted(t *testing.T) {
 	for name, change := range map[string]func(in *Inputs){
 		"no target":      func(in *Inputs) { in.Routes[0].Target = 0 },
@@ -217,3 +245,26 @@
 	require.Equal(t, map[string]float64{"x": 5, "y": 0}, TenantRates(document))
 	require.Nil(t, TenantRates(&routing.Document{}))
 }
+
+// Guards against plans whose cost or size grows with all services instead of the short ones.
+func TestThePlanNamesOnlyShortRoutes(t *testing.T) {
+	for _, count := range []int{135, 270} {
+		in := Inputs{Totals: loadview.Totals{Routes: map[string]loadview.RouteDemand{}}, Slots: tens}
+		var shards []string
+		for index := range count {
+			shards = append(shards, fmt.Sprint("shard-", index))
+			single := fmt.Sprint("single-", index)
+			in.Routes = append(in.Routes, gathering(single, 1, 1, shards[index]))
+			in.Totals.Routes[single] = offered(100)
+		}
+		in.Routes = append(in.Routes, gathering("all", 0, 1, shards...))
+		in.Totals.Routes["all"] = offered(500)
+		in.Totals.Routes["single-3"] = offered(900)
+		planner, now := NewPlanner(), loopStart
+		outcome := steps(planner, &now, 4, in)
+		require.Len(t, outcome.Routes, 1)
+		require.Equal(t, "single-3", outcome.Routes[0].Route)
+		require.Len(t, planner.entries, 1)
+		require.Len(t, planner.excesses, 1)
+	}
+}
