--- a/internal/directory/load.go
+++ b/internal/directory/load.go
@@ -34,20 +34,26 @@
 	Source   string           `json:"source"`
 	Sequence uint64           `json:"sequence"`
 	Summary  loadview.Summary `json:"summary"`
+	// HeldTerm and HeldRevision are those of the view that the node holds.
+	HeldTerm     uint64 `json:"held_term,omitempty"`
+	HeldRevision uint64 `json:"held_revision,omitempty"`
 }
 
 // loadReceipt is the leader's reply to a summary.
 type loadReceipt struct {
 	// Arrivals are the routers that recently arrived at other nodes.
 	Arrivals []loadview.Arrival `json:"arrivals,omitempty"`
+	// Missed is the last view if the node does not hold it although it was published a while ago.
+	Missed *publishedView `json:"missed,omitempty"`
 }
 
 // publishedView carries a view from the leader to a node.
 type publishedView struct {
 	View loadview.View `json:"view"`
 	// Source and Sequence are those of the last summary that the leader received from the node,
-	// and Elapsed is the time between its receipt and the publication. The node thus knows an
-	// upper bound of the age of the view by its own clock, even if it was suspended meanwhile.
+	// and Elapsed is the time between its receipt and the publication, negative if the view was
+	// published before. The node thus knows an upper bound of the age of the view by its own
+	// clock, even if it was suspended meanwhile.
 	Source   string        `json:"source"`
 	Sequence uint64        `json:"sequence"`
 	Elapsed  time.Duration `json:"elapsed"`
@@ -137,6 +143,9 @@
 		n.logger.WithField("node", leader).WithField("reason", err).Debug("load_not_sent")
 		return
 	}
+	if receipt.Missed != nil {
+		n.acceptView(*receipt.Missed)
+	}
 	n.load.mutex.Lock()
 	defer n.load.mutex.Unlock()
 	n.load.lastReceiver = leader
@@ -146,7 +155,7 @@
 // nextSummary returns the next summary for a leader and whether it is due. A due one counts as
 // sent.
 func (n *Node) nextSummary(now time.Time, leader string) (message loadSummary, due bool) {
-	load := &n.load
+	held, load := n.heldView().View, &n.load
 	load.mutex.Lock()
 	defer load.mutex.Unlock()
 	summary := load.collector.Summary(now)
@@ -158,7 +167,10 @@
 	load.sentAt[load.sequence] = now
 	delete(load.sentAt, load.sequence-min(load.sequence, rememberedSummaries))
 	load.lastSent, load.lastReceiver = summary, ""
-	return loadSummary{Address: n.config.PeerAddress, Source: n.source, Sequence: load.sequence, Summary: summary}, true
+	return loadSummary{
+		Address: n.config.PeerAddress, Source: n.source, Sequence: load.sequence, Summary: summary,
+		HeldTerm: held.Term, HeldRevision: held.Revision,
+	}, true
 }
 
 // acceptView stores a view published by the leader. Its figures are valid as of when this node
@@ -170,7 +182,7 @@
 	if published.Source != n.source || !known {
 		return // The age is unknown; the leader answers the next summary.
 	}
-	n.applyView(published.View, sentAt.Add(max(0, published.Elapsed)))
+	n.applyView(published.View, sentAt.Add(published.Elapsed))
 }
 
 // applyView stores a newer view with the time as of which it is valid, and notifies routers.
--- a/internal/directory/load_leader.go
+++ b/internal/directory/load_leader.go
@@ -122,8 +122,15 @@
 		return loadReceipt{}, nil // A call that was overtaken by a later one.
 	}
 	load.merger.Record(now, message.Address, message.Summary)
-	load.receipts[message.Address] = summaryReceipt{source: message.Source, sequence: message.Sequence, at: now}
-	return loadReceipt{Arrivals: load.merger.Arrivals(now, message.Address)}, nil
+	receipt := summaryReceipt{source: message.Source, sequence: message.Sequence, at: now}
+	load.receipts[message.Address] = receipt
+	reply := loadReceipt{Arrivals: load.merger.Arrivals(now, message.Address)}
+	held := loadview.View{Term: message.HeldTerm, Revision: message.HeldRevision}
+	if load.published.Term == load.term && load.published.Newer(held) && now.Sub(load.publishedAt) >= viewMinInterval {
+		missed := load.messageTo(receipt)
+		reply.Missed = &missed
+	}
+	return reply, nil
 }
 
 // leadLoad merges the summaries, plans and publishes the view if that is due.
@@ -224,17 +231,22 @@
 func (l *leaderLoad) messagesTo(now time.Time) map[string]publishedView {
 	messages := make(map[string]publishedView)
 	for address, receipt := range l.receipts {
-		elapsed := now.Sub(receipt.at)
-		if elapsed > loadview.MaxAge {
+		if now.Sub(receipt.at) > loadview.MaxAge {
 			delete(l.receipts, address)
 			continue
 		}
-		messages[address] = publishedView{View: l.published, Source: receipt.source, Sequence: receipt.sequence, Elapsed: elapsed}
+		messages[address] = l.messageTo(receipt)
 	}
 	return messages
 }
 
-// publishView sends the view to the other nodes. A node that misses it gets the next one.
+// messageTo returns the published view for the node of a receipt.
+func (l *leaderLoad) messageTo(receipt summaryReceipt) publishedView {
+	return publishedView{View: l.published, Source: receipt.source, Sequence: receipt.sequence, Elapsed: l.publishedAt.Sub(receipt.at)}
+}
+
+// publishView sends the view to the other nodes. A node that misses it gets it with the receipt of
+// its next summary.
 func (n *Node) publishView(ctx context.Context, messages map[string]publishedView) {
 	for address, message := range messages {
 		go func() {
