Recall the last window at a new leader and promise each refused request a token

Isolated routers told times of up to minutes.

Change: routers recall what they admitted within the last window, with its age, when a new ledger asks. Requests that passed are counted in the window, and a tenant may have 3 s of its rate beyond its burst while the window holds them, where all routers recall. The ledger promises each refused request its own token, known again by the request's content. Isolated routers tell at most 1 s.

--- a/internal/directory/quota.go
+++ b/internal/directory/quota.go
@@ -84,18 +84,26 @@
 	if status.Role != consensus.Leader || n.freshnessAt(state, steadyclock.Now()) < -maxLeaderConfirmationAge {
 		return nil, nil, errors.Wrap(ErrUnavailable, "this node is not known to lead")
 	}
-	if err := n.quota.lock(status.Term, state, n.config); err != nil {
+	if err := n.quota.lock(status.Term, state, n.config, n.lastMetered); err != nil {
 		return nil, nil, err
 	}
 	return n.quota.ledger, n.quota.mutex.Unlock, nil
 }
 
-// lock updates the ledger to the term and the limits in effect. It leaves the mutex locked
-// unless it fails.
-func (q *leaderQuota) lock(term uint64, state *stateMachine, config Config) error {
+// lastMetered returns the metered tenants that this node heard of last.
+func (n *Node) lastMetered() []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.metered.Tenants
+}
+
+// lock updates the ledger to the term and the limits in effect; a new ledger continues with the
+// metered tenants. It leaves the mutex locked unless it fails.
+func (q *leaderQuota) lock(term uint64, state *stateMachine, config Config, metered func() []string) error {
 	q.mutex.Lock()
 	if q.ledger == nil || q.term != term {
 		q.ledger, q.term, q.limitsLoaded, q.publishedRevision = quota.NewLedger(config.QuotaTolerance), term, false, 0
+		q.ledger.Resume(metered())
 	}
 	version, text, _ := state.document()
 	if q.limitsLoaded && version == q.version {
@@ -129,7 +137,7 @@
 	}
 	err := n.confirm(ctx)
 	if err == nil && n.status().Term == term {
-		err = n.quota.lock(term, n.member.state(), n.config)
+		err = n.quota.lock(term, n.member.state(), n.config, n.lastMetered)
 	}
 	if err != nil {
 		// New tenants then start with less of their burst, for one window.
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 	"sync"
 	"time"
@@ -31,8 +32,9 @@
 	quotaRetryDelay = 100 * time.Millisecond
 	// tokenBacklog bounds the requests that wait for a token; further ones are refused.
 	tokenBacklog = 512
-	// tokenRetrySpread spreads the retries of refused requests over the time after the next
-	// token, by request id, so that not all come at once.
+	// tokenRetrySpread spreads the retries of refused requests that were promised no token over
+	// the time after the next token, by request id, so that not all come at once. A promised
+	// token has its own time.
 	tokenRetrySpread = 300 * time.Millisecond
 )
 
@@ -50,20 +52,24 @@
 
 // tokenRequest is a request that waits for a token.
 type tokenRequest struct {
-	tenant string
-	answer chan<- tokenAnswer
+	tenant  string
+	waiting quota.Waiting
+	answer  chan<- tokenAnswer
 }
 
 // tokenAnswer tells whether a request is admitted, and if not, when the next token is
-// available.
+// available, and whether it is promised to the request.
 type tokenAnswer struct {
-	granted bool
-	after   time.Duration
+	granted  bool
+	after    time.Duration
+	promised bool
 }
 
 func newQuotaLimiter(seed uint64) *quotaLimiter {
+	gate := quota.NewGate(seed)
+	gate.Start(steadyclock.Now())
 	return &quotaLimiter{
-		gate: quota.NewGate(seed), batchDelay: minQuotaBatchDelay,
+		gate: gate, batchDelay: minQuotaBatchDelay,
 		tokenRequests: make(chan tokenRequest, tokenBacklog), notify: make(chan struct{}, 1),
 	}
 }
@@ -103,15 +109,15 @@
 }
 
 // admit returns whether a request of a tenant is admitted, and if not, when to retry it. Where
-// a token is needed, it waits for one until the context ends.
-func (l *quotaLimiter) admit(ctx context.Context, tenant string) tokenAnswer {
+// a token is needed, it describes the request to the ledger and waits until the context ends.
+func (l *quotaLimiter) admit(ctx context.Context, tenant string, describe func() quota.Waiting) tokenAnswer {
 	decision, after := l.decide(tenant)
 	if decision != quota.RequestToken {
 		return tokenAnswer{granted: decision == quota.Pass, after: after}
 	}
 	answer := make(chan tokenAnswer, 1)
 	select {
-	case l.tokenRequests <- tokenRequest{tenant: tenant, answer: answer}:
+	case l.tokenRequests <- tokenRequest{tenant: tenant, waiting: describe(), answer: answer}:
 	default:
 		return tokenAnswer{after: tokenRetrySpread}
 	}
@@ -164,12 +170,25 @@
 	}
 	round.requests = append(round.requests, l.queuedRequests()...)
 	round.message.Wanted = lo.CountValuesBy(round.requests, func(queued tokenRequest) string { return queued.tenant })
+	round.message.Waiting = make(map[string][]quota.Waiting, len(round.message.Wanted))
+	for _, queued := range round.requests {
+		round.message.Waiting[queued.tenant] = append(round.message.Waiting[queued.tenant], queued.waiting)
+	}
+	round.message.Recalls = true
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	round.message.Spent = l.gate.TakeUnreported()
 	return round, true
 }
 
+// recall adds to a message what the router admitted within a window.
+func (l *quotaLimiter) recall(message *quota.Message, window time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	recall, spent := l.gate.Recall(steadyclock.Now(), window, message.Spent)
+	message.Recall, message.Spent = &recall, spent
+}
+
 // queuedRequests returns the requests that wait for a token now.
 func (l *quotaLimiter) queuedRequests() (requests []tokenRequest) {
 	for len(requests) < tokenBacklog {
@@ -202,15 +221,21 @@
 	l.mutex.Lock()
 	l.gate.ReportSucceeded(steadyclock.Now(), round.message.Spent, reply)
 	l.mutex.Unlock()
-	remaining := lo.MapValues(reply.Grants, func(given quota.Grant, _ string) int { return given.Granted })
+	position := make(map[string]int, len(reply.Grants))
 	for _, queued := range round.requests {
-		if remaining[queued.tenant] > 0 {
-			remaining[queued.tenant]--
-			queued.answer <- tokenAnswer{granted: true}
-			continue
-		}
-		queued.answer <- tokenAnswer{after: reply.Grants[queued.tenant].Next}
+		queued.answer <- answerAt(reply.Grants[queued.tenant], position[queued.tenant])
+		position[queued.tenant]++
+	}
+}
+
+// answerAt returns the answer to a tenant's request at a position in a message. A ledger of the
+// previous release counts the granted requests and promises nothing.
+func answerAt(given quota.Grant, position int) tokenAnswer {
+	if position < len(given.Outcomes) {
+		outcome := given.Outcomes[position]
+		return tokenAnswer{granted: outcome.Granted, after: outcome.Next, promised: outcome.Promised}
 	}
+	return tokenAnswer{granted: position < given.Granted, after: given.Next}
 }
 
 // fail returns the spending of a round that reached no leader. Its requests are decided by
@@ -240,6 +265,12 @@
 		}
 		round.message.Router, round.message.Sequence = sender, sequence
 		reply, err := f.postQuota(ctx, round.message)
+		if err == nil && reply.Recall > 0 {
+			sequence++
+			round.message.Sequence = sequence
+			limiter.recall(&round.message, reply.Recall)
+			reply, err = f.postQuota(ctx, round.message)
+		}
 		if err != nil {
 			limiter.fail(round)
 		} else {
@@ -272,21 +303,31 @@
 
 // refuseOverQuota refuses a request of a tenant that has used up its rate limit. It reports
 // whether it did.
-func (s *exchangeState) refuseOverQuota() bool {
+func (s *exchangeState) refuseOverQuota(forwarded *fingerprinted) bool {
 	if s.tenant == nil || s.tenant.Rate <= 0 {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(s.request.Context(), s.remaining())
 	defer cancel()
-	given := s.gateway.quotas.admit(ctx, s.tenant.Name)
+	given := s.gateway.quotas.admit(ctx, s.tenant.Name, func() quota.Waiting {
+		fingerprint := forwarded.fingerprint()
+		return quota.Waiting{Key: binary.BigEndian.Uint64(fingerprint[:]), Patience: s.remaining() / retryPatience}
+	})
 	if given.granted {
 		return false
 	}
-	spread := time.Duration(float64(tokenRetrySpread) * float64(xxhash.Sum64String(s.id)>>11) / (1 << 53))
-	s.refuse(http.StatusTooManyRequests, verdict.ReasonOverQuota, max(given.after, minRetryAfter)+spread)
+	after := max(given.after, minRetryAfter)
+	if !given.promised {
+		after += time.Duration(float64(tokenRetrySpread) * float64(xxhash.Sum64String(s.id)>>11) / (1 << 53))
+	}
+	s.refuse(http.StatusTooManyRequests, verdict.ReasonOverQuota, after)
 	return true
 }
 
+// retryPatience is the divisor of a client's remaining time that it waits at most before it
+// sends a refused request again.
+const retryPatience = 3
+
 // minRetryAfter is the least delay after which a refused request may be retried.
 const minRetryAfter = 50 * time.Millisecond
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -148,7 +148,7 @@
 		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
 		Header: s.forwardedHeaders(table), Body: body, ID: s.id, Tenant: s.tenantName(),
 	})
-	if s.refuseIsolated() || s.refuseOverQuota() || !s.recheckKey(table) || !s.checkQuarantine(forwarded) {
+	if s.refuseIsolated() || s.refuseOverQuota(forwarded) || !s.recheckKey(table) || !s.checkQuarantine(forwarded) {
 		return
 	}
 	if s.route.Gathers() {
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -17,6 +17,17 @@
 // the bucket, so that a tenant just below its limit is refused nothing; the rest covers this
 // overdraft.
 //
+// The ledger also counts the requests that passed in the last window. A tenant whose window was
+// quiet may have up to maxExtraTime of its rate at once beyond its burst, as far as the window
+// holds it. A new ledger asks routers what they admitted within the last window. Once all of
+// them have replied, its buckets are those of the ledger before it; until then it grants a part
+// of the slack and what the rate refills, and to tenants that were metered nothing at first.
+//
+// Each refused request is promised the next token that is not promised yet, if its client would
+// wait for it. The token is kept for the request until shortly after the time told; then it
+// returns to the bucket. Promises are lost with the ledger: a request that comes back to a new
+// one is decided like any other.
+//
 // A router that reaches no leader admits each tenant at a small local share of its limit, so
 // that the two sides of a network partition can't each spend a whole limit.
 package quota
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -31,6 +31,10 @@
 	isolatedBurstTokens = 3.0
 	// isolatedRateShare is the fraction of the limit's rate divided among them afterwards.
 	isolatedRateShare = 0.1
+	// isolatedRetryTime is the longest retry time of an isolated router: a change of the leader
+	// takes about as long. At 66 routers and a limit of 3/s, a router's next token comes after
+	// 220 s.
+	isolatedRetryTime = time.Second
 )
 
 // Gate decides about the requests that arrive at one router. Its owner must guard it.
@@ -42,7 +46,8 @@
 	// reports without a reply.
 	unreported, unacknowledged map[string]int
 	// nextToken is when the next token for a tenant is available; until then requests are
-	// refused at once.
+	// refused at once. It is not used where the ledger promises tokens, as only the ledger
+	// knows which requests have a promise.
 	nextToken map[string]time.Time
 	// isolated says that the last report failed or that the connection to the directory was
 	// lost.
@@ -51,6 +56,9 @@
 	localBuckets map[string]*localBucket
 	// random decides which local buckets start with a token.
 	random *rand.Rand
+	// recent is what was admitted within maxRecall, since when that record begins.
+	recent []passedSlot
+	since  time.Time
 }
 
 // localBucket is a token bucket of one router.
@@ -69,6 +77,9 @@
 	}
 }
 
+// Start records when the router started: what it recalls is complete from then on.
+func (g *Gate) Start(now time.Time) { g.since = now }
+
 // SetLimits replaces the limits of all tenants; tenants without a limit are left out.
 func (g *Gate) SetLimits(limits map[string]Limit) {
 	g.limits = limits
@@ -99,6 +110,7 @@
 	}
 	if !g.metered[tenant] && g.unconfirmed(tenant) < limit.unconfirmedLimit(g.routers) {
 		g.unreported[tenant]++
+		g.admitted(now, tenant, 1)
 		return Pass, 0
 	}
 	if wait := g.nextToken[tenant].Sub(now); wait > 0 {
@@ -124,10 +136,12 @@
 	local.level = min(local.capacity, local.level+now.Sub(local.updatedAt).Seconds()*rate)
 	local.updatedAt = now
 	if local.level < 1 {
-		return Refuse, time.Duration((1 - local.level) / rate * float64(time.Second))
+		// Another router may have a token, and a leader is back before this one does.
+		return Refuse, min(isolatedRetryTime, time.Duration((1-local.level)/rate*float64(time.Second)))
 	}
 	local.level--
 	g.unreported[tenant]++
+	g.admitted(now, tenant, 1)
 	return Pass, 0
 }
 
@@ -156,11 +170,16 @@
 
 // ReportFailed records that a report failed, so that its requests are reported again.
 func (g *Gate) ReportFailed(spent map[string]int) {
+	g.returnReport(spent)
+	g.isolated = true
+}
+
+// returnReport has a report reported again.
+func (g *Gate) returnReport(spent map[string]int) {
 	g.acknowledge(spent)
 	for tenant, count := range spent {
 		g.unreported[tenant] += count
 	}
-	g.isolated = true
 }
 
 // Isolated reports whether no leader is known to be reachable.
@@ -184,7 +203,10 @@
 		}
 	}
 	for tenant, given := range reply.Grants {
-		if given.Next > 0 {
+		if given.Granted > 0 && g.limits[tenant].Rate > 0 {
+			g.admitted(now, tenant, given.Granted)
+		}
+		if given.Next > 0 && len(given.Outcomes) == 0 {
 			g.nextToken[tenant] = now.Add(given.Next)
 		} else {
 			delete(g.nextToken, tenant)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -36,6 +36,11 @@
 	initialSlackShare = 0.2
 )
 
+// maxExtraTime is for how long of its rate a tenant may send at once beyond its burst, if the
+// window was quiet before. A new ledger refills the buckets of tenants that its predecessor
+// metered only after this time, unless it knows what they were granted.
+const maxExtraTime = 3 * time.Second
+
 // Thresholds to stop metering.
 const (
 	// unmeterShare is the fraction of a bucket that must be refilled before a tenant is no
@@ -48,20 +53,6 @@
 // maxReporters bounds the number of routers whose last sequence number is kept.
 const maxReporters = 20_000
 
-// bucket holds the tokens of one tenant. The level may be negative.
-type bucket struct {
-	limit             Limit
-	level             float64
-	updatedAt         time.Time
-	metered           bool
-	meteringChangedAt time.Time
-	spent             uint64
-	refused           uint64
-	// withheld tokens are added to the bucket at releaseAt.
-	withheld  float64
-	releaseAt time.Time
-}
-
 // Ledger counts what tenants spend. Its owner must guard it.
 type Ledger struct {
 	tolerance Tolerance
@@ -75,6 +66,10 @@
 	lastSequences map[string]uint64
 	// revision increases whenever the set of metered tenants changes.
 	revision uint64
+	// recollection is nil before the first limits.
+	recollection *recollection
+	// resumed are the tenants that the ledger before this one metered.
+	resumed map[string]bool
 }
 
 // NewLedger returns a ledger without limits.
@@ -85,6 +80,15 @@
 	}
 }
 
+// Resume names the tenants that the ledger before this one metered. It is called before
+// SetLimits.
+func (l *Ledger) Resume(metered []string) {
+	l.resumed = make(map[string]bool, len(metered))
+	for _, name := range metered {
+		l.resumed[name] = true
+	}
+}
+
 // SetLimits replaces the limits of all tenants from now on. Tenants without a limit are left
 // out.
 func (l *Ledger) SetLimits(now time.Time, limits map[string]Limit) {
@@ -100,10 +104,13 @@
 		}
 		l.refill(known, now)
 		known.limit = limit
-		known.level = min(known.level, l.capacity(limit))
+		known.level, known.extra = min(known.level, l.capacity(limit)), min(known.extra, l.extraCapacity(limit))
 	}
 	l.removeUnlimited(now, limits)
-	l.initialized = true
+	if !l.initialized {
+		l.initialized = true
+		l.recollection = &recollection{until: now.Add(l.tolerance.Window), reporters: make(map[string]bool)}
+	}
 }
 
 // newBucket returns a bucket for a tenant that had none. It is full if the tenant had no limit
@@ -112,10 +119,15 @@
 // window ends.
 func (l *Ledger) newBucket(now time.Time, name string, limit Limit) *bucket {
 	full := l.capacity(limit)
-	b := &bucket{limit: limit, updatedAt: now, level: full}
+	b := &bucket{limit: limit, updatedAt: now, level: full, extra: l.extraCapacity(limit)}
 	if _, recentlyRemoved := l.limitRemovedAt[name]; recentlyRemoved || !l.initialized {
 		b.level = min(full, l.tolerance.Slack*initialSlackShare+1)
-		b.withheld, b.releaseAt = full-b.level, now.Add(l.tolerance.Window)
+		b.extra, b.withheld, b.releaseAt = 0, full-b.level, now.Add(l.tolerance.Window)
+	}
+	if l.resumed[name] && !l.initialized {
+		// The ledger before this one may have granted what is beyond its bucket too.
+		b.level, b.withheld = 0, full
+		b.refillFrom = now.Add(l.extraTime())
 	}
 	return b
 }
@@ -134,33 +146,6 @@
 	})
 }
 
-// capacity returns how many tokens a bucket holds.
-func (l *Ledger) capacity(limit Limit) float64 {
-	return max(1, limit.Burst*(1+baseToleranceShare*l.tolerance.Fraction)+baseToleranceShare*l.tolerance.Slack)
-}
-
-// rate returns the refill rate of a bucket in tokens a second.
-func (l *Ledger) rate(limit Limit) float64 {
-	rate := limit.Rate * (1 + baseToleranceShare*l.tolerance.Fraction)
-	if l.tolerance.Window > 0 {
-		rate += steadySlackShare * l.tolerance.Slack / l.tolerance.Window.Seconds()
-	}
-	return rate
-}
-
-func (l *Ledger) refill(b *bucket, now time.Time) {
-	full := l.capacity(b.limit)
-	if passed := now.Sub(b.updatedAt); passed > 0 {
-		b.level = min(full, b.level+passed.Seconds()*l.rate(b.limit))
-		b.updatedAt = now
-	}
-	// The level and the withheld tokens together never exceed the capacity.
-	b.withheld = min(b.withheld, full-b.level)
-	if b.withheld > 0 && !now.Before(b.releaseAt) {
-		b.level, b.withheld = b.level+b.withheld, 0
-	}
-}
-
 // Message is a router's report and token request.
 type Message struct {
 	// Router is the router's name. Sequence increases with each new message of one process.
@@ -169,6 +154,12 @@
 	// Spent counts the requests admitted without a token, Wanted those waiting for one.
 	Spent  map[string]int `json:"spent,omitempty"`
 	Wanted map[string]int `json:"wanted,omitempty"`
+	// Waiting describes the requests counted in Wanted. A router that leaves it out gets no
+	// promises.
+	Waiting map[string][]Waiting `json:"waiting,omitempty"`
+	// Recalls says that the router sends the message again with Recall if the reply asks for it.
+	Recalls bool    `json:"recalls,omitempty"`
+	Recall  *Recall `json:"recall,omitempty"`
 }
 
 // Grant is the reply to a token request for one tenant.
@@ -177,6 +168,9 @@
 	Granted int `json:"granted"`
 	// Next is the time until another token is available; 0 if all were granted.
 	Next time.Duration `json:"next,omitempty"`
+	// Outcomes are those of the requests in Message.Waiting, in order; Granted counts the
+	// granted ones.
+	Outcomes []Outcome `json:"outcomes,omitempty"`
 }
 
 // Reply is the reply to a message.
@@ -185,29 +179,46 @@
 	// Metered says, for each tenant with a limit that the message names, whether it is
 	// metered.
 	Metered map[string]bool `json:"metered,omitempty"`
+	// Recall says that the message was not processed: a new ledger asks the router to send it
+	// again with what it admitted within this time.
+	Recall time.Duration `json:"recall,omitempty"`
 }
 
 // Process processes a message. A tenant without a limit gets all the tokens that it requests.
 func (l *Ledger) Process(now time.Time, message Message) Reply {
-	if last, known := l.lastSequences[message.Router]; !known || message.Sequence > last {
-		if !known && len(l.lastSequences) >= maxReporters {
-			clear(l.lastSequences)
-		}
-		l.lastSequences[message.Router] = message.Sequence
-		for name, count := range message.Spent {
-			if held, limited := l.buckets[name]; limited && count > 0 {
-				l.spend(held, now, count)
-			}
-		}
+	if l.mustRecall(now, message) {
+		return Reply{Recall: l.tolerance.Window}
 	}
+	l.record(now, message)
 	reply := Reply{Grants: make(map[string]Grant, len(message.Wanted))}
 	for name, wanted := range message.Wanted {
-		reply.Grants[name] = l.grant(now, name, wanted)
+		reply.Grants[name] = l.grant(now, name, wanted, message.Waiting[name])
 	}
 	reply.Metered = l.meteredFor(message)
 	return reply
 }
 
+// record takes what a message reports into the buckets, unless an earlier copy of it was.
+func (l *Ledger) record(now time.Time, message Message) {
+	last, known := l.lastSequences[message.Router]
+	if known && message.Sequence <= last {
+		return
+	}
+	if !known && len(l.lastSequences) >= maxReporters {
+		clear(l.lastSequences)
+	}
+	l.lastSequences[message.Router] = message.Sequence
+	for name, count := range message.Spent {
+		if held, limited := l.buckets[name]; limited && count > 0 {
+			// What is recalled includes what is reported with it.
+			l.spend(held, now, count, message.Recall == nil)
+		}
+	}
+	if message.Recall != nil {
+		l.recollect(now, message.Router, *message.Recall)
+	}
+}
+
 func (l *Ledger) meteredFor(message Message) map[string]bool {
 	metered := make(map[string]bool, len(message.Spent)+len(message.Wanted))
 	for _, named := range []map[string]int{message.Spent, message.Wanted} {
@@ -220,28 +231,39 @@
 	return metered
 }
 
-// spend takes requests that were admitted without a token out of a bucket. The debt is limited
-// to what one window refills: requests from before that count in no later window, so a larger
-// debt would only refuse requests that are within the limit.
-func (l *Ledger) spend(b *bucket, now time.Time, count int) {
+// spend takes requests that were admitted without a token out of a bucket, and counts them in
+// the window unless they are counted already. A bucket is not taken below zero: what passed
+// beyond it counts in the window, and requests from before the window refuse no later ones.
+func (l *Ledger) spend(b *bucket, now time.Time, count int, uncounted bool) {
 	l.refill(b, now)
-	b.level = max(b.level-float64(count), min(b.level, -l.rate(b.limit)*l.tolerance.Window.Seconds()))
+	b.remove(float64(count))
 	b.spent += uint64(count)
+	if uncounted {
+		b.passed.add(now, count)
+	}
 	l.updateMetering(b, now)
 }
 
-func (l *Ledger) grant(now time.Time, name string, wanted int) Grant {
+// grant decides about the requests of one tenant that wait for a token.
+func (l *Ledger) grant(now time.Time, name string, wanted int, waiting []Waiting) Grant {
 	b, limited := l.buckets[name]
 	if !limited || wanted <= 0 {
-		return Grant{Granted: max(0, wanted)}
+		return Grant{Granted: max(0, wanted), Outcomes: grantedAll(len(waiting))}
 	}
 	l.refill(b, now)
-	result := Grant{Granted: min(wanted, max(0, int(b.level)))}
-	b.level -= float64(result.Granted)
-	b.spent += uint64(result.Granted)
+	var result Grant
+	if len(waiting) == wanted {
+		result = l.grantEach(b, now, waiting)
+	} else {
+		free := l.available(b) - float64(b.promises.count())
+		result.Granted = min(wanted, max(0, int(free)))
+		if result.Granted > 0 {
+			b.take(now, result.Granted)
+		}
+	}
 	b.refused += uint64(wanted - result.Granted)
 	if result.Granted < wanted {
-		result.Next = time.Duration((1 - b.level) / l.rate(b.limit) * float64(time.Second))
+		result.Next = l.availableIn(b, now, float64(b.promises.count()+1))
 	}
 	l.updateMetering(b, now)
 	return result
@@ -251,11 +273,12 @@
 func (l *Ledger) updateMetering(b *bucket, now time.Time) {
 	capacity := l.capacity(b.limit)
 	threshold := meterThreshold(capacity, l.rate(b.limit))
+	level := min(b.level, l.windowLeft(b)-float64(b.promises.count()))
 	switch {
-	case !b.metered && b.level < threshold:
+	case !b.metered && level < threshold:
 		b.metered, b.meteringChangedAt = true, now
 		l.revision++
-	case b.metered && b.level > max(threshold, unmeterShare*capacity) && now.Sub(b.meteringChangedAt) >= minMeterDuration:
+	case b.metered && level > max(threshold, unmeterShare*capacity) && now.Sub(b.meteringChangedAt) >= minMeterDuration:
 		b.metered, b.meteringChangedAt = false, now
 		l.revision++
 	}
@@ -300,7 +323,7 @@
 	for name, b := range l.buckets {
 		l.refill(b, now)
 		usages = append(usages, Usage{
-			Tenant: name, Rate: b.limit.Rate, Burst: b.limit.Burst, Tokens: b.level,
+			Tenant: name, Rate: b.limit.Rate, Burst: b.limit.Burst, Tokens: l.available(b),
 			Metered: b.metered, Spent: b.spent, Refused: b.refused,
 		})
 	}
