--- a/internal/gateway/directory_stub_test.go
+++ b/internal/gateway/directory_stub_test.go
@@ -28,8 +28,10 @@
 	orders     []quarantine.Command
 	// ledger is the spending of tenants; nil while no leader is reachable. metered are the
 	// tenants that need a token for each request.
-	ledger  *quota.Ledger
-	metered []string
+	ledger *quota.Ledger
+	// recalled is the latest message in which a router recalled what it admitted.
+	recalled quota.Message
+	metered  []string
 	// down makes follow requests fail.
 	down bool
 	// calls counts follow requests and probes.
@@ -87,6 +89,9 @@
 		http.Error(writer, "no leader", http.StatusServiceUnavailable)
 		return
 	}
+	if message.Recall != nil {
+		d.recalled = message
+	}
 	_ = json.NewEncoder(writer).Encode(d.ledger.Process(time.Now(), message))
 }
 
