Play demand above the capacity in the soak

Cause: the soak sent far less than its servers can bear, had no tenants and never came back after a refusal. Change: a sixth lane with surges on two routes of unequal priority, five tenants, one at five times its limit, and clients that come back once as told. The judge checks refusals, retry times, the order of priorities and starved tenants; its own test breaks each of them.

--- a/cmd/martenstage/soak_judge_test.go
+++ b/cmd/martenstage/soak_judge_test.go
@@ -69,6 +69,7 @@
 	var broken []string
 	for _, check := range []func() []string{
 		r.wrongAnswers, r.unexpected, r.repeated, r.refusedButRan, r.lateArrivals, r.overBudget, r.staleReads, r.backwards, r.cutByStops, r.sentAgain,
+		r.badDemand, r.urgentServedWorse, r.starvedTenants,
 	} {
 		broken = append(broken, check()...)
 	}
@@ -326,6 +327,27 @@
 			&soakRecords{stops: []soakStop{{0, 0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(-1), ended: start.Add(2), broken: true, unconnected: true}}},
 			&soakRecords{stops: []soakStop{{0, 0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(-1), ended: start.Add(2), broken: true}}},
 		},
+		"a surge's request that is refused and ran": {
+			&soakRecords{demanded: []soakDemanded{refusedDemand("1.5")}, arrivals: []soakArrival{{id: "urgent-1", service: soakDemandService}}},
+			&soakRecords{demanded: []soakDemanded{refusedDemand("1.5")}, arrivals: []soakArrival{{id: "urgent-1", service: soakDemandService, ran: true}}},
+		},
+		"a retry time beyond the bound": {
+			&soakRecords{demanded: []soakDemanded{refusedDemand("6")}}, &soakRecords{demanded: []soakDemanded{refusedDemand("6.001")}},
+		},
+		"a refusal over the limit without a retry time": {
+			&soakRecords{demanded: []soakDemanded{refusedDemand("0.05")}}, &soakRecords{demanded: []soakDemanded{refusedDemand("")}},
+		},
+		"a status that no surge may get": {
+			&soakRecords{demanded: demandedAlike(1, soakLess, 1, 504)}, &soakRecords{demanded: demandedAlike(1, soakLess, 1, 401)},
+		},
+		"a more urgent route that is served worse": {
+			&soakRecords{demanded: slices.Concat(allTenants(soakUrgent, 200), allTenants(soakLess, 200), demandedAlike(200, soakUrgent, 1, 503), demandedAlike(150, soakLess, 1, 503))},
+			&soakRecords{demanded: slices.Concat(allTenants(soakUrgent, 200), allTenants(soakLess, 200), demandedAlike(600, soakUrgent, 1, 503), demandedAlike(150, soakLess, 1, 503))},
+		},
+		"a tenant that is starved": {
+			&soakRecords{demanded: slices.Concat(allTenants(soakUrgent, 50), demandedAlike(50, soakUrgent, 1, 200))},
+			&soakRecords{demanded: slices.Concat(allTenants(soakUrgent, 10), demandedAlike(400, soakUrgent, 1, 200))},
+		},
 		"a request cut by a stop": {
 			&soakRecords{stops: []soakStop{{0, 0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(1), ended: start.Add(2), broken: true}}},
 			&soakRecords{stops: []soakStop{{0, 0, start, start.Add(time.Second)}}, requests: []soakRequest{{sent: start.Add(-1), ended: start.Add(2), broken: true}}},
--- a/cmd/martenstage/soak_records_test.go
+++ b/cmd/martenstage/soak_records_test.go
@@ -25,6 +25,9 @@
 	// the request ended.
 	version, newest int
 	age             time.Duration
+	// path is asked for if it is not that of the route, key is that of a tenant, and retryAfter
+	// the header of the answer.
+	path, key, retryAfter string
 	// sentTo counts the starts of the router when the request was sent; incarnation is that,
 	// or of no known start where the router was started again until the answer.
 	sentTo, incarnation int
@@ -63,6 +66,8 @@
 	leaves   []soakLeave
 	reads    []soakRead
 	stops    []soakStop
+	// demanded are the requests of surges.
+	demanded []soakDemanded
 	// ends are the servers that a marked request ended, troubles what befell processes.
 	ends     []soakEnd
 	troubles []soakTroubled
--- a/cmd/martenstage/soak_servers_test.go
+++ b/cmd/martenstage/soak_servers_test.go
@@ -158,6 +158,9 @@
 	writer.Header().Set("X-Server-Stamp", soakStamp(r.service, r.id, id))
 	writer.Header().Set("Content-Length", strconv.Itoa(len(part)))
 	work := soakWork
+	if r.service == soakDemandService {
+		work = soakDemandWork
+	}
 	if trouble == soakSlow {
 		work = soakSlowWork
 	}
--- a/cmd/martenstage/soak_site_test.go
+++ b/cmd/martenstage/soak_site_test.go
@@ -196,6 +196,11 @@
 			site.addServer(service)
 		}
 	}
+	if *soakLanes > soakDemandLane {
+		for range soakCopies {
+			site.addServer(soakDemandService)
+		}
+	}
 	return site
 }
 
@@ -269,7 +274,7 @@
 // each was asked. An order without an answer may be in force or not.
 func (s *soakSite) putNext(first int) bool {
 	version := s.proposed.Add(1)
-	body := fmt.Sprintf(soakDocument, version)
+	body := withDemand(fmt.Sprintf(soakDocument, version))
 	for offset := range *soakNodes {
 		node := s.control[(first+offset)%*soakNodes]
 		response, err := soakOperator.Post("http://"+node+"/-/config/put", "application/json", strings.NewReader(body))
--- a/cmd/martenstage/soak_test.go
+++ b/cmd/martenstage/soak_test.go
@@ -23,7 +23,7 @@
 var (
 	soakSeed    = flag.Uint64("soak.seed", 1, "seed of the faults of the soak")
 	soakSeconds = flag.Int("soak.seconds", 60, "how long the soak injects faults, in seconds")
-	soakLanes   = flag.Int("soak.lanes", 5, "how many series of faults overlap; the first ones are those of older seeds")
+	soakLanes   = flag.Int("soak.lanes", 6, "how many series of faults overlap; the first ones are those of older seeds")
 	soakNodes   = flag.Int("soak.nodes", 3, "directory nodes of the soak")
 	soakRouters = flag.Int("soak.routers", 3, "gateways of the soak")
 )
@@ -98,6 +98,8 @@
 			disturb = func(ctx context.Context, _ int) { site.disturbAddresses(ctx, other) }
 		case soakRestartLane:
 			disturb = site.disturbRestarts
+		case soakDemandLane:
+			disturb = site.disturbDemand
 		}
 		lanes.Go(func() { disturb(injecting, lane) })
 	}
@@ -118,6 +120,7 @@
 	clients.Wait()
 	site.sendMarkedInCalm()
 	t.Log(site.records.summary(len(schedule)), countLogged(t, "call_misdirected", append(slices.Clone(site.nodes), site.routers...)...), "misdirected calls told")
+	t.Log(site.records.demandSummary())
 	require.Empty(t, site.records.violations(), "seed %d", *soakSeed)
 }
 
@@ -176,6 +179,9 @@
 	if asked.route == soakVersion {
 		path = fmt.Sprintf("/version/%d/x", asked.version)
 	}
+	if asked.path != "" {
+		path = asked.path
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline+time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.clients[asked.router]+path, strings.NewReader("body"))
@@ -183,6 +189,9 @@
 	request.Host = "h"
 	request.Header.Set("X-Request-Id", asked.id)
 	request.Header.Set("X-Deadline-Ms", strconv.Itoa(int(soakDeadline/time.Millisecond)))
+	if asked.key != "" {
+		request.Header.Set("Authorization", "Token "+asked.key)
+	}
 	asked.sent = time.Now()
 	asked.age = asked.sent.Sub(s.ackedAt(int64(asked.version)))
 	response, err := client.Do(request)
@@ -197,6 +206,7 @@
 		return asked
 	}
 	asked.status = response.StatusCode
+	asked.retryAfter = response.Header.Get("Retry-After")
 	asked.missing, _ = strconv.Atoi(response.Header.Get("X-Missing-Parts"))
 	for _, header := range []string{"X-Part-Stamps", "X-Server-Stamp"} {
 		for _, stamp := range strings.Split(response.Header.Get(header), ",") {
