--- a/internal/gateway/quotas_test.go
+++ b/internal/gateway/quotas_test.go
@@ -31,7 +31,9 @@
 	}
 	setLedger(time.Now())
 	// A message may fail on a busy machine; the request is then refused and counts nowhere.
-	require.Eventually(t, func() bool { return s.sendWith(keyHeaders("first"), http.MethodGet, "/a/", nil).status == http.StatusOK }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		return s.sendWith(keyHeaders("first"), http.MethodGet, "/a/", nil).status == http.StatusOK
+	}, 10*time.Second, time.Millisecond)
 	passed := func() (count int) {
 		s.directory.mutex.Lock()
 		defer s.directory.mutex.Unlock()
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// bucket holds the tokens of one tenant. The level may be negative.
+// bucket holds the tokens of one tenant.
 type bucket struct {
 	limit Limit
 	level float64
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -12,8 +12,8 @@
 //     a few of the earlier ones.
 //
 // So the number of requests admitted before all routers know of the metering is bounded,
-// whatever the delays are. The bucket goes below zero by that number and is refilled within a
-// window before another token is granted. A quarter of a limit's tolerance is always added to
+// whatever the delays are. It counts in the window, so that no token is granted until the
+// window holds less than the limit again. A quarter of a limit's tolerance is always added to
 // the bucket, so that a tenant just below its limit is refused nothing; the rest covers this
 // overdraft.
 //
