--- a/internal/gateway/admitting.go
+++ b/internal/gateway/admitting.go
@@ -33,7 +33,7 @@
 	if s.refuseIsolated() || !s.recheckKey(table) || s.refuseWithoutCapacity(forwarded) {
 		return false
 	}
-	if s.refuseOverQuota() {
+	if s.refuseOverQuota(forwarded) {
 		s.countDemand(demandOverQuota)
 		return false
 	}
