Allocate a gathered slice's calls and timers with less memory

The engine allocated each timer twice, on its way into and out of container/heap, and for each call its record and four lists of one element.

--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -67,6 +67,8 @@
 	notRun    int
 	resending bool
 	steps     []Step
+	// first holds the lists of a call that needs one attempt.
+	first firstAttempt
 }
 
 // hasTried reports whether a call was sent to a server, or is in flight at the same process: a
@@ -125,10 +127,7 @@
 	if !event.Due.IsZero() {
 		e.timers.add(timer{at: event.Due, kind: timerDue, request: event.ID})
 	}
-	for position, service := range event.Services {
-		c := &call{request: arrived, position: position, group: e.group(service), priorAttempts: event.PriorAttempts, canaryDraw: undrawn}
-		arrived.calls = append(arrived.calls, c)
-	}
+	arrived.calls = e.newCalls(arrived, event.Services, event.PriorAttempts)
 	for _, c := range arrived.calls {
 		switch {
 		case c.priorAttempts > 0 && c.maxAttempts() < 1:
