Reuse the buffers and the request record of attempts

Each attempt allocated a buffer for its request, a channel and a closure for its writing, an http.Request of some 250 bytes to read the reply, and a byte to read the reply's end. A request that is written before its reply is read now uses a pooled buffer, which the connection has copied when the write returns; the other three are shared or part of another allocation.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -175,21 +175,44 @@
 // larger one may be answered before it is fully written, so it is written concurrently.
 const maxInlineWrite = 8 << 10
 
+// Results of a request that was written before its reply is read.
+var (
+	completelyWritten = closedChannel()
+	notWritten        = make(chan struct{})
+)
+
+func closedChannel() chan struct{} {
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}
+
+// inlineBuffers holds the buffers of requests that are written before the reply is read.
+var inlineBuffers = sync.Pool{New: func() any { return new([]byte) }}
+
 // write sends the request and returns a channel that is closed once all of it is written.
 // Write errors show when the reply is read.
 func (a *Attempt) write(conn *connection) <-chan struct{} {
+	if a.request.size() > maxInlineWrite {
+		return a.writeConcurrently(conn)
+	}
+	buffer := inlineBuffers.Get().(*[]byte)
+	defer inlineBuffers.Put(buffer)
+	*buffer = a.request.appendAttempt((*buffer)[:0], a.pool.codec, steadyclock.Until(a.deadline), a.server.ID)
+	if _, err := conn.Write(*buffer); err != nil {
+		return notWritten
+	}
+	return completelyWritten
+}
+
+func (a *Attempt) writeConcurrently(conn *connection) <-chan struct{} {
 	data := a.request.withAttemptHeaders(a.pool.codec, steadyclock.Until(a.deadline), a.server.ID)
 	written := make(chan struct{})
-	send := func() {
+	go func() {
 		if _, err := conn.Write(data); err == nil {
 			close(written)
 		}
-	}
-	if len(data) <= maxInlineWrite {
-		send()
-	} else {
-		go send()
-	}
+	}()
 	return written
 }
 
@@ -220,8 +243,7 @@
 
 // readReply reads one complete reply; again says whether the connection may carry another one.
 func (a *Attempt) readReply(conn *connection) (*message.Reply, ReplyInfo, bool, error) {
-	method := &http.Request{Method: a.request.request.Method}
-	response, err := readFinalResponse(conn.reader, method)
+	response, err := readFinalResponse(conn.reader, a.request.method)
 	if err != nil {
 		return nil, ReplyInfo{}, false, err
 	}
@@ -250,17 +272,18 @@
 		return nil, nil
 	}
 	if length := response.ContentLength; length >= 0 && length <= maxPreallocated {
-		body := make([]byte, length)
-		_, err := io.ReadFull(response.Body, body)
+		// The end of the body has to be read, so that the connection can be reused. The byte
+		// after the body is for that.
+		buffer := make([]byte, length+1)
+		_, err := io.ReadFull(response.Body, buffer[:length])
 		if err != nil {
 			return nil, err
 		}
-		// The end of the body has to be read, so that the connection can be reused.
-		_, err = response.Body.Read(make([]byte, 1))
+		_, err = response.Body.Read(buffer[length:])
 		if !errors.Is(err, io.EOF) {
 			return nil, errUnexpectedReply
 		}
-		return body, nil
+		return buffer[:length:length], nil
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
 	if len(body) > maxReplyBytes {
--- a/internal/exchange/encoded.go
+++ b/internal/exchange/encoded.go
@@ -14,6 +14,8 @@
 // attempts. It is encoded once for all attempts and is immutable.
 type Encoded struct {
 	request *message.Request
+	// method is the request as far as reading a reply needs it. It is not changed.
+	method *http.Request
 	// head is the request line and the headers common to all attempts, tail what follows the
 	// attempt's own headers.
 	head []byte
@@ -38,7 +40,7 @@
 	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
-	return &Encoded{request: request, head: head.Bytes(), tail: append([]byte("\r\n"), request.Body...)}
+	return &Encoded{request: request, method: &http.Request{Method: request.Method}, head: head.Bytes(), tail: append([]byte("\r\n"), request.Body...)}
 }
 
 // lineBreaks prevents header injection by a value, which may contain data reported by a
@@ -48,11 +50,18 @@
 // attemptHeaderBytes is the approximate size of the headers of one attempt.
 const attemptHeaderBytes = 128
 
+// size returns the approximate size of the request with the headers of an attempt.
+func (e *Encoded) size() int { return len(e.head) + attemptHeaderBytes + len(e.tail) }
+
 // withAttemptHeaders returns the request for one instance with its remaining time.
 func (e *Encoded) withAttemptHeaders(codec Codec, remaining time.Duration, instance string) []byte {
+	return e.appendAttempt(make([]byte, 0, e.size()), codec, remaining, instance)
+}
+
+// appendAttempt appends the request for one instance with its remaining time.
+func (e *Encoded) appendAttempt(data []byte, codec Codec, remaining time.Duration, instance string) []byte {
 	attemptHeaders := make(message.Header, 2)
 	codec.Outgoing(attemptHeaders, remaining, instance)
-	data := make([]byte, 0, len(e.head)+attemptHeaderBytes+len(e.tail))
 	data = append(data, e.head...)
 	for name, values := range attemptHeaders {
 		for _, value := range values {
