--- a/internal/gateway/slice_bench_test.go
+++ b/internal/gateway/slice_bench_test.go
@@ -136,7 +136,7 @@
 
 func answerSlices(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	buffer := make([]byte, 0, 16<<10)
+	buffer, answers := make([]byte, 0, 16<<10), map[int][]byte{}
 	for {
 		size := bytes.Index(buffer, []byte("\r\n\r\n"))
 		length := 0
@@ -153,18 +153,27 @@
 			buffer = buffer[:len(buffer)+read]
 			continue
 		}
-		if _, err := conn.Write(answerOf(buffer)); err != nil {
+		if _, err := conn.Write(answerOf(buffer, answers)); err != nil {
 			return
 		}
 		buffer = buffer[:0]
 	}
 }
 
-// answerOf returns the response to a slice with all its parts in one frame.
-func answerOf(request []byte) []byte {
+// answerOf returns the response to a slice with all its parts in one frame. It keeps the
+// responses by their number of shards.
+func answerOf(request []byte, answers map[int][]byte) []byte {
 	_, list, _ := bytes.Cut(request, []byte(`"shards":[`))
 	list, _, _ = bytes.Cut(list, []byte("]"))
-	shards := make([]string, bytes.Count(list, []byte(","))+1)
+	count := bytes.Count(list, []byte(",")) + 1
+	if answers[count] == nil {
+		answers[count] = newAnswer(count)
+	}
+	return answers[count]
+}
+
+func newAnswer(count int) []byte {
+	shards := make([]string, count)
 	for position := range shards {
 		shards[position] = "signature-0123456789"
 	}
