Send slices without the redirect support of http.Client

http.Client copies the header and the URL of each call to be able to follow redirects, which no router sends. Slices now go to the transport directly; errors keep their form. A redirect, which only a process that is no router could send, counts as an unexpected status.

A body type of its own in place of the httptrace hook was tried and left: net/http flushes the header by itself before a body of an unknown type, which is one more write for each slice.

--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -134,7 +135,7 @@
 		})
 	})
 	defer acceptTimer.Stop()
-	response, err = c.http.Do(request)
+	response, err = c.roundTrip(request)
 	answered.Store(err == nil)
 	if err != nil {
 		timedOut := errors.Is(context.Cause(ctx), errNotAccepted)
@@ -154,6 +155,17 @@
 	return response, true, nil
 }
 
+// roundTrip sends a call and returns its response. Unlike http.Client.Do, it follows no redirect,
+// which no router sends, and does not copy the URL and the headers for that. Its errors are the
+// same.
+func (c *sliceClient) roundTrip(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, &url.Error{Op: "Post", URL: request.URL.String(), Err: err}
+	}
+	return response, nil
+}
+
 // mayHaveAccepted reports whether the wrong process may have sent anything to servers of this
 // group.
 func mayHaveAccepted(response *http.Response, err error) bool {
