Keep the parts of slices in lists of known length

The router that merges a request kept the open shards of each slice in a map, and grew the lists of frames, signatures, zones and cells from nothing. The open shards are now a list by position, and the other lists are made at the length that is known before. The test of claims builds its slices with the new type and checks what it did.

--- a/internal/gateway/claims_test.go
+++ b/internal/gateway/claims_test.go
@@ -115,9 +115,9 @@
 				if earlier >= route.MaxAttempts {
 					continue
 				}
-				state := &sliceState{token: requester.claims.open(), open: map[int]bool{}}
-				for position, shard := range shards {
-					state.Shards, state.open[position] = append(state.Shards, shard), true
+				state := &sliceState{token: requester.claims.open()}
+				for _, shard := range shards {
+					state.Shards, state.open = append(state.Shards, shard), append(state.open, true)
 				}
 				var gathering *gatherer
 				spent := earlier
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -57,6 +57,7 @@
 		collection: slicing.Collection{
 			Total: len(s.route.Shards), MinCoverage: s.route.LeastShare, Deadline: arrived.Deadline, Cutoff: arrived.Due,
 		},
+		stamps: make([]string, 0, len(s.route.Shards)),
 		events: make(chan *gatherEvent, eventsPerShard*len(s.route.Shards)+16),
 	}
 	for _, slice := range s.gateway.peers.layout(s.route.Shards).Assign(s.id, s.route.Shards) {
@@ -152,7 +153,7 @@
 
 func (g *gatherState) addPart(state *sliceState, position int, stamp string, at time.Time) {
 	if state.open[position] {
-		delete(state.open, position)
+		state.open[position] = false
 		g.collection.Add(at)
 		g.stamps = append(g.stamps, stamp)
 	}
@@ -160,7 +161,7 @@
 
 func (g *gatherState) markLost(state *sliceState, position int) {
 	if state.open[position] {
-		delete(state.open, position)
+		state.open[position] = false
 		g.collection.Failed++
 	}
 }
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -18,8 +18,8 @@
 	due time.Time
 	// origin tells which routers failed with the slice's shards before.
 	origin origin
-	// open holds the positions, in Shards, that are neither received nor lost.
-	open map[int]bool
+	// open tells, by position in Shards, which are neither received nor lost.
+	open []bool
 	// local is set if this router gathers the slice itself.
 	local *localGather
 	ended bool
@@ -42,7 +42,7 @@
 
 // startSlice gathers a slice locally or requests it from its router.
 func (g *gatherState) startSlice(slice slicing.Slice, from origin) {
-	state := &sliceState{Slice: slice, origin: from, open: make(map[int]bool, len(slice.Shards))}
+	state := &sliceState{Slice: slice, origin: from, open: make([]bool, len(slice.Shards))}
 	for position := range slice.Shards {
 		state.open[position] = true
 	}
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -115,9 +115,11 @@
 func decodeFrame(body []byte, shards int) (sliceFrame, error) {
 	decoder := frameDecoder{rest: body[1:], shards: uint64(shards)}
 	frame := sliceFrame{Last: body[0] == 1}
-	for range decoder.count() {
-		frame.Shards = append(frame.Shards, decoder.shard())
-		frame.Stamps = append(frame.Stamps, decoder.text())
+	if count := decoder.count(); count > 0 {
+		frame.Shards, frame.Stamps = make([]int, count), make([]string, count)
+		for index := range count {
+			frame.Shards[index], frame.Stamps[index] = decoder.shard(), decoder.text()
+		}
 	}
 	for range decoder.count() {
 		frame.Lost = append(frame.Lost, decoder.shard())
--- a/internal/slicing/assign.go
+++ b/internal/slicing/assign.go
@@ -35,7 +35,7 @@
 // the local zone, or one of as few other zones as the shards need.
 func (l *Layout) chooseZones(key string, shards []string) map[string][]string {
 	chosen := map[string][]string{}
-	var unassigned []string
+	unassigned := make([]string, 0, len(shards))
 	for _, shard := range shards {
 		switch places := l.reachableZones[shard]; {
 		case len(places) == 0:
@@ -48,15 +48,15 @@
 	}
 	for len(unassigned) > 0 {
 		zone := l.pickZone(unassigned, key)
-		var remaining []string
+		picked, remaining := make([]string, 0, len(unassigned)), unassigned[:0]
 		for _, shard := range unassigned {
 			if slices.Contains(l.reachableZones[shard], zone) {
-				chosen[zone] = append(chosen[zone], shard)
+				picked = append(picked, shard)
 			} else {
 				remaining = append(remaining, shard)
 			}
 		}
-		unassigned = remaining
+		chosen[zone], unassigned = picked, remaining
 	}
 	return chosen
 }
@@ -84,13 +84,8 @@
 // assignToCells divides shards among the routers of the zone. Each shard goes to a router that
 // gathers for the shard's cell, and to self if self is one of them.
 func (z *zoneLayout) assignToCells(self Router, shards []string, key string) []Slice {
-	byCell := make([][]string, len(z.cells))
-	for _, shard := range shards {
-		cell := z.cellIndex(shard)
-		byCell[cell] = append(byCell[cell], shard)
-	}
 	var assigned []Slice
-	for number, cellShards := range byCell {
+	for number, cellShards := range z.groupByCell(shards) {
 		if len(cellShards) == 0 {
 			continue
 		}
@@ -105,6 +100,23 @@
 	return assigned
 }
 
+// groupByCell returns the shards of each cell. The lists share one block of memory.
+func (z *zoneLayout) groupByCell(shards []string) [][]string {
+	cellOf, sizes := make([]int, len(shards)), make([]int, len(z.cells))
+	for position, shard := range shards {
+		cellOf[position] = z.cellIndex(shard)
+		sizes[cellOf[position]]++
+	}
+	byCell, memory := make([][]string, len(z.cells)), make([]string, len(shards))
+	for cell, size := range sizes {
+		byCell[cell], memory = memory[:0:size], memory[size:]
+	}
+	for position, shard := range shards {
+		byCell[cellOf[position]] = append(byCell[cellOf[position]], shard)
+	}
+	return byCell
+}
+
 func containsRouter(members []Router, wanted Router) bool {
 	return slices.ContainsFunc(members, func(member Router) bool { return member.Name == wanted.Name })
 }
