Decode a received slice in one pass

The client's request in a slice was read three times: skipped as raw JSON, copied and then decoded. It is now decoded with the rest of the slice; the message is unchanged, and a slice whose request is missing is still refused (one whose request is null, which no router sends, is now refused, too). The lists of a frame are made at their final length, and the goroutine of an attempt holds a pointer to the submission instead of a copy.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -37,7 +37,7 @@
 
 // endedAttempt is the result of an attempt, used as evidence.
 type endedAttempt struct {
-	submitted submission
+	submitted *submission
 	server    scatter.Server
 	outcome   scatter.Outcome
 	took      time.Duration
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -19,7 +19,7 @@
 	logger   logrus.FieldLogger
 	events   chan scatter.Event
 	requests chan submission
-	pending  map[scatter.RequestID]submission
+	pending  map[scatter.RequestID]*submission
 	attempts map[scatter.AttemptID]*exchange.Attempt
 	workers  *workers
 	retired  retiredServers
@@ -62,7 +62,7 @@
 }
 
 // finish delivers the result of a request.
-func (s submission) finish(result scatter.Result) {
+func (s *submission) finish(result scatter.Result) {
 	if s.events != nil {
 		s.events <- &gatherEvent{slice: s.slice, ended: true, lost: result.Missing, result: result}
 		return
@@ -83,7 +83,7 @@
 		countRequests: make(chan countRequest), loadRequests: make(chan chan<- scatter.EngineLoad),
 		withdrawn: make(chan []quarantine.Fingerprint, withdrawnBacklog),
 		events:    make(chan scatter.Event, eventBacklog), requests: make(chan submission, maxInFlight),
-		pending:       make(map[scatter.RequestID]submission),
+		pending:       make(map[scatter.RequestID]*submission),
 		attempts:      make(map[scatter.AttemptID]*exchange.Attempt),
 		retired:       newRetiredServers(pool.Forget),
 		pendingClaims: make(map[scatter.RequestID][]int),
@@ -124,7 +124,7 @@
 	incoming.arrived.ID = l.lastID
 	incoming.id <- l.lastID
 	incoming.encoded = l.pool.Encode(incoming.request.Request)
-	l.pending[l.lastID] = incoming
+	l.pending[l.lastID] = &incoming
 	l.step(incoming.arrived)
 }
 
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -131,7 +131,7 @@
 
 // logOverdueParts logs, in one line, which parts of a request have not arrived when they are
 // due, and why.
-func (l *loop) logOverdueParts(submitted submission, result scatter.Result) {
+func (l *loop) logOverdueParts(submitted *submission, result scatter.Result) {
 	causes := make([]string, 0, len(result.MissingParts))
 	for _, lack := range result.MissingParts {
 		causes = append(causes, lack.Service+":"+lack.Cause.String()+":"+lack.Server)
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/message"
 )
 
 // pathSlice is the path of the call that requests another router to gather some shards.
@@ -41,6 +43,13 @@
 	Claims claimTarget `json:"claims"`
 }
 
+// receivedSlice is a sliceRequest whose request is decoded in the same pass as the rest.
+type receivedSlice struct {
+	sliceRequest
+	// Request takes precedence over sliceRequest.Request, which stays empty.
+	Request *message.Request `json:"request"`
+}
+
 // due returns when the parts received so far are sent, for a request that arrived at a time;
 // zero if each is sent as it arrives.
 func (r *sliceRequest) due(arrived time.Time) time.Time {
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/martenstage/martenstage/internal/addressee"
-	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
@@ -29,17 +28,13 @@
 // serveSlice gathers shards for another router. It accepts the slice at once, sends one frame
 // when all parts have arrived or at the cutoff, and then each part that arrives later.
 func (g *Gateway) serveSlice(writer http.ResponseWriter, request *http.Request) {
-	var slice sliceRequest
-	var clientRequest message.Request
+	var slice receivedSlice
 	err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxSliceBytes)).Decode(&slice)
-	if err == nil {
-		err = json.Unmarshal(slice.Request, &clientRequest)
-	}
-	if err != nil || len(slice.Shards) == 0 {
+	if err != nil || slice.Request == nil || len(slice.Shards) == 0 {
 		http.Error(writer, "the slice can't be read", http.StatusBadRequest)
 		return
 	}
-	fingerprinted := newFingerprinted(&clientRequest)
+	fingerprinted := newFingerprinted(slice.Request)
 	switch standing := g.quarantine.standing(fingerprinted); {
 	case standing == quarantine.Quarantined:
 		http.Error(writer, "the request is quarantined", statusQuarantined)
@@ -54,7 +49,7 @@
 	}
 	defer g.inFlight.Add(-1)
 	writer.WriteHeader(http.StatusOK)
-	stream := &sliceStream{writer: writer, controller: http.NewResponseController(writer), slice: &slice, request: fingerprinted}
+	stream := &sliceStream{writer: writer, controller: http.NewResponseController(writer), slice: &slice.sliceRequest, request: fingerprinted}
 	if stream.controller.Flush() != nil {
 		return
 	}
@@ -73,6 +68,10 @@
 }
 
 func (s *sliceStream) add(part scatter.Part) {
+	if s.parts == nil {
+		count := len(s.slice.Shards)
+		s.pending.Shards, s.pending.Stamps, s.parts = make([]int, 0, count), make([]string, 0, count), make([][]byte, 0, count)
+	}
 	s.pending.Shards = append(s.pending.Shards, part.Shard)
 	s.pending.Stamps = append(s.pending.Stamps, part.Reply.Stamp)
 	s.parts = append(s.parts, part.Reply.Body)
