Hold the events of a gathered request in a queue

Each request made a channel with room for all events that it can have, 20 for each shard: 22 KB over 135 shards, though few wait at a time. The events are now in a queue that grows with those that wait. Senders never block, as before, and each event is followed by a decision, as before.

--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -22,11 +22,6 @@
 	firstSliceMargin = 4 * time.Millisecond
 )
 
-// eventsPerShard bounds the events of a request per shard. A shard is in the slices of the
-// router that gathers it, of the backup routers and of this router. In each slice it yields a
-// part or is lost, and each slice sends two frames more than parts and one failure.
-const eventsPerShard = (maxBackupRouters + 2) * 4
-
 // gatherState is a request that is assembled from slices.
 type gatherState struct {
 	*exchangeState
@@ -34,7 +29,7 @@
 	// encoded is message as sent to other routers; nil until the first slice is sent.
 	encoded    json.RawMessage
 	collection slicing.Collection
-	events     chan *gatherEvent
+	events     *eventQueue
 	slices     []*sliceState
 	stamps     []string
 	records    [][]byte
@@ -58,7 +53,7 @@
 			Total: len(s.route.Shards), MinCoverage: s.route.LeastShare, Deadline: arrived.Deadline, Cutoff: arrived.Due,
 		},
 		stamps: make([]string, 0, len(s.route.Shards)),
-		events: make(chan *gatherEvent, eventsPerShard*len(s.route.Shards)+16),
+		events: newEventQueue(),
 	}
 	for _, slice := range s.gateway.peers.layout(s.route.Shards).Assign(s.id, s.route.Shards) {
 		state.startSlice(slice, origin{})
@@ -95,9 +90,12 @@
 			g.failGather(decision)
 			return
 		}
-		select {
-		case event := <-g.events:
+		if event := g.events.next(); event != nil {
 			g.handleEvent(event)
+			continue
+		}
+		select {
+		case <-g.events.ready:
 		case <-timer.C:
 			timer.Reset(max(time.Millisecond, steadyclock.Until(g.collection.Next(steadyclock.Now()))))
 		case <-g.request.Context().Done():
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -61,10 +61,10 @@
 	}
 	go func() {
 		accepted, err := g.gateway.slices.send(g.context, slice.Router, request, func(frame sliceFrame) {
-			g.events <- &gatherEvent{slice: index, frame: &frame, at: steadyclock.Now()}
+			g.events.add(&gatherEvent{slice: index, frame: &frame, at: steadyclock.Now()})
 		})
 		if err != nil {
-			g.events <- &gatherEvent{slice: index, failed: true, accepted: accepted, reason: err}
+			g.events.add(&gatherEvent{slice: index, failed: true, accepted: accepted, reason: err})
 		}
 	}()
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -53,8 +53,8 @@
 	id     chan scatter.RequestID
 	answer chan scatter.Result
 	// events receives the parts and the end of a gathered request, marked with slice, in place
-	// of answer. It is buffered for all of them.
-	events chan<- *gatherEvent
+	// of answer.
+	events eventSink
 	slice  int
 	// claims is where to claim attempts beyond the first of a shard; with a zero token they
 	// need no claim.
@@ -64,7 +64,7 @@
 // finish delivers the result of a request.
 func (s *submission) finish(result scatter.Result) {
 	if s.events != nil {
-		s.events <- &gatherEvent{slice: s.slice, ended: true, lost: result.Missing, result: result}
+		s.events.add(&gatherEvent{slice: s.slice, ended: true, lost: result.Missing, result: result})
 		return
 	}
 	s.answer <- result
@@ -182,7 +182,7 @@
 		}
 	case scatter.Part:
 		if submitted, ok := l.pending[command.Request]; ok {
-			submitted.events <- &gatherEvent{slice: submitted.slice, part: command, at: steadyclock.Now()}
+			submitted.events.add(&gatherEvent{slice: submitted.slice, part: command, at: steadyclock.Now()})
 		}
 	case scatter.Wake:
 		l.timer.Reset(steadyclock.Until(command.At))
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -92,8 +92,7 @@
 		return accepted, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	// Each frame but the last contains a part, which bounds their number; the events channel
-	// is buffered for as many.
+	// Each frame but the last contains a part, which bounds their number.
 	for range len(request.Shards) + 2 {
 		frame, err := readFrame(response.Body, len(request.Shards))
 		if err != nil {
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -88,7 +88,7 @@
 func (g *Gateway) gatherSlice(request *http.Request, stream *sliceStream) {
 	slice := stream.slice
 	now := steadyclock.Now()
-	events := make(chan *gatherEvent, 2*len(slice.Shards)+1)
+	events := make(eventChannel, 2*len(slice.Shards)+1)
 	gather := g.submitShards(localSlice{
 		request: stream.request, evidence: &evidence{route: slice.Route, caller: slice.Caller}, shards: slice.Shards, deadline: now.Add(slice.DeadlineLeft), due: slice.due(now), events: events, earlier: slice.Earlier, claims: slice.Claims,
 		route: &routing.Route{
@@ -139,9 +139,9 @@
 	// claims is where to claim attempts beyond the first of a shard; with a zero token they
 	// need no claim.
 	claims claimTarget
-	// events receives one event for each part and one at the end, and is buffered for all of
+	// events receives one event for each part and one at the end, and has room for all of
 	// them.
-	events chan<- *gatherEvent
+	events eventSink
 	// slice identifies the slice in its events.
 	slice int
 }
