Take the server of an ended attempt from the attempt

The goroutine of an attempt held a copy of the whole command, some 250 bytes, for the server that the attempt holds already.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -37,6 +37,9 @@
 	return &Attempt{pool: p, request: request, server: server, deadline: deadline, chosenAt: steadyclock.Now()}
 }
 
+// Server returns the instance that the attempt is for.
+func (a *Attempt) Server() scatter.Server { return a.server }
+
 // ServerID returns the ID of the instance that the attempt is for.
 func (a *Attempt) ServerID() string { return a.server.ID }
 
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -200,11 +200,11 @@
 	attempt := l.pool.Start(submitted.encoded, command.Server, command.Deadline)
 	l.attempts[command.Attempt] = attempt
 	l.retired.sent(command.Server.ID)
-	began := steadyclock.Now()
+	id, began := command.Attempt, steadyclock.Now()
 	l.workers.start(func() {
 		outcome := attempt.Run()
 		took := steadyclock.Since(began)
-		l.events <- scatter.Ended{Attempt: command.Attempt, Outcome: outcome}
-		l.observe(endedAttempt{submitted: submitted, server: command.Server, outcome: outcome, took: took})
+		l.events <- scatter.Ended{Attempt: id, Outcome: outcome}
+		l.observe(endedAttempt{submitted: submitted, server: attempt.Server(), outcome: outcome, took: took})
 	})
 }
