Keep the slices of a layout that assigns them by the sending router

Where routers seldom send slices to each other, as in large fleets, all requests of a route are divided alike as long as the layout lasts, and each computed it anew. The layout now keeps the slices of its whole list of shards. Other lists, as those of failed routers, and layouts that assign by the request are divided as before.

--- a/internal/slicing/assign.go
+++ b/internal/slicing/assign.go
@@ -13,12 +13,25 @@
 // whose zones have no available router, stay with self. Equal layouts give equal slices. The
 // hash key that spreads load over zones and over the routers of a cell is the request ID;
 // where routers seldom send slices to each other, it is the sending router's name, so that its
-// connections go to few peers and are already open.
+// connections go to few peers and are already open. The slices are not to be changed, since
+// several calls may return the same.
 func (l *Layout) Assign(requestID string, shards []string) []Slice {
-	key := requestID
-	if l.sticky {
-		key = l.self.Name
+	switch {
+	case l.sticky && l.isWhole(shards):
+		return l.stickySlices()
+	case l.sticky:
+		return l.assign(l.self.Name, shards)
 	}
+	return l.assign(requestID, shards)
+}
+
+// isWhole reports whether a list is that of all shards of the layout, by its place in memory.
+func (l *Layout) isWhole(shards []string) bool {
+	return len(shards) > 0 && len(shards) == len(l.shards) && &shards[0] == &l.shards[0]
+}
+
+// assign divides shards by a hash key.
+func (l *Layout) assign(key string, shards []string) []Slice {
 	chosen := l.chooseZones(key, shards)
 	var assigned []Slice
 	for _, zone := range slices.Sorted(maps.Keys(chosen)) {
--- a/internal/slicing/layout.go
+++ b/internal/slicing/layout.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
@@ -60,9 +61,12 @@
 // Layout is where the shards of a route can be gathered. Except for the local router, it is
 // the same at all routers that know the same routers, servers and call rate. It is immutable.
 type Layout struct {
-	self Router
-	// sticky says that slices are assigned by the sending router and not by the request.
-	sticky bool
+	self   Router
+	shards []string
+	// sticky says that slices are assigned by the sending router and not by the request, and
+	// stickySlices returns those of all shards then.
+	sticky       bool
+	stickySlices func() []Slice
 	// zones are those with routers, by name.
 	zones map[string]*zoneLayout
 	// shardZones are the zones of each shard that have servers and routers; reachableZones are
@@ -104,7 +108,7 @@
 func NewLayout(self Router, shards []string, site Inputs) *Layout {
 	self.Unavailable = false
 	layout := &Layout{
-		self: self, zones: groupByZone(self, site.Routers),
+		self: self, shards: shards, zones: groupByZone(self, site.Routers),
 		shardZones: make(map[string][]string, len(shards)), reachableZones: make(map[string][]string, len(shards)),
 	}
 	shardZonePairs := 0
@@ -130,6 +134,7 @@
 	}
 	slicesPerPair := site.Calls / targetShardsPerCell / float64(max(1, routers*gatherers))
 	layout.sticky = site.Calls > 0 && slicesPerPair < stickyBelowSlicesPerPair
+	layout.stickySlices = sync.OnceValue(func() []Slice { return layout.assign(self.Name, shards) })
 	return layout
 }
 
