--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -18,8 +18,8 @@
 	due time.Time
 	// origin tells which routers failed with the slice's shards before.
 	origin origin
-	// open holds the positions, in Shards, that are neither received nor lost.
-	open map[int]bool
+	// open tells, by position in Shards, which are neither received nor lost.
+	open []bool
 	// local is set if this router gathers the slice itself.
 	local *localGather
 	ended bool
@@ -42,7 +42,7 @@
 
 // startSlice gathers a slice locally or requests it from its router.
 func (g *gatherState) startSlice(slice slicing.Slice, from origin) {
-	state := &sliceState{Slice: slice, origin: from, open: make(map[int]bool, len(slice.Shards))}
+	state := &sliceState{Slice: slice, origin: from, open: make([]bool, len(slice.Shards))}
 	for position := range slice.Shards {
 		state.open[position] = true
 	}
@@ -61,10 +61,10 @@
 	}
 	go func() {
 		accepted, err := g.gateway.slices.send(g.context, slice.Router, request, func(frame sliceFrame) {
-			g.events <- &gatherEvent{slice: index, frame: &frame, at: steadyclock.Now()}
+			g.events.add(&gatherEvent{slice: index, frame: &frame, at: steadyclock.Now()})
 		})
 		if err != nil {
-			g.events <- &gatherEvent{slice: index, failed: true, accepted: accepted, reason: err}
+			g.events.add(&gatherEvent{slice: index, failed: true, accepted: accepted, reason: err})
 		}
 	}()
 }
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -19,8 +19,9 @@
 	logger   logrus.FieldLogger
 	events   chan scatter.Event
 	requests chan submission
-	pending  map[scatter.RequestID]submission
+	pending  map[scatter.RequestID]*submission
 	attempts map[scatter.AttemptID]*exchange.Attempt
+	workers  *workers
 	retired  retiredServers
 	lastID   scatter.RequestID
 	timer    *time.Timer
@@ -52,8 +53,8 @@
 	id     chan scatter.RequestID
 	answer chan scatter.Result
 	// events receives the parts and the end of a gathered request, marked with slice, in place
-	// of answer. It is buffered for all of them.
-	events chan<- *gatherEvent
+	// of answer.
+	events eventSink
 	slice  int
 	// claims is where to claim attempts beyond the first of a shard; with a zero token they
 	// need no claim.
@@ -61,9 +62,9 @@
 }
 
 // finish delivers the result of a request.
-func (s submission) finish(result scatter.Result) {
+func (s *submission) finish(result scatter.Result) {
 	if s.events != nil {
-		s.events <- &gatherEvent{slice: s.slice, ended: true, lost: result.Missing, result: result}
+		s.events.add(&gatherEvent{slice: s.slice, ended: true, lost: result.Missing, result: result})
 		return
 	}
 	s.answer <- result
@@ -82,11 +83,12 @@
 		countRequests: make(chan countRequest), loadRequests: make(chan chan<- scatter.EngineLoad),
 		withdrawn: make(chan []quarantine.Fingerprint, withdrawnBacklog),
 		events:    make(chan scatter.Event, eventBacklog), requests: make(chan submission, maxInFlight),
-		pending:       make(map[scatter.RequestID]submission),
+		pending:       make(map[scatter.RequestID]*submission),
 		attempts:      make(map[scatter.AttemptID]*exchange.Attempt),
 		retired:       newRetiredServers(pool.Forget),
 		pendingClaims: make(map[scatter.RequestID][]int),
 		timer:         time.NewTimer(time.Hour),
+		workers:       newWorkers(),
 	}
 }
 
@@ -94,6 +96,7 @@
 func (l *loop) run(ctx context.Context) {
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
+	defer l.workers.stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -121,7 +124,7 @@
 	incoming.arrived.ID = l.lastID
 	incoming.id <- l.lastID
 	incoming.encoded = l.pool.Encode(incoming.request.Request)
-	l.pending[l.lastID] = incoming
+	l.pending[l.lastID] = &incoming
 	l.step(incoming.arrived)
 }
 
@@ -179,7 +182,7 @@
 		}
 	case scatter.Part:
 		if submitted, ok := l.pending[command.Request]; ok {
-			submitted.events <- &gatherEvent{slice: submitted.slice, part: command, at: steadyclock.Now()}
+			submitted.events.add(&gatherEvent{slice: submitted.slice, part: command, at: steadyclock.Now()})
 		}
 	case scatter.Wake:
 		l.timer.Reset(steadyclock.Until(command.At))
@@ -197,11 +200,11 @@
 	attempt := l.pool.Start(submitted.encoded, command.Server, command.Deadline)
 	l.attempts[command.Attempt] = attempt
 	l.retired.sent(command.Server.ID)
-	began := steadyclock.Now()
-	go func() {
+	id, began := command.Attempt, steadyclock.Now()
+	l.workers.start(func() {
 		outcome := attempt.Run()
 		took := steadyclock.Since(began)
-		l.events <- scatter.Ended{Attempt: command.Attempt, Outcome: outcome}
-		l.observe(endedAttempt{submitted: submitted, server: command.Server, outcome: outcome, took: took})
-	}()
+		l.events <- scatter.Ended{Attempt: id, Outcome: outcome}
+		l.observe(endedAttempt{submitted: submitted, server: attempt.Server(), outcome: outcome, took: took})
+	})
 }
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -81,7 +81,7 @@
 // send requests a slice from a router and passes on its frames. If it returns an error,
 // accepted reports whether the router may have sent anything to servers.
 func (c *sliceClient) send(ctx context.Context, router slicing.Router, request sliceRequest, onFrame func(sliceFrame)) (accepted bool, err error) {
-	body, err := json.Marshal(request)
+	body, err := request.encode()
 	if err != nil {
 		return false, err
 	}
@@ -92,8 +92,7 @@
 		return accepted, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	// Each frame but the last contains a part, which bounds their number; the events channel
-	// is buffered for as many.
+	// Each frame but the last contains a part, which bounds their number.
 	for range len(request.Shards) + 2 {
 		frame, err := readFrame(response.Body, len(request.Shards))
 		if err != nil {
@@ -134,7 +133,7 @@
 		})
 	})
 	defer acceptTimer.Stop()
-	response, err = c.http.Do(request)
+	response, err = c.roundTrip(request)
 	answered.Store(err == nil)
 	if err != nil {
 		timedOut := errors.Is(context.Cause(ctx), errNotAccepted)
@@ -154,6 +153,17 @@
 	return response, true, nil
 }
 
+// roundTrip sends a call and returns its response. Unlike http.Client.Do, it follows no redirect,
+// which no router sends, and does not copy the URL and the headers for that. Its errors are the
+// same.
+func (c *sliceClient) roundTrip(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Transport.RoundTrip(request)
+	if err != nil {
+		return nil, &url.Error{Op: "Post", URL: request.URL.String(), Err: err}
+	}
+	return response, nil
+}
+
 // mayHaveAccepted reports whether the wrong process may have sent anything to servers of this
 // group.
 func mayHaveAccepted(response *http.Response, err error) bool {
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/message"
 )
 
 // pathSlice is the path of the call that requests another router to gather some shards.
@@ -16,7 +18,7 @@
 type sliceRequest struct {
 	// Request is the client's request, a message.Request. It is the same in all slices, and
 	// encoded once.
-	Request json.RawMessage `json:"request"`
+	Request json.RawMessage `json:"request,omitempty"`
 	Shards  []string        `json:"shards"`
 	// The settings of the route that apply to the shards.
 	Route       string  `json:"route"`
@@ -41,6 +43,29 @@
 	Claims claimTarget `json:"claims"`
 }
 
+// encode returns the JSON encoding. It is that of json.Marshal, which checks and copies Request
+// again for each slice.
+func (r sliceRequest) encode() ([]byte, error) {
+	request := r.Request
+	r.Request = nil
+	rest, err := json.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	const start = `{"request":`
+	body := make([]byte, 0, len(start)+len(request)+len(rest))
+	body = append(append(body, start...), request...)
+	// The brace that opens the rest gives way to a comma; the rest is never empty.
+	return append(append(body, ','), rest[1:]...), nil
+}
+
+// receivedSlice is a sliceRequest whose request is decoded in the same pass as the rest.
+type receivedSlice struct {
+	sliceRequest
+	// Request takes precedence over sliceRequest.Request, which stays empty.
+	Request *message.Request `json:"request"`
+}
+
 // due returns when the parts received so far are sent, for a request that arrived at a time;
 // zero if each is sent as it arrives.
 func (r *sliceRequest) due(arrived time.Time) time.Time {
@@ -115,9 +140,11 @@
 func decodeFrame(body []byte, shards int) (sliceFrame, error) {
 	decoder := frameDecoder{rest: body[1:], shards: uint64(shards)}
 	frame := sliceFrame{Last: body[0] == 1}
-	for range decoder.count() {
-		frame.Shards = append(frame.Shards, decoder.shard())
-		frame.Stamps = append(frame.Stamps, decoder.text())
+	if count := decoder.count(); count > 0 {
+		frame.Shards, frame.Stamps = make([]int, count), make([]string, count)
+		for index := range count {
+			frame.Shards[index], frame.Stamps[index] = decoder.shard(), decoder.text()
+		}
 	}
 	for range decoder.count() {
 		frame.Lost = append(frame.Lost, decoder.shard())
