Encode the settings of a request's slices once

The route's settings and the caller are the same in all slices of a request, and were encoded with each by json.Marshal. They are now encoded once with the client's request, and a slice appends its shards, times and claims to them. The message has the same fields in another order, which JSON leaves open; a property test compares the bytes with json.Marshal, so that routers of the former release read it.

--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -26,8 +25,8 @@
 type gatherState struct {
 	*exchangeState
 	message *fingerprinted
-	// encoded is message as sent to other routers; nil until the first slice is sent.
-	encoded    json.RawMessage
+	// settings are encoded sliceSettings; nil until the first slice is sent.
+	settings   []byte
 	collection slicing.Collection
 	events     *eventQueue
 	slices     []*sliceState
--- a/internal/gateway/gather_slices.go
+++ b/internal/gateway/gather_slices.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,8 +58,9 @@
 	if !g.collection.Cutoff.IsZero() {
 		state.due = steadyclock.Now().Add(request.CutLeft)
 	}
+	settings := g.encodedSettings()
 	go func() {
-		accepted, err := g.gateway.slices.send(g.context, slice.Router, request, func(frame sliceFrame) {
+		accepted, err := g.gateway.slices.send(g.context, slice.Router, request.encode(settings), len(slice.Shards), func(frame sliceFrame) {
 			g.events.add(&gatherEvent{slice: index, frame: &frame, at: steadyclock.Now()})
 		})
 		if err != nil {
@@ -69,31 +69,25 @@
 	}()
 }
 
-// sliceRequest returns the message that requests a slice from its router.
+// sliceRequest returns the message that requests a slice from its router, without the settings.
 func (g *gatherState) sliceRequest(slice slicing.Slice, from origin) sliceRequest {
 	now := steadyclock.Now()
-	request := sliceRequest{
-		Request: g.encode(), Shards: slice.Shards, Route: g.route.Name, MaxAttempts: g.route.MaxAttempts,
-		Priority: g.route.Priority, TopRecords: g.route.TopRecords, LeastShare: g.route.LeastShare, Target: g.route.Target,
-		DeadlineLeft: g.collection.Deadline.Sub(now), Earlier: from.earlier, Tried: g.tried, Caller: g.caller(),
-	}
+	request := sliceRequest{Shards: slice.Shards, DeadlineLeft: g.collection.Deadline.Sub(now), Earlier: from.earlier}
 	if !g.collection.Cutoff.IsZero() {
 		request.CutLeft = max(0, g.collection.Cutoff.Sub(now)-g.gateway.sliceLag.margin(firstSliceMargin))
 	}
 	return request
 }
 
-// encode returns the client's request as sent to other routers.
-func (g *gatherState) encode() json.RawMessage {
-	if g.encoded != nil {
-		return g.encoded
-	}
-	encoded, err := json.Marshal(g.message.Request)
-	if err != nil {
-		panic(errors.Wrap(err, "request could not be encoded"))
+// encodedSettings returns what all slices of the request have in common, as sent to other routers.
+func (g *gatherState) encodedSettings() []byte {
+	if g.settings == nil {
+		g.settings = sliceSettings{
+			Request: g.message.Request, Route: g.route.Name, MaxAttempts: g.route.MaxAttempts, Priority: g.route.Priority,
+			TopRecords: g.route.TopRecords, LeastShare: g.route.LeastShare, Target: g.route.Target, Tried: g.tried, Caller: g.caller(),
+		}.encode()
 	}
-	g.encoded = encoded
-	return encoded
+	return g.settings
 }
 
 // gatherLocally submits a slice to this router's engine.
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -78,13 +78,9 @@
 
 var errNotAccepted = errors.New("router did not accept the slice in time")
 
-// send requests a slice from a router and passes on its frames. If it returns an error,
+// send requests a slice of some shards from a router and passes on its frames. If it returns an error,
 // accepted reports whether the router may have sent anything to servers.
-func (c *sliceClient) send(ctx context.Context, router slicing.Router, request sliceRequest, onFrame func(sliceFrame)) (accepted bool, err error) {
-	body, err := request.encode()
-	if err != nil {
-		return false, err
-	}
+func (c *sliceClient) send(ctx context.Context, router slicing.Router, body []byte, shards int, onFrame func(sliceFrame)) (accepted bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	response, accepted, err := c.awaitAccepted(ctx, cancel, router, body)
@@ -93,8 +89,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	// Each frame but the last contains a part, which bounds their number.
-	for range len(request.Shards) + 2 {
-		frame, err := readFrame(response.Body, len(request.Shards))
+	for range shards + 2 {
+		frame, err := readFrame(response.Body, shards)
 		if err != nil {
 			return true, err
 		}
--- a/internal/gateway/slice_messages.go
+++ b/internal/gateway/slice_messages.go
@@ -2,70 +2,15 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/martenstage/martenstage/internal/message"
 )
 
 // pathSlice is the path of the call that requests another router to gather some shards.
 const pathSlice = "/router/slice"
 
-// sliceRequest requests the parts of some shards.
-type sliceRequest struct {
-	// Request is the client's request, a message.Request. It is the same in all slices, and
-	// encoded once.
-	Request json.RawMessage `json:"request,omitempty"`
-	Shards  []string        `json:"shards"`
-	// The settings of the route that apply to the shards.
-	Route       string  `json:"route"`
-	MaxAttempts int     `json:"max_attempts"`
-	Priority    int     `json:"priority"`
-	TopRecords  int     `json:"top_records"`
-	LeastShare  float64 `json:"least_share"`
-	// Target is the target time of the route, from which the first hedging delays are derived.
-	Target time.Duration `json:"target"`
-	// CutLeft is when the parts received so far are to be sent, DeadlineLeft when the slice
-	// ends. Both count from its arrival.
-	CutLeft      time.Duration `json:"cut_left"`
-	DeadlineLeft time.Duration `json:"deadline_left"`
-	// Earlier is how many other routers may have sent attempts before.
-	Earlier int `json:"earlier,omitempty"`
-	// Tried is set if a server has just answered a trial of the request, which was suspected
-	// of crashing servers.
-	Tried bool `json:"tried,omitempty"`
-	// Caller is the address of the client.
-	Caller string `json:"caller,omitempty"`
-	// Claims is where to claim attempts beyond the first of a shard.
-	Claims claimTarget `json:"claims"`
-}
-
-// encode returns the JSON encoding. It is that of json.Marshal, which checks and copies Request
-// again for each slice.
-func (r sliceRequest) encode() ([]byte, error) {
-	request := r.Request
-	r.Request = nil
-	rest, err := json.Marshal(r)
-	if err != nil {
-		return nil, err
-	}
-	const start = `{"request":`
-	body := make([]byte, 0, len(start)+len(request)+len(rest))
-	body = append(append(body, start...), request...)
-	// The brace that opens the rest gives way to a comma; the rest is never empty.
-	return append(append(body, ','), rest[1:]...), nil
-}
-
-// receivedSlice is a sliceRequest whose request is decoded in the same pass as the rest.
-type receivedSlice struct {
-	sliceRequest
-	// Request takes precedence over sliceRequest.Request, which stays empty.
-	Request *message.Request `json:"request"`
-}
-
 // due returns when the parts received so far are sent, for a request that arrived at a time;
 // zero if each is sent as it arrives.
 func (r *sliceRequest) due(arrived time.Time) time.Time {
--- a/internal/gateway/slice_server.go
+++ b/internal/gateway/slice_server.go
@@ -28,7 +28,7 @@
 // serveSlice gathers shards for another router. It accepts the slice at once, sends one frame
 // when all parts have arrived or at the cutoff, and then each part that arrives later.
 func (g *Gateway) serveSlice(writer http.ResponseWriter, request *http.Request) {
-	var slice receivedSlice
+	var slice sliceRequest
 	err := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxSliceBytes)).Decode(&slice)
 	if err != nil || slice.Request == nil || len(slice.Shards) == 0 {
 		http.Error(writer, "the slice can't be read", http.StatusBadRequest)
@@ -49,7 +49,7 @@
 	}
 	defer g.inFlight.Add(-1)
 	writer.WriteHeader(http.StatusOK)
-	stream := &sliceStream{writer: writer, controller: http.NewResponseController(writer), slice: &slice.sliceRequest, request: fingerprinted}
+	stream := &sliceStream{writer: writer, controller: http.NewResponseController(writer), slice: &slice, request: fingerprinted}
 	if stream.controller.Flush() != nil {
 		return
 	}
