Withhold tokens once over several changes of the leader

Change: a ledger tells apart which tenants may have exceeded their buckets (Exceeding); only these are passed on, through any number of leaders, for a window.

--- a/internal/directory/quota.go
+++ b/internal/directory/quota.go
@@ -28,6 +28,9 @@
 	Term     uint64   `json:"term"`
 	Revision uint64   `json:"revision"`
 	Tenants  []string `json:"tenants"`
+	// Exceeding are the tenants that may have got tokens beyond their buckets
+	// (quota.Ledger.Exceeding).
+	Exceeding []string `json:"exceeding,omitempty"`
 }
 
 func (m MeteredTenants) newer(other MeteredTenants) bool {
@@ -84,26 +87,27 @@
 	if status.Role != consensus.Leader || n.freshnessAt(state, steadyclock.Now()) < -maxLeaderConfirmationAge {
 		return nil, nil, errors.Wrap(ErrUnavailable, "this node is not known to lead")
 	}
-	if err := n.quota.lock(status.Term, state, n.config, n.lastMetered); err != nil {
+	if err := n.quota.lock(status.Term, state, n.config, n.lastExceeding); err != nil {
 		return nil, nil, err
 	}
 	return n.quota.ledger, n.quota.mutex.Unlock, nil
 }
 
-// lastMetered returns the metered tenants that this node heard of last.
-func (n *Node) lastMetered() []string {
+// lastExceeding returns the tenants that this node last heard may have got tokens beyond their
+// buckets.
+func (n *Node) lastExceeding() []string {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.metered.Tenants
+	return n.metered.Exceeding
 }
 
 // lock updates the ledger to the term and the limits in effect; a new ledger continues with the
-// metered tenants. It leaves the mutex locked unless it fails.
-func (q *leaderQuota) lock(term uint64, state *stateMachine, config Config, metered func() []string) error {
+// tenants that may have exceeded their buckets. It leaves the mutex locked unless it fails.
+func (q *leaderQuota) lock(term uint64, state *stateMachine, config Config, exceeding func() []string) error {
 	q.mutex.Lock()
 	if q.ledger == nil || q.term != term {
 		q.ledger, q.term, q.limitsLoaded, q.publishedRevision = quota.NewLedger(config.QuotaTolerance), term, false, 0
-		q.ledger.Resume(metered())
+		q.ledger.Resume(exceeding())
 	}
 	version, text, _ := state.document()
 	if q.limitsLoaded && version == q.version {
@@ -137,7 +141,7 @@
 	}
 	err := n.confirm(ctx)
 	if err == nil && n.status().Term == term {
-		err = n.quota.lock(term, n.member.state(), n.config, n.lastMetered)
+		err = n.quota.lock(term, n.member.state(), n.config, n.lastExceeding)
 	}
 	if err != nil {
 		// New tenants then start with less of their burst, for one window.
@@ -173,8 +177,10 @@
 	if err != nil {
 		return // Another node leads, or will, and publishes them.
 	}
-	names, revision := ledger.Metered(steadyclock.Now())
-	metered := MeteredTenants{Term: n.quota.term, Revision: revision, Tenants: names}
+	now := steadyclock.Now()
+	exceeding := ledger.Exceeding(now)
+	names, revision := ledger.Metered(now)
+	metered := MeteredTenants{Term: n.quota.term, Revision: revision, Tenants: names, Exceeding: exceeding}
 	changed := revision != n.quota.publishedRevision
 	n.quota.publishedRevision = revision
 	limited := ledger.HasLimits()
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -64,12 +64,14 @@
 	// lastSequences are the sequence numbers of each router's last report, so that a report
 	// that is sent again after its reply was lost counts once.
 	lastSequences map[string]uint64
-	// revision increases whenever the set of metered tenants changes.
+	// revision increases whenever the set of metered tenants or exceeding changes.
 	revision uint64
 	// recollection is nil before the first limits.
 	recollection *recollection
-	// resumed are the tenants that the ledger before this one metered.
-	resumed map[string]bool
+	// resumed are the tenants that earlier ledgers may have granted tokens beyond their buckets,
+	// and exceeding the last result of Exceeding.
+	resumed   map[string]bool
+	exceeding []string
 }
 
 // NewLedger returns a ledger without limits.
@@ -80,15 +82,37 @@
 	}
 }
 
-// Resume names the tenants that the ledger before this one metered. It is called before
-// SetLimits.
-func (l *Ledger) Resume(metered []string) {
-	l.resumed = make(map[string]bool, len(metered))
-	for _, name := range metered {
+// Resume names the tenants to which the ledgers before this one may have granted tokens beyond
+// their buckets within a window (Exceeding). It is called before SetLimits.
+func (l *Ledger) Resume(exceeding []string) {
+	l.resumed = make(map[string]bool, len(exceeding))
+	for _, name := range exceeding {
 		l.resumed[name] = true
 	}
 }
 
+// Exceeding returns the tenants to which this ledger or one before it may have granted tokens
+// beyond their buckets within a window, sorted by name. Only a ledger whose recall is complete
+// grants such tokens. A tenant that a new ledger meters for its small initial bucket is not among
+// them: otherwise each of several changes of the leader would have it start with nothing again.
+func (l *Ledger) Exceeding(now time.Time) []string {
+	var names []string
+	for name, b := range l.buckets {
+		switch r := l.recollection; {
+		case r.complete() && b.metered:
+			names = append(names, name)
+		case r != nil && now.Before(r.until) && l.resumed[name]:
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, l.exceeding) {
+		l.exceeding = names
+		l.revision++
+	}
+	return names
+}
+
 // SetLimits replaces the limits of all tenants from now on. Tenants without a limit are left
 // out.
 func (l *Ledger) SetLimits(now time.Time, limits map[string]Limit) {
@@ -297,7 +321,7 @@
 	return names, l.revision
 }
 
-// Revision increases whenever the set of metered tenants changes.
+// Revision increases whenever the set of metered tenants, or the result of Exceeding, changes.
 func (l *Ledger) Revision() uint64 { return l.revision }
 
 // HasLimits reports whether any tenant has a limit.
--- a/internal/quota/outage_test.go
+++ b/internal/quota/outage_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/martenstage/martenstage/internal/quota"
 	"pgregory.net/rapid"
 )
 
@@ -135,3 +137,35 @@
 	require.LessOrEqual(t, float64(after[1]), 0.05*float64(after[0]))
 	require.Less(t, 5*after[1], before[1])
 }
+
+// TestSeveralChangesOfTheLeaderWithholdTokensOnce guards against a tenant within its limit that is
+// refused for three seconds at each of several leaders in a row, because each meters it for its
+// small initial bucket and the next one takes it for a tenant that exceeded its bucket.
+func TestSeveralChangesOfTheLeaderWithholdTokensOnce(t *testing.T) {
+	limits := map[string]quota.Limit{tenant: {Rate: 20, Burst: 20}}
+	first := quota.NewLedger(tolerance)
+	first.SetLimits(start, limits)
+	metered, _ := first.Metered(start)
+	require.Equal(t, []string{tenant}, metered, "the initial bucket is small")
+	second := quota.NewLedger(tolerance)
+	second.Resume(first.Exceeding(start))
+	second.SetLimits(start.Add(time.Second), limits)
+	reply := second.Process(start.Add(1100*time.Millisecond), quota.Message{Router: "a", Sequence: 1, Wanted: map[string]int{tenant: 3}})
+	require.Equal(t, 3, reply.Grants[tenant].Granted)
+}
+
+// TestExceedingTenantsPassThroughSeveralLeaders guards against a second change of the leader within
+// a window after which a tenant gets again what the first leader granted beyond its bucket.
+func TestExceedingTenantsPassThroughSeveralLeaders(t *testing.T) {
+	limits := map[string]quota.Limit{tenant: {Rate: 20, Burst: 20}}
+	second := quota.NewLedger(tolerance)
+	second.Resume([]string{tenant})
+	second.SetLimits(start, limits)
+	require.Equal(t, []string{tenant}, second.Exceeding(start.Add(time.Second)))
+	third := quota.NewLedger(tolerance)
+	third.Resume(second.Exceeding(start.Add(time.Second)))
+	third.SetLimits(start.Add(time.Second), limits)
+	reply := third.Process(start.Add(time.Second), quota.Message{Router: "a", Sequence: 1, Wanted: map[string]int{tenant: 3}})
+	require.Zero(t, reply.Grants[tenant].Granted)
+	require.Empty(t, second.Exceeding(start.Add(tolerance.Window)), "the window is over")
+}
--- a/internal/quota/site_test.go
+++ b/internal/quota/site_test.go
@@ -76,8 +76,8 @@
 	// down and up are when the directory is off.
 	down, up time.Duration
 	revision uint64
-	// metered is the last published list of metered tenants.
-	metered []string
+	// exceeding are the last published tenants that may have got tokens beyond their buckets.
+	exceeding []string
 	// retry says whether clients come back once after a refusal; patience is the longest wait.
 	retry    bool
 	patience time.Duration
@@ -141,7 +141,7 @@
 // startLedger starts a ledger without state, as a new leader does.
 func (s *simulatedSite) startLedger() {
 	s.ledger = quota.NewLedger(tolerance)
-	s.ledger.Resume(s.metered)
+	s.ledger.Resume(s.exceeding)
 	s.ledger.SetLimits(s.clock(), s.limits())
 	s.revision = math.MaxUint64
 }
@@ -331,11 +331,12 @@
 	if !s.directoryReachable() {
 		return
 	}
+	exceeding := s.ledger.Exceeding(s.clock())
 	names, revision := s.ledger.Metered(s.clock())
 	if revision == s.revision {
 		return
 	}
-	s.revision, s.metered = revision, names
+	s.revision, s.exceeding = revision, exceeding
 	s.after(150*time.Millisecond, func() {
 		for _, router := range s.routers {
 			if s.directoryReachable() {
