--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,8 @@
 	held    *fetchedTable
 	// lastReplyAt is when the previous reply was applied; zero if there is none.
 	lastReplyAt time.Time
+	// calls are those under way, also ones whose reply is no longer needed; run waits for them.
+	calls sync.WaitGroup
 	// refreshedAt is when a held call was last replaced by one with a new report.
 	refreshedAt time.Time
 }
@@ -94,6 +97,7 @@
 }
 
 func (f *follower) run(ctx context.Context) {
+	defer f.calls.Wait()
 	for ctx.Err() == nil {
 		if err := f.follow(ctx); err != nil && ctx.Err() == nil {
 			f.handleFollowFailure(err)
@@ -207,10 +211,10 @@
 	defer cancel()
 	answers := make(chan followAnswer, 1)
 	node, request, sentAt := f.node, f.request, steadyclock.Now()
-	go func() {
+	f.calls.Go(func() {
 		reply, err := f.post(callCtx, node, request, timeout)
 		answers <- followAnswer{reply: reply, err: err, sentAt: sentAt}
-	}()
+	})
 	observe := time.NewTicker(loadInterval(f.routerCount))
 	defer observe.Stop()
 	for {
--- a/internal/gateway/searching.go
+++ b/internal/gateway/searching.go
@@ -97,10 +97,10 @@
 // replies. All routers may search at the same time, so the rate of probes is bounded.
 func (f *follower) probeInTurn(ctx context.Context, nodes []string) <-chan probeResult {
 	answers := make(chan probeResult)
-	go func() {
+	f.calls.Go(func() {
 		pause := searchStagger
 		for count := 0; len(nodes) > 0; count++ {
-			go f.probeOnce(ctx, nodes[count%len(nodes)], answers)
+			f.calls.Go(func() { f.probeOnce(ctx, nodes[count%len(nodes)], answers) })
 			if count >= len(nodes) {
 				pause = min(2*pause, maxSearchPause)
 			}
@@ -108,7 +108,7 @@
 				return
 			}
 		}
-	}()
+	})
 	return answers
 }
 
@@ -204,7 +204,7 @@
 	f.staleSearches++
 	answers := make(chan probeResult)
 	for _, node := range nodes {
-		go f.probeOnce(searchCtx, node, answers)
+		f.calls.Go(func() { f.probeOnce(searchCtx, node, answers) })
 	}
 	for range nodes {
 		select {
