Name the longest wait of a client in the usual terms, and compute it once

Cause: admission and quotas each computed the client's remaining time. Change: both use remainingOfClient; the field of a waiting request is max_wait.

--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -311,7 +311,7 @@
 	defer cancel()
 	given := s.gateway.quotas.admit(ctx, s.tenant.Name, func() quota.Waiting {
 		fingerprint := forwarded.fingerprint()
-		return quota.Waiting{Key: binary.BigEndian.Uint64(fingerprint[:]), Patience: s.patience()}
+		return quota.Waiting{Key: binary.BigEndian.Uint64(fingerprint[:]), MaxWait: s.maxRetryWait()}
 	})
 	if given.granted {
 		return false
@@ -324,19 +324,14 @@
 	return true
 }
 
-// patience returns the longest time for which the client waits before it sends the request again.
-// A client that names no time is taken to wait for the timeout of the route.
-func (s *exchangeState) patience() time.Duration {
-	remaining := s.remaining()
-	if _, given := s.gateway.config.Dialect.Remaining(s.request.Header); !given {
-		remaining = min(remaining, s.route.Timeout)
-	}
-	return max(0, remaining-steadyclock.Since(s.arrived)) / retryPatience
+// maxRetryWait returns the longest time for which the client waits before it sends the request again.
+func (s *exchangeState) maxRetryWait() time.Duration {
+	return max(0, s.remainingOfClient(steadyclock.Now())) / retryWaitDivisor
 }
 
-// retryPatience is the divisor of a client's remaining time that it waits at most before it
+// retryWaitDivisor is the divisor of a client's remaining time that it waits at most before it
 // sends a refused request again.
-const retryPatience = 3
+const retryWaitDivisor = 3
 
 // minRetryAfter is the least delay after which a refused request may be retried.
 const minRetryAfter = 50 * time.Millisecond
--- a/internal/quota/outage_test.go
+++ b/internal/quota/outage_test.go
@@ -22,7 +22,7 @@
 		}
 		return rate
 	}
-	s.patience, s.retry = 2*time.Second, true
+	s.maxWait, s.retry = 2*time.Second, true
 	s.run(16 * time.Second)
 	return s
 }
@@ -74,7 +74,7 @@
 			}
 			return s.tenants[tenant].usual
 		}
-		s.retry, s.patience = rapid.Bool().Draw(t, "retry"), 2*time.Second
+		s.retry, s.maxWait = rapid.Bool().Draw(t, "retry"), 2*time.Second
 		s.down = time.Duration(rapid.IntRange(0, 8000).Draw(t, "down ms")/5*5) * time.Millisecond
 		s.up = s.down + time.Duration(rapid.IntRange(0, 6000).Draw(t, "off ms")/5*5)*time.Millisecond
 		// As many routers may be cut off as the tolerance of a limit has room for.
@@ -98,7 +98,7 @@
 // refused, and how many of those had been promised a token.
 func surge(t *testing.T, seed uint64, previousRelease bool) (returned, refused, promised int) {
 	s := newSite(seed, 66, 1, 6)
-	s.previousRelease, s.retry, s.patience = previousRelease, true, 2*time.Second
+	s.previousRelease, s.retry, s.maxWait = previousRelease, true, 2*time.Second
 	if previousRelease {
 		s.spread = previousSpread
 	}
--- a/internal/quota/promises.go
+++ b/internal/quota/promises.go
@@ -18,8 +18,8 @@
 	// Key identifies the request by its content: it is the same when a client sends the request
 	// again, also with another id or through another router.
 	Key uint64 `json:"key"`
-	// Patience is the longest time after which the client may come back.
-	Patience time.Duration `json:"patience"`
+	// MaxWait is the longest time after which the client may come back.
+	MaxWait time.Duration `json:"max_wait"`
 }
 
 // Outcome is the reply to a request that waited for a token.
@@ -119,7 +119,7 @@
 	}
 	next := l.availableIn(b, now, float64(b.promises.count()+1))
 	beyondWindow := l.tolerance.Window > 0 && next > l.tolerance.Window
-	if next > request.Patience || beyondWindow || b.promises.count() >= maxPromises {
+	if next > request.MaxWait || beyondWindow || b.promises.count() >= maxPromises {
 		return Outcome{Next: next}
 	}
 	b.promises.list = append(b.promises.list, promise{key: request.Key, at: now.Add(next)})
--- a/internal/quota/promises_test.go
+++ b/internal/quota/promises_test.go
@@ -20,7 +20,7 @@
 	a.sequence++
 	waiting := make([]quota.Waiting, 0, len(keys))
 	for _, key := range keys {
-		waiting = append(waiting, quota.Waiting{Key: key, Patience: time.Second})
+		waiting = append(waiting, quota.Waiting{Key: key, MaxWait: time.Second})
 	}
 	return a.ledger.Process(start.Add(after), quota.Message{
 		Router: "a", Sequence: a.sequence, Wanted: map[string]int{tenant: len(keys)}, Waiting: map[string][]quota.Waiting{tenant: waiting},
--- a/internal/quota/site_test.go
+++ b/internal/quota/site_test.go
@@ -78,9 +78,9 @@
 	revision uint64
 	// exceeding are the last published tenants that may have got tokens beyond their buckets.
 	exceeding []string
-	// retry says whether clients come back once after a refusal; patience is the longest wait.
-	retry    bool
-	patience time.Duration
+	// retry says whether clients come back once after a refusal; maxWait is the longest wait.
+	retry   bool
+	maxWait time.Duration
 	// spread is the greatest delay that is added to a retry time.
 	spread time.Duration
 	// rate returns a tenant's rate at a time.
@@ -220,7 +220,7 @@
 	if !request.promised {
 		wait += time.Duration(s.random.Float64() * float64(s.spread))
 	}
-	if s.retry && !request.returned && wait <= s.patience {
+	if s.retry && !request.returned && wait <= s.maxWait {
 		request.returned = true
 		s.returns++
 		s.after(wait, func() { s.arrive(request) })
@@ -262,7 +262,7 @@
 		if s.previousRelease {
 			continue
 		}
-		message.Waiting[name] = append(message.Waiting[name], quota.Waiting{Key: queued.key, Patience: s.patience})
+		message.Waiting[name] = append(message.Waiting[name], quota.Waiting{Key: queued.key, MaxWait: s.maxWait})
 	}
 	s.deliver(router, queue, message)
 }
