Leave the plan of admission off by default

Change: admission-plan of the directory nodes is off unless a site switches it on; reports, shared conditions, the order of classes and resent calls stay on. Conclusion: the decision needs another estimate of capacity before it can be on.

--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -25,7 +25,7 @@
 	QuotaOver         float64       `long:"quota-over" koanf:"quota-over" default:"0.05" validate:"min=0" description:"Share by which the requests of a tenant may exceed its limit in any window"`
 	QuotaSlack        float64       `long:"quota-slack" koanf:"quota-slack" default:"10" validate:"min=0" description:"Requests of a tenant in any window allowed beyond that"`
 	QuotaWindow       time.Duration `long:"quota-window" koanf:"quota-window" default:"5s" validate:"min=100ms" description:"Length of those windows"`
-	AdmissionPlan     string        `long:"admission-plan" koanf:"admission-plan" default:"on" validate:"oneof=on off" description:"Whether this node, while it leads, has routers refuse what exceeds the capacity of services, by priority and tenant"`
+	AdmissionPlan     string        `long:"admission-plan" koanf:"admission-plan" default:"off" validate:"oneof=on off" description:"Whether this node, while it leads, has routers refuse what exceeds the capacity of services, by priority and tenant"`
 	StopLimit         time.Duration `long:"stop-limit" koanf:"stop-limit" default:"30s" validate:"min=1s" description:"Longest planned stop"`
 	LogLevel          string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
 	MemoryLimit       int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
