--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -157,6 +157,8 @@
 	}
 	node := f.node
 	f.followedNode.Store(&node)
+	// Before the reply is applied: a request that is served by its document may need a node.
+	f.setNodesInOrder(node)
 	if reply.Fresh == nil {
 		f.gateway.confirmUnsupported()
 	}
