Use the length of epochs, the retry divisor and the outcome of a plan from their packages

Cause: the leader and package reservation each named the length of an epoch, which must agree; admission and quotas each had the third of its remaining time that a client waits; the node copied the planner's outcome into a type of the same fields; View.SameFigures was only used by its test. Change: one constant each, admission.Outcome in place of PlanOutcome, SameFigures of views removed. Its assertions now hold for SameAdmission, with the same views and results. Conclusion: no change of behaviour.

--- a/internal/directory/load_admission.go
+++ b/internal/directory/load_admission.go
@@ -25,13 +25,12 @@
 }
 
 // Plan implements AdmissionPlanner.
-func (p *documentPlanner) Plan(now time.Time, inputs PlanInputs) PlanOutcome {
+func (p *documentPlanner) Plan(now time.Time, inputs PlanInputs) admission.Outcome {
 	if p.plannedDocument == nil || p.version != inputs.Version {
 		document := &routing.Document{Routes: inputs.Routes, Tenants: inputs.Tenants}
 		p.plannedDocument = &plannedDocument{version: inputs.Version, routes: admission.RouteInputs(document), tenants: admission.TenantRates(document)}
 	}
-	outcome := p.planner.Plan(now, admission.Inputs{Totals: inputs.Totals, Routes: p.routes, Slots: inputs.Slots, Tenants: p.tenants})
-	return PlanOutcome{Routes: outcome.Routes, Tenants: outcome.Tenants}
+	return p.planner.Plan(now, admission.Inputs{Totals: inputs.Totals, Routes: p.routes, Slots: inputs.Slots, Tenants: p.tenants})
 }
 
 // Resume implements AdmissionPlanner.
--- a/internal/directory/load_leader.go
+++ b/internal/directory/load_leader.go
@@ -13,6 +13,7 @@
 
 	"github.com/martenstage/martenstage/internal/consensus"
 	"github.com/martenstage/martenstage/internal/loadview"
+	"github.com/martenstage/martenstage/internal/reservation"
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
@@ -27,8 +28,6 @@
 	// viewRepublishInterval is how often an unchanged view is published, so that its figures
 	// keep their weight (loadview.FullWeightAge).
 	viewRepublishInterval = time.Second
-	// epochLength is the length of a reservation epoch (package reservation).
-	epochLength = 250 * time.Millisecond
 	// loggedAdmissionStep is the change of an admitted share that is logged.
 	loggedAdmissionStep = 0.1
 	// loggedStepTolerance makes shares that rise in steps of exactly that size count: 0.5 - 0.4 is
@@ -229,8 +228,8 @@
 
 // setEpoch sets the position in the reservation epochs, counted on from the last one.
 func (l *leaderLoad) setEpoch(view *loadview.View, now time.Time) {
-	passed := max(0, now.Sub(l.epochBegan)) / epochLength
-	l.epoch, l.epochBegan = l.epoch+uint64(passed), l.epochBegan.Add(passed*epochLength)
+	passed := max(0, now.Sub(l.epochBegan)) / reservation.EpochLength
+	l.epoch, l.epochBegan = l.epoch+uint64(passed), l.epochBegan.Add(passed*reservation.EpochLength)
 	view.Epoch, view.EpochElapsed = l.epoch, max(0, now.Sub(l.epochBegan))
 }
 
--- a/internal/directory/load_planning.go
+++ b/internal/directory/load_planning.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/martenstage/martenstage/internal/admission"
 	"github.com/martenstage/martenstage/internal/loadview"
 	"github.com/martenstage/martenstage/internal/registry"
 	"github.com/martenstage/martenstage/internal/routing"
@@ -20,7 +21,7 @@
 	Resume(view loadview.View)
 	// Plan returns the shares. It is called every 100 ms and decides itself how often they
 	// change.
-	Plan(now time.Time, inputs PlanInputs) PlanOutcome
+	Plan(now time.Time, inputs PlanInputs) admission.Outcome
 }
 
 // PlanInputs are the figures from which a plan is computed.
@@ -34,12 +35,6 @@
 	Slots func(service string) []loadview.ServerSlots
 }
 
-// PlanOutcome is what a view says about admission.
-type PlanOutcome struct {
-	Routes  []loadview.RouteState
-	Tenants []loadview.TenantState
-}
-
 // loadDocument holds the routes and tenants of the document in effect, at the leader.
 type loadDocument struct {
 	version uint64
--- a/internal/directory/load_rig_test.go
+++ b/internal/directory/load_rig_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/martenstage/martenstage/internal/admission"
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/loadview"
 	"github.com/martenstage/martenstage/internal/registry"
@@ -48,11 +49,11 @@
 	p.log.resumed = append(p.log.resumed, view)
 }
 
-func (p *fixedPlanner) Plan(_ time.Time, inputs directory.PlanInputs) directory.PlanOutcome {
+func (p *fixedPlanner) Plan(_ time.Time, inputs directory.PlanInputs) admission.Outcome {
 	p.log.mutex.Lock()
 	defer p.log.mutex.Unlock()
 	p.log.offered = append(p.log.offered, inputs.Totals.Routes["a"].Offered)
-	var outcome directory.PlanOutcome
+	var outcome admission.Outcome
 	for _, route := range inputs.Routes {
 		if inputs.Totals.Routes[route.Name].Offered > 0 {
 			outcome.Routes = append(outcome.Routes, loadview.RouteState{Route: route.Name, Fraction: fixedShare, Promised: fixedShare, Bottleneck: "s"})
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -13,6 +13,7 @@
 
 	"github.com/martenstage/martenstage/internal/directory"
 	"github.com/martenstage/martenstage/internal/quota"
+	"github.com/martenstage/martenstage/internal/reservation"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/steadyclock"
 	"github.com/martenstage/martenstage/internal/verdict"
@@ -326,13 +327,9 @@
 
 // maxRetryWait returns the longest time for which the client waits before it sends the request again.
 func (s *exchangeState) maxRetryWait() time.Duration {
-	return max(0, s.remainingOfClient(steadyclock.Now())) / retryWaitDivisor
+	return max(0, s.remainingOfClient(steadyclock.Now())) / reservation.RetryWaitDivisor
 }
 
-// retryWaitDivisor is the divisor of a client's remaining time that it waits at most before it
-// sends a refused request again.
-const retryWaitDivisor = 3
-
 // minRetryAfter is the least delay after which a refused request may be retried.
 const minRetryAfter = 50 * time.Millisecond
 
--- a/internal/loadview/bounds.go
+++ b/internal/loadview/bounds.go
@@ -91,19 +91,8 @@
 	return v
 }
 
-// SameFigures reports whether two views have the same figures, whatever their revisions, epochs
-// and ages.
-func (v View) SameFigures(other View) bool {
-	return slices.EqualFunc(v.Routes, other.Routes, func(a, b RouteState) bool {
-		a.Since, b.Since = 0, 0
-		return a == b
-	}) && slices.EqualFunc(v.Services, other.Services, func(a, b ServiceState) bool {
-		return a.Service == b.Service && a.Demand == b.Demand && a.Capacity == b.Capacity && a.Waiting == b.Waiting &&
-			slices.EqualFunc(a.Servers, b.Servers, sameServer)
-	}) && slices.Equal(v.Tenants, other.Tenants)
-}
-
-// SameAdmission reports whether two views have the same shares and the same services that are short.
+// SameAdmission reports whether two views have the same shares and the same services that are short,
+// whatever their revisions, epochs and ages.
 func (v View) SameAdmission(other View) bool {
 	short := func(view View) []string {
 		return lo.FilterMap(view.Services, func(s ServiceState, _ int) (string, bool) { return s.Service, s.Short() })
@@ -137,12 +126,6 @@
 	return slices.ContainsFunc(slices.Concat(servers...), func(server ServerState) bool { return known[server.ID] != server.Condition })
 }
 
-// sameServer reports whether two states are the same but for their ages.
-func sameServer(a, b ServerState) bool {
-	a.Age, b.Age = 0, 0
-	return a == b
-}
-
 // weighted is a figure with the number of routers that reported it.
 type weighted struct {
 	value float64
--- a/internal/loadview/loadview_test.go
+++ b/internal/loadview/loadview_test.go
@@ -217,9 +217,9 @@
 	later.Revision, later.Epoch = 7, 8
 	later.Services = []loadview.ServiceState{{Service: "s", Since: time.Second, Servers: []loadview.ServerState{{ID: "i", Condition: loadview.Slow, Age: time.Second}}}}
 	later.Routes = []loadview.RouteState{{Route: "a", Fraction: 0.5, Since: time.Second}}
-	require.True(t, view.SameFigures(later))
+	require.True(t, view.SameAdmission(later))
 	later.Routes[0].Fraction = 0.6
-	require.False(t, view.SameFigures(later))
+	require.False(t, view.SameAdmission(later))
 }
 
 // TestChangesOfAView guards against a view for each change of a pace, and against changes of shares
--- a/internal/reservation/decision.go
+++ b/internal/reservation/decision.go
@@ -80,6 +80,10 @@
 // towardsOne applies the weight of the figures to a share: without weight it is 1.
 func towardsOne(share, weight float64) float64 { return 1 - (1-share)*weight }
 
+// RetryWaitDivisor is the divisor of a client's remaining time that it waits at most before it
+// sends a refused request again.
+const RetryWaitDivisor = 3
+
 // RetryIn returns after how long the client of a refused request may retry it, and whether a
 // reservation was given: Find within the lesser of a third of the client's remaining time and the
 // remaining time less the target, so that the retry can still be answered in time.
@@ -87,5 +91,5 @@
 // The figures are used without their weight: until the retry, the leader may have published
 // newer ones, by which a share raised for age is not admitted.
 func (d Decision) RetryIn(held loadview.Held, now time.Time, fingerprint quarantine.Fingerprint, remaining, target time.Duration) (delay time.Duration, reserved bool) {
-	return Find(ClockAt(held, now), fingerprint, d.State, min(remaining/3, remaining-target))
+	return Find(ClockAt(held, now), fingerprint, d.State, min(remaining/RetryWaitDivisor, remaining-target))
 }
