review: case 2, requests that may not be repeated run twice

Adds servers that send a second, late answer after a whole one, in the place of the next one due. After a refusal the router sends a request once more to the same server, often on the same connection, and takes the second copy of the refusal for the answer to that try.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Case 2, TWICE: exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# TROUBLE=0 plays the same without second answers.
+exec "$(dirname "$0")/../case.sh" "$(dirname "$0")" surplus
