review: case 3, an acknowledged departure that is lost

Shows the listed fault of departures without a start with real processes: servers that keep their ids crash, start again, and deregister before their heartbeat has arrived. Their departure is acknowledged; the late heartbeat makes them servers that get requests until they end.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,7 +13,7 @@
 )
 
 func main() {
-	cases := map[string]func(*site) bool{"expired": expired, "surplus": surplus}
+	cases := map[string]func(*site) bool{"expired": expired, "surplus": surplus, "unheard": unheard}
 	if len(os.Args) != 5 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: standin CASE ROOT FOLDER RECORD")
 		os.Exit(exitNotRun)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -52,6 +52,10 @@
 	down     bool
 	seq      uint64
 	stop     chan struct{}
+	// born is when the server started, in Unix milliseconds, if it keeps its id over restarts.
+	born int64
+	// arrivals are the times at which requests reached it, without those answered 421.
+	arrivals []time.Time
 }
 
 func (s *site) startServer(of *service, address, zone string) *server {
@@ -131,10 +135,14 @@
 			return
 		case <-timer.C:
 			v.seq++
-			body, _ := json.Marshal(map[string]any{
+			beat := map[string]any{
 				"backend": v.service.name, "addr": v.address, "zone": v.zone, "version": "v1", "slots": v.service.slots,
 				"state": "ready", "warmup_left_ms": 0, "seq": v.seq,
-			})
+			}
+			if v.born > 0 {
+				beat["born"] = v.born
+			}
+			body, _ := json.Marshal(beat)
 			go v.site.callControl("POST", "/-/instances/"+v.id+"/heartbeat", body, 2)
 		}
 	}
@@ -218,6 +226,9 @@
 		deadline = arrived.Add(time.Duration(ms) * time.Millisecond)
 	}
 	v.site.seen(id, request, v, false)
+	v.mutex.Lock()
+	v.arrivals = append(v.arrivals, arrived)
+	v.mutex.Unlock()
 	if !v.takeSlot(gone, deadline) {
 		if gone.Err() != nil {
 			return nil
