review: keep paths of the machine out of the records

The stack of a router that panics named the folders it was built in. The record now keeps what is within the project.

--- a/review/standin/process.go
+++ b/review/standin/process.go
@@ -80,7 +80,7 @@
 		for scanner.Scan() {
 			fmt.Fprintln(log, scanner.Text())
 			if len(lines) < 24 {
-				lines = append(lines, scanner.Text())
+				lines = append(lines, withoutMachine(scanner.Text()))
 			}
 		}
 		waitError := command.Wait()
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"os"
+	"path"
+	"regexp"
 	"sync"
 	"time"
 )
@@ -46,3 +48,20 @@
 	_ = r.writer.Flush()
 	_ = r.file.Close()
 }
+
+// sourcePath is an absolute path of a source file, as in the stack of a process that panics.
+var sourcePath = regexp.MustCompile(`/[^\s:]*\.go\b`)
+
+// projectPath is the part of such a path that is within the project.
+var projectPath = regexp.MustCompile(`/((?:internal|cmd|platform)/[^\s:]*\.go)$`)
+
+// withoutMachine shortens the paths in a line of a process to those of the project, since the rest
+// is that of the machine that built it.
+func withoutMachine(line string) string {
+	return sourcePath.ReplaceAllStringFunc(line, func(found string) string {
+		if within := projectPath.FindStringSubmatch(found); within != nil {
+			return within[1]
+		}
+		return path.Base(found)
+	})
+}
