Send nothing for a request after its end or its deadline

Cause: Engine.arrive went through the calls of a new request without looking at whether one of them had decided it. With a deadline that had passed and Config.ClassOrder, the queue's dispatch settles a call that can be omitted, decides the request and answers it; the loop then sent the other calls, and later the queued ones. The same lack of one check let timers that ran late send for a request whose deadline timer was due in the same step.

Evidence: TestNothingFollowsTheEndOfARequest draws events over all settings and checks every command.

Change: Engine.mayAttempt is the one condition under which a call may be sent or claimed; begin, dispatch, dispatchExtra, hedge and claimAhead check it, through which all sends and claims pass. A request without time left thus reaches no server, and is answered in its arrival as not run. The harness of the engine's tests checks the invariant in every step.

--- a/internal/scatter/claims.go
+++ b/internal/scatter/claims.go
@@ -46,7 +46,7 @@
 // claimAhead claims another attempt while one is still in flight, so that it is granted by the
 // time that it is sent.
 func (e *Engine) claimAhead(id AttemptID) {
-	if a, exists := e.attempts[id]; exists && !a.call.settled {
+	if a, exists := e.attempts[id]; exists && e.mayAttempt(a.call) {
 		e.mayRepeat(a.call)
 	}
 }
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -9,7 +9,7 @@
 
 // decide ends a request once it need not wait any longer.
 func (e *Engine) decide(pending *request) {
-	over := !e.now.Before(pending.deadline)
+	over := pending.over(e.now)
 	switch {
 	case pending.answered || pending.open > 0 && !over:
 	case pending.route.Gathers():
--- a/internal/scatter/harness_test.go
+++ b/internal/scatter/harness_test.go
@@ -29,16 +29,20 @@
 	sent    []scatter.Send
 	aborted map[scatter.AttemptID]bool
 	results map[scatter.RequestID]scatter.Result
-	parts   map[scatter.RequestID][]scatter.Part
-	overdue map[scatter.RequestID]scatter.Result
-	last    scatter.RequestID
-	claims  []scatter.Claim
-	logged  []scatter.LogServer
+	// deadlines are those of all requests, dropped the requests that were abandoned.
+	deadlines map[scatter.RequestID]time.Time
+	dropped   map[scatter.RequestID]bool
+	parts     map[scatter.RequestID][]scatter.Part
+	overdue   map[scatter.RequestID]scatter.Result
+	last      scatter.RequestID
+	claims    []scatter.Claim
+	logged    []scatter.LogServer
 }
 
 func newHarness(t reporter, limits scatter.BudgetLimits) *harness {
 	return &harness{
 		t: t, now: origin, engine: scatter.New(scatter.Config{Zone: "a", Seed: 1, Budget: limits}),
+		deadlines: map[scatter.RequestID]time.Time{}, dropped: map[scatter.RequestID]bool{},
 		aborted: map[scatter.AttemptID]bool{}, results: map[scatter.RequestID]scatter.Result{},
 		parts: map[scatter.RequestID][]scatter.Part{}, overdue: map[scatter.RequestID]scatter.Result{},
 	}
@@ -47,9 +51,14 @@
 var ampleBudget = scatter.BudgetLimits{Ratio: 1, Slack: 1000}
 
 func (h *harness) step(event scatter.Event) {
+	if arrived, ok := event.(scatter.Arrived); ok {
+		h.deadlines[arrived.ID] = arrived.Deadline
+	}
 	for _, command := range h.engine.Step(h.now, event) {
 		switch command := command.(type) {
 		case scatter.Send:
+			h.requireOpen(command.Request, command)
+			h.requireTimeLeft(command.Request, command)
 			h.sent = append(h.sent, command)
 		case scatter.Abort:
 			h.aborted[command.Attempt] = true
@@ -57,11 +66,17 @@
 			_, twice := h.results[command.Request]
 			require.False(h.t, twice, "a request is answered twice")
 			h.results[command.Request] = command.Result
+		case scatter.Dropped:
+			h.dropped[command.Request] = true
 		case scatter.Part:
+			h.requireOpen(command.Request, command)
 			h.parts[command.Request] = append(h.parts[command.Request], command)
 		case scatter.Overdue:
+			h.requireOpen(command.Request, command)
 			h.overdue[command.Request] = command.Result
 		case scatter.Claim:
+			h.requireOpen(command.Request, command)
+			h.requireTimeLeft(command.Request, command)
 			h.claims = append(h.claims, command)
 		case scatter.LogServer:
 			h.logged = append(h.logged, command)
@@ -71,6 +86,21 @@
 	}
 }
 
+// requireOpen checks that a command is for a request that has neither been answered nor
+// abandoned.
+func (h *harness) requireOpen(id scatter.RequestID, command scatter.Command) {
+	h.t.Helper()
+	if _, answered := h.results[id]; answered || h.dropped[id] {
+		require.Fail(h.t, "command for a request that has ended", "request %d: %T", id, command)
+	}
+}
+
+// requireTimeLeft checks that a command is for a request whose deadline has not passed.
+func (h *harness) requireTimeLeft(id scatter.RequestID, command scatter.Command) {
+	h.t.Helper()
+	require.True(h.t, h.now.Before(h.deadlines[id]), "request %d has no time left: %T", id, command)
+}
+
 // advance lets time pass and fires the timers that come due.
 func (h *harness) advance(by time.Duration) {
 	until := h.now.Add(by)
--- a/internal/scatter/hedging.go
+++ b/internal/scatter/hedging.go
@@ -89,7 +89,7 @@
 // hedge sends an attempt to another server while one is in flight for longer than most.
 func (e *Engine) hedge(id AttemptID) {
 	a, exists := e.attempts[id]
-	if !exists || a.call.settled {
+	if !exists || !e.mayAttempt(a.call) {
 		return
 	}
 	c := a.call
--- a/internal/scatter/request.go
+++ b/internal/scatter/request.go
@@ -129,37 +129,62 @@
 	}
 	arrived.calls = e.newCalls(arrived, event.Services, event.PriorAttempts)
 	for _, c := range arrived.calls {
-		switch {
-		case c.priorAttempts > 0 && c.maxAttempts() < 1:
-			e.settle(c)
-			continue
-		case c.priorAttempts > 0:
-			e.dispatchExtra(c)
-			continue
-		}
-		c.group.budget.earn(e.now, e.config.Budget, e.share(c.group))
-		if e.config.ClassOrder && len(c.group.queue) > 0 {
-			// A place that is free takes the call whose turn it is.
-			e.enqueue(c)
-		} else {
-			e.dispatch(c, false)
-		}
-		e.dispatchQueue(c.group.service)
+		e.begin(c)
 	}
 	e.decide(arrived)
 }
 
+// begin dispatches a call for the first time.
+func (e *Engine) begin(c *call) {
+	switch {
+	case !e.mayAttempt(c):
+		return
+	case c.priorAttempts > 0 && c.maxAttempts() < 1:
+		e.settle(c)
+		return
+	case c.priorAttempts > 0:
+		e.dispatchExtra(c)
+		return
+	}
+	c.group.budget.earn(e.now, e.config.Budget, e.share(c.group))
+	if e.config.ClassOrder && len(c.group.queue) > 0 {
+		// A place that is free takes the call whose turn it is.
+		e.enqueue(c)
+	} else {
+		e.dispatch(c, false)
+	}
+	e.dispatchQueue(c.group.service)
+}
+
+// mayAttempt reports whether attempts may be sent or claimed for a call: neither is it settled,
+// as are all calls of a request that has ended, nor has the deadline passed. Every path that ends
+// in a Send or a Claim checks it, because a step may end requests and pass deadlines at any point
+// before that.
+func (e *Engine) mayAttempt(c *call) bool { return !c.settled && !c.request.over(e.now) }
+
+// over reports whether the deadline has passed.
+func (r *request) over(now time.Time) bool { return !now.Before(r.deadline) }
+
+// settleIdle settles a call that has no attempt in flight.
+func (e *Engine) settleIdle(c *call) {
+	if len(c.inFlight) == 0 {
+		e.settle(c)
+	}
+}
+
 // dispatch sends an attempt of a call, queues it until a server has capacity, or settles it
 // when there is no server.
 func (e *Engine) dispatch(c *call, extra bool) {
+	if !e.mayAttempt(c) {
+		e.settleIdle(c)
+		return
+	}
 	chosen, found := e.choose(c)
 	switch {
 	case found == available:
 		e.send(c, chosen, extra)
 	case found == absent && (len(c.tried) > 0 || e.now.Sub(c.request.arrived) >= serverWaitTimeout || e.allWithheld(c.group)):
-		if len(c.inFlight) == 0 {
-			e.settle(c)
-		}
+		e.settleIdle(c)
 	case found == busy && e.canOmit(c):
 		e.settle(c)
 	case !c.queued:
@@ -293,6 +318,10 @@
 // dispatchExtra dispatches a call whose next attempt may be a retry. A retry that the budget
 // denies waits until first attempts have earned a token.
 func (e *Engine) dispatchExtra(c *call) {
+	if !e.mayAttempt(c) {
+		e.settleIdle(c)
+		return
+	}
 	if c.request.mustHold() {
 		e.hold(c)
 		return
@@ -310,8 +339,8 @@
 	case found == absent && e.startResend(c):
 		e.dispatchExtra(c)
 	case found == available && !e.mayRepeat(c):
-		if c.claim == refused && len(c.inFlight) == 0 {
-			e.settle(c)
+		if c.claim == refused {
+			e.settleIdle(c)
 		}
 	case found == absent || found == busy && e.canOmit(c):
 		e.settle(c)
