Refuse a request without time left before anything is sent for it

What callers saw: a request that came back with at most 10 ms left, or whose body arrived past its deadline, got 504 ("may have run"), also where no server had been reached; a gathered one had its slices requested from other routers first.

Cause: the router looked at the deadline only where it decides on an answer, after it had handed the request on. Once slices are requested, it can't prove any more that nothing ran.

Change: the deadline is checked before admission, so that no token is spent, and after it, since it may wait. The answer is 503 deadline_passed, which is true: nothing was sent. It has no Retry-After, because the client has no time left to come back in, and a delay would only hold back its next request. After a trial the answer is 504, as the trial has run.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -150,7 +150,8 @@
 		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
 		Header: s.forwardedHeaders(table), Body: body, ID: s.id, Tenant: s.tenantName(),
 	})
-	if !s.admit(table, forwarded) {
+	// Checked twice: the body may take long to arrive, and admission may wait.
+	if s.refuseExpired() || !s.admit(table, forwarded) || s.refuseExpired() {
 		return
 	}
 	if s.route.Gathers() {
@@ -196,11 +197,31 @@
 	return body, 0
 }
 
+// deadline returns the latest time for the answer.
+func (s *exchangeState) deadline() time.Time {
+	return s.arrived.Add(min(s.remaining(), s.route.Timeout))
+}
+
+// refuseExpired refuses a request whose deadline has passed, before anything is sent for it but
+// a trial. It reports whether it did.
+func (s *exchangeState) refuseExpired() bool {
+	if steadyclock.Now().Before(s.deadline()) {
+		return false
+	}
+	if s.tried {
+		s.fail(scatter.Result{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonTimeout})
+		return true
+	}
+	// Without a delay: the client has no time left in which this request could be retried, and
+	// nothing here speaks against its next one.
+	s.refuse(http.StatusServiceUnavailable, verdict.ReasonDeadlinePassed, 0)
+	return true
+}
+
 // arrival returns the engine's event of the request, with its deadline and services.
 func (s *exchangeState) arrival() scatter.Arrived {
-	limit := min(s.remaining(), s.route.Timeout)
 	arrived := scatter.Arrived{
-		Route: s.route, Services: s.route.Shards, Deadline: s.arrived.Add(limit), Due: s.cutoff(),
+		Route: s.route, Services: s.route.Shards, Deadline: s.deadline(), Due: s.cutoff(),
 	}
 	if !s.route.Gathers() {
 		arrived.Services = []string{s.route.ServiceOf(s.id)}
