Go on without the attempt if the engine sends for a request that has ended

A broken invariant between engine and loop ended the process with all requests in flight, and its stack named neither request nor event. The loop now refuses such a Send: it logs invariant_broken with the client's id, the number and the event, counts it, and tells the engine that the attempt was not sent, so that its state stays consistent. Nothing is recovered from: the command is dropped before anything was done for it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,7 +108,9 @@
 	})
 	gateway.metrics.registerViewAge(environment.Registerer, func() float64 { return gateway.viewAge(steadyclock.Now()).Seconds() })
 	gateway.metrics.registerLoadViewAge(environment.Registerer, func() float64 { return gateway.load.age(steadyclock.Now()).Seconds() })
-	gateway.loop = newLoop(engine, gateway.pool, loopCallbacks{claim: gateway.slices.claim, observe: gateway.observe, rollout: gateway.rollouts.observe}, gateway.logger)
+	gateway.loop = newLoop(engine, gateway.pool, loopCallbacks{
+		claim: gateway.slices.claim, observe: gateway.observe, rollout: gateway.rollouts.observe, invariantBroken: gateway.metrics.invariantsBroken.Inc,
+	}, gateway.logger)
 	gateway.quarantine = newQuarantineMonitor(gateway.logger, gateway.metrics)
 	gateway.follower = newFollower(gateway)
 	return gateway
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/quarantine"
 	"github.com/martenstage/martenstage/internal/scatter"
 	"github.com/martenstage/martenstage/internal/steadyclock"
@@ -25,6 +26,11 @@
 	retired  retiredServers
 	lastID   scatter.RequestID
 	timer    *time.Timer
+	// ended remembers requests that have ended. invariantBroken counts commands of the engine
+	// that break an invariant, and invariantLines bounds the log lines about them.
+	ended           endedRequests
+	invariantBroken func()
+	invariantLines  logging.LineLimit
 	// stateChanges are the changes of server states in the current step.
 	stateChanges []scatter.LogServer
 	// pendingClaims are the claims of the current step; claim sends one of them.
@@ -75,11 +81,13 @@
 	claim   func(claimTarget, []int) error
 	observe func(endedAttempt)
 	rollout func(scatter.RolloutOutcome)
+	// invariantBroken counts commands of the engine that break an invariant.
+	invariantBroken func()
 }
 
 func newLoop(engine *scatter.Engine, pool *exchange.Pool, callbacks loopCallbacks, logger logrus.FieldLogger) *loop {
 	return &loop{
-		engine: engine, pool: pool, claim: callbacks.claim, observe: callbacks.observe, observeRollout: callbacks.rollout, logger: logger,
+		engine: engine, pool: pool, claim: callbacks.claim, observe: callbacks.observe, observeRollout: callbacks.rollout, invariantBroken: callbacks.invariantBroken, logger: logger,
 		countRequests: make(chan countRequest), loadRequests: make(chan chan<- scatter.EngineLoad),
 		withdrawn: make(chan []quarantine.Fingerprint, withdrawnBacklog),
 		events:    make(chan scatter.Event, eventBacklog), requests: make(chan submission, maxInFlight),
@@ -145,21 +153,22 @@
 		}
 	}
 	for _, command := range l.engine.Step(steadyclock.Now(), event) {
-		l.execute(command)
+		l.execute(command, event)
 	}
 	l.sendClaims()
 	l.logStateChanges()
 	if abandoned, ok := event.(scatter.Abandoned); ok {
 		// Deleted only after the step: a timer that was due may have sent attempts for the
 		// request.
-		delete(l.pending, abandoned.Request)
+		l.forget(abandoned.Request)
 	}
 }
 
-func (l *loop) execute(command scatter.Command) {
+// execute carries out a command that the engine returned for an event.
+func (l *loop) execute(command scatter.Command, event scatter.Event) {
 	switch command := command.(type) {
 	case scatter.Send:
-		l.send(command)
+		l.send(command, event)
 	case scatter.Claim:
 		l.pendingClaims[command.Request] = append(l.pendingClaims[command.Request], command.Shard)
 	case scatter.Abort:
@@ -168,7 +177,7 @@
 		}
 	case scatter.Respond:
 		if submitted, ok := l.pending[command.Request]; ok {
-			delete(l.pending, command.Request)
+			l.forget(command.Request)
 			l.logMissingParts(submitted.request.ID, command.Result)
 			submitted.finish(command.Result)
 		}
@@ -193,10 +202,13 @@
 	}
 }
 
-// send starts an attempt. Its request is pending, since the engine sends nothing for requests
-// that were answered.
-func (l *loop) send(command scatter.Send) {
-	submitted := l.pending[command.Request]
+// send starts an attempt of a pending request.
+func (l *loop) send(command scatter.Send, event scatter.Event) {
+	submitted, isPending := l.pending[command.Request]
+	if !isPending {
+		l.refuseSend(command, event)
+		return
+	}
 	attempt := l.pool.Start(submitted.encoded, command.Server, command.Deadline)
 	l.attempts[command.Attempt] = attempt
 	l.retired.sent(command.Server.ID)
