Carry each request once over a connection to a server

Cause: a server may send an answer once more, in the place of a later one. The id tells it from the answer to another request, but a request that was refused is sent to the same server again, often over the connection of the refusal. The repeat of the refusal was taken for the answer to the second try, which was on its way to run: its verdict not_run was not proved. For requests that may be repeated the same repeat gave a refusal or an old failure as the answer to a new try. An id that a client uses twice, and the trial of a suspected request before the request itself, meet the same.

Change: a connection remembers a hash of the ids that it carried last, 256 at most, and the pool takes only a connection that has not carried the request. Another kept one is as good as a new one; if there is none, the kept one that was used least recently is closed for a new one, so that a server never has more connections than attempts were in flight at once. martenstage_exchange_connections_replaced_total counts these. Every path takes its connections there: resends, hedges, trials, slices.

Not affected: the other interface (backend) gives each attempt an id of its own, which a refusal has to name; registered sites send no health requests.

Tests that sent one id again over a connection now give each request its own, and keep their assertions on connections: with one id the mechanism forbids what they check. The benchmarks do the same.

--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -81,6 +81,7 @@
 	}
 	_ = conn.SetDeadline(steadyclock.RuntimeDeadline(a.deadline.Add(replyGrace)))
 	first := !conn.hasReplied
+	conn.carried.add(a.request.idHash)
 	written := a.write(conn)
 	outcome, reusable := a.read(conn)
 	if first && outcome.Failure == scatter.Broken && conn.bytesRead == 0 {
@@ -113,7 +114,7 @@
 }
 
 func (a *Attempt) connect() (*connection, error) {
-	if kept := a.pool.take(a.server.ID); kept != nil {
+	if kept := a.pool.take(a.server.ID, a.request.idHash); kept != nil {
 		return kept, nil
 	}
 	ctx, cancel := steadyclock.WithDeadline(context.Background(), a.deadline)
@@ -219,7 +220,8 @@
 	return written
 }
 
-// read reads replies until one belongs to this request.
+// read reads replies until one belongs to this request. It is the answer to this attempt, since
+// the connection has not carried the request before.
 func (a *Attempt) read(conn *connection) (outcome scatter.Outcome, reusable bool) {
 	for range maxUnexpectedReplies + 1 {
 		reply, info, again, err := a.readReply(conn)
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -22,6 +22,7 @@
 	bytesRead  int
 	// idleSince is when the last attempt on it ended.
 	idleSince time.Time
+	carried   carriedRequests
 }
 
 const readBufferBytes = 4 << 10
--- a/internal/exchange/encoded.go
+++ b/internal/exchange/encoded.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/martenstage/martenstage/internal/message"
 )
 
@@ -14,6 +16,8 @@
 // attempts. It is encoded once for all attempts and is immutable.
 type Encoded struct {
 	request *message.Request
+	// idHash is a hash of the request's id.
+	idHash uint64
 	// method is the request as far as reading a reply needs it. It is not changed.
 	method *http.Request
 	// head is the request line and the headers common to all attempts, tail what follows the
@@ -40,7 +44,10 @@
 	if len(request.Body) > 0 || request.Method != http.MethodGet && request.Method != http.MethodHead {
 		head.WriteString("Content-Length: " + strconv.Itoa(len(request.Body)) + "\r\n")
 	}
-	return &Encoded{request: request, method: &http.Request{Method: request.Method}, head: head.Bytes(), tail: append([]byte("\r\n"), request.Body...)}
+	return &Encoded{
+		request: request, idHash: xxhash.Sum64String(request.ID), method: &http.Request{Method: request.Method},
+		head: head.Bytes(), tail: append([]byte("\r\n"), request.Body...),
+	}
 }
 
 // lineBreaks prevents header injection by a value, which may contain data reported by a
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -88,7 +88,12 @@
 }
 
 func newRequest(id string) *message.Request {
-	return &message.Request{Method: http.MethodGet, Target: "/p?q=1", Host: "h", Header: message.Header{"X-Other": {"1"}}, ID: id}
+	return &message.Request{Method: http.MethodGet, Target: "/p?q=1", Host: "h", Header: message.Header{"X-Other": {"1"}, "X-Id": {id}}, ID: id}
+}
+
+// replyTo is reply with the id of a request.
+func replyTo(request *http.Request, body string) string {
+	return reply(request.Header.Get("X-Id"), body)
 }
 
 func run(pool *exchange.Pool, b *backend, id string) scatter.Outcome {
@@ -102,15 +107,15 @@
 		if request.RequestURI != "/p?q=1" || request.Host != "h" || request.Header.Get("X-Other") != "1" || request.Header.Get("X-Meant") != "instance" {
 			return false
 		}
-		_, _ = io.WriteString(conn, reply("r", "body"))
+		_, _ = io.WriteString(conn, replyTo(request, "body"))
 		return true
 	})
 	pool := newPool(t)
-	for range 3 {
-		outcome := run(pool, b, "r")
+	for _, id := range []string{"r1", "r2", "r3"} {
+		outcome := run(pool, b, id)
 		require.Equal(t, scatter.NoFailure, outcome.Failure)
 		require.Equal(t, "body", string(outcome.Reply.Body))
-		require.Equal(t, "of-r", outcome.Reply.Stamp)
+		require.Equal(t, "of-"+id, outcome.Reply.Stamp)
 	}
 	require.EqualValues(t, 1, b.connections.Load())
 }
@@ -171,14 +176,14 @@
 }
 
 func TestUnframedAnswerEndsWithItsConnection(t *testing.T) {
-	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Stamp: s\r\nConnection: close\r\n\r\nall of it")
+	b := startBackend(t, func(_ int64, request *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nX-Stamp: s\r\nConnection: close\r\n\r\nall of it")
 		return false
 	})
 	pool := newPool(t)
-	outcome := run(pool, b, "r")
-	require.Equal(t, "all of it", string(outcome.Reply.Body))
-	run(pool, b, "r")
+	for _, id := range []string{"r1", "r2"} {
+		require.Equal(t, "all of it", string(run(pool, b, id).Reply.Body))
+	}
 	require.EqualValues(t, 2, b.connections.Load())
 }
 
@@ -227,27 +232,27 @@
 	})
 	require.Equal(t, scatter.Unaccepted, run(newPool(t), b, "r").Failure)
 
-	kept := startBackend(t, func(number int64, _ *http.Request, conn net.Conn) bool {
+	kept := startBackend(t, func(number int64, request *http.Request, conn net.Conn) bool {
 		if number == 1 {
-			_, _ = io.WriteString(conn, reply("r", "body"))
+			_, _ = io.WriteString(conn, replyTo(request, "body"))
 			return true
 		}
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return false
 	})
 	pool := newPool(t)
-	require.Equal(t, scatter.NoFailure, run(pool, kept, "r").Failure)
-	require.Equal(t, scatter.Broken, run(pool, kept, "r").Failure)
+	require.Equal(t, scatter.NoFailure, run(pool, kept, "r1").Failure)
+	require.Equal(t, scatter.Broken, run(pool, kept, "r2").Failure)
 }
 
 func TestConnectionThatTheServerClosedIsNotUsedAgain(t *testing.T) {
-	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
-		_, _ = io.WriteString(conn, reply("r", "body"))
+	b := startBackend(t, func(_ int64, request *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, replyTo(request, "body"))
 		return false
 	})
 	pool := newPool(t)
-	for range 3 {
-		require.Equal(t, scatter.NoFailure, run(pool, b, "r").Failure)
+	for _, id := range []string{"r1", "r2", "r3"} {
+		require.Equal(t, scatter.NoFailure, run(pool, b, id).Failure)
 		// Wait for the FIN to arrive.
 		time.Sleep(20 * time.Millisecond)
 	}
@@ -255,14 +260,14 @@
 }
 
 func TestAnnouncedIdleTimeIsRespected(t *testing.T) {
-	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
-		answer := strings.Replace(reply("r", "body"), "\r\nX-Id", "\r\nKeep-Alive: timeout=0\r\nX-Id", 1)
+	b := startBackend(t, func(_ int64, request *http.Request, conn net.Conn) bool {
+		answer := strings.Replace(replyTo(request, "body"), "\r\nX-Id", "\r\nKeep-Alive: timeout=0\r\nX-Id", 1)
 		_, _ = io.WriteString(conn, answer)
 		return true
 	})
 	pool := newPool(t)
-	run(pool, b, "r")
-	run(pool, b, "r")
+	run(pool, b, "r1")
+	run(pool, b, "r2")
 	require.EqualValues(t, 2, b.connections.Load())
 }
 
@@ -299,14 +304,18 @@
 			}
 			connections.Add(1)
 			// Replies after the header without reading the body.
-			_, _ = http.ReadRequest(bufio.NewReaderSize(conn, 16))
-			_, _ = io.WriteString(conn, reply("r", "early"))
+			request, err := http.ReadRequest(bufio.NewReaderSize(conn, 16))
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, replyTo(request, "early"))
 		}
 	}()
 	pool := newPool(t)
 	body := make([]byte, 8<<20)
-	for range 2 {
-		request := &message.Request{Method: http.MethodPost, Target: "/", Host: "h", ID: "r", Body: body}
+	for _, id := range []string{"r1", "r2"} {
+		request := newRequest(id)
+		request.Method, request.Body = http.MethodPost, body
 		outcome := pool.Start(pool.Encode(request), scatter.Server{ID: "i", Address: listener.Addr().String()}, time.Now().Add(5*time.Second)).Run()
 		require.Equal(t, "early", string(outcome.Reply.Body))
 	}
@@ -315,13 +324,14 @@
 
 // TestAnswerToAHeadRequestHasALengthAndNoBody sends HEAD requests over a kept connection.
 func TestAnswerToAHeadRequestHasALengthAndNoBody(t *testing.T) {
-	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\n")
+	b := startBackend(t, func(_ int64, request *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: "+request.Header.Get("X-Id")+"\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\n")
 		return true
 	})
 	pool := newPool(t)
-	request := &message.Request{Method: http.MethodHead, Target: "/", Host: "h", ID: "r"}
-	for range 2 {
+	for _, id := range []string{"r1", "r2"} {
+		request := newRequest(id)
+		request.Method = http.MethodHead
 		outcome := pool.Start(pool.Encode(request), scatter.Server{ID: "i", Address: b.listener.Addr().String()}, time.Now().Add(2*time.Second)).Run()
 		require.Equal(t, scatter.NoFailure, outcome.Failure)
 		require.Empty(t, outcome.Reply.Body)
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,7 +24,9 @@
 	dial   func(ctx context.Context, address string) (net.Conn, error)
 	opened prometheus.Counter
 	failed prometheus.Counter
-	ended  *prometheus.CounterVec
+	// replaced counts kept connections that were closed because they had carried the request.
+	replaced prometheus.Counter
+	ended    *prometheus.CounterVec
 
 	mutex sync.Mutex
 	idle  map[string][]*connection
@@ -53,6 +56,9 @@
 		failed: factory.NewCounter(prometheus.CounterOpts{
 			Name: "martenstage_exchange_connections_failed_total", Help: "Connections to servers that did not come up.",
 		}),
+		replaced: factory.NewCounter(prometheus.CounterOpts{
+			Name: "martenstage_exchange_connections_replaced_total", Help: "Kept connections that were closed for another one, because each had carried the request to be sent.",
+		}),
 		ended: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "martenstage_exchange_attempts_total", Help: "Ended attempts by how they ended.",
 		}, []string{"outcome"}),
@@ -62,28 +68,43 @@
 // Encode prepares a request for its attempts.
 func (p *Pool) Encode(request *message.Request) *Encoded { return Encode(p.codec, request) }
 
-// take returns a kept connection to an instance, the most recently used one, or nil.
-func (p *Pool) take(instance string) *connection {
+// take returns a kept connection to an instance that has not carried a request, given by the
+// hash of its id: the most recently used one, or nil. If there are only others, it closes one of
+// them, so that an instance never has more connections than attempts were in flight at once.
+func (p *Pool) take(instance string, idHash uint64) *connection {
 	now := steadyclock.Now()
 	for {
-		kept := p.pop(instance)
-		if kept == nil || kept.usable(now) {
+		kept, carried := p.pop(instance, idHash)
+		if kept == nil || !carried && kept.usable(now) {
 			return kept
 		}
 		_ = kept.Close()
+		if carried {
+			p.replaced.Inc()
+			return nil
+		}
 	}
 }
 
-func (p *Pool) pop(instance string) *connection {
+// pop removes and returns the most recently used connection that has not carried a request, or
+// else the least recently used one of the others; nil if there is none.
+func (p *Pool) pop(instance string, idHash uint64) (kept *connection, carried bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	kept := p.idle[instance]
-	if len(kept) == 0 {
-		return nil
+	idle := p.idle[instance]
+	if len(idle) == 0 {
+		return nil, false
+	}
+	index := len(idle) - 1
+	for index >= 0 && idle[index].carried.contains(idHash) {
+		index--
+	}
+	if carried = index < 0; carried {
+		index = 0
 	}
-	last := kept[len(kept)-1]
-	p.idle[instance] = kept[:len(kept)-1]
-	return last
+	kept = idle[index]
+	p.idle[instance] = slices.Delete(idle, index, index+1)
+	return kept, carried
 }
 
 // put keeps a connection for the next attempt.
--- a/internal/exchange/suspension_test.go
+++ b/internal/exchange/suspension_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,22 +22,22 @@
 // idle connections: the next attempt must open another connection and have its full time.
 func TestKeptConnectionIsNotReusedAfterASuspension(t *testing.T) {
 	machine := suspension.NewMachine(t)
-	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
-		_, _ = io.WriteString(conn, reply("r", "body"))
+	b := startBackend(t, func(_ int64, request *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, replyTo(request, "body"))
 		return true
 	})
 	pool := newPool(t)
-	send := func() {
-		request := newRequest("r")
+	send := func(id string) {
+		request := newRequest(id)
 		server := scatter.Server{ID: "instance", Address: b.listener.Addr().String()}
 		outcome := pool.Start(pool.Encode(request), server, steadyclock.Now().Add(2*time.Second)).Run()
 		require.Equal(t, scatter.NoFailure, outcome.Failure)
 	}
-	send()
-	send()
+	send("r1")
+	send("r2")
 	require.EqualValues(t, 1, b.connections.Load())
 	machine.Suspend(time.Minute)
-	send()
+	send("r3")
 	require.EqualValues(t, 2, b.connections.Load())
 }
 
@@ -45,14 +46,16 @@
 // between: the server may have been removed by then.
 func TestRequestIsNotSentLongAfterItsServerWasChosen(t *testing.T) {
 	machine := suspension.NewMachine(t)
-	b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
-		_, _ = io.WriteString(conn, reply("r", "body"))
+	b := startBackend(t, func(_ int64, request *http.Request, conn net.Conn) bool {
+		_, _ = io.WriteString(conn, replyTo(request, "body"))
 		return true
 	})
 	pool := newPool(t)
 	server := scatter.Server{ID: "instance", Address: b.listener.Addr().String()}
+	sent := 0
 	start := func() *exchange.Attempt {
-		return pool.Start(pool.Encode(newRequest("r")), server, steadyclock.Now().Add(time.Minute))
+		sent++
+		return pool.Start(pool.Encode(newRequest(fmt.Sprint("r", sent))), server, steadyclock.Now().Add(time.Minute))
 	}
 	for _, kept := range []bool{false, true} {
 		late := start()
--- a/internal/gateway/gather_bench_test.go
+++ b/internal/gateway/gather_bench_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -71,8 +72,8 @@
 	s.install(document)
 	time.Sleep(50 * time.Millisecond)
 	b.ReportAllocs()
-	for b.Loop() {
-		if got := s.send(http.MethodGet, "/a/", nil); got.status != http.StatusOK || got.header.Get("X-Missing") != "0" {
+	for number := 0; b.Loop(); number++ {
+		if got := s.sendWith(http.Header{"X-Id": {benchmarkID(number)}}, http.MethodGet, "/a/", nil); got.status != http.StatusOK || got.header.Get("X-Missing") != "0" {
 			b.Fatalf("%+v", got)
 		}
 	}
@@ -103,31 +104,47 @@
 	return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
 }
 
+// benchmarkRequests is more than the requests that a connection remembers, so that a kept one is
+// used again when they are sent in turn.
+const benchmarkRequests = 512
+
+// benchmarkID returns the id of a request; all have the same length.
+func benchmarkID(number int) string { return fmt.Sprintf("r-%04d", number%benchmarkRequests) }
+
+// Parts of the answer of a server: before its id, and from it on.
+const (
+	partHead = "HTTP/1.1 200 OK\r\nX-Id: "
+	partRest = "r-0000\r\nX-Stamp: s\r\nContent-Length: 1000\r\n\r\n"
+)
+
 // fakePartServer starts a server that answers each read with the same part.
 func fakePartServer(b *testing.B) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(b, err)
 	b.Cleanup(func() { _ = listener.Close() })
-	answer := append([]byte("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Stamp: s\r\nContent-Length: 1000\r\n\r\n"), make([]byte, 1000)...)
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go answerEach(conn, answer)
+			go answerEach(conn)
 		}
 	}()
 	return listener.Addr().String()
 }
 
-func answerEach(conn net.Conn, answer []byte) {
+// answerEach answers each read with a part and the id in it.
+func answerEach(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
-	buffer := make([]byte, 4096)
+	buffer, answer := make([]byte, 4096), append([]byte(partHead+partRest), make([]byte, 1000)...)
 	for {
-		if _, err := conn.Read(buffer); err != nil {
+		read, err := conn.Read(buffer)
+		if err != nil {
 			return
 		}
+		_, id, _ := bytes.Cut(buffer[:read], []byte("X-Id: "))
+		copy(answer[len(partHead):], id[:len(benchmarkID(0))])
 		if _, err := conn.Write(answer); err != nil && err != io.EOF {
 			return
 		}
--- a/internal/gateway/slice_bench_test.go
+++ b/internal/gateway/slice_bench_test.go
@@ -37,7 +37,7 @@
 	reply.RoutersDigest = 1
 	site.install(document)
 	time.Sleep(50 * time.Millisecond)
-	request := "GET /a/?query=0123456789 HTTP/1.1\r\nHost: site\r\nX-Id: r-1\r\nX-Left: 3s\r\nAccept: */*\r\n" +
+	request := "GET /a/?query=0123456789 HTTP/1.1\r\nHost: site\r\nX-Id: r-0000\r\nX-Left: 3s\r\nAccept: */*\r\n" +
 		"User-Agent: benchmark\r\nTraceparent: 00-0123456789abcdef0123456789abcdef-0123456789abcdef-01\r\n\r\n"
 	conn := newRawConnection(b, site.address)
 	measureProcessorTime(b, func() { conn.exchange(request) })
@@ -49,16 +49,23 @@
 	site.install(document)
 	time.Sleep(50 * time.Millisecond)
 	conn := newRawConnection(b, serve(b, site.router.PeerHandler()))
-	request := sliceOf(b, document)
-	measureProcessorTime(b, func() { conn.exchange(request) })
+	var requests [benchmarkRequests]string
+	for number := range requests {
+		requests[number] = sliceOf(b, document, benchmarkID(number))
+	}
+	sent := 0
+	measureProcessorTime(b, func() {
+		conn.exchange(requests[sent%benchmarkRequests])
+		sent++
+	})
 }
 
 // sliceOf returns a request for the slice of all shards of a document.
-func sliceOf(b *testing.B, document *routing.Document) string {
+func sliceOf(b *testing.B, document *routing.Document, id string) string {
 	body, err := json.Marshal(map[string]any{
 		"request": message.Request{
-			Method: http.MethodGet, Target: "/a/?query=0123456789", Host: "site", ID: "r-1", Header: message.Header{
-				"X-Id": {"r-1"}, "Accept": {"*/*"}, "User-Agent": {"benchmark"},
+			Method: http.MethodGet, Target: "/a/?query=0123456789", Host: "site", ID: id, Header: message.Header{
+				"X-Id": {id}, "Accept": {"*/*"}, "User-Agent": {"benchmark"},
 				"Traceparent": {"00-0123456789abcdef0123456789abcdef-0123456789abcdef-01"},
 			},
 		},
