Don't report a gathered request as not run after its trial

What callers saw: 503 with Retry-After, the promise that nothing ran, for a suspected request over many shards that a server had just run in its trial, if all servers refused the calls that followed and this router gathered them alone.

Cause: the verdict of such a failure is that of the calls; the trial before them is a request of its own to the engine. Found on the way from requests that are refused for lack of time, whose answer has to know of the trial, too.

Before: the test got 503; after: 502. A trial that was not needed, since the request is no longer suspected, doesn't count.

--- a/internal/gateway/expired_test.go
+++ b/internal/gateway/expired_test.go
@@ -16,20 +16,12 @@
 	"github.com/martenstage/martenstage/internal/message"
 )
 
-// counted counts the requests that a handler gets.
-func counted(count *atomic.Int64, handler http.HandlerFunc) http.HandlerFunc {
-	return func(writer http.ResponseWriter, request *http.Request) {
-		count.Add(1)
-		handler(writer, request)
-	}
-}
-
 // TestRequestWithoutTimeLeftIsRefusedAsNotRun guards against servers and routers that are asked
 // for a request whose client waits no longer, and against its client being told that it may
 // have run. A client that returns late has only a few milliseconds left.
 func TestRequestWithoutTimeLeftIsRefusedAsNotRun(t *testing.T) {
 	var asked atomic.Int64
-	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": counted(&asked, echo)})
+	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": countRequests(&asked, echo)})
 	for _, left := range []string{"-1s", "0s", "1ms", "10ms"} {
 		got := s.sendWith(http.Header{"X-Left": {left}}, http.MethodGet, "/a/", nil)
 		require.Equal(t, http.StatusServiceUnavailable, got.status, left)
@@ -44,7 +36,7 @@
 // for a request without time left, and against servers that are asked for such a slice.
 func TestSliceWithoutTimeLeftAsksNobody(t *testing.T) {
 	var slices atomic.Int64
-	other := serve(t, counted(&slices, func(writer http.ResponseWriter, request *http.Request) {
+	other := serve(t, countRequests(&slices, func(writer http.ResponseWriter, request *http.Request) {
 		var slice struct{ Shards []string }
 		_ = json.NewDecoder(request.Body).Decode(&slice)
 		_, _ = writer.Write(fakeFrame(slice.Shards))
@@ -58,7 +50,7 @@
 // although its time was over when its body was complete.
 func TestBodyThatArrivesPastTheDeadlineIsNotRun(t *testing.T) {
 	var asked atomic.Int64
-	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": counted(&asked, echo)})
+	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": countRequests(&asked, echo)})
 	got := s.sendWith(http.Header{"X-Left": {"60ms"}}, http.MethodPost, "/a/", &slowBody{rest: strings.NewReader("body"), delay: 100 * time.Millisecond})
 	require.Equal(t, http.StatusServiceUnavailable, got.status)
 	require.Equal(t, "deadline_passed\n", got.body)
@@ -84,7 +76,7 @@
 	var asked atomic.Int64
 	document := oneRoute(1, "s")
 	document.Routes[0].Targets, document.Routes[0].Shards = nil, []string{"s", "t"}
-	s := startSite(t, document, map[string]http.HandlerFunc{"s": counted(&asked, echo), "t": counted(&asked, echo)})
+	s := startSite(t, document, map[string]http.HandlerFunc{"s": countRequests(&asked, echo), "t": countRequests(&asked, echo)})
 	peers := serve(t, s.router.PeerHandler())
 	for _, left := range []time.Duration{0, -time.Second} {
 		body, err := json.Marshal(map[string]any{
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -195,9 +195,9 @@
 }
 
 // failGather answers a request with too few parts. That nothing has run is certain only if
-// this router gathered all parts itself.
+// this router gathered all parts itself, and no trial preceded them.
 func (g *gatherState) failGather(decision slicing.Decision) {
-	alone := len(g.slices) == 1 && g.slices[0].Router.Name == "" && g.slices[0].ended
+	alone := len(g.slices) == 1 && g.slices[0].Router.Name == "" && g.slices[0].ended && !g.trialRan
 	g.result.Reason = verdict.ReasonCoverage
 	if decision == slicing.FailTimeout {
 		g.result.Reason = verdict.ReasonTimeout
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -34,6 +34,8 @@
 	// tried is set if a server has just answered a trial of the request, which was suspected
 	// of crashing servers.
 	tried bool
+	// trialRan is set if that was this request, which has thus run.
+	trialRan bool
 	// refusal tells why admission refused the request; nil if it did not.
 	refusal *admissionRefusal
 	// gathered describes the response in the log if it was gathered from slices.
@@ -208,7 +210,7 @@
 	if steadyclock.Now().Before(s.deadline()) {
 		return false
 	}
-	if s.tried {
+	if s.trialRan {
 		s.fail(scatter.Result{Verdict: verdict.MayHaveRun, Reason: verdict.ReasonTimeout})
 		return true
 	}
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -90,7 +90,7 @@
 		// that the client may retry. The number of granted trials bounds the risk.
 		s.fail(result)
 	case result.Reply != nil && s.route.Gathers():
-		s.tried = true
+		s.tried, s.trialRan = true, true
 		return true
 	case result.Reply != nil:
 		s.writeReply(result)
--- a/internal/gateway/trials_test.go
+++ b/internal/gateway/trials_test.go
@@ -140,6 +140,30 @@
 	require.EqualValues(t, 4, served.Load())
 }
 
+// TestFailureAfterATrialIsNotReportedAsNotRun guards against a client that is told that its
+// request has not run, although a server has run it in its trial, because all servers refuse it
+// after that.
+func TestFailureAfterATrialIsNotReportedAsNotRun(t *testing.T) {
+	var served atomic.Int64
+	handler := func(writer http.ResponseWriter, request *http.Request) {
+		if served.Add(1) == 1 {
+			echo(writer, request)
+			return
+		}
+		writer.Header().Set("X-Id", request.Header.Get("X-Id"))
+		writer.Header().Set("X-Not-Run", "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+	s := startSite(t, nil, map[string]http.HandlerFunc{"s": handler, "t": handler})
+	s.directory.applyOrders(suspectOrder("/a/x"))
+	s.install(gatherDocument("s", "t"))
+	require.Eventually(t, func() bool { return s.hasLogged("quarantine_changed") }, 10*time.Second, time.Millisecond)
+	got := s.send(http.MethodGet, "/a/x", nil)
+	require.Greater(t, served.Load(), int64(1), "the trial alone was sent")
+	require.Equal(t, http.StatusBadGateway, got.status)
+	require.Empty(t, got.header.Get("Retry-After"))
+}
+
 // TestConnectionResetByARunningServerIsNotACrash has the server of a trial reset connections
 // and keep listening: no further crash is counted for the request, and the trial is returned.
 func TestConnectionResetByARunningServerIsNotACrash(t *testing.T) {
