--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -70,7 +70,7 @@
 
 // take returns a kept connection to an instance that has not carried a request, given by the
 // hash of its id: the most recently used one, or nil. If there are only others, it closes one of
-// them, so that an instance never has more connections than attempts were in flight at once.
+// them, whose place the connection that the caller opens takes.
 func (p *Pool) take(instance string, idHash uint64) *connection {
 	now := steadyclock.Now()
 	for {
--- a/internal/gateway/ended_requests.go
+++ b/internal/gateway/ended_requests.go
@@ -40,18 +40,26 @@
 	}
 }
 
-// refuseSend handles a Send for a request that is not pending, which the engine must not emit.
-// Nothing is sent, and the engine gets the end of the attempt, so that its state stays
-// consistent and the router can go on.
-func (l *loop) refuseSend(command scatter.Send, event scatter.Event) {
+// checkPending reports whether the request of a command is pending, as the engine guarantees for
+// whatever it sends, claims or delivers. A command that breaks this is logged and not carried out,
+// so that the other requests of the router go on.
+func (l *loop) checkPending(id scatter.RequestID, command scatter.Command, event scatter.Event) bool {
+	if _, isPending := l.pending[id]; isPending {
+		return true
+	}
 	l.invariantBroken()
 	if omitted, allowed := l.invariantLines.Allow(steadyclock.Now()); allowed {
 		l.logger.WithFields(logrus.Fields{
-			"invariant": "nothing is sent for a request that has ended", "request": l.ended.client(command.Request), "number": command.Request,
-			"attempt": command.Attempt, "server": command.Server.ID, "event": fmt.Sprintf("%T", event), "left_out": omitted,
+			"invariant": "no command follows the end of its request", "request": l.ended.client(id), "number": id,
+			"command": fmt.Sprintf("%T", command), "event": fmt.Sprintf("%T", event), "left_out": omitted,
 		}).Error("invariant_broken")
 	}
-	ended := scatter.Ended{Attempt: command.Attempt, Outcome: scatter.Outcome{Failure: scatter.NotSent, Verdict: verdict.NotRun}}
+	return false
+}
+
+// endUnsent tells the engine that an attempt was not sent, which keeps its state consistent.
+func (l *loop) endUnsent(id scatter.AttemptID) {
+	ended := scatter.Ended{Attempt: id, Outcome: scatter.Outcome{Failure: scatter.NotSent, Verdict: verdict.NotRun}}
 	// The loop may not wait for room in its own queue.
 	l.workers.start(func() { l.events <- ended })
 }
--- a/internal/gateway/ended_requests_test.go
+++ b/internal/gateway/ended_requests_test.go
@@ -14,10 +14,11 @@
 	"github.com/martenstage/martenstage/internal/verdict"
 )
 
-// TestSendForAnEndedRequestDoesNotEndTheRouter guards against a router that ends with all its
+// TestCommandForAnEndedRequestDoesNotEndTheRouter guards against a router that ends with all its
 // requests in flight because its engine sends for a request that was answered: nothing is sent,
-// the log names the request and the event, and the engine learns that the attempt has ended.
-func TestSendForAnEndedRequestDoesNotEndTheRouter(t *testing.T) {
+// the log names the request, the command and the event, and the engine learns that the attempt has
+// ended.
+func TestCommandForAnEndedRequestDoesNotEndTheRouter(t *testing.T) {
 	logger, logged := logtest.NewNullLogger()
 	broken := 0
 	l := newLoop(scatter.New(scatter.Config{}), exchange.NewPool(nil, prometheus.NewRegistry()), loopCallbacks{invariantBroken: func() { broken++ }}, logger)
@@ -34,8 +35,13 @@
 	require.Equal(t, logrus.ErrorLevel, line.Level)
 	require.Equal(t, "r-7", line.Data["request"])
 	require.Equal(t, "scatter.TimerFired", line.Data["event"])
-	require.Equal(t, 1, broken)
+	require.Equal(t, "scatter.Send", line.Data["command"])
 	require.Empty(t, l.attempts)
+
+	l.execute(scatter.Claim{Request: 7}, scatter.TimerFired{})
+	l.execute(scatter.Part{Request: 7}, scatter.TimerFired{})
+	require.Empty(t, l.pendingClaims)
+	require.Equal(t, 3, broken)
 }
 
 // TestEndedRequestsAreRememberedForAWhile checks that an id is forgotten, and never taken for
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,8 @@
 	tenantRefusalLines logging.LineLimit
 	// capacityRefusalLines bounds the log lines about requests refused for lack of capacity.
 	capacityRefusalLines logging.LineLimit
+	// expiredRefusalLines bounds the log lines about requests that came without time left.
+	expiredRefusalLines logging.LineLimit
 	// misdirectedLines bounds the log lines about calls that reached the wrong process.
 	misdirectedLines logging.LineLimit
 	clients          *clientConnections
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -168,9 +168,15 @@
 func (l *loop) execute(command scatter.Command, event scatter.Event) {
 	switch command := command.(type) {
 	case scatter.Send:
-		l.send(command, event)
+		if !l.checkPending(command.Request, command, event) {
+			l.endUnsent(command.Attempt)
+			return
+		}
+		l.send(command)
 	case scatter.Claim:
-		l.pendingClaims[command.Request] = append(l.pendingClaims[command.Request], command.Shard)
+		if l.checkPending(command.Request, command, event) {
+			l.pendingClaims[command.Request] = append(l.pendingClaims[command.Request], command.Shard)
+		}
 	case scatter.Abort:
 		if running, ok := l.attempts[command.Attempt]; ok {
 			running.Abort()
@@ -190,7 +196,8 @@
 			l.logOverdueParts(submitted, command.Result)
 		}
 	case scatter.Part:
-		if submitted, ok := l.pending[command.Request]; ok {
+		if l.checkPending(command.Request, command, event) {
+			submitted := l.pending[command.Request]
 			submitted.events.add(&gatherEvent{slice: submitted.slice, part: command, at: steadyclock.Now()})
 		}
 	case scatter.Wake:
@@ -203,12 +210,8 @@
 }
 
 // send starts an attempt of a pending request.
-func (l *loop) send(command scatter.Send, event scatter.Event) {
-	submitted, isPending := l.pending[command.Request]
-	if !isPending {
-		l.refuseSend(command, event)
-		return
-	}
+func (l *loop) send(command scatter.Send) {
+	submitted := l.pending[command.Request]
 	attempt := l.pool.Start(submitted.encoded, command.Server, command.Deadline)
 	l.attempts[command.Attempt] = attempt
 	l.retired.sent(command.Server.ID)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,7 +34,7 @@
 	// Server and node changes reported by the directory.
 	departures       prometheus.Counter
 	directoryChanges prometheus.Counter
-	// invariantsBroken counts what this router's own code must never do.
+	// invariantsBroken counts commands that this router's own code must never give.
 	invariantsBroken prometheus.Counter
 }
 
@@ -77,7 +77,7 @@
 		}, []string{"outcome"}),
 		departures:       counter("departures_total", "Departures of servers that directory nodes told."),
 		directoryChanges: counter("directory_changes_total", "Changes of the directory node that is followed, or of its start."),
-		invariantsBroken: counter("invariants_broken_total", "Attempts that were to be sent for a request that had ended, and were not: a fault of the router."),
+		invariantsBroken: counter("invariants_broken_total", "Commands for a request that had ended, which were not carried out: a fault of the router."),
 		followFailures:   counter("follow_failures_total", "Failed calls to directory nodes."),
 		version: factory.NewGauge(prometheus.GaugeOpts{
 			Name: "martenstage_gateway_document_version", Help: "Version of the routing document in force.",
--- a/internal/gateway/request_log.go
+++ b/internal/gateway/request_log.go
@@ -86,6 +86,8 @@
 		_, allowed = s.gateway.tenantRefusalLines.Allow(steadyclock.Now())
 	case reason == verdict.ReasonNoCapacity:
 		_, allowed = s.gateway.capacityRefusalLines.Allow(steadyclock.Now())
+	case reason == verdict.ReasonDeadlinePassed:
+		_, allowed = s.gateway.expiredRefusalLines.Allow(steadyclock.Now())
 	}
 	return allowed
 }
