Acknowledge no departure by a start that has been silent for long

What servers saw: requests until they ended, after a departure without a start was acknowledged. The start that left had been heard of by no node yet; an earlier one, long silent, counted as known, and the departure bound that alone. The late heartbeats of the start in use made it a new server.

Cause: Table.MayDepart took each start that had not left for one that the departure can refer to, however long it had been silent. A start that is missing may have been followed by another one.

Change: only a start that was heard of within the time after which a server is missing counts, or one that leaves again. A server whose heartbeats name no start never comes back under its id, so that it may depart at any time. The server that is refused sends its heartbeat, and departs after that.

--- a/internal/registry/incarnation.go
+++ b/internal/registry/incarnation.go
@@ -60,10 +60,11 @@
 // whose acknowledgement was lost.
 const departureRetryWindow = 15 * time.Second
 
-// MayDepart reports whether a departure of a server can refer to a known incarnation: one that has
-// not left, one that left and sent a heartbeat recently, or one that had done so when it left
-// and may repeat its departure. Entries that were only restored from the file of the table's
-// node do not count.
+// MayDepart reports whether a departure of a server can refer to a known incarnation: one that
+// sent a heartbeat recently, or one that had done so when it left and may repeat its departure. A
+// silent one may have been followed by an incarnation that is not known yet, to which the departure
+// would not apply, unless its server names no start times. Entries that were only restored from
+// the file of the table's node do not count.
 func (t *Table) MayDepart(now time.Time, name string) bool {
 	for _, known := range t.byName[name] {
 		if !known.instance.Restored && known.mayDepart(now, t.missingAfter) {
@@ -75,7 +76,10 @@
 
 func (e *entry) mayDepart(now time.Time, missingAfter time.Duration) bool {
 	silent := now.Sub(e.lastHeartbeat)
-	return e.instance.State != Leaving || silent <= missingAfter || e.recentAtDeparture && silent <= departureRetryWindow
+	if silent <= missingAfter || e.recentAtDeparture && silent <= departureRetryWindow {
+		return true
+	}
+	return e.instance.StartedAt == 0 && e.instance.State != Leaving
 }
 
 // StableNames reports whether servers keep their names across restarts: some instance has a
