Ask all nodes for the starts that a departure without a start binds

Change: on sites whose servers keep their names the node that takes such a departure asks all others, 0.25 s at most, and binds by id what they know.

--- a/internal/directory/departing.go
+++ b/internal/directory/departing.go
@@ -49,7 +49,7 @@
 		return nil
 	}
 	receivedAt := steadyclock.Now()
-	if message.Name != "" && !message.Known {
+	if message.Name != "" && n.mayMissIncarnations() {
 		n.queryIncarnations(ctx, &message)
 	}
 	err := n.onLeader(ctx, func(ctx context.Context) error { return n.departAsLeader(ctx, message) }, pathDepart, message, nil)
@@ -84,6 +84,14 @@
 	return n.registry.MayDepart(steadyclock.Now(), name) || n.settled && !n.registry.StableNames()
 }
 
+// mayMissIncarnations reports whether another node may know an incarnation of a server that this
+// one does not: it shares its table only from time to time, and may be gone before it has.
+func (n *Node) mayMissIncarnations() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return !n.settled || n.registry.StableNames()
+}
+
 // incarnationsTimeout bounds the query to the other nodes for the known incarnations of a server.
 const incarnationsTimeout = 250 * time.Millisecond
 
@@ -98,7 +106,7 @@
 	Starts []string `json:"starts,omitempty"`
 }
 
-// knownIncarnations answers another node that received a departure of a server unknown to it.
+// knownIncarnations answers another node that received a departure of a server without a start.
 func (n *Node) knownIncarnations(request incarnationsRequest) incarnationsReply {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -111,6 +111,33 @@
 	c.eventuallyEverywhere("the start in use is still ready", func(node *runningNode) bool { return stateAt(node, "i1#9") == registry.Leaving })
 }
 
+// TestDepartureBindsTheStartThatOnlyALostNodeHasHeardOf guards against requests to a server after
+// its departure was acknowledged: the node that took the departure knows an earlier start alone,
+// the node that has accepted the heartbeat of the start in use is lost before it shares it, and the
+// server, which still sends heartbeats, is taken for a new one.
+func TestDepartureBindsTheStartThatOnlyALostNodeHasHeardOf(t *testing.T) {
+	c := newFormedCluster(t)
+	ctx := context.Background()
+	follower, leader := c.follower(), c.leader()
+	var third int
+	for index := range c.nodes {
+		if index != follower && index != leader {
+			third = index
+		}
+	}
+	c.retryUntilAcknowledged(func() error { return c.nodes[leader].Heartbeat(ctx, heartbeatOf("i1", 5, registry.Ready, 1)) })
+	c.eventuallyEverywhere("the earlier start is not known", func(node *runningNode) bool { return stateAt(node, "i1#5") == registry.Ready })
+	c.retryUntilAcknowledged(func() error { return c.nodes[third].Heartbeat(ctx, heartbeatOf("i1", 9, registry.Ready, 1)) })
+	c.retryUntilAcknowledged(func() error { return c.nodes[follower].Depart(ctx, "i1", 0) })
+	c.stop(third)
+	for sequence := range uint64(3) {
+		c.retryUntilAcknowledged(func() error {
+			return c.nodes[follower].Heartbeat(ctx, heartbeatOf("i1", 9, registry.Ready, 2+sequence))
+		})
+	}
+	c.eventuallyEverywhere("the start in use is still ready", func(node *runningNode) bool { return stateAt(node, "i1#9") == registry.Leaving })
+}
+
 // retryUntilAcknowledged repeats a call while the group has no leader, as servers do. It fails
 // if the reason is that the server is unknown.
 func (c *cluster) retryUntilAcknowledged(call func() error) {
