List the late first heartbeat after a departure as known failure

A start that no node has heard of can't be told from one after the departure. What users want there is theirs to say.

--- a/internal/directory/departures_test.go
+++ b/internal/directory/departures_test.go
@@ -138,6 +138,29 @@
 	c.eventuallyEverywhere("the start in use is still ready", func(node *runningNode) bool { return stateAt(node, "i1#9") == registry.Leaving })
 }
 
+// TestLateFirstHeartbeatAfterADepartureGetsNoWork guards against requests to a server after its
+// departure without a start was acknowledged by an earlier start that has just ended: the first
+// heartbeat of the start that departed arrives only after that. One that goes on is a new start.
+func TestLateFirstHeartbeatAfterADepartureGetsNoWork(t *testing.T) {
+	c := newFormedCluster(t)
+	ctx := context.Background()
+	c.retryUntilAcknowledged(func() error { return c.nodes[0].Heartbeat(ctx, heartbeatOf("i1", 5, registry.Ready, 1)) })
+	c.retryUntilAcknowledged(func() error { return c.nodes[1].Depart(ctx, "i1", 0) })
+	c.retryUntilAcknowledged(func() error { return c.nodes[0].Heartbeat(ctx, heartbeatOf("i1", 9, registry.Ready, 1)) })
+	for ended := time.Now().Add(observationTime); time.Now().Before(ended); time.Sleep(20 * time.Millisecond) {
+		for _, node := range c.nodes {
+			require.NotEqual(t, registry.Ready, stateAt(node, "i1#9"))
+		}
+	}
+	sequence := uint64(1)
+	for index := range c.nodes {
+		c.eventually("a start that goes on gets no work", func(*runningNode) bool {
+			sequence++
+			return c.nodes[0].Heartbeat(ctx, heartbeatOf("i1", 9, registry.Ready, sequence)) == nil && stateAt(c.nodes[index], "i1#9") == registry.Ready
+		})
+	}
+}
+
 // retryUntilAcknowledged repeats a call while the group has no leader, as servers do. It fails
 // if the reason is that the server is unknown.
 func (c *cluster) retryUntilAcknowledged(call func() error) {
