--- a/cmd/martenstage/soak_lanes_test.go
+++ b/cmd/martenstage/soak_lanes_test.go
@@ -64,6 +64,7 @@
 	process.mutex.Lock()
 	defer process.mutex.Unlock()
 	if process.hasLogged() {
+		process.hungUp.Store(time.Now().UnixNano())
 		_ = process.command.Process.Signal(syscall.SIGHUP)
 	}
 }
--- a/cmd/martenstage/soak_site_test.go
+++ b/cmd/martenstage/soak_site_test.go
@@ -48,6 +48,8 @@
 	begun  atomic.Int64
 	ending atomic.Bool
 	ownEnd atomic.Pointer[string]
+	// hungUp is when the last SIGHUP was sent, Unix ns; 0 for never.
+	hungUp atomic.Int64
 	// taken is held by the fault that ends or freezes it, so that no two do at a time.
 	taken sync.Mutex
 }
@@ -89,7 +91,8 @@
 	go func(command *exec.Cmd, ended chan struct{}) {
 		_ = command.Wait() // The state tells how it ended.
 		if !p.ending.Load() {
-			how := fmt.Sprintf("%s, %s after its start", command.ProcessState, time.Since(time.Unix(0, p.begun.Load())))
+			how := fmt.Sprintf("%s, %s after its start, last hung up %s after it", command.ProcessState,
+				time.Since(time.Unix(0, p.begun.Load())), time.Duration(p.hungUp.Load()-p.begun.Load()))
 			p.ownEnd.Store(&how)
 		}
 		close(ended)
--- a/internal/scatter/doc.go
+++ b/internal/scatter/doc.go
@@ -18,6 +18,8 @@
 //	retry          after a failure, if the request may run again or provably has
 //	               not run; with Config.ResendRefused a call that all its servers refused may go to
 //	               one of them again
+//	end            nothing is sent or claimed for a request after its answer, or once its
+//	               deadline has passed (Engine.mayAttempt)
 //	budget         hedges and retries of a service spend tokens that first
 //	               attempts earn, so that over all routers the extra attempts
 //	               stay below a share of the requests
--- a/internal/scatter/lifecycle_test.go
+++ b/internal/scatter/lifecycle_test.go
@@ -116,7 +116,7 @@
 	l.step(scatter.Granted{Request: claim.Request, Shards: []int{claim.Shard}, Refused: l.random.IntN(3) == 0})
 }
 
-// end of the client's interest, by its disconnect or by quarantine.
+// endRequest ends a random request by its client's disconnect or by quarantine.
 func (l *lifecycle) endRequest() {
 	if len(l.arrived) == 0 {
 		return
