--- a/cmd/martenstage/soak_site_test.go
+++ b/cmd/martenstage/soak_site_test.go
@@ -128,7 +128,7 @@
 	<-p.ended
 }
 
-// stop ends it as planned; whether it did so within a time.
+// stop ends it as planned; whether it did so within a time. If not, its log tells where it hangs.
 func (p *soakProcess) stop(within time.Duration) bool {
 	p.ending.Store(true)
 	p.signal(syscall.SIGTERM)
@@ -136,11 +136,21 @@
 	case <-p.ended:
 		return true
 	case <-time.After(within):
+		p.dumpStacks()
 		p.kill()
 		return false
 	}
 }
 
+// dumpStacks has the process write the stacks of its goroutines to its log and end.
+func (p *soakProcess) dumpStacks() {
+	p.signal(syscall.SIGQUIT)
+	select {
+	case <-p.ended:
+	case <-time.After(soakKillGrace):
+	}
+}
+
 // soakSite is real processes with stand-ins of servers, clients and operator.
 type soakSite struct {
 	t       testing.TB
