Review: a case for RECOVER, trials that killed routers held are never returned

One of three servers crashes under the document that all clients ask for, the two others fall silent for 4.5 s, and all processes are killed and return meanwhile. Afterwards no router serves the document: the ledger counts the two trials of the killed routers as under way.

--- a/review/standin-2/cascade.go
+++ b/review/standin-2/cascade.go
@@ -32,34 +32,10 @@
 // for the same document. Rule DENIED: routers without any disruption may end no more
 // than 5 requests and one in 500 of all with a 4xx of their own.
 func playCascade(s *site, trouble bool) (int, error) {
-	if err := s.startCore(); err != nil {
-		return 0, err
-	}
-	zones := []string{"callao-a", "ate-b", "lurin-c"}
-	if err := s.startFronts(zones); err != nil {
+	service, err := s.startSearch()
+	if err != nil {
 		return 0, err
 	}
-	servers := make([]*process, len(zones))
-	start := func(index, incarnation int) (err error) {
-		servers[index], err = s.startServer(serverOptions{
-			ID: fmt.Sprintf("i-%d-%d", index+1, incarnation), Service: "kafi81c", Address: s.address(21+index, serverPort), Zone: zones[index],
-			Slots: 4, Queue: 16, Work: cascadeWork, Spread: cascadeSpread,
-		})
-		return err
-	}
-	for index := range servers {
-		if err := start(index, 0); err != nil {
-			return 0, err
-		}
-	}
-	if err := s.put(cascadeConfiguration, 20*time.Second); err != nil {
-		return 0, err
-	}
-	if err := s.awaitReady(10 * time.Second); err != nil {
-		return 0, err
-	}
-	time.Sleep(2 * time.Second)
-
 	clients := &load{
 		site: s, host: "pupu76.example", rate: cascadeRate, deadline: cascadeDeadline,
 		path: func() string { return "/timi402/2f" },
@@ -70,7 +46,7 @@
 	time.Sleep(cascadeBefore)
 	if trouble {
 		for crash := 1; crash <= cascadeCrashes; crash++ {
-			if err := crashAll(s, servers, func(index int) error { return start(index, crash) }); err != nil {
+			if err := crashAll(s, service, crash); err != nil {
 				return 0, err
 			}
 		}
@@ -92,33 +68,77 @@
 	return exitHeld, nil
 }
 
+// service is the service of the cases: three servers, each in a process of its own.
+type service struct {
+	site    *site
+	zones   []string
+	servers []*process
+}
+
+// start starts a server as a new incarnation.
+func (v *service) start(index, incarnation int) (err error) {
+	v.servers[index], err = v.site.startServer(serverOptions{
+		ID: fmt.Sprintf("i-%d-%d", index+1, incarnation), Service: "kafi81c", Address: v.site.address(21+index, serverPort), Zone: v.zones[index],
+		Slots: 4, Queue: 16, Work: cascadeWork, Spread: cascadeSpread,
+	})
+	if err == nil {
+		v.site.record.add("server %s starts", v.servers[index].name)
+	}
+	return err
+}
+
+// startSearch starts the program's processes and the service, and waits until the routers are
+// ready with the configuration.
+func (s *site) startSearch() (*service, error) {
+	if err := s.startCore(); err != nil {
+		return nil, err
+	}
+	zones := []string{"callao-a", "ate-b", "lurin-c"}
+	if err := s.startFronts(zones); err != nil {
+		return nil, err
+	}
+	started := &service{site: s, zones: zones, servers: make([]*process, len(zones))}
+	for index := range zones {
+		if err := started.start(index, 0); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.put(cascadeConfiguration, 20*time.Second); err != nil {
+		return nil, err
+	}
+	if err := s.awaitReady(10 * time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	return started, nil
+}
+
 // crashAll kills all servers once they have been at work for a moment, and starts each again on its
 // address as a new incarnation.
-func crashAll(s *site, servers []*process, restart func(index int) error) error {
-	if !s.awaitWork(cascadeIdle) {
+func crashAll(s *site, service *service, incarnation int) error {
+	if s.awaitWork(cascadeIdle) == "" {
 		s.record.add("no server has begun a request for %s: they do not crash again", cascadeIdle)
 		return nil
 	}
 	time.Sleep(cascadeAtWork)
-	for _, server := range servers {
+	for _, server := range service.servers {
 		server.signal(syscall.SIGKILL)
 		s.record.add("server %s crashes", server.name)
 	}
-	for _, server := range servers {
+	for _, server := range service.servers {
 		<-server.done
 	}
 	time.Sleep(cascadeDown)
-	for index := range servers {
-		if err := restart(index); err != nil {
+	for index := range service.servers {
+		if err := service.start(index, incarnation); err != nil {
 			return err
 		}
-		s.record.add("server %s starts", servers[index].name)
 	}
 	return nil
 }
 
-// awaitWork waits until a server begins a request. It reports whether one has in time.
-func (s *site) awaitWork(within time.Duration) bool {
+// awaitWork waits until a server begins a request and returns its id; empty if none has in time.
+func (s *site) awaitWork(within time.Duration) string {
 	for len(s.notes) > 0 {
 		<-s.notes
 	}
@@ -127,10 +147,10 @@
 		select {
 		case told := <-s.notes:
 			if told.Event == "begin" {
-				return true
+				return told.Server
 			}
 		case <-timeout:
-			return false
+			return ""
 		}
 	}
 }
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -49,7 +49,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE PROGRAM RECORD")
 		os.Exit(exitNotPlayed)
 	}
-	cases := map[string]func(*site, bool) (int, error){"cascade": playCascade}
+	cases := map[string]func(*site, bool) (int, error){"cascade": playCascade, "restart": playRestart}
 	play, known := cases[os.Args[1]]
 	if !known {
 		fmt.Fprintln(os.Stderr, "unknown case")
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -53,6 +53,15 @@
 	mutex    sync.Mutex
 	started  []*process
 	notes    chan note
+	// roles are the processes of the program, which may be killed and started again.
+	roles []*role
+}
+
+// role is one process of the program: what starts it again with its settings.
+type role struct {
+	kind, name string
+	settings   map[string]any
+	process    *process
 }
 
 // newSite chooses a network of free addresses and a temporary folder.
@@ -180,20 +189,50 @@
 	return nil
 }
 
-// startRole writes the settings, which are YAML since JSON is, and starts a role.
-func (s *site) startRole(role, name string, settings map[string]any) error {
-	text, err := json.Marshal(settings)
+// startRole starts a process of the program.
+func (s *site) startRole(kind, name string, settings map[string]any) error {
+	started := &role{kind: kind, name: name, settings: settings}
+	s.roles = append(s.roles, started)
+	return s.startAgain(started)
+}
+
+// startAgain writes the settings, which are YAML since JSON is, and starts the process.
+func (s *site) startAgain(r *role) error {
+	text, err := json.Marshal(r.settings)
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(s.folder, name+".yaml")
+	path := filepath.Join(s.folder, r.name+".yaml")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return err
 	}
-	_, err = s.start(name, nil, s.program, role, "--settings", path)
+	r.process, err = s.start(r.name, nil, s.program, r.kind, "--settings", path)
 	return err
 }
 
+// killAll kills all processes of the program at once and starts them again after a pause, with
+// their data folders as they were.
+func (s *site) killAll(pause time.Duration) error {
+	for _, r := range s.roles {
+		r.process.signal(syscall.SIGKILL)
+	}
+	s.record.add("all processes of the program are killed")
+	for _, r := range s.roles {
+		<-r.process.done
+	}
+	time.Sleep(pause)
+	for _, r := range s.roles {
+		if _, given := r.settings["bootstrap"]; given {
+			r.settings["bootstrap"] = false
+		}
+		if err := s.startAgain(r); err != nil {
+			return err
+		}
+	}
+	s.record.add("all processes of the program are started again")
+	return nil
+}
+
 // startServer starts one server in a process of its own.
 func (s *site) startServer(options serverOptions) (*process, error) {
 	options.Controls, options.Heartbeat = s.controls, 1200*time.Millisecond
