--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -48,6 +48,11 @@
 
 // startConfiguredSite is startSite with a changed configuration of the router.
 func startConfiguredSite(t testing.TB, change func(*gateway.Config), document *routing.Document, servers map[string]http.HandlerFunc) *site {
+	return startSiteOn(t, listenLocal(t), change, document, servers)
+}
+
+// startSiteOn is startConfiguredSite with the listener for clients.
+func startSiteOn(t testing.TB, clients net.Listener, change func(*gateway.Config), document *routing.Document, servers map[string]http.HandlerFunc) *site {
 	stub := &directoryStub{}
 	node := serve(t, stub)
 	s := &site{t: t, directory: stub}
@@ -66,7 +71,7 @@
 	}
 	change(&config)
 	s.router = gateway.New(config, gateway.Environment{Logger: logger, Registerer: prometheus.NewRegistry()})
-	s.run(listenLocal(t), nil)
+	s.run(clients, nil)
 	if document != nil {
 		s.install(document)
 	}
