Log each client connection that is closed with something read

Hypotheses about connections that a planned stop closes with a request read could not be told apart: no line and no metric says what a connection had received at its close.

Connections of clients now track what was read since the last response, and their phase with it: opened, receiving, serving, handled, answered, waiting. A close that drops something is logged as connection_closed_unanswered, with cause, phase and bytes, at a bounded rate, and counted in martenstage_gateway_client_connections_lost_total. A read that was pending at the close and returns bytes afterwards is reported too.

Measured with TestPlannedStopClosesNoConnectionWithARequestRead, whose process was kept for 200 ms after the stop: every line has cause=server phase=receiving unanswered_bytes=55, the whole request. That is the first hypothesis; the second would have cause=idle_time, the third phase=answered. No logic of a stop has changed: the test fails as before.

header_timeout_ms of the document now counts from the first byte of a header; it was never applied, as net/http reports a connection as active only after the header.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/httpdrain"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
@@ -46,8 +46,6 @@
 	load     *loadState
 	rollouts *rolloutMonitor
 	stopping atomic.Bool
-	// closing is set when connections are to be closed after their next response.
-	closing atomic.Bool
 	// documentKnown is closed once a document is installed.
 	documentKnown chan struct{}
 	// serversKnown is closed once the router has a table of servers.
@@ -74,7 +72,7 @@
 	expiredRefusalLines logging.LineLimit
 	// misdirectedLines bounds the log lines about calls that reached the wrong process.
 	misdirectedLines logging.LineLimit
-	clients          *clientConnections
+	clientCloses     *clientCloses
 	// shardCalls is the rate of calls to servers of shards, without hedges and retries.
 	shardCalls rate
 	// loggedGatherers is the gatherer summary last logged. Only the follower's goroutine uses
@@ -93,10 +91,11 @@
 	gateway := &Gateway{
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: steadyclock.Now(),
-		documentKnown: make(chan struct{}), serversKnown: make(chan struct{}), suspects: make(chan string, suspectBacklog), claims: newClaimTable(), clients: newClientConnections(environment.Registerer),
+		documentKnown: make(chan struct{}), serversKnown: make(chan struct{}), suspects: make(chan string, suspectBacklog), claims: newClaimTable(),
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	_, _ = rand.Read(gateway.keySeed[:]) // crypto/rand.Read never returns an error; it ends the process if there is no randomness.
+	gateway.clientCloses = newClientCloses(environment.Registerer, gateway.logger)
 	gateway.slices = newSliceClient(gateway.group)
 	gateway.rollouts = newRolloutMonitor()
 	gateway.load = newLoadState(gateway.started)
@@ -184,14 +183,13 @@
 	tasks.Go(func() { g.follower.reportQuota(background) })
 	tasks.Go(func() { g.follower.reportRollouts(background) })
 	tasks.Go(func() { g.isolation.run(background) })
-	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnContext: g.clients.begin, ConnState: g.clients.setState,
-	}
-	tasks.Go(func() { g.enforceLimits(background) })
+	server := httpdrain.NewServer(httpdrain.Config{
+		Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, OnClosed: g.clientCloses.record,
+	})
+	tasks.Go(func() { g.enforceLimits(background, server) })
 	serveErrors := make(chan error, 2)
 	go func() { serveErrors <- server.Serve(clients) }()
-	peerServer := &http.Server{Handler: g.PeerHandler(), ReadHeaderTimeout: readHeaderTimeout}
+	peerServer := httpdrain.NewServer(httpdrain.Config{Handler: g.PeerHandler(), ReadHeaderTimeout: readHeaderTimeout})
 	if peers != nil {
 		go func() { serveErrors <- peerServer.Serve(peers) }()
 	}
@@ -210,7 +208,7 @@
 
 // enforceLimits closes connections of clients that exceed the time limits of the active
 // document.
-func (g *Gateway) enforceLimits(ctx context.Context) {
+func (g *Gateway) enforceLimits(ctx context.Context, server *httpdrain.Server) {
 	check := time.NewTicker(limitInterval)
 	defer check.Stop()
 	for {
@@ -219,21 +217,21 @@
 			return
 		case <-check.C:
 			if table := g.table.Load(); table != nil {
-				g.clients.enforce(steadyclock.Now(), table.Document().Limits)
+				limits := table.Document().Limits
+				server.Enforce(steadyclock.Now(), httpdrain.Limits{Idle: limits.IdleTime, Header: limits.HeaderTime})
 			}
 		}
 	}
 }
 
 // stop carries out a planned stop.
-func (g *Gateway) stop(server, peerServer *http.Server) {
+func (g *Gateway) stop(server, peerServer *httpdrain.Server) {
 	deadline := steadyclock.Now().Add(g.config.Grace - stopMargin)
 	g.stopping.Store(true)
 	g.logger.WithField("in_flight", g.inFlight.Load()).Info("stopping")
 	time.Sleep(min(unreadyDelay, g.config.Grace/2))
-	g.closing.Store(true)
-	shutdownCtx, cancel := steadyclock.WithDeadline(context.Background(), deadline)
+	drainCtx, cancel := steadyclock.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	err := errors.CombineErrors(server.Shutdown(shutdownCtx), peerServer.Shutdown(shutdownCtx))
+	err := errors.CombineErrors(server.Drain(drainCtx), peerServer.Drain(drainCtx))
 	g.logger.WithField("unanswered", g.inFlight.Load()).WithField(logrus.ErrorKey, err).Info("stopped")
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenstage/martenstage/internal/httpdrain"
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
@@ -45,10 +46,7 @@
 // ServeHTTP serves a client's request.
 func (g *Gateway) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	state := &exchangeState{gateway: g, writer: writer, request: request, arrived: steadyclock.Now(), id: g.config.Dialect.RequestID(request.Header)}
-	if connection, ok := state.connection(); ok {
-		connection.headerComplete()
-	}
-	if g.closing.Load() || g.isolation.isolated.Load() {
+	if g.isolation.isolated.Load() {
 		writer.Header().Set("Connection", "close")
 	}
 	// Read before the table, so that a document installed in between is newer than its
@@ -234,17 +232,11 @@
 // networkDelay returns the part of the client's waiting time that is spent outside this
 // router.
 func (s *exchangeState) networkDelay() time.Duration {
-	connection, ok := s.connection()
+	conn, ok := httpdrain.ConnOf(s.request.Context())
 	if !ok {
 		return unknownRoundTrip
 	}
-	return connection.networkDelay()
-}
-
-// connection returns the state of the client's connection.
-func (s *exchangeState) connection() (*clientConnection, bool) {
-	connection, ok := s.request.Context().Value(clientConnectionKey{}).(*clientConnection)
-	return connection, ok
+	return networkDelayOf(conn)
 }
 
 // writeReply forwards a server's response unchanged.
--- /dev/null
+++ b/internal/httpdrain/conn.go
@@ -0,0 +1,255 @@
+package httpdrain
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/steadyclock"
+)
+
+// Phase is the stage that a connection has reached with its current request.
+type Phase uint8
+
+// Phases, in the order in which a connection passes through them. After Waiting comes Receiving
+// again.
+const (
+	// Opened: nothing has been read yet.
+	Opened Phase = iota
+	// Receiving: a part of a request's header has been read.
+	Receiving
+	// Serving: a handler runs.
+	Serving
+	// Handled: the handler has returned, but its response may not be written completely.
+	Handled
+	// Answered: the response is complete. net/http may hold bytes of the next request.
+	Answered
+	// Waiting: nothing of a next request has been read.
+	Waiting
+)
+
+// String returns the name of the phase in logs and metrics.
+func (p Phase) String() string {
+	return [...]string{"opened", "receiving", "serving", "handled", "answered", "waiting"}[p]
+}
+
+// Cause is why a connection was closed.
+type Cause string
+
+// Causes.
+const (
+	// CauseServer: net/http closed the connection after a response or an invalid request.
+	CauseServer Cause = "server"
+	// CauseClient: reading failed, since the client closed or reset the connection.
+	CauseClient Cause = "client"
+	// CauseWrite: a response could not be written.
+	CauseWrite Cause = "write_failed"
+	// CauseIdleTime and CauseHeaderTime: the connection exceeded one of Limits.
+	CauseIdleTime   Cause = "idle_time"
+	CauseHeaderTime Cause = "header_time"
+)
+
+// Closed describes a connection at its close.
+type Closed struct {
+	Cause Cause
+	Phase Phase
+	// Unanswered is the number of bytes read since the last response.
+	Unanswered int64
+	// Remote is the address of the client.
+	Remote string
+}
+
+// Lost reports whether the close dropped something that had been read and was not answered.
+func (c Closed) Lost() bool {
+	return c.Cause == CauseWrite || c.Unanswered > 0 && (c.Phase == Receiving || c.Phase == Serving)
+}
+
+// Conn is a connection of a Server. Its methods are safe for concurrent use.
+type Conn struct {
+	net.Conn
+	server *Server
+	// served counts the requests that have reached the handler.
+	served atomic.Int64
+
+	mutex sync.Mutex
+	phase Phase
+	// since is when the phase began.
+	since      time.Time
+	unanswered int64
+	cause      Cause
+	closed     bool
+}
+
+type connKey struct{}
+
+// ConnOf returns the connection of a request that a Server serves.
+func ConnOf(ctx context.Context) (*Conn, bool) {
+	conn, ok := ctx.Value(connKey{}).(*Conn)
+	return conn, ok
+}
+
+// Served returns the number of requests that have reached the handler on the connection,
+// including a current one.
+func (c *Conn) Served() int64 { return c.served.Load() }
+
+// SyscallConn implements syscall.Conn, if the accepted connection does.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	if raw, ok := c.Conn.(syscall.Conn); ok {
+		return raw.SyscallConn()
+	}
+	return nil, errors.Newf("%T has no descriptor", c.Conn)
+}
+
+// CloseWrite closes the sending side, if the accepted connection can. net/http does so before it
+// closes a connection with unread bytes.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(into []byte) (int, error) {
+	count, err := c.Conn.Read(into)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch {
+	case count > 0:
+		c.recordBytes(count)
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		c.setCause(CauseClient)
+	}
+	return count, err
+}
+
+// recordBytes records bytes that were read. The mutex is held.
+func (c *Conn) recordBytes(count int) {
+	c.unanswered += int64(count)
+	if c.closed {
+		// The connection was closed under this read, when it seemed to have nothing to read.
+		c.phase = Receiving
+		c.server.report(c.closedRecord())
+		return
+	}
+	if c.phase == Opened || c.phase == Waiting || c.phase == Answered {
+		c.enter(Receiving)
+	}
+}
+
+// SetReadDeadline implements net.Conn. net/http calls it once when it starts to wait for a request
+// and again when it has the first bytes, which it may have buffered earlier.
+func (c *Conn) SetReadDeadline(deadline time.Time) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch c.phase {
+	case Answered:
+		c.enter(Waiting)
+	case Waiting:
+		c.enter(Receiving)
+	case Opened, Receiving, Serving, Handled:
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *Conn) SetDeadline(deadline time.Time) error {
+	return errors.CombineErrors(c.SetReadDeadline(deadline), c.SetWriteDeadline(deadline))
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(from []byte) (int, error) {
+	count, err := c.Conn.Write(from)
+	if err != nil {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		c.setCause(CauseWrite)
+	}
+	return count, err
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.mutex.Lock()
+	first := !c.closed
+	c.closed = true
+	c.setCause(CauseServer)
+	record := c.closedRecord()
+	c.mutex.Unlock()
+	err := c.Conn.Close()
+	if first {
+		c.server.forget(c)
+		c.server.report(record)
+	}
+	return err
+}
+
+// closedRecord describes the closed connection. The mutex is held.
+func (c *Conn) closedRecord() Closed {
+	return Closed{Cause: c.cause, Phase: c.phase, Unanswered: c.unanswered, Remote: c.RemoteAddr().String()}
+}
+
+// begin records that a handler has received a request.
+func (c *Conn) begin() {
+	c.served.Add(1)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.enter(Serving)
+}
+
+// handled records that the handler has returned.
+func (c *Conn) handled() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.enter(Handled)
+}
+
+// answered records that a response is complete.
+func (c *Conn) answered() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.enter(Answered)
+	c.unanswered = 0
+}
+
+// enforce ends the connection if it exceeds a limit.
+func (c *Conn) enforce(now time.Time, limits Limits) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	lasted := now.Sub(c.since)
+	switch c.phase {
+	case Opened, Waiting:
+		if limits.Idle > 0 && lasted > limits.Idle {
+			c.closeFor(CauseIdleTime)
+		}
+	case Receiving:
+		if limits.Header > 0 && lasted > limits.Header {
+			c.closeFor(CauseHeaderTime)
+		}
+	case Serving, Handled, Answered:
+	}
+}
+
+// enter begins a phase. The mutex is held.
+func (c *Conn) enter(next Phase) {
+	c.phase, c.since = next, steadyclock.Now()
+}
+
+// setCause records the first cause of the close. The mutex is held.
+func (c *Conn) setCause(cause Cause) {
+	if c.cause == "" {
+		c.cause = cause
+	}
+}
+
+// closeFor closes the connection under net/http. The mutex is held.
+func (c *Conn) closeFor(cause Cause) {
+	c.setCause(cause)
+	_ = c.Conn.Close()
+}
--- /dev/null
+++ b/internal/httpdrain/server.go
@@ -0,0 +1,154 @@
+package httpdrain
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenstage/martenstage/internal/steadyclock"
+)
+
+// Config configures a Server.
+type Config struct {
+	Handler http.Handler
+	// ReadHeaderTimeout and MaxHeaderBytes are those of http.Server.
+	ReadHeaderTimeout time.Duration
+	MaxHeaderBytes    int
+	// OnClosed is called for each closed connection, and again if a read that was pending at
+	// the close returns bytes; nil for none. It must not block.
+	OnClosed func(Closed)
+}
+
+// Limits bound what connections may do without a request. Zero is no bound.
+type Limits struct {
+	// Idle bounds the wait for a request, Header the time from the first byte of a request
+	// until its header is complete.
+	Idle   time.Duration
+	Header time.Duration
+}
+
+// Server serves HTTP/1.1 until it is drained. It is safe for concurrent use.
+type Server struct {
+	config Config
+	http   *http.Server
+	// closing is set when each response tells the client that the connection is closed.
+	closing  atomic.Bool
+	draining atomic.Bool
+	mutex    sync.Mutex
+	// connections are the open ones.
+	connections map[*Conn]struct{}
+}
+
+// NewServer returns a server.
+func NewServer(config Config) *Server {
+	server := &Server{config: config, connections: make(map[*Conn]struct{})}
+	server.http = &http.Server{
+		Handler: http.HandlerFunc(server.handle), ReadHeaderTimeout: config.ReadHeaderTimeout, MaxHeaderBytes: config.MaxHeaderBytes,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+		ConnState: observeState,
+	}
+	return server
+}
+
+// observeState is the ConnState hook of net/http, which reports StateIdle once a response is
+// written.
+func observeState(conn net.Conn, state http.ConnState) {
+	if tracked, ok := conn.(*Conn); ok && state == http.StateIdle {
+		tracked.answered()
+	}
+}
+
+func (s *Server) handle(writer http.ResponseWriter, request *http.Request) {
+	if conn, ok := ConnOf(request.Context()); ok {
+		conn.begin()
+		defer conn.handled()
+	}
+	if s.closing.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	s.config.Handler.ServeHTTP(writer, request)
+}
+
+// Serve accepts connections until Drain or Close, after which it returns nil.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(trackingListener{Listener: listener, server: s})
+	if s.draining.Load() || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve")
+}
+
+// Drain stops accepting connections and waits until all requests are answered or the context ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.closing.Store(true)
+	s.draining.Store(true)
+	return errors.Wrap(s.http.Shutdown(ctx), "drain")
+}
+
+// Close closes the listeners and all connections at once.
+func (s *Server) Close() error {
+	s.draining.Store(true)
+	return s.http.Close()
+}
+
+// Enforce ends the connections that exceed a limit at the given time.
+func (s *Server) Enforce(now time.Time, limits Limits) {
+	for _, conn := range s.open() {
+		conn.enforce(now, limits)
+	}
+}
+
+// open returns the open connections.
+func (s *Server) open() []*Conn {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	open := make([]*Conn, 0, len(s.connections))
+	for conn := range s.connections {
+		open = append(open, conn)
+	}
+	return open
+}
+
+func (s *Server) track(accepted net.Conn) *Conn {
+	conn := &Conn{Conn: accepted, server: s, since: steadyclock.Now()}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.connections[conn] = struct{}{}
+	return conn
+}
+
+// forget removes a connection that has been closed.
+func (s *Server) forget(conn *Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.connections, conn)
+}
+
+// report passes on the description of a closed connection.
+func (s *Server) report(record Closed) {
+	if s.config.OnClosed != nil {
+		s.config.OnClosed(record)
+	}
+}
+
+// trackingListener accepts connections for a server.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener.
+func (l trackingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.server.track(accepted), nil
+}
