Close no connection of a client from which a request is being read

What callers saw: in a planned stop, connections whose request the router had read were closed without an answer.

The class: one party closes by a state that another party changes later.

Fix: a connection is closed only by its own reader. httpdrain.Server ends a connection by moving its read deadline into the past, while nothing has been read since the last response. A read that had returned bytes is served, and so are bytes that the kernel holds by then; only a read that returns nothing ends the connection. The stop and the limits on time both go through it, for clients and other routers.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 RAPID_SEED := 20261202
 # Packages that run under the race detector: the shells, whose goroutines share
 # state. Cores have no goroutines.
-RACE_PATTERN := ring|directory|exchange|gateway|spool|rpc|follower|relay|router|callers|backend|forward|emulator|machinelist|keys|routestats|statuspage|cli
+RACE_PATTERN := httpdrain|ring|directory|exchange|gateway|spool|rpc|follower|relay|router|callers|backend|forward|emulator|machinelist|keys|routestats|statuspage|cli
 
 .PHONY: all build test demo soak fleet lint format generate fuzz unit
 
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sys/unix"
 
@@ -55,6 +56,11 @@
 	}
 }
 
+// phaseCounts returns the number of a server's connections by phase, for the log.
+func phaseCounts(server *httpdrain.Server) map[string]int {
+	return lo.MapKeys(server.Phases(), func(_ int, phase httpdrain.Phase) string { return phase.String() })
+}
+
 // headerBytes returns the approximate size of a request's header on the wire.
 func headerBytes(request *http.Request) int {
 	size := len(request.Method) + len(request.RequestURI) + len(request.Proto) + len(request.Host)
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
@@ -50,6 +52,10 @@
 	CauseClient Cause = "client"
 	// CauseWrite: a response could not be written.
 	CauseWrite Cause = "write_failed"
+	// CauseStop: the server is stopping, and no request was being received.
+	CauseStop Cause = "stop"
+	// CauseStopLimit: the time for the stop ran out.
+	CauseStopLimit Cause = "stop_limit"
 	// CauseIdleTime and CauseHeaderTime: the connection exceeded one of Limits.
 	CauseIdleTime   Cause = "idle_time"
 	CauseHeaderTime Cause = "header_time"
@@ -84,6 +90,12 @@
 	unanswered int64
 	cause      Cause
 	closed     bool
+	// deadline is the read deadline that net/http has set. interrupt is why it is replaced by
+	// one that has passed; empty if it is not. ending is why the connection ends once it
+	// waits; empty if it does not.
+	deadline  time.Time
+	interrupt Cause
+	ending    Cause
 }
 
 type connKey struct{}
@@ -117,16 +129,46 @@
 
 // Read implements net.Conn.
 func (c *Conn) Read(into []byte) (int, error) {
-	count, err := c.Conn.Read(into)
+	for {
+		count, err := c.Conn.Read(into)
+		count, err, again := c.evaluateRead(into, count, err)
+		if !again {
+			return count, err
+		}
+	}
+}
+
+// evaluateRead records the outcome of a read. It returns again if the read was interrupted, but a
+// request has begun in the meantime.
+func (c *Conn) evaluateRead(into []byte, count int, err error) (_ int, _ error, again bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	switch {
-	case count > 0:
+	if count > 0 {
 		c.recordBytes(count)
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		c.setCause(CauseClient)
+		return count, err, false
+	}
+	if c.interrupt == "" || !errors.Is(err, os.ErrDeadlineExceeded) || c.deadlinePassed() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.setCause(CauseClient)
+		}
+		return count, err, false
+	}
+	switch c.phase {
+	case Opened, Waiting:
+		// A deadline that has passed ends a read even if bytes have arrived.
+		if count = c.readAvailable(into); count > 0 {
+			c.recordBytes(count)
+			return count, nil, false
+		}
+		c.setCause(c.interrupt)
+		return 0, io.EOF, false
+	case Receiving:
+		c.setCause(c.interrupt)
+		return 0, err, false
+	default:
+		c.restoreDeadline()
+		return 0, nil, true
 	}
-	return count, err
 }
 
 // recordBytes records bytes that were read. The mutex is held.
@@ -140,7 +182,26 @@
 	}
 	if c.phase == Opened || c.phase == Waiting || c.phase == Answered {
 		c.enter(Receiving)
+		c.restoreDeadline()
+	}
+}
+
+// readAvailable reads what the kernel holds for the connection, without waiting.
+func (c *Conn) readAvailable(into []byte) int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
 	}
+	count := 0
+	_ = raw.Control(func(descriptor uintptr) {
+		for {
+			count, err = unix.Read(int(descriptor), into)
+			if !errors.Is(err, unix.EINTR) {
+				return
+			}
+		}
+	})
+	return max(0, count)
 }
 
 // SetReadDeadline implements net.Conn. net/http calls it once when it starts to wait for a request
@@ -148,13 +209,19 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.deadline = deadline
 	switch c.phase {
 	case Answered:
 		c.enter(Waiting)
+		c.interruptFor(c.ending)
 	case Waiting:
 		c.enter(Receiving)
+		c.interrupt = ""
 	case Opened, Receiving, Serving, Handled:
 	}
+	if c.interrupt != "" {
+		return nil
+	}
 	return c.Conn.SetReadDeadline(deadline)
 }
 
@@ -201,6 +268,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.enter(Serving)
+	c.restoreDeadline()
 }
 
 // handled records that the handler has returned.
@@ -218,6 +286,16 @@
 	c.unanswered = 0
 }
 
+// end has the connection end as soon as it waits for a request.
+func (c *Conn) end(cause Cause) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ending = cause
+	if c.phase == Opened || c.phase == Waiting {
+		c.interruptFor(cause)
+	}
+}
+
 // enforce ends the connection if it exceeds a limit.
 func (c *Conn) enforce(now time.Time, limits Limits) {
 	c.mutex.Lock()
@@ -226,11 +304,11 @@
 	switch c.phase {
 	case Opened, Waiting:
 		if limits.Idle > 0 && lasted > limits.Idle {
-			c.closeFor(CauseIdleTime)
+			c.interruptFor(CauseIdleTime)
 		}
 	case Receiving:
 		if limits.Header > 0 && lasted > limits.Header {
-			c.closeFor(CauseHeaderTime)
+			c.interruptFor(CauseHeaderTime)
 		}
 	case Serving, Handled, Answered:
 	}
@@ -248,8 +326,42 @@
 	}
 }
 
-// closeFor closes the connection under net/http. The mutex is held.
-func (c *Conn) closeFor(cause Cause) {
-	c.setCause(cause)
-	_ = c.Conn.Close()
+// pastDeadline is a read deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
+// interruptFor ends the pending or the next read. The mutex is held.
+func (c *Conn) interruptFor(cause Cause) {
+	if cause == "" || c.interrupt != "" {
+		return
+	}
+	c.interrupt = cause
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+}
+
+// restoreDeadline revokes an interruption. The mutex is held.
+func (c *Conn) restoreDeadline() {
+	if c.interrupt == "" {
+		return
+	}
+	c.interrupt = ""
+	_ = c.Conn.SetReadDeadline(c.deadline)
+}
+
+// deadlinePassed reports whether the deadline that net/http has set has passed. The mutex is held.
+func (c *Conn) deadlinePassed() bool {
+	return !c.deadline.IsZero() && time.Until(c.deadline) <= 0
+}
+
+// isNew reports whether the connection was opened less than age ago and has received nothing.
+func (c *Conn) isNew(now time.Time, age time.Duration) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.phase == Opened && now.Sub(c.since) < age
+}
+
+// closeAtLimit records that the connection is cut because the time for the stop ran out.
+func (c *Conn) closeAtLimit() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.setCause(CauseStopLimit)
 }
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -13,6 +13,14 @@
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
+const (
+	// newConnectionGrace is how long the first request of a new connection is awaited during a
+	// stop: a client opens a connection to send on it.
+	newConnectionGrace = time.Second
+	// drainInterval is how often a stop looks for connections that may end.
+	drainInterval = 20 * time.Millisecond
+)
+
 // Config configures a Server.
 type Config struct {
 	Handler http.Handler
@@ -39,8 +47,10 @@
 	// closing is set when each response tells the client that the connection is closed.
 	closing  atomic.Bool
 	draining atomic.Bool
+	accepts  sync.WaitGroup
 	mutex    sync.Mutex
-	// connections are the open ones.
+	// listeners are those of Serve, connections the open ones.
+	listeners   []net.Listener
 	connections map[*Conn]struct{}
 }
 
@@ -78,6 +88,11 @@
 
 // Serve accepts connections until Drain or Close, after which it returns nil.
 func (s *Server) Serve(listener net.Listener) error {
+	s.accepts.Add(1)
+	defer s.accepts.Done()
+	s.mutex.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mutex.Unlock()
 	err := s.http.Serve(trackingListener{Listener: listener, server: s})
 	if s.draining.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -85,11 +100,52 @@
 	return errors.Wrap(err, "serve")
 }
 
-// Drain stops accepting connections and waits until all requests are answered or the context ends.
+// CloseAfterResponses has each response from now on tell the client that the connection is closed.
+func (s *Server) CloseAfterResponses() { s.closing.Store(true) }
+
+// Closing reports whether responses tell the client that the connection is closed.
+func (s *Server) Closing() bool { return s.closing.Load() }
+
+// Drain stops accepting connections and ends each as soon as nothing has been read from it since
+// its last response. It returns nil once all are closed, or cuts the rest and returns the error of
+// the context when that ends.
 func (s *Server) Drain(ctx context.Context) error {
 	s.closing.Store(true)
 	s.draining.Store(true)
-	return errors.Wrap(s.http.Shutdown(ctx), "drain")
+	s.mutex.Lock()
+	for _, listener := range s.listeners {
+		_ = listener.Close() // Fails only if it is closed already.
+	}
+	s.mutex.Unlock()
+	s.accepts.Wait()
+	err := s.awaitConnections(ctx)
+	if err != nil {
+		for _, conn := range s.open() {
+			conn.closeAtLimit()
+		}
+	}
+	return errors.CombineErrors(err, s.http.Close())
+}
+
+func (s *Server) awaitConnections(ctx context.Context) error {
+	check := time.NewTicker(drainInterval)
+	defer check.Stop()
+	for {
+		open := s.open()
+		if len(open) == 0 {
+			return nil
+		}
+		for _, conn := range open {
+			if !conn.isNew(steadyclock.Now(), newConnectionGrace) {
+				conn.end(CauseStop)
+			}
+		}
+		select {
+		case <-check.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d connections were cut", len(s.open()))
+		}
+	}
 }
 
 // Close closes the listeners and all connections at once.
@@ -116,6 +172,17 @@
 	return open
 }
 
+// Phases returns the number of open connections in each phase.
+func (s *Server) Phases() map[Phase]int {
+	counts := make(map[Phase]int)
+	for _, conn := range s.open() {
+		conn.mutex.Lock()
+		counts[conn.phase]++
+		conn.mutex.Unlock()
+	}
+	return counts
+}
+
 func (s *Server) track(accepted net.Conn) *Conn {
 	conn := &Conn{Conn: accepted, server: s, since: steadyclock.Now()}
 	s.mutex.Lock()
