Tell clients of a planned stop from its start to leave

What callers saw: 8 to 19 of 80 clients on kept connections found them closed without an answer in each of 10 planned stops. None of the requests had run.

Cause: responses said Connection: close only 2.3 s after the signal, when all resting connections were closed in the same moment, and never if their request had come before. A client learned of the stop by sending on a connection that was gone.

Fix: every response that is written after the signal says so, those of requests that were in flight at the signal too. Few connections are left to be closed while resting.

TestPlannedStopHasClientsLeaveFromTheStart failed before, with the call taken out as well; it passes 3 of 3.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,9 +168,9 @@
 }
 
 // Run serves clients until the context ends, which starts a planned stop: the router reports
-// not ready at once and serves until it gets no new connections. It then closes each connection
-// on which no request is being received or served, and returns once all are closed or
-// Config.Grace has passed.
+// not ready at once, closes each connection after its next response and serves until it gets no
+// new connections. It then closes the connections on which no request is being received or
+// served, and returns once all are closed or Config.Grace has passed.
 //
 // The peers listener serves other routers; it may be nil.
 func (g *Gateway) Run(stopping context.Context, clients, peers net.Listener) error {
@@ -229,6 +229,7 @@
 func (g *Gateway) stop(server, peerServer *httpdrain.Server) {
 	deadline := steadyclock.Now().Add(g.config.Grace - stopMargin)
 	g.stopping.Store(true)
+	server.CloseAfterResponses()
 	g.logger.WithField("in_flight", g.inFlight.Load()).Info("stopping")
 	time.Sleep(min(unreadyDelay, g.config.Grace/2))
 	g.logger.WithField("connections", phaseCounts(server)).Info("closing_connections")
--- a/internal/gateway/planned_stop_test.go
+++ b/internal/gateway/planned_stop_test.go
@@ -110,3 +110,62 @@
 	sending.Wait()
 	require.Zero(t, listener.unanswered.Load(), "connections closed with a whole request read")
 }
+
+// TestPlannedStopHasClientsLeaveFromTheStart guards against clients that learn of a stop only by
+// finding their connection closed. One request is in flight at the signal, one comes after it.
+func TestPlannedStopHasClientsLeaveFromTheStart(t *testing.T) {
+	entered, proceed := make(chan struct{}, 1), make(chan struct{})
+	s := startSite(t, oneRoute(1, "s"), map[string]http.HandlerFunc{"s": func(writer http.ResponseWriter, request *http.Request) {
+		if request.RequestURI == "/a/slow" {
+			entered <- struct{}{}
+			<-proceed
+		}
+		echo(writer, request)
+	}})
+	kept, inFlight := dialSite(t, s), dialSite(t, s)
+	require.False(t, kept.ask("/a/").Close)
+	inFlight.send("/a/slow")
+	<-entered
+	s.stop()
+	require.Eventually(t, func() bool { return !s.router.Ready() }, 10*time.Second, time.Millisecond)
+	close(proceed)
+	require.True(t, inFlight.receive().Close)
+	require.True(t, kept.ask("/a/").Close)
+	require.NoError(t, <-s.done)
+}
+
+// siteClient is a client that keeps its connection.
+type siteClient struct {
+	net.Conn
+	t      *testing.T
+	reader *bufio.Reader
+}
+
+func dialSite(t *testing.T, s *site) *siteClient {
+	conn, err := net.Dial("tcp4", s.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return &siteClient{Conn: conn, t: t, reader: bufio.NewReader(conn)}
+}
+
+func (c *siteClient) send(path string) {
+	_, err := io.WriteString(c.Conn, "GET "+path+" HTTP/1.1\r\nHost: site\r\nX-Id: r-1\r\nX-Left: 3s\r\n\r\n")
+	require.NoError(c.t, err)
+}
+
+// receive reads a response and its body.
+func (c *siteClient) receive() *http.Response {
+	c.t.Helper()
+	require.NoError(c.t, c.SetReadDeadline(time.Now().Add(20*time.Second)))
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(c.t, err)
+	return response
+}
+
+func (c *siteClient) ask(path string) *http.Response {
+	c.t.Helper()
+	c.send(path)
+	return c.receive()
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -258,6 +258,9 @@
 	if status != http.StatusNoContent && status != http.StatusNotModified {
 		s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	if conn, ok := httpdrain.ConnOf(s.request.Context()); ok {
+		conn.Server().PrepareResponse(s.writer.Header())
+	}
 	s.writer.WriteHeader(status)
 	_, _ = s.writer.Write(body)
 }
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -110,6 +110,9 @@
 // including a current one.
 func (c *Conn) Served() int64 { return c.served.Load() }
 
+// Server returns the server of the connection.
+func (c *Conn) Server() *Server { return c.server }
+
 // SyscallConn implements syscall.Conn, if the accepted connection does.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	if raw, ok := c.Conn.(syscall.Conn); ok {
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -80,9 +80,7 @@
 		conn.begin()
 		defer conn.handled()
 	}
-	if s.closing.Load() {
-		writer.Header().Set("Connection", "close")
-	}
+	s.PrepareResponse(writer.Header())
 	s.config.Handler.ServeHTTP(writer, request)
 }
 
@@ -103,6 +101,14 @@
 // CloseAfterResponses has each response from now on tell the client that the connection is closed.
 func (s *Server) CloseAfterResponses() { s.closing.Store(true) }
 
+// PrepareResponse has a response that is about to be written tell the client that the connection
+// is closed, if it is. Handlers that take long call it, since the state may have changed.
+func (s *Server) PrepareResponse(header http.Header) {
+	if s.closing.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
 // Closing reports whether responses tell the client that the connection is closed.
 func (s *Server) Closing() bool { return s.closing.Load() }
 
