Answer each request before the end of a planned stop

What callers saw: requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated.

Cause: nothing tied the deadline of a request to the end of the stop. Requests of any route waited and were sent by their own deadline, which may lie far behind it.

Fix: the engine learns the latest time for answers when the stop begins. It brings all deadlines forward to it, those of gathered requests, trials and slices for other routers too, and ends calls that still wait for a server when their route's typical time no longer fits. What was sent gets 504, what was not 503. A request that comes when the stop leaves too little time is refused at once as not run. New: reason stopping.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	load     *loadState
 	rollouts *rolloutMonitor
 	stopping atomic.Bool
+	stop     stopState
 	// documentKnown is closed once a document is installed.
 	documentKnown chan struct{}
 	// serversKnown is closed once the router has a table of servers.
@@ -92,6 +93,7 @@
 		config: config, logger: environment.Logger.WithField(logging.FieldNode, config.Name),
 		metrics: newMetrics(environment.Registerer), started: steadyclock.Now(),
 		documentKnown: make(chan struct{}), serversKnown: make(chan struct{}), suspects: make(chan string, suspectBacklog), claims: newClaimTable(),
+		stop: stopState{begun: make(chan struct{})},
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	_, _ = rand.Read(gateway.keySeed[:]) // crypto/rand.Read never returns an error; it ends the process if there is no randomness.
@@ -199,7 +201,7 @@
 	case err := <-serveErrors:
 		failure = errors.Wrap(errors.CombineErrors(err, errors.CombineErrors(server.Close(), peerServer.Close())), "clients can't be served")
 	case <-stopping.Done():
-		g.stop(server, peerServer)
+		g.stopServing(server, peerServer)
 	}
 	cancelBackground()
 	tasks.Wait()
@@ -225,16 +227,18 @@
 	}
 }
 
-// stop carries out a planned stop.
-func (g *Gateway) stop(server, peerServer *httpdrain.Server) {
+// stopServing carries out a planned stop.
+func (g *Gateway) stopServing(server, peerServer *httpdrain.Server) {
 	deadline := steadyclock.Now().Add(g.config.Grace - stopMargin)
 	g.stopping.Store(true)
 	server.CloseAfterResponses()
+	g.limitAnswers(deadline.Add(-lastAnswersTime))
 	g.logger.WithField("in_flight", g.inFlight.Load()).Info("stopping")
 	time.Sleep(min(unreadyDelay, g.config.Grace/2))
 	g.logger.WithField("connections", phaseCounts(server)).Info("closing_connections")
 	drainCtx, cancel := steadyclock.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	// Other routers are served for longer: requests in flight need the attempts that they claim.
 	err := errors.CombineErrors(server.Drain(drainCtx), peerServer.Drain(drainCtx))
 	g.logger.WithField("unanswered", g.inFlight.Load()).WithField(logrus.ErrorKey, err).Info("stopped")
 }
--- a/internal/gateway/gather.go
+++ b/internal/gateway/gather.go
@@ -75,6 +75,7 @@
 	timer := time.NewTimer(steadyclock.Until(g.collection.Next(steadyclock.Now())))
 	defer timer.Stop()
 	defer g.cleanUp()
+	stopBegun := g.gateway.stop.begun
 	for {
 		now := steadyclock.Now()
 		if g.withdrawn != "" {
@@ -97,6 +98,10 @@
 		case <-g.events.ready:
 		case <-timer.C:
 			timer.Reset(max(time.Millisecond, steadyclock.Until(g.collection.Next(steadyclock.Now()))))
+		case <-stopBegun:
+			stopBegun = nil
+			g.collection.Deadline = g.deadline()
+			timer.Reset(steadyclock.Until(g.collection.Next(steadyclock.Now())))
 		case <-g.request.Context().Done():
 			g.recordOutcome("client_gone", 0, g.result)
 			return
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -103,6 +103,9 @@
 	unreadyDelay = 2300 * time.Millisecond
 	// stopMargin is reserved from Config.Grace for the exit of the process.
 	stopMargin = 500 * time.Millisecond
+	// lastAnswersTime is how long before the end of a planned stop requests in flight are
+	// answered at the latest.
+	lastAnswersTime = 200 * time.Millisecond
 	// firstDocumentTimeout bounds how long a request waits for the first document. A start of
 	// all processes takes longer, and requests that had waited for it would reach the servers
 	// in one burst, ahead of those that can still be answered in time (docs/results/0013).
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -151,7 +151,7 @@
 		Header: s.forwardedHeaders(table), Body: body, ID: s.id, Tenant: s.tenantName(),
 	})
 	// Checked twice: the body may take long to arrive, and admission may wait.
-	if s.refuseExpired() || !s.admit(table, forwarded) || s.refuseExpired() {
+	if s.refuseLate() || !s.admit(table, forwarded) || s.refuseLate() {
 		return
 	}
 	if s.route.Gathers() {
@@ -197,11 +197,24 @@
 	return body, 0
 }
 
+// ownDeadline returns the latest time for the answer by the client and the route.
+func (s *exchangeState) ownDeadline() time.Time {
+	return s.arrived.Add(min(s.remaining(), s.route.Timeout))
+}
+
 // deadline returns the latest time for the answer.
 func (s *exchangeState) deadline() time.Time {
-	return s.arrived.Add(min(s.remaining(), s.route.Timeout))
+	deadline := s.ownDeadline()
+	if answersBy := s.gateway.stop.answersBy.Load(); answersBy != nil && answersBy.Before(deadline) {
+		return *answersBy
+	}
+	return deadline
 }
 
+// refuseLate refuses a request whose answer would come too late, before anything is sent for it
+// but a trial. It reports whether it did.
+func (s *exchangeState) refuseLate() bool { return s.refuseExpired() || s.refuseStopping() }
+
 // refuseExpired refuses a request whose deadline has passed, before anything is sent for it but
 // a trial. It reports whether it did.
 func (s *exchangeState) refuseExpired() bool {
--- a/internal/scatter/decide.go
+++ b/internal/scatter/decide.go
@@ -55,6 +55,8 @@
 		reason = verdict.ReasonTimeout
 	case len(c.tried) > 0:
 		reason = failureReason(c.lastFailure)
+	case !e.answersBy.IsZero():
+		reason = verdict.ReasonStopping
 	}
 	e.fail(pending, reason)
 }
--- a/internal/scatter/dispatch.go
+++ b/internal/scatter/dispatch.go
@@ -14,6 +14,7 @@
 	if !event.Due.IsZero() {
 		e.timers.add(timer{at: event.Due, kind: timerDue, request: event.ID})
 	}
+	e.limitToStop(arrived)
 	arrived.calls = e.newCalls(arrived, event.Services, event.PriorAttempts)
 	for _, c := range arrived.calls {
 		e.begin(c)
--- a/internal/scatter/engine.go
+++ b/internal/scatter/engine.go
@@ -57,6 +57,8 @@
 	// both may hold others until the next LoadReport.
 	recent  []*server
 	waiting []*group
+	// answersBy is that of Stopping; zero while the process does not stop.
+	answersBy time.Time
 	// lateAt is when timers last ran late.
 	lateAt   time.Time
 	commands []Command
@@ -97,6 +99,8 @@
 		e.handleGrant(event)
 	case Abandoned:
 		e.abandon(event.Request)
+	case Stopping:
+		e.stop(event.AnswersBy)
 	case Withdrawn:
 		e.withdraw(event.Request)
 	case ServersChanged:
@@ -155,6 +159,8 @@
 			if pending, ok := e.requests[t.request]; ok && pending.open > 0 {
 				e.emit(Overdue{Request: pending.id, Result: e.result(pending)})
 			}
+		case timerLastSend:
+			e.settleWaiting(t.request)
 		case timerCapacity:
 			e.dispatchQueue(t.service)
 		case timerDeadline:
--- a/internal/scatter/timers.go
+++ b/internal/scatter/timers.go
@@ -12,6 +12,7 @@
 	timerCapacity
 	timerDue
 	timerClaim
+	timerLastSend
 )
 
 // timer is a scheduled action. Timers are never removed: one whose request or attempt has
