Stop all HTTP listeners without dropping what they have read

What callers saw: the fault of the routers' clients has its cause in every listener that is closed by net/http's belief: orders of the operator and servers at the directory (control), the peers' listener, ready, metrics, the status page, the relay's metrics and the callers' API of configured sites. An order that was read and then dropped is sent again, but its sender can't know whether it took effect.

Fix: all of them serve through httpdrain.Server. The callers' API no longer tracks states of net/http beside it. Listeners of one process now drain at the same time, so that one with a long call doesn't take the 300 ms of the others.

HTTP/2 between the product's own processes (rpc) says GOAWAY first and is unchanged.

--- a/cmd/martenstage/registered.go
+++ b/cmd/martenstage/registered.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/exitcode"
+	"github.com/martenstage/martenstage/internal/httpdrain"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
 	"github.com/martenstage/martenstage/internal/settings"
@@ -24,7 +25,7 @@
 	logger   *logrus.Logger
 	registry *prometheus.Registry
 	sink     *logging.Sink
-	servers  []*http.Server
+	servers  []*httpdrain.Server
 	running  sync.WaitGroup
 	// hangups tell that the settings may have changed.
 	hangups <-chan os.Signal
@@ -71,14 +72,19 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	p.serveOn(key, listener, handler)
+	return nil
+}
+
+// serveOn serves a handler on a listener until close.
+func (p *registeredProcess) serveOn(key string, listener net.Listener, handler http.Handler) {
+	server := httpdrain.NewServer(httpdrain.Config{Handler: handler, ReadHeaderTimeout: 10 * time.Second})
 	p.servers = append(p.servers, server)
 	p.running.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); err != nil {
 			p.logger.WithError(err).WithField("listener", key).Error("listener_failed")
 		}
 	})
-	return nil
 }
 
 // close ends the listeners and the log.
@@ -86,9 +92,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), httpCloseTime)
 	defer cancel()
 	for _, server := range p.servers {
-		if server.Shutdown(ctx) != nil {
-			_ = server.Close()
-		}
+		p.running.Go(func() {
+			if err := server.Drain(ctx); err != nil {
+				p.logger.WithError(err).Warn("calls_cut")
+			}
+		})
 	}
 	p.running.Wait()
 	p.sink.Close()
--- a/internal/callers/server.go
+++ b/internal/callers/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenstage/martenstage/internal/httpdrain"
 	"github.com/martenstage/martenstage/internal/wait"
 )
 
@@ -32,12 +33,10 @@
 
 // Server serves the callers' API until a planned stop.
 type Server struct {
-	http   *http.Server
+	http   *httpdrain.Server
 	router Router
 	config StopConfig
 	logger logrus.FieldLogger
-	// connections tracks the callers' connections.
-	connections *connectionTracker
 	// lastQuery is the arrival time of the latest query, in Unix nanoseconds.
 	// Readiness polls don't count, so that they don't delay the stop.
 	lastQuery atomic.Int64
@@ -47,17 +46,16 @@
 
 // NewServer returns a server for a handler of NewHandler.
 func NewServer(config StopConfig, handler http.Handler, queryRouter Router, logger logrus.FieldLogger) *Server {
-	server := &Server{router: queryRouter, config: config, logger: logger, connections: newConnectionTracker()}
-	server.http = &http.Server{
+	server := &Server{router: queryRouter, config: config, logger: logger}
+	server.http = httpdrain.NewServer(httpdrain.Config{
 		ReadHeaderTimeout: readHeaderTimeout,
-		ConnState:         server.connections.observe,
 		Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 			if request.Method == http.MethodPost {
 				server.lastQuery.Store(time.Now().UnixNano())
 			}
 			handler.ServeHTTP(writer, request)
 		}),
-	}
+	})
 	return server
 }
 
@@ -98,9 +96,7 @@
 	}
 	s.awaitQuiet(ctx)
 	listener.drain(ctx)
-	s.connections.awaitIdle(ctx)
-	// At this point only connections without a request remain.
-	err := s.http.Shutdown(ctx)
+	err := s.http.Drain(ctx)
 	s.logger.Info("planned stop: done")
 	return errors.Wrap(err, "planned stop")
 }
--- a/internal/control/status_page.go
+++ b/internal/control/status_page.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 
 	v1 "github.com/martenstage/martenstage/internal/gen/martenstage/v1"
+	"github.com/martenstage/martenstage/internal/httpdrain"
 	"github.com/martenstage/martenstage/internal/plan"
 	"github.com/martenstage/martenstage/internal/statuspage"
 )
@@ -18,6 +18,9 @@
 // before it falls back to this voter's local view.
 const confirmedTimeout = 2 * time.Second
 
+// pagesStopLimit is how long requests for pages may go on during a stop.
+const pagesStopLimit = 300 * time.Millisecond
+
 // pageSource provides the data of a voter's status page.
 type pageSource struct{ server *Server }
 
@@ -58,9 +61,8 @@
 // servePages serves plain HTTP to browsers and metrics collectors until the
 // context ends.
 func (p *Process) servePages(ctx context.Context, listener net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	server := httpdrain.NewServer(httpdrain.Config{Handler: handler, ReadHeaderTimeout: time.Second})
+	if err := server.ServeUntil(ctx, listener, pagesStopLimit); err != nil {
 		p.logger.WithError(err).WithField("address", listener.Addr()).Warn("pages_not_served")
 	}
 }
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -154,6 +154,20 @@
 	}
 }
 
+// ServeUntil serves until the context ends, and then drains for a time at most.
+func (s *Server) ServeUntil(ctx context.Context, listener net.Listener, limit time.Duration) error {
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(listener) }()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	draining, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return errors.CombineErrors(s.Drain(draining), <-served)
+}
+
 // Close closes the listeners and all connections at once.
 func (s *Server) Close() error {
 	s.draining.Store(true)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -17,6 +17,7 @@
 	"github.com/martenstage/martenstage/internal/exitcode"
 	"github.com/martenstage/martenstage/internal/follower"
 	"github.com/martenstage/martenstage/internal/gen/martenstage/v1/martenstagev1connect"
+	"github.com/martenstage/martenstage/internal/httpdrain"
 	"github.com/martenstage/martenstage/internal/keys"
 	"github.com/martenstage/martenstage/internal/logging"
 	"github.com/martenstage/martenstage/internal/metrics"
@@ -187,12 +188,14 @@
 	cancel()
 }
 
+// metricsStopLimit is how long requests for metrics may go on during a stop.
+const metricsStopLimit = 300 * time.Millisecond
+
 func (p *Process) serveMetrics(ctx context.Context) {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metrics.Handler(p.registry))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	if err := server.Serve(p.metrics); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	server := httpdrain.NewServer(httpdrain.Config{Handler: mux, ReadHeaderTimeout: time.Second})
+	if err := server.ServeUntil(ctx, p.metrics, metricsStopLimit); err != nil {
 		p.logger.WithField("reason", err).Warn("metrics not served")
 	}
 }
