Bound the memory and the connections that clients of a process take

What operators saw: clients outside the limits ended a process for lack of memory, with legal heads of very many lines, heads without end, and many bodies of legal size.

Cause: nothing bounds what clients hold at a process. Heads were read up to 64 KiB, or 1 MiB at readiness, metrics and control, whatever the document allows, and a parsed line takes many times its bytes. Bodies and connections were bounded by nothing.

Fix: a connection measures the bytes and lines of a request while it reads them. Their cost is taken from an intake that all listeners of the process share, a quarter of its memory, and given back after the response. At its end the request that has been arriving for the longest time is refused as not run, so that readers that stop short yield to ordinary callers; requests above 64 KiB leave a quarter to smaller ones; a single request is always served. Heads are refused at the size of the document while they arrive, with 431; headers that take too long get 408.

--- a/cmd/martenstage/directory.go
+++ b/cmd/martenstage/directory.go
@@ -25,7 +25,7 @@
 	if err := c.load(&c.Options); err != nil {
 		return err
 	}
-	return runRegistered(roleDirectory, c.LogLevel, c.MemoryLimit, hangups, c.run)
+	return runRegistered(roleDirectory, c.LogLevel, newProcessLimits(c.MemoryLimit, c.DescriptorLimit), hangups, c.run)
 }
 
 // wrapStore is put around the log on disk; nil but in builds that play faults of disks.
@@ -42,13 +42,13 @@
 	if err != nil {
 		return exitcode.With(exitcode.DataFolder, err)
 	}
-	if err := process.serve("peer-listen", c.PeerListen, node.PeerHandler()); err != nil {
+	if err := process.serve("peer-listen", c.PeerListen, mainShare, node.PeerHandler()); err != nil {
 		return err
 	}
-	if err := process.serve("control-listen", c.ControlListen, platform.ControlHandler(node)); err != nil {
+	if err := process.serve("control-listen", c.ControlListen, mainShare, platform.ControlHandler(node)); err != nil {
 		return err
 	}
-	if err := process.serve("metrics-listen", c.MetricsListen, metrics.Handler(process.registry)); err != nil {
+	if err := process.serve("metrics-listen", c.MetricsListen, statusShare, metrics.Handler(process.registry)); err != nil {
 		return err
 	}
 	go process.watch(stopping, c.Settings, c.reloadSeeds, node.SetSeeds)
--- a/cmd/martenstage/gateway.go
+++ b/cmd/martenstage/gateway.go
@@ -24,13 +24,14 @@
 	if err := c.load(&c.Options); err != nil {
 		return err
 	}
-	return runRegistered(roleGateway, c.LogLevel, c.MemoryLimit, hangups, c.run)
+	return runRegistered(roleGateway, c.LogLevel, newProcessLimits(c.MemoryLimit, c.DescriptorLimit), hangups, c.run)
 }
 
 func (c *gatewayCommand) run(stopping context.Context, process *registeredProcess) error {
 	running := gateway.New(gateway.Config{
 		Name: c.Name, Zone: c.Zone, PeerAddress: c.PeerListen, Seeds: c.SeedAddresses(), Grace: c.StopLimit, Budget: c.BudgetLimits(), Cold: c.ColdLimits(), EvacuateWithin: c.EvacuateWithin, RevokeWithin: c.RevokeWithin,
-		Parts:         c.Parts(),
+		Parts:  c.Parts(),
+		Intake: process.limits.intake, MaxClientConnections: process.limits.connections(mainShare), MaxPeerConnections: process.limits.connections(peerShare),
 		ParseDocument: platform.ParseDocument, Dialect: platform.Headers{}, Codec: platform.Headers{},
 	}, gateway.Environment{Logger: process.logger, Registerer: process.registry})
 	clients, err := listen("clients-listen", c.ClientsListen)
@@ -43,10 +44,10 @@
 			return err
 		}
 	}
-	if err := process.serve("ready-listen", c.ReadyListen, platform.ReadyHandler(running.Ready)); err != nil {
+	if err := process.serve("ready-listen", c.ReadyListen, statusShare, platform.ReadyHandler(running.Ready)); err != nil {
 		return err
 	}
-	if err := process.serve("metrics-listen", c.MetricsListen, metrics.Handler(process.registry)); err != nil {
+	if err := process.serve("metrics-listen", c.MetricsListen, statusShare, metrics.Handler(process.registry)); err != nil {
 		return err
 	}
 	go process.watch(stopping, c.Settings, c.reloadSeeds, running.SetSeeds)
--- a/cmd/martenstage/listeners_stop_test.go
+++ b/cmd/martenstage/listeners_stop_test.go
@@ -22,11 +22,11 @@
 	sink := logging.NewSink(io.Discard, registry)
 	logger, err := logging.New(sink, "info")
 	require.NoError(t, err)
-	process := &registeredProcess{logger: logger, registry: registry, sink: sink}
+	process := &registeredProcess{logger: logger, registry: registry, sink: sink, limits: newProcessLimits(0, 0)}
 	accepting, err := net.Listen("tcp4", testaddress.Next().String())
 	require.NoError(t, err)
 	listener := &slowread.Listener{Listener: accepting, Delay: 20 * time.Millisecond}
-	process.serveOn("control-listen", listener, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	process.serveOn("control-listen", listener, mainShare, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	const clients = 60
 	sending := slowread.SendUntilClosed(t, accepting.Addr().String(), "POST /order HTTP/1.1\r\nHost: node\r\nContent-Length: 0\r\n\r\n", clients)
 	time.Sleep(200 * time.Millisecond)
--- a/cmd/martenstage/registered.go
+++ b/cmd/martenstage/registered.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"sync"
 	"time"
 
@@ -25,6 +24,7 @@
 	logger   *logrus.Logger
 	registry *prometheus.Registry
 	sink     *logging.Sink
+	limits   processLimits
 	servers  []*httpdrain.Server
 	running  sync.WaitGroup
 	// hangups tell that the settings may have changed.
@@ -33,9 +33,9 @@
 
 // runRegistered runs a role of a site with registered servers until a signal.
 func runRegistered(
-	role, level string, memoryLimit int64, hangups <-chan os.Signal, run func(context.Context, *registeredProcess) error,
+	role, level string, limits processLimits, hangups <-chan os.Signal, run func(context.Context, *registeredProcess) error,
 ) error {
-	process, err := newRegisteredProcess(role, level, memoryLimit)
+	process, err := newRegisteredProcess(role, level, limits)
 	if err != nil {
 		return exitcode.With(exitcode.Settings, err)
 	}
@@ -50,21 +50,31 @@
 // httpCloseTime bounds the end of the listeners that carry short calls.
 const httpCloseTime = 300 * time.Millisecond
 
-func newRegisteredProcess(role, level string, memoryLimit int64) (*registeredProcess, error) {
-	if memoryLimit > 0 {
-		debug.SetMemoryLimit(memoryLimit)
-	}
+func newRegisteredProcess(role, level string, limits processLimits) (*registeredProcess, error) {
+	limits.apply()
 	registry := metrics.NewRegistry(role)
 	sink := logging.NewSink(os.Stdout, registry)
 	logger, err := logging.New(sink, level)
 	if err != nil {
 		return nil, err
 	}
-	return &registeredProcess{logger: logger, registry: registry, sink: sink}, nil
+	return &registeredProcess{logger: logger, registry: registry, sink: sink, limits: limits}, nil
 }
 
-// serve serves a handler at an address until close; an empty address is none.
-func (p *registeredProcess) serve(key, address string, handler http.Handler) error {
+// Shares of the descriptors that listeners may use for connections, in percent.
+const (
+	// mainShare is for those of clients, servers and operators, and of other processes of the
+	// system; statusShare for those of readiness and metrics.
+	mainShare   = 40
+	statusShare = 6
+	// peerShare is for the connections of other routers to a router, which also needs
+	// descriptors for servers.
+	peerShare = 20
+)
+
+// serve serves a handler at an address until close; an empty address is none. Its connections may
+// use a share of the descriptors.
+func (p *registeredProcess) serve(key, address string, share int64, handler http.Handler) error {
 	if address == "" {
 		return nil
 	}
@@ -72,13 +82,15 @@
 	if err != nil {
 		return err
 	}
-	p.serveOn(key, listener, handler)
+	p.serveOn(key, listener, share, handler)
 	return nil
 }
 
 // serveOn serves a handler on a listener until close.
-func (p *registeredProcess) serveOn(key string, listener net.Listener, handler http.Handler) {
-	server := httpdrain.NewServer(httpdrain.Config{Handler: handler, ReadHeaderTimeout: 10 * time.Second})
+func (p *registeredProcess) serveOn(key string, listener net.Listener, share int64, handler http.Handler) {
+	server := httpdrain.NewServer(httpdrain.Config{
+		Handler: handler, ReadHeaderTimeout: 10 * time.Second, Intake: p.limits.intake, MaxConnections: p.limits.connections(share),
+	})
 	p.servers = append(p.servers, server)
 	p.running.Go(func() {
 		if err := server.Serve(listener); err != nil {
--- a/internal/directory/settings.go
+++ b/internal/directory/settings.go
@@ -28,7 +28,8 @@
 	AdmissionPlan     string        `long:"admission-plan" koanf:"admission-plan" default:"off" validate:"oneof=on off" description:"Whether this node, while it leads, has routers refuse what exceeds the capacity of services, by priority and tenant"`
 	StopLimit         time.Duration `long:"stop-limit" koanf:"stop-limit" default:"30s" validate:"min=1s" description:"Longest planned stop"`
 	LogLevel          string        `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
-	MemoryLimit       int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
+	MemoryLimit       int64         `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that the process may use, bytes; 0 for that of the machine. Requests that are being read or served may take a quarter of it"`
+	DescriptorLimit   int64         `long:"descriptor-limit" koanf:"descriptor-limit" default:"0" validate:"min=0" description:"Files and connections that the process may have open; 0 for what the system allows. Connections of clients and servers may take two fifths of it"`
 }
 
 // SeedAddresses returns the peer addresses of the seeds.
--- a/internal/gateway/client_connection.go
+++ b/internal/gateway/client_connection.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"syscall"
 	"time"
 
@@ -24,7 +23,9 @@
 	// with something read and not answered, by cause and phase.
 	limited *prometheus.CounterVec
 	lost    *prometheus.CounterVec
-	lines   logging.LineLimit
+	// lines and refusedLines bound the log lines about the two.
+	lines        logging.LineLimit
+	refusedLines logging.LineLimit
 }
 
 func newClientCloses(registerer prometheus.Registerer, logger logrus.FieldLogger) *clientCloses {
@@ -32,7 +33,7 @@
 	return &clientCloses{
 		logger: logger,
 		limited: factory.NewCounterVec(prometheus.CounterOpts{
-			Name: "martenstage_gateway_client_connections_closed_total", Help: "Connections of clients that were closed for a limit of the document.",
+			Name: "martenstage_gateway_client_connections_closed_total", Help: "Connections of clients that were closed for a limit of the document or of the process.",
 		}, []string{"limit"}),
 		lost: factory.NewCounterVec(prometheus.CounterOpts{
 			Name: "martenstage_gateway_client_connections_lost_total", Help: "Connections of clients that were closed with a part of a request read and not answered.",
@@ -42,10 +43,12 @@
 
 // record counts a closed connection, and logs it if something read from it was not answered.
 func (c *clientCloses) record(closed httpdrain.Closed) {
-	if closed.Cause == httpdrain.CauseIdleTime || closed.Cause == httpdrain.CauseHeaderTime {
+	switch closed.Cause {
+	case httpdrain.CauseIdleTime, httpdrain.CauseHeaderTime, httpdrain.CauseHeaderSize, httpdrain.CauseMemory, httpdrain.CauseConnections:
 		c.limited.WithLabelValues(string(closed.Cause)).Inc()
 	}
 	if !closed.Lost() {
+		c.logRefused(closed)
 		return
 	}
 	c.lost.WithLabelValues(string(closed.Cause), closed.Phase.String()).Inc()
@@ -56,22 +59,22 @@
 	}
 }
 
+// logRefused logs a connection that was closed because of the memory or the connections that clients
+// take.
+func (c *clientCloses) logRefused(closed httpdrain.Closed) {
+	if closed.Cause != httpdrain.CauseMemory && closed.Cause != httpdrain.CauseConnections {
+		return
+	}
+	if dropped, allowed := c.refusedLines.Allow(steadyclock.Now()); allowed {
+		c.logger.WithFields(logrus.Fields{"cause": closed.Cause, "phase": closed.Phase, "client": closed.Remote, "suppressed": dropped}).Info("connection_closed_for_others")
+	}
+}
+
 // phaseCounts returns the number of a server's connections by phase, for the log.
 func phaseCounts(server *httpdrain.Server) map[string]int {
 	return lo.MapKeys(server.Phases(), func(_ int, phase httpdrain.Phase) string { return phase.String() })
 }
 
-// headerBytes returns the approximate size of a request's header on the wire.
-func headerBytes(request *http.Request) int {
-	size := len(request.Method) + len(request.RequestURI) + len(request.Proto) + len(request.Host)
-	for name, values := range request.Header {
-		for _, value := range values {
-			size += len(name) + len(": \r\n") + len(value)
-		}
-	}
-	return size
-}
-
 // unknownRoundTrip is assumed where the operating system does not report the round-trip time.
 const unknownRoundTrip = 6 * time.Millisecond
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,12 +187,15 @@
 	tasks.Go(func() { g.follower.reportRollouts(background) })
 	tasks.Go(func() { g.isolation.run(background) })
 	server := httpdrain.NewServer(httpdrain.Config{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, OnClosed: g.clientCloses.record,
+		Handler: g, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: g.maxHeaderBytes, OnClosed: g.clientCloses.record,
+		Intake: g.config.Intake, MaxConnections: g.config.MaxClientConnections,
 	})
 	tasks.Go(func() { g.enforceLimits(background, server) })
 	serveErrors := make(chan error, 2)
 	go func() { serveErrors <- server.Serve(clients) }()
-	peerServer := httpdrain.NewServer(httpdrain.Config{Handler: g.PeerHandler(), ReadHeaderTimeout: readHeaderTimeout})
+	peerServer := httpdrain.NewServer(httpdrain.Config{
+		Handler: g.PeerHandler(), ReadHeaderTimeout: readHeaderTimeout, Intake: g.config.Intake, MaxConnections: g.config.MaxPeerConnections,
+	})
 	if peers != nil {
 		go func() { serveErrors <- peerServer.Serve(peers) }()
 	}
@@ -209,6 +212,15 @@
 	return failure
 }
 
+// maxHeaderBytes returns the largest head of a request by the active document; 0 for no limit of
+// its own.
+func (g *Gateway) maxHeaderBytes() int {
+	if table := g.table.Load(); table != nil {
+		return table.Document().Limits.HeaderBytes
+	}
+	return 0
+}
+
 // enforceLimits closes connections of clients that exceed the time limits of the active
 // document.
 func (g *Gateway) enforceLimits(ctx context.Context, server *httpdrain.Server) {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenstage/martenstage/internal/exchange"
+	"github.com/martenstage/martenstage/internal/httpdrain"
 	"github.com/martenstage/martenstage/internal/message"
 	"github.com/martenstage/martenstage/internal/routing"
 	"github.com/martenstage/martenstage/internal/scatter"
@@ -53,9 +54,15 @@
 	// Parts are the enabled parts of load sharing and admission.
 	Parts Parts
 	// ParseDocument parses a routing document.
-	ParseDocument func(text []byte) (*routing.Document, error)
-	Dialect       Dialect
-	Codec         exchange.Codec
+	// Intake bounds the memory of requests; nil for no bound.
+	Intake *httpdrain.Intake
+	// MaxClientConnections and MaxPeerConnections bound the open connections of clients and
+	// other routers; 0 for no bound.
+	MaxClientConnections int
+	MaxPeerConnections   int
+	ParseDocument        func(text []byte) (*routing.Document, error)
+	Dialect              Dialect
+	Codec                exchange.Codec
 }
 
 // Parts are the parts of load sharing and admission that are enabled.
@@ -93,7 +100,6 @@
 	answerMargin = 10 * time.Millisecond
 	// defaultBodyBytes bounds request bodies if the document sets no limit.
 	defaultBodyBytes  = 8 << 20
-	maxHeaderBytes    = 64 << 10
 	readHeaderTimeout = 10 * time.Second
 	pruneInterval     = 2 * time.Second
 	// limitInterval is how often the time limits of client connections are checked.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -58,10 +58,6 @@
 		return
 	}
 	state.version = table.Document().Version
-	if limit := table.Document().Limits.HeaderBytes; limit > 0 && headerBytes(request) > limit {
-		state.refuse(http.StatusRequestHeaderFieldsTooLarge, verdict.ReasonHeaderTooLarge, 0)
-		return
-	}
 	state.route = table.Find(request.Host, pathOf(state.target()))
 	if state.route == nil {
 		state.refuseUnknown(http.StatusNotFound, verdict.ReasonUnknownRoute)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -35,8 +35,9 @@
 	SharedConditions string `long:"shared-conditions" koanf:"shared-conditions" default:"on" validate:"oneof=on off" description:"Avoid servers that other routers find slow, refusing or silent"`
 	ResendRefused    string `long:"resend-refused" koanf:"resend-refused" default:"on" validate:"oneof=on off" description:"Send a call that all its servers refused to one of them again"`
 
-	LogLevel    string `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
-	MemoryLimit int64  `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that garbage collection aims to stay below, bytes; 0 for none"`
+	LogLevel        string `long:"log-level" koanf:"log-level" default:"info" validate:"oneof=debug info warning error" description:"Least level of log lines"`
+	MemoryLimit     int64  `long:"memory-limit" koanf:"memory-limit" default:"0" validate:"min=0" description:"Memory that the process may use, bytes; 0 for that of the machine. Requests that are being read or served may take a quarter of it"`
+	DescriptorLimit int64  `long:"descriptor-limit" koanf:"descriptor-limit" default:"0" validate:"min=0" description:"Files and connections that the process may have open; 0 for what the system allows. Connections of clients and servers may take two fifths of it"`
 }
 
 // SeedAddresses returns the addresses at which routers reach directory nodes.
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -59,6 +59,12 @@
 	// CauseIdleTime and CauseHeaderTime: the connection exceeded one of Limits.
 	CauseIdleTime   Cause = "idle_time"
 	CauseHeaderTime Cause = "header_time"
+	// CauseHeaderSize: the head of a request is larger than Config.MaxHeaderBytes.
+	CauseHeaderSize Cause = "header_size"
+	// CauseMemory: the Intake has reached its limit. CauseConnections: there are too many
+	// connections.
+	CauseMemory      Cause = "memory"
+	CauseConnections Cause = "connections"
 )
 
 // Closed describes a connection at its close.
@@ -67,13 +73,15 @@
 	Phase Phase
 	// Unanswered is the number of bytes read since the last response.
 	Unanswered int64
+	// Refused is set if the connection has refused the request that was being read.
+	Refused bool
 	// Remote is the address of the client.
 	Remote string
 }
 
 // Lost reports whether the close dropped something that had been read and was not answered.
 func (c Closed) Lost() bool {
-	return c.Cause == CauseWrite || c.Unanswered > 0 && (c.Phase == Receiving || c.Phase == Serving)
+	return c.Cause == CauseWrite || !c.Refused && c.Unanswered > 0 && (c.Phase == Receiving || c.Phase == Serving)
 }
 
 // Conn is a connection of a Server. Its methods are safe for concurrent use.
@@ -88,8 +96,15 @@
 	// since is when the phase began.
 	since      time.Time
 	unanswered int64
+	head       headScanner
 	cause      Cause
 	closed     bool
+	// complete is set once the current request has been read. responding is set once bytes of
+	// its response have been written, refused once the connection has written a refusal itself
+	// and drops what net/http writes.
+	complete   bool
+	responding bool
+	refused    bool
 	// deadline is the read deadline that net/http has set. interrupt is why it is replaced by
 	// one that has passed; empty if it is not. ending is why the connection ends once it
 	// waits; empty if it does not.
@@ -124,6 +139,9 @@
 // CloseWrite closes the sending side, if the accepted connection can. net/http does so before it
 // closes a connection with unread bytes.
 func (c *Conn) CloseWrite() error {
+	if c.makesRoom() {
+		return c.Close()
+	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -133,14 +151,107 @@
 // Read implements net.Conn.
 func (c *Conn) Read(into []byte) (int, error) {
 	for {
+		if c.isRefused() {
+			return 0, errRefused
+		}
 		count, err := c.Conn.Read(into)
 		count, err, again := c.evaluateRead(into, count, err)
+		if count > 0 && !c.accept(into[:count]) {
+			return 0, errRefused
+		}
 		if !again {
 			return count, err
 		}
 	}
 }
 
+// errRefused ends the reading of a request that the connection has refused itself. net/http writes
+// no response for a net.OpError.
+var errRefused = &net.OpError{Op: "read", Net: "tcp", Err: ErrRefused}
+
+// isRefused reports whether the connection has refused a request, after which it reads no further.
+func (c *Conn) isRefused() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.refused
+}
+
+// accept decides whether further bytes of a request are taken. If not, the request is refused.
+func (c *Conn) accept(text []byte) bool {
+	cost := c.measure(text)
+	if cost < 0 {
+		c.refuse(CauseHeaderSize)
+		return false
+	}
+	if cost == 0 || c.server.config.Intake == nil {
+		return true
+	}
+	for _, victim := range c.server.config.Intake.take(c, cost, steadyclock.Now()) {
+		if victim == c {
+			c.refuse(CauseMemory)
+			return false
+		}
+		victim.evict(CauseMemory)
+	}
+	return true
+}
+
+// measure returns the cost of bytes that were read: 0 for those of a next request, -1 for those
+// of a head that is too large.
+func (c *Conn) measure(text []byte) int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	cost := byteCost * int64(len(text))
+	switch {
+	case c.complete:
+		return 0
+	case c.phase != Receiving:
+		return cost
+	}
+	if c.head.size == 0 {
+		cost += requestCost
+	}
+	lines := c.head.lines
+	c.head.scan(text)
+	if limit := c.server.maxHeaderBytes(); limit > 0 && c.head.size > limit {
+		return -1
+	}
+	return cost + lineCost*int64(c.head.lines-lines)
+}
+
+// evict has the connection end in favour of others, unless its current request has been read.
+func (c *Conn) evict(cause Cause) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.phase == Opened || c.phase == Waiting || c.isReceiving() {
+		c.interruptFor(cause)
+	}
+}
+
+// isReceiving reports whether a part of a request has been read. The mutex is held.
+func (c *Conn) isReceiving() bool {
+	return !c.complete && (c.phase == Receiving || c.phase == Serving)
+}
+
+// makesRoom reports whether the connection was closed because there are too many.
+func (c *Conn) makesRoom() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.cause == CauseConnections
+}
+
+// evicted reports whether the connection ends in favour of others. The mutex is held.
+func (c *Conn) evicted() bool {
+	return c.interrupt == CauseMemory || c.interrupt == CauseConnections
+}
+
+// HeadBytes returns the size of the current request's head.
+func (c *Conn) HeadBytes() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.head.size
+}
+
 // evaluateRead records the outcome of a read. It returns again if the read was interrupted, but a
 // request has begun in the meantime.
 func (c *Conn) evaluateRead(into []byte, count int, err error) (_ int, _ error, again bool) {
@@ -150,14 +261,18 @@
 		c.recordBytes(count)
 		return count, err, false
 	}
-	if c.interrupt == "" || !errors.Is(err, os.ErrDeadlineExceeded) || c.deadlinePassed() {
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.setCause(CauseClient)
-		}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.setCause(CauseClient)
 		return count, err, false
 	}
-	switch c.phase {
-	case Opened, Waiting:
+	passed := c.deadlinePassed()
+	switch {
+	case passed && c.phase == Receiving:
+		c.refuseLocked(CauseHeaderTime)
+		return 0, errRefused, false
+	case passed || c.interrupt == "":
+		return count, err, false
+	case c.phase == Opened || c.phase == Waiting:
 		// A deadline that has passed ends a read even if bytes have arrived.
 		if count = c.readAvailable(into); count > 0 {
 			c.recordBytes(count)
@@ -165,9 +280,9 @@
 		}
 		c.setCause(c.interrupt)
 		return 0, io.EOF, false
-	case Receiving:
-		c.setCause(c.interrupt)
-		return 0, err, false
+	case c.phase == Receiving || c.evicted() && !c.complete:
+		c.refuseLocked(c.interrupt)
+		return 0, errRefused, false
 	default:
 		c.restoreDeadline()
 		return 0, nil, true
@@ -185,6 +300,7 @@
 	}
 	if c.phase == Opened || c.phase == Waiting || c.phase == Answered {
 		c.enter(Receiving)
+		c.head, c.complete, c.responding = headScanner{}, false, false
 		c.restoreDeadline()
 	}
 }
@@ -219,6 +335,7 @@
 		c.interruptFor(c.ending)
 	case Waiting:
 		c.enter(Receiving)
+		c.head, c.complete, c.responding = headScanner{}, false, false
 		c.interrupt = ""
 	case Opened, Receiving, Serving, Handled:
 	}
@@ -235,6 +352,12 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(from []byte) (int, error) {
+	if c.isRefused() {
+		return len(from), nil
+	}
+	c.mutex.Lock()
+	c.responding = true
+	c.mutex.Unlock()
 	count, err := c.Conn.Write(from)
 	if err != nil {
 		c.mutex.Lock()
@@ -254,6 +377,7 @@
 	c.mutex.Unlock()
 	err := c.Conn.Close()
 	if first {
+		c.release()
 		c.server.forget(c)
 		c.server.report(record)
 	}
@@ -262,7 +386,7 @@
 
 // closedRecord describes the closed connection. The mutex is held.
 func (c *Conn) closedRecord() Closed {
-	return Closed{Cause: c.cause, Phase: c.phase, Unanswered: c.unanswered, Remote: c.RemoteAddr().String()}
+	return Closed{Cause: c.cause, Phase: c.phase, Unanswered: c.unanswered, Refused: c.refused, Remote: c.RemoteAddr().String()}
 }
 
 // begin records that a handler has received a request.
@@ -271,22 +395,50 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.enter(Serving)
-	c.restoreDeadline()
+	if !c.evicted() {
+		c.restoreDeadline()
+	}
+}
+
+// read records that the current request has been read completely: it is not refused for its memory
+// any more.
+func (c *Conn) read() {
+	c.mutex.Lock()
+	c.complete = true
+	if c.evicted() {
+		c.restoreDeadline()
+	}
+	c.mutex.Unlock()
+	if intake := c.server.config.Intake; intake != nil {
+		intake.completed(c)
+	}
 }
 
 // handled records that the handler has returned.
 func (c *Conn) handled() {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	c.enter(Handled)
+	refused := c.refused
+	c.mutex.Unlock()
+	if refused {
+		c.release()
+	}
 }
 
 // answered records that a response is complete.
 func (c *Conn) answered() {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	c.enter(Answered)
 	c.unanswered = 0
+	c.mutex.Unlock()
+	c.release()
+}
+
+// release gives back the memory of the current request.
+func (c *Conn) release() {
+	if intake := c.server.config.Intake; intake != nil {
+		intake.release(c)
+	}
 }
 
 // end has the connection end as soon as it waits for a request.
@@ -362,9 +514,44 @@
 	return c.phase == Opened && now.Sub(c.since) < age
 }
 
+// closeFor closes a connection that net/http does not know.
+func (c *Conn) closeFor(cause Cause) {
+	c.mutex.Lock()
+	c.setCause(cause)
+	c.mutex.Unlock()
+	_ = c.Close()
+}
+
 // closeAtLimit records that the connection is cut because the time for the stop ran out.
 func (c *Conn) closeAtLimit() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.setCause(CauseStopLimit)
 }
+
+// idleness tells how much a connection is in the way of others.
+type idleness struct {
+	// yields is set if no complete request is being served on the connection.
+	yields bool
+	// active is set if a request is being received or the connection is new, since is when the
+	// phase began.
+	active bool
+	since  time.Time
+}
+
+// before orders connections by how soon they yield: those that rest, then the active ones, each
+// the longest first.
+func (i idleness) before(other idleness) bool {
+	if i.active != other.active {
+		return other.active
+	}
+	return i.since.Before(other.since)
+}
+
+func (c *Conn) idleness() idleness {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	receiving, isNew := c.isReceiving(), c.phase == Opened && steadyclock.Since(c.since) < newConnectionGrace
+	yields := (c.phase == Opened || c.phase == Waiting || receiving) && c.interrupt == ""
+	return idleness{yields: yields, active: receiving || isNew, since: c.since}
+}
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +15,13 @@
 )
 
 const (
+	// defaultMaxHeaderBytes applies without Config.MaxHeaderBytes.
+	defaultMaxHeaderBytes = 64 << 10
+	// hardMaxHeaderBytes is the limit of net/http, which is above any that a Conn applies.
+	hardMaxHeaderBytes = 1 << 30
+	// endingShare is how many connections may be ending beyond Config.MaxConnections, in percent
+	// of it.
+	endingShare = 25
 	// newConnectionGrace is how long the first request of a new connection is awaited during a
 	// stop: a client opens a connection to send on it.
 	newConnectionGrace = time.Second
@@ -24,9 +32,15 @@
 // Config configures a Server.
 type Config struct {
 	Handler http.Handler
-	// ReadHeaderTimeout and MaxHeaderBytes are those of http.Server.
+	// ReadHeaderTimeout is that of http.Server.
 	ReadHeaderTimeout time.Duration
-	MaxHeaderBytes    int
+	// MaxHeaderBytes returns the largest head of a request, in bytes; nil or 0 for the default
+	// of 64 KiB.
+	MaxHeaderBytes func() int
+	// Intake bounds the memory of requests, of several servers if they share it; nil for none.
+	Intake *Intake
+	// MaxConnections bounds the open connections; 0 for no bound.
+	MaxConnections int
 	// OnClosed is called for each closed connection, and again if a read that was pending at
 	// the close returns bytes; nil for none. It must not block.
 	OnClosed func(Closed)
@@ -58,7 +72,7 @@
 func NewServer(config Config) *Server {
 	server := &Server{config: config, connections: make(map[*Conn]struct{})}
 	server.http = &http.Server{
-		Handler: http.HandlerFunc(server.handle), ReadHeaderTimeout: config.ReadHeaderTimeout, MaxHeaderBytes: config.MaxHeaderBytes,
+		Handler: http.HandlerFunc(server.handle), ReadHeaderTimeout: config.ReadHeaderTimeout, MaxHeaderBytes: hardMaxHeaderBytes,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, conn)
 		},
@@ -79,11 +93,41 @@
 	if conn, ok := ConnOf(request.Context()); ok {
 		conn.begin()
 		defer conn.handled()
+		if request.Body == nil || request.Body == http.NoBody {
+			conn.read()
+		} else {
+			request.Body = &trackedBody{ReadCloser: request.Body, conn: conn}
+		}
 	}
 	s.PrepareResponse(writer.Header())
 	s.config.Handler.ServeHTTP(writer, request)
 }
 
+// trackedBody tells its connection when it has been read.
+type trackedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(into []byte) (int, error) {
+	count, err := b.ReadCloser.Read(into)
+	if err == io.EOF { //nolint:errorlint // Readers return io.EOF itself.
+		b.conn.read()
+	}
+	return count, err
+}
+
+// maxHeaderBytes returns the largest head of a request that is accepted.
+func (s *Server) maxHeaderBytes() int {
+	if s.config.MaxHeaderBytes != nil {
+		if limit := s.config.MaxHeaderBytes(); limit > 0 {
+			return limit
+		}
+	}
+	return defaultMaxHeaderBytes
+}
+
 // Serve accepts connections until Drain or Close, after which it returns nil.
 func (s *Server) Serve(listener net.Listener) error {
 	s.accepts.Add(1)
@@ -211,6 +255,30 @@
 	return conn
 }
 
+// makeRoom ends a connection if there are too many: the one that has waited for a request for the
+// longest time, or else the one whose request has been arriving for the longest time. It returns
+// false if so many are ending that a further one can't be accepted.
+func (s *Server) makeRoom() bool {
+	limit := s.config.MaxConnections
+	s.mutex.Lock()
+	count := len(s.connections)
+	s.mutex.Unlock()
+	if limit == 0 || count <= limit {
+		return true
+	}
+	var oldest *Conn
+	var chosen idleness
+	for _, conn := range s.open() {
+		if idle := conn.idleness(); idle.yields && (oldest == nil || idle.before(chosen)) {
+			oldest, chosen = conn, idle
+		}
+	}
+	if oldest != nil {
+		oldest.evict(CauseConnections)
+	}
+	return count <= limit+limit*endingShare/100
+}
+
 // forget removes a connection that has been closed.
 func (s *Server) forget(conn *Conn) {
 	s.mutex.Lock()
@@ -233,9 +301,15 @@
 
 // Accept implements net.Listener.
 func (l trackingListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		conn := l.server.track(accepted)
+		if l.server.makeRoom() {
+			return conn, nil
+		}
+		conn.closeFor(CauseConnections)
 	}
-	return l.server.track(accepted), nil
 }
--- a/internal/httpdrain/server_test.go
+++ b/internal/httpdrain/server_test.go
@@ -244,3 +244,24 @@
 	require.Equal(t, httpdrain.Serving, closed.Phase)
 	require.EqualValues(t, len(request), closed.Unanswered)
 }
+
+func TestHeaderLimitRefusesAHeaderThatIsIncomplete(t *testing.T) {
+	s := serve(t, hello)
+	slow := s.dial()
+	slow.send("GET /a HTTP/1.1\r\nHo")
+	s.awaitPhase(httpdrain.Receiving, 1)
+	s.Enforce(steadyclock.Now().Add(time.Hour), httpdrain.Limits{Header: time.Second})
+	slow.requireRefused(http.StatusRequestTimeout)
+}
+
+// requireRefused reads a refusal, after which the connection is closed.
+func (c *client) requireRefused(status int) {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err)
+	require.Equal(c.t, status, response.StatusCode)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(c.t, err)
+	require.True(c.t, response.Close)
+	c.requireClosed()
+}
