Receive bodies until the deadline, before a request takes a place in flight

What callers saw: with 2,005 bodies that stop just short of their end, every ordinary request got 503 overloaded for as long as those stayed open.

Cause: a request counted as in flight before its body was read, and the read had no time limit: the deadline was looked at only after it.

Fix: the body is read until the deadline of the request at the latest, which is then refused as not run, and the request is counted once it is complete. A body that the connection refused for its memory is logged as overloaded, and one that the client broke off as bad_request, no longer as too large.

TestBodyThatStopsShortIsRefusedAtItsDeadline failed before: the connection stayed open for 20 s, until the test gave up.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -70,3 +70,14 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	require.NoError(t, response.Body.Close())
 }
+
+// TestBodyThatStopsShortIsRefusedAtItsDeadline guards against bodies that stay open without end.
+func TestBodyThatStopsShortIsRefusedAtItsDeadline(t *testing.T) {
+	s := limitedSite(t, routing.Limits{BodyBytes: 1000})
+	short := dialSite(t, s)
+	_, err := io.WriteString(short, "POST /a/ HTTP/1.1\r\nHost: site\r\nX-Id: r-1\r\nX-Left: 200ms\r\nContent-Length: 10\r\n\r\nbody")
+	require.NoError(t, err)
+	response := short.receive()
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.True(t, response.Close)
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -4,6 +4,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"time"
@@ -69,13 +70,18 @@
 	if state.refuseWithoutServers() {
 		return
 	}
+	body, received := state.receiveBody(table.Document().Limits.BodyBytes)
+	if !received {
+		return
+	}
+	// Counted only now: a request whose body has not arrived takes no place of others.
 	if g.inFlight.Add(1) > maxInFlight {
 		g.inFlight.Add(-1)
 		state.refuse(http.StatusServiceUnavailable, verdict.ReasonOverloaded, state.retryAfter())
 		return
 	}
 	defer g.inFlight.Add(-1)
-	state.serve(table)
+	state.serve(table, body)
 }
 
 // retryAfter returns after how long a client may retry a request that this router can't serve
@@ -136,12 +142,7 @@
 	return s.request.URL.RequestURI()
 }
 
-func (s *exchangeState) serve(table *routing.Table) {
-	body, status := s.readBody(table.Document().Limits.BodyBytes)
-	if status != 0 {
-		s.refuse(status, verdict.ReasonBodyTooLarge, 0)
-		return
-	}
+func (s *exchangeState) serve(table *routing.Table, body []byte) {
 	forwarded := newFingerprinted(&message.Request{
 		Method: s.request.Method, Target: s.target(), Host: s.request.Host,
 		Header: s.forwardedHeaders(table), Body: body, ID: s.id, Tenant: s.tenantName(),
@@ -177,20 +178,32 @@
 	}
 }
 
-// readBody reads the complete body; status is 0 or that of the refusal.
-func (s *exchangeState) readBody(limit int64) (body []byte, status int) {
+// receiveBody reads the complete body, until the deadline of the request. It reports whether it did;
+// otherwise the request is refused.
+func (s *exchangeState) receiveBody(limit int64) ([]byte, bool) {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	if s.request.Body != http.NoBody {
+		// Fails only for a writer without a connection.
+		_ = http.NewResponseController(s.writer).SetReadDeadline(steadyclock.RuntimeDeadline(s.deadline()))
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(s.writer, s.request.Body, limit))
 	var large *http.MaxBytesError
 	switch {
+	case err == nil:
+		return body, true
 	case errors.As(err, &large):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
-	}
-	return body, 0
+		s.refuse(http.StatusRequestEntityTooLarge, verdict.ReasonBodyTooLarge, 0)
+	case errors.Is(err, httpdrain.ErrRefused):
+		s.recordOutcome("refused", http.StatusServiceUnavailable, scatter.Result{Verdict: verdict.NotRun, Reason: verdict.ReasonOverloaded})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		s.writer.Header().Set("Connection", "close")
+		s.refuse(http.StatusServiceUnavailable, verdict.ReasonDeadlinePassed, 0)
+	default:
+		s.refuse(http.StatusBadRequest, verdict.ReasonBadRequest, 0)
+	}
+	return nil, false
 }
 
 // ownDeadline returns the latest time for the answer by the client and the route.
