Take no status that HTTP doesn't know for an answer

What callers saw, on other systems: a server in trouble sent an answer with status 000, and the client got it as an answer. Here the router skipped any status below 200 as informational and read on, so that a whole answer behind 000 was taken as the answer to the request, and answers of status 600 to 999 were passed on.

Fix: only 100 to 599 are statuses (RFC 9110, section 15), of which 101 is never asked for. Anything else ends the attempt as broken: the request may have run. The probes and cancellations of the other interface took 000 for success; its queries want 200.

TestStatusesThatAreNoAnswerNeverCount failed before (000 with an answer behind it counted as success), and so did TestStatusThatIsNoAnswerMakesNoServerHealthy.

The other report, a head cut short that becomes a 200 with a body framed as whole, does not happen here: TestReplyCutAtAnyByteIsNoReply cuts an answer at every byte, and passed before.

--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -83,7 +83,7 @@
 	}
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
 	_ = response.Body.Close()
-	if err == nil && response.StatusCode >= http.StatusMultipleChoices {
+	if err == nil && (response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices) {
 		return nil, !response.Close, errors.Newf("%s %s: status %d", request.Method, request.URL.Path, response.StatusCode)
 	}
 	return body, err == nil && !response.Close, err
--- a/internal/backend/probe_test.go
+++ b/internal/backend/probe_test.go
@@ -61,3 +61,25 @@
 		require.Equal(t, test.silent, observed.TimedOut, name)
 	}
 }
+
+// TestStatusThatIsNoAnswerMakesNoServerHealthy probes a server in trouble.
+func TestStatusThatIsNoAnswerMakesNoServerHealthy(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp4", testaddress.Next().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		accepted, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = accepted.Close() }()
+		_, _ = accepted.Read(make([]byte, 1024))
+		_, _ = accepted.Write([]byte("HTTP/1.1 000 trouble\r\nContent-Length: 2\r\n\r\n{}"))
+	}()
+	client := New(Config{DialTimeout: 30 * time.Second}, Dependencies{Logger: logrus.New(), Registerer: prometheus.NewRegistry()})
+	t.Cleanup(client.Close)
+	observed, probed := client.Probe(t.Context(), netip.MustParseAddrPort(listener.Addr().String()))
+	require.True(t, probed)
+	require.False(t, observed.Reachable)
+}
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -297,15 +297,26 @@
 	return body, err
 }
 
-// readFinalResponse skips informational responses.
+// Bounds of the statuses that are an answer (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// readFinalResponse skips informational responses. What has another status than HTTP knows is no
+// answer.
 func readFinalResponse(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, err
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errUnexpectedReply
+		status := response.StatusCode
+		switch {
+		case status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols:
+			return nil, errors.Wrapf(errUnexpectedReply, "status %03d", status)
+		case status >= http.StatusOK:
+			return response, nil
 		}
 	}
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -354,3 +354,34 @@
 	})
 	require.Less(t, allocated.AllocedBytesPerOp(), int64(1<<20))
 }
+
+// TestStatusesThatAreNoAnswerNeverCount guards against answers of servers in trouble, with or without
+// a whole one behind them.
+func TestStatusesThatAreNoAnswerNeverCount(t *testing.T) {
+	for _, status := range []string{"000", "042", "099", "101", "600", "999"} {
+		for _, behind := range []string{"", reply("r", "x")} {
+			b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+				_, _ = io.WriteString(conn, strings.Replace(reply("r", ""), "200", status, 1)+behind)
+				return false
+			})
+			outcome := run(newPool(t), b, "r")
+			require.Equal(t, scatter.Broken, outcome.Failure, status)
+			require.Equal(t, verdict.MayHaveRun, outcome.Verdict, status)
+			require.Nil(t, outcome.Reply, status)
+		}
+	}
+}
+
+// TestReplyCutAtAnyByteIsNoReply guards against heads that are cut short and taken for whole.
+func TestReplyCutAtAnyByteIsNoReply(t *testing.T) {
+	whole := reply("r", "body")
+	for length := range len(whole) {
+		b := startBackend(t, func(_ int64, _ *http.Request, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, whole[:length])
+			return false
+		})
+		outcome := run(newPool(t), b, "r")
+		require.NotEqual(t, scatter.NoFailure, outcome.Failure, "%q", whole[:length])
+		require.Nil(t, outcome.Reply, "%q", whole[:length])
+	}
+}
