Give up answers without end before they take the memory of the process

News of the users: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Cause: http.ReadResponse sets no bound on a head, nor on the number of informational responses before one, so that they grew until the attempt's deadline. Bodies ended at 16 MiB each, however many of them were being received: twenty servers that send without end exceed the memory of a router's machine.

Fix: the head of a reply, with the informational ones before it, ends at 32 KiB as broken. Bodies without a short declared length take their memory from a bound over all attempts, 15 in 100 of the process's; at its end the largest one without a declared length is given up, or else the largest. The clients for other processes of the system bound heads at 64 KiB in place of the default of 10 MiB.

The backends of the other interface were bounded already (MaxResponseHeaderBytes, MaxReplyBytes).

--- a/cmd/martenstage/gateway.go
+++ b/cmd/martenstage/gateway.go
@@ -31,7 +31,7 @@
 	running := gateway.New(gateway.Config{
 		Name: c.Name, Zone: c.Zone, PeerAddress: c.PeerListen, Seeds: c.SeedAddresses(), Grace: c.StopLimit, Budget: c.BudgetLimits(), Cold: c.ColdLimits(), EvacuateWithin: c.EvacuateWithin, RevokeWithin: c.RevokeWithin,
 		Parts:  c.Parts(),
-		Intake: process.limits.intake, MaxClientConnections: process.limits.connections(mainShare), MaxPeerConnections: process.limits.connections(peerShare),
+		Intake: process.limits.intake, ReplyMemory: process.limits.replies(), MaxClientConnections: process.limits.connections(mainShare), MaxPeerConnections: process.limits.connections(peerShare),
 		ParseDocument: platform.ParseDocument, Dialect: platform.Headers{}, Codec: platform.Headers{},
 	}, gateway.Environment{Logger: process.logger, Registerer: process.registry})
 	clients, err := listen("clients-listen", c.ClientsListen)
--- a/cmd/martenstage/process_limits.go
+++ b/cmd/martenstage/process_limits.go
@@ -15,6 +15,8 @@
 	collectorShare = 80
 	// intakeShare is what requests may take that are being read or served.
 	intakeShare = 25
+	// replyShare is what replies of servers may take that are being received.
+	replyShare = 15
 	// connectionShare is what the connections of one listener may take while they rest.
 	connectionShare = 10
 )
@@ -47,6 +49,9 @@
 // apply has garbage collection keep within the memory.
 func (l processLimits) apply() { debug.SetMemoryLimit(l.memory * collectorShare / 100) }
 
+// replies returns how much memory replies of servers may take, in bytes.
+func (l processLimits) replies() int64 { return l.memory * replyShare / 100 }
+
 // connections returns how many connections a listener may have that may use a share of the
 // descriptors, in percent.
 func (l processLimits) connections(share int64) int {
--- a/internal/directory/peer_client.go
+++ b/internal/directory/peer_client.go
@@ -40,10 +40,13 @@
 
 var _ voter.Transport = (*peerClient)(nil)
 
+// maxPeerHeadBytes bounds the head of an answer of another process of the system.
+const maxPeerHeadBytes = 64 << 10
+
 func newPeerClient() *peerClient {
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1, Control: liveness.LimitUnacknowledged(peerAckTimeout)}
 	return &peerClient{http: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdlePerHost, DisableCompression: true,
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: peerIdlePerHost, DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeadBytes,
 	}}}
 }
 
--- a/internal/exchange/attempt.go
+++ b/internal/exchange/attempt.go
@@ -248,11 +248,13 @@
 
 // readReply reads one complete reply; again says whether the connection may carry another one.
 func (a *Attempt) readReply(conn *connection) (*message.Reply, ReplyInfo, bool, error) {
+	conn.limitHead()
 	response, err := readFinalResponse(conn.reader, a.request.method)
 	if err != nil {
 		return nil, ReplyInfo{}, false, err
 	}
-	body, err := readBody(response)
+	conn.headEnd = 0
+	body, err := a.readBody(conn, response)
 	if err != nil {
 		return nil, ReplyInfo{}, false, err
 	}
@@ -271,7 +273,7 @@
 
 // readBody reads a complete body. A short one with a declared length is read into one buffer:
 // a growing buffer took a third of the bytes allocated for a slice of 14 parts.
-func readBody(response *http.Response) ([]byte, error) {
+func (a *Attempt) readBody(conn *connection, response *http.Response) ([]byte, error) {
 	if response.Body == http.NoBody {
 		// A length may be declared even so, as in the reply to a HEAD request.
 		return nil, nil
@@ -290,7 +292,9 @@
 		}
 		return buffer[:length:length], nil
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
+	growing := a.pool.replies.track(response.Body, response.ContentLength >= 0, func() { _ = conn.Close() })
+	defer growing.close()
+	body, err := io.ReadAll(io.LimitReader(growing, maxReplyBytes+1))
 	if len(body) > maxReplyBytes {
 		return nil, errReplyTooLarge
 	}
--- a/internal/exchange/connection.go
+++ b/internal/exchange/connection.go
@@ -23,6 +23,8 @@
 	// idleSince is when the last attempt on it ended.
 	idleSince time.Time
 	carried   carriedRequests
+	// headEnd is the value of bytesRead at which the head of a reply is too large; 0 for none.
+	headEnd int
 }
 
 const readBufferBytes = 4 << 10
@@ -39,11 +41,17 @@
 
 // Read counts the bytes received.
 func (c *connection) Read(buffer []byte) (int, error) {
+	if c.headEnd > 0 && c.bytesRead >= c.headEnd {
+		return 0, errHeadTooLarge
+	}
 	count, err := c.Conn.Read(buffer)
 	c.bytesRead += count
 	return count, err
 }
 
+// limitHead bounds the head of the next reply.
+func (c *connection) limitHead() { c.headEnd = c.bytesRead + maxReplyHeadBytes }
+
 // Idle time of connections whose server announced none, and the safety margin that is
 // subtracted from an announced one.
 const (
--- a/internal/exchange/export_test.go
+++ b/internal/exchange/export_test.go
@@ -6,3 +6,10 @@
 	defer p.mutex.Unlock()
 	return len(p.idle[instance])
 }
+
+// PeakReplies returns the most memory that replies being received have taken together, in bytes.
+func (p *Pool) PeakReplies() int64 {
+	p.replies.mutex.Lock()
+	defer p.replies.mutex.Unlock()
+	return p.replies.peak
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -28,6 +28,8 @@
 	replaced prometheus.Counter
 	ended    *prometheus.CounterVec
 
+	replies replyMemory
+
 	mutex sync.Mutex
 	idle  map[string][]*connection
 }
@@ -65,6 +67,10 @@
 	}
 }
 
+// LimitReplies bounds the memory of replies that are being received, in bytes. It must be called before
+// the first attempt; without it there is no bound but that of each reply.
+func (p *Pool) LimitReplies(limit int64) { p.replies.limit = limit }
+
 // Encode prepares a request for its attempts.
 func (p *Pool) Encode(request *message.Request) *Encoded { return Encode(p.codec, request) }
 
--- a/internal/gateway/following.go
+++ b/internal/gateway/following.go
@@ -89,7 +89,7 @@
 	dialer := &net.Dialer{Timeout: searchTimeout, KeepAlive: -1, Control: liveness.LimitUnacknowledged(peerAckTimeout)}
 	return &follower{
 		gateway: gateway,
-		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext}},
+		client:  &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxResponseHeaderBytes: maxPeerHeadBytes}},
 		request: directory.FollowRequest{SeparateTable: true},
 		fetched: make(chan fetchedTable),
 		servers: make(map[string]registry.Instance), departed: registry.NewDepartures(maxDepartures),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,7 @@
 	}
 	_, _ = rand.Read(gateway.keySeed[:]) // crypto/rand.Read never returns an error; it ends the process if there is no randomness.
 	gateway.clientCloses = newClientCloses(environment.Registerer, gateway.logger)
+	gateway.pool.LimitReplies(config.ReplyMemory)
 	gateway.slices = newSliceClient(gateway.group)
 	gateway.rollouts = newRolloutMonitor()
 	gateway.load = newLoadState(gateway.started)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -56,6 +56,9 @@
 	// ParseDocument parses a routing document.
 	// Intake bounds the memory of requests; nil for no bound.
 	Intake *httpdrain.Intake
+	// ReplyMemory bounds the memory of servers' replies that are being received, in bytes; 0 for
+	// no bound.
+	ReplyMemory int64
 	// MaxClientConnections and MaxPeerConnections bound the open connections of clients and
 	// other routers; 0 for no bound.
 	MaxClientConnections int
@@ -101,7 +104,9 @@
 	// defaultBodyBytes bounds request bodies if the document sets no limit.
 	defaultBodyBytes  = 8 << 20
 	readHeaderTimeout = 10 * time.Second
-	pruneInterval     = 2 * time.Second
+	// maxPeerHeadBytes bounds the head of an answer of another process of the system.
+	maxPeerHeadBytes = 64 << 10
+	pruneInterval    = 2 * time.Second
 	// limitInterval is how often the time limits of client connections are checked.
 	limitInterval = 500 * time.Millisecond
 	// unreadyDelay is how long a stopping router still accepts connections: it is taken out of
--- a/internal/gateway/slice_client.go
+++ b/internal/gateway/slice_client.go
@@ -47,7 +47,7 @@
 	client := &sliceClient{group: group}
 	client.http = &http.Client{Transport: &http.Transport{
 		DialContext: client.dial, MaxIdleConnsPerHost: peerIdlePerHost, IdleConnTimeout: peerIdleTimeout,
-		DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
+		DisableCompression: true, MaxResponseHeaderBytes: maxPeerHeadBytes, ReadBufferSize: 4 << 10, WriteBufferSize: 4 << 10,
 	}}
 	return client
 }
