End a trial with the start of the router that holds it

Cause: the ledger counted trials by number alone. Two trials waited at silent servers when their routers were killed; their count outlived the routers, and no further trial was granted, without which nothing clears the request.

Fix: a grant names the router, its start and its time. It ends when the router asks again, which it does only without a trial of its own, when another start of it reports, or after two minutes, for routers that are lost for good. A return counts only for the start that holds the trial, so that one that is repeated gives back one place. Orders of earlier versions, which name no start, are counted as before. Nodes of two versions may decide differently on a trial while they are upgraded.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -105,7 +105,7 @@
 	}
 	evidence.reported.Store(true)
 	g.quarantine.report(quarantine.Command{
-		Kind: quarantine.Report, Fingerprint: fingerprint, Servers: []string{attempt.server.ID}, Tried: evidence.trial != nil,
+		Kind: quarantine.Report, Fingerprint: fingerprint, Servers: []string{attempt.server.ID}, Tried: evidence.trial != nil, Start: g.start,
 		Route: evidence.route, Caller: evidence.caller, By: g.config.Name,
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/binary"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	pool       *exchange.Pool
 	loop       *loop
 	table      atomic.Pointer[routing.Table]
+	// start identifies this start of the router, for the trials that it holds.
+	start uint64
 	// keySeed seeds the digests of API keys; it is drawn at each start.
 	keySeed routing.KeySeed
 	// confirmed tells when the active document was last known to be the newest; nil until a
@@ -97,6 +100,7 @@
 		seed: xxhash.Sum64String(config.Name), pool: exchange.NewPool(config.Codec, environment.Registerer),
 	}
 	_, _ = rand.Read(gateway.keySeed[:]) // crypto/rand.Read never returns an error; it ends the process if there is no randomness.
+	gateway.start = newStart()
 	gateway.clientCloses = newClientCloses(environment.Registerer, gateway.logger)
 	gateway.pool.LimitReplies(config.ReplyMemory)
 	gateway.slices = newSliceClient(gateway.group)
@@ -120,6 +124,13 @@
 	return gateway
 }
 
+// newStart returns a random identity of a start. 0 stands for one that is not told.
+func newStart() uint64 {
+	var drawn [8]byte
+	_, _ = rand.Read(drawn[:]) // Never returns an error, as in New.
+	return max(1, binary.LittleEndian.Uint64(drawn[:]))
+}
+
 // SetSeeds replaces the seeds after a reload of the settings.
 func (g *Gateway) SetSeeds(seeds []string) {
 	copied := append([]string(nil), seeds...)
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -125,7 +125,7 @@
 )
 
 func (s *exchangeState) quarantineOrder(kind quarantine.Kind, forwarded *fingerprinted) quarantine.Command {
-	return quarantine.Command{Kind: kind, Fingerprint: forwarded.fingerprint(), By: s.gateway.config.Name}
+	return quarantine.Command{Kind: kind, Fingerprint: forwarded.fingerprint(), By: s.gateway.config.Name, Start: s.gateway.start}
 }
 
 // requestTrial requests a trial from the directory. A router that reaches no node runs the
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -10,8 +10,7 @@
 
 // Bounds of the ledger.
 const (
-	// MaxTrials is the maximum number of trials of one request without a reported outcome:
-	// in flight, or lost with the routers that ran them.
+	// MaxTrials is the maximum number of trials of one request without a reported outcome.
 	MaxTrials = 2
 	// trialFailuresToQuarantine is the number of trials whose servers terminate after which a
 	// request is quarantined. Terminations outside trials don't count: servers may fail together,
@@ -53,12 +52,15 @@
 	// Tried reports whether they terminated in a trial.
 	Tried bool `json:"tried,omitempty"`
 	// Route and Caller identify the origin of the request, By the issuer of the command, and
-	// At its time by the clock of the node that accepted it. They affect only which record
-	// is evicted when the ledger is full.
+	// At its time by the clock of the node that accepted it. They affect which record
+	// is evicted when the ledger is full, and how long trials last.
 	Route  string    `json:"route,omitempty"`
 	Caller string    `json:"caller,omitempty"`
 	By     string    `json:"by,omitempty"`
 	At     time.Time `json:"at"`
+	// Start identifies the start of the issuer; 0 if it does not tell. A trial is held by a start:
+	// it ends with it.
+	Start uint64 `json:"start,omitempty"`
 }
 
 // maxTextBytes is the maximum length of each text field of a command.
@@ -101,8 +103,10 @@
 	// the first of them.
 	Ended   int      `json:"ended"`
 	Servers []string `json:"servers"`
-	// Trials counts the trials that are in flight or were lost with their routers.
-	Trials int `json:"trials,omitempty"`
+	// Trials counts the trials that are in flight. Grants names the holders of those that were
+	// requested with a start.
+	Trials int     `json:"trials,omitempty"`
+	Grants []Grant `json:"grants,omitempty"`
 	// Tried names the servers that terminated in trials, up to trialFailuresToQuarantine.
 	Tried  []string `json:"tried,omitempty"`
 	Route  string   `json:"route"`
@@ -147,12 +151,12 @@
 		b.applyReport(index, command)
 	case index < 0:
 	case command.Kind == Try:
-		outcome.Granted = b.grantTrial(&b.Records[index])
+		outcome.Granted = b.Records[index].grantTrial(command)
 	case command.Kind == Return:
-		b.Records[index].Trials = max(0, b.Records[index].Trials-1)
+		b.Records[index].endTrial(command)
 	case command.Kind == Expire && b.Records[index].Quarantined:
 		// A single further trial whose server terminates quarantines the request again.
-		b.Records[index].Quarantined, b.Records[index].Trials = false, 0
+		b.Records[index].Quarantined, b.Records[index].Trials, b.Records[index].Grants = false, 0, nil
 		b.Records[index].Tried = b.Records[index].Tried[:min(len(b.Records[index].Tried), trialFailuresToQuarantine-1)]
 	case command.Kind == Clear && b.Records[index].Quarantined:
 		// Ignored: the answer predates the quarantine, or the router has not learned of it yet.
@@ -199,30 +203,22 @@
 		}
 	}
 	if command.Tried {
-		record.addTrialFailure(command.Servers)
+		record.addTrialFailure(command)
 	}
 }
 
 // addTrialFailure records servers that terminated in a trial. Repeated reports of a server
 // count once.
-func (r *Record) addTrialFailure(servers []string) {
-	newServers := lo.Without(lo.Uniq(servers), r.Tried...)
+func (r *Record) addTrialFailure(report Command) {
+	newServers := lo.Without(lo.Uniq(report.Servers), r.Tried...)
 	if len(newServers) == 0 {
 		return
 	}
-	r.Trials = max(0, r.Trials-1)
+	r.endTrial(report)
 	r.Tried = lo.Slice(slices.Concat(r.Tried, newServers), 0, trialFailuresToQuarantine)
 	r.Quarantined = r.Quarantined || len(r.Tried) == trialFailuresToQuarantine
 }
 
-func (b *Ledger) grantTrial(record *Record) bool {
-	if record.Quarantined || record.Trials >= MaxTrials {
-		return false
-	}
-	record.Trials++
-	return true
-}
-
 // evict makes space in a full ledger by removing a record of the caller with the most
 // records, so that one caller cannot evict the records of others: its oldest suspected
 // record, or else its oldest.
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -198,3 +199,43 @@
 	view.Update(1, nil)
 	require.Equal(t, quarantine.Unknown, view.Status(own), "the published ledger takes precedence")
 }
+
+// heldCommand is a command of a start of a router, some seconds after the first.
+func heldCommand(kind quarantine.Kind, router string, start uint64, seconds int) quarantine.Command {
+	order := command(kind, "r")
+	order.By, order.Start = router, start
+	order.At = time.Date(2026, 1, 1, 0, 0, seconds, 0, time.UTC)
+	return order
+}
+
+// TestTrialsEndWithTheRoutersThatHoldThem guards against trials that stay counted when the routers
+// that ran them were killed.
+func TestTrialsEndWithTheRoutersThatHoldThem(t *testing.T) {
+	var ledger quarantine.Ledger
+	ledger.Apply(reportCommand("r", false, "i-1"))
+	require.True(t, ledger.Apply(heldCommand(quarantine.Try, "a", 1, 0)).Granted)
+	require.True(t, ledger.Apply(heldCommand(quarantine.Try, "b", 1, 0)).Granted)
+	require.False(t, ledger.Apply(heldCommand(quarantine.Try, "c", 1, 1)).Granted)
+	require.True(t, ledger.Apply(heldCommand(quarantine.Try, "a", 2, 2)).Granted, "a has started again")
+	require.False(t, ledger.Apply(heldCommand(quarantine.Try, "c", 1, 3)).Granted)
+	ledger.Apply(heldCommand(quarantine.Return, "b", 2, 4))
+	require.False(t, ledger.Apply(heldCommand(quarantine.Try, "c", 1, 4)).Granted, "the trial of another start")
+	ledger.Apply(heldCommand(quarantine.Return, "a", 2, 5))
+	ledger.Apply(heldCommand(quarantine.Return, "a", 2, 5))
+	require.True(t, ledger.Apply(heldCommand(quarantine.Try, "c", 1, 5)).Granted)
+	require.False(t, ledger.Apply(heldCommand(quarantine.Try, "d", 1, 5)).Granted, "a return that is repeated counts once")
+	require.True(t, ledger.Apply(heldCommand(quarantine.Try, "d", 1, 130)).Granted, "b is lost for good")
+}
+
+// TestTrialsWithoutAStartAreCountedBesides checks orders of routers that do not tell their start.
+func TestTrialsWithoutAStartAreCountedBesides(t *testing.T) {
+	var ledger quarantine.Ledger
+	ledger.Apply(reportCommand("r", false, "i-1"))
+	require.True(t, ledger.Apply(heldCommand(quarantine.Try, "a", 1, 0)).Granted)
+	require.True(t, ledger.Apply(command(quarantine.Try, "r")).Granted)
+	require.False(t, ledger.Apply(command(quarantine.Try, "r")).Granted)
+	ledger.Apply(command(quarantine.Return, "r"))
+	ledger.Apply(command(quarantine.Return, "r"))
+	require.True(t, ledger.Apply(command(quarantine.Try, "r")).Granted)
+	require.False(t, ledger.Apply(command(quarantine.Try, "r")).Granted, "the trial of a is still in flight")
+}
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -12,5 +12,5 @@
 // its next occurrence is sent to a single server. If the server answers, the suspicion ends;
 // once the servers of two trials have terminated, the request is quarantined. The ledger
 // grants trials, so that all routers together put at most MaxTrials servers at risk at a
-// time, even if routers fail meanwhile.
+// time. A trial ends with the start of the router that holds it, or after two minutes.
 package quarantine
