--- a/cmd/martenstage/directory.go
+++ b/cmd/martenstage/directory.go
@@ -33,6 +33,7 @@
 
 func (c *directoryCommand) run(stopping context.Context, process *registeredProcess) error {
 	config := c.Config(directory.Documents{Check: platform.DocumentVersion, Limits: platform.DocumentLimits, Parse: platform.ParseDocument})
+	config.SnapshotBytes = process.limits.snapshotBytes()
 	if c.PlansAdmission() {
 		config.NewPlanner = directory.NewAdmissionPlanner
 	}
--- a/cmd/martenstage/process_limits.go
+++ b/cmd/martenstage/process_limits.go
@@ -6,6 +6,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/martenstage/martenstage/internal/httpdrain"
+	"github.com/martenstage/martenstage/internal/voter"
 )
 
 // Shares of a process's memory, in percent.
@@ -21,6 +22,11 @@
 	connectionShare = 10
 )
 
+// snapshotShare is the share of the memory, in tenths of a percent, that the entries of the log may
+// take between two snapshots. Those since the last but one are held in memory and in the mapped file,
+// and a change makes several copies of its entry.
+const snapshotShare = 15
+
 // restingConnectionCost is the memory of a connection without a request, in bytes.
 const restingConnectionCost = 20 << 10
 
@@ -58,6 +64,11 @@
 	return int(max(minConnections, min(l.descriptors*share/100, l.memory*connectionShare/100/restingConnectionCost)))
 }
 
+// snapshotBytes returns the size of a directory's log after which it is replaced by a snapshot.
+func (l processLimits) snapshotBytes() uint64 {
+	return min(voter.DefaultSnapshotBytes, uint64(l.memory)*snapshotShare/1000)
+}
+
 // assumedMemory and assumedDescriptors apply where the system does not tell.
 const (
 	assumedMemory      = 256 << 20
--- a/internal/directory/member.go
+++ b/internal/directory/member.go
@@ -96,7 +96,7 @@
 	opened, err := voter.Open(voter.Config{
 		ID: h.identity.ID, Address: h.config.PeerAddress,
 		Folder: filepath.Join(h.config.Folder, logFolder), InitialVoters: h.initialVoters(),
-		Heartbeat: heartbeat, ElectionTimeout: electionTimeout, WrapStore: h.environment.WrapStore,
+		Heartbeat: heartbeat, ElectionTimeout: electionTimeout, WrapStore: h.environment.WrapStore, SnapshotBytes: h.config.SnapshotBytes,
 	}, machine, h.transport, h.environment.Logger, replacingRegisterer{h.environment.Registerer})
 	if err != nil {
 		return err
--- a/internal/directory/options.go
+++ b/internal/directory/options.go
@@ -25,6 +25,9 @@
 	Bootstrap bool
 	// Folder holds the identity and the log.
 	Folder string
+	// SnapshotBytes is the size of the log after which it is replaced by a snapshot; 0 for the
+	// default of the voter. Twice as much is held in memory.
+	SnapshotBytes uint64
 	// Losses is how many nodes may be lost at once.
 	Losses int
 	// HeartbeatInterval is how often servers send heartbeats.
