Quarantine no request for crashes that its service has without it

Cause: any server that ended during a trial counted as ended by the request. A service that crashes for another reason does so under its most frequent request each time, and one crash of all servers ends those of both trials that may be in flight.

Fix: trials that were in flight together when a server ended count once. The bound for requests that end each server is unchanged: none of those is ever answered.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -81,6 +81,7 @@
 // observeAnswer records that a server answered a request.
 func (g *Gateway) observeAnswer(attempt endedAttempt) {
 	evidence := attempt.submitted.evidence
+	g.answeredRequests.record(attempt.submitted.request, steadyclock.Now())
 	if first := !evidence.replied.Swap(true); first && (evidence.reported.Load() || evidence.trial != nil) {
 		g.quarantine.clear(quarantine.Command{Kind: quarantine.Clear, Fingerprint: attempt.submitted.request.fingerprint(), By: g.config.Name})
 	}
@@ -106,6 +107,7 @@
 	evidence.reported.Store(true)
 	g.quarantine.report(quarantine.Command{
 		Kind: quarantine.Report, Fingerprint: fingerprint, Servers: []string{attempt.server.ID}, Tried: evidence.trial != nil, Start: g.start,
+		Answered: g.answeredRequests.contains(fingerprint, steadyclock.Now()),
 		Route: evidence.route, Caller: evidence.caller, By: g.config.Name,
 	})
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	pool       *exchange.Pool
 	loop       *loop
 	table      atomic.Pointer[routing.Table]
+	// answeredRequests are requests that servers answered shortly before.
+	answeredRequests answeredRequests
 	// start identifies this start of the router, for the trials that it holds.
 	start uint64
 	// keySeed seeds the digests of API keys; it is drawn at each start.
--- a/internal/gateway/quarantining.go
+++ b/internal/gateway/quarantining.go
@@ -148,7 +148,7 @@
 // report queues a report that a server crashed while it ran a request.
 func (m *quarantineMonitor) report(order quarantine.Command) {
 	m.mutex.Lock()
-	m.view.Reported(order.Fingerprint, order.Tried)
+	m.view.Reported(order.Fingerprint, order.Tried, order.Answered)
 	m.mutex.Unlock()
 	m.enqueue(order)
 }
--- a/internal/quarantine/book.go
+++ b/internal/quarantine/book.go
@@ -17,6 +17,10 @@
 	// as when a rack is lost, while a harmless request runs on all of them. One trial is not
 	// enough either, since the first may run on the last server of that rack.
 	trialFailuresToQuarantine = 2
+	// answeredFailuresToQuarantine applies instead to a request that servers answered shortly
+	// before: it does not end every server that runs it, while a service may crash for other
+	// reasons again and again, each time under its most frequent request.
+	answeredFailuresToQuarantine = 8
 	// MaxRecords is the maximum number of requests with a record.
 	MaxRecords = 256
 	// maxServerNames is the maximum number of terminated servers that a record names.
@@ -51,6 +55,8 @@
 	Servers []string `json:"servers,omitempty"`
 	// Tried reports whether they terminated in a trial.
 	Tried bool `json:"tried,omitempty"`
+	// Answered reports whether a server had answered the same request shortly before.
+	Answered bool `json:"answered,omitempty"`
 	// Route and Caller identify the origin of the request, By the issuer of the command, and
 	// At its time by the clock of the node that accepted it. They affect which record
 	// is evicted when the ledger is full, and how long trials last.
@@ -107,10 +113,13 @@
 	// requested with a start.
 	Trials int     `json:"trials,omitempty"`
 	Grants []Grant `json:"grants,omitempty"`
-	// Tried names the servers that terminated in trials, up to trialFailuresToQuarantine.
-	Tried  []string `json:"tried,omitempty"`
-	Route  string   `json:"route"`
-	Caller string   `json:"caller"`
+	// Tried names the servers that terminated in trials, one for each occasion, up to the number
+	// that quarantines the request.
+	Tried []string `json:"tried,omitempty"`
+	// Answered reports whether servers answered the request shortly before they terminated.
+	Answered bool   `json:"answered,omitempty"`
+	Route    string `json:"route"`
+	Caller   string `json:"caller"`
 	// By is the node that reported the request first, At the time of that report.
 	By string    `json:"by"`
 	At time.Time `json:"at"`
@@ -157,7 +166,7 @@
 	case command.Kind == Expire && b.Records[index].Quarantined:
 		// A single further trial whose server terminates quarantines the request again.
 		b.Records[index].Quarantined, b.Records[index].Trials, b.Records[index].Grants = false, 0, nil
-		b.Records[index].Tried = b.Records[index].Tried[:min(len(b.Records[index].Tried), trialFailuresToQuarantine-1)]
+		b.Records[index].Tried = b.Records[index].Tried[:min(len(b.Records[index].Tried), failuresToQuarantine(b.Records[index].Answered)-1)]
 	case command.Kind == Clear && b.Records[index].Quarantined:
 		// Ignored: the answer predates the quarantine, or the router has not learned of it yet.
 	default:
@@ -192,6 +201,7 @@
 		index = len(b.Records) - 1
 	}
 	record := &b.Records[index]
+	record.Answered = record.Answered || command.Answered
 	for _, server := range command.Servers {
 		if slices.Contains(record.Servers, server) {
 			continue
@@ -214,9 +224,21 @@
 	if len(newServers) == 0 {
 		return
 	}
-	r.endTrial(report)
-	r.Tried = lo.Slice(slices.Concat(r.Tried, newServers), 0, trialFailuresToQuarantine)
-	r.Quarantined = r.Quarantined || len(r.Tried) == trialFailuresToQuarantine
+	if r.endTrial(report) {
+		return
+	}
+	limit := failuresToQuarantine(r.Answered)
+	r.Tried = lo.Slice(slices.Concat(r.Tried, newServers), 0, limit)
+	r.Quarantined = r.Quarantined || len(r.Tried) == limit
+	r.markOverlapping()
+}
+
+// failuresToQuarantine returns how many trials whose servers terminate quarantine a request.
+func failuresToQuarantine(answered bool) int {
+	if answered {
+		return answeredFailuresToQuarantine
+	}
+	return trialFailuresToQuarantine
 }
 
 // evict makes space in a full ledger by removing a record of the caller with the most
--- a/internal/quarantine/book_test.go
+++ b/internal/quarantine/book_test.go
@@ -164,7 +164,7 @@
 func TestViewTakesNewerRevisionsAndKeepsOwnReports(t *testing.T) {
 	var view quarantine.View
 	require.True(t, view.Empty())
-	view.Reported(fingerprintOf("own"), false)
+	view.Reported(fingerprintOf("own"), false, false)
 	require.Equal(t, quarantine.Suspected, view.Status(fingerprintOf("own")))
 	added := view.Update(3, []quarantine.Entry{{Fingerprint: fingerprintOf("q"), Quarantined: true}, {Fingerprint: fingerprintOf("s")}})
 	require.Equal(t, []quarantine.Fingerprint{fingerprintOf("q")}, added)
@@ -177,7 +177,7 @@
 	require.Equal(t, quarantine.Suspected, view.Status(fingerprintOf("own")))
 	require.Empty(t, view.Update(4, nil))
 	require.True(t, view.Empty(), "the published ledger has cleared it")
-	view.Reported(fingerprintOf("dropped"), false)
+	view.Reported(fingerprintOf("dropped"), false, false)
 	view.Acknowledged(fingerprintOf("dropped"), 0)
 	require.True(t, view.Empty())
 }
@@ -188,12 +188,12 @@
 	var view quarantine.View
 	own := fingerprintOf("own")
 	for range 5 {
-		view.Reported(own, false)
+		view.Reported(own, false, false)
 		require.Equal(t, quarantine.Suspected, view.Status(own))
 	}
-	view.Reported(own, true)
+	view.Reported(own, true, false)
 	require.Equal(t, quarantine.Suspected, view.Status(own), "one trial may hit the outage that ended the others")
-	view.Reported(own, true)
+	view.Reported(own, true, false)
 	require.Equal(t, quarantine.Quarantined, view.Status(own))
 	view.Acknowledged(own, 1)
 	view.Update(1, nil)
@@ -239,3 +239,42 @@
 	require.True(t, ledger.Apply(command(quarantine.Try, "r")).Granted)
 	require.False(t, ledger.Apply(command(quarantine.Try, "r")).Granted, "the trial of a is still in flight")
 }
+
+// heldFailure reports that the server of a trial terminated.
+func heldFailure(router string, server string, answered bool) quarantine.Command {
+	report := reportCommand("r", true, server)
+	report.By, report.Start, report.Answered = router, 1, answered
+	return report
+}
+
+// TestTrialsInFlightTogetherCountOnce guards against one crash of a whole service that ends the
+// servers of two trials.
+func TestTrialsInFlightTogetherCountOnce(t *testing.T) {
+	var ledger quarantine.Ledger
+	ledger.Apply(reportCommand("r", false, "i-1"))
+	for _, router := range []string{"a", "b"} {
+		require.True(t, ledger.Apply(heldCommand(quarantine.Try, router, 1, 0)).Granted)
+	}
+	require.Equal(t, quarantine.Suspected, ledger.Apply(heldFailure("a", "i-2", false)).After)
+	require.Equal(t, quarantine.Suspected, ledger.Apply(heldFailure("b", "i-3", false)).After)
+	require.True(t, ledger.Apply(heldCommand(quarantine.Try, "c", 1, 1)).Granted)
+	require.Equal(t, quarantine.Quarantined, ledger.Apply(heldFailure("c", "i-4", false)).After)
+}
+
+// TestAnsweredRequestTakesMoreTrialsToQuarantine guards against popular requests that are refused for
+// good because the servers of their service crash in a loop.
+func TestAnsweredRequestTakesMoreTrialsToQuarantine(t *testing.T) {
+	var ledger quarantine.Ledger
+	var view quarantine.View
+	ledger.Apply(reportCommand("r", false, "i-1"))
+	for number := range 7 {
+		require.True(t, ledger.Apply(heldCommand(quarantine.Try, "a", 1, number)).Granted)
+		require.Equal(t, quarantine.Suspected, ledger.Apply(heldFailure("a", fmt.Sprint("i-", number+2), true)).After)
+		view.Reported(fingerprintOf("r"), true, true)
+		require.Equal(t, quarantine.Suspected, view.Status(fingerprintOf("r")))
+	}
+	require.True(t, ledger.Apply(heldCommand(quarantine.Try, "a", 1, 9)).Granted)
+	require.Equal(t, quarantine.Quarantined, ledger.Apply(heldFailure("a", "i-9", true)).After)
+	view.Reported(fingerprintOf("r"), true, true)
+	require.Equal(t, quarantine.Quarantined, view.Status(fingerprintOf("r")))
+}
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -104,7 +104,7 @@
 			if router.partitionedUntil <= f.now {
 				f.failureSteps[name] = append(f.failureSteps[name], f.now)
 			}
-			router.view.Reported(fingerprintOf(name), trial)
+			router.view.Reported(fingerprintOf(name), trial, false)
 			f.enqueue(router, reportCommand(name, trial, fmt.Sprint("i-", f.failures)))
 			if trial && !lethal {
 				f.coincidences++
--- a/internal/quarantine/grants.go
+++ b/internal/quarantine/grants.go
@@ -14,6 +14,9 @@
 	By    string    `json:"by"`
 	Start uint64    `json:"start"`
 	At    time.Time `json:"at"`
+	// Overlaps is set once a server has terminated in another trial: what ended that one may end
+	// the server of this one as well, so that both count once.
+	Overlaps bool `json:"overlaps,omitempty"`
 }
 
 // endedBy reports whether a command shows that the trial is no longer in flight: its router has
@@ -36,13 +39,27 @@
 	return true
 }
 
-// endTrial records that the issuer of a command has ended its trial.
-func (r *Record) endTrial(command Command) {
+// endTrial records that the issuer of a command has ended its trial. It reports whether the trial
+// overlapped with one whose server terminated.
+func (r *Record) endTrial(command Command) (overlapped bool) {
 	if command.Start == 0 {
 		r.Trials = max(len(r.Grants), r.Trials-1)
-		return
+		return false
+	}
+	r.removeGrants(func(g Grant) bool {
+		own := g.By == command.By && g.Start == command.Start
+		overlapped = overlapped || own && g.Overlaps
+		return own
+	})
+	return overlapped
+}
+
+// markOverlapping marks the trials in flight after a server has terminated in a trial.
+func (r *Record) markOverlapping() {
+	r.Grants = slices.Clone(r.Grants)
+	for index := range r.Grants {
+		r.Grants[index].Overlaps = true
 	}
-	r.removeGrants(func(g Grant) bool { return g.By == command.By && g.Start == command.Start })
 }
 
 // removeGrants removes trials that are no longer in flight.
--- a/internal/quarantine/view.go
+++ b/internal/quarantine/view.go
@@ -18,6 +18,7 @@
 type localStatus struct {
 	status        Status
 	trialFailures int
+	answered      bool
 	publishedBy   uint64
 }
 
@@ -75,9 +76,9 @@
 }
 
 // Reported records that this router reports a server that terminated while it ran a request,
-// in a trial or not. The router quarantines a request on its own reports by the same rule as
+// in a trial or not, and whether one had answered it shortly before. The router quarantines a request on its own reports by the same rule as
 // the ledger, so that it stops sending the request even if it can't reach the control group.
-func (v *View) Reported(fingerprint Fingerprint, trial bool) {
+func (v *View) Reported(fingerprint Fingerprint, trial, answered bool) {
 	if v.local == nil {
 		v.local = make(map[Fingerprint]localStatus)
 	}
@@ -90,7 +91,8 @@
 	if trial {
 		local.trialFailures++
 	}
-	if local.trialFailures >= trialFailuresToQuarantine {
+	local.answered = local.answered || answered
+	if local.trialFailures >= failuresToQuarantine(local.answered) {
 		local.status = Quarantined
 	}
 	v.local[fingerprint] = local
