Refuse no request for memory that its handler may have served

A connection that made room for others, or whose request was the slowest at the limit of memory, was refused with 503 while net/http read the rest of a body that the handler had left: JSON decoders stop before its end. The 503, which promises that the request has not run, then took the place of the handler's own answer. A deregistration that was refused while it was read was carried out all the same.

Fix: a request that has reached its handler is refused only while the handler reads it. A deregistration that was refused is not carried out. One connection may always be ending beyond the bound, so that a bound of one works.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -108,6 +108,6 @@
 	g.quarantine.report(quarantine.Command{
 		Kind: quarantine.Report, Fingerprint: fingerprint, Servers: []string{attempt.server.ID}, Tried: evidence.trial != nil, Start: g.start,
 		Answered: g.answeredRequests.contains(fingerprint, steadyclock.Now()),
-		Route: evidence.route, Caller: evidence.caller, By: g.config.Name,
+		Route:    evidence.route, Caller: evidence.caller, By: g.config.Name,
 	})
 }
--- a/internal/httpdrain/conn.go
+++ b/internal/httpdrain/conn.go
@@ -16,74 +16,6 @@
 	"github.com/martenstage/martenstage/internal/steadyclock"
 )
 
-// Phase is the stage that a connection has reached with its current request.
-type Phase uint8
-
-// Phases, in the order in which a connection passes through them. After Waiting comes Receiving
-// again.
-const (
-	// Opened: nothing has been read yet.
-	Opened Phase = iota
-	// Receiving: a part of a request's header has been read.
-	Receiving
-	// Serving: a handler runs.
-	Serving
-	// Handled: the handler has returned, but its response may not be written completely.
-	Handled
-	// Answered: the response is complete. net/http may hold bytes of the next request.
-	Answered
-	// Waiting: nothing of a next request has been read.
-	Waiting
-)
-
-// String returns the name of the phase in logs and metrics.
-func (p Phase) String() string {
-	return [...]string{"opened", "receiving", "serving", "handled", "answered", "waiting"}[p]
-}
-
-// Cause is why a connection was closed.
-type Cause string
-
-// Causes.
-const (
-	// CauseServer: net/http closed the connection after a response or an invalid request.
-	CauseServer Cause = "server"
-	// CauseClient: reading failed, since the client closed or reset the connection.
-	CauseClient Cause = "client"
-	// CauseWrite: a response could not be written.
-	CauseWrite Cause = "write_failed"
-	// CauseStop: the server is stopping, and no request was being received.
-	CauseStop Cause = "stop"
-	// CauseStopLimit: the time for the stop ran out.
-	CauseStopLimit Cause = "stop_limit"
-	// CauseIdleTime and CauseHeaderTime: the connection exceeded one of Limits.
-	CauseIdleTime   Cause = "idle_time"
-	CauseHeaderTime Cause = "header_time"
-	// CauseHeaderSize: the head of a request is larger than Config.MaxHeaderBytes.
-	CauseHeaderSize Cause = "header_size"
-	// CauseMemory: the Intake has reached its limit. CauseConnections: there are too many
-	// connections.
-	CauseMemory      Cause = "memory"
-	CauseConnections Cause = "connections"
-)
-
-// Closed describes a connection at its close.
-type Closed struct {
-	Cause Cause
-	Phase Phase
-	// Unanswered is the number of bytes read since the last response.
-	Unanswered int64
-	// Refused is set if the connection has refused the request that was being read.
-	Refused bool
-	// Remote is the address of the client.
-	Remote string
-}
-
-// Lost reports whether the close dropped something that had been read and was not answered.
-func (c Closed) Lost() bool {
-	return c.Cause == CauseWrite || !c.Refused && c.Unanswered > 0 && (c.Phase == Receiving || c.Phase == Serving)
-}
-
 // Conn is a connection of a Server. Its methods are safe for concurrent use.
 type Conn struct {
 	net.Conn
@@ -105,6 +37,9 @@
 	complete   bool
 	responding bool
 	refused    bool
+	// handlerReads is set while the handler reads the body. Only then can a request that has
+	// reached its handler be refused: the handler may have acted on what it has read before.
+	handlerReads bool
 	// deadline is the read deadline that net/http has set. interrupt is why it is replaced by
 	// one that has passed; empty if it is not. ending is why the connection ends once it
 	// waits; empty if it does not.
@@ -176,82 +111,6 @@
 	return c.refused
 }
 
-// accept decides whether further bytes of a request are taken. If not, the request is refused.
-func (c *Conn) accept(text []byte) bool {
-	cost := c.measure(text)
-	if cost < 0 {
-		c.refuse(CauseHeaderSize)
-		return false
-	}
-	if cost == 0 || c.server.config.Intake == nil {
-		return true
-	}
-	for _, victim := range c.server.config.Intake.take(c, cost, steadyclock.Now()) {
-		if victim == c {
-			c.refuse(CauseMemory)
-			return false
-		}
-		victim.evict(CauseMemory)
-	}
-	return true
-}
-
-// measure returns the cost of bytes that were read: 0 for those of a next request, -1 for those
-// of a head that is too large.
-func (c *Conn) measure(text []byte) int64 {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	cost := byteCost * int64(len(text))
-	switch {
-	case c.complete:
-		return 0
-	case c.phase != Receiving:
-		return cost
-	}
-	if c.head.size == 0 {
-		cost += requestCost
-	}
-	lines := c.head.lines
-	c.head.scan(text)
-	if limit := c.server.maxHeaderBytes(); limit > 0 && c.head.size > limit {
-		return -1
-	}
-	return cost + lineCost*int64(c.head.lines-lines)
-}
-
-// evict has the connection end in favour of others, unless its current request has been read.
-func (c *Conn) evict(cause Cause) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.phase == Opened || c.phase == Waiting || c.isReceiving() {
-		c.interruptFor(cause)
-	}
-}
-
-// isReceiving reports whether a part of a request has been read. The mutex is held.
-func (c *Conn) isReceiving() bool {
-	return !c.complete && (c.phase == Receiving || c.phase == Serving)
-}
-
-// makesRoom reports whether the connection was closed because there are too many.
-func (c *Conn) makesRoom() bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.cause == CauseConnections
-}
-
-// evicted reports whether the connection ends in favour of others. The mutex is held.
-func (c *Conn) evicted() bool {
-	return c.interrupt == CauseMemory || c.interrupt == CauseConnections
-}
-
-// HeadBytes returns the size of the current request's head.
-func (c *Conn) HeadBytes() int {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	return c.head.size
-}
-
 // evaluateRead records the outcome of a read. It returns again if the read was interrupted, but a
 // request has begun in the meantime.
 func (c *Conn) evaluateRead(into []byte, count int, err error) (_ int, _ error, again bool) {
@@ -280,9 +139,12 @@
 		}
 		c.setCause(c.interrupt)
 		return 0, io.EOF, false
-	case c.phase == Receiving || c.evicted() && !c.complete:
+	case c.phase == Receiving || c.evicted() && c.handlerReads:
 		c.refuseLocked(c.interrupt)
 		return 0, errRefused, false
+	case c.evicted() && !c.complete:
+		// net/http reads the rest of a body that the handler has left.
+		return 0, errRefused, false
 	default:
 		c.restoreDeadline()
 		return 0, nil, true
@@ -414,6 +276,12 @@
 	}
 }
 
+func (c *Conn) setHandlerReads(reads bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.handlerReads = reads
+}
+
 // handled records that the handler has returned.
 func (c *Conn) handled() {
 	c.mutex.Lock()
@@ -528,30 +396,3 @@
 	defer c.mutex.Unlock()
 	c.setCause(CauseStopLimit)
 }
-
-// idleness tells how much a connection is in the way of others.
-type idleness struct {
-	// yields is set if no complete request is being served on the connection.
-	yields bool
-	// active is set if a request is being received or the connection is new, since is when the
-	// phase began.
-	active bool
-	since  time.Time
-}
-
-// before orders connections by how soon they yield: those that rest, then the active ones, each
-// the longest first.
-func (i idleness) before(other idleness) bool {
-	if i.active != other.active {
-		return other.active
-	}
-	return i.since.Before(other.since)
-}
-
-func (c *Conn) idleness() idleness {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	receiving, isNew := c.isReceiving(), c.phase == Opened && steadyclock.Since(c.since) < newConnectionGrace
-	yields := (c.phase == Opened || c.phase == Waiting || receiving) && c.interrupt == ""
-	return idleness{yields: yields, active: receiving || isNew, since: c.since}
-}
--- a/internal/httpdrain/refusal.go
+++ b/internal/httpdrain/refusal.go
@@ -42,7 +42,7 @@
 // refuseLocked is refuse with the mutex held.
 func (c *Conn) refuseLocked(cause Cause) {
 	c.setCause(cause)
-	if c.refused || c.responding {
+	if c.refused || c.responding || c.phase != Receiving && !c.handlerReads {
 		return
 	}
 	c.refused = true
--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -111,7 +111,9 @@
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(into []byte) (int, error) {
+	b.conn.setHandlerReads(true)
 	count, err := b.ReadCloser.Read(into)
+	b.conn.setHandlerReads(false)
 	if err == io.EOF { //nolint:errorlint // Readers return io.EOF itself.
 		b.conn.read()
 	}
@@ -276,7 +278,7 @@
 	if oldest != nil {
 		oldest.evict(CauseConnections)
 	}
-	return count <= limit+limit*endingShare/100
+	return count <= limit+max(1, limit*endingShare/100)
 }
 
 // forget removes a connection that has been closed.
