--- a/internal/httpdrain/server.go
+++ b/internal/httpdrain/server.go
@@ -114,7 +114,7 @@
 	b.conn.setHandlerReads(true)
 	count, err := b.ReadCloser.Read(into)
 	b.conn.setHandlerReads(false)
-	if err == io.EOF { //nolint:errorlint // Readers return io.EOF itself.
+	if errors.Is(err, io.EOF) {
 		b.conn.read()
 	}
 	return count, err
